--- /dev/null
+++ b/cmd/saddlevane-demo/main.go
@@ -0,0 +1,86 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Saddlevane-demo starts a small cell as real processes, publishes files, sends
+// callers' requests and checks what came of it. It exits 0 only if all of it
+// was as it should be.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"saddlevane/models/resource"
+	"saddlevane/tests/cell"
+)
+
+// demoWithin bounds the whole demo.
+const demoWithin = 90 * time.Second
+
+func main() {
+	bin := flag.String("bin", "bin", "folder of the programs")
+	flag.Parse()
+	if err := run(*bin); err != nil {
+		fmt.Fprintln(os.Stderr, "demo: FAILED:", err)
+		os.Exit(1)
+	}
+	fmt.Println("\ndemo: everything was as it should be")
+}
+
+func run(bin string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoWithin)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "saddlevane-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cell.Start(ctx, options(bin, dir))
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	d := &demo{ctx: ctx, cell: c, dir: dir}
+	return errors.Join(d.steps())
+}
+
+func options(bin, dir string) cell.Options {
+	capacity := resource.Vector{Processors: 8 * resource.Processor, Memory: 16 * resource.GiB}
+	o := cell.Options{Binaries: cell.BinariesIn(bin), Dir: dir, Settings: cell.QuickSettings()}
+	for _, name := range []string{"a", "b", "c"} {
+		o.Domains = append(o.Domains, cell.Domain{
+			Name: name, Entries: 2, Racks: 2, PerRack: 2, Capacity: capacity, Targets: 2, Slots: 8,
+		})
+	}
+	return o
+}
+
+// demo is the state of a run.
+type demo struct {
+	ctx  context.Context
+	cell *cell.Cell
+	dir  string
+}
+
+func (d *demo) steps() error {
+	fmt.Println("== 6 entry boxes in 3 failure domains, 12 workers, 6 targets, a log and a list of boxes are running")
+	for _, step := range []func() error{
+		d.publishCell, d.publishWork, d.showWork, d.refuse, d.askTargets, d.show,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// file writes a file and returns its path.
+func (d *demo) file(name, text string) (string, error) {
+	path := filepath.Join(d.dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o644)
+}
--- /dev/null
+++ b/cmd/saddlevane-demo/steps.go
@@ -0,0 +1,214 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+	"saddlevane/tests/cell"
+)
+
+// work is a file with one object of each kind, and one that cannot fit at once.
+const work = `name: work
+services:
+  - name: portal
+    team: archive
+    priority: urgent
+    count: 3
+    resources: {processors: 1, memory: 1GiB}
+    command: [serve]
+jobs:
+  - name: renders
+    team: archive
+    priority: batch
+    count: 60
+    resources: {processors: 2, memory: 2GiB}
+    command: [sleep, 300ms]
+    repeatable: true
+    expected: 300ms
+  - name: extracts
+    team: archive
+    count: 12
+    resources: {processors: 1, memory: 1GiB}
+    command: [sleep, 200ms]
+    repeatable: false
+    expected: 200ms
+  - name: backlog
+    team: archive
+    priority: batch
+    count: 40
+    resources: {processors: 6, memory: 12GiB}
+    command: [sleep, 10m]
+    repeatable: true
+gangs:
+  - name: quarter-close
+    team: archive
+    priority: urgent
+    count: 6
+    resources: {processors: 2, memory: 2GiB}
+    command: [sleep, 400ms]
+    repeatable: true
+`
+
+const tooLarge = `name: wrong
+jobs:
+  - name: giant
+    team: archive
+    count: 1
+    resources: {processors: 64, memory: 1GiB}
+    command: [sleep, 1s]
+    repeatable: true
+`
+
+func (d *demo) publishCell() error {
+	if err := d.cell.WaitReady(d.ctx); err != nil {
+		return err
+	}
+	if err := d.publish("cell.yaml", d.cell.CellFile("cell")); err != nil {
+		return err
+	}
+	return cell.Until(d.ctx, "the cell's file is in force everywhere", func() bool {
+		for _, e := range d.cell.Entries() {
+			if s, err := e.Status(d.ctx); err != nil || len(s.Files) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *demo) publishWork() error { return d.publish("work.yaml", work) }
+
+func (d *demo) publish(name, text string) error {
+	path, err := d.file(name, text)
+	if err != nil {
+		return err
+	}
+	out, code := d.cell.Tool(d.ctx, "publish", "-replaces", "0", path)
+	fmt.Printf("\n$ saddlevanectl publish -replaces 0 %s\n%s", name, out)
+	if code != 0 {
+		return fmt.Errorf("publish %s: exit code %d", name, code)
+	}
+	return nil
+}
+
+func (d *demo) showWork() error {
+	err := cell.Until(d.ctx, "the service runs and the jobs and the gang are done", func() bool {
+		w := d.cell.Work(d.ctx)
+		return w["portal"].Running == 3 && w["renders"].Done == 60 && w["extracts"].Done == 12 &&
+			w["quarter-close"].Done == 6 && w["backlog"].Running > 0 && w["backlog"].Waiting > 0
+	})
+	out, _ := d.cell.Tool(d.ctx, "queue")
+	fmt.Printf("\n$ saddlevanectl queue\n%s", out)
+	if err != nil {
+		return err
+	}
+	h, err := d.cell.History(d.ctx)
+	if err != nil {
+		return err
+	}
+	if twice := h.Twice(); len(twice) > 0 || h.Excess > 0 {
+		return fmt.Errorf("tasks in two places: %v; starts beyond a worker's size: %d", twice, h.Excess)
+	}
+	for key, n := range h.Starts() {
+		if key.Object.Name == "extracts" && n > 1 {
+			return fmt.Errorf("%s may not be repeated and was started %d times", key, n)
+		}
+	}
+	fmt.Printf("\n%d task starts seen by the workers; none in two places, none beyond a worker's size\n", len(h.Spans))
+	return nil
+}
+
+func (d *demo) refuse() error {
+	path, err := d.file("wrong.yaml", tooLarge)
+	if err != nil {
+		return err
+	}
+	out, code := d.cell.Tool(d.ctx, "publish", "-replaces", "0", path)
+	fmt.Printf("\n$ saddlevanectl publish -replaces 0 wrong.yaml\n%s", out)
+	if code != 1 {
+		return fmt.Errorf("a job that can never run: exit code %d, want 1", code)
+	}
+	return nil
+}
+
+// asked is one request and what its caller must get.
+type asked struct {
+	path, key, nonce, body string
+	status                 int
+	verdict                verdict.Verdict
+}
+
+func (d *demo) askTargets() error {
+	entries := d.cell.Entries()
+	fmt.Println("\ncallers ask entry boxes:")
+	for i := range 12 {
+		body := fmt.Sprintf("page %d", i)
+		a := asked{path: "runners/preview?ms=5", nonce: fmt.Sprint("p", i), body: body, status: 200, verdict: verdict.Ran}
+		if err := d.ask(entries[i%len(entries)], a); err != nil {
+			return err
+		}
+	}
+	return d.askKeyed(entries[0], entries[1])
+}
+
+// askKeyed sends a request that may not be repeated twice, to two boxes.
+func (d *demo) askKeyed(first, second *cell.Entry) error {
+	resp, _, err := cell.Ask(d.ctx, http.DefaultClient, first, "runners/extract", "", "x", "filing")
+	if err != nil {
+		return err
+	}
+	key := resp.Header.Get(request.HeaderKey)
+	if resp.StatusCode != http.StatusPreconditionRequired || key == "" {
+		return fmt.Errorf("an extract without a key: status %d, key %q", resp.StatusCode, key)
+	}
+	fmt.Printf("  %s extract without a key: %d, not run, a key is given\n", first.Name, resp.StatusCode)
+	for _, e := range []*cell.Entry{first, second} {
+		a := asked{path: "runners/extract?ms=5", key: key, nonce: "x", body: "filing", status: 200, verdict: verdict.Ran}
+		if err := d.ask(e, a); err != nil {
+			return err
+		}
+	}
+	runs, err := d.cell.Runs(d.ctx)
+	if err != nil {
+		return err
+	}
+	total := 0
+	for _, r := range runs {
+		total += r.Runs["x"]
+	}
+	if total != 1 {
+		return fmt.Errorf("the extract ran %d times, want once", total)
+	}
+	fmt.Println("  the extract was sent to two boxes and ran once")
+	return nil
+}
+
+func (d *demo) ask(e *cell.Entry, a asked) error {
+	resp, body, err := cell.Ask(d.ctx, http.DefaultClient, e, a.path, a.key, a.nonce, a.body)
+	if err != nil {
+		return err
+	}
+	got := verdict.Verdict(resp.Header.Get(request.HeaderVerdict))
+	fmt.Printf("  %s %s %q: %d, %s, by %s\n", e.Name, strings.SplitN(a.path, "?", 2)[0], a.body, resp.StatusCode, got, resp.Header.Get(request.HeaderTarget))
+	if resp.StatusCode != a.status || got != a.verdict || body != a.body {
+		return fmt.Errorf("%s %s: status %d, verdict %q, body %q", e.Name, a.path, resp.StatusCode, got, body)
+	}
+	return nil
+}
+
+func (d *demo) show() error {
+	for _, args := range [][]string{{"status"}, {"get"}, {"explain", "portal/0"}, {"explain", "backlog/39"}} {
+		out, code := d.cell.Tool(d.ctx, args...)
+		fmt.Printf("\n$ saddlevanectl %s\n%s", strings.Join(args, " "), out)
+		if code != 0 {
+			return fmt.Errorf("%v: exit code %d", args, code)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/saddlevane-standin/boxes.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"saddlevane/models/box"
+	"saddlevane/modules/httpjson"
+)
+
+// maxBoxList bounds a list, in bytes.
+const maxBoxList = 64 << 20
+
+// boxesStandin is the platform's list of boxes. What is set shows only after a
+// lag.
+type boxesStandin struct {
+	*http.ServeMux
+	faults faultBox
+	lag    time.Duration
+
+	mu     sync.Mutex
+	shown  box.List
+	coming box.List
+	dueAt  time.Time
+}
+
+func newBoxes(lag time.Duration) *boxesStandin {
+	b := &boxesStandin{ServeMux: http.NewServeMux(), lag: lag}
+	b.HandleFunc("GET /v1/boxes", b.read)
+	b.HandleFunc("POST /admin/boxes", b.set)
+	b.HandleFunc("POST /admin/faults", b.faults.serve)
+	return b
+}
+
+func (b *boxesStandin) read(w http.ResponseWriter, _ *http.Request) {
+	if !b.faults.before(w) {
+		return
+	}
+	b.mu.Lock()
+	if !time.Now().Before(b.dueAt) {
+		b.shown = b.coming
+	}
+	shown := b.shown
+	b.mu.Unlock()
+	if shown.Boxes == nil {
+		shown.Boxes = []box.Box{}
+	}
+	b.faults.answer(w, shown)
+}
+
+func (b *boxesStandin) set(w http.ResponseWriter, r *http.Request) {
+	var l box.List
+	if !httpjson.Decode(w, r, maxBoxList, &l) {
+		return
+	}
+	b.mu.Lock()
+	b.coming, b.dueAt = l, time.Now().Add(b.lag)
+	b.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/cmd/saddlevane-standin/faults.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"saddlevane/modules/httpjson"
+)
+
+// faults are switched by POST /admin/faults; each request sets all of them.
+type faults struct {
+	// Down refuses every call without running it.
+	Down bool `json:"down"`
+	// Drop closes the connection of every call without running it.
+	Drop bool `json:"drop"`
+	// LoseAnswers runs calls and closes the connection instead of answering.
+	LoseAnswers bool `json:"lose_answers"`
+	// Truncate sends the first half of an answer only.
+	Truncate bool `json:"truncate"`
+	// Slow is added to each call, in milliseconds.
+	Slow int64 `json:"slow_ms"`
+	// FailAll makes a worker fail all that it starts.
+	FailAll bool `json:"fail_all"`
+	// Leaving makes a worker or target say that it leaves.
+	Leaving bool `json:"leaving"`
+}
+
+// faultBox holds the faults in force.
+type faultBox struct {
+	mu sync.Mutex
+	f  faults
+}
+
+func (b *faultBox) get() faults {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.f
+}
+
+func (b *faultBox) serve(w http.ResponseWriter, r *http.Request) {
+	var f faults
+	if !httpjson.Decode(w, r, 1<<16, &f) {
+		return
+	}
+	b.mu.Lock()
+	b.f = f
+	b.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, f)
+}
+
+// before applies what happens before a call runs, and returns false if it does
+// not run.
+func (b *faultBox) before(w http.ResponseWriter) bool {
+	f := b.get()
+	if f.Slow > 0 {
+		time.Sleep(time.Duration(f.Slow) * time.Millisecond)
+	}
+	if f.Drop {
+		hangUp(w)
+		return false
+	}
+	if f.Down {
+		httpjson.Error(w, http.StatusServiceUnavailable, "down")
+		return false
+	}
+	return true
+}
+
+// answer sends an answer unless it is to be lost.
+func (b *faultBox) answer(w http.ResponseWriter, v any) {
+	if b.get().LoseAnswers {
+		hangUp(w)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, v)
+}
+
+// hangUp closes the connection of a call.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/cmd/saddlevane-standin/target.go
@@ -0,0 +1,156 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+	"saddlevane/modules/httpjson"
+)
+
+// targetStandin is one target: it echoes requests, a bounded number at a time,
+// and counts how often each one ran.
+type targetStandin struct {
+	*http.ServeMux
+	faults      faultBox
+	name        string
+	slots       chan struct{}
+	connections chan struct{}
+
+	mu      sync.Mutex
+	runs    map[string]int
+	served  int64
+	busiest int
+	queued  int
+}
+
+// headerNonce names a request in a test, whatever its key.
+const headerNonce = "Test-Nonce"
+
+func newTarget(m member) *targetStandin {
+	t := &targetStandin{
+		ServeMux: http.NewServeMux(), name: m.Name, runs: map[string]int{},
+		slots: make(chan struct{}, max(m.Slots, 1)), connections: make(chan struct{}, max(m.Connections, 1)),
+	}
+	t.HandleFunc("POST /admin/faults", t.faults.serve)
+	t.HandleFunc("GET /admin/runs", t.showRuns)
+	t.HandleFunc("/", t.serve)
+	return t
+}
+
+func (t *targetStandin) serve(w http.ResponseWriter, r *http.Request) {
+	if t.faults.get().Leaving {
+		w.Header().Set(request.HeaderVerdict, string(verdict.NotRun))
+		w.Header().Set(request.HeaderLeaving, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t.wait(1)
+	t.slots <- struct{}{}
+	t.wait(-1)
+	defer func() { <-t.slots }()
+	if !t.faults.before(w) {
+		return
+	}
+	t.count(r.Header.Get(headerNonce))
+	ms, _ := strconv.ParseFloat(r.URL.Query().Get("ms"), 64)
+	time.Sleep(time.Duration(ms * float64(time.Millisecond)))
+	t.reply(w, body)
+}
+
+func (t *targetStandin) reply(w http.ResponseWriter, body []byte) {
+	f := t.faults.get()
+	if f.LoseAnswers {
+		hangUp(w)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Test-Target", t.name)
+	if f.Truncate {
+		_, _ = w.Write(body[:len(body)/2])
+		hangUp(w)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (t *targetStandin) wait(by int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.queued += by
+	t.busiest = max(t.busiest, len(t.slots)+t.queued)
+}
+
+func (t *targetStandin) count(nonce string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served++
+	if nonce != "" {
+		t.runs[nonce]++
+	}
+}
+
+// runs is the answer to GET /admin/runs.
+type runs struct {
+	Target string         `json:"target"`
+	Served int64          `json:"served"`
+	Runs   map[string]int `json:"runs"`
+	// Busiest is the most requests that were in the target at once.
+	Busiest int `json:"busiest"`
+}
+
+func (t *targetStandin) showRuns(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, runs{Target: t.name, Served: t.served, Runs: t.runs, Busiest: t.busiest})
+}
+
+// limit refuses connections beyond what the target accepts.
+func (t *targetStandin) limit(l net.Listener) net.Listener {
+	return &limitedListener{Listener: l, open: t.connections}
+}
+
+type limitedListener struct {
+	net.Listener
+	open chan struct{}
+}
+
+// Accept returns the next connection that is within the limit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.open <- struct{}{}:
+			return &limitedConn{Conn: c, open: l.open}, nil
+		default:
+			_ = c.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	open chan struct{}
+}
+
+// Close closes the connection and makes room for another.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.open })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/cmd/saddlevanectl/client.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"saddlevane/modules/httpjson"
+)
+
+// maxAnswer bounds an answer of a daemon, in bytes.
+const maxAnswer = 64 << 20
+
+// callWithin bounds one call.
+const callWithin = 15 * time.Second
+
+// client calls the operators' ports of daemons.
+type client struct {
+	addresses []string
+	http      *http.Client
+	json      *httpjson.Client
+}
+
+func newClient(addresses string) (*client, error) {
+	c := &client{http: &http.Client{Timeout: callWithin}}
+	c.json = httpjson.NewClient(c.http, maxAnswer)
+	for _, a := range strings.Split(addresses, ",") {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return nil, usageError("-address: want IP addresses and ports, got %q", a)
+		}
+		c.addresses = append(c.addresses, a)
+	}
+	return c, nil
+}
+
+// get reads path from one daemon.
+func get[T any](ctx context.Context, c *client, address, path string) (T, error) {
+	var v T
+	err := c.json.Get(ctx, "http://"+address+path, &v)
+	return v, err
+}
+
+// first reads path from the first daemon that answers.
+func first[T any](ctx context.Context, c *client, path string) (T, error) {
+	var errs []error
+	for _, a := range c.addresses {
+		v, err := get[T](ctx, c, a, path)
+		if err == nil {
+			return v, nil
+		}
+		errs = append(errs, fmt.Errorf("%s: %w", a, err))
+	}
+	var none T
+	return none, errors.Join(errs...)
+}
+
+// each reads path from every daemon and returns the answers with the addresses
+// that gave them.
+func each[T any](ctx context.Context, c *client, path string) ([]answered[T], error) {
+	var all []answered[T]
+	var errs []error
+	for _, a := range c.addresses {
+		v, err := get[T](ctx, c, a, path)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", a, err))
+			continue
+		}
+		all = append(all, answered[T]{a, v})
+	}
+	return all, errors.Join(errs...)
+}
+
+// answered is one daemon's answer.
+type answered[T any] struct {
+	Address string `json:"address"`
+	Answer  T      `json:"answer"`
+}
+
+// postFile sends a file to one daemon. It also says whether the daemon may have
+// received it.
+func (c *client) postFile(ctx context.Context, address, path string, query url.Values, data string) (*http.Response, bool, error) {
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+"?"+query.Encode(), strings.NewReader(data))
+	if err != nil {
+		return nil, false, err
+	}
+	resp, err := c.http.Do(req)
+	return resp, sent, err
+}
+
+func readAnswer(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	return httpjson.ReadAll(io.Reader(resp.Body), maxAnswer)
+}
--- /dev/null
+++ b/cmd/saddlevanectl/main.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Saddlevanectl is the operators' tool. It changes things only by publishing a
+// new complete file; everything else reads.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"saddlevane/modules/setting"
+)
+
+// Exit codes.
+const (
+	// exitDone says that what was asked for was done.
+	exitDone = 0
+	// exitRefused says that it was refused or failed and that nothing was applied.
+	exitRefused = 1
+	// exitUsage says that the command line or the file is wrong.
+	exitUsage = 2
+	// exitUnknown says that it is not known whether the file was applied.
+	exitUnknown = 3
+)
+
+// codeError is an error that ends the tool with its own exit code.
+type codeError struct {
+	code int
+	err  error
+}
+
+func (e *codeError) Error() string { return e.err.Error() }
+
+func (e *codeError) Unwrap() error { return e.err }
+
+func usageError(format string, args ...any) error {
+	return &codeError{exitUsage, fmt.Errorf(format, args...)}
+}
+
+func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
+
+// tool is what all commands share.
+type tool struct {
+	out       io.Writer
+	errOut    io.Writer
+	addresses string
+	format    string
+	client    *client
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	t := &tool{out: out, errOut: errOut}
+	root := t.root()
+	switch err := root.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case err != nil:
+		// The flag set has said what is wrong.
+		return exitUsage
+	}
+	err := t.prepare()
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	return code(err, errOut)
+}
+
+func code(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(errOut, "saddlevanectl:", err)
+	if coded, ok := errors.AsType[*codeError](err); ok {
+		return coded.code
+	}
+	return exitRefused
+}
+
+func (t *tool) root() *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "saddlevanectl",
+		ShortUsage: "saddlevanectl [flags] <command>",
+		LongHelp: "Publishes complete files and reads back what is in force.\n" +
+			"Exit codes: 0 done, 1 refused or failed and not applied, 2 bad usage or file,\n" +
+			"3 unknown whether it was applied.\n\nExample:\n  saddlevanectl -address 127.0.0.1:8081 status",
+		Subcommands: []*ffcli.Command{
+			t.validate(), t.publish(), t.get(), t.status(), t.queue(), t.explain(), t.dump(), t.version(),
+		},
+		Exec: func(context.Context, []string) error { return usageError("want a command; see --help") },
+	}
+	root.FlagSet = t.flags("saddlevanectl")
+	return root
+}
+
+// flags returns a set with the flags that every command takes.
+func (t *tool) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(t.errOut)
+	if t.addresses == "" {
+		t.addresses, t.format = "127.0.0.1:8081", formatTable
+	}
+	fs.StringVar(&t.addresses, "address", t.addresses, "operators' ports of the entry boxes, separated by commas")
+	fs.StringVar(&t.format, "o", t.format, "output: table, json or yaml")
+	return fs
+}
+
+// command returns a command with the shared flags.
+func (t *tool) command(name, arguments, help, example string, exec func(context.Context, []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "saddlevanectl " + name + " [flags] " + arguments,
+		ShortHelp:  help,
+		LongHelp:   help + "\n\nExample:\n  saddlevanectl " + example,
+		FlagSet:    t.flags(name),
+		Options:    []ff.Option{ff.WithEnvVarPrefix(setting.EnvPrefix + "CTL")},
+		Exec:       exec,
+	}
+}
+
+func (t *tool) prepare() error {
+	switch t.format {
+	case formatTable, formatJSON, formatYAML:
+	default:
+		return usageError("-o: want table, json or yaml, got %q", t.format)
+	}
+	c, err := newClient(t.addresses)
+	t.client = c
+	return err
+}
--- /dev/null
+++ b/cmd/saddlevanectl/publish.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/spec"
+)
+
+func (t *tool) validate() *ffcli.Command {
+	return t.command("validate", "FILE", "checks a file without publishing it, and without asking any daemon",
+		"validate jordan.yaml", func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("validate: want one file")
+			}
+			f, _, err := readFile(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(t.out, "%s: file %q is right in itself\n", args[0], f.Name)
+			return nil
+		})
+}
+
+func readFile(path string) (*spec.File, string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, "", &codeError{exitUsage, err}
+	}
+	f, _, problems := spec.Parse(path, data)
+	if err := problems.Err(); err != nil {
+		return nil, "", &codeError{exitUsage, err}
+	}
+	return f, string(data), nil
+}
+
+// publishOptions are the flags of publish.
+type publishOptions struct {
+	replaces int64
+	id       string
+	within   time.Duration
+}
+
+func (t *tool) publish() *ffcli.Command {
+	o := publishOptions{}
+	cmd := t.command("publish", "FILE", "puts a complete file in force in place of the revision that it replaces",
+		"publish -replaces 12 jordan.yaml", func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("publish: want one file")
+			}
+			if o.replaces < 0 {
+				return usageError("publish: -replaces: want the revision in force as get shows it, or 0 for a new file")
+			}
+			return t.publishFile(ctx, args[0], o)
+		})
+	cmd.FlagSet.Int64Var(&o.replaces, "replaces", -1, "revision that the file replaces, 0 for a new file")
+	cmd.FlagSet.StringVar(&o.id, "id", "", "name of this publication; the same again after exit code 3 cannot apply it twice")
+	cmd.FlagSet.DurationVar(&o.within, "within", 20*time.Second, "how long to try")
+	return cmd
+}
+
+func (t *tool) publishFile(ctx context.Context, path string, o publishOptions) error {
+	f, data, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	if o.id == "" {
+		o.id = ulid.Make().String()
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.within)
+	defer cancel()
+	result, err := t.publishAnywhere(ctx, f.Name, data, o)
+	if err != nil {
+		return err
+	}
+	switch result.Outcome {
+	case effect.Accepted:
+		return t.print(result, func() { fmt.Fprintf(t.out, "%s: revision %d is accepted\n", f.Name, result.Revision) })
+	case effect.Refused:
+		return &codeError{exitRefused, fmt.Errorf("refused, nothing is applied: %s", strings.Join(result.Reasons, "; "))}
+	default:
+		return unknownError(o.id, errors.New(strings.Join(result.Reasons, "; ")))
+	}
+}
+
+func unknownError(id string, cause error) error {
+	return &codeError{exitUnknown, fmt.Errorf("not known whether the file was applied (publish again with -id %s): %w", id, cause)}
+}
+
+// publishAnywhere tries one daemon after the other. Once a daemon may have
+// received the file, only an answer that names this publication tells its fate.
+func (t *tool) publishAnywhere(ctx context.Context, name, data string, o publishOptions) (effect.PublishResult, error) {
+	query := url.Values{"replaces": {strconv.FormatInt(o.replaces, 10)}, "id": {o.id}}
+	maybe := false
+	var last error
+	for {
+		for _, address := range t.client.addresses {
+			result, sent, err := t.publishTo(ctx, address, name, data, query)
+			if err == nil && result.Outcome == effect.Refused && maybe {
+				err = fmt.Errorf("%s: %s", address, strings.Join(result.Reasons, "; "))
+				return result, unknownError(o.id, err)
+			}
+			if err == nil && result.Outcome != effect.Unknown {
+				return result, nil
+			}
+			if err == nil {
+				err = errors.New(strings.Join(result.Reasons, "; "))
+			}
+			maybe = maybe || sent
+			last = fmt.Errorf("%s: %w", address, err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tryAgain):
+			continue
+		}
+		if maybe {
+			return effect.PublishResult{}, unknownError(o.id, last)
+		}
+		return effect.PublishResult{}, &codeError{exitRefused, fmt.Errorf("no daemon took the file: %w", last)}
+	}
+}
+
+const tryAgain = 200 * time.Millisecond
+
+func (t *tool) publishTo(ctx context.Context, address, name, data string, query url.Values) (effect.PublishResult, bool, error) {
+	var result effect.PublishResult
+	resp, sent, err := t.client.postFile(ctx, address, "/v1/files/"+name, query, data)
+	if err != nil {
+		return result, sent, err
+	}
+	body, err := readAnswer(resp)
+	if err != nil {
+		return result, true, err
+	}
+	if err := json.Unmarshal(body, &result); err != nil {
+		return result, true, err
+	}
+	if result.Outcome == "" {
+		return result, false, fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return result, true, nil
+}
--- /dev/null
+++ b/cmd/saddlevaned/daemon.go
@@ -0,0 +1,186 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/peer"
+	"saddlevane/modules/logger"
+	"saddlevane/modules/setting"
+	"saddlevane/routers"
+	"saddlevane/services/core"
+	"saddlevane/services/runtime"
+)
+
+// The bounds of the HTTP servers. The idle time is longer than that of
+// well-known balancers, which must be the ones to close an idle connection.
+const (
+	headerWithin = 5 * time.Second
+	idleWithin   = 75 * time.Second
+	maxHeader    = 64 << 10
+)
+
+// daemon is all that a running process owns.
+type daemon struct {
+	log       *logrus.Entry
+	loop      *runtime.Loop
+	adapters  runtime.Adapters
+	callers   *http.Server
+	operators *http.Server
+	tasks     conc.WaitGroup
+	failed    chan error
+}
+
+// listeners are the three ports of a daemon.
+type listeners struct{ callers, operators, peers net.Listener }
+
+// serve runs the daemon until a signal has stopped it.
+func serve(s setting.Settings, log *logrus.Logger, signals <-chan os.Signal) error {
+	l, err := listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	d := start(s, log, l)
+	defer d.close()
+	d.log.WithField(logger.FieldAddress, s.Listen.Callers).Info("serving")
+	select {
+	case err := <-d.failed:
+		return err
+	case <-signals:
+	}
+	d.log.Info("stopping")
+	d.loop.Stop()
+	select {
+	case <-d.loop.Stopped():
+	case <-signals:
+		d.log.Warning("stopped at once by a second signal")
+	}
+	d.shutdown(s.Stop.Most)
+	d.log.Info("stopped")
+	return nil
+}
+
+func listen(s setting.Listen) (listeners, error) {
+	var l listeners
+	for _, p := range []struct {
+		address string
+		into    *net.Listener
+	}{{s.Callers, &l.callers}, {s.Operators, &l.operators}, {s.Peers, &l.peers}} {
+		opened, err := net.Listen("tcp", p.address)
+		if err != nil {
+			l.close()
+			return listeners{}, fmt.Errorf("listen: %w", err)
+		}
+		*p.into = opened
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func start(s setting.Settings, log *logrus.Logger, l listeners) *daemon {
+	now := time.Now()
+	self := peer.Hello{
+		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()).String(),
+		Domain: s.Box.Domain, Address: s.Listen.Peers,
+	}
+	d := &daemon{
+		log: log.WithFields(logrus.Fields{
+			logger.FieldBox: self.Box, logger.FieldIncarnation: self.Incarnation, logger.FieldDomain: self.Domain,
+		}),
+		failed: make(chan error, 2),
+	}
+	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log)
+	requests := runtime.NewRequests(runtime.RequestSettings{
+		MaxAnswer: s.Requests.MaxAnswer, MaxPending: s.Requests.MaxPending, MaxKept: s.Requests.MaxKept,
+	}, d.loop)
+	d.adapters = runtime.Adapters{
+		Requests: requests,
+		Workers:  runtime.NewWorkers(s.Workers.Timeout, d.loop),
+		Peers:    runtime.NewPeers(l.peers, d.loop, requests),
+		Log: runtime.NewLog(runtime.PlatformSettings{
+			Log: s.Platform.Log, Boxes: s.Platform.Boxes, Timeout: s.Platform.Timeout,
+			Wait: s.Platform.Wait, BoxesEvery: s.Platform.BoxesEvery,
+		}, d.loop),
+	}
+	d.loop.Run(d.adapters)
+	d.callers = d.http(l.callers, routers.NewCallers(d.loop, requests, s.Requests.MaxBody))
+	d.operators = d.http(l.operators, routers.NewOperators(d.loop, routers.NewMetrics(d.loop)))
+	return d
+}
+
+// newKey returns an identifier that is unique among all processes.
+func newKey(now time.Time) ulid.ULID {
+	return ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy())
+}
+
+func (d *daemon) http(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeader,
+	}
+	d.tasks.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.failed <- err
+		}
+	})
+	return server
+}
+
+// shutdown closes the ports and waits for the answers under way.
+func (d *daemon) shutdown(most time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), most)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warning("callers were cut off")
+	}
+	d.drain(ctx)
+	_ = d.operators.Shutdown(ctx)
+}
+
+// drain waits until the requests that peers passed on are answered too.
+func (d *daemon) drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for idle := false; !idle; {
+		if !d.loop.Query(func(_ time.Time, c *core.Core) { idle = c.Idle() }) {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+const drainPoll = 10 * time.Millisecond
+
+// close ends everything that still runs.
+func (d *daemon) close() {
+	_ = d.callers.Close()
+	_ = d.operators.Close()
+	d.adapters.Peers.Close()
+	d.adapters.Log.Close()
+	d.adapters.Workers.Close()
+	d.adapters.Requests.Close()
+	d.loop.Close()
+	d.tasks.Wait()
+}
--- /dev/null
+++ b/cmd/saddlevaned/settings.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"saddlevane/modules/setting"
+	"saddlevane/services/core"
+	"saddlevane/services/journal"
+	"saddlevane/services/membership"
+	"saddlevane/services/placement"
+	"saddlevane/services/routing"
+	"saddlevane/services/shard"
+)
+
+// journalLimit is how many entries may wait for the log.
+const journalLimit = 10_000
+
+// coreSettings returns the reducer's part of the settings.
+func coreSettings(s setting.Settings) core.Settings {
+	return core.Settings{
+		Journal: journal.Settings{
+			Interval: s.Platform.AppendEvery, RetryAfter: 5 * s.Platform.AppendEvery, Limit: journalLimit,
+		},
+		Membership: membership.Settings{
+			Heartbeat: s.Peers.Heartbeat, DeadAfter: s.Peers.DeadAfter, Seeds: s.Peers.Seeds,
+		},
+		Routing: routing.Settings{
+			KeyTTL: s.Requests.KeyTTL, MaxKeys: s.Requests.MaxKeys,
+			RetryRatio: s.Requests.RetryRatio, RetryBurst: s.Requests.RetryBurst,
+			EjectAfter: s.Requests.EjectAfter, EjectFor: s.Requests.EjectFor, EjectMost: s.Requests.EjectMost,
+			LeastAttempt: s.Requests.LeastAttempt,
+		},
+		Shard:     shardSettings(s),
+		Retention: s.Platform.Retention, StopGrace: s.Stop.Grace, StopMost: s.Stop.Most,
+	}
+}
+
+func shardSettings(s setting.Settings) shard.Settings {
+	return shard.Settings{
+		Lease: s.Workers.Lease, Renew: s.Workers.Renew, Margin: s.Workers.Margin, TaskLease: s.Workers.TaskLease,
+		Settle: s.Workers.Settle, Backoff: s.Queue.Backoff, BackoffMost: s.Queue.BackoffMost,
+		GangPatience: s.Queue.GangPatience, QuarantineAfter: s.Workers.QuarantineAfter,
+		QuarantineFor: s.Workers.QuarantineFor, PlacementsPerTick: s.Queue.PlacementsPerTick,
+		StopsPerTick: s.Queue.StopsPerTick,
+	}
+}
+
+// policies returns the policies that a deployment chose.
+func policies(p setting.Policy) core.Policies {
+	weights := placement.Weights{Tight: p.Tight, Balance: p.Balance}
+	return core.Policies{
+		Routing: routing.DefaultPolicy(),
+		Shard:   shard.Policy{Weights: weights, Together: weights, SpreadPenalty: p.Spread},
+	}
+}
--- /dev/null
+++ b/models/record/record.go
@@ -0,0 +1,136 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package record holds what saddlevane appends to the platform's log.
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+)
+
+// Envelope is one append: entries that are applied together and in order.
+type Envelope struct {
+	// ID is the same in each try of one append.
+	ID string `json:"id"`
+	// From is the box and incarnation that appended.
+	From    string  `json:"from"`
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is one fact; exactly one field is set.
+type Entry struct {
+	Publish    *Publish    `json:"publish,omitempty"`
+	Claim      *Claim      `json:"claim,omitempty"`
+	Intents    *Tasks      `json:"intents,omitempty"`
+	Done       *Tasks      `json:"done,omitempty"`
+	Failed     *Tasks      `json:"failed,omitempty"`
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+	// Mark changes nothing; who appended it learns, on reading it, that it has
+	// read all that was in the log before.
+	Mark *Mark `json:"mark,omitempty"`
+}
+
+// Publish asks for a file to come into force in place of a revision. Its own
+// revision is the offset of its record.
+type Publish struct {
+	// ID names the operator's publication.
+	ID   string `json:"id"`
+	File string `json:"file"`
+	// Replaces is the revision in force, or 0 if the file is new.
+	Replaces int64  `json:"replaces"`
+	Data     string `json:"data"`
+}
+
+// Mark is an entry without a fact.
+type Mark struct{}
+
+// Home is a range of an object's tasks, From to To exclusive, and the shard
+// that runs them.
+type Home struct {
+	Shard spec.ShardID `json:"shard"`
+	From  int          `json:"from"`
+	To    int          `json:"to"`
+}
+
+// Claim makes a box the holder of a shard in place of an earlier claim.
+type Claim struct {
+	Shard spec.ShardID `json:"shard"`
+	Box   string       `json:"box"`
+	// Incarnation tells one life of the box from the next.
+	Incarnation string `json:"incarnation"`
+	// Replaces is the offset of the claim in force, or 0 if there is none.
+	Replaces int64 `json:"replaces"`
+}
+
+// Tasks is ranges of the tasks of one object.
+type Tasks struct {
+	Object task.ObjectID `json:"object"`
+	Ranges []Range       `json:"ranges"`
+}
+
+// Range is From to To exclusive.
+type Range struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// MaxBytes bounds an envelope: the largest file, escaped, with room for more.
+const MaxBytes = 4 << 20
+
+// Decode reads an envelope. Any error means that the record is not ours or is
+// damaged; every process must skip it alike.
+func Decode(data []byte) (Envelope, error) {
+	var e Envelope
+	if len(data) > MaxBytes {
+		return e, fmt.Errorf("record: %d bytes, the limit is %d", len(data), MaxBytes)
+	}
+	if err := json.Unmarshal(data, &e); err != nil {
+		return e, fmt.Errorf("record: %w", err)
+	}
+	if e.ID == "" || e.From == "" {
+		return e, errors.New("record: no id or no sender")
+	}
+	return e, nil
+}
+
+// UnmarshalJSON refuses entries that hold no fact, or several.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	type plain Entry
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	facts := 0
+	for _, set := range []bool{
+		p.Publish != nil, p.Claim != nil, p.Intents != nil, p.Done != nil, p.Failed != nil,
+		p.Checkpoint != nil, p.Mark != nil,
+	} {
+		if set {
+			facts++
+		}
+	}
+	if facts != 1 {
+		return fmt.Errorf("record: entry with %d facts, want 1", facts)
+	}
+	*e = Entry(p)
+	return nil
+}
+
+// UnmarshalJSON refuses ranges that are empty or out of bounds.
+func (r *Range) UnmarshalJSON(data []byte) error {
+	type plain Range
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.From < 0 || p.To <= p.From || p.To > spec.MaxCount {
+		return fmt.Errorf("record: bad range %d to %d", p.From, p.To)
+	}
+	*r = Range(p)
+	return nil
+}
--- /dev/null
+++ b/models/spec/enum.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package spec
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Priority orders work; urgent goes before normal, normal before batch.
+type Priority string
+
+// The priorities, first to last.
+const (
+	Urgent Priority = "urgent"
+	Normal Priority = "normal"
+	Bulk   Priority = "batch"
+)
+
+// Priorities lists the priorities, first to last.
+var Priorities = []Priority{Urgent, Normal, Bulk}
+
+// Rank returns 0 for the priority that goes first.
+func (p Priority) Rank() int { return slices.Index(Priorities, p) }
+
+// UnmarshalText refuses unknown priorities.
+func (p *Priority) UnmarshalText(text []byte) error {
+	return oneOf(p, text, Priorities)
+}
+
+// Spread is a group of workers that tasks of a service avoid sharing.
+type Spread string
+
+// The spreads. The default is SpreadRack.
+const (
+	SpreadRack   Spread = "rack"
+	SpreadWorker Spread = "worker"
+	SpreadNone   Spread = "none"
+)
+
+// UnmarshalText refuses unknown spreads.
+func (s *Spread) UnmarshalText(text []byte) error {
+	return oneOf(s, text, []Spread{SpreadRack, SpreadWorker, SpreadNone})
+}
+
+// Fate is what became of a task, in an operator's word.
+type Fate string
+
+// The fates that an operator can settle on.
+const (
+	FateDone   Fate = "done"
+	FateFailed Fate = "failed"
+	FateRerun  Fate = "rerun"
+)
+
+// UnmarshalText refuses unknown fates.
+func (f *Fate) UnmarshalText(text []byte) error {
+	return oneOf(f, text, []Fate{FateDone, FateFailed, FateRerun})
+}
+
+func oneOf[T ~string](dst *T, text []byte, known []T) error {
+	got := T(text)
+	if !slices.Contains(known, got) {
+		return fmt.Errorf("want one of %q, got %q", known, text)
+	}
+	*dst = got
+	return nil
+}
--- /dev/null
+++ b/models/spec/parse.go
@@ -0,0 +1,227 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package spec
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"time"
+
+	"saddlevane/modules/strictyaml"
+)
+
+// The limits of a file. They keep one record of the log, and the memory that a
+// file costs on each process, bounded.
+const (
+	MaxFileBytes = 1 << 20
+	MaxCount     = 100_000
+	maxDeadline  = time.Hour
+	maxQueue     = 100_000
+	maxSlots     = 10_000
+	maxRetries   = 100
+	maxCommand   = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Parse reads a file and checks all of it that can be checked alone. All
+// mistakes are returned at once, each with its place.
+func Parse(source string, data []byte) (*File, strictyaml.Positions, strictyaml.Problems) {
+	if len(data) > MaxFileBytes {
+		return nil, nil, strictyaml.Problems{{
+			File:   source,
+			Reason: fmt.Sprintf("%d bytes, the limit is %d", len(data), MaxFileBytes),
+		}}
+	}
+	f := &File{}
+	positions, problems := strictyaml.Decode(source, data, f)
+	c := checker{source: source, positions: positions, problems: problems}
+	f.setDefaults()
+	c.file(f)
+	if len(c.problems) > 0 {
+		return nil, positions, c.problems
+	}
+	return f, positions, nil
+}
+
+func (f *File) setDefaults() {
+	for i := range f.Teams {
+		if f.Teams[i].Weight == 0 {
+			f.Teams[i].Weight = 1
+		}
+	}
+	for i := range f.Services {
+		if f.Services[i].Spread == "" {
+			f.Services[i].Spread = SpreadRack
+		}
+	}
+	for _, w := range f.Works() {
+		if w.Priority == "" {
+			w.Priority = Normal
+		}
+	}
+}
+
+// Works returns the common part of every service, job and gang, in that order.
+func (f *File) Works() []*Work {
+	works := make([]*Work, 0, len(f.Services)+len(f.Jobs)+len(f.Gangs))
+	for i := range f.Services {
+		works = append(works, &f.Services[i].Work)
+	}
+	for i := range f.Jobs {
+		works = append(works, &f.Jobs[i].Work)
+	}
+	for i := range f.Gangs {
+		works = append(works, &f.Gangs[i].Work)
+	}
+	return works
+}
+
+type checker struct {
+	source    string
+	positions strictyaml.Positions
+	problems  strictyaml.Problems
+}
+
+func (c *checker) fail(path, format string, args ...any) {
+	c.problems = append(c.problems, strictyaml.Problem{
+		File: c.source, Position: c.positions.Of(path), Path: path, Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+func (c *checker) name(path, name string, seen map[string]string) {
+	if !namePattern.MatchString(name) {
+		c.fail(path, "want a name of a-z, 0-9 and '-', at most 63 long, got %q", name)
+		return
+	}
+	if seen == nil {
+		return
+	}
+	if first, ok := seen[name]; ok {
+		c.fail(path, "the name %q is taken by %s", name, first)
+		return
+	}
+	seen[name] = path
+}
+
+func (c *checker) between(path string, got, least, most int) {
+	if got < least || got > most {
+		c.fail(path, "want %d to %d, got %d", least, most, got)
+	}
+}
+
+func (c *checker) file(f *File) {
+	c.name("name", f.Name, nil)
+	c.racks(f.Racks)
+	c.teams(f.Teams)
+	c.pools(f.Pools)
+	seen := map[string]string{}
+	for i := range f.Services {
+		c.work(at("services", i), &f.Services[i].Work, seen)
+	}
+	for i := range f.Jobs {
+		c.work(at("jobs", i), &f.Jobs[i].Work, seen)
+		c.batch(at("jobs", i), &f.Jobs[i].Batch)
+	}
+	for i := range f.Gangs {
+		c.work(at("gangs", i), &f.Gangs[i].Work, seen)
+		c.batch(at("gangs", i), &f.Gangs[i].Batch)
+	}
+	for i, name := range f.Drain {
+		c.name(at("drain", i), name, nil)
+	}
+	c.settled(f.Settled)
+}
+
+func (c *checker) racks(racks []Rack) {
+	names, workers := map[string]string{}, map[string]string{}
+	for i, r := range racks {
+		path := at("racks", i)
+		c.name(path+".name", r.Name, names)
+		c.name(path+".domain", r.Domain, nil)
+		c.between(path+".shard", r.Shard, 0, 1000)
+		if r.Each.Processors <= 0 || r.Each.Memory <= 0 {
+			c.fail(path+".each", "want processors and memory above zero")
+		}
+		for j, w := range r.Workers {
+			c.name(at(path+".workers", j), w, workers)
+		}
+	}
+}
+
+func (c *checker) teams(teams []Team) {
+	names := map[string]string{}
+	for i, t := range teams {
+		path := at("teams", i)
+		c.name(path+".name", t.Name, names)
+		if !(t.Weight > 0 && t.Weight <= 1000) {
+			c.fail(path+".weight", "want a number above 0 and up to 1000, got %v", t.Weight)
+		}
+	}
+}
+
+func (c *checker) pools(pools []Pool) {
+	names := map[string]string{}
+	for i, p := range pools {
+		path := at("pools", i)
+		c.name(path+".name", p.Name, names)
+		c.between(path+".slots", p.Slots, 1, maxSlots)
+		c.between(path+".connections", p.Connections, p.Slots, maxSlots)
+		if len(p.Classes) == 0 {
+			c.fail(path+".classes", "want at least one class")
+		}
+		classes := map[string]string{}
+		for j, k := range p.Classes {
+			c.class(at(path+".classes", j), k, classes)
+		}
+	}
+}
+
+func (c *checker) class(path string, k Class, seen map[string]string) {
+	c.name(path+".name", k.Name, seen)
+	if k.Priority == "" {
+		c.fail(path+".priority", "missing")
+	}
+	if k.Deadline <= 0 || k.Deadline > maxDeadline {
+		c.fail(path+".deadline", "want more than 0s and at most %s, got %s", maxDeadline, k.Deadline)
+	}
+	c.between(path+".queue", k.Queue, 1, maxQueue)
+}
+
+func (c *checker) work(path string, w *Work, seen map[string]string) {
+	c.name(path+".name", w.Name, seen)
+	c.name(path+".team", w.Team, nil)
+	c.between(path+".count", w.Count, 1, MaxCount)
+	if w.Resources.IsZero() || w.Resources.IsNegative() {
+		c.fail(path+".resources", "want an amount above zero")
+	}
+	if len(w.Command) == 0 || len(w.Command) > maxCommand {
+		c.fail(path+".command", "want 1 to %d words, got %d", maxCommand, len(w.Command))
+	}
+	for i, d := range w.Domains {
+		c.name(at(path+".domains", i), d, nil)
+	}
+}
+
+func (c *checker) batch(path string, b *Batch) {
+	if b.Expected < 0 {
+		c.fail(path+".expected", "want 0s or more, got %s", b.Expected)
+	}
+	c.between(path+".retries", b.Retries, 0, maxRetries)
+}
+
+func (c *checker) settled(settled []Settlement) {
+	for i, s := range settled {
+		path := at("settled", i)
+		if _, err := s.Key(); err != nil {
+			c.fail(path+".task", "%s", err)
+		}
+		if s.As == "" {
+			c.fail(path+".as", "missing")
+		}
+	}
+}
+
+func at(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/models/task/id.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package task names tasks and the objects they belong to.
+package task
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ObjectID names one life of a service, job or gang: its name and the revision
+// of the file that introduced it. A name that is removed and published again
+// begins a new life.
+type ObjectID struct {
+	Name string
+	// Born is a revision, that is, a log offset.
+	Born int64
+}
+
+// String returns "name@born".
+func (o ObjectID) String() string { return o.Name + "@" + strconv.FormatInt(o.Born, 10) }
+
+// MarshalText writes what UnmarshalText reads.
+func (o ObjectID) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText reads "name@born".
+func (o *ObjectID) UnmarshalText(text []byte) error {
+	name, born, ok := strings.Cut(string(text), "@")
+	n, err := strconv.ParseInt(born, 10, 64)
+	if !ok || name == "" || err != nil || n < 0 {
+		return fmt.Errorf("want an object such as name@12, got %q", text)
+	}
+	*o = ObjectID{Name: name, Born: n}
+	return nil
+}
+
+// ID names one attempt at one task.
+type ID struct {
+	Object  ObjectID
+	Index   int
+	Attempt int
+}
+
+// String returns "name@born/index.attempt".
+func (t ID) String() string {
+	return t.Object.String() + "/" + strconv.Itoa(t.Index) + "." + strconv.Itoa(t.Attempt)
+}
+
+// MarshalText writes what UnmarshalText reads.
+func (t ID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText reads "name@born/index.attempt".
+func (t *ID) UnmarshalText(text []byte) error {
+	object, rest, ok := strings.Cut(string(text), "/")
+	index, attempt, ok2 := strings.Cut(rest, ".")
+	i, errIndex := strconv.Atoi(index)
+	a, errAttempt := strconv.Atoi(attempt)
+	if !ok || !ok2 || errIndex != nil || errAttempt != nil || i < 0 || a < 0 {
+		return fmt.Errorf("want a task such as name@12/3.0, got %q", text)
+	}
+	id := ID{Index: i, Attempt: a}
+	if err := id.Object.UnmarshalText([]byte(object)); err != nil {
+		return err
+	}
+	*t = id
+	return nil
+}
+
+// Key names a task whatever its attempt.
+type Key struct {
+	Object ObjectID
+	Index  int
+}
+
+// Key returns the task that t is an attempt at.
+func (t ID) Key() Key { return Key{Object: t.Object, Index: t.Index} }
+
+// String returns "name@born/index".
+func (k Key) String() string { return k.Object.String() + "/" + strconv.Itoa(k.Index) }
+
+// State is where a task stands.
+type State string
+
+// The states of a task. Unknown tasks may have run and are never started again
+// unless an operator's file settles them.
+const (
+	Waiting State = "waiting"
+	Running State = "running"
+	Done    State = "done"
+	Failed  State = "failed"
+	Unknown State = "unknown"
+	// Stopped is a worker's word on a task that it was told to stop.
+	Stopped State = "stopped"
+)
--- /dev/null
+++ b/modules/setting/check.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+
+	"saddlevane/modules/strictyaml"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// checker gathers mistakes with their places.
+type checker struct {
+	file      string
+	positions strictyaml.Positions
+	problems  strictyaml.Problems
+}
+
+func (c *checker) fail(key, format string, args ...any) {
+	c.problems = append(c.problems, strictyaml.Problem{
+		File: cmp.Or(c.file, "settings"), Position: c.positions.Of(key), Path: key, Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+func (c *checker) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		c.fail(key, "want a name of a-z, 0-9 and '-', at most 63 long, got %q", value)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(key, "want an IP address and port, got %q", value)
+	}
+}
+
+func (c *checker) url(key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" {
+		c.fail(key, "want an address such as http://192.0.2.1:80, got %q", value)
+		return
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		c.fail(key, "want an IP address and port, got %q", u.Host)
+	}
+}
+
+// between checks a value against bounds that belong to the range.
+func between[T cmp.Ordered](c *checker, key string, got, least, most T) {
+	if got < least || got > most {
+		c.fail(key, "want %v to %v, got %v", least, most, got)
+	}
+}
+
+// below checks that one setting is smaller than another.
+func below[T cmp.Ordered](c *checker, key string, got T, otherKey string, other T) {
+	if got >= other {
+		c.fail(key, "%v is not below %s, which is %v", got, otherKey, other)
+	}
+}
+
+func (s *Settings) check(c *checker) {
+	s.Box.check(c)
+	s.Listen.check(c)
+	s.Platform.check(c)
+	s.Peers.check(c)
+	s.Requests.check(c)
+	s.Workers.check(c)
+	s.Queue.check(c)
+	s.Policy.check(c)
+	s.Stop.check(c)
+	s.Log.check(c)
+}
--- /dev/null
+++ b/modules/setting/log.go
@@ -0,0 +1,23 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+// Log says what is logged.
+type Log struct {
+	Level  string `yaml:"level"`
+	Format string `yaml:"format"`
+}
+
+func defaultLog() Log { return Log{Level: "info", Format: "json"} }
+
+func (l *Log) check(c *checker) {
+	switch l.Level {
+	case "debug", "info", "warning", "error":
+	default:
+		c.fail("log.level", "want debug, info, warning or error, got %q", l.Level)
+	}
+	if l.Format != "json" && l.Format != "text" {
+		c.fail("log.format", "want json or text, got %q", l.Format)
+	}
+}
--- /dev/null
+++ b/modules/setting/peers.go
@@ -0,0 +1,31 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"strconv"
+	"time"
+)
+
+// Peers says how entry boxes watch each other.
+type Peers struct {
+	Heartbeat time.Duration `yaml:"heartbeat"`
+	// DeadAfter is how long a silent peer counts as live.
+	DeadAfter time.Duration `yaml:"dead_after"`
+	// Seeds are peers to greet when the list of boxes cannot be read.
+	Seeds []string `yaml:"seeds"`
+}
+
+func defaultPeers() Peers {
+	return Peers{Heartbeat: 500 * time.Millisecond, DeadAfter: 2 * time.Second}
+}
+
+func (p *Peers) check(c *checker) {
+	between(c, "peers.heartbeat", p.Heartbeat, 10*time.Millisecond, time.Minute)
+	between(c, "peers.dead_after", p.DeadAfter, 20*time.Millisecond, 10*time.Minute)
+	below(c, "peers.heartbeat", 2*p.Heartbeat, "peers.dead_after", p.DeadAfter)
+	for i, seed := range p.Seeds {
+		c.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+}
--- /dev/null
+++ b/modules/setting/policy.go
@@ -0,0 +1,22 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+// Policy weighs the decisions of a deployment.
+type Policy struct {
+	// Tight prefers workers that a task nearly fills, Balance workers whose
+	// processors and memory run out together.
+	Tight   float64 `yaml:"tight"`
+	Balance float64 `yaml:"balance"`
+	// Spread is the penalty for each task of a service in the same group.
+	Spread float64 `yaml:"spread"`
+}
+
+func defaultPolicy() Policy { return Policy{Tight: 1, Balance: 1, Spread: 10} }
+
+func (p *Policy) check(c *checker) {
+	between(c, "policy.tight", p.Tight, 0, 1000)
+	between(c, "policy.balance", p.Balance, 0, 1000)
+	between(c, "policy.spread", p.Spread, 0, 1000)
+}
--- /dev/null
+++ b/modules/setting/requests.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import "time"
+
+// Requests bounds callers' requests.
+type Requests struct {
+	// MaxBody and MaxAnswer are the largest bodies, in bytes.
+	MaxBody   int64 `yaml:"max_body_bytes"`
+	MaxAnswer int64 `yaml:"max_answer_bytes"`
+	// MaxPending is how many requests may be unanswered at once.
+	MaxPending int `yaml:"max_pending"`
+	// MaxKept bounds the answers kept for keyed requests, in bytes.
+	MaxKept int64 `yaml:"max_kept_bytes"`
+	// KeyTTL is how long a key is remembered, MaxKeys how many are.
+	KeyTTL  time.Duration `yaml:"key_ttl"`
+	MaxKeys int           `yaml:"max_keys"`
+	// RetryRatio is how many retries one fresh request pays for, RetryBurst how
+	// many can be saved up.
+	RetryRatio float64 `yaml:"retry_ratio"`
+	RetryBurst float64 `yaml:"retry_burst"`
+	// EjectAfter failures in a row take a target out for EjectFor, doubling up to
+	// EjectMost.
+	EjectAfter int           `yaml:"eject_after"`
+	EjectFor   time.Duration `yaml:"eject_for"`
+	EjectMost  time.Duration `yaml:"eject_most"`
+	// LeastAttempt is the least time one attempt is given.
+	LeastAttempt time.Duration `yaml:"least_attempt"`
+}
+
+func defaultRequests() Requests {
+	return Requests{
+		MaxBody: 1 << 20, MaxAnswer: 4 << 20, MaxPending: 4096, MaxKept: 32 << 20,
+		KeyTTL: 10 * time.Minute, MaxKeys: 100_000, RetryRatio: 0.1, RetryBurst: 20,
+		EjectAfter: 3, EjectFor: time.Second, EjectMost: 30 * time.Second, LeastAttempt: 250 * time.Millisecond,
+	}
+}
+
+func (r *Requests) check(c *checker) {
+	between(c, "requests.max_body_bytes", r.MaxBody, 1, 64<<20)
+	between(c, "requests.max_answer_bytes", r.MaxAnswer, 1, 64<<20)
+	between(c, "requests.max_pending", r.MaxPending, 1, 1_000_000)
+	between(c, "requests.max_kept_bytes", r.MaxKept, 0, 1<<30)
+	between(c, "requests.key_ttl", r.KeyTTL, time.Second, 24*time.Hour)
+	between(c, "requests.max_keys", r.MaxKeys, 1, 10_000_000)
+	between(c, "requests.retry_ratio", r.RetryRatio, 0, 1)
+	between(c, "requests.retry_burst", r.RetryBurst, 0, 10_000)
+	between(c, "requests.eject_after", r.EjectAfter, 1, 1000)
+	between(c, "requests.eject_for", r.EjectFor, time.Millisecond, time.Hour)
+	between(c, "requests.eject_most", r.EjectMost, r.EjectFor, 24*time.Hour)
+	between(c, "requests.least_attempt", r.LeastAttempt, time.Millisecond, time.Hour)
+}
--- /dev/null
+++ b/modules/setting/setting.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package setting loads a daemon's settings: flags go before the environment,
+// that before the file, that before the defaults. Every mistake is reported at
+// once with its place.
+package setting
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"saddlevane/modules/strictyaml"
+)
+
+// EnvPrefix starts the name of each environment variable.
+const EnvPrefix = "SADDLEVANE"
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Settings are all settings of a daemon.
+type Settings struct {
+	Box      Box      `yaml:"box"`
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	Peers    Peers    `yaml:"peers"`
+	Requests Requests `yaml:"requests"`
+	Workers  Workers  `yaml:"workers"`
+	Queue    Queue    `yaml:"queue"`
+	Policy   Policy   `yaml:"policy"`
+	Stop     Stop     `yaml:"stop"`
+	Log      Log      `yaml:"log"`
+}
+
+// Default returns the settings that hold where nothing else is said.
+func Default() Settings {
+	return Settings{
+		Listen: defaultListen(), Platform: defaultPlatform(), Peers: defaultPeers(),
+		Requests: defaultRequests(), Workers: defaultWorkers(), Queue: defaultQueue(),
+		Policy: defaultPolicy(), Stop: defaultStop(), Log: defaultLog(),
+	}
+}
+
+// Command is what the command line says besides settings.
+type Command struct {
+	// Check asks only whether the settings are right.
+	Check   bool
+	Version bool
+}
+
+// Load reads the settings for a command line.
+func Load(name string, args []string) (Settings, Command, error) {
+	s := Default()
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	command := Command{}
+	file := fs.String("config", "", "settings file")
+	fs.BoolVar(&command.Check, "check", false, "check the settings and exit")
+	fs.BoolVar(&command.Version, "version", false, "print the version and exit")
+	given := addFlags(fs, &s)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		return s, command, err
+	}
+	if command.Version {
+		return s, command, nil
+	}
+	positions, problems := readFile(*file, &s)
+	problems = append(problems, given.apply(&s)...)
+	c := checker{file: *file, positions: positions, problems: problems}
+	s.check(&c)
+	return s, command, c.problems.Err()
+}
+
+func readFile(path string, s *Settings) (strictyaml.Positions, strictyaml.Problems) {
+	if path == "" {
+		return nil, nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, strictyaml.Problems{{File: path, Reason: err.Error()}}
+	}
+	if info.Size() > maxFileBytes {
+		return nil, strictyaml.Problems{{File: path, Reason: fmt.Sprintf("larger than %d bytes", maxFileBytes)}}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, strictyaml.Problems{{File: path, Reason: err.Error()}}
+	}
+	return strictyaml.Decode(path, data, s)
+}
+
+// overrides holds the settings that flags or the environment gave, by key.
+type overrides struct{ values map[string]string }
+
+// addFlags adds a flag for each setting that is a single value.
+func addFlags(fs *flag.FlagSet, s *Settings) *overrides {
+	o := &overrides{values: map[string]string{}}
+	eachKey(reflect.ValueOf(s).Elem(), "", func(key string, v reflect.Value) {
+		fs.Func(key, fmt.Sprintf("setting %s (default %v)", key, v.Interface()), func(text string) error {
+			o.values[key] = text
+			return nil
+		})
+	})
+	return o
+}
+
+// eachKey calls f for each setting that is a single value.
+func eachKey(v reflect.Value, prefix string, f func(key string, v reflect.Value)) {
+	for i := range v.NumField() {
+		key := v.Type().Field(i).Tag.Get(strictyaml.Tag)
+		switch field := v.Field(i); {
+		case key == "":
+		case strictyaml.IsScalar(field.Type()):
+			f(prefix+key, field)
+		case field.Kind() == reflect.Struct:
+			eachKey(field, prefix+key+".", f)
+		}
+	}
+}
+
+func (o *overrides) apply(s *Settings) strictyaml.Problems {
+	var problems strictyaml.Problems
+	eachKey(reflect.ValueOf(s).Elem(), "", func(key string, v reflect.Value) {
+		text, ok := o.values[key]
+		if !ok {
+			return
+		}
+		if err := strictyaml.SetScalar(v, text); err != nil {
+			problems = append(problems, strictyaml.Problem{File: "flag or environment", Path: key, Reason: err.Error()})
+		}
+	})
+	return problems
+}
--- /dev/null
+++ b/routers/callers.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package routers parses and checks what comes in over HTTP, calls one service
+// function and renders the answer. It decides nothing.
+package routers
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+	"saddlevane/modules/httpjson"
+	"saddlevane/services/core"
+	"saddlevane/services/runtime"
+)
+
+// Callers serves callers' requests and the balancer's health checks.
+type Callers struct {
+	loop     *runtime.Loop
+	requests *runtime.Requests
+	maxBody  int64
+}
+
+// NewCallers returns the handler of the callers' port.
+func NewCallers(loop *runtime.Loop, requests *runtime.Requests, maxBody int64) http.Handler {
+	c := &Callers{loop: loop, requests: requests, maxBody: maxBody}
+	r := httprouter.New()
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+	} {
+		r.Handle(method, "/v1/pools/:pool/:class", c.serve)
+		r.Handle(method, "/v1/pools/:pool/:class/*path", c.serve)
+	}
+	r.POST("/v1/keys", c.issueKey)
+	r.GET("/healthz", healthy)
+	r.GET("/readyz", ready(loop))
+	return r
+}
+
+func (c *Callers) serve(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	in, refused := c.incoming(r, p)
+	if refused != nil {
+		c.render(w, runtime.Result{Status: refused.Status, Verdict: refused.Verdict, Refusal: refused})
+		return
+	}
+	result, ok := c.requests.Serve(r.Context(), in)
+	if !ok {
+		return
+	}
+	c.render(w, result)
+}
+
+func (c *Callers) incoming(r *http.Request, p httprouter.Params) (runtime.Incoming, *request.Refusal) {
+	key, err := request.ParseKey(r.Header.Get(request.HeaderKey))
+	if err != nil {
+		return runtime.Incoming{}, notRun(http.StatusBadRequest, err.Error())
+	}
+	body, err := httpjson.ReadAll(r.Body, c.maxBody)
+	if errors.Is(err, httpjson.ErrTooLarge) {
+		return runtime.Incoming{}, notRun(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	if err != nil {
+		return runtime.Incoming{}, notRun(http.StatusBadRequest, "the body could not be read")
+	}
+	path := p.ByName("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return runtime.Incoming{
+		Pool: p.ByName("pool"), Class: p.ByName("class"), Key: key,
+		Method: r.Method, Path: path, Header: r.Header.Clone(), Body: body,
+	}, nil
+}
+
+func notRun(status int, reason string) *request.Refusal {
+	return &request.Refusal{Status: status, Verdict: verdict.NotRun, Reason: reason}
+}
+
+func (c *Callers) render(w http.ResponseWriter, result runtime.Result) {
+	for name, values := range runtime.ResultHeader(result) {
+		w.Header()[name] = values
+	}
+	if c.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(result.Status)
+	_, _ = w.Write(runtime.ResultBody(result))
+}
+
+// stopping says whether callers should go elsewhere with their next request.
+func (c *Callers) stopping() bool { return c.loop.Stopping() }
+
+// issuedKey is the answer to a request for a key.
+type issuedKey struct {
+	Key string `json:"key"`
+}
+
+func (c *Callers) issueKey(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	var key request.Key
+	if !c.loop.Query(func(now time.Time, core *core.Core) { key = core.IssueKey(now) }) {
+		httpjson.Error(w, http.StatusServiceUnavailable, "this entry box has stopped")
+		return
+	}
+	httpjson.Write(w, http.StatusCreated, issuedKey{Key: key.String()})
+}
--- /dev/null
+++ b/routers/health.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routers
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"saddlevane/modules/httpjson"
+	"saddlevane/services/core"
+	"saddlevane/services/runtime"
+)
+
+// health is the answer to a health check.
+type health struct {
+	OK bool `json:"ok"`
+}
+
+func healthy(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	httpjson.Write(w, http.StatusOK, health{OK: true})
+}
+
+// ready answers whether the balancer should send callers here.
+func ready(loop *runtime.Loop) httprouter.Handle {
+	return func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		ok := false
+		loop.Query(func(_ time.Time, c *core.Core) { ok = c.Ready() })
+		status := http.StatusOK
+		if !ok {
+			status = http.StatusServiceUnavailable
+		}
+		httpjson.Write(w, status, health{OK: ok})
+	}
+}
--- /dev/null
+++ b/routers/metrics.go
@@ -0,0 +1,156 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routers
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"saddlevane/models/status"
+	"saddlevane/services/core"
+	"saddlevane/services/routing"
+	"saddlevane/services/runtime"
+)
+
+// collector reads the reducer's state when metrics are asked for.
+type collector struct {
+	loop     *runtime.Loop
+	requests *prometheus.Desc
+	waiting  *prometheus.Desc
+	inflight *prometheus.Desc
+	slots    *prometheus.Desc
+	ejected  *prometheus.Desc
+	files    *prometheus.Desc
+	logNext  *prometheus.Desc
+	logDown  *prometheus.Desc
+	journal  *prometheus.Desc
+	held     *prometheus.Desc
+	running  *prometheus.Desc
+	queued   *prometheus.Desc
+	packed   *prometheus.Desc
+	starts   *prometheus.Desc
+	lost     *prometheus.Desc
+	double   *prometheus.Desc
+}
+
+// NewMetrics returns the registry of a process.
+func NewMetrics(loop *runtime.Loop) *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(newCollector(loop))
+	return registry
+}
+
+func newCollector(loop *runtime.Loop) *collector {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("saddlevane_"+name, help, labels, nil)
+	}
+	return &collector{
+		loop:     loop,
+		requests: desc("requests_total", "Requests ended, by verdict and status.", "pool", "class", "verdict", "status"),
+		waiting:  desc("requests_waiting", "Requests that wait for a target.", "pool", "class"),
+		inflight: desc("requests_inflight", "Requests at targets.", "pool"),
+		slots:    desc("target_slots", "Requests this box may have at healthy targets.", "pool"),
+		ejected:  desc("targets_ejected", "Targets that only get probes.", "pool"),
+		files:    desc("file_revision", "Revision in force.", "file"),
+		logNext:  desc("log_next_offset", "Offset of the first record not read."),
+		logDown:  desc("log_failing", "1 if the last read (or append) of the log failed.", "call"),
+		journal:  desc("log_entries_waiting", "Entries not yet known to be in the log."),
+		held:     desc("workers_held", "Workers whose lease this box has.", "shard"),
+		running:  desc("tasks_running", "Tasks with a place.", "shard"),
+		queued:   desc("tasks_waiting", "Tasks that wait.", "shard"),
+		packed:   desc("packed_ratio", "Largest part of any resource that is reserved.", "shard"),
+		starts:   desc("task_starts_total", "Starts sent to workers.", "shard"),
+		lost:     desc("tasks_lost_total", "Attempts that ended without an outcome.", "shard"),
+		double:   desc("tasks_duplicate_total", "Tasks found in two places. Must stay 0.", "shard"),
+	}
+}
+
+// Describe sends the description of each metric.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		c.requests, c.waiting, c.inflight, c.slots, c.ejected, c.files, c.logNext, c.logDown, c.journal,
+		c.held, c.running, c.queued, c.packed, c.starts, c.lost, c.double,
+	} {
+		out <- d
+	}
+}
+
+// Collect sends the value of each metric.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	var s status.Process
+	counts := map[routing.CountKey]int64{}
+	ok := c.loop.Query(func(now time.Time, core *core.Core) {
+		s = core.Status(now)
+		for key, n := range core.Counts() {
+			counts[key] = n
+		}
+	})
+	if !ok {
+		return
+	}
+	for key, n := range counts {
+		out <- counter(c.requests, n, key.Pool, key.Class, string(key.Verdict), strconv.Itoa(key.Status))
+	}
+	c.collectLog(out, s)
+	c.collectPools(out, s.Pools)
+	c.collectShards(out, s.Shards)
+}
+
+func (c *collector) collectLog(out chan<- prometheus.Metric, s status.Process) {
+	for _, f := range s.Files {
+		out <- gauge(c.files, float64(f.Revision), f.Name)
+	}
+	out <- gauge(c.logNext, float64(s.Log.Next))
+	out <- gauge(c.logDown, boolean(s.Log.ReadFailing != ""), "read")
+	out <- gauge(c.logDown, boolean(s.Log.AppendFailing != ""), "append")
+	out <- gauge(c.journal, float64(s.Log.Waiting))
+}
+
+func (c *collector) collectPools(out chan<- prometheus.Metric, pools []status.Pool) {
+	for _, p := range pools {
+		ejected := 0
+		for _, t := range p.Targets {
+			if t.Ejected {
+				ejected++
+			}
+		}
+		out <- gauge(c.inflight, float64(p.Inflight), p.Name)
+		out <- gauge(c.slots, float64(p.Slots), p.Name)
+		out <- gauge(c.ejected, float64(ejected), p.Name)
+		for _, k := range p.Classes {
+			out <- gauge(c.waiting, float64(k.Waiting), p.Name, k.Name)
+		}
+	}
+}
+
+func (c *collector) collectShards(out chan<- prometheus.Metric, shards []status.Shard) {
+	for _, s := range shards {
+		out <- gauge(c.held, float64(s.Held), s.ID)
+		out <- gauge(c.running, float64(s.Running), s.ID)
+		out <- gauge(c.queued, float64(s.Waiting), s.ID)
+		out <- gauge(c.packed, s.Packed, s.ID)
+		out <- counter(c.starts, s.Starts, s.ID)
+		out <- counter(c.lost, s.Lost, s.ID)
+		out <- counter(c.double, s.Duplicates, s.ID)
+	}
+}
+
+func gauge(d *prometheus.Desc, v float64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+func counter(d *prometheus.Desc, v int64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/services/core/core.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package core is the reducer of a whole process. It is told each event with
+// the present time and returns what to do; it does no I/O, reads no clock and
+// starts no goroutine. It only dispatches: each part below it owns its state.
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/peer"
+	"saddlevane/models/request"
+	"saddlevane/models/spec"
+	"saddlevane/services/journal"
+	"saddlevane/services/ledger"
+	"saddlevane/services/membership"
+	"saddlevane/services/routing"
+	"saddlevane/services/shard"
+)
+
+// Settings are the settings of all parts.
+type Settings struct {
+	Journal    journal.Settings
+	Membership membership.Settings
+	Routing    routing.Settings
+	Shard      shard.Settings
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	// StopGrace is how long a stopping process still serves new requests, so
+	// that the balancer has time to notice.
+	StopGrace time.Duration
+	// StopMost bounds a planned stop.
+	StopMost time.Duration
+}
+
+// Policies are what varies between deployments.
+type Policies struct {
+	Routing routing.Policy
+	Shard   shard.Policy
+}
+
+// Core is the state of a process. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	policies Policies
+	self     peer.Hello
+	started  time.Time
+
+	members *membership.Membership
+	ledger  *ledger.Ledger
+	reader  reader
+	journal *journal.Journal
+	router  *routing.Router
+	holders map[spec.ShardID]*shard.Holder
+	waiting map[string]publication
+	stop    stopping
+	// checkpoint is the last one that this process appended.
+	checkpoint journal.Ticket
+}
+
+// New returns the state of a process that has just started.
+func New(now time.Time, s Settings, p Policies, self peer.Hello, newKey func(time.Time) ulid.ULID) *Core {
+	return &Core{
+		settings: s, policies: p, self: self, started: now,
+		members: membership.New(s.Membership, self),
+		ledger:  ledger.New(),
+		journal: journal.New(s.Journal, self.Box+"/"+self.Incarnation),
+		router:  routing.New(s.Routing, p.Routing, self.Box, self.Incarnation, newKey),
+		holders: map[spec.ShardID]*shard.Holder{},
+		waiting: map[string]publication{},
+	}
+}
+
+// Handle takes one event and returns what to do about it, in order.
+func (c *Core) Handle(now time.Time, e event.Event) []effect.Effect {
+	switch e := e.(type) {
+	case event.Tick:
+		return c.tick(now)
+	case event.Stop:
+		return c.beginStop(now)
+	case event.RequestArrived:
+		return c.requestArrived(now, e.Arrival)
+	case event.RequestAbandoned:
+		return c.router.Abandoned(now, e.ID)
+	case event.TargetAnswered:
+		return c.router.Answered(now, e)
+	case event.ForwardEnded:
+		return c.router.ForwardEnded(now, e)
+	case event.LogRead:
+		return c.logRead(now, e)
+	case event.LogFailed:
+		return c.logFailed(now, e)
+	case event.AppendEnded:
+		c.journal.AppendEnded(now, e)
+		return nil
+	case event.BoxesRead:
+		return c.boxesRead(now, e.List)
+	case event.HelloHeard:
+		c.members.HelloHeard(now, e.Hello)
+		return c.peersChanged(now)
+	case event.SnapshotRead:
+		return c.snapshotRead(now, e)
+	case event.WorkerAnswered:
+		c.workerAnswered(now, e)
+		return nil
+	case event.PublishAsked:
+		return c.publishAsked(now, e)
+	default:
+		return nil
+	}
+}
+
+func (c *Core) tick(now time.Time) []effect.Effect {
+	var effects []effect.Effect
+	effects = append(effects, c.members.Tick(now, c.known())...)
+	effects = append(effects, c.peersChanged(now)...)
+	effects = append(effects, c.readOn(now)...)
+	effects = append(effects, c.router.Tick(now)...)
+	for _, id := range c.shardIDs() {
+		effects = append(effects, c.holders[id].Tick(now)...)
+	}
+	c.keepCheckpoint(now)
+	effects = append(effects, c.journal.Tick(now)...)
+	effects = append(effects, c.expirePublications(now)...)
+	return append(effects, c.stopOn(now)...)
+}
+
+func (c *Core) shardIDs() []spec.ShardID {
+	ids := make([]spec.ShardID, 0, len(c.holders))
+	for id := range c.holders {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, spec.ShardID.Compare)
+	return ids
+}
+
+func (c *Core) requestArrived(now time.Time, a request.Arrival) []effect.Effect {
+	if !c.reader.inForce {
+		return []effect.Effect{effect.Refuse{To: a.ID, Refusal: notReady()}}
+	}
+	return c.router.Arrived(now, a)
+}
+
+// peersChanged tells the router who shares the targets. A stopping process goes
+// on as if it were live: it has requests to finish.
+func (c *Core) peersChanged(now time.Time) []effect.Effect {
+	if c.members.Leaving() {
+		return nil
+	}
+	var peers []routing.Peer
+	for name, m := range c.members.Members() {
+		h := m.Hello()
+		if _, ok := c.members.Find(now, name, h.Incarnation); ok && h.Domain == c.self.Domain {
+			peers = append(peers, routing.Peer{Box: name, Incarnation: h.Incarnation, Address: h.Address})
+		}
+	}
+	return c.router.SetPeers(now, c.members.Live(now), peers)
+}
+
+func (c *Core) boxesRead(now time.Time, l box.List) []effect.Effect {
+	c.members.BoxesRead(now, l)
+	for _, h := range c.holders {
+		h.SetWorkers(now)
+	}
+	return append(c.setTargets(now), c.peersChanged(now)...)
+}
+
+func (c *Core) setTargets(now time.Time) []effect.Effect {
+	var targets []routing.Target
+	for _, b := range c.members.Boxes() {
+		if b.Role != box.Target || b.Domain != c.self.Domain || b.State == box.Dead {
+			continue
+		}
+		targets = append(targets, routing.Target{
+			Name: b.Name, Address: b.Address, Pool: b.Pool,
+			Leaving: b.State == box.Leaving || c.ledger.Draining(b.Name),
+		})
+	}
+	return c.router.SetTargets(now, targets)
+}
+
+// filesChanged brings every part in line with the files in force.
+func (c *Core) filesChanged(now time.Time) []effect.Effect {
+	effects := c.router.SetPools(now, c.ledger.Pools())
+	effects = append(effects, c.setTargets(now)...)
+	for _, id := range c.ledger.Shards(c.self.Domain) {
+		if c.holders[id] == nil {
+			c.holders[id] = shard.New(c.started, c.settings.Shard, c.policies.Shard, id, c.ledger, c.members, c.journal)
+		}
+	}
+	for _, h := range c.holders {
+		h.SetWorkers(now)
+		h.SetObjects(now)
+	}
+	return effects
+}
+
+func (c *Core) workerAnswered(now time.Time, e event.WorkerAnswered) {
+	for _, h := range c.holders {
+		h.WorkerAnswered(now, e)
+	}
+}
--- /dev/null
+++ b/services/core/reader.go
@@ -0,0 +1,233 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package core
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/record"
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+	"saddlevane/services/ledger"
+)
+
+// reader is where the process stands in the log.
+type reader struct {
+	// inForce says that the files known here may be acted on. It never becomes
+	// false again: what is in force only grows newer.
+	inForce bool
+	// head says that the end of the log has been read since the process started
+	// or last fell behind.
+	head bool
+	// seek is set while the records that follow on the ledger are gone from the
+	// log: it reads from the oldest record on until it finds a checkpoint.
+	seek      *ledger.Ledger
+	first     int64
+	reading   bool
+	failing   string
+	failures  int
+	retryAt   time.Time
+	fetchAt   time.Time
+	headAt    time.Time
+	lastError time.Time
+}
+
+// The waits of the reader.
+const (
+	readRetry     = 200 * time.Millisecond
+	readRetryMost = 2 * time.Second
+	fetchEvery    = 500 * time.Millisecond
+)
+
+// known is how far this process can help peers: nowhere while nothing is in
+// force.
+func (c *Core) known() int64 {
+	if !c.reader.inForce {
+		return 0
+	}
+	return c.ledger.Next()
+}
+
+// readOn returns the read that is due, and asks a peer that knows more while
+// the log cannot be read.
+func (c *Core) readOn(now time.Time) []effect.Effect {
+	r := &c.reader
+	var effects []effect.Effect
+	if !r.reading && !now.Before(r.retryAt) {
+		r.reading = true
+		effects = append(effects, effect.ReadLog{From: c.position()})
+	}
+	if (r.failing != "" || r.seek != nil) && !now.Before(r.fetchAt) {
+		r.fetchAt = now.Add(fetchEvery)
+		effects = append(effects, c.fetch(now)...)
+	}
+	return effects
+}
+
+func (c *Core) position() int64 {
+	if c.reader.seek != nil {
+		return c.reader.seek.Next()
+	}
+	return c.ledger.Next()
+}
+
+// fetch asks the peer that has read furthest for its snapshot.
+func (c *Core) fetch(now time.Time) []effect.Effect {
+	best, next := "", c.ledger.Next()
+	for name, m := range c.members.Members() {
+		if _, ok := c.members.Find(now, name, m.Hello().Incarnation); ok && m.Hello().Next > next {
+			best, next = name, m.Hello().Next
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	return []effect.Effect{effect.FetchSnapshot{Box: best, Address: c.members.Members()[best].Hello().Address}}
+}
+
+func (c *Core) logFailed(now time.Time, e event.LogFailed) []effect.Effect {
+	r := &c.reader
+	r.reading, r.failing, r.lastError = false, e.Reason, now
+	wait := min(readRetry<<min(r.failures, 8), readRetryMost)
+	r.failures++
+	r.retryAt = now.Add(wait)
+	return nil
+}
+
+func (c *Core) logRead(now time.Time, e event.LogRead) []effect.Effect {
+	r := &c.reader
+	r.reading, r.failing, r.failures, r.first = false, "", 0, e.First
+	if e.First > c.position() {
+		r.seek, r.head = ledger.Seek(e.First), false
+		return c.readOn(now)
+	}
+	if r.seek != nil {
+		return c.seekOn(now, e)
+	}
+	effects := c.applyRecords(now, e.Records)
+	if e.Head {
+		r.head, r.headAt = true, now
+		effects = append(effects, c.comeIntoForce(now)...)
+	}
+	return append(effects, c.readOn(now)...)
+}
+
+// seekOn reads towards a checkpoint and goes on from it.
+func (c *Core) seekOn(now time.Time, e event.LogRead) []effect.Effect {
+	r := &c.reader
+	for _, rec := range e.Records {
+		r.seek.Apply(rec.Offset, rec.At, rec.Data)
+	}
+	s, ok := r.seek.Found(e.First)
+	if !ok || s.Next < c.ledger.Next() {
+		return c.readOn(now)
+	}
+	effects := c.restore(now, s)
+	return append(effects, c.readOn(now)...)
+}
+
+// restore goes on from a snapshot.
+func (c *Core) restore(now time.Time, s record.Snapshot) []effect.Effect {
+	restored, err := ledger.Restore(s)
+	if err != nil {
+		return nil
+	}
+	c.ledger.Become(restored)
+	c.reader.seek = nil
+	if !c.reader.inForce {
+		return nil
+	}
+	return c.filesChanged(now)
+}
+
+// snapshotRead takes what a peer knows. It is taken over only while the log
+// cannot tell, and only if it is newer.
+func (c *Core) snapshotRead(now time.Time, e event.SnapshotRead) []effect.Effect {
+	r := &c.reader
+	if (r.failing == "" && r.seek == nil) || e.Snapshot.Next <= c.ledger.Next() {
+		return nil
+	}
+	effects := c.restore(now, e.Snapshot)
+	if c.ledger.Next() == e.Snapshot.Next {
+		effects = append(effects, c.comeIntoForce(now)...)
+	}
+	return effects
+}
+
+func (c *Core) comeIntoForce(now time.Time) []effect.Effect {
+	if c.reader.inForce {
+		return nil
+	}
+	c.reader.inForce = true
+	return c.filesChanged(now)
+}
+
+func (c *Core) applyRecords(now time.Time, records []event.LogRecord) []effect.Effect {
+	var effects []effect.Effect
+	files := false
+	for _, rec := range records {
+		applied := c.ledger.Apply(rec.Offset, rec.At, rec.Data)
+		c.journal.RecordApplied(now, applied.ID)
+		for _, change := range applied.Changes {
+			files = files || change.Files
+			if change.Publication != nil {
+				effects = append(effects, c.publicationDecided(change.Publication)...)
+			}
+		}
+	}
+	if files && c.reader.inForce {
+		effects = append(effects, c.filesChanged(now)...)
+	}
+	return effects
+}
+
+// keepCheckpoint appends a checkpoint once the youngest in the log has grown
+// old. Boxes wait unlike times, so that mostly one of them does it; two that do
+// it at once do no harm, since a checkpoint says the same whoever writes it.
+func (c *Core) keepCheckpoint(now time.Time) {
+	if !c.reader.head || c.reader.failing != "" || !c.journal.Applied(c.checkpoint) || c.ledger.Next() == 0 {
+		return
+	}
+	since := c.ledger.CheckpointedAt()
+	if since.IsZero() {
+		since = c.started
+	}
+	rank := time.Duration(rankOf(c.self.Box, c.members.Live(now)))
+	if now.Sub(since) < c.settings.Retention/4+rank*c.settings.Retention/64 {
+		return
+	}
+	id := c.self.Box + "/" + c.self.Incarnation + "/" + strconv.FormatInt(c.ledger.Next(), 10)
+	for _, part := range ledger.Checkpoint(id, c.ledger.Snapshot()) {
+		c.checkpoint = c.journal.Add(record.Entry{Checkpoint: &part})
+	}
+}
+
+func rankOf(name string, names []string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return len(names)
+}
+
+func notReady() request.Refusal {
+	return request.Refusal{
+		Status: http.StatusServiceUnavailable, Verdict: verdict.NotRun,
+		Reason: "this entry box has no configuration in force yet", RetryAfter: time.Second,
+	}
+}
+
+// Snapshot returns what this process knows of the log, for a peer; nothing while
+// nothing is in force.
+func (c *Core) Snapshot() record.Snapshot {
+	if !c.reader.inForce {
+		return record.Snapshot{}
+	}
+	return c.ledger.Snapshot()
+}
--- /dev/null
+++ b/services/core/status.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package core
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"saddlevane/models/request"
+	"saddlevane/models/status"
+	"saddlevane/models/task"
+	"saddlevane/services/routing"
+)
+
+// Ready says whether the process should get callers' requests.
+func (c *Core) Ready() bool { return c.reader.inForce && !c.members.Leaving() }
+
+// IssueKey returns a key for a request that may not be repeated.
+func (c *Core) IssueKey(now time.Time) request.Key { return c.router.IssueKey(now) }
+
+// Counts returns how many requests ended, by what became of them.
+func (c *Core) Counts() map[routing.CountKey]int64 { return c.router.Counts() }
+
+// Status returns the state of the process in short.
+func (c *Core) Status(now time.Time) status.Process {
+	s := status.Process{
+		Box: c.self.Box, Incarnation: c.self.Incarnation, Domain: c.self.Domain, At: now,
+		InForce: c.reader.inForce, Stopping: c.members.Leaving(), Live: c.members.Live(now),
+		Log: status.Log{
+			Next: c.ledger.Next(), ReadFailing: c.reader.failing,
+			AppendFailing: c.journal.Failing(), Waiting: c.journal.Waiting(),
+		},
+		Pools: c.router.Status(now),
+	}
+	for _, name := range c.ledger.Files() {
+		f, _ := c.File(name)
+		f.Data = ""
+		s.Files = append(s.Files, f)
+	}
+	for _, id := range c.shardIDs() {
+		s.Shards = append(s.Shards, c.holders[id].Status(now))
+	}
+	return s
+}
+
+// File returns the file in force under name.
+func (c *Core) File(name string) (status.File, bool) {
+	e, ok := c.ledger.Entry(name)
+	if !ok || !c.reader.inForce {
+		return status.File{}, false
+	}
+	return status.File{Name: name, Revision: e.Revision(), Retired: e.File().Retired, Data: e.Data()}, true
+}
+
+// Work returns what each held shard knows of its objects.
+func (c *Core) Work() []status.Work {
+	var all []status.Work
+	for _, id := range c.shardIDs() {
+		all = append(all, c.holders[id].Work()...)
+	}
+	return all
+}
+
+// Places returns tasks that have places in the held shards, up to most of them.
+func (c *Core) Places(most int) []status.Place {
+	var all []status.Place
+	for _, id := range c.shardIDs() {
+		all = append(all, c.holders[id].Places(most-len(all))...)
+	}
+	return all
+}
+
+// Explain says why a task, "name/index" or "name@born/index", is where it is;
+// false if this process does not know.
+func (c *Core) Explain(name string) (status.Explanation, bool) {
+	key, ok := c.findTask(name)
+	if !ok {
+		return status.Explanation{}, false
+	}
+	for _, id := range c.shardIDs() {
+		if e, ok := c.holders[id].Explain(key); ok {
+			return e, true
+		}
+	}
+	return status.Explanation{}, false
+}
+
+func (c *Core) findTask(name string) (task.Key, bool) {
+	object, index, _ := strings.Cut(name, "/")
+	if index == "" {
+		index = "0"
+	}
+	i, err := strconv.Atoi(index)
+	if err != nil || i < 0 {
+		return task.Key{}, false
+	}
+	bare, _, _ := strings.Cut(object, "@")
+	o, ok := c.ledger.ObjectNamed(bare)
+	if !ok || (strings.Contains(object, "@") && o.ID().String() != object) {
+		return task.Key{}, false
+	}
+	return task.Key{Object: o.ID(), Index: i}, true
+}
+
+// Dump returns the whole state of the process, cut to bounded lists.
+func (c *Core) Dump(now time.Time) status.Dump {
+	d := status.Dump{
+		Process: c.Status(now), Work: c.Work(), Places: c.Places(status.MaxListed),
+		Requests: c.router.Requests(), Keys: c.router.Keys(),
+	}
+	for _, id := range c.shardIDs() {
+		d.Workers = append(d.Workers, c.holders[id].Workers(now, status.MaxListed-len(d.Workers))...)
+	}
+	d.Cut = len(d.Work) > status.MaxListed || len(d.Places) >= status.MaxListed || len(d.Workers) >= status.MaxListed
+	d.Work = d.Work[:min(len(d.Work), status.MaxListed)]
+	return d
+}
--- /dev/null
+++ b/services/ledger/ledger.go
@@ -0,0 +1,175 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package ledger folds the platform's log into what every process agrees on:
+// the files in force, who holds each shard, and what has become of tasks that
+// must not run again. The fold is a function of the log's prefix alone, so two
+// processes that have read equally far agree.
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"saddlevane/models/record"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+)
+
+// Ledger is the state of the fold.
+type Ledger struct {
+	// next is the offset of the first record not yet applied.
+	next     int64
+	files    map[string]*Entry
+	objects  map[task.ObjectID]*Object
+	claims   map[spec.ShardID]Claim
+	progress map[task.ObjectID]*Progress
+	cell     cell
+	// checkpoints follows the parts of checkpoints as they are read.
+	checkpoints checkpoints
+}
+
+// Entry is a file in force.
+type Entry struct {
+	revision    int64
+	publication string
+	data        string
+	file        *spec.File
+	objects     []task.ObjectID
+}
+
+// Publication returns the operator's id of the revision.
+func (e *Entry) Publication() string { return e.publication }
+
+// Revision returns the offset of the record that published the file.
+func (e *Entry) Revision() int64 { return e.revision }
+
+// Data returns the file as it was published.
+func (e *Entry) Data() string { return e.data }
+
+// File returns the parsed file; it must not be changed.
+func (e *Entry) File() *spec.File { return e.file }
+
+// Claim is the holder of a shard.
+type Claim struct {
+	box         string
+	incarnation string
+	offset      int64
+}
+
+// Box returns the name of the box that holds the shard.
+func (c Claim) Box() string { return c.box }
+
+// Incarnation returns which life of the box holds the shard.
+func (c Claim) Incarnation() string { return c.incarnation }
+
+// Offset returns the offset of the claim; it grows with each new holder.
+func (c Claim) Offset() int64 { return c.offset }
+
+// New returns the fold of an empty log.
+func New() *Ledger {
+	return &Ledger{
+		files:       map[string]*Entry{},
+		objects:     map[task.ObjectID]*Object{},
+		claims:      map[spec.ShardID]Claim{},
+		progress:    map[task.ObjectID]*Progress{},
+		checkpoints: newCheckpoints(),
+	}
+}
+
+// Next returns the offset of the first record not yet applied.
+func (l *Ledger) Next() int64 { return l.next }
+
+// Entry returns the file in force under name.
+func (l *Ledger) Entry(name string) (*Entry, bool) {
+	e, ok := l.files[name]
+	return e, ok
+}
+
+// Files returns the names of the files in force, sorted.
+func (l *Ledger) Files() []string { return slices.Sorted(maps.Keys(l.files)) }
+
+// Claim returns who holds shard.
+func (l *Ledger) Claim(shard spec.ShardID) (Claim, bool) {
+	c, ok := l.claims[shard]
+	return c, ok
+}
+
+// Claims returns every shard that is held.
+func (l *Ledger) Claims() map[spec.ShardID]Claim { return l.claims }
+
+// Applied is what a record did.
+type Applied struct {
+	// ID is the envelope's, or "" if the record is not ours or was a repeat.
+	ID      string
+	Changes []Change
+}
+
+// Change is something that Apply altered.
+type Change struct {
+	// Publication is set for each publish that was decided.
+	Publication *Publication
+	// Files says that files in force changed.
+	Files bool
+	// Claims says that a shard changed hands.
+	Claims bool
+	// Progress names objects whose tasks moved on.
+	Progress []task.ObjectID
+}
+
+// Publication is the log's decision on a publish.
+type Publication struct {
+	// ID names the operator's publication.
+	ID       string
+	Accepted bool
+	// Revision is the file's revision if accepted, else the one in force.
+	Revision int64
+	// Reasons says why it was refused.
+	Reasons []string
+}
+
+// Apply folds the record at offset, which the log took in at the given time.
+// Records before Next are repeats and change
+// nothing.
+func (l *Ledger) Apply(offset int64, at time.Time, data []byte) Applied {
+	if offset < l.next {
+		return Applied{}
+	}
+	l.next = offset + 1
+	envelope, err := record.Decode(data)
+	if err != nil {
+		return Applied{}
+	}
+	changes := make([]Change, 0, len(envelope.Entries))
+	for _, e := range envelope.Entries {
+		changes = append(changes, l.applyEntry(offset, at, e))
+	}
+	return Applied{ID: envelope.ID, Changes: changes}
+}
+
+func (l *Ledger) applyEntry(offset int64, at time.Time, e record.Entry) Change {
+	switch {
+	case e.Publish != nil:
+		return l.applyPublish(offset, e.Publish)
+	case e.Claim != nil:
+		return l.applyClaim(offset, e.Claim)
+	case e.Intents != nil:
+		return l.applyTasks(e.Intents, (*Progress).addIntents)
+	case e.Done != nil:
+		return l.applyTasks(e.Done, (*Progress).addDone)
+	case e.Failed != nil:
+		return l.applyTasks(e.Failed, (*Progress).addFailed)
+	case e.Checkpoint != nil:
+		l.checkpoints.note(at, e.Checkpoint)
+	}
+	return Change{}
+}
+
+func (l *Ledger) applyClaim(offset int64, c *record.Claim) Change {
+	if c.Replaces != l.claims[c.Shard].offset {
+		return Change{}
+	}
+	l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, offset: offset}
+	return Change{Claims: true}
+}
--- /dev/null
+++ b/services/ledger/progress.go
@@ -0,0 +1,116 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger
+
+import (
+	"github.com/RoaringBitmap/roaring/v2"
+
+	"saddlevane/models/record"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+)
+
+// Progress is what the log says of one object's tasks. Each set only grows, so
+// records may repeat and come in any order. An operator's word goes before
+// whatever was recorded earlier.
+type Progress struct {
+	intents *roaring.Bitmap
+	done    *roaring.Bitmap
+	failed  *roaring.Bitmap
+	// rerun holds tasks that an operator allowed to start once more.
+	rerun *roaring.Bitmap
+}
+
+func newProgress() *Progress {
+	return &Progress{
+		intents: roaring.New(), done: roaring.New(), failed: roaring.New(), rerun: roaring.New(),
+	}
+}
+
+// Done returns the tasks that finished; it must not be changed.
+func (p *Progress) Done() *roaring.Bitmap { return p.done }
+
+// Failed returns the tasks that failed for good; it must not be changed.
+func (p *Progress) Failed() *roaring.Bitmap { return p.failed }
+
+// Intents returns the tasks that were to be started; it must not be changed.
+func (p *Progress) Intents() *roaring.Bitmap { return p.intents }
+
+// Ended says whether the task at index needs no more work.
+func (p *Progress) Ended(index int) bool {
+	i := uint32(index)
+	return p.done.Contains(i) || p.failed.Contains(i)
+}
+
+// Intended says whether the task at index may have been started.
+func (p *Progress) Intended(index int) bool {
+	return p.intents.Contains(uint32(index)) && !p.rerun.Contains(uint32(index))
+}
+
+func (p *Progress) addIntents(from, to uint64) {
+	p.intents.AddRange(from, to)
+	p.rerun.RemoveRange(from, to)
+}
+
+func (p *Progress) addDone(from, to uint64) { p.done.AddRange(from, to) }
+
+func (p *Progress) addFailed(from, to uint64) { p.failed.AddRange(from, to) }
+
+// Progress returns what the log says of the tasks of id.
+func (l *Ledger) Progress(id task.ObjectID) *Progress {
+	if p, ok := l.progress[id]; ok {
+		return p
+	}
+	return newProgress()
+}
+
+func (l *Ledger) applyTasks(t *record.Tasks, add func(p *Progress, from, to uint64)) Change {
+	p, ok := l.progress[t.Object]
+	if !ok {
+		p = newProgress()
+		l.progress[t.Object] = p
+	}
+	for _, r := range t.Ranges {
+		add(p, uint64(r.From), uint64(r.To))
+	}
+	return Change{Progress: []task.ObjectID{t.Object}}
+}
+
+// Ranges returns the runs of consecutive members of set.
+func Ranges(set *roaring.Bitmap) []record.Range {
+	var ranges []record.Range
+	for it := set.Iterator(); it.HasNext(); {
+		i := it.Next()
+		n := len(ranges)
+		if n > 0 && ranges[n-1].To == int(i) {
+			ranges[n-1].To++
+			continue
+		}
+		ranges = append(ranges, record.Range{From: int(i), To: int(i) + 1})
+	}
+	return ranges
+}
+
+// settle applies an operator's word on tasks whose fate is unknown. Only a task
+// with an intent and no outcome is unknown; a word on any other does nothing.
+func (l *Ledger) settle(file *spec.File) {
+	for _, s := range file.Settled {
+		key, err := s.Key()
+		if err != nil {
+			continue
+		}
+		p, ok := l.progress[key.Object]
+		if !ok || !p.Intended(key.Index) || p.Ended(key.Index) {
+			continue
+		}
+		switch i := uint32(key.Index); s.As {
+		case spec.FateDone:
+			p.done.Add(i)
+		case spec.FateFailed:
+			p.failed.Add(i)
+		case spec.FateRerun:
+			p.rerun.Add(i)
+		}
+	}
+}
--- /dev/null
+++ b/services/ledger/publish.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+
+	"saddlevane/models/record"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+)
+
+// Object is a service, job or gang in force.
+type Object struct {
+	id      task.ObjectID
+	kind    Kind
+	file    string
+	version int64
+	homes   []record.Home
+	work    *spec.Work
+	service *spec.Service
+	batch   *spec.Batch
+}
+
+// Kind is what an object is.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindService Kind = "service"
+	KindJob     Kind = "job"
+	KindGang    Kind = "gang"
+)
+
+// ID returns the object's name and birth.
+func (o *Object) ID() task.ObjectID { return o.id }
+
+// Kind returns what the object is.
+func (o *Object) Kind() Kind { return o.kind }
+
+// File returns the name of the file that describes the object.
+func (o *Object) File() string { return o.file }
+
+// Version returns the revision that last changed the object.
+func (o *Object) Version() int64 { return o.version }
+
+// Homes returns which shard runs which tasks.
+func (o *Object) Homes() []record.Home { return o.homes }
+
+// Work returns the part that all kinds share; it must not be changed.
+func (o *Object) Work() *spec.Work { return o.work }
+
+// Service returns the part that only services have, or nil.
+func (o *Object) Service() *spec.Service { return o.service }
+
+// Batch returns the part that jobs and gangs have, or nil.
+func (o *Object) Batch() *spec.Batch { return o.batch }
+
+// Repeatable says whether a task may be started again after it may have run.
+func (o *Object) Repeatable() bool { return o.batch == nil || o.batch.Repeatable }
+
+// Cancelled says whether the object is to be stopped.
+func (o *Object) Cancelled() bool { return o.batch != nil && o.batch.Cancelled }
+
+// Object returns the object named by id.
+func (l *Ledger) Object(id task.ObjectID) (*Object, bool) {
+	o, ok := l.objects[id]
+	return o, ok
+}
+
+// Objects returns every object in force, in the order of their births.
+func (l *Ledger) Objects() []*Object {
+	all := make([]*Object, 0, len(l.objects))
+	for _, o := range l.objects {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b *Object) int { return CompareIDs(a.id, b.id) })
+	return all
+}
+
+// ObjectNamed returns the object in force under name.
+func (l *Ledger) ObjectNamed(name string) (*Object, bool) {
+	for _, o := range l.objects {
+		if o.id.Name == name {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
+// Check says why a file would be refused if the log ended here; nothing if it
+// would be accepted.
+func (l *Ledger) Check(name string, replaces int64, data string) []string {
+	_, reasons := l.check(name, replaces, data)
+	return reasons
+}
+
+func (l *Ledger) check(name string, replaces int64, data string) (*spec.File, []string) {
+	current := int64(0)
+	if e, ok := l.files[name]; ok {
+		current = e.revision
+	}
+	if replaces != current {
+		return nil, []string{fmt.Sprintf("replaces revision %d, but %d is in force", replaces, current)}
+	}
+	file, _, problems := spec.Parse(name, []byte(data))
+	if len(problems) > 0 {
+		reasons := make([]string, len(problems))
+		for i, p := range problems {
+			reasons[i] = p.Error()
+		}
+		return nil, reasons
+	}
+	if file.Name != name {
+		return nil, []string{fmt.Sprintf("the file says name %q, but was published as %q", file.Name, name)}
+	}
+	return file, l.checkTogether(file)
+}
+
+func (l *Ledger) applyPublish(offset int64, p *record.Publish) Change {
+	file, reasons := l.check(p.File, p.Replaces, p.Data)
+	if len(reasons) > 0 {
+		current := int64(0)
+		if e, ok := l.files[p.File]; ok {
+			current = e.revision
+		}
+		return Change{Publication: &Publication{ID: p.ID, Revision: current, Reasons: reasons}}
+	}
+	previous := l.files[p.File]
+	l.files[p.File] = &Entry{revision: offset, publication: p.ID, data: p.Data, file: file}
+	l.rebuildCell()
+	l.replaceObjects(offset, p.File, previous)
+	l.settle(file)
+	return Change{Files: true, Publication: &Publication{ID: p.ID, Accepted: true, Revision: offset}}
+}
+
+func (l *Ledger) dropObjects(e *Entry) {
+	if e == nil {
+		return
+	}
+	for _, id := range e.objects {
+		delete(l.objects, id)
+	}
+}
+
+// replaceObjects gives each object of a new revision its birth, version and
+// homes: those it had, where it lives on, or else new ones.
+func (l *Ledger) replaceObjects(offset int64, name string, previous *Entry) {
+	before := map[string]*Object{}
+	if previous != nil {
+		for _, id := range previous.objects {
+			before[id.Name] = l.objects[id]
+		}
+		l.dropObjects(previous)
+	}
+	e := l.files[name]
+	for _, o := range objectsOf(e.file) {
+		o.file = name
+		old, lives := before[o.work.Name]
+		switch {
+		case !lives:
+			o.id = task.ObjectID{Name: o.work.Name, Born: offset}
+			o.version = offset
+			o.homes = l.cell.homes(o)
+		default:
+			o.id, o.version = old.id, old.version
+			o.homes = resize(old.homes, o.work.Count)
+			if !sameTemplate(old, o) {
+				o.version = offset
+			}
+		}
+		l.objects[o.id] = o
+		e.objects = append(e.objects, o.id)
+		delete(before, o.id.Name)
+	}
+	for _, gone := range before {
+		delete(l.progress, gone.id)
+	}
+}
+
+func objectsOf(f *spec.File) []*Object {
+	if f.Retired {
+		return nil
+	}
+	var all []*Object
+	for i := range f.Services {
+		s := &f.Services[i]
+		all = append(all, &Object{kind: KindService, work: &s.Work, service: s})
+	}
+	for i := range f.Jobs {
+		j := &f.Jobs[i]
+		all = append(all, &Object{kind: KindJob, work: &j.Work, batch: &j.Batch})
+	}
+	for i := range f.Gangs {
+		g := &f.Gangs[i]
+		all = append(all, &Object{kind: KindGang, work: &g.Work, batch: &g.Batch})
+	}
+	return all
+}
+
+// sameTemplate says whether the tasks of a and b are started alike.
+func sameTemplate(a, b *Object) bool {
+	return a.work.Resources == b.work.Resources && slices.Equal(a.work.Command, b.work.Command)
+}
+
+// frozen is the part of a job or gang that must not change once it is
+// published: what its finished tasks meant.
+type frozen struct {
+	Kind       Kind
+	Count      int
+	Command    []string
+	Domains    []string
+	Repeatable bool
+}
+
+func frozenOf(o *Object) frozen {
+	return frozen{o.kind, o.work.Count, o.work.Command, o.work.Domains, o.Repeatable()}
+}
+
+func sameFrozen(a, b *Object) bool { return reflect.DeepEqual(frozenOf(a), frozenOf(b)) }
+
+// CompareIDs orders objects by birth, then name.
+func CompareIDs(a, b task.ObjectID) int {
+	if a.Born != b.Born {
+		return int(min(max(a.Born-b.Born, -1), 1))
+	}
+	if a.Name < b.Name {
+		return -1
+	}
+	if a.Name > b.Name {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/services/placement/index.go
@@ -0,0 +1,223 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package placement finds room for tasks on workers. Workers stand in a grid by
+// how much of their processors and memory is free, so that a search looks only
+// at workers that are nearly sure to fit, tightest first, and its cost does not
+// grow with their number.
+package placement
+
+import (
+	"slices"
+
+	"saddlevane/models/resource"
+)
+
+// grid is how many steps each side of the grid has.
+const grid = 16
+
+// The bounds of one search.
+const (
+	// candidates is how many fitting workers are compared.
+	candidates = 12
+	// cellScan is how many workers of one cell are looked at.
+	cellScan = 48
+)
+
+// Node is a worker as placement sees it.
+type Node struct {
+	name     string
+	rack     string
+	capacity resource.Vector
+	free     resource.Vector
+	index    *Index
+	cell     int
+	pos      int
+}
+
+// NewNode returns a worker that is in no index.
+func NewNode(name, rack string, capacity resource.Vector) *Node {
+	return &Node{name: name, rack: rack, capacity: capacity, free: capacity}
+}
+
+// Name returns the worker's name.
+func (n *Node) Name() string { return n.name }
+
+// Rack returns the name of the worker's rack.
+func (n *Node) Rack() string { return n.rack }
+
+// Capacity returns what the worker has.
+func (n *Node) Capacity() resource.Vector { return n.capacity }
+
+// Free returns what is not reserved.
+func (n *Node) Free() resource.Vector { return n.free }
+
+// SetCapacity changes what the worker has; what is reserved stays reserved.
+func (n *Node) SetCapacity(capacity resource.Vector) {
+	if capacity == n.capacity {
+		return
+	}
+	reserved := n.capacity.Minus(n.free)
+	n.capacity = capacity
+	n.move(capacity.Minus(reserved))
+}
+
+// Reserve takes amount from what is free.
+func (n *Node) Reserve(amount resource.Vector) { n.move(n.free.Minus(amount)) }
+
+// Release gives amount back.
+func (n *Node) Release(amount resource.Vector) { n.move(n.free.Plus(amount)) }
+
+func (n *Node) move(free resource.Vector) {
+	grown := !free.Fits(n.free)
+	n.free = free
+	if n.index == nil {
+		return
+	}
+	if grown {
+		n.index.grown++
+	}
+	if at := n.index.cellOf(free); at != n.cell {
+		n.index.unlink(n)
+		n.index.link(n, at)
+	}
+}
+
+// Index is a set of workers that may be given tasks.
+type Index struct {
+	// largest is the most that any worker ever added had.
+	largest resource.Vector
+	cells   [grid * grid][]*Node
+	size    int
+	// grown counts how often room came free, so that a search which failed
+	// need not be made again until it could succeed.
+	grown int64
+	turn  int
+}
+
+// Len returns how many workers the index has.
+func (x *Index) Len() int { return x.size }
+
+// Grown returns a number that changes whenever room comes free.
+func (x *Index) Grown() int64 { return x.grown }
+
+// Add puts a worker in; one that is in already stays.
+func (x *Index) Add(n *Node) {
+	if n.index != nil {
+		return
+	}
+	x.enlarge(n.capacity)
+	n.index = x
+	x.size++
+	x.grown++
+	x.link(n, x.cellOf(n.free))
+}
+
+// Remove takes a worker out.
+func (x *Index) Remove(n *Node) {
+	if n.index != x {
+		return
+	}
+	x.unlink(n)
+	n.index = nil
+	x.size--
+}
+
+// enlarge stretches the grid over larger workers.
+func (x *Index) enlarge(capacity resource.Vector) {
+	if capacity.Processors <= x.largest.Processors && capacity.Memory <= x.largest.Memory {
+		return
+	}
+	x.largest.Processors = max(x.largest.Processors, capacity.Processors)
+	x.largest.Memory = max(x.largest.Memory, capacity.Memory)
+	var all []*Node
+	for i := range x.cells {
+		all = append(all, x.cells[i]...)
+		x.cells[i] = nil
+	}
+	for _, n := range all {
+		x.link(n, x.cellOf(n.free))
+	}
+}
+
+func (x *Index) cellOf(v resource.Vector) int {
+	return step(int64(v.Processors), int64(x.largest.Processors))*grid + step(int64(v.Memory), int64(x.largest.Memory))
+}
+
+// step returns which of the grid's steps part falls in.
+func step(part, whole int64) int {
+	if part <= 0 || whole <= 0 {
+		return 0
+	}
+	return int(min(part*grid/whole, grid-1))
+}
+
+func (x *Index) link(n *Node, cell int) {
+	n.cell, n.pos = cell, len(x.cells[cell])
+	x.cells[cell] = append(x.cells[cell], n)
+}
+
+func (x *Index) unlink(n *Node) {
+	cell := x.cells[n.cell]
+	last := len(cell) - 1
+	cell[n.pos] = cell[last]
+	cell[n.pos].pos = n.pos
+	cell[last] = nil
+	x.cells[n.cell] = cell[:last]
+}
+
+// diagonal lists cell offsets by how far they are from the tightest fit.
+var diagonal = makeDiagonal()
+
+// offset is a distance in the grid.
+type offset struct{ processors, memory int }
+
+func makeDiagonal() []offset {
+	var all []offset
+	for p := range grid {
+		for m := range grid {
+			all = append(all, offset{p, m})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b offset) int { return a.processors + a.memory - b.processors - b.memory })
+	return all
+}
+
+// Best returns the worker with room for need that scores lowest, or nil if no
+// worker was found. It compares a bounded number of workers, tightest first.
+func (x *Index) Best(need resource.Vector, score func(*Node) float64) *Node {
+	var best *Node
+	bestScore, compared := 0.0, 0
+	p0, m0 := step(int64(need.Processors), int64(x.largest.Processors)), step(int64(need.Memory), int64(x.largest.Memory))
+	x.turn++
+	for _, d := range diagonal {
+		p, m := p0+d.processors, m0+d.memory
+		if p >= grid || m >= grid {
+			continue
+		}
+		cell := x.cells[p*grid+m]
+		for i := range min(len(cell), cellScan) {
+			n := cell[(x.turn+i)%len(cell)]
+			if !need.Fits(n.free) {
+				continue
+			}
+			if s := score(n); best == nil || s < bestScore {
+				best, bestScore = n, s
+			}
+			compared++
+		}
+		if compared >= candidates {
+			return best
+		}
+	}
+	return best
+}
+
+// Each calls f for every worker in the index.
+func (x *Index) Each(f func(*Node)) {
+	for i := range x.cells {
+		for _, n := range x.cells[i] {
+			f(n)
+		}
+	}
+}
--- /dev/null
+++ b/services/routing/pool.go
@@ -0,0 +1,296 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/spec"
+)
+
+// pool is a pool in force: its classes, their queues and its targets.
+type pool struct {
+	name    string
+	spec    spec.Pool
+	retired bool
+	classes map[string]*class
+	// order holds the classes, urgent first.
+	order   []*class
+	targets map[string]*target
+	list    []*target
+	// turn rotates where pick starts, so that equals take turns.
+	turn   int
+	budget retryBudget
+}
+
+func newPool(name string) *pool {
+	return &pool{name: name, classes: map[string]*class{}, targets: map[string]*target{}}
+}
+
+func (p *pool) setSpec(s spec.Pool) {
+	p.spec, p.retired = s, false
+	previous := p.classes
+	p.classes = make(map[string]*class, len(s.Classes))
+	for _, k := range s.Classes {
+		c := previous[k.Name]
+		if c == nil {
+			c = &class{}
+		}
+		c.spec = k
+		p.classes[k.Name] = c
+	}
+	// A class that is gone stays in the order until its queue has drained.
+	for name, c := range previous {
+		if p.classes[name] == nil && c.waiting > 0 {
+			p.order = append(p.order, c)
+		}
+	}
+	p.sortClasses()
+}
+
+func (p *pool) sortClasses() {
+	gone := p.order
+	p.order = nil
+	for _, c := range p.classes {
+		p.order = append(p.order, c)
+	}
+	for _, c := range gone {
+		if c.waiting > 0 && !slices.Contains(p.order, c) {
+			p.order = append(p.order, c)
+		}
+	}
+	slices.SortFunc(p.order, func(a, b *class) int {
+		if d := a.spec.Priority.Rank() - b.spec.Priority.Rank(); d != 0 {
+			return d
+		}
+		if a.spec.Name < b.spec.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (p *pool) setTargets(listed map[string]Target) {
+	for name, l := range listed {
+		t := p.targets[name]
+		if t == nil || t.address != l.Address {
+			t = &target{name: name, address: l.Address}
+			p.targets[name] = t
+		}
+		t.listedLeaving = l.Leaving
+	}
+	for name := range p.targets {
+		if _, stays := listed[name]; !stays {
+			delete(p.targets, name)
+		}
+	}
+	p.list = p.list[:0]
+	for _, name := range sortedNames(p.targets) {
+		p.list = append(p.list, p.targets[name])
+	}
+}
+
+// nextClass returns the class whose head goes next: the most urgent, and among
+// equally urgent ones the one that has waited longest. If not ordered, urgency
+// does not count.
+func (p *pool) nextClass(ordered bool) *class {
+	var best *class
+	for _, c := range p.order {
+		head := c.peek()
+		if head == nil {
+			continue
+		}
+		if best == nil {
+			best = c
+			continue
+		}
+		if ordered && c.spec.Priority != best.spec.Priority {
+			break
+		}
+		if head.arrivedAt.Before(best.peek().arrivedAt) {
+			best = c
+		}
+	}
+	return best
+}
+
+// pick returns the target for a request of class c, or nil if none has a free
+// slot. Ejected targets are probed only with requests that may be repeated.
+func (p *pool) pick(now time.Time, c *class, policy Policy) *target {
+	var best *target
+	p.turn++
+	for i := range p.list {
+		t := p.list[(p.turn+i)%len(p.list)]
+		if !t.usable(now, c.spec.Repeatable) {
+			continue
+		}
+		if t.ejected() {
+			return t
+		}
+		if best == nil || policy.Better(t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+// slots returns how many requests this box may have at healthy targets.
+func (p *pool) slots(now time.Time) int {
+	n := 0
+	for _, t := range p.list {
+		if !t.leaving() && !t.ejected() {
+			n += t.limit
+		}
+	}
+	return n
+}
+
+// inflight returns how many requests are at targets.
+func (p *pool) inflight() int {
+	n := 0
+	for _, t := range p.list {
+		n += t.inflight
+	}
+	return n
+}
+
+// expectedWait returns how long a request of class c that came now would wait,
+// from the queues ahead of it, the usual service times and the slots.
+func (p *pool) expectedWait(now time.Time, c *class) time.Duration {
+	slots := p.slots(now)
+	if slots == 0 {
+		return p.untilProbe(now)
+	}
+	var work time.Duration
+	for _, other := range p.order {
+		if other.spec.Priority.Rank() <= c.spec.Priority.Rank() {
+			work += time.Duration(other.waiting) * other.service.mean()
+		}
+	}
+	if work == 0 {
+		return 0
+	}
+	return work / time.Duration(slots)
+}
+
+// untilProbe returns how long until the first ejected target is tried again.
+func (p *pool) untilProbe(now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for _, t := range p.list {
+		if t.leaving() || t.limit == 0 {
+			continue
+		}
+		if wait := max(t.ejectedUntil.Sub(now), 0); least < 0 || wait < least {
+			least = wait
+		}
+	}
+	return max(least, 0)
+}
+
+// class is a class of requests and its queue.
+type class struct {
+	spec    spec.Class
+	queue   []*pending
+	head    int
+	waiting int
+	service smoothed
+}
+
+func (c *class) push(q *pending) {
+	c.queue = append(c.queue, q)
+	c.waiting++
+}
+
+// pushFront puts a request that was already sent once ahead of all others.
+func (c *class) pushFront(q *pending) {
+	c.waiting++
+	if c.head > 0 {
+		c.head--
+		c.queue[c.head] = q
+		return
+	}
+	c.queue = slices.Insert(c.queue, 0, q)
+}
+
+// peek returns the first request that still waits, or nil.
+func (c *class) peek() *pending {
+	for c.head < len(c.queue) {
+		if q := c.queue[c.head]; q.state == stageWaiting {
+			return q
+		}
+		c.queue[c.head] = nil
+		c.head++
+	}
+	c.queue, c.head = c.queue[:0], 0
+	return nil
+}
+
+func (c *class) pop() *pending {
+	q := c.peek()
+	if q == nil {
+		return nil
+	}
+	c.queue[c.head] = nil
+	c.head++
+	c.waiting--
+	c.compact()
+	return q
+}
+
+// abandon counts one request out that stays in the queue as a gap.
+func (c *class) abandon() {
+	c.waiting--
+	c.compact()
+}
+
+// compact closes gaps once they are the larger part of a queue.
+func (c *class) compact() {
+	if len(c.queue) < 64 || len(c.queue) < 2*c.waiting {
+		return
+	}
+	kept := make([]*pending, 0, c.waiting)
+	for _, q := range c.queue[c.head:] {
+		if q != nil && q.state == stageWaiting {
+			kept = append(kept, q)
+		}
+	}
+	c.queue, c.head = kept, 0
+}
+
+// smoothed is an exponentially weighted mean of durations.
+type smoothed struct{ value time.Duration }
+
+const smoothing = 16
+
+func (s *smoothed) add(d time.Duration) {
+	if s.value == 0 {
+		s.value = d
+		return
+	}
+	s.value += (d - s.value) / smoothing
+}
+
+func (s *smoothed) mean() time.Duration { return s.value }
+
+// retryBudget lets retries be only a part of fresh requests.
+type retryBudget struct {
+	tokens float64
+	filled bool
+}
+
+func (b *retryBudget) earn(s Settings) {
+	if !b.filled {
+		b.tokens, b.filled = s.RetryBurst, true
+	}
+	b.tokens = min(b.tokens+s.RetryRatio, s.RetryBurst)
+}
+
+func (b *retryBudget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/services/routing/status.go
@@ -0,0 +1,41 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"time"
+
+	"saddlevane/models/status"
+)
+
+// Status returns the pools in force as this box sees them.
+func (r *Router) Status(now time.Time) []status.Pool {
+	var all []status.Pool
+	for _, name := range sortedNames(r.pools) {
+		p := r.pools[name]
+		if p.retired {
+			continue
+		}
+		s := status.Pool{Name: name, Slots: p.slots(now), Inflight: p.inflight()}
+		for _, c := range p.order {
+			s.Classes = append(s.Classes, status.Class{
+				Name: c.spec.Name, Waiting: c.waiting,
+				UsualMillis: float64(c.service.mean()) / float64(time.Millisecond),
+			})
+		}
+		for _, t := range p.list {
+			s.Targets = append(s.Targets, status.Target{
+				Name: t.name, Limit: t.limit, Inflight: t.inflight, Leaving: t.leaving(), Ejected: t.ejected(),
+			})
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// Requests returns how many requests are unanswered.
+func (r *Router) Requests() int { return len(r.requests) }
+
+// Keys returns how many keyed requests are remembered.
+func (r *Router) Keys() int { return len(r.keys.known) }
--- /dev/null
+++ b/services/runtime/codec.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// maxPeerMessage bounds one message between entry boxes, in bytes.
+const maxPeerMessage = 64 << 20
+
+// boundedCodec frames JSON objects for jsonrpc2 with their length, and refuses
+// long ones before it reads them.
+type boundedCodec struct{}
+
+// WriteObject writes one object.
+func (boundedCodec) WriteObject(w io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return err
+	}
+	if len(data) > maxPeerMessage {
+		return fmt.Errorf("peer message of %d bytes, the limit is %d", len(data), maxPeerMessage)
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeader+len(data)), uint32(len(data)))
+	_, err = w.Write(append(frame, data...))
+	return err
+}
+
+const frameHeader = 4
+
+// ReadObject reads one object. It grows its buffer only as bytes arrive, so a
+// peer that announces much and sends little costs little.
+func (boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := int64(binary.BigEndian.Uint32(header[:]))
+	if size > maxPeerMessage {
+		return fmt.Errorf("peer message of %d bytes, the limit is %d", size, maxPeerMessage)
+	}
+	data, err := io.ReadAll(io.LimitReader(r, size))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) < size {
+		return io.ErrUnexpectedEOF
+	}
+	return json.Unmarshal(data, v)
+}
--- /dev/null
+++ b/services/runtime/log.go
@@ -0,0 +1,133 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/platform"
+	"saddlevane/models/record"
+	"saddlevane/modules/httpjson"
+)
+
+// maxPlatformAnswer bounds one answer of the platform, in bytes.
+const maxPlatformAnswer = 64 << 20
+
+// readBatch is how many records one read asks for.
+const readBatch = 500
+
+// PlatformSettings say how to reach the platform.
+type PlatformSettings struct {
+	Log        string
+	Boxes      string
+	Timeout    time.Duration
+	Wait       time.Duration
+	BoxesEvery time.Duration
+}
+
+// Log is the adapter for the platform's log and list of boxes.
+type Log struct {
+	settings PlatformSettings
+	client   *httpjson.Client
+	loop     *Loop
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+}
+
+// NewLog returns the adapter and starts to read the list of boxes.
+func NewLog(s PlatformSettings, loop *Loop) *Log {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Log{
+		settings: s, loop: loop, ctx: ctx, cancel: cancel,
+		client: httpjson.NewClient(&http.Client{}, maxPlatformAnswer),
+	}
+	l.tasks.Go(l.readBoxes)
+	return l
+}
+
+// Close ends what is under way and waits for it.
+func (l *Log) Close() {
+	l.cancel()
+	l.tasks.Wait()
+}
+
+func (l *Log) read(e effect.ReadLog) {
+	l.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
+		defer cancel()
+		url := fmt.Sprintf("%s/v1/read?from=%d&limit=%d&wait_ms=%d", l.settings.Log, e.From, readBatch, l.settings.Wait.Milliseconds())
+		var answer platform.Read
+		if err := l.client.Get(ctx, url, &answer); err != nil {
+			l.loop.Post(event.LogFailed{Reason: err.Error()})
+			return
+		}
+		l.loop.Post(logRead(e.From, answer))
+	})
+}
+
+func logRead(from int64, r platform.Read) event.LogRead {
+	e := event.LogRead{First: r.First, Head: r.Next <= from}
+	for _, rec := range r.Records {
+		e.Records = append(e.Records, event.LogRecord{Offset: rec.Offset, At: rec.Time(), Data: []byte(rec.Data)})
+		e.Head = rec.Offset+1 == r.Next
+	}
+	return e
+}
+
+func (l *Log) append(e effect.Append) {
+	l.tasks.Go(func() {
+		offset, err := l.appendOnce(e.Envelope)
+		ended := event.AppendEnded{ID: e.Envelope.ID, Offset: offset}
+		if err != nil {
+			ended.Failed = err.Error()
+		}
+		l.loop.Post(ended)
+	})
+}
+
+func (l *Log) appendOnce(e record.Envelope) (int64, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return 0, fmt.Errorf("encode envelope: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
+	defer cancel()
+	var answer platform.Appended
+	err = l.client.Post(ctx, l.settings.Log+"/v1/append", platform.Append{ID: e.ID, Data: string(data)}, &answer)
+	return answer.Offset, err
+}
+
+func (l *Log) readBoxes() {
+	ticker := time.NewTicker(l.settings.BoxesEvery)
+	defer ticker.Stop()
+	for {
+		l.readBoxesOnce()
+		select {
+		case <-ticker.C:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Log) readBoxesOnce() {
+	ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
+	defer cancel()
+	var list box.List
+	if err := l.client.Get(ctx, l.settings.Boxes+"/v1/boxes", &list); err != nil {
+		l.loop.log.WithError(err).Debug("the list of boxes could not be read")
+		return
+	}
+	l.loop.Post(event.BoxesRead{List: list})
+}
--- /dev/null
+++ b/services/runtime/loop.go
@@ -0,0 +1,164 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package runtime runs the reducer as a process: one loop feeds it events with
+// the present time, and adapters carry out its effects and report back.
+package runtime
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/services/core"
+)
+
+// tickEvery is the time between two ticks of the reducer: the most that a
+// decision which no event sets off waits.
+const tickEvery = 25 * time.Millisecond
+
+// eventBuffer is how many events may wait for the loop.
+const eventBuffer = 1024
+
+// Adapters carry out effects. Each must return at once; what takes time goes on
+// in goroutines of the adapter's own.
+type Adapters struct {
+	Requests *Requests
+	Log      *Log
+	Workers  *Workers
+	Peers    *Peers
+}
+
+// Loop runs a reducer. Close ends it.
+type Loop struct {
+	core     *core.Core
+	log      logrus.FieldLogger
+	adapters Adapters
+	publish  publishers
+	events   chan event.Event
+	queries  chan func(time.Time, *core.Core)
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+	stopping atomic.Bool
+	stopped  chan struct{}
+	stopOnce sync.Once
+}
+
+// NewLoop returns a loop that does not run yet.
+func NewLoop(c *core.Core, log logrus.FieldLogger) *Loop {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Loop{
+		core: c, log: log, events: make(chan event.Event, eventBuffer),
+		queries: make(chan func(time.Time, *core.Core)),
+		ctx:     ctx, cancel: cancel, stopped: make(chan struct{}),
+		publish: newPublishers(),
+	}
+}
+
+// Run starts the loop with its adapters.
+func (l *Loop) Run(a Adapters) {
+	l.adapters = a
+	l.tasks.Go(l.run)
+}
+
+// Post hands an event to the reducer. It waits while the loop is behind, and
+// does nothing once the loop has ended.
+func (l *Loop) Post(e event.Event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// Query runs f beside the reducer. It returns false if the loop has ended.
+func (l *Loop) Query(f func(now time.Time, c *core.Core)) bool {
+	done := make(chan struct{})
+	wrapped := func(now time.Time, c *core.Core) {
+		defer close(done)
+		f(now, c)
+	}
+	select {
+	case l.queries <- wrapped:
+	case <-l.ctx.Done():
+		return false
+	}
+	<-done
+	return true
+}
+
+// Stop begins a planned stop.
+func (l *Loop) Stop() {
+	l.stopping.Store(true)
+	l.Post(event.Stop{})
+}
+
+// Stopping says whether a planned stop has begun.
+func (l *Loop) Stopping() bool { return l.stopping.Load() }
+
+// Stopped is closed when a planned stop is complete.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+// Close ends the loop and waits for it.
+func (l *Loop) Close() {
+	l.cancel()
+	l.tasks.Wait()
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.events:
+			l.handle(e)
+		case f := <-l.queries:
+			f(time.Now(), l.core)
+		case <-ticker.C:
+			l.handle(event.Tick{})
+		}
+	}
+}
+
+func (l *Loop) handle(e event.Event) {
+	for _, eff := range l.core.Handle(time.Now(), e) {
+		l.do(eff)
+	}
+}
+
+func (l *Loop) do(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.SendRequest:
+		l.adapters.Requests.send(e)
+	case effect.Deliver:
+		l.adapters.Requests.deliver(e)
+	case effect.Refuse:
+		l.adapters.Requests.refuse(e)
+	case effect.Forget:
+		l.adapters.Requests.forget(e.ID)
+	case effect.Forward:
+		l.adapters.Peers.forward(e)
+	case effect.ReadLog:
+		l.adapters.Log.read(e)
+	case effect.Append:
+		l.adapters.Log.append(e)
+	case effect.SyncWorker:
+		l.adapters.Workers.sync(e)
+	case effect.SayHello:
+		l.adapters.Peers.hello(e)
+	case effect.FetchSnapshot:
+		l.adapters.Peers.fetch(e)
+	case effect.AnswerPublish:
+		l.publish.answer(e)
+	case effect.Stopped:
+		l.stopOnce.Do(func() { close(l.stopped) })
+	}
+}
--- /dev/null
+++ b/services/runtime/peers.go
@@ -0,0 +1,255 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/peer"
+	"saddlevane/models/record"
+	"saddlevane/models/request"
+	"saddlevane/services/core"
+)
+
+// The times of the peers' protocol.
+const (
+	peerDial    = time.Second
+	helloWithin = time.Second
+	fetchWithin = 5 * time.Second
+)
+
+// Peers is the adapter for other entry boxes: it serves them and calls them.
+type Peers struct {
+	loop     *Loop
+	requests *Requests
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+	// greeting holds the peers to which a heartbeat is under way.
+	greeting map[string]bool
+}
+
+// NewPeers returns the adapter and starts to serve peers on listener.
+func NewPeers(listener net.Listener, loop *Loop, requests *Requests) *Peers {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Peers{
+		loop: loop, requests: requests, listener: listener, ctx: ctx, cancel: cancel,
+		conns: map[string]*jsonrpc2.Conn{}, greeting: map[string]bool{},
+	}
+	p.tasks.Go(p.accept)
+	return p
+}
+
+// Close ends all connections and waits for what is under way.
+func (p *Peers) Close() {
+	p.cancel()
+	_ = p.listener.Close()
+	p.mu.Lock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.mu.Unlock()
+	p.tasks.Wait()
+}
+
+func (p *Peers) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+		rpc := jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
+		p.tasks.Go(func() {
+			select {
+			case <-rpc.DisconnectNotify():
+			case <-p.ctx.Done():
+				_ = rpc.Close()
+			}
+		})
+	}
+}
+
+// handle serves one call of a peer.
+func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case peer.MethodHello:
+		hello, err := params[peer.Hello](req)
+		if err != nil {
+			return nil, err
+		}
+		p.loop.Post(event.HelloHeard{Hello: hello})
+		return struct{}{}, nil
+	case peer.MethodSnapshot:
+		var s record.Snapshot
+		p.loop.Query(func(_ time.Time, c *core.Core) { s = c.Snapshot() })
+		return s, nil
+	case peer.MethodForward:
+		forward, err := params[peer.Forward](req)
+		if err != nil {
+			return nil, err
+		}
+		return p.serve(ctx, forward)
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+}
+
+func params[T any](req *jsonrpc2.Request) (T, error) {
+	var v T
+	if req.Params == nil {
+		return v, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*req.Params, &v); err != nil {
+		return v, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return v, nil
+}
+
+// serve runs a request that a peer passed on.
+func (p *Peers) serve(ctx context.Context, f peer.Forward) (*peer.Answer, error) {
+	key, err := request.ParseKey(f.Key)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	result, ok := p.requests.Serve(ctx, Incoming{
+		Pool: f.Pool, Class: f.Class, Key: key, Method: f.Method, Path: f.Path, Header: f.Header, Body: f.Body,
+		Peer: true, Budget: time.Duration(f.Budget) * time.Millisecond,
+	})
+	if !ok {
+		return nil, context.Canceled
+	}
+	return &peer.Answer{
+		Status: result.Status, Verdict: result.Verdict, Header: ResultHeader(result), Body: ResultBody(result),
+	}, nil
+}
+
+// conn returns a connection to a peer, a new one if there is none.
+func (p *Peers) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[address]
+	p.mu.Unlock()
+	if c != nil && !disconnected(c) {
+		return c, nil
+	}
+	dialer := net.Dialer{Timeout: peerDial}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", address, err)
+	}
+	stream := jsonrpc2.NewBufferedStream(raw, boundedCodec{})
+	c = jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.conns[address]; other != nil && !disconnected(other) {
+		_ = c.Close()
+		return other, nil
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+func disconnected(c *jsonrpc2.Conn) bool {
+	select {
+	case <-c.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// call makes one call and drops the connection if it does not end in time, so
+// that the next call does not wait on a dead one.
+func (p *Peers) call(ctx context.Context, address, method string, in, out any) error {
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = c.Call(ctx, method, in, out)
+	if err != nil && ctx.Err() != nil && method == peer.MethodHello {
+		_ = c.Close()
+	}
+	return err
+}
+
+func (p *Peers) hello(e effect.SayHello) {
+	p.mu.Lock()
+	busy := p.greeting[e.Address]
+	p.greeting[e.Address] = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, helloWithin)
+		defer cancel()
+		var none struct{}
+		if err := p.call(ctx, e.Address, peer.MethodHello, e.Hello, &none); err != nil {
+			p.loop.log.WithError(err).Debug("a heartbeat was not answered")
+		}
+		p.mu.Lock()
+		delete(p.greeting, e.Address)
+		p.mu.Unlock()
+	})
+}
+
+func (p *Peers) fetch(e effect.FetchSnapshot) {
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, fetchWithin)
+		defer cancel()
+		var s record.Snapshot
+		if err := p.call(ctx, e.Address, peer.MethodSnapshot, struct{}{}, &s); err != nil {
+			p.loop.log.WithError(err).Debug("a peer's snapshot could not be read")
+			return
+		}
+		p.loop.Post(event.SnapshotRead{From: e.Box, Snapshot: s})
+	})
+}
+
+func (p *Peers) forward(e effect.Forward) {
+	k := p.requests.get(e.ID)
+	if k == nil {
+		return
+	}
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, e.Timeout)
+		defer cancel()
+		in := &k.incoming
+		var answer peer.Answer
+		err := p.call(ctx, e.Address, peer.MethodForward, peer.Forward{
+			Pool: in.Pool, Class: in.Class, Key: in.Key.String(), Method: in.Method, Path: in.Path,
+			Header: in.Header, Body: in.Body, Budget: e.Timeout.Milliseconds(),
+		}, &answer)
+		ended := event.ForwardEnded{ID: e.ID}
+		if err != nil {
+			ended.Failed = err.Error()
+		} else {
+			p.requests.keep(e.ID, 0, forwarded(answer))
+		}
+		p.loop.Post(ended)
+	})
+}
+
+func forwarded(a peer.Answer) Result {
+	header := a.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	return Result{Status: a.Status, Verdict: a.Verdict, Header: header, Body: a.Body, Target: header.Get(request.HeaderTarget)}
+}
--- /dev/null
+++ b/services/runtime/requests.go
@@ -0,0 +1,265 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+)
+
+// RequestSettings bound callers' requests.
+type RequestSettings struct {
+	MaxAnswer  int64
+	MaxPending int
+	MaxKept    int64
+}
+
+// Incoming is a caller's request with all that is passed on to a target.
+type Incoming struct {
+	Pool   string
+	Class  string
+	Key    request.Key
+	Method string
+	// Path is what follows the class in the caller's URL, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Peer says that another entry box passed the request on.
+	Peer bool
+	// Budget is how long the caller still waits, or 0 for the class's deadline.
+	Budget time.Duration
+}
+
+// digest hashes all that makes a request what it is.
+func (in *Incoming) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{in.Pool, in.Class, in.Method, in.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(in.Body)
+	return d.Sum64()
+}
+
+// Result is the final answer to a caller.
+type Result struct {
+	ID      request.ID
+	Status  int
+	Verdict verdict.Verdict
+	Header  http.Header
+	Body    []byte
+	Target  string
+	Waited  time.Duration
+	// Refusal is set if no target gave the answer.
+	Refusal *request.Refusal
+}
+
+// Requests is the adapter that keeps callers' requests and exchanges them with
+// targets.
+type Requests struct {
+	settings RequestSettings
+	loop     *Loop
+	targets  *targetClient
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+
+	mu      sync.Mutex
+	lastID  request.ID
+	pending map[request.ID]*kept
+	// order holds the requests whose answers are kept, oldest first.
+	order     []request.ID
+	keptBytes int64
+}
+
+// kept is what the adapter has of one request.
+type kept struct {
+	incoming Incoming
+	done     chan Result
+	answers  map[int]Result
+	counted  int64
+}
+
+// NewRequests returns the adapter.
+func NewRequests(s RequestSettings, loop *Loop) *Requests {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Requests{
+		settings: s, loop: loop, targets: newTargetClient(s.MaxAnswer), ctx: ctx, cancel: cancel,
+		pending: map[request.ID]*kept{},
+	}
+}
+
+// Close ends what is under way and waits for it.
+func (r *Requests) Close() {
+	r.cancel()
+	r.tasks.Wait()
+	r.targets.close()
+}
+
+// Serve takes a caller's request and waits for its final answer. It returns
+// false if the caller left first.
+func (r *Requests) Serve(ctx context.Context, in Incoming) (Result, bool) {
+	id, k, ok := r.add(in)
+	if !ok {
+		return refused(0, tooMany()), true
+	}
+	r.loop.Post(event.RequestArrived{Arrival: request.Arrival{
+		ID: id, Pool: in.Pool, Class: in.Class, Key: in.Key, Digest: in.digest(), Peer: in.Peer, Budget: in.Budget,
+	}})
+	select {
+	case result := <-k.done:
+		return result, true
+	case <-ctx.Done():
+		r.loop.Post(event.RequestAbandoned{ID: id})
+		return Result{}, false
+	case <-r.loop.ctx.Done():
+		return refused(id, request.Refusal{
+			Status: http.StatusServiceUnavailable, Verdict: verdict.MayHaveRun, Reason: "this entry box has stopped",
+		}), true
+	}
+}
+
+func tooMany() request.Refusal {
+	return request.Refusal{
+		Status: http.StatusServiceUnavailable, Verdict: verdict.NotRun,
+		Reason: "too many requests are unanswered at this entry box", RetryAfter: time.Second,
+	}
+}
+
+func refused(id request.ID, f request.Refusal) Result {
+	return Result{ID: id, Status: f.Status, Verdict: f.Verdict, Refusal: &f}
+}
+
+func (r *Requests) add(in Incoming) (request.ID, *kept, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.pending)-len(r.order) >= r.settings.MaxPending {
+		return 0, nil, false
+	}
+	r.lastID++
+	k := &kept{incoming: in, done: make(chan Result, 1), answers: map[int]Result{}}
+	r.pending[r.lastID] = k
+	return r.lastID, k, true
+}
+
+func (r *Requests) get(id request.ID) *kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pending[id]
+}
+
+func (r *Requests) send(e effect.SendRequest) {
+	k := r.get(e.ID)
+	if k == nil {
+		return
+	}
+	r.tasks.Go(func() {
+		result, err := r.targets.exchange(r.ctx, e, &k.incoming)
+		ended := event.TargetAnswered{ID: e.ID, Attempt: e.Attempt, Target: e.Target, Verdict: verdict.Of(err)}
+		if err != nil {
+			ended.Reason = err.Error()
+			ended.Leaving, ended.Busy = targetWords(err)
+		} else {
+			ended.Leaving = result.Header.Get(request.HeaderLeaving) != ""
+			r.keep(e.ID, e.Attempt, result)
+		}
+		r.loop.Post(ended)
+	})
+}
+
+func (r *Requests) keep(id request.ID, attempt int, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k := r.pending[id]; k != nil {
+		k.answers[attempt] = result
+	}
+}
+
+// deliver gives the answer of one attempt to whoever asked for it.
+func (r *Requests) deliver(e effect.Deliver) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	to := r.pending[e.To]
+	if to == nil {
+		return
+	}
+	result, ok := r.answer(e)
+	if !ok {
+		result = refused(e.To, request.Refusal{
+			Status: http.StatusConflict, Verdict: verdict.Ran, Reason: "the request has run, but its answer is no longer kept",
+		})
+	}
+	result.ID, result.Waited = e.To, e.Waited
+	to.done <- result
+	if e.To != e.From {
+		delete(r.pending, e.To)
+	}
+	if e.Keep {
+		r.keepAnswer(e.From)
+	}
+}
+
+func (r *Requests) answer(e effect.Deliver) (Result, bool) {
+	from := r.pending[e.From]
+	if from == nil {
+		return Result{}, false
+	}
+	result, ok := from.answers[e.Attempt]
+	return result, ok
+}
+
+// keepAnswer counts a kept answer once, and drops the oldest ones if all
+// together exceed their bound.
+func (r *Requests) keepAnswer(id request.ID) {
+	k := r.pending[id]
+	if k == nil || k.counted > 0 {
+		return
+	}
+	k.incoming = Incoming{}
+	k.counted = 1
+	for _, a := range k.answers {
+		k.counted += int64(len(a.Body))
+	}
+	r.keptBytes += k.counted
+	r.order = append(r.order, id)
+	for r.keptBytes > r.settings.MaxKept && len(r.order) > 1 {
+		r.drop(r.order[0])
+	}
+}
+
+func (r *Requests) drop(id request.ID) {
+	if k := r.pending[id]; k != nil {
+		r.keptBytes -= k.counted
+		delete(r.pending, id)
+	}
+	if len(r.order) > 0 && r.order[0] == id {
+		r.order = r.order[1:]
+	}
+}
+
+func (r *Requests) refuse(e effect.Refuse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k := r.pending[e.To]; k != nil {
+		k.done <- refused(e.To, e.Refusal)
+		delete(r.pending, e.To)
+	}
+}
+
+func (r *Requests) forget(id request.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(id)
+}
--- /dev/null
+++ b/services/runtime/result.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"saddlevane/models/request"
+)
+
+// ResultHeader returns the header of the answer to a caller: a target's own, or
+// that of a refusal, with what saddlevane adds.
+func ResultHeader(r Result) http.Header {
+	header := http.Header{}
+	for name, values := range r.Header {
+		header[name] = values
+	}
+	for _, name := range notPassedOn {
+		header.Del(name)
+	}
+	header.Del(request.HeaderLeaving)
+	header.Set(request.HeaderVerdict, string(r.Verdict))
+	if r.Target != "" {
+		header.Set(request.HeaderTarget, r.Target)
+	}
+	if r.Waited > 0 {
+		header.Set(request.HeaderWaited, strconv.FormatInt(r.Waited.Milliseconds(), 10))
+	}
+	if r.Refusal != nil {
+		refusalHeader(header, r.Refusal)
+	}
+	return header
+}
+
+func refusalHeader(header http.Header, f *request.Refusal) {
+	header.Set("Content-Type", "application/json")
+	if f.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		header.Set(headerRetryMillis, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
+	}
+	if !f.Key.IsZero() {
+		header.Set(request.HeaderKey, f.Key.String())
+	}
+}
+
+// headerRetryMillis is Retry-After in milliseconds, for callers that can come
+// back sooner than after a whole second.
+const headerRetryMillis = "Saddlevane-Retry-After-Ms"
+
+// refusalBody is the body of an answer that no target gave.
+type refusalBody struct {
+	request.Refusal
+	RetryAfter int64  `json:"retry_after_ms,omitempty"`
+	Key        string `json:"key,omitempty"`
+}
+
+// ResultBody returns the body of the answer to a caller.
+func ResultBody(r Result) []byte {
+	if r.Refusal == nil {
+		return r.Body
+	}
+	body, err := json.Marshal(refusalBody{
+		Refusal: *r.Refusal, RetryAfter: int64(r.Refusal.RetryAfter / time.Millisecond), Key: r.Refusal.Key.String(),
+	})
+	if err != nil {
+		return nil
+	}
+	return append(body, '\n')
+}
--- /dev/null
+++ b/services/runtime/workers.go
@@ -0,0 +1,72 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/worker"
+	"saddlevane/modules/httpjson"
+)
+
+// maxReport bounds a worker's report, in bytes.
+const maxReport = 4 << 20
+
+// Workers is the adapter for the platform's workers.
+type Workers struct {
+	timeout time.Duration
+	client  *httpjson.Client
+	loop    *Loop
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+}
+
+// NewWorkers returns the adapter. One exchange takes at most timeout.
+func NewWorkers(timeout time.Duration, loop *Loop) *Workers {
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Workers{
+		timeout: timeout, loop: loop, ctx: ctx, cancel: cancel,
+		client: httpjson.NewClient(&http.Client{Transport: transport}, maxReport),
+	}
+}
+
+// Close ends what is under way and waits for it.
+func (w *Workers) Close() {
+	w.cancel()
+	w.tasks.Wait()
+}
+
+func (w *Workers) sync(e effect.SyncWorker) {
+	sentAt := time.Now()
+	w.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(w.ctx, w.timeout)
+		defer cancel()
+		answered := event.WorkerAnswered{Worker: e.Worker, Seq: e.Sync.Seq, SentAt: sentAt}
+		err := w.client.Post(ctx, "http://"+e.Address+"/v1/sync", e.Sync, &answered.Report)
+		if err == nil && answered.Report.Worker != e.Worker {
+			err = &wrongWorkerError{want: e.Worker, got: answered.Report.Worker}
+		}
+		if err != nil {
+			answered.Failed = err.Error()
+			answered.Report = worker.Report{}
+		}
+		w.loop.Post(answered)
+	})
+}
+
+// wrongWorkerError says that another worker answered at an address.
+type wrongWorkerError struct{ want, got string }
+
+func (e *wrongWorkerError) Error() string {
+	return "the answer is of worker " + strconv.Quote(e.got) + ", not " + strconv.Quote(e.want)
+}
--- /dev/null
+++ b/services/shard/plan.go
@@ -0,0 +1,284 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"fmt"
+	"time"
+
+	"saddlevane/models/resource"
+	"saddlevane/models/spec"
+	"saddlevane/services/ledger"
+	"saddlevane/services/placement"
+)
+
+// Policy is what varies between deployments and is measured against baselines.
+type Policy struct {
+	// Weights rate places for batch work.
+	Weights placement.Weights
+	// Together rates places for services, whose spread counts more.
+	Together placement.Weights
+	// SpreadPenalty is added for each task of the same service in the group that
+	// the service should not share.
+	SpreadPenalty float64
+}
+
+// DefaultPolicy is what the measurements favour.
+func DefaultPolicy() Policy {
+	return Policy{Weights: placement.DefaultWeights(), Together: placement.DefaultWeights(), SpreadPenalty: 10}
+}
+
+// burst is how many tasks of one object are placed before teams are compared
+// again.
+const burst = 16
+
+// looked is how many blocked objects of one team are passed over for smaller
+// work behind them.
+const looked = 64
+
+// round is one run of plan.
+type round struct {
+	now    time.Time
+	left   int
+	failed []resource.Vector
+	// closed is the rank from which on nothing may overtake a gang that has
+	// waited long.
+	closed int
+}
+
+// plan gives waiting tasks their places: by priority, then by the teams' shares
+// against their weights, then by age. Smaller work may pass what does not fit.
+func (h *Holder) plan(now time.Time) {
+	if h.members.Leaving() {
+		return
+	}
+	h.pruneQueues()
+	r := &round{now: now, left: h.settings.PlacementsPerTick, closed: len(spec.Priorities)}
+	for rank := range spec.Priorities {
+		if rank > r.closed {
+			return
+		}
+		h.planRank(r, rank)
+	}
+}
+
+func (h *Holder) planRank(r *round, rank int) {
+	passed := map[*team]int{}
+	for r.left > 0 {
+		t := h.neediest(rank, passed)
+		if t == nil {
+			return
+		}
+		o := t.queues[rank][passed[t]]
+		if placed := h.planObject(r, t, o); placed < burst {
+			passed[t]++
+		}
+		if r.closed <= rank {
+			return
+		}
+	}
+}
+
+// neediest returns the team with work of the rank and the smallest share for its
+// weight.
+func (h *Holder) neediest(rank int, passed map[*team]int) *team {
+	var best *team
+	least := 0.0
+	for _, t := range h.teams {
+		if at := passed[t]; at >= len(t.queues[rank]) || at >= looked {
+			continue
+		}
+		share := t.reserved.DominantShare(h.total.capacity) / t.spec.Weight
+		if best == nil || share < least || (share == least && t.spec.Name < best.spec.Name) {
+			best, least = t, share
+		}
+	}
+	return best
+}
+
+// pruneQueues drops objects that have nothing waiting.
+func (h *Holder) pruneQueues() {
+	for _, t := range h.teams {
+		for rank, queue := range t.queues {
+			kept := queue[:0]
+			for _, o := range queue {
+				if !o.gone && !o.spec.Cancelled() && h.hasWaiting(o) {
+					kept = append(kept, o)
+				}
+			}
+			clear(queue[len(kept):])
+			t.queues[rank] = kept
+		}
+	}
+}
+
+// planObject places up to burst tasks of o and returns how many it placed.
+func (h *Holder) planObject(r *round, t *team, o *object) int {
+	if reason := h.heldBack(r.now, o); reason != "" {
+		o.reason = reason
+		return 0
+	}
+	if o.spec.Kind() == ledger.KindGang {
+		return h.planGang(r, t, o)
+	}
+	placed := 0
+	for placed < burst && r.left > 0 {
+		w := h.findPlace(r, t, o)
+		if w == nil {
+			break
+		}
+		next, ok := h.nextWaiting(r.now, o)
+		if !ok {
+			break
+		}
+		h.place(r.now, o, next, w)
+		r.left--
+		placed++
+	}
+	if placed > 0 && r.left > 0 && !h.hasWaiting(o) {
+		o.reason = ""
+	}
+	return placed
+}
+
+// heldBack says why no task of o may start now whatever is free, or "".
+func (h *Holder) heldBack(now time.Time, o *object) string {
+	switch {
+	case h.phase != Active && o.spec.ID().Born <= h.claim:
+		return "this entry box is taking the shard over and does not know yet what runs"
+	case now.Before(o.notBefore):
+		return o.reason
+	case !o.spec.Repeatable() && (h.journal.Full() || h.journal.Failing() != ""):
+		return "the log cannot be written, and the start of a task that may not be repeated must be recorded first"
+	default:
+		return ""
+	}
+}
+
+// findPlace returns a worker for one task of o, or nil and the reason in o.
+func (h *Holder) findPlace(r *round, t *team, o *object) *workerState {
+	need := o.spec.Work().Resources
+	if !t.reserved.Plus(need).Fits(t.quota) {
+		o.reason = fmt.Sprintf("team %s has its quota of this shard in use", t.spec.Name)
+		return nil
+	}
+	if r.knownFull(need) {
+		o.reason = fullReason(need)
+		return nil
+	}
+	n := h.search(o, need)
+	if n != nil {
+		return h.workers[n.Name()]
+	}
+	r.failed = append(r.failed, need)
+	o.reason = fullReason(need)
+	h.preempt(r.now, o, need)
+	return nil
+}
+
+func fullReason(need resource.Vector) string {
+	return fmt.Sprintf("no worker of the shard has %s processors, %s of memory and %d accelerators free together",
+		need.Processors, need.Memory, need.Accelerators)
+}
+
+func (r *round) knownFull(need resource.Vector) bool {
+	for _, f := range r.failed {
+		if f.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Holder) search(o *object, need resource.Vector) *placement.Node {
+	score := func(n *placement.Node) float64 { return h.policy.Weights.Score(n, need) }
+	if s := o.spec.Service(); s != nil && s.Spread != spec.SpreadNone {
+		score = func(n *placement.Node) float64 {
+			return h.policy.Together.Score(n, need) + h.policy.SpreadPenalty*float64(h.neighbours(o, n, s.Spread))
+		}
+	}
+	if need.Accelerators == 0 {
+		if n := h.plain.Best(need, score); n != nil {
+			return n
+		}
+	}
+	return h.accelerated.Best(need, score)
+}
+
+// neighbours counts tasks of o in the group of n that they should not share.
+func (h *Holder) neighbours(o *object, n *placement.Node, s spec.Spread) int {
+	count := 0
+	for _, span := range o.ranges {
+		for i := span.from; i < span.to; i++ {
+			t, ok := h.tasks[keyOf(o, i)]
+			if ok && (t.worker.node == n || s == spec.SpreadRack && t.worker.node.Rack() == n.Rack()) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// planGang places all tasks of a gang or none.
+func (h *Holder) planGang(r *round, t *team, o *object) int {
+	if o.active > 0 {
+		o.reason = "the rest of the gang has not stopped yet"
+		return 0
+	}
+	need := o.spec.Work().Resources
+	var waiting []retry
+	for next, ok := h.nextWaiting(r.now, o); ok; next, ok = h.nextWaiting(r.now, o) {
+		waiting = append(waiting, next)
+	}
+	if len(o.retry) > 0 || !t.reserved.Plus(need.Times(len(waiting))).Fits(t.quota) || !h.placeAll(r.now, o, waiting) {
+		h.returnAll(o, waiting)
+		h.gangWaits(r, t, o, need.Times(len(waiting)))
+		return 0
+	}
+	r.left -= len(waiting)
+	o.reason = ""
+	return len(waiting)
+}
+
+func (h *Holder) returnAll(o *object, waiting []retry) {
+	o.retry = append(waiting, o.retry...)
+}
+
+// placeAll holds a place for each task, and gives them all up if one is missing.
+func (h *Holder) placeAll(now time.Time, o *object, waiting []retry) bool {
+	need := o.spec.Work().Resources
+	held := make([]*placement.Node, 0, len(waiting))
+	for range waiting {
+		n := h.search(o, need)
+		if n == nil {
+			break
+		}
+		n.Reserve(need)
+		held = append(held, n)
+	}
+	for _, n := range held {
+		n.Release(need)
+	}
+	if len(held) < len(waiting) {
+		return false
+	}
+	for i, n := range held {
+		h.place(now, o, waiting[i], h.workers[n.Name()])
+	}
+	return true
+}
+
+// gangWaits notes why a gang waits. One that has waited long stops smaller work
+// of its own and lower priorities from overtaking it, so that room gathers.
+func (h *Holder) gangWaits(r *round, t *team, o *object, all resource.Vector) {
+	if !t.reserved.Plus(all).Fits(t.quota) {
+		o.reason = fmt.Sprintf("team %s has not enough of its quota of this shard free for all tasks together", t.spec.Name)
+		return
+	}
+	o.reason = "the shard has not room for all its tasks together"
+	if r.now.Sub(o.since) >= h.settings.GangPatience {
+		r.closed = min(r.closed, o.spec.Work().Priority.Rank())
+		o.reason += "; smaller work no longer overtakes it"
+	}
+}
--- /dev/null
+++ b/services/shard/task.go
@@ -0,0 +1,325 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/resource"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+	"saddlevane/models/worker"
+	"saddlevane/services/journal"
+	"saddlevane/services/ledger"
+)
+
+// stage is how far an attempt has come.
+type stage string
+
+const (
+	// stageIntending waits for the log to take in the intent.
+	stageIntending stage = "intending"
+	// stageStarting was, or is about to be, sent to the worker.
+	stageStarting stage = "starting"
+	stageRunning  stage = "running"
+	// stageStopping was told to stop.
+	stageStopping stage = "stopping"
+)
+
+// running is an attempt that has a place on a worker.
+type running struct {
+	id        task.ID
+	object    *object
+	worker    *workerState
+	resources resource.Vector
+	version   int64
+	stage     stage
+	intent    journal.Ticket
+	startedAt time.Time
+}
+
+// object is a service, job or gang with tasks at home in the shard.
+type object struct {
+	spec   *ledger.Object
+	team   *team
+	ranges []span
+	// cursor is the range and index to look at next for tasks never started.
+	cursor int
+	next   int
+	retry  []retry
+	active int
+	// since is when tasks of the object began to wait.
+	since time.Time
+	// notBefore holds the object back after failures.
+	notBefore time.Time
+	failures  int
+	failedOn  []string
+	mean      time.Duration
+	reason    string
+	preempted time.Time
+	gone      bool
+}
+
+// span is a range of tasks, To exclusive.
+type span struct{ from, to int }
+
+// retry is a task that goes back to the queue.
+type retry struct {
+	index     int
+	attempt   int
+	notBefore time.Time
+}
+
+// team is a team's work in the shard.
+type team struct {
+	spec     spec.Team
+	quota    resource.Vector
+	reserved resource.Vector
+	queues   [3][]*object
+}
+
+// totals is what the shard has, for shares and quotas.
+type totals struct{ capacity resource.Vector }
+
+// SetObjects takes the objects in force.
+func (h *Holder) SetObjects(now time.Time) {
+	if !h.holding() {
+		return
+	}
+	h.setTeams()
+	seen := map[task.ObjectID]bool{}
+	for _, o := range h.ledger.Objects() {
+		ranges := h.homeRanges(o)
+		if len(ranges) == 0 {
+			continue
+		}
+		seen[o.ID()] = true
+		h.setObject(now, o, ranges)
+	}
+	for id, o := range h.objects {
+		if !seen[id] {
+			o.gone = true
+			delete(h.objects, id)
+		}
+	}
+	h.requeue()
+}
+
+func (h *Holder) homeRanges(o *ledger.Object) []span {
+	var ranges []span
+	for _, home := range o.Homes() {
+		if home.Shard == h.id {
+			ranges = append(ranges, span{home.From, home.To})
+		}
+	}
+	return ranges
+}
+
+func (h *Holder) setObject(now time.Time, spec *ledger.Object, ranges []span) {
+	o := h.objects[spec.ID()]
+	if o == nil {
+		o = &object{since: now}
+		h.objects[spec.ID()] = o
+		for _, t := range h.tasks {
+			if t.id.Object == spec.ID() {
+				t.object = o
+				o.active++
+			}
+		}
+	}
+	if !slices.Equal(o.ranges, ranges) || h.phase != Active {
+		o.ranges, o.cursor = ranges, 0
+		o.next = ranges[0].from
+	}
+	o.spec = spec
+	o.team = h.teams[spec.Work().Team]
+}
+
+// setTeams takes the teams in force. A team's quota in the shard is its quota in
+// the cell by the shard's part of the cell.
+func (h *Holder) setTeams() {
+	part := h.ledger.Part(h.id)
+	for name, t := range h.ledger.Teams() {
+		if h.teams[name] == nil {
+			h.teams[name] = &team{}
+		}
+		h.teams[name].spec = t
+		h.teams[name].quota = ledger.QuotaPart(t, part)
+	}
+	h.total.capacity = h.ledger.Capacity(h.id)
+}
+
+// requeue sorts objects into their teams' queues, oldest first.
+func (h *Holder) requeue() {
+	for _, t := range h.teams {
+		t.queues = [3][]*object{}
+	}
+	for _, s := range h.ledger.Objects() {
+		o := h.objects[s.ID()]
+		if o == nil || o.team == nil || s.Cancelled() || !h.hasWaiting(o) {
+			continue
+		}
+		rank := s.Work().Priority.Rank()
+		o.team.queues[rank] = append(o.team.queues[rank], o)
+	}
+}
+
+// enqueue puts an object that has waiting tasks again back in its queue.
+func (h *Holder) enqueue(o *object) {
+	if o.team == nil || o.gone || o.spec.Cancelled() {
+		return
+	}
+	rank := o.spec.Work().Priority.Rank()
+	queue := o.team.queues[rank]
+	at, found := slices.BinarySearchFunc(queue, o, func(a, b *object) int {
+		return ledger.CompareIDs(a.spec.ID(), b.spec.ID())
+	})
+	if !found {
+		o.team.queues[rank] = slices.Insert(queue, at, o)
+	}
+}
+
+// hasWaiting says whether a task of o has neither ended nor a place.
+func (h *Holder) hasWaiting(o *object) bool {
+	if len(o.retry) > 0 {
+		return true
+	}
+	_, ok := h.peekFresh(o)
+	return ok
+}
+
+// peekFresh returns the next task of o that was never started by this holder,
+// and moves the cursor up to it.
+func (h *Holder) peekFresh(o *object) (int, bool) {
+	progress := h.ledger.Progress(o.spec.ID())
+	for o.cursor < len(o.ranges) {
+		for ; o.next < o.ranges[o.cursor].to; o.next++ {
+			if !progress.Ended(o.next) && !progress.Intended(o.next) && !h.placed(o, o.next) {
+				return o.next, true
+			}
+		}
+		o.cursor++
+		if o.cursor < len(o.ranges) {
+			o.next = o.ranges[o.cursor].from
+		}
+	}
+	return 0, false
+}
+
+func (h *Holder) placed(o *object, index int) bool {
+	_, ok := h.tasks[task.Key{Object: o.spec.ID(), Index: index}]
+	return ok
+}
+
+// nextWaiting takes the next task of o from its queue.
+func (h *Holder) nextWaiting(now time.Time, o *object) (retry, bool) {
+	for i, r := range o.retry {
+		if !now.Before(r.notBefore) {
+			o.retry = slices.Delete(o.retry, i, i+1)
+			return r, true
+		}
+	}
+	index, ok := h.peekFresh(o)
+	if !ok {
+		return retry{}, false
+	}
+	o.next++
+	return retry{index: index}, true
+}
+
+// putBack returns a task that was not started.
+func (h *Holder) putBack(o *object, r retry) {
+	if o.gone || o.spec.Cancelled() || !o.has(r.index) {
+		return
+	}
+	o.retry = slices.Insert(o.retry, 0, r)
+	h.enqueue(o)
+}
+
+// place gives a task its place and queues the start.
+func (h *Holder) place(now time.Time, o *object, r retry, w *workerState) *running {
+	t := &running{
+		id:     task.ID{Object: o.spec.ID(), Index: r.index, Attempt: r.attempt},
+		object: o, worker: w, resources: o.spec.Work().Resources, version: o.spec.Version(),
+		stage: stageStarting, startedAt: now,
+	}
+	h.track(t)
+	if o.spec.Repeatable() {
+		h.queueStart(t)
+		return t
+	}
+	t.stage = stageIntending
+	h.outbox.intend(t)
+	return t
+}
+
+func (h *Holder) queueStart(t *running) {
+	t.stage = stageStarting
+	t.worker.starts = append(t.worker.starts, worker.Start{
+		Task: t.id, Resources: t.resources, Command: t.object.spec.Work().Command, Version: t.version,
+	})
+	h.counts.Starts++
+}
+
+func (h *Holder) track(t *running) {
+	h.tasks[t.id.Key()] = t
+	t.worker.tasks[t.id] = t
+	t.worker.node.Reserve(t.resources)
+	if t.object == nil {
+		return
+	}
+	t.object.active++
+	if t.object.team != nil {
+		t.object.team.reserved = t.object.team.reserved.Plus(t.resources)
+	}
+}
+
+func (h *Holder) untrack(t *running) {
+	if h.tasks[t.id.Key()] == t {
+		delete(h.tasks, t.id.Key())
+	}
+	delete(t.worker.tasks, t.id)
+	delete(t.worker.stops, t.id)
+	t.worker.node.Release(t.resources)
+	if t.object == nil {
+		return
+	}
+	t.object.active--
+	if t.object.team != nil {
+		t.object.team.reserved = t.object.team.reserved.Minus(t.resources)
+	}
+}
+
+// unstart takes back starts that a worker surely did not apply.
+func (h *Holder) unstart(w *workerState, starts []worker.Start, reason string) {
+	for _, s := range starts {
+		t, ok := w.tasks[s.Task]
+		if !ok || t.stage != stageStarting {
+			continue
+		}
+		h.untrack(t)
+		if t.object != nil {
+			t.object.reason = reason
+			h.putBack(t.object, retry{index: t.id.Index, attempt: t.id.Attempt})
+			h.disbandGang(t.object)
+		}
+	}
+}
+
+// stop asks for the end of an attempt.
+func (h *Holder) stop(t *running, checkpoint bool) {
+	if t.stage == stageStopping {
+		return
+	}
+	if t.stage == stageIntending {
+		h.outbox.withdraw(t)
+		h.untrack(t)
+		h.putBack(t.object, retry{index: t.id.Index, attempt: t.id.Attempt})
+		return
+	}
+	t.stage = stageStopping
+	t.worker.stops[t.id] = worker.Stop{Task: t.id, Checkpoint: checkpoint}
+	h.stops--
+}
--- /dev/null
+++ b/services/shard/worker.go
@@ -0,0 +1,323 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+	"saddlevane/models/worker"
+	"saddlevane/services/placement"
+)
+
+// workerState is one worker of the shard as the holder knows it.
+type workerState struct {
+	name     string
+	address  string
+	node     *placement.Node
+	listed   box.State
+	drained  bool
+	leaving  bool
+	epoch    int64
+	seq      int64
+	until    time.Time
+	adopted  bool
+	inflight *worker.Sync
+	sentAt   time.Time
+	nextAt   time.Time
+	// answeredAt is when the worker last answered; unanswered counts the grants
+	// asked for since, any of which the worker may still take.
+	answeredAt time.Time
+	unanswered int
+	releasing  bool
+	failing    string
+
+	starts []worker.Start
+	// sent is how many of starts have been sent and not been answered for.
+	sent  int
+	stops map[task.ID]worker.Stop
+	acks  []task.ID
+	tasks map[task.ID]*running
+	// ended holds outcomes that wait for the log before they are forgotten.
+	ended map[task.ID]bool
+
+	streak      []task.ObjectID
+	quarantined time.Time
+	penalties   int
+}
+
+// held says whether the worker's lease is surely this holder's.
+func (w *workerState) held(now time.Time) bool { return w.epoch != 0 && now.Before(w.until) }
+
+// release gives the lease back with the next Sync.
+func (w *workerState) release(now time.Time) {
+	if w.held(now) {
+		w.releasing = true
+		w.nextAt = now
+	}
+	w.adopted = false
+	w.starts, w.acks = nil, nil
+	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*running{}, map[task.ID]bool{}
+}
+
+// SetWorkers takes the shard's racks from the files in force and the platform's
+// list. The files alone say which workers there are, because they are what the
+// log orders beside the claims: a holder knows every worker that any earlier
+// holder could have used.
+func (h *Holder) SetWorkers(now time.Time) {
+	seen := map[string]bool{}
+	for _, rack := range h.ledger.Racks(h.id) {
+		for _, name := range rack.Workers {
+			seen[name] = true
+			w := h.workers[name]
+			if w == nil {
+				w = h.newWorker(name, rack)
+			}
+			h.refresh(now, w)
+		}
+	}
+	for name, w := range h.workers {
+		if !seen[name] {
+			h.dropWorker(now, w)
+		}
+	}
+}
+
+func (h *Holder) newWorker(name string, rack spec.Rack) *workerState {
+	w := &workerState{
+		name: name, node: placement.NewNode(name, rack.Name, rack.Each),
+		stops: map[task.ID]worker.Stop{}, tasks: map[task.ID]*running{}, ended: map[task.ID]bool{},
+	}
+	h.workers[name] = w
+	return w
+}
+
+// dropWorker forgets a worker that no file names any more. One that may still
+// run tasks is kept, drained, until they have ended.
+func (h *Holder) dropWorker(now time.Time, w *workerState) {
+	w.drained = true
+	h.index(now, w)
+	if len(w.tasks) == 0 && len(w.ended) == 0 && w.inflight == nil {
+		if w.held(now) && !w.releasing {
+			w.release(now)
+			return
+		}
+		delete(h.workers, w.name)
+	}
+}
+
+func (h *Holder) refresh(now time.Time, w *workerState) {
+	if b, ok := h.members.Box(w.name); ok {
+		w.address, w.listed = b.Address, b.State
+	}
+	w.drained = h.ledger.Draining(w.name)
+	h.index(now, w)
+	if w.listed == box.Dead && len(w.tasks) > 0 {
+		h.abandon(now, w, "the worker is dead")
+	}
+}
+
+// index puts the worker in the index or takes it out, by whether it may be
+// given tasks.
+func (h *Holder) index(now time.Time, w *workerState) {
+	h.plain.Remove(w.node)
+	h.accelerated.Remove(w.node)
+	if !h.mayStart(now, w) {
+		return
+	}
+	if w.node.Capacity().Accelerators > 0 {
+		h.accelerated.Add(w.node)
+		return
+	}
+	h.plain.Add(w.node)
+}
+
+func (h *Holder) mayStart(now time.Time, w *workerState) bool {
+	return w.adopted && w.held(now) && !w.releasing && !w.drained && !w.leaving &&
+		(w.listed == box.Live || w.listed == "") && !now.Before(w.quarantined)
+}
+
+// allAdopted says whether no worker is left that could run a task unknown to
+// this holder. A worker that cannot be reached is left out only if the platform
+// has made sure that it is dead: the earlier holder may still reach it.
+func (h *Holder) allAdopted() bool {
+	for _, w := range h.workers {
+		if !w.adopted && w.listed != box.Dead {
+			return false
+		}
+	}
+	return true
+}
+
+// syncs returns the Syncs that are due.
+func (h *Holder) syncs(now time.Time) []effect.Effect {
+	care := h.holding() || h.caretaking(now)
+	var effects []effect.Effect
+	for _, w := range h.workers {
+		if w.until.Before(now) && w.adopted && !w.until.IsZero() {
+			h.lapse(now, w)
+		}
+		w.releasing = w.releasing && w.held(now)
+		if w.inflight != nil || w.address == "" || w.listed == box.Dead {
+			continue
+		}
+		if h.members.Leaving() && !w.held(now) {
+			continue
+		}
+		if (care || w.releasing) && w.due(now) {
+			effects = append(effects, h.sync(now, w))
+		}
+	}
+	return effects
+}
+
+// caretaking says whether this box keeps the shard's workers from lapsing until
+// the log takes its claim in. It starts nothing.
+func (h *Holder) caretaking(now time.Time) bool {
+	claim, held := h.ledger.Claim(h.id)
+	return h.wanted(now) && h.free(now, claim, held)
+}
+
+func (w *workerState) due(now time.Time) bool {
+	if !now.Before(w.nextAt) {
+		return true
+	}
+	return w.failing == "" && w.held(now) && (len(w.starts) > 0 || len(w.acks) > 0 || len(w.stops) > 0 && now.Sub(w.sentAt) > stopRepeat)
+}
+
+// stopRepeat is the least time between two Syncs that ask to stop tasks.
+const stopRepeat = 100 * time.Millisecond
+
+func (h *Holder) sync(now time.Time, w *workerState) effect.Effect {
+	w.seq++
+	s := worker.Sync{Holder: h.holderName(), Seq: w.seq, TTL: worker.MillisecondsOf(h.settings.Lease)}
+	switch {
+	case w.held(now):
+		s.Epoch, s.Release = w.epoch, w.releasing
+		s.Starts, s.Acks = slices.Clone(w.starts), slices.Clone(w.acks)
+		w.sent = len(s.Starts)
+		for _, stop := range w.stops {
+			s.Stops = append(s.Stops, stop)
+		}
+	case w.unanswered > 0:
+		// Nothing is asked for until the worker answers again, so that its lease
+		// surely lapses if it does not.
+		s.TTL = 0
+	}
+	if s.TTL > 0 {
+		w.unanswered++
+	}
+	w.inflight, w.sentAt = &s, now
+	w.nextAt = now.Add(h.settings.Renew)
+	return effect.SyncWorker{Worker: w.name, Address: w.address, Sync: s}
+}
+
+// holderName is what workers grant leases to.
+func (h *Holder) holderName() string {
+	self := h.members.Self()
+	return self.Box + "/" + self.Incarnation
+}
+
+// WorkerAnswered takes the end of a Sync.
+func (h *Holder) WorkerAnswered(now time.Time, e event.WorkerAnswered) {
+	w, ok := h.workers[e.Worker]
+	if !ok || w.inflight == nil || w.inflight.Seq != e.Seq {
+		return
+	}
+	s := w.inflight
+	w.inflight = nil
+	w.failing = e.Failed
+	if e.Failed != "" {
+		return
+	}
+	w.answeredAt, w.unanswered = now, 0
+	w.leaving = e.Report.Leaving
+	switch {
+	case !e.Report.Granted:
+		h.notGranted(now, w, e)
+	case s.Release:
+		w.epoch, w.until, w.releasing, w.adopted = 0, time.Time{}, false, false
+	default:
+		h.granted(now, w, s, e)
+	}
+	h.index(now, w)
+}
+
+func (h *Holder) granted(now time.Time, w *workerState, s *worker.Sync, e event.WorkerAnswered) {
+	w.epoch = e.Report.Epoch
+	w.until = e.SentAt.Add(h.settings.Lease - h.settings.Margin)
+	if !h.holding() {
+		return
+	}
+	w.node.SetCapacity(e.Report.Capacity)
+	w.starts, w.sent = w.starts[min(len(s.Starts), len(w.starts)):], 0
+	w.acks = w.acks[min(len(s.Acks), len(w.acks)):]
+	for _, id := range s.Acks {
+		delete(w.ended, id)
+	}
+	if !w.adopted {
+		w.adopted = true
+		h.counts.Adoptions++
+	}
+	h.reconcile(now, w, s, e.Report)
+	h.expectEnd(now, w)
+}
+
+// expectEnd brings the next Sync forward to when a task is likely to end, so
+// that its place is filled again soon.
+func (h *Holder) expectEnd(now time.Time, w *workerState) {
+	for _, t := range w.tasks {
+		if t.object == nil || t.object.mean == 0 {
+			continue
+		}
+		end := t.startedAt.Add(t.object.mean)
+		if soon := now.Add(h.settings.Renew / 10); end.Before(soon) {
+			end = soon
+		}
+		if end.Before(w.nextAt) {
+			w.nextAt = end
+		}
+	}
+}
+
+// notGranted takes the answer of a worker that applied nothing. Its inventory
+// still tells which of the starts sent before had been applied, since it refuses
+// Syncs that are older than the one it answered.
+func (h *Holder) notGranted(now time.Time, w *workerState, e event.WorkerAnswered) {
+	has := map[task.ID]bool{}
+	for _, item := range e.Report.Tasks {
+		has[item.Task] = true
+	}
+	h.unstart(w, slices.DeleteFunc(w.starts, func(s worker.Start) bool { return has[s.Task] }), "the worker did not grant the lease")
+	w.starts, w.sent = nil, 0
+	w.epoch, w.until, w.releasing, w.adopted = 0, time.Time{}, false, false
+	w.nextAt = now
+	if e.Report.Holder != "" && e.Report.Holder != h.holderName() {
+		w.nextAt = now.Add(min(e.Report.ExpiresIn.Duration(), h.settings.Renew))
+	}
+}
+
+// lapse takes note that a lease has run out while the worker did not answer.
+// Its tasks may still run; once they surely do not, they are given up.
+func (h *Holder) lapse(now time.Time, w *workerState) {
+	h.index(now, w)
+	h.unstart(w, w.starts[w.sent:], "the worker's lease lapsed")
+	w.starts = w.starts[:w.sent]
+	if !now.Before(h.goneAt(w)) {
+		h.abandon(now, w, "the worker's lease has lapsed")
+		w.epoch, w.until = 0, time.Time{}
+	}
+}
+
+// goneAt is when the worker has surely stopped its tasks. Each grant that was
+// not answered may have been taken as late as the end of the one before it.
+func (h *Holder) goneAt(w *workerState) time.Time {
+	grants := time.Duration(w.unanswered + 1)
+	return w.answeredAt.Add(grants*h.settings.Lease + h.settings.TaskLease + h.settings.Margin)
+}
--- /dev/null
+++ b/tests/cell/cell.go
@@ -0,0 +1,346 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"saddlevane/models/box"
+	"saddlevane/models/resource"
+)
+
+// Binaries are the programs of a cell.
+type Binaries struct{ Daemon, Tool, Standin string }
+
+// BinariesIn returns the programs that `make build` puts in dir.
+func BinariesIn(dir string) Binaries {
+	return Binaries{
+		Daemon: filepath.Join(dir, "saddlevaned"), Tool: filepath.Join(dir, "saddlevanectl"),
+		Standin: filepath.Join(dir, "saddlevane-standin"),
+	}
+}
+
+// Options describe a cell.
+type Options struct {
+	Binaries Binaries
+	// Dir takes settings and the output of processes.
+	Dir     string
+	Domains []Domain
+	// Via may change the address under which daemons see a service, a box or a
+	// peer, to put a proxy between.
+	Via func(name, address string) string
+	// Settings is more YAML for each daemon, by section.
+	Settings map[string][]string
+	// Lag, Retention and TaskLease are the platform's.
+	Lag, Retention, TaskLease time.Duration
+}
+
+// Domain is a failure domain of a cell.
+type Domain struct {
+	Name    string
+	Entries int
+	Racks   int
+	// PerRack is how many workers a rack has, Capacity what each has.
+	PerRack  int
+	Capacity resource.Vector
+	// Shards is how many shards the racks are dealt to; 1 if 0.
+	Shards  int
+	Targets int
+	Slots   int
+	// Apart plays each worker and target in a process of its own, so that one can
+	// be frozen.
+	Apart bool
+}
+
+// Entry is an entry box.
+type Entry struct {
+	Name      string
+	Domain    string
+	Callers   string
+	Operators string
+	Peers     string
+	settings  string
+	process   *Process
+}
+
+// Process returns the box's process.
+func (e *Entry) Process() *Process { return e.process }
+
+// Member is a worker or target.
+type Member struct {
+	box.Box
+	Capacity    resource.Vector `json:"capacity"`
+	Listen      string          `json:"listen"`
+	Slots       int             `json:"slots"`
+	Connections int             `json:"connections"`
+	// Real is where the member listens, without a proxy between.
+	Real    string `json:"-"`
+	process *Process
+}
+
+// Process returns the process that plays the member.
+func (m *Member) Process() *Process { return m.process }
+
+// Cell is a running cell.
+type Cell struct {
+	options Options
+	Log     string
+	Boxes   string
+	entries []*Entry
+	workers []*Member
+	targets []*Member
+
+	mu        sync.Mutex
+	processes []*Process
+	states    map[string]box.State
+}
+
+// Start starts a cell and waits until its stand-ins answer.
+func Start(ctx context.Context, o Options) (*Cell, error) {
+	if o.Via == nil {
+		o.Via = func(_, address string) string { return address }
+	}
+	c := &Cell{options: o, states: map[string]box.State{}}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cell) start(ctx context.Context) error {
+	c.Log, c.Boxes = freeAddress(), freeAddress()
+	c.layOut()
+	if err := c.startStandins(); err != nil {
+		return err
+	}
+	if err := c.waitStandins(ctx); err != nil {
+		return err
+	}
+	if err := c.List(ctx); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// layOut gives every box its name and address.
+func (c *Cell) layOut() {
+	for _, d := range c.options.Domains {
+		for i := range d.Entries {
+			c.entries = append(c.entries, &Entry{
+				Name: fmt.Sprintf("entry-%s%d", d.Name, i+1), Domain: d.Name,
+				Callers: freeAddress(), Operators: freeAddress(), Peers: freeAddress(),
+			})
+		}
+		for r := range d.Racks {
+			for i := range d.PerRack {
+				name := fmt.Sprintf("worker-%s%d-%d", d.Name, r+1, i+1)
+				c.workers = append(c.workers, c.member(d, name, box.Worker, fmt.Sprintf("rack-%s%d", d.Name, r+1)))
+			}
+		}
+		for i := range d.Targets {
+			c.targets = append(c.targets, c.member(d, fmt.Sprintf("target-%s%d", d.Name, i+1), box.Target, ""))
+		}
+	}
+}
+
+// ConnectionsPerTarget is what each target accepts.
+const ConnectionsPerTarget = 60
+
+func (c *Cell) member(d Domain, name string, role box.Role, rack string) *Member {
+	address := freeAddress()
+	m := &Member{
+		Box:      box.Box{Name: name, Role: role, Domain: d.Name, Rack: rack, Address: c.options.Via(name, address), State: box.Live},
+		Capacity: d.Capacity, Listen: address, Real: address, Slots: d.Slots, Connections: ConnectionsPerTarget,
+	}
+	if role == box.Target {
+		m.Pool = "runners"
+	}
+	return m
+}
+
+func (c *Cell) startStandins() error {
+	o := c.options
+	if _, err := c.standin("log", "-role", "log", "-listen", c.Log, "-retention", or(o.Retention, 24*time.Hour).String()); err != nil {
+		return err
+	}
+	if _, err := c.standin("boxes", "-role", "boxes", "-listen", c.Boxes, "-lag", or(o.Lag, 100*time.Millisecond).String()); err != nil {
+		return err
+	}
+	for _, d := range o.Domains {
+		if err := c.startMembers("workers", d, c.workers); err != nil {
+			return err
+		}
+		if err := c.startMembers("targets", d, c.targets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startMembers plays the members of a domain, in one process or in one each.
+func (c *Cell) startMembers(role string, d Domain, all []*Member) error {
+	var own []*Member
+	for _, m := range all {
+		if m.Domain == d.Name {
+			own = append(own, m)
+		}
+	}
+	groups := [][]*Member{own}
+	if d.Apart {
+		groups = groups[:0]
+		for _, m := range own {
+			groups = append(groups, []*Member{m})
+		}
+	}
+	for i, group := range groups {
+		if len(group) == 0 {
+			continue
+		}
+		if err := c.startGroup(role, fmt.Sprintf("%s-%s%d", role, d.Name, i), group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cell) startGroup(role, name string, group []*Member) error {
+	data, err := json.Marshal(group)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.options.Dir, name+".json")
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return err
+	}
+	p, err := c.standin(name, "-role", role, "-members", path, "-task-lease", or(c.options.TaskLease, 30*time.Second).String())
+	for _, m := range group {
+		m.process = p
+	}
+	return err
+}
+
+func (c *Cell) standin(name string, args ...string) (*Process, error) {
+	p, err := startProcess(c.options.Dir, name, c.options.Binaries.Standin, args...)
+	if err != nil {
+		return nil, err
+	}
+	c.remember(p)
+	return p, nil
+}
+
+func (c *Cell) remember(p *Process) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes = append(c.processes, p)
+}
+
+func (c *Cell) waitStandins(ctx context.Context) error {
+	addresses := []string{c.Log, c.Boxes}
+	for _, m := range append(append([]*Member{}, c.workers...), c.targets...) {
+		addresses = append(addresses, m.Real)
+	}
+	for _, a := range addresses {
+		err := Until(ctx, a+" answers", func() bool {
+			conn, err := net.DialTimeout("tcp", a, time.Second)
+			if err != nil {
+				return false
+			}
+			return conn.Close() == nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEntry starts the process of an entry box, anew if it ran before.
+func (c *Cell) StartEntry(e *Entry) error {
+	if e.settings == "" {
+		if err := c.writeSettings(e); err != nil {
+			return err
+		}
+	}
+	p, err := startProcess(c.options.Dir, e.Name, c.options.Binaries.Daemon, "-config", e.settings)
+	if err != nil {
+		return err
+	}
+	e.process = p
+	c.remember(p)
+	return nil
+}
+
+func (c *Cell) writeSettings(e *Entry) error {
+	e.settings = filepath.Join(c.options.Dir, e.Name+".yaml")
+	sections := map[string][]string{
+		"box":    {"name: " + e.Name, "domain: " + e.Domain},
+		"listen": {"callers: " + e.Callers, "operators: " + e.Operators, "peers: " + e.Peers},
+		"platform": {
+			"log: http://" + c.options.Via("log-"+e.Domain, c.Log), "boxes: http://" + c.options.Via("boxes-"+e.Domain, c.Boxes),
+		},
+	}
+	for name, lines := range c.options.Settings {
+		sections[name] = append(sections[name], lines...)
+	}
+	var text strings.Builder
+	for name, lines := range sections {
+		fmt.Fprintf(&text, "%s:\n", name)
+		for _, line := range lines {
+			fmt.Fprintf(&text, "  %s\n", line)
+		}
+	}
+	return os.WriteFile(e.settings, []byte(text.String()), 0o644)
+}
+
+// Close ends every process of the cell.
+func (c *Cell) Close() {
+	c.mu.Lock()
+	all := c.processes
+	c.processes = nil
+	c.mu.Unlock()
+	for _, p := range all {
+		p.Kill()
+	}
+}
+
+// Entries returns the entry boxes.
+func (c *Cell) Entries() []*Entry { return c.entries }
+
+// EntriesIn returns the entry boxes of a domain.
+func (c *Cell) EntriesIn(domain string) []*Entry {
+	var all []*Entry
+	for _, e := range c.entries {
+		if e.Domain == domain {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// Workers returns the workers.
+func (c *Cell) Workers() []*Member { return c.workers }
+
+// Targets returns the targets.
+func (c *Cell) Targets() []*Member { return c.targets }
+
+func or(d, other time.Duration) time.Duration {
+	if d == 0 {
+		return other
+	}
+	return d
+}
