ledger: number revisions from 1, so that 0 means none

Cause: a revision was the offset of its record, and offsets start at 0. The first file of a log, and the first claim, had revision 0, which is also what 'replaces nothing' is written as, so a second operator's new file replaced the first one's, and a second box's claim the first's. Ruled out: the stand-in's offsets (they may start anywhere), the order of entries in an envelope. Before: TestOfTwoOperatorsTheFirstInTheLogWins, TestOfTwoBoxesTheFirstClaim- InTheLogWins and TestRepeatedRecordsChangeNothing failed (both accepted). After: all pass; revisions are offset+1.

--- a/models/record/record.go
+++ b/models/record/record.go
@@ -36,7 +36,7 @@
 }
 
 // Publish asks for a file to come into force in place of a revision. Its own
-// revision is the offset of its record.
+// revision is one more than the offset of its record.
 type Publish struct {
 	// ID names the operator's publication.
 	ID   string `json:"id"`
@@ -63,7 +63,7 @@
 	Box   string       `json:"box"`
 	// Incarnation tells one life of the box from the next.
 	Incarnation string `json:"incarnation"`
-	// Replaces is the offset of the claim in force, or 0 if there is none.
+	// Replaces is the revision of the claim in force, or 0 if there is none.
 	Replaces int64 `json:"replaces"`
 }
 
--- a/models/record/snapshot.go
+++ b/models/record/snapshot.go
@@ -43,7 +43,7 @@
 	Shard       spec.ShardID `json:"shard"`
 	Box         string       `json:"box"`
 	Incarnation string       `json:"incarnation"`
-	Offset      int64        `json:"offset"`
+	Revision    int64        `json:"revision"`
 }
 
 // Progress is what the log says of one object's tasks.
--- a/models/task/id.go
+++ b/models/task/id.go
@@ -15,7 +15,7 @@
 // begins a new life.
 type ObjectID struct {
 	Name string
-	// Born is a revision, that is, a log offset.
+	// Born is a revision, that is, one more than a log offset.
 	Born int64
 }
 
--- a/services/ledger/ledger.go
+++ b/services/ledger/ledger.go
@@ -42,7 +42,7 @@
 // Publication returns the operator's id of the revision.
 func (e *Entry) Publication() string { return e.publication }
 
-// Revision returns the offset of the record that published the file.
+// Revision returns the revision of the record that published the file.
 func (e *Entry) Revision() int64 { return e.revision }
 
 // Data returns the file as it was published.
@@ -55,7 +55,7 @@
 type Claim struct {
 	box         string
 	incarnation string
-	offset      int64
+	revision    int64
 }
 
 // Box returns the name of the box that holds the shard.
@@ -64,8 +64,8 @@
 // Incarnation returns which life of the box holds the shard.
 func (c Claim) Incarnation() string { return c.incarnation }
 
-// Offset returns the offset of the claim; it grows with each new holder.
-func (c Claim) Offset() int64 { return c.offset }
+// Revision returns the revision of the claim; it grows with each new holder.
+func (c Claim) Revision() int64 { return c.revision }
 
 // New returns the fold of an empty log.
 func New() *Ledger {
@@ -143,17 +143,21 @@
 	}
 	changes := make([]Change, 0, len(envelope.Entries))
 	for _, e := range envelope.Entries {
-		changes = append(changes, l.applyEntry(offset, at, e))
+		changes = append(changes, l.applyEntry(revisionAt(offset), at, e))
 	}
 	return Applied{ID: envelope.ID, Changes: changes}
 }
 
-func (l *Ledger) applyEntry(offset int64, at time.Time, e record.Entry) Change {
+// revisionAt returns the revision that the record at offset gives to what it
+// sets. Offsets start at 0, revisions at 1, so that 0 can stand for none.
+func revisionAt(offset int64) int64 { return offset + 1 }
+
+func (l *Ledger) applyEntry(revision int64, at time.Time, e record.Entry) Change {
 	switch {
 	case e.Publish != nil:
-		return l.applyPublish(offset, e.Publish)
+		return l.applyPublish(revision, e.Publish)
 	case e.Claim != nil:
-		return l.applyClaim(offset, e.Claim)
+		return l.applyClaim(revision, e.Claim)
 	case e.Intents != nil:
 		return l.applyTasks(e.Intents, (*Progress).addIntents)
 	case e.Done != nil:
@@ -166,10 +170,10 @@
 	return Change{}
 }
 
-func (l *Ledger) applyClaim(offset int64, c *record.Claim) Change {
-	if c.Replaces != l.claims[c.Shard].offset {
+func (l *Ledger) applyClaim(revision int64, c *record.Claim) Change {
+	if c.Replaces != l.claims[c.Shard].revision {
 		return Change{}
 	}
-	l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, offset: offset}
+	l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, revision: revision}
 	return Change{Claims: true}
 }
--- /dev/null
+++ b/services/ledger/ledger_test.go
@@ -0,0 +1,239 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger_test
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"saddlevane/models/record"
+	"saddlevane/models/spec"
+	"saddlevane/models/task"
+	"saddlevane/services/ledger"
+)
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+const cellFile = `name: cell
+racks:
+  - {name: r1, domain: a, shard: 0, workers: [w1, w2], each: {processors: 8, memory: 16GiB}}
+  - {name: r2, domain: b, shard: 0, workers: [w3, w4], each: {processors: 8, memory: 16GiB}}
+teams:
+  - {name: t, quota: {processors: 32, memory: 64GiB}}
+`
+
+const jobFile = `name: work
+jobs:
+  - {name: j, team: t, count: 10, resources: {processors: 1, memory: 1GiB}, command: [run], repeatable: false}
+`
+
+// writer plays a log that several processes append to.
+type writer struct {
+	t       *testing.T
+	records [][]byte
+}
+
+func (w *writer) append(entries ...record.Entry) int64 {
+	w.t.Helper()
+	offset := int64(len(w.records))
+	data, err := json.Marshal(record.Envelope{ID: strconv.FormatInt(offset, 10), From: "test", Entries: entries})
+	assert.NilError(w.t, err)
+	w.records = append(w.records, data)
+	return offset
+}
+
+func (w *writer) publish(id, file string, replaces int64, data string) int64 {
+	w.t.Helper()
+	return w.append(record.Entry{Publish: &record.Publish{ID: id, File: file, Replaces: replaces, Data: data}})
+}
+
+func (w *writer) read(l *ledger.Ledger) []ledger.Publication {
+	var decided []ledger.Publication
+	for i := l.Next(); i < int64(len(w.records)); i++ {
+		for _, c := range l.Apply(i, start, w.records[i]).Changes {
+			if c.Publication != nil {
+				decided = append(decided, *c.Publication)
+			}
+		}
+	}
+	return decided
+}
+
+func TestOfTwoOperatorsTheFirstInTheLogWins(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("one", "cell", 0, cellFile)
+	w.publish("two", "cell", 0, cellFile)
+	decided := w.read(l)
+	assert.Equal(t, len(decided), 2)
+	assert.Check(t, decided[0].Accepted)
+	assert.Check(t, !decided[1].Accepted, "the second replaced nothing, yet was accepted")
+	e, _ := l.Entry("cell")
+	assert.Equal(t, e.Publication(), "one")
+}
+
+func TestOfTwoBoxesTheFirstClaimInTheLogWins(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	shard := spec.ShardID{Domain: "a"}
+	for _, box := range []string{"first", "second"} {
+		w.append(record.Entry{Claim: &record.Claim{Shard: shard, Box: box, Incarnation: "i"}})
+	}
+	w.read(l)
+	c, _ := l.Claim(shard)
+	assert.Equal(t, c.Box(), "first")
+}
+
+func TestRepeatedRecordsChangeNothing(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	first := w.publish("one", "cell", 0, cellFile)
+	w.records = append(w.records, w.records[first])
+	decided := w.read(l)
+	assert.Check(t, decided[0].Accepted && !decided[1].Accepted)
+	assert.Equal(t, len(l.Apply(0, start, w.records[0]).Changes), 0)
+}
+
+func TestAReaderThatStartsAtACheckpointAgreesWithOneThatReadAll(t *testing.T) {
+	w, whole := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	w.read(whole)
+	o, ok := whole.ObjectNamed("j")
+	assert.Assert(t, ok)
+	w.append(record.Entry{Claim: &record.Claim{Shard: spec.ShardID{Domain: "a"}, Box: "x", Incarnation: "i"}})
+	w.append(record.Entry{Intents: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 4}}}})
+	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 1, To: 3}}}})
+	w.read(whole)
+	for _, part := range ledger.Checkpoint("cp", whole.Snapshot()) {
+		w.append(record.Entry{Checkpoint: &part})
+	}
+	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 3, To: 4}}}})
+	w.publish("j2", "work", whole.Snapshot().Files[1].Revision, strings.Replace(jobFile, "team: t", "team: t, priority: urgent", 1))
+	w.read(whole)
+
+	const first = 4 // everything before is gone
+	seek := ledger.Seek(first)
+	w.read(seek)
+	s, ok := seek.Found(first)
+	assert.Assert(t, ok)
+	late, err := ledger.Restore(s)
+	assert.NilError(t, err)
+	w.read(late)
+	assert.DeepEqual(t, late.Snapshot(), whole.Snapshot())
+}
+
+func TestACheckpointThatIsOlderThanTheLogIsNotGoneOnFrom(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.read(l)
+	stale := ledger.Checkpoint("cp", l.Snapshot())
+	w.publish("j", "work", 0, jobFile)
+	w.append(record.Entry{Checkpoint: &stale[0]})
+	const first = 2
+	seek := ledger.Seek(first)
+	w.read(seek)
+	_, ok := seek.Found(first)
+	assert.Check(t, !ok)
+}
+
+func TestFilesThatCannotHoldAreRefusedWithTheReason(t *testing.T) {
+	job := func(lines string) string { return "name: work\njobs:\n  - {name: j, command: [run], " + lines + "}\n" }
+	for _, test := range []struct{ name, file, data, want string }{
+		{"no team", "work", job("team: nobody, count: 1, resources: {processors: 1}"), "no team"},
+		{"too large for any worker", "work", job("team: t, count: 1, resources: {processors: 9}"), "no worker is large enough"},
+		{"more than the quota", "work", job("team: t, count: 1, resources: {memory: 65GiB}"), "quota"},
+		{"another file's name", "other", strings.Replace(cellFile, "name: cell", "name: other", 1), "already in file"},
+		{"gang larger than a shard", "work", "name: work\ngangs:\n  - {name: g, team: t, command: [run], count: 5, resources: {processors: 4}}\n", "together"},
+		{"another name inside", "work", jobFile[:0] + strings.Replace(jobFile, "name: work", "name: else", 1), "the file says name"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w, l := &writer{t: t}, ledger.New()
+			w.publish("c", "cell", 0, cellFile)
+			w.publish("x", test.file, 0, test.data)
+			decided := w.read(l)
+			assert.Check(t, !decided[1].Accepted)
+			assert.Check(t, strings.Contains(strings.Join(decided[1].Reasons, "; "), test.want), "reasons: %q", decided[1].Reasons)
+			assert.Equal(t, len(l.Files()), 1)
+		})
+	}
+}
+
+func TestAFileCannotBreakWhatAnotherPromises(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	w.read(l)
+	e, _ := l.Entry("cell")
+	noTeam := strings.Split(cellFile, "teams:")[0]
+	w.publish("c2", "cell", e.Revision(), noTeam)
+	moved := strings.Replace(cellFile, "domain: a, shard: 0", "domain: a, shard: 1", 1)
+	w.publish("c3", "cell", e.Revision(), moved)
+	for _, p := range w.read(l) {
+		assert.Check(t, !p.Accepted, p.ID)
+	}
+}
+
+func TestHomesCoverEachTaskOnceAndStayWithAnUnchangedObject(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	w.read(l)
+	o, _ := l.ObjectNamed("j")
+	next := 0
+	for _, h := range o.Homes() {
+		assert.Equal(t, h.From, next)
+		next = h.To
+	}
+	assert.Equal(t, next, 10)
+	e, _ := l.Entry("work")
+	w.publish("j2", "work", e.Revision(), strings.Replace(jobFile, "team: t", "team: t, priority: urgent", 1))
+	w.read(l)
+	again, _ := l.ObjectNamed("j")
+	assert.Equal(t, again.ID(), o.ID())
+	assert.DeepEqual(t, again.Homes(), o.Homes())
+}
+
+func TestANameThatComesBackBeginsANewLife(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	w.read(l)
+	o, _ := l.ObjectNamed("j")
+	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 10}}}})
+	e, _ := l.Entry("work")
+	w.publish("gone", "work", e.Revision(), "name: work\n")
+	w.read(l)
+	e, _ = l.Entry("work")
+	w.publish("back", "work", e.Revision(), jobFile)
+	w.read(l)
+	again, _ := l.ObjectNamed("j")
+	assert.Check(t, again.ID() != o.ID())
+	assert.Check(t, !l.Progress(again.ID()).Ended(0))
+}
+
+func TestOnlyUnknownTasksAreSettled(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	w.read(l)
+	o, _ := l.ObjectNamed("j")
+	w.append(record.Entry{Intents: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 3}}}})
+	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 1}}}})
+	e, _ := l.Entry("work")
+	settled := jobFile + "settled:\n"
+	for i, as := range []string{"rerun", "done", "rerun", "failed"} {
+		key := task.Key{Object: o.ID(), Index: i}
+		settled += "  - {task: '" + key.String() + "', as: " + as + "}\n"
+	}
+	w.publish("s", "work", e.Revision(), settled)
+	w.read(l)
+	p := l.Progress(o.ID())
+	assert.Check(t, p.Done().Contains(0), "a finished task was settled anew")
+	assert.Check(t, p.Done().Contains(1))
+	assert.Check(t, !p.Intended(2) && !p.Ended(2), "rerun did not free the task")
+	assert.Check(t, !p.Ended(3), "a task that never started was settled")
+}
--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -120,7 +120,7 @@
 	return file, l.checkTogether(file)
 }
 
-func (l *Ledger) applyPublish(offset int64, p *record.Publish) Change {
+func (l *Ledger) applyPublish(revision int64, p *record.Publish) Change {
 	file, reasons := l.check(p.File, p.Replaces, p.Data)
 	if len(reasons) > 0 {
 		current := int64(0)
@@ -130,11 +130,11 @@
 		return Change{Publication: &Publication{ID: p.ID, Revision: current, Reasons: reasons}}
 	}
 	previous := l.files[p.File]
-	l.files[p.File] = &Entry{revision: offset, publication: p.ID, data: p.Data, file: file}
+	l.files[p.File] = &Entry{revision: revision, publication: p.ID, data: p.Data, file: file}
 	l.rebuildCell()
-	l.replaceObjects(offset, p.File, previous)
+	l.replaceObjects(revision, p.File, previous)
 	l.settle(file)
-	return Change{Files: true, Publication: &Publication{ID: p.ID, Accepted: true, Revision: offset}}
+	return Change{Files: true, Publication: &Publication{ID: p.ID, Accepted: true, Revision: revision}}
 }
 
 func (l *Ledger) dropObjects(e *Entry) {
@@ -148,7 +148,7 @@
 
 // replaceObjects gives each object of a new revision its birth, version and
 // homes: those it had, where it lives on, or else new ones.
-func (l *Ledger) replaceObjects(offset int64, name string, previous *Entry) {
+func (l *Ledger) replaceObjects(revision int64, name string, previous *Entry) {
 	before := map[string]*Object{}
 	if previous != nil {
 		for _, id := range previous.objects {
@@ -162,14 +162,14 @@
 		old, lives := before[o.work.Name]
 		switch {
 		case !lives:
-			o.id = task.ObjectID{Name: o.work.Name, Born: offset}
-			o.version = offset
+			o.id = task.ObjectID{Name: o.work.Name, Born: revision}
+			o.version = revision
 			o.homes = l.cell.homes(o)
 		default:
 			o.id, o.version = old.id, old.version
 			o.homes = resize(old.homes, o.work.Count)
 			if !sameTemplate(old, o) {
-				o.version = offset
+				o.version = revision
 			}
 		}
 		l.objects[o.id] = o
--- a/services/ledger/snapshot.go
+++ b/services/ledger/snapshot.go
@@ -22,7 +22,7 @@
 	}
 	for shard, c := range l.claims {
 		s.Claims = append(s.Claims, record.Held{
-			Shard: shard, Box: c.box, Incarnation: c.incarnation, Offset: c.offset,
+			Shard: shard, Box: c.box, Incarnation: c.incarnation, Revision: c.revision,
 		})
 	}
 	slices.SortFunc(s.Claims, func(a, b record.Held) int { return a.Shard.Compare(b.Shard) })
@@ -56,7 +56,7 @@
 	}
 	l.rebuildCell()
 	for _, c := range s.Claims {
-		l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, offset: c.Offset}
+		l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, revision: c.Revision}
 	}
 	for _, p := range s.Progress {
 		l.progress[p.Object] = &Progress{
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -80,7 +80,7 @@
 	phase     Phase
 	startedAt time.Time
 	ticket    journal.Ticket
-	// claim is the offset of this process's claim.
+	// claim is the revision of this process's claim.
 	claim int64
 
 	workers     map[string]*workerState
@@ -163,7 +163,7 @@
 }
 
 func (h *Holder) begin(now time.Time, claim ledger.Claim) {
-	h.phase, h.claim, h.ticket = Adopting, claim.Offset(), 0
+	h.phase, h.claim, h.ticket = Adopting, claim.Revision(), 0
 	h.counts.Takeovers++
 	h.SetWorkers(now)
 	h.SetObjects(now)
@@ -193,7 +193,7 @@
 	self := h.members.Self()
 	h.phase = Claiming
 	h.ticket = h.journal.Add(record.Entry{Claim: &record.Claim{
-		Shard: h.id, Box: self.Box, Incarnation: self.Incarnation, Replaces: claim.Offset(),
+		Shard: h.id, Box: self.Box, Incarnation: self.Incarnation, Replaces: claim.Revision(),
 	}})
 }
 
--- a/services/shard/outcome.go
+++ b/services/shard/outcome.go
@@ -210,7 +210,7 @@
 	w.ended[item.Task] = true
 	o := h.objects[item.Task.Object]
 	switch {
-	case o == nil && item.Task.Object.Born >= h.ledger.Next():
+	case o == nil && item.Task.Object.Born > h.ledger.Next():
 		// It belongs to a file that this process has not read yet.
 		delete(w.ended, item.Task)
 	case o == nil || h.stale(t, item.Task, o):
--- a/services/shard/preempt.go
+++ b/services/shard/preempt.go
@@ -90,7 +90,7 @@
 func (h *Holder) unwanted(t *running, replaced map[*object]bool) bool {
 	o := t.object
 	switch {
-	case o == nil && t.id.Object.Born >= h.ledger.Next():
+	case o == nil && t.id.Object.Born > h.ledger.Next():
 		// It belongs to a file that this process has not read yet.
 		return false
 	case o == nil || o.gone || o.spec.Cancelled() || !o.has(t.id.Index):
