--- a/models/event/event.go
+++ b/models/event/event.go
@@ -55,7 +55,8 @@
 type LogRecord struct {
 	Offset int64
 	At     time.Time
-	Data   []byte
+	// Envelope is the zero value if the record is not ours or is damaged.
+	Envelope record.Envelope
 }
 
 // LogRead is an answer of the log to a read from the reducer's position.
--- a/models/record/record.go
+++ b/models/record/record.go
@@ -44,6 +44,28 @@
 	// Replaces is the revision in force, or 0 if the file is new.
 	Replaces int64  `json:"replaces"`
 	Data     string `json:"data"`
+
+	parsed *parsed
+}
+
+// parsed is what reading a file gave.
+type parsed struct {
+	file    *spec.File
+	reasons []string
+}
+
+// Parse reads the file, once however often it is called, and returns the
+// mistakes in it. Adapters call it before the reducer has to, because a large
+// file takes long.
+func (p *Publish) Parse() (*spec.File, []string) {
+	if p.parsed == nil {
+		file, _, problems := spec.Parse(p.File, []byte(p.Data))
+		p.parsed = &parsed{file: file}
+		for _, problem := range problems {
+			p.parsed.reasons = append(p.parsed.reasons, problem.Error())
+		}
+	}
+	return p.parsed.file, p.parsed.reasons
 }
 
 // Mark is an entry without a fact.
@@ -79,21 +101,30 @@
 	To   int `json:"to"`
 }
 
+// Parse reads every file in the envelope.
+func (e *Envelope) Parse() {
+	for _, entry := range e.Entries {
+		if entry.Publish != nil {
+			entry.Publish.Parse()
+		}
+	}
+}
+
 // MaxBytes bounds an envelope: the largest file, escaped, with room for more.
 const MaxBytes = 4 << 20
 
 // Decode reads an envelope. Any error means that the record is not ours or is
 // damaged; every process must skip it alike.
 func Decode(data []byte) (Envelope, error) {
-	var e Envelope
 	if len(data) > MaxBytes {
-		return e, fmt.Errorf("record: %d bytes, the limit is %d", len(data), MaxBytes)
+		return Envelope{}, fmt.Errorf("record: %d bytes, the limit is %d", len(data), MaxBytes)
 	}
+	var e Envelope
 	if err := json.Unmarshal(data, &e); err != nil {
-		return e, fmt.Errorf("record: %w", err)
+		return Envelope{}, fmt.Errorf("record: %w", err)
 	}
 	if e.ID == "" || e.From == "" {
-		return e, errors.New("record: no id or no sender")
+		return Envelope{}, errors.New("record: no id or no sender")
 	}
 	return e, nil
 }
--- /dev/null
+++ b/models/resource/resource_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package resource_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"saddlevane/models/resource"
+)
+
+func TestAmountsAreReadAsTheyAreWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := resource.Millis(rapid.Int64Range(0, 1000<<20).Draw(t, "millis"))
+		var gotM resource.Millis
+		text, _ := m.MarshalText()
+		assert.NilError(t, gotM.UnmarshalText(text))
+		assert.Equal(t, gotM, m)
+		b := resource.Bytes(rapid.Int64Range(0, 1<<50).Draw(t, "bytes"))
+		var gotB resource.Bytes
+		text, _ = b.MarshalText()
+		assert.NilError(t, gotB.UnmarshalText(text))
+		assert.Equal(t, gotB, b)
+	})
+}
+
+func TestBadAmountsAreRefused(t *testing.T) {
+	for _, text := range []string{"", "-1", "NaN", "Inf", "1e30", "1x", "-5m", "9999999999m"} {
+		var m resource.Millis
+		assert.Check(t, m.UnmarshalText([]byte(text)) != nil, "processors %q", text)
+	}
+	for _, text := range []string{"", "-1GiB", "1.5GiB", "1GB", "99999999TiB"} {
+		var b resource.Bytes
+		assert.Check(t, b.UnmarshalText([]byte(text)) != nil, "memory %q", text)
+	}
+}
+
+func TestDominantShareIgnoresWhatTheTotalLacks(t *testing.T) {
+	total := resource.Vector{Processors: 10, Memory: 100}
+	assert.Equal(t, resource.Vector{Processors: 5, Memory: 20, Accelerators: 3}.DominantShare(total), 0.5)
+}
--- a/models/spec/parse.go
+++ b/models/spec/parse.go
@@ -12,10 +12,12 @@
 	"saddlevane/modules/strictyaml"
 )
 
-// The limits of a file. They keep one record of the log, and the memory that a
-// file costs on each process, bounded.
+// The limits of a file. They keep one record of the log, and the memory and time
+// that a file costs on each process, bounded. The YAML library's time grows with
+// the square of the keys of one mapping, so larger files could cost many seconds;
+// racks and work of a larger cell are shared out over several files.
 const (
-	MaxFileBytes = 1 << 20
+	MaxFileBytes = 256 << 10
 	MaxCount     = 100_000
 	maxDeadline  = time.Hour
 	maxQueue     = 100_000
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -135,3 +135,11 @@
 	})
 	return problems
 }
+
+// Keys returns the key of every setting that is a single value.
+func Keys() []string {
+	s := Default()
+	var keys []string
+	eachKey(reflect.ValueOf(&s).Elem(), "", func(key string, _ reflect.Value) { keys = append(keys, key) })
+	return keys
+}
--- a/modules/strictyaml/decode.go
+++ b/modules/strictyaml/decode.go
@@ -8,12 +8,14 @@
 
 import (
 	"encoding"
+	"errors"
 	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
@@ -38,9 +40,10 @@
 		d.problem(Position{Line: 1, Column: 1}, "", "nested %d deep, the limit is %d", depth, MaxDepth)
 		return d.positions, d.problems
 	}
-	tree, err := parser.ParseBytes(data, 0)
+	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		d.problem(Position{Line: 1, Column: 1}, "", "not YAML: %s", firstLine(err.Error()))
+		at, message := syntaxError(err)
+		d.problem(at, "", "not YAML: %s", message)
 		return d.positions, d.problems
 	}
 	if len(tree.Docs) > 1 {
@@ -271,9 +274,14 @@
 	return deepest
 }
 
-func firstLine(s string) string {
-	line, _, _ := strings.Cut(s, "\n")
-	return line
+// syntaxError returns where the parser gave up and why.
+func syntaxError(err error) (Position, string) {
+	if e, ok := errors.AsType[yaml.Error](err); ok && e.GetToken() != nil && e.GetToken().Position != nil {
+		at := e.GetToken().Position
+		return Position{Line: at.Line, Column: at.Column}, e.GetMessage()
+	}
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return Position{Line: 1, Column: 1}, line
 }
 
 func join(path, key string) string {
--- a/services/core/publish.go
+++ b/services/core/publish.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	if reasons := c.refusals(&p); len(reasons) > 0 {
-		return answer(e.Waiter, effect.PublishResult{Outcome: effect.Refused, Revision: c.revision(p.File), Reasons: reasons})
+		return answer(e.Waiter, effect.PublishResult{Outcome: effect.Refused, Revision: c.ledger.Revision(p.File), Reasons: reasons})
 	}
 	c.journal.Add(record.Entry{Publish: &p})
 	c.waiting[p.ID] = publication{waiters: []uint64{e.Waiter}, until: now.Add(e.Patience)}
@@ -48,17 +48,10 @@
 	case c.journal.Full():
 		return []string{"too much waits for the log"}
 	default:
-		return c.ledger.Check(p.File, p.Replaces, p.Data)
+		return c.ledger.Check(p)
 	}
 }
 
-func (c *Core) revision(file string) int64 {
-	if e, ok := c.ledger.Entry(file); ok {
-		return e.Revision()
-	}
-	return 0
-}
-
 func (c *Core) publicationDecided(p *ledger.Publication) []effect.Effect {
 	waiting, ok := c.waiting[p.ID]
 	if !ok {
--- a/services/core/reader.go
+++ b/services/core/reader.go
@@ -121,7 +121,7 @@
 func (c *Core) seekOn(now time.Time, e event.LogRead) []effect.Effect {
 	r := &c.reader
 	for _, rec := range e.Records {
-		r.seek.Apply(rec.Offset, rec.At, rec.Data)
+		r.seek.Apply(rec.Offset, rec.At, rec.Envelope)
 	}
 	s, ok := r.seek.Found(e.First)
 	if !ok || s.Next < c.ledger.Next() {
@@ -171,7 +171,7 @@
 	var effects []effect.Effect
 	files := false
 	for _, rec := range records {
-		applied := c.ledger.Apply(rec.Offset, rec.At, rec.Data)
+		applied := c.ledger.Apply(rec.Offset, rec.At, rec.Envelope)
 		c.journal.RecordApplied(now, applied.ID)
 		for _, change := range applied.Changes {
 			files = files || change.Files
--- a/services/ledger/ledger.go
+++ b/services/ledger/ledger.go
@@ -132,15 +132,11 @@
 // Apply folds the record at offset, which the log took in at the given time.
 // Records before Next are repeats and change
 // nothing.
-func (l *Ledger) Apply(offset int64, at time.Time, data []byte) Applied {
+func (l *Ledger) Apply(offset int64, at time.Time, envelope record.Envelope) Applied {
 	if offset < l.next {
 		return Applied{}
 	}
 	l.next = offset + 1
-	envelope, err := record.Decode(data)
-	if err != nil {
-		return Applied{}
-	}
 	changes := make([]Change, 0, len(envelope.Entries))
 	for _, e := range envelope.Entries {
 		changes = append(changes, l.applyEntry(revisionAt(offset), at, e))
--- a/services/ledger/ledger_test.go
+++ b/services/ledger/ledger_test.go
@@ -56,7 +56,9 @@
 func (w *writer) read(l *ledger.Ledger) []ledger.Publication {
 	var decided []ledger.Publication
 	for i := l.Next(); i < int64(len(w.records)); i++ {
-		for _, c := range l.Apply(i, start, w.records[i]).Changes {
+		envelope, err := record.Decode(w.records[i])
+		assert.NilError(w.t, err)
+		for _, c := range l.Apply(i, start, envelope).Changes {
 			if c.Publication != nil {
 				decided = append(decided, *c.Publication)
 			}
@@ -94,7 +96,9 @@
 	w.records = append(w.records, w.records[first])
 	decided := w.read(l)
 	assert.Check(t, decided[0].Accepted && !decided[1].Accepted)
-	assert.Equal(t, len(l.Apply(0, start, w.records[0]).Changes), 0)
+	envelope, err := record.Decode(w.records[0])
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Apply(0, start, envelope).Changes), 0)
 }
 
 func TestAReaderThatStartsAtACheckpointAgreesWithOneThatReadAll(t *testing.T) {
--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -91,44 +91,35 @@
 	return nil, false
 }
 
-// Check says why a file would be refused if the log ended here; nothing if it
-// would be accepted.
-func (l *Ledger) Check(name string, replaces int64, data string) []string {
-	_, reasons := l.check(name, replaces, data)
-	return reasons
-}
-
-func (l *Ledger) check(name string, replaces int64, data string) (*spec.File, []string) {
-	current := int64(0)
-	if e, ok := l.files[name]; ok {
-		current = e.revision
+// Check says why a publication would be refused if the log ended here; nothing
+// if it would be accepted.
+func (l *Ledger) Check(p *record.Publish) []string {
+	if current := l.Revision(p.File); p.Replaces != current {
+		return []string{fmt.Sprintf("replaces revision %d, but %d is in force", p.Replaces, current)}
 	}
-	if replaces != current {
-		return nil, []string{fmt.Sprintf("replaces revision %d, but %d is in force", replaces, current)}
+	file, reasons := p.Parse()
+	if len(reasons) > 0 {
+		return reasons
 	}
-	file, _, problems := spec.Parse(name, []byte(data))
-	if len(problems) > 0 {
-		reasons := make([]string, len(problems))
-		for i, p := range problems {
-			reasons[i] = p.Error()
-		}
-		return nil, reasons
+	if file.Name != p.File {
+		return []string{fmt.Sprintf("the file says name %q, but was published as %q", file.Name, p.File)}
 	}
-	if file.Name != name {
-		return nil, []string{fmt.Sprintf("the file says name %q, but was published as %q", file.Name, name)}
+	return l.checkTogether(file)
+}
+
+// Revision returns the revision in force under name, or 0 if there is none.
+func (l *Ledger) Revision(name string) int64 {
+	if e, ok := l.files[name]; ok {
+		return e.revision
 	}
-	return file, l.checkTogether(file)
+	return 0
 }
 
 func (l *Ledger) applyPublish(revision int64, p *record.Publish) Change {
-	file, reasons := l.check(p.File, p.Replaces, p.Data)
-	if len(reasons) > 0 {
-		current := int64(0)
-		if e, ok := l.files[p.File]; ok {
-			current = e.revision
-		}
-		return Change{Publication: &Publication{ID: p.ID, Revision: current, Reasons: reasons}}
+	if reasons := l.Check(p); len(reasons) > 0 {
+		return Change{Publication: &Publication{ID: p.ID, Revision: l.Revision(p.File), Reasons: reasons}}
 	}
+	file, _ := p.Parse()
 	previous := l.files[p.File]
 	l.files[p.File] = &Entry{revision: revision, publication: p.ID, data: p.Data, file: file}
 	l.rebuildCell()
--- a/services/runtime/log.go
+++ b/services/runtime/log.go
@@ -79,7 +79,10 @@
 func logRead(from int64, r platform.Read) event.LogRead {
 	e := event.LogRead{First: r.First, Head: r.Next <= from}
 	for _, rec := range r.Records {
-		e.Records = append(e.Records, event.LogRecord{Offset: rec.Offset, At: rec.Time(), Data: []byte(rec.Data)})
+		// A record that cannot be decoded is skipped by every process alike.
+		envelope, _ := record.Decode([]byte(rec.Data))
+		envelope.Parse()
+		e.Records = append(e.Records, event.LogRecord{Offset: rec.Offset, At: rec.Time(), Envelope: envelope})
 		e.Head = rec.Offset+1 == r.Next
 	}
 	return e
--- a/services/runtime/publish.go
+++ b/services/runtime/publish.go
@@ -51,6 +51,7 @@
 // Publish asks for a file to come into force and waits for the log's decision,
 // at most for patience.
 func (l *Loop) Publish(ctx context.Context, p record.Publish, patience time.Duration) effect.PublishResult {
+	p.Parse()
 	id, result := l.publish.add()
 	defer l.publish.remove(id)
 	l.Post(event.PublishAsked{Waiter: id, Publish: p, Patience: patience})
--- a/tests/cell/process.go
+++ b/tests/cell/process.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-
 	"syscall"
 	"time"
 )
