routing: a request that may have run is never called not run later

Cause: the verdict of a request was that of its last attempt. One whose first attempt may have run, and that then waited past its deadline or met a target that refused it, was answered 'not run'. Second cause, found by the same test: a target that left the list and came back was taken for an empty one while requests were still at it, so it got more than its slots. Third: of two requests sent back to the queue the later one stood first, so the earlier one could be sent with no time left. The queue is now in the order of deadlines. Ruled out: the budget of retries (it only hid the first fault).

--- a/services/routing/pool.go
+++ b/services/routing/pool.go
@@ -81,8 +81,14 @@
 		}
 		t.listedLeaving = l.Leaving
 	}
-	for name := range p.targets {
-		if _, stays := listed[name]; !stays {
+	for name, t := range p.targets {
+		if _, stays := listed[name]; stays {
+			continue
+		}
+		// One that has requests is kept, because it may come back and its slots
+		// are still filled.
+		t.listedLeaving = true
+		if t.inflight == 0 {
 			delete(p.targets, name)
 		}
 	}
@@ -198,20 +204,19 @@
 	service smoothed
 }
 
+// push puts a request in the queue, which is in the order of deadlines: a
+// request that was sent before, or that a peer passed on, goes ahead of those
+// that can wait longer.
 func (c *class) push(q *pending) {
-	c.queue = append(c.queue, q)
-	c.waiting++
-}
-
-// pushFront puts a request that was already sent once ahead of all others.
-func (c *class) pushFront(q *pending) {
 	c.waiting++
-	if c.head > 0 {
-		c.head--
-		c.queue[c.head] = q
+	if n := len(c.queue); n == c.head || !q.deadline.Before(c.queue[n-1].deadline) {
+		c.queue = append(c.queue, q)
 		return
 	}
-	c.queue = slices.Insert(c.queue, 0, q)
+	at, _ := slices.BinarySearchFunc(c.queue[c.head:], q, func(a, b *pending) int {
+		return a.deadline.Compare(b.deadline)
+	})
+	c.queue = slices.Insert(c.queue, c.head+at, q)
 }
 
 // peek returns the first request that still waits, or nil.
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -104,7 +104,9 @@
 	sentAt    time.Time
 	state     stage
 	abandoned bool
-	keyed     *keyed
+	// maybe says that an attempt may have run, which no later attempt undoes.
+	maybe bool
+	keyed *keyed
 }
 
 // stage is where a pending request stands.
@@ -222,8 +224,12 @@
 	return r.dispatch(now, q.pool)
 }
 
-// drop refuses a request that was never sent and undoes its key.
+// drop refuses a request that waits and undoes its key, unless an earlier
+// attempt may have run: then the answer says that.
 func (r *Router) drop(now time.Time, q *pending, f request.Refusal) []effect.Effect {
+	if q.maybe {
+		return r.endUnknown(q, f.Reason)
+	}
 	waiters := []request.Arrival{q.arrival}
 	if q.keyed != nil {
 		waiters = r.keys.forget(q.keyed)
@@ -280,8 +286,9 @@
 
 // dispatch sends waiting requests while targets have free slots.
 func (r *Router) dispatch(now time.Time, p *pool) []effect.Effect {
-	effects := r.expire(now, p)
+	var effects []effect.Effect
 	for {
+		effects = append(effects, r.expire(now, p)...)
 		c := p.nextClass(r.policy.Ordered)
 		if c == nil {
 			return effects
@@ -356,6 +363,7 @@
 	t := q.target
 	t.inflight--
 	t.ended(now, e, r.settings)
+	q.maybe = q.maybe || e.Verdict == verdict.MayHaveRun
 	var effects []effect.Effect
 	switch {
 	case e.Verdict == verdict.Ran:
@@ -363,7 +371,7 @@
 		effects = r.deliver(q)
 	case r.mayRetry(now, q, e):
 		q.state = stageWaiting
-		q.class.pushFront(q)
+		q.class.push(q)
 	default:
 		effects = r.giveUp(now, q, e)
 	}
@@ -385,12 +393,13 @@
 }
 
 func (r *Router) giveUp(now time.Time, q *pending, e event.TargetAnswered) []effect.Effect {
-	f := request.Refusal{Status: http.StatusBadGateway, Verdict: e.Verdict, Reason: e.Reason}
-	if e.Verdict == verdict.NotRun {
-		f.Status = http.StatusServiceUnavailable
-		f.RetryAfter = max(q.pool.expectedWait(now, q.class), r.policy.LeastRetry)
-		return r.drop(now, q, f)
-	}
+	wait := max(q.pool.expectedWait(now, q.class), r.policy.LeastRetry)
+	return r.drop(now, q, refusal(http.StatusServiceUnavailable, e.Reason, wait))
+}
+
+// endUnknown answers a request that may have run.
+func (r *Router) endUnknown(q *pending, reason string) []effect.Effect {
+	f := unknown(http.StatusBadGateway, reason)
 	return r.end(q, func(a request.Arrival) effect.Effect {
 		r.count(a, f.Verdict, f.Status)
 		return effect.Refuse{To: a.ID, Refusal: f}
--- /dev/null
+++ b/services/routing/router_test.go
@@ -0,0 +1,354 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/request"
+	"saddlevane/models/spec"
+	"saddlevane/models/verdict"
+	"saddlevane/services/routing"
+)
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+const (
+	pool    = "runners"
+	preview = "preview"
+	extract = "extract"
+	render  = "render"
+)
+
+func settings() routing.Settings {
+	return routing.Settings{
+		KeyTTL: time.Minute, MaxKeys: 100, RetryRatio: 0.1, RetryBurst: 5,
+		EjectAfter: 3, EjectFor: time.Second, EjectMost: 10 * time.Second, LeastAttempt: 100 * time.Millisecond,
+	}
+}
+
+func pools() map[string]spec.Pool {
+	return map[string]spec.Pool{pool: {
+		Name: pool, Slots: 4, Connections: 8,
+		Classes: []spec.Class{
+			{Name: preview, Priority: spec.Urgent, Repeatable: true, Deadline: 2 * time.Second, Queue: 20},
+			{Name: render, Priority: spec.Normal, Repeatable: true, Deadline: 5 * time.Second, Queue: 20},
+			{Name: extract, Priority: spec.Bulk, Deadline: 5 * time.Second, Queue: 20},
+		},
+	}}
+}
+
+// driver plays everything around a router and checks what must always hold.
+type driver struct {
+	t       rapid.TB
+	r       *routing.Router
+	now     time.Time
+	next    request.ID
+	sends   []effect.SendRequest
+	limit   map[string]int
+	open    map[string]int
+	classes map[request.ID]string
+	ended   map[request.ID]bool
+	// maybe holds requests of which an attempt may have run.
+	maybe   map[request.ID]int
+	refused []effect.Refuse
+	order   []request.ID
+}
+
+func newDriver(t rapid.TB, live ...string) *driver {
+	entropy := rand.New(rand.NewPCG(1, 2))
+	newKey := func(now time.Time) ulid.ULID {
+		var id ulid.ULID
+		_ = id.SetTime(ulid.Timestamp(now))
+		_ = id.SetEntropy([]byte{byte(entropy.Uint32()), byte(entropy.Uint32()), 1, 2, 3, 4, 5, 6, 7, byte(entropy.Uint32())})
+		return id
+	}
+	d := &driver{
+		t: t, now: start, limit: map[string]int{}, open: map[string]int{}, classes: map[request.ID]string{},
+		ended: map[request.ID]bool{}, maybe: map[request.ID]int{},
+	}
+	d.r = routing.New(settings(), routing.DefaultPolicy(), "e1", "i1", newKey)
+	d.do(d.r.SetPeers(d.now, live, nil))
+	d.do(d.r.SetPools(d.now, pools()))
+	return d
+}
+
+func (d *driver) targets(names ...string) {
+	var all []routing.Target
+	for _, n := range names {
+		all = append(all, routing.Target{Name: n, Address: n, Pool: pool})
+	}
+	d.do(d.r.SetTargets(d.now, all))
+}
+
+func (d *driver) arrive(class string, key request.Key) request.ID {
+	d.next++
+	id := d.next
+	d.classes[id] = class
+	d.do(d.r.Arrived(d.now, request.Arrival{ID: id, Pool: pool, Class: class, Key: key}))
+	return id
+}
+
+func (d *driver) end(i int, v verdict.Verdict) {
+	s := d.sends[i]
+	d.sends = append(d.sends[:i:i], d.sends[i+1:]...)
+	d.open[s.Target]--
+	if v != verdict.NotRun {
+		d.maybe[s.ID]++
+	}
+	d.do(d.r.Answered(d.now, event.TargetAnswered{ID: s.ID, Attempt: s.Attempt, Target: s.Target, Verdict: v, Reason: "test"}))
+}
+
+func (d *driver) do(effects []effect.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.SendRequest:
+			d.sends = append(d.sends, e)
+			d.order = append(d.order, e.ID)
+			d.open[e.Target]++
+			if d.open[e.Target] > 4 {
+				d.t.Fatalf("%d requests at target %s of 4 slots", d.open[e.Target], e.Target)
+			}
+			if d.classes[e.ID] == extract && d.maybe[e.ID] > 0 {
+				d.t.Fatalf("request %d may not be repeated, may have run, and was sent again", e.ID)
+			}
+			if e.Timeout <= 0 {
+				d.t.Fatalf("request %d was sent with no time left", e.ID)
+			}
+		case effect.Refuse:
+			d.answered(e.To)
+			d.refused = append(d.refused, e)
+			if e.Refusal.Verdict == verdict.NotRun && d.maybe[e.To] > 0 {
+				d.t.Fatalf("request %d may have run and was called not run: %s", e.To, e.Refusal.Reason)
+			}
+		case effect.Deliver:
+			d.answered(e.To)
+		}
+	}
+}
+
+func (d *driver) answered(id request.ID) {
+	if d.ended[id] {
+		d.t.Fatalf("request %d was answered twice", id)
+	}
+	d.ended[id] = true
+}
+
+// The random lists are the same in each run, unless free seeds are asked for;
+// together they hold over 100,000 events.
+func init() {
+	_ = flag.Set("rapid.checks", "1500")
+	if os.Getenv("SADDLEVANE_FREE_SEEDS") == "" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+}
+
+func TestWhateverHappensEachRequestIsAnsweredOnceAndTruly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDriver(t, "e1")
+		names := []string{"t1", "t2", "t3"}
+		d.targets(names...)
+		for range rapid.IntRange(1, 150).Draw(t, "events") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2:
+				d.arrive(rapid.SampledFrom([]string{preview, render}).Draw(t, "class"), request.Key{})
+			case 3:
+				d.arrive(extract, d.r.IssueKey(d.now))
+			case 4, 5, 6:
+				if len(d.sends) > 0 {
+					v := rapid.SampledFrom([]verdict.Verdict{verdict.Ran, verdict.Ran, verdict.NotRun, verdict.MayHaveRun}).Draw(t, "verdict")
+					d.end(rapid.IntRange(0, len(d.sends)-1).Draw(t, "which"), v)
+				}
+			case 7:
+				d.now = d.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				d.do(d.r.Tick(d.now))
+			case 8:
+				d.targets(names[:rapid.IntRange(0, len(names)).Draw(t, "targets")]...)
+				d.open = map[string]int{}
+				for _, s := range d.sends {
+					d.open[s.Target]++
+				}
+			case 9:
+				d.do(d.r.Abandoned(d.now, request.ID(rapid.Uint64Range(1, uint64(d.next)+1).Draw(t, "who"))))
+			}
+		}
+		d.settle()
+	})
+}
+
+// settle lets everything come to its end and checks that nobody was forgotten.
+func (d *driver) settle() {
+	d.targets("t1", "t2", "t3")
+	for range 1000 {
+		for len(d.sends) > 0 {
+			d.end(0, verdict.Ran)
+		}
+		d.now = d.now.Add(time.Second)
+		d.do(d.r.Tick(d.now))
+		if d.r.Idle() {
+			break
+		}
+	}
+	for id := request.ID(1); id <= d.next; id++ {
+		if !d.ended[id] {
+			d.t.Fatalf("request %d was never answered", id)
+		}
+	}
+}
+
+func TestUrgentGoesBeforeWhatCameEarlier(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1")
+	for range 6 {
+		d.arrive(render, request.Key{})
+	}
+	urgent := d.arrive(preview, request.Key{})
+	d.end(0, verdict.Ran)
+	assert.Equal(t, d.order[len(d.order)-1], urgent)
+}
+
+func TestASharedTargetIsFilledExactly(t *testing.T) {
+	for _, live := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e", "f", "g"}} {
+		for _, target := range []string{"t1", "t2", "t3", "t4"} {
+			sum := 0
+			for _, box := range live {
+				sum += routing.ShareEvenly(target, 8, box, live)
+			}
+			assert.Equal(t, sum, 8, "%v", live)
+		}
+	}
+	assert.Equal(t, routing.ShareEvenly("t1", 8, "stranger", []string{"a"}), 0)
+}
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1", "t2", "t3")
+	sent := 0
+	for range 400 {
+		d.arrive(preview, request.Key{})
+		for len(d.sends) > 0 {
+			sent++
+			d.end(0, verdict.MayHaveRun)
+		}
+		d.now = d.now.Add(40 * time.Millisecond)
+		d.do(d.r.Tick(d.now))
+	}
+	assert.Check(t, sent <= 400+5+40+1, "%d sends for 400 requests", sent)
+}
+
+func TestAFailingTargetIsEjectedProbedAndTakenBack(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1", "t2")
+	fails := func(name string) {
+		for len(d.sends) > 0 {
+			if d.sends[0].Target == name {
+				d.end(0, verdict.MayHaveRun)
+			} else {
+				d.end(0, verdict.Ran)
+			}
+		}
+	}
+	for range 20 {
+		d.arrive(preview, request.Key{})
+		fails("t1")
+	}
+	before := len(d.order)
+	for range 10 {
+		d.arrive(preview, request.Key{})
+		assert.Equal(t, d.sends[0].Target, "t2")
+		fails("t1")
+	}
+	assert.Equal(t, len(d.order), before+10)
+	d.now = d.now.Add(11 * time.Second)
+	d.arrive(preview, request.Key{})
+	assert.Equal(t, d.sends[0].Target, "t1", "no probe after the ejection")
+	d.end(0, verdict.Ran)
+	seen := map[string]bool{}
+	for range 4 {
+		d.arrive(preview, request.Key{})
+		seen[d.sends[len(d.sends)-1].Target] = true
+	}
+	assert.Check(t, seen["t1"], "not taken back after a good probe")
+}
+
+func TestALateRequestIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1")
+	for range 8 {
+		d.arrive(preview, request.Key{})
+		d.now = d.now.Add(500 * time.Millisecond)
+		d.end(0, verdict.Ran)
+	}
+	for range 20 {
+		d.arrive(preview, request.Key{})
+	}
+	assert.Assert(t, len(d.refused) > 0)
+	for _, r := range d.refused {
+		assert.Equal(t, r.Refusal.Status, http.StatusServiceUnavailable)
+		assert.Equal(t, r.Refusal.Verdict, verdict.NotRun)
+		assert.Check(t, r.Refusal.RetryAfter > 0)
+	}
+}
+
+func TestAKeyedRequestIsKnownAgain(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1")
+	key := d.r.IssueKey(d.now)
+	d.arrive(extract, key)
+	d.arrive(extract, key)
+	assert.Equal(t, len(d.sends), 1)
+	d.end(0, verdict.Ran)
+	assert.Check(t, d.ended[1] && d.ended[2])
+	d.arrive(extract, key)
+	assert.Equal(t, len(d.sends), 0)
+	assert.Check(t, d.ended[3])
+
+	d.now = d.now.Add(3 * time.Minute)
+	d.do(d.r.Tick(d.now))
+	d.arrive(extract, key)
+	assert.Equal(t, d.refused[len(d.refused)-1].Refusal.Verdict, verdict.MayHaveRun, "an old key")
+	d.arrive(extract, request.Key{})
+	last := d.refused[len(d.refused)-1].Refusal
+	assert.Equal(t, last.Verdict, verdict.NotRun)
+	assert.Check(t, !last.Key.IsZero())
+}
+
+func TestAKeyOfAnotherLifeIsNeverGuessedAt(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1")
+	for _, key := range []request.Key{
+		request.NewKey("e1", "an earlier life", ulid.ULID{}), request.NewKey("e9", "i1", ulid.ULID{}),
+	} {
+		d.arrive(extract, key)
+		assert.Equal(t, d.refused[len(d.refused)-1].Refusal.Verdict, verdict.MayHaveRun)
+	}
+	assert.Equal(t, len(d.sends), 0)
+}
+
+func TestALeavingTargetGetsNothingNew(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1", "t2")
+	d.arrive(preview, request.Key{})
+	s := d.sends[0]
+	d.sends = nil
+	d.do(d.r.Answered(d.now, event.TargetAnswered{ID: s.ID, Attempt: s.Attempt, Target: s.Target, Verdict: verdict.NotRun, Leaving: true}))
+	d.open = map[string]int{}
+	for range 4 {
+		d.arrive(preview, request.Key{})
+	}
+	for _, sent := range d.sends {
+		assert.Check(t, sent.Target != s.Target)
+	}
+}
