shard: no task in two places, whatever fails; found by random worlds

What it found, each red first in it: - Reservations of a holder that lost its shard stayed on the workers, so the next time it held the shard nothing fitted. A holder whose worker leases are live now counts as live; a takeover has to wait for them anyway. - Outcomes that the log had not taken in yet were shown as unknown, and could be started again after a change of count. Now kept as ending. - A task could be queued twice (lost, and later reported as stopped; or found running elsewhere), and was then placed twice. A queue now holds a task once, and not while it has a place. - serve@4/0 ran on two workers: the holder, paused and cut from one worker, took its tasks for lapsed while a caretaker had renewed the lease. A lapse is now believed only after the log was read to its end past that time and still names this holder; a caretaker acts only if the log cannot be written and every worker is seen without another holder; a fresh grant restarts the clocks. - Map order made runs unlike. The reducer now walks maps in order. Ruled out: the worker's own rules (epoch, sequence, lapse), which held.

--- a/models/task/id.go
+++ b/models/task/id.go
@@ -5,6 +5,7 @@
 package task
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -22,6 +23,11 @@
 // String returns "name@born".
 func (o ObjectID) String() string { return o.Name + "@" + strconv.FormatInt(o.Born, 10) }
 
+// Compare orders objects by birth, then name.
+func (o ObjectID) Compare(p ObjectID) int {
+	return cmp.Or(cmp.Compare(o.Born, p.Born), cmp.Compare(o.Name, p.Name))
+}
+
 // MarshalText writes what UnmarshalText reads.
 func (o ObjectID) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
@@ -68,6 +74,11 @@
 	return nil
 }
 
+// Compare orders attempts by object, index and attempt.
+func (t ID) Compare(u ID) int {
+	return cmp.Or(t.Object.Compare(u.Object), cmp.Compare(t.Index, u.Index), cmp.Compare(t.Attempt, u.Attempt))
+}
+
 // Key names a task whatever its attempt.
 type Key struct {
 	Object ObjectID
@@ -77,6 +88,11 @@
 // Key returns the task that t is an attempt at.
 func (t ID) Key() Key { return Key{Object: t.Object, Index: t.Index} }
 
+// Compare orders tasks by object and index.
+func (k Key) Compare(l Key) int {
+	return cmp.Or(k.Object.Compare(l.Object), cmp.Compare(k.Index, l.Index))
+}
+
 // String returns "name@born/index".
 func (k Key) String() string { return k.Object.String() + "/" + strconv.Itoa(k.Index) }
 
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -18,6 +18,7 @@
 	"saddlevane/models/peer"
 	"saddlevane/models/request"
 	"saddlevane/models/spec"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/journal"
 	"saddlevane/services/ledger"
 	"saddlevane/services/membership"
@@ -166,7 +167,7 @@
 
 func (c *Core) boxesRead(now time.Time, l box.List) []effect.Effect {
 	c.members.BoxesRead(now, l)
-	for _, h := range c.holders {
+	for _, h := range ordered.By(c.holders, spec.ShardID.Compare) {
 		h.SetWorkers(now)
 	}
 	return append(c.setTargets(now), c.peersChanged(now)...)
@@ -195,7 +196,7 @@
 			c.holders[id] = shard.New(c.started, c.settings.Shard, c.policies.Shard, id, c.ledger, c.members, c.journal)
 		}
 	}
-	for _, h := range c.holders {
+	for _, h := range ordered.By(c.holders, spec.ShardID.Compare) {
 		h.SetWorkers(now)
 		h.SetObjects(now)
 	}
@@ -203,7 +204,7 @@
 }
 
 func (c *Core) workerAnswered(now time.Time, e event.WorkerAnswered) {
-	for _, h := range c.holders {
+	for _, h := range ordered.By(c.holders, spec.ShardID.Compare) {
 		h.WorkerAnswered(now, e)
 	}
 }
--- /dev/null
+++ b/services/core/core_test.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package core_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/status"
+)
+
+// The random worlds are the same in each run, unless free seeds are asked for.
+func init() {
+	_ = flag.Set("rapid.checks", "60")
+	if os.Getenv("SADDLEVANE_FREE_SEEDS") == "" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+}
+
+const cellFile = `name: cell
+racks:
+  - {name: r1, domain: a, shard: 0, workers: [w1, w2], each: {processors: 4, memory: 8GiB}}
+  - {name: r2, domain: a, shard: 1, workers: [w3, w4], each: {processors: 4, memory: 8GiB}}
+teams:
+  - {name: t, quota: {processors: 100, memory: 1TiB}}
+`
+
+const workFile = `name: work
+services:
+  - {name: serve, team: t, priority: urgent, count: 3, resources: {processors: 1, memory: 1GiB}, command: [serve]}
+jobs:
+  - {name: many, team: t, count: 40, resources: {processors: 1, memory: 1GiB}, command: [sleep, 700ms], repeatable: true, retries: 3}
+  - {name: once, team: t, count: 20, resources: {processors: 1, memory: 1GiB}, command: [sleep, 500ms]}
+gangs:
+  - {name: gang, team: t, count: 4, resources: {processors: 1, memory: 1GiB}, command: [sleep, 900ms], repeatable: true, retries: 3}
+`
+
+// settled starts a world with its files in force.
+func settled(t rapid.TB, seed uint64) *world {
+	w := newWorld(seed, 3, 4)
+	w.run(2 * time.Second)
+	r := w.publish(w.nodes[0], "cell", "cell", 0, cellFile)
+	assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+	w.run(2 * time.Second)
+	return w
+}
+
+// sum adds up what the holders know.
+func (w *world) sum() map[string]status.Work {
+	all := map[string]status.Work{}
+	for _, n := range w.nodes {
+		for _, row := range n.core.Work() {
+			name, _, _ := strings.Cut(row.Object, "@")
+			s := all[name]
+			s.Running += row.Running
+			s.Done += row.Done
+			s.Failed += row.Failed
+			s.Unknown += row.Unknown
+			s.Waiting += row.Waiting
+			all[name] = s
+		}
+	}
+	return all
+}
+
+func (w *world) complete() bool {
+	s := w.sum()
+	return s["serve"].Running == 3 && s["many"].Done == 40 && s["gang"].Done == 4 &&
+		s["once"].Done+s["once"].Unknown+s["once"].Failed == 20 && s["once"].Running == 0
+}
+
+// heal ends every fault and waits until all work has come to its end.
+func (w *world) heal(t rapid.TB) {
+	w.loss, w.logDown = 0, false
+	for _, n := range w.nodes {
+		n.cutLog, n.cutPeers = false, false
+		n.cutWorkers = map[string]bool{}
+		if n.paused {
+			w.resume(n)
+		}
+	}
+	for range 120 {
+		w.run(time.Second)
+		if w.complete() {
+			return
+		}
+	}
+	t.Fatalf("not all work came to its end\n%s", w.state())
+}
+
+func (w *world) state() string {
+	var b strings.Builder
+	for _, n := range w.nodes {
+		d := n.core.Dump(w.now)
+		fmt.Fprintf(&b, "%s %s: log %+v live %v\n", n.name, d.Process.Incarnation, d.Process.Log, d.Process.Live)
+		for _, s := range d.Process.Shards {
+			fmt.Fprintf(&b, "  shard %+v\n", s)
+		}
+		for _, r := range d.Work {
+			fmt.Fprintf(&b, "  work %+v\n", r)
+		}
+		for _, p := range d.Places {
+			fmt.Fprintf(&b, "  place %+v\n", p)
+		}
+	}
+	for name, wk := range w.workers {
+		fmt.Fprintf(&b, "worker %s runs %v\n", name, wk.Running())
+	}
+	return b.String()
+}
+
+// noLeaks checks that workers have reserved exactly what runs on them.
+func (w *world) noLeaks(t rapid.TB) {
+	for _, n := range w.nodes {
+		for _, row := range n.core.Dump(w.now).Workers {
+			want := fmt.Sprintf("%d processors", 4-row.Tasks)
+			if row.Adopted && !strings.HasPrefix(row.Free, want) {
+				t.Fatalf("%s takes %s to have %s free with %d tasks of one processor each", n.name, row.Name, row.Free, row.Tasks)
+			}
+		}
+	}
+}
+
+func (w *world) noFaults(t rapid.TB) {
+	w.noLeaks(t)
+	if len(w.faults) > 0 {
+		t.Fatalf("%d faults, the first: %s", len(w.faults), w.faults[0])
+	}
+	for key, n := range w.starts("once") {
+		if n > 1 {
+			t.Fatalf("%s may not be repeated and was started %d times", key, n)
+		}
+	}
+}
+
+func TestAllWorkOfAQuietCellComesToItsEnd(t *testing.T) {
+	w := settled(t, 1)
+	r := w.publish(w.nodes[1], "work", "work", 0, workFile)
+	assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+	w.heal(t)
+	w.noFaults(t)
+	assert.Equal(t, w.sum()["once"].Done, 20)
+	for key, n := range w.starts("many") {
+		assert.Equal(t, n, 1, "%s", key)
+	}
+}
+
+func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := settled(t, rapid.Uint64().Draw(t, "seed"))
+		r := w.publish(w.nodes[0], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted)
+		for i := range rapid.IntRange(1, 12).Draw(t, "faults") {
+			w.break1(t, i)
+			w.run(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
+			w.noFaults(t)
+		}
+		w.heal(t)
+		w.noFaults(t)
+		total += w.events
+	})
+	t.Logf("%d events", total)
+}
+
+// break1 breaks one thing, or mends it.
+func (w *world) break1(t *rapid.T, i int) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{
+		"pause", "resume", "kill", "loss", "log", "log of one", "peers", "worker", "publish", "stop",
+	}).Draw(t, "fault") {
+	case "pause":
+		n.paused = true
+	case "resume":
+		w.resume(n)
+	case "kill":
+		w.boot(n)
+	case "loss":
+		w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "part")
+	case "log":
+		w.logDown = !w.logDown
+	case "log of one":
+		n.cutLog = !n.cutLog
+	case "peers":
+		n.cutPeers = !n.cutPeers
+	case "worker":
+		name := fmt.Sprintf("w%d", rapid.IntRange(1, 4).Draw(t, "worker"))
+		n.cutWorkers[name] = !n.cutWorkers[name]
+	case "publish":
+		f, _ := n.core.File("work")
+		if f.Revision > 0 && !n.paused {
+			changed := strings.Replace(workFile, "retries: 3", fmt.Sprintf("retries: %d", 4+i), 2)
+			w.publish(n, fmt.Sprintf("p%d", i), "work", f.Revision, changed)
+		}
+	case "stop":
+		for _, other := range w.nodes {
+			if other != n && !other.paused {
+				w.boot(other)
+			}
+		}
+	}
+}
--- a/services/core/publish.go
+++ b/services/core/publish.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/record"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/ledger"
 )
 
@@ -73,7 +74,7 @@
 // not decided. The file may still come into force.
 func (c *Core) expirePublications(now time.Time) []effect.Effect {
 	var effects []effect.Effect
-	for id, p := range c.waiting {
+	for id, p := range ordered.Map(c.waiting) {
 		if now.Before(p.until) {
 			continue
 		}
--- a/services/core/reader.go
+++ b/services/core/reader.go
@@ -13,6 +13,7 @@
 	"saddlevane/models/record"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/ledger"
 )
 
@@ -26,15 +27,15 @@
 	head bool
 	// seek is set while the records that follow on the ledger are gone from the
 	// log: it reads from the oldest record on until it finds a checkpoint.
-	seek      *ledger.Ledger
-	first     int64
-	reading   bool
-	failing   string
-	failures  int
-	retryAt   time.Time
-	fetchAt   time.Time
-	headAt    time.Time
-	lastError time.Time
+	seek     *ledger.Ledger
+	first    int64
+	reading  bool
+	failing  string
+	failures int
+	retryAt  time.Time
+	fetchAt  time.Time
+	// began is when the read under way was asked for.
+	began time.Time
 }
 
 // The waits of the reader.
@@ -59,7 +60,7 @@
 	r := &c.reader
 	var effects []effect.Effect
 	if !r.reading && !now.Before(r.retryAt) {
-		r.reading = true
+		r.reading, r.began = true, now
 		effects = append(effects, effect.ReadLog{From: c.position()})
 	}
 	if (r.failing != "" || r.seek != nil) && !now.Before(r.fetchAt) {
@@ -80,7 +81,7 @@
 func (c *Core) fetch(now time.Time) []effect.Effect {
 	var best effect.FetchSnapshot
 	next := c.ledger.Next()
-	for name, m := range c.members.Members() {
+	for name, m := range ordered.Map(c.members.Members()) {
 		address, ok := c.members.Find(now, name, m.Hello().Incarnation)
 		if ok && m.Hello().Next > next {
 			best, next = effect.FetchSnapshot{Box: name, Address: address}, m.Hello().Next
@@ -94,7 +95,7 @@
 
 func (c *Core) logFailed(now time.Time, e event.LogFailed) []effect.Effect {
 	r := &c.reader
-	r.reading, r.failing, r.lastError = false, e.Reason, now
+	r.reading, r.failing = false, e.Reason
 	wait := min(readRetry<<min(r.failures, 8), readRetryMost)
 	r.failures++
 	r.retryAt = now.Add(wait)
@@ -113,7 +114,10 @@
 	}
 	effects := c.applyRecords(now, e.Records)
 	if e.Head {
-		r.head, r.headAt = true, now
+		r.head = true
+		for _, h := range c.holders {
+			h.LogRead(r.began)
+		}
 		effects = append(effects, c.comeIntoForce(now)...)
 	}
 	return append(effects, c.readOn(now)...)
--- /dev/null
+++ b/services/core/world_test.go
@@ -0,0 +1,390 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package core_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/peer"
+	"saddlevane/models/record"
+	"saddlevane/models/resource"
+	"saddlevane/models/task"
+	"saddlevane/modules/ordered"
+	"saddlevane/services/core"
+	"saddlevane/services/journal"
+	"saddlevane/services/membership"
+	"saddlevane/services/routing"
+	"saddlevane/services/shard"
+	"saddlevane/tests/fake"
+)
+
+// The times of the world.
+const (
+	step      = 50 * time.Millisecond
+	taskLease = 3 * time.Second
+	callLimit = 500 * time.Millisecond
+)
+
+func settings() core.Settings {
+	return core.Settings{
+		Journal:    journal.Settings{Interval: 50 * time.Millisecond, RetryAfter: 200 * time.Millisecond, Limit: 1000},
+		Membership: membership.Settings{Heartbeat: 200 * time.Millisecond, DeadAfter: time.Second},
+		Routing:    routing.Settings{KeyTTL: time.Minute, MaxKeys: 10, EjectAfter: 3, EjectFor: time.Second, EjectMost: time.Second},
+		Shard: shard.Settings{
+			Lease: 1500 * time.Millisecond, Renew: 300 * time.Millisecond, Margin: 100 * time.Millisecond, TaskLease: taskLease,
+			Settle: time.Second, Backoff: 100 * time.Millisecond, BackoffMost: time.Second, GangPatience: time.Second,
+			QuarantineAfter: 3, QuarantineFor: time.Second, PlacementsPerTick: 100, StopsPerTick: 20,
+		},
+		Retention: time.Hour, StopGrace: 0, StopMost: 10 * time.Second,
+	}
+}
+
+func policies() core.Policies {
+	return core.Policies{Routing: routing.DefaultPolicy(), Shard: shard.DefaultPolicy()}
+}
+
+// node is one entry box of the world.
+type node struct {
+	name        string
+	incarnation int
+	core        *core.Core
+	paused      bool
+	// held keeps what arrived during a pause.
+	held []event.Event
+	// cutLog and cutPeers drop what the box sends there.
+	cutLog, cutPeers bool
+	cutWorkers       map[string]bool
+	highest          map[string]int64
+}
+
+// message is something on its way.
+type message struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type messages []message
+
+func (m messages) Len() int { return len(m) }
+func (m messages) Less(i, j int) bool {
+	if m[i].at.Equal(m[j].at) {
+		return m[i].seq < m[j].seq
+	}
+	return m[i].at.Before(m[j].at)
+}
+func (m messages) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *messages) Push(x any)   { *m = append(*m, x.(message)) }
+func (m *messages) Pop() any {
+	old := *m
+	last := old[len(old)-1]
+	*m = old[:len(old)-1]
+	return last
+}
+
+// world is a cell of reducers, a log and workers in one goroutine. It is no
+// simulator of load: it delays, loses, repeats and reorders what passes between
+// them.
+type world struct {
+	now     time.Time
+	random  *rand.Rand
+	nodes   []*node
+	workers map[string]*fake.Worker
+	log     []event.LogRecord
+	logDown bool
+	loss    float64
+	queue   messages
+	seq     int
+	dead    map[string]bool
+	events  int
+	faults  []string
+	// results holds what became of publications, by waiter.
+	results map[uint64]effect.PublishResult
+}
+
+func newWorld(seed uint64, nodes, workers int) *world {
+	w := &world{
+		now: time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC), random: rand.New(rand.NewPCG(seed, 7)),
+		workers: map[string]*fake.Worker{}, dead: map[string]bool{}, results: map[uint64]effect.PublishResult{},
+	}
+	for i := range workers {
+		name := fmt.Sprintf("w%d", i+1)
+		w.workers[name] = fake.NewWorker(name, resource.Vector{Processors: 4000, Memory: 8 * resource.GiB}, taskLease)
+	}
+	for i := range nodes {
+		n := &node{name: fmt.Sprintf("e%d", i+1), highest: map[string]int64{}, cutWorkers: map[string]bool{}}
+		w.nodes = append(w.nodes, n)
+		w.boot(n)
+	}
+	return w
+}
+
+// boot starts a node anew: all it knew is gone.
+func (w *world) boot(n *node) {
+	n.incarnation++
+	n.paused, n.held, n.highest = false, nil, map[string]int64{}
+	self := peer.Hello{Box: n.name, Incarnation: fmt.Sprintf("i%d", n.incarnation), Domain: "a", Address: n.name}
+	n.core = core.New(w.now, settings(), policies(), self, func(now time.Time) ulid.ULID { return ulid.ULID{} })
+}
+
+func (w *world) boxes() box.List {
+	var l box.List
+	for _, n := range w.nodes {
+		l.Boxes = append(l.Boxes, box.Box{Name: n.name, Role: box.Entry, Domain: "a", Address: n.name, State: box.Live})
+	}
+	for name := range ordered.Map(w.workers) {
+		state := box.Live
+		if w.dead[name] {
+			state = box.Dead
+		}
+		l.Boxes = append(l.Boxes, box.Box{Name: name, Role: box.Worker, Domain: "a", Address: name, State: state})
+	}
+	return l
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, message{at: w.now.Add(d), seq: w.seq, run: run})
+}
+
+func (w *world) delay() time.Duration { return time.Duration(1+w.random.IntN(30)) * time.Millisecond }
+
+func (w *world) lost() bool { return w.random.Float64() < w.loss }
+
+// run lets the world go on for d.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		next := w.now.Add(step)
+		for len(w.queue) > 0 && !w.queue[0].at.After(next) {
+			m := heap.Pop(&w.queue).(message)
+			w.now = m.at
+			m.run()
+		}
+		w.now = next
+		for _, n := range w.nodes {
+			w.tell(n, n.incarnation, event.Tick{})
+			if w.random.IntN(10) == 0 {
+				w.tell(n, n.incarnation, event.BoxesRead{List: w.boxes()})
+			}
+		}
+		w.check()
+	}
+}
+
+// tell hands an event to a node, unless the life that it is meant for is over.
+func (w *world) tell(n *node, incarnation int, e event.Event) {
+	if n.incarnation != incarnation {
+		return
+	}
+	if n.paused {
+		if _, tick := e.(event.Tick); !tick {
+			n.held = append(n.held, e)
+		}
+		return
+	}
+	w.events++
+	for _, eff := range n.core.Handle(w.now, e) {
+		w.do(n, eff)
+	}
+}
+
+// resume ends a pause; what arrived meanwhile is handled late.
+func (w *world) resume(n *node) {
+	n.paused = false
+	held := n.held
+	n.held = nil
+	for _, e := range held {
+		w.tell(n, n.incarnation, e)
+	}
+}
+
+func (w *world) do(n *node, e effect.Effect) {
+	life := n.incarnation
+	switch e := e.(type) {
+	case effect.ReadLog:
+		w.readLog(n, life, e.From)
+	case effect.Append:
+		w.append(n, life, e.Envelope)
+	case effect.SyncWorker:
+		w.sync(n, life, e)
+	case effect.SayHello:
+		w.hello(n, e)
+	case effect.FetchSnapshot:
+		w.fetch(n, life, e)
+	case effect.AnswerPublish:
+		w.results[e.Waiter] = e.Result
+	}
+}
+
+func (w *world) readLog(n *node, life int, from int64) {
+	if n.cutLog || w.logDown || w.lost() {
+		w.after(callLimit, func() { w.tell(n, life, event.LogFailed{Reason: "cut"}) })
+		return
+	}
+	w.after(2*w.delay(), func() {
+		read := event.LogRead{Head: true}
+		if from < int64(len(w.log)) {
+			read.Records = append(read.Records, w.log[from:]...)
+		}
+		w.tell(n, life, read)
+	})
+}
+
+func (w *world) append(n *node, life int, e record.Envelope) {
+	ended := event.AppendEnded{ID: e.ID}
+	if n.cutLog || w.logDown || w.lost() {
+		ended.Failed = "cut"
+		w.after(callLimit, func() { w.tell(n, life, ended) })
+		return
+	}
+	w.after(w.delay(), func() {
+		w.log = append(w.log, event.LogRecord{Offset: int64(len(w.log)), At: w.now, Envelope: e})
+		if w.lost() {
+			ended.Failed = "the answer was lost"
+		}
+		w.after(w.delay(), func() { w.tell(n, life, ended) })
+	})
+}
+
+func (w *world) sync(n *node, life int, e effect.SyncWorker) {
+	sentAt := w.now
+	failed := event.WorkerAnswered{Worker: e.Worker, Seq: e.Sync.Seq, SentAt: sentAt, Failed: "cut"}
+	if n.cutWorkers[e.Worker] || w.lost() || w.dead[e.Worker] {
+		w.after(callLimit, func() { w.tell(n, life, failed) })
+		return
+	}
+	arrives := w.delay()
+	if w.random.IntN(50) == 0 && w.loss > 0 {
+		// It is stuck on its way for longer than anyone waits.
+		arrives += time.Duration(w.random.IntN(4000)) * time.Millisecond
+	}
+	answered := false
+	w.after(arrives, func() {
+		if w.dead[e.Worker] {
+			return
+		}
+		report := w.workers[e.Worker].Apply(w.now, e.Sync)
+		if w.lost() || n.cutWorkers[e.Worker] {
+			return
+		}
+		w.after(w.delay(), func() {
+			if !answered {
+				answered = true
+				w.tell(n, life, event.WorkerAnswered{Worker: e.Worker, Seq: e.Sync.Seq, SentAt: sentAt, Report: report})
+			}
+		})
+	})
+	w.after(callLimit, func() {
+		if !answered {
+			answered = true
+			w.tell(n, life, failed)
+		}
+	})
+}
+
+func (w *world) hello(n *node, e effect.SayHello) {
+	to := w.node(e.Address)
+	if to == nil || n.cutPeers || to.cutPeers || w.lost() {
+		return
+	}
+	life := to.incarnation
+	w.after(w.delay(), func() { w.tell(to, life, event.HelloHeard{Hello: e.Hello}) })
+}
+
+func (w *world) fetch(n *node, life int, e effect.FetchSnapshot) {
+	from := w.node(e.Box)
+	if from == nil || n.cutPeers || from.cutPeers || from.paused || w.lost() {
+		return
+	}
+	s := from.core.Snapshot()
+	w.after(2*w.delay(), func() { w.tell(n, life, event.SnapshotRead{From: e.Box, Snapshot: s}) })
+}
+
+func (w *world) node(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// check looks at what must hold at every moment.
+func (w *world) check() {
+	places := map[task.Key]string{}
+	for name, wk := range ordered.Map(w.workers) {
+		if w.dead[name] {
+			continue
+		}
+		wk.Advance(w.now)
+		for _, id := range wk.Running() {
+			if other, twice := places[id.Key()]; twice {
+				w.fault("%s: %s runs on %s and on %s", w.now.Format("05.000"), id.Key(), other, name)
+			}
+			places[id.Key()] = name
+		}
+		if wk.Excess() > 0 {
+			w.fault("%s was to be given more than it has", name)
+		}
+	}
+	for _, n := range w.nodes {
+		w.checkFiles(n)
+	}
+}
+
+// checkFiles looks that no file in force goes back to an older revision.
+func (w *world) checkFiles(n *node) {
+	for _, name := range []string{"cell", "work"} {
+		f, ok := n.core.File(name)
+		if !ok {
+			if n.highest[name] > 0 {
+				w.fault("%s lost file %s", n.name, name)
+			}
+			continue
+		}
+		if f.Revision < n.highest[name] {
+			w.fault("%s went back from revision %d of %s to %d", n.name, n.highest[name], name, f.Revision)
+		}
+		n.highest[name] = f.Revision
+	}
+}
+
+// starts counts how often each task of an object was started on any worker.
+func (w *world) starts(object string) map[task.Key]int {
+	n := map[task.Key]int{}
+	for _, wk := range w.workers {
+		for _, s := range wk.History() {
+			if s.Task.Object.Name == object {
+				n[s.Task.Key()]++
+			}
+		}
+	}
+	return n
+}
+
+// publish has a node publish a file and waits for what becomes of it.
+func (w *world) publish(n *node, id, file string, replaces int64, data string) effect.PublishResult {
+	waiter := uint64(len(w.results) + 1000)
+	p := record.Publish{ID: id, File: file, Replaces: replaces, Data: data}
+	w.tell(n, n.incarnation, event.PublishAsked{Waiter: waiter, Publish: p, Patience: 5 * time.Second})
+	for range 200 {
+		if r, ok := w.results[waiter]; ok {
+			return r
+		}
+		w.run(step)
+	}
+	return effect.PublishResult{Outcome: effect.Unknown}
+}
--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -77,7 +77,7 @@
 	for _, o := range l.objects {
 		all = append(all, o)
 	}
-	slices.SortFunc(all, func(a, b *Object) int { return CompareIDs(a.id, b.id) })
+	slices.SortFunc(all, func(a, b *Object) int { return a.id.Compare(b.id) })
 	return all
 }
 
@@ -212,17 +212,3 @@
 }
 
 func sameFrozen(a, b *Object) bool { return reflect.DeepEqual(frozenOf(a), frozenOf(b)) }
-
-// CompareIDs orders objects by birth, then name.
-func CompareIDs(a, b task.ObjectID) int {
-	if a.Born != b.Born {
-		return int(min(max(a.Born-b.Born, -1), 1))
-	}
-	if a.Name < b.Name {
-		return -1
-	}
-	if a.Name > b.Name {
-		return 1
-	}
-	return 0
-}
--- a/services/ledger/snapshot.go
+++ b/services/ledger/snapshot.go
@@ -31,7 +31,7 @@
 			Object: id, Intents: Ranges(p.intents), Done: Ranges(p.done), Failed: Ranges(p.failed), Rerun: Ranges(p.rerun),
 		})
 	}
-	slices.SortFunc(s.Progress, func(a, b record.Progress) int { return CompareIDs(a.Object, b.Object) })
+	slices.SortFunc(s.Progress, func(a, b record.Progress) int { return a.Object.Compare(b.Object) })
 	return s
 }
 
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -209,6 +209,19 @@
 	return ok && member.hello.Incarnation == incarnation && m.takesWork(now, member)
 }
 
+// Gone says whether an incarnation of a box has surely ended, or said that it
+// leaves: by its own word, a later life of the same box, or the list's.
+func (m *Membership) Gone(name, incarnation string) bool {
+	if name == m.self.Box {
+		return incarnation != m.self.Incarnation
+	}
+	if b, listed := m.boxes[name]; listed && b.State == box.Dead {
+		return true
+	}
+	member, ok := m.members[name]
+	return ok && (member.hello.Incarnation != incarnation || member.hello.Leaving)
+}
+
 // Find returns the address of an incarnation of a peer that has been heard of
 // lately, leaving or not.
 func (m *Membership) Find(now time.Time, name, incarnation string) (string, bool) {
--- a/services/placement/index.go
+++ b/services/placement/index.go
@@ -68,6 +68,9 @@
 // Release gives amount back.
 func (n *Node) Release(amount resource.Vector) { n.move(n.free.Plus(amount)) }
 
+// Clear gives back all that is reserved.
+func (n *Node) Clear() { n.move(n.capacity) }
+
 func (n *Node) move(free resource.Vector) {
 	grown := !free.Fits(n.free)
 	n.free = free
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -20,6 +20,7 @@
 	"saddlevane/models/request"
 	"saddlevane/models/spec"
 	"saddlevane/models/verdict"
+	"saddlevane/modules/ordered"
 )
 
 // Settings bound a Router.
@@ -129,7 +130,7 @@
 		r.pools[name].setSpec(p)
 	}
 	var effects []effect.Effect
-	for name, p := range r.pools {
+	for name, p := range ordered.Map(r.pools) {
 		if _, stays := pools[name]; !stays && !p.retired {
 			p.retired = true
 			effects = append(effects, r.refuseWaiting(now, p, "the pool is no longer in force")...)
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -80,10 +80,15 @@
 	phase     Phase
 	startedAt time.Time
 	ticket    journal.Ticket
+	suspect   suspicion
+	// headAt is when the last read began that reached the log's end.
+	headAt time.Time
 	// claim is the revision of this process's claim.
 	claim int64
 
-	workers     map[string]*workerState
+	workers map[string]*workerState
+	// order holds the workers by name.
+	order       []*workerState
 	plain       placement.Index
 	accelerated placement.Index
 
@@ -164,6 +169,7 @@
 
 func (h *Holder) begin(now time.Time, claim ledger.Claim) {
 	h.phase, h.claim, h.ticket = Adopting, claim.Revision(), 0
+	h.suspect = suspicion{}
 	h.counts.Takeovers++
 	h.SetWorkers(now)
 	h.SetObjects(now)
@@ -187,7 +193,11 @@
 		// The log took the claim in, yet another one came first.
 		h.phase, h.ticket = Idle, 0
 	}
-	if h.phase == Claiming || !h.wanted(now) || !h.free(now, claim, held) {
+	if !h.wanted(now) {
+		h.suspect = suspicion{}
+		return
+	}
+	if h.phase == Claiming || !h.free(now, claim, held) {
 		return
 	}
 	self := h.members.Self()
@@ -206,13 +216,17 @@
 // live boxes has settled with this box as the better holder. A process that has
 // just started has not heard of its peers yet, so it waits first.
 func (h *Holder) free(now time.Time, claim ledger.Claim, held bool) bool {
-	if now.Sub(h.startedAt) < h.settings.Settle/2 {
+	switch {
+	case now.Sub(h.startedAt) < h.settings.Settle/2:
 		return false
-	}
-	if !held || !h.members.Alive(now, claim.Box(), claim.Incarnation()) {
+	case !held || h.members.Gone(claim.Box(), claim.Incarnation()):
 		return true
+	case h.members.Alive(now, claim.Box(), claim.Incarnation()):
+		h.suspect = suspicion{}
+		return h.members.StableFor(now) >= h.settings.Settle
+	default:
+		return h.suspectHolder(now, claim)
 	}
-	return h.members.StableFor(now) >= h.settings.Settle
 }
 
 // advance moves from one phase of taking over to the next.
--- a/services/shard/outcome.go
+++ b/services/shard/outcome.go
@@ -12,6 +12,7 @@
 	"saddlevane/models/record"
 	"saddlevane/models/task"
 	"saddlevane/models/worker"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/journal"
 	"saddlevane/services/ledger"
 )
@@ -27,6 +28,9 @@
 	fresh  []ack
 	sent   []ack
 	ticket journal.Ticket
+	// ending holds the tasks of both: they have ended, though the log does not
+	// say so yet.
+	ending map[task.Key]bool
 }
 
 // ack is an outcome that a worker may forget once the log has it.
@@ -40,6 +44,7 @@
 		intents: map[task.ObjectID]*roaring.Bitmap{},
 		done:    map[task.ObjectID]*roaring.Bitmap{},
 		failed:  map[task.ObjectID]*roaring.Bitmap{},
+		ending:  map[task.Key]bool{},
 	}
 }
 
@@ -65,6 +70,7 @@
 	}
 	add(set, id)
 	o.fresh = append(o.fresh, ack{w, id})
+	o.ending[id.Key()] = true
 }
 
 func add(sets map[task.ObjectID]*roaring.Bitmap, id task.ID) {
@@ -88,6 +94,7 @@
 	o := &h.outbox
 	for _, a := range o.sent {
 		a.worker.acks = append(a.worker.acks, a.task)
+		delete(o.ending, a.task.Key())
 	}
 	o.sent = nil
 	var rest []*running
@@ -110,13 +117,13 @@
 	if h.journal.Full() {
 		return
 	}
-	for id, set := range o.intents {
+	for id, set := range ordered.By(o.intents, task.ObjectID.Compare) {
 		o.ticket = h.journal.Add(record.Entry{Intents: &record.Tasks{Object: id, Ranges: ledger.Ranges(set)}})
 	}
-	for id, set := range o.done {
+	for id, set := range ordered.By(o.done, task.ObjectID.Compare) {
 		o.ticket = h.journal.Add(record.Entry{Done: &record.Tasks{Object: id, Ranges: ledger.Ranges(set)}})
 	}
-	for id, set := range o.failed {
+	for id, set := range ordered.By(o.failed, task.ObjectID.Compare) {
 		o.ticket = h.journal.Add(record.Entry{Failed: &record.Tasks{Object: id, Ranges: ledger.Ranges(set)}})
 	}
 	for _, t := range o.intending {
@@ -144,7 +151,7 @@
 	for _, start := range w.starts {
 		unsent[start.Task] = true
 	}
-	for id, t := range w.tasks {
+	for id, t := range ordered.By(w.tasks, task.ID.Compare) {
 		if items[id] || unsent[id] || t.stage == stageIntending {
 			continue
 		}
@@ -227,7 +234,7 @@
 }
 
 // stale says whether an outcome no longer matters: the task has ended, is none
-// of the object's any more, or a later attempt has its place.
+// of the object's any more, or a later attempt has its place or waits for one.
 func (h *Holder) stale(t *running, id task.ID, o *object) bool {
 	if h.ledger.Progress(id.Object).Ended(id.Index) {
 		return true
@@ -235,7 +242,7 @@
 	if other, ok := h.tasks[id.Key()]; ok && other != t {
 		return true
 	}
-	return !o.has(id.Index)
+	return !o.has(id.Index) || o.retry.has(id.Index)
 }
 
 func (o *object) has(index int) bool {
@@ -288,7 +295,7 @@
 		wait := h.settings.Backoff << min(item.Task.Attempt, maxDoublings)
 		r.notBefore = now.Add(min(wait, h.settings.BackoffMost))
 	}
-	o.retry = append(o.retry, r)
+	o.retry.put(r)
 	h.enqueue(o)
 }
 
@@ -300,7 +307,7 @@
 	if o.spec.Kind() != ledger.KindGang {
 		return
 	}
-	for _, t := range h.tasks {
+	for _, t := range ordered.By(h.tasks, task.Key.Compare) {
 		if t.object == o {
 			h.stop(t, true)
 		}
@@ -353,7 +360,7 @@
 func (h *Holder) abandon(now time.Time, w *workerState, reason string) {
 	w.starts, w.sent, w.acks = nil, 0, nil
 	w.ended = map[task.ID]bool{}
-	for _, t := range w.tasks {
+	for _, t := range ordered.By(w.tasks, task.ID.Compare) {
 		if t.stage == stageIntending {
 			h.outbox.withdraw(t)
 			h.untrack(t)
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"saddlevane/models/resource"
@@ -231,7 +232,7 @@
 	for next, ok := h.nextWaiting(r.now, o); ok; next, ok = h.nextWaiting(r.now, o) {
 		waiting = append(waiting, next)
 	}
-	if len(o.retry) > 0 || !t.reserved.Plus(need.Times(len(waiting))).Fits(t.quota) || !h.placeAll(r.now, o, waiting) {
+	if o.retry.len() > 0 || !t.reserved.Plus(need.Times(len(waiting))).Fits(t.quota) || !h.placeAll(r.now, o, waiting) {
 		h.returnAll(o, waiting)
 		h.gangWaits(r, t, o, need.Times(len(waiting)))
 		return 0
@@ -242,7 +243,9 @@
 }
 
 func (h *Holder) returnAll(o *object, waiting []retry) {
-	o.retry = append(waiting, o.retry...)
+	for _, r := range slices.Backward(waiting) {
+		o.retry.putFirst(r)
+	}
 }
 
 // placeAll holds a place for each task, and gives them all up if one is missing.
--- a/services/shard/preempt.go
+++ b/services/shard/preempt.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/resource"
 	"saddlevane/models/spec"
 	"saddlevane/models/task"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/ledger"
 )
 
@@ -27,7 +28,7 @@
 		return
 	}
 	var best []*running
-	for _, w := range h.workers {
+	for _, w := range h.order {
 		if !h.mayStart(now, w) || !need.Fits(w.node.Capacity()) {
 			continue
 		}
@@ -52,7 +53,7 @@
 func victims(w *workerState, need resource.Vector) []*running {
 	free := w.node.Free()
 	var stopped []*running
-	for _, t := range w.tasks {
+	for _, t := range ordered.By(w.tasks, task.ID.Compare) {
 		if need.Fits(free) {
 			break
 		}
@@ -76,7 +77,7 @@
 // that are to move off a drained worker, or that a newer form replaces.
 func (h *Holder) stopUnwanted() {
 	replaced := map[*object]bool{}
-	for _, t := range h.tasks {
+	for _, t := range ordered.By(h.tasks, task.Key.Compare) {
 		if h.stops <= 0 {
 			return
 		}
--- a/services/shard/status.go
+++ b/services/shard/status.go
@@ -82,7 +82,7 @@
 		w.Reason = "cancelled"
 		return w
 	}
-	w.Waiting = max(w.Tasks-w.Running-w.Done-w.Failed-w.Unknown, 0)
+	w.Waiting = max(w.Tasks-w.Running-w.Done-w.Failed-w.Unknown-h.ending(o), 0)
 	if w.Waiting > 0 {
 		since := o.since
 		w.Since, w.Reason = &since, o.reason
@@ -92,6 +92,18 @@
 
 const maxUnknownNamed = 20
 
+// ending counts the tasks of o that have ended, though the log does not say so
+// yet.
+func (h *Holder) ending(o *object) int {
+	n := 0
+	for key := range h.outbox.ending {
+		if key.Object == o.spec.ID() {
+			n++
+		}
+	}
+	return n
+}
+
 // unknown returns the tasks of o that may have run and have no outcome.
 func (h *Holder) unknown(o *object, home *roaring.Bitmap, p *ledger.Progress) []int {
 	if o.spec.Repeatable() || h.phase != Active {
@@ -101,17 +113,13 @@
 	var all []int
 	for it := open.Iterator(); it.HasNext(); {
 		index := int(it.Next())
-		if p.Intended(index) && !h.placed(o, index) && !o.retrying(index) {
+		if p.Intended(index) && !h.placed(o, index) {
 			all = append(all, index)
 		}
 	}
 	return all
 }
 
-func (o *object) retrying(index int) bool {
-	return slices.ContainsFunc(o.retry, func(r retry) bool { return r.index == index })
-}
-
 // Places returns the tasks that have places, up to most of them.
 func (h *Holder) Places(most int) []status.Place {
 	var all []status.Place
@@ -170,9 +178,11 @@
 		e.State, e.Why = string(task.Failed), "It failed or was cancelled, and has no tries left."
 	case placed:
 		e.State, e.Why = string(t.stage), h.whyHere(t)
+	case h.outbox.ending[key]:
+		e.State, e.Why = string(task.Running), "It has ended, and waits for the log to take that in."
 	case o.spec.Cancelled():
 		e.State, e.Why = string(task.Stopped), "Its file says that it is cancelled."
-	case p.Intended(key.Index) && !o.retrying(key.Index) && h.phase == Active:
+	case p.Intended(key.Index) && !o.retry.has(key.Index) && h.phase == Active:
 		e.State, e.Why = string(task.Unknown), "Its start was recorded, but no outcome is known; it may not be repeated, so it waits for an operator's file to settle it."
 	default:
 		e.State, e.Why = string(task.Waiting), h.whyWaiting(o)
--- a/services/shard/task.go
+++ b/services/shard/task.go
@@ -48,7 +48,7 @@
 	// cursor is the range and index to look at next for tasks never started.
 	cursor int
 	next   int
-	retry  []retry
+	retry  retries
 	active int
 	// since is when tasks of the object began to wait.
 	since time.Time
@@ -65,13 +65,6 @@
 // span is a range of tasks, To exclusive.
 type span struct{ from, to int }
 
-// retry is a task that goes back to the queue.
-type retry struct {
-	index     int
-	attempt   int
-	notBefore time.Time
-}
-
 // team is a team's work in the shard.
 type team struct {
 	spec     spec.Team
@@ -174,7 +167,7 @@
 	rank := o.spec.Work().Priority.Rank()
 	queue := o.team.queues[rank]
 	at, found := slices.BinarySearchFunc(queue, o, func(a, b *object) int {
-		return ledger.CompareIDs(a.spec.ID(), b.spec.ID())
+		return a.spec.ID().Compare(b.spec.ID())
 	})
 	if !found {
 		o.team.queues[rank] = slices.Insert(queue, at, o)
@@ -183,7 +176,7 @@
 
 // hasWaiting says whether a task of o has neither ended nor a place.
 func (h *Holder) hasWaiting(o *object) bool {
-	if len(o.retry) > 0 {
+	if o.retry.len() > 0 {
 		return true
 	}
 	_, ok := h.peekFresh(o)
@@ -208,18 +201,18 @@
 	return 0, false
 }
 
+// placed says whether a task has a place, had one and has ended, or is to be
+// started again.
 func (h *Holder) placed(o *object, index int) bool {
-	_, ok := h.tasks[task.Key{Object: o.spec.ID(), Index: index}]
-	return ok
+	key := keyOf(o, index)
+	_, ok := h.tasks[key]
+	return ok || h.outbox.ending[key] || o.retry.has(index)
 }
 
 // nextWaiting takes the next task of o from its queue.
 func (h *Holder) nextWaiting(now time.Time, o *object) (retry, bool) {
-	for i, r := range o.retry {
-		if !now.Before(r.notBefore) {
-			o.retry = slices.Delete(o.retry, i, i+1)
-			return r, true
-		}
+	if r, ok := o.retry.next(now); ok {
+		return r, true
 	}
 	index, ok := h.peekFresh(o)
 	if !ok {
@@ -234,7 +227,7 @@
 	if o.gone || o.spec.Cancelled() || !o.has(r.index) {
 		return
 	}
-	o.retry = slices.Insert(o.retry, 0, r)
+	o.retry.putFirst(r)
 	h.enqueue(o)
 }
 
@@ -270,6 +263,7 @@
 	if t.object == nil {
 		return
 	}
+	t.object.retry.remove(t.id.Index)
 	t.object.active++
 	if t.object.team != nil {
 		t.object.team.reserved = t.object.team.reserved.Plus(t.resources)
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -13,6 +13,7 @@
 	"saddlevane/models/spec"
 	"saddlevane/models/task"
 	"saddlevane/models/worker"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/placement"
 )
 
@@ -35,8 +36,10 @@
 	// asked for since, any of which the worker may still take.
 	answeredAt time.Time
 	unanswered int
-	releasing  bool
-	failing    string
+	// foreign is how long another holder's lease lasts, by the last answer.
+	foreign   time.Time
+	releasing bool
+	failing   string
 
 	starts []worker.Start
 	// sent is how many of starts have been sent and not been answered for.
@@ -62,7 +65,8 @@
 		w.nextAt = now
 	}
 	w.adopted = false
-	w.starts, w.acks = nil, nil
+	w.node.Clear()
+	w.starts, w.sent, w.acks = nil, 0, nil
 	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*running{}, map[task.ID]bool{}
 }
 
@@ -82,11 +86,15 @@
 			h.refresh(now, w)
 		}
 	}
-	for name, w := range h.workers {
-		if !seen[name] {
+	for _, w := range ordered.Map(h.workers) {
+		if !seen[w.name] {
 			h.dropWorker(now, w)
 		}
 	}
+	h.order = h.order[:0]
+	for _, w := range ordered.Map(h.workers) {
+		h.order = append(h.order, w)
+	}
 }
 
 func (h *Holder) newWorker(name string, rack spec.Rack) *workerState {
@@ -157,9 +165,9 @@
 
 // syncs returns the Syncs that are due.
 func (h *Holder) syncs(now time.Time) []effect.Effect {
-	care := h.holding() || h.caretaking(now)
+	care := h.holding() || h.suspecting() || h.phase == Claiming
 	var effects []effect.Effect
-	for _, w := range h.workers {
+	for _, w := range h.order {
 		if w.until.Before(now) && w.adopted && !w.until.IsZero() {
 			h.lapse(now, w)
 		}
@@ -177,13 +185,6 @@
 	return effects
 }
 
-// caretaking says whether this box keeps the shard's workers from lapsing until
-// the log takes its claim in. It starts nothing.
-func (h *Holder) caretaking(now time.Time) bool {
-	claim, held := h.ledger.Claim(h.id)
-	return h.wanted(now) && h.free(now, claim, held)
-}
-
 func (w *workerState) due(now time.Time) bool {
 	if !now.Before(w.nextAt) {
 		return true
@@ -202,10 +203,10 @@
 		s.Epoch, s.Release = w.epoch, w.releasing
 		s.Starts, s.Acks = slices.Clone(w.starts), slices.Clone(w.acks)
 		w.sent = len(s.Starts)
-		for _, stop := range w.stops {
+		for _, stop := range ordered.By(w.stops, task.ID.Compare) {
 			s.Stops = append(s.Stops, stop)
 		}
-	case w.unanswered > 0:
+	case w.unanswered > 0 || (!h.holding() && !h.caretaking(now)):
 		// Nothing is asked for until the worker answers again, so that its lease
 		// surely lapses if it does not.
 		s.TTL = 0
@@ -238,6 +239,7 @@
 	}
 	w.answeredAt, w.unanswered = now, 0
 	w.leaving = e.Report.Leaving
+	h.seeHolder(now, w, e.Report)
 	switch {
 	case !e.Report.Granted:
 		h.notGranted(now, w, e)
@@ -250,6 +252,9 @@
 }
 
 func (h *Holder) granted(now time.Time, w *workerState, s *worker.Sync, e event.WorkerAnswered) {
+	if s.Epoch == 0 {
+		h.restartClocks(now, w)
+	}
 	w.epoch = e.Report.Epoch
 	w.until = e.SentAt.Add(h.settings.Lease - h.settings.Margin)
 	if !h.holding() {
@@ -309,15 +314,31 @@
 	h.index(now, w)
 	h.unstart(w, w.starts[w.sent:], "the worker's lease lapsed")
 	w.starts = w.starts[:w.sent]
-	if !now.Before(h.goneAt(w)) {
+	if gone := h.goneAt(w); !now.Before(gone) && h.headAt.After(gone) {
 		h.abandon(now, w, "the worker's lease has lapsed")
 		w.epoch, w.until = 0, time.Time{}
 	}
 }
 
-// goneAt is when the worker has surely stopped its tasks. Each grant that was
-// not answered may have been taken as late as the end of the one before it.
+// goneAt is when the worker has surely stopped its tasks, if no other holder has
+// kept them. Each grant that was not answered may have been taken as late as the
+// end of the one before it. That there was no other holder is known once the log
+// has been read to its end after that time and still names this one.
 func (h *Holder) goneAt(w *workerState) time.Time {
 	grants := time.Duration(w.unanswered + 1)
 	return w.answeredAt.Add(grants*h.settings.Lease + h.settings.TaskLease + h.settings.Margin)
 }
+
+// restartClocks takes note that this holder has a lease anew. While it had none,
+// a caretaker may have kept the tasks of workers that this holder cannot reach.
+func (h *Holder) restartClocks(now time.Time, granted *workerState) {
+	for _, w := range h.order {
+		if w != granted && !w.held(now) && !w.answeredAt.IsZero() {
+			w.answeredAt = now
+		}
+	}
+}
+
+// LogRead takes note that the log was read to its end by a read that began at
+// the given time.
+func (h *Holder) LogRead(began time.Time) { h.headAt = began }
--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -215,7 +214,3 @@
 	return found
 }
 
-// client returns an HTTP client with connections of its own.
-func client() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 30 * time.Second}
-}
