shard: a planned change of holders leaves no task unknown

Cause: a holder that stopped, or was replaced while live, dropped starts whose intents the log had taken in but that it had not sent; the next holder found an intent without an outcome. It also cleared what it knew of a worker before its last renewal was answered, took the tasks in that answer for doubles, and told the worker to stop them. Now a holder yields: it stops planning, sends what it has recorded, and only then says in its heartbeats that the shard may be claimed; a live holder is never claimed from otherwise. A lease that is being given back changes nothing else. Ruled out: a log record that takes an intent back (its repeat could free a task that a later holder has started). Also: ports of a cell differ (two boxes of one cell had the same one).

--- a/models/peer/peer.go
+++ b/models/peer/peer.go
@@ -31,6 +31,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Next is how far the sender has read the log.
 	Next int64 `json:"next"`
+	// Yields names shards that the sender holds and is ready to give up: all that
+	// it recorded as intended has been sent.
+	Yields []string `json:"yields,omitempty"`
 }
 
 // UnmarshalJSON refuses heartbeats without a name or with an address that is
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -120,6 +120,7 @@
 
 func (c *Core) tick(now time.Time) []effect.Effect {
 	var effects []effect.Effect
+	c.members.SetYields(c.yields(now))
 	effects = append(effects, c.members.Tick(now, c.known())...)
 	effects = append(effects, c.peersChanged(now)...)
 	effects = append(effects, c.readOn(now)...)
@@ -133,6 +134,17 @@
 	return append(effects, c.stopOn(now)...)
 }
 
+// yields names the shards that other boxes may claim from this one.
+func (c *Core) yields(now time.Time) []string {
+	var all []string
+	for _, id := range c.shardIDs() {
+		if c.holders[id].Yields(now) {
+			all = append(all, id.String())
+		}
+	}
+	return all
+}
+
 func (c *Core) shardIDs() []spec.ShardID {
 	ids := make([]spec.ShardID, 0, len(c.holders))
 	for id := range c.holders {
--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"saddlevane/models/effect"
+	"saddlevane/models/event"
 	"saddlevane/models/status"
 )
 
@@ -154,6 +155,26 @@
 	}
 }
 
+func TestAPlannedStopLeavesNothingUnknown(t *testing.T) {
+	for seed := range uint64(40) {
+		w := settled(t, seed)
+		r := w.publish(w.nodes[1], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		for i, n := range w.nodes {
+			w.run(time.Duration(200+100*seed) * time.Millisecond)
+			w.tell(n, n.incarnation, event.Stop{})
+			for ticks := 0; !w.stopped[n] && ticks < 400; ticks++ {
+				w.run(step)
+			}
+			assert.Check(t, w.stopped[n], "seed %d: node %d did not stop", seed, i)
+			w.boot(n)
+		}
+		w.heal(t)
+		w.noFaults(t)
+		assert.Equal(t, w.sum()["once"].Done, 20, "seed %d: %+v", seed, w.sum()["once"])
+	}
+}
+
 func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -176,7 +197,7 @@
 func (w *world) break1(t *rapid.T, i int) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
 	switch rapid.SampledFrom([]string{
-		"pause", "resume", "kill", "loss", "log", "log of one", "peers", "worker", "publish", "stop",
+		"pause", "resume", "kill", "loss", "log", "log of one", "peers", "worker", "publish", "kill others", "stop",
 	}).Draw(t, "fault") {
 	case "pause":
 		n.paused = true
@@ -202,6 +223,10 @@
 			w.publish(n, fmt.Sprintf("p%d", i), "work", f.Revision, changed)
 		}
 	case "stop":
+		w.tell(n, n.incarnation, event.Stop{})
+		w.run(time.Duration(rapid.IntRange(50, 2000).Draw(t, "until the end")) * time.Millisecond)
+		w.boot(n)
+	case "kill others":
 		for _, other := range w.nodes {
 			if other != n && !other.paused {
 				w.boot(other)
--- a/services/core/world_test.go
+++ b/services/core/world_test.go
@@ -109,12 +109,14 @@
 	faults  []string
 	// results holds what became of publications, by waiter.
 	results map[uint64]effect.PublishResult
+	// stopped holds the nodes whose planned stop is complete.
+	stopped map[*node]bool
 }
 
 func newWorld(seed uint64, nodes, workers int) *world {
 	w := &world{
 		now: time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC), random: rand.New(rand.NewPCG(seed, 7)),
-		workers: map[string]*fake.Worker{}, dead: map[string]bool{}, results: map[uint64]effect.PublishResult{},
+		workers: map[string]*fake.Worker{}, dead: map[string]bool{}, results: map[uint64]effect.PublishResult{}, stopped: map[*node]bool{},
 	}
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i+1)
@@ -132,6 +134,7 @@
 func (w *world) boot(n *node) {
 	n.incarnation++
 	n.paused, n.held, n.highest = false, nil, map[string]int64{}
+	delete(w.stopped, n)
 	self := peer.Hello{Box: n.name, Incarnation: fmt.Sprintf("i%d", n.incarnation), Domain: "a", Address: n.name}
 	n.core = core.New(w.now, settings(), policies(), self, func(now time.Time) ulid.ULID { return ulid.ULID{} })
 }
@@ -222,6 +225,8 @@
 		w.fetch(n, life, e)
 	case effect.AnswerPublish:
 		w.results[e.Waiter] = e.Result
+	case effect.Stopped:
+		w.stopped[n] = true
 	}
 }
 
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -58,6 +58,15 @@
 // Self returns the heartbeat of this process.
 func (m *Membership) Self() peer.Hello { return m.self }
 
+// SetYields names the shards that this process is ready to give up.
+func (m *Membership) SetYields(shards []string) { m.self.Yields = shards }
+
+// Yields says whether an incarnation of a peer is ready to give a shard up.
+func (m *Membership) Yields(name, incarnation, shard string) bool {
+	member, ok := m.members[name]
+	return ok && member.hello.Incarnation == incarnation && slices.Contains(member.hello.Yields, shard)
+}
+
 // Leave marks this process as stopping.
 func (m *Membership) Leave() { m.self.Leaving = true }
 
@@ -209,8 +218,8 @@
 	return ok && member.hello.Incarnation == incarnation && m.takesWork(now, member)
 }
 
-// Gone says whether an incarnation of a box has surely ended, or said that it
-// leaves: by its own word, a later life of the same box, or the list's.
+// Gone says whether an incarnation of a box has surely ended: by a later life of
+// the same box, or the list's word.
 func (m *Membership) Gone(name, incarnation string) bool {
 	if name == m.self.Box {
 		return incarnation != m.self.Incarnation
@@ -219,7 +228,7 @@
 		return true
 	}
 	member, ok := m.members[name]
-	return ok && (member.hello.Incarnation != incarnation || member.hello.Leaving)
+	return ok && member.hello.Incarnation != incarnation
 }
 
 // Find returns the address of an incarnation of a peer that has been heard of
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -178,8 +178,9 @@
 // lose gives everything up to the next holder.
 func (h *Holder) lose(now time.Time) {
 	h.phase, h.ticket = Idle, 0
-	for _, w := range h.workers {
+	for _, w := range h.order {
 		w.release(now)
+		w.forget()
 	}
 	h.objects = map[task.ObjectID]*object{}
 	h.teams = map[string]*team{}
@@ -212,18 +213,20 @@
 	return rendezvous.Pick(h.id.String(), h.members.Live(now)) == h.members.Self().Box
 }
 
-// free says whether the shard may be claimed: its holder is gone, or the set of
-// live boxes has settled with this box as the better holder. A process that has
-// just started has not heard of its peers yet, so it waits first.
+// free says whether the shard may be claimed: its holder is gone, or ready to
+// give it up. A process that has just started has not heard of its peers yet, so
+// it waits first.
 func (h *Holder) free(now time.Time, claim ledger.Claim, held bool) bool {
 	switch {
 	case now.Sub(h.startedAt) < h.settings.Settle/2:
 		return false
 	case !held || h.members.Gone(claim.Box(), claim.Incarnation()):
 		return true
+	case h.members.Yields(claim.Box(), claim.Incarnation(), h.id.String()):
+		return true
 	case h.members.Alive(now, claim.Box(), claim.Incarnation()):
 		h.suspect = suspicion{}
-		return h.members.StableFor(now) >= h.settings.Settle
+		return false
 	default:
 		return h.suspectHolder(now, claim)
 	}
@@ -246,14 +249,43 @@
 	}
 }
 
-// Leave prepares a planned stop: nothing more is started, and leases are given
-// back once the log has taken in all outcomes.
-func (h *Holder) Leave(now time.Time) {
-	for _, w := range h.workers {
-		if h.outbox.empty() {
-			w.release(now)
+// yielding says whether this holder is to give the shard up: the process stops,
+// or the set of live boxes has settled and another box should hold it.
+func (h *Holder) yielding(now time.Time) bool {
+	if h.members.Leaving() {
+		return true
+	}
+	return !h.wanted(now) && h.members.StableFor(now) >= h.settings.Settle
+}
+
+// Yields says whether the next holder may claim the shard. Whatever was recorded
+// as intended has been sent by then, so that a planned change of holders leaves no
+// task unknown.
+func (h *Holder) Yields(now time.Time) bool {
+	return h.holding() && h.yielding(now) && h.drained()
+}
+
+// drained says whether nothing is left to be sent.
+func (h *Holder) drained() bool {
+	if !h.outbox.empty() {
+		return false
+	}
+	for _, w := range h.order {
+		if len(w.starts) > 0 || w.inflight != nil && len(w.inflight.Starts) > 0 {
+			return false
 		}
 	}
+	return true
+}
+
+// Leave gives leases back in a planned stop, once nothing is left to be sent.
+func (h *Holder) Leave(now time.Time) {
+	if !h.drained() {
+		return
+	}
+	for _, w := range h.order {
+		w.release(now)
+	}
 }
 
 // Released says whether no worker still has a lease from this holder.
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -51,7 +51,7 @@
 // plan gives waiting tasks their places: by priority, then by the teams' shares
 // against their weights, then by age. Smaller work may pass what does not fit.
 func (h *Holder) plan(now time.Time) {
-	if h.members.Leaving() {
+	if h.yielding(now) {
 		return
 	}
 	h.pruneQueues()
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -60,12 +60,17 @@
 // held says whether the worker's lease is surely this holder's.
 func (w *workerState) held(now time.Time) bool { return w.epoch != 0 && now.Before(w.until) }
 
-// release gives the lease back with the next Sync.
+// release gives the lease back with the next Sync. What the worker runs goes on
+// and is the next holder's.
 func (w *workerState) release(now time.Time) {
-	if w.held(now) {
+	if w.held(now) && !w.releasing {
 		w.releasing = true
 		w.nextAt = now
 	}
+}
+
+// forget drops all that is known of what the worker runs.
+func (w *workerState) forget() {
 	w.adopted = false
 	w.node.Clear()
 	w.starts, w.sent, w.acks = nil, 0, nil
@@ -260,7 +265,7 @@
 	}
 	w.epoch = e.Report.Epoch
 	w.until = e.SentAt.Add(h.settings.Lease - h.settings.Margin)
-	if !h.holding() {
+	if !h.holding() || w.releasing {
 		return
 	}
 	w.node.SetCapacity(e.Report.Capacity)
--- a/tests/cell/calls.go
+++ b/tests/cell/calls.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"saddlevane/models/box"
@@ -25,14 +26,21 @@
 // ports is where listeners are placed: below the range that the kernel takes the
 // local ends of connections from.
 const (
-	firstPort = 15000
-	ports     = 15000
+	firstPort = 12000
+	ports     = 20000
 )
 
-// freeAddress returns a loopback address on which nothing listens.
+// nextPort counts the ports that this process has given out, from a place that
+// differs between processes.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(ports)) }
+
+// freeAddress returns a loopback address on which nothing listens, each time
+// another.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
