routing, shard: measured; late requests are not sent, urgent work preempts enough

Cause: extracts were sent with too little time left and broke off at their deadline; the expected wait left out that more urgent requests keep coming. Now a request is sent only if it can end in time (mean and four deviations for one that may not be repeated), and the wait is also judged by how fast the class was served while it waited.

--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,20 @@
 fmt: ## format the code
 	$(GO) run $(GOFUMPT) -w .
 
+bench-decisions: build ## measure placement, packing and waiting of the reducer
+	$(BIN)/saddlevane-bench decisions
+
+bench-requests: build ## measure requests with real processes, beside the baseline
+	$(BIN)/saddlevane-bench -bin $(BIN) requests -baseline
+
+capacity: build ## measure the slopes and rewrite the tables and plots of docs/CAPACITY.md
+	$(BIN)/saddlevane-bench -docs docs capacity
+
+fuzz: ## run each fuzz target for a minute, and random worlds with free seeds
+	$(GO) test ./modules/strictyaml -run xxx -fuzz FuzzDecode -fuzztime 60s
+	$(GO) test ./models/spec -run xxx -fuzz FuzzParse -fuzztime 60s
+	$(GO) test ./models -run xxx -fuzz FuzzDecoders -fuzztime 60s
+	SADDLEVANE_FREE_SEEDS=1 $(GO) test -count=20 ./services/core ./services/routing
+
 clean: ## remove what was built
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/saddlevane-bench/decisions.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// decisions measures the reducer of one shard.
+func decisions(out io.Writer) error {
+	fmt.Fprintln(out, "Placement by one holder: tasks of 4 shapes, until 8 a worker run; virtual time, workers answer at once.")
+	fmt.Fprintln(out, "\n| workers | tasks | placements/s in Tick | µs a placement | answers/s | µs an answer | bytes a worker | bytes a task |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, workers := range []int{50, 1200, 21_000} {
+		d := measureFill(workers)
+		fmt.Fprintf(out, "| %d | %d | %.0f | %.1f | %.0f | %.1f | %.0f | %.0f |\n", workers, d.tasks,
+			d.perSecond(), 1e6/d.perSecond(), d.answersPerSecond, 1e6/d.answersPerSecond, d.bytesWorker, d.bytesTask)
+	}
+	packing(out)
+	sweep(out)
+	urgentBurst(out)
+	return nil
+}
+
+// filled is what filling a shard cost.
+type filled struct {
+	tasks            int
+	deciding         time.Duration
+	answersPerSecond float64
+	bytesWorker      float64
+	bytesTask        float64
+	tickIdle         time.Duration
+	ticks            int
+}
+
+func (f filled) perSecond() float64 { return float64(f.tasks) / f.deciding.Seconds() }
+
+const tasksPerWorker = 8
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// measureFill fills a shard with services and jobs of mixed shapes.
+func measureFill(workers int) filled {
+	before := heap()
+	r := newRig(workers, 1000)
+	empty := heap()
+	want := workers * tasksPerWorker
+	publishMixed(r, want)
+	r.deciding, r.answering, r.syncs = 0, 0, 0
+	for tick := 0; r.starts() < want && tick < 5000; tick++ {
+		r.tick()
+	}
+	f := filled{tasks: r.starts(), deciding: r.deciding}
+	f.answersPerSecond = float64(r.syncs) / r.answering.Seconds()
+	full := heap()
+	f.bytesWorker = float64(empty-before) / float64(workers)
+	f.bytesTask = float64(full-empty) / float64(f.tasks)
+	// What a tick costs when there is nothing to decide.
+	r.deciding = 0
+	const idle = 40
+	for range idle {
+		r.tick()
+	}
+	f.tickIdle, f.ticks = r.deciding/idle, idle
+	runtime.KeepAlive(r)
+	return f
+}
+
+// publishMixed puts work in force: a fifth services, the rest jobs.
+func publishMixed(r *rig, tasks int) {
+	shapes := []string{"processors: 1, memory: 4GiB", "processors: 2, memory: 8GiB", "processors: 4, memory: 8GiB", "processors: 8, memory: 40GiB"}
+	const inOne = 2000
+	var services, jobs strings.Builder
+	for n, i := tasks, 0; n > 0; n, i = n-inOne, i+1 {
+		line := fmt.Sprintf("  - {name: o%d, team: t, count: %d, resources: {%s}, command: [serve]", i, min(n, inOne), shapes[i%len(shapes)])
+		if i%5 == 0 {
+			services.WriteString(line + "}\n")
+		} else {
+			jobs.WriteString(line + ", repeatable: true}\n")
+		}
+	}
+	text := "services:\n" + services.String()
+	if jobs.Len() > 0 {
+		text += "jobs:\n" + jobs.String()
+	}
+	r.publish("work", text)
+}
+
+// urgentBurst measures how long urgent tasks wait at a full shard, against the
+// same tasks without priority.
+func urgentBurst(out io.Writer) {
+	fmt.Fprintln(out, "\nA burst of 200 urgent tasks of 4 processors at 150 workers full of batch tasks of 2 processors and 60 s, virtual time:")
+	fmt.Fprintln(out, "\n| the burst's priority | p50 | p99 | max |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- |")
+	for _, priority := range []string{"urgent", "batch"} {
+		h := burstWait(priority)
+		ms := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Millisecond }
+		fmt.Fprintf(out, "| %s | %s | %s | %s |\n", priority, ms(50), ms(99), time.Duration(h.Max())*time.Millisecond)
+	}
+}
+
+func burstWait(priority string) *hdrhistogram.Histogram {
+	r := newRig(150, 1000)
+	r.publish("bulk", "jobs:\n  - {name: bulk, team: t, priority: batch, count: 20000, resources: {processors: 2, memory: 2GiB}, command: [sleep, 60s], repeatable: true}\n")
+	for range 400 {
+		r.tick()
+	}
+	begun := r.now
+	r.publish("rush", "jobs:\n  - {name: rush, team: t, priority: "+priority+", count: 200, resources: {processors: 4, memory: 2GiB}, command: [sleep, 20s], repeatable: true}\n")
+	h := hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+	seen := map[string]bool{}
+	const most = 40 * 600
+	for range most {
+		r.tick()
+		for _, w := range r.workers {
+			for _, s := range w.History() {
+				if s.Task.Object.Name != "rush" || seen[s.Task.Key().String()] {
+					continue
+				}
+				seen[s.Task.Key().String()] = true
+				_ = h.RecordValue(max(s.Start-begun.UnixMilli(), 1))
+			}
+		}
+		if len(seen) == 200 {
+			break
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/cmd/saddlevane-bench/main.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Saddlevane-bench measures decisions, requests and slopes, and prints tables.
+// It measures; it does not judge.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func main() {
+	var bin, docs string
+	fs := flag.NewFlagSet("saddlevane-bench", flag.ExitOnError)
+	fs.StringVar(&bin, "bin", "bin", "folder of the programs")
+	fs.StringVar(&docs, "docs", "docs", "folder whose CAPACITY.md tables and plots are rewritten")
+	var baseline bool
+	requests := flag.NewFlagSet("requests", flag.ExitOnError)
+	requests.BoolVar(&baseline, "baseline", false, "measure round robin without priorities in the same run")
+	root := &ffcli.Command{
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|requests|capacity", FlagSet: fs,
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Subcommands: []*ffcli.Command{
+			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
+			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
+				return benchRequests(ctx, os.Stdout, bin, baseline)
+			}},
+			{Name: "capacity", Exec: func(context.Context, []string) error { return capacity(os.Stdout, docs) }},
+		},
+	}
+	if err := root.ParseAndRun(context.Background(), os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "saddlevane-bench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/saddlevane-bench/requests.go
@@ -0,0 +1,153 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"saddlevane/models/resource"
+	"saddlevane/tests/cell"
+)
+
+// The cell is of Jordan's size: 3 domains, 6 entry boxes, 50 targets of 8 slots.
+const (
+	benchTargets = 50
+	benchSlots   = 8
+	measured     = 10 * time.Second
+	warmUp       = 3 * time.Second
+)
+
+// kind is a class of requests and what one takes at a target, on average; times
+// are exponentially distributed.
+type kind struct {
+	class   string
+	part    int
+	service time.Duration
+	keyed   bool
+}
+
+var kinds = []kind{
+	{"preview", 50, 40 * time.Millisecond, false},
+	{"render", 20, 300 * time.Millisecond, false},
+	{"extract", 30, 800 * time.Millisecond, true},
+}
+
+// capacityPerSecond is how many requests the slots can serve in a second.
+func capacityPerSecond() float64 {
+	mean := 0.0
+	for _, k := range kinds {
+		mean += float64(k.part) / 100 * k.service.Seconds()
+	}
+	return benchTargets * benchSlots / mean
+}
+
+func pick(r *rand.Rand) kind {
+	n := r.IntN(100)
+	for _, k := range kinds {
+		if n -= k.part; n < 0 {
+			return k
+		}
+	}
+	return kinds[0]
+}
+
+func benchRequests(ctx context.Context, out io.Writer, bin string, baseline bool) error {
+	fmt.Fprintf(out, "Requests: 3 domains, 6 entry boxes, %d targets of %d slots, open loop, %.0f requests/s fill the slots; %s each after %s.\n",
+		benchTargets, benchSlots, capacityPerSecond(), measured, warmUp)
+	fmt.Fprintln(out, "Waiting is the caller's time less the service time it asked for.")
+	policies := []string{"shared"}
+	if baseline {
+		policies = append(policies, "plain")
+	}
+	for _, policy := range policies {
+		if err := benchPolicy(ctx, out, bin, policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func benchPolicy(ctx context.Context, out io.Writer, bin, policy string) error {
+	dir, err := os.MkdirTemp("", "saddlevane-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cell.Start(ctx, benchOptions(bin, dir, policy))
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := prepare(ctx, c, dir); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\n### %s\n\n", policy)
+	fmt.Fprintln(out, "| load | class | offered/s | done/s | refused/s | unknown | wait p50 | p99 | max | refusal p99 | slots used |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	var costs []cost
+	for _, factor := range []float64{0.5, 0.9, 1.5, 3} {
+		l := newLoad(c, factor*capacityPerSecond())
+		before := usage(c)
+		l.run(ctx)
+		costs = append(costs, costOf(before, usage(c), l))
+		l.print(out, factor)
+	}
+	fmt.Fprintln(out, "\n| load | duplicate runs | CPU s a 1,000 requests and entry box | most memory of an entry box |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- |")
+	for i, factor := range []float64{0.5, 0.9, 1.5, 3} {
+		fmt.Fprintf(out, "| %.1fx | %d | %.3f | %.0f MB |\n", factor, costs[i].duplicates, costs[i].cpu, costs[i].memory)
+	}
+	return nil
+}
+
+func benchOptions(bin, dir, policy string) cell.Options {
+	o := cell.Options{Binaries: cell.BinariesIn(bin), Dir: dir, Settings: map[string][]string{
+		"policy":   {"routing: " + policy},
+		"requests": {"max_pending: 20000"},
+	}}
+	for i, name := range []string{"a", "b", "c"} {
+		targets := benchTargets / 3
+		if i < benchTargets%3 {
+			targets++
+		}
+		o.Domains = append(o.Domains, cell.Domain{
+			Name: name, Entries: 2, Racks: 1, PerRack: 1, Targets: targets, Slots: benchSlots,
+			Capacity: resource.Vector{Processors: resource.Processor, Memory: resource.GiB},
+		})
+	}
+	return o
+}
+
+// prepare puts the cell's file in force everywhere.
+func prepare(ctx context.Context, c *cell.Cell, dir string) error {
+	if err := c.WaitReady(ctx); err != nil {
+		return err
+	}
+	path := dir + "/cell.yaml"
+	if err := os.WriteFile(path, []byte(c.CellFile("cell")), 0o600); err != nil {
+		return err
+	}
+	if out, code := c.Tool(ctx, "publish", "-replaces", "0", path); code != 0 {
+		return fmt.Errorf("publish: %s", out)
+	}
+	return cell.Until(ctx, "the targets are known everywhere", func() bool {
+		for _, e := range c.Entries() {
+			s, err := e.Status(ctx)
+			if err != nil || len(s.Pools) == 0 || s.Pools[0].Slots == 0 || len(s.Live) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func newClient() *http.Client {
+	return &http.Client{Timeout: time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: 4000, IdleConnTimeout: time.Minute}}
+}
--- /dev/null
+++ b/cmd/saddlevane-bench/usage.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"saddlevane/tests/cell"
+)
+
+// used is what a process has used so far.
+type used struct {
+	// cpu is in seconds, memory the most resident so far in megabytes.
+	cpu, memory float64
+}
+
+// ticksPerSecond is the kernel's unit of processor time on Linux.
+const ticksPerSecond = 100
+
+// usage reads what each entry box has used.
+func usage(c *cell.Cell) map[string]used {
+	all := map[string]used{}
+	for _, e := range c.Entries() {
+		all[e.Name] = usageOf(e.Process().PID())
+	}
+	return all
+}
+
+func usageOf(pid int) used {
+	var u used
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u
+	}
+	// The name, in parentheses, may hold spaces.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 11, 12
+	for _, i := range []int{user, system} {
+		n, _ := strconv.ParseFloat(fields[i], 64)
+		u.cpu += n / ticksPerSecond
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(status), "\n") {
+		if kb, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			n, _ := strconv.ParseFloat(strings.Fields(kb)[0], 64)
+			u.memory = n / 1024
+		}
+	}
+	return u
+}
+
+// cost is what a load cost the entry boxes.
+type cost struct {
+	cpu, memory float64
+	duplicates  int
+}
+
+func costOf(before, after map[string]used, l *load) cost {
+	var c cost
+	for name, u := range after {
+		c.cpu += u.cpu - before[name].cpu
+		c.memory = max(c.memory, u.memory)
+	}
+	c.cpu = c.cpu / float64(l.sent) * 1000
+	c.duplicates = duplicates(l)
+	return c
+}
+
+// duplicates counts runs beyond the first of requests that may not be repeated.
+func duplicates(l *load) int {
+	all, err := l.cell.Runs(context.Background())
+	if err != nil {
+		return -1
+	}
+	sum := map[string]int{}
+	for _, r := range all {
+		for nonce, n := range r.Runs {
+			sum[nonce] += n
+		}
+	}
+	n := 0
+	for nonce := range l.keyed {
+		n += max(sum[nonce]-1, 0)
+	}
+	return n
+}
--- a/cmd/saddlevaned/settings.go
+++ b/cmd/saddlevaned/settings.go
@@ -49,8 +49,12 @@
 // policies returns the policies that a deployment chose.
 func policies(p setting.Policy) core.Policies {
 	weights := placement.Weights{Tight: p.Tight, Balance: p.Balance}
+	routes := routing.DefaultPolicy()
+	if p.Routing == setting.RoutingPlain {
+		routes = routing.PlainPolicy()
+	}
 	return core.Policies{
-		Routing: routing.DefaultPolicy(),
+		Routing: routes,
 		Shard:   shard.Policy{Weights: weights, Together: weights, SpreadPenalty: p.Spread},
 	}
 }
--- a/models/resource/amount.go
+++ b/models/resource/amount.go
@@ -17,8 +17,9 @@
 const Processor Millis = 1000
 
 const (
-	maxProcessors = 1 << 20
-	maxMemory     = 1 << 50
+	// 21,000 workers have about 1.3 million processors and 6 PiB of memory.
+	maxProcessors = 1 << 24
+	maxMemory     = 1 << 56
 )
 
 // UnmarshalText reads "1500m" or a number of processors such as "1.5".
--- a/models/resource/resource_test.go
+++ b/models/resource/resource_test.go
@@ -14,12 +14,12 @@
 
 func TestAmountsAreReadAsTheyAreWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := resource.Millis(rapid.Int64Range(0, 1000<<20).Draw(t, "millis"))
+		m := resource.Millis(rapid.Int64Range(0, 1000<<24).Draw(t, "millis"))
 		var gotM resource.Millis
 		text, _ := m.MarshalText()
 		assert.NilError(t, gotM.UnmarshalText(text))
 		assert.Equal(t, gotM, m)
-		b := resource.Bytes(rapid.Int64Range(0, 1<<50).Draw(t, "bytes"))
+		b := resource.Bytes(rapid.Int64Range(0, 1<<56).Draw(t, "bytes"))
 		var gotB resource.Bytes
 		text, _ = b.MarshalText()
 		assert.NilError(t, gotB.UnmarshalText(text))
@@ -28,11 +28,11 @@
 }
 
 func TestBadAmountsAreRefused(t *testing.T) {
-	for _, text := range []string{"", "-1", "NaN", "Inf", "1e30", "1x", "-5m", "9999999999m"} {
+	for _, text := range []string{"", "-1", "NaN", "Inf", "1e30", "1x", "-5m", "99999999999m"} {
 		var m resource.Millis
 		assert.Check(t, m.UnmarshalText([]byte(text)) != nil, "processors %q", text)
 	}
-	for _, text := range []string{"", "-1GiB", "1.5GiB", "1GB", "99999999TiB"} {
+	for _, text := range []string{"", "-1GiB", "1.5GiB", "1GB", "999999999TiB"} {
 		var b resource.Bytes
 		assert.Check(t, b.UnmarshalText([]byte(text)) != nil, "memory %q", text)
 	}
--- a/modules/setting/policy.go
+++ b/modules/setting/policy.go
@@ -11,12 +11,24 @@
 	Balance float64 `yaml:"balance"`
 	// Spread is the penalty for each task of a service in the same group.
 	Spread float64 `yaml:"spread"`
+	// Routing is how requests are given to targets.
+	Routing string `yaml:"routing"`
 }
 
-func defaultPolicy() Policy { return Policy{Tight: 1, Balance: 1, Spread: 10} }
+// The ways to give requests to targets. RoutingPlain, round robin without
+// priorities or early refusal, is there to be measured against.
+const (
+	RoutingShared = "shared"
+	RoutingPlain  = "plain"
+)
+
+func defaultPolicy() Policy { return Policy{Tight: 1, Balance: 4, Spread: 10, Routing: RoutingShared} }
 
 func (p *Policy) check(c *checker) {
 	between(c, "policy.tight", p.Tight, 0, 1000)
 	between(c, "policy.balance", p.Balance, 0, 1000)
 	between(c, "policy.spread", p.Spread, 0, 1000)
+	if p.Routing != RoutingShared && p.Routing != RoutingPlain {
+		c.fail("policy.routing", "want %s or %s, got %q", RoutingShared, RoutingPlain, p.Routing)
+	}
 }
--- a/services/placement/index.go
+++ b/services/placement/index.go
@@ -8,13 +8,20 @@
 package placement
 
 import (
+	"math"
 	"slices"
 
 	"saddlevane/models/resource"
 )
 
-// grid is how many steps each side of the grid has.
-const grid = 16
+// The steps of each side of the grid: three for each doubling from 1/128 of the
+// largest worker on, and one for less. Most workers of a full shard have little
+// free, so that is where the steps have to be fine.
+const (
+	perDoubling = 3
+	doublings   = 7
+	grid        = perDoubling*doublings + 1
+)
 
 // The bounds of one search.
 const (
@@ -147,12 +154,33 @@
 	return step(int64(v.Processors), int64(x.largest.Processors))*grid + step(int64(v.Memory), int64(x.largest.Memory))
 }
 
+// steps holds where the steps begin, in parts of the largest worker.
+var steps = makeSteps()
+
+func makeSteps() [grid]float64 {
+	var all [grid]float64
+	for i := 1; i < grid; i++ {
+		all[i] = math.Exp2(float64(i-1)/perDoubling - doublings)
+	}
+	return all
+}
+
 // step returns which of the grid's steps part falls in.
 func step(part, whole int64) int {
 	if part <= 0 || whole <= 0 {
 		return 0
 	}
-	return int(min(part*grid/whole, grid-1))
+	share := float64(part) / float64(whole)
+	low, high := 0, grid
+	for low+1 < high {
+		middle := (low + high) / 2
+		if share >= steps[middle] {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
 }
 
 func (x *Index) link(n *Node, cell int) {
@@ -187,8 +215,16 @@
 }
 
 // Best returns the worker with room for need that scores lowest, or nil if no
-// worker was found. It compares a bounded number of workers, tightest first.
+// worker has room. It compares a bounded number of workers, tightest first; only
+// if none of those fits does it look at all that might.
 func (x *Index) Best(need resource.Vector, score func(*Node) float64) *Node {
+	if n := x.search(need, score, cellScan); n != nil {
+		return n
+	}
+	return x.search(need, score, x.size)
+}
+
+func (x *Index) search(need resource.Vector, score func(*Node) float64, scan int) *Node {
 	var best *Node
 	bestScore, compared := 0.0, 0
 	p0, m0 := step(int64(need.Processors), int64(x.largest.Processors)), step(int64(need.Memory), int64(x.largest.Memory))
@@ -199,7 +235,7 @@
 			continue
 		}
 		cell := x.cells[p*grid+m]
-		for i := range min(len(cell), cellScan) {
+		for i := range min(len(cell), scan) {
 			n := cell[(x.turn+i)%len(cell)]
 			if !need.Fits(n.free) {
 				continue
--- a/services/placement/score.go
+++ b/services/placement/score.go
@@ -13,8 +13,8 @@
 	Balance float64
 }
 
-// DefaultWeights are the weights that the measurements favour.
-func DefaultWeights() Weights { return Weights{Tight: 1, Balance: 1} }
+// DefaultWeights are the weights that `make bench-decisions` favours.
+func DefaultWeights() Weights { return Weights{Tight: 1, Balance: 4} }
 
 // Score rates placing need on n; lower is better.
 func (w Weights) Score(n *Node, need resource.Vector) float64 {
--- a/services/routing/policy.go
+++ b/services/routing/policy.go
@@ -19,6 +19,8 @@
 	Better func(a, b *target) bool
 	// Ordered says whether urgent classes go before others.
 	Ordered bool
+	// Early says whether a request is refused at once if it would surely be late.
+	Early bool
 	// PatienceFactor times the usual service time is how long an attempt at a
 	// repeatable request is given.
 	PatienceFactor time.Duration
@@ -29,11 +31,20 @@
 // DefaultPolicy is what the measurements in docs/DESIGN.md favour.
 func DefaultPolicy() Policy {
 	return Policy{
-		Share: ShareEvenly, Better: leastLoaded, Ordered: true,
+		Share: ShareEvenly, Better: leastLoaded, Ordered: true, Early: true,
 		PatienceFactor: 8, LeastRetry: 100 * time.Millisecond,
 	}
 }
 
+// PlainPolicy is the baseline: targets take turns, requests go in the order in
+// which they came, and wait until their deadline.
+func PlainPolicy() Policy {
+	p := DefaultPolicy()
+	p.Ordered, p.Early = false, false
+	p.Better = func(_, _ *target) bool { return false }
+	return p
+}
+
 // ShareEvenly gives each live box the same number of slots of a target, and the
 // remainder to boxes picked by rendezvous hashing. The shares of boxes that
 // agree on who is live add up to the slots. A box that does not see itself in
--- a/services/routing/pool.go
+++ b/services/routing/pool.go
@@ -162,9 +162,16 @@
 	return n
 }
 
-// expectedWait returns how long a request of class c that came now would wait,
-// from the queues ahead of it, the usual service times and the slots.
+// expectedWait returns how long a request of class c that came now would wait:
+// by the queues ahead of it, the usual service times and the slots; and, since
+// more urgent requests keep coming, by how fast the class has been served while
+// it waited.
 func (p *pool) expectedWait(now time.Time, c *class) time.Duration {
+	seen, _ := c.backlog.wait(now, c.waiting, c.service.mean())
+	return max(seen, p.waitByQueues(now, c))
+}
+
+func (p *pool) waitByQueues(now time.Time, c *class) time.Duration {
 	slots := p.slots(now)
 	if slots == 0 {
 		return p.untilProbe(now)
@@ -202,6 +209,16 @@
 	head    int
 	waiting int
 	service smoothed
+	backlog backlog
+}
+
+// needs returns how much of its time a request must have left to be sent: one
+// that may be repeated can be cut off, any other must be let finish.
+func (c *class) needs() time.Duration {
+	if c.spec.Repeatable {
+		return c.service.mean()
+	}
+	return min(c.service.nearlyAll(), c.spec.Deadline/2)
 }
 
 // push puts a request in the queue, which is in the order of deadlines: a
@@ -264,21 +281,65 @@
 	c.queue, c.head = kept, 0
 }
 
-// smoothed is an exponentially weighted mean of durations.
-type smoothed struct{ value time.Duration }
+// smoothed is an exponentially weighted mean of durations and of their deviation
+// from it.
+type smoothed struct{ value, deviation time.Duration }
 
 const smoothing = 16
 
 func (s *smoothed) add(d time.Duration) {
 	if s.value == 0 {
-		s.value = d
+		s.value, s.deviation = d, d/2
 		return
 	}
-	s.value += (d - s.value) / smoothing
+	off := d - s.value
+	s.value += off / smoothing
+	s.deviation += (max(off, -off) - s.deviation) / smoothing
 }
 
 func (s *smoothed) mean() time.Duration { return s.value }
 
+// nearlyAll returns a time that few exceed: the mean and four deviations, as
+// retransmission timers do it (RFC 6298).
+func (s *smoothed) nearlyAll() time.Duration { return s.value + 4*s.deviation }
+
+// backlog watches how fast a class is served while some of it always waits.
+type backlog struct {
+	since time.Time
+	sent  int
+}
+
+// leastWatch is how long a backlog must have lasted before its rate counts.
+const leastWatch = time.Second
+
+// wait returns how long the last of waiting requests will wait at the rate seen,
+// or false if the backlog is too young to tell.
+func (b *backlog) wait(now time.Time, waiting int, service time.Duration) (time.Duration, bool) {
+	if waiting == 0 || b.since.IsZero() {
+		return 0, false
+	}
+	elapsed := now.Sub(b.since)
+	if elapsed < max(leastWatch, 2*service) {
+		return 0, false
+	}
+	return elapsed * time.Duration(waiting) / time.Duration(max(b.sent, 1)), true
+}
+
+// note is told how many wait after each change.
+func (b *backlog) note(now time.Time, waiting int) {
+	switch {
+	case waiting == 0:
+		*b = backlog{}
+	case b.since.IsZero():
+		b.since = now
+	case now.Sub(b.since) > forgetBacklog:
+		// What was long ago tells little of how fast it goes now.
+		b.since, b.sent = b.since.Add(now.Sub(b.since)/2), b.sent/2
+	}
+}
+
+const forgetBacklog = 8 * time.Second
+
 // retryBudget lets retries be only a part of fresh requests.
 type retryBudget struct {
 	tokens float64
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -210,19 +210,21 @@
 // admit queues a request, or refuses it if it would surely wait too long.
 func (r *Router) admit(now time.Time, q *pending) []effect.Effect {
 	wait := q.pool.expectedWait(now, q.class)
-	late := wait + q.class.service.mean() - q.deadline.Sub(now)
+	late := wait + q.class.needs() - q.deadline.Sub(now)
 	switch {
 	case len(q.pool.targets) == 0:
 		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "the pool has no targets here", time.Second))
 	case q.class.waiting >= q.class.spec.Queue:
 		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "the queue is full", max(wait, r.policy.LeastRetry)))
-	case late > 0:
+	case r.policy.Early && late > 0:
 		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "it would wait past its deadline", max(late, r.policy.LeastRetry)))
 	}
 	r.requests[q.arrival.ID] = q
 	q.state = stageWaiting
 	q.class.push(q)
-	return r.dispatch(now, q.pool)
+	effects := r.dispatch(now, q.pool)
+	q.class.backlog.note(now, q.class.waiting)
+	return effects
 }
 
 // drop refuses a request that waits and undoes its key, unless an earlier
@@ -299,6 +301,8 @@
 			return effects
 		}
 		effects = append(effects, r.send(now, c.pop(), t))
+		c.backlog.sent++
+		c.backlog.note(now, c.waiting)
 	}
 }
 
@@ -321,16 +325,21 @@
 		return left
 	}
 	usual := max(r.policy.PatienceFactor*q.class.service.mean(), r.settings.LeastAttempt)
-	return min(left, usual)
+	// A request may simply take long, so each further attempt gets more time.
+	return min(left, usual<<min(2*(q.attempt-1), maxDoublings))
 }
 
 // expire answers waiting requests that can no longer be served in time.
 func (r *Router) expire(now time.Time, p *pool) []effect.Effect {
 	var effects []effect.Effect
 	for _, c := range p.order {
-		for q := c.peek(); q != nil && !now.Before(q.deadline); q = c.peek() {
+		needs := time.Duration(0)
+		if r.policy.Early {
+			needs = c.needs()
+		}
+		for q := c.peek(); q != nil && q.deadline.Sub(now) <= needs; q = c.peek() {
 			c.pop()
-			f := refusal(http.StatusServiceUnavailable, "it waited past its deadline", max(p.expectedWait(now, c), r.policy.LeastRetry))
+			f := refusal(http.StatusServiceUnavailable, "it would not end before its deadline", max(p.expectedWait(now, c), r.policy.LeastRetry))
 			effects = append(effects, r.drop(now, q, f)...)
 		}
 	}
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -99,7 +99,9 @@
 
 	outbox outcomes
 	// stops is how many more tasks may be stopped in this tick.
-	stops  int
+	stops int
+	// look says that some task may be unwanted.
+	look   bool
 	counts Counts
 }
 
--- a/services/shard/outcome.go
+++ b/services/shard/outcome.go
@@ -202,6 +202,7 @@
 		h.stop(other, false)
 	default:
 		h.track(t)
+		h.look = true
 	}
 }
 
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -196,7 +196,7 @@
 	score := func(n *placement.Node) float64 { return h.policy.Weights.Score(n, need) }
 	if s := o.spec.Service(); s != nil && s.Spread != spec.SpreadNone {
 		score = func(n *placement.Node) float64 {
-			return h.policy.Together.Score(n, need) + h.policy.SpreadPenalty*float64(h.neighbours(o, n, s.Spread))
+			return h.policy.Together.Score(n, need) + h.policy.SpreadPenalty*float64(o.neighbours(n, s.Spread))
 		}
 	}
 	if need.Accelerators == 0 {
@@ -208,17 +208,12 @@
 }
 
 // neighbours counts tasks of o in the group of n that they should not share.
-func (h *Holder) neighbours(o *object, n *placement.Node, s spec.Spread) int {
-	count := 0
-	for _, span := range o.ranges {
-		for i := span.from; i < span.to; i++ {
-			t, ok := h.tasks[keyOf(o, i)]
-			if ok && (t.worker.node == n || s == spec.SpreadRack && t.worker.node.Rack() == n.Rack()) {
-				count++
-			}
-		}
+func (o *object) neighbours(n *placement.Node, s spec.Spread) int {
+	if s == spec.SpreadRack {
+		// Within a rack, workers that have none yet are still better.
+		return o.onRack[n.Rack()] + o.onWorker[n.Name()]
 	}
-	return count
+	return o.onWorker[n.Name()]
 }
 
 // planGang places all tasks of a gang or none.
--- a/services/shard/task.go
+++ b/services/shard/task.go
@@ -58,8 +58,36 @@
 	failedOn  []string
 	mean      time.Duration
 	reason    string
+	// preempted is when room was last made for the object, making how much of it
+	// is still to come.
 	preempted time.Time
+	making    int
 	gone      bool
+	// onWorker and onRack count the places of a service that spreads.
+	onWorker, onRack map[string]int
+}
+
+// join counts a task's place.
+func (o *object) join(t *running) {
+	o.active++
+	if o.onWorker == nil {
+		o.onWorker, o.onRack = map[string]int{}, map[string]int{}
+	}
+	o.onWorker[t.worker.name]++
+	o.onRack[t.worker.node.Rack()]++
+}
+
+// leave ends join.
+func (o *object) leave(t *running) {
+	o.active--
+	lower(o.onWorker, t.worker.name)
+	lower(o.onRack, t.worker.node.Rack())
+}
+
+func lower(counts map[string]int, key string) {
+	if counts[key]--; counts[key] <= 0 {
+		delete(counts, key)
+	}
 }
 
 // span is a range of tasks, To exclusive.
@@ -82,6 +110,7 @@
 		return
 	}
 	h.setTeams()
+	h.look = true
 	seen := map[task.ObjectID]bool{}
 	for _, o := range h.ledger.Objects() {
 		ranges := h.homeRanges(o)
@@ -118,7 +147,7 @@
 		for _, t := range h.tasks {
 			if t.id.Object == spec.ID() {
 				t.object = o
-				o.active++
+				o.join(t)
 			}
 		}
 	}
@@ -264,7 +293,8 @@
 		return
 	}
 	t.object.retry.remove(t.id.Index)
-	t.object.active++
+	t.object.making = max(t.object.making-1, 0)
+	t.object.join(t)
 	if t.object.team != nil {
 		t.object.team.reserved = t.object.team.reserved.Plus(t.resources)
 	}
@@ -280,7 +310,7 @@
 	if t.object == nil {
 		return
 	}
-	t.object.active--
+	t.object.leave(t)
 	if t.object.team != nil {
 		t.object.team.reserved = t.object.team.reserved.Minus(t.resources)
 	}
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -82,6 +82,7 @@
 // log orders beside the claims: a holder knows every worker that any earlier
 // holder could have used.
 func (h *Holder) SetWorkers(now time.Time) {
+	h.look = true
 	seen := map[string]bool{}
 	for _, rack := range h.ledger.Racks(h.id) {
 		for _, name := range rack.Workers {
--- a/tests/cell/proxy.go
+++ b/tests/cell/proxy.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,15 +38,22 @@
 	if proxy, err := p.get(name); err == nil {
 		return proxy.Listen
 	}
-	listen := freeAddress()
-	proxy := toxiproxy.NewProxy(p.server, name, listen, address)
-	if err := proxy.Start(); err != nil {
-		panic(fmt.Sprintf("proxy %s: %v", name, err))
-	}
+	proxy := p.start(name, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.all[name] = proxy
-	return listen
+	return proxy.Listen
+}
+
+// start tries ports until one is free. One that was just found free may not be:
+// a process that is being started holds all listeners for a moment.
+func (p *Proxies) start(name, address string) *toxiproxy.Proxy {
+	for {
+		proxy := toxiproxy.NewProxy(p.server, name, freeAddress(), address)
+		if proxy.Start() == nil {
+			return proxy
+		}
+	}
 }
 
 // Close ends all proxies.
@@ -110,9 +118,14 @@
 	if err != nil {
 		return err
 	}
-	return proxy.Start()
+	for proxy.Start() != nil {
+		time.Sleep(acceptAgain)
+	}
+	return nil
 }
 
+const acceptAgain = time.Millisecond
+
 func (p *Proxies) get(name string) (*toxiproxy.Proxy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
