--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
 # Front door. `make help` lists the targets.
 
+SHELL := /bin/bash
+.SHELLFLAGS := -o pipefail -c
+
 GO ?= go
 BIN := bin
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: help build test test-unit test-integration lint fmt demo fuzz bench-requests bench-decisions capacity clean
+.PHONY: help build test test-unit test-integration proofs lint fmt demo fuzz bench-requests bench-decisions capacity clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/' | expand -t 20
@@ -17,13 +20,23 @@
 demo: build ## start a small cell, use it, and check what came of it
 	$(BIN)/saddlevane-demo -bin $(BIN)
 
-test: test-unit test-integration ## run all tests
+# What the tests did is kept, so that docs/PROOFS.md can be held against it.
+QUIET := grep -v -e '^=== ' -e 'no test files'
+
+test: test-unit test-integration proofs ## run all tests, and check that those named in docs/PROOFS.md ran
 
 test-unit: ## run the tests beside the code
-	$(GO) test -race ./cmd/... ./models/... ./modules/... ./routers/... ./services/...
+	@mkdir -p $(BIN)
+	$(GO) test -v -race -count=1 ./cmd/... ./models/... ./modules/... ./routers/... ./services/... | tee $(BIN)/unit.out | $(QUIET)
 
 test-integration: ## run the tests with real processes
-	$(GO) test -race -count=1 -parallel 4 -timeout 20m ./tests/...
+	@mkdir -p $(BIN)
+	$(GO) test -v -race -count=1 -parallel 4 -timeout 20m ./tests/... | tee $(BIN)/integration.out | $(QUIET)
+
+proofs: ## check that every test named in docs/PROOFS.md exists and passed in the last run
+	@missing=0; for t in $$(grep -oE 'Test[A-Z][A-Za-z0-9]+' docs/PROOFS.md | sort -u); do \
+		grep -qE "^ *--- PASS: $$t " $(BIN)/unit.out $(BIN)/integration.out || { echo "docs/PROOFS.md names $$t, which did not pass"; missing=1; }; \
+	done; [ $$missing = 0 ] && echo "every test named in docs/PROOFS.md passed"
 
 lint: ## check formatting, vet and staticcheck
 	@out=$$($(GO) run $(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
--- a/services/ledger/cell.go
+++ b/services/ledger/cell.go
@@ -20,14 +20,24 @@
 	teams map[string]spec.Team
 	pools map[string]spec.Pool
 	drain map[string]bool
-	// shards holds the racks of each shard, sorted by name.
-	shards map[spec.ShardID][]spec.Rack
+	// shards holds what each shard has, total what all have together.
+	shards map[spec.ShardID]*shardCell
+	total  resource.Vector
+}
+
+// shardCell is what one shard has. Sums are kept, because every publication asks
+// for them and a cell has thousands of racks.
+type shardCell struct {
+	racks    []spec.Rack
+	capacity resource.Vector
+	// sizes counts the workers of each size.
+	sizes map[resource.Vector]int
 }
 
 func (l *Ledger) rebuildCell() {
 	c := cell{
 		racks: map[string]spec.Rack{}, teams: map[string]spec.Team{}, pools: map[string]spec.Pool{},
-		drain: map[string]bool{}, shards: map[spec.ShardID][]spec.Rack{},
+		drain: map[string]bool{}, shards: map[spec.ShardID]*shardCell{},
 	}
 	for _, name := range l.Files() {
 		c.add(l.files[name].file)
@@ -40,8 +50,7 @@
 		return
 	}
 	for _, r := range f.Racks {
-		c.racks[r.Name] = r
-		c.shards[r.ShardID()] = append(c.shards[r.ShardID()], r)
+		c.addRack(r)
 	}
 	for _, t := range f.Teams {
 		c.teams[t.Name] = t
@@ -54,6 +63,20 @@
 	}
 }
 
+func (c *cell) addRack(r spec.Rack) {
+	c.racks[r.Name] = r
+	sc := c.shards[r.ShardID()]
+	if sc == nil {
+		sc = &shardCell{sizes: map[resource.Vector]int{}}
+		c.shards[r.ShardID()] = sc
+	}
+	all := r.Each.Times(len(r.Workers))
+	sc.racks = append(sc.racks, r)
+	sc.capacity = sc.capacity.Plus(all)
+	sc.sizes[r.Each] += len(r.Workers)
+	c.total = c.total.Plus(all)
+}
+
 // Pools returns the pools in force by name.
 func (l *Ledger) Pools() map[string]spec.Pool { return l.cell.pools }
 
@@ -61,7 +84,12 @@
 func (l *Ledger) Teams() map[string]spec.Team { return l.cell.teams }
 
 // Racks returns the racks of shard.
-func (l *Ledger) Racks(shard spec.ShardID) []spec.Rack { return l.cell.shards[shard] }
+func (l *Ledger) Racks(shard spec.ShardID) []spec.Rack {
+	if sc := l.cell.shards[shard]; sc != nil {
+		return sc.racks
+	}
+	return nil
+}
 
 // Shards returns the shards of domain, in order.
 func (l *Ledger) Shards(domain string) []spec.ShardID {
@@ -92,6 +120,9 @@
 
 // cellWith returns the cell as it would be with file in force.
 func (l *Ledger) cellWith(file *spec.File) *cell {
+	if !l.shapesCell(file) {
+		return &l.cell
+	}
 	trial := &Ledger{files: make(map[string]*Entry, len(l.files)+1)}
 	for name, e := range l.files {
 		trial.files[name] = e
@@ -103,19 +134,23 @@
 
 // checkNames refuses names that another file in force has taken.
 func (l *Ledger) checkNames(file *spec.File, refuse func(string, ...any)) {
-	taken := map[string]string{}
-	for name, e := range l.files {
-		if name == file.Name {
-			continue
+	for _, key := range names(file) {
+		if other, ok := l.owners[key]; ok && other != file.Name {
+			refuse("%s is already in file %q", key, other)
 		}
-		for _, key := range names(e.file) {
-			taken[key] = name
+	}
+}
+
+// own notes which names a file takes, in place of those of the file that it
+// replaces.
+func (l *Ledger) own(file, previous *spec.File) {
+	if previous != nil {
+		for _, key := range names(previous) {
+			delete(l.owners, key)
 		}
 	}
 	for _, key := range names(file) {
-		if other, ok := taken[key]; ok {
-			refuse("%s is already in file %q", key, other)
-		}
+		l.owners[key] = file.Name
 	}
 }
 
@@ -184,7 +219,7 @@
 	}
 	for _, o := range l.Objects() {
 		for _, h := range o.homes {
-			if o.file != file.Name && len(after.shards[h.Shard]) == 0 {
+			if o.file != file.Name && after.shards[h.Shard] == nil {
 				refuse("%s, in file %q, has tasks in shard %s, which would have no racks", o.work.Name, o.file, h.Shard)
 			}
 		}
@@ -202,6 +237,16 @@
 		!reflect.DeepEqual(file.Racks, before.Racks) || !reflect.DeepEqual(file.Teams, before.Teams)
 }
 
+// shapesCell says whether the cell depends on file or on the revision that it
+// replaces. Most files hold only work, and the cell need not be made anew.
+func (l *Ledger) shapesCell(file *spec.File) bool {
+	shapes := func(f *spec.File) bool {
+		return len(f.Racks) > 0 || len(f.Teams) > 0 || len(f.Pools) > 0 || len(f.Drain) > 0
+	}
+	e, ok := l.files[file.Name]
+	return shapes(file) || (ok && shapes(e.file))
+}
+
 // never says why o can never run in the cell, or "".
 func (c *cell) never(o *Object) string {
 	team, ok := c.teams[o.work.Team]
@@ -227,11 +272,11 @@
 // eligible returns the shards that could run o when empty, in order.
 func (c *cell) eligible(o *Object) []spec.ShardID {
 	var all []spec.ShardID
-	for id, racks := range c.shards {
+	for id, sc := range c.shards {
 		if len(o.work.Domains) > 0 && !slices.Contains(o.work.Domains, id.Domain) {
 			continue
 		}
-		if c.hasRoom(id, racks, o) {
+		if c.hasRoom(id, sc, o) {
 			all = append(all, id)
 		}
 	}
@@ -241,39 +286,32 @@
 
 // hasRoom says whether a shard, when empty, has room for one task of o, or for
 // all of them if o is a gang, within the team's quota there.
-func (c *cell) hasRoom(id spec.ShardID, racks []spec.Rack, o *Object) bool {
+func (c *cell) hasRoom(id spec.ShardID, sc *shardCell, o *Object) bool {
 	need, count := o.work.Resources, 1
 	if o.kind == KindGang {
 		need, count = need.Times(o.work.Count), o.work.Count
 	}
 	quota := QuotaPart(c.teams[o.work.Team], c.part(id))
-	return places(racks, o.work.Resources) >= count && need.Fits(quota)
+	return sc.places(o.work.Resources) >= count && need.Fits(quota)
 }
 
 // Part is a shard's capacity and that of all shards.
 type Part struct{ shard, cell resource.Vector }
 
-func (c *cell) part(id spec.ShardID) Part {
-	p := Part{shard: capacity(c.shards[id])}
-	for _, racks := range c.shards {
-		p.cell = p.cell.Plus(capacity(racks))
-	}
-	return p
-}
+func (c *cell) part(id spec.ShardID) Part { return Part{shard: c.capacity(id), cell: c.total} }
 
-func capacity(racks []spec.Rack) resource.Vector {
-	var v resource.Vector
-	for _, r := range racks {
-		v = v.Plus(r.Each.Times(len(r.Workers)))
+func (c *cell) capacity(id spec.ShardID) resource.Vector {
+	if sc := c.shards[id]; sc != nil {
+		return sc.capacity
 	}
-	return v
+	return resource.Vector{}
 }
 
 // Part returns what part of the cell shard is.
 func (l *Ledger) Part(shard spec.ShardID) Part { return l.cell.part(shard) }
 
 // Capacity returns what the workers of shard have together, as declared.
-func (l *Ledger) Capacity(shard spec.ShardID) resource.Vector { return capacity(l.cell.shards[shard]) }
+func (l *Ledger) Capacity(shard spec.ShardID) resource.Vector { return l.cell.capacity(shard) }
 
 // QuotaPart returns a team's quota in one shard: of each resource the part of
 // the cell's that the shard has. The parts add up to no more than the quota, so
@@ -296,11 +334,11 @@
 	return int64(quotient)
 }
 
-// places returns how many tasks of size need fit on racks when empty.
-func places(racks []spec.Rack, need resource.Vector) int {
+// places returns how many tasks of size need fit on the shard when empty.
+func (sc *shardCell) places(need resource.Vector) int {
 	total := 0
-	for _, r := range racks {
-		total += copies(r.Each, need) * len(r.Workers)
+	for each, workers := range sc.sizes {
+		total += copies(each, need) * workers
 	}
 	return total
 }
@@ -333,7 +371,7 @@
 	}
 	weights, total := make([]int, len(shards)), 0
 	for i, id := range shards {
-		weights[i] = places(c.shards[id], o.work.Resources)
+		weights[i] = c.shards[id].places(o.work.Resources)
 		total += weights[i]
 	}
 	return share(shards, weights, total, o)
--- a/services/ledger/ledger.go
+++ b/services/ledger/ledger.go
@@ -20,12 +20,17 @@
 // Ledger is the state of the fold.
 type Ledger struct {
 	// next is the offset of the first record not yet applied.
-	next     int64
-	files    map[string]*Entry
-	objects  map[task.ObjectID]*Object
+	next    int64
+	files   map[string]*Entry
+	objects map[task.ObjectID]*Object
+	// sorted holds the objects in the order of their births, or nil if it has to
+	// be made anew.
+	sorted   []*Object
 	claims   map[spec.ShardID]Claim
 	progress map[task.ObjectID]*Progress
 	cell     cell
+	// owners says which file each name in force stands in.
+	owners map[string]string
 	// checkpoints follows the parts of checkpoints as they are read.
 	checkpoints checkpoints
 }
@@ -74,6 +79,7 @@
 		objects:     map[task.ObjectID]*Object{},
 		claims:      map[spec.ShardID]Claim{},
 		progress:    map[task.ObjectID]*Progress{},
+		owners:      map[string]string{},
 		checkpoints: newCheckpoints(),
 	}
 }
--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -71,14 +71,17 @@
 	return o, ok
 }
 
-// Objects returns every object in force, in the order of their births.
+// Objects returns every object in force, in the order of their births. It must
+// not be changed.
 func (l *Ledger) Objects() []*Object {
-	all := make([]*Object, 0, len(l.objects))
-	for _, o := range l.objects {
-		all = append(all, o)
+	if l.sorted == nil {
+		l.sorted = make([]*Object, 0, len(l.objects))
+		for _, o := range l.objects {
+			l.sorted = append(l.sorted, o)
+		}
+		slices.SortFunc(l.sorted, func(a, b *Object) int { return a.id.Compare(b.id) })
 	}
-	slices.SortFunc(all, func(a, b *Object) int { return a.id.Compare(b.id) })
-	return all
+	return l.sorted
 }
 
 // ObjectNamed returns the object in force under name.
@@ -120,9 +123,16 @@
 		return Change{Publication: &Publication{ID: p.ID, Revision: l.Revision(p.File), Reasons: reasons}}
 	}
 	file, _ := p.Parse()
-	previous := l.files[p.File]
+	previous, reshape := l.files[p.File], l.shapesCell(file)
 	l.files[p.File] = &Entry{revision: revision, publication: p.ID, data: p.Data, file: file}
-	l.rebuildCell()
+	if previous == nil {
+		l.own(file, nil)
+	} else {
+		l.own(file, previous.file)
+	}
+	if reshape {
+		l.rebuildCell()
+	}
 	l.replaceObjects(revision, p.File, previous)
 	l.settle(file)
 	return Change{Files: true, Publication: &Publication{ID: p.ID, Accepted: true, Revision: revision}}
@@ -141,6 +151,7 @@
 // homes: those it had, where it lives on, or else new ones.
 func (l *Ledger) replaceObjects(revision int64, name string, previous *Entry) {
 	before := map[string]*Object{}
+	l.sorted = nil
 	if previous != nil {
 		for _, id := range previous.objects {
 			before[id.Name] = l.objects[id]
--- a/services/ledger/snapshot.go
+++ b/services/ledger/snapshot.go
@@ -73,6 +73,7 @@
 	}
 	e := &Entry{revision: f.Revision, publication: f.Publication, data: f.Data, file: file}
 	l.files[f.Name] = e
+	l.own(file, nil)
 	decided := map[string]record.Object{}
 	for _, o := range f.Objects {
 		decided[o.ID.Name] = o
