--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: help build test test-unit test-integration proofs lint fmt demo fuzz bench-requests bench-decisions capacity clean
+.PHONY: help build test test-unit test-integration proofs lint fmt demo fuzz bench-requests bench-decisions bench-takeover capacity clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/' | expand -t 20
@@ -52,6 +52,9 @@
 bench-requests: build ## measure requests with real processes, beside the baseline
 	$(BIN)/saddlevane-bench -bin $(BIN) requests -baseline
 
+bench-takeover: build ## measure how long a shard is without a holder, with real processes
+	$(BIN)/saddlevane-bench -bin $(BIN) takeover
+
 capacity: build ## measure the slopes and rewrite the tables and plots of docs/CAPACITY.md
 	$(BIN)/saddlevane-bench -docs docs capacity
 
--- a/cmd/saddlevane-bench/load.go
+++ b/cmd/saddlevane-bench/load.go
@@ -22,11 +22,13 @@
 
 // load sends requests at a rate, whether or not earlier ones were answered.
 type load struct {
-	cell   *cell.Cell
-	rate   float64
-	client *http.Client
-	begun  time.Time
-	mu     sync.Mutex
+	cell *cell.Cell
+	rate float64
+	// entries are the boxes that callers ask.
+	entries []*cell.Entry
+	client  *http.Client
+	begun   time.Time
+	mu      sync.Mutex
 	// byClass holds what came of each class while measured.
 	byClass map[string]*tally
 	keyed   map[string]bool
@@ -40,8 +42,11 @@
 	served                          time.Duration
 }
 
-func newLoad(c *cell.Cell, rate float64) *load {
-	l := &load{cell: c, rate: rate, client: newClient(), byClass: map[string]*tally{}, keyed: map[string]bool{}}
+func newLoad(c *cell.Cell, rate float64, skew bool) *load {
+	l := &load{cell: c, rate: rate, entries: c.Entries(), client: newClient(), byClass: map[string]*tally{}, keyed: map[string]bool{}}
+	if skew {
+		l.entries = c.EntriesIn("a")
+	}
 	for _, k := range kinds {
 		l.byClass[k.class] = &tally{wait: newHistogram(), refusal: newHistogram()}
 	}
@@ -56,14 +61,13 @@
 // run sends for the warm-up and the measured time, and waits for all answers.
 func (l *load) run(ctx context.Context) {
 	r := rand.New(rand.NewPCG(uint64(l.rate), 3))
-	entries := l.cell.Entries()
 	var tasks conc.WaitGroup
 	l.begun = time.Now()
 	next := l.begun
 	for i := 0; time.Since(l.begun) < warmUp+measured; i++ {
 		next = next.Add(time.Duration(r.ExpFloat64() / l.rate * float64(time.Second)))
 		time.Sleep(time.Until(next))
-		k, e := pick(r), entries[r.IntN(len(entries))]
+		k, e := pick(r), l.entries[r.IntN(len(l.entries))]
 		service := time.Duration(math.Round(r.ExpFloat64()*k.service.Seconds()*1000)) * time.Millisecond
 		nonce := fmt.Sprintf("%.0f-%d", l.rate, i)
 		tasks.Go(func() { l.ask(ctx, k, e, service, nonce) })
--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -19,17 +19,19 @@
 	fs := flag.NewFlagSet("saddlevane-bench", flag.ExitOnError)
 	fs.StringVar(&bin, "bin", "bin", "folder of the programs")
 	fs.StringVar(&docs, "docs", "docs", "folder whose CAPACITY.md tables and plots are rewritten")
-	var baseline bool
+	var baseline, skew bool
 	requests := flag.NewFlagSet("requests", flag.ExitOnError)
 	requests.BoolVar(&baseline, "baseline", false, "measure round robin without priorities in the same run")
+	requests.BoolVar(&skew, "skew", false, "send everything to the first domain")
 	root := &ffcli.Command{
-		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|requests|capacity", FlagSet: fs,
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|requests|takeover|capacity", FlagSet: fs,
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
 			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
-				return benchRequests(ctx, os.Stdout, bin, baseline)
+				return benchRequests(ctx, os.Stdout, requestOptions{bin: bin, baseline: baseline, skew: skew})
 			}},
+			{Name: "takeover", Exec: func(ctx context.Context, _ []string) error { return takeover(ctx, os.Stdout, bin) }},
 			{Name: "capacity", Exec: func(context.Context, []string) error { return capacity(os.Stdout, docs) }},
 		},
 	}
--- a/cmd/saddlevane-bench/requests.go
+++ b/cmd/saddlevane-bench/requests.go
@@ -58,29 +58,46 @@
 	return kinds[0]
 }
 
-func benchRequests(ctx context.Context, out io.Writer, bin string, baseline bool) error {
+// requestOptions say what is measured.
+type requestOptions struct {
+	bin string
+	// baseline adds the same under the plain policy.
+	baseline bool
+	// skew sends everything to the first domain, at loads of that domain.
+	skew bool
+}
+
+// factors are the loads, in parts of what the slots can serve.
+func (o requestOptions) factors() []float64 {
+	if o.skew {
+		return []float64{0.3, 0.45, 0.9}
+	}
+	return []float64{0.5, 0.9, 1.5, 3}
+}
+
+func benchRequests(ctx context.Context, out io.Writer, o requestOptions) error {
 	fmt.Fprintf(out, "Requests: 3 domains, 6 entry boxes, %d targets of %d slots, open loop, %.0f requests/s fill the slots; %s each after %s.\n",
 		benchTargets, benchSlots, capacityPerSecond(), measured, warmUp)
 	fmt.Fprintln(out, "Waiting is the caller's time less the service time it asked for.")
 	policies := []string{"shared"}
-	if baseline {
+	if o.baseline {
 		policies = append(policies, "plain")
 	}
 	for _, policy := range policies {
-		if err := benchPolicy(ctx, out, bin, policy); err != nil {
+		if err := benchPolicy(ctx, out, o, policy); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func benchPolicy(ctx context.Context, out io.Writer, bin, policy string) error {
+func benchPolicy(ctx context.Context, out io.Writer, o requestOptions, policy string) error {
 	dir, err := os.MkdirTemp("", "saddlevane-bench-")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	c, err := cell.Start(ctx, benchOptions(bin, dir, policy))
+	c, err := cell.Start(ctx, benchOptions(o.bin, dir, policy))
 	if err != nil {
 		return err
 	}
@@ -92,8 +109,8 @@
 	fmt.Fprintln(out, "| load | class | offered/s | done/s | refused/s | unknown | wait p50 | p99 | max | refusal p99 | slots used |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	var costs []cost
-	for _, factor := range []float64{0.5, 0.9, 1.5, 3} {
-		l := newLoad(c, factor*capacityPerSecond())
+	for _, factor := range o.factors() {
+		l := newLoad(c, factor*capacityPerSecond(), o.skew)
 		before := usage(c)
 		l.run(ctx)
 		costs = append(costs, costOf(before, usage(c), l))
@@ -101,7 +118,7 @@
 	}
 	fmt.Fprintln(out, "\n| load | duplicate runs | CPU s a 1,000 requests and entry box | most memory of an entry box |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- |")
-	for i, factor := range []float64{0.5, 0.9, 1.5, 3} {
+	for i, factor := range o.factors() {
 		fmt.Fprintf(out, "| %.1fx | %d | %.3f | %.0f MB |\n", factor, costs[i].duplicates, costs[i].cpu, costs[i].memory)
 	}
 	return nil
--- /dev/null
+++ b/cmd/saddlevane-bench/takeover.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"saddlevane/models/resource"
+	"saddlevane/tests/cell"
+)
+
+// takeoverTimes is how often a holder is killed.
+const takeoverTimes = 5
+
+// takeover measures, with real processes and default settings, how long a shard
+// is without an active holder after a crash and after a planned stop, and what
+// the log takes in for it.
+func takeover(ctx context.Context, out io.Writer, bin string) error {
+	fmt.Fprintf(out, "Takeover of a shard of 40 workers, real processes, default settings, %d times each:\n\n", takeoverTimes)
+	fmt.Fprintln(out, "| end of the holder | until active again: least, most | appends |\n| --- | --- | --- |")
+	for _, planned := range []bool{false, true} {
+		if err := measureTakeover(ctx, out, bin, planned); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureTakeover(ctx context.Context, out io.Writer, bin string, planned bool) error {
+	dir, err := os.MkdirTemp("", "saddlevane-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cell.Start(ctx, cell.Options{Binaries: cell.BinariesIn(bin), Dir: dir, Domains: []cell.Domain{{
+		Name: "a", Entries: 2, Racks: 5, PerRack: 8, Targets: 1, Slots: 8,
+		Capacity: resource.Vector{Processors: 60 * resource.Processor, Memory: 260 * resource.GiB},
+	}}})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := prepare(ctx, c, dir); err != nil {
+		return err
+	}
+	least, most, appends := time.Hour, time.Duration(0), int64(0)
+	for range takeoverTimes {
+		took, n, err := oneTakeover(ctx, c, planned)
+		if err != nil {
+			return err
+		}
+		least, most, appends = min(least, took), max(most, took), appends+n
+	}
+	name := "killed"
+	if planned {
+		name = "stopped as planned"
+	}
+	fmt.Fprintf(out, "| %s | %s, %s | %.1f |\n", name, least.Round(10*time.Millisecond), most.Round(10*time.Millisecond), float64(appends)/takeoverTimes)
+	return nil
+}
+
+func oneTakeover(ctx context.Context, c *cell.Cell, planned bool) (time.Duration, int64, error) {
+	holder, other, err := holderOf(ctx, c)
+	if err != nil {
+		return 0, 0, err
+	}
+	before, err := c.CountLog(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	begun := time.Now()
+	if planned {
+		go func() { _ = holder.Process().Stop(time.Minute) }()
+	} else {
+		holder.Process().Kill()
+	}
+	if err := cell.Until(ctx, "the other box holds the shard", func() bool { return active(ctx, other) }); err != nil {
+		return 0, 0, err
+	}
+	took := time.Since(begun)
+	after, err := c.CountLog(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	<-holder.Process().Done()
+	if err := c.StartEntry(holder); err != nil {
+		return 0, 0, err
+	}
+	return took, after.Next - before.Next, c.WaitReady(ctx)
+}
+
+// holderOf waits for an active holder and returns it and the other box.
+func holderOf(ctx context.Context, c *cell.Cell) (holder, other *cell.Entry, err error) {
+	err = cell.Until(ctx, "the shard has a holder", func() bool {
+		for i, e := range c.Entries() {
+			if active(ctx, e) {
+				holder, other = e, c.Entries()[1-i]
+				return true
+			}
+		}
+		return false
+	})
+	return holder, other, err
+}
+
+func active(ctx context.Context, e *cell.Entry) bool {
+	s, err := e.Status(ctx)
+	return err == nil && len(s.Shards) == 1 && s.Shards[0].Phase == "active"
+}
--- a/models/effect/effect.go
+++ b/models/effect/effect.go
@@ -55,6 +55,8 @@
 	ID      request.ID
 	Address string
 	Timeout time.Duration
+	// Delegated asks the peer to send it to one of its own targets.
+	Delegated bool
 }
 
 // ReadLog reads the log from an offset on, waiting for new records if there are
--- a/models/event/event.go
+++ b/models/event/event.go
@@ -44,11 +44,13 @@
 	Busy bool
 }
 
-// ForwardEnded is the end of a request that was passed on to a peer. Failed is
-// empty if the peer's answer is at hand.
+// ForwardEnded is the end of a request that was passed on to a peer.
 type ForwardEnded struct {
-	ID     request.ID
+	ID request.ID
+	// Failed says why there is no answer, or is empty if the peer's is at hand.
 	Failed string
+	// Verdict is the peer's, or what the failure says of the run.
+	Verdict verdict.Verdict
 }
 
 // LogRecord is one record of the log.
--- a/models/peer/peer.go
+++ b/models/peer/peer.go
@@ -65,6 +65,9 @@
 	Body   []byte      `json:"body"`
 	// Budget is how long the caller still waits, in milliseconds.
 	Budget int64 `json:"budget_ms"`
+	// Delegated asks to send the request to a target here, whatever its key: the
+	// sender has issued that and has no room.
+	Delegated bool `json:"delegated,omitempty"`
 }
 
 // Answer is the whole answer to a forwarded request.
--- a/models/request/request.go
+++ b/models/request/request.go
@@ -30,6 +30,9 @@
 	Digest uint64
 	// Peer says that another entry box passed the request on.
 	Peer bool
+	// Delegated says that the sender answers for the request's running at most
+	// once, and only wants it sent to a target here.
+	Delegated bool
 	// Budget is how long the caller still waits, or 0 for the class's deadline.
 	Budget time.Duration
 }
--- a/modules/setting/peers.go
+++ b/modules/setting/peers.go
@@ -18,7 +18,7 @@
 }
 
 func defaultPeers() Peers {
-	return Peers{Heartbeat: 500 * time.Millisecond, DeadAfter: 2 * time.Second}
+	return Peers{Heartbeat: 500 * time.Millisecond, DeadAfter: 1500 * time.Millisecond}
 }
 
 func (p *Peers) check(c *checker) {
--- a/modules/setting/workers.go
+++ b/modules/setting/workers.go
@@ -27,7 +27,7 @@
 
 func defaultWorkers() Workers {
 	return Workers{
-		Lease: 5 * time.Second, Renew: time.Second, Margin: 500 * time.Millisecond,
+		Lease: 3 * time.Second, Renew: time.Second, Margin: 300 * time.Millisecond,
 		TaskLease: 30 * time.Second, Timeout: 2 * time.Second, Settle: 5 * time.Second,
 		QuarantineAfter: 3, QuarantineFor: 30 * time.Second,
 	}
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -182,9 +182,22 @@
 	for _, h := range ordered.By(c.holders, spec.ShardID.Compare) {
 		h.SetWorkers(now)
 	}
+	c.router.SetNeighbours(c.neighbours())
 	return append(c.setTargets(now), c.peersChanged(now)...)
 }
 
+// neighbours returns the entry boxes of other domains, which may have room when
+// this one has none.
+func (c *Core) neighbours() []routing.Neighbour {
+	var all []routing.Neighbour
+	for name, b := range ordered.Map(c.members.Boxes()) {
+		if b.Role == box.Entry && b.Domain != c.self.Domain && b.State == box.Live {
+			all = append(all, routing.Neighbour{Box: name, Domain: b.Domain, Address: b.Address})
+		}
+	}
+	return all
+}
+
 func (c *Core) setTargets(now time.Time) []effect.Effect {
 	var targets []routing.Target
 	for _, b := range c.members.Boxes() {
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -50,6 +50,8 @@
 	envelope int64
 	nextAt   time.Time
 	failing  string
+	// failures counts tries in a row that failed.
+	failures int
 }
 
 // New returns an empty queue whose envelopes come from the given process.
@@ -119,7 +121,9 @@
 	}
 	j.sent = false
 	j.failing = e.Failed
-	wait := j.settings.RetryAfter
+	// Tries get rarer, so that a log that comes back is not met by all at once.
+	wait := j.settings.RetryAfter << min(j.failures, maxDoublings)
+	j.failures++
 	if e.Failed == "" {
 		// It is in the log. Should the reader not see it within this time, it is
 		// appended again, which does no harm.
@@ -128,6 +132,8 @@
 	j.nextAt = now.Add(wait)
 }
 
+const maxDoublings = 3
+
 const readBackPatience = 5 * time.Second
 
 // RecordApplied takes the identity of a record that was read from the log.
@@ -138,7 +144,7 @@
 	j.queue = j.queue[j.size:]
 	j.first += Ticket(j.size)
 	j.applied = j.first - 1
-	j.current, j.size, j.sent, j.failing = nil, 0, false, ""
+	j.current, j.size, j.sent, j.failing, j.failures = nil, 0, false, "", 0
 	if j.nextAt.After(now.Add(j.settings.Interval)) {
 		j.nextAt = now.Add(j.settings.Interval)
 	}
--- a/services/routing/keys.go
+++ b/services/routing/keys.go
@@ -170,6 +170,9 @@
 // ForwardEnded takes the end of a request that was passed on.
 func (r *Router) ForwardEnded(now time.Time, e event.ForwardEnded) []effect.Effect {
 	q, ok := r.requests[e.ID]
+	if ok && q.state == stageSpilled {
+		return r.spillEnded(now, q, e)
+	}
 	if !ok || q.state != stageForwarded {
 		return nil
 	}
--- a/services/routing/policy.go
+++ b/services/routing/policy.go
@@ -21,6 +21,8 @@
 	Ordered bool
 	// Early says whether a request is refused at once if it would surely be late.
 	Early bool
+	// Spill says whether requests without room go to other domains.
+	Spill bool
 	// PatienceFactor times the usual service time is how long an attempt at a
 	// repeatable request is given.
 	PatienceFactor time.Duration
@@ -31,7 +33,7 @@
 // DefaultPolicy is what the measurements in docs/DESIGN.md favour.
 func DefaultPolicy() Policy {
 	return Policy{
-		Share: ShareEvenly, Better: leastLoaded, Ordered: true, Early: true,
+		Share: ShareEvenly, Better: leastLoaded, Ordered: true, Early: true, Spill: true,
 		PatienceFactor: 8, LeastRetry: 100 * time.Millisecond,
 	}
 }
@@ -40,7 +42,7 @@
 // which they came, and wait until their deadline.
 func PlainPolicy() Policy {
 	p := DefaultPolicy()
-	p.Ordered, p.Early = false, false
+	p.Ordered, p.Early, p.Spill = false, false, false
 	p.Better = func(_, _ *target) bool { return false }
 	return p
 }
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -56,6 +56,7 @@
 	keys        *keyTable
 	live        []string
 	peers       map[string]Peer
+	neighbours  neighbours
 	counts      map[CountKey]int64
 }
 
@@ -108,6 +109,10 @@
 	// maybe says that an attempt may have run, which no later attempt undoes.
 	maybe bool
 	keyed *keyed
+	// neighbour has the request, if it was spilled; refusal is what is answered if
+	// that has no room either.
+	neighbour Neighbour
+	refusal   request.Refusal
 }
 
 // stage is where a pending request stands.
@@ -117,6 +122,7 @@
 	stageWaiting   stage = "waiting"
 	stageSent      stage = "sent"
 	stageForwarded stage = "forwarded"
+	stageSpilled   stage = "spilled"
 	stageAttached  stage = "attached"
 	stageEnded     stage = "ended"
 )
@@ -193,7 +199,7 @@
 		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("pool %q has no class %q", a.Pool, a.Class), 0))
 	}
 	q := &pending{arrival: a, pool: p, class: c, arrivedAt: now, deadline: now.Add(budgetOf(a, c))}
-	if !c.spec.Repeatable {
+	if !c.spec.Repeatable && !a.Delegated {
 		return r.arrivedKeyed(now, q)
 	}
 	p.budget.earn(r.settings)
@@ -213,11 +219,11 @@
 	late := wait + q.class.needs() - q.deadline.Sub(now)
 	switch {
 	case len(q.pool.targets) == 0:
-		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "the pool has no targets here", time.Second))
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the pool has no targets here", time.Second))
 	case q.class.waiting >= q.class.spec.Queue:
-		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "the queue is full", max(wait, r.policy.LeastRetry)))
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the queue is full", max(wait, r.policy.LeastRetry)))
 	case r.policy.Early && late > 0:
-		return r.drop(now, q, refusal(http.StatusServiceUnavailable, "it would wait past its deadline", max(late, r.policy.LeastRetry)))
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "it would wait past its deadline", max(late, r.policy.LeastRetry)))
 	}
 	r.requests[q.arrival.ID] = q
 	q.state = stageWaiting
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -20,6 +20,7 @@
 	"saddlevane/models/peer"
 	"saddlevane/models/record"
 	"saddlevane/models/request"
+	"saddlevane/models/verdict"
 	"saddlevane/services/core"
 )
 
@@ -130,7 +131,7 @@
 	}
 	result, ok := p.requests.Serve(ctx, Incoming{
 		Pool: f.Pool, Class: f.Class, Key: key, Method: f.Method, Path: f.Path, Header: f.Header, Body: f.Body,
-		Peer: true, Budget: time.Duration(f.Budget) * time.Millisecond,
+		Peer: true, Delegated: f.Delegated, Budget: time.Duration(f.Budget) * time.Millisecond,
 	})
 	if !ok {
 		return nil, context.Canceled
@@ -151,7 +152,8 @@
 	dialer := net.Dialer{Timeout: peerDial}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("peer %s: %w", address, err)
+		// Nobody was reached, so nothing was sent.
+		return nil, verdict.Wrap(verdict.NotRun, fmt.Errorf("peer %s: %w", address, err))
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, boundedCodec{})
 	c = jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
@@ -234,11 +236,11 @@
 		var answer peer.Answer
 		err := p.call(ctx, e.Address, peer.MethodForward, peer.Forward{
 			Pool: in.Pool, Class: in.Class, Key: in.Key.String(), Method: in.Method, Path: in.Path,
-			Header: in.Header, Body: in.Body, Budget: e.Timeout.Milliseconds(),
+			Header: in.Header, Body: in.Body, Budget: e.Timeout.Milliseconds(), Delegated: e.Delegated,
 		}, &answer)
-		ended := event.ForwardEnded{ID: e.ID}
+		ended := event.ForwardEnded{ID: e.ID, Verdict: answer.Verdict}
 		if err != nil {
-			ended.Failed = err.Error()
+			ended.Failed, ended.Verdict = err.Error(), verdict.Of(err)
 		} else {
 			p.requests.keep(e.ID, 0, forwarded(answer))
 		}
--- a/services/runtime/requests.go
+++ b/services/runtime/requests.go
@@ -35,8 +35,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Peer says that another entry box passed the request on.
-	Peer bool
+	// Peer says that another entry box passed the request on, Delegated that it
+	// only wants it sent to a target here.
+	Peer, Delegated bool
 	// Budget is how long the caller still waits, or 0 for the class's deadline.
 	Budget time.Duration
 }
@@ -116,7 +117,7 @@
 		return refused(0, tooMany()), true
 	}
 	r.loop.Post(event.RequestArrived{Arrival: request.Arrival{
-		ID: id, Pool: in.Pool, Class: in.Class, Key: in.Key, Digest: in.digest(), Peer: in.Peer, Budget: in.Budget,
+		ID: id, Pool: in.Pool, Class: in.Class, Key: in.Key, Digest: in.digest(), Peer: in.Peer, Delegated: in.Delegated, Budget: in.Budget,
 	}})
 	select {
 	case result := <-k.done:
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -175,6 +175,9 @@
 	h.counts.Takeovers++
 	h.SetWorkers(now)
 	h.SetObjects(now)
+	for _, w := range h.order {
+		w.nextAt = now
+	}
 }
 
 // lose gives everything up to the next holder.
--- a/services/shard/suspect.go
+++ b/services/shard/suspect.go
@@ -38,7 +38,21 @@
 			w.nextAt = now
 		}
 	}
-	return now.Sub(h.suspect.since) >= looks*h.settings.Renew && now.After(h.suspect.until)
+	return h.asked(now) && now.After(h.suspect.until)
+}
+
+// asked says whether every worker has answered since the suspicion began, or has
+// had time enough.
+func (h *Holder) asked(now time.Time) bool {
+	if now.Sub(h.suspect.since) >= looks*h.settings.Renew {
+		return true
+	}
+	for _, w := range h.order {
+		if w.answeredAt.Before(h.suspect.since) && w.listed != box.Dead {
+			return false
+		}
+	}
+	return true
 }
 
 // caretaking says whether this box keeps the tasks of a shard alive whose holder
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"saddlevane/models/box"
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
@@ -41,7 +43,10 @@
 	// foreign is how long another holder's lease lasts, by the last answer.
 	foreign   time.Time
 	releasing bool
-	failing   string
+	// early is how much sooner than the rest this worker's lease is renewed, so
+	// that renewals spread out after a takeover.
+	early   time.Duration
+	failing string
 
 	starts []worker.Start
 	// sent is how many of starts have been sent and not been answered for.
@@ -110,6 +115,7 @@
 		name: name, node: placement.NewNode(name, rack.Name, rack.Each),
 		stops: map[task.ID]worker.Stop{}, tasks: map[task.ID]*running{}, ended: map[task.ID]bool{},
 	}
+	w.early = time.Duration(xxhash.Sum64String(name) % uint64(max(h.settings.Renew/8, 1)))
 	h.workers[name] = w
 	return w
 }
@@ -223,7 +229,7 @@
 		w.unanswered++
 	}
 	w.inflight, w.sentAt = &s, now
-	w.nextAt = now.Add(h.settings.Renew)
+	w.nextAt = now.Add(h.settings.Renew - w.early)
 	return effect.SyncWorker{Worker: w.name, Address: w.address, Sync: s}
 }
 
--- a/tests/integration/requests_test.go
+++ b/tests/integration/requests_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -243,3 +244,38 @@
 	})
 	f.checkTruth(c.end())
 }
+
+func TestADomainWithoutTargetsIsServedByAnother(t *testing.T) {
+	none := domain("a")
+	none.Targets = 0
+	f := newFixture(t, nil, none, domain("b"))
+	c := newCallers(f)
+	c.client.Timeout = 2 * time.Second
+	inA, inB := f.EntriesIn("a"), f.EntriesIn("b")
+	c.pick = func() *cell.Entry { return inA[rand.IntN(len(inA))] }
+	c.run(8, "preview", "extract")
+	flowing := func(what string, ok func(asked) bool) {
+		t.Helper()
+		had := c.count(ok)
+		f.until(what, func() bool { return c.count(ok) >= had+10 })
+	}
+	notRun := func(a asked) bool { return a.verdict == verdict.NotRun }
+	flowing("another domain serves", asked.whole)
+	for _, e := range inB {
+		assert.NilError(t, f.proxies.Refuse(e.Name))
+	}
+	flowing("nobody serves, and callers are told so", notRun)
+	for _, e := range inB {
+		assert.NilError(t, f.proxies.Accept(e.Name))
+	}
+	flowing("the other domain serves again", asked.whole)
+	for _, e := range inB {
+		assert.NilError(t, f.proxies.Cut(e.Name, cell.Answers))
+	}
+	flowing("callers are answered although no answers come", func(a asked) bool { return !a.whole() })
+	for _, e := range inB {
+		assert.NilError(t, f.proxies.Heal(e.Name))
+	}
+	flowing("the other domain serves once more", asked.whole)
+	f.checkTruth(c.end())
+}
