services: one topic a file; the loop is told the time

The loop and its adapters get the clock as a function field, so nothing below cmd asks for the time by itself.

--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -108,7 +108,7 @@
 		}),
 		failed: make(chan error, 2),
 	}
-	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log)
+	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log, time.Now)
 	requests := runtime.NewRequests(runtime.RequestSettings{
 		MaxAnswer: s.Requests.MaxAnswer, MaxPending: s.Requests.MaxPending, MaxKept: s.Requests.MaxKept,
 	}, d.loop)
--- /dev/null
+++ b/services/ledger/check.go
@@ -0,0 +1,174 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger
+
+import (
+	"fmt"
+	"reflect"
+
+	"saddlevane/models/spec"
+)
+
+// checkTogether says what in file clashes with the other files in force, or
+// with promises made by the revision that it replaces.
+func (l *Ledger) checkTogether(file *spec.File) []string {
+	var reasons []string
+	refuse := func(format string, args ...any) { reasons = append(reasons, fmt.Sprintf(format, args...)) }
+	after := l.cellWith(file)
+	l.checkNames(file, refuse)
+	l.checkObjects(file, after, refuse)
+	l.checkOthers(file, after, refuse)
+	return reasons
+}
+
+// cellWith returns the cell as it would be with file in force.
+func (l *Ledger) cellWith(file *spec.File) *cell {
+	if !l.shapesCell(file) {
+		return &l.cell
+	}
+	trial := &Ledger{files: make(map[string]*Entry, len(l.files)+1)}
+	for name, e := range l.files {
+		trial.files[name] = e
+	}
+	trial.files[file.Name] = &Entry{file: file}
+	trial.rebuildCell()
+	return &trial.cell
+}
+
+// checkNames refuses names that another file in force has taken.
+func (l *Ledger) checkNames(file *spec.File, refuse func(string, ...any)) {
+	for _, key := range names(file) {
+		if other, ok := l.owners[key]; ok && other != file.Name {
+			refuse("%s is already in file %q", key, other)
+		}
+	}
+}
+
+// own notes which names a file takes, in place of those of the file that it
+// replaces.
+func (l *Ledger) own(file, previous *spec.File) {
+	if previous != nil {
+		for _, key := range names(previous) {
+			delete(l.owners, key)
+		}
+	}
+	for _, key := range names(file) {
+		l.owners[key] = file.Name
+	}
+}
+
+func names(f *spec.File) []string {
+	if f.Retired {
+		return nil
+	}
+	var keys []string
+	for _, r := range f.Racks {
+		keys = append(keys, "rack "+r.Name)
+		for _, w := range r.Workers {
+			keys = append(keys, "worker "+w)
+		}
+	}
+	for _, t := range f.Teams {
+		keys = append(keys, "team "+t.Name)
+	}
+	for _, p := range f.Pools {
+		keys = append(keys, "pool "+p.Name)
+	}
+	for _, w := range f.Works() {
+		keys = append(keys, "work "+w.Name)
+	}
+	return keys
+}
+
+// checkObjects refuses work that can never run, and changes to what finished
+// tasks meant.
+func (l *Ledger) checkObjects(file *spec.File, after *cell, refuse func(string, ...any)) {
+	before := map[string]*Object{}
+	if e, ok := l.files[file.Name]; ok {
+		for _, id := range e.objects {
+			before[id.Name] = l.objects[id]
+		}
+	}
+	for _, o := range objectsOf(file) {
+		if reason := after.never(o); reason != "" {
+			refuse("%s can never run: %s", o.work.Name, reason)
+		}
+		if old, lives := before[o.work.Name]; lives && o.kind != KindService && !sameFrozen(old, o) {
+			refuse("%s was published with another kind, count, command, domains or repeatable; use a new name", o.work.Name)
+		} else if lives && old.kind != o.kind {
+			refuse("%s was a %s; use a new name", o.work.Name, old.kind)
+		}
+	}
+}
+
+// checkOthers refuses a file that would take a team, or the last worker that is
+// large enough, from work in another file, or move a rack between shards.
+func (l *Ledger) checkOthers(file *spec.File, after *cell, refuse func(string, ...any)) {
+	if !l.changesCell(file) {
+		return
+	}
+	for _, o := range l.Objects() {
+		if o.file == file.Name {
+			continue
+		}
+		if reason := after.never(o); reason != "" {
+			refuse("%s, in file %q, could no longer run: %s", o.work.Name, o.file, reason)
+		}
+	}
+	for name, r := range l.cell.racks {
+		if now, stays := after.racks[name]; stays && now.ShardID() != r.ShardID() {
+			refuse("rack %s is in shard %s; to move it, publish it under a new name", name, r.ShardID())
+		}
+	}
+	for _, o := range l.Objects() {
+		for _, h := range o.homes {
+			if o.file != file.Name && after.shards[h.Shard] == nil {
+				refuse("%s, in file %q, has tasks in shard %s, which would have no racks", o.work.Name, o.file, h.Shard)
+			}
+		}
+	}
+}
+
+// changesCell says whether file has other racks or teams than the revision that
+// it replaces. Only then can it take something from work in other files.
+func (l *Ledger) changesCell(file *spec.File) bool {
+	before := &spec.File{}
+	if e, ok := l.files[file.Name]; ok {
+		before = e.file
+	}
+	return file.Retired != before.Retired ||
+		!reflect.DeepEqual(file.Racks, before.Racks) || !reflect.DeepEqual(file.Teams, before.Teams)
+}
+
+// shapesCell says whether the cell depends on file or on the revision that it
+// replaces. Most files hold only work, and the cell need not be made anew.
+func (l *Ledger) shapesCell(file *spec.File) bool {
+	shapes := func(f *spec.File) bool {
+		return len(f.Racks) > 0 || len(f.Teams) > 0 || len(f.Pools) > 0 || len(f.Drain) > 0
+	}
+	e, ok := l.files[file.Name]
+	return shapes(file) || (ok && shapes(e.file))
+}
+
+// never says why o can never run in the cell, or "".
+func (c *cell) never(o *Object) string {
+	team, ok := c.teams[o.work.Team]
+	if !ok {
+		return fmt.Sprintf("no team %q", o.work.Team)
+	}
+	need := o.work.Resources
+	if o.kind == KindGang {
+		need = need.Times(o.work.Count)
+	}
+	if !need.Fits(team.Quota) {
+		return fmt.Sprintf("it needs more than the quota of team %q at once", team.Name)
+	}
+	if len(c.eligible(o)) == 0 {
+		if o.kind == KindGang {
+			return "no shard has room for all its tasks together"
+		}
+		return "no worker is large enough"
+	}
+	return ""
+}
--- /dev/null
+++ b/services/routing/admit.go
@@ -0,0 +1,111 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/request"
+	"saddlevane/models/verdict"
+)
+
+// Arrived takes a caller's request.
+func (r *Router) Arrived(now time.Time, a request.Arrival) []effect.Effect {
+	p, ok := r.pools[a.Pool]
+	if !ok || p.retired {
+		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("no pool %q in force", a.Pool), 0))
+	}
+	c, ok := p.classes[a.Class]
+	if !ok {
+		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("pool %q has no class %q", a.Pool, a.Class), 0))
+	}
+	q := &pending{arrival: a, pool: p, class: c, arrivedAt: now, deadline: now.Add(budgetOf(a, c))}
+	if !c.spec.Repeatable && !a.Delegated {
+		return r.arrivedKeyed(now, q)
+	}
+	p.budget.earn(r.settings)
+	return r.admit(now, q)
+}
+
+func budgetOf(a request.Arrival, c *class) time.Duration {
+	if a.Budget > 0 {
+		return min(a.Budget, c.spec.Deadline)
+	}
+	return c.spec.Deadline
+}
+
+// admit queues a request, or refuses it if it would surely wait too long.
+func (r *Router) admit(now time.Time, q *pending) []effect.Effect {
+	wait := q.pool.expectedWait(now, q.class)
+	late := wait + q.class.needs() - q.deadline.Sub(now)
+	switch {
+	case len(q.pool.targets) == 0:
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the pool has no targets here", time.Second))
+	case q.class.waiting >= q.class.spec.Queue:
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the queue is full", max(wait, r.policy.LeastRetry)))
+	case r.policy.Early && late > 0:
+		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "it would wait past its deadline", max(late, r.policy.LeastRetry)))
+	}
+	r.requests[q.arrival.ID] = q
+	q.state = stageWaiting
+	q.class.push(q)
+	effects := r.dispatch(now, q.pool)
+	q.class.backlog.note(now, q.class.waiting)
+	return effects
+}
+
+// drop refuses a request that waits and undoes its key, unless an earlier
+// attempt may have run: then the answer says that.
+func (r *Router) drop(now time.Time, q *pending, f request.Refusal) []effect.Effect {
+	if q.maybe {
+		return r.endUnknown(q, f.Reason)
+	}
+	waiters := []request.Arrival{q.arrival}
+	if q.keyed != nil {
+		waiters = r.keys.forget(q.keyed)
+	}
+	delete(r.requests, q.arrival.ID)
+	var effects []effect.Effect
+	for _, a := range waiters {
+		delete(r.requests, a.ID)
+		effects = append(effects, r.refuse(now, a, f)...)
+	}
+	return effects
+}
+
+func (r *Router) refuse(_ time.Time, a request.Arrival, f request.Refusal) []effect.Effect {
+	r.count(a, f.Verdict, f.Status)
+	return []effect.Effect{effect.Refuse{To: a.ID, Refusal: f}}
+}
+
+func (r *Router) count(a request.Arrival, v verdict.Verdict, status int) {
+	if _, known := r.pools[a.Pool]; !known {
+		// Callers choose these names; counting them would let callers grow memory.
+		a.Pool, a.Class = "", ""
+	} else if _, known := r.pools[a.Pool].classes[a.Class]; !known {
+		a.Class = ""
+	}
+	r.counts[CountKey{Pool: a.Pool, Class: a.Class, Verdict: v, Status: status}]++
+}
+
+// Counts returns how many requests ended, by what became of them. It must not
+// be changed.
+func (r *Router) Counts() map[CountKey]int64 { return r.counts }
+
+func refusal(status int, reason string, retryAfter time.Duration) request.Refusal {
+	return request.Refusal{Status: status, Verdict: verdict.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+func (r *Router) refuseWaiting(now time.Time, p *pool, reason string) []effect.Effect {
+	var effects []effect.Effect
+	for _, c := range p.order {
+		for q := c.pop(); q != nil; q = c.pop() {
+			effects = append(effects, r.drop(now, q, refusal(http.StatusServiceUnavailable, reason, time.Second))...)
+		}
+	}
+	return effects
+}
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -16,7 +15,6 @@
 	"github.com/oklog/ulid/v2"
 
 	"saddlevane/models/effect"
-	"saddlevane/models/event"
 	"saddlevane/models/request"
 	"saddlevane/models/spec"
 	"saddlevane/models/verdict"
@@ -188,103 +186,6 @@
 // Idle says whether no request is unanswered.
 func (r *Router) Idle() bool { return len(r.requests) == 0 }
 
-// Arrived takes a caller's request.
-func (r *Router) Arrived(now time.Time, a request.Arrival) []effect.Effect {
-	p, ok := r.pools[a.Pool]
-	if !ok || p.retired {
-		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("no pool %q in force", a.Pool), 0))
-	}
-	c, ok := p.classes[a.Class]
-	if !ok {
-		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("pool %q has no class %q", a.Pool, a.Class), 0))
-	}
-	q := &pending{arrival: a, pool: p, class: c, arrivedAt: now, deadline: now.Add(budgetOf(a, c))}
-	if !c.spec.Repeatable && !a.Delegated {
-		return r.arrivedKeyed(now, q)
-	}
-	p.budget.earn(r.settings)
-	return r.admit(now, q)
-}
-
-func budgetOf(a request.Arrival, c *class) time.Duration {
-	if a.Budget > 0 {
-		return min(a.Budget, c.spec.Deadline)
-	}
-	return c.spec.Deadline
-}
-
-// admit queues a request, or refuses it if it would surely wait too long.
-func (r *Router) admit(now time.Time, q *pending) []effect.Effect {
-	wait := q.pool.expectedWait(now, q.class)
-	late := wait + q.class.needs() - q.deadline.Sub(now)
-	switch {
-	case len(q.pool.targets) == 0:
-		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the pool has no targets here", time.Second))
-	case q.class.waiting >= q.class.spec.Queue:
-		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "the queue is full", max(wait, r.policy.LeastRetry)))
-	case r.policy.Early && late > 0:
-		return r.spill(now, q, refusal(http.StatusServiceUnavailable, "it would wait past its deadline", max(late, r.policy.LeastRetry)))
-	}
-	r.requests[q.arrival.ID] = q
-	q.state = stageWaiting
-	q.class.push(q)
-	effects := r.dispatch(now, q.pool)
-	q.class.backlog.note(now, q.class.waiting)
-	return effects
-}
-
-// drop refuses a request that waits and undoes its key, unless an earlier
-// attempt may have run: then the answer says that.
-func (r *Router) drop(now time.Time, q *pending, f request.Refusal) []effect.Effect {
-	if q.maybe {
-		return r.endUnknown(q, f.Reason)
-	}
-	waiters := []request.Arrival{q.arrival}
-	if q.keyed != nil {
-		waiters = r.keys.forget(q.keyed)
-	}
-	delete(r.requests, q.arrival.ID)
-	var effects []effect.Effect
-	for _, a := range waiters {
-		delete(r.requests, a.ID)
-		effects = append(effects, r.refuse(now, a, f)...)
-	}
-	return effects
-}
-
-func (r *Router) refuse(_ time.Time, a request.Arrival, f request.Refusal) []effect.Effect {
-	r.count(a, f.Verdict, f.Status)
-	return []effect.Effect{effect.Refuse{To: a.ID, Refusal: f}}
-}
-
-func (r *Router) count(a request.Arrival, v verdict.Verdict, status int) {
-	if _, known := r.pools[a.Pool]; !known {
-		// Callers choose these names; counting them would let callers grow memory.
-		a.Pool, a.Class = "", ""
-	} else if _, known := r.pools[a.Pool].classes[a.Class]; !known {
-		a.Class = ""
-	}
-	r.counts[CountKey{Pool: a.Pool, Class: a.Class, Verdict: v, Status: status}]++
-}
-
-// Counts returns how many requests ended, by what became of them. It must not
-// be changed.
-func (r *Router) Counts() map[CountKey]int64 { return r.counts }
-
-func refusal(status int, reason string, retryAfter time.Duration) request.Refusal {
-	return request.Refusal{Status: status, Verdict: verdict.NotRun, Reason: reason, RetryAfter: retryAfter}
-}
-
-func (r *Router) refuseWaiting(now time.Time, p *pool, reason string) []effect.Effect {
-	var effects []effect.Effect
-	for _, c := range p.order {
-		for q := c.pop(); q != nil; q = c.pop() {
-			effects = append(effects, r.drop(now, q, refusal(http.StatusServiceUnavailable, reason, time.Second))...)
-		}
-	}
-	return effects
-}
-
 func (r *Router) dispatchAll(now time.Time) []effect.Effect {
 	var effects []effect.Effect
 	for _, name := range sortedNames(r.pools) {
@@ -352,104 +253,6 @@
 	return effects
 }
 
-// Abandoned takes the word that a caller has left.
-func (r *Router) Abandoned(now time.Time, id request.ID) []effect.Effect {
-	q, ok := r.requests[id]
-	if !ok {
-		return nil
-	}
-	q.abandoned = true
-	if q.state != stageWaiting || (q.keyed != nil && len(q.keyed.waiters) > 1) {
-		return nil
-	}
-	q.state = stageEnded
-	q.class.abandon()
-	return r.drop(now, q, refusal(statusCallerLeft, "the caller left", 0))
-}
-
-// statusCallerLeft is counted for callers that left; nobody receives it.
-const statusCallerLeft = 499
-
-// Answered takes the end of an attempt.
-func (r *Router) Answered(now time.Time, e event.TargetAnswered) []effect.Effect {
-	q, ok := r.requests[e.ID]
-	if !ok || q.state != stageSent || q.attempt != e.Attempt {
-		return nil
-	}
-	t := q.target
-	t.inflight--
-	t.ended(now, e, r.settings)
-	q.maybe = q.maybe || e.Verdict == verdict.MayHaveRun
-	var effects []effect.Effect
-	switch {
-	case e.Verdict == verdict.Ran:
-		q.class.service.add(now.Sub(q.sentAt))
-		effects = r.deliver(q)
-	case r.mayRetry(now, q, e):
-		q.state = stageWaiting
-		q.class.push(q)
-	default:
-		effects = r.giveUp(now, q, e)
-	}
-	return append(effects, r.dispatch(now, q.pool)...)
-}
-
-// mayRetry says whether a failed attempt is followed by another. A request that
-// was not run can be sent again whatever its class; one that may have run only
-// if it may be repeated. Both draw on the pool's budget, so that an outage is
-// not made worse by retries.
-func (r *Router) mayRetry(now time.Time, q *pending, e event.TargetAnswered) bool {
-	if q.abandoned || !now.Before(q.deadline) || q.pool.retired {
-		return false
-	}
-	if e.Verdict == verdict.MayHaveRun && !q.class.spec.Repeatable {
-		return false
-	}
-	return q.pool.budget.spend()
-}
-
-func (r *Router) giveUp(now time.Time, q *pending, e event.TargetAnswered) []effect.Effect {
-	wait := max(q.pool.expectedWait(now, q.class), r.policy.LeastRetry)
-	return r.drop(now, q, refusal(http.StatusServiceUnavailable, e.Reason, wait))
-}
-
-// endUnknown answers a request that may have run.
-func (r *Router) endUnknown(q *pending, reason string) []effect.Effect {
-	f := unknown(http.StatusBadGateway, reason)
-	return r.end(q, func(a request.Arrival) effect.Effect {
-		r.count(a, f.Verdict, f.Status)
-		return effect.Refuse{To: a.ID, Refusal: f}
-	}, keptEnd{refusal: &f})
-}
-
-func (r *Router) deliver(q *pending) []effect.Effect {
-	waited := q.sentAt.Sub(q.arrivedAt)
-	return r.end(q, func(a request.Arrival) effect.Effect {
-		r.count(a, verdict.Ran, http.StatusOK)
-		return effect.Deliver{To: a.ID, From: q.arrival.ID, Attempt: q.attempt, Waited: waited, Keep: q.keyed != nil}
-	}, keptEnd{from: q.arrival.ID, attempt: q.attempt})
-}
-
-// end answers a request and everyone who asked for the same one, and keeps what
-// became of it if it has a key.
-func (r *Router) end(q *pending, answer func(request.Arrival) effect.Effect, kept keptEnd) []effect.Effect {
-	q.state = stageEnded
-	waiters := []request.Arrival{q.arrival}
-	if q.keyed != nil {
-		waiters = r.keys.end(q.keyed, kept)
-	}
-	delete(r.requests, q.arrival.ID)
-	var effects []effect.Effect
-	for _, a := range waiters {
-		delete(r.requests, a.ID)
-		effects = append(effects, answer(a))
-	}
-	if q.keyed == nil {
-		effects = append(effects, effect.Forget{ID: q.arrival.ID})
-	}
-	return effects
-}
-
 // Tick expires what has waited too long and forgets old keys.
 func (r *Router) Tick(now time.Time) []effect.Effect {
 	effects := r.dispatchAll(now)
--- a/services/runtime/loop.go
+++ b/services/runtime/loop.go
@@ -37,7 +37,9 @@
 
 // Loop runs a reducer. Close ends it.
 type Loop struct {
-	core     *core.Core
+	core *core.Core
+	// now tells the present time to the reducer and the adapters.
+	now      func() time.Time
 	log      logrus.FieldLogger
 	adapters Adapters
 	publish  publishers
@@ -51,11 +53,11 @@
 	stopOnce sync.Once
 }
 
-// NewLoop returns a loop that does not run yet.
-func NewLoop(c *core.Core, log logrus.FieldLogger) *Loop {
+// NewLoop returns a loop that does not run yet. now tells the present time.
+func NewLoop(c *core.Core, log logrus.FieldLogger, now func() time.Time) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		core: c, log: log, events: make(chan event.Event, eventBuffer),
+		core: c, log: log, now: now, events: make(chan event.Event, eventBuffer),
 		queries: make(chan func(time.Time, *core.Core)),
 		ctx:     ctx, cancel: cancel, stopped: make(chan struct{}),
 		publish: newPublishers(),
@@ -121,7 +123,7 @@
 		case e := <-l.events:
 			l.handle(e)
 		case f := <-l.queries:
-			f(time.Now(), l.core)
+			f(l.now(), l.core)
 		case <-ticker.C:
 			l.handle(event.Tick{})
 		}
@@ -129,7 +131,7 @@
 }
 
 func (l *Loop) handle(e event.Event) {
-	for _, eff := range l.core.Handle(time.Now(), e) {
+	for _, eff := range l.core.Handle(l.now(), e) {
 		l.do(eff)
 	}
 }
--- a/services/runtime/workers.go
+++ b/services/runtime/workers.go
@@ -47,7 +47,7 @@
 }
 
 func (w *Workers) sync(e effect.SyncWorker) {
-	sentAt := time.Now()
+	sentAt := w.loop.now()
 	w.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(w.ctx, w.timeout)
 		defer cancel()
--- /dev/null
+++ b/services/shard/failure.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/task"
+	"saddlevane/models/worker"
+	"saddlevane/modules/ordered"
+	"saddlevane/services/ledger"
+)
+
+// learn takes a success into what is known of the object and the worker.
+func (h *Holder) learn(now time.Time, w *workerState, o *object, t *running) {
+	o.failures, o.failedOn = 0, nil
+	w.streak, w.penalties = nil, 0
+	if t == nil {
+		return
+	}
+	took := now.Sub(t.startedAt)
+	if o.mean == 0 {
+		o.mean = took
+		return
+	}
+	o.mean += (took - o.mean) / meanSmoothing
+}
+
+const meanSmoothing = 8
+
+// takeFailure decides what follows a failed or stopped attempt of a job or gang.
+func (h *Holder) takeFailure(now time.Time, w *workerState, o *object, item worker.Item) {
+	if item.State == task.Failed {
+		h.blame(now, w, o)
+	}
+	if o.spec.Cancelled() || !o.spec.Repeatable() {
+		h.outbox.end(w, item.Task, task.Failed)
+		return
+	}
+	if item.State == task.Failed && item.Task.Attempt >= o.spec.Batch().Retries {
+		h.outbox.end(w, item.Task, task.Failed)
+		return
+	}
+	w.acks = append(w.acks, item.Task)
+	h.requeueEnded(now, w, o, item)
+	h.disbandGang(o)
+}
+
+// requeueEnded puts a task whose attempt ended back in the queue. Attempts that
+// were stopped, not failed, do not count against it.
+func (h *Holder) requeueEnded(now time.Time, _ *workerState, o *object, item worker.Item) {
+	if o.gone || o.spec.Cancelled() || !o.has(item.Task.Index) {
+		return
+	}
+	r := retry{index: item.Task.Index, attempt: item.Task.Attempt + 1}
+	if item.State != task.Stopped {
+		wait := h.settings.Backoff << min(item.Task.Attempt, maxDoublings)
+		r.notBefore = now.Add(min(wait, h.settings.BackoffMost))
+	}
+	o.retry.put(r)
+	h.enqueue(o)
+}
+
+const maxDoublings = 12
+
+// disbandGang stops what still runs of a gang, so that it can start together
+// again.
+func (h *Holder) disbandGang(o *object) {
+	if o.spec.Kind() != ledger.KindGang {
+		return
+	}
+	for _, t := range ordered.By(h.tasks, task.Key.Compare) {
+		if t.object == o {
+			h.stop(t, true)
+		}
+	}
+}
+
+// blame holds a failure against the worker or the object. Different objects that
+// fail on one worker in a row speak against the worker; one object that fails on
+// different workers speaks against the object.
+func (h *Holder) blame(now time.Time, w *workerState, o *object) {
+	if !slices.Contains(o.failedOn, w.name) {
+		o.failedOn = append(o.failedOn, w.name)
+	}
+	o.failures++
+	if len(o.failedOn) >= h.settings.QuarantineAfter {
+		wait := h.settings.Backoff << min(o.failures, maxDoublings)
+		o.notBefore = now.Add(min(wait, h.settings.BackoffMost))
+		o.reason = "its tasks fail on every worker"
+		return
+	}
+	if id := o.spec.ID(); !slices.Contains(w.streak, id) {
+		w.streak = append(w.streak, id)
+	}
+	if len(w.streak) >= h.settings.QuarantineAfter || (w.penalties > 0 && len(w.streak) > 0) {
+		w.quarantined = now.Add(h.settings.QuarantineFor << min(w.penalties, maxDoublings))
+		w.penalties++
+		w.streak = nil
+		h.index(now, w)
+	}
+}
--- /dev/null
+++ b/services/shard/inventory.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/task"
+	"saddlevane/models/worker"
+	"saddlevane/modules/ordered"
+	"saddlevane/services/ledger"
+)
+
+// reconcile takes a worker's inventory, read under this holder's lease. It is
+// the truth for every task that was started by a Sync the worker answered.
+func (h *Holder) reconcile(now time.Time, w *workerState, s *worker.Sync, r worker.Report) {
+	refused := map[task.ID]string{}
+	for _, f := range r.Refused {
+		refused[f.Task] = f.Reason
+	}
+	items := make(map[task.ID]bool, len(r.Tasks))
+	for _, item := range r.Tasks {
+		items[item.Task] = true
+		h.takeItem(now, w, item)
+	}
+	unsent := map[task.ID]bool{}
+	for _, start := range w.starts {
+		unsent[start.Task] = true
+	}
+	for id, t := range ordered.By(w.tasks, task.ID.Compare) {
+		if items[id] || unsent[id] || t.stage == stageIntending {
+			continue
+		}
+		if reason, ok := refused[id]; ok {
+			h.unstart(w, startsOf(s, id), reason)
+			continue
+		}
+		h.lost(now, t, "the worker no longer has it")
+	}
+}
+
+func startsOf(s *worker.Sync, id task.ID) []worker.Start {
+	for i := range s.Starts {
+		if s.Starts[i].Task == id {
+			return s.Starts[i : i+1]
+		}
+	}
+	return []worker.Start{{Task: id}}
+}
+
+// takeItem takes one task of a worker's inventory.
+func (h *Holder) takeItem(now time.Time, w *workerState, item worker.Item) {
+	t := w.tasks[item.Task]
+	switch {
+	case item.State != task.Running:
+		h.takeEnd(now, w, t, item)
+	case t == nil:
+		h.adopt(now, w, item)
+	case t.stage == stageStarting:
+		t.stage = stageRunning
+	}
+}
+
+// adopt takes over a task that runs on a worker and is not known to this holder.
+func (h *Holder) adopt(now time.Time, w *workerState, item worker.Item) {
+	id := item.Task
+	t := &running{
+		id: id, object: h.objects[id.Object], worker: w, resources: item.Resources,
+		version: item.Version, stage: stageRunning, startedAt: now,
+	}
+	other, placed := h.tasks[id.Key()]
+	switch {
+	case placed && other.id.Attempt >= id.Attempt:
+		h.counts.Duplicates++
+		w.stops[id] = worker.Stop{Task: id}
+	case placed:
+		h.counts.Duplicates++
+		h.stop(other, false)
+	default:
+		h.track(t)
+		h.look = true
+	}
+}
+
+// takeEnd takes an outcome that a worker reports.
+func (h *Holder) takeEnd(now time.Time, w *workerState, t *running, item worker.Item) {
+	if t != nil {
+		h.untrack(t)
+	}
+	delete(w.stops, item.Task)
+	if w.ended[item.Task] {
+		return
+	}
+	w.ended[item.Task] = true
+	o := h.objects[item.Task.Object]
+	switch {
+	case o == nil && item.Task.Object.Born > h.ledger.Next():
+		// It belongs to a file that this process has not read yet.
+		delete(w.ended, item.Task)
+	case o == nil || h.stale(t, item.Task, o):
+		w.acks = append(w.acks, item.Task)
+	case o.spec.Kind() == ledger.KindService:
+		w.acks = append(w.acks, item.Task)
+		h.requeueEnded(now, w, o, item)
+	case item.State == task.Done:
+		h.learn(now, w, o, t)
+		h.outbox.end(w, item.Task, task.Done)
+	default:
+		h.takeFailure(now, w, o, item)
+	}
+}
+
+// stale says whether an outcome no longer matters: the task has ended, is none
+// of the object's any more, or a later attempt has its place or waits for one.
+func (h *Holder) stale(t *running, id task.ID, o *object) bool {
+	if h.ledger.Progress(id.Object).Ended(id.Index) {
+		return true
+	}
+	if other, ok := h.tasks[id.Key()]; ok && other != t {
+		return true
+	}
+	return !o.has(id.Index) || o.retry.has(id.Index)
+}
+
+func (o *object) has(index int) bool {
+	return slices.ContainsFunc(o.ranges, func(s span) bool { return index >= s.from && index < s.to })
+}
+
+// lost takes note that an attempt ended without an outcome.
+func (h *Holder) lost(now time.Time, t *running, reason string) {
+	h.untrack(t)
+	h.counts.Lost++
+	o := t.object
+	if o == nil || o.gone {
+		return
+	}
+	o.reason = reason
+	if !o.spec.Repeatable() {
+		// The intent without an outcome shows it as unknown from here on.
+		return
+	}
+	h.requeueEnded(now, t.worker, o, worker.Item{Task: t.id, State: task.Stopped})
+	h.disbandGang(o)
+}
+
+// abandon gives up everything on a worker that surely runs nothing any more.
+func (h *Holder) abandon(now time.Time, w *workerState, reason string) {
+	w.starts, w.sent, w.acks = nil, 0, nil
+	w.ended = map[task.ID]bool{}
+	for _, t := range ordered.By(w.tasks, task.ID.Compare) {
+		if t.stage == stageIntending {
+			h.outbox.withdraw(t)
+			h.untrack(t)
+			h.putBack(t.object, retry{index: t.id.Index, attempt: t.id.Attempt})
+			continue
+		}
+		h.lost(now, t, reason)
+	}
+}
--- /dev/null
+++ b/services/shard/lease.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/task"
+	"saddlevane/models/worker"
+	"saddlevane/modules/ordered"
+)
+
+// syncs returns the Syncs that are due.
+func (h *Holder) syncs(now time.Time) []effect.Effect {
+	care := h.holding() || h.suspecting() || h.phase == Claiming
+	var effects []effect.Effect
+	for _, w := range h.order {
+		if w.until.Before(now) && w.adopted && !w.until.IsZero() {
+			h.lapse(now, w)
+		}
+		w.releasing = w.releasing && w.held(now)
+		if w.inflight != nil || w.address == "" || w.listed == box.Dead {
+			continue
+		}
+		if h.members.Leaving() && !w.held(now) {
+			continue
+		}
+		if (care || w.releasing) && w.due(now) {
+			effects = append(effects, h.sync(now, w))
+		}
+	}
+	return effects
+}
+
+func (w *workerState) due(now time.Time) bool {
+	if !now.Before(w.nextAt) {
+		return true
+	}
+	return w.failing == "" && w.held(now) && (len(w.starts) > 0 || len(w.acks) > 0 || len(w.stops) > 0 && now.Sub(w.sentAt) > stopRepeat)
+}
+
+// stopRepeat is the least time between two Syncs that ask to stop tasks.
+const stopRepeat = 100 * time.Millisecond
+
+func (h *Holder) sync(now time.Time, w *workerState) effect.Effect {
+	w.seq++
+	s := worker.Sync{Holder: h.holderName(), Seq: w.seq, TTL: worker.MillisecondsOf(h.settings.Lease)}
+	switch {
+	case w.held(now):
+		s.Epoch, s.Release = w.epoch, w.releasing
+		s.Starts, s.Acks = slices.Clone(w.starts), slices.Clone(w.acks)
+		w.sent = len(s.Starts)
+		for _, stop := range ordered.By(w.stops, task.ID.Compare) {
+			s.Stops = append(s.Stops, stop)
+		}
+	case w.unanswered > 0 || (!h.holding() && !h.caretaking(now)):
+		// Nothing is asked for until the worker answers again, so that its lease
+		// surely lapses if it does not.
+		s.TTL = 0
+	}
+	if s.TTL > 0 {
+		w.unanswered++
+	}
+	w.inflight, w.sentAt = &s, now
+	w.nextAt = now.Add(h.settings.Renew - w.early)
+	return effect.SyncWorker{Worker: w.name, Address: w.address, Sync: s}
+}
+
+// holderName is what workers grant leases to.
+func (h *Holder) holderName() string {
+	self := h.members.Self()
+	return self.Box + "/" + self.Incarnation
+}
+
+// WorkerAnswered takes the end of a Sync.
+func (h *Holder) WorkerAnswered(now time.Time, e event.WorkerAnswered) {
+	w, ok := h.workers[e.Worker]
+	if !ok || w.inflight == nil || w.inflight.Seq != e.Seq {
+		return
+	}
+	s := w.inflight
+	w.inflight = nil
+	w.failing = e.Failed
+	if e.Failed != "" {
+		return
+	}
+	w.answeredAt, w.unanswered = now, 0
+	w.leaving = e.Report.Leaving
+	h.seeHolder(now, w, e.Report)
+	switch {
+	case !e.Report.Granted:
+		h.notGranted(now, w, e)
+	case s.Release:
+		w.epoch, w.until, w.releasing, w.adopted = 0, time.Time{}, false, false
+	default:
+		h.granted(now, w, s, e)
+	}
+	h.index(now, w)
+}
+
+func (h *Holder) granted(now time.Time, w *workerState, s *worker.Sync, e event.WorkerAnswered) {
+	if s.Epoch == 0 {
+		w.heldSince = now
+		h.restartClocks(now, w)
+	}
+	w.epoch = e.Report.Epoch
+	w.until = e.SentAt.Add(h.settings.Lease - h.settings.Margin)
+	if !h.holding() || w.releasing {
+		return
+	}
+	w.node.SetCapacity(e.Report.Capacity)
+	w.starts, w.sent = w.starts[min(len(s.Starts), len(w.starts)):], 0
+	w.acks = w.acks[min(len(s.Acks), len(w.acks)):]
+	for _, id := range s.Acks {
+		delete(w.ended, id)
+	}
+	if !w.adopted {
+		w.adopted = true
+		h.counts.Adoptions++
+	}
+	h.reconcile(now, w, s, e.Report)
+	h.expectEnd(now, w)
+}
+
+// expectEnd brings the next Sync forward to when a task is likely to end, so
+// that its place is filled again soon.
+func (h *Holder) expectEnd(now time.Time, w *workerState) {
+	for _, t := range w.tasks {
+		if t.object == nil || t.object.mean == 0 {
+			continue
+		}
+		end := t.startedAt.Add(t.object.mean)
+		if soon := now.Add(h.settings.Renew / 10); end.Before(soon) {
+			end = soon
+		}
+		if end.Before(w.nextAt) {
+			w.nextAt = end
+		}
+	}
+}
+
+// notGranted takes the answer of a worker that applied nothing. Its inventory
+// still tells which of the starts sent before had been applied, since it refuses
+// Syncs that are older than the one it answered.
+func (h *Holder) notGranted(now time.Time, w *workerState, e event.WorkerAnswered) {
+	has := map[task.ID]bool{}
+	for _, item := range e.Report.Tasks {
+		has[item.Task] = true
+	}
+	h.unstart(w, slices.DeleteFunc(w.starts, func(s worker.Start) bool { return has[s.Task] }), "the worker did not grant the lease")
+	w.starts, w.sent = nil, 0
+	w.epoch, w.until, w.releasing, w.adopted = 0, time.Time{}, false, false
+	w.nextAt = now
+	if e.Report.Holder != "" && e.Report.Holder != h.holderName() {
+		w.nextAt = now.Add(min(e.Report.ExpiresIn.Duration(), h.settings.Renew))
+	}
+}
+
+// lapse takes note that a lease has run out while the worker did not answer.
+// Its tasks may still run; once they surely do not, they are given up.
+func (h *Holder) lapse(now time.Time, w *workerState) {
+	h.index(now, w)
+	h.unstart(w, w.starts[w.sent:], "the worker's lease lapsed")
+	w.starts = w.starts[:w.sent]
+	if gone := h.goneAt(w); !now.Before(gone) && h.headAt.After(gone) && h.heldAllAlong(now, w) {
+		h.abandon(now, w, "the worker's lease has lapsed")
+		w.epoch, w.until = 0, time.Time{}
+	}
+}
+
+// goneAt is when the worker has surely stopped its tasks, if nobody else has kept
+// them. Each grant that was not answered may have been taken as late as the end
+// of the one before it. That no other box has become the holder is known once the
+// log has been read to its end after that time and still names this one.
+func (h *Holder) goneAt(w *workerState) time.Time {
+	grants := time.Duration(w.unanswered + 1)
+	return w.answeredAt.Add(grants*h.settings.Lease + h.settings.TaskLease + h.settings.Margin)
+}
+
+// heldAllAlong says whether this holder has had the lease of another worker ever
+// since w answered. A caretaker keeps tasks only while it sees no worker of the
+// shard in other hands, so there was none.
+func (h *Holder) heldAllAlong(now time.Time, w *workerState) bool {
+	for _, other := range h.order {
+		if other != w && other.held(now) && !other.heldSince.After(w.answeredAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// restartClocks takes note that this holder has a lease anew. While it had none,
+// a caretaker may have kept the tasks of workers that this holder cannot reach,
+// and it may do so until it sees the new lease.
+func (h *Holder) restartClocks(now time.Time, granted *workerState) {
+	seen := now.Add(seenWithin*h.settings.Renew + h.settings.Lease)
+	for _, w := range h.order {
+		if w != granted && !w.held(now) && !w.answeredAt.IsZero() {
+			w.answeredAt = seen
+		}
+	}
+}
+
+// LogRead takes note that the log was read to its end by a read that began at
+// the given time.
+func (h *Holder) LogRead(began time.Time) { h.headAt = began }
