shard: a gang that no longer fits holds nobody up

Cause: a gang that had waited gang_patience stopped smaller work of its rank from overtaking it, also when the shard could not hold it any more, for instance after a worker had died: everything behind it waited for ever. Ruled out: refusing the file (it fitted when it was published).

--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -229,7 +229,7 @@
 	}
 	if o.retry.len() > 0 || !t.reserved.Plus(need.Times(len(waiting))).Fits(t.quota) || !h.placeAll(r.now, o, waiting) {
 		h.returnAll(o, waiting)
-		h.gangWaits(r, t, o, need.Times(len(waiting)))
+		h.gangWaits(r, t, o, len(waiting))
 		return 0
 	}
 	r.left -= len(waiting)
@@ -269,14 +269,40 @@
 
 // gangWaits notes why a gang waits. One that has waited long stops smaller work
 // of its own and lower priorities from overtaking it, so that room gathers.
-func (h *Holder) gangWaits(r *round, t *team, o *object, all resource.Vector) {
+func (h *Holder) gangWaits(r *round, t *team, o *object, waiting int) {
+	all := o.spec.Work().Resources.Times(waiting)
 	if !t.reserved.Plus(all).Fits(t.quota) {
 		o.reason = fmt.Sprintf("team %s has not enough of its quota of this shard free for all tasks together", t.spec.Name)
 		return
 	}
+	if !h.couldFit(r.now, o, waiting) {
+		o.reason = "the workers that the shard has now could not hold all its tasks together beside its services"
+		return
+	}
 	o.reason = "the shard has not room for all its tasks together"
 	if r.now.Sub(o.since) >= h.settings.GangPatience {
 		r.closed = min(r.closed, o.spec.Work().Priority.Rank())
 		o.reason += "; smaller work no longer overtakes it"
 	}
 }
+
+// couldFit says whether so many tasks of o would fit if all jobs had ended. A gang
+// that could not must not hold others up.
+func (h *Holder) couldFit(now time.Time, o *object, waiting int) bool {
+	need := o.spec.Work().Resources
+	for _, w := range h.order {
+		if !h.mayStart(now, w) {
+			continue
+		}
+		room := w.node.Capacity()
+		for _, t := range w.tasks {
+			if t.object == nil || t.object.spec.Kind() == ledger.KindService {
+				room = room.Minus(t.resources)
+			}
+		}
+		for ; need.Fits(room) && waiting > 0; waiting-- {
+			room = room.Minus(need)
+		}
+	}
+	return waiting <= 0
+}
