shard: a gang's task is queued once; workers tell their inventory only when it changed

Cause: a gang takes all its waiting tasks before it places any, so a task that came back from an earlier attempt was taken a second time as a fresh one, and two attempts of it ran on one worker. Ruled out: the worker (two attempts are two names to it), the change below.

A sync names the version of the inventory that the holder has; if it is still that one the report leaves the tasks out.

--- a/cmd/saddlevane-bench/capacity.go
+++ b/cmd/saddlevane-bench/capacity.go
@@ -111,11 +111,14 @@
 	// A worker with short tasks is also asked when one is likely to end, and each
 	// start goes out with a sync of its own at the worst.
 	syncs := workers/renewSeconds + starts
+	// The inventory is told after each start and each end; else it is unchanged.
+	changes := 2 * starts
 	const httpBytes, httpCore = 350.0, 120e-6
 	rows := []row{
 		{
-			"leases and inventories", "one sync a worker and second, with everything in it", syncs * (s.answerTasks.at(perWorker)*1e-6 + httpCore),
-			s.holderMemoryWorkers.perX * workers / 1e6, syncs * (s.syncBytes.at(0) + s.reportBytes.at(perWorker) + 2*httpBytes) / 1e3,
+			"leases and inventories", "one sync a worker and second; the inventory only when it changed", syncs * (s.answerTasks.at(perWorker)*1e-6 + httpCore),
+			s.holderMemoryWorkers.perX * workers / 1e6,
+			(syncs*(s.syncBytes.at(0)+s.reportBytes.at(0)+2*httpBytes) + changes*s.reportBytes.perX*perWorker) / 1e3,
 		},
 		{
 			"placement", "grid of free room; each shard places alone", starts * s.placement.at(workers) * 1e-6,
--- a/models/worker/sync.go
+++ b/models/worker/sync.go
@@ -26,6 +26,9 @@
 	// TTL is how long the lease lasts from when the worker takes the Sync, in
 	// milliseconds. With 0 nothing is granted or applied; the worker reports.
 	TTL Milliseconds `json:"ttl_ms"`
+	// Seen is the version of the inventory that the holder has, or 0. If it is
+	// still the version after the Sync, the report leaves the tasks out.
+	Seen int64 `json:"seen,omitempty"`
 	// Release ends the lease after the rest is applied.
 	Release bool    `json:"release,omitempty"`
 	Starts  []Start `json:"starts,omitempty"`
@@ -67,8 +70,13 @@
 	Capacity  resource.Vector `json:"capacity"`
 	// Leaving says that the worker wants no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Version changes with each change of the inventory.
+	Version int64 `json:"version"`
+	// Unchanged says that the inventory is the one that the holder has, and that
+	// Tasks is left out.
+	Unchanged bool `json:"unchanged,omitempty"`
 	// Tasks is everything the worker runs, and every outcome not yet forgotten.
-	Tasks []Item `json:"tasks"`
+	Tasks []Item `json:"tasks,omitempty"`
 	// Refused names starts that were not applied, with the reason.
 	Refused []Refusal `json:"refused,omitempty"`
 }
--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -205,6 +205,22 @@
 	assert.Equal(t, s["once"].Done, 20)
 }
 
+func TestAGangMemberThatComesBackIsStartedOnce(t *testing.T) {
+	for seed := range uint64(60) {
+		w := settled(t, seed)
+		r := w.publish(w.nodes[0], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		w.run(time.Duration(50+20*(seed%20)) * time.Millisecond)
+		w.replace(w.nodes[seed%3], "d", "cell", cellFile+"drain: [w2, w4]\n")
+		w.run(50 * time.Millisecond)
+		// Its holder is frozen, and the next one finds members of the gang that were
+		// stopped before it has started any.
+		w.nodes[seed%3].paused = true
+		w.run(4 * time.Second)
+		w.noFaults(t)
+	}
+}
+
 func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/services/shard/inventory.go
+++ b/services/shard/inventory.go
@@ -97,8 +97,10 @@
 	o := h.objects[item.Task.Object]
 	switch {
 	case o == nil && item.Task.Object.Born > h.ledger.Next():
-		// It belongs to a file that this process has not read yet.
+		// It belongs to a file that this process has not read yet, so it has to be
+		// told again.
 		delete(w.ended, item.Task)
+		w.seen = 0
 	case o == nil || h.stale(t, item.Task, o):
 		w.acks = append(w.acks, item.Task)
 	case o.spec.Kind() == ledger.KindService:
@@ -147,6 +149,7 @@
 
 // abandon gives up everything on a worker that surely runs nothing any more.
 func (h *Holder) abandon(now time.Time, w *workerState, reason string) {
+	w.seen = 0
 	w.starts, w.sent, w.acks = nil, 0, nil
 	w.ended = map[task.ID]bool{}
 	for _, t := range ordered.By(w.tasks, task.ID.Compare) {
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -55,6 +55,9 @@
 		s.Epoch, s.Release = w.epoch, w.releasing
 		s.Starts, s.Acks = slices.Clone(w.starts), slices.Clone(w.acks)
 		w.sent = len(s.Starts)
+		if w.adopted {
+			s.Seen = w.seen
+		}
 		for _, stop := range ordered.By(w.stops, task.ID.Compare) {
 			s.Stops = append(s.Stops, stop)
 		}
@@ -123,7 +126,10 @@
 		w.adopted = true
 		h.counts.Adoptions++
 	}
-	h.reconcile(now, w, s, e.Report)
+	if !e.Report.Unchanged {
+		w.seen = e.Report.Version
+		h.reconcile(now, w, s, e.Report)
+	}
 	h.expectEnd(now, w)
 }
 
@@ -154,7 +160,7 @@
 	}
 	h.unstart(w, slices.DeleteFunc(w.starts, func(s worker.Start) bool { return has[s.Task] }), "the worker did not grant the lease")
 	w.starts, w.sent = nil, 0
-	w.epoch, w.until, w.releasing, w.adopted = 0, time.Time{}, false, false
+	w.epoch, w.until, w.releasing, w.adopted, w.seen = 0, time.Time{}, false, false, 0
 	w.nextAt = now
 	if e.Report.Holder != "" && e.Report.Holder != h.holderName() {
 		w.nextAt = now.Add(min(e.Report.ExpiresIn.Duration(), h.settings.Renew))
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -223,10 +223,7 @@
 		return 0
 	}
 	need := o.spec.Work().Resources
-	var waiting []retry
-	for next, ok := h.nextWaiting(r.now, o); ok; next, ok = h.nextWaiting(r.now, o) {
-		waiting = append(waiting, next)
-	}
+	waiting := h.takeWaiting(r.now, o)
 	if o.retry.len() > 0 || !t.reserved.Plus(need.Times(len(waiting))).Fits(t.quota) || !h.placeAll(r.now, o, waiting) {
 		h.returnAll(o, waiting)
 		h.gangWaits(r, t, o, len(waiting))
@@ -237,6 +234,20 @@
 	return len(waiting)
 }
 
+// takeWaiting takes all tasks of a gang from its queue, each once: one that comes
+// back from an earlier attempt may not have been passed by the cursor yet.
+func (h *Holder) takeWaiting(now time.Time, o *object) []retry {
+	var waiting []retry
+	taken := map[int]bool{}
+	for next, ok := h.nextWaiting(now, o); ok; next, ok = h.nextWaiting(now, o) {
+		if !taken[next.index] {
+			taken[next.index] = true
+			waiting = append(waiting, next)
+		}
+	}
+	return waiting
+}
+
 func (h *Holder) returnAll(o *object, waiting []retry) {
 	for _, r := range slices.Backward(waiting) {
 		o.retry.putFirst(r)
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -40,6 +40,9 @@
 	// foreign is how long another holder's lease lasts, by the last answer.
 	foreign   time.Time
 	releasing bool
+	// seen is the version of the inventory that this holder has taken, or 0 if it
+	// needs all of it.
+	seen int64
 	// early is how much sooner than the rest this worker's lease is renewed, so
 	// that renewals spread out after a takeover.
 	early   time.Duration
@@ -73,7 +76,7 @@
 
 // forget drops all that is known of what the worker runs.
 func (w *workerState) forget() {
-	w.adopted = false
+	w.adopted, w.seen = false, 0
 	w.node.Clear()
 	w.starts, w.sent, w.acks = nil, 0, nil
 	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*running{}, map[task.ID]bool{}
--- a/tests/fake/worker.go
+++ b/tests/fake/worker.go
@@ -37,6 +37,8 @@
 	tasks   map[task.ID]*played
 	history []*Span
 	excess  int64
+	// version counts changes of the inventory.
+	version int64
 }
 
 // played is a task at a worker.
@@ -60,7 +62,7 @@
 func NewWorker(name string, capacity resource.Vector, taskLease time.Duration) *Worker {
 	return &Worker{
 		name: name, capacity: capacity, taskLease: taskLease,
-		seq: map[string]int64{}, tasks: map[task.ID]*played{},
+		seq: map[string]int64{}, tasks: map[task.ID]*played{}, version: 1,
 	}
 }
 
@@ -79,14 +81,16 @@
 	if now.Before(w.until) {
 		report.ExpiresIn = worker.MillisecondsOf(w.until.Sub(now))
 	}
+	report.Version = w.version
+	if report.Granted && s.Seen == w.version && len(report.Refused) == 0 {
+		report.Unchanged = true
+		return report
+	}
 	for _, t := range w.tasks {
 		report.Tasks = append(report.Tasks, worker.Item{
 			Task: t.start.Task, State: t.state, Resources: t.start.Resources, Usage: t.start.Resources, Version: t.start.Version,
 		})
 	}
-	if report.Tasks == nil {
-		report.Tasks = []worker.Item{}
-	}
 	return report
 }
 
@@ -118,6 +122,7 @@
 	for _, id := range s.Acks {
 		if t, ok := w.tasks[id]; ok && t.state != task.Running {
 			delete(w.tasks, id)
+			w.version++
 		}
 	}
 	var refused []worker.Refusal
@@ -155,6 +160,7 @@
 	t.endAt, t.fails = plan(now, s.Command)
 	t.fails = t.fails || w.FailAll
 	w.tasks[s.Task] = t
+	w.version++
 	w.history = append(w.history, t.span)
 	return ""
 }
@@ -193,6 +199,7 @@
 
 func (w *Worker) end(at time.Time, t *played, state task.State) {
 	t.state = state
+	w.version++
 	t.span.End, t.span.State = max(at.UnixMilli(), t.span.Start), state
 }
 
