--- a/cmd/saddlevane-bench/rig.go
+++ b/cmd/saddlevane-bench/rig.go
@@ -33,6 +33,8 @@
 	next    int64
 	appends int64
 	syncs   int64
+	// tellAll makes workers tell their whole inventory each time.
+	tellAll bool
 	// deciding is the time spent in the holder, answering that spent on answers.
 	deciding  time.Duration
 	answering time.Duration
@@ -126,6 +128,9 @@
 			r.journal.RecordApplied(r.now, e.Envelope.ID)
 		case effect.SyncWorker:
 			r.syncs++
+			if r.tellAll {
+				e.Sync.Seen = 0
+			}
 			report := r.workers[e.Worker].Apply(r.now, e.Sync)
 			begun := time.Now()
 			r.holder.WorkerAnswered(r.now, event.WorkerAnswered{Worker: e.Worker, Seq: e.Sync.Seq, SentAt: r.now, Report: report})
