shard: tries that were only stopped do not use retries up

Cause: the attempt number was held against retries, and it also counts attempts that were preempted, drained or moved. A task that had been preempted as often as it had retries failed for good at its first failure. Ruled out: leaving the number as it is for stopped attempts (a stopped and a new attempt of one name on two workers could not be told apart).

--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -221,6 +221,38 @@
 	}
 }
 
+func TestATaskThatWasOnlyStoppedHasAllItsRetries(t *testing.T) {
+	w := settled(t, 5)
+	one := "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 2s], repeatable: true, retries: 1}\n"
+	r := w.publish(w.nodes[0], "one", "one", 0, one)
+	assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+	for i := range 3 {
+		w.run(time.Second)
+		for _, wk := range w.workers {
+			wk.FailAll = i == 2
+		}
+		w.replace(w.nodes[0], fmt.Sprint("drain", i), "cell", cellFile+"drain: ["+w.where("one")+"]\n")
+	}
+	w.run(500 * time.Millisecond)
+	for _, wk := range w.workers {
+		wk.FailAll = false
+	}
+	w.run(20 * time.Second)
+	assert.Equal(t, w.sum()["one"].Done, 1, "%+v", w.sum()["one"])
+}
+
+// where returns the worker on which a task of an object runs.
+func (w *world) where(object string) string {
+	for name, wk := range w.workers {
+		for _, id := range wk.Running() {
+			if id.Object.Name == object {
+				return name
+			}
+		}
+	}
+	return "w9"
+}
+
 func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/services/routing/admit.go
+++ b/services/routing/admit.go
@@ -17,11 +17,11 @@
 func (r *Router) Arrived(now time.Time, a request.Arrival) []effect.Effect {
 	p, ok := r.pools[a.Pool]
 	if !ok || p.retired {
-		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("no pool %q in force", a.Pool), 0))
+		return r.refuse(a, refusal(http.StatusNotFound, fmt.Sprintf("no pool %q in force", a.Pool), 0))
 	}
 	c, ok := p.classes[a.Class]
 	if !ok {
-		return r.refuse(now, a, refusal(http.StatusNotFound, fmt.Sprintf("pool %q has no class %q", a.Pool, a.Class), 0))
+		return r.refuse(a, refusal(http.StatusNotFound, fmt.Sprintf("pool %q has no class %q", a.Pool, a.Class), 0))
 	}
 	q := &pending{arrival: a, pool: p, class: c, arrivedAt: now, deadline: now.Add(budgetOf(a, c))}
 	if !c.spec.Repeatable && !a.Delegated {
@@ -72,12 +72,12 @@
 	var effects []effect.Effect
 	for _, a := range waiters {
 		delete(r.requests, a.ID)
-		effects = append(effects, r.refuse(now, a, f)...)
+		effects = append(effects, r.refuse(a, f)...)
 	}
 	return effects
 }
 
-func (r *Router) refuse(_ time.Time, a request.Arrival, f request.Refusal) []effect.Effect {
+func (r *Router) refuse(a request.Arrival, f request.Refusal) []effect.Effect {
 	r.count(a, f.Verdict, f.Status)
 	return []effect.Effect{effect.Refuse{To: a.ID, Refusal: f}}
 }
--- a/services/routing/keys.go
+++ b/services/routing/keys.go
@@ -113,7 +113,7 @@
 	case key.IsZero():
 		f := refusal(http.StatusPreconditionRequired, "requests of this class may not be repeated and need a key; send it again with the one given here", 0)
 		f.Key = r.IssueKey(now)
-		return r.refuse(now, q.arrival, f)
+		return r.refuse(q.arrival, f)
 	case key.Box() != r.box || key.Incarnation() != r.incarnation:
 		return r.forward(now, q)
 	}
@@ -123,9 +123,9 @@
 	age := now.Sub(key.IssuedAt())
 	switch {
 	case age > r.keys.ttl || age < -r.keys.ttl:
-		return r.refuse(now, q.arrival, unknown(http.StatusConflict, "the key is too old to tell whether the request has run"))
+		return r.refuse(q.arrival, unknown(http.StatusConflict, "the key is too old to tell whether the request has run"))
 	case r.keys.full():
-		return r.refuse(now, q.arrival, refusal(http.StatusServiceUnavailable, "too many requests that may not be repeated are remembered", time.Second))
+		return r.refuse(q.arrival, refusal(http.StatusServiceUnavailable, "too many requests that may not be repeated are remembered", time.Second))
 	}
 	q.keyed = r.keys.add(q.arrival)
 	q.pool.budget.earn(r.settings)
@@ -140,14 +140,14 @@
 func (r *Router) again(now time.Time, q *pending, known *keyed) []effect.Effect {
 	switch {
 	case known.digest != q.arrival.Digest:
-		return r.refuse(now, q.arrival, refusal(http.StatusUnprocessableEntity, "the key belongs to another request", 0))
+		return r.refuse(q.arrival, refusal(http.StatusUnprocessableEntity, "the key belongs to another request", 0))
 	case !known.ended:
 		known.waiters = append(known.waiters, q.arrival)
 		q.keyed, q.state = known, stageAttached
 		r.requests[q.arrival.ID] = q
 		return nil
 	case known.kept.refusal != nil:
-		return r.refuse(now, q.arrival, *known.kept.refusal)
+		return r.refuse(q.arrival, *known.kept.refusal)
 	default:
 		r.count(q.arrival, verdict.Ran, http.StatusOK)
 		return []effect.Effect{effect.Deliver{To: q.arrival.ID, From: known.kept.from, Attempt: known.kept.attempt, Keep: true}}
@@ -160,7 +160,7 @@
 	key := q.arrival.Key
 	peer, ok := r.peers[key.Box()]
 	if !ok || peer.Incarnation != key.Incarnation() || q.arrival.Peer {
-		return r.refuse(now, q.arrival, unknown(http.StatusConflict, "the entry box that issued the key cannot be reached"))
+		return r.refuse(q.arrival, unknown(http.StatusConflict, "the entry box that issued the key cannot be reached"))
 	}
 	q.state = stageForwarded
 	r.requests[q.arrival.ID] = q
@@ -178,7 +178,7 @@
 	}
 	delete(r.requests, e.ID)
 	if e.Failed != "" {
-		return r.refuse(now, q.arrival, unknown(http.StatusBadGateway, "the entry box that issued the key did not answer: "+e.Failed))
+		return r.refuse(q.arrival, unknown(http.StatusBadGateway, "the entry box that issued the key did not answer: "+e.Failed))
 	}
 	r.count(q.arrival, verdict.Ran, http.StatusOK)
 	return []effect.Effect{
--- a/services/shard/failure.go
+++ b/services/shard/failure.go
@@ -39,18 +39,28 @@
 		h.outbox.end(w, item.Task, task.Failed)
 		return
 	}
-	if item.State == task.Failed && item.Task.Attempt >= o.spec.Batch().Retries {
+	if item.State == task.Failed && o.tried(item.Task.Index) > o.spec.Batch().Retries {
 		h.outbox.end(w, item.Task, task.Failed)
 		return
 	}
 	w.acks = append(w.acks, item.Task)
-	h.requeueEnded(now, w, o, item)
+	h.requeueEnded(now, o, item)
 	h.disbandGang(o)
 }
 
+// tried counts one more failure of a task and returns how many there were. A new
+// holder counts from the start: it does not know why there were earlier attempts.
+func (o *object) tried(index int) int {
+	if o.failedTries == nil {
+		o.failedTries = map[int]int{}
+	}
+	o.failedTries[index]++
+	return o.failedTries[index]
+}
+
 // requeueEnded puts a task whose attempt ended back in the queue. Attempts that
 // were stopped, not failed, do not count against it.
-func (h *Holder) requeueEnded(now time.Time, _ *workerState, o *object, item worker.Item) {
+func (h *Holder) requeueEnded(now time.Time, o *object, item worker.Item) {
 	if o.gone || o.spec.Cancelled() || !o.has(item.Task.Index) {
 		return
 	}
--- a/services/shard/inventory.go
+++ b/services/shard/inventory.go
@@ -105,7 +105,7 @@
 		w.acks = append(w.acks, item.Task)
 	case o.spec.Kind() == ledger.KindService:
 		w.acks = append(w.acks, item.Task)
-		h.requeueEnded(now, w, o, item)
+		h.requeueEnded(now, o, item)
 	case item.State == task.Done:
 		h.learn(now, w, o, t)
 		h.outbox.end(w, item.Task, task.Done)
@@ -143,7 +143,7 @@
 		// The intent without an outcome shows it as unknown from here on.
 		return
 	}
-	h.requeueEnded(now, t.worker, o, worker.Item{Task: t.id, State: task.Stopped})
+	h.requeueEnded(now, o, worker.Item{Task: t.id, State: task.Stopped})
 	h.disbandGang(o)
 }
 
--- a/services/shard/object.go
+++ b/services/shard/object.go
@@ -28,9 +28,11 @@
 	// notBefore holds the object back after failures.
 	notBefore time.Time
 	failures  int
-	failedOn  []string
-	mean      time.Duration
-	reason    string
+	// failedTries counts the failures of each task that had any.
+	failedTries map[int]int
+	failedOn    []string
+	mean        time.Duration
+	reason      string
 	// preempted is when room was last made for the object, making how much of it
 	// is still to come.
 	preempted time.Time
