--- a/tests/integration/shard_test.go
+++ b/tests/integration/shard_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -252,6 +253,7 @@
 // them had started.
 func fewest(h cell.History) int {
 	least, full := 1<<30, false
+	slices.SortFunc(h.Spans, func(a, b cell.Span) int { return int(a.Start - b.Start) })
 	for _, at := range h.Spans {
 		n := 0
 		for _, s := range h.Spans {
