shard, ledger: workers that left the files are asked by the next holder

Cause: the set of workers that a takeover has to ask was what the files name at the claim. An earlier holder that has not read so far may still run tasks on a worker that has just left them, and the next one started them again elsewhere. Now the ledger remembers such workers, in checkpoints too, until the holder in force has it forget them: when the list says dead, or has not named them for gone_after. They are drained, and may not move to another shard meanwhile. Ruled out: refusing to take a worker out before it is empty (what runs is not in the log).

--- a/cmd/saddlevaned/settings.go
+++ b/cmd/saddlevaned/settings.go
@@ -39,7 +39,7 @@
 func shardSettings(s setting.Settings) shard.Settings {
 	return shard.Settings{
 		Lease: s.Workers.Lease, Renew: s.Workers.Renew, Margin: s.Workers.Margin, TaskLease: s.Workers.TaskLease,
-		Settle: s.Workers.Settle, Backoff: s.Queue.Backoff, BackoffMost: s.Queue.BackoffMost,
+		GoneAfter: s.Workers.GoneAfter, Settle: s.Workers.Settle, Backoff: s.Queue.Backoff, BackoffMost: s.Queue.BackoffMost,
 		GangPatience: s.Queue.GangPatience, QuarantineAfter: s.Workers.QuarantineAfter,
 		QuarantineFor: s.Workers.QuarantineFor, PlacementsPerTick: s.Queue.PlacementsPerTick,
 		StopsPerTick: s.Queue.StopsPerTick,
--- a/models/record/record.go
+++ b/models/record/record.go
@@ -30,6 +30,7 @@
 	Done       *Tasks      `json:"done,omitempty"`
 	Failed     *Tasks      `json:"failed,omitempty"`
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+	Forget     *Forget     `json:"forget,omitempty"`
 	// Mark changes nothing; who appended it learns, on reading it, that it has
 	// read all that was in the log before.
 	Mark *Mark `json:"mark,omitempty"`
@@ -89,6 +90,15 @@
 	Replaces int64 `json:"replaces"`
 }
 
+// Forget drops workers that no file names any more and that surely run nothing.
+// Only the holder in force is believed.
+type Forget struct {
+	Shard spec.ShardID `json:"shard"`
+	// Claim is the revision of the holder's claim.
+	Claim   int64    `json:"claim"`
+	Workers []string `json:"workers"`
+}
+
 // Tasks is ranges of the tasks of one object.
 type Tasks struct {
 	Object task.ObjectID `json:"object"`
@@ -139,7 +149,7 @@
 	facts := 0
 	for _, set := range []bool{
 		p.Publish != nil, p.Claim != nil, p.Intents != nil, p.Done != nil, p.Failed != nil,
-		p.Checkpoint != nil, p.Mark != nil,
+		p.Checkpoint != nil, p.Forget != nil, p.Mark != nil,
 	} {
 		if set {
 			facts++
--- a/models/record/snapshot.go
+++ b/models/record/snapshot.go
@@ -18,6 +18,15 @@
 	Files    []File     `json:"files,omitempty"`
 	Claims   []Held     `json:"claims,omitempty"`
 	Progress []Progress `json:"progress,omitempty"`
+	Former   []Former   `json:"former,omitempty"`
+}
+
+// Former is a worker that no file names any more, but that may still run tasks of
+// the shard.
+type Former struct {
+	Shard  spec.ShardID `json:"shard"`
+	Worker string       `json:"worker"`
+	Rack   string       `json:"rack"`
 }
 
 // File is a file in force and what the log decided about its objects.
--- a/modules/setting/workers.go
+++ b/modules/setting/workers.go
@@ -16,6 +16,9 @@
 	TaskLease time.Duration `yaml:"task_lease"`
 	// Timeout bounds one exchange with a worker.
 	Timeout time.Duration `yaml:"timeout"`
+	// GoneAfter is how long the list must not have named a worker before it counts
+	// as dead.
+	GoneAfter time.Duration `yaml:"gone_after"`
 	// Settle is how long the set of live entry boxes must be unchanged before a
 	// shard moves between live ones.
 	Settle time.Duration `yaml:"settle"`
@@ -28,7 +31,7 @@
 func defaultWorkers() Workers {
 	return Workers{
 		Lease: 3 * time.Second, Renew: time.Second, Margin: 300 * time.Millisecond,
-		TaskLease: 30 * time.Second, Timeout: 2 * time.Second, Settle: 5 * time.Second,
+		TaskLease: 30 * time.Second, Timeout: 2 * time.Second, GoneAfter: 10 * time.Minute, Settle: 5 * time.Second,
 		QuarantineAfter: 3, QuarantineFor: 30 * time.Second,
 	}
 }
@@ -39,6 +42,7 @@
 	between(c, "workers.margin", w.Margin, 0, time.Minute)
 	between(c, "workers.task_lease", w.TaskLease, 0, time.Hour)
 	between(c, "workers.timeout", w.Timeout, 10*time.Millisecond, time.Minute)
+	between(c, "workers.gone_after", w.GoneAfter, time.Second, 30*24*time.Hour)
 	between(c, "workers.settle", w.Settle, 0, time.Hour)
 	between(c, "workers.quarantine_after", w.QuarantineAfter, 1, 100)
 	between(c, "workers.quarantine_for", w.QuarantineFor, time.Millisecond, 24*time.Hour)
--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -253,6 +253,31 @@
 	return "w9"
 }
 
+func TestAWorkerThatLeftTheFilesIsStillAskedByTheNextHolder(t *testing.T) {
+	for seed := range uint64(20) {
+		w := settled(t, seed)
+		r := w.publish(w.nodes[0], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		w.run(600 * time.Millisecond)
+		// The old holders are frozen before they learn that the workers left the
+		// files; their tasks there run on.
+		without := strings.NewReplacer("[w1, w2]", "[w1]", "[w3, w4]", "[w3]").Replace(cellFile)
+		w.replace(w.nodes[seed%3], "without", "cell", without)
+		for _, n := range w.nodes {
+			if len(n.core.Places(1)) > 0 {
+				n.paused = true
+			}
+		}
+		w.run(6 * time.Second)
+		w.noFaults(t)
+		for _, n := range w.nodes {
+			w.resume(n)
+		}
+		w.run(10 * time.Second)
+		w.noFaults(t)
+	}
+}
+
 func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/services/core/world_test.go
+++ b/services/core/world_test.go
@@ -41,7 +41,7 @@
 		Routing:    routing.Settings{KeyTTL: time.Minute, MaxKeys: 10, EjectAfter: 3, EjectFor: time.Second, EjectMost: time.Second},
 		Shard: shard.Settings{
 			Lease: 1500 * time.Millisecond, Renew: 300 * time.Millisecond, Margin: 100 * time.Millisecond, TaskLease: taskLease,
-			Settle: time.Second, Backoff: 100 * time.Millisecond, BackoffMost: time.Second, GangPatience: time.Second,
+			Settle: time.Second, GoneAfter: time.Hour, Backoff: 100 * time.Millisecond, BackoffMost: time.Second, GangPatience: time.Second,
 			QuarantineAfter: 3, QuarantineFor: time.Second, PlacementsPerTick: 100, StopsPerTick: 20,
 		},
 		Retention: time.Hour, StopGrace: 0, StopMost: 10 * time.Second,
--- a/services/ledger/check.go
+++ b/services/ledger/check.go
@@ -17,6 +17,7 @@
 	refuse := func(format string, args ...any) { reasons = append(reasons, fmt.Sprintf(format, args...)) }
 	after := l.cellWith(file)
 	l.checkNames(file, refuse)
+	l.checkFormer(file, refuse)
 	l.checkObjects(file, after, refuse)
 	l.checkOthers(file, after, refuse)
 	return reasons
--- a/services/ledger/ledger.go
+++ b/services/ledger/ledger.go
@@ -29,6 +29,8 @@
 	claims   map[spec.ShardID]Claim
 	progress map[task.ObjectID]*Progress
 	cell     cell
+	// former holds workers that no file names any more, with their racks.
+	former map[spec.ShardID]map[string]string
 	// owners says which file each name in force stands in.
 	owners map[string]string
 	// checkpoints follows the parts of checkpoints as they are read.
@@ -79,6 +81,7 @@
 		objects:     map[task.ObjectID]*Object{},
 		claims:      map[spec.ShardID]Claim{},
 		progress:    map[task.ObjectID]*Progress{},
+		former:      map[spec.ShardID]map[string]string{},
 		owners:      map[string]string{},
 		checkpoints: newCheckpoints(),
 	}
@@ -166,6 +169,8 @@
 		return l.applyTasks(e.Done, (*Progress).addDone)
 	case e.Failed != nil:
 		return l.applyTasks(e.Failed, (*Progress).addFailed)
+	case e.Forget != nil:
+		return l.applyForget(e.Forget)
 	case e.Checkpoint != nil:
 		l.checkpoints.note(at, e.Checkpoint)
 	}
--- a/services/ledger/ledger_test.go
+++ b/services/ledger/ledger_test.go
@@ -241,3 +241,28 @@
 	assert.Check(t, !p.Intended(2) && !p.Ended(2), "rerun did not free the task")
 	assert.Check(t, !p.Ended(3), "a task that never started was settled")
 }
+
+func TestAWorkerThatLeftIsRememberedUntilItsHolderForgetsIt(t *testing.T) {
+	w, l := &writer{t: t}, ledger.New()
+	shard := spec.ShardID{Domain: "a"}
+	w.publish("c", "cell", 0, cellFile)
+	claim := w.append(record.Entry{Claim: &record.Claim{Shard: shard, Box: "x", Incarnation: "i"}}) + 1
+	w.read(l)
+	w.publish("c2", "cell", l.Revision("cell"), strings.Replace(cellFile, "[w1, w2]", "[w1]", 1))
+	w.read(l)
+	assert.DeepEqual(t, l.Former(shard), map[string]string{"w2": "r1"})
+	restored, err := ledger.Restore(l.Snapshot())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored.Former(shard), l.Former(shard))
+
+	moved := strings.NewReplacer("[w1, w2]", "[w1]", "[w3, w4]", "[w3, w4, w2]").Replace(cellFile)
+	w.publish("c3", "cell", l.Revision("cell"), moved)
+	assert.Check(t, !w.read(l)[0].Accepted, "it may still run tasks of its old shard")
+
+	w.append(record.Entry{Forget: &record.Forget{Shard: shard, Claim: claim - 1, Workers: []string{"w2"}}})
+	w.read(l)
+	assert.Equal(t, len(l.Former(shard)), 1, "an earlier holder was believed")
+	w.append(record.Entry{Forget: &record.Forget{Shard: shard, Claim: claim, Workers: []string{"w2"}}})
+	w.read(l)
+	assert.Equal(t, len(l.Former(shard)), 0)
+}
--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -131,7 +131,11 @@
 		l.own(file, previous.file)
 	}
 	if reshape {
+		before := l.cell
 		l.rebuildCell()
+		if len(file.Racks) > 0 || (previous != nil && len(previous.file.Racks) > 0) {
+			l.noteFormer(&before)
+		}
 	}
 	l.replaceObjects(revision, p.File, previous)
 	l.settle(file)
--- a/services/ledger/snapshot.go
+++ b/services/ledger/snapshot.go
@@ -31,6 +31,7 @@
 			Object: id, Intents: Ranges(p.intents), Done: Ranges(p.done), Failed: Ranges(p.failed), Rerun: Ranges(p.rerun),
 		})
 	}
+	s.Former = l.snapshotFormer()
 	slices.SortFunc(s.Progress, func(a, b record.Progress) int { return a.Object.Compare(b.Object) })
 	return s
 }
@@ -58,6 +59,9 @@
 	for _, c := range s.Claims {
 		l.claims[c.Shard] = Claim{box: c.Box, incarnation: c.Incarnation, revision: c.Revision}
 	}
+	for _, f := range s.Former {
+		l.addFormer(f.Shard, f.Worker, f.Rack)
+	}
 	for _, p := range s.Progress {
 		l.progress[p.Object] = &Progress{
 			intents: setOf(p.Intents), done: setOf(p.Done), failed: setOf(p.Failed), rerun: setOf(p.Rerun),
@@ -117,6 +121,10 @@
 		p := last(len(f.Data) + objectBytes*len(f.Objects))
 		p.Files = append(p.Files, f)
 	}
+	for _, f := range s.Former {
+		p := last(objectBytes)
+		p.Former = append(p.Former, f)
+	}
 	for _, c := range s.Claims {
 		p := last(objectBytes)
 		p.Claims = append(p.Claims, c)
@@ -176,6 +184,7 @@
 	a.have[part.Part] = true
 	if c.wanted {
 		a.snapshot.Files = append(a.snapshot.Files, part.Snapshot.Files...)
+		a.snapshot.Former = append(a.snapshot.Former, part.Snapshot.Former...)
 		a.snapshot.Claims = append(a.snapshot.Claims, part.Snapshot.Claims...)
 		a.snapshot.Progress = append(a.snapshot.Progress, part.Snapshot.Progress...)
 	}
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -31,6 +31,9 @@
 	Margin time.Duration
 	// TaskLease is how long a worker runs its tasks after its lease has lapsed.
 	TaskLease time.Duration
+	// GoneAfter is how long the platform's list must not have named a worker before
+	// it counts as dead.
+	GoneAfter time.Duration
 	// Settle is how long the set of live entry boxes must not have changed
 	// before a shard moves to another live box.
 	Settle time.Duration
@@ -144,6 +147,7 @@
 		h.advance(now)
 		h.stopUnwanted()
 		h.plan(now)
+		h.forgetFormer()
 	}
 	return h.syncs(now)
 }
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"saddlevane/models/box"
+	"saddlevane/models/record"
 	"saddlevane/models/spec"
 	"saddlevane/models/task"
 	"saddlevane/models/worker"
@@ -57,6 +58,12 @@
 	// ended holds outcomes that wait for the log before they are forgotten.
 	ended map[task.ID]bool
 
+	// former says that no file names the worker any more; forgetting that the log
+	// was asked to forget it.
+	former, forgetting bool
+	// absentSince is since when the platform's list has not named it.
+	absentSince time.Time
+
 	streak      []task.ObjectID
 	quarantined time.Time
 	penalties   int
@@ -76,7 +83,7 @@
 
 // forget drops all that is known of what the worker runs.
 func (w *workerState) forget() {
-	w.adopted, w.seen = false, 0
+	w.adopted, w.seen, w.forgetting = false, 0, false
 	w.node.Clear()
 	w.starts, w.sent, w.acks = nil, 0, nil
 	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*running{}, map[task.ID]bool{}
@@ -96,9 +103,19 @@
 			if w == nil {
 				w = h.newWorker(name, rack)
 			}
+			w.former, w.forgetting = false, false
 			h.refresh(now, w)
 		}
 	}
+	for name, rack := range ordered.Map(h.ledger.Former(h.id)) {
+		seen[name] = true
+		w := h.workers[name]
+		if w == nil {
+			w = h.newWorker(name, spec.Rack{Name: rack})
+		}
+		w.former = true
+		h.refresh(now, w)
+	}
 	for _, w := range ordered.Map(h.workers) {
 		if !seen[w.name] {
 			h.dropWorker(now, w)
@@ -135,16 +152,42 @@
 }
 
 func (h *Holder) refresh(now time.Time, w *workerState) {
-	if b, ok := h.members.Box(w.name); ok {
-		w.address, w.listed = b.Address, b.State
-	}
-	w.drained = h.ledger.Draining(w.name)
+	h.takeListed(now, w)
+	w.drained = w.former || h.ledger.Draining(w.name)
 	h.index(now, w)
 	if w.listed == box.Dead && len(w.tasks) > 0 {
 		h.abandon(now, w, "the worker is dead")
 	}
 }
 
+// takeListed takes what the platform's list says of a worker. One that the list
+// has not named for long counts as dead: the platform no longer has it.
+func (h *Holder) takeListed(now time.Time, w *workerState) {
+	b, ok := h.members.Box(w.name)
+	switch {
+	case ok:
+		w.address, w.listed, w.absentSince = b.Address, b.State, time.Time{}
+	case h.members.ListedAt().IsZero():
+	case w.absentSince.IsZero():
+		w.absentSince = now
+	case now.Sub(w.absentSince) >= h.settings.GoneAfter:
+		w.listed = box.Dead
+	}
+}
+
+// forgetFormer has the log forget workers that no file names and that are dead.
+func (h *Holder) forgetFormer() {
+	if h.phase != Active {
+		return
+	}
+	for _, w := range h.order {
+		if w.former && !w.forgetting && w.listed == box.Dead && len(w.tasks) == 0 {
+			w.forgetting = true
+			h.journal.Add(record.Entry{Forget: &record.Forget{Shard: h.id, Claim: h.claim, Workers: []string{w.name}}})
+		}
+	}
+}
+
 // index puts the worker in the index or takes it out, by whether it may be
 // given tasks.
 func (h *Holder) index(now time.Time, w *workerState) {
