--- a/services/core/reader.go
+++ b/services/core/reader.go
@@ -28,7 +28,6 @@
 	// seek is set while the records that follow on the ledger are gone from the
 	// log: it reads from the oldest record on until it finds a checkpoint.
 	seek     *ledger.Ledger
-	first    int64
 	reading  bool
 	failing  string
 	failures int
@@ -104,7 +103,7 @@
 
 func (c *Core) logRead(now time.Time, e event.LogRead) []effect.Effect {
 	r := &c.reader
-	r.reading, r.failing, r.failures, r.first = false, "", 0, e.First
+	r.reading, r.failing, r.failures = false, "", 0
 	if e.First > c.position() {
 		r.seek, r.head = ledger.Seek(e.First), false
 		return c.readOn(now)
--- /dev/null
+++ b/services/journal/journal_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package journal_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/event"
+	"saddlevane/models/record"
+	"saddlevane/services/journal"
+)
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func mark() record.Entry { return record.Entry{Mark: &record.Mark{}} }
+
+func sent(t *testing.T, effects []effect.Effect) record.Envelope {
+	t.Helper()
+	assert.Equal(t, len(effects), 1)
+	return effects[0].(effect.Append).Envelope
+}
+
+func TestOneAppendCarriesAllThatHasGatheredAndIsRepeatedUnchanged(t *testing.T) {
+	j := journal.New(journal.Settings{Interval: 100 * time.Millisecond, RetryAfter: time.Second, Limit: 10}, "me")
+	first, second := j.Add(mark()), j.Add(mark())
+	e := sent(t, j.Tick(start))
+	assert.Equal(t, len(e.Entries), 2)
+	third := j.Add(mark())
+	assert.Equal(t, len(j.Tick(start.Add(time.Second))), 0, "a second append while one is under way")
+
+	// The answer is lost: the same record again, without what came later.
+	j.AppendEnded(start.Add(time.Second), event.AppendEnded{ID: e.ID, Failed: "lost"})
+	assert.Check(t, j.Failing() != "")
+	again := sent(t, j.Tick(start.Add(3*time.Second)))
+	assert.DeepEqual(t, again, e)
+
+	// It is read back: it had been taken in the first time.
+	j.RecordApplied(start.Add(3*time.Second), e.ID)
+	assert.Check(t, j.Applied(first) && j.Applied(second) && !j.Applied(third))
+	assert.Equal(t, j.Failing(), "")
+	next := sent(t, j.Tick(start.Add(4*time.Second)))
+	assert.Check(t, next.ID != e.ID)
+	assert.Equal(t, len(next.Entries), 1)
+}
+
+func TestFailedAppendsAreTriedMoreRarely(t *testing.T) {
+	j := journal.New(journal.Settings{Interval: time.Millisecond, RetryAfter: time.Second, Limit: 10}, "me")
+	j.Add(mark())
+	now, tries := start, 0
+	for range 60 {
+		for _, e := range j.Tick(now) {
+			tries++
+			j.AppendEnded(now, event.AppendEnded{ID: e.(effect.Append).Envelope.ID, Failed: "down"})
+		}
+		now = now.Add(time.Second)
+	}
+	assert.Check(t, tries < 12, "%d tries in a minute", tries)
+	for range 10 {
+		j.Add(mark())
+	}
+	assert.Check(t, j.Full())
+}
