spec, shard: jobs have a deadline after which nothing of them is started

Late scoring is worth little, and its waiting tasks held their place in the queue. TestAJobPastItsDeadlineStartsNothing. The demo prints where tasks run.

--- a/cmd/saddlevane-demo/steps.go
+++ b/cmd/saddlevane-demo/steps.go
@@ -108,6 +108,16 @@
 	if err != nil {
 		return err
 	}
+	fmt.Println("\nwhere tasks run:")
+	for _, e := range d.cell.Entries() {
+		places, err := e.Places(d.ctx)
+		if err != nil {
+			return err
+		}
+		for _, p := range places {
+			fmt.Printf("  %s on %s\n", p.Task, p.Worker)
+		}
+	}
 	h, err := d.cell.History(d.ctx)
 	if err != nil {
 		return err
--- a/models/spec/enum.go
+++ b/models/spec/enum.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Priority orders work; urgent goes before normal, normal before batch.
@@ -67,3 +68,16 @@
 	*dst = got
 	return nil
 }
+
+// Moment is a point in time, written as RFC 3339 has it.
+type Moment struct{ time.Time }
+
+// UnmarshalText reads a moment such as 2026-12-02T06:00:00Z.
+func (m *Moment) UnmarshalText(text []byte) error {
+	t, err := time.Parse(time.RFC3339, string(text))
+	if err != nil {
+		return fmt.Errorf("want a moment such as 2026-12-02T06:00:00Z, got %q", text)
+	}
+	m.Time = t
+	return nil
+}
--- a/models/spec/file.go
+++ b/models/spec/file.go
@@ -116,6 +116,9 @@
 	Expected time.Duration `yaml:"expected"`
 	// Retries is how often a task that failed is tried again.
 	Retries int `yaml:"retries"`
+	// Deadline is the moment after which no task is started any more, or the zero
+	// Moment.
+	Deadline Moment `yaml:"deadline"`
 	// Cancelled stops what runs and starts nothing more.
 	Cancelled bool `yaml:"cancelled"`
 }
--- a/models/spec/parse_test.go
+++ b/models/spec/parse_test.go
@@ -52,6 +52,7 @@
     command: [run, "1"]
     repeatable: true
     expected: 40s
+    deadline: 2026-12-02T06:00:00Z
 `))
 	assert.NilError(t, problems.Err())
 	j := f.Jobs[0]
@@ -59,6 +60,7 @@
 	assert.Equal(t, j.Priority, spec.Normal)
 	assert.Equal(t, j.Expected, 40*time.Second)
 	assert.Check(t, j.Repeatable)
+	assert.Check(t, j.Deadline.Equal(time.Date(2026, 12, 2, 6, 0, 0, 0, time.UTC)))
 }
 
 func TestABadFileIsRefusedWholeWithEveryMistakeAndItsPlace(t *testing.T) {
--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -241,6 +241,20 @@
 	assert.Equal(t, w.sum()["one"].Done, 1, "%+v", w.sum()["one"])
 }
 
+func TestAJobPastItsDeadlineStartsNothing(t *testing.T) {
+	w := settled(t, 6)
+	late := "name: late\njobs:\n  - {name: late, team: t, count: 200, resources: {processors: 1}, command: [sleep, 1s], repeatable: true, deadline: '" +
+		w.now.Add(3*time.Second).Format(time.RFC3339) + "'}\n"
+	r := w.publish(w.nodes[0], "late", "late", 0, late)
+	assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+	w.run(10 * time.Second)
+	s := w.sum()["late"]
+	assert.Check(t, s.Done > 0 && s.Waiting > 0 && s.Running == 0, "%+v", s)
+	done := s.Done
+	w.run(10 * time.Second)
+	assert.Equal(t, w.sum()["late"].Done, done)
+}
+
 // where returns the worker on which a task of an object runs.
 func (w *world) where(object string) string {
 	for name, wk := range w.workers {
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -150,6 +150,8 @@
 		return "this entry box is taking the shard over and does not know yet what runs"
 	case now.Before(o.notBefore):
 		return o.reason
+	case o.late(now):
+		return "its deadline has passed, so no task of it is started any more"
 	case !o.spec.Repeatable() && (h.journal.Full() || h.journal.Failing() != ""):
 		return "the log cannot be written, and the start of a task that may not be repeated must be recorded first"
 	default:
@@ -157,6 +159,12 @@
 	}
 }
 
+// late says whether a job's deadline has passed.
+func (o *object) late(now time.Time) bool {
+	b := o.spec.Batch()
+	return b != nil && !b.Deadline.IsZero() && now.After(b.Deadline.Time)
+}
+
 // findPlace returns a worker for one task of o, or nil and the reason in o.
 func (h *Holder) findPlace(r *round, t *team, o *object) *workerState {
 	need := o.spec.Work().Resources
--- a/tests/cell/calls.go
+++ b/tests/cell/calls.go
@@ -146,6 +146,13 @@
 	return w, err
 }
 
+// Places reads which tasks have places in the shards that an entry box holds.
+func (e *Entry) Places(ctx context.Context) ([]status.Place, error) {
+	var p []status.Place
+	err := calls.Get(ctx, "http://"+e.Operators+"/v1/places", &p)
+	return p, err
+}
+
 // Ready says whether an entry box takes callers' requests.
 func (e *Entry) Ready(ctx context.Context) bool {
 	var out struct{}
