--- a/services/ledger/ledger_test.go
+++ b/services/ledger/ledger_test.go
@@ -67,6 +67,18 @@
 	return decided
 }
 
+// withWork returns a log and its fold with a cell and a job in force.
+func withWork(t *testing.T) (*writer, *ledger.Ledger) {
+	t.Helper()
+	w, l := &writer{t: t}, ledger.New()
+	w.publish("c", "cell", 0, cellFile)
+	w.publish("j", "work", 0, jobFile)
+	for _, p := range w.read(l) {
+		assert.Assert(t, p.Accepted, "%v", p.Reasons)
+	}
+	return w, l
+}
+
 func TestOfTwoOperatorsTheFirstInTheLogWins(t *testing.T) {
 	w, l := &writer{t: t}, ledger.New()
 	w.publish("one", "cell", 0, cellFile)
@@ -167,10 +179,7 @@
 }
 
 func TestAFileCannotBreakWhatAnotherPromises(t *testing.T) {
-	w, l := &writer{t: t}, ledger.New()
-	w.publish("c", "cell", 0, cellFile)
-	w.publish("j", "work", 0, jobFile)
-	w.read(l)
+	w, l := withWork(t)
 	e, _ := l.Entry("cell")
 	noTeam := strings.Split(cellFile, "teams:")[0]
 	w.publish("c2", "cell", e.Revision(), noTeam)
@@ -182,10 +191,7 @@
 }
 
 func TestHomesCoverEachTaskOnceAndStayWithAnUnchangedObject(t *testing.T) {
-	w, l := &writer{t: t}, ledger.New()
-	w.publish("c", "cell", 0, cellFile)
-	w.publish("j", "work", 0, jobFile)
-	w.read(l)
+	w, l := withWork(t)
 	o, _ := l.ObjectNamed("j")
 	next := 0
 	for _, h := range o.Homes() {
@@ -202,10 +208,7 @@
 }
 
 func TestANameThatComesBackBeginsANewLife(t *testing.T) {
-	w, l := &writer{t: t}, ledger.New()
-	w.publish("c", "cell", 0, cellFile)
-	w.publish("j", "work", 0, jobFile)
-	w.read(l)
+	w, l := withWork(t)
 	o, _ := l.ObjectNamed("j")
 	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 10}}}})
 	e, _ := l.Entry("work")
@@ -220,10 +223,7 @@
 }
 
 func TestOnlyUnknownTasksAreSettled(t *testing.T) {
-	w, l := &writer{t: t}, ledger.New()
-	w.publish("c", "cell", 0, cellFile)
-	w.publish("j", "work", 0, jobFile)
-	w.read(l)
+	w, l := withWork(t)
 	o, _ := l.ObjectNamed("j")
 	w.append(record.Entry{Intents: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 3}}}})
 	w.append(record.Entry{Done: &record.Tasks{Object: o.ID(), Ranges: []record.Range{{From: 0, To: 1}}}})
