shard: a holder whose workers had another holder starts nothing until the log confirms it

Cause: a holder that woke up cut off from the log, after a later one had taken the shard over and started tasks, got a worker's lease back once the later one was frozen too, and started tasks that it had never started itself but the other had. What was active stayed active in its own view. Now an epoch that is not the next after its own tells it so; it adopts every worker anew and reads a mark before it starts anything. Ruled out: the worker's lease (it lapsed as it should); the barrier of the later holder (it had taken every lease, which is why the epoch tells).

--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -292,6 +292,26 @@
 	}
 }
 
+func TestAHolderThatWakesWithoutTheLogStartsNothingThatALaterOneHas(t *testing.T) {
+	for seed := range uint64(150) {
+		w := settled(t, seed)
+		old := w.nodes[2]
+		r := w.publish(w.nodes[seed%2], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		old.paused, old.cutLog, old.cutPeers = true, true, true
+		w.run(5 * time.Second)
+		// The later holders are frozen in their turn, and the old one wakes up and
+		// reaches only some of the workers.
+		old.cutWorkers["w2"], old.cutWorkers["w4"] = true, true
+		for _, n := range w.nodes {
+			n.paused = n != old
+		}
+		w.resume(old)
+		w.run(2500 * time.Millisecond)
+		w.noFaults(t)
+	}
+}
+
 func TestWhateverFailsNothingRunsTwiceAndFilesNeverGoBack(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/services/shard/holder.go
+++ b/services/shard/holder.go
@@ -86,6 +86,8 @@
 	suspect   suspicion
 	// headAt is when the last read began that reached the log's end.
 	headAt time.Time
+	// doubtful says that another box may have become the holder meanwhile.
+	doubtful bool
 	// claim is the revision of this process's claim.
 	claim int64
 
@@ -174,7 +176,7 @@
 }
 
 func (h *Holder) begin(now time.Time, claim ledger.Claim) {
-	h.phase, h.claim, h.ticket = Adopting, claim.Revision(), 0
+	h.phase, h.claim, h.ticket, h.doubtful = Adopting, claim.Revision(), 0, false
 	h.suspect = suspicion{}
 	h.counts.Takeovers++
 	h.SetWorkers(now)
@@ -252,7 +254,7 @@
 		h.ticket = h.journal.Add(record.Entry{Mark: &record.Mark{}})
 	case Confirming:
 		if h.journal.Applied(h.ticket) {
-			h.phase, h.ticket = Active, 0
+			h.phase, h.ticket, h.doubtful = Active, 0, false
 			h.SetObjects(now)
 		}
 	}
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -110,7 +110,11 @@
 	if s.Epoch == 0 {
 		w.heldSince = now
 		h.restartClocks(now, w)
+		if h.holding() && w.lastEpoch != 0 && e.Report.Epoch != w.lastEpoch+1 {
+			h.doubt(now)
+		}
 	}
+	w.lastEpoch = e.Report.Epoch
 	w.epoch = e.Report.Epoch
 	w.until = e.SentAt.Add(h.settings.Lease - h.settings.Margin)
 	if !h.holding() || w.releasing {
@@ -162,6 +166,9 @@
 	w.starts, w.sent = nil, 0
 	w.epoch, w.until, w.releasing, w.adopted, w.seen = 0, time.Time{}, false, false, 0
 	w.nextAt = now
+	if e.Report.Holder == h.holderName() {
+		w.lastEpoch = e.Report.Epoch
+	}
 	if e.Report.Holder != "" && e.Report.Holder != h.holderName() {
 		w.nextAt = now.Add(min(e.Report.ExpiresIn.Duration(), h.settings.Renew))
 	}
@@ -212,6 +219,17 @@
 	}
 }
 
+// doubt takes note that another box has had the lease of a worker since this
+// holder had it. A later holder, of which this one has not read yet, takes every
+// worker's lease before it starts what this one might start. So nothing is started
+// until every worker has been adopted anew and the log still names this holder.
+func (h *Holder) doubt(now time.Time) {
+	h.phase, h.doubtful = Adopting, true
+	for _, w := range h.order {
+		w.adopted = w.adopted && w.held(now)
+	}
+}
+
 // LogRead takes note that the log was read to its end by a read that began at
 // the given time.
 func (h *Holder) LogRead(began time.Time) { h.headAt = began }
--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -146,6 +146,8 @@
 // heldBack says why no task of o may start now whatever is free, or "".
 func (h *Holder) heldBack(now time.Time, o *object) string {
 	switch {
+	case h.doubtful:
+		return "another box has held workers of the shard, and the log has not told yet whether it is the holder now"
 	case h.phase != Active && o.spec.ID().Born <= h.claim:
 		return "this entry box is taking the shard over and does not know yet what runs"
 	case now.Before(o.notBefore):
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -44,6 +44,8 @@
 	// seen is the version of the inventory that this holder has taken, or 0 if it
 	// needs all of it.
 	seen int64
+	// lastEpoch is the last lease that this holder had, or 0 if it had none.
+	lastEpoch int64
 	// early is how much sooner than the rest this worker's lease is renewed, so
 	// that renewals spread out after a takeover.
 	early   time.Duration
@@ -83,7 +85,7 @@
 
 // forget drops all that is known of what the worker runs.
 func (w *workerState) forget() {
-	w.adopted, w.seen, w.forgetting = false, 0, false
+	w.adopted, w.seen, w.forgetting, w.lastEpoch = false, 0, false, 0
 	w.node.Clear()
 	w.starts, w.sent, w.acks = nil, 0, nil
 	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*running{}, map[task.ID]bool{}
