placement, membership: drop what nothing calls any more

Read once more as a whole: the index counted how often room came free, on the path of each reservation, for a caller that plan's own list of shapes had replaced; Each, HeardAt and a field of the bench had no callers. Behaviour and tests unchanged.

--- a/cmd/saddlevane-bench/decisions.go
+++ b/cmd/saddlevane-bench/decisions.go
@@ -37,7 +37,6 @@
 	bytesWorker      float64
 	bytesTask        float64
 	tickIdle         time.Duration
-	ticks            int
 }
 
 func (f filled) perSecond() float64 { return float64(f.tasks) / f.deciding.Seconds() }
@@ -74,7 +73,7 @@
 	for range idle {
 		r.tick()
 	}
-	f.tickIdle, f.ticks = r.deciding/idle, idle
+	f.tickIdle = r.deciding / idle
 	runtime.KeepAlive(r)
 	return f
 }
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -34,9 +34,6 @@
 // Hello returns the peer's last heartbeat.
 func (m Member) Hello() peer.Hello { return m.hello }
 
-// HeardAt returns when the last heartbeat came.
-func (m Member) HeardAt() time.Time { return m.heardAt }
-
 // Membership is the state. It is not safe for concurrent use.
 type Membership struct {
 	settings Settings
--- a/services/placement/index.go
+++ b/services/placement/index.go
@@ -79,14 +79,10 @@
 func (n *Node) Clear() { n.move(n.capacity) }
 
 func (n *Node) move(free resource.Vector) {
-	grown := !free.Fits(n.free)
 	n.free = free
 	if n.index == nil {
 		return
 	}
-	if grown {
-		n.index.grown++
-	}
 	if at := n.index.cellOf(free); at != n.cell {
 		n.index.unlink(n)
 		n.index.link(n, at)
@@ -99,18 +95,12 @@
 	largest resource.Vector
 	cells   [grid * grid][]*Node
 	size    int
-	// grown counts how often room came free, so that a search which failed
-	// need not be made again until it could succeed.
-	grown int64
-	turn  int
+	turn    int
 }
 
 // Len returns how many workers the index has.
 func (x *Index) Len() int { return x.size }
 
-// Grown returns a number that changes whenever room comes free.
-func (x *Index) Grown() int64 { return x.grown }
-
 // Add puts a worker in; one that is in already stays.
 func (x *Index) Add(n *Node) {
 	if n.index != nil {
@@ -119,7 +109,6 @@
 	x.enlarge(n.capacity)
 	n.index = x
 	x.size++
-	x.grown++
 	x.link(n, x.cellOf(n.free))
 }
 
@@ -251,12 +240,3 @@
 	}
 	return best
 }
-
-// Each calls f for every worker in the index.
-func (x *Index) Each(f func(*Node)) {
-	for i := range x.cells {
-		for _, n := range x.cells[i] {
-			f(n)
-		}
-	}
-}
