--- /dev/null
+++ b/cmd/saddlevaned/jobs.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/claim"
+	"saddlevane/modules/logger"
+	"saddlevane/modules/setting"
+	"saddlevane/platform"
+	"saddlevane/services/authority"
+	"saddlevane/services/dispatch"
+	"saddlevane/services/jobrun"
+)
+
+const (
+	// jobTick is the time between two ticks of the reducer; what is urgent comes
+	// as an event.
+	jobTick = 20 * time.Millisecond
+	// logCall bounds a call to the log; its usual answer takes 4 ms.
+	logCall = 900 * time.Millisecond
+	// claimsWait is how long a read of the claims waits for a record.
+	claimsWait = time.Second
+	// workersEvery is the time between two reads of the list of workers, which
+	// itself lags by 0.8 s.
+	workersEvery = 300 * time.Millisecond
+	// dialWithin bounds the opening of a connection.
+	dialWithin = 500 * time.Millisecond
+	// connsPerHost bounds the connections kept to one worker.
+	connsPerHost = 16
+	// shutdownWithin bounds the wait for answers under way.
+	shutdownWithin = 2 * time.Second
+)
+
+// jobDaemon is all that a process owns that serves submitted jobs.
+type jobDaemon struct {
+	loop     *jobrun.Loop
+	peers    *jobrun.Peers
+	servers  []*http.Server
+	tasks    conc.WaitGroup
+	failed   chan error
+	stopping atomic.Bool
+}
+
+// serveJobs runs the daemon until a signal has stopped it.
+func serveJobs(s setting.Settings, log *logrus.Logger, signals <-chan os.Signal) error {
+	self := claim.Member{
+		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(time.Now()), ulid.DefaultEntropy()).String(),
+		Domain: s.Box.Domain, Address: s.Listen.Peers,
+	}
+	entry := log.WithFields(logrus.Fields{logger.FieldBox: self.Box, logger.FieldIncarnation: self.Incarnation})
+	d, err := startJobs(s, self, entry)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	entry.WithField(logger.FieldAddress, s.Listen.Callers).Info("serving")
+	for {
+		select {
+		case err := <-d.failed:
+			return err
+		case <-reload:
+			entry.Info("settings take effect at the next start")
+			continue
+		case <-signals:
+		}
+		break
+	}
+	entry.Info("stopping")
+	d.stopping.Store(true)
+	d.loop.Stop()
+	select {
+	case <-d.loop.Stopped():
+	case <-signals:
+	}
+	d.shutdown()
+	entry.Info("stopped")
+	return nil
+}
+
+func startJobs(s setting.Settings, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
+	d := &jobDaemon{failed: make(chan error, 2)}
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	d.loop = jobrun.NewLoop(jobSettings(s.Jobs), self, newPlatform(s.Jobs), log, time.Now)
+	d.peers = jobrun.NewPeers(listener, d.loop)
+	d.loop.Run(d.peers)
+	d.peers.Serve()
+	ready := func() bool { return !d.stopping.Load() && d.loop.Config() != nil }
+	for address, handler := range map[string]http.Handler{
+		s.Listen.Callers: platform.NewCallers(d.loop), s.Jobs.Ready: platform.Ready(ready),
+	} {
+		if err := d.serve(address, handler); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *jobDaemon) serve(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeader}
+	d.servers = append(d.servers, server)
+	d.tasks.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.failed <- err
+		}
+	})
+	return nil
+}
+
+func jobSettings(j setting.Jobs) jobrun.Settings {
+	return jobrun.Settings{
+		Dispatch: dispatch.Settings{
+			Authority: authority.Settings{Renew: j.Renew, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
+			Lease:     j.Lease, Wait: j.Wait, OrderTimeout: j.OrderTimeout, Gather: j.Gather,
+			KeepEnded: j.KeepEnded, StopGrace: j.StopGrace,
+		},
+		Tick: jobTick, ReadWait: claimsWait, WorkersEvery: workersEvery, CallTimeout: logCall,
+		OrderTimeout: j.OrderTimeout, PeerTimeout: j.PeerTimeout,
+	}
+}
+
+// newPlatform returns the calls to the platform. The log has a client of its
+// own, so that its connections are not taken up by workers.
+func newPlatform(j setting.Jobs) jobrun.Platform {
+	log := platform.NewLog(j.Log, newClient())
+	workers := platform.NewWorkers(newClient())
+	advice := platform.NewAdvice(j.Advice, newClient())
+	return jobrun.Platform{
+		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
+		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop},
+		Advise:  advice.Ask, Config: platform.Config, Listing: platform.Listing,
+	}
+}
+
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialWithin}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: connsPerHost,
+		IdleConnTimeout: idleWithin,
+	}}
+}
+
+// shutdown closes the callers' ports and waits for the answers under way.
+func (d *jobDaemon) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownWithin)
+	defer cancel()
+	for _, s := range d.servers {
+		_ = s.Shutdown(ctx)
+	}
+}
+
+func (d *jobDaemon) close() {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.peers.Close()
+	d.loop.Close()
+	d.tasks.Wait()
+}
--- a/cmd/saddlevaned/main.go
+++ b/cmd/saddlevaned/main.go
@@ -46,9 +46,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if settings.Jobs.Enabled {
+		log.SetOutput(os.Stdout)
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if err := serve(settings, log, signals); err != nil {
+	run := serve
+	if settings.Jobs.Enabled {
+		run = serveJobs
+	}
+	if err := run(settings, log, signals); err != nil {
 		log.WithError(err).Error("the daemon failed")
 		return exitFailed
 	}
--- /dev/null
+++ b/models/job/task.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// StepID names a step of one instance of a job.
+type StepID struct {
+	Job      ID
+	Instance int
+	Step     int
+}
+
+// String returns the name that workers and the advice service know.
+func (s StepID) String() string {
+	return string(s.Job) + "." + strconv.Itoa(s.Instance) + "." + strconv.Itoa(s.Step)
+}
+
+// TaskID names a task of one instance of a job.
+type TaskID struct {
+	StepID
+	Index int
+}
+
+// String returns the name that workers know.
+func (t TaskID) String() string { return t.StepID.String() + "." + strconv.Itoa(t.Index) }
+
+// ParseTask reads what String wrote.
+func ParseTask(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task %q: want four parts", text)
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task %q: want whole numbers", text)
+		}
+		numbers[i] = n
+	}
+	id := ID(parts[0])
+	if err := id.Check(); err != nil {
+		return TaskID{}, err
+	}
+	return TaskID{StepID{id, numbers[0], numbers[1]}, numbers[2]}, nil
+}
--- /dev/null
+++ b/models/order/order.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package order holds the single orders that a holder gives to workers, and
+// what workers answer. Unlike a Sync, each order has a fate of its own.
+package order
+
+import "saddlevane/models/job"
+
+// WorkerClock is a time on a worker's own steady clock, in milliseconds.
+type WorkerClock int64
+
+// Run names one start of a task. Runs of a task rise over all holders.
+type Run struct {
+	Task   job.TaskID
+	Number int64
+}
+
+// Start asks a worker to run a task.
+type Start struct {
+	Run
+	Spec string
+	// Until is when the worker's lease ends; a start that is carried out later
+	// is refused.
+	Until      WorkerClock
+	Fence      int64
+	Checkpoint string
+	// Ticket is the advice service's leave, if the queue needs it.
+	Ticket string
+}
+
+// Stop asks a worker to end a run, and never to begin it.
+type Stop struct {
+	Run
+	Fence int64
+}
+
+// Renew renews a worker's lease and asks what it runs.
+type Renew struct {
+	// Until is the new end of the lease, or 0 to leave it.
+	Until WorkerClock
+	Fence int64
+	// Seen is the last end that may be forgotten.
+	Seen int64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait job.Milliseconds
+}
+
+// Report is what a worker runs and what has ended on it.
+type Report struct {
+	Clock   WorkerClock
+	Running []Running
+	Ended   []End
+}
+
+// Running is one run at work.
+type Running struct {
+	Run
+	Checkpoint string
+	// Pace is the percentage of its speed that the run may work at.
+	Pace int
+}
+
+// End is one run that has ended. Numbers rise in each life of a worker.
+type End struct {
+	Number int64
+	Run
+	How        How
+	Checkpoint string
+}
+
+// How a run ended.
+type How string
+
+// The ways in which a run ends.
+const (
+	Done    How = "done"
+	Failed  How = "failed"
+	Stopped How = "stopped"
+	Lapsed  How = "lapsed"
+	// Broken means that another member of the gang ended first.
+	Broken How = "broken"
+	// Alone means that the other members of the gang did not come in time.
+	Alone How = "alone"
+)
+
+// Fate is what is known of an order once its call has ended.
+type Fate string
+
+// The fates. NoLife means that the worker at the address is another life than
+// the one meant, so that all that ran on the earlier life is gone.
+const (
+	Carried Fate = "carried out"
+	Refused Fate = "refused"
+	NotDone Fate = "not done"
+	Unknown Fate = "unknown"
+	NoLife  Fate = "no such life"
+)
+
+// Reason is why a worker refused an order.
+type Reason string
+
+// The reasons.
+const (
+	// Fenced means that the worker has seen a higher fence number.
+	Fenced Reason = "fenced"
+	// OldRun means that this run, or a later one, has ended there.
+	OldRun    Reason = "old run"
+	TooLate   Reason = "too late"
+	NoRoom    Reason = "no room"
+	BadTicket Reason = "bad ticket"
+	Malformed Reason = "malformed"
+)
+
+// Answer is the end of a call that carried an order.
+type Answer struct {
+	Fate   Fate
+	Reason Reason
+	// Clock is the worker's clock when it answered, or 0.
+	Clock WorkerClock
+	// Problem says what went wrong with the call, for logs.
+	Problem string
+}
--- a/services/runtime/codec.go
+++ b/modules/frame/frame.go
@@ -1,7 +1,8 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package runtime
+// Package frame frames the messages between entry boxes.
+package frame
 
 import (
 	"bufio"
@@ -11,21 +12,21 @@
 	"io"
 )
 
-// maxPeerMessage bounds one message between entry boxes, in bytes.
-const maxPeerMessage = 64 << 20
+// maxMessage bounds one message between entry boxes, in bytes.
+const maxMessage = 64 << 20
 
-// boundedCodec frames JSON objects for jsonrpc2 with their length, and refuses
+// Codec frames JSON objects for jsonrpc2 with their length, and refuses
 // long ones before it reads them.
-type boundedCodec struct{}
+type Codec struct{}
 
 // WriteObject writes one object.
-func (boundedCodec) WriteObject(w io.Writer, obj any) error {
+func (Codec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return err
 	}
-	if len(data) > maxPeerMessage {
-		return fmt.Errorf("peer message of %d bytes, the limit is %d", len(data), maxPeerMessage)
+	if len(data) > maxMessage {
+		return fmt.Errorf("peer message of %d bytes, the limit is %d", len(data), maxMessage)
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeader+len(data)), uint32(len(data)))
 	_, err = w.Write(append(frame, data...))
@@ -36,14 +37,14 @@
 
 // ReadObject reads one object. It grows its buffer only as bytes arrive, so a
 // peer that announces much and sends little costs little.
-func (boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+func (Codec) ReadObject(r *bufio.Reader, v any) error {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
 	size := int64(binary.BigEndian.Uint32(header[:]))
-	if size > maxPeerMessage {
-		return fmt.Errorf("peer message of %d bytes, the limit is %d", size, maxPeerMessage)
+	if size > maxMessage {
+		return fmt.Errorf("peer message of %d bytes, the limit is %d", size, maxMessage)
 	}
 	data, err := io.ReadAll(io.LimitReader(r, size))
 	if err != nil {
--- a/modules/setting/check.go
+++ b/modules/setting/check.go
@@ -68,7 +68,10 @@
 func (s *Settings) check(c *checker) {
 	s.Box.check(c)
 	s.Listen.check(c)
-	s.Platform.check(c)
+	if !s.Jobs.Enabled {
+		s.Platform.check(c)
+	}
+	s.Jobs.check(c)
 	s.Peers.check(c)
 	s.Requests.check(c)
 	s.Workers.check(c)
--- /dev/null
+++ b/modules/setting/jobs.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import "time"
+
+// Jobs says how the daemon serves jobs that callers submit, on a platform that
+// takes each order to a worker by itself. Without it the daemon serves files.
+type Jobs struct {
+	// Enabled makes the daemon serve submitted jobs.
+	Enabled bool `yaml:"enabled"`
+	// Ready is where the balancer asks whether the box takes callers.
+	Ready string `yaml:"ready"`
+	// Log and Advice are addresses of the platform's services.
+	Log    string `yaml:"log"`
+	Advice string `yaml:"advice"`
+	// Lease is how long workers run their tasks after a renewal.
+	Lease time.Duration `yaml:"lease"`
+	// Wait is how long a renewal waits at a worker for the end of a task.
+	Wait time.Duration `yaml:"wait"`
+	// Renew, HoldFor and ClaimAfter are the times of the claim on the cell.
+	Renew      time.Duration `yaml:"renew"`
+	HoldFor    time.Duration `yaml:"hold_for"`
+	ClaimAfter time.Duration `yaml:"claim_after"`
+	// Gather is the least time between two appends of the holder.
+	Gather time.Duration `yaml:"gather"`
+	// KeepEnded is how long the final state of a job can be asked for.
+	KeepEnded time.Duration `yaml:"keep_ended"`
+	// OrderTimeout bounds one order to a worker.
+	OrderTimeout time.Duration `yaml:"order_timeout"`
+	// PeerTimeout bounds a call to another entry box.
+	PeerTimeout time.Duration `yaml:"peer_timeout"`
+	// StopGrace is how long a stopping box still passes calls on.
+	StopGrace time.Duration `yaml:"stop_grace"`
+}
+
+func defaultJobs() Jobs {
+	return Jobs{
+		Ready: "127.0.0.1:8083", Lease: 6 * time.Second, Wait: time.Second,
+		Renew: 600 * time.Millisecond, HoldFor: 2400 * time.Millisecond, ClaimAfter: 2600 * time.Millisecond,
+		Gather: 12 * time.Millisecond, KeepEnded: 150 * time.Second,
+		OrderTimeout: time.Second, PeerTimeout: 1500 * time.Millisecond, StopGrace: 1500 * time.Millisecond,
+	}
+}
+
+func (j *Jobs) check(c *checker) {
+	if !j.Enabled {
+		return
+	}
+	c.address("jobs.ready", j.Ready)
+	c.address("jobs.log", j.Log)
+	if j.Advice != "" {
+		c.address("jobs.advice", j.Advice)
+	}
+	between(c, "jobs.lease", j.Lease, 100*time.Millisecond, time.Minute)
+	between(c, "jobs.wait", j.Wait, 0, 2*time.Second)
+	below(c, "jobs.wait", j.Wait, "jobs.lease", j.Lease)
+	between(c, "jobs.renew", j.Renew, 10*time.Millisecond, time.Minute)
+	below(c, "jobs.renew", j.Renew, "jobs.hold_for", j.HoldFor)
+	below(c, "jobs.hold_for", j.HoldFor, "jobs.claim_after", j.ClaimAfter)
+	between(c, "jobs.gather", j.Gather, 0, time.Second)
+	between(c, "jobs.keep_ended", j.KeepEnded, time.Second, 24*time.Hour)
+	between(c, "jobs.order_timeout", j.OrderTimeout, 10*time.Millisecond, time.Minute)
+	between(c, "jobs.peer_timeout", j.PeerTimeout, 10*time.Millisecond, time.Minute)
+	between(c, "jobs.stop_grace", j.StopGrace, 0, time.Minute)
+}
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -35,6 +35,7 @@
 	Policy   Policy   `yaml:"policy"`
 	Stop     Stop     `yaml:"stop"`
 	Log      Log      `yaml:"log"`
+	Jobs     Jobs     `yaml:"jobs"`
 }
 
 // Default returns the settings that hold where nothing else is said.
@@ -43,6 +44,7 @@
 		Listen: defaultListen(), Platform: defaultPlatform(), Peers: defaultPeers(),
 		Requests: defaultRequests(), Workers: defaultWorkers(), Queue: defaultQueue(),
 		Policy: defaultPolicy(), Stop: defaultStop(), Log: defaultLog(),
+		Jobs: defaultJobs(),
 	}
 }
 
--- /dev/null
+++ b/services/authority/authority.go
@@ -0,0 +1,301 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package authority decides which box may give orders to the cell's workers. It
+// folds the stream of claims: the log lets one claim follow another only if
+// nothing came in between, so there is one holder in the order of the log. A
+// holder stops on its own before another box may claim.
+package authority
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/stream"
+)
+
+// Settings are the times of the authority.
+type Settings struct {
+	// Renew is the time between two renewals of the claim.
+	Renew time.Duration
+	// HoldFor is how long a holder may act after it sent the last renewal that
+	// the log has.
+	HoldFor time.Duration
+	// ClaimAfter is how long a box must not have read a renewal before it claims.
+	// It exceeds HoldFor by what two steady clocks may differ in that time.
+	ClaimAfter time.Duration
+}
+
+// claimSpread spreads the claims of boxes that notice a silence at once, so
+// that most find the claim of the first.
+const claimSpread = 300 * time.Millisecond
+
+// claimKey is the only key of the stream of claims.
+const claimKey = "holder"
+
+// Append is a claim or renewal to append. Its end comes back by Appended.
+type Append struct {
+	Claim  claim.Claim
+	Stream stream.Append
+}
+
+// Authority is one box's view of who holds. It is not safe for concurrent use.
+type Authority struct {
+	settings Settings
+	self     claim.Member
+
+	current claim.Claim
+	// next is the end of the stream as far as it was read.
+	next int64
+	// read says that the stream was read to its end once.
+	read bool
+	// steadySince is since when all reads succeed, or zero after a failed one.
+	steadySince time.Time
+	// heardAt is when the last renewal was read.
+	heardAt time.Time
+
+	// held is the epoch under which this process acts, or 0.
+	held int64
+	// sentAt is when the last renewal that is known to be in the log was sent.
+	sentAt time.Time
+	// pledgedUntil bounds a pledge to the holder not to claim.
+	pledgedUntil time.Time
+	pending      *pending
+	renewAt      time.Time
+	renewal      int64
+	// sentTimes has the time of each renewal whose fate is not known.
+	sentTimes map[int64]time.Time
+	spread    time.Duration
+	stopping  bool
+}
+
+// pending is an append under way.
+type pending struct {
+	claim  claim.Claim
+	sentAt time.Time
+}
+
+// New returns the view of a process that has read nothing.
+func New(s Settings, self claim.Member) *Authority {
+	return &Authority{
+		settings: s, self: self, sentTimes: map[int64]time.Time{},
+		spread: time.Duration(xxhash.Sum64String(self.Box) % uint64(claimSpread)),
+	}
+}
+
+// Current returns the claim in force as far as it was read.
+func (a *Authority) Current() claim.Claim { return a.current }
+
+// Epoch returns the epoch under which this process acts, or 0.
+func (a *Authority) Epoch() int64 { return a.held }
+
+// Holds says whether this process may give orders at now.
+func (a *Authority) Holds(now time.Time) bool {
+	return a.held != 0 && a.current.Epoch <= a.held && now.Before(a.sentAt.Add(a.settings.HoldFor))
+}
+
+// HoldsUntil returns when the authority ends unless it is renewed.
+func (a *Authority) HoldsUntil() time.Time { return a.sentAt.Add(a.settings.HoldFor) }
+
+// Busy says whether an append is under way.
+func (a *Authority) Busy() bool { return a.pending != nil }
+
+// Steady says whether the log answers this process.
+func (a *Authority) Steady() bool { return !a.steadySince.IsZero() }
+
+// Start takes what the stream held when the process began to read.
+func (a *Authority) Start(now time.Time, records []stream.Record, next int64) {
+	a.read = true
+	a.Read(now, records, next)
+}
+
+// Read takes records that follow those read before.
+func (a *Authority) Read(now time.Time, records []stream.Record, next int64) {
+	if a.steadySince.IsZero() {
+		a.steadySince = now
+	}
+	for _, r := range records {
+		var c claim.Claim
+		if r.Key != claimKey || json.Unmarshal(r.Value, &c) != nil || c.Check() != nil || c.Epoch < a.current.Epoch {
+			continue
+		}
+		a.take(now, c)
+	}
+	a.next = max(a.next, next)
+}
+
+func (a *Authority) take(now time.Time, c claim.Claim) {
+	a.current = c
+	a.heardAt = now
+	mine := c.Box == a.self.Box && c.Incarnation == a.self.Incarnation
+	if mine && !c.Released {
+		a.confirm(c)
+	}
+}
+
+// confirm notes that a claim or renewal of this process is in the log.
+func (a *Authority) confirm(c claim.Claim) {
+	sent, ok := a.sentTimes[c.Renewal]
+	if !ok || a.stopping {
+		return
+	}
+	a.held = c.Epoch
+	if sent.After(a.sentAt) {
+		a.sentAt = sent
+	}
+	for n := range a.sentTimes {
+		if n <= c.Renewal {
+			delete(a.sentTimes, n)
+		}
+	}
+}
+
+// ReadFailed notes that the log did not answer.
+func (a *Authority) ReadFailed() { a.steadySince = time.Time{} }
+
+// Pledge promises the holder of the current claim not to claim before now plus
+// ClaimAfter. It returns false if this process cannot promise that.
+func (a *Authority) Pledge(now time.Time, epoch int64) bool {
+	if a.pending != nil || a.held != 0 || a.current.Epoch != epoch || a.current.Released {
+		return false
+	}
+	a.pledgedUntil = now.Add(a.settings.ClaimAfter)
+	return true
+}
+
+// Pledged notes that every other box has promised not to claim, at a request
+// sent at sentAt.
+func (a *Authority) Pledged(sentAt time.Time, epoch int64) {
+	if a.held == epoch && sentAt.After(a.sentAt) {
+		a.sentAt = sentAt
+	}
+}
+
+// Tick returns what to append now, or nil.
+func (a *Authority) Tick(now time.Time) *Append {
+	if a.pending != nil || !a.read {
+		return nil
+	}
+	if a.held != 0 {
+		return a.renew(now)
+	}
+	if !a.mayClaim(now) {
+		return nil
+	}
+	a.renewal++
+	return a.append(now, claim.Claim{
+		Epoch: a.current.Epoch + 1, Box: a.self.Box, Incarnation: a.self.Incarnation,
+		Address: a.self.Address, Renewal: a.renewal,
+	})
+}
+
+func (a *Authority) renew(now time.Time) *Append {
+	if a.stopping || a.current.Epoch > a.held || now.Before(a.renewAt) {
+		return nil
+	}
+	a.renewal++
+	return a.append(now, claim.Claim{
+		Epoch: a.held, Box: a.self.Box, Incarnation: a.self.Incarnation,
+		Address: a.self.Address, Renewal: a.renewal,
+	})
+}
+
+// Release returns the record that gives the claim up, or nil if there is none.
+// After it this process no longer holds.
+func (a *Authority) Release(now time.Time, heir string) *Append {
+	if a.held == 0 {
+		return nil
+	}
+	epoch := a.held
+	a.StepDown()
+	a.renewal++
+	return a.append(now, claim.Claim{
+		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation,
+		Address: a.self.Address, Renewal: a.renewal, Released: true, Heir: heir,
+	})
+}
+
+// Stop keeps this process from claiming again.
+func (a *Authority) Stop() { a.stopping = true }
+
+// Stopping says whether Stop was called.
+func (a *Authority) Stopping() bool { return a.stopping }
+
+// StepDown ends the authority of this process.
+func (a *Authority) StepDown() {
+	a.held = 0
+	a.sentAt = time.Time{}
+	clear(a.sentTimes)
+}
+
+func (a *Authority) append(now time.Time, c claim.Claim) *Append {
+	a.pending = &pending{claim: c, sentAt: now}
+	a.renewAt = now.Add(a.settings.Renew)
+	if !c.Released {
+		a.sentTimes[c.Renewal] = now
+	}
+	value, err := json.Marshal(c)
+	if err != nil {
+		// A claim has only plain fields.
+		panic(err)
+	}
+	at := a.next
+	return &Append{Claim: c, Stream: stream.Append{
+		Stream: stream.Claims, Records: []stream.Record{{Key: claimKey, Value: value}}, At: &at,
+	}}
+}
+
+// Appended takes the end of an append. It returns true if the append is in the
+// log for sure; anything else is left to what is read.
+func (a *Authority) Appended(now time.Time, offset int64, err error) bool {
+	p := a.pending
+	a.pending = nil
+	if p == nil {
+		return false
+	}
+	if err != nil {
+		// A renewal that may be in the log is confirmed when it is read.
+		a.renewAt = now.Add(a.settings.Renew / 4)
+		return false
+	}
+	a.next = max(a.next, offset+1)
+	if p.claim.Epoch >= a.current.Epoch {
+		a.take(now, p.claim)
+	}
+	return true
+}
+
+// mayClaim says whether no other box can act under a claim.
+func (a *Authority) mayClaim(now time.Time) bool {
+	if a.stopping || a.steadySince.IsZero() || now.Before(a.pledgedUntil) {
+		return false
+	}
+	c := a.current
+	if c.Epoch == 0 {
+		return now.Sub(a.steadySince) >= a.spread/4
+	}
+	if c.Released {
+		chosen := c.Heir == "" || c.Heir == a.self.Box
+		return c.Incarnation != a.self.Incarnation && (chosen || now.Sub(a.heardAt) >= claimSpread+a.spread)
+	}
+	if c.Box == a.self.Box && c.Incarnation != a.self.Incarnation {
+		// An earlier life of this very box is gone.
+		return true
+	}
+	quiet := a.settings.ClaimAfter + a.spread
+	return now.Sub(a.heardAt) >= quiet && now.Sub(a.steadySince) >= quiet
+}
+
+// MemberRestarted notes that a box has announced a new life. A claim of an
+// earlier life of it is void.
+func (a *Authority) MemberRestarted(now time.Time, m claim.Member) {
+	c := a.current
+	if c.Epoch == 0 || c.Released || c.Box != m.Box || c.Incarnation == m.Incarnation || m.Box == a.self.Box {
+		return
+	}
+	// Leave the box itself a moment to claim again, then anyone may.
+	a.heardAt = now.Add(-a.settings.ClaimAfter)
+}
--- /dev/null
+++ b/services/dispatch/advice.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+)
+
+// advice is what is known of the workers that may run a step.
+type advice struct {
+	// suits says of each worker asked about whether it may.
+	suits   map[*worker]bool
+	tickets map[*worker]ticket
+	asking  bool
+	// askAgain delays the next call after one that failed.
+	askAgain time.Time
+	// promises is room kept on workers until their tickets come.
+	promises []promise
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+type promise struct {
+	worker *worker
+	room   resource.Vector
+}
+
+const (
+	// ticketMargin is taken off a ticket's time for the start's way.
+	ticketMargin = 120 * time.Millisecond
+	// adviceMargin is added to the time that a call for advice should take.
+	adviceMargin = 1500 * time.Millisecond
+	// adviceAgain delays a call after one that failed.
+	adviceAgain = 100 * time.Millisecond
+	// firstAsk bounds the workers named in the first call for a step. The
+	// objective of a job allows for a call that names 30 (the users' rules).
+	firstAsk = 30
+	// shortCall is the longest call for advice that counts as short.
+	shortCall = 150 * time.Millisecond
+)
+
+func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
+
+func (a *advice) ticketFor(now time.Time, w *worker) (string, bool) {
+	t, ok := a.tickets[w]
+	return t.text, ok && now.Before(t.until)
+}
+
+// releasePromises gives back the room that was kept for a step.
+func (h *holding) releasePromises(s *step) {
+	for _, p := range s.advice.promises {
+		p.worker.promised = p.worker.promised.Minus(p.room)
+	}
+	s.advice.promises = nil
+}
+
+func (h *holding) promise(s *step, w *worker, tasks int) {
+	room := s.spec.Reserved().Times(tasks)
+	w.promised = w.promised.Plus(room)
+	s.advice.promises = append(s.advice.promises, promise{worker: w, room: room})
+}
+
+// advisers spreads calls for advice over the entry boxes: the service takes one
+// call at a time from each.
+type advisers struct {
+	// busyUntil is when the calls given to a box should be over.
+	busyUntil map[string]time.Time
+	badUntil  map[string]time.Time
+}
+
+func newAdvisers() advisers {
+	return advisers{busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}}
+}
+
+// choose returns the box whose calls are over first. Long calls keep off the
+// first boxes in the order of names, so that short ones need not wait behind
+// them.
+func (h *holding) chooseAdviser(now time.Time, takes time.Duration) (string, string) {
+	names := []string{h.core.self.Box}
+	for name, m := range h.core.members {
+		if name != h.core.self.Box && !m.Leaving && now.After(h.advisers.badUntil[name]) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	if kept := (len(names) + 2) / 3; takes > shortCall && len(names) > 2 {
+		names = names[kept:]
+	}
+	best := slices.MinFunc(names, func(a, b string) int {
+		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
+	})
+	address := ""
+	if best != h.core.self.Box {
+		address = h.core.members[best].Address
+	}
+	h.advisers.busyUntil[best] = h.advisers.free(now, best).Add(takes)
+	return best, address
+}
+
+func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
+
+// ask calls for advice on some workers.
+func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) {
+	takes := q.Base + time.Duration(len(workers))*q.Each
+	box, address := h.chooseAdviser(now, takes)
+	ids := make([]string, len(workers))
+	for i, w := range workers {
+		ids[i] = w.ID
+	}
+	s.advice.asking = true
+	h.core.do(Advise{
+		Box: box, Address: address, Epoch: h.epoch, Step: s.id, Workers: ids,
+		Timeout: h.advisers.busyUntil[box].Sub(now) + adviceMargin,
+	})
+}
+
+func (h *holding) advised(now time.Time, e Advised) {
+	s := h.findStep(e.Step)
+	if s == nil || e.Epoch != h.epoch {
+		return
+	}
+	h.releasePromises(s)
+	s.advice.asking = false
+	h.planDue = true
+	if e.Failed != "" {
+		s.advice.askAgain = now.Add(adviceAgain)
+		if e.Box != h.core.self.Box {
+			h.advisers.badUntil[e.Box] = now.Add(adviceMargin)
+		}
+		h.core.note("advice failed", Field{"step", s.id.String()}, Field{"asked_from", e.Box}, Field{"problem", e.Failed})
+		return
+	}
+	h.noteAdvice(now, s, e)
+}
+
+func (h *holding) noteAdvice(now time.Time, s *step, e Advised) {
+	a := &s.advice
+	if a.suits == nil {
+		a.suits, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
+	}
+	for _, id := range e.Asked {
+		if w := h.workers[id]; w != nil {
+			a.suits[w] = a.suits[w]
+		}
+	}
+	valid := time.Duration(0)
+	if q := h.queueOf(s.job); q.Advice != nil {
+		valid = q.Advice.Valid
+	}
+	for _, t := range e.Good {
+		if w := h.workers[t.Worker]; w != nil {
+			a.suits[w] = true
+			a.tickets[w] = ticket{text: t.Ticket, until: now.Add(valid - ticketMargin)}
+		}
+	}
+	h.learned.advised(s.job.queue, len(e.Asked), len(e.Good))
+}
+
+// adviseEarly asks for the first steps of a job while the log takes it in.
+func (h *holding) adviseEarly(now time.Time, j *submitted) {
+	q := h.queueOf(j)
+	if q.Advice == nil {
+		return
+	}
+	for _, in := range j.instances {
+		for _, s := range in.steps {
+			if len(s.spec.After) == 0 {
+				h.askUnknown(now, s, q, h.candidates(now, s, q))
+			}
+		}
+	}
+}
+
+// askUnknown calls for advice on workers of which nothing is known for a step,
+// those with most room first. It returns false if there are none to ask about.
+func (h *holding) askUnknown(now time.Time, s *step, q job.Queue, candidates []*worker) bool {
+	var unknown []*worker
+	for _, w := range candidates {
+		if _, asked := s.advice.suits[w]; !asked {
+			unknown = append(unknown, w)
+		}
+	}
+	if len(unknown) == 0 || s.advice.asking || now.Before(s.advice.askAgain) {
+		return false
+	}
+	slices.SortFunc(unknown, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.room().Processors, a.room().Processors), cmp.Compare(a.ID, b.ID))
+	})
+	h.ask(now, s, q.Advice, unknown[:min(len(unknown), h.howMany(s, q))])
+	return true
+}
+
+// howMany returns how many workers the next call for a step should name: enough
+// that those which suit have room for its tasks twice over.
+func (h *holding) howMany(s *step, q job.Queue) int {
+	perWorker := 1
+	if c := h.usualCapacity(); s.spec.Need.Processors > 0 {
+		perWorker = max(1, int(c.Processors/s.spec.Need.Processors)/2)
+	}
+	if s.spec.PerWorker > 0 {
+		perWorker = min(perWorker, s.spec.PerWorker)
+	}
+	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
+	return min(firstAsk, max(4, int(float64(wanted)*1.5/h.learned.goodShare(q.Name))))
+}
+
+// usualCapacity returns the capacity of one of the workers.
+func (h *holding) usualCapacity() resource.Vector {
+	for _, w := range h.workers {
+		return w.Capacity
+	}
+	return resource.Vector{}
+}
--- /dev/null
+++ b/services/dispatch/attempts.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// place takes an attempt's room on its worker.
+func (h *holding) place(a *attempt) {
+	a.worker.attempts[a.name()] = a
+	a.worker.free = a.worker.free.Minus(a.step.spec.Reserved())
+	t := a.task()
+	t.attempt = a
+	t.lastRun = a.run
+	a.step.attempts++
+	if !t.done {
+		a.step.waiting--
+	}
+}
+
+// unplace gives the room back.
+func (h *holding) unplace(a *attempt) {
+	delete(a.worker.attempts, a.name())
+	a.worker.free = a.worker.free.Plus(a.step.spec.Reserved())
+	t := a.task()
+	if t.attempt == a {
+		t.attempt = nil
+		if !t.done {
+			a.step.waiting++
+		}
+	}
+	a.step.attempts--
+	h.planDue = true
+}
+
+// nextRun returns a run number above all earlier ones of the step's tasks, under
+// this claim and those before.
+func (h *holding) nextRun(s *step) int64 {
+	s.lastRun = max(s.lastRun+1, h.epoch*runsPerEpoch)
+	return s.lastRun
+}
+
+// start orders a worker to run a task.
+func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, startedAt: now}
+	h.place(a)
+	saved := a.task().saved
+	if s.spec.Gang {
+		saved = s.gangSaved()
+	}
+	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
+		Run: a.name(), Spec: s.job.submission.Spec, Until: h.startUntil(now, w), Fence: h.epoch,
+		Checkpoint: saved, Ticket: ticket,
+	}})
+	h.core.note("task start ordered", Field{"job", string(s.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", run},
+		Field{"worker", w.ID}, Field{"free_after", w.free.Processors.String()}, Field{"claim", h.epoch},
+		Field{"config", h.core.config.Version}, Field{"slack", s.slack(now, h).String()})
+}
+
+// startUntil is the end of the lease that a start carries. A start that is
+// carried out after it is refused.
+func (h *holding) startUntil(now time.Time, w *worker) order.WorkerClock {
+	return h.until(now, w)
+}
+
+// gangSaved returns a checkpoint that all members of a gang can resume from.
+func (s *step) gangSaved() string {
+	for i := range s.tasks {
+		if s.tasks[i].saved != "" {
+			return s.tasks[i].saved
+		}
+	}
+	return ""
+}
+
+func (h *holding) startEnded(now time.Time, e StartEnded) {
+	w := h.workers[e.Worker]
+	if w == nil || e.Epoch != h.epoch {
+		return
+	}
+	if e.Answer.Fate == order.NoLife {
+		h.workerDied(now, w, "another life answers at its address")
+		return
+	}
+	a := w.attempts[e.Run]
+	if a == nil {
+		return
+	}
+	a.confirmed = a.confirmed && a.state == stopping
+	switch e.Answer.Fate {
+	case order.Carried:
+		if a.state == starting {
+			a.state = running
+			a.since = now
+		}
+		h.started(a)
+	case order.Refused:
+		h.startRefused(now, a, e.Answer)
+	case order.NotDone:
+		w.excludedTill = maxTime(w.excludedTill, now.Add(notDoneFor))
+		h.lose(now, a, "the worker did nothing: "+e.Answer.Problem)
+	default:
+		h.startUnsure(now, a, e.Answer)
+	}
+}
+
+// notDoneFor is how long a worker that did nothing gets no starts.
+const notDoneFor = 500 * time.Millisecond
+
+func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
+	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
+		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
+	if a.state != starting {
+		return
+	}
+	a.state = unsure
+	a.since = now
+	h.gangBroke(now, a.step)
+}
+
+func (h *holding) startRefused(now time.Time, a *attempt, answer order.Answer) {
+	h.core.note("a start was refused", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
+		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"reason", string(answer.Reason)})
+	switch answer.Reason {
+	case order.Fenced:
+		h.core.stepDown("a worker has seen a later holder")
+		return
+	case order.BadTicket:
+		a.step.advice.dropTicket(a.worker)
+	case order.OldRun:
+		// The run has ended there; its end, if it is not known, is still to come.
+	default:
+		a.step.notBefore = now.Add(refusedWait)
+	}
+	h.lose(now, a, "refused: "+string(answer.Reason))
+}
+
+// refusedWait delays a step after a start was refused for no reason that can be
+// mended at once.
+const refusedWait = 50 * time.Millisecond
+
+// started notes that some task of a job is, or was, at work.
+func (h *holding) started(a *attempt) {
+	j := a.step.job
+	j.started = true
+	if j.state == job.Queued {
+		j.state = job.Running
+	}
+	if j.shown == job.Queued {
+		j.shown = job.Running
+	}
+}
+
+// stop orders the end of an attempt. Its room stays taken until it has ended.
+func (h *holding) stop(now time.Time, a *attempt) {
+	if a.state == stopping {
+		return
+	}
+	a.state = stopping
+	a.since = now
+	a.confirmed = false
+	h.sendStop(a)
+}
+
+func (h *holding) sendStop(a *attempt) {
+	h.core.do(StopRun{Worker: a.worker.ID, Address: a.worker.Address, Epoch: h.epoch, Order: order.Stop{Run: a.name(), Fence: h.epoch}})
+}
+
+// resendStops sends stops again that had no answer.
+func (h *holding) resendStops(now time.Time, w *worker) {
+	if w.failures > 0 {
+		return
+	}
+	for _, a := range w.attempts {
+		if a.state == stopping && !a.confirmed && now.Sub(a.since) > stopAgain {
+			a.since = now
+			h.sendStop(a)
+		}
+	}
+}
+
+func (h *holding) stopEnded(now time.Time, e StopEnded) {
+	w := h.workers[e.Worker]
+	if w == nil || e.Epoch != h.epoch {
+		return
+	}
+	switch {
+	case e.Answer.Fate == order.NoLife:
+		h.workerDied(now, w, "another life answers at its address")
+		return
+	case e.Answer.Fate == order.Refused && e.Answer.Reason == order.Fenced:
+		h.core.stepDown("a worker has seen a later holder")
+		return
+	}
+	a := w.attempts[e.Run]
+	if a == nil || a.state != stopping || a.confirmed {
+		return
+	}
+	if e.Answer.Fate == order.Carried || e.Answer.Fate == order.Refused {
+		a.confirmed = true
+		a.since = now
+		h.renewSoon(now, w)
+	}
+}
--- /dev/null
+++ b/services/dispatch/calls.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/stream"
+)
+
+func keyDropped(key string) stream.Record { return stream.Record{Key: key} }
+
+// submit accepts a job once the log has it. The same ID is the same job.
+func (h *holding) submit(now time.Time, e Submitted) {
+	if j := h.jobs[e.Submission.ID]; j != nil {
+		if j.accepted {
+			h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown})
+			return
+		}
+		if h.journal.failing(now) {
+			h.core.reply(e.Call, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
+			return
+		}
+		j.waitAccept = append(j.waitAccept, e.Call)
+		return
+	}
+	if h.journal.failing(now) || h.yielding {
+		h.unavailable(e.Call, "the log keeps no records at present")
+		return
+	}
+	j := h.newJob(now, e.Submission, now.UnixMilli())
+	j.waitAccept = append(j.waitAccept, e.Call)
+	h.journal.accepts = append(h.journal.accepts, j)
+	h.adviseEarly(now, j)
+}
+
+func (h *holding) unavailable(call CallID, reason string) {
+	h.core.reply(call, Answer{
+		Outcome: Unavailable, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
+	})
+}
+
+// cancel ends a job; the caller is told once the log has it.
+func (h *holding) cancel(now time.Time, e CancelAsked) {
+	j := h.jobs[e.Job]
+	switch {
+	case j == nil:
+		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		return
+	case j.shown.Final():
+		h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown})
+		return
+	case h.journal.failing(now) && j.state.Final():
+		h.core.reply(e.Call, Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"})
+		return
+	}
+	h.finish(now, j, job.Cancelled, "a caller asked for it")
+	j.waitCancel = append(j.waitCancel, e.Call)
+	h.markDirty(j)
+}
+
+func (h *holding) askState(e StateAsked) {
+	j := h.jobs[e.Job]
+	if j == nil {
+		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		return
+	}
+	state := j.shown
+	if state == job.Queued && j.started {
+		state = job.Running
+	}
+	h.core.reply(e.Call, Answer{Outcome: OK, State: state})
+}
+
+func (h *holding) askCount(e CountAsked) {
+	count := 0
+	for _, j := range h.jobs {
+		if j.queue == e.Queue && j.accepted && !j.started && !j.state.Final() {
+			count++
+		}
+	}
+	h.core.reply(e.Call, Answer{Outcome: OK, Waiting: count})
+}
--- /dev/null
+++ b/services/dispatch/dispatch.go
@@ -0,0 +1,329 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package dispatch is the reducer for jobs that callers submit. One box holds
+// the cell's workers at a time and keeps all that must last in the log; the
+// others pass calls on to it. The reducer is told each event with the present
+// time and returns what to do; it does no I/O and reads no clock.
+package dispatch
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/stream"
+	"saddlevane/services/authority"
+)
+
+// Core is the state of a process. It is not safe for concurrent use.
+type Core struct {
+	settings  Settings
+	self      claim.Member
+	authority *authority.Authority
+	members   map[string]claim.Member
+	config    *job.Config
+	// holding is set while this process holds the cell, or is about to.
+	holding *holding
+	out     []Effect
+
+	announced   bool
+	announcing  bool
+	announceAt  time.Time
+	stopAt      time.Time
+	stopDone    bool
+	pledging    bool
+	pledgeAgain time.Time
+}
+
+// New returns the state of a process that has just started.
+func New(s Settings, self claim.Member) *Core {
+	return &Core{
+		settings: s, self: self, authority: authority.New(s.Authority, self),
+		members: map[string]claim.Member{},
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (c *Core) Config() *job.Config { return c.config }
+
+// Holder returns the claim in force.
+func (c *Core) Holder() claim.Claim { return c.authority.Current() }
+
+// Holds says whether this process serves the cell's jobs.
+func (c *Core) Holds() bool { return c.holding != nil && c.holding.phase == active }
+
+// Steady says whether the log answers this process.
+func (c *Core) Steady() bool { return c.authority.Steady() }
+
+// Handle takes one event.
+func (c *Core) Handle(now time.Time, e Event) {
+	switch e := e.(type) {
+	case Tick:
+		c.tick(now)
+	case Stop:
+		c.beginStop(now)
+	case ConfigRead:
+		c.configRead(now, e.Config)
+	case ClaimsRead:
+		c.claimsRead(now, e)
+	case MembersRead:
+		c.membersRead(now, e.Members)
+	case AppendEnded:
+		c.appendEnded(now, e)
+	case PledgeAsked:
+		c.pledgeAsked(now, e)
+	case Pledged:
+		c.pledged(e)
+	case Submitted:
+		c.call(e.Call, func(h *holding) { h.submit(now, e) })
+	case CancelAsked:
+		c.call(e.Call, func(h *holding) { h.cancel(now, e) })
+	case StateAsked:
+		c.call(e.Call, func(h *holding) { h.askState(e) })
+	case CountAsked:
+		c.call(e.Call, func(h *holding) { h.askCount(e) })
+	default:
+		if c.holding != nil {
+			c.holding.handle(now, e)
+		}
+	}
+}
+
+// Decide places what can be placed and returns all that is to be done. It is
+// called once after each group of events that came together.
+func (c *Core) Decide(now time.Time) []Effect {
+	if h := c.holding; h != nil {
+		h.decide(now)
+	}
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) do(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) note(message string, fields ...Field) { c.do(Note{Message: message, Fields: fields}) }
+
+func (c *Core) reply(call CallID, a Answer) { c.do(Reply{Call: call, Reply: a}) }
+
+// call runs f if this process serves the cell's jobs.
+func (c *Core) call(id CallID, f func(*holding)) {
+	if !c.Holds() {
+		c.reply(id, Answer{
+			Outcome: Elsewhere, Reason: "this box does not hold the cell",
+			RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
+		})
+		return
+	}
+	f(c.holding)
+}
+
+func (c *Core) tick(now time.Time) {
+	c.announce(now)
+	if c.announced && c.config != nil {
+		c.tryClaim(now)
+	}
+	if h := c.holding; h != nil {
+		h.tick(now)
+	}
+	c.stopOn(now)
+}
+
+// announce tells the other boxes where this one is.
+func (c *Core) announce(now time.Time) {
+	if c.announced || c.announcing || now.Before(c.announceAt) {
+		return
+	}
+	value, err := json.Marshal(c.self)
+	if err != nil {
+		// A member has only plain fields.
+		panic(err)
+	}
+	c.announcing = true
+	c.do(Append{Purpose: ForAnnounce, Append: stream.Append{
+		Stream: stream.Boxes, Records: []stream.Record{{Key: c.self.Box, Value: value}},
+	}})
+}
+
+func (c *Core) tryClaim(now time.Time) {
+	if a := c.authority.Tick(now); a != nil {
+		c.do(Append{Purpose: ForClaim, Append: a.Stream})
+	}
+	c.askPledges(now)
+	c.followAuthority(now)
+}
+
+// followAuthority begins or ends the holding in line with the authority.
+func (c *Core) followAuthority(now time.Time) {
+	epoch := c.authority.Epoch()
+	if c.holding != nil && (c.holding.epoch != epoch || c.authority.Current().Epoch > epoch) {
+		c.stepDown("another box holds the cell")
+		epoch = c.authority.Epoch()
+	}
+	if c.holding == nil && epoch != 0 && c.authority.Holds(now) {
+		c.holding = newHolding(c, now, epoch)
+		c.holding.begin(now)
+	}
+}
+
+// stepDown ends the holding without giving it to anyone.
+func (c *Core) stepDown(why string) {
+	h := c.holding
+	c.holding = nil
+	c.authority.StepDown()
+	if h == nil {
+		return
+	}
+	h.refuseAll(why)
+	c.do(FollowWorkers{On: false})
+	c.note("stopped holding the cell", Field{"claim", h.epoch}, Field{"reason", why},
+		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
+}
+
+func (c *Core) configRead(now time.Time, config job.Config) {
+	if c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.config = &config
+	c.note("configuration in force", Field{"config", config.Version}, Field{"queues", len(config.Queues)})
+	if c.holding != nil {
+		c.holding.configChanged(now)
+	}
+}
+
+func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
+	if e.Failed != "" {
+		if c.authority.Steady() {
+			c.note("the log does not answer", Field{"reason", e.Failed})
+		}
+		c.authority.ReadFailed()
+		return
+	}
+	before := c.authority.Current().Epoch
+	if !c.authority.Steady() {
+		c.note("the log answers", Field{"next", e.Next})
+	}
+	if e.Start {
+		c.authority.Start(now, e.Records, e.Next)
+	} else {
+		c.authority.Read(now, e.Records, e.Next)
+	}
+	if cur := c.authority.Current(); cur.Epoch != before {
+		c.note("a box holds the cell", Field{"holder", cur.Box}, Field{"claim", cur.Epoch}, Field{"earlier_claim", before})
+	}
+	if c.announced && c.config != nil {
+		c.tryClaim(now)
+	}
+}
+
+func (c *Core) membersRead(now time.Time, members []claim.Member) {
+	for _, m := range members {
+		former, known := c.members[m.Box]
+		c.members[m.Box] = m
+		if known && former.Incarnation == c.authority.Current().Incarnation && m.Incarnation != former.Incarnation {
+			c.authority.MemberRestarted(now, m)
+		}
+	}
+}
+
+func (c *Core) appendEnded(now time.Time, e AppendEnded) {
+	switch e.Purpose {
+	case ForAnnounce:
+		c.announcing = false
+		c.announced = e.Err == nil
+		c.announceAt = now.Add(appendAgain)
+		if e.Err != nil {
+			c.note("announcing this box failed", Field{"error", e.Err.Error()})
+		}
+	case ForClaim:
+		if !c.authority.Appended(now, e.Offset, e.Err) && e.Err != nil {
+			c.note("a claim or renewal was not confirmed", Field{"error", e.Err.Error()})
+		}
+		c.followAuthority(now)
+	case ForJournal:
+		if c.holding != nil {
+			c.holding.journalEnded(now, e)
+		}
+	}
+}
+
+// askPledges asks the other boxes not to claim while the log does not answer, so
+// that the holder can go on.
+func (c *Core) askPledges(now time.Time) {
+	h := c.holding
+	if h == nil || c.pledging || now.Before(c.pledgeAgain) {
+		return
+	}
+	if c.authority.HoldsUntil().Sub(now) > c.settings.Authority.HoldFor*2/3 {
+		return
+	}
+	c.pledging = true
+	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
+}
+
+func (c *Core) otherAddresses() []string {
+	var all []string
+	for _, m := range c.members {
+		if m.Box != c.self.Box {
+			all = append(all, m.Address)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (c *Core) pledgeAsked(now time.Time, e PledgeAsked) {
+	outcome := Unavailable
+	if c.authority.Pledge(now, e.Epoch) {
+		outcome = OK
+	}
+	c.reply(e.Call, Answer{Outcome: outcome})
+}
+
+func (c *Core) pledged(e Pledged) {
+	c.pledging = false
+	c.pledgeAgain = e.SentAt.Add(c.settings.Authority.Renew / 2)
+	if e.All {
+		c.authority.Pledged(e.SentAt, e.Epoch)
+	}
+}
+
+// beginStop gives the cell up, so that another box takes it over at once, and
+// goes on passing calls on for a while.
+func (c *Core) beginStop(now time.Time) {
+	if c.authority.Stopping() {
+		return
+	}
+	c.authority.Stop()
+	c.stopAt = now.Add(c.settings.StopGrace)
+	if h := c.holding; h != nil {
+		h.yielding = true
+	}
+}
+
+// stopOn hands the cell over once nothing waits for the log.
+func (c *Core) stopOn(now time.Time) {
+	if !c.authority.Stopping() || c.stopDone {
+		return
+	}
+	if h := c.holding; h != nil && !c.authority.Busy() && (h.journal.idle() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
+		c.handOver(now, "")
+	}
+	if now.After(c.stopAt) {
+		c.stopDone = true
+		c.do(Stopped{})
+	}
+}
+
+// handOver releases the claim; heir may name the next holder.
+func (c *Core) handOver(now time.Time, heir string) {
+	release := c.authority.Release(now, heir)
+	if release == nil {
+		return
+	}
+	c.do(Append{Purpose: ForClaim, Append: release.Stream})
+	c.stepDown("handed over")
+}
--- /dev/null
+++ b/services/dispatch/effects.go
@@ -0,0 +1,141 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+)
+
+// Effect is something that the reducer asks for.
+type Effect interface{ effect() }
+
+// Purpose says what an append is for.
+type Purpose string
+
+// The purposes of appends.
+const (
+	ForClaim    Purpose = "claim"
+	ForJournal  Purpose = "journal"
+	ForAnnounce Purpose = "announce"
+)
+
+// Append appends to the log. Its end comes back as AppendEnded.
+type Append struct {
+	Purpose Purpose
+	Append  stream.Append
+}
+
+// LoadJobs reads the stream of jobs whole. Its end comes back as JobsLoaded.
+type LoadJobs struct{ Epoch int64 }
+
+// FollowWorkers starts or ends the following of the list of workers.
+type FollowWorkers struct{ On bool }
+
+// Renew renews a worker's lease and asks what it runs. Its end comes back as
+// RenewEnded.
+type Renew struct {
+	Worker  string
+	Address string
+	Epoch   int64
+	Order   order.Renew
+	Timeout time.Duration
+}
+
+// StartRun starts a task. Its end comes back as StartEnded.
+type StartRun struct {
+	Worker  string
+	Address string
+	Epoch   int64
+	Order   order.Start
+}
+
+// StopRun ends a run. Its end comes back as StopEnded.
+type StopRun struct {
+	Worker  string
+	Address string
+	Epoch   int64
+	Order   order.Stop
+}
+
+// Advise asks the advice service from a box. Its end comes back as Advised.
+type Advise struct {
+	Box string
+	// Address is that of the box, or empty for this one.
+	Address string
+	Epoch   int64
+	Step    job.StepID
+	Workers []string
+	Timeout time.Duration
+}
+
+// AskPledges asks all other boxes not to claim. Its end comes back as Pledged.
+type AskPledges struct {
+	Epoch     int64
+	Addresses []string
+}
+
+// Reply answers a call.
+type Reply struct {
+	Call  CallID
+	Reply Answer
+}
+
+// Outcome of a call.
+type Outcome string
+
+// The outcomes. Elsewhere, Unavailable and Unknown say that nothing was done;
+// Unsure that it may have been.
+const (
+	OK Outcome = "ok"
+	// NoJob means that there is no such job.
+	NoJob Outcome = "no such job"
+	// Elsewhere means that this box does not hold the cell.
+	Elsewhere Outcome = "held elsewhere"
+	// Unavailable means that nothing can be kept at present.
+	Unavailable Outcome = "unavailable"
+	// Unsure means that it may have been done; the same call may be made again.
+	Unsure Outcome = "unsure"
+)
+
+// Answer is what a caller is told.
+type Answer struct {
+	Outcome Outcome   `json:"outcome"`
+	State   job.State `json:"state,omitempty"`
+	Waiting int       `json:"waiting,omitempty"`
+	// Reason says why it was not done.
+	Reason string `json:"reason,omitempty"`
+	// RetryAfter is when to come back, if nothing was done.
+	RetryAfter job.Milliseconds `json:"retry_after_ms,omitempty"`
+}
+
+// Note is a line for the log of the process.
+type Note struct {
+	Message string
+	Fields  []Field
+}
+
+// Field is one named value of a Note.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// Stopped says that a planned stop is complete.
+type Stopped struct{}
+
+func (Append) effect()        {}
+func (LoadJobs) effect()      {}
+func (FollowWorkers) effect() {}
+func (Renew) effect()         {}
+func (StartRun) effect()      {}
+func (StopRun) effect()       {}
+func (Advise) effect()        {}
+func (AskPledges) effect()    {}
+func (Reply) effect()         {}
+func (Note) effect()          {}
+func (Stopped) effect()       {}
--- /dev/null
+++ b/services/dispatch/events.go
@@ -0,0 +1,148 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+)
+
+// Event is something that the reducer is told.
+type Event interface{ event() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Stop asks for a planned stop.
+type Stop struct{}
+
+// ConfigRead is a configuration that the log has.
+type ConfigRead struct{ Config job.Config }
+
+// ClaimsRead is a part of the stream of claims, the first one if Start is set.
+type ClaimsRead struct {
+	Start   bool
+	Records []stream.Record
+	Next    int64
+	// Failed says why there is nothing, or is empty.
+	Failed string
+}
+
+// MembersRead lists entry boxes that have announced themselves.
+type MembersRead struct{ Members []claim.Member }
+
+// WorkersRead is a change of the platform's list of workers.
+type WorkersRead struct{ Listing order.Listing }
+
+// AppendEnded is the end of an Append.
+type AppendEnded struct {
+	Purpose Purpose
+	Offset  int64
+	Err     error
+}
+
+// JobsLoaded is the whole stream of jobs, read for the claim with Epoch.
+type JobsLoaded struct {
+	Epoch   int64
+	Records []stream.Record
+	Err     error
+}
+
+// CallID names a caller's call within this process.
+type CallID uint64
+
+// Submitted is a caller's job.
+type Submitted struct {
+	Call       CallID
+	Submission job.Submission
+}
+
+// CancelAsked is a caller's wish to end a job.
+type CancelAsked struct {
+	Call CallID
+	Job  job.ID
+}
+
+// StateAsked is a caller's question about a job.
+type StateAsked struct {
+	Call CallID
+	Job  job.ID
+}
+
+// CountAsked asks how many jobs of a queue wait.
+type CountAsked struct {
+	Call  CallID
+	Queue string
+}
+
+// RenewEnded is the end of a Renew.
+type RenewEnded struct {
+	Worker string
+	Epoch  int64
+	SentAt time.Time
+	Answer order.Answer
+	Report order.Report
+}
+
+// StartEnded is the end of a Start.
+type StartEnded struct {
+	Worker string
+	Epoch  int64
+	Run    order.Run
+	Answer order.Answer
+}
+
+// StopEnded is the end of a StopRun.
+type StopEnded struct {
+	Worker string
+	Epoch  int64
+	Run    order.Run
+	Answer order.Answer
+}
+
+// Advised is the end of an Advise.
+type Advised struct {
+	Step   job.StepID
+	Box    string
+	Epoch  int64
+	Asked  []string
+	Good   []order.Ticket
+	Failed string
+}
+
+// PledgeAsked is a holder's question whether this box will not claim for a while.
+type PledgeAsked struct {
+	Call  CallID
+	Epoch int64
+}
+
+// Pledged says that all other boxes have promised not to claim.
+type Pledged struct {
+	Epoch  int64
+	SentAt time.Time
+	All    bool
+}
+
+func (Tick) event()        {}
+func (Stop) event()        {}
+func (ConfigRead) event()  {}
+func (ClaimsRead) event()  {}
+func (MembersRead) event() {}
+func (WorkersRead) event() {}
+func (AppendEnded) event() {}
+func (JobsLoaded) event()  {}
+func (Submitted) event()   {}
+func (CancelAsked) event() {}
+func (StateAsked) event()  {}
+func (CountAsked) event()  {}
+func (RenewEnded) event()  {}
+func (StartEnded) event()  {}
+func (StopEnded) event()   {}
+func (Advised) event()     {}
+func (PledgeAsked) event() {}
+func (Pledged) event()     {}
--- /dev/null
+++ b/services/dispatch/holding.go
@@ -0,0 +1,251 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+)
+
+// phase is how far a takeover has come.
+type phase string
+
+const (
+	// fencing: the stream of jobs must refuse earlier holders first.
+	fencing phase = "fencing"
+	// loading: the stream of jobs is read.
+	loading phase = "loading"
+	// active: jobs are accepted and tasks are started.
+	active phase = "active"
+)
+
+// holding is what a box keeps while it holds the cell.
+type holding struct {
+	core  *Core
+	epoch int64
+	phase phase
+	since time.Time
+	// yielding says that no new work is taken because the process stops.
+	yielding bool
+
+	journal journal
+	jobs    map[job.ID]*submitted
+	// open lists the steps that have tasks to place.
+	open    []*step
+	workers map[string]*worker
+	// unsettled names workers of earlier holders that have not told what they
+	// run. Until it is empty, no task of an earlier holder's job starts.
+	unsettled map[string]bool
+	advisers  advisers
+	learned   learned
+	repeating []*submitted
+	endedJobs []*submitted
+	planDue   bool
+	sweepAt   time.Time
+}
+
+func newHolding(c *Core, now time.Time, epoch int64) *holding {
+	return &holding{
+		core: c, epoch: epoch, phase: fencing, since: now,
+		journal: journal{epoch: epoch, dirty: map[*submitted]bool{}}, jobs: map[job.ID]*submitted{},
+		workers: map[string]*worker{}, unsettled: map[string]bool{},
+		advisers: newAdvisers(), learned: newLearned(),
+	}
+}
+
+// Keys of the stream of jobs start with what they hold.
+const (
+	keySubmission = "s/"
+	keyProgress   = "p/"
+	keyWorker     = "w/"
+	keyFence      = "fence"
+)
+
+// begin fences earlier holders' appends and looks at the workers meanwhile.
+func (h *holding) begin(now time.Time) {
+	h.core.note("took the cell over", Field{"claim", h.epoch})
+	h.core.do(FollowWorkers{On: true})
+	h.journal.add(stream.Record{Key: keyFence, Value: []byte{'1'}})
+	h.flush(now)
+}
+
+// handle takes the events that only a holder needs.
+func (h *holding) handle(now time.Time, e Event) {
+	switch e := e.(type) {
+	case JobsLoaded:
+		h.loaded(now, e)
+	case WorkersRead:
+		h.workersRead(now, e.Listing)
+	case RenewEnded:
+		h.renewEnded(now, e)
+	case StartEnded:
+		h.startEnded(now, e)
+	case StopEnded:
+		h.stopEnded(now, e)
+	case Advised:
+		h.advised(now, e)
+	}
+}
+
+// fenced goes on once no earlier holder can append.
+func (h *holding) fenced() {
+	if h.phase == fencing {
+		h.phase = loading
+		h.core.do(LoadJobs{Epoch: h.epoch})
+	}
+}
+
+func (h *holding) loaded(now time.Time, e JobsLoaded) {
+	if e.Epoch != h.epoch || h.phase != loading {
+		return
+	}
+	if e.Err != nil {
+		h.core.note("reading the jobs failed", Field{"error", e.Err.Error()})
+		h.core.do(LoadJobs{Epoch: h.epoch})
+		return
+	}
+	h.fold(now, e.Records)
+	h.phase = active
+	h.planDue = true
+	h.core.note("serves the cell's jobs", Field{"claim", h.epoch}, Field{"jobs", len(h.jobs)},
+		Field{"workers_to_ask", len(h.unsettled)}, Field{"took", now.Sub(h.since).String()})
+	h.renewAll(now)
+}
+
+// fold builds the jobs from the newest record of each key.
+func (h *holding) fold(now time.Time, records []stream.Record) {
+	slices.SortFunc(records, func(a, b stream.Record) int { return int(a.Offset - b.Offset) })
+	newest := map[string]stream.Record{}
+	for _, r := range records {
+		newest[r.Key] = r
+	}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, keySubmission); ok && !newest[r.Key].Dropped() && newest[r.Key].Offset == r.Offset {
+			h.foldJob(now, job.ID(id), r.Value, newest[keyProgress+id].Value)
+		}
+	}
+	for key, r := range newest {
+		switch {
+		case r.Dropped():
+		case strings.HasPrefix(key, keyProgress):
+			h.foldEnded(job.ID(key[len(keyProgress):]), r.Value)
+		case strings.HasPrefix(key, keyWorker):
+			h.foldWorker(now, r.Value)
+		}
+	}
+	slices.SortFunc(h.endedJobs, func(a, b *submitted) int { return int(a.ended - b.ended) })
+}
+
+func (h *holding) foldJob(now time.Time, id job.ID, value, progress []byte) {
+	var kept keptSubmission
+	if err := json.Unmarshal(value, &kept); err != nil {
+		h.core.note("a kept job could not be read", Field{"job", string(id)}, Field{"error", err.Error()})
+		return
+	}
+	var p job.Progress
+	if len(progress) > 0 {
+		if err := json.Unmarshal(progress, &p); err != nil {
+			h.core.note("a job's progress could not be read", Field{"job", string(id)}, Field{"error", err.Error()})
+			return
+		}
+	}
+	j := h.newJob(now, kept.Submission, kept.Accepted)
+	j.accepted = true
+	j.inherited = true
+	h.resume(now, j, p)
+}
+
+// foldEnded notes a job of which only the final state is kept.
+func (h *holding) foldEnded(id job.ID, value []byte) {
+	var p job.Progress
+	if h.jobs[id] != nil {
+		return
+	}
+	if err := json.Unmarshal(value, &p); err != nil || !p.State.Final() {
+		return
+	}
+	j := &submitted{id: id, queue: p.Queue, state: p.State, shown: p.State, accepted: true, ended: p.Ended}
+	h.jobs[id] = j
+	h.endedJobs = append(h.endedJobs, j)
+}
+
+func (h *holding) foldWorker(now time.Time, value []byte) {
+	var o order.Worker
+	if err := json.Unmarshal(value, &o); err != nil || o.ID == "" {
+		h.core.note("a kept worker could not be read")
+		return
+	}
+	w := h.workers[o.ID]
+	if w == nil {
+		w = newWorker(now, o)
+		h.workers[o.ID] = w
+	}
+	w.recorded = true
+	// An earlier holder may have renewed its lease until just now.
+	w.goneAt = maxTime(w.goneAt, now.Add(h.leaseMost()))
+	if !w.settled {
+		h.unsettled[o.ID] = true
+	}
+}
+
+// keptSubmission is the log's record of a job.
+type keptSubmission struct {
+	Submission job.Submission `json:"job"`
+	// Accepted is when it was accepted, in milliseconds since 1970.
+	Accepted int64 `json:"accepted_unix_ms"`
+}
+
+func (h *holding) tick(now time.Time) {
+	if now.Before(h.sweepAt) {
+		h.flush(now)
+		return
+	}
+	h.sweepAt = now.Add(100 * time.Millisecond)
+	h.planDue = true
+	h.fallDue(now)
+	h.sweepWorkers(now)
+	h.dropEnded(now)
+	h.flush(now)
+}
+
+// decide flushes what has gathered and places what can be placed.
+func (h *holding) decide(now time.Time) {
+	h.flush(now)
+	if h.phase != active || h.yielding || !h.planDue || !h.core.authority.Holds(now) {
+		return
+	}
+	h.planDue = false
+	h.plan(now)
+}
+
+// configChanged takes over what a new configuration says of workers.
+func (h *holding) configChanged(time.Time) { h.planDue = true }
+
+// refuseAll answers every caller who waits for the log.
+func (h *holding) refuseAll(why string) {
+	a := Answer{Outcome: Unsure, Reason: why}
+	for _, j := range h.jobs {
+		h.answer(j.waitAccept, a)
+		h.answer(j.waitCancel, a)
+	}
+}
+
+func (h *holding) answer(calls []CallID, a Answer) {
+	for _, call := range calls {
+		h.core.reply(call, a)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/services/dispatch/journal.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/stream"
+)
+
+// journal gathers what must last and appends it, one append at a time. Under one
+// claim each append has the next sequence number, so that an append whose answer
+// was lost can be sent again and takes effect once.
+type journal struct {
+	epoch    int64
+	sequence int64
+	extra    []stream.Record
+	// recording names workers among the extra records.
+	recording []*worker
+	accepts   []*submitted
+	dirty     map[*submitted]bool
+	batch    *batch
+	sendAt   time.Time
+	// failingSince is since when no append has succeeded, or zero.
+	failingSince time.Time
+}
+
+// batch is one append and what is true once it is in the log.
+type batch struct {
+	append   stream.Append
+	recorded []*worker
+	accepts  []*submitted
+	progress []batched
+	sent     bool
+}
+
+// batched is one job's progress in a batch.
+type batched struct {
+	job     *submitted
+	state   job.State
+	ends    []*endNote
+	cancels []CallID
+}
+
+// maxBatch bounds one append, in bytes, well below what the log takes.
+const maxBatch = 512 << 10
+
+func (j *journal) add(r stream.Record) { j.extra = append(j.extra, r) }
+
+func (j *journal) idle() bool {
+	return j.batch == nil && len(j.extra) == 0 && len(j.accepts) == 0 && len(j.dirty) == 0
+}
+
+// failing says whether the log has not taken an append for a while.
+func (j *journal) failing(now time.Time) bool {
+	return !j.failingSince.IsZero() && now.Sub(j.failingSince) > failingAfter
+}
+
+// failingAfter is how long appends may fail before callers are refused at once.
+const failingAfter = 150 * time.Millisecond
+
+// flush appends what has gathered, if no append is under way.
+func (h *holding) flush(now time.Time) {
+	j := &h.journal
+	if j.batch != nil {
+		if !j.batch.sent && !now.Before(j.sendAt) {
+			h.send(now)
+		}
+		return
+	}
+	if j.idle() || now.Before(j.sendAt) || (h.phase == active && !h.core.authority.Holds(now)) {
+		return
+	}
+	j.batch = h.compose()
+	j.sequence++
+	j.batch.append.Writer = &stream.Writer{Epoch: j.epoch, Sequence: j.sequence}
+	h.send(now)
+}
+
+func (h *holding) send(now time.Time) {
+	h.journal.batch.sent = true
+	h.journal.sendAt = now.Add(h.core.settings.Gather)
+	h.core.do(Append{Purpose: ForJournal, Append: h.journal.batch.append})
+}
+
+// compose builds the next append.
+func (h *holding) compose() *batch {
+	j := &h.journal
+	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extra}, recorded: j.recording}
+	j.extra, j.recording = nil, nil
+	size := 0
+	for len(j.accepts) > 0 && size < maxBatch {
+		s := j.accepts[0]
+		j.accepts = j.accepts[1:]
+		b.accepts = append(b.accepts, s)
+		size += b.put(keySubmission+string(s.id), keptSubmission{Submission: *s.submission, Accepted: s.acceptedUnix})
+	}
+	for s := range j.dirty {
+		if size >= maxBatch {
+			break
+		}
+		if !s.accepted && !b.has(s) {
+			continue
+		}
+		delete(j.dirty, s)
+		b.progress = append(b.progress, batched{job: s, state: s.state, ends: s.ends, cancels: s.waitCancel})
+		s.ends, s.waitCancel = nil, nil
+		size += b.put(keyProgress+string(s.id), s.progress())
+		if s.state.Final() {
+			b.append.Records = append(b.append.Records, stream.Record{Key: keySubmission + string(s.id)})
+		}
+	}
+	return b
+}
+
+func (b *batch) has(s *submitted) bool {
+	for _, other := range b.accepts {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *batch) put(key string, v any) int {
+	value, err := json.Marshal(v)
+	if err != nil {
+		// The records have only plain fields.
+		panic(err)
+	}
+	b.append.Records = append(b.append.Records, stream.Record{Key: key, Value: value})
+	return len(key) + len(value)
+}
+
+func (h *holding) journalEnded(now time.Time, e AppendEnded) {
+	j := &h.journal
+	if j.batch == nil || !j.batch.sent {
+		return
+	}
+	switch {
+	case e.Err == nil || errors.Is(e.Err, stream.ErrDone):
+		h.kept(now)
+	case errors.Is(e.Err, stream.ErrFenced):
+		h.core.stepDown("a later holder has appended")
+	default:
+		h.notKept(now, e.Err)
+	}
+}
+
+// notKept sends the same append again; it may be in the log already.
+func (h *holding) notKept(now time.Time, err error) {
+	j := &h.journal
+	j.batch.sent = false
+	j.sendAt = now.Add(appendAgain)
+	if j.failingSince.IsZero() {
+		j.failingSince = now
+		h.core.note("the log does not keep records", Field{"error", err.Error()})
+	}
+	for _, s := range j.batch.accepts {
+		h.answer(s.waitAccept, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
+		s.waitAccept = nil
+	}
+	for i := range j.batch.progress {
+		p := &j.batch.progress[i]
+		h.answer(p.cancels, Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"})
+		p.cancels = nil
+	}
+}
+
+// kept acts on what is now in the log.
+func (h *holding) kept(now time.Time) {
+	j := &h.journal
+	b := j.batch
+	j.batch = nil
+	if !j.failingSince.IsZero() {
+		h.core.note("the log keeps records again", Field{"after", now.Sub(j.failingSince).String()})
+		j.failingSince = time.Time{}
+	}
+	for _, w := range b.recorded {
+		w.recorded = true
+	}
+	for _, s := range b.accepts {
+		s.accepted = true
+		h.answer(s.waitAccept, Answer{Outcome: OK, State: s.state})
+		s.waitAccept = nil
+		h.opened(s)
+	}
+	for _, p := range b.progress {
+		h.keptProgress(now, p)
+	}
+	h.fenced()
+	h.planDue = true
+}
+
+func (h *holding) keptProgress(now time.Time, p batched) {
+	p.job.shown = p.state
+	h.answer(p.cancels, Answer{Outcome: OK, State: p.state})
+	for _, n := range p.ends {
+		n.kept = true
+		h.renewSoon(now, n.worker)
+	}
+	if p.state.Final() {
+		h.close(p.job)
+	}
+}
--- /dev/null
+++ b/services/dispatch/learn.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import "time"
+
+// learned is what ends and answers have shown.
+type learned struct {
+	// good is the share of workers that suited a queue's steps.
+	good map[string]float64
+}
+
+const (
+	// firstGood is believed of a queue of which nothing is known.
+	firstGood = 0.4
+	// leastGood bounds how many workers are asked about at once.
+	leastGood = 0.1
+	// forgetting is the weight of one answer among those before.
+	forgetting = 0.05
+)
+
+func newLearned() learned { return learned{good: map[string]float64{}} }
+
+func (l *learned) advised(queue string, asked, good int) {
+	if asked == 0 {
+		return
+	}
+	l.good[queue] = l.goodShare(queue)*(1-forgetting) + forgetting*float64(good)/float64(asked)
+}
+
+func (l *learned) goodShare(queue string) float64 {
+	if share, ok := l.good[queue]; ok {
+		return max(leastGood, share)
+	}
+	return firstGood
+}
+
+// took notes that a task of a step has ended.
+func (l *learned) took(*step, time.Time) {}
--- /dev/null
+++ b/services/dispatch/reports.go
@@ -0,0 +1,284 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// excludeAfter is how many failed ends of different jobs in a row exclude a
+// worker, and excludeFor for how long: one job can fail by its own fault.
+const (
+	excludeAfter = 3
+	excludeFor   = 4 * time.Second
+)
+
+// applyReport brings what is believed of a worker in line with its own word.
+func (h *holding) applyReport(now time.Time, w *worker, e RenewEnded) {
+	for _, end := range e.Report.Ended {
+		if end.Number > w.told {
+			w.told = end.Number
+			h.ended(now, w, end)
+		}
+	}
+	present := make(map[order.Run]bool, len(e.Report.Running))
+	for _, r := range e.Report.Running {
+		present[r.Run] = true
+		h.atWork(now, w, r)
+	}
+	for run, a := range w.attempts {
+		if !present[run] {
+			h.absent(now, a, e.SentAt)
+		}
+	}
+}
+
+// atWork notes that a run is at work on a worker.
+func (h *holding) atWork(now time.Time, w *worker, r order.Running) {
+	a := w.attempts[r.Run]
+	if a == nil {
+		a = h.adopt(now, w, r)
+		if a == nil {
+			h.stopStray(w, r.Run)
+			return
+		}
+	}
+	if a.step.spec.Checkpoints && r.Checkpoint != "" {
+		a.task().saved = r.Checkpoint
+	}
+	if a.state == unsure || a.state == starting {
+		a.state = running
+		a.since = now
+		h.started(a)
+	}
+}
+
+// adopt takes over a run that an earlier holder started. It returns nil if the
+// run should not be there.
+func (h *holding) adopt(now time.Time, w *worker, r order.Running) *attempt {
+	s := h.findStep(r.Task.StepID)
+	if s == nil || r.Task.Index >= len(s.tasks) || s.job.state.Final() {
+		return nil
+	}
+	t := &s.tasks[r.Task.Index]
+	if t.done || t.attempt != nil || r.Number <= t.lastRun {
+		return nil
+	}
+	a := &attempt{
+		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, startedAt: now, confirmed: true,
+	}
+	h.place(a)
+	s.lastRun = max(s.lastRun, r.Number)
+	h.started(a)
+	return a
+}
+
+func (h *holding) findStep(id job.StepID) *step {
+	j := h.jobs[id.Job]
+	if j == nil || j.instances == nil {
+		return nil
+	}
+	in := j.instances[id.Instance]
+	if in == nil || id.Step >= len(in.steps) {
+		return nil
+	}
+	return in.steps[id.Step]
+}
+
+func (h *holding) stopStray(w *worker, run order.Run) {
+	h.core.note("a run that should not be there is stopped", Field{"task", run.Task.String()}, Field{"run", run.Number}, Field{"worker", w.ID})
+	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
+}
+
+// absent acts on an attempt that a report, asked for at sentAt, does not name.
+func (h *holding) absent(now time.Time, a *attempt, sentAt time.Time) {
+	if !a.since.Before(sentAt) {
+		return
+	}
+	switch a.state {
+	case starting:
+	case running:
+		h.lose(now, a, "the worker no longer has it")
+	case unsure:
+		h.stop(now, a)
+	case stopping:
+		if a.confirmed {
+			h.lose(now, a, "it was stopped before it began")
+		}
+	}
+}
+
+// ended takes one end from a worker's list.
+func (h *holding) ended(now time.Time, w *worker, end order.End) {
+	note := &endNote{worker: w, number: end.Number}
+	w.notes = append(w.notes, note)
+	a := w.attempts[end.Run]
+	s := h.findStep(end.Task.StepID)
+	if a != nil {
+		s = a.step
+		h.unplace(a)
+	}
+	if s == nil || end.Task.Index >= len(s.tasks) {
+		note.kept = true
+		return
+	}
+	t := &s.tasks[end.Task.Index]
+	t.lastRun = max(t.lastRun, end.Run.Number)
+	if end.Checkpoint != "" && s.spec.Checkpoints {
+		t.saved = end.Checkpoint
+	}
+	h.applyEnd(now, w, s, end)
+	h.core.note("task ended", Field{"job", string(s.job.id)}, Field{"task", end.Task.String()}, Field{"run", end.Run.Number},
+		Field{"worker", w.ID}, Field{"outcome", string(end.How)})
+	if s.job.closed {
+		note.kept = true
+		return
+	}
+	s.job.ends = append(s.job.ends, note)
+	h.markDirty(s.job)
+}
+
+// applyEnd draws the consequences of one end.
+func (h *holding) applyEnd(now time.Time, w *worker, s *step, end order.End) {
+	switch {
+	case s.job.state.Final():
+		h.afterEnd(s)
+	case s.spec.Service:
+		h.afterEnd(s)
+	case end.How == order.Done:
+		w.failedJobs = 0
+		h.taskDone(now, s, end)
+	case end.How == order.Failed:
+		h.suspect(now, w, s.job.id)
+		h.taskFailed(now, s, end)
+	default:
+		h.gangBroke(now, s)
+		h.afterEnd(s)
+	}
+}
+
+// taskDone notes a task's good end. One of a gang counts for all its members.
+func (h *holding) taskDone(now time.Time, s *step, end order.End) {
+	if s.spec.Gang {
+		for i := range s.tasks {
+			s.markDone(i)
+		}
+	} else {
+		s.markDone(end.Task.Index)
+		if a := s.tasks[end.Task.Index].attempt; a != nil {
+			h.stop(now, a)
+		}
+	}
+	h.learned.took(s, now)
+	if s.done < len(s.tasks) {
+		return
+	}
+	s.open = false
+	h.releasePromises(s)
+	in := s.instance
+	in.doneSteps++
+	if in.doneSteps < len(in.steps) {
+		h.openInstance(in)
+		return
+	}
+	s.job.doneInstances++
+	if s.job.doneInstances == s.job.submission.Instances() {
+		h.finish(now, s.job, job.Succeeded, "every task is done")
+	}
+}
+
+func (s *step) markDone(index int) {
+	t := &s.tasks[index]
+	if t.done {
+		return
+	}
+	t.done = true
+	s.done++
+	if t.attempt == nil {
+		s.waiting--
+	}
+}
+
+// taskFailed counts a failed end and gives the job up after too many.
+func (h *holding) taskFailed(now time.Time, s *step, end order.End) {
+	t := &s.tasks[end.Task.Index]
+	failed := 0
+	if s.spec.Gang {
+		if end.Run.Number != s.failedRun {
+			s.failedRun = end.Run.Number
+			s.failedRuns++
+		}
+		failed = s.failedRuns
+		s.tasks[0].failed = failed
+		h.gangBroke(now, s)
+	} else {
+		t.failed++
+		failed = t.failed
+	}
+	if most := h.queueOf(s.job).Attempts; failed >= max(1, most) && !t.done {
+		h.finish(now, s.job, job.Failed, "a task failed too often")
+		return
+	}
+	h.afterEnd(s)
+}
+
+// gangBroke ends what is left of a gang's run, so that it can begin anew.
+func (h *holding) gangBroke(now time.Time, s *step) {
+	if !s.spec.Gang || s.done > 0 {
+		return
+	}
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil {
+			h.stop(now, a)
+		}
+	}
+}
+
+// afterEnd has the step's remaining tasks placed again.
+func (h *holding) afterEnd(s *step) {
+	h.planDue = true
+	if s.attempts == 0 && s.job.closed && s.job.state.Final() {
+		s.job.dropIfQuiet()
+	}
+}
+
+// dropIfQuiet frees the memory of a job that has ended and has nothing running.
+func (j *submitted) dropIfQuiet() {
+	for _, in := range j.instances {
+		for _, s := range in.steps {
+			if s.attempts > 0 {
+				return
+			}
+		}
+	}
+	j.submission, j.instances = nil, nil
+}
+
+// suspect excludes a worker on which one job after another fails.
+func (h *holding) suspect(now time.Time, w *worker, id job.ID) {
+	if w.lastFailed == id {
+		return
+	}
+	w.lastFailed = id
+	w.failedJobs++
+	if w.failedJobs >= excludeAfter {
+		w.failedJobs = excludeAfter - 1
+		w.excludedTill = now.Add(excludeFor)
+		h.core.note("worker is left out because different jobs fail on it", Field{"worker", w.ID}, Field{"until", w.excludedTill.UTC()})
+	}
+}
+
+// lose frees an attempt of which the worker knows nothing any more.
+func (h *holding) lose(now time.Time, a *attempt, why string) {
+	h.unplace(a)
+	h.core.note("task lost", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", a.run},
+		Field{"worker", a.worker.ID}, Field{"state", string(a.state)}, Field{"reason", why})
+	if !a.step.job.state.Final() {
+		h.gangBroke(now, a.step)
+	}
+	h.afterEnd(a.step)
+}
--- /dev/null
+++ b/services/dispatch/settings.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/services/authority"
+)
+
+// Settings are the times and limits of the reducer.
+type Settings struct {
+	Authority authority.Settings
+	// Lease is how long a worker runs its tasks after a renewal, at most what
+	// the platform allows.
+	Lease time.Duration
+	// Wait is how long a renewal waits at the worker for an end.
+	Wait time.Duration
+	// OrderTimeout bounds one order's call, without the time it waits.
+	OrderTimeout time.Duration
+	// Gather is the least time between two appends to the stream of jobs.
+	Gather time.Duration
+	// KeepEnded is how long a job's final state can be asked for.
+	KeepEnded time.Duration
+	// StopGrace is how long a stopping process still serves.
+	StopGrace time.Duration
+}
+
+const (
+	// clockDrift is by how much a worker's steady clock may be off (protocol).
+	clockDrift = 0.03
+	// lapseMargin is added before a lease counts as run out, for the time that
+	// the order which set it was on its way.
+	lapseMargin = 150 * time.Millisecond
+	// silentAfter is how long a worker may not answer before it gets no starts.
+	silentAfter = 1500 * time.Millisecond
+	// stopAgain is when a stop without an answer is sent again.
+	stopAgain = 300 * time.Millisecond
+	// renewAgain is when a renewal that failed is sent again.
+	renewAgain = 150 * time.Millisecond
+	// gatherEnds is the least time between two looks at a worker that reported
+	// ends, so that one look tells of several.
+	gatherEnds = 20 * time.Millisecond
+	// unkeptWait is when a worker whose ends cannot be kept is looked at again.
+	unkeptWait = 400 * time.Millisecond
+	// comeBack is when a caller is told to come back while there is no holder.
+	comeBack = 600 * time.Millisecond
+	// appendAgain is when an append that the log refused is sent again.
+	appendAgain = 60 * time.Millisecond
+	// runsPerEpoch bounds the runs of one task under one claim, so that run
+	// numbers rise over all claims.
+	runsPerEpoch = 100_000
+)
--- /dev/null
+++ b/services/jobrun/calls.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"context"
+
+	"saddlevane/models/job"
+	"saddlevane/services/dispatch"
+)
+
+// ask gives the reducer an event that it answers, and waits for the answer.
+func (l *Loop) ask(ctx context.Context, event func(dispatch.CallID) dispatch.Event) dispatch.Answer {
+	answer := make(chan dispatch.Answer, 1)
+	l.mu.Lock()
+	l.lastCall++
+	id := l.lastCall
+	l.calls[id] = answer
+	l.mu.Unlock()
+	l.post(event(id))
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+	case <-l.ctx.Done():
+	}
+	l.mu.Lock()
+	delete(l.calls, id)
+	l.mu.Unlock()
+	return dispatch.Answer{Outcome: dispatch.Unsure, Reason: "no answer in time"}
+}
+
+func (l *Loop) answer(id dispatch.CallID, a dispatch.Answer) {
+	l.mu.Lock()
+	answer := l.calls[id]
+	delete(l.calls, id)
+	l.mu.Unlock()
+	if answer != nil {
+		answer <- a
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (l *Loop) Config() *job.Config {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.config
+}
+
+// Request is one caller's wish about submitted jobs. Exactly one part is set.
+type Request struct {
+	Submit *job.Submission `json:"submit,omitempty"`
+	Cancel job.ID          `json:"cancel,omitempty"`
+	State  job.ID          `json:"state,omitempty"`
+	Count  string          `json:"count,omitempty"`
+	// Pledge asks not to claim while the holder has this claim.
+	Pledge int64 `json:"pledge,omitempty"`
+}
+
+func (r Request) event(id dispatch.CallID) dispatch.Event {
+	switch {
+	case r.Submit != nil:
+		return dispatch.Submitted{Call: id, Submission: *r.Submit}
+	case r.Cancel != "":
+		return dispatch.CancelAsked{Call: id, Job: r.Cancel}
+	case r.State != "":
+		return dispatch.StateAsked{Call: id, Job: r.State}
+	case r.Pledge != 0:
+		return dispatch.PledgeAsked{Call: id, Epoch: r.Pledge}
+	default:
+		return dispatch.CountAsked{Call: id, Queue: r.Count}
+	}
+}
+
+// Serve answers a caller: by this box if it holds the cell, else by the holder.
+func (l *Loop) Serve(ctx context.Context, r Request) dispatch.Answer {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	if v.holds || v.holder.Box == l.self.Box || v.holder.Address == "" || v.holder.Released {
+		return l.ask(ctx, r.event)
+	}
+	return l.peers.request(ctx, v.holder.Address, r)
+}
--- /dev/null
+++ b/services/jobrun/follow.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+// followAgain is the pause after a read of the log that failed.
+const followAgain = 100 * time.Millisecond
+
+// rareWait is how long a read waits for records of a stream that seldom changes.
+const rareWait = 2 * time.Second
+
+// follower reads a stream from its newest records on. Each round takes one page;
+// whole says that the page stands for the whole stream.
+type follower struct {
+	loop *Loop
+	name stream.Name
+	// pause is the least time between two reads.
+	pause time.Duration
+	// wait is how long a read waits for records.
+	wait time.Duration
+	take  func(p stream.Page, whole bool)
+	fail  func(err error)
+}
+
+func (l *Loop) follow(ctx context.Context, f follower) {
+	next, started := int64(0), false
+	for ctx.Err() == nil {
+		page, err := f.read(ctx, next, started)
+		if err != nil {
+			// A stream whose records are gone is read anew.
+			started = false
+			f.fail(err)
+			sleep(ctx, followAgain)
+			continue
+		}
+		f.take(page, !started)
+		next, started = page.Next, true
+		sleep(ctx, f.pause)
+	}
+}
+
+func (f follower) read(ctx context.Context, next int64, started bool) (stream.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.loop.settings.CallTimeout+f.wait)
+	defer cancel()
+	if !started {
+		return f.loop.platform.Log.Newest(ctx, f.name)
+	}
+	return f.loop.platform.Log.Read(ctx, f.name, next, f.wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Loop) followConfig() {
+	l.follow(l.ctx, follower{loop: l, name: stream.Config, wait: rareWait, take: l.takeConfig, fail: l.debugFail(stream.Config)})
+}
+
+func (l *Loop) takeConfig(p stream.Page, _ bool) {
+	config, found, err := l.platform.Config(p.Records)
+	if err != nil {
+		l.log.WithError(err).Error("a configuration could not be read")
+		return
+	}
+	if found {
+		l.post(dispatch.ConfigRead{Config: config})
+	}
+}
+
+func (l *Loop) followClaims() {
+	l.follow(l.ctx, follower{
+		loop: l, name: stream.Claims, wait: l.settings.ReadWait,
+		take: func(p stream.Page, whole bool) {
+			l.post(dispatch.ClaimsRead{Start: whole, Records: p.Records, Next: p.Next})
+		},
+		fail: func(err error) { l.post(dispatch.ClaimsRead{Failed: err.Error()}) },
+	})
+}
+
+func (l *Loop) followMembers() {
+	l.follow(l.ctx, follower{loop: l, name: stream.Boxes, wait: rareWait, take: l.takeMembers, fail: l.debugFail(stream.Boxes)})
+}
+
+func (l *Loop) takeMembers(p stream.Page, _ bool) {
+	var members []claim.Member
+	for _, r := range p.Records {
+		var m claim.Member
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			l.log.WithError(err).Warning("a box's announcement could not be read")
+			continue
+		}
+		members = append(members, m)
+	}
+	if len(members) > 0 {
+		l.post(dispatch.MembersRead{Members: members})
+	}
+}
+
+// setFollow starts or ends the following of the list of workers.
+func (l *Loop) setFollow(on bool) {
+	if l.endFollow != nil {
+		l.endFollow()
+		l.endFollow = nil
+	}
+	if !on {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	l.endFollow = cancel
+	l.tasks.Go(func() {
+		l.follow(ctx, follower{
+			loop: l, name: stream.Workers, pause: l.settings.WorkersEvery,
+			take: func(p stream.Page, whole bool) {
+				listing := l.platform.Listing(p.Records)
+				listing.Whole = whole
+				if whole || len(p.Records) > 0 {
+					l.post(dispatch.WorkersRead{Listing: listing})
+				}
+			},
+			fail: l.debugFail(stream.Workers),
+		})
+	})
+}
+
+func (l *Loop) debugFail(name stream.Name) func(error) {
+	return func(err error) {
+		l.log.WithError(err).WithField("stream", name).Debug("a read of the log failed")
+	}
+}
--- /dev/null
+++ b/services/jobrun/loop.go
@@ -0,0 +1,209 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package jobrun runs the reducer for submitted jobs as a process: one loop
+// feeds it events with the present time, and adapters carry out its effects.
+package jobrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+// Log is the platform's log.
+type Log struct {
+	Append func(ctx context.Context, a stream.Append) (offset int64, err error)
+	// Read waits for records from an offset on.
+	Read func(ctx context.Context, name stream.Name, from int64, wait time.Duration) (stream.Page, error)
+	// Newest returns the newest record of each key.
+	Newest func(ctx context.Context, name stream.Name) (stream.Page, error)
+}
+
+// Workers are the calls to workers. Their answers say what became of the order.
+type Workers struct {
+	Renew func(ctx context.Context, address, worker string, r order.Renew) (order.Report, order.Answer)
+	Start func(ctx context.Context, address, worker string, s order.Start) order.Answer
+	Stop  func(ctx context.Context, address, worker string, s order.Stop) order.Answer
+}
+
+// Platform is what the process reaches outside the cell's entry boxes.
+type Platform struct {
+	Log     Log
+	Workers Workers
+	Advise  func(ctx context.Context, step job.StepID, workers []string) ([]order.Ticket, error)
+	// Config returns the configuration that the records hold, if any does.
+	Config func(records []stream.Record) (job.Config, bool, error)
+	// Listing returns what records say of workers.
+	Listing func(records []stream.Record) order.Listing
+}
+
+// Settings of the process.
+type Settings struct {
+	Dispatch dispatch.Settings
+	// Tick is the time between two ticks of the reducer.
+	Tick time.Duration
+	// ReadWait is how long a read of the log waits for records.
+	ReadWait time.Duration
+	// WorkersEvery is the time between two reads of the list of workers.
+	WorkersEvery time.Duration
+	// CallTimeout bounds a call to the log.
+	CallTimeout time.Duration
+	// OrderTimeout bounds an order to a worker.
+	OrderTimeout time.Duration
+	// PeerTimeout bounds a call to another entry box.
+	PeerTimeout time.Duration
+}
+
+// eventBuffer is how many events may wait for the loop.
+const eventBuffer = 4096
+
+// Loop runs the reducer. Close ends it.
+type Loop struct {
+	settings Settings
+	core     *dispatch.Core
+	self     claim.Member
+	platform Platform
+	log      *logrus.Entry
+	notes    *notes
+	now      func() time.Time
+	events   chan dispatch.Event
+	peers    *Peers
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+	stopped  chan struct{}
+	stopOnce sync.Once
+
+	mu sync.Mutex
+	// calls are the callers that wait for an answer.
+	calls    map[dispatch.CallID]chan dispatch.Answer
+	lastCall dispatch.CallID
+	view     view
+	// endFollow ends the following of the list of workers.
+	endFollow context.CancelFunc
+}
+
+// view is what the callers' side knows of the reducer.
+type view struct {
+	config *job.Config
+	holder claim.Claim
+	holds  bool
+}
+
+// NewLoop returns a loop that does not run yet.
+func NewLoop(s Settings, self claim.Member, p Platform, log *logrus.Entry, now func() time.Time) *Loop {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Loop{
+		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log), now: now,
+		events: make(chan dispatch.Event, eventBuffer), ctx: ctx, cancel: cancel,
+		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
+	}
+}
+
+// Run starts the loop and all that feeds it.
+func (l *Loop) Run(peers *Peers) {
+	l.peers = peers
+	l.tasks.Go(l.run)
+	l.tasks.Go(l.followConfig)
+	l.tasks.Go(l.followClaims)
+	l.tasks.Go(l.followMembers)
+}
+
+// Stop begins a planned stop.
+func (l *Loop) Stop() { l.post(dispatch.Stop{}) }
+
+// Stopped is closed when a planned stop is complete.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+// Close ends the loop and waits for it.
+func (l *Loop) Close() {
+	l.cancel()
+	l.tasks.Wait()
+	l.notes.close()
+}
+
+func (l *Loop) post(e dispatch.Event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(l.settings.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.events:
+			now := l.now()
+			l.core.Handle(now, e)
+			l.drain(now)
+			l.decide(now)
+		case <-ticker.C:
+			now := l.now()
+			l.core.Handle(now, dispatch.Tick{})
+			l.drain(now)
+			l.decide(now)
+		}
+	}
+}
+
+// drain takes the events that came together, so that one decision serves all.
+func (l *Loop) drain(now time.Time) {
+	for range eventBuffer {
+		select {
+		case e := <-l.events:
+			l.core.Handle(now, e)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) decide(now time.Time) {
+	for _, e := range l.core.Decide(now) {
+		l.do(e)
+	}
+	l.mu.Lock()
+	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds()}
+	l.mu.Unlock()
+}
+
+func (l *Loop) do(e dispatch.Effect) {
+	switch e := e.(type) {
+	case dispatch.Append:
+		l.tasks.Go(func() { l.append(e) })
+	case dispatch.LoadJobs:
+		l.tasks.Go(func() { l.loadJobs(e) })
+	case dispatch.FollowWorkers:
+		l.setFollow(e.On)
+	case dispatch.Renew:
+		l.tasks.Go(func() { l.renew(e) })
+	case dispatch.StartRun:
+		l.tasks.Go(func() { l.start(e) })
+	case dispatch.StopRun:
+		l.tasks.Go(func() { l.stop(e) })
+	case dispatch.Advise:
+		l.tasks.Go(func() { l.advise(e) })
+	case dispatch.AskPledges:
+		l.tasks.Go(func() { l.peers.askPledges(e) })
+	case dispatch.Reply:
+		l.answer(e.Call, e.Reply)
+	case dispatch.Note:
+		l.notes.write(e)
+	case dispatch.Stopped:
+		l.stopOnce.Do(func() { close(l.stopped) })
+	}
+}
--- /dev/null
+++ b/services/jobrun/notes.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/services/dispatch"
+)
+
+const (
+	// noteBuffer is how many lines may wait to be written.
+	noteBuffer = 1024
+	// notesPerSecond bounds the lines of one message in a second.
+	notesPerSecond = 60
+)
+
+// notes writes the reducer's lines beside the loop. A full output costs lines,
+// not time; what was left out is counted.
+type notes struct {
+	log   *logrus.Entry
+	queue chan line
+	tasks conc.WaitGroup
+	once  sync.Once
+
+	second  int64
+	written map[string]int
+	left    map[string]int
+}
+
+type line struct {
+	note dispatch.Note
+	at   time.Time
+}
+
+func newNotes(log *logrus.Entry) *notes {
+	n := &notes{log: log, queue: make(chan line, noteBuffer), written: map[string]int{}, left: map[string]int{}}
+	n.tasks.Go(n.run)
+	return n
+}
+
+func (n *notes) close() {
+	n.once.Do(func() { close(n.queue) })
+	n.tasks.Wait()
+}
+
+// write is called by the loop only.
+func (n *notes) write(e dispatch.Note) {
+	at := time.Now()
+	if at.Unix() != n.second {
+		n.second = at.Unix()
+		clear(n.written)
+		n.tellLeft(at)
+	}
+	n.written[e.Message]++
+	if n.written[e.Message] > notesPerSecond {
+		n.left[e.Message]++
+		return
+	}
+	n.put(line{note: e, at: at})
+}
+
+func (n *notes) tellLeft(at time.Time) {
+	for message, count := range n.left {
+		delete(n.left, message)
+		n.put(line{at: at, note: dispatch.Note{Message: "lines were left out", Fields: []dispatch.Field{
+			{Name: "of", Value: message}, {Name: "count", Value: count},
+		}}})
+	}
+}
+
+func (n *notes) put(l line) {
+	select {
+	case n.queue <- l:
+	default:
+		n.left[l.note.Message]++
+	}
+}
+
+func (n *notes) run() {
+	for l := range n.queue {
+		fields := make(logrus.Fields, len(l.note.Fields))
+		for _, f := range l.note.Fields {
+			fields[f.Name] = f.Value
+		}
+		n.log.WithTime(l.at).WithFields(fields).Info(l.note.Message)
+	}
+}
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -21,6 +21,7 @@
 	"saddlevane/models/record"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
+	"saddlevane/modules/frame"
 	"saddlevane/services/core"
 )
 
@@ -75,7 +76,7 @@
 		if err != nil {
 			return
 		}
-		stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+		stream := jsonrpc2.NewBufferedStream(conn, frame.Codec{})
 		rpc := jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
 		p.tasks.Go(func() {
 			select {
@@ -155,7 +156,7 @@
 		// Nobody was reached, so nothing was sent.
 		return nil, verdict.Wrap(verdict.NotRun, fmt.Errorf("peer %s: %w", address, err))
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, frame.Codec{})
 	c = jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
