dispatch: a gang's step counts as done once

Cause: each member of a gang ends well, and each such end counted the step as done again, so the job succeeded before its later steps had run. Ruled out: advice that never came, lost starts (log of the job).

--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -163,6 +163,10 @@
 
 // taskDone notes a task's good end. One of a gang counts for all its members.
 func (h *holding) taskDone(now time.Time, s *step, end order.End) {
+	if s.done == len(s.tasks) {
+		// The other members of a gang end well too.
+		return
+	}
 	if s.spec.Gang {
 		for i := range s.tasks {
 			s.markDone(i)
