dispatch: a plan costs less, failed runs count once, the cell moves to a box that the log answers

(2) A worker tells an end again to the next holder; a failed one was counted twice (LOST: shown as failed). (3) A holder that the log refused kept the cell. (4) More than 32 calls for advice at a box. Ruled out: the log being slow, lost starts.

--- a/models/job/progress.go
+++ b/models/job/progress.go
@@ -24,6 +24,9 @@
 	Done []byte `json:"d,omitempty"`
 	// Failed counts the failed ends of tasks, by index.
 	Failed map[int]int `json:"f,omitempty"`
+	// FailedRun is the last run counted in Failed, by index. Workers tell an end
+	// again to the next holder until it is acknowledged.
+	FailedRun map[int]int64 `json:"r,omitempty"`
 	// Saved holds checkpoints of tasks that were stopped, by index.
 	Saved map[int]string `json:"c,omitempty"`
 }
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -61,6 +61,8 @@
 	held int64
 	// sentAt is when the last renewal that is known to be in the log was sent.
 	sentAt time.Time
+	// invited is the epoch whose holder has asked this box to follow it.
+	invited int64
 	// pledgedUntil bounds a pledge to the holder not to claim.
 	pledgedUntil time.Time
 	pending      *pending
@@ -166,6 +168,16 @@
 	return true
 }
 
+// Invite takes the holder's word that it has stopped, so that this process may
+// claim at once. It returns false if this process cannot.
+func (a *Authority) Invite(epoch int64) bool {
+	if a.pending != nil || a.held != 0 || a.stopping || a.current.Epoch != epoch || !a.Steady() {
+		return false
+	}
+	a.invited = epoch
+	return true
+}
+
 // Pledged notes that every other box has promised not to claim, at a request
 // sent at sentAt.
 func (a *Authority) Pledged(sentAt time.Time, epoch int64) {
@@ -270,10 +282,16 @@
 
 // mayClaim says whether no other box can act under a claim.
 func (a *Authority) mayClaim(now time.Time) bool {
-	if a.stopping || a.steadySince.IsZero() || now.Before(a.pledgedUntil) {
+	if a.stopping || a.steadySince.IsZero() {
 		return false
 	}
 	c := a.current
+	if c.Epoch != 0 && a.invited == c.Epoch {
+		return true
+	}
+	if now.Before(a.pledgedUntil) {
+		return false
+	}
 	if c.Epoch == 0 {
 		return now.Sub(a.steadySince) >= a.spread/4
 	}
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -18,6 +18,8 @@
 	suits   map[*worker]bool
 	tickets map[*worker]ticket
 	asking  bool
+	// slots is how many tasks the workers that suit would hold if empty.
+	slots int
 	// askAgain delays the next call after one that failed.
 	askAgain time.Time
 	// promises is room kept on workers until their tickets come.
@@ -44,6 +46,9 @@
 	// firstAsk bounds the workers named in the first call for a step. The
 	// objective of a job allows for a call that names 30 (the users' rules).
 	firstAsk = 30
+	// adviceQueue bounds the calls that wait at one box: the service refuses more
+	// than 32 of them, and a ticket that comes late helps nobody.
+	adviceQueue = 250 * time.Millisecond
 	// shortCall is the longest call for advice that counts as short.
 	shortCall = 150 * time.Millisecond
 )
@@ -84,7 +89,7 @@
 // choose returns the box whose calls are over first. Long calls keep off the
 // first boxes in the order of names, so that short ones need not wait behind
 // them.
-func (h *holding) chooseAdviser(now time.Time, takes time.Duration) (string, string) {
+func (h *holding) chooseAdviser(now time.Time, takes time.Duration) (box, address string, ok bool) {
 	names := []string{h.core.self.Box}
 	for name, m := range h.core.members {
 		if name != h.core.self.Box && !m.Leaving && now.After(h.advisers.badUntil[name]) {
@@ -98,20 +103,26 @@
 	best := slices.MinFunc(names, func(a, b string) int {
 		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
 	})
-	address := ""
+	if h.advisers.free(now, best).Sub(now) > adviceQueue+takes {
+		return "", "", false
+	}
 	if best != h.core.self.Box {
 		address = h.core.members[best].Address
 	}
 	h.advisers.busyUntil[best] = h.advisers.free(now, best).Add(takes)
-	return best, address
+	return best, address, true
 }
 
 func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
 
-// ask calls for advice on some workers.
-func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) {
+// ask calls for advice on some workers. It returns false if the boxes have as
+// many calls under way as they should.
+func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) bool {
 	takes := q.Base + time.Duration(len(workers))*q.Each
-	box, address := h.chooseAdviser(now, takes)
+	box, address, ok := h.chooseAdviser(now, takes)
+	if !ok {
+		return false
+	}
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
@@ -121,6 +132,7 @@
 		Box: box, Address: address, Epoch: h.epoch, Step: s.id, Workers: ids,
 		Timeout: h.advisers.busyUntil[box].Sub(now) + adviceMargin,
 	})
+	return true
 }
 
 func (h *holding) advised(now time.Time, e Advised) {
@@ -158,6 +170,9 @@
 	}
 	for _, t := range e.Good {
 		if w := h.workers[t.Worker]; w != nil {
+			if !a.suits[w] {
+				a.slots += fits(s.spec.Reserved(), w.Capacity)
+			}
 			a.suits[w] = true
 			a.tickets[w] = ticket{text: t.Ticket, until: now.Add(valid - ticketMargin)}
 		}
@@ -171,10 +186,11 @@
 	if q.Advice == nil {
 		return
 	}
+	p := &pass{now: now, sets: map[setKey]*workerSet{}}
 	for _, in := range j.instances {
 		for _, s := range in.steps {
 			if len(s.spec.After) == 0 {
-				h.askUnknown(now, s, q, h.candidates(now, s, q))
+				h.askUnknown(now, s, q, h.set(p, s, q.Pool).workers)
 			}
 		}
 	}
@@ -195,8 +211,7 @@
 	slices.SortFunc(unknown, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(b.room().Processors, a.room().Processors), cmp.Compare(a.ID, b.ID))
 	})
-	h.ask(now, s, q.Advice, unknown[:min(len(unknown), h.howMany(s, q))])
-	return true
+	return h.ask(now, s, q.Advice, unknown[:min(len(unknown), h.howMany(s, q))])
 }
 
 // howMany returns how many workers the next call for a step should name: enough
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"saddlevane/models/claim"
@@ -77,6 +76,10 @@
 		c.pledgeAsked(now, e)
 	case Pledged:
 		c.pledged(e)
+	case InviteAsked:
+		c.inviteAsked(now, e)
+	case Invited:
+		c.invited(e)
 	case Submitted:
 		c.call(e.Call, func(h *holding) { h.submit(now, e) })
 	case CancelAsked:
@@ -250,47 +253,6 @@
 	}
 }
 
-// askPledges asks the other boxes not to claim while the log does not answer, so
-// that the holder can go on.
-func (c *Core) askPledges(now time.Time) {
-	h := c.holding
-	if h == nil || c.pledging || now.Before(c.pledgeAgain) {
-		return
-	}
-	if c.authority.HoldsUntil().Sub(now) > c.settings.Authority.HoldFor*2/3 {
-		return
-	}
-	c.pledging = true
-	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
-}
-
-func (c *Core) otherAddresses() []string {
-	var all []string
-	for _, m := range c.members {
-		if m.Box != c.self.Box {
-			all = append(all, m.Address)
-		}
-	}
-	slices.Sort(all)
-	return all
-}
-
-func (c *Core) pledgeAsked(now time.Time, e PledgeAsked) {
-	outcome := Unavailable
-	if c.authority.Pledge(now, e.Epoch) {
-		outcome = OK
-	}
-	c.reply(e.Call, Answer{Outcome: outcome})
-}
-
-func (c *Core) pledged(e Pledged) {
-	c.pledging = false
-	c.pledgeAgain = e.SentAt.Add(c.settings.Authority.Renew / 2)
-	if e.All {
-		c.authority.Pledged(e.SentAt, e.Epoch)
-	}
-}
-
 // beginStop gives the cell up, so that another box takes it over at once, and
 // goes on passing calls on for a while.
 func (c *Core) beginStop(now time.Time) {
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -79,6 +79,13 @@
 	Addresses []string
 }
 
+// Invite asks another box to claim the cell at once. Its end comes back as
+// Invited.
+type Invite struct {
+	Epoch   int64
+	Address string
+}
+
 // Reply answers a call.
 type Reply struct {
 	Call  CallID
@@ -107,6 +114,8 @@
 	Outcome Outcome   `json:"outcome"`
 	State   job.State `json:"state,omitempty"`
 	Waiting int       `json:"waiting,omitempty"`
+	// Steady says that the log answers the box.
+	Steady bool `json:"steady,omitempty"`
 	// Reason says why it was not done.
 	Reason string `json:"reason,omitempty"`
 	// RetryAfter is when to come back, if nothing was done.
@@ -136,6 +145,7 @@
 func (StopRun) effect()       {}
 func (Advise) effect()        {}
 func (AskPledges) effect()    {}
+func (Invite) effect()        {}
 func (Reply) effect()         {}
 func (Note) effect()          {}
 func (Stopped) effect()       {}
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -121,11 +121,28 @@
 	Epoch int64
 }
 
-// Pledged says that all other boxes have promised not to claim.
+// Pledged is the end of an AskPledges.
 type Pledged struct {
 	Epoch  int64
 	SentAt time.Time
-	All    bool
+	// All says that all other boxes have promised not to claim.
+	All bool
+	// Steady has the addresses of boxes that the log answers.
+	Steady []string
+}
+
+// InviteAsked is a holder's wish that this box claim the cell at once.
+type InviteAsked struct {
+	Call  CallID
+	Epoch int64
+}
+
+// Invited is the end of an Invite.
+type Invited struct {
+	Epoch int64
+	// Refused says that the other box will surely not claim.
+	Refused bool
+	Reason  string
 }
 
 func (Tick) event()        {}
@@ -146,3 +163,5 @@
 func (Advised) event()     {}
 func (PledgeAsked) event() {}
 func (Pledged) event()     {}
+func (InviteAsked) event() {}
+func (Invited) event()     {}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -34,6 +34,8 @@
 	since time.Time
 	// yielding says that no new work is taken because the process stops.
 	yielding bool
+	// suspended says that another box was invited to take over, and may have.
+	suspended bool
 
 	journal journal
 	jobs    map[job.ID]*submitted
@@ -48,6 +50,7 @@
 	repeating []*submitted
 	endedJobs []*submitted
 	planDue   bool
+	planAt    time.Time
 	sweepAt   time.Time
 }
 
@@ -195,6 +198,14 @@
 	}
 }
 
+const (
+	// planEvery is the least time between two plans, and planEach is added for
+	// each open step, so that a backlog cannot take all of the processor: 400
+	// steps cost about 2 ms of a plan.
+	planEvery = 3 * time.Millisecond
+	planEach  = 50 * time.Microsecond
+)
+
 // keptSubmission is the log's record of a job.
 type keptSubmission struct {
 	Submission job.Submission `json:"job"`
@@ -218,10 +229,11 @@
 // decide flushes what has gathered and places what can be placed.
 func (h *holding) decide(now time.Time) {
 	h.flush(now)
-	if h.phase != active || h.yielding || !h.planDue || !h.core.authority.Holds(now) {
+	if h.phase != active || h.yielding || h.suspended || !h.planDue || now.Before(h.planAt) || !h.core.authority.Holds(now) {
 		return
 	}
 	h.planDue = false
+	h.planAt = now.Add(planEvery + time.Duration(len(h.open))*planEach)
 	h.plan(now)
 }
 
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -61,9 +61,6 @@
 	open     bool
 	openedAt time.Time
 	lastRun  int64
-	// failedRuns counts the failed runs of a gang, by one end each.
-	failedRuns int
-	failedRun  int64
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
@@ -73,8 +70,10 @@
 
 // task is one task of a step.
 type task struct {
-	done    bool
-	failed  int
+	done   bool
+	failed int
+	// failedRun is the last run counted in failed.
+	failedRun int64
 	saved   string
 	lastRun int64
 	attempt *attempt
@@ -270,11 +269,9 @@
 			s.waiting--
 		}
 		t.failed = p.Failed[i]
+		t.failedRun = p.FailedRun[i]
 		t.saved = p.Saved[i]
 	}
-	if s.spec.Gang && len(s.tasks) > 0 {
-		s.failedRuns = s.tasks[0].failed
-	}
 }
 
 func (in *instance) countDone(j *submitted) {
@@ -318,9 +315,9 @@
 		}
 		if t.failed > 0 {
 			if sp.Failed == nil {
-				sp.Failed = map[int]int{}
+				sp.Failed, sp.FailedRun = map[int]int{}, map[int]int64{}
 			}
-			sp.Failed[i] = t.failed
+			sp.Failed[i], sp.FailedRun[i] = t.failed, t.failedRun
 			found = true
 		}
 		if t.saved != "" && !t.done {
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -87,22 +87,62 @@
 	)
 }
 
+// pass is one run of the plan over all open steps.
+type pass struct {
+	now  time.Time
+	sets map[setKey]*workerSet
+	// blocked counts the gangs that keep room free.
+	blocked int
+}
+
+// setKey is what decides which workers a step may use, advice aside.
+type setKey struct{ pool, label string }
+
+// workerSet is the workers for one key, as they were when the pass began.
+type workerSet struct {
+	workers []*worker
+	// most bounds the room of each of them in each resource.
+	most resource.Vector
+}
+
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
 	for _, w := range h.workers {
 		w.blockedBy = nil
 	}
-	blocked := 0
+	p := &pass{now: now, sets: map[setKey]*workerSet{}}
 	for _, r := range h.rankOpen(now) {
-		if h.placeStep(now, r) || !r.step.spec.Gang || r.tier == hopeless || blocked >= gangsWaiting {
+		if h.placeStep(p, r) || !r.step.spec.Gang || r.tier == hopeless || p.blocked >= gangsWaiting {
 			continue
 		}
-		if h.keepRoom(now, r) {
-			blocked++
+		if h.keepRoom(p, r) {
+			p.blocked++
 		}
 	}
 }
 
+// set returns the workers that may run a step, advice aside.
+func (h *holding) set(p *pass, s *step, pool string) *workerSet {
+	key := setKey{pool, s.spec.Label}
+	if set := p.sets[key]; set != nil {
+		return set
+	}
+	set := &workerSet{}
+	for _, w := range h.workers {
+		if w.Pool != pool || !h.takes(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
+			continue
+		}
+		set.workers = append(set.workers, w)
+		room := w.room()
+		set.most.Processors = max(set.most.Processors, room.Processors)
+		set.most.Memory = max(set.most.Memory, room.Memory)
+		set.most.Accelerators = max(set.most.Accelerators, room.Accelerators)
+	}
+	slices.SortFunc(set.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	p.sets[key] = set
+	return set
+}
+
 // rankOpen returns the steps that have tasks to place, in order.
 func (h *holding) rankOpen(now time.Time) []ranked {
 	kept := h.open[:0]
@@ -129,19 +169,6 @@
 // room returns what is free on a worker and not promised.
 func (w *worker) room() resource.Vector { return w.free.Minus(w.promised) }
 
-// candidates returns the workers that could run a step's tasks.
-func (h *holding) candidates(now time.Time, s *step, q job.Queue) []*worker {
-	var all []*worker
-	for _, w := range h.workers {
-		if w.Pool == q.Pool && h.takes(now, w) && (s.spec.Label == "" || slices.Contains(w.Labels, s.spec.Label)) &&
-			s.spec.Reserved().Fits(w.Capacity) {
-			all = append(all, w)
-		}
-	}
-	slices.SortFunc(all, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
-	return all
-}
-
 // slots returns how many more tasks of a step a worker has room for.
 func (w *worker) slots(s *step, room resource.Vector) int {
 	n := fits(s.spec.Reserved(), room)
@@ -183,35 +210,44 @@
 
 // placeStep starts what it can of a step, or asks for the advice that this
 // needs. It returns false if tasks are left for want of room.
-func (h *holding) placeStep(now time.Time, r ranked) bool {
+func (h *holding) placeStep(p *pass, r ranked) bool {
 	s := r.step
-	if r.queue.Pool == "" {
+	if r.queue.Pool == "" || s.advice.asking {
 		return true
 	}
-	candidates := h.candidates(now, s, r.queue)
-	suited := candidates
-	if r.queue.Advice != nil {
-		if s.advice.asking {
+	set := h.set(p, s, r.queue.Pool)
+	if r.queue.Advice != nil && s.spec.Gang && s.advice.slots < gangChoice*len(s.tasks) {
+		// A gang can wait for room on workers that suit it, if there are enough.
+		if h.askUnknown(p.now, s, r.queue, set.workers) {
 			return true
 		}
-		suited = s.suited(candidates)
+	}
+	if !s.spec.Reserved().Fits(set.most) {
+		return false
+	}
+	suited := set.workers
+	if r.queue.Advice != nil {
+		suited = s.suited(set.workers)
 	}
 	shares, placed := h.fit(s, suited)
-	if r.queue.Advice != nil && (placed < s.waiting || s.spec.Gang && placed < len(s.tasks)) {
-		if h.askMore(now, r, candidates, placed) {
-			return true
-		}
+	whole := placed == s.waiting && (!s.spec.Gang || placed == len(s.tasks))
+	if r.queue.Advice != nil && !whole && (placed == 0 || s.spec.Gang) && h.askMore(p, r, set.workers, placed) {
+		return true
 	}
-	if placed == 0 || s.spec.Gang && placed < len(s.tasks) {
+	if placed == 0 || s.spec.Gang && !whole {
 		return false
 	}
-	if r.queue.Advice != nil && h.refresh(now, r, shares) {
+	if r.queue.Advice != nil && h.refresh(p.now, r, shares) {
 		return true
 	}
-	h.startShares(now, s, shares)
+	h.startShares(p.now, s, shares)
 	return s.waiting == 0
 }
 
+// gangChoice is for how many times its tasks a gang is to know workers, so that
+// it need not wait for particular ones.
+const gangChoice = 2
+
 // suited returns the candidates that the advice service named.
 func (s *step) suited(candidates []*worker) []*worker {
 	var all []*worker
@@ -292,41 +328,25 @@
 	return 1
 }
 
-// askMore asks about further workers if those known do not have the room, and
-// others might. It returns true if a call was made.
-func (h *holding) askMore(now time.Time, r ranked, candidates []*worker, placed int) bool {
+// askMore asks about workers that have room now, if those known do not. It
+// returns true if a call was made.
+func (h *holding) askMore(p *pass, r ranked, workers []*worker, placed int) bool {
 	s := r.step
 	var open []*worker
-	most, empty := 0, 0
-	for _, w := range candidates {
-		if s.advice.suits[w] {
-			empty += w.slots(s, w.Capacity)
-		}
-		if _, asked := s.advice.suits[w]; asked {
+	most := placed
+	for _, w := range workers {
+		if _, asked := s.advice.suits[w]; asked || w.blockedBy != nil {
 			continue
 		}
-		if n := w.slots(s, w.room()); n > 0 && w.blockedBy == nil {
+		if n := w.slots(s, w.room()); n > 0 {
 			open = append(open, w)
 			most += n
 		}
 	}
-	if s.spec.Gang {
-		// A gang waits for room on workers that suit it, if there can be enough.
-		if empty < 2*len(s.tasks) {
-			return h.askUnknown(now, s, r.queue, candidates)
-		}
-		if placed+most < len(s.tasks) {
-			return false
-		}
-	}
-	if len(open) == 0 {
+	if len(open) == 0 || s.spec.Gang && most < len(s.tasks) {
 		return false
 	}
-	if placed > 0 && !s.spec.Gang {
-		// What can start now does, and the rest is asked about next.
-		return false
-	}
-	return h.askUnknown(now, s, r.queue, open)
+	return h.askUnknown(p.now, s, r.queue, open)
 }
 
 // refresh asks for new tickets if some of the chosen workers' have run out, and
@@ -346,9 +366,12 @@
 	var workers []*worker
 	for _, sh := range shares {
 		workers = append(workers, sh.worker)
-		h.promise(s, sh.worker, sh.tasks)
 	}
-	h.ask(now, s, r.queue.Advice, workers)
+	if h.ask(now, s, r.queue.Advice, workers) {
+		for _, sh := range shares {
+			h.promise(s, sh.worker, sh.tasks)
+		}
+	}
 	return true
 }
 
@@ -369,9 +392,9 @@
 
 // keepRoom keeps the workers that can hold a waiting gang soonest free of what
 // ranks lower. It returns false if no set of them could hold it.
-func (h *holding) keepRoom(now time.Time, r ranked) bool {
+func (h *holding) keepRoom(p *pass, r ranked) bool {
 	s := r.step
-	suited := h.candidates(now, s, r.queue)
+	suited := slices.Clone(h.set(p, s, r.queue.Pool).workers)
 	if r.queue.Advice != nil {
 		suited = s.suited(suited)
 	}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -207,23 +207,19 @@
 	}
 }
 
-// taskFailed counts a failed end and gives the job up after too many.
+// taskFailed counts a failed end and gives the job up after too many. The first
+// task of a gang counts for all its members.
 func (h *holding) taskFailed(now time.Time, s *step, end order.End) {
 	t := &s.tasks[end.Task.Index]
-	failed := 0
 	if s.spec.Gang {
-		if end.Run.Number != s.failedRun {
-			s.failedRun = end.Run.Number
-			s.failedRuns++
-		}
-		failed = s.failedRuns
-		s.tasks[0].failed = failed
 		h.gangBroke(now, s)
-	} else {
+		t = &s.tasks[0]
+	}
+	if end.Run.Number > t.failedRun {
+		t.failedRun = end.Run.Number
 		t.failed++
-		failed = t.failed
 	}
-	if most := h.queueOf(s.job).Attempts; failed >= max(1, most) && !t.done {
+	if t.failed >= max(1, h.queueOf(s.job).Attempts) && !t.done {
 		h.finish(now, s.job, job.Failed, "a task failed too often")
 		return
 	}
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -56,6 +56,8 @@
 	Count  string          `json:"count,omitempty"`
 	// Pledge asks not to claim while the holder has this claim.
 	Pledge int64 `json:"pledge,omitempty"`
+	// Invite asks to claim in place of the holder with this claim.
+	Invite int64 `json:"invite,omitempty"`
 }
 
 func (r Request) event(id dispatch.CallID) dispatch.Event {
@@ -68,6 +70,8 @@
 		return dispatch.StateAsked{Call: id, Job: r.State}
 	case r.Pledge != 0:
 		return dispatch.PledgeAsked{Call: id, Epoch: r.Pledge}
+	case r.Invite != 0:
+		return dispatch.InviteAsked{Call: id, Epoch: r.Invite}
 	default:
 		return dispatch.CountAsked{Call: id, Queue: r.Count}
 	}
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -199,6 +199,8 @@
 		l.tasks.Go(func() { l.advise(e) })
 	case dispatch.AskPledges:
 		l.tasks.Go(func() { l.peers.askPledges(e) })
+	case dispatch.Invite:
+		l.tasks.Go(func() { l.peers.invite(e) })
 	case dispatch.Reply:
 		l.answer(e.Call, e.Reply)
 	case dispatch.Note:
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -188,17 +188,35 @@
 // askPledges asks all other boxes at once.
 func (p *Peers) askPledges(e dispatch.AskPledges) {
 	sentAt := p.loop.now()
-	granted := make([]bool, len(e.Addresses))
+	answers := make([]dispatch.Answer, len(e.Addresses))
 	var tasks conc.WaitGroup
 	for i, address := range e.Addresses {
-		tasks.Go(func() {
-			granted[i] = p.request(p.ctx, address, Request{Pledge: e.Epoch}).Outcome == dispatch.OK
-		})
+		tasks.Go(func() { answers[i] = p.quick(address, Request{Pledge: e.Epoch}) })
 	}
 	tasks.Wait()
-	all := true
-	for _, g := range granted {
-		all = all && g
+	pledged := dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
+	for i, a := range answers {
+		pledged.All = pledged.All && a.Outcome == dispatch.OK
+		if a.Steady {
+			pledged.Steady = append(pledged.Steady, e.Addresses[i])
+		}
 	}
-	p.loop.post(dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: all})
+	p.loop.post(pledged)
+}
+
+// invite asks one box to take the cell over.
+func (p *Peers) invite(e dispatch.Invite) {
+	a := p.quick(e.Address, Request{Invite: e.Epoch})
+	refused := a.Outcome == dispatch.Unavailable
+	p.loop.post(dispatch.Invited{Epoch: e.Epoch, Refused: refused, Reason: a.Reason})
+}
+
+// quickWithin bounds the calls with which a holder asks about the log: it must
+// hear in time to go on.
+const quickWithin = 400 * time.Millisecond
+
+func (p *Peers) quick(address string, r Request) dispatch.Answer {
+	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
+	defer cancel()
+	return p.request(ctx, address, r)
 }
