--- a/models/job/progress.go
+++ b/models/job/progress.go
@@ -22,11 +22,10 @@
 	Step     int `json:"s,omitempty"`
 	// Done has a bit for each task that has ended well.
 	Done []byte `json:"d,omitempty"`
-	// Failed counts the failed ends of tasks, by index.
-	Failed map[int]int `json:"f,omitempty"`
-	// FailedRun is the last run counted in Failed, by index. Workers tell an end
-	// again to the next holder until it is acknowledged.
-	FailedRun map[int]int64 `json:"r,omitempty"`
+	// Failed lists the runs of tasks that ended failed, by index. A worker tells
+	// an end again until it is acknowledged, and perhaps after later ones, so a
+	// count would not do.
+	Failed map[int][]int64 `json:"f,omitempty"`
 	// Saved holds checkpoints of tasks that were stopped, by index.
 	Saved map[int]string `json:"c,omitempty"`
 }
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -70,10 +70,9 @@
 
 // task is one task of a step.
 type task struct {
-	done   bool
-	failed int
-	// failedRun is the last run counted in failed.
-	failedRun int64
+	done bool
+	// failed lists the runs that ended failed.
+	failed  []int64
 	saved   string
 	lastRun int64
 	attempt *attempt
@@ -269,7 +268,6 @@
 			s.waiting--
 		}
 		t.failed = p.Failed[i]
-		t.failedRun = p.FailedRun[i]
 		t.saved = p.Saved[i]
 	}
 }
@@ -313,11 +311,11 @@
 			sp.Done[i/8] |= 1 << (i % 8)
 			found = true
 		}
-		if t.failed > 0 {
+		if len(t.failed) > 0 {
 			if sp.Failed == nil {
-				sp.Failed, sp.FailedRun = map[int]int{}, map[int]int64{}
+				sp.Failed = map[int][]int64{}
 			}
-			sp.Failed[i], sp.FailedRun[i] = t.failed, t.failedRun
+			sp.Failed[i] = t.failed
 			found = true
 		}
 		if t.saved != "" && !t.done {
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -23,8 +23,8 @@
 	recording []*worker
 	accepts   []*submitted
 	dirty     map[*submitted]bool
-	batch    *batch
-	sendAt   time.Time
+	batch     *batch
+	sendAt    time.Time
 	// failingSince is since when no append has succeeded, or zero.
 	failingSince time.Time
 }
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"saddlevane/models/job"
@@ -215,11 +216,10 @@
 		h.gangBroke(now, s)
 		t = &s.tasks[0]
 	}
-	if end.Run.Number > t.failedRun {
-		t.failedRun = end.Run.Number
-		t.failed++
+	if !slices.Contains(t.failed, end.Run.Number) {
+		t.failed = append(t.failed, end.Run.Number)
 	}
-	if t.failed >= max(1, h.queueOf(s.job).Attempts) && !t.done {
+	if len(t.failed) >= max(1, h.queueOf(s.job).Attempts) && !t.done {
 		h.finish(now, s.job, job.Failed, "a task failed too often")
 		return
 	}
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -28,8 +28,8 @@
 	pause time.Duration
 	// wait is how long a read waits for records.
 	wait time.Duration
-	take  func(p stream.Page, whole bool)
-	fail  func(err error)
+	take func(p stream.Page, whole bool)
+	fail func(err error)
 }
 
 func (l *Loop) follow(ctx context.Context, f follower) {
