dispatch: a silent worker's lease runs out; a run that is ending keeps its place

Causes: (1) each look at a worker that does not answer was counted as a renewal, so its lease never ran out and its tasks were never started again (LOST; workers that left at the end of their notice). (2) a run that is being stopped is named neither at work nor ended for a while, and its place was given away (LIMIT, read off the code and the protocol).

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -164,6 +164,7 @@
 	a.state = stopping
 	a.since = now
 	a.confirmed = false
+	a.absentSince = time.Time{}
 	h.sendStop(a)
 }
 
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -89,6 +89,8 @@
 	since     time.Time
 	confirmed bool
 	startedAt time.Time
+	// absentSince is when a report first did not name it, or zero.
+	absentSince time.Time
 }
 
 type attemptState string
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -48,6 +48,7 @@
 			return
 		}
 	}
+	a.absentSince = time.Time{}
 	if a.step.spec.Checkpoints && r.Checkpoint != "" {
 		a.task().saved = r.Checkpoint
 	}
@@ -95,24 +96,34 @@
 	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
 }
 
-// absent acts on an attempt that a report, asked for at sentAt, does not name.
+// absent acts on an attempt that a report, asked for at sentAt, does not name. A
+// run that is ending is named nowhere for a while, and its place is still taken.
 func (h *holding) absent(now time.Time, a *attempt, sentAt time.Time) {
-	if !a.since.Before(sentAt) {
+	if a.state == starting || !a.since.Before(sentAt) {
 		return
 	}
-	switch a.state {
-	case starting:
-	case running:
-		h.lose(now, a, "the worker no longer has it")
-	case unsure:
+	if a.state == unsure {
 		h.stop(now, a)
-	case stopping:
-		if a.confirmed {
-			h.lose(now, a, "it was stopped before it began")
-		}
+		return
+	}
+	if a.absentSince.IsZero() {
+		a.absentSince = sentAt
+	}
+	if sentAt.Sub(a.absentSince) < h.core.settings.StopMost+stopMargin {
+		h.renewSoon(now, a.worker)
+		return
+	}
+	switch {
+	case a.state == running:
+		h.lose(now, a, "the worker no longer has it")
+	case a.confirmed:
+		h.lose(now, a, "it was stopped before it began")
 	}
 }
 
+// stopMargin is added to the time that a worker takes to end a run.
+const stopMargin = 100 * time.Millisecond
+
 // ended takes one end from a worker's list.
 func (h *holding) ended(now time.Time, w *worker, end order.End) {
 	note := &endNote{worker: w, number: end.Number}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -164,7 +164,8 @@
 		w.notes = w.notes[1:]
 	}
 	r := order.Renew{Fence: h.epoch, Seen: w.seen}
-	if h.core.authority.Epoch() == h.epoch {
+	if w.failures == 0 {
+		// While a worker does not answer its lease must run out some time.
 		r.Until = h.until(now, w)
 	}
 	if w.settled && w.failures == 0 && len(w.notes) == 0 && len(w.attempts) > 0 || w.settled && len(w.attempts) == 0 {
