dispatch: takeover in 1.6 s, refusals at once from a silent holder, unready when cut off, overdue advice is asked elsewhere

Causes: takeover after a power loss took 2.9 s; callers' boxes held calls to a dead holder for 1.5 s; boxes cut off from log and holder stayed ready; calls for advice through a cut box cost their step 1.5 s.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -106,7 +106,7 @@
 	d.peers = jobrun.NewPeers(listener, d.loop)
 	d.loop.Run(d.peers)
 	d.peers.Serve()
-	ready := func() bool { return !d.stopping.Load() && d.loop.Config() != nil }
+	ready := func() bool { return !d.stopping.Load() && d.loop.Ready() }
 	for address, handler := range map[string]http.Handler{
 		s.Listen.Callers: platform.NewCallers(d.loop), s.Jobs.Ready: platform.Ready(ready),
 	} {
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -144,6 +144,10 @@
 	if !ok || a.stopping {
 		return
 	}
+	if p := a.pending; p != nil && p.claim.Renewal <= c.Renewal {
+		// The answer to this append is lost or late.
+		a.pending = nil
+	}
 	a.held = c.Epoch
 	if sent.After(a.sentAt) {
 		a.sentAt = sent
@@ -262,12 +266,12 @@
 
 // Appended takes the end of an append. It returns true if the append is in the
 // log for sure; anything else is left to what is read.
-func (a *Authority) Appended(now time.Time, offset int64, err error) bool {
+func (a *Authority) Appended(now time.Time, renewal, offset int64, err error) bool {
 	p := a.pending
-	a.pending = nil
-	if p == nil {
+	if p == nil || p.claim.Renewal != renewal {
 		return false
 	}
+	a.pending = nil
 	if err != nil {
 		// A renewal that may be in the log is confirmed when it is read.
 		a.renewAt = now.Add(a.settings.Renew / 4)
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -19,6 +19,8 @@
 	suits   map[*worker]bool
 	tickets map[*worker]ticket
 	asking  bool
+	// due is when the answer to the last call should come.
+	due time.Time
 	// askAgain delays the next call after one that failed.
 	askAgain time.Time
 	// promises is room kept on workers until their tickets come.
@@ -38,8 +40,18 @@
 const (
 	// ticketMargin is taken off a ticket's time for the start's way.
 	ticketMargin = 120 * time.Millisecond
-	// adviceMargin is added to the time that a call for advice should take.
+	// adviceMargin is added to the time that a call for advice should take before
+	// it is given up. The service goes on with calls that were given up, so that
+	// a short margin only makes its queue longer.
 	adviceMargin = 1500 * time.Millisecond
+	// adviceOverdue is how late an answer makes its box be passed over, and its
+	// step be asked about through another box.
+	adviceOverdue = 250 * time.Millisecond
+	// adviceCalls is how many calls of one box may wait: the service refuses more
+	// than 32 (the users' protocol), and other holders' calls may be among them.
+	adviceCalls = 20
+	// adviserBad is how long a box is left out after a call through it failed.
+	adviserBad = 4 * time.Second
 	// adviceAgain delays a call after one that failed.
 	adviceAgain = 100 * time.Millisecond
 	// firstAsk bounds the workers named in the first call for a step. The
@@ -48,6 +60,8 @@
 	// adviceQueue bounds the calls that wait at one box: the service refuses more
 	// than 32 of them, and a ticket that comes late helps nobody.
 	adviceQueue = 250 * time.Millisecond
+	// adviceBusy is how long a box that the service refused gets no calls.
+	adviceBusy = 300 * time.Millisecond
 	// shortCall is the longest call for advice that counts as short.
 	shortCall = 150 * time.Millisecond
 )
@@ -79,22 +93,67 @@
 	// busyUntil is when the calls given to a box should be over.
 	busyUntil map[string]time.Time
 	badUntil  map[string]time.Time
+	// calls holds when each call under way should be over, by box.
+	calls map[string]map[job.StepID]time.Time
 }
 
 func newAdvisers() advisers {
-	return advisers{busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}}
+	return advisers{
+		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[job.StepID]time.Time{},
+	}
+}
+
+// passedOver says whether a box gets no calls for now.
+func (a *advisers) passedOver(now time.Time, box string) bool {
+	return now.Before(a.badUntil[box]) || len(a.calls[box]) >= adviceCalls || a.overdue(now, box)
+}
+
+// overdue says whether a box owes an answer.
+func (a *advisers) overdue(now time.Time, box string) bool {
+	for _, due := range a.calls[box] {
+		if now.Sub(due) > adviceOverdue {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *advisers) began(box string, s job.StepID, due time.Time) {
+	if a.calls[box] == nil {
+		a.calls[box] = map[job.StepID]time.Time{}
+	}
+	a.calls[box][s] = due
+}
+
+// sweepAdvice has steps asked about anew whose answers are overdue.
+func (h *holding) sweepAdvice(now time.Time) {
+	for _, calls := range ordered.Map(h.advisers.calls) {
+		for id, due := range calls {
+			if s := h.findStep(id); s != nil && s.advice.asking && s.advice.due == due && now.Sub(due) > adviceOverdue {
+				h.releasePromises(s)
+				s.advice.asking = false
+				h.planDue = true
+			}
+		}
+	}
 }
 
 // choose returns the box whose calls are over first. Long calls keep off the
 // first boxes in the order of names, so that short ones need not wait behind
 // them.
 func (h *holding) chooseAdviser(now time.Time, takes time.Duration) (box, address string, ok bool) {
-	names := []string{h.core.self.Box}
+	var names []string
+	if !h.advisers.passedOver(now, h.core.self.Box) {
+		names = append(names, h.core.self.Box)
+	}
 	for name, m := range h.core.members {
-		if name != h.core.self.Box && !m.Leaving && now.After(h.advisers.badUntil[name]) {
+		if name != h.core.self.Box && !m.Leaving && !h.advisers.passedOver(now, name) {
 			names = append(names, name)
 		}
 	}
+	if len(names) == 0 {
+		return "", "", false
+	}
 	slices.Sort(names)
 	if kept := (len(names) + 2) / 3; takes > shortCall && len(names) > 2 {
 		names = names[kept:]
@@ -126,7 +185,8 @@
 	for i, w := range workers {
 		ids[i] = w.ID
 	}
-	s.advice.asking = true
+	s.advice.asking, s.advice.due = true, h.advisers.busyUntil[box]
+	h.advisers.began(box, s.id, s.advice.due)
 	h.core.do(Advise{
 		Box: box, Address: address, Epoch: h.epoch, Step: s.id, Workers: ids,
 		Timeout: h.advisers.busyUntil[box].Sub(now) + adviceMargin,
@@ -135,17 +195,29 @@
 }
 
 func (h *holding) advised(now time.Time, e Advised) {
+	if e.Epoch != h.epoch {
+		return
+	}
+	due := h.advisers.calls[e.Box][e.Step]
+	delete(h.advisers.calls[e.Box], e.Step)
 	s := h.findStep(e.Step)
-	if s == nil || e.Epoch != h.epoch {
+	if s == nil {
 		return
 	}
-	h.releasePromises(s)
-	s.advice.asking = false
+	if s.advice.due == due {
+		h.releasePromises(s)
+		s.advice.asking = false
+	}
 	h.planDue = true
+	if e.Busy {
+		h.advisers.busyUntil[e.Box] = maxTime(h.advisers.busyUntil[e.Box], now.Add(adviceBusy))
+		s.advice.askAgain = now.Add(adviceAgain)
+		return
+	}
 	if e.Failed != "" {
 		s.advice.askAgain = now.Add(adviceAgain)
 		if e.Box != h.core.self.Box {
-			h.advisers.badUntil[e.Box] = now.Add(adviceMargin)
+			h.advisers.badUntil[e.Box] = now.Add(adviserBad)
 		}
 		h.core.note("advice failed", Field{"step", s.id.String()}, Field{"asked_from", e.Box}, Field{"problem", e.Failed})
 		return
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -154,7 +154,7 @@
 
 func (c *Core) tryClaim(now time.Time) {
 	if a := c.authority.Tick(now); a != nil {
-		c.do(Append{Purpose: ForClaim, Append: a.Stream})
+		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
 	}
 	c.askPledges(now)
 	c.followAuthority(now)
@@ -243,7 +243,7 @@
 			c.note("announcing this box failed", Field{"error", e.Err.Error()})
 		}
 	case ForClaim:
-		if !c.authority.Appended(now, e.Offset, e.Err) && e.Err != nil {
+		if !c.authority.Appended(now, e.Number, e.Offset, e.Err) && e.Err != nil {
 			c.note("a claim or renewal was not confirmed", Field{"error", e.Err.Error()})
 		}
 		c.followAuthority(now)
@@ -287,6 +287,6 @@
 	if release == nil {
 		return
 	}
-	c.do(Append{Purpose: ForClaim, Append: release.Stream})
+	c.do(Append{Purpose: ForClaim, Number: release.Claim.Renewal, Append: release.Stream})
 	c.stepDown("handed over")
 }
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -27,7 +27,9 @@
 // Append appends to the log. Its end comes back as AppendEnded.
 type Append struct {
 	Purpose Purpose
-	Append  stream.Append
+	// Number tells appends of one purpose apart.
+	Number int64
+	Append stream.Append
 }
 
 // LoadJobs reads the stream of jobs whole. Its end comes back as JobsLoaded.
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -42,6 +42,7 @@
 // AppendEnded is the end of an Append.
 type AppendEnded struct {
 	Purpose Purpose
+	Number  int64
 	Offset  int64
 	Err     error
 }
@@ -107,11 +108,13 @@
 
 // Advised is the end of an Advise.
 type Advised struct {
-	Step   job.StepID
-	Box    string
-	Epoch  int64
-	Asked  []string
-	Good   []order.Ticket
+	Step  job.StepID
+	Box   string
+	Epoch int64
+	Asked []string
+	Good  []order.Ticket
+	// Busy says that the service has too many calls of the box waiting.
+	Busy   bool
 	Failed string
 }
 
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -223,6 +223,7 @@
 	h.planDue = true
 	h.fallDue(now)
 	h.sweepWorkers(now)
+	h.sweepAdvice(now)
 	h.dropEnded(now)
 	h.flush(now)
 }
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -38,7 +38,7 @@
 
 func settings() dispatch.Settings {
 	return dispatch.Settings{
-		Authority: authority.Settings{Renew: 600 * time.Millisecond, HoldFor: 2400 * time.Millisecond, ClaimAfter: 2600 * time.Millisecond},
+		Authority: authority.Settings{Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
 		Lease:     lease, Wait: time.Second, OrderTimeout: time.Second, Gather: 12 * time.Millisecond,
 		KeepEnded: 150 * time.Second, StopGrace: 1500 * time.Millisecond,
 	}
@@ -410,7 +410,7 @@
 
 func (w *world) append(b *fakeBox, e dispatch.Append, back func(time.Duration, dispatch.Event)) {
 	ended := func(d time.Duration, offset int64, err error) {
-		back(d, dispatch.AppendEnded{Purpose: e.Purpose, Offset: offset, Err: err})
+		back(d, dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 	}
 	if w.logDown || b.noLog {
 		ended(w.delay(), 0, stream.ErrNotDone)
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/services/dispatch"
@@ -48,6 +49,22 @@
 	return l.view.config
 }
 
+// cutOffAfter is how long neither the log nor the holder may answer before a
+// box sends callers elsewhere.
+const cutOffAfter = 500 * time.Millisecond
+
+// Ready says whether callers are served better here than elsewhere. A box that
+// is cut off from the log and from the holder can only refuse.
+func (l *Loop) Ready() bool {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	if v.config == nil {
+		return false
+	}
+	return v.holds || l.now().Sub(v.steadyAt) < cutOffAfter || l.peers.reaches(v.holder.Address)
+}
+
 // Request is one caller's wish about submitted jobs. Exactly one part is set.
 type Request struct {
 	Submit *job.Submission `json:"submit,omitempty"`
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -98,6 +98,8 @@
 	config *job.Config
 	holder claim.Claim
 	holds  bool
+	// steadyAt is when the log last answered.
+	steadyAt time.Time
 }
 
 // NewLoop returns a loop that does not run yet.
@@ -177,7 +179,11 @@
 		l.do(e)
 	}
 	l.mu.Lock()
-	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds()}
+	steadyAt := l.view.steadyAt
+	if l.core.Steady() {
+		steadyAt = now
+	}
+	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(), steadyAt: steadyAt}
 	l.mu.Unlock()
 }
 
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -5,16 +5,21 @@
 
 import (
 	"context"
+	"errors"
 
 	"saddlevane/models/order"
 	"saddlevane/services/dispatch"
 )
 
+// ErrAdviceBusy means that the advice service has too many calls of this box
+// waiting.
+var ErrAdviceBusy = errors.New("too many calls for advice wait")
+
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
 	offset, err := l.platform.Log.Append(ctx, e.Append)
-	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Offset: offset, Err: err})
+	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 }
 
 func (l *Loop) loadJobs(e dispatch.LoadJobs) {
@@ -62,6 +67,7 @@
 	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers, Good: good}
 	if err != nil {
 		ended.Failed = err.Error()
+		ended.Busy = errors.Is(err, ErrAdviceBusy)
 	}
 	l.post(ended)
 }
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -49,12 +50,14 @@
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
+	// silentUntil is until when a box that did not answer is not asked.
+	silentUntil map[string]time.Time
 }
 
 // NewPeers returns the adapter; Serve starts it.
 func NewPeers(listener net.Listener, loop *Loop) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Peers{loop: loop, listener: listener, ctx: ctx, cancel: cancel, conns: map[string]*jsonrpc2.Conn{}}
+	p := &Peers{loop: loop, listener: listener, ctx: ctx, cancel: cancel, conns: map[string]*jsonrpc2.Conn{}, silentUntil: map[string]time.Time{}}
 	return p
 }
 
@@ -114,7 +117,7 @@
 		if err := json.Unmarshal(*req.Params, &a); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return p.loop.platform.Advise(ctx, a.Step, a.Workers)
+		return p.adviseFor(ctx, a)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
 	}
@@ -153,12 +156,48 @@
 	}
 }
 
+// silentFor is how long a box that did not answer is not asked again, so that
+// callers are refused at once.
+const silentFor = 300 * time.Millisecond
+
+func (p *Peers) silent(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loop.now().Before(p.silentUntil[address])
+}
+
+func (p *Peers) setSilent(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentUntil[address] = p.loop.now().Add(silentFor)
+}
+
+// reaches says whether the last call to a box was answered.
+func (p *Peers) reaches(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silentUntil[address].IsZero()
+}
+
+func (p *Peers) answered(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.silentUntil, address)
+}
+
 // request passes a caller's wish on to the holder.
 func (p *Peers) request(ctx context.Context, address string, r Request) dispatch.Answer {
+	if p.silent(address) {
+		return dispatch.Answer{
+			Outcome: dispatch.Unavailable, Reason: "the holder does not answer",
+			RetryAfter: job.Milliseconds(p.loop.settings.PeerTimeout.Milliseconds()),
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.loop.settings.PeerTimeout)
 	defer cancel()
 	c, err := p.conn(ctx, address)
 	if err != nil {
+		p.setSilent(address)
 		return dispatch.Answer{
 			Outcome: dispatch.Unavailable, Reason: err.Error(),
 			RetryAfter: job.Milliseconds(p.loop.settings.PeerTimeout.Milliseconds()),
@@ -167,22 +206,45 @@
 	var a dispatch.Answer
 	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
 		_ = c.Close()
+		p.setSilent(address)
 		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
 	}
+	p.answered(address)
 	return a
 }
 
+// advised is the answer to a call for advice through another box.
+type advised struct {
+	Good []order.Ticket `json:"good,omitempty"`
+	Busy bool           `json:"busy,omitempty"`
+}
+
+// adviseFor calls the advice service for another box.
+func (p *Peers) adviseFor(ctx context.Context, a adviseParams) (*advised, error) {
+	good, err := p.loop.platform.Advise(ctx, a.Step, a.Workers)
+	if errors.Is(err, ErrAdviceBusy) {
+		return &advised{Busy: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &advised{Good: good}, nil
+}
+
 // advise has another entry box call the advice service.
 func (p *Peers) advise(ctx context.Context, address string, step job.StepID, workers []string) ([]order.Ticket, error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	var good []order.Ticket
-	if err := c.Call(ctx, methodAdvise, adviseParams{Step: step, Workers: workers}, &good); err != nil {
+	var a advised
+	if err := c.Call(ctx, methodAdvise, adviseParams{Step: step, Workers: workers}, &a); err != nil {
 		return nil, fmt.Errorf("entry box %s: %w", address, err)
 	}
-	return good, nil
+	if a.Busy {
+		return nil, fmt.Errorf("entry box %s: %w", address, ErrAdviceBusy)
+	}
+	return a.Good, nil
 }
 
 // askPledges asks all other boxes at once.
@@ -218,5 +280,14 @@
 func (p *Peers) quick(address string, r Request) dispatch.Answer {
 	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
 	defer cancel()
-	return p.request(ctx, address, r)
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		// Nobody was reached, so nothing was asked.
+		return dispatch.Answer{Outcome: dispatch.Unavailable, Reason: err.Error()}
+	}
+	var a dispatch.Answer
+	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
+		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
+	}
+	return a
 }
