dispatch: gangs ask about all workers at once, more boxes for long calls, kept room is used first

Cause, from lines that say why a gang waits: advice. A heavy step took three or four calls of 0.6 to 0.9 s on four boxes; in a burst of 2.5 such steps a second they queued for 10 s and the jobs were late. Now one call names all workers, the room it finds is refreshed once, and the step whose room was kept goes first.

--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -19,6 +19,9 @@
 	suits   map[*worker]bool
 	tickets map[*worker]ticket
 	asking  bool
+	// first says that room was kept for the step until now, so that it goes
+	// before all others in the next plan.
+	first bool
 	// due is when the answer to the last call should come.
 	due time.Time
 	// askAgain delays the next call after one that failed.
@@ -57,6 +60,9 @@
 	// firstAsk bounds the workers named in the first call for a step. The
 	// objective of a job allows for a call that names 30 (the users' rules).
 	firstAsk = 30
+	// wholeAsk bounds the workers named in a call whose time hardly depends on
+	// their number.
+	wholeAsk = 60
 	// adviceQueue bounds the calls that wait at one box: the service refuses more
 	// than 32 of them, and a ticket that comes late helps nobody.
 	adviceQueue = 250 * time.Millisecond
@@ -141,7 +147,7 @@
 // choose returns the box whose calls are over first. Long calls keep off the
 // first boxes in the order of names, so that short ones need not wait behind
 // them.
-func (h *holding) chooseAdviser(now time.Time, takes time.Duration) (box, address string, ok bool) {
+func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
 	var names []string
 	if !h.advisers.passedOver(now, h.core.self.Box) {
 		names = append(names, h.core.self.Box)
@@ -155,13 +161,13 @@
 		return "", "", false
 	}
 	slices.Sort(names)
-	if kept := (len(names) + 2) / 3; takes > shortCall && len(names) > 2 {
+	if kept := (len(names) + 2) / 4; takes > shortCall && len(names) > 2 {
 		names = names[kept:]
 	}
 	best := slices.MinFunc(names, func(a, b string) int {
 		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
 	})
-	if h.advisers.free(now, best).Sub(now) > adviceQueue+takes {
+	if h.advisers.free(now, best).Sub(now) > patience {
 		return "", "", false
 	}
 	if best != h.core.self.Box {
@@ -174,10 +180,15 @@
 func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
 
 // ask calls for advice on some workers. It returns false if the boxes have as
-// many calls under way as they should.
+// many calls under way as they should. What is late anyway waits until a box has
+// none.
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) bool {
 	takes := q.Base + time.Duration(len(workers))*q.Each
-	box, address, ok := h.chooseAdviser(now, takes)
+	patience := time.Duration(0)
+	if h.rank(now, s).tier == onTime {
+		patience = adviceQueue + takes
+	}
+	box, address, ok := h.chooseAdviser(now, takes, patience)
 	if !ok {
 		return false
 	}
@@ -205,6 +216,7 @@
 		return
 	}
 	if s.advice.due == due {
+		s.advice.first = len(s.advice.promises) > 0
 		h.releasePromises(s)
 		s.advice.asking = false
 	}
@@ -292,6 +304,10 @@
 	if s.spec.PerWorker > 0 {
 		perWorker = min(perWorker, s.spec.PerWorker)
 	}
+	if s.spec.Gang && q.Advice.Base > shortCall {
+		// A second call would cost more than the workers named in this one.
+		return wholeAsk
+	}
 	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
 	return min(firstAsk, max(4, int(float64(wanted)*1.5/h.learned.goodShare(q.Name))))
 }
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -64,6 +64,10 @@
 	open     bool
 	openedAt time.Time
 	lastRun  int64
+	// explainedAt is when a line last said why it waits.
+	explainedAt time.Time
+	// preemptedAt is when tasks were last stopped for it.
+	preemptedAt time.Time
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -77,6 +77,12 @@
 }
 
 func (a ranked) compare(b ranked) int {
+	if a.step.advice.first != b.step.advice.first {
+		if a.step.advice.first {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(a.tier, b.tier),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
@@ -112,7 +118,11 @@
 	}
 	p := &pass{now: now, sets: map[setKey]*workerSet{}}
 	for _, r := range h.rankOpen(now) {
-		if h.placeStep(p, r) || !r.step.spec.Gang || r.tier == hopeless || p.blocked >= gangsWaiting {
+		if h.placeStep(p, r) || !r.step.spec.Gang {
+			continue
+		}
+		h.explainWait(p, r)
+		if r.tier == hopeless || p.blocked >= gangsWaiting {
 			continue
 		}
 		if h.keepRoom(p, r) {
@@ -121,6 +131,28 @@
 	}
 }
 
+// explainEvery is the least time between two lines about a gang that waits.
+const explainEvery = 2 * time.Second
+
+// explainWait says why a gang does not start.
+func (h *holding) explainWait(p *pass, r ranked) {
+	s := r.step
+	if p.now.Sub(s.explainedAt) < explainEvery {
+		return
+	}
+	s.explainedAt = p.now
+	set := h.set(p, s, r.queue.Pool)
+	suited := set.workers
+	if r.queue.Advice != nil {
+		suited = s.suited(set.workers)
+	}
+	_, placed := h.fit(s, suited)
+	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
+		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
+		Field{"workers_suited", len(suited)}, Field{"gangs_before", p.blocked}, Field{"tier", int(r.tier)},
+		Field{"slack", s.slack(p.now, h).String()})
+}
+
 // set returns the workers that may run a step, advice aside.
 func (h *holding) set(p *pass, s *step, pool string) *workerSet {
 	key := setKey{pool, s.spec.Label}
@@ -212,6 +244,7 @@
 // needs. It returns false if tasks are left for want of room.
 func (h *holding) placeStep(p *pass, r ranked) bool {
 	s := r.step
+	defer func() { s.advice.first = false }()
 	if r.queue.Pool == "" || s.advice.asking {
 		return true
 	}
@@ -431,5 +464,6 @@
 	for _, w := range kept {
 		w.blockedBy = s
 	}
+	h.makeRoom(p, r, kept)
 	return true
 }
