jobs: own interface, explanations, metrics, trace; callers who wait for a later append are refused at once

Cause of the second: while the log kept nothing, a call that came in the first 150 ms waited for an append that was not to come for as long as the log was away (found by the test with processes in memory: 10 s without an answer). Jobs that were in no append are forgotten, so the refusal is true.

--- /dev/null
+++ b/cmd/saddlevanectl/jobs.go
@@ -0,0 +1,184 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"saddlevane/models/job"
+	"saddlevane/modules/httpjson"
+	"saddlevane/modules/joblog"
+	"saddlevane/services/dispatch"
+)
+
+func (t *tool) job() *ffcli.Command {
+	return t.command("job", "ID", "shows a submitted job: its state, and for each step why tasks wait",
+		"job 5c0e7a21d94b36f8", func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("job: want the ID of a job")
+			}
+			a, err := first[dispatch.Answer](ctx, t.client, "/v1/jobs/"+url.PathEscape(args[0])+"/explain")
+			if err != nil {
+				return err
+			}
+			return t.print(a.Explanation, func() { t.explanation(a.Explanation) })
+		})
+}
+
+func (t *tool) explanation(x *job.Explanation) {
+	if x == nil {
+		return
+	}
+	fmt.Fprintf(t.out, "%s in queue %s is %s, slack %v\n", x.ID, x.Queue, x.State, x.Slack.Duration())
+	table := t.table("STEP", "TASKS", "DONE", "PLACED", "WAITING", "WHY")
+	for _, s := range x.Steps {
+		table.row(s.Step, s.Tasks, s.Done, s.Placed, s.Waiting, s.Reason)
+	}
+	table.flush()
+}
+
+func (t *tool) cell() *ffcli.Command {
+	return t.command("cell", "", "shows who holds the cell and what each process knows of it",
+		"cell -o json", func(ctx context.Context, _ []string) error {
+			all, err := each[job.CellStatus](ctx, t.client, "/v1/cell")
+			if printed := t.print(all, func() { t.cellTable(all) }); printed != nil {
+				return printed
+			}
+			return err
+		})
+}
+
+func (t *tool) cellTable(all []answered[job.CellStatus]) {
+	table := t.table("BOX", "HOLDER", "CLAIM", "HOLDS", "LOG", "CONFIG", "OPEN STEPS", "WORKERS", "USED", "CAPACITY")
+	for _, a := range all {
+		s := a.Answer
+		log := "answers"
+		if !s.LogAnswers {
+			log = "silent"
+		}
+		table.row(s.Box, s.Holder, s.Claim, s.Holds, log, s.Config, s.Open, len(s.Workers), s.Used, s.Capacity)
+	}
+	table.flush()
+}
+
+func (t *tool) submit() *ffcli.Command {
+	return t.command("submit", "FILE", "hands a job in, as JSON from a file or - for standard input; the same ID again is the same job",
+		"submit job.json", func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("submit: want a file, or - for standard input")
+			}
+			body, err := readInput(args[0])
+			if err != nil {
+				return usageError("submit: %v", err)
+			}
+			return t.callJob(ctx, http.MethodPost, "/v1/jobs", body)
+		})
+}
+
+func (t *tool) cancel() *ffcli.Command {
+	return t.command("cancel", "ID", "ends a submitted job", "cancel 5c0e7a21d94b36f8",
+		func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("cancel: want the ID of a job")
+			}
+			return t.callJob(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(args[0]), nil)
+		})
+}
+
+func readInput(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
+
+// callJob makes a call at the first daemon; the exit code says what is known.
+func (t *tool) callJob(ctx context.Context, method, path string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.client.addresses[0]+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := t.client.http.Do(req)
+	if err != nil {
+		return &codeError{exitUnknown, err}
+	}
+	answer, err := readAnswer(resp)
+	if err != nil {
+		return &codeError{exitUnknown, err}
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		_, err = t.out.Write(answer)
+		return err
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		return &codeError{exitUnknown, fmt.Errorf("%s", bytes.TrimSpace(answer))}
+	case resp.StatusCode == http.StatusBadRequest:
+		return usageError("%s", bytes.TrimSpace(answer))
+	default:
+		return &httpjson.StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(answer))}
+	}
+}
+
+func (t *tool) trace() *ffcli.Command {
+	return t.command("trace", "ID [LOG FILE ...]", "prints what the daemons logged of a job, in order, with gaps named",
+		"trace 5c0e7a21d94b36f8 box-a.log box-b.log", func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usageError("trace: want the ID of a job")
+			}
+			var h joblog.History
+			if err := readLogs(&h, args[0], args[1:]); err != nil {
+				return usageError("trace: %v", err)
+			}
+			h.Sort()
+			t.history(&h)
+			if len(h.Lines) == 0 {
+				return fmt.Errorf("no line tells of job %s", args[0])
+			}
+			return nil
+		})
+}
+
+func readLogs(h *joblog.History, id string, files []string) error {
+	if len(files) == 0 {
+		return h.Read(os.Stdin, id)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = h.Read(f, id)
+		_ = f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tool) history(h *joblog.History) {
+	for _, l := range h.Lines {
+		mark := " "
+		if l.Gap {
+			mark = "!"
+		}
+		fmt.Fprintf(t.out, "%s %s %-20s %s", l.At.Format(time.RFC3339Nano), mark, l.Box, l.Message)
+		for _, f := range l.Fields {
+			fmt.Fprint(t.out, " ", f)
+		}
+		fmt.Fprintln(t.out)
+	}
+	if h.Torn > 0 || h.Foreign > 0 {
+		fmt.Fprintf(t.out, "# %d lines were torn and %d are of something else\n", h.Torn, h.Foreign)
+	}
+}
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -23,6 +23,7 @@
 	"saddlevane/modules/logger"
 	"saddlevane/modules/setting"
 	"saddlevane/platform"
+	"saddlevane/routers"
 	"saddlevane/services/authority"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
@@ -109,6 +110,7 @@
 	ready := func() bool { return !d.stopping.Load() && d.loop.Ready() }
 	for address, handler := range map[string]http.Handler{
 		s.Listen.Callers: platform.NewCallers(d.loop), s.Jobs.Ready: platform.Ready(ready),
+		s.Listen.Operators: routers.NewJobs(d.loop),
 	} {
 		if err := d.serve(address, handler); err != nil {
 			d.close()
--- /dev/null
+++ b/models/job/explain.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package job
+
+// Explanation says of each part of a job why it is as it is.
+type Explanation struct {
+	ID    ID     `json:"id"`
+	Queue string `json:"queue"`
+	State State  `json:"state"`
+	// Slack is how much later the job could finish and be on time, in
+	// milliseconds; below zero it is late.
+	Slack Milliseconds      `json:"slack_ms"`
+	Steps []StepExplanation `json:"steps,omitempty"`
+}
+
+// StepExplanation says what became of the tasks of one step.
+type StepExplanation struct {
+	Step    string `json:"step"`
+	Tasks   int    `json:"tasks"`
+	Done    int    `json:"done"`
+	Placed  int    `json:"placed"`
+	Waiting int    `json:"waiting"`
+	// Reason says in one sentence why tasks wait and for what.
+	Reason string `json:"reason,omitempty"`
+}
+
+// CellStatus is what one entry box knows of the cell.
+type CellStatus struct {
+	Box    string `json:"box"`
+	Holder string `json:"holder"`
+	Claim  int64  `json:"claim"`
+	// Holds says that this box serves the cell's jobs.
+	Holds bool `json:"holds"`
+	// LogAnswers says whether the log answers this box.
+	LogAnswers bool     `json:"log_answers"`
+	Config     int64    `json:"config"`
+	Members    []string `json:"members"`
+	// What follows is known to the holder only.
+	Jobs     map[State]int  `json:"jobs,omitempty"`
+	Open     int            `json:"open_steps,omitempty"`
+	Unsure   int            `json:"unsettled_workers,omitempty"`
+	Failing  bool           `json:"log_keeps_nothing,omitempty"`
+	Workers  []WorkerStatus `json:"workers,omitempty"`
+	Capacity string         `json:"processors,omitempty"`
+	Used     string         `json:"processors_used,omitempty"`
+}
+
+// WorkerStatus is what the holder believes of a worker.
+type WorkerStatus struct {
+	ID       string `json:"id"`
+	Domain   string `json:"domain"`
+	Takes    bool   `json:"takes"`
+	Tasks    int    `json:"tasks"`
+	Free     string `json:"free_processors"`
+	Failures int    `json:"failures,omitempty"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/routers/jobs.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"saddlevane/models/job"
+	"saddlevane/modules/httpjson"
+	"saddlevane/modules/version"
+	"saddlevane/services/dispatch"
+	"saddlevane/services/jobrun"
+)
+
+// maxJobBody bounds a submitted job, in bytes.
+const maxJobBody = 256 << 10
+
+// Jobs serves saddlevane's own interface for submitted jobs, and the operators
+// of a box that serves them.
+type Jobs struct{ loop *jobrun.Loop }
+
+// NewJobs returns the handler.
+func NewJobs(loop *jobrun.Loop) http.Handler {
+	j := &Jobs{loop: loop}
+	r := httprouter.New()
+	r.POST("/v1/jobs", j.submit)
+	r.GET("/v1/jobs/:id", j.state)
+	r.DELETE("/v1/jobs/:id", j.cancel)
+	r.GET("/v1/jobs/:id/explain", j.explain)
+	r.GET("/v1/queues/:name", j.count)
+	r.GET("/v1/cell", j.cell)
+	r.GET("/v1/version", j.version)
+	r.GET("/healthz", healthy)
+	r.GET("/readyz", j.ready)
+	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(loop.Metrics().Gatherer(), promhttp.HandlerOpts{}))
+	return r
+}
+
+func (j *Jobs) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBody))
+	dec.DisallowUnknownFields()
+	var s job.Submission
+	if err := dec.Decode(&s); err != nil {
+		httpjson.Error(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := s.Check(); err != nil {
+		httpjson.Error(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if c := j.loop.Config(); c != nil {
+		if _, ok := c.Queues[s.Queue]; !ok {
+			httpjson.Error(w, http.StatusNotFound, "no such queue: "+strconv.Quote(s.Queue))
+			return
+		}
+	}
+	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{Submit: &s}))
+}
+
+func (j *Jobs) state(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{State: job.ID(p.ByName("id"))}))
+}
+
+func (j *Jobs) cancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{Cancel: job.ID(p.ByName("id"))}))
+}
+
+func (j *Jobs) explain(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{Explain: job.ID(p.ByName("id"))}))
+}
+
+func (j *Jobs) count(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{Count: p.ByName("name")}))
+}
+
+func (j *Jobs) cell(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	var s job.CellStatus
+	if !j.loop.Query(func(now time.Time, c *dispatch.Core) { s = c.Status(now) }) {
+		httpjson.Error(w, http.StatusServiceUnavailable, "this entry box has stopped")
+		return
+	}
+	httpjson.Write(w, http.StatusOK, s)
+}
+
+func (j *Jobs) version(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	httpjson.Write(w, http.StatusOK, version.Current())
+}
+
+func (j *Jobs) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !j.loop.Ready() {
+		httpjson.Error(w, http.StatusServiceUnavailable, "no configuration, or cut off from log and holder")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// answer renders what became of a call.
+func (j *Jobs) answer(w http.ResponseWriter, a dispatch.Answer) {
+	switch a.Outcome {
+	case dispatch.OK:
+		httpjson.Write(w, http.StatusOK, a)
+	case dispatch.NoJob:
+		httpjson.Write(w, http.StatusGone, a)
+	case dispatch.Unsure:
+		httpjson.Write(w, http.StatusGatewayTimeout, a)
+	default:
+		w.Header().Set(headerRetryAfter, strconv.Itoa(max(1, int(a.RetryAfter.Duration().Seconds()))))
+		httpjson.Write(w, http.StatusServiceUnavailable, a)
+	}
+}
+
+const headerRetryAfter = "Retry-After"
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -53,7 +53,7 @@
 		h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown})
 		return
 	case h.journal.failing(now) && j.state.Final():
-		h.core.reply(e.Call, Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"})
+		h.core.reply(e.Call, unsureCancel)
 		return
 	}
 	h.finish(now, j, job.Cancelled, "a caller asked for it")
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -86,6 +86,8 @@
 		c.call(now, e.Call, func(h *holding) { h.cancel(now, e) })
 	case StateAsked:
 		c.call(now, e.Call, func(h *holding) { h.askState(e) })
+	case ExplanationAsked:
+		c.call(now, e.Call, func(h *holding) { h.askExplanation(now, e) })
 	case CountAsked:
 		c.call(now, e.Call, func(h *holding) { h.askCount(e) })
 	default:
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -116,6 +116,8 @@
 	Outcome Outcome   `json:"outcome"`
 	State   job.State `json:"state,omitempty"`
 	Waiting int       `json:"waiting,omitempty"`
+	// Explanation is set if it was asked for.
+	Explanation *job.Explanation `json:"explanation,omitempty"`
 	// Steady says that the log answers the box.
 	Steady bool `json:"steady,omitempty"`
 	// Reason says why it was not done.
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -75,6 +75,12 @@
 	Job  job.ID
 }
 
+// ExplanationAsked asks why a job is as it is.
+type ExplanationAsked struct {
+	Call CallID
+	Job  job.ID
+}
+
 // CountAsked asks how many jobs of a queue wait.
 type CountAsked struct {
 	Call  CallID
@@ -148,23 +154,24 @@
 	Reason  string
 }
 
-func (Tick) event()        {}
-func (Stop) event()        {}
-func (ConfigRead) event()  {}
-func (ClaimsRead) event()  {}
-func (MembersRead) event() {}
-func (WorkersRead) event() {}
-func (AppendEnded) event() {}
-func (JobsLoaded) event()  {}
-func (Submitted) event()   {}
-func (CancelAsked) event() {}
-func (StateAsked) event()  {}
-func (CountAsked) event()  {}
-func (RenewEnded) event()  {}
-func (StartEnded) event()  {}
-func (StopEnded) event()   {}
-func (Advised) event()     {}
-func (PledgeAsked) event() {}
-func (Pledged) event()     {}
-func (InviteAsked) event() {}
-func (Invited) event()     {}
+func (Tick) event()             {}
+func (Stop) event()             {}
+func (ConfigRead) event()       {}
+func (ClaimsRead) event()       {}
+func (MembersRead) event()      {}
+func (WorkersRead) event()      {}
+func (AppendEnded) event()      {}
+func (JobsLoaded) event()       {}
+func (Submitted) event()        {}
+func (CancelAsked) event()      {}
+func (StateAsked) event()       {}
+func (CountAsked) event()       {}
+func (ExplanationAsked) event() {}
+func (RenewEnded) event()       {}
+func (StartEnded) event()       {}
+func (StopEnded) event()        {}
+func (Advised) event()          {}
+func (PledgeAsked) event()      {}
+func (Pledged) event()          {}
+func (InviteAsked) event()      {}
+func (Invited) event()          {}
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -102,6 +102,11 @@
 	dirty := j.dirty
 	j.dirty = nil
 	for _, s := range dirty {
+		if h.jobs[s.id] != s {
+			// It was refused before it was in any append.
+			s.dirty = false
+			continue
+		}
 		if size >= maxBatch || !s.accepted && !b.has(s) {
 			j.dirty = append(j.dirty, s)
 			continue
@@ -166,9 +171,33 @@
 	}
 	for i := range j.batch.progress {
 		p := &j.batch.progress[i]
-		h.answer(p.cancels, Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"})
+		h.answer(p.cancels, unsureCancel)
 		p.cancels = nil
 	}
+	if j.failing(now) {
+		h.refuseQueued()
+	}
+}
+
+// unsureCancel is what a caller is told whose cancellation waits for the log.
+var unsureCancel = Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"}
+
+// refuseQueued answers the callers who wait for a later append. Jobs that were
+// in none are forgotten, so they never run.
+func (h *holding) refuseQueued() {
+	for _, s := range h.journal.accepts {
+		for _, call := range s.waitAccept {
+			h.unavailable(call, "the log keeps no records at present")
+		}
+		s.waitAccept = nil
+		s.state = job.Cancelled
+		delete(h.jobs, s.id)
+	}
+	h.journal.accepts = nil
+	for _, s := range h.journal.dirty {
+		h.answer(s.waitCancel, unsureCancel)
+		s.waitCancel = nil
+	}
 }
 
 // kept acts on what is now in the log.
--- /dev/null
+++ b/services/dispatch/status.go
@@ -0,0 +1,102 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+	"saddlevane/modules/ordered"
+)
+
+// Status returns what this process knows of the cell.
+func (c *Core) Status(now time.Time) job.CellStatus {
+	s := job.CellStatus{
+		Box: c.self.Box, Holder: c.Holder().Box, Claim: c.Holder().Epoch, Holds: c.Holds(), LogAnswers: c.Steady(),
+	}
+	if c.config != nil {
+		s.Config = c.config.Version
+	}
+	for name := range ordered.Map(c.members) {
+		s.Members = append(s.Members, name)
+	}
+	if c.holding != nil {
+		c.holding.status(now, &s)
+	}
+	return s
+}
+
+func (h *holding) status(now time.Time, s *job.CellStatus) {
+	s.Jobs = map[job.State]int{}
+	for _, j := range h.jobs {
+		s.Jobs[j.shown]++
+	}
+	s.Open, s.Unsure, s.Failing = len(h.open), len(h.unsettled), h.journal.failing(now)
+	var capacity, used resource.Vector
+	for id, w := range ordered.Map(h.workers) {
+		s.Workers = append(s.Workers, job.WorkerStatus{
+			ID: id, Domain: w.Domain, Takes: h.takes(now, w), Tasks: len(w.attempts), Free: w.free.Processors.String(),
+			Failures: w.failures, Leaving: w.Leaving,
+		})
+		capacity = capacity.Plus(w.Capacity)
+		used = used.Plus(w.Capacity.Minus(w.free))
+	}
+	s.Capacity, s.Used = capacity.Processors.String(), used.Processors.String()
+}
+
+func (h *holding) askExplanation(now time.Time, e ExplanationAsked) {
+	j := h.jobs[e.Job]
+	if j == nil {
+		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		return
+	}
+	x := job.Explanation{ID: j.id, Queue: j.queue, State: j.shown}
+	for _, in := range ordered.Map(j.instances) {
+		x.Slack = job.Milliseconds(in.dueAt.Add(objective(in, h.queueOf(j))).Sub(now).Milliseconds())
+		for _, s := range in.steps {
+			x.Steps = append(x.Steps, h.explainStep(now, s))
+		}
+	}
+	h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown, Explanation: &x})
+}
+
+func (h *holding) explainStep(now time.Time, s *step) job.StepExplanation {
+	x := job.StepExplanation{Step: s.id.String(), Tasks: len(s.tasks), Done: s.done, Placed: s.attempts, Waiting: s.waiting}
+	if s.waiting > 0 && !s.job.state.Final() {
+		x.Reason = h.whyWaits(now, s)
+	}
+	return x
+}
+
+// whyWaits says in one sentence what a step's waiting tasks wait for.
+func (h *holding) whyWaits(now time.Time, s *step) string {
+	q := h.queueOf(s.job)
+	set := h.set(&pass{now: now, sets: map[setKey]*workerSet{}}, s, q.Pool)
+	switch {
+	case !s.job.accepted:
+		return "the log has not confirmed the job yet"
+	case !s.instance.reached(s):
+		return fmt.Sprintf("it comes after steps %v, which are not done", s.spec.After)
+	case q.Pool == "":
+		return "the configuration no longer names a pool of workers for the queue"
+	case s.job.inherited && len(h.unsettled) > 0:
+		return fmt.Sprintf("%d workers of an earlier holder have not told yet what they run", len(h.unsettled))
+	case s.spec.Gang && s.attempts > 0:
+		return fmt.Sprintf("%d members of the gang's last run have not ended yet", s.attempts)
+	case len(set.workers) == 0:
+		return "no worker of the pool takes new tasks at present"
+	case !slices.ContainsFunc(set.workers, func(w *worker) bool { return s.spec.Reserved().Fits(w.Capacity) }):
+		return fmt.Sprintf("no worker is large enough for %v", s.spec.Need)
+	case s.advice.asking:
+		return "the advice service has not answered yet"
+	case q.Advice != nil && len(s.suited(set.workers)) == 0:
+		return fmt.Sprintf("none of the %d workers asked about may run it", len(s.advice.suits))
+	default:
+		_, placed := h.fit(s, set.workers)
+		return fmt.Sprintf("%d tasks need %v each, and there is room for %d", s.waiting, s.spec.Need, placed)
+	}
+}
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -71,6 +71,8 @@
 	Cancel job.ID          `json:"cancel,omitempty"`
 	State  job.ID          `json:"state,omitempty"`
 	Count  string          `json:"count,omitempty"`
+	// Explain asks why a job is as it is.
+	Explain job.ID `json:"explain,omitempty"`
 	// Pledge asks not to claim while the holder has this claim.
 	Pledge int64 `json:"pledge,omitempty"`
 	// Invite asks to claim in place of the holder with this claim.
@@ -85,6 +87,8 @@
 		return dispatch.CancelAsked{Call: id, Job: r.Cancel}
 	case r.State != "":
 		return dispatch.StateAsked{Call: id, Job: r.State}
+	case r.Explain != "":
+		return dispatch.ExplanationAsked{Call: id, Job: r.Explain}
 	case r.Pledge != 0:
 		return dispatch.PledgeAsked{Call: id, Epoch: r.Pledge}
 	case r.Invite != 0:
@@ -96,6 +100,47 @@
 
 // Serve answers a caller: by this box if it holds the cell, else by the holder.
 func (l *Loop) Serve(ctx context.Context, r Request) dispatch.Answer {
+	began := l.now()
+	a := l.serve(ctx, r)
+	l.metrics.served(r.kind(), a.Outcome, l.now().Sub(began))
+	if a.Outcome != dispatch.OK && a.Outcome != dispatch.NoJob {
+		l.notes.write(refusalNote(r, a, l.now().Sub(began)))
+	}
+	return a
+}
+
+// refusalNote is the line about a call that was not served.
+func refusalNote(r Request, a dispatch.Answer, took time.Duration) dispatch.Note {
+	return dispatch.Note{Message: "call not served", Fields: []dispatch.Field{
+		{Name: "call", Value: r.kind()}, {Name: "job", Value: string(r.job())}, {Name: "outcome", Value: string(a.Outcome)},
+		{Name: "reason", Value: a.Reason}, {Name: "retry_after", Value: a.RetryAfter.Duration().String()}, {Name: "took", Value: took.String()},
+	}}
+}
+
+// kind names the wish, for counters and lines.
+func (r Request) kind() string {
+	switch {
+	case r.Submit != nil:
+		return "submit"
+	case r.Cancel != "":
+		return "cancel"
+	case r.State != "":
+		return "state"
+	case r.Explain != "":
+		return "explain"
+	default:
+		return "count"
+	}
+}
+
+func (r Request) job() job.ID {
+	if r.Submit != nil {
+		return r.Submit.ID
+	}
+	return r.Cancel + r.State + r.Explain
+}
+
+func (l *Loop) serve(ctx context.Context, r Request) dispatch.Answer {
 	l.mu.Lock()
 	v := l.view
 	l.mu.Unlock()
--- /dev/null
+++ b/services/jobrun/jobrun_test.go
@@ -0,0 +1,277 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+	"saddlevane/platform"
+	"saddlevane/routers"
+	"saddlevane/services/authority"
+	"saddlevane/services/dispatch"
+	"saddlevane/services/jobrun"
+	"saddlevane/tests/memory"
+)
+
+func config() job.Config {
+	return job.Config{
+		Version: 1, Queues: map[string]job.Queue{"q": {Name: "q", Pool: "pool", Attempts: 2, Stretch: 2, Latency: time.Second}},
+		Routes: []job.Route{{Host: "h.example", Prefix: "/q/", Queue: "q"}},
+	}
+}
+
+func settings() jobrun.Settings {
+	return jobrun.Settings{
+		Dispatch: dispatch.Settings{
+			Authority: authority.Settings{Renew: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond},
+			Lease:     2 * time.Second, Wait: 200 * time.Millisecond, OrderTimeout: 300 * time.Millisecond,
+			Gather: 2 * time.Millisecond, KeepEnded: time.Minute, StopGrace: 100 * time.Millisecond,
+		},
+		Tick: 10 * time.Millisecond, ReadWait: 200 * time.Millisecond, WorkersEvery: 50 * time.Millisecond,
+		CallTimeout: 300 * time.Millisecond, OrderTimeout: 300 * time.Millisecond, PeerTimeout: 300 * time.Millisecond,
+	}
+}
+
+// process is one entry box within the test.
+type process struct {
+	loop  *jobrun.Loop
+	peers *jobrun.Peers
+	once  atomic.Bool
+}
+
+func (p *process) close() {
+	if p.once.CompareAndSwap(false, true) {
+		p.peers.Close()
+		p.loop.Close()
+	}
+}
+
+func start(t *testing.T, on *memory.Platform, name string, out io.Writer) *process {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	log := logrus.New()
+	log.SetOutput(out)
+	self := claim.Member{Box: name, Incarnation: name + time.Now().String(), Domain: "a", Address: listener.Addr().String()}
+	p := &process{loop: jobrun.NewLoop(settings(), self, on.Calls(), log.WithField("box", name), time.Now)}
+	p.peers = jobrun.NewPeers(listener, p.loop)
+	p.loop.Run(p.peers)
+	p.peers.Serve()
+	t.Cleanup(p.close)
+	return p
+}
+
+func (p *process) holds() bool {
+	held := false
+	p.loop.Query(func(_ time.Time, c *dispatch.Core) { held = c.Holds() })
+	return held
+}
+
+func submission(id string) *job.Submission {
+	return &job.Submission{ID: job.ID(id), Queue: "q", Steps: []job.Step{
+		{Tasks: 3, Need: resource.Vector{Processors: resource.Processor}, Estimate: 30},
+		{Tasks: 1, Need: resource.Vector{Processors: resource.Processor}, Estimate: 30, After: []int{0}},
+	}}
+}
+
+// served waits until a wish is served with the wanted state.
+func served(t *testing.T, p *process, r jobrun.Request, want job.State) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a := p.loop.Serve(context.Background(), r)
+		if a.Outcome == dispatch.OK && (want == "" || a.State == want) {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", a)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func platformOf(t *testing.T) *memory.Platform {
+	t.Helper()
+	on, err := memory.New(config(), 2)
+	assert.NilError(t, err)
+	return on
+}
+
+func TestAJobIsServedAtAnyBoxAndOutlivesItsHolder(t *testing.T) {
+	on := platformOf(t)
+	boxes := []*process{start(t, on, "a", io.Discard), start(t, on, "b", io.Discard), start(t, on, "c", io.Discard)}
+	for i, b := range boxes {
+		served(t, b, jobrun.Request{Submit: submission(fmt.Sprint("j", i))}, "")
+	}
+	for i, b := range boxes {
+		served(t, b, jobrun.Request{State: job.ID(fmt.Sprint("j", 2-i))}, job.Succeeded)
+	}
+	left := boxes[:0]
+	for _, b := range boxes {
+		if b.holds() {
+			b.close()
+			continue
+		}
+		left = append(left, b)
+	}
+	assert.Equal(t, len(left), 2)
+	served(t, left[0], jobrun.Request{State: "j0"}, job.Succeeded)
+	served(t, left[1], jobrun.Request{Submit: submission("j9")}, "")
+	served(t, left[0], jobrun.Request{State: "j9"}, job.Succeeded)
+	assert.Equal(t, on.Runs("j0.0.0.0"), 1)
+	assert.Equal(t, on.Runs("j9.0.1.0"), 1)
+}
+
+func TestCallersAreRefusedAtOnceWhileNothingCanBeKept(t *testing.T) {
+	on := platformOf(t)
+	b := start(t, on, "a", io.Discard)
+	served(t, b, jobrun.Request{Submit: submission("j0")}, "")
+	on.SetDown(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		began := time.Now()
+		a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("j" + fmt.Sprint(began.UnixNano()))})
+		if a.Outcome == dispatch.Unavailable && a.RetryAfter > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", a)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	on.SetDown(false)
+	served(t, b, jobrun.Request{Submit: submission("k")}, "")
+	served(t, b, jobrun.Request{State: "k"}, job.Succeeded)
+}
+
+func TestAFullOutputBlocksNothing(t *testing.T) {
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	on := platformOf(t)
+	b := start(t, on, "a", w)
+	// Nobody reads the pipe; it takes 64 KiB.
+	for i := range 150 {
+		served(t, b, jobrun.Request{Submit: submission(fmt.Sprint("j", i))}, "")
+	}
+	served(t, b, jobrun.Request{State: "j149"}, job.Succeeded)
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	b.close()
+	assert.NilError(t, w.Close())
+}
+
+func TestTheVolumeOfLinesIsBounded(t *testing.T) {
+	out := &counter{}
+	on := platformOf(t)
+	b := start(t, on, "a", out)
+	began := time.Now()
+	for i := range 150 {
+		served(t, b, jobrun.Request{Submit: submission(fmt.Sprint("j", i))}, "")
+	}
+	served(t, b, jobrun.Request{State: "j149"}, job.Succeeded)
+	seconds := int64(time.Since(began).Seconds()) + 2
+	b.close()
+	// Sixty lines a second of each of the about 25 messages.
+	assert.Check(t, out.starts.Load() <= 60*seconds, "%d lines about starts in %d s", out.starts.Load(), seconds)
+}
+
+// counter counts lines about starts.
+type counter struct{ starts atomic.Int64 }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.starts.Add(int64(strings.Count(string(p), "task start ordered")))
+	return len(p), nil
+}
+
+func TestCallersOfThePlatformAreServed(t *testing.T) {
+	on := platformOf(t)
+	b := start(t, on, "a", io.Discard)
+	served(t, b, jobrun.Request{Submit: submission("first")}, "")
+	s := httptest.NewServer(platform.NewCallers(b.loop))
+	defer s.Close()
+	call := func(method, host, path, body string) (int, string) {
+		req, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
+		assert.NilError(t, err)
+		req.Host = host
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp.StatusCode, string(data)
+	}
+	for _, c := range []struct {
+		method, host, path, body string
+		status                   int
+	}{
+		{"POST", "h.example", "/q/5c0e", `{"spec":"x","steps":[{"count":2,"cpu":500,"memMb":64}]}`, 200},
+		{"POST", "h.example", "/q/5c0e", `{"spec":"x","steps":[{"count":2,"cpu":500,"memMb":64}]}`, 200},
+		{"POST", "h.example", "/q/bad1", `{"steps":`, 400},
+		{"POST", "h.example", "/q/bad2", `{"steps":[{"count":1,"after":[0]}]}`, 400},
+		{"POST", "h.example", "/q/bad3", `{"steps":[{"count":0}]}`, 400},
+		{"POST", "h.example", "/q/bad4", `{"steps":[{"count":1,"cpu":-1}]}`, 400},
+		{"POST", "h.example", "/q/bad5", `{"spec":"` + strings.Repeat("x", 4001) + `","steps":[{"count":1}]}`, 400},
+		{"POST", "h.example", "/q/bad/6", `{"steps":[{"count":1}]}`, 400},
+		{"GET", "h.example", "/q/unknown", "", 410},
+		{"DELETE", "h.example", "/q/unknown", "", 410},
+		{"GET", "h.example", "/r/5c0e", "", 404},
+		{"GET", "other.example", "/q/5c0e", "", 404},
+		{"GET", "h.example", "/q/", "", 200},
+		{"PUT", "h.example", "/q/5c0e", "", 405},
+	} {
+		status, body := call(c.method, c.host, c.path, c.body)
+		assert.Equal(t, status, c.status, "%s %s: %s", c.method, c.path, body)
+	}
+	served(t, b, jobrun.Request{State: "5c0e"}, job.Succeeded)
+	status, body := call("GET", "h.example", "/q/5c0e", "")
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, `{"state":"succeeded"}`)
+}
+
+func TestTheOwnInterfaceServesAndExplains(t *testing.T) {
+	on := platformOf(t)
+	b := start(t, on, "a", io.Discard)
+	served(t, b, jobrun.Request{Submit: submission("first")}, "")
+	s := httptest.NewServer(routers.NewJobs(b.loop))
+	defer s.Close()
+	call := func(method, path, body string) (int, string) {
+		req, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp.StatusCode, string(data)
+	}
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		has                string
+	}{
+		{"POST", "/v1/jobs", `{"id":"big","queue":"q","steps":[{"tasks":1,"need":{"processors":"64"}}]}`, 200, `"ok"`},
+		{"POST", "/v1/jobs", `{"id":"x","queue":"q","stepps":[]}`, 400, "stepps"},
+		{"POST", "/v1/jobs", `{"id":"x","queue":"none","steps":[{"tasks":1}]}`, 404, "none"},
+		{"GET", "/v1/jobs/big/explain", "", 200, "no worker is large enough"},
+		{"GET", "/v1/queues/q", "", 200, `"waiting":1`},
+		{"DELETE", "/v1/jobs/big", "", 200, "cancelled"},
+		{"GET", "/v1/jobs/big", "", 200, "cancelled"},
+		{"GET", "/v1/jobs/nobody", "", 410, "no such job"},
+		{"GET", "/v1/cell", "", 200, `"holds":true`},
+		{"GET", "/metrics", "", 200, "saddlevane_job_calls_total"},
+		{"GET", "/readyz", "", 200, ""},
+	} {
+		status, body := call(c.method, c.path, c.body)
+		assert.Equal(t, status, c.status, "%s %s: %s", c.method, c.path, body)
+		assert.Check(t, strings.Contains(body, c.has), "%s %s: %s", c.method, c.path, body)
+	}
+}
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -77,6 +77,8 @@
 	notes    *notes
 	now      func() time.Time
 	events   chan dispatch.Event
+	queries  chan func(now time.Time, c *dispatch.Core)
+	metrics  *Metrics
 	peers    *Peers
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -107,7 +109,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
 		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log), now: now,
-		events: make(chan dispatch.Event, eventBuffer), ctx: ctx, cancel: cancel,
+		events: make(chan dispatch.Event, eventBuffer), queries: make(chan func(time.Time, *dispatch.Core)),
+		metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
 	}
 }
@@ -141,6 +144,25 @@
 	}
 }
 
+// Query runs f beside the reducer. It returns false if the loop has ended.
+func (l *Loop) Query(f func(now time.Time, c *dispatch.Core)) bool {
+	done := make(chan struct{})
+	wrapped := func(now time.Time, c *dispatch.Core) {
+		defer close(done)
+		f(now, c)
+	}
+	select {
+	case l.queries <- wrapped:
+	case <-l.ctx.Done():
+		return false
+	}
+	<-done
+	return true
+}
+
+// Metrics returns the counters of the process.
+func (l *Loop) Metrics() *Metrics { return l.metrics }
+
 func (l *Loop) run() {
 	ticker := time.NewTicker(l.settings.Tick)
 	defer ticker.Stop()
@@ -153,6 +175,8 @@
 			l.core.Handle(now, e)
 			l.drain(now)
 			l.decide(now)
+		case f := <-l.queries:
+			f(l.now(), l.core)
 		case <-ticker.C:
 			now := l.now()
 			l.core.Handle(now, dispatch.Tick{})
--- /dev/null
+++ b/services/jobrun/metrics.go
@@ -0,0 +1,101 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+// Metrics are the counters and histograms of a process. All label sets are
+// bounded: their values are constants of the code.
+type Metrics struct {
+	registry *prometheus.Registry
+	calls    *prometheus.CounterVec
+	callTime *prometheus.HistogramVec
+	orders   *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	appends  *prometheus.CounterVec
+	logTime  *prometheus.HistogramVec
+	advice   *prometheus.CounterVec
+}
+
+// callBuckets reach from an answer out of memory to the longest deadline.
+var callBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3}
+
+func newMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		calls:    counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
+		callTime: histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
+		orders:   counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
+		ends:     counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
+		appends:  counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
+		logTime:  histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
+		advice:   counter("advice_calls_total", "Calls for advice, by result.", "result"),
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "saddlevane_" + name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "saddlevane_" + name, Help: help, Buckets: callBuckets}, labels)
+}
+
+// Gatherer returns what the metrics address serves.
+func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
+
+func (m *Metrics) served(call string, outcome dispatch.Outcome, took time.Duration) {
+	m.calls.WithLabelValues(call, string(outcome)).Inc()
+	m.callTime.WithLabelValues(call).Observe(took.Seconds())
+}
+
+func (m *Metrics) ordered(kind string, a order.Answer) {
+	m.orders.WithLabelValues(kind, string(a.Fate)).Inc()
+}
+
+func (m *Metrics) ended(how order.How) { m.ends.WithLabelValues(string(how)).Inc() }
+
+func (m *Metrics) appended(p dispatch.Purpose, took time.Duration, err error) {
+	m.appends.WithLabelValues(string(p), appendResult(err)).Inc()
+	m.logTime.WithLabelValues(string(p)).Observe(took.Seconds())
+}
+
+func appendResult(err error) string {
+	_, moved := errors.AsType[*stream.MovedError](err)
+	switch {
+	case err == nil:
+		return "done"
+	case moved:
+		return "moved"
+	case errors.Is(err, stream.ErrFenced):
+		return "fenced"
+	case errors.Is(err, stream.ErrNotDone):
+		return "not done"
+	default:
+		return "unknown"
+	}
+}
+
+func (m *Metrics) advised(err error) {
+	switch {
+	case err == nil:
+		m.advice.WithLabelValues("answered").Inc()
+	case errors.Is(err, ErrAdviceBusy):
+		m.advice.WithLabelValues("busy").Inc()
+	default:
+		m.advice.WithLabelValues("failed").Inc()
+	}
+}
--- a/services/jobrun/notes.go
+++ b/services/jobrun/notes.go
@@ -26,8 +26,9 @@
 	log   *logrus.Entry
 	queue chan line
 	tasks conc.WaitGroup
-	once  sync.Once
 
+	mu      sync.Mutex
+	closed  bool
 	second  int64
 	written map[string]int
 	left    map[string]int
@@ -45,12 +46,19 @@
 }
 
 func (n *notes) close() {
-	n.once.Do(func() { close(n.queue) })
+	n.mu.Lock()
+	if !n.closed {
+		n.closed = true
+		close(n.queue)
+	}
+	n.mu.Unlock()
 	n.tasks.Wait()
 }
 
-// write is called by the loop only.
+// write queues a line, or counts it among those left out.
 func (n *notes) write(e dispatch.Note) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	at := time.Now()
 	if at.Unix() != n.second {
 		n.second = at.Unix()
@@ -75,6 +83,9 @@
 }
 
 func (n *notes) put(l line) {
+	if n.closed {
+		return
+	}
 	select {
 	case n.queue <- l:
 	default:
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -18,7 +18,9 @@
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
+	began := l.now()
 	offset, err := l.platform.Log.Append(ctx, e.Append)
+	l.metrics.appended(e.Purpose, l.now().Sub(began), err)
 	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 }
 
@@ -37,6 +39,10 @@
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	report, answer := l.platform.Workers.Renew(ctx, e.Address, e.Worker, e.Order)
+	l.metrics.ordered("renew", answer)
+	for _, end := range report.Ended {
+		l.metrics.ended(end.How)
+	}
 	l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: answer, Report: report})
 }
 
@@ -44,6 +50,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
 	answer := l.platform.Workers.Start(ctx, e.Address, e.Worker, e.Order)
+	l.metrics.ordered("start", answer)
 	l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
 
@@ -51,6 +58,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
 	answer := l.platform.Workers.Stop(ctx, e.Address, e.Worker, e.Order)
+	l.metrics.ordered("stop", answer)
 	l.post(dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
 
@@ -65,6 +73,7 @@
 		good, err = l.peers.advise(ctx, e.Address, e.Step, e.Workers)
 	}
 	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers, Good: good}
+	l.metrics.advised(err)
 	if err != nil {
 		ended.Failed = err.Error()
 		ended.Busy = errors.Is(err, ErrAdviceBusy)
