--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -57,9 +57,6 @@
 		Run: a.name(), Spec: s.job.submission.Spec, Until: h.startUntil(now, w), Fence: h.epoch,
 		Checkpoint: saved, Ticket: ticket,
 	}})
-	h.core.note("task start ordered", Field{"job", string(s.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", run},
-		Field{"worker", w.ID}, Field{"free_after", w.free.Processors.String()}, Field{"claim", h.epoch},
-		Field{"config", h.core.config.Version}, Field{"slack", s.slack(now, h).String()})
 }
 
 // startUntil is the end of the lease that a start carries. A start that is
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -216,6 +216,8 @@
 		s.accepted = true
 		h.answer(s.waitAccept, Answer{Outcome: OK, State: s.state})
 		s.waitAccept = nil
+		h.core.note("job accepted", Field{"job", string(s.id)}, Field{"queue", s.queue}, Field{"claim", h.epoch},
+			Field{"took", now.Sub(s.acceptedAt).String()}, Field{"open_steps", len(h.open)})
 		h.opened(s)
 	}
 	for _, p := range b.progress {
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -5,7 +5,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"saddlevane/models/job"
@@ -433,6 +435,19 @@
 			h.start(now, s, next, run, sh.worker, ticket)
 		}
 	}
+	h.core.note("tasks started", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"run", run},
+		Field{"workers", names(shares)}, Field{"still_waiting", s.waiting}, Field{"advised", len(s.advice.suits)},
+		Field{"claim", h.epoch}, Field{"config", h.core.config.Version}, Field{"age", now.Sub(s.instance.dueAt).String()},
+		Field{"slack", s.slack(now, h).String()})
+}
+
+// names lists workers with the number of tasks on each.
+func names(shares []share) string {
+	all := make([]string, len(shares))
+	for i, sh := range shares {
+		all[i] = fmt.Sprintf("%s:%d", sh.worker.ID, sh.tasks)
+	}
+	return strings.Join(all, " ")
 }
 
 // keepRoom keeps the workers that can hold a waiting gang soonest free of what
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -136,8 +136,7 @@
 		t.saved = end.Checkpoint
 	}
 	h.applyEnd(now, w, s, end)
-	h.core.note("task ended", Field{"job", string(s.job.id)}, Field{"task", end.Task.String()}, Field{"run", end.Run.Number},
-		Field{"worker", w.ID}, Field{"outcome", string(end.How)})
+	h.noteEnd(s, w, end)
 	if s.job.closed {
 		note.kept = true
 		return
@@ -146,6 +145,15 @@
 	h.markDirty(s.job)
 }
 
+// noteEnd logs an end that is not a good one; good ones are told by step.
+func (h *holding) noteEnd(s *step, w *worker, end order.End) {
+	if end.How == order.Done {
+		return
+	}
+	h.core.note("task ended", Field{"job", string(s.job.id)}, Field{"task", end.Task.String()}, Field{"run", end.Run.Number},
+		Field{"worker", w.ID}, Field{"outcome", string(end.How)}, Field{"claim", h.epoch})
+}
+
 // applyEnd draws the consequences of one end.
 func (h *holding) applyEnd(now time.Time, w *worker, s *step, end order.End) {
 	switch {
@@ -187,6 +195,8 @@
 	}
 	s.open = false
 	h.releasePromises(s)
+	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
+		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (s.slack(now, h) + s.spec.Estimate.Duration()).String()})
 	in := s.instance
 	in.doneSteps++
 	if in.doneSteps < len(in.steps) {
--- a/services/jobrun/notes.go
+++ b/services/jobrun/notes.go
@@ -17,7 +17,7 @@
 	// noteBuffer is how many lines may wait to be written.
 	noteBuffer = 1024
 	// notesPerSecond bounds the lines of one message in a second.
-	notesPerSecond = 60
+	notesPerSecond = 300
 )
 
 // notes writes the reducer's lines beside the loop. A full output costs lines,
