dispatch: no caller waits for a silent log

Now they are answered 0.45 s after the first append went unanswered, as refused if the job was in no append.

--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
+	"saddlevane/services/dispatch"
 )
 
 // serving returns a world in which a box serves the cell's jobs.
@@ -109,6 +110,28 @@
 	w.check()
 }
 
+func TestNoCallerWaitsForALogThatIsSilent(t *testing.T) {
+	w := serving(t, 8, 1, 2)
+	w.logSilent = true
+	for i := range 20 {
+		w.after(time.Duration(100*i)*time.Millisecond, func() {
+			askedAt := w.now
+			s := oneStep(fmt.Sprintf("j%d", i), "quick", 1, false)
+			w.jobs[s.ID] = &asked{sub: s, mayRun: true, done: map[job.TaskID]bool{}, noted: map[job.TaskID]bool{}, failures: map[job.TaskID]int{}}
+			w.holder().ask(func(id dispatch.CallID) dispatch.Event { return dispatch.Submitted{Call: id, Submission: s} },
+				func(a dispatch.Answer) {
+					w.answers++
+					if took := w.now.Sub(askedAt); took > 500*time.Millisecond || a.Outcome == dispatch.OK {
+						w.breaks("%s was answered %s after %v", s.ID, a.Outcome, took)
+					}
+				})
+		})
+	}
+	w.run(4 * time.Second)
+	assert.Equal(t, w.answers, 20)
+	w.check()
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -215,6 +215,7 @@
 }
 
 func (h *holding) tick(now time.Time) {
+	h.refuseWhileFailing(now)
 	if now.Before(h.sweepAt) {
 		h.flush(now)
 		return
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -36,6 +36,8 @@
 	accepts  []*submitted
 	progress []batched
 	sent     bool
+	// sentAt is when it was first sent.
+	sentAt time.Time
 }
 
 // batched is one job's progress in a batch.
@@ -57,11 +59,19 @@
 
 // failing says whether the log has not taken an append for a while.
 func (j *journal) failing(now time.Time) bool {
-	return !j.failingSince.IsZero() && now.Sub(j.failingSince) > failingAfter
+	if !j.failingSince.IsZero() && now.Sub(j.failingSince) > failingAfter {
+		return true
+	}
+	return j.batch != nil && j.batch.sent && now.Sub(j.batch.sentAt) > silentLog
 }
 
-// failingAfter is how long appends may fail before callers are refused at once.
-const failingAfter = 150 * time.Millisecond
+const (
+	// failingAfter is how long appends may fail before callers are refused at once.
+	failingAfter = 150 * time.Millisecond
+	// silentLog is how long an append may go without an answer before callers are
+	// refused at once. A usual one takes 5 ms, one at a slow log 0.3 s.
+	silentLog = 450 * time.Millisecond
+)
 
 // flush appends what has gathered, if no append is under way.
 func (h *holding) flush(now time.Time) {
@@ -82,9 +92,13 @@
 }
 
 func (h *holding) send(now time.Time) {
-	h.journal.batch.sent = true
+	b := h.journal.batch
+	b.sent = true
+	if b.sentAt.IsZero() {
+		b.sentAt = now
+	}
 	h.journal.sendAt = now.Add(h.core.settings.Gather)
-	h.core.do(Append{Purpose: ForJournal, Append: h.journal.batch.append})
+	h.core.do(Append{Purpose: ForJournal, Append: b.append})
 }
 
 // compose builds the next append.
@@ -165,18 +179,32 @@
 		j.failingSince = now
 		h.core.note("the log does not keep records", Field{"error", err.Error()})
 	}
-	for _, s := range j.batch.accepts {
+	h.answerUnsure(j.batch)
+	h.refuseWhileFailing(now)
+}
+
+// answerUnsure tells the callers of a batch that its fate is not known.
+func (h *holding) answerUnsure(b *batch) {
+	for _, s := range b.accepts {
 		h.answer(s.waitAccept, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
 		s.waitAccept = nil
 	}
-	for i := range j.batch.progress {
-		p := &j.batch.progress[i]
+	for i := range b.progress {
+		p := &b.progress[i]
 		h.answer(p.cancels, unsureCancel)
 		p.cancels = nil
 	}
-	if j.failing(now) {
-		h.refuseQueued()
+}
+
+// refuseWhileFailing lets no caller wait for a log that keeps nothing.
+func (h *holding) refuseWhileFailing(now time.Time) {
+	if !h.journal.failing(now) {
+		return
+	}
+	if h.journal.batch != nil {
+		h.answerUnsure(h.journal.batch)
 	}
+	h.refuseQueued()
 }
 
 // unsureCancel is what a caller is told whose cancellation waits for the log.
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -94,7 +94,11 @@
 
 	// logDown makes the log answer nobody; logLoses is the share of appends that
 	// are done without an answer.
-	logDown  bool
+	logDown bool
+	// logSilent makes it take appends to the stream of jobs without an answer.
+	logSilent bool
+	// answers counts answers to the calls of a test.
+	answers  int
 	logLoses float64
 	// lateShare is the share of orders that get no answer and are carried out
 	// seconds later.
@@ -417,6 +421,10 @@
 		ended(w.delay(), 0, stream.ErrNotDone)
 		return
 	}
+	if w.logSilent && e.Purpose == dispatch.ForJournal {
+		ended(900*time.Millisecond, 0, fmt.Errorf("no answer"))
+		return
+	}
 	if w.rng.Float64() < w.logLoses {
 		if w.rng.Intn(2) == 0 {
 			w.after(time.Duration(w.rng.Intn(4000))*time.Millisecond, func() { w.apply(e.Append) })
