--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -119,11 +119,21 @@
 		w.blockedBy = nil
 	}
 	p := &pass{now: now, sets: map[setKey]*workerSet{}}
+	misses := 0
 	for _, r := range h.rankOpen(now) {
-		if h.placeStep(p, r) || !r.step.spec.Gang {
+		if misses >= mostMisses {
+			return
+		}
+		if h.placeStep(p, r) {
+			continue
+		}
+		misses++
+		if !r.step.spec.Gang {
 			continue
 		}
-		h.explainWait(p, r)
+		if misses <= explained {
+			h.explainWait(p, r)
+		}
 		if r.tier == hopeless || p.blocked >= gangsWaiting {
 			continue
 		}
@@ -133,6 +143,14 @@
 	}
 }
 
+const (
+	// mostMisses ends a pass: where so many steps that rank higher have found no
+	// room, a search through thousands of others costs more than it finds.
+	mostMisses = 300
+	// explained is of how many waiting steps a pass says why they wait.
+	explained = 20
+)
+
 // explainEvery is the least time between two lines about a gang that waits.
 const explainEvery = 2 * time.Second
 
