--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -29,8 +29,12 @@
 // to its caller (the users' rules).
 const lateMost = 3
 
-// gangsWaiting is how many gangs may keep room free at a time.
-const gangsWaiting = 2
+const (
+	// gangsWaiting is how many gangs may keep room free at a time, and one more for
+	// each workersPerGang workers. What they keep is kept from lower ranks only.
+	gangsWaiting   = 2
+	workersPerGang = 32
+)
 
 // queueOf returns how the configuration treats a job. A queue that is gone is
 // treated like the least of all.
@@ -134,7 +138,7 @@
 		if misses <= explained {
 			h.explainWait(p, r)
 		}
-		if r.tier == hopeless || p.blocked >= gangsWaiting {
+		if p.blocked >= max(gangsWaiting, len(h.workers)/workersPerGang) {
 			continue
 		}
 		if h.keepRoom(p, r) {
