--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 test-unit: ## run the tests beside the code
 	@mkdir -p $(BIN)
-	$(GO) test -v -race -count=1 ./cmd/... ./models/... ./modules/... ./routers/... ./services/... | tee $(BIN)/unit.out | $(QUIET)
+	$(GO) test -v -race -count=1 ./cmd/... ./models/... ./modules/... ./platform/... ./routers/... ./services/... | tee $(BIN)/unit.out | $(QUIET)
 
 test-integration: ## run the tests with real processes
 	@mkdir -p $(BIN)
@@ -63,6 +63,9 @@
 	$(GO) test ./models/spec -run xxx -fuzz FuzzParse -fuzztime 60s
 	$(GO) test ./models -run xxx -fuzz FuzzDecoders -fuzztime 60s
 	SADDLEVANE_FREE_SEEDS=1 $(GO) test -count=20 ./services/core ./services/routing
+	SADDLEVANE_FREE_SEEDS=1 $(GO) test -count=5 -run TestRandomWorlds ./services/dispatch
+	$(GO) test ./modules/joblog -run xxx -fuzz FuzzRead -fuzztime 60s
+	$(GO) test ./platform -run xxx -fuzz FuzzListingAndConfig -fuzztime 60s
 
 clean: ## remove what was built
 	rm -rf $(BIN)
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -132,6 +132,57 @@
 	w.check()
 }
 
+func TestAPlannedStopHandsTheCellOver(t *testing.T) {
+	w := serving(t, 9, 3, 4)
+	s := oneStep("j", "quick", 8, false)
+	s.Steps[0].Estimate = 8000
+	a := w.submit(s)
+	w.until(2*time.Second, "tasks run", func() bool { return len(w.workers[0].runs) > 0 })
+	first := w.holder()
+	first.post(dispatch.Stop{})
+	w.until(500*time.Millisecond, "another box holds the cell", func() bool {
+		h := w.holder()
+		return h != nil && h != first
+	})
+	w.until(2*time.Second, "the stop is complete", func() bool { return first.stopped })
+	w.until(30*time.Second, "the job has ended", w.ended)
+	assert.Equal(t, a.state, job.Succeeded)
+	for task, n := range w.starts {
+		assert.Check(t, n == 1+a.failures[task], "%v started %d times", task, n)
+	}
+	w.check()
+}
+
+func TestAnOlderConfigurationIsPassedOver(t *testing.T) {
+	w := serving(t, 10, 1, 2)
+	b := w.boxes[0]
+	newer, older := config(), config()
+	newer.Version, older.Version = 7, 5
+	older.Queues = nil
+	b.post(dispatch.ConfigRead{Config: newer})
+	b.post(dispatch.ConfigRead{Config: older})
+	w.run(50 * time.Millisecond)
+	assert.Equal(t, b.core.Config().Version, int64(7))
+	assert.Equal(t, len(b.core.Config().Queues), 2)
+}
+
+func TestLabelsAndSpreadAreKept(t *testing.T) {
+	w := serving(t, 11, 1, 6)
+	s := oneStep("j", "quick", 4, false)
+	s.Steps[0].Label, s.Steps[0].PerWorker = "r1", 2
+	s.Steps[0].Estimate = 3000
+	w.submit(s)
+	w.run(time.Second)
+	held := 0
+	for _, f := range w.workers {
+		assert.Check(t, len(f.runs) == 0 || f.rack == "r1", "%s of rack %s", f.id, f.rack)
+		assert.Check(t, len(f.runs) <= 2, "%s holds %d", f.id, len(f.runs))
+		held += len(f.runs)
+	}
+	assert.Equal(t, held, 4)
+	w.check()
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -90,7 +90,9 @@
 	jobs    map[job.ID]*asked
 	order   []job.ID
 	broken  []string
-	trace   []string
+	// starts counts the starts of each task.
+	starts map[job.TaskID]int
+	trace  []string
 
 	// logDown makes the log answer nobody; logLoses is the share of appends that
 	// are done without an answer.
@@ -151,7 +153,8 @@
 	follow         bool
 	calls          map[dispatch.CallID]func(dispatch.Answer)
 	lastCall       dispatch.CallID
-	reading        bool
+	// stopped says that a planned stop is complete.
+	stopped bool
 }
 
 type fakeWorker struct {
@@ -189,7 +192,7 @@
 	begin := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: begin, begin: begin,
-		log: map[stream.Name]*fakeStream{}, jobs: map[job.ID]*asked{},
+		log: map[stream.Name]*fakeStream{}, jobs: map[job.ID]*asked{}, starts: map[job.TaskID]int{},
 	}
 	for _, name := range []stream.Name{stream.Claims, stream.Boxes, stream.Jobs} {
 		w.log[name] = &fakeStream{}
@@ -378,6 +381,8 @@
 			delete(b.calls, e.Call)
 			f(e.Reply)
 		}
+	case dispatch.Stopped:
+		b.stopped = true
 	case dispatch.Note:
 		w.trace = append(w.trace, fmt.Sprintf("%v %s %s %v", w.now.Sub(w.begin), b.name, e.Message, e.Fields))
 	}
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -180,6 +180,7 @@
 		return refused(order.OldRun)
 	}
 	f.w.checkStart(f, s)
+	f.w.starts[s.Task]++
 	a := f.w.jobs[s.Task.Job]
 	step := a.sub.Steps[s.Task.Step]
 	h := f.w.rng.Intn(100)
