--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -183,6 +183,46 @@
 	w.check()
 }
 
+func TestInstancesStartWhenTheyFallDue(t *testing.T) {
+	w := serving(t, 12, 3, 4)
+	s := oneStep("j", "quick", 2, false)
+	s.Steps[0].Estimate = 300
+	first := w.now.Add(2 * time.Second)
+	s.Repeat = job.Repeat{Times: 4, First: first.UnixMilli(), Interval: 1500}
+	a := w.submit(s)
+	w.run(1900 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 0)
+	w.run(1600 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 2)
+	// The next holder goes on with the instances that are left.
+	w.holder().kill()
+	w.until(30*time.Second, "the job has ended", w.ended)
+	assert.Equal(t, a.state, job.Succeeded)
+	assert.Equal(t, len(w.starts), 8)
+	assert.Check(t, w.now.After(first.Add(4500*time.Millisecond)))
+	w.check()
+}
+
+func TestServiceTasksRunUntilTheJobIsCancelled(t *testing.T) {
+	w := serving(t, 13, 1, 3)
+	s := oneStep("j", "quick", 3, false)
+	s.Steps[0].Service, s.Steps[0].Estimate = true, 400
+	a := w.submit(s)
+	w.run(8 * time.Second)
+	w.states()
+	w.run(50 * time.Millisecond)
+	assert.Equal(t, a.state, job.Running)
+	for task, n := range w.starts {
+		assert.Check(t, n > 5, "%v started %d times", task, n)
+	}
+	w.cancel(a)
+	w.until(5*time.Second, "the job has ended", w.ended)
+	w.run(time.Second)
+	for _, f := range w.workers {
+		assert.Equal(t, len(f.runs), 0)
+	}
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -135,7 +135,7 @@
 
 func (w *world) note(e order.End) {
 	a := w.jobs[e.Task.Job]
-	if a == nil {
+	if a == nil || a.sub.Steps[e.Task.Step].Service {
 		return
 	}
 	id := e.Task
