--- a/models/claim/claim.go
+++ b/models/claim/claim.go
@@ -20,8 +20,6 @@
 	Renewal int64 `json:"renewal"`
 	// Released says that the holder has given the claim up.
 	Released bool `json:"released,omitempty"`
-	// Heir names the box that should claim next, if the holder chose one.
-	Heir string `json:"heir,omitempty"`
 }
 
 // Check returns an error if the claim makes no sense.
@@ -41,6 +39,4 @@
 	// Size is how much the box can do, in thousandths of a processor. The cell is
 	// held by a large box if there is one.
 	Size int64 `json:"size,omitempty"`
-	// Leaving says that the box is about to stop.
-	Leaving bool `json:"leaving,omitempty"`
 }
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -242,7 +242,7 @@
 
 // Release returns the record that gives the claim up, or nil if there is none.
 // After it this process no longer holds.
-func (a *Authority) Release(now time.Time, heir string) *Append {
+func (a *Authority) Release(now time.Time) *Append {
 	if a.held == 0 {
 		return nil
 	}
@@ -251,7 +251,7 @@
 	a.renewal++
 	return a.append(now, claim.Claim{
 		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal, Released: true, Heir: heir,
+		Address: a.self.Address, Renewal: a.renewal, Released: true,
 	})
 }
 
@@ -321,8 +321,8 @@
 		return now.Sub(a.steadySince) >= a.patience()-a.spread*3/4
 	}
 	if c.Released {
-		chosen := c.Heir == a.self.Box || c.Heir == "" && (!a.Small() || now.Sub(a.heardAt) >= smallWait)
-		return c.Incarnation != a.self.Incarnation && (chosen || now.Sub(a.heardAt) >= claimSpread+a.patience())
+		first := !a.Small() || now.Sub(a.heardAt) >= smallWait
+		return c.Incarnation != a.self.Incarnation && (first || now.Sub(a.heardAt) >= claimSpread+a.patience())
 	}
 	if c.Box == a.self.Box && c.Incarnation != a.self.Incarnation {
 		// An earlier life of this very box is gone.
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -152,8 +152,8 @@
 	if !h.advisers.passedOver(now, h.core.self.Box) {
 		names = append(names, h.core.self.Box)
 	}
-	for name, m := range h.core.members {
-		if name != h.core.self.Box && !m.Leaving && !h.advisers.passedOver(now, name) {
+	for name := range h.core.members {
+		if name != h.core.self.Box && !h.advisers.passedOver(now, name) {
 			names = append(names, name)
 		}
 	}
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -47,24 +47,18 @@
 
 // start orders a worker to run a task.
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
-	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, startedAt: now}
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now}
 	h.place(a)
 	saved := a.task().saved
 	if s.spec.Gang {
 		saved = s.gangSaved()
 	}
 	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
-		Run: a.name(), Spec: s.job.submission.Spec, Until: h.startUntil(now, w), Fence: h.epoch,
+		Run: a.name(), Spec: s.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
 		Checkpoint: saved, Ticket: ticket,
 	}})
 }
 
-// startUntil is the end of the lease that a start carries. A start that is
-// carried out after it is refused.
-func (h *holding) startUntil(now time.Time, w *worker) order.WorkerClock {
-	return h.until(now, w)
-}
-
 // gangSaved returns a checkpoint that all members of a gang can resume from.
 func (s *step) gangSaved() string {
 	for i := range s.tasks {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -69,7 +69,7 @@
 	case Stop:
 		c.beginStop(now)
 	case ConfigRead:
-		c.configRead(now, e.Config)
+		c.configRead(e.Config)
 	case ClaimsRead:
 		c.claimsRead(now, e)
 	case MembersRead:
@@ -194,14 +194,14 @@
 		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
 }
 
-func (c *Core) configRead(now time.Time, config job.Config) {
+func (c *Core) configRead(config job.Config) {
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
 	c.config = &config
 	c.note("configuration in force", Field{"config", config.Version}, Field{"queues", len(config.Queues)})
 	if c.holding != nil {
-		c.holding.configChanged(now)
+		c.holding.planDue = true
 	}
 }
 
@@ -281,7 +281,7 @@
 		return
 	}
 	if h := c.holding; h != nil && !c.authority.Busy() && (h.journal.idle() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
-		c.handOver(now, "")
+		c.handOver(now)
 	}
 	if now.After(c.stopAt) {
 		c.stopDone = true
@@ -289,9 +289,9 @@
 	}
 }
 
-// handOver releases the claim; heir may name the next holder.
-func (c *Core) handOver(now time.Time, heir string) {
-	release := c.authority.Release(now, heir)
+// handOver releases the claim, so that another box need not wait for it to lapse.
+func (c *Core) handOver(now time.Time) {
+	release := c.authority.Release(now)
 	if release == nil {
 		return
 	}
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -97,7 +97,7 @@
 // Outcome of a call.
 type Outcome string
 
-// The outcomes. Elsewhere, Unavailable and Unknown say that nothing was done;
+// The outcomes. Elsewhere and Unavailable say that nothing was done;
 // Unsure that it may have been.
 const (
 	OK Outcome = "ok"
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -240,9 +240,6 @@
 	h.plan(now)
 }
 
-// configChanged takes over what a new configuration says of workers.
-func (h *holding) configChanged(time.Time) { h.planDue = true }
-
 // refuseAll answers every caller who waits for the log.
 func (h *holding) refuseAll(why string) {
 	a := Answer{Outcome: Unsure, Reason: why}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -62,7 +62,6 @@
 	done     int
 	attempts int
 	open     bool
-	openedAt time.Time
 	lastRun  int64
 	// explainedAt is when a line last said why it waits.
 	explainedAt time.Time
@@ -95,7 +94,6 @@
 	// since is when the state began; for a stop, when it was confirmed.
 	since     time.Time
 	confirmed bool
-	startedAt time.Time
 }
 
 type attemptState string
@@ -373,15 +371,7 @@
 	}
 	j.closed = true
 	h.endedJobs = append(h.endedJobs, j)
-	for _, in := range ordered.Map(j.instances) {
-		for _, s := range in.steps {
-			if s.attempts > 0 {
-				// The last attempts' ends are still to come.
-				return
-			}
-		}
-	}
-	j.submission, j.instances = nil, nil
+	j.dropIfQuiet()
 }
 
 // dropEnded forgets jobs whose final state was kept long enough.
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -3,8 +3,6 @@
 
 package dispatch
 
-import "time"
-
 // learned is what ends and answers have shown.
 type learned struct {
 	// good is the share of workers that suited a queue's steps.
@@ -35,6 +33,3 @@
 	}
 	return firstGood
 }
-
-// took notes that a task of a step has ended.
-func (l *learned) took(*step, time.Time) {}
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -70,7 +70,7 @@
 func (c *Core) largestMember() claim.Member {
 	best := c.self
 	for _, m := range ordered.Map(c.members) {
-		if m.Size > best.Size && !m.Leaving && !c.declined[m.Box] {
+		if m.Size > best.Size && !c.declined[m.Box] {
 			best = m
 		}
 	}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -73,7 +73,7 @@
 		return nil
 	}
 	a := &attempt{
-		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, startedAt: now, confirmed: true,
+		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, confirmed: true,
 	}
 	h.place(a)
 	s.lastRun = max(s.lastRun, r.Number)
@@ -189,7 +189,6 @@
 			h.stop(now, a)
 		}
 	}
-	h.learned.took(s, now)
 	if s.done < len(s.tasks) {
 		return
 	}
@@ -264,6 +263,7 @@
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
 			if s.attempts > 0 {
+				// The last attempts' ends are still to come.
 				return
 			}
 		}
