--- /dev/null
+++ b/services/dispatch/placement.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// placeStep starts what it can of a step, or asks for the advice that this
+// needs. It returns false if tasks are left for want of room.
+func (h *holding) placeStep(p *pass, r ranked) bool {
+	s := r.step
+	defer func() { s.advice.first = false }()
+	if r.queue.Pool == "" || s.advice.asking {
+		return true
+	}
+	set := h.set(p, s, r.queue.Pool)
+	if r.queue.Advice != nil && s.spec.Gang && s.knownSlots(set.workers) < gangChoice*len(s.tasks) {
+		// A gang can wait for room on workers that suit it, if there are enough.
+		if h.askUnknown(p.now, s, r.queue, set.workers) {
+			return true
+		}
+	}
+	if !s.spec.Reserved().Fits(set.most) {
+		return false
+	}
+	suited := set.workers
+	if r.queue.Advice != nil {
+		suited = s.suited(set.workers)
+	}
+	shares, placed := h.fit(s, suited)
+	whole := placed == s.waiting && (!s.spec.Gang || placed == len(s.tasks))
+	if r.queue.Advice != nil && !whole && (placed == 0 || s.spec.Gang) && h.askMore(p, r, set.workers, placed) {
+		return true
+	}
+	if placed == 0 || s.spec.Gang && !whole {
+		return false
+	}
+	if r.queue.Advice != nil && h.refresh(p.now, r, shares) {
+		return true
+	}
+	h.startShares(p.now, s, shares)
+	return s.waiting == 0
+}
+
+// gangChoice is for how many times its tasks a gang is to know workers, so that
+// it need not wait for particular ones.
+const gangChoice = 2
+
+// knownSlots returns how many tasks the workers known to suit would hold if
+// empty. Workers come and go, so it is counted anew each time.
+func (s *step) knownSlots(workers []*worker) int {
+	slots := 0
+	for _, w := range workers {
+		if s.advice.suits[w] {
+			slots += fits(s.spec.Reserved(), w.Capacity)
+		}
+	}
+	return slots
+}
+
+// suited returns the candidates that the advice service named.
+func (s *step) suited(candidates []*worker) []*worker {
+	var all []*worker
+	for _, w := range candidates {
+		if s.advice.suits[w] {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+// askMore asks about workers that have room now, if those known do not. It
+// returns true if a call was made.
+func (h *holding) askMore(p *pass, r ranked, workers []*worker, placed int) bool {
+	s := r.step
+	var open []*worker
+	most := placed
+	for _, w := range workers {
+		if _, asked := s.advice.suits[w]; asked || w.blockedBy != nil {
+			continue
+		}
+		if n := w.slots(s, w.room()); n > 0 {
+			open = append(open, w)
+			most += n
+		}
+	}
+	if len(open) == 0 || s.spec.Gang && most < len(s.tasks) {
+		return false
+	}
+	return h.askUnknown(p.now, s, r.queue, open)
+}
+
+// refresh asks for new tickets if some of the chosen workers' have run out, and
+// keeps the room meanwhile. It returns true if a call was made.
+func (h *holding) refresh(now time.Time, r ranked, shares []share) bool {
+	s := r.step
+	stale := slices.ContainsFunc(shares, func(sh share) bool {
+		_, ok := s.advice.ticketFor(now, sh.worker)
+		return !ok
+	})
+	if !stale {
+		return false
+	}
+	if now.Before(s.advice.askAgain) {
+		return true
+	}
+	var workers []*worker
+	for _, sh := range shares {
+		workers = append(workers, sh.worker)
+	}
+	if h.ask(now, s, r.queue.Advice, workers) {
+		for _, sh := range shares {
+			h.promise(s, sh.worker, sh.tasks)
+		}
+	}
+	return true
+}
+
+// startShares starts a step's waiting tasks on the workers chosen.
+func (h *holding) startShares(now time.Time, s *step, shares []share) {
+	next := 0
+	run := h.nextRun(s)
+	for _, sh := range shares {
+		ticket, _ := s.advice.ticketFor(now, sh.worker)
+		for range sh.tasks {
+			for s.tasks[next].done || s.tasks[next].attempt != nil {
+				next++
+			}
+			h.start(now, s, next, run, sh.worker, ticket)
+		}
+	}
+	h.core.note("tasks started", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"run", run},
+		Field{"workers", names(shares)}, Field{"still_waiting", s.waiting}, Field{"advised", len(s.advice.suits)},
+		Field{"claim", h.epoch}, Field{"config", h.core.config.Version}, Field{"age", now.Sub(s.instance.dueAt).String()},
+		Field{"slack", s.slack(now, h).String()})
+}
+
+// names lists workers with the number of tasks on each.
+func names(shares []share) string {
+	all := make([]string, len(shares))
+	for i, sh := range shares {
+		all[i] = fmt.Sprintf("%s:%d", sh.worker.ID, sh.tasks)
+	}
+	return strings.Join(all, " ")
+}
--- /dev/null
+++ b/services/dispatch/rank.go
@@ -0,0 +1,113 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+)
+
+// tier orders steps before anything else does.
+type tier int
+
+// A job is on time if it can still be done within its objective. What is late
+// gives way to it, and what cannot earn anything any more to both.
+const (
+	onTime tier = iota
+	late
+	hopeless
+)
+
+// lateMost is how many times its objective a job may take and still be of use
+// to its caller (the users' rules).
+const lateMost = 3
+
+// queueOf returns how the configuration treats a job. A queue that is gone is
+// treated like the least of all.
+func (h *holding) queueOf(j *submitted) job.Queue {
+	if q, ok := h.core.config.Queues[j.queue]; ok {
+		return q
+	}
+	return job.Queue{Name: j.queue, Priority: leastPriority, Attempts: 1, Stretch: 1}
+}
+
+const leastPriority = 1 << 20
+
+// objective returns the time within which an instance is wanted.
+func objective(in *instance, q job.Queue) time.Duration {
+	return time.Duration(q.Stretch*float64(in.chain())) + q.Latency
+}
+
+// slack returns how much later than now a step may start and be on time.
+func (s *step) slack(now time.Time, h *holding) time.Duration {
+	wanted := s.instance.dueAt.Add(objective(s.instance, h.queueOf(s.job)))
+	return wanted.Sub(now) - s.left
+}
+
+// ranked is a step with what orders it.
+type ranked struct {
+	step     *step
+	queue    job.Queue
+	tier     tier
+	wantedAt time.Time
+}
+
+func (h *holding) rank(now time.Time, s *step) ranked {
+	r := ranked{step: s, queue: h.queueOf(s.job)}
+	most := objective(s.instance, r.queue)
+	r.wantedAt = s.instance.dueAt.Add(most)
+	finish := now.Add(s.left)
+	switch {
+	case s.spec.Service || !finish.After(r.wantedAt):
+		r.tier = onTime
+	case !finish.After(s.instance.dueAt.Add(lateMost * most)):
+		r.tier = late
+	default:
+		r.tier = hopeless
+	}
+	return r
+}
+
+func (a ranked) compare(b ranked) int {
+	if a.step.advice.first != b.step.advice.first {
+		if a.step.advice.first {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(a.tier, b.tier),
+		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		a.wantedAt.Compare(b.wantedAt),
+		cmp.Compare(a.step.id.Job, b.step.id.Job),
+		cmp.Compare(a.step.id.Instance, b.step.id.Instance),
+		cmp.Compare(a.step.id.Step, b.step.id.Step),
+	)
+}
+
+// rankOpen returns the steps that have tasks to place, in order.
+func (h *holding) rankOpen(now time.Time) []ranked {
+	kept := h.open[:0]
+	var all []ranked
+	for _, s := range h.open {
+		if !s.open || s.job.state.Final() {
+			continue
+		}
+		kept = append(kept, s)
+		if s.waiting == 0 || now.Before(s.notBefore) || s.spec.Gang && s.attempts > 0 {
+			continue
+		}
+		if s.job.inherited && len(h.unsettled) > 0 {
+			continue
+		}
+		all = append(all, h.rank(now, s))
+	}
+	clear(h.open[len(kept):])
+	h.open = kept
+	slices.SortFunc(all, ranked.compare)
+	return all
+}
--- /dev/null
+++ b/services/dispatch/room.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+)
+
+// setKey is what decides which workers a step may use, advice aside.
+type setKey struct{ pool, label string }
+
+// workerSet is the workers for one key, as they were when the pass began.
+type workerSet struct {
+	workers []*worker
+	// most bounds the room of each of them in each resource.
+	most resource.Vector
+}
+
+// set returns the workers that may run a step, advice aside.
+func (h *holding) set(p *pass, s *step, pool string) *workerSet {
+	key := setKey{pool, s.spec.Label}
+	if set := p.sets[key]; set != nil {
+		return set
+	}
+	set := &workerSet{}
+	for _, w := range h.workers {
+		if w.Pool != pool || !h.takes(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
+			continue
+		}
+		set.workers = append(set.workers, w)
+		room := w.room()
+		set.most.Processors = max(set.most.Processors, room.Processors)
+		set.most.Memory = max(set.most.Memory, room.Memory)
+		set.most.Accelerators = max(set.most.Accelerators, room.Accelerators)
+	}
+	slices.SortFunc(set.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	p.sets[key] = set
+	return set
+}
+
+// room returns what is free on a worker and not promised.
+func (w *worker) room() resource.Vector { return w.free.Minus(w.promised) }
+
+// slots returns how many more tasks of a step a worker has room for.
+func (w *worker) slots(s *step, room resource.Vector) int {
+	n := fits(s.spec.Reserved(), room)
+	if s.spec.PerWorker > 0 {
+		held := 0
+		for _, a := range w.attempts {
+			if a.step == s {
+				held++
+			}
+		}
+		n = min(n, s.spec.PerWorker-held)
+	}
+	return max(0, n)
+}
+
+// fits returns how many times need fits room.
+func fits(need, room resource.Vector) int {
+	n := job.MaxTasks
+	if need.Processors > 0 {
+		n = min(n, int(room.Processors/need.Processors))
+	}
+	if need.Memory > 0 {
+		n = min(n, int(room.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(room.Accelerators/need.Accelerators))
+	}
+	if room.IsNegative() {
+		return 0
+	}
+	return n
+}
