--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -266,11 +266,11 @@
 	if q.Advice == nil {
 		return
 	}
-	p := &pass{now: now, sets: map[setKey]*workerSet{}}
+	p := newPass(now)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
 			if len(s.spec.After) == 0 {
-				h.askUnknown(now, s, q, h.set(p, s, q.Pool).workers)
+				h.askUnknown(now, s, q, h.workersFor(p, s, q.Pool).workers)
 			}
 		}
 	}
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -18,21 +18,14 @@
 	if r.queue.Pool == "" || s.advice.asking {
 		return true
 	}
-	set := h.set(p, s, r.queue.Pool)
-	if r.queue.Advice != nil && s.spec.Gang && s.knownSlots(set.workers) < gangChoice*len(s.tasks) {
-		// A gang can wait for room on workers that suit it, if there are enough.
-		if h.askUnknown(p.now, s, r.queue, set.workers) {
-			return true
-		}
+	set := h.workersFor(p, s, r.queue.Pool)
+	if r.needsChoice(set.workers) && h.askUnknown(p.now, s, r.queue, set.workers) {
+		return true
 	}
 	if !s.spec.Reserved().Fits(set.most) {
 		return false
 	}
-	suited := set.workers
-	if r.queue.Advice != nil {
-		suited = s.suited(set.workers)
-	}
-	shares, placed := h.fit(s, suited)
+	shares, placed := h.fit(s, r.suited(set.workers))
 	whole := placed == s.waiting && (!s.spec.Gang || placed == len(s.tasks))
 	if r.queue.Advice != nil && !whole && (placed == 0 || s.spec.Gang) && h.askMore(p, r, set.workers, placed) {
 		return true
@@ -47,6 +40,13 @@
 	return s.waiting == 0
 }
 
+// needsChoice says whether a gang knows too few workers that suit it. It can wait
+// for room on those it knows, if they are enough.
+func (r ranked) needsChoice(workers []*worker) bool {
+	s := r.step
+	return r.queue.Advice != nil && s.spec.Gang && s.knownSlots(workers) < gangChoice*len(s.tasks)
+}
+
 // gangChoice is for how many times its tasks a gang is to know workers, so that
 // it need not wait for particular ones.
 const gangChoice = 2
@@ -63,6 +63,15 @@
 	return slots
 }
 
+// suited returns the candidates that may run the step: all, if its queue needs no
+// advice.
+func (r ranked) suited(candidates []*worker) []*worker {
+	if r.queue.Advice == nil {
+		return candidates
+	}
+	return r.step.suited(candidates)
+}
+
 // suited returns the candidates that the advice service named.
 func (s *step) suited(candidates []*worker) []*worker {
 	var all []*worker
@@ -137,7 +146,7 @@
 	h.core.note("tasks started", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"run", run},
 		Field{"workers", names(shares)}, Field{"still_waiting", s.waiting}, Field{"advised", len(s.advice.suits)},
 		Field{"claim", h.epoch}, Field{"config", h.core.config.Version}, Field{"age", now.Sub(s.instance.dueAt).String()},
-		Field{"slack", s.slack(now, h).String()})
+		Field{"slack", h.slack(now, s).String()})
 }
 
 // names lists workers with the number of tasks on each.
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -20,40 +20,44 @@
 type pass struct {
 	now  time.Time
 	sets map[setKey]*workerSet
+	// misses counts the steps that found no room for all their tasks.
+	misses int
 	// blocked counts the gangs that keep room free.
 	blocked int
 }
 
+func newPass(now time.Time) *pass { return &pass{now: now, sets: map[setKey]*workerSet{}} }
+
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
 	for _, w := range h.workers {
 		w.blockedBy = nil
 	}
-	p := &pass{now: now, sets: map[setKey]*workerSet{}}
-	misses := 0
+	p := newPass(now)
 	for _, r := range h.rankOpen(now) {
-		if misses >= mostMisses {
+		if p.misses >= mostMisses {
 			return
 		}
-		if h.placeStep(p, r) {
-			continue
-		}
-		misses++
-		if !r.step.spec.Gang {
-			continue
-		}
-		if misses <= explained {
-			h.explainWait(p, r)
-		}
-		if p.blocked >= max(gangsWaiting, len(h.workers)/workersPerGang) {
-			continue
-		}
-		if h.keepRoom(p, r) {
-			p.blocked++
+		if !h.placeStep(p, r) {
+			p.misses++
+			h.missed(p, r)
 		}
 	}
 }
 
+// missed has a gang that found no room keep some free, if not too many do.
+func (h *holding) missed(p *pass, r ranked) {
+	if !r.step.spec.Gang {
+		return
+	}
+	if p.misses <= explained {
+		h.explainWait(p, r)
+	}
+	if p.blocked < max(gangsWaiting, len(h.workers)/workersPerGang) && h.keepRoom(p, r) {
+		p.blocked++
+	}
+}
+
 const (
 	// mostMisses ends a pass: where so many steps that rank higher have found no
 	// room, a search through thousands of others costs more than it finds.
@@ -72,32 +76,39 @@
 		return
 	}
 	s.explainedAt = p.now
-	set := h.set(p, s, r.queue.Pool)
-	suited := set.workers
-	if r.queue.Advice != nil {
-		suited = s.suited(set.workers)
-	}
+	suited := r.suited(h.workersFor(p, s, r.queue.Pool).workers)
 	_, placed := h.fit(s, suited)
 	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
 		Field{"workers_suited", len(suited)}, Field{"gangs_before", p.blocked}, Field{"tier", int(r.tier)},
-		Field{"slack", s.slack(p.now, h).String()})
+		Field{"slack", h.slack(p.now, s).String()})
 }
 
 // keepRoom keeps the workers that can hold a waiting gang soonest free of what
 // ranks lower. It returns false if no set of them could hold it.
 func (h *holding) keepRoom(p *pass, r ranked) bool {
 	s := r.step
-	suited := slices.Clone(h.set(p, s, r.queue.Pool).workers)
-	if r.queue.Advice != nil {
-		suited = s.suited(suited)
-	}
+	suited := slices.Clone(r.suited(h.workersFor(p, s, r.queue.Pool).workers))
 	slices.SortStableFunc(suited, func(a, b *worker) int {
 		return cmp.Compare(b.slots(s, b.room()), a.slots(s, a.room()))
 	})
+	kept, ok := unblocked(s, suited)
+	if !ok {
+		return false
+	}
+	for _, w := range kept {
+		w.blockedBy = s
+	}
+	h.makeRoom(p, r, kept)
+	return true
+}
+
+// unblocked takes from the front as many workers that no gang keeps yet as could
+// hold all tasks of a step if they were empty.
+func unblocked(s *step, workers []*worker) ([]*worker, bool) {
 	placed := 0
 	var kept []*worker
-	for _, w := range suited {
+	for _, w := range workers {
 		if w.blockedBy != nil {
 			continue
 		}
@@ -107,12 +118,5 @@
 		placed += w.slots(s, w.Capacity)
 		kept = append(kept, w)
 	}
-	if placed < len(s.tasks) {
-		return false
-	}
-	for _, w := range kept {
-		w.blockedBy = s
-	}
-	h.makeRoom(p, r, kept)
-	return true
+	return kept, placed >= len(s.tasks)
 }
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -7,8 +7,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"saddlevane/models/resource"
 )
 
 const (
@@ -42,7 +40,7 @@
 	}
 	s.preemptedAt = p.now
 	h.core.note("tasks are stopped for a gang", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
-		Field{"stopped", len(victims)}, Field{"slack", s.slack(p.now, h).String()}, Field{"claim", h.epoch})
+		Field{"stopped", len(victims)}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
 	for _, a := range victims {
 		h.stop(p.now, a)
 	}
@@ -76,14 +74,12 @@
 			continue
 		}
 		v := h.rank(p.now, a.step)
-		if v.tier > r.tier || v.queue.Priority > r.queue.Priority && a.step.slack(p.now, h) > victimSlack {
+		if v.tier > r.tier || v.queue.Priority > r.queue.Priority && h.slack(p.now, a.step) > victimSlack {
 			all = append(all, a)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b *attempt) int {
-		return cmp.Compare(weight(b.step.spec.Need), weight(a.step.spec.Need))
+		return cmp.Compare(b.step.spec.Need.Processors, a.step.spec.Need.Processors)
 	})
 	return all
 }
-
-func weight(v resource.Vector) int64 { return int64(v.Processors) }
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -14,11 +14,14 @@
 // tier orders steps before anything else does.
 type tier int
 
-// A job is on time if it can still be done within its objective. What is late
-// gives way to it, and what cannot earn anything any more to both.
+// The tiers. What is late gives way to what is on time, and what is hopeless to
+// both.
 const (
+	// onTime: the job can still be done within its objective.
 	onTime tier = iota
+	// late: it cannot, but its result is still of use to the caller.
 	late
+	// hopeless: its result will be of no use any more.
 	hopeless
 )
 
@@ -35,6 +38,7 @@
 	return job.Queue{Name: j.queue, Priority: leastPriority, Attempts: 1, Stretch: 1}
 }
 
+// leastPriority goes after every priority that an operator may choose.
 const leastPriority = 1 << 20
 
 // objective returns the time within which an instance is wanted.
@@ -43,7 +47,7 @@
 }
 
 // slack returns how much later than now a step may start and be on time.
-func (s *step) slack(now time.Time, h *holding) time.Duration {
+func (h *holding) slack(now time.Time, s *step) time.Duration {
 	wanted := s.instance.dueAt.Add(objective(s.instance, h.queueOf(s.job)))
 	return wanted.Sub(now) - s.left
 }
@@ -56,6 +60,7 @@
 	wantedAt time.Time
 }
 
+// rank puts a step in its tier. A service has no end, so it is never late.
 func (h *holding) rank(now time.Time, s *step) ranked {
 	r := ranked{step: s, queue: h.queueOf(s.job)}
 	most := objective(s.instance, r.queue)
@@ -72,6 +77,8 @@
 	return r
 }
 
+// compare orders steps for the plan. The names come last, so that the same steps
+// always have the same order.
 func (a ranked) compare(b ranked) int {
 	if a.step.advice.first != b.step.advice.first {
 		if a.step.advice.first {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -195,7 +195,7 @@
 	s.open = false
 	h.releasePromises(s)
 	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
-		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (s.slack(now, h) + s.spec.Estimate.Duration()).String()})
+		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + s.spec.Estimate.Duration()).String()})
 	in := s.instance
 	in.doneSteps++
 	if in.doneSteps < len(in.steps) {
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -21,8 +21,8 @@
 	most resource.Vector
 }
 
-// set returns the workers that may run a step, advice aside.
-func (h *holding) set(p *pass, s *step, pool string) *workerSet {
+// workersFor returns the workers that may run a step, advice aside.
+func (h *holding) workersFor(p *pass, s *step, pool string) *workerSet {
 	key := setKey{pool, s.spec.Label}
 	if set := p.sets[key]; set != nil {
 		return set
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -75,7 +75,7 @@
 // whyWaits says in one sentence what a step's waiting tasks wait for.
 func (h *holding) whyWaits(now time.Time, s *step) string {
 	q := h.queueOf(s.job)
-	set := h.set(&pass{now: now, sets: map[setKey]*workerSet{}}, s, q.Pool)
+	set := h.workersFor(newPass(now), s, q.Pool)
 	switch {
 	case !s.job.accepted:
 		return "the log has not confirmed the job yet"
