--- /dev/null
+++ b/services/dispatch/advisers.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+)
+
+// advisers spreads calls for advice over the entry boxes: the service takes one
+// call at a time from each.
+type advisers struct {
+	// busyUntil is when the calls given to a box should be over.
+	busyUntil map[string]time.Time
+	badUntil  map[string]time.Time
+	// calls holds when each call under way should be over, by box.
+	calls map[string]map[job.StepID]time.Time
+}
+
+func newAdvisers() advisers {
+	return advisers{
+		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[job.StepID]time.Time{},
+	}
+}
+
+// passedOver says whether a box gets no calls for now.
+func (a *advisers) passedOver(now time.Time, box string) bool {
+	return now.Before(a.badUntil[box]) || len(a.calls[box]) >= adviceCalls || a.overdue(now, box)
+}
+
+// overdue says whether a box owes an answer.
+func (a *advisers) overdue(now time.Time, box string) bool {
+	for _, due := range a.calls[box] {
+		if now.Sub(due) > adviceOverdue {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *advisers) began(box string, s job.StepID, due time.Time) {
+	if a.calls[box] == nil {
+		a.calls[box] = map[job.StepID]time.Time{}
+	}
+	a.calls[box][s] = due
+}
+
+// choose returns the box whose calls are over first. Long calls keep off the
+// first boxes in the order of names, so that short ones need not wait behind
+// them.
+func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
+	var names []string
+	if !h.advisers.passedOver(now, h.core.self.Box) {
+		names = append(names, h.core.self.Box)
+	}
+	for name := range h.core.members {
+		if name != h.core.self.Box && !h.advisers.passedOver(now, name) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return "", "", false
+	}
+	slices.Sort(names)
+	if kept := (len(names) + 2) / 4; takes > shortCall && len(names) > 2 {
+		names = names[kept:]
+	}
+	best := slices.MinFunc(names, func(a, b string) int {
+		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
+	})
+	if h.advisers.free(now, best).Sub(now) > patience {
+		return "", "", false
+	}
+	if best != h.core.self.Box {
+		address = h.core.members[best].Address
+	}
+	h.advisers.busyUntil[best] = h.advisers.free(now, best).Add(takes)
+	return best, address, true
+}
+
+func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
--- /dev/null
+++ b/services/dispatch/claim.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import "time"
+
+func (c *Core) tryClaim(now time.Time) {
+	if a := c.authority.Tick(now); a != nil {
+		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
+	}
+	c.askPledges(now)
+	c.moveToLarger(now)
+	c.followAuthority(now)
+}
+
+// followAuthority begins or ends the holding in line with the authority.
+func (c *Core) followAuthority(now time.Time) {
+	epoch := c.authority.Epoch()
+	if c.holding != nil && (c.holding.epoch != epoch || c.authority.Current().Epoch > epoch) {
+		c.stepDown("another box holds the cell")
+		epoch = c.authority.Epoch()
+	}
+	if c.holding == nil && epoch != 0 && c.authority.Holds(now) {
+		c.holding = newHolding(c, now, epoch)
+		c.holding.begin(now)
+	}
+}
+
+// stepDown ends the holding without giving it to anyone.
+func (c *Core) stepDown(why string) {
+	h := c.holding
+	c.holding = nil
+	c.authority.StepDown()
+	if h == nil {
+		return
+	}
+	h.refuseAll(why)
+	c.do(FollowWorkers{On: false})
+	c.note("stopped holding the cell", Field{"claim", h.epoch}, Field{"reason", why},
+		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
+}
+
+func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
+	if e.Failed != "" {
+		if c.authority.Steady() {
+			c.note("the log does not answer", Field{"reason", e.Failed})
+		}
+		c.authority.ReadFailed()
+		return
+	}
+	before := c.authority.Current().Epoch
+	if !c.authority.Steady() {
+		c.note("the log answers", Field{"next", e.Next})
+	}
+	if e.Start {
+		c.authority.Start(now, e.Records, e.Next)
+	} else {
+		c.authority.Read(now, e.Records, e.Next)
+	}
+	if cur := c.authority.Current(); cur.Epoch != before {
+		c.note("a box holds the cell", Field{"holder", cur.Box}, Field{"claim", cur.Epoch}, Field{"earlier_claim", before})
+	}
+	if c.announced && c.config != nil {
+		c.tryClaim(now)
+	}
+}
--- /dev/null
+++ b/services/dispatch/confirm.go
@@ -0,0 +1,124 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/stream"
+)
+
+func (h *holding) journalEnded(now time.Time, e AppendEnded) {
+	j := &h.journal
+	if j.batch == nil || !j.batch.sent {
+		return
+	}
+	switch {
+	case e.Err == nil || errors.Is(e.Err, stream.ErrDone):
+		h.kept(now)
+	case errors.Is(e.Err, stream.ErrFenced):
+		h.core.stepDown("a later holder has appended")
+	default:
+		h.notKept(now, e.Err)
+	}
+}
+
+// notKept sends the same append again; it may be in the log already.
+func (h *holding) notKept(now time.Time, err error) {
+	j := &h.journal
+	j.batch.sent = false
+	j.sendAt = now.Add(appendAgain)
+	if j.failingSince.IsZero() {
+		j.failingSince = now
+		h.core.note("the log does not keep records", Field{"error", err.Error()})
+	}
+	h.answerUnsure(j.batch)
+	h.refuseWhileFailing(now)
+}
+
+// answerUnsure tells the callers of a batch that its fate is not known.
+func (h *holding) answerUnsure(b *batch) {
+	for _, s := range b.accepts {
+		h.answer(s.waitAccept, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
+		s.waitAccept = nil
+	}
+	for i := range b.progress {
+		p := &b.progress[i]
+		h.answer(p.cancels, unsureCancel)
+		p.cancels = nil
+	}
+}
+
+// refuseWhileFailing lets no caller wait for a log that keeps nothing.
+func (h *holding) refuseWhileFailing(now time.Time) {
+	if !h.journal.failing(now) {
+		return
+	}
+	if h.journal.batch != nil {
+		h.answerUnsure(h.journal.batch)
+	}
+	h.refuseQueued()
+}
+
+// unsureCancel is what a caller is told whose cancellation waits for the log.
+var unsureCancel = Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"}
+
+// refuseQueued answers the callers who wait for a later append. Jobs that were
+// in none are forgotten, so they never run.
+func (h *holding) refuseQueued() {
+	for _, s := range h.journal.accepts {
+		for _, call := range s.waitAccept {
+			h.unavailable(call, "the log keeps no records at present")
+		}
+		s.waitAccept = nil
+		s.state = job.Cancelled
+		delete(h.jobs, s.id)
+	}
+	h.journal.accepts = nil
+	for _, s := range h.journal.dirty {
+		h.answer(s.waitCancel, unsureCancel)
+		s.waitCancel = nil
+	}
+}
+
+// kept acts on what is now in the log.
+func (h *holding) kept(now time.Time) {
+	j := &h.journal
+	b := j.batch
+	j.batch = nil
+	if !j.failingSince.IsZero() {
+		h.core.note("the log keeps records again", Field{"after", now.Sub(j.failingSince).String()})
+		j.failingSince = time.Time{}
+	}
+	for _, w := range b.recorded {
+		w.recorded = true
+	}
+	for _, s := range b.accepts {
+		s.accepted = true
+		h.answer(s.waitAccept, Answer{Outcome: OK, State: s.state})
+		s.waitAccept = nil
+		h.core.note("job accepted", Field{"job", string(s.id)}, Field{"queue", s.queue}, Field{"claim", h.epoch},
+			Field{"took", now.Sub(s.acceptedAt).String()}, Field{"open_steps", len(h.open)})
+		h.opened(s)
+	}
+	for _, p := range b.progress {
+		h.keptProgress(now, p)
+	}
+	h.fenced()
+	h.planDue = true
+}
+
+func (h *holding) keptProgress(now time.Time, p batched) {
+	p.job.shown = p.state
+	h.answer(p.cancels, Answer{Outcome: OK, State: p.state})
+	for _, n := range p.ends {
+		n.kept = true
+		h.renewSoon(now, n.worker)
+	}
+	if p.state.Final() {
+		h.close(p.job)
+	}
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -158,42 +158,6 @@
 	}})
 }
 
-func (c *Core) tryClaim(now time.Time) {
-	if a := c.authority.Tick(now); a != nil {
-		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
-	}
-	c.askPledges(now)
-	c.moveToLarger(now)
-	c.followAuthority(now)
-}
-
-// followAuthority begins or ends the holding in line with the authority.
-func (c *Core) followAuthority(now time.Time) {
-	epoch := c.authority.Epoch()
-	if c.holding != nil && (c.holding.epoch != epoch || c.authority.Current().Epoch > epoch) {
-		c.stepDown("another box holds the cell")
-		epoch = c.authority.Epoch()
-	}
-	if c.holding == nil && epoch != 0 && c.authority.Holds(now) {
-		c.holding = newHolding(c, now, epoch)
-		c.holding.begin(now)
-	}
-}
-
-// stepDown ends the holding without giving it to anyone.
-func (c *Core) stepDown(why string) {
-	h := c.holding
-	c.holding = nil
-	c.authority.StepDown()
-	if h == nil {
-		return
-	}
-	h.refuseAll(why)
-	c.do(FollowWorkers{On: false})
-	c.note("stopped holding the cell", Field{"claim", h.epoch}, Field{"reason", why},
-		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
-}
-
 func (c *Core) configRead(config job.Config) {
 	if c.config != nil && config.Version <= c.config.Version {
 		return
@@ -205,42 +169,6 @@
 	}
 }
 
-func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
-	if e.Failed != "" {
-		if c.authority.Steady() {
-			c.note("the log does not answer", Field{"reason", e.Failed})
-		}
-		c.authority.ReadFailed()
-		return
-	}
-	before := c.authority.Current().Epoch
-	if !c.authority.Steady() {
-		c.note("the log answers", Field{"next", e.Next})
-	}
-	if e.Start {
-		c.authority.Start(now, e.Records, e.Next)
-	} else {
-		c.authority.Read(now, e.Records, e.Next)
-	}
-	if cur := c.authority.Current(); cur.Epoch != before {
-		c.note("a box holds the cell", Field{"holder", cur.Box}, Field{"claim", cur.Epoch}, Field{"earlier_claim", before})
-	}
-	if c.announced && c.config != nil {
-		c.tryClaim(now)
-	}
-}
-
-func (c *Core) membersRead(now time.Time, members []claim.Member) {
-	defer func() { c.authority.SetLargest(c.largestMember().Size) }()
-	for _, m := range members {
-		former, known := c.members[m.Box]
-		c.members[m.Box] = m
-		if known && former.Incarnation == c.authority.Current().Incarnation && m.Incarnation != former.Incarnation {
-			c.authority.MemberRestarted(now, m)
-		}
-	}
-}
-
 func (c *Core) appendEnded(now time.Time, e AppendEnded) {
 	switch e.Purpose {
 	case ForAnnounce:
@@ -261,40 +189,3 @@
 		}
 	}
 }
-
-// beginStop gives the cell up, so that another box takes it over at once, and
-// goes on passing calls on for a while.
-func (c *Core) beginStop(now time.Time) {
-	if c.authority.Stopping() {
-		return
-	}
-	c.authority.Stop()
-	c.stopAt = now.Add(c.settings.StopGrace)
-	if h := c.holding; h != nil {
-		h.yielding = true
-	}
-}
-
-// stopOn hands the cell over once nothing waits for the log.
-func (c *Core) stopOn(now time.Time) {
-	if !c.authority.Stopping() || c.stopDone {
-		return
-	}
-	if h := c.holding; h != nil && !c.authority.Busy() && (h.journal.idle() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
-		c.handOver(now)
-	}
-	if now.After(c.stopAt) {
-		c.stopDone = true
-		c.do(Stopped{})
-	}
-}
-
-// handOver releases the claim, so that another box need not wait for it to lapse.
-func (c *Core) handOver(now time.Time) {
-	release := c.authority.Release(now)
-	if release == nil {
-		return
-	}
-	c.do(Append{Purpose: ForClaim, Number: release.Claim.Renewal, Append: release.Stream})
-	c.stepDown("handed over")
-}
--- /dev/null
+++ b/services/dispatch/ends.go
@@ -0,0 +1,175 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// excludeAfter is how many failed ends of different jobs in a row exclude a
+// worker, and excludeFor for how long: one job can fail by its own fault.
+const (
+	excludeAfter = 3
+	excludeFor   = 4 * time.Second
+)
+
+// ended takes one end from a worker's list.
+func (h *holding) ended(now time.Time, w *worker, end order.End) {
+	note := &endNote{worker: w, number: end.Number}
+	w.notes = append(w.notes, note)
+	a := w.attempts[end.Run]
+	s := h.findStep(end.Task.StepID)
+	if a != nil {
+		s = a.step
+		h.unplace(a)
+	}
+	if s == nil || end.Task.Index >= len(s.tasks) {
+		note.kept = true
+		return
+	}
+	t := &s.tasks[end.Task.Index]
+	t.lastRun = max(t.lastRun, end.Run.Number)
+	if end.Checkpoint != "" && s.spec.Checkpoints {
+		t.saved = end.Checkpoint
+	}
+	h.applyEnd(now, w, s, end)
+	h.noteEnd(s, w, end)
+	if s.job.closed {
+		note.kept = true
+		return
+	}
+	s.job.ends = append(s.job.ends, note)
+	h.markDirty(s.job)
+}
+
+// noteEnd logs an end that is not a good one; good ones are told by step.
+func (h *holding) noteEnd(s *step, w *worker, end order.End) {
+	if end.How == order.Done {
+		return
+	}
+	h.core.note("task ended", Field{"job", string(s.job.id)}, Field{"task", end.Task.String()}, Field{"run", end.Run.Number},
+		Field{"worker", w.ID}, Field{"outcome", string(end.How)}, Field{"claim", h.epoch})
+}
+
+// applyEnd draws the consequences of one end.
+func (h *holding) applyEnd(now time.Time, w *worker, s *step, end order.End) {
+	switch {
+	case s.job.state.Final():
+		h.afterEnd(s)
+	case s.spec.Service:
+		h.afterEnd(s)
+	case end.How == order.Done:
+		w.failedJobs = 0
+		h.taskDone(now, s, end)
+	case end.How == order.Failed:
+		h.suspect(now, w, s.job.id)
+		h.taskFailed(now, s, end)
+	default:
+		h.gangBroke(now, s)
+		h.afterEnd(s)
+	}
+}
+
+// taskDone notes a task's good end. One of a gang counts for all its members.
+func (h *holding) taskDone(now time.Time, s *step, end order.End) {
+	if s.done == len(s.tasks) {
+		// The other members of a gang end well too.
+		return
+	}
+	if s.spec.Gang {
+		for i := range s.tasks {
+			s.markDone(i)
+		}
+	} else {
+		s.markDone(end.Task.Index)
+		if a := s.tasks[end.Task.Index].attempt; a != nil {
+			h.stop(now, a)
+		}
+	}
+	if s.done < len(s.tasks) {
+		return
+	}
+	s.open = false
+	h.releasePromises(s)
+	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
+		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + s.spec.Estimate.Duration()).String()})
+	in := s.instance
+	in.doneSteps++
+	if in.doneSteps < len(in.steps) {
+		h.openInstance(in)
+		return
+	}
+	s.job.doneInstances++
+	if s.job.doneInstances == s.job.submission.Instances() {
+		h.finish(now, s.job, job.Succeeded, "every task is done")
+	}
+}
+
+func (s *step) markDone(index int) {
+	t := &s.tasks[index]
+	if t.done {
+		return
+	}
+	t.done = true
+	s.done++
+	if t.attempt == nil {
+		s.waiting--
+	}
+}
+
+// taskFailed counts a failed end and gives the job up after too many. The first
+// task of a gang counts for all its members.
+func (h *holding) taskFailed(now time.Time, s *step, end order.End) {
+	t := &s.tasks[end.Task.Index]
+	if s.spec.Gang {
+		h.gangBroke(now, s)
+		t = &s.tasks[0]
+	}
+	if !slices.Contains(t.failed, end.Run.Number) {
+		t.failed = append(t.failed, end.Run.Number)
+	}
+	if len(t.failed) >= max(1, h.queueOf(s.job).Attempts) && !t.done {
+		h.finish(now, s.job, job.Failed, "a task failed too often")
+		return
+	}
+	h.afterEnd(s)
+}
+
+// gangBroke ends what is left of a gang's run, so that it can begin anew.
+func (h *holding) gangBroke(now time.Time, s *step) {
+	if !s.spec.Gang || s.done > 0 {
+		return
+	}
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil {
+			h.stop(now, a)
+		}
+	}
+}
+
+// afterEnd has the step's remaining tasks placed again.
+func (h *holding) afterEnd(s *step) {
+	h.planDue = true
+	if s.attempts == 0 && s.job.closed && s.job.state.Final() {
+		s.job.dropIfQuiet()
+	}
+}
+
+// suspect excludes a worker on which one job after another fails.
+func (h *holding) suspect(now time.Time, w *worker, id job.ID) {
+	if w.lastFailed == id {
+		return
+	}
+	w.lastFailed = id
+	w.failedJobs++
+	if w.failedJobs >= excludeAfter {
+		w.failedJobs = excludeAfter - 1
+		w.excludedTill = now.Add(excludeFor)
+		h.core.note("worker is left out because different jobs fail on it", Field{"worker", w.ID}, Field{"until", w.excludedTill.UTC()})
+	}
+}
--- /dev/null
+++ b/services/dispatch/instances.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/modules/ordered"
+)
+
+// dueInstances creates the instances that have fallen due.
+func (h *holding) dueInstances(now time.Time, j *submitted) {
+	if j.submission.Repeat.Times == 0 {
+		if j.nextInstance == 0 {
+			j.addInstance(0, j.acceptedAt)
+		}
+		return
+	}
+	for j.nextInstance < j.submission.Repeat.Times {
+		due := j.submission.Repeat.Due(j.nextInstance)
+		if now.UnixMilli() < due.UnixMilli() {
+			return
+		}
+		in := j.addInstance(j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
+		if j.accepted {
+			h.openInstance(in)
+		}
+	}
+}
+
+func (j *submitted) addInstance(number int, due time.Time) *instance {
+	in := &instance{number: number, dueAt: due}
+	for i := range j.submission.Steps {
+		spec := &j.submission.Steps[i]
+		in.steps = append(in.steps, &step{
+			id: job.StepID{Job: j.id, Instance: number, Step: i}, job: j, instance: in, spec: spec,
+			tasks: make([]task, spec.Tasks), waiting: spec.Tasks,
+		})
+	}
+	chains(in.steps)
+	j.instances[number] = in
+	j.nextInstance = number + 1
+	return in
+}
+
+// chains sets how much work follows each step.
+func chains(steps []*step) {
+	for i := len(steps) - 1; i >= 0; i-- {
+		longest := time.Duration(0)
+		for _, later := range steps[i+1:] {
+			if slices.Contains(later.spec.After, i) {
+				longest = max(longest, later.left)
+			}
+		}
+		steps[i].left = longest + steps[i].spec.Estimate.Duration()
+	}
+}
+
+// chain returns the longest chain of an instance's work.
+func (in *instance) chain() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range in.steps {
+		longest = max(longest, s.left)
+	}
+	return longest
+}
+
+// opened makes the tasks of a job that the log has ready to be placed.
+func (h *holding) opened(j *submitted) {
+	for _, in := range ordered.Map(j.instances) {
+		h.openInstance(in)
+	}
+}
+
+// openInstance opens the steps whose earlier steps are done.
+func (h *holding) openInstance(in *instance) {
+	for _, s := range in.steps {
+		if s.open || s.job.state.Final() || !in.reached(s) {
+			continue
+		}
+		s.open = true
+		h.open = append(h.open, s)
+		h.planDue = true
+	}
+}
+
+func (in *instance) reached(s *step) bool {
+	for _, before := range s.spec.After {
+		if b := in.steps[before]; b.done < len(b.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// fallDue opens instances of repeating jobs whose time has come.
+func (h *holding) fallDue(now time.Time) {
+	kept := h.repeating[:0]
+	for _, j := range h.repeating {
+		if j.state.Final() {
+			continue
+		}
+		h.dueInstances(now, j)
+		kept = append(kept, j)
+	}
+	h.repeating = kept
+}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"saddlevane/models/job"
@@ -138,202 +137,6 @@
 	return j
 }
 
-// dueInstances creates the instances that have fallen due.
-func (h *holding) dueInstances(now time.Time, j *submitted) {
-	if j.submission.Repeat.Times == 0 {
-		if j.nextInstance == 0 {
-			j.addInstance(0, j.acceptedAt)
-		}
-		return
-	}
-	for j.nextInstance < j.submission.Repeat.Times {
-		due := j.submission.Repeat.Due(j.nextInstance)
-		if now.UnixMilli() < due.UnixMilli() {
-			return
-		}
-		in := j.addInstance(j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
-		if j.accepted {
-			h.openInstance(in)
-		}
-	}
-}
-
-func (j *submitted) addInstance(number int, due time.Time) *instance {
-	in := &instance{number: number, dueAt: due}
-	for i := range j.submission.Steps {
-		spec := &j.submission.Steps[i]
-		in.steps = append(in.steps, &step{
-			id: job.StepID{Job: j.id, Instance: number, Step: i}, job: j, instance: in, spec: spec,
-			tasks: make([]task, spec.Tasks), waiting: spec.Tasks,
-		})
-	}
-	chains(in.steps)
-	j.instances[number] = in
-	j.nextInstance = number + 1
-	return in
-}
-
-// chains sets how much work follows each step.
-func chains(steps []*step) {
-	for i := len(steps) - 1; i >= 0; i-- {
-		longest := time.Duration(0)
-		for _, later := range steps[i+1:] {
-			if slices.Contains(later.spec.After, i) {
-				longest = max(longest, later.left)
-			}
-		}
-		steps[i].left = longest + steps[i].spec.Estimate.Duration()
-	}
-}
-
-// chain returns the longest chain of an instance's work.
-func (in *instance) chain() time.Duration {
-	longest := time.Duration(0)
-	for _, s := range in.steps {
-		longest = max(longest, s.left)
-	}
-	return longest
-}
-
-// opened makes the tasks of a job that the log has ready to be placed.
-func (h *holding) opened(j *submitted) {
-	for _, in := range ordered.Map(j.instances) {
-		h.openInstance(in)
-	}
-}
-
-// openInstance opens the steps whose earlier steps are done.
-func (h *holding) openInstance(in *instance) {
-	for _, s := range in.steps {
-		if s.open || s.job.state.Final() || !in.reached(s) {
-			continue
-		}
-		s.open = true
-		h.open = append(h.open, s)
-		h.planDue = true
-	}
-}
-
-func (in *instance) reached(s *step) bool {
-	for _, before := range s.spec.After {
-		if b := in.steps[before]; b.done < len(b.tasks) {
-			return false
-		}
-	}
-	return true
-}
-
-// fallDue opens instances of repeating jobs whose time has come.
-func (h *holding) fallDue(now time.Time) {
-	kept := h.repeating[:0]
-	for _, j := range h.repeating {
-		if j.state.Final() {
-			continue
-		}
-		h.dueInstances(now, j)
-		kept = append(kept, j)
-	}
-	h.repeating = kept
-}
-
-// resume applies the log's progress to a job that has just been read.
-func (h *holding) resume(now time.Time, j *submitted, p job.Progress) {
-	j.started = p.Started
-	if p.State != "" {
-		j.state, j.shown = p.State, p.State
-	}
-	for _, sp := range p.Steps {
-		in := j.instances[sp.Instance]
-		if in == nil {
-			if sp.Instance >= j.submission.Instances() || sp.Step >= len(j.submission.Steps) {
-				continue
-			}
-			in = j.addInstance(sp.Instance, now)
-		}
-		if sp.Step < len(in.steps) {
-			in.steps[sp.Step].resume(sp)
-		}
-	}
-	for _, in := range ordered.Map(j.instances) {
-		in.countDone(j)
-	}
-	if j.state.Final() {
-		h.markDirty(j)
-		return
-	}
-	h.opened(j)
-}
-
-func (s *step) resume(p job.StepProgress) {
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
-			t.done = true
-			s.done++
-			s.waiting--
-		}
-		t.failed = p.Failed[i]
-		t.saved = p.Saved[i]
-	}
-}
-
-func (in *instance) countDone(j *submitted) {
-	for _, s := range in.steps {
-		if s.done == len(s.tasks) {
-			in.doneSteps++
-		}
-	}
-	if in.doneSteps == len(in.steps) {
-		j.doneInstances++
-	}
-}
-
-// progress returns what the log must keep of a job.
-func (j *submitted) progress() job.Progress {
-	p := job.Progress{State: j.state, Started: j.started, Queue: j.queue, Ended: j.ended}
-	if j.state.Final() {
-		return p
-	}
-	for _, in := range ordered.Map(j.instances) {
-		for _, s := range in.steps {
-			if sp, any := s.progress(); any {
-				p.Steps = append(p.Steps, sp)
-			}
-		}
-	}
-	return p
-}
-
-func (s *step) progress() (job.StepProgress, bool) {
-	sp := job.StepProgress{Instance: s.id.Instance, Step: s.id.Step}
-	found := false
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.done {
-			if sp.Done == nil {
-				sp.Done = make([]byte, (len(s.tasks)+7)/8)
-			}
-			sp.Done[i/8] |= 1 << (i % 8)
-			found = true
-		}
-		if len(t.failed) > 0 {
-			if sp.Failed == nil {
-				sp.Failed = map[int][]int64{}
-			}
-			sp.Failed[i] = t.failed
-			found = true
-		}
-		if t.saved != "" && !t.done {
-			if sp.Saved == nil {
-				sp.Saved = map[int]string{}
-			}
-			sp.Saved[i] = t.saved
-			found = true
-		}
-	}
-	return sp, found
-}
-
 func (h *holding) markDirty(j *submitted) {
 	if !j.dirty {
 		j.dirty = true
@@ -384,3 +187,16 @@
 		h.journal.add(keyDropped(keyProgress + string(j.id)))
 	}
 }
+
+// dropIfQuiet frees the memory of a job that has ended and has nothing running.
+func (j *submitted) dropIfQuiet() {
+	for _, in := range ordered.Map(j.instances) {
+		for _, s := range in.steps {
+			if s.attempts > 0 {
+				// The last attempts' ends are still to come.
+				return
+			}
+		}
+	}
+	j.submission, j.instances = nil, nil
+}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -13,7 +13,6 @@
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
-	"saddlevane/modules/ordered"
 )
 
 // worker is one life of a worker.
@@ -72,25 +71,6 @@
 	return all
 }
 
-// leaseMost is how long a lease can last on the slowest clock allowed.
-func (h *holding) leaseMost() time.Duration {
-	return time.Duration(float64(h.core.settings.Lease)*(1+clockDrift)) + lapseMargin
-}
-
-// clockNow returns what the worker's clock shows at now.
-func (w *worker) clockNow(now time.Time) order.WorkerClock {
-	return w.clock + order.WorkerClock(now.Sub(w.clockAt).Milliseconds())
-}
-
-// until returns the end of a lease that begins at now, and notes it.
-func (h *holding) until(now time.Time, w *worker) order.WorkerClock {
-	if w.clockAt.IsZero() {
-		return 0
-	}
-	w.goneAt = maxTime(w.goneAt, now.Add(h.leaseMost()))
-	return w.clockNow(now) + order.WorkerClock(h.core.settings.Lease.Milliseconds())
-}
-
 // takes says whether new tasks may be started on the worker.
 func (h *holding) takes(now time.Time, w *worker) bool {
 	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
@@ -152,134 +132,6 @@
 	h.journal.add(stream.Record{Key: keyWorker + w.ID, Value: value})
 }
 
-func (h *holding) renewAll(now time.Time) {
-	for _, w := range ordered.Map(h.workers) {
-		h.renew(now, w)
-	}
-}
-
-// renewSoon looks at a worker again once some more ends may have come.
-func (h *holding) renewSoon(now time.Time, w *worker) {
-	if at := now.Add(gatherEnds); at.Before(w.renewAt) && w.failures == 0 {
-		w.renewAt = at
-	}
-}
-
-func (h *holding) renew(now time.Time, w *worker) {
-	if w.renewing || now.Before(w.renewAt) {
-		return
-	}
-	if w.Address == "" {
-		return
-	}
-	w.renewing = true
-	for len(w.notes) > 0 && w.notes[0].kept {
-		w.seen = w.notes[0].number
-		w.notes = w.notes[1:]
-	}
-	r := order.Renew{Fence: h.epoch, Seen: w.seen}
-	if w.failures == 0 {
-		// While a worker does not answer its lease must run out some time.
-		r.Until = h.until(now, w)
-	}
-	if w.settled && w.failures == 0 && len(w.notes) == 0 && len(w.attempts) > 0 || w.settled && len(w.attempts) == 0 {
-		r.Wait = job.Milliseconds(h.core.settings.Wait.Milliseconds())
-	}
-	h.core.do(Renew{
-		Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: r,
-		Timeout: h.core.settings.OrderTimeout + r.Wait.Duration(),
-	})
-}
-
-func (h *holding) renewEnded(now time.Time, e RenewEnded) {
-	w := h.workers[e.Worker]
-	if w == nil || e.Epoch != h.epoch {
-		return
-	}
-	w.renewing = false
-	switch e.Answer.Fate {
-	case order.Carried:
-		h.renewed(now, w, e)
-	case order.NoLife:
-		h.workerDied(now, w, "another life answers at its address")
-	case order.Refused:
-		if e.Answer.Reason == order.Fenced {
-			h.core.stepDown("a worker has seen a later holder")
-			return
-		}
-		h.renewFailed(now, w, e.Answer)
-	default:
-		h.renewFailed(now, w, e.Answer)
-	}
-}
-
-func (h *holding) renewFailed(now time.Time, w *worker, a order.Answer) {
-	w.failures++
-	if w.failures == 1 {
-		h.core.note("worker does not answer", Field{"worker", w.ID}, Field{"problem", a.Problem}, Field{"tasks", len(w.attempts)})
-	}
-	w.renewAt = now.Add(renewAgain)
-	if len(w.attempts) == 0 {
-		w.renewAt = now.Add(min(renewAgain*time.Duration(w.failures), 2*time.Second))
-	}
-}
-
-func (h *holding) renewed(now time.Time, w *worker, e RenewEnded) {
-	if w.failures > 0 {
-		h.core.note("worker answers again", Field{"worker", w.ID}, Field{"failures", w.failures})
-	}
-	w.failures = 0
-	w.answeredAt = now
-	w.clock, w.clockAt = e.Report.Clock, now
-	h.applyReport(now, w, e)
-	if !w.settled {
-		w.settled = true
-		delete(h.unsettled, w.ID)
-		h.record(w)
-		if len(h.unsettled) == 0 {
-			h.core.note("all workers of earlier holders have told what they run", Field{"claim", h.epoch}, Field{"took", now.Sub(h.since).String()})
-		}
-	}
-	h.planDue = true
-	w.renewAt = now
-	if len(w.notes) > 0 {
-		w.renewAt = now.Add(unkeptWait)
-		return
-	}
-	h.renew(now, w)
-}
-
-// sweepWorkers renews leases that are due and gives up workers whose lease has
-// run out.
-func (h *holding) sweepWorkers(now time.Time) {
-	for _, w := range ordered.Map(h.workers) {
-		switch {
-		case w.failures > 0 && now.After(w.goneAt):
-			h.lapsed(now, w)
-		default:
-			h.resendStops(now, w)
-		}
-		if h.phase == active {
-			h.renew(now, w)
-		}
-	}
-}
-
-// lapsed frees the tasks of a worker that has surely ended them.
-func (h *holding) lapsed(now time.Time, w *worker) {
-	if len(w.attempts) > 0 || !w.settled {
-		h.core.note("worker's lease has run out", Field{"worker", w.ID}, Field{"tasks", len(w.attempts)}, Field{"lapsed_for", now.Sub(w.goneAt).String()})
-	}
-	for _, a := range w.sorted() {
-		h.lose(now, a, "the worker's lease has run out")
-	}
-	w.settled = false
-	delete(h.unsettled, w.ID)
-	if !w.listed {
-		h.forget(w)
-	}
-}
-
 func (h *holding) workerDied(now time.Time, w *worker, why string) {
 	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)})
 	for _, a := range w.sorted() {
