--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -5,16 +5,12 @@
 
 import (
 	"context"
-	"errors"
+	"time"
 
-	"saddlevane/models/order"
+	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
 )
 
-// ErrAdviceBusy means that the advice service has too many calls of this box
-// waiting.
-var ErrAdviceBusy = errors.New("too many calls for advice wait")
-
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
@@ -24,10 +20,13 @@
 	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 }
 
+// loadWithin bounds the reading of all jobs.
+const loadWithin = 5 * time.Second
+
 func (l *Loop) loadJobs(e dispatch.LoadJobs) {
 	ctx, cancel := context.WithTimeout(l.ctx, loadWithin)
 	defer cancel()
-	page, err := l.platform.Log.Newest(ctx, jobsStream)
+	page, err := l.platform.Log.Newest(ctx, stream.Jobs)
 	if err != nil {
 		sleep(l.ctx, followAgain)
 	}
@@ -61,22 +60,3 @@
 	l.metrics.ordered("stop", answer)
 	l.post(dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
-
-func (l *Loop) advise(e dispatch.Advise) {
-	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
-	defer cancel()
-	var good []order.Ticket
-	var err error
-	if e.Address == "" {
-		good, err = l.platform.Advise(ctx, e.Step, e.Workers)
-	} else {
-		good, err = l.peers.advise(ctx, e.Address, e.Step, e.Workers)
-	}
-	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers, Good: good}
-	l.metrics.advised(err)
-	if err != nil {
-		ended.Failed = err.Error()
-		ended.Busy = errors.Is(err, ErrAdviceBusy)
-	}
-	l.post(ended)
-}
--- /dev/null
+++ b/services/jobrun/outage.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/services/dispatch"
+)
+
+// askPledges asks all other boxes at once.
+func (p *Peers) askPledges(e dispatch.AskPledges) {
+	sentAt := p.loop.now()
+	answers := make([]dispatch.Answer, len(e.Addresses))
+	var tasks conc.WaitGroup
+	for i, address := range e.Addresses {
+		tasks.Go(func() { answers[i] = p.quick(address, Request{Pledge: e.Epoch}) })
+	}
+	tasks.Wait()
+	pledged := dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
+	for i, a := range answers {
+		pledged.All = pledged.All && a.Outcome == dispatch.OK
+		if a.Steady {
+			pledged.Steady = append(pledged.Steady, e.Addresses[i])
+		}
+	}
+	p.loop.post(pledged)
+}
+
+// invite asks one box to take the cell over.
+func (p *Peers) invite(e dispatch.Invite) {
+	a := p.quick(e.Address, Request{Invite: e.Epoch})
+	refused := a.Outcome == dispatch.Unavailable
+	p.loop.post(dispatch.Invited{Epoch: e.Epoch, Refused: refused, Reason: a.Reason})
+}
+
+// quickWithin bounds the calls with which a holder asks about the log: it must
+// hear in time to go on.
+const quickWithin = 400 * time.Millisecond
+
+func (p *Peers) quick(address string, r Request) dispatch.Answer {
+	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
+	defer cancel()
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		// Nobody was reached, so nothing was asked.
+		return dispatch.Answer{Outcome: dispatch.Unavailable, Reason: err.Error()}
+	}
+	var a dispatch.Answer
+	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
+		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
+	}
+	return a
+}
--- /dev/null
+++ b/services/jobrun/reach.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import "time"
+
+// silentFor is how long a box that did not answer is not asked again, so that
+// callers are refused at once.
+const silentFor = 300 * time.Millisecond
+
+func (p *Peers) silent(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loop.now().Before(p.silentUntil[address])
+}
+
+func (p *Peers) setSilent(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentUntil[address] = p.loop.now().Add(silentFor)
+}
+
+// reaches says whether the last call to a box was answered.
+func (p *Peers) reaches(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silentUntil[address].IsZero()
+}
+
+func (p *Peers) answered(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.silentUntil, address)
+}
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -21,7 +21,7 @@
 	"saddlevane/models/record"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
-	"saddlevane/modules/frame"
+	"saddlevane/modules/peering"
 	"saddlevane/services/core"
 )
 
@@ -36,13 +36,12 @@
 type Peers struct {
 	loop     *Loop
 	requests *Requests
-	listener net.Listener
+	links    *peering.Links
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
 
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	mu sync.Mutex
 	// greeting holds the peers to which a heartbeat is under way.
 	greeting map[string]bool
 }
@@ -50,44 +49,19 @@
 // NewPeers returns the adapter and starts to serve peers on listener.
 func NewPeers(listener net.Listener, loop *Loop, requests *Requests) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Peers{
-		loop: loop, requests: requests, listener: listener, ctx: ctx, cancel: cancel,
-		conns: map[string]*jsonrpc2.Conn{}, greeting: map[string]bool{},
-	}
-	p.tasks.Go(p.accept)
+	p := &Peers{loop: loop, requests: requests, ctx: ctx, cancel: cancel, greeting: map[string]bool{}}
+	p.links = peering.New(ctx, listener, peerDial, p.handle)
+	p.links.Serve()
 	return p
 }
 
 // Close ends all connections and waits for what is under way.
 func (p *Peers) Close() {
 	p.cancel()
-	_ = p.listener.Close()
-	p.mu.Lock()
-	for _, c := range p.conns {
-		_ = c.Close()
-	}
-	p.mu.Unlock()
+	p.links.Close()
 	p.tasks.Wait()
 }
 
-func (p *Peers) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		stream := jsonrpc2.NewBufferedStream(conn, frame.Codec{})
-		rpc := jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
-		p.tasks.Go(func() {
-			select {
-			case <-rpc.DisconnectNotify():
-			case <-p.ctx.Done():
-				_ = rpc.Close()
-			}
-		})
-	}
-}
-
 // handle serves one call of a peer.
 func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	switch req.Method {
@@ -142,47 +116,13 @@
 	}, nil
 }
 
-// conn returns a connection to a peer, a new one if there is none.
-func (p *Peers) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	p.mu.Lock()
-	c := p.conns[address]
-	p.mu.Unlock()
-	if c != nil && !disconnected(c) {
-		return c, nil
-	}
-	dialer := net.Dialer{Timeout: peerDial}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		// Nobody was reached, so nothing was sent.
-		return nil, verdict.Wrap(verdict.NotRun, fmt.Errorf("peer %s: %w", address, err))
-	}
-	stream := jsonrpc2.NewBufferedStream(raw, frame.Codec{})
-	c = jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if other := p.conns[address]; other != nil && !disconnected(other) {
-		_ = c.Close()
-		return other, nil
-	}
-	p.conns[address] = c
-	return c, nil
-}
-
-func disconnected(c *jsonrpc2.Conn) bool {
-	select {
-	case <-c.DisconnectNotify():
-		return true
-	default:
-		return false
-	}
-}
-
 // call makes one call and drops the connection if it does not end in time, so
 // that the next call does not wait on a dead one.
 func (p *Peers) call(ctx context.Context, address, method string, in, out any) error {
-	c, err := p.conn(ctx, address)
+	c, err := p.links.Conn(ctx, address)
 	if err != nil {
-		return err
+		// Nobody was reached, so nothing was sent.
+		return verdict.Wrap(verdict.NotRun, fmt.Errorf("peer %s: %w", address, err))
 	}
 	err = c.Call(ctx, method, in, out)
 	if err != nil && ctx.Err() != nil && method == peer.MethodHello {
