--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -30,11 +30,13 @@
 	promises []promise
 }
 
+// ticket is the advice service's leave to run a step on one worker.
 type ticket struct {
 	text  string
 	until time.Time
 }
 
+// promise is room kept on one worker for a step.
 type promise struct {
 	worker *worker
 	room   resource.Vector
@@ -74,6 +76,7 @@
 
 func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
 
+// ticketFor returns the ticket for a worker that a start now could still use.
 func (a *advice) ticketFor(now time.Time, w *worker) (string, bool) {
 	t, ok := a.tickets[w]
 	return t.text, ok && now.Before(t.until)
@@ -87,6 +90,7 @@
 	s.advice.promises = nil
 }
 
+// promise keeps room for tasks of a step on a worker until their tickets come.
 func (h *holding) promise(s *step, w *worker, tasks int) {
 	room := s.spec.Reserved().Times(tasks)
 	w.promised = w.promised.Plus(room)
@@ -132,6 +136,8 @@
 	return true
 }
 
+// advised takes the end of a call. An answer that was given up still counts, but
+// does not end the wait for a later call.
 func (h *holding) advised(now time.Time, e Advised) {
 	if e.Epoch != h.epoch {
 		return
@@ -148,22 +154,28 @@
 		s.advice.asking = false
 	}
 	h.planDue = true
+	if e.Busy || e.Failed != "" {
+		h.notAdvised(now, s, e)
+		return
+	}
+	h.noteAdvice(now, s, e)
+}
+
+// notAdvised delays the next call for a step and spares the box that failed.
+func (h *holding) notAdvised(now time.Time, s *step, e Advised) {
+	s.advice.askAgain = now.Add(adviceAgain)
 	if e.Busy {
 		h.advisers.busyUntil[e.Box] = maxTime(h.advisers.busyUntil[e.Box], now.Add(adviceBusy))
-		s.advice.askAgain = now.Add(adviceAgain)
 		return
 	}
-	if e.Failed != "" {
-		s.advice.askAgain = now.Add(adviceAgain)
-		if e.Box != h.core.self.Box {
-			h.advisers.badUntil[e.Box] = now.Add(adviserBad)
-		}
-		h.core.note("advice failed", Field{"step", s.id.String()}, Field{"asked_from", e.Box}, Field{"problem", e.Failed})
-		return
+	if e.Box != h.core.self.Box {
+		h.advisers.badUntil[e.Box] = now.Add(adviserBad)
 	}
-	h.noteAdvice(now, s, e)
+	h.core.note("advice failed", Field{"step", s.id.String()}, Field{"asked_from", e.Box}, Field{"problem", e.Failed})
 }
 
+// noteAdvice keeps which of the workers asked about suit a step, and their
+// tickets.
 func (h *holding) noteAdvice(now time.Time, s *step, e Advised) {
 	a := &s.advice
 	if a.suits == nil {
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -41,6 +41,7 @@
 	return false
 }
 
+// began notes a call through a box that should be over when it is due.
 func (a *advisers) began(box string, s job.StepID, due time.Time) {
 	if a.calls[box] == nil {
 		a.calls[box] = map[job.StepID]time.Time{}
@@ -48,7 +49,7 @@
 	a.calls[box][s] = due
 }
 
-// choose returns the box whose calls are over first. Long calls keep off the
+// chooseAdviser returns the box whose calls are over first. Long calls keep off the
 // first boxes in the order of names, so that short ones need not wait behind
 // them.
 func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
@@ -81,4 +82,5 @@
 	return best, address, true
 }
 
+// free returns when the calls given to a box should be over.
 func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -69,13 +69,14 @@
 	return ""
 }
 
+// startEnded takes the end of a start's call.
 func (h *holding) startEnded(now time.Time, e StartEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
 	if e.Answer.Fate == order.NoLife {
-		h.workerDied(now, w, "another life answers at its address")
+		h.workerDied(now, w, otherLife)
 		return
 	}
 	a := w.attempts[e.Run]
@@ -103,6 +104,8 @@
 // notDoneFor is how long a worker that did nothing gets no starts.
 const notDoneFor = 500 * time.Millisecond
 
+// startUnsure keeps the place of a start of which it is not known whether it was
+// carried out. The worker's next report tells.
 func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
 	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
 		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
@@ -114,12 +117,13 @@
 	h.gangBroke(now, a.step)
 }
 
+// startRefused acts on why a worker refused a start.
 func (h *holding) startRefused(now time.Time, a *attempt, answer order.Answer) {
 	h.core.note("a start was refused", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
 		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"reason", string(answer.Reason)})
 	switch answer.Reason {
 	case order.Fenced:
-		h.core.stepDown("a worker has seen a later holder")
+		h.core.stepDown(laterHolder)
 		return
 	case order.BadTicket:
 		a.step.advice.dropTicket(a.worker)
@@ -155,11 +159,12 @@
 	a.state = stopping
 	a.since = now
 	a.confirmed = false
-	h.sendStop(a)
+	h.orderStop(a.worker, a.name())
 }
 
-func (h *holding) sendStop(a *attempt) {
-	h.core.do(StopRun{Worker: a.worker.ID, Address: a.worker.Address, Epoch: h.epoch, Order: order.Stop{Run: a.name(), Fence: h.epoch}})
+// orderStop sends a worker the order to end a run.
+func (h *holding) orderStop(w *worker, run order.Run) {
+	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
 }
 
 // resendStops sends stops again that had no answer.
@@ -170,22 +175,19 @@
 	for _, a := range w.sorted() {
 		if a.state == stopping && !a.confirmed && now.Sub(a.since) > stopAgain {
 			a.since = now
-			h.sendStop(a)
+			h.orderStop(a.worker, a.name())
 		}
 	}
 }
 
+// stopEnded takes the end of a stop's call. The place stays taken until a report
+// tells the end of the run.
 func (h *holding) stopEnded(now time.Time, e StopEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
-	switch {
-	case e.Answer.Fate == order.NoLife:
-		h.workerDied(now, w, "another life answers at its address")
-		return
-	case e.Answer.Fate == order.Refused && e.Answer.Reason == order.Fenced:
-		h.core.stepDown("a worker has seen a later holder")
+	if h.ousted(now, w, e.Answer) {
 		return
 	}
 	a := w.attempts[e.Run]
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -7,11 +7,8 @@
 	"time"
 
 	"saddlevane/models/job"
-	"saddlevane/models/stream"
 )
 
-func keyDropped(key string) stream.Record { return stream.Record{Key: key} }
-
 // submit accepts a job once the log has it. The same ID is the same job.
 func (h *holding) submit(now time.Time, e Submitted) {
 	if j := h.jobs[e.Submission.ID]; j != nil {
@@ -36,6 +33,7 @@
 	h.adviseEarly(now, j)
 }
 
+// unavailable answers that nothing was done and when to come back.
 func (h *holding) unavailable(call CallID, reason string) {
 	h.core.reply(call, Answer{
 		Outcome: Unavailable, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
@@ -61,6 +59,8 @@
 	h.markDirty(j)
 }
 
+// askState answers with the state that the log has, or running once a task was
+// seen at work.
 func (h *holding) askState(e StateAsked) {
 	j := h.jobs[e.Job]
 	if j == nil {
@@ -74,6 +74,7 @@
 	h.core.reply(e.Call, Answer{Outcome: OK, State: state})
 }
 
+// askCount counts the accepted jobs of a queue of which no task was seen at work.
 func (h *holding) askCount(e CountAsked) {
 	count := 0
 	for _, j := range h.jobs {
--- a/services/dispatch/confirm.go
+++ b/services/dispatch/confirm.go
@@ -11,6 +11,8 @@
 	"saddlevane/models/stream"
 )
 
+// journalEnded takes the end of the append under way. One that the log has seen
+// before is in the log.
 func (h *holding) journalEnded(now time.Time, e AppendEnded) {
 	j := &h.journal
 	if j.batch == nil || !j.batch.sent {
@@ -111,6 +113,8 @@
 	h.planDue = true
 }
 
+// keptProgress acts on one job's progress that is now in the log: callers are told
+// and workers may forget the ends.
 func (h *holding) keptProgress(now time.Time, p batched) {
 	p.job.shown = p.state
 	h.answer(p.cancels, Answer{Outcome: OK, State: p.state})
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -59,9 +59,7 @@
 // applyEnd draws the consequences of one end.
 func (h *holding) applyEnd(now time.Time, w *worker, s *step, end order.End) {
 	switch {
-	case s.job.state.Final():
-		h.afterEnd(s)
-	case s.spec.Service:
+	case s.job.state.Final(), s.spec.Service:
 		h.afterEnd(s)
 	case end.How == order.Done:
 		w.failedJobs = 0
@@ -91,9 +89,13 @@
 			h.stop(now, a)
 		}
 	}
-	if s.done < len(s.tasks) {
-		return
+	if s.done == len(s.tasks) {
+		h.stepDone(now, s)
 	}
+}
+
+// stepDone opens the steps that come after one that is done, or ends its job.
+func (h *holding) stepDone(now time.Time, s *step) {
 	s.open = false
 	h.releasePromises(s)
 	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
@@ -110,6 +112,7 @@
 	}
 }
 
+// markDone notes the good end of a task, which no longer waits for a place.
 func (s *step) markDone(index int) {
 	t := &s.tasks[index]
 	if t.done {
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -35,20 +35,30 @@
 	suspended bool
 
 	journal journal
-	jobs    map[job.ID]*submitted
+
+	jobs map[job.ID]*submitted
 	// open lists the steps that have tasks to place.
-	open    []*step
+	open []*step
+	// repeating lists the jobs whose instances fall due with time.
+	repeating []*submitted
+	// endedJobs lists the jobs of which only the final state is kept, the first to
+	// end first.
+	endedJobs []*submitted
+
 	workers map[string]*worker
 	// unsettled names workers of earlier holders that have not told what they
 	// run. Until it is empty, no task of an earlier holder's job starts.
 	unsettled map[string]bool
-	advisers  advisers
-	learned   learned
-	repeating []*submitted
-	endedJobs []*submitted
-	planDue   bool
-	planAt    time.Time
-	sweepAt   time.Time
+
+	advisers advisers
+	learned  learned
+
+	// planDue says that something has changed since the last plan.
+	planDue bool
+	// planAt is when the next plan may be made.
+	planAt time.Time
+	// sweepAt is when all that falls due with time is next looked at.
+	sweepAt time.Time
 }
 
 func newHolding(c *Core, now time.Time, epoch int64) *holding {
@@ -110,13 +120,14 @@
 	planEach  = 50 * time.Microsecond
 )
 
+// tick acts on what falls due with time.
 func (h *holding) tick(now time.Time) {
 	h.refuseWhileFailing(now)
 	if now.Before(h.sweepAt) {
 		h.flush(now)
 		return
 	}
-	h.sweepAt = now.Add(100 * time.Millisecond)
+	h.sweepAt = now.Add(sweepEvery)
 	h.planDue = true
 	h.fallDue(now)
 	h.sweepWorkers(now)
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -18,13 +18,18 @@
 type journal struct {
 	epoch    int64
 	sequence int64
-	extra    []stream.Record
+	// extra are records that are not of jobs: the fence, workers, dropped keys.
+	extra []stream.Record
 	// recording names workers among the extra records.
 	recording []*worker
-	accepts   []*submitted
-	dirty     []*submitted
-	batch     *batch
-	sendAt    time.Time
+	// accepts are jobs that the log does not have yet, dirty those whose progress
+	// it does not have.
+	accepts []*submitted
+	dirty   []*submitted
+	// batch is the append under way, or nil.
+	batch *batch
+	// sendAt is when the next append may be sent.
+	sendAt time.Time
 	// failingSince is since when no append has succeeded, or zero.
 	failingSince time.Time
 }
@@ -51,8 +56,10 @@
 // maxBatch bounds one append, in bytes, well below what the log takes.
 const maxBatch = 512 << 10
 
+// add has a record in the next append.
 func (j *journal) add(r stream.Record) { j.extra = append(j.extra, r) }
 
+// idle says whether nothing waits for the log.
 func (j *journal) idle() bool {
 	return j.batch == nil && len(j.extra) == 0 && len(j.accepts) == 0 && len(j.dirty) == 0
 }
@@ -91,6 +98,7 @@
 	h.send(now)
 }
 
+// send appends the batch, for the first time or again.
 func (h *holding) send(now time.Time) {
 	b := h.journal.batch
 	b.sent = true
@@ -106,6 +114,13 @@
 	j := &h.journal
 	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extra}, recorded: j.recording}
 	j.extra, j.recording = nil, nil
+	h.composeProgress(b, j.composeAccepts(b))
+	return b
+}
+
+// composeAccepts adds jobs to accept, as many as fit. It returns the size in
+// bytes.
+func (j *journal) composeAccepts(b *batch) int {
 	size := 0
 	for len(j.accepts) > 0 && size < maxBatch {
 		s := j.accepts[0]
@@ -113,6 +128,13 @@
 		b.accepts = append(b.accepts, s)
 		size += b.put(keySubmission+string(s.id), keptSubmission{Submission: *s.submission, Accepted: s.acceptedUnix})
 	}
+	return size
+}
+
+// composeProgress adds the progress of accepted jobs to a batch of some size, in
+// bytes, as far as it fits; what does not waits for the next append.
+func (h *holding) composeProgress(b *batch, size int) {
+	j := &h.journal
 	dirty := j.dirty
 	j.dirty = nil
 	for _, s := range dirty {
@@ -130,12 +152,12 @@
 		s.ends, s.waitCancel = nil, nil
 		size += b.put(keyProgress+string(s.id), s.progress())
 		if s.state.Final() {
-			b.append.Records = append(b.append.Records, stream.Record{Key: keySubmission + string(s.id)})
+			b.append.Records = append(b.append.Records, keyDropped(keySubmission+string(s.id)))
 		}
 	}
-	return b
 }
 
+// put adds a record and returns its size in bytes.
 func (b *batch) put(key string, v any) int {
 	value, err := json.Marshal(v)
 	if err != nil {
@@ -145,3 +167,6 @@
 	b.append.Records = append(b.append.Records, stream.Record{Key: key, Value: value})
 	return len(key) + len(value)
 }
+
+// keyDropped is a record that drops its key from the stream.
+func keyDropped(key string) stream.Record { return stream.Record{Key: key} }
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -43,11 +43,10 @@
 	}
 }
 
+// renew renews a worker's lease and asks what it runs, if that is due. The call
+// waits at the worker for an end where there is nothing else to hear.
 func (h *holding) renew(now time.Time, w *worker) {
-	if w.renewing || now.Before(w.renewAt) {
-		return
-	}
-	if w.Address == "" {
+	if w.renewing || now.Before(w.renewAt) || w.Address == "" {
 		return
 	}
 	w.renewing = true
@@ -69,28 +68,43 @@
 	})
 }
 
+// renewEnded takes the end of a renewal's call.
 func (h *holding) renewEnded(now time.Time, e RenewEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
 	w.renewing = false
-	switch e.Answer.Fate {
-	case order.Carried:
+	switch {
+	case h.ousted(now, w, e.Answer):
+	case e.Answer.Fate == order.Carried:
 		h.renewed(now, w, e)
-	case order.NoLife:
-		h.workerDied(now, w, "another life answers at its address")
-	case order.Refused:
-		if e.Answer.Reason == order.Fenced {
-			h.core.stepDown("a worker has seen a later holder")
-			return
-		}
-		h.renewFailed(now, w, e.Answer)
 	default:
 		h.renewFailed(now, w, e.Answer)
 	}
 }
 
+const (
+	otherLife   = "another life answers at its address"
+	laterHolder = "a worker has seen a later holder"
+)
+
+// ousted acts on an answer which says that the worker meant, or the authority of
+// this holder, has ended. It returns false on any other answer.
+func (h *holding) ousted(now time.Time, w *worker, a order.Answer) bool {
+	switch {
+	case a.Fate == order.NoLife:
+		h.workerDied(now, w, otherLife)
+		return true
+	case a.Fate == order.Refused && a.Reason == order.Fenced:
+		h.core.stepDown(laterHolder)
+		return true
+	default:
+		return false
+	}
+}
+
+// renewFailed tries again soon, and ever less often at a worker that runs nothing.
 func (h *holding) renewFailed(now time.Time, w *worker, a order.Answer) {
 	w.failures++
 	if w.failures == 1 {
@@ -98,10 +112,11 @@
 	}
 	w.renewAt = now.Add(renewAgain)
 	if len(w.attempts) == 0 {
-		w.renewAt = now.Add(min(renewAgain*time.Duration(w.failures), 2*time.Second))
+		w.renewAt = now.Add(min(renewAgain*time.Duration(w.failures), renewAgainMost))
 	}
 }
 
+// renewed takes a worker's report and asks again.
 func (h *holding) renewed(now time.Time, w *worker, e RenewEnded) {
 	if w.failures > 0 {
 		h.core.note("worker answers again", Field{"worker", w.ID}, Field{"failures", w.failures})
@@ -131,10 +146,9 @@
 // run out.
 func (h *holding) sweepWorkers(now time.Time) {
 	for _, w := range ordered.Map(h.workers) {
-		switch {
-		case w.failures > 0 && now.After(w.goneAt):
+		if w.failures > 0 && now.After(w.goneAt) {
 			h.lapsed(now, w)
-		default:
+		} else {
 			h.resendStops(now, w)
 		}
 		if h.phase == active {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -72,6 +72,8 @@
 	return a
 }
 
+// findStep returns a step, or nil if it is not known or nothing runs of its job any
+// more.
 func (h *holding) findStep(id job.StepID) *step {
 	j := h.jobs[id.Job]
 	if j == nil || j.instances == nil {
@@ -84,9 +86,10 @@
 	return in.steps[id.Step]
 }
 
+// stopStray ends a run that the holder would not have started.
 func (h *holding) stopStray(w *worker, run order.Run) {
 	h.core.note("a run that should not be there is stopped", Field{"task", run.Task.String()}, Field{"run", run.Number}, Field{"worker", w.ID})
-	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
+	h.orderStop(w, run)
 }
 
 // absent acts on an attempt that a report, asked for at sentAt, does not name. A
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -39,6 +39,10 @@
 	stopAgain = 300 * time.Millisecond
 	// renewAgain is when a renewal that failed is sent again.
 	renewAgain = 150 * time.Millisecond
+	// renewAgainMost bounds that time for a worker that runs nothing.
+	renewAgainMost = 2 * time.Second
+	// sweepEvery is the time between two looks at all that falls due with time.
+	sweepEvery = 100 * time.Millisecond
 	// gatherEnds is the least time between two looks at a worker that reported
 	// ends, so that one look tells of several.
 	gatherEnds = 20 * time.Millisecond
