--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -150,6 +150,7 @@
 	a.next = max(a.next, next)
 }
 
+// take puts a claim in force that is in the log.
 func (a *Authority) take(now time.Time, c claim.Claim) {
 	a.current = c
 	a.heardAt = now
@@ -229,6 +230,7 @@
 	})
 }
 
+// renew returns the renewal of the claim, or nil if it is not due.
 func (a *Authority) renew(now time.Time) *Append {
 	if a.stopping || a.current.Epoch > a.held || now.Before(a.renewAt) {
 		return nil
@@ -268,6 +270,8 @@
 	clear(a.sentTimes)
 }
 
+// append returns the append of a claim. It takes effect only if the stream ends
+// where this process has read to, so nothing can come in between.
 func (a *Authority) append(now time.Time, c claim.Claim) *Append {
 	a.pending = &pending{claim: c, sentAt: now}
 	a.renewAt = now.Add(a.settings.Renew)
--- a/services/dispatch/claim.go
+++ b/services/dispatch/claim.go
@@ -5,6 +5,8 @@
 
 import "time"
 
+// tryClaim claims the cell, renews the claim or gives it to a better box,
+// whichever is due.
 func (c *Core) tryClaim(now time.Time) {
 	if a := c.authority.Tick(now); a != nil {
 		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
@@ -41,6 +43,8 @@
 		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
 }
 
+// claimsRead takes a part of the stream of claims, or that it could not be
+// read.
 func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
 	if e.Failed != "" {
 		if c.authority.Steady() {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -131,6 +131,7 @@
 	f(c.holding)
 }
 
+// tick acts on what falls due with time.
 func (c *Core) tick(now time.Time) {
 	c.announce(now)
 	if c.announced && c.config != nil {
@@ -158,6 +159,7 @@
 	}})
 }
 
+// configRead puts a configuration in force if it is newer.
 func (c *Core) configRead(config job.Config) {
 	if c.config != nil && config.Version <= c.config.Version {
 		return
@@ -169,6 +171,7 @@
 	}
 }
 
+// appendEnded takes the end of an append to whoever asked for it.
 func (c *Core) appendEnded(now time.Time, e AppendEnded) {
 	switch e.Purpose {
 	case ForAnnounce:
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -156,6 +156,7 @@
 	}
 }
 
+// answer tells several callers the same.
 func (h *holding) answer(calls []CallID, a Answer) {
 	for _, call := range calls {
 		h.core.reply(call, a)
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -31,6 +31,7 @@
 	}
 }
 
+// addInstance creates one instance, which is wanted from due on.
 func (j *submitted) addInstance(number int, due time.Time) *instance {
 	in := &instance{number: number, dueAt: due}
 	for i := range j.submission.Steps {
@@ -87,6 +88,7 @@
 	}
 }
 
+// reached says whether all steps before a step are done.
 func (in *instance) reached(s *step) bool {
 	for _, before := range s.spec.After {
 		if b := in.steps[before]; b.done < len(b.tasks) {
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -95,6 +95,7 @@
 	confirmed bool
 }
 
+// attemptState is how far an attempt has come.
 type attemptState string
 
 const (
@@ -118,6 +119,7 @@
 
 func (a *attempt) task() *task { return &a.step.tasks[a.index] }
 
+// name returns the name under which the worker knows the attempt.
 func (a *attempt) name() order.Run {
 	return order.Run{Task: job.TaskID{StepID: a.step.id, Index: a.index}, Number: a.run}
 }
@@ -137,6 +139,7 @@
 	return j
 }
 
+// markDirty has the log take a job's progress.
 func (h *holding) markDirty(j *submitted) {
 	if !j.dirty {
 		j.dirty = true
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -20,6 +20,7 @@
 
 func newLearned() learned { return learned{good: map[string]float64{}} }
 
+// advised takes how many of the workers asked about suited a step of a queue.
 func (l *learned) advised(queue string, asked, good int) {
 	if asked == 0 {
 		return
@@ -27,6 +28,7 @@
 	l.good[queue] = l.goodShare(queue)*(1-forgetting) + forgetting*float64(good)/float64(asked)
 }
 
+// goodShare returns the share of workers that are expected to suit.
 func (l *learned) goodShare(queue string) float64 {
 	if share, ok := l.good[queue]; ok {
 		return max(leastGood, share)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -30,6 +30,7 @@
 	return w.clockNow(now) + order.WorkerClock(h.core.settings.Lease.Milliseconds())
 }
 
+// renewAll renews what is due, in a fixed order.
 func (h *holding) renewAll(now time.Time) {
 	for _, w := range ordered.Map(h.workers) {
 		h.renew(now, w)
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -15,6 +15,7 @@
 	"saddlevane/modules/ordered"
 )
 
+// loaded takes the whole stream of jobs and begins to serve them.
 func (h *holding) loaded(now time.Time, e JobsLoaded) {
 	if e.Epoch != h.epoch || h.phase != loading {
 		return
@@ -56,6 +57,7 @@
 	slices.SortFunc(h.endedJobs, func(a, b *submitted) int { return int(a.ended - b.ended) })
 }
 
+// foldJob takes over a job that an earlier holder accepted.
 func (h *holding) foldJob(now time.Time, id job.ID, value, progress []byte) {
 	var kept keptSubmission
 	if err := json.Unmarshal(value, &kept); err != nil {
@@ -89,6 +91,8 @@
 	h.endedJobs = append(h.endedJobs, j)
 }
 
+// foldWorker takes over a worker on which an earlier holder may have started
+// tasks.
 func (h *holding) foldWorker(now time.Time, value []byte) {
 	var o order.Worker
 	if err := json.Unmarshal(value, &o); err != nil || o.ID == "" {
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -44,6 +44,7 @@
 	c.do(Invite{Epoch: h.epoch, Address: best.Address})
 }
 
+// inviteAsked answers a holder that wants this box to claim the cell.
 func (c *Core) inviteAsked(now time.Time, e InviteAsked) {
 	a := Answer{Outcome: Unavailable}
 	if c.config != nil && c.announced && c.authority.Invite(e.Epoch) {
@@ -66,6 +67,8 @@
 	c.stepDown("another box was invited to take over")
 }
 
+// membersRead notes the other boxes. One that has a new life can no longer act
+// under a claim of its earlier one.
 func (c *Core) membersRead(now time.Time, members []claim.Member) {
 	defer func() { c.authority.SetLargest(c.largestMember().Size) }()
 	for _, m := range members {
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -25,6 +25,7 @@
 	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
 }
 
+// otherAddresses returns where the other boxes are, in a fixed order.
 func (c *Core) otherAddresses() []string {
 	var all []string
 	for _, m := range c.members {
@@ -36,6 +37,7 @@
 	return all
 }
 
+// pledgeAsked answers a holder that wants this box not to claim for a while.
 func (c *Core) pledgeAsked(now time.Time, e PledgeAsked) {
 	a := Answer{Outcome: Unavailable, Steady: c.authority.Steady() && !c.authority.Stopping() && c.config != nil}
 	if c.authority.Pledge(now, e.Epoch) {
@@ -44,6 +46,7 @@
 	c.reply(e.Call, a)
 }
 
+// pledged takes what the other boxes have answered.
 func (c *Core) pledged(e Pledged) {
 	c.pledging = false
 	c.pledgeAgain = e.SentAt.Add(c.settings.Authority.Renew / 2)
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -38,6 +38,7 @@
 	h.opened(j)
 }
 
+// resume applies the log's progress to a step.
 func (s *step) resume(p job.StepProgress) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -51,6 +52,7 @@
 	}
 }
 
+// countDone counts the steps that are done, and the instance if all are.
 func (in *instance) countDone(j *submitted) {
 	for _, s := range in.steps {
 		if s.done == len(s.tasks) {
@@ -78,6 +80,8 @@
 	return p
 }
 
+// progress returns what the log must keep of a step, and whether that is
+// anything.
 func (s *step) progress() (job.StepProgress, bool) {
 	sp := job.StepProgress{Instance: s.id.Instance, Step: s.id.Step}
 	found := false
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -30,6 +30,7 @@
 	return s
 }
 
+// status adds what only the holder knows.
 func (h *holding) status(now time.Time, s *job.CellStatus) {
 	s.Jobs = map[job.State]int{}
 	for _, j := range h.jobs {
@@ -48,6 +49,7 @@
 	s.Capacity, s.Used = capacity.Processors.String(), used.Processors.String()
 }
 
+// askExplanation answers why a job is as it is.
 func (h *holding) askExplanation(now time.Time, e ExplanationAsked) {
 	j := h.jobs[e.Job]
 	if j == nil {
@@ -64,6 +66,7 @@
 	h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown, Explanation: &x})
 }
 
+// explainStep says what became of the tasks of a step, and why some wait.
 func (h *holding) explainStep(now time.Time, s *step) job.StepExplanation {
 	x := job.StepExplanation{Step: s.id.String(), Tasks: len(s.tasks), Done: s.done, Placed: s.attempts, Waiting: s.waiting}
 	if s.waiting > 0 && !s.job.state.Final() {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -77,6 +77,8 @@
 		now.Sub(w.answeredAt) < h.core.settings.Wait+silentAfter && !now.Before(w.excludedTill)
 }
 
+// workersRead takes a change of the platform's list. A worker that is no longer
+// listed keeps its tasks until its lease has run out.
 func (h *holding) workersRead(now time.Time, l order.Listing) {
 	if l.Whole {
 		present := map[string]bool{}
@@ -98,6 +100,7 @@
 	h.planDue = true
 }
 
+// workerListed takes what the platform says of one worker.
 func (h *holding) workerListed(now time.Time, o order.Worker) {
 	w := h.workers[o.ID]
 	if w == nil {
@@ -132,6 +135,7 @@
 	h.journal.add(stream.Record{Key: keyWorker + w.ID, Value: value})
 }
 
+// workerDied frees the tasks of a worker whose life is over for sure.
 func (h *holding) workerDied(now time.Time, w *worker, why string) {
 	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)})
 	for _, a := range w.sorted() {
@@ -141,6 +145,7 @@
 	h.forget(w)
 }
 
+// forget drops a worker here and in the log.
 func (h *holding) forget(w *worker) {
 	delete(h.workers, w.ID)
 	if w.recorded || w.recording {
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -32,6 +32,7 @@
 	return dispatch.Answer{Outcome: dispatch.Unsure, Reason: "no answer in time"}
 }
 
+// answer hands an answer to the caller who waits for it, if one still does.
 func (l *Loop) answer(id dispatch.CallID, a dispatch.Answer) {
 	l.mu.Lock()
 	answer := l.calls[id]
@@ -84,6 +85,8 @@
 	}}
 }
 
+// serve answers by this box if it holds the cell or nobody is known to, else by
+// the holder.
 func (l *Loop) serve(ctx context.Context, r Request) dispatch.Answer {
 	l.mu.Lock()
 	v := l.view
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -32,6 +32,8 @@
 	fail func(err error)
 }
 
+// follow reads a stream until ctx ends: whole at first and after a failure,
+// then what is new.
 func (l *Loop) follow(ctx context.Context, f follower) {
 	next, started := int64(0), false
 	for ctx.Err() == nil {
@@ -49,6 +51,7 @@
 	}
 }
 
+// read reads the whole stream, or waits for what comes after next.
 func (f follower) read(ctx context.Context, next int64, started bool) (stream.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.loop.settings.CallTimeout+f.wait)
 	defer cancel()
@@ -58,6 +61,7 @@
 	return f.loop.platform.Log.Read(ctx, f.name, next, f.wait)
 }
 
+// sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -74,6 +78,7 @@
 	l.follow(l.ctx, follower{loop: l, name: stream.Config, wait: rareWait, take: l.takeConfig, fail: l.debugFail(stream.Config)})
 }
 
+// takeConfig passes on the newest configuration of a page.
 func (l *Loop) takeConfig(p stream.Page, _ bool) {
 	config, found, err := l.platform.Config(p.Records)
 	if err != nil {
@@ -99,6 +104,7 @@
 	l.follow(l.ctx, follower{loop: l, name: stream.Boxes, wait: rareWait, take: l.takeMembers, fail: l.debugFail(stream.Boxes)})
 }
 
+// takeMembers passes on the boxes' announcements of a page.
 func (l *Loop) takeMembers(p stream.Page, _ bool) {
 	var members []claim.Member
 	for _, r := range p.Records {
@@ -140,6 +146,7 @@
 	})
 }
 
+// debugFail returns what a failed read of a stream is logged with.
 func (l *Loop) debugFail(name stream.Name) func(error) {
 	return func(err error) {
 		l.log.WithError(err).WithField("stream", name).Debug("a read of the log failed")
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -137,6 +137,7 @@
 	l.notes.close()
 }
 
+// post gives the reducer an event.
 func (l *Loop) post(e dispatch.Event) {
 	select {
 	case l.events <- e:
@@ -163,6 +164,7 @@
 // Metrics returns the counters of the process.
 func (l *Loop) Metrics() *Metrics { return l.metrics }
 
+// run is the only goroutine that calls the reducer.
 func (l *Loop) run() {
 	ticker := time.NewTicker(l.settings.Tick)
 	defer ticker.Stop()
@@ -198,6 +200,8 @@
 	}
 }
 
+// decide has the reducer decide, and carries out its effects; callers see the
+// state that came of it.
 func (l *Loop) decide(now time.Time) {
 	for _, e := range l.core.Decide(now) {
 		l.do(e)
@@ -211,6 +215,8 @@
 	l.mu.Unlock()
 }
 
+// do carries out one effect. What takes time runs beside the loop and comes
+// back as an event.
 func (l *Loop) do(e dispatch.Effect) {
 	switch e := e.(type) {
 	case dispatch.Append:
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -73,6 +73,7 @@
 	m.logTime.WithLabelValues(string(p)).Observe(took.Seconds())
 }
 
+// appendResult names the end of an append for the counters.
 func appendResult(err error) string {
 	_, moved := errors.AsType[*stream.MovedError](err)
 	switch {
--- a/services/jobrun/notes.go
+++ b/services/jobrun/notes.go
@@ -34,6 +34,7 @@
 	left    map[string]int
 }
 
+// line is a note and when it was made.
 type line struct {
 	note dispatch.Note
 	at   time.Time
@@ -45,6 +46,7 @@
 	return n
 }
 
+// close waits until all lines are written.
 func (n *notes) close() {
 	n.mu.Lock()
 	if !n.closed {
@@ -73,6 +75,7 @@
 	n.put(line{note: e, at: at})
 }
 
+// tellLeft says how many lines were left out.
 func (n *notes) tellLeft(at time.Time) {
 	for message, count := range n.left {
 		delete(n.left, message)
@@ -82,6 +85,7 @@
 	}
 }
 
+// put queues a line if there is room.
 func (n *notes) put(l line) {
 	if n.closed {
 		return
@@ -93,6 +97,7 @@
 	}
 }
 
+// run writes lines until close.
 func (n *notes) run() {
 	for l := range n.queue {
 		fields := make(logrus.Fields, len(l.note.Fields))
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -11,6 +11,7 @@
 	"saddlevane/services/dispatch"
 )
 
+// append appends to the log.
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
@@ -23,6 +24,8 @@
 // loadWithin bounds the reading of all jobs.
 const loadWithin = 5 * time.Second
 
+// loadJobs reads the stream of jobs whole. After a failure it waits a moment,
+// since the reducer asks again at once.
 func (l *Loop) loadJobs(e dispatch.LoadJobs) {
 	ctx, cancel := context.WithTimeout(l.ctx, loadWithin)
 	defer cancel()
@@ -33,6 +36,7 @@
 	l.post(dispatch.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
 }
 
+// renew renews a worker's lease.
 func (l *Loop) renew(e dispatch.Renew) {
 	sentAt := l.now()
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
@@ -45,6 +49,7 @@
 	l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: answer, Report: report})
 }
 
+// start orders a start.
 func (l *Loop) start(e dispatch.StartRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
@@ -53,6 +58,7 @@
 	l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
 
+// stop orders a stop.
 func (l *Loop) stop(e dispatch.StopRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
--- a/services/jobrun/outage.go
+++ b/services/jobrun/outage.go
@@ -42,6 +42,7 @@
 // hear in time to go on.
 const quickWithin = 400 * time.Millisecond
 
+// quick makes one call that must be answered at once.
 func (p *Peers) quick(address string, r Request) dispatch.Answer {
 	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
 	defer cancel()
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -78,6 +78,7 @@
 	}
 }
 
+// decode reads a call's parameters.
 func decode(req *jsonrpc2.Request, v any) error {
 	if err := json.Unmarshal(*req.Params, v); err != nil {
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
--- a/services/jobrun/reach.go
+++ b/services/jobrun/reach.go
@@ -9,12 +9,14 @@
 // callers are refused at once.
 const silentFor = 300 * time.Millisecond
 
+// silent says whether a box is not to be asked for now.
 func (p *Peers) silent(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.loop.now().Before(p.silentUntil[address])
 }
 
+// setSilent notes that a box did not answer.
 func (p *Peers) setSilent(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -28,6 +30,7 @@
 	return p.silentUntil[address].IsZero()
 }
 
+// answered notes that a box has answered.
 func (p *Peers) answered(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/services/jobrun/request.go
+++ b/services/jobrun/request.go
@@ -22,6 +22,7 @@
 	Invite int64 `json:"invite,omitempty"`
 }
 
+// event returns the event that gives the wish to the reducer.
 func (r Request) event(id dispatch.CallID) dispatch.Event {
 	switch {
 	case r.Submit != nil:
@@ -57,6 +58,7 @@
 	}
 }
 
+// job returns the ID of the job that the wish is about, if any.
 func (r Request) job() job.ID {
 	if r.Submit != nil {
 		return r.Submit.ID
