--- /dev/null
+++ b/cmd/saddlevanectl/trace.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"saddlevane/modules/joblog"
+)
+
+func (t *tool) trace() *ffcli.Command {
+	return t.command("trace", "ID [LOG FILE ...]", "prints what the daemons logged of a job, in order, with gaps named",
+		"trace 5c0e7a21d94b36f8 box-a.log box-b.log", func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usageError("trace: want the ID of a job")
+			}
+			var h joblog.History
+			if err := readLogs(&h, args[0], args[1:]); err != nil {
+				return usageError("trace: %v", err)
+			}
+			h.Sort()
+			t.history(&h)
+			if len(h.Lines) == 0 {
+				return fmt.Errorf("no line tells of job %s", args[0])
+			}
+			return nil
+		})
+}
+
+func readLogs(h *joblog.History, id string, files []string) error {
+	if len(files) == 0 {
+		return h.Read(os.Stdin, id)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = h.Read(f, id)
+		_ = f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tool) history(h *joblog.History) {
+	for _, l := range h.Lines {
+		mark := " "
+		if l.Gap {
+			mark = "!"
+		}
+		fmt.Fprintf(t.out, "%s %s %-20s %s", l.At.Format(time.RFC3339Nano), mark, l.Box, l.Message)
+		for _, f := range l.Fields {
+			fmt.Fprint(t.out, " ", f)
+		}
+		fmt.Fprintln(t.out)
+	}
+	if h.Torn > 0 || h.Foreign > 0 {
+		fmt.Fprintf(t.out, "# %d lines were torn and %d are of something else\n", h.Torn, h.Foreign)
+	}
+}
--- /dev/null
+++ b/services/authority/claiming.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package authority
+
+import (
+	"time"
+
+	"saddlevane/models/claim"
+)
+
+// claimSpread spreads the claims of boxes that notice a silence at once, so
+// that most find the claim of the first.
+const claimSpread = 300 * time.Millisecond
+
+// smallWait is how long a small box leaves a free cell to larger ones: they read
+// of it within a few milliseconds, and claim within claimSpread.
+const smallWait = 700 * time.Millisecond
+
+// patience is how much longer than need be this box waits before it claims.
+func (a *Authority) patience() time.Duration {
+	if a.Small() {
+		return a.spread + smallWait
+	}
+	return a.spread
+}
+
+// SetLargest tells the size of the largest box that is known. A much smaller one
+// leaves it a moment to claim first.
+func (a *Authority) SetLargest(size int64) { a.largest = size }
+
+// Small says whether the cell should rather be held by a larger box.
+func (a *Authority) Small() bool { return 2*a.self.Size <= a.largest }
+
+// Pledge promises the holder of the current claim not to claim before now plus
+// ClaimAfter. It returns false if this process cannot promise that.
+func (a *Authority) Pledge(now time.Time, epoch int64) bool {
+	if a.pending != nil || a.held != 0 || a.current.Epoch != epoch || a.current.Released {
+		return false
+	}
+	a.pledgedUntil = now.Add(a.settings.ClaimAfter)
+	return true
+}
+
+// Invite takes the holder's word that it has stopped, so that this process may
+// claim at once. It returns false if this process cannot.
+func (a *Authority) Invite(epoch int64) bool {
+	if a.pending != nil || a.held != 0 || a.stopping || a.current.Epoch != epoch || !a.Steady() {
+		return false
+	}
+	a.invited = epoch
+	return true
+}
+
+// mayClaim says whether no other box can act under a claim.
+func (a *Authority) mayClaim(now time.Time) bool {
+	if a.stopping || a.steadySince.IsZero() {
+		return false
+	}
+	c := a.current
+	if c.Epoch != 0 && a.invited == c.Epoch {
+		return true
+	}
+	if now.Before(a.pledgedUntil) {
+		return false
+	}
+	if c.Epoch == 0 {
+		return now.Sub(a.steadySince) >= a.patience()-a.spread*3/4
+	}
+	if c.Released {
+		first := !a.Small() || now.Sub(a.heardAt) >= smallWait
+		return c.Incarnation != a.self.Incarnation && (first || now.Sub(a.heardAt) >= claimSpread+a.patience())
+	}
+	if c.Box == a.self.Box && c.Incarnation != a.self.Incarnation {
+		// An earlier life of this very box is gone.
+		return !a.Small() || now.Sub(a.steadySince) >= smallWait
+	}
+	quiet := a.settings.ClaimAfter + a.patience()
+	return now.Sub(a.heardAt) >= quiet && now.Sub(a.steadySince) >= quiet
+}
+
+// MemberRestarted notes that a box has announced a new life. A claim of an
+// earlier life of it is void.
+func (a *Authority) MemberRestarted(now time.Time, m claim.Member) {
+	c := a.current
+	if c.Epoch == 0 || c.Released || c.Box != m.Box || c.Incarnation == m.Incarnation || m.Box == a.self.Box {
+		return
+	}
+	// Leave the box itself a moment to claim again, then anyone may.
+	a.heardAt = now.Add(-a.settings.ClaimAfter)
+}
--- /dev/null
+++ b/tests/memory/workers.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package memory
+
+import (
+	"context"
+	"time"
+
+	"saddlevane/models/order"
+	"saddlevane/models/resource"
+	"saddlevane/models/stream"
+)
+
+type worker struct {
+	fence int64
+	ended []order.End
+	last  int64
+}
+
+// taskTime is how long a task runs.
+const taskTime = 30 * time.Millisecond
+
+// Runs returns how often a task was started.
+func (p *Platform) Runs(task string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[task]
+}
+
+// listing names all workers; the records are not looked at.
+func (p *Platform) listing([]stream.Record) order.Listing {
+	var l order.Listing
+	for id := range p.workers {
+		l.Present = append(l.Present, order.Worker{
+			ID: id, Address: id, Pool: "pool", Domain: "a",
+			Capacity: resource.Vector{Processors: 8 * resource.Processor, Memory: 8 * resource.GiB},
+		})
+	}
+	return l
+}
+
+func (p *Platform) renew(ctx context.Context, _, id string, r order.Renew) (order.Report, order.Answer) {
+	deadline := time.Now().Add(r.Wait.Duration())
+	for {
+		report, answer, done := p.look(id, r)
+		if done || !time.Now().Before(deadline) {
+			return report, answer
+		}
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return order.Report{}, order.Answer{Fate: order.Unknown, Problem: ctx.Err().Error()}
+		}
+	}
+}
+
+func (p *Platform) look(id string, r order.Renew) (order.Report, order.Answer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[id]
+	if r.Fence < w.fence {
+		return order.Report{}, order.Answer{Fate: order.Refused, Reason: order.Fenced}, true
+	}
+	w.fence = r.Fence
+	for len(w.ended) > 0 && w.ended[0].Number <= r.Seen {
+		w.ended = w.ended[1:]
+	}
+	clock := order.WorkerClock(time.Now().UnixMilli())
+	report := order.Report{Clock: clock, Ended: append([]order.End(nil), w.ended...)}
+	return report, order.Answer{Fate: order.Carried, Clock: clock}, len(w.ended) > 0
+}
+
+func (p *Platform) start(_ context.Context, _, id string, s order.Start) order.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[id]
+	if s.Fence < w.fence {
+		return order.Answer{Fate: order.Refused, Reason: order.Fenced}
+	}
+	p.runs[s.Task.String()]++
+	time.AfterFunc(taskTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		w.last++
+		w.ended = append(w.ended, order.End{Number: w.last, Run: s.Run, How: order.Done})
+	})
+	return order.Answer{Fate: order.Carried, Clock: order.WorkerClock(time.Now().UnixMilli())}
+}
+
+func (p *Platform) stop(context.Context, string, string, order.Stop) order.Answer {
+	return order.Answer{Fate: order.Carried, Clock: order.WorkerClock(time.Now().UnixMilli())}
+}
