--- a/models/claim/claim.go
+++ b/models/claim/claim.go
@@ -16,7 +16,7 @@
 	Incarnation string `json:"incarnation"`
 	// Address is where the holder serves other entry boxes.
 	Address string `json:"address"`
-	// Renewal counts the renewals of the claim.
+	// Renewal numbers the claims and renewals of one incarnation.
 	Renewal int64 `json:"renewal"`
 	// Released says that the holder has given the claim up.
 	Released bool `json:"released,omitempty"`
--- a/models/job/job.go
+++ b/models/job/job.go
@@ -16,10 +16,12 @@
 
 // Bounds of what is accepted. The platform's store takes records of 256 KiB.
 const (
+	// maxSpec bounds what the workers are told to run, in bytes.
 	maxSpec  = 4000
 	maxSteps = 64
-	// MaxTasks is how many tasks all steps of one time of a job have at most.
+	// MaxTasks is how many tasks all steps of one instance of a job have at most.
 	MaxTasks = 10_000
+	// maxTimes is how many instances a job has at most.
 	maxTimes = 100_000
 )
 
@@ -86,11 +88,13 @@
 	return s.Need
 }
 
-// Repeat says that the steps run several times.
+// Repeat says that the steps run several times; each time is an instance.
 type Repeat struct {
+	// Times is how many instances there are; 0 means one, at once.
 	Times int `json:"times,omitempty"`
-	// First is when the first time falls due, in milliseconds since 1970.
-	First    int64        `json:"first_unix_ms,omitempty"`
+	// First is when the first instance falls due, in milliseconds since 1970.
+	First int64 `json:"first_unix_ms,omitempty"`
+	// Interval is the time from one instance falling due to the next.
 	Interval Milliseconds `json:"interval_ms,omitempty"`
 }
 
@@ -101,8 +105,9 @@
 
 // Submission is a job as its caller hands it in.
 type Submission struct {
-	ID     ID     `json:"id"`
-	Queue  string `json:"queue"`
+	ID    ID     `json:"id"`
+	Queue string `json:"queue"`
+	// Spec is what the workers are told to run; saddlevane does not look into it.
 	Spec   string `json:"spec"`
 	Steps  []Step `json:"steps"`
 	Repeat Repeat `json:"repeat,omitzero"`
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -61,13 +61,18 @@
 	invited int64
 	// pledgedUntil bounds a pledge to the holder not to claim.
 	pledgedUntil time.Time
-	pending      *pending
-	renewAt      time.Time
-	renewal      int64
+	// pending is the append under way, or nil.
+	pending *pending
+	// renewAt is when the claim is to be renewed, and renewal counts all appends of
+	// this process, so that each has its own number.
+	renewAt time.Time
+	renewal int64
 	// sentTimes has the time of each renewal whose fate is not known.
 	sentTimes map[int64]time.Time
-	spread    time.Duration
-	stopping  bool
+	// spread is this box's part of claimSpread.
+	spread time.Duration
+	// stopping says that this process must not claim again.
+	stopping bool
 	// largest is the size of the largest box that is known.
 	largest int64
 }
@@ -180,11 +185,7 @@
 	if !a.mayClaim(now) {
 		return nil
 	}
-	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: a.current.Epoch + 1, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal,
-	})
+	return a.append(now, a.newClaim(a.current.Epoch+1))
 }
 
 // renew returns the renewal of the claim, or nil if it is not due.
@@ -192,11 +193,15 @@
 	if a.stopping || a.current.Epoch > a.held || now.Before(a.renewAt) {
 		return nil
 	}
+	return a.append(now, a.newClaim(a.held))
+}
+
+// newClaim returns a claim of this process or the next renewal of one.
+func (a *Authority) newClaim(epoch int64) claim.Claim {
 	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: a.held, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal,
-	})
+	return claim.Claim{
+		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation, Address: a.self.Address, Renewal: a.renewal,
+	}
 }
 
 // Release returns the record that gives the claim up, or nil if there is none.
@@ -205,13 +210,10 @@
 	if a.held == 0 {
 		return nil
 	}
-	epoch := a.held
+	c := a.newClaim(a.held)
+	c.Released = true
 	a.StepDown()
-	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal, Released: true,
-	})
+	return a.append(now, c)
 }
 
 // Stop keeps this process from claiming again.
