--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -70,20 +70,13 @@
 		return err
 	}
 	defer d.close()
+	// Taken until the end: a reload during the stop must not end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	entry.WithField(logger.FieldAddress, s.Listen.Callers).Info("serving")
-	for {
-		select {
-		case err := <-d.failed:
-			return err
-		case <-reload:
-			entry.Info("settings take effect at the next start")
-			continue
-		case <-signals:
-		}
-		break
+	if err := d.awaitStop(entry, signals, reload); err != nil {
+		return err
 	}
 	entry.Info("stopping")
 	d.stopping.Store(true)
@@ -97,6 +90,21 @@
 	return nil
 }
 
+// awaitStop returns nil once a signal asks for a stop, or why a server has failed.
+func (d *jobDaemon) awaitStop(log *logrus.Entry, signals, reload <-chan os.Signal) error {
+	for {
+		select {
+		case err := <-d.failed:
+			return err
+		case <-reload:
+			log.Info("settings take effect at the next start")
+		case <-signals:
+			return nil
+		}
+	}
+}
+
+// startJobs starts all parts of the daemon.
 func startJobs(s setting.Settings, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
 	d := &jobDaemon{failed: make(chan error, 2)}
 	listener, err := net.Listen("tcp", s.Listen.Peers)
@@ -120,6 +128,7 @@
 	return d, nil
 }
 
+// serve answers at one address.
 func (d *jobDaemon) serve(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -135,6 +144,7 @@
 	return nil
 }
 
+// jobSettings returns what the loop and the reducer need of the settings.
 func jobSettings(j setting.Jobs) jobrun.Settings {
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
@@ -160,6 +170,7 @@
 	}
 }
 
+// newClient returns a client with connections of its own.
 func newClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialWithin}
 	return &http.Client{Transport: &http.Transport{
@@ -177,6 +188,7 @@
 	}
 }
 
+// close ends all parts, also those that a failed start has left.
 func (d *jobDaemon) close() {
 	for _, s := range d.servers {
 		_ = s.Close()
--- /dev/null
+++ b/services/dispatch/worldbox_test.go
@@ -0,0 +1,250 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+type fakeBox struct {
+	w           *world
+	name        string
+	life        int
+	size        int64
+	core        *dispatch.Core
+	alive       bool
+	pausedUntil time.Time
+	// noLog cuts the box off from the log, noPeers from the other boxes.
+	noLog, noPeers bool
+	started        bool
+	nextClaim      int64
+	nextMember     int64
+	follow         bool
+	calls          map[dispatch.CallID]func(dispatch.Answer)
+	lastCall       dispatch.CallID
+	// stopped says that a planned stop is complete.
+	stopped bool
+}
+
+func (b *fakeBox) start() {
+	b.life++
+	b.alive, b.started, b.follow = true, false, false
+	b.pausedUntil = time.Time{}
+	b.nextClaim, b.nextMember = 0, 0
+	b.calls = map[dispatch.CallID]func(dispatch.Answer){}
+	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.life), Domain: "a", Address: b.name, Size: 1 + b.size}
+	b.core = dispatch.New(settings(), self)
+	b.post(dispatch.ConfigRead{Config: config()})
+	b.tick(b.life)
+	b.poll(b.life)
+}
+
+func (b *fakeBox) kill() { b.alive = false }
+
+func (b *fakeBox) post(e dispatch.Event) {
+	life := b.life
+	b.w.after(0, func() { b.deliver(life, e) })
+}
+
+// deliver gives the reducer an event, once the box is no longer paused.
+func (b *fakeBox) deliver(life int, e dispatch.Event) {
+	if !b.alive || b.life != life {
+		return
+	}
+	if b.w.now.Before(b.pausedUntil) {
+		b.w.at(b.pausedUntil, func() { b.deliver(life, e) })
+		return
+	}
+	b.core.Handle(b.w.now, e)
+	for _, eff := range b.core.Decide(b.w.now) {
+		b.do(life, eff)
+	}
+}
+
+func (b *fakeBox) tick(life int) {
+	if !b.alive || b.life != life {
+		return
+	}
+	b.deliver(life, dispatch.Tick{})
+	b.w.after(20*time.Millisecond, func() { b.tick(life) })
+}
+
+// poll reads the streams that every box follows.
+func (b *fakeBox) poll(life int) {
+	if !b.alive || b.life != life {
+		return
+	}
+	b.w.after(30*time.Millisecond, func() { b.poll(life) })
+	if b.w.logDown || b.noLog {
+		b.deliver(life, dispatch.ClaimsRead{Failed: "down"})
+		return
+	}
+	b.readMembers(life)
+	claims := b.w.log[stream.Claims]
+	next := int64(len(claims.records))
+	if b.started && next == b.nextClaim && b.core.Steady() {
+		return
+	}
+	records := slices.Clone(claims.records[b.nextClaim:])
+	start := !b.started
+	b.nextClaim, b.started = next, true
+	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.ClaimsRead{Start: start, Records: records, Next: next}) })
+}
+
+func (b *fakeBox) readMembers(life int) {
+	records := b.w.log[stream.Boxes].records
+	if int64(len(records)) == b.nextMember {
+		return
+	}
+	var members []claim.Member
+	for _, r := range records[b.nextMember:] {
+		var m claim.Member
+		if json.Unmarshal(r.Value, &m) == nil {
+			members = append(members, m)
+		}
+	}
+	b.nextMember = int64(len(records))
+	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.MembersRead{Members: members}) })
+}
+
+func (b *fakeBox) do(life int, e dispatch.Effect) {
+	w := b.w
+	back := func(d time.Duration, e dispatch.Event) { w.after(d, func() { b.deliver(life, e) }) }
+	switch e := e.(type) {
+	case dispatch.Append:
+		w.append(b, e, back)
+	case dispatch.LoadJobs:
+		w.load(b, e, back)
+	case dispatch.FollowWorkers:
+		b.follow = e.On
+		if e.On {
+			b.followWorkers(life)
+		}
+	case dispatch.Renew:
+		w.renew(b, e, back)
+	case dispatch.StartRun:
+		w.start(b, e, back)
+	case dispatch.StopRun:
+		w.stop(b, e, back)
+	case dispatch.Advise:
+		w.advise(e, back)
+	case dispatch.AskPledges:
+		w.askPledges(b, e, back)
+	case dispatch.Invite:
+		w.invite(b, e, back)
+	case dispatch.Reply:
+		if f := b.calls[e.Call]; f != nil {
+			delete(b.calls, e.Call)
+			f(e.Reply)
+		}
+	case dispatch.Stopped:
+		b.stopped = true
+	case dispatch.Note:
+		w.trace = append(w.trace, fmt.Sprintf("%v %s %s %v", w.now.Sub(w.begin), b.name, e.Message, e.Fields))
+	}
+}
+
+func (b *fakeBox) followWorkers(life int) {
+	if !b.alive || b.life != life || !b.follow {
+		return
+	}
+	b.w.after(300*time.Millisecond, func() { b.followWorkers(life) })
+	if b.w.logDown || b.noLog {
+		return
+	}
+	l := order.Listing{Whole: true}
+	for _, f := range b.w.workers {
+		if f.alive && !f.hidden {
+			l.Present = append(l.Present, order.Worker{
+				ID: f.id, Address: f.id[:3], Pool: pool, Domain: "a", Rack: f.rack, Labels: []string{"a", f.rack},
+				Capacity: f.capacity, Leaving: f.leaving,
+			})
+		}
+	}
+	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.WorkersRead{Listing: l}) })
+}
+
+// ask makes a call at a box and tells the answer.
+func (b *fakeBox) ask(event func(dispatch.CallID) dispatch.Event, answer func(dispatch.Answer)) {
+	b.lastCall++
+	id := b.lastCall
+	b.calls[id] = answer
+	b.post(event(id))
+}
+
+func (w *world) askPledges(b *fakeBox, e dispatch.AskPledges, back func(time.Duration, dispatch.Event)) {
+	sentAt := w.now
+	p := dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
+	left := len(e.Addresses)
+	ended := func() { back(w.delay(), p) }
+	if left == 0 {
+		ended()
+		return
+	}
+	for _, name := range e.Addresses {
+		once := false
+		take := func(a dispatch.Answer) {
+			if once {
+				return
+			}
+			once = true
+			p.All = p.All && a.Outcome == dispatch.OK
+			if a.Steady {
+				p.Steady = append(p.Steady, name)
+			}
+			if left--; left == 0 {
+				ended()
+			}
+		}
+		w.after(400*time.Millisecond, func() { take(dispatch.Answer{}) })
+		if other := w.box(name); other.alive && !b.noPeers && !other.noPeers {
+			w.after(w.delay(), func() {
+				other.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.PledgeAsked{Call: id, Epoch: e.Epoch} }, take)
+			})
+		}
+	}
+}
+
+func (w *world) invite(b *fakeBox, e dispatch.Invite, back func(time.Duration, dispatch.Event)) {
+	once := false
+	ended := func(refused bool) {
+		if !once {
+			once = true
+			back(w.delay(), dispatch.Invited{Epoch: e.Epoch, Refused: refused})
+		}
+	}
+	w.after(400*time.Millisecond, func() { ended(false) })
+	if other := w.box(e.Address); other.alive && !b.noPeers && !other.noPeers {
+		other.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.InviteAsked{Call: id, Epoch: e.Epoch} },
+			func(a dispatch.Answer) { ended(a.Outcome != dispatch.OK) })
+	}
+}
+
+func (w *world) box(name string) *fakeBox {
+	for _, b := range w.boxes {
+		if b.name == name {
+			return b
+		}
+	}
+	w.fail("no box %s", name)
+	return nil
+}
+
+// holder returns the box that serves the cell's jobs, or nil.
+func (w *world) holder() *fakeBox {
+	for _, b := range w.boxes {
+		if b.alive && b.core.Holds() {
+			return b
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/services/dispatch/worldcheck_test.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"time"
+
+	"fmt"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/modules/ordered"
+)
+
+// checkStart notes what a start would break.
+func (w *world) checkStart(f *fakeWorker, s order.Start) {
+	a := w.jobs[s.Task.Job]
+	if a == nil || !a.mayRun {
+		w.breaks("%v was refused or never asked for, and starts", s.Task)
+		return
+	}
+	step := a.sub.Steps[s.Task.Step]
+	used := step.Need
+	for _, r := range f.runs {
+		used = used.Plus(r.step.Need)
+	}
+	if !used.Fits(f.capacity) {
+		w.breaks("%v on %s: %v is more than there is", s.Task, f.id, used)
+	}
+	for _, other := range w.workers {
+		for run := range ordered.By(other.runs, order.Run.Compare) {
+			if other.alive && run.Task == s.Task {
+				w.breaks("%v runs on %s as %d and starts on %s as %d", s.Task, other.id, run.Number, f.id, s.Number)
+			}
+		}
+	}
+	id := s.Task
+	if step.Gang {
+		id.Index = 0
+	}
+	if a.noted[id] {
+		w.breaks("%v starts again after its end was noted", s.Task)
+	}
+	if most := config().Queues[a.sub.Queue].Attempts; a.failures[id] >= most {
+		w.breaks("%v starts again after %d failed runs", s.Task, a.failures[id])
+	}
+	for _, before := range step.After {
+		for i := range a.sub.Steps[before].Tasks {
+			if !a.done[job.TaskID{StepID: job.StepID{Job: s.Task.Job, Step: before}, Index: i}] {
+				w.breaks("%v starts before step %d is done", s.Task, before)
+			}
+		}
+	}
+	if !a.cancelled.IsZero() && w.now.Sub(a.cancelled) > 3*time.Second {
+		w.breaks("%v starts %v after its job was cancelled", s.Task, w.now.Sub(a.cancelled))
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	for _, line := range w.trace[max(0, len(w.trace)-traceShown):] {
+		w.t.Log(line)
+	}
+	w.t.Fatalf("seed %d at %v: %s", w.seed, w.now.Sub(w.begin), fmt.Sprintf(format, args...))
+}
+
+func (w *world) breaks(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("at %v: ", w.now.Sub(w.begin))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) check() {
+	w.t.Helper()
+	if len(w.broken) > 0 {
+		w.fail("%v", w.broken[0])
+	}
+}
--- /dev/null
+++ b/services/dispatch/worldlog_test.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"time"
+
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+type fakeStream struct {
+	records []stream.Record
+}
+
+func (s *fakeStream) newest() []stream.Record {
+	last := map[string]stream.Record{}
+	for _, r := range s.records {
+		last[r.Key] = r
+	}
+	var all []stream.Record
+	for _, r := range s.records {
+		if n := last[r.Key]; n.Offset == r.Offset && !r.Dropped() {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func (w *world) append(b *fakeBox, e dispatch.Append, back func(time.Duration, dispatch.Event)) {
+	ended := func(d time.Duration, offset int64, err error) {
+		back(d, dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
+	}
+	if w.logDown || b.noLog {
+		ended(w.delay(), 0, stream.ErrNotDone)
+		return
+	}
+	if w.logSilent && e.Purpose == dispatch.ForJournal {
+		ended(900*time.Millisecond, 0, fmt.Errorf("no answer"))
+		return
+	}
+	if w.rng.Float64() < w.logLoses {
+		if w.rng.Intn(2) == 0 {
+			w.after(time.Duration(w.rng.Intn(4000))*time.Millisecond, func() { w.apply(e.Append) })
+		} else {
+			w.after(w.delay(), func() { w.apply(e.Append) })
+		}
+		ended(900*time.Millisecond, 0, fmt.Errorf("no answer"))
+		return
+	}
+	w.after(w.delay(), func() {
+		offset, err := w.apply(e.Append)
+		ended(w.delay(), offset, err)
+	})
+}
+
+func (w *world) apply(a stream.Append) (int64, error) {
+	s := w.log[a.Stream]
+	end := int64(len(s.records))
+	if a.At != nil && *a.At != end {
+		return 0, &stream.MovedError{End: end}
+	}
+	if a.Writer != nil {
+		switch {
+		case a.Writer.Epoch < w.epoch:
+			return 0, stream.ErrFenced
+		case a.Writer.Epoch == w.epoch && a.Writer.Sequence <= w.lastSeq:
+			return 0, stream.ErrDone
+		}
+		w.epoch, w.lastSeq = a.Writer.Epoch, a.Writer.Sequence
+	}
+	for _, r := range a.Records {
+		r.Offset = int64(len(s.records))
+		s.records = append(s.records, r)
+	}
+	return int64(len(s.records)) - 1, nil
+}
+
+func (w *world) load(b *fakeBox, e dispatch.LoadJobs, back func(time.Duration, dispatch.Event)) {
+	if w.logDown || b.noLog {
+		back(100*time.Millisecond, dispatch.JobsLoaded{Epoch: e.Epoch, Err: stream.ErrNotDone})
+		return
+	}
+	back(5*time.Millisecond, dispatch.JobsLoaded{Epoch: e.Epoch, Records: w.log[stream.Jobs].newest()})
+}
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -202,50 +202,6 @@
 	return order.Answer{Fate: order.Carried, Clock: f.clock()}
 }
 
-// checkStart notes what a start would break.
-func (w *world) checkStart(f *fakeWorker, s order.Start) {
-	a := w.jobs[s.Task.Job]
-	if a == nil || !a.mayRun {
-		w.breaks("%v was refused or never asked for, and starts", s.Task)
-		return
-	}
-	step := a.sub.Steps[s.Task.Step]
-	used := step.Need
-	for _, r := range f.runs {
-		used = used.Plus(r.step.Need)
-	}
-	if !used.Fits(f.capacity) {
-		w.breaks("%v on %s: %v is more than there is", s.Task, f.id, used)
-	}
-	for _, other := range w.workers {
-		for run := range ordered.By(other.runs, order.Run.Compare) {
-			if other.alive && run.Task == s.Task {
-				w.breaks("%v runs on %s as %d and starts on %s as %d", s.Task, other.id, run.Number, f.id, s.Number)
-			}
-		}
-	}
-	id := s.Task
-	if step.Gang {
-		id.Index = 0
-	}
-	if a.noted[id] {
-		w.breaks("%v starts again after its end was noted", s.Task)
-	}
-	if most := config().Queues[a.sub.Queue].Attempts; a.failures[id] >= most {
-		w.breaks("%v starts again after %d failed runs", s.Task, a.failures[id])
-	}
-	for _, before := range step.After {
-		for i := range a.sub.Steps[before].Tasks {
-			if !a.done[job.TaskID{StepID: job.StepID{Job: s.Task.Job, Step: before}, Index: i}] {
-				w.breaks("%v starts before step %d is done", s.Task, before)
-			}
-		}
-	}
-	if !a.cancelled.IsZero() && w.now.Sub(a.cancelled) > 3*time.Second {
-		w.breaks("%v starts %v after its job was cancelled", s.Task, w.now.Sub(a.cancelled))
-	}
-}
-
 // runWorkers lets tasks end and leases run out.
 func (w *world) runWorkers() {
 	w.after(10*time.Millisecond, w.runWorkers)
@@ -366,3 +322,41 @@
 }
 
 var need = resource.Vector{Processors: 4 * resource.Processor, Memory: 8 * resource.GiB}
+
+type fakeWorker struct {
+	w        *world
+	id       string
+	life     int
+	rack     string
+	capacity resource.Vector
+	alive    bool
+	cut      bool
+	hidden   bool
+	leaving  bool
+	fence    int64
+	seen     int64
+	nextEnd  int64
+	leaseEnd time.Time
+	runs     map[order.Run]*fakeRun
+	ended    []order.End
+	highest  map[job.TaskID]int64
+	failAll  bool
+}
+
+type fakeRun struct {
+	run      order.Run
+	step     job.Step
+	present  time.Time
+	begun    time.Time
+	lasts    time.Duration
+	fails    bool
+	stopping time.Time
+	how      order.How
+}
+
+func newFakeWorker(w *world, name, rack string) *fakeWorker {
+	return &fakeWorker{
+		w: w, id: name + "-1", life: 1, rack: rack, alive: true, runs: map[order.Run]*fakeRun{}, highest: map[job.TaskID]int64{},
+		capacity: resource.Vector{Processors: 64 * resource.Processor, Memory: 128 * resource.GiB},
+	}
+}
