--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -10,6 +10,39 @@
 	"saddlevane/models/order"
 )
 
+// attempt is one start of a task, from its order until its end is known.
+type attempt struct {
+	step   *step
+	index  int
+	run    int64
+	worker *worker
+	state  attemptState
+	// since is when the state began; for a stop, when it was confirmed.
+	since     time.Time
+	confirmed bool
+}
+
+// attemptState is how far an attempt has come.
+type attemptState string
+
+const (
+	// starting: the order is under way.
+	starting attemptState = "starting"
+	// running: the worker has confirmed it.
+	running attemptState = "running"
+	// unsure: the order had no answer.
+	unsure attemptState = "unsure"
+	// stopping: it is to end; its place stays taken until it has.
+	stopping attemptState = "stopping"
+)
+
+func (a *attempt) task() *task { return &a.step.tasks[a.index] }
+
+// name returns the name under which the worker knows the attempt.
+func (a *attempt) name() order.Run {
+	return order.Run{Task: job.TaskID{StepID: a.step.id, Index: a.index}, Number: a.run}
+}
+
 // place takes an attempt's room on its worker.
 func (h *holding) place(a *attempt) {
 	a.worker.attempts[a.name()] = a
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -26,13 +26,19 @@
 	config    *job.Config
 	// holding is set while this process holds the cell, or is about to.
 	holding *holding
-	out     []Effect
-
-	announced   bool
-	announcing  bool
-	announceAt  time.Time
-	stopAt      time.Time
-	stopDone    bool
+	// out has the effects that Decide returns next.
+	out []Effect
+
+	// announced says that the log has this life of the box, announcing that an
+	// append of it is under way, announceAt when one may be sent again.
+	announced  bool
+	announcing bool
+	announceAt time.Time
+	// stopAt is when a planned stop is complete, stopDone that this was told.
+	stopAt   time.Time
+	stopDone bool
+	// pledging says that the other boxes are being asked not to claim, pledgeAgain
+	// when they may be asked again.
 	pledging    bool
 	pledgeAgain time.Time
 	// moveAgain is when a larger box may next be asked to take the cell.
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -18,6 +18,14 @@
 	excludeFor   = 4 * time.Second
 )
 
+// endNote is one end that a worker reported. The worker may forget it once what
+// it says is in the log.
+type endNote struct {
+	worker *worker
+	number int64
+	kept   bool
+}
+
 // ended takes one end from a worker's list.
 func (h *holding) ended(now time.Time, w *worker, end order.End) {
 	note := &endNote{worker: w, number: end.Number}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"saddlevane/models/job"
-	"saddlevane/models/order"
 	"saddlevane/modules/ordered"
 )
 
@@ -16,7 +15,9 @@
 	id    job.ID
 	queue string
 	// submission is nil once the job's end is kept.
-	submission   *job.Submission
+	submission *job.Submission
+	// acceptedUnix is in milliseconds since 1970; acceptedAt is the same on the
+	// clock that the reducer is told.
 	acceptedUnix int64
 	acceptedAt   time.Time
 	instances    map[int]*instance
@@ -29,14 +30,17 @@
 	accepted bool
 	// inherited says that an earlier holder accepted it.
 	inherited bool
-	started   bool
+	// started says that some task is, or was, at work.
+	started bool
 	// ended is when it reached its final state, in milliseconds since 1970.
 	ended int64
 	// dirty says that its progress waits for the journal.
 	dirty bool
 	// closed says that the log has the final state.
-	closed     bool
-	ends       []*endNote
+	closed bool
+	// ends are those that wait for the next append of the job's progress.
+	ends []*endNote
+	// waitAccept and waitCancel are callers who wait for the log.
 	waitAccept []CallID
 	waitCancel []CallID
 }
@@ -57,11 +61,14 @@
 	spec     *job.Step
 	tasks    []task
 	// waiting counts tasks with neither a place nor an end.
-	waiting  int
+	waiting int
+	// done counts tasks with a good end, attempts those with a place.
 	done     int
 	attempts int
-	open     bool
-	lastRun  int64
+	// open says that all earlier steps are done and tasks may be left.
+	open bool
+	// lastRun is the highest run number used for the step.
+	lastRun int64
 	// explainedAt is when a line last said why it waits.
 	explainedAt time.Time
 	// preemptedAt is when tasks were last stopped for it.
@@ -77,53 +84,15 @@
 type task struct {
 	done bool
 	// failed lists the runs that ended failed.
-	failed  []int64
-	saved   string
+	failed []int64
+	// saved is the newest checkpoint, if any.
+	saved string
+	// lastRun is the highest run that was at work.
 	lastRun int64
+	// attempt is the one under way, or nil.
 	attempt *attempt
 }
 
-// attempt is one start of a task, from its order until its end is known.
-type attempt struct {
-	step   *step
-	index  int
-	run    int64
-	worker *worker
-	state  attemptState
-	// since is when the state began; for a stop, when it was confirmed.
-	since     time.Time
-	confirmed bool
-}
-
-// attemptState is how far an attempt has come.
-type attemptState string
-
-const (
-	// starting: the order is under way.
-	starting attemptState = "starting"
-	// running: the worker has confirmed it.
-	running attemptState = "running"
-	// unsure: the order had no answer.
-	unsure attemptState = "unsure"
-	// stopping: it is to end; its place stays taken until it has.
-	stopping attemptState = "stopping"
-)
-
-// endNote is one end that a worker reported. The worker may forget it once what
-// it says is in the log.
-type endNote struct {
-	worker *worker
-	number int64
-	kept   bool
-}
-
-func (a *attempt) task() *task { return &a.step.tasks[a.index] }
-
-// name returns the name under which the worker knows the attempt.
-func (a *attempt) name() order.Run {
-	return order.Run{Task: job.TaskID{StepID: a.step.id, Index: a.index}, Number: a.run}
-}
-
 // newJob adds a job.
 func (h *holding) newJob(now time.Time, sub job.Submission, acceptedUnix int64) *submitted {
 	age := time.Duration(now.UnixMilli()-acceptedUnix) * time.Millisecond
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -23,11 +23,13 @@
 	// settled says that it has told under this claim what it runs.
 	settled bool
 	// recorded says that the log names it, so that the next holder asks it.
-	recorded  bool
+	recorded bool
+	// recording says that the record waits for the log.
 	recording bool
 
 	attempts map[order.Run]*attempt
-	free     resource.Vector
+	// free is the capacity that no attempt takes.
+	free resource.Vector
 	// strays are runs that should not be there. What they take is not known, so
 	// nothing is started beside them.
 	strays map[order.Run]bool
@@ -40,8 +42,11 @@
 	// goneAt is when its lease has run out for sure.
 	goneAt time.Time
 
-	renewing   bool
-	renewAt    time.Time
+	// renewing says that a renewal is under way, renewAt when the next is due.
+	renewing bool
+	renewAt  time.Time
+	// answeredAt is when a renewal was last answered, failures how many were not
+	// since.
 	answeredAt time.Time
 	failures   int
 	// notes are ends that the worker may not forget yet, in order.
@@ -52,8 +57,9 @@
 	// blockedBy is the step that this pass of the plan keeps the room for.
 	blockedBy *step
 	// failedJobs counts failed ends of different jobs in a row.
-	failedJobs   int
-	lastFailed   job.ID
+	failedJobs int
+	lastFailed job.ID
+	// excludedTill is until when the worker gets no starts.
 	excludedTill time.Time
 }
 
--- a/services/dispatch/worldcheck_test.go
+++ b/services/dispatch/worldcheck_test.go
@@ -4,9 +4,9 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"time"
 
-	"fmt"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/modules/ordered"
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -80,8 +80,12 @@
 // refusalNote is the line about a call that was not served.
 func refusalNote(r Request, a dispatch.Answer, took time.Duration) dispatch.Note {
 	return dispatch.Note{Message: "call not served", Fields: []dispatch.Field{
-		{Name: "call", Value: r.kind()}, {Name: "job", Value: string(r.job())}, {Name: "outcome", Value: string(a.Outcome)},
-		{Name: "reason", Value: a.Reason}, {Name: "retry_after", Value: a.RetryAfter.Duration().String()}, {Name: "took", Value: took.String()},
+		{Name: "call", Value: r.kind()},
+		{Name: "job", Value: string(r.job())},
+		{Name: "outcome", Value: string(a.Outcome)},
+		{Name: "reason", Value: a.Reason},
+		{Name: "retry_after", Value: a.RetryAfter.Duration().String()},
+		{Name: "took", Value: took.String()},
 	}}
 }
 
