--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -182,8 +182,9 @@
 		a.suits, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
 	}
 	for _, id := range e.Asked {
-		if w := h.workers[id]; w != nil {
-			a.suits[w] = a.suits[w]
+		if w := h.workers[id]; w != nil && !a.suits[w] {
+			// Asked about; a ticket that came earlier still counts.
+			a.suits[w] = false
 		}
 	}
 	valid := time.Duration(0)
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -33,7 +33,7 @@
 
 // addInstance creates one instance, which is wanted from due on.
 func (j *submitted) addInstance(number int, due time.Time) *instance {
-	in := &instance{number: number, dueAt: due}
+	in := &instance{dueAt: due}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
 		in.steps = append(in.steps, &step{
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -47,7 +47,6 @@
 
 // instance is one time that a job's steps run.
 type instance struct {
-	number    int
 	dueAt     time.Time
 	steps     []*step
 	doneSteps int
@@ -87,7 +86,7 @@
 	failed []int64
 	// saved is the newest checkpoint, if any.
 	saved string
-	// lastRun is the highest run that was at work.
+	// lastRun is the highest run that was ordered or reported.
 	lastRun int64
 	// attempt is the one under way, or nil.
 	attempt *attempt
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -334,7 +334,6 @@
 	hidden   bool
 	leaving  bool
 	fence    int64
-	seen     int64
 	nextEnd  int64
 	leaseEnd time.Time
 	runs     map[order.Run]*fakeRun
