--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -4,11 +4,8 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
 )
@@ -52,26 +49,8 @@
 	// adviceOverdue is how late an answer makes its box be passed over, and its
 	// step be asked about through another box.
 	adviceOverdue = 250 * time.Millisecond
-	// adviceCalls is how many calls of one box may wait: the service refuses more
-	// than 32 (the users' protocol), and other holders' calls may be among them.
-	adviceCalls = 20
-	// adviserBad is how long a box is left out after a call through it failed.
-	adviserBad = 4 * time.Second
 	// adviceAgain delays a call after one that failed.
 	adviceAgain = 100 * time.Millisecond
-	// firstAsk bounds the workers named in the first call for a step. The
-	// objective of a job allows for a call that names 30 (the users' rules).
-	firstAsk = 30
-	// wholeAsk bounds the workers named in a call whose time hardly depends on
-	// their number.
-	wholeAsk = 60
-	// adviceQueue bounds the calls that wait at one box: the service refuses more
-	// than 32 of them, and a ticket that comes late helps nobody.
-	adviceQueue = 250 * time.Millisecond
-	// adviceBusy is how long a box that the service refused gets no calls.
-	adviceBusy = 300 * time.Millisecond
-	// shortCall is the longest call for advice that counts as short.
-	shortCall = 150 * time.Millisecond
 )
 
 func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
@@ -110,32 +89,6 @@
 	}
 }
 
-// ask calls for advice on some workers. It returns false if the boxes have as
-// many calls under way as they should. What is late anyway waits until a box has
-// none.
-func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) bool {
-	takes := q.Base + time.Duration(len(workers))*q.Each
-	patience := time.Duration(0)
-	if h.rank(now, s).tier == onTime {
-		patience = adviceQueue + takes
-	}
-	box, address, ok := h.chooseAdviser(now, takes, patience)
-	if !ok {
-		return false
-	}
-	ids := make([]string, len(workers))
-	for i, w := range workers {
-		ids[i] = w.ID
-	}
-	s.advice.asking, s.advice.due = true, h.advisers.busyUntil[box]
-	h.advisers.began(box, s.id, s.advice.due)
-	h.core.do(Advise{
-		Box: box, Address: address, Epoch: h.epoch, Step: s.id, Workers: ids,
-		Timeout: h.advisers.busyUntil[box].Sub(now) + adviceMargin,
-	})
-	return true
-}
-
 // advised takes the end of a call. An answer that was given up still counts, but
 // does not end the wait for a later call.
 func (h *holding) advised(now time.Time, e Advised) {
@@ -199,66 +152,3 @@
 	}
 	h.learned.advised(s.job.queue, len(e.Asked), len(e.Good))
 }
-
-// adviseEarly asks for the first steps of a job while the log takes it in.
-func (h *holding) adviseEarly(now time.Time, j *submitted) {
-	q := h.queueOf(j)
-	if q.Advice == nil {
-		return
-	}
-	p := newPass(now)
-	for _, in := range ordered.Map(j.instances) {
-		for _, s := range in.steps {
-			if len(s.spec.After) == 0 {
-				h.askUnknown(now, s, q, h.workersFor(p, s, q.Pool).workers)
-			}
-		}
-	}
-}
-
-// askUnknown calls for advice on workers of which nothing is known for a step,
-// those with most room first. It returns false if there are none to ask about.
-func (h *holding) askUnknown(now time.Time, s *step, q job.Queue, candidates []*worker) bool {
-	var unknown []*worker
-	for _, w := range candidates {
-		if _, asked := s.advice.suits[w]; !asked {
-			unknown = append(unknown, w)
-		}
-	}
-	if len(unknown) == 0 || s.advice.asking || now.Before(s.advice.askAgain) {
-		return false
-	}
-	slices.SortFunc(unknown, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.room().Processors, a.room().Processors), cmp.Compare(a.ID, b.ID))
-	})
-	return h.ask(now, s, q.Advice, unknown[:min(len(unknown), h.howMany(s, q))])
-}
-
-// howMany returns how many workers the next call for a step should name: enough
-// that those which suit have room for its tasks twice over.
-func (h *holding) howMany(s *step, q job.Queue) int {
-	perWorker := 1
-	if c := h.usualCapacity(); s.spec.Need.Processors > 0 {
-		perWorker = max(1, int(c.Processors/s.spec.Need.Processors)/2)
-	}
-	if s.spec.PerWorker > 0 {
-		perWorker = min(perWorker, s.spec.PerWorker)
-	}
-	if s.spec.Gang && q.Advice.Base > shortCall {
-		// A second call would cost more than the workers named in this one.
-		return wholeAsk
-	}
-	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
-	return min(firstAsk, max(4, int(float64(wanted)*1.5/h.learned.goodShare(q.Name))))
-}
-
-// usualCapacity returns the capacity of the largest worker.
-func (h *holding) usualCapacity() resource.Vector {
-	most := resource.Vector{}
-	for _, w := range h.workers {
-		if w.Capacity.Processors > most.Processors {
-			most = w.Capacity
-		}
-	}
-	return most
-}
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -10,6 +10,21 @@
 	"saddlevane/models/job"
 )
 
+const (
+	// adviceCalls is how many calls of one box may wait: the service refuses more
+	// than 32 (the users' protocol), and other holders' calls may be among them.
+	adviceCalls = 20
+	// adviserBad is how long a box is left out after a call through it failed.
+	adviserBad = 4 * time.Second
+	// adviceQueue bounds the time that calls take which wait at one box: a ticket
+	// that comes late helps nobody.
+	adviceQueue = 250 * time.Millisecond
+	// adviceBusy is how long a box that the service refused gets no calls.
+	adviceBusy = 300 * time.Millisecond
+	// shortCall is the longest call for advice that counts as short.
+	shortCall = 150 * time.Millisecond
+)
+
 // advisers spreads calls for advice over the entry boxes: the service takes one
 // call at a time from each.
 type advisers struct {
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
@@ -83,53 +82,6 @@
 	return all
 }
 
-// askMore asks about workers that have room now, if those known do not. It
-// returns true if a call was made.
-func (h *holding) askMore(p *pass, r ranked, workers []*worker, placed int) bool {
-	s := r.step
-	var open []*worker
-	most := placed
-	for _, w := range workers {
-		if _, asked := s.advice.suits[w]; asked || w.blockedBy != nil {
-			continue
-		}
-		if n := w.slots(s, w.room()); n > 0 {
-			open = append(open, w)
-			most += n
-		}
-	}
-	if len(open) == 0 || s.spec.Gang && most < len(s.tasks) {
-		return false
-	}
-	return h.askUnknown(p.now, s, r.queue, open)
-}
-
-// refresh asks for new tickets if some of the chosen workers' have run out, and
-// keeps the room meanwhile. It returns true if a call was made.
-func (h *holding) refresh(now time.Time, r ranked, shares []share) bool {
-	s := r.step
-	stale := slices.ContainsFunc(shares, func(sh share) bool {
-		_, ok := s.advice.ticketFor(now, sh.worker)
-		return !ok
-	})
-	if !stale {
-		return false
-	}
-	if now.Before(s.advice.askAgain) {
-		return true
-	}
-	var workers []*worker
-	for _, sh := range shares {
-		workers = append(workers, sh.worker)
-	}
-	if h.ask(now, s, r.queue.Advice, workers) {
-		for _, sh := range shares {
-			h.promise(s, sh.worker, sh.tasks)
-		}
-	}
-	return true
-}
-
 // startShares starts a step's waiting tasks on the workers chosen.
 func (h *holding) startShares(now time.Time, s *step, shares []share) {
 	next := 0
--- a/tests/memory/memory.go
+++ b/tests/memory/memory.go
@@ -20,14 +20,18 @@
 // Platform is a platform with one pool of workers. It may be used by several
 // processes at once.
 type Platform struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// changed is closed, and made anew, by each append.
 	changed chan struct{}
 	streams map[stream.Name][]stream.Record
+	// epoch and next are the writer's epoch and the sequence number that it is to
+	// use next; they fence all streams together.
 	epoch   int64
 	next    int64
 	workers map[string]*worker
 	// runs counts how often each task was started.
 	runs map[string]int
+	// down makes the log refuse all calls.
 	down bool
 }
 
