--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -5,6 +5,18 @@
 // the cell's workers at a time and keeps all that must last in the log; the
 // others pass calls on to it. The reducer is told each event with the present
 // time and returns what to do; it does no I/O and reads no clock.
+//
+// Core is what every process has; claim, stop, outage and move decide who holds
+// the cell. A holding is what the holder has besides:
+//
+//   - load reads what earlier holders kept, journal and confirm keep what is new;
+//   - calls and status answer callers and operators;
+//   - jobs, instances and progress hold the work;
+//   - plan ranks the open steps (rank) and places their tasks (placement, fit,
+//     room), stops some for a gang (preempt), and asks which workers suit a step
+//     (ask, advice, advisers, learn);
+//   - attempts, reports and ends follow the tasks on their workers, workers and
+//     lease the workers themselves.
 package dispatch
 
 import (
