--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -19,6 +19,7 @@
 	"saddlevane/services/dispatch"
 )
 
+// job is the command that explains one job.
 func (t *tool) job() *ffcli.Command {
 	return t.command("job", "ID", "shows a submitted job: its state, and for each step why tasks wait",
 		"job 5c0e7a21d94b36f8", func(ctx context.Context, args []string) error {
@@ -33,6 +34,7 @@
 		})
 }
 
+// explanation prints a job and why its tasks wait.
 func (t *tool) explanation(x *job.Explanation) {
 	if x == nil {
 		return
@@ -45,6 +47,7 @@
 	table.flush()
 }
 
+// cell is the command that asks every daemon what it knows of the cell.
 func (t *tool) cell() *ffcli.Command {
 	return t.command("cell", "", "shows who holds the cell and what each process knows of it",
 		"cell -o json", func(ctx context.Context, _ []string) error {
@@ -56,6 +59,7 @@
 		})
 }
 
+// cellTable prints one row for each daemon.
 func (t *tool) cellTable(all []answered[job.CellStatus]) {
 	table := t.table("BOX", "HOLDER", "CLAIM", "HOLDS", "LOG", "CONFIG", "OPEN STEPS", "WORKERS", "USED", "CAPACITY")
 	for _, a := range all {
@@ -69,6 +73,7 @@
 	table.flush()
 }
 
+// submit is the command that hands a job in.
 func (t *tool) submit() *ffcli.Command {
 	return t.command("submit", "FILE", "hands a job in, as JSON from a file or - for standard input; the same ID again is the same job",
 		"submit job.json", func(ctx context.Context, args []string) error {
@@ -83,6 +88,7 @@
 		})
 }
 
+// cancel is the command that ends a job.
 func (t *tool) cancel() *ffcli.Command {
 	return t.command("cancel", "ID", "ends a submitted job", "cancel 5c0e7a21d94b36f8",
 		func(ctx context.Context, args []string) error {
@@ -93,6 +99,7 @@
 		})
 }
 
+// readInput reads a file, or standard input for -.
 func readInput(name string) ([]byte, error) {
 	if name == "-" {
 		return io.ReadAll(os.Stdin)
--- a/cmd/saddlevanectl/trace.go
+++ b/cmd/saddlevanectl/trace.go
@@ -14,6 +14,7 @@
 	"saddlevane/modules/joblog"
 )
 
+// trace is the command that prints the history of one job.
 func (t *tool) trace() *ffcli.Command {
 	return t.command("trace", "ID [LOG FILE ...]", "prints what the daemons logged of a job, in order, with gaps named",
 		"trace 5c0e7a21d94b36f8 box-a.log box-b.log", func(_ context.Context, args []string) error {
@@ -33,6 +34,7 @@
 		})
 }
 
+// readLogs reads files, or standard input if there are none.
 func readLogs(h *joblog.History, id string, files []string) error {
 	if len(files) == 0 {
 		return h.Read(os.Stdin, id)
@@ -51,6 +53,7 @@
 	return nil
 }
 
+// history prints lines in order; a gap has a mark.
 func (t *tool) history(h *joblog.History) {
 	for _, l := range h.Lines {
 		mark := " "
--- a/modules/frame/frame.go
+++ b/modules/frame/frame.go
@@ -33,6 +33,7 @@
 	return err
 }
 
+// frameHeader is the size of the length before an object, in bytes.
 const frameHeader = 4
 
 // ReadObject reads one object. It grows its buffer only as bytes arrive, so a
--- a/modules/joblog/joblog.go
+++ b/modules/joblog/joblog.go
@@ -101,6 +101,7 @@
 	return false
 }
 
+// newLine keeps what is worth showing of a line.
 func newLine(fields map[string]any, message string) Line {
 	l := Line{Message: message, Gap: message == leftOut}
 	l.Box, _ = fields[fieldBox].(string)
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -35,6 +35,7 @@
 	StopGrace time.Duration `yaml:"stop_grace"`
 }
 
+// defaultJobs returns what holds for settings that are not given.
 func defaultJobs() Jobs {
 	return Jobs{
 		Ready: "127.0.0.1:8083", Lease: 6 * time.Second, Wait: time.Second,
@@ -44,6 +45,7 @@
 	}
 }
 
+// check reports the settings that cannot be, or that do not fit each other.
 func (j *Jobs) check(c *checker) {
 	if !j.Enabled {
 		return
--- a/routers/jobs.go
+++ b/routers/jobs.go
@@ -43,6 +43,7 @@
 	return r
 }
 
+// submit takes a job, in the form of job.Submission.
 func (j *Jobs) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBody))
 	dec.DisallowUnknownFields()
@@ -80,6 +81,7 @@
 	j.answer(w, j.loop.Serve(r.Context(), jobrun.Request{Count: p.ByName("name")}))
 }
 
+// cell tells what this box knows of the cell.
 func (j *Jobs) cell(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	var s job.CellStatus
 	if !j.loop.Query(func(now time.Time, c *dispatch.Core) { s = c.Status(now) }) {
@@ -93,6 +95,7 @@
 	httpjson.Write(w, http.StatusOK, version.Current())
 }
 
+// ready says whether callers are served better here than elsewhere.
 func (j *Jobs) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if !j.loop.Ready() {
 		httpjson.Error(w, http.StatusServiceUnavailable, "no configuration, or cut off from log and holder")
@@ -116,4 +119,5 @@
 	}
 }
 
+// headerRetryAfter says in whole seconds when to come back.
 const headerRetryAfter = "Retry-After"
