--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -11,16 +11,15 @@
 	"net/http"
 	"net/url"
 	"os"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
-	"saddlevane/modules/joblog"
 	"saddlevane/services/dispatch"
 )
 
+// job is the command that explains one job.
 func (t *tool) job() *ffcli.Command {
 	return t.command("job", "ID", "shows a submitted job: its state, and for each step why tasks wait",
 		"job 5c0e7a21d94b36f8", func(ctx context.Context, args []string) error {
@@ -35,6 +34,7 @@
 		})
 }
 
+// explanation prints a job and why its tasks wait.
 func (t *tool) explanation(x *job.Explanation) {
 	if x == nil {
 		return
@@ -47,6 +47,7 @@
 	table.flush()
 }
 
+// cell is the command that asks every daemon what it knows of the cell.
 func (t *tool) cell() *ffcli.Command {
 	return t.command("cell", "", "shows who holds the cell and what each process knows of it",
 		"cell -o json", func(ctx context.Context, _ []string) error {
@@ -58,6 +59,7 @@
 		})
 }
 
+// cellTable prints one row for each daemon.
 func (t *tool) cellTable(all []answered[job.CellStatus]) {
 	table := t.table("BOX", "HOLDER", "CLAIM", "HOLDS", "LOG", "CONFIG", "OPEN STEPS", "WORKERS", "USED", "CAPACITY")
 	for _, a := range all {
@@ -71,6 +73,7 @@
 	table.flush()
 }
 
+// submit is the command that hands a job in.
 func (t *tool) submit() *ffcli.Command {
 	return t.command("submit", "FILE", "hands a job in, as JSON from a file or - for standard input; the same ID again is the same job",
 		"submit job.json", func(ctx context.Context, args []string) error {
@@ -85,6 +88,7 @@
 		})
 }
 
+// cancel is the command that ends a job.
 func (t *tool) cancel() *ffcli.Command {
 	return t.command("cancel", "ID", "ends a submitted job", "cancel 5c0e7a21d94b36f8",
 		func(ctx context.Context, args []string) error {
@@ -95,6 +99,7 @@
 		})
 }
 
+// readInput reads a file, or standard input for -.
 func readInput(name string) ([]byte, error) {
 	if name == "-" {
 		return io.ReadAll(os.Stdin)
@@ -128,57 +133,3 @@
 		return &httpjson.StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(answer))}
 	}
 }
-
-func (t *tool) trace() *ffcli.Command {
-	return t.command("trace", "ID [LOG FILE ...]", "prints what the daemons logged of a job, in order, with gaps named",
-		"trace 5c0e7a21d94b36f8 box-a.log box-b.log", func(_ context.Context, args []string) error {
-			if len(args) == 0 {
-				return usageError("trace: want the ID of a job")
-			}
-			var h joblog.History
-			if err := readLogs(&h, args[0], args[1:]); err != nil {
-				return usageError("trace: %v", err)
-			}
-			h.Sort()
-			t.history(&h)
-			if len(h.Lines) == 0 {
-				return fmt.Errorf("no line tells of job %s", args[0])
-			}
-			return nil
-		})
-}
-
-func readLogs(h *joblog.History, id string, files []string) error {
-	if len(files) == 0 {
-		return h.Read(os.Stdin, id)
-	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return err
-		}
-		err = h.Read(f, id)
-		_ = f.Close()
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (t *tool) history(h *joblog.History) {
-	for _, l := range h.Lines {
-		mark := " "
-		if l.Gap {
-			mark = "!"
-		}
-		fmt.Fprintf(t.out, "%s %s %-20s %s", l.At.Format(time.RFC3339Nano), mark, l.Box, l.Message)
-		for _, f := range l.Fields {
-			fmt.Fprint(t.out, " ", f)
-		}
-		fmt.Fprintln(t.out)
-	}
-	if h.Torn > 0 || h.Foreign > 0 {
-		fmt.Fprintf(t.out, "# %d lines were torn and %d are of something else\n", h.Torn, h.Foreign)
-	}
-}
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -29,10 +29,6 @@
 	ClaimAfter time.Duration
 }
 
-// claimSpread spreads the claims of boxes that notice a silence at once, so
-// that most find the claim of the first.
-const claimSpread = 300 * time.Millisecond
-
 // claimKey is the only key of the stream of claims.
 const claimKey = "holder"
 
@@ -65,13 +61,18 @@
 	invited int64
 	// pledgedUntil bounds a pledge to the holder not to claim.
 	pledgedUntil time.Time
-	pending      *pending
-	renewAt      time.Time
-	renewal      int64
+	// pending is the append under way, or nil.
+	pending *pending
+	// renewAt is when the claim is to be renewed, and renewal counts all appends of
+	// this process, so that each has its own number.
+	renewAt time.Time
+	renewal int64
 	// sentTimes has the time of each renewal whose fate is not known.
 	sentTimes map[int64]time.Time
-	spread    time.Duration
-	stopping  bool
+	// spread is this box's part of claimSpread.
+	spread time.Duration
+	// stopping says that this process must not claim again.
+	stopping bool
 	// largest is the size of the largest box that is known.
 	largest int64
 }
@@ -104,25 +105,6 @@
 // HoldsUntil returns when the authority ends unless it is renewed.
 func (a *Authority) HoldsUntil() time.Time { return a.sentAt.Add(a.settings.HoldFor) }
 
-// SetLargest tells the size of the largest box that is known. A much smaller one
-// leaves it a moment to claim first.
-func (a *Authority) SetLargest(size int64) { a.largest = size }
-
-// Small says whether the cell should rather be held by a larger box.
-func (a *Authority) Small() bool { return 2*a.self.Size <= a.largest }
-
-// smallWait is how long a small box leaves a free cell to larger ones: they read
-// of it within a few milliseconds, and claim within claimSpread.
-const smallWait = 700 * time.Millisecond
-
-// patience is how much longer than need be this box waits before it claims.
-func (a *Authority) patience() time.Duration {
-	if a.Small() {
-		return a.spread + smallWait
-	}
-	return a.spread
-}
-
 // Busy says whether an append is under way.
 func (a *Authority) Busy() bool { return a.pending != nil }
 
@@ -150,6 +132,7 @@
 	a.next = max(a.next, next)
 }
 
+// take puts a claim in force that is in the log.
 func (a *Authority) take(now time.Time, c claim.Claim) {
 	a.current = c
 	a.heardAt = now
@@ -183,26 +166,6 @@
 // ReadFailed notes that the log did not answer.
 func (a *Authority) ReadFailed() { a.steadySince = time.Time{} }
 
-// Pledge promises the holder of the current claim not to claim before now plus
-// ClaimAfter. It returns false if this process cannot promise that.
-func (a *Authority) Pledge(now time.Time, epoch int64) bool {
-	if a.pending != nil || a.held != 0 || a.current.Epoch != epoch || a.current.Released {
-		return false
-	}
-	a.pledgedUntil = now.Add(a.settings.ClaimAfter)
-	return true
-}
-
-// Invite takes the holder's word that it has stopped, so that this process may
-// claim at once. It returns false if this process cannot.
-func (a *Authority) Invite(epoch int64) bool {
-	if a.pending != nil || a.held != 0 || a.stopping || a.current.Epoch != epoch || !a.Steady() {
-		return false
-	}
-	a.invited = epoch
-	return true
-}
-
 // Pledged notes that every other box has promised not to claim, at a request
 // sent at sentAt.
 func (a *Authority) Pledged(sentAt time.Time, epoch int64) {
@@ -222,37 +185,35 @@
 	if !a.mayClaim(now) {
 		return nil
 	}
-	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: a.current.Epoch + 1, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal,
-	})
+	return a.append(now, a.newClaim(a.current.Epoch+1))
 }
 
+// renew returns the renewal of the claim, or nil if it is not due.
 func (a *Authority) renew(now time.Time) *Append {
 	if a.stopping || a.current.Epoch > a.held || now.Before(a.renewAt) {
 		return nil
 	}
+	return a.append(now, a.newClaim(a.held))
+}
+
+// newClaim returns a claim of this process or the next renewal of one.
+func (a *Authority) newClaim(epoch int64) claim.Claim {
 	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: a.held, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal,
-	})
+	return claim.Claim{
+		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation, Address: a.self.Address, Renewal: a.renewal,
+	}
 }
 
 // Release returns the record that gives the claim up, or nil if there is none.
 // After it this process no longer holds.
-func (a *Authority) Release(now time.Time, heir string) *Append {
+func (a *Authority) Release(now time.Time) *Append {
 	if a.held == 0 {
 		return nil
 	}
-	epoch := a.held
+	c := a.newClaim(a.held)
+	c.Released = true
 	a.StepDown()
-	a.renewal++
-	return a.append(now, claim.Claim{
-		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation,
-		Address: a.self.Address, Renewal: a.renewal, Released: true, Heir: heir,
-	})
+	return a.append(now, c)
 }
 
 // Stop keeps this process from claiming again.
@@ -268,6 +229,8 @@
 	clear(a.sentTimes)
 }
 
+// append returns the append of a claim. It takes effect only if the stream ends
+// where this process has read to, so nothing can come in between.
 func (a *Authority) append(now time.Time, c claim.Claim) *Append {
 	a.pending = &pending{claim: c, sentAt: now}
 	a.renewAt = now.Add(a.settings.Renew)
@@ -304,41 +267,3 @@
 	}
 	return true
 }
-
-// mayClaim says whether no other box can act under a claim.
-func (a *Authority) mayClaim(now time.Time) bool {
-	if a.stopping || a.steadySince.IsZero() {
-		return false
-	}
-	c := a.current
-	if c.Epoch != 0 && a.invited == c.Epoch {
-		return true
-	}
-	if now.Before(a.pledgedUntil) {
-		return false
-	}
-	if c.Epoch == 0 {
-		return now.Sub(a.steadySince) >= a.patience()-a.spread*3/4
-	}
-	if c.Released {
-		chosen := c.Heir == a.self.Box || c.Heir == "" && (!a.Small() || now.Sub(a.heardAt) >= smallWait)
-		return c.Incarnation != a.self.Incarnation && (chosen || now.Sub(a.heardAt) >= claimSpread+a.patience())
-	}
-	if c.Box == a.self.Box && c.Incarnation != a.self.Incarnation {
-		// An earlier life of this very box is gone.
-		return !a.Small() || now.Sub(a.steadySince) >= smallWait
-	}
-	quiet := a.settings.ClaimAfter + a.patience()
-	return now.Sub(a.heardAt) >= quiet && now.Sub(a.steadySince) >= quiet
-}
-
-// MemberRestarted notes that a box has announced a new life. A claim of an
-// earlier life of it is void.
-func (a *Authority) MemberRestarted(now time.Time, m claim.Member) {
-	c := a.current
-	if c.Epoch == 0 || c.Released || c.Box != m.Box || c.Incarnation == m.Incarnation || m.Box == a.self.Box {
-		return
-	}
-	// Leave the box itself a moment to claim again, then anyone may.
-	a.heardAt = now.Add(-a.settings.ClaimAfter)
-}
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -10,6 +10,39 @@
 	"saddlevane/models/order"
 )
 
+// attempt is one start of a task, from its order until its end is known.
+type attempt struct {
+	step   *step
+	index  int
+	run    int64
+	worker *worker
+	state  attemptState
+	// since is when the state began; for a stop, when it was confirmed.
+	since     time.Time
+	confirmed bool
+}
+
+// attemptState is how far an attempt has come.
+type attemptState string
+
+const (
+	// starting: the order is under way.
+	starting attemptState = "starting"
+	// running: the worker has confirmed it.
+	running attemptState = "running"
+	// unsure: the order had no answer.
+	unsure attemptState = "unsure"
+	// stopping: it is to end; its place stays taken until it has.
+	stopping attemptState = "stopping"
+)
+
+func (a *attempt) task() *task { return &a.step.tasks[a.index] }
+
+// name returns the name under which the worker knows the attempt.
+func (a *attempt) name() order.Run {
+	return order.Run{Task: job.TaskID{StepID: a.step.id, Index: a.index}, Number: a.run}
+}
+
 // place takes an attempt's room on its worker.
 func (h *holding) place(a *attempt) {
 	a.worker.attempts[a.name()] = a
@@ -47,24 +80,18 @@
 
 // start orders a worker to run a task.
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
-	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, startedAt: now}
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now}
 	h.place(a)
 	saved := a.task().saved
 	if s.spec.Gang {
 		saved = s.gangSaved()
 	}
 	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
-		Run: a.name(), Spec: s.job.submission.Spec, Until: h.startUntil(now, w), Fence: h.epoch,
+		Run: a.name(), Spec: s.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
 		Checkpoint: saved, Ticket: ticket,
 	}})
 }
 
-// startUntil is the end of the lease that a start carries. A start that is
-// carried out after it is refused.
-func (h *holding) startUntil(now time.Time, w *worker) order.WorkerClock {
-	return h.until(now, w)
-}
-
 // gangSaved returns a checkpoint that all members of a gang can resume from.
 func (s *step) gangSaved() string {
 	for i := range s.tasks {
@@ -75,13 +102,14 @@
 	return ""
 }
 
+// startEnded takes the end of a start's call.
 func (h *holding) startEnded(now time.Time, e StartEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
 	if e.Answer.Fate == order.NoLife {
-		h.workerDied(now, w, "another life answers at its address")
+		h.workerDied(now, w, otherLife)
 		return
 	}
 	a := w.attempts[e.Run]
@@ -109,6 +137,8 @@
 // notDoneFor is how long a worker that did nothing gets no starts.
 const notDoneFor = 500 * time.Millisecond
 
+// startUnsure keeps the place of a start of which it is not known whether it was
+// carried out. The worker's next report tells.
 func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
 	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
 		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
@@ -120,12 +150,13 @@
 	h.gangBroke(now, a.step)
 }
 
+// startRefused acts on why a worker refused a start.
 func (h *holding) startRefused(now time.Time, a *attempt, answer order.Answer) {
 	h.core.note("a start was refused", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
 		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"reason", string(answer.Reason)})
 	switch answer.Reason {
 	case order.Fenced:
-		h.core.stepDown("a worker has seen a later holder")
+		h.core.stepDown(laterHolder)
 		return
 	case order.BadTicket:
 		a.step.advice.dropTicket(a.worker)
@@ -161,11 +192,12 @@
 	a.state = stopping
 	a.since = now
 	a.confirmed = false
-	h.sendStop(a)
+	h.orderStop(a.worker, a.name())
 }
 
-func (h *holding) sendStop(a *attempt) {
-	h.core.do(StopRun{Worker: a.worker.ID, Address: a.worker.Address, Epoch: h.epoch, Order: order.Stop{Run: a.name(), Fence: h.epoch}})
+// orderStop sends a worker the order to end a run.
+func (h *holding) orderStop(w *worker, run order.Run) {
+	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
 }
 
 // resendStops sends stops again that had no answer.
@@ -176,22 +208,19 @@
 	for _, a := range w.sorted() {
 		if a.state == stopping && !a.confirmed && now.Sub(a.since) > stopAgain {
 			a.since = now
-			h.sendStop(a)
+			h.orderStop(a.worker, a.name())
 		}
 	}
 }
 
+// stopEnded takes the end of a stop's call. The place stays taken until a report
+// tells the end of the run.
 func (h *holding) stopEnded(now time.Time, e StopEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
-	switch {
-	case e.Answer.Fate == order.NoLife:
-		h.workerDied(now, w, "another life answers at its address")
-		return
-	case e.Answer.Fate == order.Refused && e.Answer.Reason == order.Fenced:
-		h.core.stepDown("a worker has seen a later holder")
+	if h.ousted(now, w, e.Answer) {
 		return
 	}
 	a := w.attempts[e.Run]
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -5,6 +5,18 @@
 // the cell's workers at a time and keeps all that must last in the log; the
 // others pass calls on to it. The reducer is told each event with the present
 // time and returns what to do; it does no I/O and reads no clock.
+//
+// Core is what every process has; claim, stop, outage and move decide who holds
+// the cell. A holding is what the holder has besides:
+//
+//   - load reads what earlier holders kept, journal and confirm keep what is new;
+//   - calls and status answer callers and operators;
+//   - jobs, instances and progress hold the work;
+//   - plan ranks the open steps (rank) and places their tasks (placement, fit,
+//     room), stops some for a gang (preempt), and asks which workers suit a step
+//     (ask, advice, advisers, learn);
+//   - attempts, reports and ends follow the tasks on their workers, workers and
+//     lease the workers themselves.
 package dispatch
 
 import (
@@ -26,13 +38,19 @@
 	config    *job.Config
 	// holding is set while this process holds the cell, or is about to.
 	holding *holding
-	out     []Effect
-
-	announced   bool
-	announcing  bool
-	announceAt  time.Time
-	stopAt      time.Time
-	stopDone    bool
+	// out has the effects that Decide returns next.
+	out []Effect
+
+	// announced says that the log has this life of the box, announcing that an
+	// append of it is under way, announceAt when one may be sent again.
+	announced  bool
+	announcing bool
+	announceAt time.Time
+	// stopAt is when a planned stop is complete, stopDone that this was told.
+	stopAt   time.Time
+	stopDone bool
+	// pledging says that the other boxes are being asked not to claim, pledgeAgain
+	// when they may be asked again.
 	pledging    bool
 	pledgeAgain time.Time
 	// moveAgain is when a larger box may next be asked to take the cell.
@@ -69,7 +87,7 @@
 	case Stop:
 		c.beginStop(now)
 	case ConfigRead:
-		c.configRead(now, e.Config)
+		c.configRead(e.Config)
 	case ClaimsRead:
 		c.claimsRead(now, e)
 	case MembersRead:
@@ -131,6 +149,7 @@
 	f(c.holding)
 }
 
+// tick acts on what falls due with time.
 func (c *Core) tick(now time.Time) {
 	c.announce(now)
 	if c.announced && c.config != nil {
@@ -158,89 +177,19 @@
 	}})
 }
 
-func (c *Core) tryClaim(now time.Time) {
-	if a := c.authority.Tick(now); a != nil {
-		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
-	}
-	c.askPledges(now)
-	c.moveToLarger(now)
-	c.followAuthority(now)
-}
-
-// followAuthority begins or ends the holding in line with the authority.
-func (c *Core) followAuthority(now time.Time) {
-	epoch := c.authority.Epoch()
-	if c.holding != nil && (c.holding.epoch != epoch || c.authority.Current().Epoch > epoch) {
-		c.stepDown("another box holds the cell")
-		epoch = c.authority.Epoch()
-	}
-	if c.holding == nil && epoch != 0 && c.authority.Holds(now) {
-		c.holding = newHolding(c, now, epoch)
-		c.holding.begin(now)
-	}
-}
-
-// stepDown ends the holding without giving it to anyone.
-func (c *Core) stepDown(why string) {
-	h := c.holding
-	c.holding = nil
-	c.authority.StepDown()
-	if h == nil {
-		return
-	}
-	h.refuseAll(why)
-	c.do(FollowWorkers{On: false})
-	c.note("stopped holding the cell", Field{"claim", h.epoch}, Field{"reason", why},
-		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
-}
-
-func (c *Core) configRead(now time.Time, config job.Config) {
+// configRead puts a configuration in force if it is newer.
+func (c *Core) configRead(config job.Config) {
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
 	c.config = &config
 	c.note("configuration in force", Field{"config", config.Version}, Field{"queues", len(config.Queues)})
 	if c.holding != nil {
-		c.holding.configChanged(now)
-	}
-}
-
-func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
-	if e.Failed != "" {
-		if c.authority.Steady() {
-			c.note("the log does not answer", Field{"reason", e.Failed})
-		}
-		c.authority.ReadFailed()
-		return
-	}
-	before := c.authority.Current().Epoch
-	if !c.authority.Steady() {
-		c.note("the log answers", Field{"next", e.Next})
-	}
-	if e.Start {
-		c.authority.Start(now, e.Records, e.Next)
-	} else {
-		c.authority.Read(now, e.Records, e.Next)
-	}
-	if cur := c.authority.Current(); cur.Epoch != before {
-		c.note("a box holds the cell", Field{"holder", cur.Box}, Field{"claim", cur.Epoch}, Field{"earlier_claim", before})
-	}
-	if c.announced && c.config != nil {
-		c.tryClaim(now)
-	}
-}
-
-func (c *Core) membersRead(now time.Time, members []claim.Member) {
-	defer func() { c.authority.SetLargest(c.largestMember().Size) }()
-	for _, m := range members {
-		former, known := c.members[m.Box]
-		c.members[m.Box] = m
-		if known && former.Incarnation == c.authority.Current().Incarnation && m.Incarnation != former.Incarnation {
-			c.authority.MemberRestarted(now, m)
-		}
+		c.holding.planDue = true
 	}
 }
 
+// appendEnded takes the end of an append to whoever asked for it.
 func (c *Core) appendEnded(now time.Time, e AppendEnded) {
 	switch e.Purpose {
 	case ForAnnounce:
@@ -261,40 +210,3 @@
 		}
 	}
 }
-
-// beginStop gives the cell up, so that another box takes it over at once, and
-// goes on passing calls on for a while.
-func (c *Core) beginStop(now time.Time) {
-	if c.authority.Stopping() {
-		return
-	}
-	c.authority.Stop()
-	c.stopAt = now.Add(c.settings.StopGrace)
-	if h := c.holding; h != nil {
-		h.yielding = true
-	}
-}
-
-// stopOn hands the cell over once nothing waits for the log.
-func (c *Core) stopOn(now time.Time) {
-	if !c.authority.Stopping() || c.stopDone {
-		return
-	}
-	if h := c.holding; h != nil && !c.authority.Busy() && (h.journal.idle() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
-		c.handOver(now, "")
-	}
-	if now.After(c.stopAt) {
-		c.stopDone = true
-		c.do(Stopped{})
-	}
-}
-
-// handOver releases the claim; heir may name the next holder.
-func (c *Core) handOver(now time.Time, heir string) {
-	release := c.authority.Release(now, heir)
-	if release == nil {
-		return
-	}
-	c.do(Append{Purpose: ForClaim, Number: release.Claim.Renewal, Append: release.Stream})
-	c.stepDown("handed over")
-}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -4,13 +4,9 @@
 package dispatch
 
 import (
-	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
 	"saddlevane/models/job"
-	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
 )
@@ -39,20 +35,30 @@
 	suspended bool
 
 	journal journal
-	jobs    map[job.ID]*submitted
+
+	jobs map[job.ID]*submitted
 	// open lists the steps that have tasks to place.
-	open    []*step
+	open []*step
+	// repeating lists the jobs whose instances fall due with time.
+	repeating []*submitted
+	// endedJobs lists the jobs of which only the final state is kept, the first to
+	// end first.
+	endedJobs []*submitted
+
 	workers map[string]*worker
 	// unsettled names workers of earlier holders that have not told what they
 	// run. Until it is empty, no task of an earlier holder's job starts.
 	unsettled map[string]bool
-	advisers  advisers
-	learned   learned
-	repeating []*submitted
-	endedJobs []*submitted
-	planDue   bool
-	planAt    time.Time
-	sweepAt   time.Time
+
+	advisers advisers
+	learned  learned
+
+	// planDue says that something has changed since the last plan.
+	planDue bool
+	// planAt is when the next plan may be made.
+	planAt time.Time
+	// sweepAt is when all that falls due with time is next looked at.
+	sweepAt time.Time
 }
 
 func newHolding(c *Core, now time.Time, epoch int64) *holding {
@@ -106,99 +112,6 @@
 	}
 }
 
-func (h *holding) loaded(now time.Time, e JobsLoaded) {
-	if e.Epoch != h.epoch || h.phase != loading {
-		return
-	}
-	if e.Err != nil {
-		h.core.note("reading the jobs failed", Field{"error", e.Err.Error()})
-		h.core.do(LoadJobs{Epoch: h.epoch})
-		return
-	}
-	h.fold(now, e.Records)
-	h.phase = active
-	h.planDue = true
-	h.core.note("serves the cell's jobs", Field{"claim", h.epoch}, Field{"jobs", len(h.jobs)},
-		Field{"workers_to_ask", len(h.unsettled)}, Field{"took", now.Sub(h.since).String()})
-	h.renewAll(now)
-}
-
-// fold builds the jobs from the newest record of each key.
-func (h *holding) fold(now time.Time, records []stream.Record) {
-	slices.SortFunc(records, func(a, b stream.Record) int { return int(a.Offset - b.Offset) })
-	newest := map[string]stream.Record{}
-	for _, r := range records {
-		newest[r.Key] = r
-	}
-	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, keySubmission); ok && !newest[r.Key].Dropped() && newest[r.Key].Offset == r.Offset {
-			h.foldJob(now, job.ID(id), r.Value, newest[keyProgress+id].Value)
-		}
-	}
-	for key, r := range ordered.Map(newest) {
-		switch {
-		case r.Dropped():
-		case strings.HasPrefix(key, keyProgress):
-			h.foldEnded(job.ID(key[len(keyProgress):]), r.Value)
-		case strings.HasPrefix(key, keyWorker):
-			h.foldWorker(now, r.Value)
-		}
-	}
-	slices.SortFunc(h.endedJobs, func(a, b *submitted) int { return int(a.ended - b.ended) })
-}
-
-func (h *holding) foldJob(now time.Time, id job.ID, value, progress []byte) {
-	var kept keptSubmission
-	if err := json.Unmarshal(value, &kept); err != nil {
-		h.core.note("a kept job could not be read", Field{"job", string(id)}, Field{"error", err.Error()})
-		return
-	}
-	var p job.Progress
-	if len(progress) > 0 {
-		if err := json.Unmarshal(progress, &p); err != nil {
-			h.core.note("a job's progress could not be read", Field{"job", string(id)}, Field{"error", err.Error()})
-			return
-		}
-	}
-	j := h.newJob(now, kept.Submission, kept.Accepted)
-	j.accepted = true
-	j.inherited = true
-	h.resume(now, j, p)
-}
-
-// foldEnded notes a job of which only the final state is kept.
-func (h *holding) foldEnded(id job.ID, value []byte) {
-	var p job.Progress
-	if h.jobs[id] != nil {
-		return
-	}
-	if err := json.Unmarshal(value, &p); err != nil || !p.State.Final() {
-		return
-	}
-	j := &submitted{id: id, queue: p.Queue, state: p.State, shown: p.State, accepted: true, ended: p.Ended}
-	h.jobs[id] = j
-	h.endedJobs = append(h.endedJobs, j)
-}
-
-func (h *holding) foldWorker(now time.Time, value []byte) {
-	var o order.Worker
-	if err := json.Unmarshal(value, &o); err != nil || o.ID == "" {
-		h.core.note("a kept worker could not be read")
-		return
-	}
-	w := h.workers[o.ID]
-	if w == nil {
-		w = newWorker(now, o)
-		h.workers[o.ID] = w
-	}
-	w.recorded = true
-	// An earlier holder may have renewed its lease until just now.
-	w.goneAt = maxTime(w.goneAt, now.Add(h.leaseMost()))
-	if !w.settled {
-		h.unsettled[o.ID] = true
-	}
-}
-
 const (
 	// planEvery is the least time between two plans, and planEach is added for
 	// each open step, so that a backlog cannot take all of the processor: 400
@@ -207,20 +120,14 @@
 	planEach  = 50 * time.Microsecond
 )
 
-// keptSubmission is the log's record of a job.
-type keptSubmission struct {
-	Submission job.Submission `json:"job"`
-	// Accepted is when it was accepted, in milliseconds since 1970.
-	Accepted int64 `json:"accepted_unix_ms"`
-}
-
+// tick acts on what falls due with time.
 func (h *holding) tick(now time.Time) {
 	h.refuseWhileFailing(now)
 	if now.Before(h.sweepAt) {
 		h.flush(now)
 		return
 	}
-	h.sweepAt = now.Add(100 * time.Millisecond)
+	h.sweepAt = now.Add(sweepEvery)
 	h.planDue = true
 	h.fallDue(now)
 	h.sweepWorkers(now)
@@ -240,9 +147,6 @@
 	h.plan(now)
 }
 
-// configChanged takes over what a new configuration says of workers.
-func (h *holding) configChanged(time.Time) { h.planDue = true }
-
 // refuseAll answers every caller who waits for the log.
 func (h *holding) refuseAll(why string) {
 	a := Answer{Outcome: Unsure, Reason: why}
@@ -252,6 +156,7 @@
 	}
 }
 
+// answer tells several callers the same.
 func (h *holding) answer(calls []CallID, a Answer) {
 	for _, call := range calls {
 		h.core.reply(call, a)
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -3,8 +3,6 @@
 
 package dispatch
 
-import "time"
-
 // learned is what ends and answers have shown.
 type learned struct {
 	// good is the share of workers that suited a queue's steps.
@@ -22,6 +20,7 @@
 
 func newLearned() learned { return learned{good: map[string]float64{}} }
 
+// advised takes how many of the workers asked about suited a step of a queue.
 func (l *learned) advised(queue string, asked, good int) {
 	if asked == 0 {
 		return
@@ -29,12 +28,10 @@
 	l.good[queue] = l.goodShare(queue)*(1-forgetting) + forgetting*float64(good)/float64(asked)
 }
 
+// goodShare returns the share of workers that are expected to suit.
 func (l *learned) goodShare(queue string) float64 {
 	if share, ok := l.good[queue]; ok {
 		return max(leastGood, share)
 	}
 	return firstGood
 }
-
-// took notes that a task of a step has ended.
-func (l *learned) took(*step, time.Time) {}
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -5,16 +5,13 @@
 
 import (
 	"context"
-	"errors"
+	"time"
 
-	"saddlevane/models/order"
+	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
 )
 
-// ErrAdviceBusy means that the advice service has too many calls of this box
-// waiting.
-var ErrAdviceBusy = errors.New("too many calls for advice wait")
-
+// append appends to the log.
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
@@ -24,16 +21,22 @@
 	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 }
 
+// loadWithin bounds the reading of all jobs.
+const loadWithin = 5 * time.Second
+
+// loadJobs reads the stream of jobs whole. After a failure it waits a moment,
+// since the reducer asks again at once.
 func (l *Loop) loadJobs(e dispatch.LoadJobs) {
 	ctx, cancel := context.WithTimeout(l.ctx, loadWithin)
 	defer cancel()
-	page, err := l.platform.Log.Newest(ctx, jobsStream)
+	page, err := l.platform.Log.Newest(ctx, stream.Jobs)
 	if err != nil {
 		sleep(l.ctx, followAgain)
 	}
 	l.post(dispatch.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
 }
 
+// renew renews a worker's lease.
 func (l *Loop) renew(e dispatch.Renew) {
 	sentAt := l.now()
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
@@ -46,6 +49,7 @@
 	l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: answer, Report: report})
 }
 
+// start orders a start.
 func (l *Loop) start(e dispatch.StartRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
@@ -54,6 +58,7 @@
 	l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
 
+// stop orders a stop.
 func (l *Loop) stop(e dispatch.StopRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.OrderTimeout)
 	defer cancel()
@@ -61,22 +66,3 @@
 	l.metrics.ordered("stop", answer)
 	l.post(dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
-
-func (l *Loop) advise(e dispatch.Advise) {
-	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
-	defer cancel()
-	var good []order.Ticket
-	var err error
-	if e.Address == "" {
-		good, err = l.platform.Advise(ctx, e.Step, e.Workers)
-	} else {
-		good, err = l.peers.advise(ctx, e.Address, e.Step, e.Workers)
-	}
-	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers, Good: good}
-	l.metrics.advised(err)
-	if err != nil {
-		ended.Failed = err.Error()
-		ended.Busy = errors.Is(err, ErrAdviceBusy)
-	}
-	l.post(ended)
-}
