--- a/models/job/job.go
+++ b/models/job/job.go
@@ -152,6 +152,9 @@
 	case s.Estimate < 0 || s.TailTarget < 0 || s.PerWorker < 0 || s.AwayMost < 0:
 		return errors.New("a number is negative")
 	}
+	if len(s.After) > index {
+		return fmt.Errorf("comes after %d steps, and there are %d before it", len(s.After), index)
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("comes after step %d, want an earlier step", before)
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -135,8 +135,8 @@
 		a.suits, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
 	}
 	for _, id := range e.Asked {
-		if w := h.workers[id]; w != nil && !a.suits[w] {
-			// Asked about; a ticket that came earlier still counts.
+		if w := h.workers[id]; w != nil {
+			// A worker that gets no ticket any more is not asked about again.
 			a.suits[w] = false
 		}
 	}
--- a/services/dispatch/confirm.go
+++ b/services/dispatch/confirm.go
@@ -15,7 +15,7 @@
 // before is in the log.
 func (h *holding) journalEnded(now time.Time, e AppendEnded) {
 	j := &h.journal
-	if j.batch == nil || !j.batch.sent {
+	if j.batch == nil || !j.batch.sent || e.Number != j.batch.number() {
 		return
 	}
 	switch {
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -14,7 +14,7 @@
 // dueInstances creates the instances that have fallen due.
 func (h *holding) dueInstances(now time.Time, j *submitted) {
 	if j.submission.Repeat.Times == 0 {
-		if j.nextInstance == 0 {
+		if j.instances[0] == nil {
 			j.addInstance(0, j.acceptedAt)
 		}
 		return
@@ -24,7 +24,13 @@
 		if now.UnixMilli() < due.UnixMilli() {
 			return
 		}
+		if j.instances[j.nextInstance] != nil {
+			// An earlier holder's clock was ahead.
+			j.nextInstance++
+			continue
+		}
 		in := j.addInstance(j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
+		j.nextInstance++
 		if j.accepted {
 			h.openInstance(in)
 		}
@@ -43,7 +49,6 @@
 	}
 	chains(in.steps)
 	j.instances[number] = in
-	j.nextInstance = number + 1
 	return in
 }
 
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -106,7 +106,7 @@
 		b.sentAt = now
 	}
 	h.journal.sendAt = now.Add(h.core.settings.Gather)
-	h.core.do(Append{Purpose: ForJournal, Append: b.append})
+	h.core.do(Append{Purpose: ForJournal, Number: b.number(), Append: b.append})
 }
 
 // compose builds the next append.
@@ -170,3 +170,11 @@
 
 // keyDropped is a record that drops its key from the stream.
 func keyDropped(key string) stream.Record { return stream.Record{Key: key} }
+
+// sequenceBits is how many bits of a batch's number its sequence number takes.
+const sequenceBits = 32
+
+// number tells the batch from those of this claim and of all others.
+func (b *batch) number() int64 {
+	return b.append.Writer.Epoch<<sequenceBits | b.append.Writer.Sequence
+}
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -18,6 +18,10 @@
 	if h == nil || h.suspended || c.pledging || now.Before(c.pledgeAgain) || c.authority.Stopping() {
 		return
 	}
+	if len(c.members) == 0 {
+		// The boxes have not been read; whom to ask is not known.
+		return
+	}
 	if c.authority.Steady() && c.authority.HoldsUntil().Sub(now) > c.settings.Authority.HoldFor/2 {
 		return
 	}
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -232,6 +232,7 @@
 		{"POST", "h.example", "/q/bad4", `{"steps":[{"count":1,"cpu":-1}]}`, 400},
 		{"POST", "h.example", "/q/bad5", `{"spec":"` + strings.Repeat("x", 4001) + `","steps":[{"count":1}]}`, 400},
 		{"POST", "h.example", "/q/bad/6", `{"steps":[{"count":1}]}`, 400},
+		{"POST", "h.example", "/q/bad7", `{"steps":[{"count":1},{"count":1,"after":[0,0]}]}`, 400},
 		{"GET", "h.example", "/q/unknown", "", 410},
 		{"DELETE", "h.example", "/q/unknown", "", 410},
 		{"GET", "h.example", "/r/5c0e", "", 404},
