dispatch: jobs that can never run hold nobody up

Cause: a pass of the plan ended after 300 steps without room, so 320 jobs too large for any worker kept all that ranked lower from being looked at (found by reading; the test failed first). Every eighth pass now goes through all steps.

--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -223,6 +223,20 @@
 	}
 }
 
+func TestJobsThatCanNeverRunHoldNobodyUp(t *testing.T) {
+	w := serving(t, 14, 1, 4)
+	for i := range 320 {
+		s := oneStep(fmt.Sprintf("never%d", i), "quick", 1, false)
+		s.Steps[0].Need = resource.Vector{Processors: 100 * resource.Processor}
+		s.Steps[0].Estimate = 60_000
+		w.submit(s)
+	}
+	w.run(500 * time.Millisecond)
+	a := w.submit(oneStep("j", "wide", 2, false))
+	w.until(10*time.Second, "a job that fits is done", func() bool { return len(a.done) == 2 })
+	w.check()
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -56,6 +56,8 @@
 	// planDue says that something has changed since the last plan.
 	planDue bool
 	// planAt is when the next plan may be made.
+	// passes counts the plans made.
+	passes int
 	planAt time.Time
 	// sweepAt is when all that falls due with time is next looked at.
 	sweepAt time.Time
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -34,8 +34,9 @@
 		w.blockedBy = nil
 	}
 	p := newPass(now)
+	h.passes++
 	for _, r := range h.rankOpen(now) {
-		if p.misses >= mostMisses {
+		if p.misses >= mostMisses && h.passes%fullPass != 0 {
 			return
 		}
 		if !h.placeStep(p, r) {
@@ -62,6 +63,9 @@
 	// mostMisses ends a pass: where so many steps that rank higher have found no
 	// room, a search through thousands of others costs more than it finds.
 	mostMisses = 300
+	// fullPass is how often a pass goes through all steps nevertheless, so that
+	// many jobs that can never run hold nobody up.
+	fullPass = 8
 	// explained is of how many waiting steps a pass says why they wait.
 	explained = 20
 )
