--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -50,7 +50,7 @@
 // tasks on it have stopped, and which those are.
 func (h *holding) roomBy(p *pass, r ranked, w *worker, wanted int) (int, []*attempt) {
 	room := w.room()
-	n := min(wanted, fits(r.step.spec.Reserved(), room))
+	n := min(wanted, w.slots(r.step, room))
 	var stops, taken []*attempt
 	for _, a := range h.victims(p, r, w) {
 		if n == wanted {
@@ -58,7 +58,7 @@
 		}
 		room = room.Plus(a.step.spec.Reserved())
 		taken = append(taken, a)
-		if now := min(wanted, fits(r.step.spec.Reserved(), room)); now > n {
+		if now := min(wanted, w.slots(r.step, room)); now > n {
 			n, stops = now, slices.Clone(taken)
 		}
 	}
