--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -203,23 +203,26 @@
 	return len(p), nil
 }
 
+// call makes a call at a server; host may be empty.
+func call(t *testing.T, s *httptest.Server, method, host, path, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(data)
+}
+
 func TestCallersOfThePlatformAreServed(t *testing.T) {
 	on := platformOf(t)
 	b := start(t, on, "a", io.Discard)
 	served(t, b, jobrun.Request{Submit: submission("first")}, "")
 	s := httptest.NewServer(platform.NewCallers(b.loop))
 	defer s.Close()
-	call := func(method, host, path, body string) (int, string) {
-		req, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
-		assert.NilError(t, err)
-		req.Host = host
-		resp, err := http.DefaultClient.Do(req)
-		assert.NilError(t, err)
-		defer resp.Body.Close()
-		data, err := io.ReadAll(resp.Body)
-		assert.NilError(t, err)
-		return resp.StatusCode, string(data)
-	}
 	for _, c := range []struct {
 		method, host, path, body string
 		status                   int
@@ -240,11 +243,11 @@
 		{"GET", "h.example", "/q/", "", 200},
 		{"PUT", "h.example", "/q/5c0e", "", 405},
 	} {
-		status, body := call(c.method, c.host, c.path, c.body)
+		status, body := call(t, s, c.method, c.host, c.path, c.body)
 		assert.Equal(t, status, c.status, "%s %s: %s", c.method, c.path, body)
 	}
 	served(t, b, jobrun.Request{State: "5c0e"}, job.Succeeded)
-	status, body := call("GET", "h.example", "/q/5c0e", "")
+	status, body := call(t, s, "GET", "h.example", "/q/5c0e", "")
 	assert.Equal(t, status, 200)
 	assert.Equal(t, body, `{"state":"succeeded"}`)
 }
@@ -255,16 +258,6 @@
 	served(t, b, jobrun.Request{Submit: submission("first")}, "")
 	s := httptest.NewServer(routers.NewJobs(b.loop))
 	defer s.Close()
-	call := func(method, path, body string) (int, string) {
-		req, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
-		assert.NilError(t, err)
-		resp, err := http.DefaultClient.Do(req)
-		assert.NilError(t, err)
-		defer resp.Body.Close()
-		data, err := io.ReadAll(resp.Body)
-		assert.NilError(t, err)
-		return resp.StatusCode, string(data)
-	}
 	for _, c := range []struct {
 		method, path, body string
 		status             int
@@ -282,7 +275,7 @@
 		{"GET", "/metrics", "", 200, "saddlevane_job_calls_total"},
 		{"GET", "/readyz", "", 200, ""},
 	} {
-		status, body := call(c.method, c.path, c.body)
+		status, body := call(t, s, c.method, "", c.path, c.body)
 		assert.Equal(t, status, c.status, "%s %s: %s", c.method, c.path, body)
 		assert.Check(t, strings.Contains(body, c.has), "%s %s: %s", c.method, c.path, body)
 	}
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -108,7 +108,7 @@
 func NewLoop(s Settings, self claim.Member, p Platform, log *logrus.Entry, now func() time.Time) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log), now: now,
+		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log, now), now: now,
 		events: make(chan dispatch.Event, eventBuffer), queries: make(chan func(time.Time, *dispatch.Core)),
 		metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
--- a/services/jobrun/notes.go
+++ b/services/jobrun/notes.go
@@ -24,6 +24,7 @@
 // not time; what was left out is counted.
 type notes struct {
 	log   *logrus.Entry
+	now   func() time.Time
 	queue chan line
 	tasks conc.WaitGroup
 
@@ -40,8 +41,8 @@
 	at   time.Time
 }
 
-func newNotes(log *logrus.Entry) *notes {
-	n := &notes{log: log, queue: make(chan line, noteBuffer), written: map[string]int{}, left: map[string]int{}}
+func newNotes(log *logrus.Entry, now func() time.Time) *notes {
+	n := &notes{log: log, now: now, queue: make(chan line, noteBuffer), written: map[string]int{}, left: map[string]int{}}
 	n.tasks.Go(n.run)
 	return n
 }
@@ -61,7 +62,7 @@
 func (n *notes) write(e dispatch.Note) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	at := time.Now()
+	at := n.now()
 	if at.Unix() != n.second {
 		n.second = at.Unix()
 		clear(n.written)
