dispatch: accepted jobs outlive their queue

Cause, found by reading: a job whose queue left the configuration had no pool any more and waited for ever, or failed after one attempt (LOST). The log's record of a job now says how its queue was treated when it was accepted. The test failed first.

--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -237,6 +237,26 @@
 	w.check()
 }
 
+func TestAcceptedJobsOutliveTheirQueue(t *testing.T) {
+	w := serving(t, 15, 3, 3)
+	s := oneStep("j", "wide", 2, false)
+	s.Steps = append(s.Steps, job.Step{Tasks: 2, Need: need, Estimate: 1000, After: []int{0}})
+	a := w.submit(s)
+	w.until(2*time.Second, "the job is accepted", func() bool { return a.accepted })
+	w.config.Version = 2
+	w.config.Queues = map[string]job.Queue{"quick": w.config.Queues["quick"]}
+	for _, b := range w.boxes {
+		b.post(dispatch.ConfigRead{Config: w.config})
+	}
+	// The next holder has never read a configuration with the queue.
+	for _, b := range w.boxes {
+		w.killBox(b, 500*time.Millisecond)
+	}
+	w.until(30*time.Second, "the job has ended", w.ended)
+	assert.Check(t, a.state == job.Succeeded || failedOften(a), "%s", a.state)
+	w.check()
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -14,6 +14,8 @@
 type submitted struct {
 	id    job.ID
 	queue string
+	// acceptedIn is how the queue was treated when the job was accepted.
+	acceptedIn job.Queue
 	// submission is nil once the job's end is kept.
 	submission *job.Submission
 	// acceptedUnix is in milliseconds since 1970; acceptedAt is the same on the
@@ -93,10 +95,10 @@
 }
 
 // newJob adds a job.
-func (h *holding) newJob(now time.Time, sub job.Submission, acceptedUnix int64) *submitted {
+func (h *holding) newJob(now time.Time, sub job.Submission, acceptedUnix int64, in job.Queue) *submitted {
 	age := time.Duration(now.UnixMilli()-acceptedUnix) * time.Millisecond
 	j := &submitted{
-		id: sub.ID, queue: sub.Queue, submission: &sub, acceptedUnix: acceptedUnix,
+		id: sub.ID, queue: sub.Queue, acceptedIn: in, submission: &sub, acceptedUnix: acceptedUnix,
 		acceptedAt: now.Add(-max(0, age)), instances: map[int]*instance{}, state: job.Queued, shown: job.Queued,
 	}
 	h.jobs[j.id] = j
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -126,7 +126,7 @@
 		s := j.accepts[0]
 		j.accepts = j.accepts[1:]
 		b.accepts = append(b.accepts, s)
-		size += b.put(keySubmission+string(s.id), keptSubmission{Submission: *s.submission, Accepted: s.acceptedUnix})
+		size += b.put(keySubmission+string(s.id), keptSubmission{Queue: s.acceptedIn, Submission: *s.submission, Accepted: s.acceptedUnix})
 	}
 	return size
 }
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -71,7 +71,7 @@
 			return
 		}
 	}
-	j := h.newJob(now, kept.Submission, kept.Accepted)
+	j := h.newJob(now, kept.Submission, kept.Accepted, kept.Queue)
 	j.accepted = true
 	j.inherited = true
 	h.resume(now, j, p)
@@ -114,6 +114,8 @@
 
 // keptSubmission is the log's record of a job.
 type keptSubmission struct {
+	// Queue is how the job's queue was treated when it was accepted.
+	Queue      job.Queue      `json:"queue"`
 	Submission job.Submission `json:"job"`
 	// Accepted is when it was accepted, in milliseconds since 1970.
 	Accepted int64 `json:"accepted_unix_ms"`
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -29,18 +29,15 @@
 // to its caller (the users' rules).
 const lateMost = 3
 
-// queueOf returns how the configuration treats a job. A queue that is gone is
-// treated like the least of all.
+// queueOf returns how the configuration treats a job. Jobs of a queue that is
+// gone are treated as when they were accepted.
 func (h *holding) queueOf(j *submitted) job.Queue {
 	if q, ok := h.core.config.Queues[j.queue]; ok {
 		return q
 	}
-	return job.Queue{Name: j.queue, Priority: leastPriority, Attempts: 1, Stretch: 1}
+	return j.acceptedIn
 }
 
-// leastPriority goes after every priority that an operator may choose.
-const leastPriority = 1 << 20
-
 // objective returns the time within which an instance is wanted.
 func objective(in *instance, q job.Queue) time.Duration {
 	return time.Duration(q.Stretch*float64(in.chain())) + q.Latency
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -89,7 +89,9 @@
 	workers []*fakeWorker
 	jobs    map[job.ID]*asked
 	order   []job.ID
-	broken  []string
+	// config is what boxes read when they start.
+	config job.Config
+	broken []string
 	// starts counts the starts of each task.
 	starts map[job.TaskID]int
 	trace  []string
@@ -123,7 +125,7 @@
 	begin := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: begin, begin: begin,
-		log: map[stream.Name]*fakeStream{}, jobs: map[job.ID]*asked{}, starts: map[job.TaskID]int{},
+		log: map[stream.Name]*fakeStream{}, config: config(), jobs: map[job.ID]*asked{}, starts: map[job.TaskID]int{},
 	}
 	for _, name := range []stream.Name{stream.Claims, stream.Boxes, stream.Jobs} {
 		w.log[name] = &fakeStream{}
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -43,7 +43,7 @@
 	b.calls = map[dispatch.CallID]func(dispatch.Answer){}
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.life), Domain: "a", Address: b.name, Size: 1 + b.size}
 	b.core = dispatch.New(settings(), self)
-	b.post(dispatch.ConfigRead{Config: config()})
+	b.post(dispatch.ConfigRead{Config: b.w.config})
 	b.tick(b.life)
 	b.poll(b.life)
 }
