--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -257,6 +257,22 @@
 	w.check()
 }
 
+func TestNoMemberOfAGangWaitsAloneOnACalmDay(t *testing.T) {
+	for seed := range int64(5) {
+		w := serving(t, 300+seed, 3, 8)
+		for i := range 30 {
+			s := w.randomJob(i)
+			for k := range s.Steps {
+				s.Steps[k].Gang = true
+			}
+			w.after(time.Duration(w.rng.Intn(8000))*time.Millisecond, func() { w.submit(s) })
+		}
+		w.run(9 * time.Second)
+		w.untilEnded()
+		assert.Equal(t, w.alone, 0)
+	}
+}
+
 func TestTheCellMovesToALargerBox(t *testing.T) {
 	w := newWorld(t, 7, 4, 4)
 	w.boxes[2].size = 8
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -92,6 +92,8 @@
 	// config is what boxes read when they start.
 	config job.Config
 	broken []string
+	// alone counts ends of gangs that started incomplete.
+	alone int
 	// starts counts the starts of each task.
 	starts map[job.TaskID]int
 	trace  []string
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -236,6 +236,7 @@
 			case !r.begun.IsZero():
 				r.end(w.now, order.Broken)
 			case w.now.Sub(r.present) > gangWait:
+				w.alone++
 				r.end(w.now, order.Alone)
 			}
 		}
