dispatch: a look asked for before a start proves nothing of it

Looks are numbered by the reducer; a report says nothing of an attempt that came to its state after the look was asked for. The loop reads the clock for each event, so that a worker's clock is never taken for later than it was.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -18,10 +18,18 @@
 	worker *worker
 	state  attemptState
 	// since is when the state began; for a stop, when it was confirmed.
-	since     time.Time
+	since time.Time
+	// looks is how many renewals the holder had asked for by then.
+	looks     int64
 	confirmed bool
 }
 
+// mark notes that an attempt has come to its present state.
+func (h *holding) mark(now time.Time, a *attempt) {
+	a.since = now
+	a.looks = h.looks
+}
+
 // attemptState is how far an attempt has come.
 type attemptState string
 
@@ -80,7 +88,7 @@
 
 // start orders a worker to run a task.
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
-	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now}
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks}
 	h.place(a)
 	saved := a.task().saved
 	if s.spec.Gang {
@@ -121,7 +129,7 @@
 	case order.Carried:
 		if a.state == starting {
 			a.state = running
-			a.since = now
+			h.mark(now, a)
 		}
 		h.started(a)
 	case order.Refused:
@@ -146,7 +154,7 @@
 		return
 	}
 	a.state = unsure
-	a.since = now
+	h.mark(now, a)
 	h.gangBroke(now, a.step)
 }
 
@@ -190,7 +198,7 @@
 		return
 	}
 	a.state = stopping
-	a.since = now
+	h.mark(now, a)
 	a.confirmed = false
 	h.orderStop(a.worker, a.name())
 }
@@ -207,7 +215,7 @@
 	}
 	for _, a := range w.sorted() {
 		if a.state == stopping && !a.confirmed && now.Sub(a.since) > stopAgain {
-			a.since = now
+			h.mark(now, a)
 			h.orderStop(a.worker, a.name())
 		}
 	}
@@ -229,7 +237,7 @@
 	}
 	if e.Answer.Fate == order.Carried || e.Answer.Fate == order.Refused {
 		a.confirmed = true
-		a.since = now
+		h.mark(now, a)
 		h.renewSoon(now, w)
 	}
 }
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -44,6 +44,9 @@
 	Worker  string
 	Address string
 	Epoch   int64
+	// Look numbers the renewals of a holder in the order in which it asked for
+	// them. What a worker tells holds for a time after that.
+	Look    int64
 	Order   order.Renew
 	Timeout time.Duration
 }
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -91,7 +91,8 @@
 type RenewEnded struct {
 	Worker string
 	Epoch  int64
-	SentAt time.Time
+	// Look is that of the Renew.
+	Look   int64
 	Answer order.Answer
 	Report order.Report
 }
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -46,6 +46,8 @@
 	endedJobs []*submitted
 
 	workers map[string]*worker
+	// looks counts the renewals asked for.
+	looks int64
 	// unsettled names workers of earlier holders that have not told what they
 	// run. Until it is empty, no task of an earlier holder's job starts.
 	unsettled map[string]bool
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -47,10 +47,11 @@
 // renew renews a worker's lease and asks what it runs, if that is due. The call
 // waits at the worker for an end where there is nothing else to hear.
 func (h *holding) renew(now time.Time, w *worker) {
-	if w.renewing || now.Before(w.renewAt) || w.Address == "" {
+	if w.look != 0 || now.Before(w.renewAt) || w.Address == "" {
 		return
 	}
-	w.renewing = true
+	h.looks++
+	w.look = h.looks
 	for len(w.notes) > 0 && w.notes[0].kept {
 		w.seen = w.notes[0].number
 		w.notes = w.notes[1:]
@@ -64,7 +65,7 @@
 		r.Wait = job.Milliseconds(h.core.settings.Wait.Milliseconds())
 	}
 	h.core.do(Renew{
-		Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: r,
+		Worker: w.ID, Address: w.Address, Epoch: h.epoch, Look: w.look, Order: r,
 		Timeout: h.core.settings.OrderTimeout + r.Wait.Duration(),
 	})
 }
@@ -72,10 +73,10 @@
 // renewEnded takes the end of a renewal's call.
 func (h *holding) renewEnded(now time.Time, e RenewEnded) {
 	w := h.workers[e.Worker]
-	if w == nil || e.Epoch != h.epoch {
+	if w == nil || e.Epoch != h.epoch || e.Look != w.look {
 		return
 	}
-	w.renewing = false
+	w.look = 0
 	switch {
 	case h.ousted(now, w, e.Answer):
 	case e.Answer.Fate == order.Carried:
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -33,7 +33,7 @@
 	}
 	c.moveAgain = now.Add(moveEvery)
 	best := c.largestMember()
-	if 2*c.self.Size > best.Size {
+	if best.Box == c.self.Box || 2*c.self.Size > best.Size {
 		clear(c.declined)
 		return
 	}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -26,7 +26,7 @@
 	}
 	for _, a := range w.sorted() {
 		if !present[a.name()] {
-			h.absent(now, a, e.SentAt)
+			h.absent(now, a, e.Look)
 		}
 	}
 }
@@ -47,7 +47,7 @@
 	}
 	if a.state == unsure || a.state == starting {
 		a.state = running
-		a.since = now
+		h.mark(now, a)
 		h.started(a)
 	}
 }
@@ -64,7 +64,7 @@
 		return nil
 	}
 	a := &attempt{
-		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, confirmed: true,
+		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true,
 	}
 	h.place(a)
 	s.lastRun = max(s.lastRun, r.Number)
@@ -92,10 +92,12 @@
 	h.orderStop(w, run)
 }
 
-// absent acts on an attempt that a report, asked for at sentAt, does not name. A
-// run that is being stopped is named as running until its end is told.
-func (h *holding) absent(now time.Time, a *attempt, sentAt time.Time) {
-	if a.state == starting || !a.since.Before(sentAt) {
+// absent acts on an attempt that a report does not name. A look that was asked
+// for before the attempt came to its present state proves nothing: the worker may
+// have answered it earlier. A run that is being stopped is named as running until
+// its end is told.
+func (h *holding) absent(now time.Time, a *attempt, look int64) {
+	if a.state == starting || look <= a.looks {
 		return
 	}
 	if a.state == unsure {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -42,9 +42,10 @@
 	// goneAt is when its lease has run out for sure.
 	goneAt time.Time
 
-	// renewing says that a renewal is under way, renewAt when the next is due.
-	renewing bool
-	renewAt  time.Time
+	// look is the number of the renewal under way, or 0; renewAt is when the next
+	// is due.
+	look    int64
+	renewAt time.Time
 	// answeredAt is when a renewal was last answered, failures how many were not
 	// since.
 	answeredAt time.Time
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -76,10 +76,9 @@
 }
 
 func (w *world) renew(b *fakeBox, e dispatch.Renew, back func(time.Duration, dispatch.Event)) {
-	sentAt := w.now
 	var report order.Report
 	answered := func(d time.Duration, a order.Answer) {
-		back(d, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: a, Report: report})
+		back(d, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: a, Report: report})
 	}
 	look := func(f *fakeWorker) order.Answer {
 		if f.fenced(e.Order.Fence) {
@@ -92,7 +91,7 @@
 	}
 	w.carry(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
 		if a.Fate == order.Carried && len(report.Ended) == 0 && e.Order.Wait > 0 {
-			w.await(e, sentAt, w.now.Add(e.Order.Wait.Duration()), back)
+			w.await(e, w.now.Add(e.Order.Wait.Duration()), back)
 			return
 		}
 		answered(d, a)
@@ -100,17 +99,17 @@
 }
 
 // await answers a renewal at the next end, or when its wait is over.
-func (w *world) await(e dispatch.Renew, sentAt, until time.Time, back func(time.Duration, dispatch.Event)) {
+func (w *world) await(e dispatch.Renew, until time.Time, back func(time.Duration, dispatch.Event)) {
 	f := w.worker(e.Address)
 	switch {
 	case f == nil || f.id != e.Worker || !f.alive || f.cut:
-		back(time.Second, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: order.Answer{Fate: order.Unknown}})
+		back(time.Second, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
 	case len(f.ended) > 0 || w.now.After(until):
 		back(w.delay(), dispatch.RenewEnded{
-			Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: order.Answer{Fate: order.Carried, Clock: f.clock()}, Report: f.report(),
+			Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Carried, Clock: f.clock()}, Report: f.report(),
 		})
 	default:
-		w.after(10*time.Millisecond, func() { w.await(e, sentAt, until, back) })
+		w.after(10*time.Millisecond, func() { w.await(e, until, back) })
 	}
 }
 
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -173,27 +173,27 @@
 		case <-l.ctx.Done():
 			return
 		case e := <-l.events:
-			now := l.now()
-			l.core.Handle(now, e)
-			l.drain(now)
-			l.decide(now)
+			l.core.Handle(l.now(), e)
+			l.drain()
+			l.decide(l.now())
 		case f := <-l.queries:
 			f(l.now(), l.core)
 		case <-ticker.C:
-			now := l.now()
-			l.core.Handle(now, dispatch.Tick{})
-			l.drain(now)
-			l.decide(now)
+			l.core.Handle(l.now(), dispatch.Tick{})
+			l.drain()
+			l.decide(l.now())
 		}
 	}
 }
 
-// drain takes the events that came together, so that one decision serves all.
-func (l *Loop) drain(now time.Time) {
+// drain takes the events that came together, so that one decision serves all. Each
+// is told with the time at which it is taken: a time from before an answer came
+// would make leases seem shorter than they are.
+func (l *Loop) drain() {
 	for range eventBuffer {
 		select {
 		case e := <-l.events:
-			l.core.Handle(now, e)
+			l.core.Handle(l.now(), e)
 		default:
 			return
 		}
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -38,7 +38,6 @@
 
 // renew renews a worker's lease.
 func (l *Loop) renew(e dispatch.Renew) {
-	sentAt := l.now()
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	report, answer := l.platform.Workers.Renew(ctx, e.Address, e.Worker, e.Order)
@@ -46,7 +45,7 @@
 	for _, end := range report.Ended {
 		l.metrics.ended(end.How)
 	}
-	l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, SentAt: sentAt, Answer: answer, Report: report})
+	l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: answer, Report: report})
 }
 
 // start orders a start.
