dispatch: learn how long a queue's steps take from their ends

A line through the logarithms, by least squares, gives what an estimate is worth; a step that is done counts with what it took.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,6 +22,9 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
+	// adopted says that an earlier holder started it, resumed that it began from a
+	// checkpoint.
+	adopted, resumed bool
 }
 
 // mark notes that an attempt has come to its present state.
@@ -94,6 +97,7 @@
 	if s.spec.Gang {
 		saved = s.gangSaved()
 	}
+	a.resumed = saved != ""
 	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
 		Run: a.name(), Spec: s.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
 		Checkpoint: saved, Ticket: ticket,
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -45,6 +45,9 @@
 	if end.Checkpoint != "" && s.spec.Checkpoints {
 		t.saved = end.Checkpoint
 	}
+	if end.How == order.Done {
+		s.tookUntil(now, a)
+	}
 	h.applyEnd(now, w, s, end)
 	h.noteEnd(s, w, end)
 	if s.job.closed {
@@ -106,8 +109,10 @@
 func (h *holding) stepDone(now time.Time, s *step) {
 	s.open = false
 	h.releasePromises(s)
+	h.learnTimes(s)
 	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
-		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + s.spec.Estimate.Duration()).String()})
+		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + h.expect(s)).String()},
+		Field{"took", s.took.String()}, Field{"estimate", s.spec.Estimate.Duration().String()})
 	in := s.instance
 	in.doneSteps++
 	if in.doneSteps < len(in.steps) {
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -15,7 +15,7 @@
 func (h *holding) dueInstances(now time.Time, j *submitted) {
 	if j.submission.Repeat.Times == 0 {
 		if j.instances[0] == nil {
-			j.addInstance(0, j.acceptedAt)
+			h.addInstance(j, 0, j.acceptedAt)
 		}
 		return
 	}
@@ -29,7 +29,7 @@
 			j.nextInstance++
 			continue
 		}
-		in := j.addInstance(j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
+		in := h.addInstance(j, j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
 		j.nextInstance++
 		if j.accepted {
 			h.openInstance(in)
@@ -38,7 +38,7 @@
 }
 
 // addInstance creates one instance, which is wanted from due on.
-func (j *submitted) addInstance(number int, due time.Time) *instance {
+func (h *holding) addInstance(j *submitted, number int, due time.Time) *instance {
 	in := &instance{dueAt: due}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
@@ -47,13 +47,13 @@
 			tasks: make([]task, spec.Tasks), waiting: spec.Tasks,
 		})
 	}
-	chains(in.steps)
+	h.chains(in.steps)
 	j.instances[number] = in
 	return in
 }
 
 // chains sets how much work follows each step.
-func chains(steps []*step) {
+func (h *holding) chains(steps []*step) {
 	for i := len(steps) - 1; i >= 0; i-- {
 		longest := time.Duration(0)
 		for _, later := range steps[i+1:] {
@@ -61,7 +61,7 @@
 				longest = max(longest, later.left)
 			}
 		}
-		steps[i].left = longest + steps[i].spec.Estimate.Duration()
+		steps[i].left = longest + h.expect(steps[i])
 	}
 }
 
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -77,6 +77,10 @@
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
+	// took is how long the step's tasks took at most in whole runs, and interrupted
+	// says that not all ran whole.
+	took        time.Duration
+	interrupted bool
 	// left is the longest chain of work from the step on, itself included.
 	left time.Duration
 }
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -7,6 +7,8 @@
 type learned struct {
 	// good is the share of workers that suited a queue's steps.
 	good map[string]float64
+	// times is what is known of the run times of each queue's steps.
+	times map[string]*runTimes
 }
 
 const (
@@ -18,7 +20,7 @@
 	forgetting = 0.05
 )
 
-func newLearned() learned { return learned{good: map[string]float64{}} }
+func newLearned() learned { return learned{good: map[string]float64{}, times: map[string]*runTimes{}} }
 
 // advised takes how many of the workers asked about suited a step of a queue.
 func (l *learned) advised(queue string, asked, good int) {
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -22,7 +22,7 @@
 			if sp.Instance >= j.submission.Instances() || sp.Step >= len(j.submission.Steps) {
 				continue
 			}
-			in = j.addInstance(sp.Instance, now)
+			in = h.addInstance(j, sp.Instance, now)
 		}
 		if sp.Step < len(in.steps) {
 			in.steps[sp.Step].resume(sp)
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	a := &attempt{
-		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true,
+		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true, adopted: true,
 	}
 	h.place(a)
 	s.lastRun = max(s.lastRun, r.Number)
