dispatch: gangs ask and make room at once, steps of high priority make way

Calls are made side by side until the workers known to suit could hold the gang twice over, and more the longer it waits. What is ending counts as room; where free room, ending tasks and tasks that may give way are enough, those that lose least are stopped at once, and tickets asked for meanwhile. Room kept for a gang in one pass is taken last by others in the next. Other steps with slack for a stop have tasks of lower priority stopped too (stop times are learned).

--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"saddlevane/models/resource"
@@ -15,15 +16,24 @@
 	// suits says of each worker asked about whether it may.
 	suits   map[*worker]bool
 	tickets map[*worker]ticket
-	asking  bool
+	// calls are those whose answers the step waits for.
+	calls []*adviceCall
 	// first says that room was kept for the step until now, so that it goes
 	// before all others in the next plan.
 	first bool
-	// due is when the answer to the last call should come.
-	due time.Time
 	// askAgain delays the next call after one that failed.
 	askAgain time.Time
-	// promises is room kept on workers until their tickets come.
+}
+
+// adviceCall is one call to the advice service.
+type adviceCall struct {
+	number  int64
+	step    *step
+	box     string
+	workers []*worker
+	// due is when the answer should come.
+	due time.Time
+	// promises is room kept on workers until it does.
 	promises []promise
 }
 
@@ -53,6 +63,25 @@
 	adviceAgain = 100 * time.Millisecond
 )
 
+// asking says whether the step waits for an answer.
+func (a *advice) asking() bool { return len(a.calls) > 0 }
+
+// keepsRoom says whether room is kept for the step until an answer comes.
+func (a *advice) keepsRoom() bool {
+	return slices.ContainsFunc(a.calls, func(c *adviceCall) bool { return len(c.promises) > 0 })
+}
+
+// asked says whether a worker was asked about, or is being asked about.
+func (a *advice) asked(w *worker) bool {
+	_, known := a.suits[w]
+	return known || a.awaited(w)
+}
+
+// awaited says whether an answer about a worker is under way.
+func (a *advice) awaited(w *worker) bool {
+	return slices.ContainsFunc(a.calls, func(c *adviceCall) bool { return slices.Contains(c.workers, w) })
+}
+
 func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
 
 // ticketFor returns the ticket for a worker that a start now could still use.
@@ -61,57 +90,69 @@
 	return t.text, ok && now.Before(t.until)
 }
 
-// releasePromises gives back the room that was kept for a step.
-func (h *holding) releasePromises(s *step) {
-	for _, p := range s.advice.promises {
+// release gives back the room that was kept until a call's answer.
+func (c *adviceCall) release() {
+	for _, p := range c.promises {
 		p.worker.promised = p.worker.promised.Minus(p.room)
 	}
-	s.advice.promises = nil
+	c.promises = nil
 }
 
-// promise keeps room for tasks of a step on a worker until their tickets come.
-func (h *holding) promise(s *step, w *worker, tasks int) {
-	room := s.spec.Reserved().Times(tasks)
+// endCall ends the step's wait for one call.
+func (s *step) endCall(c *adviceCall) {
+	c.release()
+	s.advice.calls = slices.DeleteFunc(s.advice.calls, func(o *adviceCall) bool { return o == c })
+}
+
+// releasePromises gives back all room that was kept for a step.
+func (h *holding) releasePromises(s *step) {
+	for _, c := range s.advice.calls {
+		c.release()
+	}
+	s.advice.calls = nil
+}
+
+// promise keeps room for tasks of a step on a worker until a call's answer comes.
+func (c *adviceCall) promise(w *worker, tasks int) {
+	room := c.step.spec.Reserved().Times(tasks)
 	w.promised = w.promised.Plus(room)
-	s.advice.promises = append(s.advice.promises, promise{worker: w, room: room})
+	c.promises = append(c.promises, promise{worker: w, room: room})
 }
 
 // sweepAdvice has steps asked about anew whose answers are overdue.
 func (h *holding) sweepAdvice(now time.Time) {
 	for _, calls := range ordered.Map(h.advisers.calls) {
-		for id, due := range calls {
-			if s := h.findStep(id); s != nil && s.advice.asking && s.advice.due == due && now.Sub(due) > adviceOverdue {
-				h.releasePromises(s)
-				s.advice.asking = false
+		for _, c := range ordered.Map(calls) {
+			if now.Sub(c.due) > adviceOverdue && slices.Contains(c.step.advice.calls, c) {
+				c.step.endCall(c)
 				h.planDue = true
 			}
 		}
 	}
 }
 
-// advised takes the end of a call. An answer that was given up still counts, but
-// does not end the wait for a later call.
+// advised takes the end of a call. An answer that was given up still counts.
 func (h *holding) advised(now time.Time, e Advised) {
 	if e.Epoch != h.epoch {
 		return
 	}
-	due := h.advisers.calls[e.Box][e.Step]
-	delete(h.advisers.calls[e.Box], e.Step)
-	s := h.findStep(e.Step)
-	if s == nil {
+	c := h.advisers.calls[e.Box][e.Number]
+	if c == nil {
 		return
 	}
-	if s.advice.due == due {
-		s.advice.first = len(s.advice.promises) > 0
-		h.releasePromises(s)
-		s.advice.asking = false
-	}
+	delete(h.advisers.calls[e.Box], e.Number)
+	s := c.step
+	s.advice.first = s.advice.first || len(c.promises) > 0
+	s.endCall(c)
 	h.planDue = true
+	if s.job.state.Final() {
+		return
+	}
 	if e.Busy || e.Failed != "" {
 		h.notAdvised(now, s, e)
 		return
 	}
-	h.noteAdvice(now, s, e)
+	h.noteAdvice(now, c, e)
 }
 
 // notAdvised delays the next call for a step and spares the box that failed.
@@ -129,17 +170,23 @@
 
 // noteAdvice keeps which of the workers asked about suit a step, and their
 // tickets.
-func (h *holding) noteAdvice(now time.Time, s *step, e Advised) {
+func (h *holding) noteAdvice(now time.Time, c *adviceCall, e Advised) {
+	s := c.step
 	a := &s.advice
 	if a.suits == nil {
 		a.suits, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
 	}
-	for _, id := range e.Asked {
-		if w := h.workers[id]; w != nil {
+	first := map[*worker]bool{}
+	for _, w := range c.workers {
+		if _, known := a.suits[w]; !known {
+			first[w] = true
+		}
+		if h.workers[w.ID] == w {
 			// A worker that gets no ticket any more is not asked about again.
 			a.suits[w] = false
 		}
 	}
+	good := 0
 	valid := time.Duration(0)
 	if q := h.queueOf(s.job); q.Advice != nil {
 		valid = q.Advice.Valid
@@ -147,8 +194,11 @@
 	for _, t := range e.Good {
 		if w := h.workers[t.Worker]; w != nil {
 			a.suits[w] = true
+			if first[w] {
+				good++
+			}
 			a.tickets[w] = ticket{text: t.Ticket, until: now.Add(valid - ticketMargin)}
 		}
 	}
-	h.learned.advised(s.job.queue, len(e.Asked), len(e.Good))
+	h.learned.advised(s.job.queue, len(first), good)
 }
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -6,8 +6,6 @@
 import (
 	"slices"
 	"time"
-
-	"saddlevane/models/job"
 )
 
 const (
@@ -31,13 +29,15 @@
 	// busyUntil is when the calls given to a box should be over.
 	busyUntil map[string]time.Time
 	badUntil  map[string]time.Time
-	// calls holds when each call under way should be over, by box.
-	calls map[string]map[job.StepID]time.Time
+	// calls holds the calls under way by box and number.
+	calls map[string]map[int64]*adviceCall
+	// numbers counts all calls.
+	numbers int64
 }
 
 func newAdvisers() advisers {
 	return advisers{
-		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[job.StepID]time.Time{},
+		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[int64]*adviceCall{},
 	}
 }
 
@@ -48,20 +48,23 @@
 
 // overdue says whether a box owes an answer.
 func (a *advisers) overdue(now time.Time, box string) bool {
-	for _, due := range a.calls[box] {
-		if now.Sub(due) > adviceOverdue {
+	for _, c := range a.calls[box] {
+		if now.Sub(c.due) > adviceOverdue {
 			return true
 		}
 	}
 	return false
 }
 
-// began notes a call through a box that should be over when it is due.
-func (a *advisers) began(box string, s job.StepID, due time.Time) {
-	if a.calls[box] == nil {
-		a.calls[box] = map[job.StepID]time.Time{}
+// began numbers a call and notes it among those of its box.
+func (a *advisers) began(c *adviceCall) *adviceCall {
+	if a.calls[c.box] == nil {
+		a.calls[c.box] = map[int64]*adviceCall{}
 	}
-	a.calls[box][s] = due
+	a.numbers++
+	c.number = a.numbers
+	a.calls[c.box][c.number] = c
+	return c
 }
 
 // chooseAdviser returns the box whose calls are over first. Long calls keep off the
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,19 +18,25 @@
 	// firstAsk bounds the workers named in the first call for a step. The
 	// objective of a job allows for a call that names 30 (the users' rules).
 	firstAsk = 30
-	// wholeAsk bounds the workers named in a call whose time hardly depends on
-	// their number.
-	wholeAsk = 60
+	// gangAsk bounds the workers named in one call for a gang, which may have
+	// several calls under way.
+	gangAsk = 64
 	// leastAsk is how many workers a call names at least, if there are so many.
 	leastAsk = 4
 	// askSpare is how many times as many workers are named as are expected to do.
 	askSpare = 1.5
+	// gangChoice is for how many times its tasks a gang is to know workers, so that
+	// it need not wait for particular ones, and gangChoiceGrows how much that is
+	// more for each second for which it has waited.
+	gangChoice      = 2
+	gangChoiceGrows = 0.5
+	// gangChoiceMost bounds it.
+	gangChoiceMost = 5
 )
 
-// ask calls for advice on some workers. It returns false if the boxes have as
-// many calls under way as they should. What is late anyway waits until a box has
-// none.
-func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) bool {
+// ask calls for advice on some workers. It returns nil if the boxes have as many
+// calls under way as they should. What is late anyway waits until a box has none.
+func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
 	patience := time.Duration(0)
 	if h.rank(now, s).tier == onTime {
@@ -37,19 +44,19 @@
 	}
 	box, address, ok := h.chooseAdviser(now, takes, patience)
 	if !ok {
-		return false
+		return nil
 	}
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
 	}
-	s.advice.asking, s.advice.due = true, h.advisers.busyUntil[box]
-	h.advisers.began(box, s.id, s.advice.due)
+	c := h.advisers.began(&adviceCall{step: s, box: box, workers: workers, due: h.advisers.busyUntil[box]})
+	s.advice.calls = append(s.advice.calls, c)
 	h.core.do(Advise{
-		Box: box, Address: address, Epoch: h.epoch, Step: s.id, Workers: ids,
-		Timeout: h.advisers.busyUntil[box].Sub(now) + adviceMargin,
+		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
+		Timeout: c.due.Sub(now) + adviceMargin,
 	})
-	return true
+	return c
 }
 
 // adviseEarly asks for the first steps of a job while the log takes it in.
@@ -61,47 +68,63 @@
 	p := newPass(now)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
-			if len(s.spec.After) == 0 {
-				h.askUnknown(now, s, q, h.workersFor(p, s, q.Pool).workers)
+			if len(s.spec.After) > 0 {
+				continue
+			}
+			r := ranked{step: s, queue: q}
+			if candidates := h.workersFor(p, s, q.Pool).workers; s.spec.Gang {
+				h.widenChoice(now, r, candidates)
+			} else {
+				h.askUnknown(now, r, candidates, h.howMany(r))
 			}
 		}
 	}
 }
 
-// askUnknown calls for advice on workers of which nothing is known for a step,
-// those with most room first. It returns false if there are none to ask about.
-func (h *holding) askUnknown(now time.Time, s *step, q job.Queue, candidates []*worker) bool {
+// askUnknown calls for advice on as many workers of which nothing is known for a
+// step as are wanted, those with most room first. It returns false if there are
+// none to ask about.
+func (h *holding) askUnknown(now time.Time, r ranked, candidates []*worker, wanted int) bool {
+	s := r.step
+	if now.Before(s.advice.askAgain) {
+		return false
+	}
 	var unknown []*worker
 	for _, w := range candidates {
-		if _, asked := s.advice.suits[w]; !asked {
+		if !s.advice.asked(w) {
 			unknown = append(unknown, w)
 		}
 	}
-	if len(unknown) == 0 || s.advice.asking || now.Before(s.advice.askAgain) {
-		return false
-	}
 	slices.SortFunc(unknown, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(b.room().Processors, a.room().Processors), cmp.Compare(a.ID, b.ID))
 	})
-	return h.ask(now, s, q.Advice, unknown[:min(len(unknown), h.howMany(s, q))])
+	unknown = unknown[:min(len(unknown), wanted)]
+	asked := false
+	for chunk := range slices.Chunk(unknown, gangAsk) {
+		if h.ask(now, s, r.queue.Advice, chunk) == nil {
+			break
+		}
+		asked = true
+	}
+	return asked
 }
 
-// howMany returns how many workers the next call for a step should name: enough
-// that those which suit have room for its tasks twice over.
-func (h *holding) howMany(s *step, q job.Queue) int {
-	perWorker := 1
-	if c := h.usualCapacity(); s.spec.Need.Processors > 0 {
-		perWorker = max(1, int(c.Processors/s.spec.Need.Processors)/2)
-	}
+// howMany returns how many workers the next call for a step that is no gang should
+// name: enough that those which suit have room for its tasks twice over.
+func (h *holding) howMany(r ranked) int {
+	s := r.step
+	perWorker := max(1, s.slotsOfEmpty(h.usualCapacity())/2)
+	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
+	return min(firstAsk, max(leastAsk, int(float64(wanted)*askSpare/h.learned.goodShare(r.queue.Name))))
+}
+
+// slotsOfEmpty returns how many tasks of a step an empty worker takes.
+func (s *step) slotsOfEmpty(capacity resource.Vector) int {
+	n := fits(s.spec.Reserved(), capacity)
 	if s.spec.PerWorker > 0 {
-		perWorker = min(perWorker, s.spec.PerWorker)
-	}
-	if s.spec.Gang && q.Advice.Base > shortCall {
-		// A second call would cost more than the workers named in this one.
-		return wholeAsk
+		n = min(n, s.spec.PerWorker)
 	}
-	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
-	return min(firstAsk, max(leastAsk, int(float64(wanted)*askSpare/h.learned.goodShare(q.Name))))
+	return n
 }
 
 // usualCapacity returns the capacity of the largest worker.
@@ -115,49 +138,77 @@
 	return most
 }
 
+// widenChoice asks about more workers for a gang until those known to suit, and
+// those that will be by the answers under way, could hold its tasks a few times
+// over. A gang that has waited asks for a wider choice.
+func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker) {
+	s := r.step
+	choice := gangChoice + gangChoiceGrows*max(0, now.Sub(s.openedAt).Seconds())
+	if s.openedAt.IsZero() {
+		choice = gangChoice
+	}
+	good := h.learned.goodShare(r.queue.Name)
+	missing := min(choice, gangChoiceMost) * float64(len(s.tasks))
+	for _, w := range candidates {
+		slots := float64(s.slotsOfEmpty(w.Capacity))
+		switch suits, known := s.advice.suits[w]; {
+		case known && suits:
+			missing -= slots
+		case !known && s.advice.awaited(w):
+			missing -= slots * good
+		}
+	}
+	each := float64(max(1, s.slotsOfEmpty(h.usualCapacity()))) * good
+	if missing <= 0 {
+		return
+	}
+	wanted := max(leastAsk, int(math.Ceil(missing/each)))
+	if r.queue.Advice.Base <= shortCall {
+		// To name more workers costs next to nothing.
+		wanted = max(wanted, h.howMany(r))
+	}
+	h.askUnknown(now, r, candidates, wanted)
+}
+
 // askMore asks about workers that have room now, if those known do not. It
 // returns true if a call was made.
-func (h *holding) askMore(p *pass, r ranked, workers []*worker, placed int) bool {
+func (h *holding) askMore(p *pass, r ranked, workers []*worker) bool {
 	s := r.step
 	var open []*worker
-	most := placed
 	for _, w := range workers {
-		if _, asked := s.advice.suits[w]; asked || w.blockedBy != nil {
-			continue
-		}
-		if n := w.slots(s, w.room()); n > 0 {
+		if !s.advice.asked(w) && w.blockedBy == nil && w.slots(s, w.room()) > 0 {
 			open = append(open, w)
-			most += n
 		}
 	}
-	if len(open) == 0 || s.spec.Gang && most < len(s.tasks) {
-		return false
-	}
-	return h.askUnknown(p.now, s, r.queue, open)
+	return h.askUnknown(p.now, r, open, h.howMany(r))
 }
 
-// refresh asks for new tickets if some of the chosen workers' have run out, and
-// keeps the room meanwhile. It returns true if the step has to wait for tickets.
-func (h *holding) refresh(now time.Time, r ranked, shares []share) bool {
+// refresh asks for new tickets for shares, and keeps their room meanwhile.
+func (h *holding) refresh(now time.Time, r ranked, shares []share) {
 	s := r.step
-	stale := slices.ContainsFunc(shares, func(sh share) bool {
-		_, ok := s.advice.ticketFor(now, sh.worker)
-		return !ok
-	})
-	if !stale {
-		return false
-	}
-	if now.Before(s.advice.askAgain) {
-		return true
+	if len(shares) == 0 || now.Before(s.advice.askAgain) {
+		return
 	}
-	var workers []*worker
-	for _, sh := range shares {
-		workers = append(workers, sh.worker)
+	workers := make([]*worker, len(shares))
+	for i, sh := range shares {
+		workers[i] = sh.worker
 	}
-	if h.ask(now, s, r.queue.Advice, workers) {
+	if c := h.ask(now, s, r.queue.Advice, workers); c != nil {
 		for _, sh := range shares {
-			h.promise(s, sh.worker, sh.tasks)
+			c.promise(sh.worker, sh.tasks)
+		}
+	}
+}
+
+// ticketed splits shares into those whose tickets a start could use now and the
+// others.
+func (s *step) ticketed(now time.Time, shares []share) (valid, stale []share) {
+	for _, sh := range shares {
+		if _, ok := s.advice.ticketFor(now, sh.worker); ok {
+			valid = append(valid, sh)
+		} else {
+			stale = append(stale, sh)
 		}
 	}
-	return true
+	return valid, stale
 }
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,6 +22,8 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
+	// stopAt is when its end was first ordered.
+	stopAt time.Time
 	// adopted says that an earlier holder started it, resumed that it began from a
 	// checkpoint.
 	adopted, resumed bool
@@ -204,6 +206,7 @@
 	a.state = stopping
 	h.mark(now, a)
 	a.confirmed = false
+	a.stopAt = now
 	h.orderStop(a.worker, a.name())
 }
 
--- a/services/dispatch/confirm.go
+++ b/services/dispatch/confirm.go
@@ -104,7 +104,7 @@
 		s.waitAccept = nil
 		h.core.note("job accepted", Field{"job", string(s.id)}, Field{"queue", s.queue}, Field{"claim", h.epoch},
 			Field{"took", now.Sub(s.acceptedAt).String()}, Field{"open_steps", len(h.open)})
-		h.opened(s)
+		h.opened(now, s)
 	}
 	for _, p := range b.progress {
 		h.keptProgress(now, p)
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -73,6 +73,8 @@
 	// Address is that of the box, or empty for this one.
 	Address string
 	Epoch   int64
+	// Number tells the calls of one holder apart.
+	Number  int64
 	Step    job.StepID
 	Workers []string
 	Timeout time.Duration
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -35,6 +35,9 @@
 	if a != nil {
 		s = a.step
 		h.unplace(a)
+		if end.How == order.Stopped && !a.stopAt.IsZero() {
+			h.learned.stopped(now.Sub(a.stopAt))
+		}
 	}
 	if s == nil || end.Task.Index >= len(s.tasks) {
 		note.kept = true
@@ -116,7 +119,7 @@
 	in := s.instance
 	in.doneSteps++
 	if in.doneSteps < len(in.steps) {
-		h.openInstance(in)
+		h.openInstance(now, in)
 		return
 	}
 	s.job.doneInstances++
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -115,11 +115,11 @@
 
 // Advised is the end of an Advise.
 type Advised struct {
-	Step  job.StepID
-	Box   string
-	Epoch int64
-	Asked []string
-	Good  []order.Ticket
+	Step   job.StepID
+	Box    string
+	Epoch  int64
+	Number int64
+	Good   []order.Ticket
 	// Busy says that the service has too many calls of the box waiting.
 	Busy   bool
 	Failed string
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -6,6 +6,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"saddlevane/models/resource"
 )
 
 // share is some tasks on one worker.
@@ -14,31 +17,57 @@
 	tasks  int
 }
 
-// fit chooses workers for a step's waiting tasks: those near its data first,
-// then the fullest that have room, so that large holes stay whole.
-func (h *holding) fit(s *step, suited []*worker) ([]share, int) {
-	open := make([]share, 0, len(suited))
+// candidate is a worker with room for some tasks of a step, and what speaks
+// against it.
+type candidate struct {
+	share
+	far, kept, unticketed int
+	left                  resource.Millis
+}
+
+// fit chooses workers for a step's waiting tasks: those near its data first, then
+// those that no gang waits for, then those whose tickets are valid, then the
+// fullest that have room, so that large holes stay whole.
+func (h *holding) fit(now time.Time, s *step, suited []*worker) ([]share, int) {
+	open := make([]candidate, 0, len(suited))
 	for _, w := range suited {
 		if w.blockedBy != nil && w.blockedBy != s {
 			continue
 		}
 		if n := w.slots(s, w.room()); n > 0 {
-			open = append(open, share{w, n})
+			open = append(open, s.candidate(now, w, n))
 		}
 	}
-	slices.SortFunc(open, func(a, b share) int {
-		return cmp.Or(
-			cmp.Compare(s.far(a.worker), s.far(b.worker)),
-			cmp.Compare(a.worker.room().Processors, b.worker.room().Processors),
-			cmp.Compare(a.worker.ID, b.worker.ID),
-		)
-	})
+	slices.SortFunc(open, candidate.compare)
+	shares := make([]share, len(open))
+	for i, c := range open {
+		shares[i] = c.share
+	}
 	if s.spec.OneRack && s.spec.Gang {
-		if shares, ok := inOneRack(s, open); ok {
-			return shares, s.waiting
+		if together, ok := inOneRack(s, shares); ok {
+			return together, s.waiting
 		}
 	}
-	return take(open, s.waiting)
+	return take(shares, s.waiting)
+}
+
+// candidate returns what speaks against a worker that has room for n tasks.
+func (s *step) candidate(now time.Time, w *worker, n int) candidate {
+	c := candidate{share: share{w, n}, far: s.far(w), left: w.room().Processors}
+	if w.keptFor != nil && w.keptFor != s {
+		c.kept = 1
+	}
+	if _, valid := s.advice.ticketFor(now, w); !valid && s.advice.suits != nil {
+		c.unticketed = 1
+	}
+	return c
+}
+
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.far, o.far), cmp.Compare(c.kept, o.kept), cmp.Compare(c.unticketed, o.unticketed),
+		cmp.Compare(c.left, o.left), cmp.Compare(c.worker.ID, o.worker.ID),
+	)
 }
 
 // take takes as many tasks as wanted from the front.
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -32,7 +32,7 @@
 		in := h.addInstance(j, j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
 		j.nextInstance++
 		if j.accepted {
-			h.openInstance(in)
+			h.openInstance(now, in)
 		}
 	}
 }
@@ -75,19 +75,20 @@
 }
 
 // opened makes the tasks of a job that the log has ready to be placed.
-func (h *holding) opened(j *submitted) {
+func (h *holding) opened(now time.Time, j *submitted) {
 	for _, in := range ordered.Map(j.instances) {
-		h.openInstance(in)
+		h.openInstance(now, in)
 	}
 }
 
 // openInstance opens the steps whose earlier steps are done.
-func (h *holding) openInstance(in *instance) {
+func (h *holding) openInstance(now time.Time, in *instance) {
 	for _, s := range in.steps {
 		if s.open || s.job.state.Final() || !in.reached(s) {
 			continue
 		}
 		s.open = true
+		s.openedAt = now
 		h.open = append(h.open, s)
 		h.planDue = true
 	}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -72,6 +72,8 @@
 	lastRun int64
 	// explainedAt is when a line last said why it waits.
 	explainedAt time.Time
+	// openedAt is when it was opened.
+	openedAt time.Time
 	// preemptedAt is when tasks were last stopped for it.
 	preemptedAt time.Time
 	// notBefore delays a step whose last start was refused.
--- /dev/null
+++ b/services/dispatch/keep.go
@@ -0,0 +1,283 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"saddlevane/models/resource"
+)
+
+// A gang that found no room keeps some. If what is free, what is ending and what
+// can be stopped is enough, it is kept and the rest is stopped at once. If not,
+// the workers that could hold the gang once they are empty are kept free of what
+// ranks lower.
+
+// soon returns what is free on a worker once all that is being stopped has ended.
+func (w *worker) soon() resource.Vector {
+	room := w.room()
+	for _, a := range w.attempts {
+		if a.state == stopping {
+			room = room.Plus(a.step.spec.Reserved())
+		}
+	}
+	return room
+}
+
+// keepRoom keeps room for a waiting gang. It returns false if no set of workers
+// could hold it.
+func (h *holding) keepRoom(p *pass, r ranked) bool {
+	s := r.step
+	var open []*worker
+	for _, w := range r.suited(h.workersFor(p, s, r.queue.Pool).workers) {
+		if w.blockedBy == nil {
+			open = append(open, w)
+		}
+	}
+	if kept, ok := h.keepSoon(p, r, open); ok {
+		h.block(s, kept)
+		h.ticketsAhead(p, r, kept)
+		return true
+	}
+	kept, ok := keepEmptied(s, open)
+	if ok {
+		h.block(s, kept)
+	}
+	return ok
+}
+
+// block keeps workers for a step until the pass ends.
+func (h *holding) block(s *step, kept []*worker) {
+	for _, w := range kept {
+		w.blockedBy = s
+	}
+}
+
+// keepSoon chooses workers on which a gang has room soon, and stops what must be
+// stopped for that.
+func (h *holding) keepSoon(p *pass, r ranked, open []*worker) ([]*worker, bool) {
+	s := r.step
+	var gains []gain
+	free := 0
+	for _, w := range open {
+		room := w.soon()
+		n := w.slots(s, room)
+		free += n
+		if n > 0 {
+			gains = append(gains, gain{worker: w, tasks: n})
+		}
+	}
+	if free < len(s.tasks) {
+		if r.tier == hopeless || p.now.Sub(s.preemptedAt) < preemptEvery {
+			return nil, false
+		}
+		for _, w := range open {
+			gains = append(gains, h.gains(p, r, w)...)
+		}
+	}
+	chosen, ok := cheapest(gains, len(s.tasks))
+	if !ok {
+		s.preemptedAt = p.now
+		return nil, false
+	}
+	return h.stopVictims(p, r, chosen), true
+}
+
+// makeWay stops tasks that may give way to a step which is no gang, as many as its
+// waiting tasks need, if they end soon enough for it to be on time.
+func (h *holding) makeWay(p *pass, r ranked) {
+	s := r.step
+	if r.tier != onTime || p.now.Sub(s.preemptedAt) < preemptEvery || h.slack(p.now, s) < h.learned.stopTime {
+		return
+	}
+	wanted := s.waiting
+	var gains []gain
+	for _, w := range r.suited(h.workersFor(p, s, r.queue.Pool).workers) {
+		if w.blockedBy != nil {
+			continue
+		}
+		if n := w.slots(s, w.soon()); n > 0 {
+			w.blockedBy = s
+			wanted -= n
+			continue
+		}
+		gains = append(gains, h.gains(p, r, w)...)
+	}
+	s.preemptedAt = p.now
+	if wanted <= 0 || len(gains) == 0 {
+		return
+	}
+	chosen, ok := cheapest(gains, wanted)
+	if !ok {
+		chosen = gains
+	}
+	h.block(s, h.stopVictims(p, r, chosen))
+}
+
+// cheapest takes gains until they are enough, those that cost least first.
+func cheapest(gains []gain, wanted int) ([]gain, bool) {
+	slices.SortStableFunc(gains, func(a, b gain) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tasks, a.tasks), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
+	placed := 0
+	for i, g := range gains {
+		placed += g.tasks
+		if placed >= wanted {
+			return gains[:i+1], true
+		}
+	}
+	return nil, false
+}
+
+// stopVictims stops what the chosen gains need, and returns their workers.
+func (h *holding) stopVictims(p *pass, r ranked, chosen []gain) []*worker {
+	s := r.step
+	var kept []*worker
+	stopped := 0
+	for _, g := range chosen {
+		if !slices.Contains(kept, g.worker) {
+			kept = append(kept, g.worker)
+		}
+		for _, a := range g.victims {
+			h.stop(p.now, a)
+			stopped++
+		}
+	}
+	if stopped > 0 {
+		s.preemptedAt = p.now
+		h.core.note("tasks are stopped for a step", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
+			Field{"stopped", stopped}, Field{"workers", len(kept)}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
+	}
+	return kept
+}
+
+// ticketsAhead asks for tickets for workers that a gang will soon have room on.
+func (h *holding) ticketsAhead(p *pass, r ranked, kept []*worker) {
+	s := r.step
+	if r.queue.Advice == nil || p.now.Before(s.advice.askAgain) {
+		return
+	}
+	var stale []*worker
+	for _, w := range kept {
+		if _, valid := s.advice.ticketFor(p.now, w); !valid && !s.advice.awaited(w) {
+			stale = append(stale, w)
+		}
+	}
+	if len(stale) > 0 {
+		h.ask(p.now, s, r.queue.Advice, stale)
+	}
+}
+
+// keepEmptied chooses the workers with most room among those that could hold a
+// gang if they were empty.
+func keepEmptied(s *step, open []*worker) ([]*worker, bool) {
+	slices.SortStableFunc(open, func(a, b *worker) int {
+		return cmp.Compare(b.slots(s, b.room()), a.slots(s, a.room()))
+	})
+	placed := 0
+	var kept []*worker
+	for _, w := range open {
+		if placed >= len(s.tasks) {
+			break
+		}
+		placed += w.slots(s, w.Capacity)
+		kept = append(kept, w)
+	}
+	return kept, placed >= len(s.tasks)
+}
+
+// gain is room for some more tasks of a gang on one worker, and what has to be
+// stopped for it.
+type gain struct {
+	worker  *worker
+	tasks   int
+	victims []*attempt
+	// cost is the work that is lost, in processor seconds a task gained.
+	cost float64
+}
+
+// gains returns what can be gained on a worker by stopping more and more of its
+// tasks. Costs rise along them.
+func (h *holding) gains(p *pass, r ranked, w *worker) []gain {
+	room := w.soon()
+	have := w.slots(r.step, room)
+	var all []gain
+	next := gain{worker: w}
+	least := 0.0
+	for _, a := range h.victims(p, r, w) {
+		room = room.Plus(a.step.spec.Reserved())
+		next.victims = append(next.victims, a)
+		next.cost += a.lost(p.now)
+		if n := w.slots(r.step, room); n > have {
+			next.tasks = n - have
+			next.cost = max(least, next.cost/float64(next.tasks))
+			least = next.cost
+			all = append(all, next)
+			have = n
+			next = gain{worker: w}
+		}
+	}
+	return all
+}
+
+const (
+	// victimSlack is how much later than now a task that can resume must be able
+	// to start again and be on time, to be stopped for a gang: a stop, its way
+	// through the queue and the work since the last checkpoint take that long.
+	victimSlack = 2 * time.Second
+	// youngTask is how long a task that cannot resume may have run to be stopped.
+	youngTask = time.Second
+	// shortTask is how long a task takes at most that ends by itself nearly as soon
+	// as it could be stopped.
+	shortTask = 2 * time.Second
+	// preemptEvery is the least time between two searches for tasks to stop for one
+	// gang.
+	preemptEvery = 300 * time.Millisecond
+	// resumeLoses is the work that a task loses which resumes: that since its last
+	// checkpoint, and the time to begin again.
+	resumeLoses = time.Second
+)
+
+// lost returns the work that stopping a task loses, in processor seconds.
+func (a *attempt) lost(now time.Time) float64 {
+	time := now.Sub(a.since)
+	if a.step.spec.Checkpoints {
+		time = min(time, resumeLoses)
+	}
+	return time.Seconds() * float64(a.step.spec.Need.Processors) / float64(resource.Processor)
+}
+
+// victims returns the tasks on a worker that may be stopped for a step, those that
+// lose least for their size first.
+func (h *holding) victims(p *pass, r ranked, w *worker) []*attempt {
+	var all []*attempt
+	for _, a := range w.sorted() {
+		if h.mayStop(p, r, a) {
+			all = append(all, a)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *attempt) int {
+		return cmp.Or(
+			cmp.Compare(b.step.spec.Need.Processors, a.step.spec.Need.Processors),
+			cmp.Compare(a.lost(p.now), b.lost(p.now)),
+		)
+	})
+	return all
+}
+
+// mayStop says whether a task may be stopped for a step: it is of less use, or can
+// start again and still be on time.
+func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
+	s := a.step
+	if a.state != running || s.spec.Gang || s.spec.Service || s.job.state.Final() {
+		return false
+	}
+	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
+		return false
+	}
+	v := h.rank(p.now, s)
+	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && h.slack(p.now, s) > victimSlack
+}
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -3,10 +3,14 @@
 
 package dispatch
 
+import "time"
+
 // learned is what ends and answers have shown.
 type learned struct {
 	// good is the share of workers that suited a queue's steps.
 	good map[string]float64
+	// stopTime is how long it usually takes until a task that is to end has ended.
+	stopTime time.Duration
 	// times is what is known of the run times of each queue's steps.
 	times map[string]*runTimes
 }
@@ -18,9 +22,13 @@
 	leastGood = 0.1
 	// forgetting is the weight of one answer among those before.
 	forgetting = 0.05
+	// firstStopTime is believed of stops as long as none was seen.
+	firstStopTime = 200 * time.Millisecond
 )
 
-func newLearned() learned { return learned{good: map[string]float64{}, times: map[string]*runTimes{}} }
+func newLearned() learned {
+	return learned{good: map[string]float64{}, times: map[string]*runTimes{}, stopTime: firstStopTime}
+}
 
 // advised takes how many of the workers asked about suited a step of a queue.
 func (l *learned) advised(queue string, asked, good int) {
@@ -30,6 +38,11 @@
 	l.good[queue] = l.goodShare(queue)*(1-forgetting) + forgetting*float64(good)/float64(asked)
 }
 
+// stopped takes how long a stop took from its order until its end was told.
+func (l *learned) stopped(took time.Duration) {
+	l.stopTime += time.Duration(forgetting * float64(took-l.stopTime))
+}
+
 // goodShare returns the share of workers that are expected to suit.
 func (l *learned) goodShare(queue string) float64 {
 	if share, ok := l.good[queue]; ok {
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -14,52 +14,55 @@
 func (h *holding) placeStep(p *pass, r ranked) bool {
 	s := r.step
 	defer func() { s.advice.first = false }()
-	if r.queue.Pool == "" || s.advice.asking {
+	if r.queue.Pool == "" || s.advice.keepsRoom() {
 		return true
 	}
 	set := h.workersFor(p, s, r.queue.Pool)
-	if r.needsChoice(set.workers) && h.askUnknown(p.now, s, r.queue, set.workers) {
+	if s.spec.Gang {
+		return h.placeGang(p, r, set)
+	}
+	if s.advice.asking() {
 		return true
 	}
 	if !s.spec.Reserved().Fits(set.most) {
 		return false
 	}
-	shares, placed := h.fit(s, r.suited(set.workers))
-	whole := placed == s.waiting && (!s.spec.Gang || placed == len(s.tasks))
-	if r.queue.Advice != nil && !whole && (placed == 0 || s.spec.Gang) && h.askMore(p, r, set.workers, placed) {
-		return true
+	shares, placed := h.fit(p.now, s, r.suited(set.workers))
+	if r.queue.Advice != nil {
+		if placed == 0 && h.askMore(p, r, set.workers) {
+			return true
+		}
+		var stale []share
+		shares, stale = s.ticketed(p.now, shares)
+		h.refresh(p.now, r, stale)
 	}
-	if placed == 0 || s.spec.Gang && !whole {
-		return false
+	if len(shares) > 0 {
+		h.startShares(p.now, s, shares)
 	}
-	if r.queue.Advice != nil && h.refresh(p.now, r, shares) {
-		return true
-	}
-	h.startShares(p.now, s, shares)
-	return s.waiting == 0
+	return placed > 0 && s.waiting == 0 || s.advice.asking()
 }
 
-// needsChoice says whether a gang knows too few workers that suit it. It can wait
-// for room on those it knows, if they are enough.
-func (r ranked) needsChoice(workers []*worker) bool {
+// placeGang starts a gang whole, or not at all.
+func (h *holding) placeGang(p *pass, r ranked, set *workerSet) bool {
 	s := r.step
-	return r.queue.Advice != nil && s.spec.Gang && s.knownSlots(workers) < gangChoice*len(s.tasks)
-}
-
-// gangChoice is for how many times its tasks a gang is to know workers, so that
-// it need not wait for particular ones.
-const gangChoice = 2
-
-// knownSlots returns how many tasks the workers known to suit would hold if
-// empty. Workers come and go, so it is counted anew each time.
-func (s *step) knownSlots(workers []*worker) int {
-	slots := 0
-	for _, w := range workers {
-		if s.advice.suits[w] {
-			slots += fits(s.spec.Reserved(), w.Capacity)
+	if r.queue.Advice != nil {
+		h.widenChoice(p.now, r, set.workers)
+	}
+	if !s.spec.Reserved().Fits(set.most) {
+		return false
+	}
+	shares, placed := h.fit(p.now, s, r.suited(set.workers))
+	if placed < len(s.tasks) {
+		return false
+	}
+	if r.queue.Advice != nil {
+		if _, stale := s.ticketed(p.now, shares); len(stale) > 0 {
+			h.refresh(p.now, r, shares)
+			return true
 		}
 	}
-	return slots
+	h.startShares(p.now, s, shares)
+	return true
 }
 
 // suited returns the candidates that may run the step: all, if its queue needs no
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -3,11 +3,7 @@
 
 package dispatch
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// gangsWaiting is how many gangs may keep room free at a time, and one more for
@@ -31,7 +27,7 @@
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
 	for _, w := range h.workers {
-		w.blockedBy = nil
+		w.keptFor, w.blockedBy = w.blockedBy, nil
 	}
 	p := newPass(now)
 	h.passes++
@@ -46,9 +42,11 @@
 	}
 }
 
-// missed has a gang that found no room keep some free, if not too many do.
+// missed has a gang that found no room keep some free, if not too many do, and
+// other steps stop what may give way to them.
 func (h *holding) missed(p *pass, r ranked) {
 	if !r.step.spec.Gang {
+		h.makeWay(p, r)
 		return
 	}
 	if p.misses <= explained {
@@ -81,46 +79,9 @@
 	}
 	s.explainedAt = p.now
 	suited := r.suited(h.workersFor(p, s, r.queue.Pool).workers)
-	_, placed := h.fit(s, suited)
+	_, placed := h.fit(p.now, s, suited)
 	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
 		Field{"workers_suited", len(suited)}, Field{"gangs_before", p.blocked}, Field{"tier", int(r.tier)},
 		Field{"slack", h.slack(p.now, s).String()})
 }
-
-// keepRoom keeps the workers that can hold a waiting gang soonest free of what
-// ranks lower. It returns false if no set of them could hold it.
-func (h *holding) keepRoom(p *pass, r ranked) bool {
-	s := r.step
-	suited := slices.Clone(r.suited(h.workersFor(p, s, r.queue.Pool).workers))
-	slices.SortStableFunc(suited, func(a, b *worker) int {
-		return cmp.Compare(b.slots(s, b.room()), a.slots(s, a.room()))
-	})
-	kept, ok := unblocked(s, suited)
-	if !ok {
-		return false
-	}
-	for _, w := range kept {
-		w.blockedBy = s
-	}
-	h.makeRoom(p, r, kept)
-	return true
-}
-
-// unblocked takes from the front as many workers that no gang keeps yet as could
-// hold all tasks of a step if they were empty.
-func unblocked(s *step, workers []*worker) ([]*worker, bool) {
-	placed := 0
-	var kept []*worker
-	for _, w := range workers {
-		if w.blockedBy != nil {
-			continue
-		}
-		if placed >= len(s.tasks) {
-			break
-		}
-		placed += w.slots(s, w.Capacity)
-		kept = append(kept, w)
-	}
-	return kept, placed >= len(s.tasks)
-}
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -35,7 +35,7 @@
 		h.markDirty(j)
 		return
 	}
-	h.opened(j)
+	h.opened(now, j)
 }
 
 // resume applies the log's progress to a step.
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -94,12 +94,12 @@
 		return "no worker of the pool takes new tasks at present"
 	case !slices.ContainsFunc(set.workers, func(w *worker) bool { return s.spec.Reserved().Fits(w.Capacity) }):
 		return fmt.Sprintf("no worker is large enough for %v", s.spec.Need)
-	case s.advice.asking:
+	case s.advice.asking():
 		return "the advice service has not answered yet"
 	case q.Advice != nil && len(s.suited(set.workers)) == 0:
 		return fmt.Sprintf("none of the %d workers asked about may run it", len(s.advice.suits))
 	default:
-		_, placed := h.fit(s, set.workers)
+		_, placed := h.fit(now, s, set.workers)
 		return fmt.Sprintf("%d tasks need %v each, and there is room for %d", s.waiting, s.spec.Need, placed)
 	}
 }
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -55,8 +55,9 @@
 	// seen is the last end that the worker may forget, told the last one heard.
 	seen, told int64
 
-	// blockedBy is the step that this pass of the plan keeps the room for.
-	blockedBy *step
+	// blockedBy is the gang that this pass of the plan keeps the room for, keptFor
+	// that of the pass before. Others take its room last.
+	blockedBy, keptFor *step
 	// failedJobs counts failed ends of different jobs in a row.
 	failedJobs int
 	lastFailed job.ID
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -184,7 +184,7 @@
 // --- other boxes
 
 func (w *world) advise(e dispatch.Advise, back func(time.Duration, dispatch.Event)) {
-	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers}
+	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
 	for _, id := range e.Workers {
 		if suits(e.Step, id) {
 			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: ticketOf(e.Step, id, w.now)})
--- a/services/jobrun/advice.go
+++ b/services/jobrun/advice.go
@@ -69,7 +69,7 @@
 	} else {
 		good, err = l.peers.advise(ctx, e.Address, e.Step, e.Workers)
 	}
-	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Asked: e.Workers, Good: good}
+	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number, Good: good}
 	l.metrics.advised(err)
 	if err != nil {
 		ended.Failed = err.Error()
