dispatch: room is held by amounts, advice is asked where there is room, few workers are drained

The line on the state of the cell showed a third of the processors free while 150 steps on time waited: gangs kept whole workers idle until they were empty, one preview kept whole workers for one task, and the advice service was asked 32 s a second of 43, so that previews found no box to ask through.

--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -19,8 +19,10 @@
 	adviceQueue = 250 * time.Millisecond
 	// adviceBusy is how long a box that the service refused gets no calls.
 	adviceBusy = 300 * time.Millisecond
-	// shortCall is the longest call for advice that counts as short.
+	// shortCall is the longest call for advice that counts as short, and briefCall
+	// the longest that counts as brief.
 	shortCall = 150 * time.Millisecond
+	briefCall = 30 * time.Millisecond
 )
 
 // advisers spreads calls for advice over the entry boxes: the service takes one
@@ -33,11 +35,15 @@
 	calls map[string]map[int64]*adviceCall
 	// numbers counts all calls.
 	numbers int64
+	// spent is the time of the calls made since the state of the cell was last told,
+	// by queue.
+	spent map[string]time.Duration
 }
 
 func newAdvisers() advisers {
 	return advisers{
 		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[int64]*adviceCall{},
+		spent: map[string]time.Duration{},
 	}
 }
 
@@ -67,9 +73,21 @@
 	return c
 }
 
+// keptOff returns how many of some boxes a call that takes a while must keep off, so
+// that shorter ones need not wait behind it.
+func keptOff(boxes int, takes time.Duration) int {
+	switch {
+	case boxes <= 2 || takes <= briefCall:
+		return 0
+	case takes <= shortCall:
+		return (boxes + 4) / 8
+	default:
+		return (boxes + 2) / 4
+	}
+}
+
 // chooseAdviser returns the box whose calls are over first. Long calls keep off the
-// first boxes in the order of names, so that short ones need not wait behind
-// them.
+// first boxes in the order of names.
 func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
 	var names []string
 	if !h.advisers.passedOver(now, h.core.self.Box) {
@@ -84,9 +102,7 @@
 		return "", "", false
 	}
 	slices.Sort(names)
-	if kept := (len(names) + 2) / 4; takes > shortCall && len(names) > 2 {
-		names = names[kept:]
-	}
+	names = names[keptOff(len(names), takes):]
 	best := slices.MinFunc(names, func(a, b string) int {
 		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
 	})
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -15,23 +15,25 @@
 )
 
 const (
-	// firstAsk bounds the workers named in the first call for a step. The
-	// objective of a job allows for a call that names 30 (the users' rules).
-	firstAsk = 30
+	// firstAsk bounds the workers named in one call for a step that is no gang.
+	firstAsk = 60
 	// gangAsk bounds the workers named in one call for a gang, which may have
 	// several calls under way.
 	gangAsk = 64
 	// leastAsk is how many workers a call names at least, if there are so many.
 	leastAsk = 4
-	// askSpare is how many times as many workers are named as are expected to do.
+	// askSpare is for how many times the waiting tasks workers are named.
 	askSpare = 1.5
+	// leastRoom is the room, in tasks, that a named worker counts for which has none
+	// now.
+	leastRoom = 0.3
 	// gangChoice is for how many times its tasks a gang is to know workers, so that
 	// it need not wait for particular ones, and gangChoiceGrows how much that is
 	// more for each second for which it has waited.
 	gangChoice      = 2
 	gangChoiceGrows = 0.5
 	// gangChoiceMost bounds it.
-	gangChoiceMost = 5
+	gangChoiceMost = 3.5
 )
 
 // ask calls for advice on some workers. It returns nil if the boxes have as many
@@ -52,6 +54,7 @@
 	}
 	c := h.advisers.began(&adviceCall{step: s, box: box, workers: workers, due: h.advisers.busyUntil[box]})
 	s.advice.calls = append(s.advice.calls, c)
+	h.advisers.spent[s.job.queue] += takes
 	h.core.do(Advise{
 		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
 		Timeout: c.due.Sub(now) + adviceMargin,
@@ -75,32 +78,36 @@
 			if candidates := h.workersFor(p, s, q.Pool).workers; s.spec.Gang {
 				h.widenChoice(now, r, candidates)
 			} else {
-				h.askUnknown(now, r, candidates, h.howMany(r))
+				h.askForRoom(now, r, candidates)
 			}
 		}
 	}
 }
 
-// askUnknown calls for advice on as many workers of which nothing is known for a
-// step as are wanted, those with most room first. It returns false if there are
-// none to ask about.
-func (h *holding) askUnknown(now time.Time, r ranked, candidates []*worker, wanted int) bool {
-	s := r.step
-	if now.Before(s.advice.askAgain) {
-		return false
-	}
-	var unknown []*worker
+// unknown returns the candidates about which nothing is known for a step and nobody
+// is asked, those with most room first.
+func (s *step) unknown(candidates []*worker) []*worker {
+	var all []*worker
 	for _, w := range candidates {
 		if !s.advice.asked(w) {
-			unknown = append(unknown, w)
+			all = append(all, w)
 		}
 	}
-	slices.SortFunc(unknown, func(a, b *worker) int {
+	slices.SortFunc(all, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(b.room().Processors, a.room().Processors), cmp.Compare(a.ID, b.ID))
 	})
-	unknown = unknown[:min(len(unknown), wanted)]
+	return all
+}
+
+// askAbout calls for advice on some workers, in as many calls as that takes. It
+// returns false if none was made.
+func (h *holding) askAbout(now time.Time, r ranked, workers []*worker) bool {
+	s := r.step
+	if now.Before(s.advice.askAgain) {
+		return false
+	}
 	asked := false
-	for chunk := range slices.Chunk(unknown, gangAsk) {
+	for chunk := range slices.Chunk(workers, gangAsk) {
 		if h.ask(now, s, r.queue.Advice, chunk) == nil {
 			break
 		}
@@ -109,13 +116,20 @@
 	return asked
 }
 
-// howMany returns how many workers the next call for a step that is no gang should
-// name: enough that those which suit have room for its tasks twice over.
-func (h *holding) howMany(r ranked) int {
+// askForRoom asks about as many unknown workers as should have room for the waiting
+// tasks of a step, those with most room first. Where few have room it names some
+// more, which may have it next.
+func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
-	perWorker := max(1, s.slotsOfEmpty(h.usualCapacity())/2)
-	wanted := (len(s.tasks)+perWorker-1)/perWorker + 1
-	return min(firstAsk, max(leastAsk, int(float64(wanted)*askSpare/h.learned.goodShare(r.queue.Name))))
+	unknown := s.unknown(candidates)
+	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
+	named := 0
+	for named < len(unknown) && named < firstAsk && (named < leastAsk || missing > 0) {
+		w := unknown[named]
+		missing -= max(leastRoom, float64(w.slots(s, w.room())))
+		named++
+	}
+	return h.askAbout(now, r, unknown[:named])
 }
 
 // slotsOfEmpty returns how many tasks of a step an empty worker takes.
@@ -162,12 +176,13 @@
 	if missing <= 0 {
 		return
 	}
-	wanted := max(leastAsk, int(math.Ceil(missing/each)))
 	if r.queue.Advice.Base <= shortCall {
-		// To name more workers costs next to nothing.
-		wanted = max(wanted, h.howMany(r))
+		h.askForRoom(now, r, candidates)
+		return
 	}
-	h.askUnknown(now, r, candidates, wanted)
+	unknown := s.unknown(candidates)
+	wanted := max(leastAsk, int(math.Ceil(missing/each)))
+	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
 }
 
 // askMore asks about workers that have room now, if those known do not. It
@@ -176,21 +191,24 @@
 	s := r.step
 	var open []*worker
 	for _, w := range workers {
-		if !s.advice.asked(w) && w.blockedBy == nil && w.slots(s, w.room()) > 0 {
+		if w.slots(s, w.room()) > 0 {
 			open = append(open, w)
 		}
 	}
-	return h.askUnknown(p.now, r, open, h.howMany(r))
+	return h.askForRoom(p.now, r, open)
 }
 
-// refresh asks for new tickets for shares, and keeps their room meanwhile.
+// refresh asks for tickets for shares, and keeps their room until they come.
+// Tickets that outlast the call are not asked for again.
 func (h *holding) refresh(now time.Time, r ranked, shares []share) {
 	s := r.step
 	if len(shares) == 0 || now.Before(s.advice.askAgain) {
 		return
 	}
-	workers := make([]*worker, len(shares))
-	for i, sh := range shares {
+	takes := r.queue.Advice.Base + time.Duration(len(shares))*r.queue.Advice.Each
+	_, stale := s.ticketed(now.Add(takes+ticketMargin), shares)
+	workers := make([]*worker, len(stale))
+	for i, sh := range stale {
 		workers[i] = sh.worker
 	}
 	if c := h.ask(now, s, r.queue.Advice, workers); c != nil {
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -30,8 +30,9 @@
 // fullest that have room, so that large holes stay whole.
 func (h *holding) fit(now time.Time, s *step, suited []*worker) ([]share, int) {
 	open := make([]candidate, 0, len(suited))
+	short := h.expect(s) <= shortStep
 	for _, w := range suited {
-		if w.blockedBy != nil && w.blockedBy != s {
+		if !w.openTo(s, short) {
 			continue
 		}
 		if n := w.slots(s, w.room()); n > 0 {
@@ -51,6 +52,11 @@
 	return take(shares, s.waiting)
 }
 
+// openTo says whether no step of higher rank keeps a worker's room from a step.
+func (w *worker) openTo(s *step, short bool) bool {
+	return w.drainedFor == nil || w.drainedFor == s || short
+}
+
 // candidate returns what speaks against a worker that has room for n tasks.
 func (s *step) candidate(now time.Time, w *worker, n int) candidate {
 	c := candidate{share: share{w, n}, far: s.far(w), left: w.room().Processors}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -61,6 +61,8 @@
 	// passes counts the plans made.
 	passes int
 	planAt time.Time
+	// overviewAt is when the state of the cell is next told.
+	overviewAt time.Time
 	// sweepAt is when all that falls due with time is next looked at.
 	sweepAt time.Time
 }
@@ -137,6 +139,7 @@
 	h.sweepWorkers(now)
 	h.sweepAdvice(now)
 	h.dropEnded(now)
+	h.overview(now)
 	h.flush(now)
 }
 
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -27,113 +27,112 @@
 	return room
 }
 
-// keepRoom keeps room for a waiting gang. It returns false if no set of workers
-// could hold it.
+// keepRoom keeps room for a waiting gang. It returns false if it will not have it
+// soon.
 func (h *holding) keepRoom(p *pass, r ranked) bool {
 	s := r.step
-	var open []*worker
-	for _, w := range r.suited(h.workersFor(p, s, r.queue.Pool).workers) {
-		if w.blockedBy == nil {
-			open = append(open, w)
-		}
-	}
-	if kept, ok := h.keepSoon(p, r, open); ok {
-		h.block(s, kept)
-		h.ticketsAhead(p, r, kept)
-		return true
-	}
-	kept, ok := keepEmptied(s, open)
-	if ok {
-		h.block(s, kept)
+	open := h.openWorkers(p, r)
+	gains := s.gainsSoon(p.now, open)
+	if tasksOf(gains) < len(s.tasks) && r.tier != hopeless && p.now.Sub(s.preemptedAt) >= preemptEvery {
+		s.preemptedAt = p.now
+		gains = append(gains, h.gainsOf(p, r, open)...)
 	}
-	return ok
-}
-
-// block keeps workers for a step until the pass ends.
-func (h *holding) block(s *step, kept []*worker) {
-	for _, w := range kept {
-		w.blockedBy = s
+	if tasksOf(gains) < len(s.tasks) {
+		h.drain(p, s, open)
+		return false
 	}
+	kept := h.take(p, r, cheapest(gains, len(s.tasks)), len(s.tasks))
+	h.ticketsAhead(p, r, kept)
+	return true
 }
 
-// keepSoon chooses workers on which a gang has room soon, and stops what must be
-// stopped for that.
-func (h *holding) keepSoon(p *pass, r ranked, open []*worker) ([]*worker, bool) {
-	s := r.step
-	var gains []gain
-	free := 0
-	for _, w := range open {
-		room := w.soon()
-		n := w.slots(s, room)
-		free += n
-		if n > 0 {
-			gains = append(gains, gain{worker: w, tasks: n})
-		}
-	}
-	if free < len(s.tasks) {
-		if r.tier == hopeless || p.now.Sub(s.preemptedAt) < preemptEvery {
-			return nil, false
-		}
-		for _, w := range open {
-			gains = append(gains, h.gains(p, r, w)...)
+// openWorkers returns the workers that a step may use and that are not drained for
+// another.
+func (h *holding) openWorkers(p *pass, r ranked) []*worker {
+	short := h.expect(r.step) <= shortStep
+	var open []*worker
+	for _, w := range r.suited(h.workersFor(p, r.step, r.queue.Pool).workers) {
+		if w.openTo(r.step, short) {
+			open = append(open, w)
 		}
 	}
-	chosen, ok := cheapest(gains, len(s.tasks))
-	if !ok {
-		s.preemptedAt = p.now
-		return nil, false
-	}
-	return h.stopVictims(p, r, chosen), true
+	return open
 }
 
 // makeWay stops tasks that may give way to a step which is no gang, as many as its
 // waiting tasks need, if they end soon enough for it to be on time.
 func (h *holding) makeWay(p *pass, r ranked) {
 	s := r.step
-	if r.tier != onTime || p.now.Sub(s.preemptedAt) < preemptEvery || h.slack(p.now, s) < h.learned.stopTime {
+	if r.tier != onTime || h.slack(p.now, s) < h.learned.stopTime {
 		return
 	}
-	wanted := s.waiting
-	var gains []gain
-	for _, w := range r.suited(h.workersFor(p, s, r.queue.Pool).workers) {
-		if w.blockedBy != nil {
-			continue
-		}
+	open := h.openWorkers(p, r)
+	gains := s.gainsSoon(p.now, open)
+	if tasksOf(gains) < s.waiting && p.now.Sub(s.preemptedAt) >= preemptEvery {
+		s.preemptedAt = p.now
+		gains = append(gains, h.gainsOf(p, r, open)...)
+	}
+	h.take(p, r, cheapest(gains, s.waiting), s.waiting)
+}
+
+// gainsSoon returns the room that a step has on workers once what is being stopped
+// has ended.
+func (s *step) gainsSoon(now time.Time, open []*worker) []gain {
+	var all []gain
+	for _, w := range open {
 		if n := w.slots(s, w.soon()); n > 0 {
-			w.blockedBy = s
-			wanted -= n
-			continue
+			_, ticketed := s.advice.ticketFor(now, w)
+			all = append(all, gain{worker: w, tasks: n, ticketed: ticketed || s.advice.awaited(w)})
 		}
-		gains = append(gains, h.gains(p, r, w)...)
 	}
-	s.preemptedAt = p.now
-	if wanted <= 0 || len(gains) == 0 {
-		return
+	return all
+}
+
+// gainsOf returns what more could be gained by stopping tasks.
+func (h *holding) gainsOf(p *pass, r ranked, open []*worker) []gain {
+	var all []gain
+	for _, w := range open {
+		all = append(all, h.gains(p, r, w)...)
 	}
-	chosen, ok := cheapest(gains, wanted)
-	if !ok {
-		chosen = gains
+	return all
+}
+
+// tasksOf returns for how many tasks some gains are room.
+func tasksOf(gains []gain) int {
+	n := 0
+	for _, g := range gains {
+		n += g.tasks
 	}
-	h.block(s, h.stopVictims(p, r, chosen))
+	return n
 }
 
-// cheapest takes gains until they are enough, those that cost least first.
-func cheapest(gains []gain, wanted int) ([]gain, bool) {
+// cheapest returns gains that are enough, or all, those that cost least first.
+func cheapest(gains []gain, wanted int) []gain {
 	slices.SortStableFunc(gains, func(a, b gain) int {
+		if a.cost == b.cost && a.ticketed != b.ticketed {
+			return trueFirst(a.ticketed)
+		}
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tasks, a.tasks), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
-	placed := 0
 	for i, g := range gains {
-		placed += g.tasks
-		if placed >= wanted {
-			return gains[:i+1], true
+		if wanted -= g.tasks; wanted <= 0 {
+			return gains[:i+1]
 		}
 	}
-	return nil, false
+	return gains
+}
+
+// trueFirst compares two values of which only one is true.
+func trueFirst(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
 }
 
-// stopVictims stops what the chosen gains need, and returns their workers.
-func (h *holding) stopVictims(p *pass, r ranked, chosen []gain) []*worker {
+// take stops what the chosen gains need, and holds their room for a step. It
+// returns their workers.
+func (h *holding) take(p *pass, r ranked, chosen []gain, wanted int) []*worker {
 	s := r.step
 	var kept []*worker
 	stopped := 0
@@ -141,19 +140,33 @@
 		if !slices.Contains(kept, g.worker) {
 			kept = append(kept, g.worker)
 		}
+		g.worker.hold(s, min(wanted, g.tasks))
+		wanted -= g.tasks
 		for _, a := range g.victims {
 			h.stop(p.now, a)
 			stopped++
 		}
 	}
 	if stopped > 0 {
-		s.preemptedAt = p.now
 		h.core.note("tasks are stopped for a step", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
 			Field{"stopped", stopped}, Field{"workers", len(kept)}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
 	}
 	return kept
 }
 
+// drain keeps long tasks of lower rank off the workers that could hold a gang once
+// they are empty, if not too many are kept like that already.
+func (h *holding) drain(p *pass, s *step, open []*worker) {
+	kept, ok := keepEmptied(s, open)
+	if !ok || p.drained+len(kept) > max(len(kept), len(h.workers)/drainedShare) || p.drained > 0 && len(h.workers) < drainedShare {
+		return
+	}
+	p.drained += len(kept)
+	for _, w := range kept {
+		w.drainedFor = s
+	}
+}
+
 // ticketsAhead asks for tickets for workers that a gang will soon have room on.
 func (h *holding) ticketsAhead(p *pass, r ranked, kept []*worker) {
 	s := r.step
@@ -192,9 +205,11 @@
 // gain is room for some more tasks of a gang on one worker, and what has to be
 // stopped for it.
 type gain struct {
-	worker  *worker
-	tasks   int
-	victims []*attempt
+	worker *worker
+	tasks  int
+	// ticketed says that a ticket is there or on its way.
+	ticketed bool
+	victims  []*attempt
 	// cost is the work that is lost, in processor seconds a task gained.
 	cost float64
 }
@@ -224,6 +239,11 @@
 }
 
 const (
+	// drainedShare is one over the share of workers that may be kept until they are
+	// empty, unless they are for one gang: their room is idle meanwhile.
+	drainedShare = 8
+	// shortStep is how long a step takes at most that may use them.
+	shortStep = time.Second
 	// victimSlack is how much later than now a task that can resume must be able
 	// to start again and be on time, to be stopped for a gang: a stop, its way
 	// through the queue and the work since the last checkpoint take that long.
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"saddlevane/models/resource"
+)
 
 const (
 	// gangsWaiting is how many gangs may keep room free at a time, and one more for
@@ -18,8 +22,9 @@
 	sets map[setKey]*workerSet
 	// misses counts the steps that found no room for all their tasks.
 	misses int
-	// blocked counts the gangs that keep room free.
-	blocked int
+	// blocked counts the gangs that keep room which is free soon, drained the workers
+	// that are kept until they are empty.
+	blocked, drained int
 }
 
 func newPass(now time.Time) *pass { return &pass{now: now, sets: map[setKey]*workerSet{}} }
@@ -27,7 +32,7 @@
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
 	for _, w := range h.workers {
-		w.keptFor, w.blockedBy = w.blockedBy, nil
+		w.keptFor, w.keeper, w.drainedFor, w.held = w.keeper, nil, nil, resource.Vector{}
 	}
 	p := newPass(now)
 	h.passes++
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -43,8 +43,14 @@
 	return set
 }
 
-// room returns what is free on a worker and not promised.
-func (w *worker) room() resource.Vector { return w.free.Minus(w.promised) }
+// room returns what is free on a worker and neither promised nor held.
+func (w *worker) room() resource.Vector { return w.free.Minus(w.promised).Minus(w.held) }
+
+// hold keeps room for tasks of a step until the pass ends.
+func (w *worker) hold(s *step, tasks int) {
+	w.held = w.held.Plus(s.spec.Reserved().Times(tasks))
+	w.keeper = s
+}
 
 // slots returns how many more tasks of a step a worker has room for.
 func (w *worker) slots(s *step, room resource.Vector) int {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -55,9 +55,14 @@
 	// seen is the last end that the worker may forget, told the last one heard.
 	seen, told int64
 
-	// blockedBy is the gang that this pass of the plan keeps the room for, keptFor
-	// that of the pass before. Others take its room last.
-	blockedBy, keptFor *step
+	// held is room that this pass of the plan keeps for steps which rank higher than
+	// those it comes to next, keeper the last of them, keptFor that of the pass
+	// before. Others take its room last.
+	held            resource.Vector
+	keeper, keptFor *step
+	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
+	// short steps may use it.
+	drainedFor *step
 	// failedJobs counts failed ends of different jobs in a row.
 	failedJobs int
 	lastFailed job.ID
