dispatch: gangs reserve room until their tickets have come

A gang that can have room soon reserves it once: what is free, what is ending, and marks what must be stopped. Tickets are asked for once for all of it; the marked tasks work on until the tickets are about to come. Steps ask about workers in an order of their own, so that they do not compete for the same ones.

--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -106,6 +106,7 @@
 
 // releasePromises gives back all room that was kept for a step.
 func (h *holding) releasePromises(s *step) {
+	h.unreserve(s)
 	for _, c := range s.advice.calls {
 		c.release()
 	}
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -12,6 +12,8 @@
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -42,7 +44,7 @@
 	takes := q.Base + time.Duration(len(workers))*q.Each
 	patience := time.Duration(0)
 	if h.rank(now, s).tier == onTime {
-		patience = adviceQueue + takes
+		patience = adviceQueue
 	}
 	box, address, ok := h.chooseAdviser(now, takes, patience)
 	if !ok {
@@ -99,6 +101,34 @@
 	return all
 }
 
+// shuffled returns workers in an order of the step's own, those with room for a
+// task first, so that steps which wait at once ask about different ones.
+func (s *step) shuffled(workers []*worker) []*worker {
+	type placed struct {
+		worker *worker
+		full   bool
+		order  uint64
+	}
+	seed := xxhash.Sum64String(s.id.String())
+	all := make([]placed, len(workers))
+	for i, w := range workers {
+		all[i] = placed{worker: w, full: w.slots(s, w.room()) == 0, order: (seed ^ w.hash) * mixer}
+	}
+	slices.SortFunc(all, func(a, b placed) int {
+		if a.full != b.full {
+			return trueFirst(b.full)
+		}
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
+	for i, one := range all {
+		workers[i] = one.worker
+	}
+	return workers
+}
+
+// mixer spreads the bits of a hash.
+const mixer = 0x9E3779B97F4A7C15
+
 // askAbout calls for advice on some workers, in as many calls as that takes. It
 // returns false if none was made.
 func (h *holding) askAbout(now time.Time, r ranked, workers []*worker) bool {
@@ -121,7 +151,7 @@
 // more, which may have it next.
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
-	unknown := s.unknown(candidates)
+	unknown := s.shuffled(s.unknown(candidates))
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
 	named := 0
 	for named < len(unknown) && named < firstAsk && (named < leastAsk || missing > 0) {
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,6 +22,8 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
+	// marked says that it is to be stopped for a gang that has its place reserved.
+	marked bool
 	// stopAt is when its end was first ordered.
 	stopAt time.Time
 	// adopted says that an earlier holder started it, resumed that it began from a
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -46,6 +46,8 @@
 	endedJobs []*submitted
 
 	workers map[string]*worker
+	// reserved counts the gangs that have room reserved.
+	reserved int
 	// looks counts the renewals asked for.
 	looks int64
 	// unsettled names workers of earlier holders that have not told what they
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -79,6 +79,8 @@
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
+	// reservation is room kept for a gang, or nil.
+	reservation *reservation
 	// took is how long the step's tasks took at most in whole runs, and interrupted
 	// says that not all ran whole.
 	took        time.Duration
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -11,11 +11,6 @@
 	"saddlevane/models/resource"
 )
 
-// A gang that found no room keeps some. If what is free, what is ending and what
-// can be stopped is enough, it is kept and the rest is stopped at once. If not,
-// the workers that could hold the gang once they are empty are kept free of what
-// ranks lower.
-
 // soon returns what is free on a worker once all that is being stopped has ended.
 func (w *worker) soon() resource.Vector {
 	room := w.room()
@@ -27,25 +22,6 @@
 	return room
 }
 
-// keepRoom keeps room for a waiting gang. It returns false if it will not have it
-// soon.
-func (h *holding) keepRoom(p *pass, r ranked) bool {
-	s := r.step
-	open := h.openWorkers(p, r)
-	gains := s.gainsSoon(p.now, open)
-	if tasksOf(gains) < len(s.tasks) && r.tier != hopeless && p.now.Sub(s.preemptedAt) >= preemptEvery {
-		s.preemptedAt = p.now
-		gains = append(gains, h.gainsOf(p, r, open)...)
-	}
-	if tasksOf(gains) < len(s.tasks) {
-		h.drain(p, s, open)
-		return false
-	}
-	kept := h.take(p, r, cheapest(gains, len(s.tasks)), len(s.tasks))
-	h.ticketsAhead(p, r, kept)
-	return true
-}
-
 // openWorkers returns the workers that a step may use and that are not drained for
 // another.
 func (h *holding) openWorkers(p *pass, r ranked) []*worker {
@@ -130,28 +106,27 @@
 	return 1
 }
 
-// take stops what the chosen gains need, and holds their room for a step. It
-// returns their workers.
-func (h *holding) take(p *pass, r ranked, chosen []gain, wanted int) []*worker {
-	s := r.step
-	var kept []*worker
+// take stops what the chosen gains need, and holds their room for a step until the
+// pass ends.
+func (h *holding) take(p *pass, r ranked, chosen []gain, wanted int) {
 	stopped := 0
 	for _, g := range chosen {
-		if !slices.Contains(kept, g.worker) {
-			kept = append(kept, g.worker)
-		}
-		g.worker.hold(s, min(wanted, g.tasks))
+		g.worker.hold(r.step, min(wanted, g.tasks))
 		wanted -= g.tasks
 		for _, a := range g.victims {
 			h.stop(p.now, a)
 			stopped++
 		}
 	}
+	h.noteStopped(p, r.step, stopped, len(chosen))
+}
+
+// noteStopped says that tasks are stopped for a step.
+func (h *holding) noteStopped(p *pass, s *step, stopped, workers int) {
 	if stopped > 0 {
 		h.core.note("tasks are stopped for a step", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
-			Field{"stopped", stopped}, Field{"workers", len(kept)}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
+			Field{"stopped", stopped}, Field{"workers", workers}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
 	}
-	return kept
 }
 
 // drain keeps long tasks of lower rank off the workers that could hold a gang once
@@ -167,23 +142,6 @@
 	}
 }
 
-// ticketsAhead asks for tickets for workers that a gang will soon have room on.
-func (h *holding) ticketsAhead(p *pass, r ranked, kept []*worker) {
-	s := r.step
-	if r.queue.Advice == nil || p.now.Before(s.advice.askAgain) {
-		return
-	}
-	var stale []*worker
-	for _, w := range kept {
-		if _, valid := s.advice.ticketFor(p.now, w); !valid && !s.advice.awaited(w) {
-			stale = append(stale, w)
-		}
-	}
-	if len(stale) > 0 {
-		h.ask(p.now, s, r.queue.Advice, stale)
-	}
-}
-
 // keepEmptied chooses the workers with most room among those that could hold a
 // gang if they were empty.
 func keepEmptied(s *step, open []*worker) ([]*worker, bool) {
@@ -292,7 +250,7 @@
 // start again and still be on time.
 func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
 	s := a.step
-	if a.state != running || s.spec.Gang || s.spec.Service || s.job.state.Final() {
+	if a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
 		return false
 	}
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -45,6 +45,10 @@
 // placeGang starts a gang whole, or not at all.
 func (h *holding) placeGang(p *pass, r ranked, set *workerSet) bool {
 	s := r.step
+	if s.reservation != nil {
+		h.advance(p, r)
+		return true
+	}
 	if r.queue.Advice != nil {
 		h.widenChoice(p.now, r, set.workers)
 	}
@@ -57,8 +61,7 @@
 	}
 	if r.queue.Advice != nil {
 		if _, stale := s.ticketed(p.now, shares); len(stale) > 0 {
-			h.refresh(p.now, r, shares)
-			return true
+			return false
 		}
 	}
 	h.startShares(p.now, s, shares)
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -9,22 +9,14 @@
 	"saddlevane/models/resource"
 )
 
-const (
-	// gangsWaiting is how many gangs may keep room free at a time, and one more for
-	// each workersPerGang workers. What they keep is kept from lower ranks only.
-	gangsWaiting   = 2
-	workersPerGang = 32
-)
-
 // pass is one run of the plan over all open steps.
 type pass struct {
 	now  time.Time
 	sets map[setKey]*workerSet
 	// misses counts the steps that found no room for all their tasks.
 	misses int
-	// blocked counts the gangs that keep room which is free soon, drained the workers
-	// that are kept until they are empty.
-	blocked, drained int
+	// drained counts the workers that are kept until they are empty.
+	drained int
 }
 
 func newPass(now time.Time) *pass { return &pass{now: now, sets: map[setKey]*workerSet{}} }
@@ -47,7 +39,7 @@
 	}
 }
 
-// missed has a gang that found no room keep some free, if not too many do, and
+// missed has a gang that found no room reserve some, if not too many do, and
 // other steps stop what may give way to them.
 func (h *holding) missed(p *pass, r ranked) {
 	if !r.step.spec.Gang {
@@ -57,8 +49,8 @@
 	if p.misses <= explained {
 		h.explainWait(p, r)
 	}
-	if p.blocked < max(gangsWaiting, len(h.workers)/workersPerGang) && h.keepRoom(p, r) {
-		p.blocked++
+	if h.mayReserve() {
+		h.reserve(p, r)
 	}
 }
 
@@ -87,6 +79,6 @@
 	_, placed := h.fit(p.now, s, suited)
 	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
-		Field{"workers_suited", len(suited)}, Field{"gangs_before", p.blocked}, Field{"tier", int(r.tier)},
+		Field{"workers_suited", len(suited)}, Field{"gangs_reserving", h.reserved}, Field{"tier", int(r.tier)},
 		Field{"slack", h.slack(p.now, s).String()})
 }
--- /dev/null
+++ b/services/dispatch/reserve.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// reservation is room kept for a gang that cannot start at once: until its tickets
+// have come, and until what is in its place has ended.
+type reservation struct {
+	shares []share
+	// victims are tasks that are still to be stopped for it. They work on as long
+	// as the tickets are not about to come.
+	victims []*attempt
+	since   time.Time
+}
+
+const (
+	// gangsReserving is how many gangs may reserve room at a time, and one more for
+	// each workersPerGang workers: most of that room is idle.
+	gangsReserving = 3
+	workersPerGang = 25
+	// reservationMost is how long room is reserved for one gang: two calls for
+	// advice and what a stop takes.
+	reservationMost = 3 * time.Second
+	// reserveAgain delays the next reservation of a gang whose last one came to
+	// nothing.
+	reserveAgain = 300 * time.Millisecond
+	// stopLead is how much earlier tasks are stopped than their room is needed,
+	// besides the time that stops usually take.
+	stopLead = 100 * time.Millisecond
+)
+
+// mayReserve says whether one more gang may reserve room.
+func (h *holding) mayReserve() bool {
+	return h.reserved < gangsReserving+len(h.workers)/workersPerGang
+}
+
+// reserve keeps room for a waiting gang: what is free, what is ending and, where
+// that is not enough, what tasks take that may give way to it. It returns false if
+// all of that would not do.
+func (h *holding) reserve(p *pass, r ranked) bool {
+	s := r.step
+	open := h.openWorkers(p, r)
+	gains := s.gainsSoon(p.now, open)
+	if tasksOf(gains) < len(s.tasks) && r.tier != hopeless && p.now.Sub(s.preemptedAt) >= preemptEvery {
+		s.preemptedAt = p.now
+		gains = append(gains, h.gainsOf(p, r, open)...)
+	}
+	if tasksOf(gains) < len(s.tasks) {
+		h.drain(p, s, open)
+		return false
+	}
+	res := &reservation{since: p.now}
+	wanted := len(s.tasks)
+	for _, g := range cheapest(gains, wanted) {
+		res.add(g.worker, min(wanted, g.tasks))
+		wanted -= g.tasks
+		for _, a := range g.victims {
+			a.marked = true
+			res.victims = append(res.victims, a)
+		}
+	}
+	for _, sh := range res.shares {
+		sh.worker.promised = sh.worker.promised.Plus(s.spec.Reserved().Times(sh.tasks))
+	}
+	s.reservation = res
+	h.reserved++
+	h.advance(p, r)
+	return true
+}
+
+// add reserves room for some more tasks on a worker.
+func (res *reservation) add(w *worker, tasks int) {
+	if i := slices.IndexFunc(res.shares, func(sh share) bool { return sh.worker == w }); i >= 0 {
+		res.shares[i].tasks += tasks
+		return
+	}
+	res.shares = append(res.shares, share{w, tasks})
+}
+
+// unreserve gives back the room reserved for a step, if any is.
+func (h *holding) unreserve(s *step) {
+	res := s.reservation
+	if res == nil {
+		return
+	}
+	for _, sh := range res.shares {
+		sh.worker.promised = sh.worker.promised.Minus(s.spec.Reserved().Times(sh.tasks))
+	}
+	for _, a := range res.victims {
+		a.marked = false
+	}
+	s.reservation = nil
+	h.reserved--
+	h.planDue = true
+}
+
+// advance brings a gang with reserved room nearer to its start: it asks for
+// tickets, stops what is in the way once they are about to come, and starts the
+// gang when both are there.
+func (h *holding) advance(p *pass, r ranked) {
+	s := r.step
+	res := s.reservation
+	if p.now.Sub(res.since) > reservationMost || !h.usable(p.now, res) {
+		h.unreserve(s)
+		s.notBefore = p.now.Add(reserveAgain)
+		return
+	}
+	ready, due := h.ticketsFor(p.now, r)
+	if ready || due.Sub(p.now) <= h.learned.stopTime+stopLead {
+		h.stopVictims(p, s)
+	}
+	if ready && len(res.victims) == 0 && res.isFree() {
+		h.unreserve(s)
+		h.startShares(p.now, s, res.shares)
+	}
+}
+
+// usable says whether all workers of a reservation still take tasks.
+func (h *holding) usable(now time.Time, res *reservation) bool {
+	return !slices.ContainsFunc(res.shares, func(sh share) bool {
+		return h.workers[sh.worker.ID] != sh.worker || !h.takes(now, sh.worker)
+	})
+}
+
+// isFree says whether all room reserved is there.
+func (res *reservation) isFree() bool {
+	return !slices.ContainsFunc(res.shares, func(sh share) bool {
+		return sh.worker.free.Minus(sh.worker.promised).IsNegative()
+	})
+}
+
+// ticketsFor says whether a gang with reserved room has all its tickets, or when
+// those should come that are being asked for.
+func (h *holding) ticketsFor(now time.Time, r ranked) (ready bool, due time.Time) {
+	s := r.step
+	if r.queue.Advice == nil {
+		return true, now
+	}
+	_, stale := s.ticketed(now, s.reservation.shares)
+	if len(stale) == 0 {
+		return true, now
+	}
+	var missing []*worker
+	for _, sh := range stale {
+		if !s.advice.awaited(sh.worker) {
+			missing = append(missing, sh.worker)
+		}
+	}
+	if len(missing) > 0 && !now.Before(s.advice.askAgain) && h.ask(now, s, r.queue.Advice, missing) == nil {
+		return false, now.Add(reservationMost)
+	}
+	for _, c := range s.advice.calls {
+		due = maxTime(due, c.due)
+	}
+	return false, due
+}
+
+// stopVictims stops the tasks that are in the place of a gang.
+func (h *holding) stopVictims(p *pass, s *step) {
+	res := s.reservation
+	if len(res.victims) == 0 {
+		return
+	}
+	stopped := 0
+	for _, a := range res.victims {
+		a.marked = false
+		if a.state == running && a.worker.attempts[a.name()] == a {
+			h.stop(p.now, a)
+			stopped++
+		}
+	}
+	res.victims = nil
+	h.noteStopped(p, s, stopped, len(res.shares))
+}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -13,6 +13,8 @@
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // worker is one life of a worker.
@@ -60,6 +62,8 @@
 	// before. Others take its room last.
 	held            resource.Vector
 	keeper, keptFor *step
+	// hash is of the worker's name.
+	hash uint64
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
@@ -73,6 +77,7 @@
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, strays: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
+		hash: xxhash.Sum64String(o.ID),
 	}
 }
 
