dispatch: the largest box that the log answers is invited to hold the cell

The answers to the question who would promise not to claim name the boxes that the log answers; the largest of them is invited, and a small holder asks that question before it invites anybody. Both tests failed before. A box whose announcement is overwritten by that of an earlier life of its own announces itself again (found by the second test).

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -55,15 +55,13 @@
 	pledgeAgain time.Time
 	// moveAgain is when a larger box may next be asked to take the cell.
 	moveAgain time.Time
-	// declined names boxes that did not take it.
-	declined map[string]bool
 }
 
 // New returns the state of a process that has just started.
 func New(s Settings, self claim.Member) *Core {
 	return &Core{
 		settings: s, self: self, authority: authority.New(s.Authority, self),
-		members: map[string]claim.Member{}, declined: map[string]bool{},
+		members: map[string]claim.Member{},
 	}
 }
 
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -285,6 +286,43 @@
 	w.check()
 }
 
+func TestTheLargestBoxThatTheLogAnswersTakesTheCell(t *testing.T) {
+	w := newWorld(t, 11, 5, 4)
+	for _, i := range []int{0, 2, 4} {
+		w.boxes[i].size = 8
+		w.boxes[i].kill()
+		w.boxes[i].start()
+	}
+	w.until(5*time.Second, "a large box holds the cell", func() bool { return w.holder() != nil && w.holder().size > 0 })
+	w.run(time.Second)
+	first := w.holder()
+	first.noLog = true
+	w.until(1500*time.Millisecond, "another box holds the cell", func() bool {
+		h := w.holder()
+		return h != nil && h != first
+	})
+	assert.Equal(t, w.holder().size, int64(8), "box %s holds the cell", w.holder().name)
+	w.check()
+}
+
+func TestASmallHolderInvitesNoBoxThatIsCutOff(t *testing.T) {
+	w := newWorld(t, 12, 3, 4)
+	w.boxes[2].size = 8
+	w.boxes[2].kill()
+	w.boxes[2].start()
+	w.until(5*time.Second, "the large box is known and holds the cell", func() bool { return w.holder() == w.boxes[2] })
+	w.boxes[2].noLog, w.boxes[2].noPeers = true, true
+	before := len(w.trace)
+	w.until(10*time.Second, "a small box holds the cell", func() bool { return w.holder() != nil && w.holder() != w.boxes[2] })
+	for range 40 {
+		w.run(200 * time.Millisecond)
+		assert.Check(t, w.holder() != nil && w.holder() != w.boxes[2])
+	}
+	for _, line := range w.trace[before:] {
+		assert.Check(t, !strings.Contains(line, "invites another box"), line)
+	}
+}
+
 func TestTheHolderGoesOnWhileTheLogAnswersNobody(t *testing.T) {
 	w := serving(t, 4, 3, 4)
 	s := oneStep("j", "quick", 2, false)
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -11,36 +11,65 @@
 )
 
 // moveEvery is the least time between two tries to move the cell to a larger box.
-const moveEvery = 3 * time.Second
+const moveEvery = 2 * time.Second
 
-// largestMember returns the largest box that has not declined the cell.
+// largestMember returns the largest box that is known.
 func (c *Core) largestMember() claim.Member {
 	best := c.self
 	for _, m := range ordered.Map(c.members) {
-		if m.Size > best.Size && !c.declined[m.Box] {
+		if m.Size > best.Size {
 			best = m
 		}
 	}
 	return best
 }
 
-// moveToLarger invites a much larger box to take the cell over: a small one
-// cannot keep up with many workers.
+// largestAt returns the largest of the boxes at some addresses.
+func (c *Core) largestAt(addresses []string) (best claim.Member) {
+	at := map[string]bool{}
+	for _, a := range addresses {
+		at[a] = true
+	}
+	for _, m := range ordered.Map(c.members) {
+		if at[m.Address] && (best.Box == "" || m.Size > best.Size) {
+			best = m
+		}
+	}
+	return best
+}
+
+// moveToLarger asks the other boxes who could take the cell over, if there are much
+// larger ones: a small box cannot keep up with many workers.
 func (c *Core) moveToLarger(now time.Time) {
 	h := c.holding
-	if h == nil || h.phase != active || h.suspended || h.yielding || !c.authority.Small() || now.Before(c.moveAgain) {
+	if h == nil || h.phase != active || h.suspended || h.yielding || c.pledging || !c.authority.Small() || now.Before(c.moveAgain) {
 		return
 	}
 	c.moveAgain = now.Add(moveEvery)
-	best := c.largestMember()
-	if best.Box == c.self.Box || 2*c.self.Size > best.Size {
-		clear(c.declined)
+	if c.largestMember().Box == c.self.Box {
+		return
+	}
+	c.pledging = true
+	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
+}
+
+// inviteOne invites the largest of the boxes that the log answers to take the cell
+// over, if the log does not answer this one or if that one is much larger.
+func (c *Core) inviteOne(steady []string) {
+	h := c.holding
+	best := c.largestAt(steady)
+	reason := "it is larger"
+	switch {
+	case best.Box == "" || h.suspended || h.yielding:
+		return
+	case !c.authority.Steady():
+		reason = "the log answers it and not this box"
+	case 2*c.self.Size > best.Size:
 		return
 	}
-	c.declined[best.Box] = true
 	h.suspended = true
-	c.note("invites another box to take the cell over", Field{"claim", h.epoch}, Field{"address", best.Address},
-		Field{"reason", "it is larger"}, Field{"size", c.self.Size}, Field{"its_size", best.Size})
+	c.note("invites another box to take the cell over", Field{"claim", h.epoch}, Field{"box", best.Box}, Field{"address", best.Address},
+		Field{"reason", reason}, Field{"size", c.self.Size}, Field{"its_size", best.Size}, Field{"could", len(steady)})
 	c.do(Invite{Epoch: h.epoch, Address: best.Address})
 }
 
@@ -72,6 +101,10 @@
 func (c *Core) membersRead(now time.Time, members []claim.Member) {
 	defer func() { c.authority.SetLargest(c.largestMember().Size) }()
 	for _, m := range members {
+		if m.Box == c.self.Box && m.Incarnation != c.self.Incarnation && c.announced {
+			// An append of an earlier life of this box has come late.
+			c.announced, c.announceAt = false, now
+		}
 		former, known := c.members[m.Box]
 		c.members[m.Box] = m
 		if known && former.Incarnation == c.authority.Current().Incarnation && m.Incarnation != former.Incarnation {
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -57,12 +57,7 @@
 	if e.All {
 		c.authority.Pledged(e.SentAt, e.Epoch)
 	}
-	h := c.holding
-	if h == nil || h.epoch != e.Epoch || c.authority.Steady() || len(e.Steady) == 0 || h.suspended {
-		return
+	if h := c.holding; h != nil && h.epoch == e.Epoch {
+		c.inviteOne(e.Steady)
 	}
-	h.suspended = true
-	c.note("invites another box to take the cell over", Field{"claim", h.epoch}, Field{"address", e.Steady[0]},
-		Field{"reason", "the log answers it and not this box"})
-	c.do(Invite{Epoch: h.epoch, Address: e.Steady[0]})
 }
