saddlevane-bench: jobs plays submitted jobs against the reducer alone

Like the deployments that the users described, and the same grown: workers, the log and the advice service in virtual time, many seeds in seconds, with the reducer's processor time a start and a profile.

--- a/cmd/saddlevane-bench/decisions.go
+++ b/cmd/saddlevane-bench/decisions.go
@@ -43,7 +43,7 @@
 
 const tasksPerWorker = 8
 
-func heap() uint64 {
+func heapInUse() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -53,9 +53,9 @@
 
 // measureFill fills a shard with services and jobs of mixed shapes.
 func measureFill(workers int) filled {
-	before := heap()
+	before := heapInUse()
 	r := newRig(workers, 1000)
-	empty := heap()
+	empty := heapInUse()
 	want := workers * tasksPerWorker
 	publishMixed(r, want)
 	r.deciding, r.answering, r.syncs = 0, 0, 0
@@ -64,7 +64,7 @@
 	}
 	f := filled{tasks: r.starts(), deciding: r.deciding}
 	f.answersPerSecond = float64(r.syncs) / r.answering.Seconds()
-	full := heap()
+	full := heapInUse()
 	f.bytesWorker = float64(empty-before) / float64(workers)
 	f.bytesTask = float64(full-empty) / float64(f.tasks)
 	// What a tick costs when there is nothing to decide.
--- /dev/null
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -0,0 +1,258 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/services/authority"
+	"saddlevane/services/dispatch"
+)
+
+// The times of what surrounds the reducer, like those of the users' platform.
+const (
+	cellTick    = 20 * time.Millisecond
+	appendTime  = 5 * time.Millisecond
+	orderTime   = 2 * time.Millisecond
+	cellLease   = 6 * time.Second
+	renewWait   = time.Second
+	gatherTime  = 12 * time.Millisecond
+	workerCores = 64
+	workerGiB   = 128
+	rackSize    = 12
+)
+
+// due is something that happens at a time.
+type due struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+type dueQueue []due
+
+func (q dueQueue) Len() int { return len(q) }
+
+func (q dueQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].number < q[j].number
+}
+
+func (q dueQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *dueQueue) Push(x any) { *q = append(*q, x.(due)) }
+
+func (q *dueQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// jobCell is one box that holds a cell, its workers, the log and the advice
+// service, in virtual time. Nothing fails in it.
+type jobCell struct {
+	mix     jobMix
+	rng     *rand.Rand
+	now     time.Time
+	queue   dueQueue
+	number  int
+	core    *dispatch.Core
+	offset  int64
+	workers map[string]*cellWorker
+	// advising is when the calls of each box are over.
+	advising map[string]time.Time
+	jobs     map[job.ID]*cellJob
+	calls    map[dispatch.CallID]func(dispatch.Answer)
+	lastCall dispatch.CallID
+
+	// deciding is the processor time that the reducer took, mostDeciding that of
+	// its longest group of events.
+	deciding, mostDeciding time.Duration
+	starts                 int
+	adviceCalls            int
+	adviceTime             time.Duration
+	// worked and wasted are processor seconds.
+	worked, wasted float64
+}
+
+// cellJob is a job as its caller sees it.
+type cellJob struct {
+	kind   *jobKind
+	sub    job.Submission
+	work   []time.Duration
+	sentAt time.Time
+	doneAt time.Time
+}
+
+func newJobCell(mix jobMix, seed int64) *jobCell {
+	c := &jobCell{
+		mix: mix, rng: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		workers: map[string]*cellWorker{}, advising: map[string]time.Time{}, jobs: map[job.ID]*cellJob{},
+		calls: map[dispatch.CallID]func(dispatch.Answer){},
+	}
+	for i := range mix.workers {
+		w := newCellWorker(c, i)
+		c.workers[w.ID] = w
+	}
+	c.core = dispatch.New(dispatch.Settings{
+		Authority: authority.Settings{Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
+		Lease:     cellLease, Wait: renewWait, OrderTimeout: time.Second, Gather: gatherTime, KeepEnded: time.Minute, StopGrace: time.Second,
+	}, claim.Member{Box: "box-00", Incarnation: "1", Address: "box-00", Size: 1000})
+	c.begin()
+	return c
+}
+
+// begin lets the box take the cell over.
+func (c *jobCell) begin() {
+	config := job.Config{Version: 1, Queues: map[string]job.Queue{}}
+	for i := range c.mix.kinds {
+		config.Queues[c.mix.kinds[i].queue.Name] = c.mix.kinds[i].queue
+	}
+	var members []claim.Member
+	for i := range c.mix.boxes {
+		name := fmt.Sprintf("box-%02d", i)
+		members = append(members, claim.Member{Box: name, Incarnation: "1", Address: name, Size: 500})
+	}
+	members[0].Size = 1000
+	c.give(dispatch.ConfigRead{Config: config}, dispatch.MembersRead{Members: members}, dispatch.ClaimsRead{Start: true})
+	c.tick()
+}
+
+func (c *jobCell) tick() {
+	c.give(dispatch.Tick{})
+	c.after(cellTick, c.tick)
+}
+
+func (c *jobCell) after(d time.Duration, do func()) {
+	c.number++
+	heap.Push(&c.queue, due{at: c.now.Add(d), number: c.number, do: do})
+}
+
+// run lets time pass until a moment.
+func (c *jobCell) run(until time.Time) {
+	for len(c.queue) > 0 && !c.queue[0].at.After(until) {
+		next := heap.Pop(&c.queue).(due)
+		c.now = next.at
+		next.do()
+	}
+	c.now = until
+}
+
+// give tells the reducer some events that came together, and carries out what it
+// asks for.
+func (c *jobCell) give(events ...dispatch.Event) {
+	began := time.Now()
+	for _, e := range events {
+		c.core.Handle(c.now, e)
+	}
+	effects := c.core.Decide(c.now)
+	took := time.Since(began)
+	c.deciding += took
+	c.mostDeciding = max(c.mostDeciding, took)
+	for _, e := range effects {
+		c.do(e)
+	}
+}
+
+// back gives the reducer an event after a while.
+func (c *jobCell) back(d time.Duration, e dispatch.Event) { c.after(d, func() { c.give(e) }) }
+
+// do carries out one effect.
+func (c *jobCell) do(e dispatch.Effect) {
+	switch e := e.(type) {
+	case dispatch.Append:
+		c.append(e)
+	case dispatch.LoadJobs:
+		c.back(appendTime, dispatch.JobsLoaded{Epoch: e.Epoch})
+	case dispatch.FollowWorkers:
+		c.list()
+	case dispatch.Renew:
+		c.workers[e.Worker].renew(e)
+	case dispatch.StartRun:
+		c.starts++
+		c.workers[e.Worker].start(e)
+	case dispatch.StopRun:
+		c.workers[e.Worker].stop(e)
+	case dispatch.Advise:
+		c.advise(e)
+	case dispatch.Reply:
+		if f := c.calls[e.Call]; f != nil {
+			delete(c.calls, e.Call)
+			f(e.Reply)
+		}
+	}
+}
+
+func (c *jobCell) append(e dispatch.Append) {
+	first := c.offset
+	c.offset += int64(len(e.Append.Records))
+	c.after(appendTime, func() {
+		c.give(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: first})
+		if e.Purpose == dispatch.ForJournal {
+			c.see(e.Append.Records)
+		}
+	})
+}
+
+// see notes the jobs that the log says have succeeded.
+func (c *jobCell) see(records []stream.Record) {
+	for _, r := range records {
+		if len(r.Key) < 3 || r.Key[:2] != "p/" {
+			continue
+		}
+		var p job.Progress
+		if json.Unmarshal(r.Value, &p) != nil || p.State != job.Succeeded {
+			continue
+		}
+		if j := c.jobs[job.ID(r.Key[2:])]; j != nil && j.doneAt.IsZero() {
+			j.doneAt = c.now
+		}
+	}
+}
+
+func (c *jobCell) list() {
+	l := order.Listing{Whole: true}
+	for i := range c.mix.workers {
+		l.Present = append(l.Present, c.workers[workerName(i)].Worker)
+	}
+	c.back(appendTime, dispatch.WorkersRead{Listing: l})
+}
+
+// advise answers a call for advice: one after the other for each box.
+func (c *jobCell) advise(e dispatch.Advise) {
+	j := c.jobs[e.Step.Job]
+	q := j.kind.queue.Advice
+	takes := q.Base + time.Duration(len(e.Workers))*q.Each
+	c.adviceCalls++
+	c.adviceTime += takes
+	free := c.advising[e.Box]
+	if free.Before(c.now) {
+		free = c.now
+	}
+	free = free.Add(takes)
+	c.advising[e.Box] = free
+	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
+	for _, id := range e.Workers {
+		if c.workers[id].suits(e.Step, j.kind.suits) {
+			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: "t"})
+		}
+	}
+	c.back(free.Add(orderTime).Sub(c.now), a)
+}
+
+// submit hands a job in.
+func (c *jobCell) submit(k *jobKind, number int) {
+	sub, work := k.submission(c.rng, number)
+	c.jobs[sub.ID] = &cellJob{kind: k, sub: sub, work: work, sentAt: c.now}
+	c.lastCall++
+	c.give(dispatch.Submitted{Call: c.lastCall, Submission: sub})
+}
--- /dev/null
+++ b/cmd/saddlevane-bench/jobs.go
@@ -0,0 +1,160 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime/pprof"
+	"slices"
+	"time"
+)
+
+// jobOptions say what the bench of submitted jobs plays.
+type jobOptions struct {
+	// mix names the cell to play, or is empty for all.
+	mix string
+	// load multiplies what callers submit.
+	load float64
+	// seeds is how many runs are made of each cell.
+	seeds int
+	// profile is a file for a profile of the processor time, or empty.
+	profile string
+}
+
+// The times of a run: jobs are handed in for jobsFor, and may end until jobsWait
+// later.
+const (
+	jobsFor  = 30 * time.Second
+	jobsWait = 20 * time.Second
+)
+
+// benchJobs plays what callers submit against the reducer alone, in virtual time.
+func benchJobs(out io.Writer, o jobOptions) error {
+	if o.profile != "" {
+		f, err := os.Create(o.profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	fmt.Fprintf(out, "Submitted jobs against the reducer, virtual time: %v of jobs at %.1f times the load, nothing fails.\n\n", jobsFor, o.load)
+	fmt.Fprintln(out, "| cell | seed | kind | jobs | on time | late | never or later | p50 | p99 |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	var totals []string
+	for _, mix := range jobMixes() {
+		if o.mix != "" && o.mix != mix.name {
+			continue
+		}
+		for seed := range o.seeds {
+			c := playJobs(mix, int64(seed+1), o.load)
+			c.table(out, seed+1)
+			totals = append(totals, c.totals(seed+1))
+		}
+	}
+	fmt.Fprintln(out, "\n| cell | seed | worth earned | starts | µs of the reducer a start | longest decision | calls for advice | time of advice a box | work wasted |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, line := range totals {
+		fmt.Fprintln(out, line)
+	}
+	return nil
+}
+
+// playJobs plays one run.
+func playJobs(mix jobMix, seed int64, load float64) *jobCell {
+	c := newJobCell(mix, seed)
+	begin := c.now.Add(2 * time.Second)
+	c.run(begin)
+	number := 0
+	for i := range mix.kinds {
+		k := &mix.kinds[i]
+		at := begin
+		for {
+			at = at.Add(time.Duration(c.rng.ExpFloat64() / (load * k.perSecond) * float64(time.Second)))
+			if at.Sub(begin) > jobsFor {
+				break
+			}
+			number++
+			n := number
+			c.after(at.Sub(c.now), func() { c.submit(k, n) })
+		}
+	}
+	c.run(begin.Add(jobsFor + jobsWait))
+	return c
+}
+
+// objective is the time within which a job is wanted, by its true work.
+func (j *cellJob) objective() time.Duration {
+	chain := time.Duration(0)
+	for _, w := range j.work {
+		chain += w
+	}
+	return time.Duration(j.kind.queue.Stretch*float64(chain)) + j.kind.queue.Latency
+}
+
+// lateMost is how many times its objective a job may take and still earn a fifth.
+const (
+	lateMost  = 3
+	lateWorth = 0.2
+)
+
+// table prints a line for each kind of job.
+func (c *jobCell) table(out io.Writer, seed int) {
+	for i := range c.mix.kinds {
+		k := &c.mix.kinds[i]
+		var took []time.Duration
+		jobs, onTime, late := 0, 0, 0
+		for _, j := range c.jobs {
+			if j.kind.queue.Name != k.queue.Name {
+				continue
+			}
+			jobs++
+			if j.doneAt.IsZero() {
+				continue
+			}
+			d := j.doneAt.Sub(j.sentAt)
+			took = append(took, d)
+			switch {
+			case d <= j.objective():
+				onTime++
+			case d <= lateMost*j.objective():
+				late++
+			}
+		}
+		slices.Sort(took)
+		at := func(share float64) time.Duration {
+			if len(took) == 0 {
+				return 0
+			}
+			return took[int(share*float64(len(took)-1))].Round(time.Millisecond)
+		}
+		fmt.Fprintf(out, "| %s | %d | %s | %d | %.3f | %.3f | %.3f | %v | %v |\n", c.mix.name, seed, k.queue.Name, jobs,
+			float64(onTime)/float64(jobs), float64(late)/float64(jobs), float64(jobs-onTime-late)/float64(jobs), at(0.5), at(0.99))
+	}
+}
+
+// totals returns a line about the run as a whole.
+func (c *jobCell) totals(seed int) string {
+	owed, earned := 0.0, 0.0
+	for _, j := range c.jobs {
+		owed += j.kind.worth
+		if j.doneAt.IsZero() {
+			continue
+		}
+		switch d := j.doneAt.Sub(j.sentAt); {
+		case d <= j.objective():
+			earned += j.kind.worth
+		case d <= lateMost*j.objective():
+			earned += lateWorth * j.kind.worth
+		}
+	}
+	return fmt.Sprintf("| %s | %d | %.3f | %d | %.0f | %v | %d | %.0f%% | %.1f%% |", c.mix.name, seed, earned/owed, c.starts,
+		float64(c.deciding.Microseconds())/float64(c.starts), c.mostDeciding.Round(100*time.Microsecond), c.adviceCalls,
+		100*c.adviceTime.Seconds()/float64(c.mix.boxes)/(jobsFor+jobsWait).Seconds(), 100*c.wasted/(c.worked+c.wasted))
+}
--- /dev/null
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/resource"
+	"saddlevane/services/dispatch"
+)
+
+// cellWorker is a worker that does as it is told.
+type cellWorker struct {
+	order.Worker
+	cell *jobCell
+	runs map[order.Run]*cellRun
+	// ended are ends that the holder has not seen, lastEnd the number of the last.
+	ended   []order.End
+	lastEnd int64
+	// waiting is the renewal that waits for an end, or nil.
+	waiting *dispatch.Renew
+	begin   time.Time
+}
+
+// cellRun is one task at work.
+type cellRun struct {
+	order.Run
+	since time.Time
+	step  *job.Step
+	ends  bool
+}
+
+func workerName(i int) string { return fmt.Sprintf("w-%03d", i) }
+
+func newCellWorker(c *jobCell, i int) *cellWorker {
+	return &cellWorker{
+		cell: c, runs: map[order.Run]*cellRun{}, begin: c.now,
+		Worker: order.Worker{
+			ID: workerName(i), Address: workerName(i), Pool: "pool", Domain: fmt.Sprintf("d%d", i%c.mix.domains),
+			Rack:     fmt.Sprintf("r%d", i/rackSize),
+			Capacity: resource.Vector{Processors: workerCores * resource.Processor, Memory: workerGiB * resource.GiB},
+		},
+	}
+}
+
+// suits says whether a worker may run a step; that never changes.
+func (w *cellWorker) suits(s job.StepID, share float64) bool {
+	return float64(xxhash.Sum64String(s.String()+w.ID)%1000) < 1000*share
+}
+
+// renew answers at once if there is an end to tell, else waits for one.
+func (w *cellWorker) renew(e dispatch.Renew) {
+	w.ended = slices.DeleteFunc(w.ended, func(end order.End) bool { return end.Number <= e.Order.Seen })
+	if len(w.ended) > 0 || e.Order.Wait == 0 {
+		w.report(e)
+		return
+	}
+	w.waiting = &e
+	w.cell.after(e.Order.Wait.Duration(), func() {
+		if w.waiting == &e {
+			w.waiting = nil
+			w.report(e)
+		}
+	})
+}
+
+// report answers a renewal.
+func (w *cellWorker) report(e dispatch.Renew) {
+	r := order.Report{Clock: order.WorkerClock(w.cell.now.Sub(w.begin).Milliseconds()), Ended: slices.Clone(w.ended)}
+	for _, run := range w.runs {
+		r.Running = append(r.Running, order.Running{Run: run.Run, Pace: 100})
+	}
+	w.cell.back(orderTime, dispatch.RenewEnded{
+		Worker: w.ID, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Carried}, Report: r,
+	})
+}
+
+// start begins a task, which ends well after its work. All members of a gang come
+// within a few milliseconds, so they begin on their own here.
+func (w *cellWorker) start(e dispatch.StartRun) {
+	j := w.cell.jobs[e.Order.Task.Job]
+	run := &cellRun{Run: e.Order.Run, since: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step]}
+	w.runs[run.Run] = run
+	w.cell.back(orderTime, dispatch.StartEnded{
+		Worker: w.ID, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Fate: order.Carried},
+	})
+	w.cell.after(j.work[e.Order.Task.Step], func() { w.end(run, order.Done) })
+}
+
+// stop ends a task within the time that a stop may take.
+func (w *cellWorker) stop(e dispatch.StopRun) {
+	w.cell.back(orderTime, dispatch.StopEnded{
+		Worker: w.ID, Epoch: e.Epoch, Run: e.Order.Run, Answer: order.Answer{Fate: order.Carried},
+	})
+	run := w.runs[e.Order.Run]
+	if run == nil {
+		return
+	}
+	takes := time.Duration(w.cell.rng.Int63n(int64(w.cell.mix.stopMost)))
+	w.cell.after(takes, func() { w.end(run, order.Stopped) })
+}
+
+// end ends a task and tells it to a renewal that waits.
+func (w *cellWorker) end(run *cellRun, how order.How) {
+	if run.ends {
+		return
+	}
+	run.ends = true
+	delete(w.runs, run.Run)
+	worked := w.cell.now.Sub(run.since).Seconds() * float64(run.step.Need.Processors) / float64(resource.Processor)
+	if how == order.Done {
+		w.cell.worked += worked
+	} else {
+		w.cell.wasted += worked
+	}
+	w.lastEnd++
+	w.ended = append(w.ended, order.End{Number: w.lastEnd, Run: run.Run, How: how})
+	if e := w.waiting; e != nil {
+		w.waiting = nil
+		w.report(*e)
+	}
+}
--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -23,11 +23,18 @@
 	requests := flag.NewFlagSet("requests", flag.ExitOnError)
 	requests.BoolVar(&baseline, "baseline", false, "measure round robin without priorities in the same run")
 	requests.BoolVar(&skew, "skew", false, "send everything to the first domain")
+	var jobsOf jobOptions
+	jobs := flag.NewFlagSet("jobs", flag.ExitOnError)
+	jobs.StringVar(&jobsOf.mix, "mix", "", "only this cell: today or grown")
+	jobs.Float64Var(&jobsOf.load, "load", 1, "times the usual load")
+	jobs.IntVar(&jobsOf.seeds, "seeds", 2, "runs of each cell")
+	jobs.StringVar(&jobsOf.profile, "profile", "", "file for a profile of the processor time")
 	root := &ffcli.Command{
-		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|requests|takeover|capacity", FlagSet: fs,
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|requests|takeover|capacity", FlagSet: fs,
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
+			{Name: "jobs", FlagSet: jobs, Exec: func(context.Context, []string) error { return benchJobs(os.Stdout, jobsOf) }},
 			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
 				return benchRequests(ctx, os.Stdout, requestOptions{bin: bin, baseline: baseline, skew: skew})
 			}},
--- a/cmd/saddlevane-bench/measure.go
+++ b/cmd/saddlevane-bench/measure.go
@@ -98,9 +98,9 @@
 func measureLedger(s *slopes) {
 	var applies, memory, snapshots []point
 	for _, n := range []int{500, 1000, 2000, 4000} {
-		before := heap()
+		before := heapInUse()
 		l := ledgerWith(n)
-		memory = append(memory, point{float64(n), float64(heap() - before)})
+		memory = append(memory, point{float64(n), float64(heapInUse() - before)})
 		snapshots = append(snapshots, point{float64(n), size(l.Snapshot())})
 		applies = append(applies, point{float64(n), publishCost(l)})
 		runtime.KeepAlive(l)
