--- a/cmd/saddlevaned/main.go
+++ b/cmd/saddlevaned/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"saddlevane/modules/logger"
@@ -49,6 +50,9 @@
 	if settings.Jobs.Enabled {
 		log.SetOutput(os.Stdout)
 	}
+	if limit := settings.Box.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	run := serve
--- a/modules/setting/box.go
+++ b/modules/setting/box.go
@@ -11,8 +11,17 @@
 	// of the box's network in Mbit/s. The cell is held by a large box.
 	Processors float64 `yaml:"processors"`
 	Link       float64 `yaml:"link_mbps"`
+	// Memory is how much the daemon may use, in MiB; 0 means as much as there is.
+	Memory int64 `yaml:"memory_mb"`
 }
 
+// heapShare is the part of its memory that a daemon's heap may take before the
+// garbage collector works harder: what has arrived and is not read counts too.
+const heapShare = 0.7
+
+// HeapLimit returns how large the heap should stay, in bytes, or 0 for any size.
+func (b *Box) HeapLimit() int64 { return int64(float64(b.Memory<<20) * heapShare) }
+
 // holderLink is the rate, in Mbit/s, below which a box counts as a quarter of its
 // processors: the reports of 350 workers come to about 20 Mbit/s in bursts.
 const holderLink = 50
@@ -33,6 +42,7 @@
 	c.name("box.domain", b.Domain)
 	between(c, "box.processors", b.Processors, 0.001, 1024)
 	between(c, "box.link_mbps", b.Link, 0.001, 1e6)
+	between(c, "box.memory_mb", b.Memory, 0, 1<<30)
 }
 
 // Listen says where the daemon listens.
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	// more for each second for which it has waited.
 	gangChoice      = 2
 	gangChoiceGrows = 0.5
+	// widenEvery is the time between two looks whether that is enough.
+	widenEvery = 200 * time.Millisecond
 	// gangChoiceMost bounds it.
 	gangChoiceMost = 3.5
 )
@@ -70,7 +73,7 @@
 	if q.Advice == nil {
 		return
 	}
-	p := newPass(now)
+	p := h.earlyPass(now)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
 			if len(s.spec.After) > 0 {
@@ -86,9 +89,20 @@
 	}
 }
 
-// unknown returns the candidates about which nothing is known for a step and nobody
+// earlyFor is how long jobs that are handed in share one look at the workers.
+const earlyFor = 10 * time.Millisecond
+
+// earlyPass returns the look at the workers for jobs that are handed in now.
+func (h *holding) earlyPass(now time.Time) *pass {
+	if h.early == nil || now.Sub(h.early.now) > earlyFor {
+		h.early = newPass(now)
+	}
+	return h.early
+}
+
+// roomiest returns the candidates about which nothing is known for a step and nobody
 // is asked, those with most room first.
-func (s *step) unknown(candidates []*worker) []*worker {
+func (s *step) roomiest(candidates []*worker) []*worker {
 	var all []*worker
 	for _, w := range candidates {
 		if !s.advice.asked(w) {
@@ -101,34 +115,28 @@
 	return all
 }
 
-// shuffled returns workers in an order of the step's own, those with room for a
-// task first, so that steps which wait at once ask about different ones.
-func (s *step) shuffled(workers []*worker) []*worker {
-	type placed struct {
-		worker *worker
-		full   bool
-		order  uint64
-	}
-	seed := xxhash.Sum64String(s.id.String())
-	all := make([]placed, len(workers))
-	for i, w := range workers {
-		all[i] = placed{worker: w, full: w.slots(s, w.room()) == 0, order: (seed ^ w.hash) * mixer}
-	}
-	slices.SortFunc(all, func(a, b placed) int {
-		if a.full != b.full {
-			return trueFirst(b.full)
+// shuffled yields the candidates about which nothing is known for a step and nobody
+// is asked, with the room they have for its tasks: those that have some first. It
+// begins at a place of the step's own, so that steps which wait at once ask about
+// different ones.
+func (s *step) shuffled(candidates []*worker) iter.Seq2[*worker, int] {
+	return func(yield func(*worker, int) bool) {
+		if len(candidates) == 0 {
+			return
+		}
+		first := int(xxhash.Sum64String(s.id.String()) % uint64(len(candidates)))
+		for _, withRoom := range []bool{true, false} {
+			for i := range candidates {
+				w := candidates[(first+i)%len(candidates)]
+				room := w.slots(s, w.room())
+				if (room > 0) == withRoom && !s.advice.asked(w) && !yield(w, room) {
+					return
+				}
+			}
 		}
-		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	for i, one := range all {
-		workers[i] = one.worker
 	}
-	return workers
 }
 
-// mixer spreads the bits of a hash.
-const mixer = 0x9E3779B97F4A7C15
-
 // askAbout calls for advice on some workers, in as many calls as that takes. It
 // returns false if none was made.
 func (h *holding) askAbout(now time.Time, r ranked, workers []*worker) bool {
@@ -151,15 +159,16 @@
 // more, which may have it next.
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
-	unknown := s.shuffled(s.unknown(candidates))
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
-	named := 0
-	for named < len(unknown) && named < firstAsk && (named < leastAsk || missing > 0) {
-		w := unknown[named]
-		missing -= max(leastRoom, float64(w.slots(s, w.room())))
-		named++
+	var named []*worker
+	for w, room := range s.shuffled(candidates) {
+		if len(named) == firstAsk || len(named) >= leastAsk && missing <= 0 {
+			break
+		}
+		named = append(named, w)
+		missing -= max(leastRoom, float64(room))
 	}
-	return h.askAbout(now, r, unknown[:named])
+	return h.askAbout(now, r, named)
 }
 
 // slotsOfEmpty returns how many tasks of a step an empty worker takes.
@@ -174,7 +183,7 @@
 // usualCapacity returns the capacity of the largest worker.
 func (h *holding) usualCapacity() resource.Vector {
 	most := resource.Vector{}
-	for _, w := range h.workers {
+	for _, w := range h.byName() {
 		if w.Capacity.Processors > most.Processors {
 			most = w.Capacity
 		}
@@ -187,6 +196,10 @@
 // over. A gang that has waited asks for a wider choice.
 func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker) {
 	s := r.step
+	if now.Before(s.widenAgain) {
+		return
+	}
+	s.widenAgain = now.Add(widenEvery)
 	choice := gangChoice + gangChoiceGrows*max(0, now.Sub(s.openedAt).Seconds())
 	if s.openedAt.IsZero() {
 		choice = gangChoice
@@ -210,7 +223,7 @@
 		h.askForRoom(now, r, candidates)
 		return
 	}
-	unknown := s.unknown(candidates)
+	unknown := s.roomiest(candidates)
 	wanted := max(leastAsk, int(math.Ceil(missing/each)))
 	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
 }
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -217,9 +217,19 @@
 	h.core.do(StopRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Stop{Run: run, Fence: h.epoch}})
 }
 
+// awaitsStop says whether some stop was not confirmed.
+func (w *worker) awaitsStop() bool {
+	for _, a := range w.attempts {
+		if a.state == stopping && !a.confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // resendStops sends stops again that had no answer.
 func (h *holding) resendStops(now time.Time, w *worker) {
-	if w.failures > 0 {
+	if w.failures > 0 || !w.awaitsStop() {
 		return
 	}
 	for _, a := range w.sorted() {
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -46,6 +46,10 @@
 	endedJobs []*submitted
 
 	workers map[string]*worker
+	// sorted has the workers by their names, or is nil after a change.
+	sorted []*worker
+	// early is the pass with which jobs that come at once are asked about.
+	early *pass
 	// reserved counts the gangs that have room reserved.
 	reserved int
 	// looks counts the renewals asked for.
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -74,6 +74,8 @@
 	explainedAt time.Time
 	// openedAt is when it was opened.
 	openedAt time.Time
+	// widenAgain is when more workers may next be asked about for a gang.
+	widenAgain time.Time
 	// preemptedAt is when tasks were last stopped for it.
 	preemptedAt time.Time
 	// notBefore delays a step whose last start was refused.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -8,7 +8,6 @@
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
-	"saddlevane/modules/ordered"
 )
 
 // leaseMost is how long a lease can last on the slowest clock allowed.
@@ -32,7 +31,7 @@
 
 // renewAll renews what is due, in a fixed order.
 func (h *holding) renewAll(now time.Time) {
-	for _, w := range ordered.Map(h.workers) {
+	for _, w := range h.byName() {
 		h.renew(now, w)
 	}
 }
@@ -147,7 +146,7 @@
 // sweepWorkers renews leases that are due and gives up workers whose lease has
 // run out.
 func (h *holding) sweepWorkers(now time.Time) {
-	for _, w := range ordered.Map(h.workers) {
+	for _, w := range h.byName() {
 		if w.failures > 0 && now.After(w.goneAt) {
 			h.lapsed(now, w)
 		} else {
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -101,8 +101,7 @@
 	}
 	w := h.workers[o.ID]
 	if w == nil {
-		w = newWorker(now, o)
-		h.workers[o.ID] = w
+		w = h.addWorker(now, o)
 	}
 	w.recorded = true
 	// An earlier holder may have renewed its lease until just now.
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -22,7 +22,7 @@
 	h.overviewAt = now.Add(overviewEvery)
 	var capacity, free, promised, stopping resource.Vector
 	taking, kept := 0, 0
-	for _, w := range h.workers {
+	for _, w := range h.byName() {
 		if !h.takes(now, w) {
 			continue
 		}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -23,7 +23,7 @@
 
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
-	for _, w := range h.workers {
+	for _, w := range h.byName() {
 		w.keptFor, w.keeper, w.drainedFor, w.held = w.keeper, nil, nil, resource.Vector{}
 	}
 	p := newPass(now)
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"saddlevane/models/job"
@@ -28,7 +27,7 @@
 		return set
 	}
 	set := &workerSet{}
-	for _, w := range h.workers {
+	for _, w := range h.byName() {
 		if w.Pool != pool || !h.takes(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
 			continue
 		}
@@ -38,7 +37,6 @@
 		set.most.Memory = max(set.most.Memory, room.Memory)
 		set.most.Accelerators = max(set.most.Accelerators, room.Accelerators)
 	}
-	slices.SortFunc(set.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	p.sets[key] = set
 	return set
 }
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -13,8 +14,6 @@
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // worker is one life of a worker.
@@ -62,8 +61,6 @@
 	// before. Others take its room last.
 	held            resource.Vector
 	keeper, keptFor *step
-	// hash is of the worker's name.
-	hash uint64
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
@@ -77,10 +74,27 @@
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, strays: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
-		hash: xxhash.Sum64String(o.ID),
 	}
 }
 
+// byName returns the workers in the order of their names. The reducer walks them in
+// that order wherever it matters.
+func (h *holding) byName() []*worker {
+	if h.sorted == nil {
+		h.sorted = slices.Collect(maps.Values(h.workers))
+		slices.SortFunc(h.sorted, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return h.sorted
+}
+
+// addWorker adds a life of a worker.
+func (h *holding) addWorker(now time.Time, o order.Worker) *worker {
+	w := newWorker(now, o)
+	h.workers[o.ID] = w
+	h.sorted = nil
+	return w
+}
+
 // sorted returns the attempts on the worker in a fixed order, so that the same
 // events always have the same effects.
 func (w *worker) sorted() []*attempt {
@@ -122,8 +136,7 @@
 func (h *holding) workerListed(now time.Time, o order.Worker) {
 	w := h.workers[o.ID]
 	if w == nil {
-		w = newWorker(now, o)
-		h.workers[o.ID] = w
+		w = h.addWorker(now, o)
 		h.core.note("worker listed", Field{"worker", o.ID}, Field{"address", o.Address}, Field{"pool", o.Pool}, Field{"domain", o.Domain})
 	}
 	if o.Leaving && !w.Leaving {
@@ -166,6 +179,7 @@
 // forget drops a worker here and in the log.
 func (h *holding) forget(w *worker) {
 	delete(h.workers, w.ID)
+	h.sorted = nil
 	if w.recorded || w.recording {
 		h.journal.add(keyDropped(keyWorker + w.ID))
 	}
