--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -39,6 +39,8 @@
 	widenEvery = 200 * time.Millisecond
 	// gangChoiceMost bounds it.
 	gangChoiceMost = 3.5
+	// gangChoiceRoomy bounds it while much of the workers' room is free.
+	gangChoiceRoomy = 12
 )
 
 // ask calls for advice on some workers. It returns nil if the boxes have as many
@@ -81,7 +83,7 @@
 			}
 			r := ranked{step: s, queue: q}
 			if candidates := h.workersFor(p, s, q.Pool).workers; s.spec.Gang {
-				h.widenChoice(now, r, candidates)
+				h.widenChoice(now, r, candidates, false)
 			} else {
 				h.askForRoom(now, r, candidates)
 			}
@@ -194,7 +196,7 @@
 // widenChoice asks about more workers for a gang until those known to suit, and
 // those that will be by the answers under way, could hold its tasks a few times
 // over. A gang that has waited asks for a wider choice.
-func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker) {
+func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker, roomy bool) {
 	s := r.step
 	if now.Before(s.widenAgain) {
 		return
@@ -205,7 +207,12 @@
 		choice = gangChoice
 	}
 	good := h.learned.goodShare(r.queue.Name)
-	missing := min(choice, gangChoiceMost) * float64(len(s.tasks))
+	most := float64(gangChoiceMost)
+	if roomy {
+		// Nobody else needs the advice.
+		most = gangChoiceRoomy
+	}
+	missing := min(choice, most) * float64(len(s.tasks))
 	for _, w := range candidates {
 		slots := float64(s.slotsOfEmpty(w.Capacity))
 		switch suits, known := s.advice.suits[w]; {
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -257,5 +257,5 @@
 		return false
 	}
 	v := h.rank(p.now, s)
-	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && h.slack(p.now, s) > victimSlack
+	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (h.slack(p.now, s) > victimSlack || p.roomy)
 }
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -50,7 +50,7 @@
 		return true
 	}
 	if r.queue.Advice != nil {
-		h.widenChoice(p.now, r, set.workers)
+		h.widenChoice(p.now, r, set.workers, p.roomy)
 	}
 	if !s.spec.Reserved().Fits(set.most) {
 		return false
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -15,6 +15,9 @@
 	sets map[setKey]*workerSet
 	// misses counts the steps that found no room for all their tasks.
 	misses int
+	// roomy says that much of the workers' room is free, so that tasks which are
+	// stopped find another place at once.
+	roomy bool
 	// drained counts the workers that are kept until they are empty.
 	drained int
 }
@@ -27,6 +30,7 @@
 		w.keptFor, w.keeper, w.drainedFor, w.held = w.keeper, nil, nil, resource.Vector{}
 	}
 	p := newPass(now)
+	p.roomy = h.roomy(now)
 	h.passes++
 	for _, r := range h.rankOpen(now) {
 		if p.misses >= mostMisses && h.passes%fullPass != 0 {
@@ -39,6 +43,21 @@
 	}
 }
 
+// roomyShare is the share of the processors that is free where room is plenty.
+const roomyShare = 0.4
+
+// roomy says whether much of the workers' room is free.
+func (h *holding) roomy(now time.Time) bool {
+	var free, all resource.Millis
+	for _, w := range h.byName() {
+		if h.takes(now, w) {
+			free += w.free.Processors
+			all += w.Capacity.Processors
+		}
+	}
+	return float64(free) > roomyShare*float64(all)
+}
+
 // missed has a gang that found no room reserve some, if not too many do, and
 // other steps stop what may give way to them.
 func (h *holding) missed(p *pass, r ranked) {
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -29,6 +29,10 @@
 // to its caller (the users' rules).
 const lateMost = 3
 
+// overdueAfter is how long a job that is of no use any more gives way to all others
+// before it counts as late again: every job that was accepted is to be done.
+const overdueAfter = 12 * time.Second
+
 // queueOf returns how the configuration treats a job. Jobs of a queue that is
 // gone are treated as when they were accepted.
 func (h *holding) queueOf(j *submitted) job.Queue {
@@ -68,6 +72,9 @@
 		r.tier = onTime
 	case !finish.After(s.instance.dueAt.Add(lateMost * most)):
 		r.tier = late
+	case now.Sub(s.instance.dueAt) > lateMost*most+overdueAfter:
+		// It has to be done some time.
+		r.tier = late
 	default:
 		r.tier = hopeless
 	}
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -46,7 +46,7 @@
 	s := r.step
 	open := h.openWorkers(p, r)
 	gains := s.gainsSoon(p.now, open)
-	if tasksOf(gains) < len(s.tasks) && r.tier != hopeless && p.now.Sub(s.preemptedAt) >= preemptEvery {
+	if tasksOf(gains) < len(s.tasks) && (r.tier != hopeless || p.roomy) && p.now.Sub(s.preemptedAt) >= preemptEvery {
 		s.preemptedAt = p.now
 		gains = append(gains, h.gainsOf(p, r, open)...)
 	}
