--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -100,7 +100,7 @@
 	now := time.Now()
 	self := peer.Hello{
 		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()).String(),
-		Domain: s.Box.Domain, Address: s.Listen.Peers,
+		Domain: s.Box.Domain, Address: s.Listen.Reached(),
 	}
 	d := &daemon{
 		log: log.WithFields(logrus.Fields{
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -62,7 +62,7 @@
 func serveJobs(s setting.Settings, log *logrus.Logger, signals <-chan os.Signal) error {
 	self := claim.Member{
 		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(time.Now()), ulid.DefaultEntropy()).String(),
-		Domain: s.Box.Domain, Address: s.Listen.Peers, Size: s.Box.Size(),
+		Domain: s.Box.Domain, Address: s.Listen.Reached(), Size: s.Box.Size(),
 	}
 	entry := log.WithFields(logrus.Fields{logger.FieldBox: self.Box, logger.FieldIncarnation: self.Incarnation})
 	d, err := startJobs(s, self, entry)
--- a/modules/setting/box.go
+++ b/modules/setting/box.go
@@ -51,8 +51,19 @@
 	Callers string `yaml:"callers"`
 	// Operators is for the operators' tool, metrics and dumps.
 	Operators string `yaml:"operators"`
-	// Peers is for other entry boxes, which must reach it under this address.
+	// Peers is for other entry boxes.
 	Peers string `yaml:"peers"`
+	// Advertise is the address under which other entry boxes reach Peers, if it is
+	// another one.
+	Advertise string `yaml:"advertise"`
+}
+
+// Reached returns the address under which other entry boxes reach this one.
+func (l *Listen) Reached() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
 }
 
 func defaultListen() Listen {
@@ -63,6 +74,9 @@
 	c.address("listen.callers", l.Callers)
 	c.address("listen.operators", l.Operators)
 	c.address("listen.peers", l.Peers)
+	if l.Advertise != "" {
+		c.address("listen.advertise", l.Advertise)
+	}
 	if l.Callers == l.Operators || l.Callers == l.Peers || l.Operators == l.Peers {
 		c.fail("listen", "the three addresses must differ")
 	}
--- a/tests/cell/calls.go
+++ b/tests/cell/calls.go
@@ -36,9 +36,9 @@
 
 func init() { nextPort.Store(rand.Int64N(ports)) }
 
-// freeAddress returns a loopback address on which nothing listens, each time
+// FreeAddress returns a loopback address on which nothing listens, each time
 // another.
-func freeAddress() string {
+func FreeAddress() string {
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
--- a/tests/cell/cell.go
+++ b/tests/cell/cell.go
@@ -118,7 +118,7 @@
 }
 
 func (c *Cell) start(ctx context.Context) error {
-	c.Log, c.Boxes = freeAddress(), freeAddress()
+	c.Log, c.Boxes = FreeAddress(), FreeAddress()
 	c.layOut()
 	if err := c.startStandins(); err != nil {
 		return err
@@ -143,7 +143,7 @@
 		for i := range d.Entries {
 			c.entries = append(c.entries, &Entry{
 				Name: fmt.Sprintf("entry-%s%d", d.Name, i+1), Domain: d.Name,
-				Callers: freeAddress(), Operators: freeAddress(), Peers: freeAddress(),
+				Callers: FreeAddress(), Operators: FreeAddress(), Peers: FreeAddress(),
 			})
 		}
 		for r := range d.Racks {
@@ -162,7 +162,7 @@
 const ConnectionsPerTarget = 60
 
 func (c *Cell) member(d Domain, name string, role box.Role, rack string) *Member {
-	address := freeAddress()
+	address := FreeAddress()
 	m := &Member{
 		Box:      box.Box{Name: name, Role: role, Domain: d.Name, Rack: rack, Address: c.options.Via(name, address), State: box.Live},
 		Capacity: d.Capacity, Listen: address, Real: address, Slots: d.Slots, Connections: ConnectionsPerTarget,
@@ -235,7 +235,7 @@
 }
 
 func (c *Cell) standin(name string, args ...string) (*Process, error) {
-	p, err := startProcess(c.options.Dir, name, c.options.Binaries.Standin, args...)
+	p, err := StartProcess(c.options.Dir, name, c.options.Binaries.Standin, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -276,7 +276,7 @@
 			return err
 		}
 	}
-	p, err := startProcess(c.options.Dir, e.Name, c.options.Binaries.Daemon, "-config", e.settings)
+	p, err := StartProcess(c.options.Dir, e.Name, c.options.Binaries.Daemon, "-config", e.settings)
 	if err != nil {
 		return err
 	}
--- a/tests/cell/process.go
+++ b/tests/cell/process.go
@@ -25,8 +25,8 @@
 	err  error
 }
 
-// startProcess starts a program whose output goes to a file in dir.
-func startProcess(dir, name, program string, args ...string) (*Process, error) {
+// StartProcess starts a program whose output goes to a file in dir.
+func StartProcess(dir, name, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
--- a/tests/cell/proxy.go
+++ b/tests/cell/proxy.go
@@ -49,7 +49,7 @@
 // a process that is being started holds all listeners for a moment.
 func (p *Proxies) start(name, address string) *toxiproxy.Proxy {
 	for {
-		proxy := toxiproxy.NewProxy(p.server, name, freeAddress(), address)
+		proxy := toxiproxy.NewProxy(p.server, name, FreeAddress(), address)
 		if proxy.Start() == nil {
 			return proxy
 		}
--- /dev/null
+++ b/tests/soak/callers.go
@@ -0,0 +1,254 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+	"saddlevane/platform/standin"
+	"saddlevane/services/dispatch"
+)
+
+// queues are those of the soak's configuration.
+var queues = []standin.Queue{
+	{Name: "urgent", Host: "u.example", Prefix: "/u/", Priority: 0, Attempts: 3},
+	{Name: "wide", Host: "w.example", Prefix: "/w/", Priority: 1, Attempts: 3, Advised: true},
+	{Name: "batch", Host: "b.example", Prefix: "/b/", Priority: 2, Attempts: 2},
+}
+
+const (
+	// callWithin bounds one call; a box answers or refuses well before.
+	callWithin = 3 * time.Second
+	// triesMost is how often a caller hands a job in.
+	triesMost = 8
+	// tryAgain is the pause between two tries, stateEvery that between two questions
+	// about a job.
+	tryAgain   = 250 * time.Millisecond
+	stateEvery = 200 * time.Millisecond
+	// visibleAfter is how long after its acceptance a job is known at every box.
+	visibleAfter = 3 * time.Second
+	// cancelShare of the jobs are cancelled.
+	cancelShare = 0.1
+)
+
+// Callers hand jobs in and watch them.
+type Callers struct {
+	rig    *Rig
+	client *http.Client
+	tasks  conc.WaitGroup
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	next     int
+	broken   []string
+	accepted int
+	refused  int
+	unsure   int
+	ended    map[job.State]int
+}
+
+// NewCallers returns callers of a rig. They keep connections open.
+func NewCallers(r *Rig, seed int64) *Callers {
+	return &Callers{
+		rig: r, client: &http.Client{Timeout: callWithin}, rng: rand.New(rand.NewSource(seed)), ended: map[job.State]int{},
+	}
+}
+
+// Run hands jobs in at some rate for a while.
+func (c *Callers) Run(ctx context.Context, perSecond float64, most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; {
+		s, q, work := c.draw()
+		c.rig.platform.Expect(s, q, work)
+		c.tasks.Go(func() { c.follow(ctx, s) })
+		c.sleep(ctx, time.Duration(c.exp()/perSecond*float64(time.Second)))
+	}
+}
+
+// Wait waits until every job has ended or was refused, or ctx has ended.
+func (c *Callers) Wait() { c.tasks.Wait() }
+
+// Broken returns the promises that were broken.
+func (c *Callers) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+// String sums up what became of the jobs.
+func (c *Callers) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%d jobs accepted, %d refused, %d unsure; ended %v", c.accepted, c.refused, c.unsure, c.ended)
+}
+
+func (c *Callers) breaks(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+func (c *Callers) exp() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.ExpFloat64()
+}
+
+func (c *Callers) number(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.Intn(n)
+}
+
+// draw makes a job up.
+func (c *Callers) draw() (job.Submission, standin.Queue, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	q := queues[c.rng.Intn(len(queues))]
+	work := time.Duration(50+c.rng.Intn(600)) * time.Millisecond
+	s := job.Submission{ID: job.ID(fmt.Sprintf("job%d", c.next)), Queue: q.Name, Spec: fmt.Sprintf("spec of %d", c.next)}
+	for i := range 1 + c.rng.Intn(3) {
+		step := job.Step{
+			Tasks: 1 + c.rng.Intn(4), Estimate: job.Milliseconds(work.Milliseconds()),
+			Need: resource.Vector{Processors: resource.Millis(500 * (1 + c.rng.Intn(8))), Memory: resource.GiB},
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		s.Steps = append(s.Steps, step)
+	}
+	return s, q, work
+}
+
+func (c *Callers) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// call makes one call at some box; status 0 means that there was no whole answer.
+func (c *Callers) call(ctx context.Context, method, path string, body any) (int, dispatch.Answer) {
+	b := c.rig.boxes[c.number(len(c.rig.boxes))]
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.operators+path, bytes.NewReader(data))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, dispatch.Answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err = io.ReadAll(resp.Body)
+	var a dispatch.Answer
+	if err != nil || json.Unmarshal(data, &a) != nil {
+		return 0, dispatch.Answer{}
+	}
+	return resp.StatusCode, a
+}
+
+// follow hands a job in and watches it until it has ended.
+func (c *Callers) follow(ctx context.Context, s job.Submission) {
+	if !c.submit(ctx, s) {
+		return
+	}
+	acceptedAt := time.Now()
+	if c.number(100) < 100*cancelShare {
+		c.sleep(ctx, time.Duration(c.number(1500))*time.Millisecond)
+		c.cancel(ctx, s.ID)
+	}
+	c.watch(ctx, s, acceptedAt)
+}
+
+// submit hands a job in until it is accepted. It returns false if it was not; a job
+// of which every try was refused must never run.
+func (c *Callers) submit(ctx context.Context, s job.Submission) bool {
+	sure := true
+	for range triesMost {
+		status, _ := c.call(ctx, http.MethodPost, "/v1/jobs", s)
+		switch status {
+		case http.StatusOK:
+			c.count(&c.accepted)
+			return true
+		case http.StatusServiceUnavailable:
+		default:
+			sure = false
+		}
+		c.sleep(ctx, tryAgain)
+	}
+	if !sure {
+		c.count(&c.unsure)
+		return false
+	}
+	c.count(&c.refused)
+	c.rig.platform.Refused(s.ID)
+	return false
+}
+
+func (c *Callers) count(n *int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*n++
+}
+
+// cancel ends a job, with as many tries as that takes.
+func (c *Callers) cancel(ctx context.Context, id job.ID) {
+	for ctx.Err() == nil {
+		if status, _ := c.call(ctx, http.MethodDelete, "/v1/jobs/"+string(id), nil); status == http.StatusOK {
+			c.rig.platform.Cancelled(id, time.Now())
+			return
+		}
+		c.sleep(ctx, tryAgain)
+	}
+}
+
+// watch asks for a job's state until it is a final one, and once more after that.
+func (c *Callers) watch(ctx context.Context, s job.Submission, acceptedAt time.Time) {
+	for ctx.Err() == nil {
+		status, a := c.call(ctx, http.MethodGet, "/v1/jobs/"+string(s.ID), nil)
+		switch {
+		case status == http.StatusGone && time.Since(acceptedAt) > visibleAfter:
+			c.breaks("%s was accepted and is not known %v later", s.ID, time.Since(acceptedAt))
+			return
+		case status == http.StatusOK && a.State.Final():
+			c.ends(ctx, s, a.State)
+			return
+		}
+		c.sleep(ctx, stateEvery)
+	}
+	c.breaks("%s has not ended", s.ID)
+}
+
+// ends checks a final state.
+func (c *Callers) ends(ctx context.Context, s job.Submission, state job.State) {
+	c.mu.Lock()
+	c.ended[state]++
+	c.mu.Unlock()
+	switch {
+	case state == job.Succeeded && !c.rig.platform.Done(s):
+		c.breaks("%s is shown as succeeded before all its tasks are done", s.ID)
+	case state == job.Failed && !c.rig.platform.FailedOften(s.ID):
+		c.breaks("%s is shown as failed, and no task failed often enough", s.ID)
+	}
+	c.sleep(ctx, time.Duration(c.number(1000))*time.Millisecond)
+	if status, a := c.call(ctx, http.MethodGet, "/v1/jobs/"+string(s.ID), nil); status == http.StatusOK && a.State != state {
+		c.breaks("%s was shown as %s and then as %s", s.ID, state, a.State)
+	}
+}
--- /dev/null
+++ b/tests/soak/faults.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"saddlevane/platform/standin"
+	"saddlevane/tests/cell"
+)
+
+// The times of faults.
+const (
+	// faultGap is the mean time from one fault to the next; faults overlap.
+	faultGap = 350 * time.Millisecond
+	// faultMost is how long a fault lasts at most.
+	faultMost = 2500 * time.Millisecond
+	// stopWithin bounds a planned stop.
+	stopWithin = 6 * time.Second
+)
+
+// Faults injects faults into a rig.
+type Faults struct {
+	rig   *Rig
+	rng   *rand.Rand
+	tasks conc.WaitGroup
+	// busy says of each thing that a fault acts on it.
+	busy map[string]time.Time
+	// Told lists what was done and when.
+	Told  []string
+	began time.Time
+}
+
+// NewFaults returns the faults that follow from a seed.
+func NewFaults(r *Rig, seed int64) *Faults {
+	return &Faults{rig: r, rng: rand.New(rand.NewSource(seed)), busy: map[string]time.Time{}, began: time.Now()}
+}
+
+// Run injects faults for a while, and returns once all have ended.
+func (f *Faults) Run(ctx context.Context, most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; {
+		f.one()
+		select {
+		case <-time.After(time.Duration(f.rng.ExpFloat64() * float64(faultGap))):
+		case <-ctx.Done():
+		}
+	}
+	f.tasks.Wait()
+}
+
+// one begins one fault.
+func (f *Faults) one() {
+	lasts := time.Duration(f.rng.Int63n(int64(faultMost)))
+	i, j := f.rng.Intn(len(f.rig.boxes)), f.rng.Intn(len(f.rig.workers))
+	direction := []cell.Direction{cell.Requests, cell.Answers}[f.rng.Intn(2)]
+	both := f.rng.Intn(2) == 0
+	b, w := f.rig.boxes[i], f.rig.workers[j]
+	worker := fmt.Sprintf("worker-%d", j)
+	switch f.rng.Intn(14) {
+	case 0:
+		f.on(b.name, "killed", lasts/4, func() { b.running().Kill() }, func() { f.restart(b) })
+	case 1:
+		f.on(b.name, "paused", lasts, func() { _ = b.running().Pause() }, func() { _ = b.running().Continue() })
+	case 2:
+		f.on(b.name, "stopped as planned", lasts/4, func() { _ = b.running().Stop(stopWithin) }, func() { f.restart(b) })
+	case 3:
+		f.on(b.name+"/hup", "asked to reload", 0, func() { _ = b.running().Signal(syscall.SIGHUP) }, func() {})
+	case 4, 5:
+		f.cut(logProxy(i), lasts, direction, both)
+	case 6:
+		f.cut(peerProxy(i), lasts, direction, both)
+	case 7:
+		f.refuse(logProxy(i), lasts)
+	case 8:
+		f.cut(worker, lasts, direction, both)
+	case 9:
+		f.on(worker+"/life", "begins another life", 0, w.Restart, func() {})
+	case 10:
+		f.on(worker+"/faults", "fails all tasks", lasts, func() { w.SetFaults(standin.WorkerFaults{FailsAll: true}) }, func() { w.SetFaults(standin.WorkerFaults{}) })
+	case 11:
+		f.on(worker+"/faults", "carries orders out late", lasts, func() { w.SetFaults(standin.WorkerFaults{Late: 0.3}) }, func() { w.SetFaults(standin.WorkerFaults{}) })
+	default:
+		f.logFault(lasts)
+	}
+}
+
+// logFault does something to the log as a whole.
+func (f *Faults) logFault(lasts time.Duration) {
+	all := []struct {
+		what  string
+		fault standin.LogFaults
+	}{
+		{"refuses all calls", standin.LogFaults{Busy: true}}, {"is silent", standin.LogFaults{Silent: true}},
+		{"loses answers", standin.LogFaults{Loses: 0.3}}, {"is slow", standin.LogFaults{Delay: 200 * time.Millisecond}},
+	}
+	one := all[f.rng.Intn(len(all))]
+	f.on("log", one.what, lasts, func() { f.rig.platform.SetLog(one.fault) }, func() { f.rig.platform.SetLog(standin.LogFaults{}) })
+}
+
+func (f *Faults) restart(b *box) {
+	if err := f.rig.start(b); err != nil {
+		panic(err)
+	}
+}
+
+func (f *Faults) cut(name string, lasts time.Duration, d cell.Direction, both bool) {
+	directions := []cell.Direction{d}
+	if both {
+		directions = []cell.Direction{cell.Requests, cell.Answers}
+	}
+	f.on(name, fmt.Sprintf("cut %v", directions), lasts, func() { _ = f.rig.proxies.Cut(name, directions...) }, func() { _ = f.rig.proxies.Heal(name) })
+}
+
+func (f *Faults) refuse(name string, lasts time.Duration) {
+	f.on(name, "refuses connections", lasts, func() { _ = f.rig.proxies.Refuse(name) }, func() { _ = f.rig.proxies.Accept(name) })
+}
+
+// on lets a fault act on something for a while, unless another does.
+func (f *Faults) on(name, what string, lasts time.Duration, begin, end func()) {
+	now := time.Now()
+	if now.Before(f.busy[name]) {
+		return
+	}
+	f.busy[name] = now.Add(lasts + stopWithin/2)
+	f.Told = append(f.Told, fmt.Sprintf("%6.2fs %s %s for %v", now.Sub(f.began).Seconds(), name, what, lasts.Round(time.Millisecond)))
+	f.tasks.Go(func() {
+		begin()
+		time.Sleep(lasts)
+		end()
+	})
+}
--- /dev/null
+++ b/tests/soak/rig.go
@@ -0,0 +1,177 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"saddlevane/platform/standin"
+	"saddlevane/tests/cell"
+)
+
+// Rig is a cell of daemons, a stand-in of the platform, and the proxies between
+// them.
+type Rig struct {
+	dir      string
+	daemon   string
+	platform *standin.Platform
+	proxies  *cell.Proxies
+	boxes    []*box
+	workers  []*standin.Worker
+}
+
+// box is one entry box.
+type box struct {
+	name      string
+	settings  string
+	operators string
+
+	mu      sync.Mutex
+	process *cell.Process
+}
+
+// settingsText is what a daemon is told. Times are shorter than usual, so that
+// more happens in a run.
+const settingsText = `box:
+  name: %s
+  domain: a
+listen:
+  callers: %s
+  operators: %s
+  peers: %s
+  advertise: %s
+log:
+  format: json
+jobs:
+  enabled: true
+  ready: %s
+  log: %s
+  advice: %s
+  lease: 2500ms
+  wait: 500ms
+  renew: 150ms
+  hold_for: 700ms
+  claim_after: 800ms
+  stop_grace: 500ms
+`
+
+// NewRig starts a rig with some boxes and workers; daemon is the program to run,
+// and dir takes its output.
+func NewRig(seed int64, daemon, dir string, boxes, workers int) (*Rig, error) {
+	p, err := standin.New(seed)
+	if err != nil {
+		return nil, err
+	}
+	r := &Rig{dir: dir, daemon: daemon, platform: p, proxies: cell.NewProxies()}
+	if err := p.Configure(queues...); err != nil {
+		return r, err
+	}
+	for i := range workers {
+		name := fmt.Sprintf("worker-%d", i)
+		w, err := p.AddWorker(name, func(address string) string { return r.proxies.Via(name, address) })
+		if err != nil {
+			return r, err
+		}
+		r.workers = append(r.workers, w)
+	}
+	for i := range boxes {
+		b, err := r.newBox(i)
+		if err != nil {
+			return r, err
+		}
+		r.boxes = append(r.boxes, b)
+		if err := r.start(b); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// newBox writes the settings of a box, whose ways to the log and from other boxes
+// lead through proxies.
+func (r *Rig) newBox(i int) (*box, error) {
+	b := &box{name: fmt.Sprintf("box-%d", i), operators: cell.FreeAddress()}
+	b.settings = filepath.Join(r.dir, b.name+".yaml")
+	peers := cell.FreeAddress()
+	text := fmt.Sprintf(settingsText, b.name, cell.FreeAddress(), b.operators, peers, r.proxies.Via(peerProxy(i), peers),
+		cell.FreeAddress(), r.proxies.Via(logProxy(i), r.platform.Log()), r.platform.Advice())
+	return b, os.WriteFile(b.settings, []byte(text), 0o600)
+}
+
+func logProxy(i int) string { return fmt.Sprintf("log-%d", i) }
+
+func peerProxy(i int) string { return fmt.Sprintf("peer-%d", i) }
+
+// start starts the daemon of a box.
+func (r *Rig) start(b *box) error {
+	p, err := cell.StartProcess(r.dir, b.name, r.daemon, "-config", b.settings)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.process = p
+	return nil
+}
+
+// running returns the process of a box.
+func (b *box) running() *cell.Process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.process
+}
+
+// AwaitReady waits until all boxes take callers.
+func (r *Rig) AwaitReady(ctx context.Context) error {
+	for _, b := range r.boxes {
+		for !b.ready(ctx) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s is not ready: %w", b.name, ctx.Err())
+			case <-time.After(readyEvery):
+			}
+		}
+	}
+	return nil
+}
+
+const readyEvery = 20 * time.Millisecond
+
+func (b *box) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.operators+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close ends all processes and servers.
+func (r *Rig) Close() {
+	for _, b := range r.boxes {
+		if p := b.running(); p != nil {
+			_ = p.Signal(syscall.SIGCONT)
+			p.Kill()
+		}
+	}
+	r.proxies.Close()
+	r.platform.Close()
+}
+
+// Starts returns how many tasks were started.
+func (r *Rig) Starts() int { return r.platform.Starts() }
+
+// Broken returns the promises that workers have seen broken.
+func (r *Rig) Broken() []string { return r.platform.Broken() }
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,135 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"saddlevane/tests/soak"
+)
+
+// The times of a run: faults for faultsFor, then all that was accepted has to end
+// within settleWithin.
+const (
+	faultsFor    = 12 * time.Second
+	settleWithin = 60 * time.Second
+	jobsASecond  = 12
+	boxes        = 3
+	workers      = 6
+)
+
+// seedsEnv names the seeds of a longer run by hand, such as 100-149; keepEnv a
+// folder where the output of runs that failed is kept.
+const (
+	seedsEnv = "SADDLEVANE_SOAK_SEEDS"
+	keepEnv  = "SADDLEVANE_SOAK_KEEP"
+)
+
+var daemon string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "saddlevane-soak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	daemon = filepath.Join(dir, "saddlevaned")
+	if out, err := exec.Command("go", "build", "-race", "-o", daemon, "saddlevane/cmd/saddlevaned").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s", out)
+		return 1
+	}
+	return m.Run()
+}
+
+// TestNoPromiseIsBrokenUnderRandomFaults plays the seed of CI and those that ever
+// failed.
+func TestNoPromiseIsBrokenUnderRandomFaults(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
+// seeds returns those of the environment, or the kept ones.
+func seeds(t *testing.T) []int64 {
+	t.Helper()
+	if text := os.Getenv(seedsEnv); text != "" {
+		first, last, _ := strings.Cut(text, "-")
+		from, err := strconv.ParseInt(first, 10, 64)
+		assert.NilError(t, err)
+		to := from
+		if last != "" {
+			to, err = strconv.ParseInt(last, 10, 64)
+			assert.NilError(t, err)
+		}
+		var all []int64
+		for s := from; s <= to; s++ {
+			all = append(all, s)
+		}
+		return all
+	}
+	f, err := os.Open("seeds.txt")
+	assert.NilError(t, err)
+	defer f.Close()
+	var all []int64
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		text, _, _ := strings.Cut(lines.Text(), "#")
+		if text = strings.TrimSpace(text); text != "" {
+			seed, err := strconv.ParseInt(text, 10, 64)
+			assert.NilError(t, err)
+			all = append(all, seed)
+		}
+	}
+	return all
+}
+
+func play(t *testing.T, seed int64) {
+	t.Helper()
+	dir := t.TempDir()
+	if keep := os.Getenv(keepEnv); keep != "" {
+		dir = filepath.Join(keep, strconv.FormatInt(seed, 10))
+		assert.NilError(t, os.MkdirAll(dir, 0o755))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), faultsFor+settleWithin)
+	defer cancel()
+	r, err := soak.NewRig(seed, daemon, dir, boxes, workers)
+	if r != nil {
+		defer r.Close()
+	}
+	assert.NilError(t, err)
+	assert.NilError(t, r.AwaitReady(ctx))
+	callers, faults := soak.NewCallers(r, seed), soak.NewFaults(r, seed)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		faults.Run(ctx, faultsFor)
+	}()
+	callers.Run(ctx, jobsASecond, faultsFor)
+	<-done
+	callers.Wait()
+	t.Logf("seed %d: %v, %d starts, %d faults", seed, callers, r.Starts(), len(faults.Told))
+	for _, line := range append(callers.Broken(), r.Broken()...) {
+		t.Errorf("seed %d: %s", seed, line)
+	}
+	if t.Failed() {
+		t.Logf("faults:\n%s", strings.Join(faults.Told, "\n"))
+	}
+	assert.Check(t, r.Starts() > 0, "nothing was started")
+}
