--- a/cmd/saddlevane-bench/jobmix.go
+++ b/cmd/saddlevane-bench/jobmix.go
@@ -53,7 +53,9 @@
 	domains int
 	// stopMost is how long a stop takes at most.
 	stopMost time.Duration
-	kinds    []jobKind
+	// slowShare of the workers take slowBy times as long for everything.
+	slowShare, slowBy float64
+	kinds             []jobKind
 }
 
 // jobMixes are like the deployments that the users described, and the same grown.
@@ -78,7 +80,9 @@
 	batch.perSecond, batch.tasks, batch.processors = 10, spread{25, 0.8, 150}, spread{6.9, 0.45, 21}
 	urgent.perSecond, urgent.tasks, urgent.processors = 113, spread{3.2, 0.8, 19}, spread{9.9, 0.45, 30}
 	grown := jobMix{name: "grown", boxes: 43, workers: 350, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
-	return []jobMix{small, grown}
+	slow := grown
+	slow.name, slow.slowShare, slow.slowBy = "slow", 0.15, 5
+	return []jobMix{small, grown, slow}
 }
 
 // advice returns the cost of calls to the advice service, in milliseconds.
--- a/cmd/saddlevane-bench/jobworker.go
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -27,6 +27,8 @@
 	// waiting is the renewal that waits for an end, or nil.
 	waiting *dispatch.Renew
 	begin   time.Time
+	// slowBy is how many times as long tasks take on it.
+	slowBy float64
 }
 
 // cellRun is one task at work.
@@ -40,8 +42,12 @@
 func workerName(i int) string { return fmt.Sprintf("w-%03d", i) }
 
 func newCellWorker(c *jobCell, i int) *cellWorker {
+	slowBy := 1.0
+	if c.rng.Float64() < c.mix.slowShare {
+		slowBy = c.mix.slowBy
+	}
 	return &cellWorker{
-		cell: c, runs: map[order.Run]*cellRun{}, begin: c.now,
+		cell: c, runs: map[order.Run]*cellRun{}, begin: c.now, slowBy: slowBy,
 		Worker: order.Worker{
 			ID: workerName(i), Address: workerName(i), Pool: "pool", Domain: fmt.Sprintf("d%d", i%c.mix.domains),
 			Rack:     fmt.Sprintf("r%d", i/rackSize),
@@ -91,7 +97,8 @@
 	w.cell.back(orderTime, dispatch.StartEnded{
 		Worker: w.ID, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Fate: order.Carried},
 	})
-	w.cell.after(j.work[e.Order.Task.Step], func() { w.end(run, order.Done) })
+	work := time.Duration(w.slowBy * float64(j.work[e.Order.Task.Step]))
+	w.cell.after(work, func() { w.end(run, order.Done) })
 }
 
 // stop ends a task within the time that a stop may take.
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -22,12 +22,13 @@
 type candidate struct {
 	share
 	far, kept, unticketed int
+	slowness              slowness
 	left                  resource.Millis
 }
 
 // fit chooses workers for a step's waiting tasks: those near its data first, then
 // those that no gang waits for, then those whose tickets are valid, then the
-// fullest that have room, so that large holes stay whole.
+// fullest that have room, so that large holes stay whole. Slow workers come late.
 func (h *holding) fit(now time.Time, s *step, suited []*worker) ([]share, int) {
 	open := make([]candidate, 0, len(suited))
 	short := h.expect(s) <= shortStep
@@ -36,7 +37,13 @@
 			continue
 		}
 		if n := w.slots(s, w.room()); n > 0 {
-			open = append(open, s.candidate(now, w, n))
+			c := s.candidate(now, w, n)
+			if c.slowness = h.slownessOf(now, w); c.slowness == avoided && s.spec.Gang {
+				continue
+			} else if c.slowness == slow && !short {
+				c.slowness = usual
+			}
+			open = append(open, c)
 		}
 	}
 	slices.SortFunc(open, candidate.compare)
@@ -71,8 +78,8 @@
 
 func (c candidate) compare(o candidate) int {
 	return cmp.Or(
-		cmp.Compare(c.far, o.far), cmp.Compare(c.kept, o.kept), cmp.Compare(c.unticketed, o.unticketed),
-		cmp.Compare(c.left, o.left), cmp.Compare(c.worker.ID, o.worker.ID),
+		cmp.Compare(c.far, o.far), cmp.Compare(c.slowness, o.slowness), cmp.Compare(c.kept, o.kept),
+		cmp.Compare(c.unticketed, o.unticketed), cmp.Compare(c.left, o.left), cmp.Compare(c.worker.ID, o.worker.ID),
 	)
 }
 
--- /dev/null
+++ b/services/dispatch/pace_test.go
@@ -0,0 +1,34 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAWorkerThatTurnsSlowGetsFewTasksAndIsTriedAgain(t *testing.T) {
+	w := serving(t, 21, 1, 4)
+	few := func(name string, jobs int) (slow, all int) {
+		before := w.workers[0].begun
+		for i := range jobs {
+			w.submit(oneStep(fmt.Sprintf("%s%d", name, i), "quick", 2, false))
+			w.run(100 * time.Millisecond)
+		}
+		return w.workers[0].begun - before, 2 * jobs
+	}
+	w.workers[0].slowBy = 6
+	few("warm", 60)
+	slow, all := few("slow", 60)
+	assert.Check(t, slow < all/10, "%d of %d tasks were started on the slow worker", slow, all)
+
+	w.workers[0].slowBy = 1
+	w.run(11 * time.Second)
+	slow, all = few("usual", 100)
+	assert.Check(t, slow > all/10, "%d of %d tasks were started on the worker that is slow no more", slow, all)
+	w.check()
+}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -61,6 +61,8 @@
 	// before. Others take its room last.
 	held            resource.Vector
 	keeper, keptFor *step
+	// pace is how long tasks take on it.
+	pace pace
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -185,8 +185,9 @@
 	h := f.w.rng.Intn(100)
 	f.runs[s.Run] = &fakeRun{
 		run: s.Run, step: step, present: f.w.now, fails: f.failAll || h < 4,
-		lasts: step.Estimate.Duration() * time.Duration(50+f.w.rng.Intn(100)) / 100,
+		lasts: step.Estimate.Duration() * time.Duration(50+f.w.rng.Intn(100)) / 100 * time.Duration(max(1, f.slowBy)),
 	}
+	f.begun++
 	return order.Answer{Fate: order.Carried, Clock: f.clock()}
 }
 
@@ -340,6 +341,10 @@
 	ended    []order.End
 	highest  map[job.TaskID]int64
 	failAll  bool
+	// slowBy is how many times as long tasks take on it, if not 0.
+	slowBy int
+	// begun counts the starts on it.
+	begun int
 }
 
 type fakeRun struct {
