--- /dev/null
+++ b/cmd/saddlevane-demo/jobs.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+	"saddlevane/tests/cell"
+	"saddlevane/tests/soak"
+)
+
+// jobsDemo shows jobs that callers submit, on a stand-in of the users' platform.
+type jobsDemo struct {
+	ctx context.Context
+	rig *soak.Rig
+	bin string
+	dir string
+}
+
+// taskTime is how long each task of the demo works.
+const taskTime = 400 * time.Millisecond
+
+// submittedJobs starts daemons that serve submitted jobs, hands a job in, kills the
+// box that holds the cell and waits for the job's end.
+func submittedJobs(ctx context.Context, bin, dir string) error {
+	rig, err := soak.NewRig(1, filepath.Join(bin, "saddlevaned"), dir, 3, 6)
+	if rig != nil {
+		defer rig.Close()
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Println("\n== 3 entry boxes that serve submitted jobs, 6 workers, a log and an advice service are running")
+	d := &jobsDemo{ctx: ctx, rig: rig, bin: bin, dir: dir}
+	if err := rig.AwaitReady(ctx); err != nil {
+		return err
+	}
+	return d.run()
+}
+
+// nightly is a job of two steps: all tasks of the second start together.
+func nightly() job.Submission {
+	need := resource.Vector{Processors: 4 * resource.Processor, Memory: 4 * resource.GiB}
+	return job.Submission{
+		ID: "nightly-1", Queue: "wide", Spec: "score the portfolio",
+		Steps: []job.Step{
+			{Tasks: 12, Need: need, Estimate: job.Milliseconds(taskTime.Milliseconds())},
+			{Tasks: 4, Need: need, Estimate: job.Milliseconds(taskTime.Milliseconds()), After: []int{0}, Gang: true},
+		},
+	}
+}
+
+func (d *jobsDemo) run() error {
+	s := nightly()
+	if err := d.rig.Expect(s, taskTime); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(d.dir, "nightly.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	if err := d.submit(path); err != nil {
+		return err
+	}
+	if err := d.tool("job", string(s.ID)); err != nil {
+		return err
+	}
+	holder, err := d.rig.KillHolder(d.ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nkilled %s, which held the cell\n", holder)
+	state := job.State("")
+	err = cell.Until(d.ctx, "the job has ended", func() bool {
+		state = d.rig.State(d.ctx, s.ID)
+		return state.Final()
+	})
+	if err != nil {
+		return err
+	}
+	if broken := d.rig.Broken(); state != job.Succeeded || len(broken) > 0 {
+		return fmt.Errorf("the job is %s; broken: %v", state, broken)
+	}
+	if err := d.tool("cell"); err != nil {
+		return err
+	}
+	fmt.Printf("\n%s is %s after %d task starts; no task ran in two places, none beyond a worker's size\n", s.ID, state, d.rig.Starts())
+	return nil
+}
+
+// submit hands the job in until a box holds the cell; the same ID is the same job.
+func (d *jobsDemo) submit(path string) error {
+	return cell.Until(d.ctx, "the job is accepted", func() bool { return d.tool("submit", path) == nil })
+}
+
+// tool runs the command-line tool against the boxes that are up.
+func (d *jobsDemo) tool(args ...string) error {
+	all := append([]string{"-address", strings.Join(d.rig.Operators(d.ctx), ",")}, args...)
+	out, err := exec.CommandContext(d.ctx, filepath.Join(d.bin, "saddlevanectl"), all...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("saddlevanectl %v: %w: %s", args, err, out)
+	}
+	fmt.Printf("\n$ saddlevanectl %s\n%s", strings.Join(args, " "), out)
+	return nil
+}
--- a/cmd/saddlevane-demo/main.go
+++ b/cmd/saddlevane-demo/main.go
@@ -46,7 +46,7 @@
 	}
 	defer c.Close()
 	d := &demo{ctx: ctx, cell: c, dir: dir}
-	return errors.Join(d.steps())
+	return errors.Join(d.steps(), submittedJobs(ctx, bin, dir))
 }
 
 func options(bin, dir string) cell.Options {
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -96,6 +96,8 @@
 		return fmt.Sprintf("no worker is large enough for %v", s.spec.Need)
 	case s.advice.asking():
 		return "the advice service has not answered yet"
+	case q.Advice != nil && len(s.advice.suits) == 0:
+		return "no worker has been asked about yet"
 	case q.Advice != nil && len(s.suited(set.workers)) == 0:
 		return fmt.Sprintf("none of the %d workers asked about may run it", len(s.advice.suits))
 	default:
--- a/tests/soak/rig.go
+++ b/tests/soak/rig.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -13,7 +14,9 @@
 	"syscall"
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/platform/standin"
+	"saddlevane/services/dispatch"
 	"saddlevane/tests/cell"
 )
 
@@ -145,18 +148,7 @@
 
 const readyEvery = 20 * time.Millisecond
 
-func (b *box) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.operators+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
+func (b *box) ready(ctx context.Context) bool { return b.get(ctx, "/readyz", nil) }
 
 // Close ends all processes and servers.
 func (r *Rig) Close() {
@@ -175,3 +167,66 @@
 
 // Broken returns the promises that workers have seen broken.
 func (r *Rig) Broken() []string { return r.platform.Broken() }
+
+// Expect tells the stand-in of a job before it is handed in, and how long its tasks
+// work.
+func (r *Rig) Expect(s job.Submission, work time.Duration) error {
+	for _, q := range queues {
+		if q.Name == s.Queue {
+			r.platform.Expect(s, q, work)
+			return nil
+		}
+	}
+	return fmt.Errorf("no queue %q", s.Queue)
+}
+
+// Operators returns the addresses of the boxes that answer.
+func (r *Rig) Operators(ctx context.Context) []string {
+	var all []string
+	for _, b := range r.boxes {
+		if b.ready(ctx) {
+			all = append(all, b.operators)
+		}
+	}
+	return all
+}
+
+// get reads what a box answers to a question; false means that it did not.
+func (b *box) get(ctx context.Context, path string, into any) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.operators+path, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK && (into == nil || json.NewDecoder(resp.Body).Decode(into) == nil)
+}
+
+// KillHolder kills the box that holds the cell and returns its name.
+func (r *Rig) KillHolder(ctx context.Context) (string, error) {
+	for ctx.Err() == nil {
+		for _, b := range r.boxes {
+			var s job.CellStatus
+			if b.get(ctx, "/v1/cell", &s) && s.Holds {
+				b.running().Kill()
+				return b.name, nil
+			}
+		}
+		time.Sleep(readyEvery)
+	}
+	return "", ctx.Err()
+}
+
+// State returns the state of a job, or nothing if no box tells it.
+func (r *Rig) State(ctx context.Context, id job.ID) job.State {
+	for _, b := range r.boxes {
+		var a dispatch.Answer
+		if b.get(ctx, "/v1/jobs/"+string(id), &a) {
+			return a.State
+		}
+	}
+	return ""
+}
