dispatch, platform: fillers are throttled where tails of serving tasks come near their target

A look tells a rough figure for each run; on a worker with tasks that serve beside fillers the worst tail against its target sets the fillers' pace: down at once from 0.85, up by a tenth at a time below 0.6. An order that was lost is given again by the next look; a new holder takes over the pace it finds.

--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -4,12 +4,16 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"runtime/pprof"
 	"slices"
+	"strings"
 	"time"
+
+	"saddlevane/models/resource"
 )
 
 // jobOptions say what the bench of submitted jobs plays.
@@ -58,8 +62,8 @@
 			totals = append(totals, c.totals(seed+1))
 		}
 	}
-	fmt.Fprintln(out, "\n| cell | seed | worth earned | starts | µs of the reducer a start | longest decision | calls for advice | time of advice a box | work wasted |")
-	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(out, "\n| cell | seed | worth earned | by kind (large jobs served) | starts | µs of the reducer a start | longest decision | calls for advice | time of advice a box | work wasted |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, line := range totals {
 		fmt.Fprintln(out, line)
 	}
@@ -139,22 +143,82 @@
 	}
 }
 
-// totals returns a line about the run as a whole.
-func (c *jobCell) totals(seed int) string {
-	owed, earned := 0.0, 0.0
+// coreSeconds returns the processor seconds of a job.
+func (j *cellJob) coreSeconds() float64 {
+	all := 0.0
+	for i, s := range j.sub.Steps {
+		all += float64(s.Tasks) * float64(s.Need.Processors) / float64(resource.Processor) * j.work[i].Seconds()
+	}
+	return all
+}
+
+// The worth of a job is a part for each and a part by its work against the mean of
+// its kind, up to a limit (the users' rules).
+const (
+	worthOfEach = 0.3
+	worthOfWork = 0.7
+	worthMost   = 4
+)
+
+// worths returns what each job of a kind is worth, the largest first.
+func (c *jobCell) worths(k *jobKind) ([]*cellJob, map[*cellJob]float64) {
+	var all []*cellJob
+	sum := 0.0
 	for _, j := range c.jobs {
-		owed += j.kind.worth
-		if j.doneAt.IsZero() {
-			continue
+		if j.kind.queue.Name == k.queue.Name {
+			all = append(all, j)
+			sum += j.coreSeconds()
 		}
-		switch d := j.doneAt.Sub(j.sentAt); {
-		case d <= j.objective():
-			earned += j.kind.worth
-		case d <= lateMost*j.objective():
-			earned += lateWorth * j.kind.worth
+	}
+	mean := sum / float64(max(1, len(all)))
+	worth := map[*cellJob]float64{}
+	for _, j := range all {
+		worth[j] = k.worth * min(worthMost, worthOfEach+worthOfWork*j.coreSeconds()/mean)
+	}
+	slices.SortFunc(all, func(a, b *cellJob) int { return cmp.Compare(worth[b], worth[a]) })
+	return all, worth
+}
+
+// earns returns the part of its worth that a job earns.
+func (j *cellJob) earns() float64 {
+	if j.doneAt.IsZero() {
+		return 0
+	}
+	switch d := j.doneAt.Sub(j.sentAt); {
+	case d <= j.objective():
+		return 1
+	case d <= lateMost*j.objective():
+		return lateWorth
+	}
+	return 0
+}
+
+// earnings returns the part of their worth that the jobs of a kind earn, and the
+// part that the largest three tenths of them earn, by number.
+func (c *jobCell) earnings(k *jobKind) (owed, earned, large float64) {
+	jobs, worth := c.worths(k)
+	first := max(1, 3*len(jobs)/10)
+	for i, j := range jobs {
+		owed += worth[j]
+		earned += worth[j] * j.earns()
+		if i < first && j.earns() > 0 {
+			large += 1 / float64(first)
 		}
 	}
-	return fmt.Sprintf("| %s | %d | %.3f | %d | %.0f | %v | %d | %.0f%% | %.1f%% |", c.mix.name, seed, earned/owed, c.starts,
+	return owed, earned, large
+}
+
+// totals returns a line about the run as a whole.
+func (c *jobCell) totals(seed int) string {
+	owed, earned := 0.0, 0.0
+	var kinds []string
+	for i := range c.mix.kinds {
+		o, e, large := c.earnings(&c.mix.kinds[i])
+		owed += o
+		earned += e
+		kinds = append(kinds, fmt.Sprintf("%s %.3f (%.2f)", c.mix.kinds[i].queue.Name, e/max(1, o), large))
+	}
+	return fmt.Sprintf("| %s | %d | %.3f | %s | %d | %.0f | %v | %d | %.0f%% | %.1f%% |", c.mix.name, seed, earned/owed, strings.Join(kinds, ", "), c.starts,
 		float64(c.deciding.Microseconds())/float64(c.starts), c.mostDeciding.Round(100*time.Microsecond), c.adviceCalls,
 		100*c.adviceTime.Seconds()/float64(c.mix.boxes)/(jobsFor+jobsWait).Seconds(), 100*c.wasted/(c.worked+c.wasted))
 }
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -165,7 +165,7 @@
 	advice := platform.NewAdvice(j.Advice, newClient())
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
-		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop},
+		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
 		Advise:  advice.Ask, Config: platform.Config, Listing: platform.Listing,
 	}
 }
--- a/models/order/order.go
+++ b/models/order/order.go
@@ -47,6 +47,13 @@
 	Fence int64
 }
 
+// Throttle sets at which percentage of its speed a run may work.
+type Throttle struct {
+	Run
+	Percent int
+	Fence   int64
+}
+
 // Renew renews a worker's lease and asks what it runs.
 type Renew struct {
 	// Until is the new end of the lease, or 0 to leave it.
@@ -71,6 +78,10 @@
 	Checkpoint string
 	// Pace is the percentage of its speed that the run may work at.
 	Pace int
+	// Figure is a rough figure of the last half second, or 0: for a serving task the
+	// tail of its answers' times, in milliseconds, else the processors in use, in
+	// thousandths of one.
+	Figure int64
 }
 
 // End is one run that has ended. Numbers rise in each life of a worker.
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,6 +22,10 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
+	// figure is the worker's rough figure of the run, pace the percentage of its
+	// speed at which it works.
+	figure int64
+	pace   int
 	// marked says that it is to be stopped for a gang that has its place reserved.
 	marked bool
 	// stopAt is when its end was first ordered.
@@ -95,7 +99,7 @@
 
 // start orders a worker to run a task.
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
-	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks}
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks, pace: fullPace}
 	h.place(a)
 	saved := a.task().saved
 	if s.spec.Gang {
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -67,6 +67,14 @@
 	Order   order.Stop
 }
 
+// ThrottleRun sets the pace of a run. The next look tells what came of it.
+type ThrottleRun struct {
+	Worker  string
+	Address string
+	Epoch   int64
+	Order   order.Throttle
+}
+
 // Advise asks the advice service from a box. Its end comes back as Advised.
 type Advise struct {
 	Box string
@@ -152,6 +160,7 @@
 func (Renew) effect()         {}
 func (StartRun) effect()      {}
 func (StopRun) effect()       {}
+func (ThrottleRun) effect()   {}
 func (Advise) effect()        {}
 func (AskPledges) effect()    {}
 func (Invite) effect()        {}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -51,7 +51,7 @@
 	if end.How == order.Done {
 		s.tookUntil(now, a)
 		if a != nil {
-			h.learnPace(now, a)
+			h.learnSpeed(now, a)
 		}
 	}
 	h.applyEnd(now, w, s, end)
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -11,8 +11,8 @@
 	good map[string]float64
 	// stopTime is how long it usually takes until a task that is to end has ended.
 	stopTime time.Duration
-	// fleetPace is the mean pace of all workers.
-	fleetPace float64
+	// fleetSpeed is the mean speed of all workers.
+	fleetSpeed float64
 	// times is what is known of the run times of each queue's steps.
 	times map[string]*runTimes
 }
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -24,6 +24,7 @@
 		present[r.Run] = true
 		h.atWork(now, w, r)
 	}
+	h.throttle(now, w)
 	for _, a := range w.sorted() {
 		if !present[a.name()] {
 			h.absent(now, a, e.Look)
@@ -42,6 +43,7 @@
 			return
 		}
 	}
+	a.seen(r)
 	if a.step.spec.Checkpoints && r.Checkpoint != "" {
 		a.task().saved = r.Checkpoint
 	}
@@ -67,6 +69,9 @@
 		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true, adopted: true,
 	}
 	h.place(a)
+	if s.spec.Filler {
+		w.fillPace = min(w.fillPace, r.Pace)
+	}
 	s.lastRun = max(s.lastRun, r.Number)
 	h.started(a)
 	return a
--- a/services/dispatch/pace.go
+++ b/services/dispatch/speed.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// pace is how long tasks take on a worker, against what they are expected to take.
-type pace struct {
+// speed is how long tasks take on a worker, against what they are expected to take.
+type speed struct {
 	// seen is how many tasks the mean stands for, mean that of the logarithms.
 	seen, mean float64
 	// lastAt is when the last of them ended.
@@ -17,14 +17,14 @@
 }
 
 const (
-	// paceWeight is the least weight of one task among those before: one task says
+	// speedWeight is the least weight of one task among those before: one task says
 	// little, since its work may differ by half from what is expected.
-	paceWeight = 0.1
+	speedWeight = 0.1
 	// fleetWeight is that among the tasks of all workers.
 	fleetWeight = 0.01
-	// paceFor is how long a worker's pace is believed after its last task, so that a
+	// speedFor is how long a worker's speed is believed after its last task, so that a
 	// slow one is tried again.
-	paceFor = 10 * time.Second
+	speedFor = 10 * time.Second
 	// slowTasks is how many tasks show that a worker is slow, fewSlowTasks how many
 	// that it is so slow that it is avoided.
 	slowTasks, fewSlowTasks = 10, 3
@@ -34,12 +34,12 @@
 )
 
 // observe takes how many times as long as expected a task took.
-func (p *pace) observe(now time.Time, ratio float64) {
-	if now.Sub(p.lastAt) > paceFor {
+func (p *speed) observe(now time.Time, ratio float64) {
+	if now.Sub(p.lastAt) > speedFor {
 		p.seen, p.mean = 0, 0
 	}
 	p.seen++
-	p.mean += max(1/p.seen, paceWeight) * (math.Log(ratio) - p.mean)
+	p.mean += max(1/p.seen, speedWeight) * (math.Log(ratio) - p.mean)
 	p.lastAt = now
 }
 
@@ -58,11 +58,11 @@
 
 // slownessOf returns how slow a worker is among all.
 func (h *holding) slownessOf(now time.Time, w *worker) slowness {
-	p := &w.pace
-	if p.seen < fewSlowTasks || now.Sub(p.lastAt) > paceFor {
+	p := &w.speed
+	if p.seen < fewSlowTasks || now.Sub(p.lastAt) > speedFor {
 		return usual
 	}
-	switch by := p.mean - h.learned.fleetPace; {
+	switch by := p.mean - h.learned.fleetSpeed; {
 	case by >= avoidBy:
 		return avoided
 	case by >= slowBy && p.seen >= slowTasks:
@@ -72,14 +72,14 @@
 	}
 }
 
-// learnPace takes how long a task took on its worker. Members of a gang end
+// learnSpeed takes how long a task took on its worker. Members of a gang end
 // together, so they tell nothing of one worker.
-func (h *holding) learnPace(now time.Time, a *attempt) {
+func (h *holding) learnSpeed(now time.Time, a *attempt) {
 	s := a.step
 	if s.spec.Gang || s.spec.Service || a.adopted || a.resumed || a.state != running {
 		return
 	}
 	ratio := max(now.Sub(a.since), leastTime).Seconds() / max(h.expect(s), leastTime).Seconds()
-	a.worker.pace.observe(now, ratio)
-	h.learned.fleetPace += fleetWeight * (math.Log(ratio) - h.learned.fleetPace)
+	a.worker.speed.observe(now, ratio)
+	h.learned.fleetSpeed += fleetWeight * (math.Log(ratio) - h.learned.fleetSpeed)
 }
--- /dev/null
+++ b/services/dispatch/throttle.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// Fillers live on processors that others leave idle, and disturb the tasks that
+// serve beside them by amounts that nobody knows beforehand. Where a serving task's
+// tail comes near its target, the fillers of its worker are throttled; where all
+// tails are well below, they may work faster again.
+
+const (
+	// fullPace is the percentage at which a run begins.
+	fullPace = 100
+	// throttleAt and easeAt are shares of the target. Tails are rough figures of the
+	// last half second, so there is some way between them.
+	throttleAt, easeAt = 0.85, 0.6
+	// urgentAt is the share from which fillers are nearly stopped at once.
+	urgentAt = 1.2
+	// throttleBy and urgentBy are what a pace is multiplied by, easeBy what is added
+	// to it, in percent.
+	throttleBy, urgentBy = 0.6, 0.2
+	easeBy               = 10
+	// leastPace is the pace below which fillers are halted: they keep their memory.
+	leastPace = 5
+	// throttleEvery is the time after which a change shows in the figures: half a
+	// second that they cover, and 100 ms until it takes effect (the users' protocol).
+	throttleEvery = 650 * time.Millisecond
+	// servingWait is how long a look waits at a worker on which tasks serve beside
+	// fillers, so that a tail over its target is seen in time.
+	servingWait = 400 * time.Millisecond
+)
+
+// besideFillers says whether tasks serve beside fillers on a worker, and how near
+// the worst tail is to its target.
+func (w *worker) besideFillers() (worst float64, shared bool) {
+	fillers := false
+	for _, a := range w.attempts {
+		spec := a.step.spec
+		fillers = fillers || spec.Filler
+		if spec.TailTarget > 0 {
+			shared = true
+			worst = max(worst, float64(a.figure)/float64(spec.TailTarget))
+		}
+	}
+	return worst, shared && fillers
+}
+
+// lookWait returns how long a look waits at a worker for an end.
+func (h *holding) lookWait(w *worker) time.Duration {
+	if _, shared := w.besideFillers(); shared {
+		return min(servingWait, h.core.settings.Wait)
+	}
+	return h.core.settings.Wait
+}
+
+// throttle sets the pace of a worker's fillers by the tails of what serves beside
+// them.
+func (h *holding) throttle(now time.Time, w *worker) {
+	worst, shared := w.besideFillers()
+	if !shared {
+		w.fillPace = fullPace
+	} else if now.Sub(w.throttledAt) >= throttleEvery {
+		if next := nextPace(w.fillPace, worst); next != w.fillPace {
+			h.core.note("fillers change their pace", Field{"worker", w.ID}, Field{"percent", next}, Field{"before", w.fillPace},
+				Field{"tail_of_target", worst}, Field{"claim", h.epoch})
+			w.fillPace, w.throttledAt = next, now
+		}
+	}
+	for _, a := range w.sorted() {
+		if a.step.spec.Filler && a.state == running && a.pace != w.fillPace {
+			a.pace = w.fillPace
+			h.core.do(ThrottleRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Throttle{
+				Run: a.name(), Percent: w.fillPace, Fence: h.epoch,
+			}})
+		}
+	}
+}
+
+// nextPace returns the pace of fillers beside tasks of which the worst tail is some
+// share of its target.
+func nextPace(pace int, worst float64) int {
+	switch {
+	case worst >= urgentAt:
+		pace = int(urgentBy * float64(pace))
+	case worst >= throttleAt:
+		pace = int(throttleBy * float64(pace))
+	case worst < easeAt:
+		return min(fullPace, pace+easeBy)
+	}
+	if pace < leastPace {
+		return 0
+	}
+	return pace
+}
+
+// seen takes what a look tells of a run at work.
+func (a *attempt) seen(r order.Running) {
+	a.figure, a.pace = r.Figure, r.Pace
+}
+
+// waitOf returns a length of time as it travels.
+func waitOf(d time.Duration) job.Milliseconds { return job.Milliseconds(d.Milliseconds()) }
--- /dev/null
+++ b/services/dispatch/throttle_test.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/services/dispatch"
+)
+
+// sharedWorker is a worker on which a task serves and another fills.
+type sharedWorker struct {
+	*driven
+	look           dispatch.Renew
+	serves, filler order.Run
+	pace           int
+}
+
+// newSharedWorker starts both tasks.
+func newSharedWorker(t *testing.T) *sharedWorker {
+	t.Helper()
+	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
+	s := oneStep("j", "quick", 1, false)
+	s.Steps[0].Service, s.Steps[0].TailTarget = true, 100
+	s.Steps = append(s.Steps, job.Step{Tasks: 1, Need: need, Filler: true})
+	starts := only[dispatch.StartRun](d.submits(s))
+	assert.Equal(t, len(starts), 2)
+	for _, one := range starts {
+		d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: one.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	}
+	w := &sharedWorker{driven: d, look: looks["w"], serves: starts[0].Order.Run, filler: starts[1].Order.Run, pace: 100}
+	if w.serves.Task.Step != 0 {
+		w.serves, w.filler = w.filler, w.serves
+	}
+	return w
+}
+
+// tail has the worker answer a look with a tail of the serving task, and returns
+// the paces that are then ordered.
+func (w *sharedWorker) tail(tail int64) []int {
+	w.t.Helper()
+	w.now = w.now.Add(700 * time.Millisecond)
+	w.claimKept()
+	answer := looked(w.look)
+	answer.Report.Running = []order.Running{{Run: w.serves, Pace: 100, Figure: tail}, {Run: w.filler, Pace: w.pace, Figure: 4000}}
+	effects := w.handle(answer)
+	effects = append(effects, w.later(20*time.Millisecond)...)
+	w.look = only[dispatch.Renew](effects)[0]
+	var paces []int
+	for _, e := range only[dispatch.ThrottleRun](effects) {
+		assert.Equal(w.t, e.Order.Run, w.filler)
+		w.pace = e.Order.Percent
+		paces = append(paces, w.pace)
+	}
+	return paces
+}
+
+// claimKept renews the claim, so that the reducer may go on.
+func (d *driven) claimKept() {
+	if a := appendFor(d.later(time.Millisecond), dispatch.ForClaim); a != nil {
+		d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: a.Number, Offset: d.next})
+		d.next++
+	}
+}
+
+func TestFillersGiveWayToWhatServesBesideThem(t *testing.T) {
+	w := newSharedWorker(t)
+	assert.Equal(t, len(w.tail(50)), 0, "the tail is well below its target")
+	assert.DeepEqual(t, w.tail(90), []int{60})
+	assert.DeepEqual(t, w.tail(130), []int{12})
+	assert.DeepEqual(t, w.tail(130), []int{0})
+	assert.Equal(t, len(w.tail(70)), 0, "near its target nothing changes")
+	assert.DeepEqual(t, w.tail(40), []int{10})
+	assert.DeepEqual(t, w.tail(40), []int{20})
+	// An order that was lost is given again.
+	w.pace = 100
+	assert.DeepEqual(t, w.tail(70), []int{20})
+}
+
+func TestWorkersWithServingTasksBesideFillersAreLookedAtOften(t *testing.T) {
+	w := newSharedWorker(t)
+	w.tail(50)
+	assert.Check(t, w.look.Order.Wait <= 400, "a look waits %d ms", w.look.Order.Wait)
+}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -61,8 +61,11 @@
 	// before. Others take its room last.
 	held            resource.Vector
 	keeper, keptFor *step
-	// pace is how long tasks take on it.
-	pace pace
+	// fillPace is the pace of its fillers, in percent, throttledAt when it was changed.
+	fillPace    int
+	throttledAt time.Time
+	// speed is how long tasks take on it.
+	speed speed
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
@@ -76,6 +79,7 @@
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, strays: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
+		fillPace: fullPace,
 	}
 }
 
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -34,6 +34,8 @@
 	Renew func(ctx context.Context, address, worker string, r order.Renew) (order.Report, order.Answer)
 	Start func(ctx context.Context, address, worker string, s order.Start) order.Answer
 	Stop  func(ctx context.Context, address, worker string, s order.Stop) order.Answer
+	// Throttle sets the pace of a run.
+	Throttle func(ctx context.Context, address, worker string, t order.Throttle) order.Answer
 }
 
 // Platform is what the process reaches outside the cell's entry boxes.
@@ -231,6 +233,8 @@
 		l.tasks.Go(func() { l.start(e) })
 	case dispatch.StopRun:
 		l.tasks.Go(func() { l.stop(e) })
+	case dispatch.ThrottleRun:
+		l.tasks.Go(func() { l.throttle(e) })
 	case dispatch.Advise:
 		l.tasks.Go(func() { l.advise(e) })
 	case dispatch.AskPledges:
--- a/tests/memory/workers.go
+++ b/tests/memory/workers.go
@@ -91,3 +91,7 @@
 func (p *Platform) stop(context.Context, string, string, order.Stop) order.Answer {
 	return order.Answer{Fate: order.Carried, Clock: order.WorkerClock(time.Now().UnixMilli())}
 }
+
+func (p *Platform) throttle(context.Context, string, string, order.Throttle) order.Answer {
+	return order.Answer{Fate: order.Carried, Clock: order.WorkerClock(time.Now().UnixMilli())}
+}
