--- a/services/dispatch/claim.go
+++ b/services/dispatch/claim.go
@@ -55,6 +55,7 @@
 	}
 	before := c.authority.Current().Epoch
 	if !c.authority.Steady() {
+		c.logBackAt = now
 		c.note("the log answers", Field{"next", e.Next})
 	}
 	if e.Start {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	// when they may be asked again.
 	pledging    bool
 	pledgeAgain time.Time
+	// logBackAt is when the log last began to answer after a silence.
+	logBackAt time.Time
 	// moveAgain is when a larger box may next be asked to take the cell.
 	moveAgain time.Time
 }
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -145,6 +145,7 @@
 // sweepWorkers renews leases that are due and gives up workers whose lease has
 // run out.
 func (h *holding) sweepWorkers(now time.Time) {
+	h.dropMissing(now)
 	for _, w := range h.byName() {
 		if w.failures > 0 && now.After(w.goneAt) {
 			h.lapsed(now, w)
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -46,7 +46,7 @@
 func (w *sharedWorker) tail(tail int64) []int {
 	w.t.Helper()
 	w.now = w.now.Add(700 * time.Millisecond)
-	w.claimKept()
+	w.claimEnded(w.later(time.Millisecond))
 	answer := looked(w.look)
 	answer.Report.Running = []order.Running{{Run: w.serves, Pace: 100, Figure: tail}, {Run: w.filler, Pace: w.pace, Figure: 4000}}
 	effects := w.handle(answer)
@@ -61,9 +61,9 @@
 	return paces
 }
 
-// claimKept renews the claim, so that the reducer may go on.
-func (d *driven) claimKept() {
-	if a := appendFor(d.later(time.Millisecond), dispatch.ForClaim); a != nil {
+// claimEnded ends the renewal of the claim that is among some effects, if one is.
+func (d *driven) claimEnded(effects []dispatch.Effect) {
+	if a := appendFor(effects, dispatch.ForClaim); a != nil {
 		d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: a.Number, Offset: d.next})
 		d.next++
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -19,8 +19,10 @@
 // worker is one life of a worker.
 type worker struct {
 	order.Worker
-	// listed says that the platform lists it.
-	listed bool
+	// listed says that the platform lists it. An entry that is missing since
+	// missingSince may have lapsed with the log.
+	listed       bool
+	missingSince time.Time
 	// settled says that it has told under this claim what it runs.
 	settled bool
 	// recorded says that the log names it, so that the next holder asks it.
@@ -124,7 +126,9 @@
 			present[o.ID] = true
 		}
 		for id, w := range h.workers {
-			w.listed = w.listed && present[id]
+			if !present[id] {
+				h.entryMissing(now, w)
+			}
 		}
 	}
 	for _, o := range l.Present {
@@ -132,12 +136,46 @@
 	}
 	for _, id := range l.Gone {
 		if w := h.workers[id]; w != nil {
-			w.listed = false
+			h.entryMissing(now, w)
 		}
 	}
 	h.planDue = true
 }
 
+// entriesBack is how long after the log's return entries that lapsed with it may
+// still be missing although their workers live (the users' protocol: about 2 s).
+const entriesBack = 2200 * time.Millisecond
+
+// entryMissing acts on a worker that is no longer listed. Shortly after the log was
+// away its entry may only have lapsed, and it is used on as long as it answers.
+func (h *holding) entryMissing(now time.Time, w *worker) {
+	if !w.listed {
+		return
+	}
+	if w.missingSince.IsZero() {
+		w.missingSince = now
+	}
+	w.listed = h.mayBeBack(now)
+}
+
+// mayBeBack says whether entries may be missing that will be back.
+func (h *holding) mayBeBack(now time.Time) bool {
+	return !h.core.authority.Steady() || now.Sub(h.core.logBackAt) < entriesBack
+}
+
+// dropMissing gives up the workers whose entries have not come back.
+func (h *holding) dropMissing(now time.Time) {
+	if h.mayBeBack(now) {
+		return
+	}
+	for _, w := range h.byName() {
+		if w.listed && !w.missingSince.IsZero() {
+			w.listed = false
+			h.planDue = true
+		}
+	}
+}
+
 // workerListed takes what the platform says of one worker.
 func (h *holding) workerListed(now time.Time, o order.Worker) {
 	w := h.workers[o.ID]
@@ -148,7 +186,7 @@
 	if o.Leaving && !w.Leaving {
 		h.core.note("worker is leaving", Field{"worker", o.ID}, Field{"remaining", o.Remaining.String()}, Field{"tasks", len(w.attempts)})
 	}
-	w.listed = true
+	w.listed, w.missingSince = true, time.Time{}
 	used := w.Capacity.Minus(w.free)
 	w.Worker = o
 	w.free = o.Capacity.Minus(used)
