dispatch: what is known of run times outlives the holder

A record of a few hundred bytes every 3 s at most; a holder that takes over, or one that all boxes lose power before, need not trust estimates anew. The test failed before the record was read (slack of an inherited belief).

--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -69,6 +69,8 @@
 	planAt time.Time
 	// overviewAt is when the state of the cell is next told.
 	overviewAt time.Time
+	// keepTimesAt is when what is known of run times is next kept.
+	keepTimesAt time.Time
 	// sweepAt is when all that falls due with time is next looked at.
 	sweepAt time.Time
 }
@@ -88,6 +90,9 @@
 	keyProgress   = "p/"
 	keyWorker     = "w/"
 	keyFence      = "fence"
+	// keyTimes holds what is known of run times, so that the next holder need not
+	// learn it anew.
+	keyTimes = "times"
 )
 
 // begin fences earlier holders' appends and looks at the workers meanwhile.
@@ -146,6 +151,7 @@
 	h.sweepAdvice(now)
 	h.dropEnded(now)
 	h.overview(now)
+	h.keepTimes(now)
 	h.flush(now)
 }
 
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -15,6 +15,8 @@
 	fleetSpeed float64
 	// times is what is known of the run times of each queue's steps.
 	times map[string]*runTimes
+	// changed says that times were learned that the log does not have.
+	changed bool
 }
 
 const (
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -40,6 +40,9 @@
 	for _, r := range records {
 		newest[r.Key] = r
 	}
+	if r := newest[keyTimes]; !r.Dropped() {
+		h.foldTimes(r.Value)
+	}
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, keySubmission); ok && !newest[r.Key].Dropped() && newest[r.Key].Offset == r.Offset {
 			h.foldJob(now, job.ID(id), r.Value, newest[keyProgress+id].Value)
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -4,8 +4,12 @@
 package dispatch
 
 import (
+	"encoding/json"
+	"fmt"
 	"math"
 	"time"
+
+	"saddlevane/models/stream"
 )
 
 // runTimes is what the ends of a queue's steps have shown about the estimates of
@@ -23,6 +27,24 @@
 	spread, joint, scatter float64
 }
 
+// MarshalJSON writes the sums as a list.
+func (r *runTimes) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]float64{r.weight, r.estimate, r.took, r.spread, r.joint, r.scatter})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (r *runTimes) UnmarshalJSON(data []byte) error {
+	var sums []float64
+	if err := json.Unmarshal(data, &sums); err != nil {
+		return err
+	}
+	if len(sums) != 6 || sums[0] < 0 || sums[0] > stepsRemembered || sums[3] < 0 || sums[5] < 0 {
+		return fmt.Errorf("run times: %v make no sense", sums)
+	}
+	*r = runTimes{weight: sums[0], estimate: sums[1], took: sums[2], spread: sums[3], joint: sums[4], scatter: sums[5]}
+	return nil
+}
+
 const (
 	// trustedSteps is how many observations the first belief, that estimates are
 	// right, counts for.
@@ -76,6 +98,38 @@
 	return r
 }
 
+// keepTimesEvery is the time between two records of what is known of run times.
+const keepTimesEvery = 3 * time.Second
+
+// keepTimes has the log keep what is known of run times, if there is more of it.
+func (h *holding) keepTimes(now time.Time) {
+	if now.Before(h.keepTimesAt) || h.phase != active || !h.learned.changed || h.journal.failing(now) {
+		return
+	}
+	h.keepTimesAt = now.Add(keepTimesEvery)
+	h.learned.changed = false
+	value, err := json.Marshal(h.learned.times)
+	if err != nil {
+		// The sums are plain numbers.
+		panic(err)
+	}
+	h.journal.add(stream.Record{Key: keyTimes, Value: value})
+}
+
+// foldTimes takes over what an earlier holder knew of run times.
+func (h *holding) foldTimes(value []byte) {
+	times := map[string]*runTimes{}
+	if err := json.Unmarshal(value, &times); err != nil {
+		h.core.note("kept run times could not be read", Field{"error", err.Error()})
+		return
+	}
+	for queue, r := range times {
+		if r != nil {
+			h.learned.times[queue] = r
+		}
+	}
+}
+
 // expect returns how long a step takes: what it took if it is done, else what
 // steps of its queue with its estimate should take.
 func (h *holding) expect(s *step) time.Duration {
@@ -102,6 +156,7 @@
 		s.took = 0
 	} else {
 		h.learned.timesOf(s.job.queue).observe(s.spec.Estimate.Duration(), s.took)
+		h.learned.changed = true
 	}
 	h.chains(s.instance.steps)
 }
