jobrun: callers are served across a planned handover

Callers come back after a second at the earliest, so their previews were late.

A box that hands the cell over says so, and a box that passes a call on tries for 250 ms to reach the next holder; nothing was done meanwhile. A box alone of its size was taken for a small one and waited 0.7 s before it claimed (found by the test); the one other test that built on that now takes the claim where it is made. The test failed before (first call refused).

--- a/services/authority/claiming.go
+++ b/services/authority/claiming.go
@@ -30,7 +30,7 @@
 func (a *Authority) SetLargest(size int64) { a.largest = size }
 
 // Small says whether the cell should rather be held by a larger box.
-func (a *Authority) Small() bool { return 2*a.self.Size <= a.largest }
+func (a *Authority) Small() bool { return a.self.Size < a.largest && 2*a.self.Size <= a.largest }
 
 // Pledge promises the holder of the current claim not to claim before now plus
 // ClaimAfter. It returns false if this process cannot promise that.
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -23,7 +23,11 @@
 		j.waitAccept = append(j.waitAccept, e.Call)
 		return
 	}
-	if h.journal.failing(now) || h.yielding {
+	switch {
+	case h.yielding:
+		h.core.elsewhere(e.Call, "this box is handing the cell over")
+		return
+	case h.journal.failing(now):
 		h.unavailable(e.Call, "the log keeps no records at present")
 		return
 	}
--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -70,30 +70,36 @@
 // takeOver lets the reducer claim and returns the append that fences.
 func (d *driven) takeOver(wait time.Duration) *dispatch.Append {
 	d.t.Helper()
-	claiming := appendFor(d.later(wait), dispatch.ForClaim)
+	return d.fences(d.later(wait))
+}
+
+// fences confirms the claim that is among some effects, and returns the append that
+// fences.
+func (d *driven) fences(effects []dispatch.Effect) *dispatch.Append {
+	d.t.Helper()
+	claiming := appendFor(effects, dispatch.ForClaim)
 	assert.Assert(d.t, claiming != nil)
-	effects := d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: claiming.Number, Offset: d.next})
+	effects = d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: claiming.Number, Offset: d.next})
 	d.next++
 	fence := appendFor(effects, dispatch.ForJournal)
 	assert.Assert(d.t, fence != nil)
 	return fence
 }
 
-// claimed has the reducer read another box's claim.
-func (d *driven) claimed(c claim.Claim) {
+// claimed has the reducer read another box's claim, and returns what it asks for.
+func (d *driven) claimed(c claim.Claim) []dispatch.Effect {
 	d.t.Helper()
 	value, err := json.Marshal(c)
 	assert.NilError(d.t, err)
 	d.next++
-	d.handle(dispatch.ClaimsRead{Records: []stream.Record{{Key: "holder", Value: value}}, Next: d.next})
+	return d.handle(dispatch.ClaimsRead{Records: []stream.Record{{Key: "holder", Value: value}}, Next: d.next})
 }
 
 func TestTheEndOfAnEarlierAppendConfirmsNothing(t *testing.T) {
 	d := newDriven(t)
 	first := d.takeOver(time.Second)
 	d.claimed(claim.Claim{Epoch: 2, Box: "b", Incarnation: "b1"})
-	d.claimed(claim.Claim{Epoch: 2, Box: "b", Incarnation: "b1", Released: true})
-	second := d.takeOver(time.Second)
+	second := d.fences(d.claimed(claim.Claim{Epoch: 2, Box: "b", Incarnation: "b1", Released: true}))
 	effects := d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: first.Number})
 	assert.Check(t, !loads(effects), "the jobs are read before the fence is in the log")
 	effects = d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: second.Number})
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -140,15 +140,17 @@
 // does not know what others have done meanwhile.
 func (c *Core) call(now time.Time, id CallID, f func(*holding)) {
 	if !c.Holds() || !c.authority.Holds(now) {
-		c.reply(id, Answer{
-			Outcome: Elsewhere, Reason: "this box does not hold the cell",
-			RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
-		})
+		c.elsewhere(id, "this box does not hold the cell")
 		return
 	}
 	f(c.holding)
 }
 
+// elsewhere answers that nothing was done here, and when to come back.
+func (c *Core) elsewhere(id CallID, reason string) {
+	c.reply(id, Answer{Outcome: Elsewhere, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds())})
+}
+
 // tick acts on what falls due with time.
 func (c *Core) tick(now time.Time) {
 	c.announce(now)
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -89,9 +89,39 @@
 	}}
 }
 
-// serve answers by this box if it holds the cell or nobody is known to, else by
-// the holder.
+const (
+	// handoverWait is how long a call waits for the next holder while the cell is
+	// handed over: less than a quarter of the shortest objective (the users' price
+	// for late refusals), and a handover takes about 100 ms.
+	handoverWait = 250 * time.Millisecond
+	// handoverAgain is the pause between two tries meanwhile.
+	handoverAgain = 40 * time.Millisecond
+)
+
+// serve answers by the holder. While the cell is being handed over, nobody has done
+// anything, and the next holder is about to serve.
 func (l *Loop) serve(ctx context.Context, r Request) dispatch.Answer {
+	until := l.now().Add(handoverWait)
+	for {
+		a := l.serveOnce(ctx, r)
+		if a.Outcome != dispatch.Elsewhere || !l.handingOver() || !l.now().Before(until) || ctx.Err() != nil {
+			return a
+		}
+		sleep(ctx, handoverAgain)
+	}
+}
+
+// handingOver says whether a box that has the claim, or had it until just now, is
+// known, and the log answers, so that a holder will serve soon.
+func (l *Loop) handingOver() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.holder.Epoch != 0 && l.now().Sub(l.view.steadyAt) < cutOffAfter
+}
+
+// serveOnce answers by this box if it holds the cell or nobody is known to, else by
+// the holder.
+func (l *Loop) serveOnce(ctx context.Context, r Request) dispatch.Answer {
 	l.mu.Lock()
 	v := l.view
 	l.mu.Unlock()
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -136,6 +136,36 @@
 	assert.Equal(t, on.Runs("j9.0.1.0"), 1)
 }
 
+func TestACallerIsServedAcrossAPlannedHandover(t *testing.T) {
+	on := platformOf(t)
+	boxes := []*process{start(t, on, "a", io.Discard), start(t, on, "b", io.Discard), start(t, on, "c", io.Discard)}
+	served(t, boxes[0], jobrun.Request{Submit: submission("first")}, "")
+	var holder *process
+	for i, b := range boxes {
+		served(t, b, jobrun.Request{Submit: submission(fmt.Sprint("warm", i))}, "")
+		if b.holds() {
+			holder = b
+		}
+	}
+	assert.Assert(t, holder != nil)
+	holder.loop.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-holder.loop.Stopped():
+			assert.Check(t, i > 0)
+			return
+		default:
+		}
+		for _, b := range boxes {
+			if b == holder {
+				continue
+			}
+			a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d", i))})
+			assert.Equal(t, a.Outcome, dispatch.OK, "call %d: %+v", i, a)
+		}
+	}
+}
+
 func TestCallersAreRefusedAtOnceWhileNothingCanBeKept(t *testing.T) {
 	on := platformOf(t)
 	b := start(t, on, "a", io.Discard)
