jobrun: a call whose connection to the holder is lost is passed on again at once

The same wish again changes nothing more, so it is passed on again over another connection, up to four times; only a box that is not reached, or silent, is left alone.

--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -102,19 +102,42 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.loop.settings.PeerTimeout)
 	defer cancel()
-	c, err := p.conn(ctx, address)
+	a, err := p.requestOnce(ctx, address, r)
+	for tries := 1; err != nil && a.Outcome == dispatch.Unsure && tries < requestTries && ctx.Err() == nil; tries++ {
+		// The connection was lost, not the holder, and the same wish again changes
+		// nothing more.
+		var again dispatch.Answer
+		if again, err = p.requestOnce(ctx, address, r); again.Outcome == dispatch.Unavailable {
+			// Nobody is reached now; an earlier call may still have been served.
+			break
+		}
+		a = again
+	}
 	if err != nil {
 		p.setSilent(address)
-		return p.unreached(err.Error())
+		return a
+	}
+	p.answered(address)
+	return a
+}
+
+// requestTries is how often a wish is passed on whose connection is lost: another
+// connection is had in a few milliseconds.
+const requestTries = 4
+
+// requestOnce makes one call. An error means that there was no answer; the outcome
+// then says whether the holder may have been asked.
+func (p *Peers) requestOnce(ctx context.Context, address string, r Request) (dispatch.Answer, error) {
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		return p.unreached(err.Error()), err
 	}
 	var a dispatch.Answer
 	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
 		_ = c.Close()
-		p.setSilent(address)
-		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
+		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}, err
 	}
-	p.answered(address)
-	return a
+	return a, nil
 }
 
 // unreached is the answer where the holder was not asked, so nothing was done.
