--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -18,9 +18,9 @@
 	tickets map[*worker]ticket
 	// calls are those whose answers the step waits for.
 	calls []*adviceCall
-	// first says that room was kept for the step until now, so that it goes
+	// goesFirst says that room was kept for the step until now, so that it goes
 	// before all others in the next plan.
-	first bool
+	goesFirst bool
 	// askAgain delays the next call after one that failed.
 	askAgain time.Time
 }
@@ -143,7 +143,7 @@
 	}
 	delete(h.advisers.calls[e.Box], e.Number)
 	s := c.step
-	s.advice.first = s.advice.first || len(c.promises) > 0
+	s.advice.goesFirst = s.advice.goesFirst || len(c.promises) > 0
 	s.endCall(c)
 	h.planDue = true
 	if s.job.state.Final() {
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -76,7 +76,7 @@
 	openedAt time.Time
 	// widenAgain is when more workers may next be asked about for a gang.
 	widenAgain time.Time
-	// preemptedAt is when tasks were last stopped for it.
+	// preemptedAt is when tasks to stop for it were last looked for.
 	preemptedAt time.Time
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -7,20 +7,15 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"saddlevane/models/resource"
 )
 
-// soon returns what is free on a worker once all that is being stopped has ended.
-func (w *worker) soon() resource.Vector {
-	room := w.room()
-	for _, a := range w.attempts {
-		if a.state == stopping {
-			room = room.Plus(a.step.spec.Reserved())
-		}
-	}
-	return room
-}
+const (
+	// drainedShare is one over the share of workers that may be kept until they are
+	// empty, unless they are for one gang: their room is idle meanwhile.
+	drainedShare = 8
+	// shortStep is how long a step takes at most that may use them.
+	shortStep = time.Second
+)
 
 // openWorkers returns the workers that a step may use and that are not drained for
 // another.
@@ -35,100 +30,6 @@
 	return open
 }
 
-// makeWay stops tasks that may give way to a step which is no gang, as many as its
-// waiting tasks need, if they end soon enough for it to be on time.
-func (h *holding) makeWay(p *pass, r ranked) {
-	s := r.step
-	if r.tier != onTime || h.slack(p.now, s) < h.learned.stopTime {
-		return
-	}
-	open := h.openWorkers(p, r)
-	gains := s.gainsSoon(p.now, open)
-	if tasksOf(gains) < s.waiting && p.now.Sub(s.preemptedAt) >= preemptEvery {
-		s.preemptedAt = p.now
-		gains = append(gains, h.gainsOf(p, r, open)...)
-	}
-	h.take(p, r, cheapest(gains, s.waiting), s.waiting)
-}
-
-// gainsSoon returns the room that a step has on workers once what is being stopped
-// has ended.
-func (s *step) gainsSoon(now time.Time, open []*worker) []gain {
-	var all []gain
-	for _, w := range open {
-		if n := w.slots(s, w.soon()); n > 0 {
-			_, ticketed := s.advice.ticketFor(now, w)
-			all = append(all, gain{worker: w, tasks: n, ticketed: ticketed || s.advice.awaited(w)})
-		}
-	}
-	return all
-}
-
-// gainsOf returns what more could be gained by stopping tasks.
-func (h *holding) gainsOf(p *pass, r ranked, open []*worker) []gain {
-	var all []gain
-	for _, w := range open {
-		all = append(all, h.gains(p, r, w)...)
-	}
-	return all
-}
-
-// tasksOf returns for how many tasks some gains are room.
-func tasksOf(gains []gain) int {
-	n := 0
-	for _, g := range gains {
-		n += g.tasks
-	}
-	return n
-}
-
-// cheapest returns gains that are enough, or all, those that cost least first.
-func cheapest(gains []gain, wanted int) []gain {
-	slices.SortStableFunc(gains, func(a, b gain) int {
-		if a.cost == b.cost && a.ticketed != b.ticketed {
-			return trueFirst(a.ticketed)
-		}
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tasks, a.tasks), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	for i, g := range gains {
-		if wanted -= g.tasks; wanted <= 0 {
-			return gains[:i+1]
-		}
-	}
-	return gains
-}
-
-// trueFirst compares two values of which only one is true.
-func trueFirst(a bool) int {
-	if a {
-		return -1
-	}
-	return 1
-}
-
-// take stops what the chosen gains need, and holds their room for a step until the
-// pass ends.
-func (h *holding) take(p *pass, r ranked, chosen []gain, wanted int) {
-	stopped := 0
-	for _, g := range chosen {
-		g.worker.hold(r.step, min(wanted, g.tasks))
-		wanted -= g.tasks
-		for _, a := range g.victims {
-			h.stop(p.now, a)
-			stopped++
-		}
-	}
-	h.noteStopped(p, r.step, stopped, len(chosen))
-}
-
-// noteStopped says that tasks are stopped for a step.
-func (h *holding) noteStopped(p *pass, s *step, stopped, workers int) {
-	if stopped > 0 {
-		h.core.note("tasks are stopped for a step", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
-			Field{"stopped", stopped}, Field{"workers", workers}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
-	}
-}
-
 // drain keeps long tasks of lower rank off the workers that could hold a gang once
 // they are empty, if not too many are kept like that already.
 func (h *holding) drain(p *pass, s *step, open []*worker) {
@@ -159,103 +60,3 @@
 	}
 	return kept, placed >= len(s.tasks)
 }
-
-// gain is room for some more tasks of a gang on one worker, and what has to be
-// stopped for it.
-type gain struct {
-	worker *worker
-	tasks  int
-	// ticketed says that a ticket is there or on its way.
-	ticketed bool
-	victims  []*attempt
-	// cost is the work that is lost, in processor seconds a task gained.
-	cost float64
-}
-
-// gains returns what can be gained on a worker by stopping more and more of its
-// tasks. Costs rise along them.
-func (h *holding) gains(p *pass, r ranked, w *worker) []gain {
-	room := w.soon()
-	have := w.slots(r.step, room)
-	var all []gain
-	next := gain{worker: w}
-	least := 0.0
-	for _, a := range h.victims(p, r, w) {
-		room = room.Plus(a.step.spec.Reserved())
-		next.victims = append(next.victims, a)
-		next.cost += a.lost(p.now)
-		if n := w.slots(r.step, room); n > have {
-			next.tasks = n - have
-			next.cost = max(least, next.cost/float64(next.tasks))
-			least = next.cost
-			all = append(all, next)
-			have = n
-			next = gain{worker: w}
-		}
-	}
-	return all
-}
-
-const (
-	// drainedShare is one over the share of workers that may be kept until they are
-	// empty, unless they are for one gang: their room is idle meanwhile.
-	drainedShare = 8
-	// shortStep is how long a step takes at most that may use them.
-	shortStep = time.Second
-	// victimSlack is how much later than now a task that can resume must be able
-	// to start again and be on time, to be stopped for a gang: a stop, its way
-	// through the queue and the work since the last checkpoint take that long.
-	victimSlack = 2 * time.Second
-	// youngTask is how long a task that cannot resume may have run to be stopped.
-	youngTask = time.Second
-	// shortTask is how long a task takes at most that ends by itself nearly as soon
-	// as it could be stopped.
-	shortTask = 2 * time.Second
-	// preemptEvery is the least time between two searches for tasks to stop for one
-	// gang.
-	preemptEvery = 300 * time.Millisecond
-	// resumeLoses is the work that a task loses which resumes: that since its last
-	// checkpoint, and the time to begin again.
-	resumeLoses = time.Second
-)
-
-// lost returns the work that stopping a task loses, in processor seconds.
-func (a *attempt) lost(now time.Time) float64 {
-	time := now.Sub(a.since)
-	if a.step.spec.Checkpoints {
-		time = min(time, resumeLoses)
-	}
-	return time.Seconds() * float64(a.step.spec.Need.Processors) / float64(resource.Processor)
-}
-
-// victims returns the tasks on a worker that may be stopped for a step, those that
-// lose least for their size first.
-func (h *holding) victims(p *pass, r ranked, w *worker) []*attempt {
-	var all []*attempt
-	for _, a := range w.sorted() {
-		if h.mayStop(p, r, a) {
-			all = append(all, a)
-		}
-	}
-	slices.SortStableFunc(all, func(a, b *attempt) int {
-		return cmp.Or(
-			cmp.Compare(b.step.spec.Need.Processors, a.step.spec.Need.Processors),
-			cmp.Compare(a.lost(p.now), b.lost(p.now)),
-		)
-	})
-	return all
-}
-
-// mayStop says whether a task may be stopped for a step: it is of less use, or can
-// start again and still be on time.
-func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
-	s := a.step
-	if a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
-		return false
-	}
-	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
-		return false
-	}
-	v := h.rank(p.now, s)
-	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (h.slack(p.now, s) > victimSlack || p.roomy)
-}
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -13,7 +13,7 @@
 // needs. It returns false if tasks are left for want of room.
 func (h *holding) placeStep(p *pass, r ranked) bool {
 	s := r.step
-	defer func() { s.advice.first = false }()
+	defer func() { s.advice.goesFirst = false }()
 	if r.queue.Pool == "" || s.advice.keepsRoom() {
 		return true
 	}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -58,8 +58,8 @@
 	return float64(free) > roomyShare*float64(all)
 }
 
-// missed has a gang that found no room reserve some, if not too many do, and
-// other steps stop what may give way to them.
+// missed has a gang that found no room reserve some, if not too many gangs do, and
+// any other step stop what may give way to it.
 func (h *holding) missed(p *pass, r ranked) {
 	if !r.step.spec.Gang {
 		h.makeWay(p, r)
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -84,13 +84,8 @@
 // compare orders steps for the plan. The names come last, so that the same steps
 // always have the same order.
 func (a ranked) compare(b ranked) int {
-	if a.step.advice.first != b.step.advice.first {
-		if a.step.advice.first {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		trueFirst(a.step.advice.goesFirst, b.step.advice.goesFirst),
 		cmp.Compare(a.tier, b.tier),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
 		a.wantedAt.Compare(b.wantedAt),
@@ -100,6 +95,18 @@
 	)
 }
 
+// trueFirst orders what something holds of before what it does not hold of.
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // rankOpen returns the steps that have tasks to place, in order.
 func (h *holding) rankOpen(now time.Time) []ranked {
 	kept := h.open[:0]
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -11,16 +11,18 @@
 // reservation is room kept for a gang that cannot start at once: until its tickets
 // have come, and until what is in its place has ended.
 type reservation struct {
+	// shares say where the room is.
 	shares []share
 	// victims are tasks that are still to be stopped for it. They work on as long
 	// as the tickets are not about to come.
 	victims []*attempt
-	since   time.Time
+	// since is when the room was reserved.
+	since time.Time
 }
 
 const (
-	// gangsReserving is how many gangs may reserve room at a time, and one more for
-	// each workersPerGang workers: most of that room is idle.
+	// gangsReserving is how many gangs may reserve room at a time, and one more may
+	// for each workersPerGang workers: most of that room is idle.
 	gangsReserving = 3
 	workersPerGang = 25
 	// reservationMost is how long room is reserved for one gang: two calls for
@@ -40,23 +42,27 @@
 }
 
 // reserve keeps room for a waiting gang: what is free, what is ending and, where
-// that is not enough, what tasks take that may give way to it. It returns false if
-// all of that would not do.
-func (h *holding) reserve(p *pass, r ranked) bool {
+// that is not enough, what tasks take that may give way to it. If all of that would
+// not do, workers are drained for it.
+func (h *holding) reserve(p *pass, r ranked) {
 	s := r.step
 	open := h.openWorkers(p, r)
-	gains := s.gainsSoon(p.now, open)
-	if tasksOf(gains) < len(s.tasks) && (r.tier != hopeless || p.roomy) && p.now.Sub(s.preemptedAt) >= preemptEvery {
-		s.preemptedAt = p.now
-		gains = append(gains, h.gainsOf(p, r, open)...)
-	}
+	gains := h.gainsFor(p, r, open, len(s.tasks), r.tier != hopeless || p.roomy)
 	if tasksOf(gains) < len(s.tasks) {
 		h.drain(p, s, open)
-		return false
+		return
 	}
-	res := &reservation{since: p.now}
+	s.reservation = newReservation(p.now, s, cheapest(gains, len(s.tasks)))
+	h.reserved++
+	h.advance(p, r)
+}
+
+// newReservation keeps the room that gains give for all tasks of a gang, and marks
+// the tasks that are to be stopped for it.
+func newReservation(now time.Time, s *step, gains []gain) *reservation {
+	res := &reservation{since: now}
 	wanted := len(s.tasks)
-	for _, g := range cheapest(gains, wanted) {
+	for _, g := range gains {
 		res.add(g.worker, min(wanted, g.tasks))
 		wanted -= g.tasks
 		for _, a := range g.victims {
@@ -67,10 +73,7 @@
 	for _, sh := range res.shares {
 		sh.worker.promised = sh.worker.promised.Plus(s.spec.Reserved().Times(sh.tasks))
 	}
-	s.reservation = res
-	h.reserved++
-	h.advance(p, r)
-	return true
+	return res
 }
 
 // add reserves room for some more tasks on a worker.
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -44,6 +44,17 @@
 // room returns what is free on a worker and neither promised nor held.
 func (w *worker) room() resource.Vector { return w.free.Minus(w.promised).Minus(w.held) }
 
+// soon returns what is free on a worker once all that is being stopped has ended.
+func (w *worker) soon() resource.Vector {
+	room := w.room()
+	for _, a := range w.attempts {
+		if a.state == stopping {
+			room = room.Plus(a.step.spec.Reserved())
+		}
+	}
+	return room
+}
+
 // hold keeps room for tasks of a step until the pass ends.
 func (w *worker) hold(s *step, tasks int) {
 	w.held = w.held.Plus(s.spec.Reserved().Times(tasks))
