--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -18,34 +18,26 @@
 }
 
 // candidate is a worker with room for some tasks of a step, and what speaks
-// against it.
+// against it, in this order.
 type candidate struct {
 	share
-	far, kept, unticketed int
-	slowness              slowness
-	left                  resource.Millis
+	// far is 1 if the worker is not near the step's data.
+	far int
+	// slowness is how slow the worker is, as far as that matters to the step.
+	slowness slowness
+	// kept is 1 if the last pass kept its room for another step, unticketed if a
+	// start there has to wait for a ticket.
+	kept, unticketed int
+	// left is what is free of its processors.
+	left resource.Millis
 }
 
-// fit chooses workers for a step's waiting tasks: those near its data first, then
-// those that no gang waits for, then those whose tickets are valid, then the
-// fullest that have room, so that large holes stay whole. Slow workers come late.
+// fit chooses workers for a step's waiting tasks, and returns for how many of them
+// they have room: those near its data first, then those that are not slow, then
+// those whose room no step of higher rank waits for, then those whose tickets are
+// valid, then the fullest that have room, so that large holes stay whole.
 func (h *holding) fit(now time.Time, s *step, suited []*worker) ([]share, int) {
-	open := make([]candidate, 0, len(suited))
-	short := h.expect(s) <= shortStep
-	for _, w := range suited {
-		if !w.openTo(s, short) {
-			continue
-		}
-		if n := w.slots(s, w.room()); n > 0 {
-			c := s.candidate(now, w, n)
-			if c.slowness = h.slownessOf(now, w); c.slowness == avoided && s.spec.Gang {
-				continue
-			} else if c.slowness == slow && !short {
-				c.slowness = usual
-			}
-			open = append(open, c)
-		}
-	}
+	open := h.candidates(now, s, suited)
 	slices.SortFunc(open, candidate.compare)
 	shares := make([]share, len(open))
 	for i, c := range open {
@@ -59,7 +51,34 @@
 	return take(shares, s.waiting)
 }
 
-// openTo says whether no step of higher rank keeps a worker's room from a step.
+// candidates returns the workers that have room for a step. Avoided ones take no
+// gang; to a step that is not short, slow ones are as good as others.
+func (h *holding) candidates(now time.Time, s *step, suited []*worker) []candidate {
+	open := make([]candidate, 0, len(suited))
+	short := h.expect(s) <= shortStep
+	for _, w := range suited {
+		if !w.openTo(s, short) {
+			continue
+		}
+		n := w.slots(s, w.room())
+		if n == 0 {
+			continue
+		}
+		c := s.candidate(now, w, n)
+		c.slowness = h.slownessOf(now, w)
+		if c.slowness == avoided && s.spec.Gang {
+			continue
+		}
+		if c.slowness == slow && !short {
+			c.slowness = usual
+		}
+		open = append(open, c)
+	}
+	return open
+}
+
+// openTo says whether a step may use a worker: one that is drained for a gang takes
+// short steps only besides.
 func (w *worker) openTo(s *step, short bool) bool {
 	return w.drainedFor == nil || w.drainedFor == s || short
 }
@@ -76,6 +95,8 @@
 	return c
 }
 
+// compare orders candidates by what speaks against them. The names come last, so
+// that the same candidates always have the same order.
 func (c candidate) compare(o candidate) int {
 	return cmp.Or(
 		cmp.Compare(c.far, o.far), cmp.Compare(c.slowness, o.slowness), cmp.Compare(c.kept, o.kept),
