--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -10,13 +10,18 @@
 // the cell. A holding is what the holder has besides:
 //
 //   - load reads what earlier holders kept, journal and confirm keep what is new;
-//   - calls and status answer callers and operators;
+//   - calls and status answer callers and operators, overview sums the cell up in
+//     the output;
 //   - jobs, instances and progress hold the work;
 //   - plan ranks the open steps (rank) and places their tasks (placement, fit,
-//     room), stops some for a gang (preempt), and asks which workers suit a step
-//     (ask, advice, advisers, learn);
-//   - attempts, reports and ends follow the tasks on their workers, workers and
-//     lease the workers themselves.
+//     room); where there is no room it stops tasks of lower rank (preempt), reserves
+//     room for a gang (reserve) or keeps workers for it until they are empty (keep);
+//   - ask, advice and advisers ask which workers suit a step;
+//   - learn, runtimes and speed hold what answers and ends have shown: how many
+//     workers suit, how long steps take, and which workers are slow;
+//   - attempts, reports and ends follow the tasks on their workers, throttle sets
+//     the pace of those that fill idle processors;
+//   - workers, listing and lease follow the workers themselves.
 package dispatch
 
 import (
--- /dev/null
+++ b/services/dispatch/listing.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/order"
+)
+
+// entriesBack is how long after the log's return entries that lapsed with it may
+// still be missing although their workers live (the users' protocol: about 2 s).
+const entriesBack = 2200 * time.Millisecond
+
+// workersRead takes a change of the platform's list. A worker that is no longer
+// listed keeps its tasks until its lease has run out.
+func (h *holding) workersRead(now time.Time, l order.Listing) {
+	if l.Whole {
+		h.missingIn(now, l)
+	}
+	for _, o := range l.Present {
+		h.workerListed(now, o)
+	}
+	for _, id := range l.Gone {
+		if w := h.workers[id]; w != nil {
+			h.entryMissing(now, w)
+		}
+	}
+	h.planDue = true
+}
+
+// missingIn acts on the workers that a whole list does not name.
+func (h *holding) missingIn(now time.Time, l order.Listing) {
+	present := map[string]bool{}
+	for _, o := range l.Present {
+		present[o.ID] = true
+	}
+	for id, w := range h.workers {
+		if !present[id] {
+			h.entryMissing(now, w)
+		}
+	}
+}
+
+// entryMissing acts on a worker that is no longer listed. Shortly after the log was
+// away its entry may only have lapsed, and it is used on as long as it answers.
+func (h *holding) entryMissing(now time.Time, w *worker) {
+	if !w.listed {
+		return
+	}
+	if w.missingSince.IsZero() {
+		w.missingSince = now
+	}
+	w.listed = h.mayBeBack(now)
+}
+
+// mayBeBack says whether entries may be missing that will be back.
+func (h *holding) mayBeBack(now time.Time) bool {
+	return !h.core.authority.Steady() || now.Sub(h.core.logBackAt) < entriesBack
+}
+
+// dropMissing gives up the workers whose entries have not come back.
+func (h *holding) dropMissing(now time.Time) {
+	if h.mayBeBack(now) {
+		return
+	}
+	for _, w := range h.byName() {
+		if w.listed && !w.missingSince.IsZero() {
+			w.listed = false
+			h.planDue = true
+		}
+	}
+}
+
+// workerListed takes what the platform says of one worker.
+func (h *holding) workerListed(now time.Time, o order.Worker) {
+	w := h.workers[o.ID]
+	if w == nil {
+		w = h.addWorker(now, o)
+		h.core.note("worker listed", Field{"worker", o.ID}, Field{"address", o.Address}, Field{"pool", o.Pool}, Field{"domain", o.Domain})
+	}
+	if o.Leaving && !w.Leaving {
+		h.core.note("worker is leaving", Field{"worker", o.ID}, Field{"remaining", o.Remaining.String()}, Field{"tasks", len(w.attempts)})
+	}
+	w.listed, w.missingSince = true, time.Time{}
+	used := w.Capacity.Minus(w.free)
+	w.Worker = o
+	w.free = o.Capacity.Minus(used)
+	if h.phase == active {
+		h.renew(now, w)
+	}
+}
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -35,7 +35,6 @@
 			kept++
 		}
 	}
-	defer clear(h.advisers.spent)
 	tiers := map[tier]int{}
 	for _, s := range h.open {
 		if s.open && s.waiting > 0 {
@@ -48,4 +47,5 @@
 		Field{"workers_kept", kept}, Field{"steps_on_time", tiers[onTime]}, Field{"steps_late", tiers[late]},
 		Field{"steps_hopeless", tiers[hopeless]}, Field{"unsettled", len(h.unsettled)}, Field{"plans", h.passes},
 		Field{"advice_time", fmt.Sprint(h.advisers.spent)}, Field{"stop_time", h.learned.stopTime.String()})
+	clear(h.advisers.spent)
 }
