--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/models/order"
 )
 
@@ -60,7 +61,7 @@
 		r.Until = h.until(now, w)
 	}
 	if w.settled && w.failures == 0 && len(w.notes) == 0 && len(w.attempts) > 0 || w.settled && len(w.attempts) == 0 {
-		r.Wait = waitOf(h.lookWait(w))
+		r.Wait = job.Milliseconds(h.lookWait(w).Milliseconds())
 	}
 	h.core.do(Renew{
 		Worker: w.ID, Address: w.Address, Epoch: h.epoch, Look: w.look, Order: r,
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"saddlevane/models/job"
 	"saddlevane/models/order"
 )
 
@@ -16,18 +15,19 @@
 // tails are well below, they may work faster again.
 
 const (
-	// fullPace is the percentage at which a run begins.
+	// fullPace is the percentage of its speed at which a run begins.
 	fullPace = 100
 	// throttleAt and easeAt are shares of the target. Tails are rough figures of the
 	// last half second, so there is some way between them.
 	throttleAt, easeAt = 0.85, 0.6
 	// urgentAt is the share from which fillers are nearly stopped at once.
 	urgentAt = 1.2
-	// throttleBy and urgentBy are what a pace is multiplied by, easeBy what is added
-	// to it, in percent.
+	// throttleBy and urgentBy are what a pace is multiplied by.
 	throttleBy, urgentBy = 0.6, 0.2
-	easeBy               = 10
-	// leastPace is the pace below which fillers are halted: they keep their memory.
+	// easeBy is added to a pace, in percent of a run's speed.
+	easeBy = 10
+	// leastPace is the pace, in percent, below which fillers are halted: they keep
+	// their memory.
 	leastPace = 5
 	// throttleEvery is the time after which a change shows in the figures: half a
 	// second that they cover, and 100 ms until it takes effect (the users' protocol).
@@ -37,8 +37,8 @@
 	servingWait = 400 * time.Millisecond
 )
 
-// besideFillers says whether tasks serve beside fillers on a worker, and how near
-// the worst tail is to its target.
+// besideFillers says whether tasks serve beside fillers on a worker, and which share
+// of its target the worst tail has reached.
 func (w *worker) besideFillers() (worst float64, shared bool) {
 	fillers := false
 	for _, a := range w.attempts {
@@ -67,12 +67,25 @@
 	if !shared {
 		w.fillPace = fullPace
 	} else if now.Sub(w.throttledAt) >= throttleEvery {
-		if next := nextPace(w.fillPace, worst); next != w.fillPace {
-			h.core.note("fillers change their pace", Field{"worker", w.ID}, Field{"percent", next}, Field{"before", w.fillPace},
-				Field{"tail_of_target", worst}, Field{"claim", h.epoch})
-			w.fillPace, w.throttledAt = next, now
-		}
+		h.changePace(now, w, worst)
+	}
+	h.orderPace(w)
+}
+
+// changePace sets the pace of a worker's fillers by the worst tail beside them, as a
+// share of its target.
+func (h *holding) changePace(now time.Time, w *worker, worst float64) {
+	next := nextPace(w.fillPace, worst)
+	if next == w.fillPace {
+		return
 	}
+	h.core.note("fillers change their pace", Field{"worker", w.ID}, Field{"percent", next}, Field{"before", w.fillPace},
+		Field{"tail_of_target", worst}, Field{"claim", h.epoch})
+	w.fillPace, w.throttledAt = next, now
+}
+
+// orderPace orders the pace of a worker's fillers where they work at another.
+func (h *holding) orderPace(w *worker) {
 	for _, a := range w.sorted() {
 		if a.step.spec.Filler && a.state == running && a.pace != w.fillPace {
 			a.pace = w.fillPace
@@ -104,6 +117,3 @@
 func (a *attempt) seen(r order.Running) {
 	a.figure, a.pace = r.Figure, r.Pace
 }
-
-// waitOf returns a length of time as it travels.
-func waitOf(d time.Duration) job.Milliseconds { return job.Milliseconds(d.Milliseconds()) }
