--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -14,7 +14,8 @@
 // advice is what is known of the workers that may run a step.
 type advice struct {
 	// suits says of each worker asked about whether it may.
-	suits   map[*worker]bool
+	suits map[*worker]bool
+	// tickets has the last ticket for each worker, which may have run out.
 	tickets map[*worker]ticket
 	// calls are those whose answers the step waits for.
 	calls []*adviceCall
@@ -39,7 +40,8 @@
 
 // ticket is the advice service's leave to run a step on one worker.
 type ticket struct {
-	text  string
+	text string
+	// until is when it is too late for a start with it.
 	until time.Time
 }
 
@@ -82,6 +84,7 @@
 	return slices.ContainsFunc(a.calls, func(c *adviceCall) bool { return slices.Contains(c.workers, w) })
 }
 
+// dropTicket forgets a ticket that a worker refused.
 func (a *advice) dropTicket(w *worker) { delete(a.tickets, w) }
 
 // ticketFor returns the ticket for a worker that a start now could still use.
@@ -170,17 +173,17 @@
 }
 
 // noteAdvice keeps which of the workers asked about suit a step, and their
-// tickets.
+// tickets. How many suit is learned from those asked about for the first time.
 func (h *holding) noteAdvice(now time.Time, c *adviceCall, e Advised) {
 	s := c.step
 	a := &s.advice
 	if a.suits == nil {
 		a.suits, a.tickets = map[*worker]bool{}, map[*worker]ticket{}
 	}
-	first := map[*worker]bool{}
+	fresh := map[*worker]bool{}
 	for _, w := range c.workers {
 		if _, known := a.suits[w]; !known {
-			first[w] = true
+			fresh[w] = true
 		}
 		if h.workers[w.ID] == w {
 			// A worker that gets no ticket any more is not asked about again.
@@ -195,11 +198,11 @@
 	for _, t := range e.Good {
 		if w := h.workers[t.Worker]; w != nil {
 			a.suits[w] = true
-			if first[w] {
+			if fresh[w] {
 				good++
 			}
 			a.tickets[w] = ticket{text: t.Ticket, until: now.Add(valid - ticketMargin)}
 		}
 	}
-	h.learned.advised(s.job.queue, len(first), good)
+	h.learned.advised(s.job.queue, len(fresh), good)
 }
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -30,7 +30,8 @@
 type advisers struct {
 	// busyUntil is when the calls given to a box should be over.
 	busyUntil map[string]time.Time
-	badUntil  map[string]time.Time
+	// badUntil is until when a box is left out because a call through it failed.
+	badUntil map[string]time.Time
 	// calls holds the calls under way by box and number.
 	calls map[string]map[int64]*adviceCall
 	// numbers counts all calls.
@@ -74,7 +75,8 @@
 }
 
 // keptOff returns how many of some boxes a call that takes a while must keep off, so
-// that shorter ones need not wait behind it.
+// that shorter ones need not wait behind it: about an eighth of them where it is
+// short, about a quarter where it is long.
 func keptOff(boxes int, takes time.Duration) int {
 	switch {
 	case boxes <= 2 || takes <= briefCall:
@@ -86,9 +88,8 @@
 	}
 }
 
-// chooseAdviser returns the box whose calls are over first. Long calls keep off the
-// first boxes in the order of names.
-func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
+// openAdvisers returns the boxes that calls may be given to, by name.
+func (h *holding) openAdvisers(now time.Time) []string {
 	var names []string
 	if !h.advisers.passedOver(now, h.core.self.Box) {
 		names = append(names, h.core.self.Box)
@@ -98,23 +99,31 @@
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
+	return names
+}
+
+// chooseAdviser gives a call that takes some time to the box whose calls are over
+// first, if that is within patience. Calls that are not brief keep off the first
+// boxes in the order of names.
+func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
+	names := h.openAdvisers(now)
 	if len(names) == 0 {
 		return "", "", false
 	}
-	slices.Sort(names)
 	names = names[keptOff(len(names), takes):]
 	best := slices.MinFunc(names, func(a, b string) int {
-		return h.advisers.free(now, a).Compare(h.advisers.free(now, b))
+		return h.advisers.freeAt(now, a).Compare(h.advisers.freeAt(now, b))
 	})
-	if h.advisers.free(now, best).Sub(now) > patience {
+	if h.advisers.freeAt(now, best).Sub(now) > patience {
 		return "", "", false
 	}
 	if best != h.core.self.Box {
 		address = h.core.members[best].Address
 	}
-	h.advisers.busyUntil[best] = h.advisers.free(now, best).Add(takes)
+	h.advisers.busyUntil[best] = h.advisers.freeAt(now, best).Add(takes)
 	return best, address, true
 }
 
-// free returns when the calls given to a box should be over.
-func (a *advisers) free(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
+// freeAt returns when the calls given to a box should be over.
+func (a *advisers) freeAt(now time.Time, box string) time.Time { return maxTime(now, a.busyUntil[box]) }
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	// firstAsk bounds the workers named in one call for a step that is no gang.
-	firstAsk = 60
-	// gangAsk bounds the workers named in one call for a gang, which may have
-	// several calls under way.
-	gangAsk = 64
+	// roomAsk bounds the workers that a step is asked about at a time because they
+	// have room.
+	roomAsk = 60
+	// callMost bounds the workers named in one call. A gang may have several calls
+	// under way.
+	callMost = 64
 	// leastAsk is how many workers a call names at least, if there are so many.
 	leastAsk = 4
 	// askSpare is for how many times the waiting tasks workers are named.
@@ -35,12 +36,12 @@
 	// more for each second for which it has waited.
 	gangChoice      = 2
 	gangChoiceGrows = 0.5
-	// widenEvery is the time between two looks whether that is enough.
-	widenEvery = 200 * time.Millisecond
-	// gangChoiceMost bounds it.
-	gangChoiceMost = 3.5
-	// gangChoiceRoomy bounds it while much of the workers' room is free.
+	// gangChoiceMost bounds gangChoice as it grows, gangChoiceRoomy while much of the
+	// workers' room is free: nobody else needs the advice then.
+	gangChoiceMost  = 3.5
 	gangChoiceRoomy = 12
+	// widenEvery is the time between two looks whether a gang knows enough workers.
+	widenEvery = 200 * time.Millisecond
 )
 
 // ask calls for advice on some workers. It returns nil if the boxes have as many
@@ -78,19 +79,24 @@
 	p := h.earlyPass(now)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
-			if len(s.spec.After) > 0 {
-				continue
-			}
-			r := ranked{step: s, queue: q}
-			if candidates := h.workersFor(p, s, q.Pool).workers; s.spec.Gang {
-				h.widenChoice(now, r, candidates, false)
-			} else {
-				h.askForRoom(now, r, candidates)
+			if len(s.spec.After) == 0 {
+				h.adviseStepEarly(p, now, ranked{step: s, queue: q})
 			}
 		}
 	}
 }
 
+// adviseStepEarly asks for a step that is not open yet. The pass is the look at the
+// workers, which may be older than now.
+func (h *holding) adviseStepEarly(p *pass, now time.Time, r ranked) {
+	candidates := h.workersFor(p, r.step, r.queue.Pool).workers
+	if r.step.spec.Gang {
+		h.widenChoice(now, r, candidates, false)
+		return
+	}
+	h.askForRoom(now, r, candidates)
+}
+
 // earlyFor is how long jobs that are handed in share one look at the workers.
 const earlyFor = 10 * time.Millisecond
 
@@ -126,10 +132,10 @@
 		if len(candidates) == 0 {
 			return
 		}
-		first := int(xxhash.Sum64String(s.id.String()) % uint64(len(candidates)))
+		start := int(xxhash.Sum64String(s.id.String()) % uint64(len(candidates)))
 		for _, withRoom := range []bool{true, false} {
 			for i := range candidates {
-				w := candidates[(first+i)%len(candidates)]
+				w := candidates[(start+i)%len(candidates)]
 				room := w.slots(s, w.room())
 				if (room > 0) == withRoom && !s.advice.asked(w) && !yield(w, room) {
 					return
@@ -147,7 +153,7 @@
 		return false
 	}
 	asked := false
-	for chunk := range slices.Chunk(workers, gangAsk) {
+	for chunk := range slices.Chunk(workers, callMost) {
 		if h.ask(now, s, r.queue.Advice, chunk) == nil {
 			break
 		}
@@ -157,14 +163,14 @@
 }
 
 // askForRoom asks about as many unknown workers as should have room for the waiting
-// tasks of a step, those with most room first. Where few have room it names some
-// more, which may have it next.
+// tasks of a step, those that have some first. Where few have room it names some
+// more, which may have it next. It returns false if no call was made.
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
 	var named []*worker
 	for w, room := range s.shuffled(candidates) {
-		if len(named) == firstAsk || len(named) >= leastAsk && missing <= 0 {
+		if len(named) == roomAsk || len(named) >= leastAsk && missing <= 0 {
 			break
 		}
 		named = append(named, w)
@@ -182,8 +188,8 @@
 	return n
 }
 
-// usualCapacity returns the capacity of the largest worker.
-func (h *holding) usualCapacity() resource.Vector {
+// largestCapacity returns the capacity of the worker with most processors.
+func (h *holding) largestCapacity() resource.Vector {
 	most := resource.Vector{}
 	for _, w := range h.byName() {
 		if w.Capacity.Processors > most.Processors {
@@ -193,36 +199,46 @@
 	return most
 }
 
-// widenChoice asks about more workers for a gang until those known to suit, and
-// those that will be by the answers under way, could hold its tasks a few times
-// over. A gang that has waited asks for a wider choice.
-func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker, roomy bool) {
-	s := r.step
-	if now.Before(s.widenAgain) {
-		return
-	}
-	s.widenAgain = now.Add(widenEvery)
-	choice := gangChoice + gangChoiceGrows*max(0, now.Sub(s.openedAt).Seconds())
-	if s.openedAt.IsZero() {
-		choice = gangChoice
+// choice returns for how many tasks a gang is to know room on workers.
+func (s *step) choice(now time.Time, roomy bool) float64 {
+	times := float64(gangChoice)
+	if !s.openedAt.IsZero() {
+		times += gangChoiceGrows * max(0, now.Sub(s.openedAt).Seconds())
 	}
-	good := h.learned.goodShare(r.queue.Name)
-	most := float64(gangChoiceMost)
+	most := gangChoiceMost
 	if roomy {
-		// Nobody else needs the advice.
 		most = gangChoiceRoomy
 	}
-	missing := min(choice, most) * float64(len(s.tasks))
+	return min(times, most) * float64(len(s.tasks))
+}
+
+// missing returns for how many of some tasks there is no room yet on candidates that
+// are known to suit, if they were empty, or are asked about now, of which a share
+// should be good.
+func (s *step) missing(tasks float64, candidates []*worker, good float64) float64 {
 	for _, w := range candidates {
 		slots := float64(s.slotsOfEmpty(w.Capacity))
 		switch suits, known := s.advice.suits[w]; {
 		case known && suits:
-			missing -= slots
+			tasks -= slots
 		case !known && s.advice.awaited(w):
-			missing -= slots * good
+			tasks -= slots * good
 		}
 	}
-	each := float64(max(1, s.slotsOfEmpty(h.usualCapacity()))) * good
+	return tasks
+}
+
+// widenChoice asks about more workers for a gang until those known to suit, and
+// those that will be by the answers under way, could hold its tasks a few times
+// over. A gang that has waited asks for a wider choice.
+func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker, roomy bool) {
+	s := r.step
+	if now.Before(s.widenAgain) {
+		return
+	}
+	s.widenAgain = now.Add(widenEvery)
+	good := h.learned.goodShare(r.queue.Name)
+	missing := s.missing(s.choice(now, roomy), candidates, good)
 	if missing <= 0 {
 		return
 	}
@@ -230,22 +246,22 @@
 		h.askForRoom(now, r, candidates)
 		return
 	}
+	each := float64(max(1, s.slotsOfEmpty(h.largestCapacity()))) * good
 	unknown := s.roomiest(candidates)
 	wanted := max(leastAsk, int(math.Ceil(missing/each)))
 	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
 }
 
-// askMore asks about workers that have room now, if those known do not. It
-// returns true if a call was made.
-func (h *holding) askMore(p *pass, r ranked, workers []*worker) bool {
-	s := r.step
+// askMore asks about those of some workers that have room now. It returns false if
+// no call was made.
+func (h *holding) askMore(now time.Time, r ranked, workers []*worker) bool {
 	var open []*worker
 	for _, w := range workers {
-		if w.slots(s, w.room()) > 0 {
+		if w.slots(r.step, w.room()) > 0 {
 			open = append(open, w)
 		}
 	}
-	return h.askForRoom(p.now, r, open)
+	return h.askForRoom(now, r, open)
 }
 
 // refresh asks for tickets for shares, and keeps their room until they come.
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -29,7 +29,7 @@
 	}
 	shares, placed := h.fit(p.now, s, r.suited(set.workers))
 	if r.queue.Advice != nil {
-		if placed == 0 && h.askMore(p, r, set.workers) {
+		if placed == 0 && h.askMore(p.now, r, set.workers) {
 			return true
 		}
 		var stale []share
