--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -41,6 +41,7 @@
 	spent map[string]time.Duration
 }
 
+// newAdvisers returns advisers without a call.
 func newAdvisers() advisers {
 	return advisers{
 		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[int64]*adviceCall{},
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -55,6 +55,7 @@
 	stopping attemptState = "stopping"
 )
 
+// task returns the task that the attempt is a start of.
 func (a *attempt) task() *task { return &a.step.tasks[a.index] }
 
 // name returns the name under which the worker knows the attempt.
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -63,9 +63,9 @@
 
 	// planDue says that something has changed since the last plan.
 	planDue bool
-	// planAt is when the next plan may be made.
 	// passes counts the plans made.
 	passes int
+	// planAt is when the next plan may be made.
 	planAt time.Time
 	// overviewAt is when the state of the cell is next told.
 	overviewAt time.Time
@@ -182,6 +182,7 @@
 	}
 }
 
+// maxTime returns the later of two times.
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -11,7 +11,7 @@
 	good map[string]float64
 	// stopTime is how long it usually takes until a task that is to end has ended.
 	stopTime time.Duration
-	// fleetSpeed is the mean speed of all workers.
+	// fleetSpeed is the mean over all workers of what speed.mean is of one.
 	fleetSpeed float64
 	// times is what is known of the run times of each queue's steps.
 	times map[string]*runTimes
@@ -30,6 +30,7 @@
 	firstStopTime = 200 * time.Millisecond
 )
 
+// newLearned returns what is believed before anything was seen.
 func newLearned() learned {
 	return learned{good: map[string]float64{}, times: map[string]*runTimes{}, stopTime: firstStopTime}
 }
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -38,6 +38,10 @@
 	return best
 }
 
+// muchLarger says whether a box is so much larger than this one that it should have
+// the cell, as authority.Small has it.
+func (c *Core) muchLarger(m claim.Member) bool { return 2*c.self.Size <= m.Size }
+
 // moveToLarger asks the other boxes who could take the cell over, if there are much
 // larger ones: a small box cannot keep up with many workers.
 func (c *Core) moveToLarger(now time.Time) {
@@ -64,7 +68,7 @@
 		return
 	case !c.authority.Steady():
 		reason = "the log answers it and not this box"
-	case 2*c.self.Size > best.Size:
+	case !c.muchLarger(best):
 		return
 	}
 	h.suspended = true
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -22,6 +22,7 @@
 	drained int
 }
 
+// newPass returns a pass that has looked at no worker yet.
 func newPass(now time.Time) *pass { return &pass{now: now, sets: map[setKey]*workerSet{}} }
 
 // plan places the tasks of open steps, the first in rank first.
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -18,43 +18,51 @@
 // little the line is flat, and all steps are expected to take what the queue's
 // steps usually take.
 type runTimes struct {
-	// weight is how many observations the sums stand for.
+	// weight is how many observations the figures stand for.
 	weight float64
-	// estimate and took are the means of the logarithms.
+	// estimate and took are the means of the logarithms of the estimates and of the
+	// times that the steps took.
 	estimate, took float64
 	// spread is the variance of the estimates' logarithms, joint their covariance
 	// with the times', scatter the variance of the times'.
 	spread, joint, scatter float64
 }
 
-// MarshalJSON writes the sums as a list.
+// MarshalJSON writes the figures as a list.
 func (r *runTimes) MarshalJSON() ([]byte, error) {
 	return json.Marshal([]float64{r.weight, r.estimate, r.took, r.spread, r.joint, r.scatter})
 }
 
 // UnmarshalJSON reads what MarshalJSON wrote.
 func (r *runTimes) UnmarshalJSON(data []byte) error {
-	var sums []float64
-	if err := json.Unmarshal(data, &sums); err != nil {
+	var f []float64
+	if err := json.Unmarshal(data, &f); err != nil {
 		return err
 	}
-	if len(sums) != 6 || sums[0] < 0 || sums[0] > stepsRemembered || sums[3] < 0 || sums[5] < 0 {
-		return fmt.Errorf("run times: %v make no sense", sums)
+	if len(f) != figuresKept {
+		return fmt.Errorf("run times: %v make no sense", f)
 	}
-	*r = runTimes{weight: sums[0], estimate: sums[1], took: sums[2], spread: sums[3], joint: sums[4], scatter: sums[5]}
+	read := runTimes{weight: f[0], estimate: f[1], took: f[2], spread: f[3], joint: f[4], scatter: f[5]}
+	if read.weight < 0 || read.weight > stepsRemembered || read.spread < 0 || read.scatter < 0 {
+		return fmt.Errorf("run times: %v make no sense", f)
+	}
+	*r = read
 	return nil
 }
 
 const (
+	// figuresKept is how many figures the log keeps of a queue.
+	figuresKept = 6
 	// trustedSteps is how many observations the first belief, that estimates are
 	// right, counts for.
 	trustedSteps = 6
-	// trustedSpread is the variance of the logarithms in that belief.
+	// trustedSpread is the variance of the logarithms in that belief: estimates
+	// differ by a factor of 1.6 or so.
 	trustedSpread = 0.25
 	// stepsRemembered bounds the weight of what was observed, so that old steps are
 	// forgotten.
 	stepsRemembered = 200
-	// leastTime keeps logarithms finite.
+	// leastTime is the least time of which a logarithm is taken, to keep it finite.
 	leastTime = time.Millisecond
 )
 
@@ -83,6 +91,8 @@
 		return estimate
 	}
 	slope := min(1, max(0, r.joint/r.spread))
+	// The mean of a log-normal time lies above its median by half the variance that
+	// the line leaves.
 	left := max(0, r.scatter-slope*r.joint)
 	mean := r.took + slope*(logTime(estimate)-r.estimate) + left/2
 	return time.Duration(math.Exp(mean) * float64(time.Second))
@@ -110,7 +120,7 @@
 	h.learned.changed = false
 	value, err := json.Marshal(h.learned.times)
 	if err != nil {
-		// The sums are plain numbers.
+		// The figures are plain numbers.
 		panic(err)
 	}
 	h.journal.add(stream.Record{Key: keyTimes, Value: value})
@@ -149,8 +159,8 @@
 	s.took = max(s.took, now.Sub(a.since))
 }
 
-// learnTimes takes how long a step took that is done, and what that means for the
-// steps after it.
+// learnTimes takes how long a step took that is done, and sets anew how much work
+// follows the steps of its instance.
 func (h *holding) learnTimes(s *step) {
 	if s.interrupted || s.took == 0 {
 		s.took = 0
--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -10,7 +10,8 @@
 
 // speed is how long tasks take on a worker, against what they are expected to take.
 type speed struct {
-	// seen is how many tasks the mean stands for, mean that of the logarithms.
+	// seen is how many tasks the mean stands for, mean that of the logarithms of how
+	// many times as long as expected they took.
 	seen, mean float64
 	// lastAt is when the last of them ended.
 	lastAt time.Time
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -60,7 +60,7 @@
 
 	// held is room that this pass of the plan keeps for steps which rank higher than
 	// those it comes to next, keeper the last of them, keptFor that of the pass
-	// before. Others take its room last.
+	// before: other steps take the worker's room last.
 	held            resource.Vector
 	keeper, keptFor *step
 	// fillPace is the pace of its fillers, in percent, throttledAt when it was changed.
@@ -78,6 +78,7 @@
 	excludedTill time.Time
 }
 
+// newWorker returns a life of a worker of which nothing is known but its entry.
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, strays: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
