--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -4,90 +4,15 @@
 package dispatch_test
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"saddlevane/models/claim"
-	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
 )
 
-// driven is one reducer whose events a test chooses one by one.
-type driven struct {
-	t    *testing.T
-	core *dispatch.Core
-	now  time.Time
-	next int64
-}
-
-func newDriven(t *testing.T) *driven {
-	t.Helper()
-	d := &driven{
-		t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
-		core: dispatch.New(settings(), claim.Member{Box: "a", Incarnation: "a1", Address: "a"}),
-	}
-	d.handle(dispatch.ConfigRead{Config: config()})
-	d.handle(dispatch.Tick{})
-	d.handle(dispatch.AppendEnded{Purpose: dispatch.ForAnnounce})
-	d.handle(dispatch.ClaimsRead{Start: true})
-	return d
-}
-
-func (d *driven) handle(e dispatch.Event) []dispatch.Effect {
-	d.now = d.now.Add(time.Millisecond)
-	d.core.Handle(d.now, e)
-	return d.core.Decide(d.now)
-}
-
-// later lets time pass and returns what the next tick asks for.
-func (d *driven) later(passed time.Duration) []dispatch.Effect {
-	d.now = d.now.Add(passed)
-	return d.handle(dispatch.Tick{})
-}
-
-// appendFor returns the append for a purpose among some effects, or nil.
-func appendFor(effects []dispatch.Effect, p dispatch.Purpose) *dispatch.Append {
-	for _, e := range effects {
-		if a, ok := e.(dispatch.Append); ok && a.Purpose == p {
-			return &a
-		}
-	}
-	return nil
-}
-
-func loads(effects []dispatch.Effect) bool {
-	for _, e := range effects {
-		if _, ok := e.(dispatch.LoadJobs); ok {
-			return true
-		}
-	}
-	return false
-}
-
-// takeOver lets the reducer claim and returns the append that fences.
-func (d *driven) takeOver(wait time.Duration) *dispatch.Append {
-	d.t.Helper()
-	claiming := appendFor(d.later(wait), dispatch.ForClaim)
-	assert.Assert(d.t, claiming != nil)
-	effects := d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: claiming.Number, Offset: d.next})
-	d.next++
-	fence := appendFor(effects, dispatch.ForJournal)
-	assert.Assert(d.t, fence != nil)
-	return fence
-}
-
-// claimed has the reducer read another box's claim.
-func (d *driven) claimed(c claim.Claim) {
-	d.t.Helper()
-	value, err := json.Marshal(c)
-	assert.NilError(d.t, err)
-	d.next++
-	d.handle(dispatch.ClaimsRead{Records: []stream.Record{{Key: "holder", Value: value}}, Next: d.next})
-}
-
 func TestTheEndOfAnEarlierAppendConfirmsNothing(t *testing.T) {
 	d := newDriven(t)
 	first := d.takeOver(time.Second)
--- /dev/null
+++ b/services/dispatch/driven_test.go
@@ -0,0 +1,193 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/resource"
+	"saddlevane/models/stream"
+	"saddlevane/services/dispatch"
+)
+
+// fullSize is the capacity of a worker in these tests.
+var fullSize = resource.Vector{Processors: 64 * resource.Processor, Memory: 128 << 30}
+
+// driven is one reducer whose events a test chooses one by one.
+type driven struct {
+	t    *testing.T
+	core *dispatch.Core
+	now  time.Time
+	// next is the offset of the next record of the stream of claims.
+	next int64
+}
+
+// newDriven returns a reducer that has its configuration and may claim the cell.
+func newDriven(t *testing.T) *driven {
+	t.Helper()
+	d := &driven{
+		t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		core: dispatch.New(settings(), claim.Member{Box: "a", Incarnation: "a1", Address: "a"}),
+	}
+	d.handle(dispatch.ConfigRead{Config: config()})
+	d.handle(dispatch.Tick{})
+	d.handle(dispatch.AppendEnded{Purpose: dispatch.ForAnnounce})
+	d.handle(dispatch.ClaimsRead{Start: true})
+	return d
+}
+
+// handle gives the reducer an event a millisecond later and returns its effects.
+func (d *driven) handle(e dispatch.Event) []dispatch.Effect {
+	d.now = d.now.Add(time.Millisecond)
+	d.core.Handle(d.now, e)
+	return d.core.Decide(d.now)
+}
+
+// later lets time pass and returns what the next tick asks for.
+func (d *driven) later(passed time.Duration) []dispatch.Effect {
+	d.now = d.now.Add(passed)
+	return d.handle(dispatch.Tick{})
+}
+
+// only returns the effects of one kind.
+func only[E dispatch.Effect](effects []dispatch.Effect) []E {
+	var all []E
+	for _, e := range effects {
+		if wanted, ok := e.(E); ok {
+			all = append(all, wanted)
+		}
+	}
+	return all
+}
+
+// appendFor returns the append for a purpose among some effects, or nil.
+func appendFor(effects []dispatch.Effect, p dispatch.Purpose) *dispatch.Append {
+	for _, a := range only[dispatch.Append](effects) {
+		if a.Purpose == p {
+			return &a
+		}
+	}
+	return nil
+}
+
+// loads says whether the stream of jobs is read by some effects.
+func loads(effects []dispatch.Effect) bool { return len(only[dispatch.LoadJobs](effects)) > 0 }
+
+// takeOver lets the reducer claim and returns the append that fences.
+func (d *driven) takeOver(wait time.Duration) *dispatch.Append {
+	d.t.Helper()
+	claiming := appendFor(d.later(wait), dispatch.ForClaim)
+	assert.Assert(d.t, claiming != nil)
+	effects := d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: claiming.Number, Offset: d.next})
+	d.next++
+	fence := appendFor(effects, dispatch.ForJournal)
+	assert.Assert(d.t, fence != nil)
+	return fence
+}
+
+// claimed has the reducer read another box's claim.
+func (d *driven) claimed(c claim.Claim) {
+	d.t.Helper()
+	value, err := json.Marshal(c)
+	assert.NilError(d.t, err)
+	d.next++
+	d.handle(dispatch.ClaimsRead{Records: []stream.Record{{Key: "holder", Value: value}}, Next: d.next})
+}
+
+// keeps ends the append to the stream of jobs that is among some effects.
+func (d *driven) keeps(effects []dispatch.Effect) []dispatch.Effect {
+	d.t.Helper()
+	assert.Assert(d.t, appendFor(effects, dispatch.ForJournal) != nil)
+	return d.keepsAny(effects)
+}
+
+// keepsAny ends the append to the stream of jobs that is among some effects, if one
+// is.
+func (d *driven) keepsAny(effects []dispatch.Effect) []dispatch.Effect {
+	a := appendFor(effects, dispatch.ForJournal)
+	if a == nil {
+		return nil
+	}
+	return d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: a.Number})
+}
+
+// holding returns a reducer that holds the cell and has listed some workers, and
+// the look at each that is under way.
+func holding(t *testing.T, workers ...order.Worker) (*driven, map[string]dispatch.Renew) {
+	t.Helper()
+	d := newDriven(t)
+	fence := d.takeOver(time.Second)
+	d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: fence.Number})
+	d.handle(dispatch.JobsLoaded{Epoch: 1})
+	looks := map[string]dispatch.Renew{}
+	listed := d.handle(dispatch.WorkersRead{Listing: order.Listing{Whole: true, Present: workers}})
+	var effects []dispatch.Effect
+	for _, r := range only[dispatch.Renew](listed) {
+		effects = append(effects, d.handle(looked(r))...)
+	}
+	for _, r := range only[dispatch.Renew](effects) {
+		looks[r.Worker] = r
+	}
+	d.keeps(append(effects, d.later(20*time.Millisecond)...))
+	return d, looks
+}
+
+// looked is the answer to a look at a worker that runs some tasks.
+func looked(r dispatch.Renew, running ...order.Run) dispatch.RenewEnded {
+	e := dispatch.RenewEnded{
+		Worker: r.Worker, Epoch: r.Epoch, Look: r.Look, Answer: order.Answer{Fate: order.Carried}, Report: order.Report{Clock: 1000},
+	}
+	for _, run := range running {
+		e.Report.Running = append(e.Report.Running, order.Running{Run: run, Pace: 100})
+	}
+	return e
+}
+
+// submits has a job accepted and returns what is asked for from then on.
+func (d *driven) submits(s job.Submission) []dispatch.Effect {
+	d.t.Helper()
+	d.now = d.now.Add(20 * time.Millisecond)
+	return append(d.keeps(d.handle(dispatch.Submitted{Call: 1, Submission: s})), d.later(20*time.Millisecond)...)
+}
+
+// claimEnded ends the renewal of the claim that is among some effects, if one is.
+func (d *driven) claimEnded(effects []dispatch.Effect) {
+	if a := appendFor(effects, dispatch.ForClaim); a != nil {
+		d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: a.Number, Offset: d.next})
+		d.next++
+	}
+}
+
+// startsOf hands a job in and returns how many tasks are started within a second.
+func (d *driven) startsOf(s job.Submission, call dispatch.CallID, looks map[string]dispatch.Renew) int {
+	d.t.Helper()
+	kept := d.keepsAny(d.handle(dispatch.Submitted{Call: call, Submission: s}))
+	return len(only[dispatch.StartRun](kept)) + d.answers(time.Second, looks)
+}
+
+// answers lets time pass in short steps; the claim is kept and each look at a
+// worker is answered.
+func (d *driven) answers(passed time.Duration, looks map[string]dispatch.Renew) (starts int) {
+	d.t.Helper()
+	for end := d.now.Add(passed); d.now.Before(end); {
+		effects := d.later(20 * time.Millisecond)
+		d.claimEnded(effects)
+		for _, r := range looks {
+			effects = append(effects, d.handle(looked(r))...)
+		}
+		effects = append(effects, d.keepsAny(effects)...)
+		for _, r := range only[dispatch.Renew](effects) {
+			looks[r.Worker] = r
+		}
+		starts += len(only[dispatch.StartRun](effects))
+	}
+	return starts
+}
--- a/services/dispatch/missing_test.go
+++ b/services/dispatch/missing_test.go
@@ -9,42 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/services/dispatch"
 )
 
-// startsOf hands a job in and returns how many tasks are started within a second.
-func (d *driven) startsOf(s job.Submission, call dispatch.CallID, looks map[string]dispatch.Renew) int {
-	d.t.Helper()
-	starts := 0
-	if a := appendFor(d.handle(dispatch.Submitted{Call: call, Submission: s}), dispatch.ForJournal); a != nil {
-		starts += len(only[dispatch.StartRun](d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: a.Number})))
-	}
-	return starts + d.answers(time.Second, looks)
-}
-
-// answers lets time pass in short steps; the claim is kept and each look at a
-// worker is answered.
-func (d *driven) answers(passed time.Duration, looks map[string]dispatch.Renew) (starts int) {
-	d.t.Helper()
-	for end := d.now.Add(passed); d.now.Before(end); {
-		effects := d.later(20 * time.Millisecond)
-		d.claimEnded(effects)
-		for _, r := range looks {
-			effects = append(effects, d.handle(looked(r))...)
-		}
-		if a := appendFor(effects, dispatch.ForJournal); a != nil {
-			effects = append(effects, d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: a.Number})...)
-		}
-		for _, r := range only[dispatch.Renew](effects) {
-			looks[r.Worker] = r
-		}
-		starts += len(only[dispatch.StartRun](effects))
-	}
-	return starts
-}
-
 func TestWorkersWhoseEntriesLapsedWithTheLogAreUsedOn(t *testing.T) {
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
 	d.handle(dispatch.ClaimsRead{Failed: "down"})
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -31,8 +31,8 @@
 	s.Steps = append(s.Steps, job.Step{Tasks: 1, Need: need, Filler: true})
 	starts := only[dispatch.StartRun](d.submits(s))
 	assert.Equal(t, len(starts), 2)
-	for _, one := range starts {
-		d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: one.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	for _, start := range starts {
+		d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	}
 	w := &sharedWorker{driven: d, look: looks["w"], serves: starts[0].Order.Run, filler: starts[1].Order.Run, pace: 100}
 	if w.serves.Task.Step != 0 {
@@ -61,14 +61,6 @@
 	return paces
 }
 
-// claimEnded ends the renewal of the claim that is among some effects, if one is.
-func (d *driven) claimEnded(effects []dispatch.Effect) {
-	if a := appendFor(effects, dispatch.ForClaim); a != nil {
-		d.handle(dispatch.AppendEnded{Purpose: dispatch.ForClaim, Number: a.Number, Offset: d.next})
-		d.next++
-	}
-}
-
 func TestFillersGiveWayToWhatServesBesideThem(t *testing.T) {
 	w := newSharedWorker(t)
 	assert.Equal(t, len(w.tail(50)), 0, "the tail is well below its target")
