--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -50,9 +50,12 @@
 	client *http.Client
 	tasks  conc.WaitGroup
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	next     int
+	mu  sync.Mutex
+	rng *rand.Rand
+	// made counts the jobs made up.
+	made int
+	// broken lists the promises that were broken, the others count jobs by what
+	// became of them.
 	broken   []string
 	accepted int
 	refused  int
@@ -73,7 +76,7 @@
 		s, q, work := c.draw()
 		c.rig.platform.Expect(s, q, work)
 		c.tasks.Go(func() { c.follow(ctx, s) })
-		c.sleep(ctx, time.Duration(c.exp()/perSecond*float64(time.Second)))
+		sleep(ctx, time.Duration(c.exp()/perSecond*float64(time.Second)))
 	}
 }
 
@@ -94,18 +97,21 @@
 	return fmt.Sprintf("%d jobs accepted, %d refused, %d unsure; ended %v", c.accepted, c.refused, c.unsure, c.ended)
 }
 
+// breaks notes a promise that was broken.
 func (c *Callers) breaks(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = append(c.broken, fmt.Sprintf(format, args...))
 }
 
+// exp draws a number with the mean 1, as the times between callers have.
 func (c *Callers) exp() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.rng.ExpFloat64()
 }
 
+// number draws a number below n.
 func (c *Callers) number(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,10 +122,10 @@
 func (c *Callers) draw() (job.Submission, standin.Queue, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.next++
+	c.made++
 	q := queues[c.rng.Intn(len(queues))]
 	work := time.Duration(50+c.rng.Intn(600)) * time.Millisecond
-	s := job.Submission{ID: job.ID(fmt.Sprintf("job%d", c.next)), Queue: q.Name, Spec: fmt.Sprintf("spec of %d", c.next)}
+	s := job.Submission{ID: job.ID(fmt.Sprintf("job%d", c.made)), Queue: q.Name, Spec: fmt.Sprintf("spec of %d", c.made)}
 	for i := range 1 + c.rng.Intn(3) {
 		step := job.Step{
 			Tasks: 1 + c.rng.Intn(4), Estimate: job.Milliseconds(work.Milliseconds()),
@@ -133,7 +139,8 @@
 	return s, q, work
 }
 
-func (c *Callers) sleep(ctx context.Context, d time.Duration) {
+// sleep lets time pass, or less if ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
@@ -171,7 +178,7 @@
 	}
 	acceptedAt := time.Now()
 	if c.number(100) < 100*cancelShare {
-		c.sleep(ctx, time.Duration(c.number(1500))*time.Millisecond)
+		sleep(ctx, time.Duration(c.number(1500))*time.Millisecond)
 		c.cancel(ctx, s.ID)
 	}
 	c.watch(ctx, s, acceptedAt)
@@ -191,7 +198,7 @@
 		default:
 			sure = false
 		}
-		c.sleep(ctx, tryAgain)
+		sleep(ctx, tryAgain)
 	}
 	if !sure {
 		c.count(&c.unsure)
@@ -202,6 +209,7 @@
 	return false
 }
 
+// count adds to one of the counts of jobs.
 func (c *Callers) count(n *int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -215,7 +223,7 @@
 			c.rig.platform.Cancelled(id, time.Now())
 			return
 		}
-		c.sleep(ctx, tryAgain)
+		sleep(ctx, tryAgain)
 	}
 }
 
@@ -231,7 +239,7 @@
 			c.ends(ctx, s, a.State)
 			return
 		}
-		c.sleep(ctx, stateEvery)
+		sleep(ctx, stateEvery)
 	}
 	c.breaks("%s has not ended", s.ID)
 }
@@ -247,7 +255,7 @@
 	case state == job.Failed && !c.rig.platform.FailedOften(s.ID):
 		c.breaks("%s is shown as failed, and no task failed often enough", s.ID)
 	}
-	c.sleep(ctx, time.Duration(c.number(1000))*time.Millisecond)
+	sleep(ctx, time.Duration(c.number(1000))*time.Millisecond)
 	if status, a := c.call(ctx, http.MethodGet, "/v1/jobs/"+string(s.ID), nil); status == http.StatusOK && a.State != state {
 		c.breaks("%s was shown as %s and then as %s", s.ID, state, a.State)
 	}
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -16,7 +16,7 @@
 	"saddlevane/tests/cell"
 )
 
-// The times of faults.
+// The times and sizes of faults.
 const (
 	// faultGap is the mean time from one fault to the next; faults overlap.
 	faultGap = 350 * time.Millisecond
@@ -24,6 +24,14 @@
 	faultMost = 2500 * time.Millisecond
 	// stopWithin bounds a planned stop.
 	stopWithin = 6 * time.Second
+	// faultyShare is the share of answers that a log loses, and of orders that a
+	// worker carries out late.
+	faultyShare = 0.3
+	// logDelay is how much later a slow log answers.
+	logDelay = 200 * time.Millisecond
+	// kinds is the number of kinds of faults that are drawn with the same weight.
+	// Those without a case of their own are faults of the log.
+	kinds = 14
 )
 
 // Faults injects faults into a rig.
@@ -31,7 +39,7 @@
 	rig   *Rig
 	rng   *rand.Rand
 	tasks conc.WaitGroup
-	// busy says of each thing that a fault acts on it.
+	// busy is until when no other fault may act on a thing.
 	busy map[string]time.Time
 	// Told lists what was done and when.
 	Told  []string
@@ -46,7 +54,7 @@
 // Run injects faults for a while, and returns once all have ended.
 func (f *Faults) Run(ctx context.Context, most time.Duration) {
 	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; {
-		f.one()
+		f.inject()
 		select {
 		case <-time.After(time.Duration(f.rng.ExpFloat64() * float64(faultGap))):
 		case <-ctx.Done():
@@ -55,15 +63,19 @@
 	f.tasks.Wait()
 }
 
-// one begins one fault.
-func (f *Faults) one() {
+// inject begins one fault. All that may be drawn is drawn for each, so that the faults
+// after it follow from the seed alone.
+func (f *Faults) inject() {
 	lasts := time.Duration(f.rng.Int63n(int64(faultMost)))
 	i, j := f.rng.Intn(len(f.rig.boxes)), f.rng.Intn(len(f.rig.workers))
-	direction := []cell.Direction{cell.Requests, cell.Answers}[f.rng.Intn(2)]
-	both := f.rng.Intn(2) == 0
-	b, w := f.rig.boxes[i], f.rig.workers[j]
-	worker := fmt.Sprintf("worker-%d", j)
-	switch f.rng.Intn(14) {
+	directions := []cell.Direction{cell.Requests, cell.Answers}
+	chosen, both := f.rng.Intn(len(directions)), f.rng.Intn(2) == 0
+	if !both {
+		directions = directions[chosen : chosen+1]
+	}
+	b, w, worker := f.rig.boxes[i], f.rig.workers[j], workerName(j)
+	heal := func() { w.SetFaults(standin.WorkerFaults{}) }
+	switch f.rng.Intn(kinds) {
 	case 0:
 		f.on(b.name, "killed", lasts/4, func() { b.running().Kill() }, func() { f.restart(b) })
 	case 1:
@@ -73,19 +85,19 @@
 	case 3:
 		f.on(b.name+"/hup", "asked to reload", 0, func() { _ = b.running().Signal(syscall.SIGHUP) }, func() {})
 	case 4, 5:
-		f.cut(logProxy(i), lasts, direction, both)
+		f.cut(logProxy(i), lasts, directions)
 	case 6:
-		f.cut(peerProxy(i), lasts, direction, both)
+		f.cut(peerProxy(i), lasts, directions)
 	case 7:
 		f.refuse(logProxy(i), lasts)
 	case 8:
-		f.cut(worker, lasts, direction, both)
+		f.cut(worker, lasts, directions)
 	case 9:
 		f.on(worker+"/life", "begins another life", 0, w.Restart, func() {})
 	case 10:
-		f.on(worker+"/faults", "fails all tasks", lasts, func() { w.SetFaults(standin.WorkerFaults{FailsAll: true}) }, func() { w.SetFaults(standin.WorkerFaults{}) })
+		f.on(worker+"/faults", "fails all tasks", lasts, func() { w.SetFaults(standin.WorkerFaults{FailsAll: true}) }, heal)
 	case 11:
-		f.on(worker+"/faults", "carries orders out late", lasts, func() { w.SetFaults(standin.WorkerFaults{Late: 0.3}) }, func() { w.SetFaults(standin.WorkerFaults{}) })
+		f.on(worker+"/faults", "carries orders out late", lasts, func() { w.SetFaults(standin.WorkerFaults{Late: faultyShare}) }, heal)
 	default:
 		f.logFault(lasts)
 	}
@@ -97,27 +109,28 @@
 		what  string
 		fault standin.LogFaults
 	}{
-		{"refuses all calls", standin.LogFaults{Busy: true}}, {"is silent", standin.LogFaults{Silent: true}},
-		{"loses answers", standin.LogFaults{Loses: 0.3}}, {"is slow", standin.LogFaults{Delay: 200 * time.Millisecond}},
+		{"refuses all calls", standin.LogFaults{Busy: true}},
+		{"is silent", standin.LogFaults{Silent: true}},
+		{"loses answers", standin.LogFaults{Loses: faultyShare}},
+		{"is slow", standin.LogFaults{Delay: logDelay}},
 	}
-	one := all[f.rng.Intn(len(all))]
-	f.on("log", one.what, lasts, func() { f.rig.platform.SetLog(one.fault) }, func() { f.rig.platform.SetLog(standin.LogFaults{}) })
+	chosen := all[f.rng.Intn(len(all))]
+	f.on("log", chosen.what, lasts, func() { f.rig.platform.SetLog(chosen.fault) }, func() { f.rig.platform.SetLog(standin.LogFaults{}) })
 }
 
+// restart starts the daemon of a box again.
 func (f *Faults) restart(b *box) {
 	if err := f.rig.start(b); err != nil {
 		panic(err)
 	}
 }
 
-func (f *Faults) cut(name string, lasts time.Duration, d cell.Direction, both bool) {
-	directions := []cell.Direction{d}
-	if both {
-		directions = []cell.Direction{cell.Requests, cell.Answers}
-	}
+// cut lets nothing through a proxy in some directions.
+func (f *Faults) cut(name string, lasts time.Duration, directions []cell.Direction) {
 	f.on(name, fmt.Sprintf("cut %v", directions), lasts, func() { _ = f.rig.proxies.Cut(name, directions...) }, func() { _ = f.rig.proxies.Heal(name) })
 }
 
+// refuse has a proxy take no connections.
 func (f *Faults) refuse(name string, lasts time.Duration) {
 	f.on(name, "refuses connections", lasts, func() { _ = f.rig.proxies.Refuse(name) }, func() { _ = f.rig.proxies.Accept(name) })
 }
--- a/tests/soak/rig.go
+++ b/tests/soak/rig.go
@@ -23,6 +23,7 @@
 // Rig is a cell of daemons, a stand-in of the platform, and the proxies between
 // them.
 type Rig struct {
+	// dir takes settings and output, daemon is the program to run.
 	dir      string
 	daemon   string
 	platform *standin.Platform
@@ -33,7 +34,8 @@
 
 // box is one entry box.
 type box struct {
-	name      string
+	name string
+	// settings is the file with its settings, operators its address for them.
 	settings  string
 	operators string
 
@@ -78,7 +80,7 @@
 		return r, err
 	}
 	for i := range workers {
-		name := fmt.Sprintf("worker-%d", i)
+		name := workerName(i)
 		w, err := p.AddWorker(name, func(address string) string { return r.proxies.Via(name, address) })
 		if err != nil {
 			return r, err
@@ -109,10 +111,14 @@
 	return b, os.WriteFile(b.settings, []byte(text), 0o600)
 }
 
+// logProxy and peerProxy name the proxies before the log and the peers' address of a
+// box, workerName a worker and the proxy before it.
 func logProxy(i int) string { return fmt.Sprintf("log-%d", i) }
 
 func peerProxy(i int) string { return fmt.Sprintf("peer-%d", i) }
 
+func workerName(i int) string { return fmt.Sprintf("worker-%d", i) }
+
 // start starts the daemon of a box.
 func (r *Rig) start(b *box) error {
 	p, err := cell.StartProcess(r.dir, b.name, r.daemon, "-config", b.settings)
@@ -146,8 +152,11 @@
 	return nil
 }
 
+// readyEvery is the pause between two questions whether a box is ready, or holds the
+// cell.
 const readyEvery = 20 * time.Millisecond
 
+// ready says whether a box takes callers.
 func (b *box) ready(ctx context.Context) bool { return b.get(ctx, "/readyz", nil) }
 
 // Close ends all processes and servers.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -20,8 +20,8 @@
 	"saddlevane/tests/soak"
 )
 
-// The times of a run: faults for faultsFor, then all that was accepted has to end
-// within settleWithin.
+// The times and sizes of a run: faults for faultsFor, then all that was accepted has
+// to end within settleWithin.
 const (
 	faultsFor    = 12 * time.Second
 	settleWithin = 60 * time.Second
@@ -37,10 +37,12 @@
 	keepEnv  = "SADDLEVANE_SOAK_KEEP"
 )
 
+// daemon is the program that the boxes run, with the race detector.
 var daemon string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
+// run builds the daemon and runs the tests.
 func run(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "saddlevane-soak-")
 	if err != nil {
@@ -71,20 +73,30 @@
 func seeds(t *testing.T) []int64 {
 	t.Helper()
 	if text := os.Getenv(seedsEnv); text != "" {
-		first, last, _ := strings.Cut(text, "-")
-		from, err := strconv.ParseInt(first, 10, 64)
-		assert.NilError(t, err)
-		to := from
-		if last != "" {
-			to, err = strconv.ParseInt(last, 10, 64)
-			assert.NilError(t, err)
-		}
-		var all []int64
-		for s := from; s <= to; s++ {
-			all = append(all, s)
-		}
-		return all
+		return seedRange(t, text)
+	}
+	return keptSeeds(t)
+}
+
+// seedRange reads a seed, or the first and the last of several with a dash between.
+func seedRange(t *testing.T, text string) []int64 {
+	t.Helper()
+	first, last, _ := strings.Cut(text, "-")
+	from := parseSeed(t, first)
+	to := from
+	if last != "" {
+		to = parseSeed(t, last)
+	}
+	var all []int64
+	for s := from; s <= to; s++ {
+		all = append(all, s)
 	}
+	return all
+}
+
+// keptSeeds reads the seeds that every run plays, one a line with a comment.
+func keptSeeds(t *testing.T) []int64 {
+	t.Helper()
 	f, err := os.Open("seeds.txt")
 	assert.NilError(t, err)
 	defer f.Close()
@@ -92,14 +104,20 @@
 	for lines := bufio.NewScanner(f); lines.Scan(); {
 		text, _, _ := strings.Cut(lines.Text(), "#")
 		if text = strings.TrimSpace(text); text != "" {
-			seed, err := strconv.ParseInt(text, 10, 64)
-			assert.NilError(t, err)
-			all = append(all, seed)
+			all = append(all, parseSeed(t, text))
 		}
 	}
 	return all
 }
 
+func parseSeed(t *testing.T, text string) int64 {
+	t.Helper()
+	seed, err := strconv.ParseInt(text, 10, 64)
+	assert.NilError(t, err)
+	return seed
+}
+
+// play runs one seed and reports each promise that was broken.
 func play(t *testing.T, seed int64) {
 	t.Helper()
 	dir := t.TempDir()
