--- a/cmd/saddlevane-demo/jobs.go
+++ b/cmd/saddlevane-demo/jobs.go
@@ -23,6 +23,7 @@
 type jobsDemo struct {
 	ctx context.Context
 	rig *soak.Rig
+	// bin has the programs, dir takes what the demo writes.
 	bin string
 	dir string
 }
@@ -60,20 +61,10 @@
 	}
 }
 
+// run hands a job in, kills the holder and checks what became of the job.
 func (d *jobsDemo) run() error {
 	s := nightly()
-	if err := d.rig.Expect(s, taskTime); err != nil {
-		return err
-	}
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(d.dir, "nightly.json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return err
-	}
-	if err := d.submit(path); err != nil {
+	if err := d.submit(s); err != nil {
 		return err
 	}
 	if err := d.tool("job", string(s.ID)); err != nil {
@@ -84,11 +75,7 @@
 		return err
 	}
 	fmt.Printf("\nkilled %s, which held the cell\n", holder)
-	state := job.State("")
-	err = cell.Until(d.ctx, "the job has ended", func() bool {
-		state = d.rig.State(d.ctx, s.ID)
-		return state.Final()
-	})
+	state, err := d.awaitEnd(s.ID)
 	if err != nil {
 		return err
 	}
@@ -102,8 +89,29 @@
 	return nil
 }
 
-// submit hands the job in until a box holds the cell; the same ID is the same job.
-func (d *jobsDemo) submit(path string) error {
+// awaitEnd waits until a job has a final state and returns it.
+func (d *jobsDemo) awaitEnd(id job.ID) (job.State, error) {
+	state := job.State("")
+	err := cell.Until(d.ctx, "the job has ended", func() bool {
+		state = d.rig.State(d.ctx, id)
+		return state.Final()
+	})
+	return state, err
+}
+
+// submit hands a job in until a box holds the cell; the same ID is the same job.
+func (d *jobsDemo) submit(s job.Submission) error {
+	if err := d.rig.Expect(s, taskTime); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(d.dir, "nightly.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
 	return cell.Until(d.ctx, "the job is accepted", func() bool { return d.tool("submit", path) == nil })
 }
 
