--- a/cmd/saddlevane-bench/jobcell.go
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -18,7 +18,8 @@
 	"saddlevane/services/dispatch"
 )
 
-// The times of what surrounds the reducer, like those of the users' platform.
+// The times and sizes of what surrounds the reducer, like those of the users'
+// platform.
 const (
 	cellTick    = 20 * time.Millisecond
 	appendTime  = 5 * time.Millisecond
@@ -31,13 +32,15 @@
 	rackSize    = 12
 )
 
-// due is something that happens at a time.
+// due is something that happens at a time. Numbers order what happens at the same
+// time.
 type due struct {
 	at     time.Time
 	number int
 	do     func()
 }
 
+// dueQueue is a heap of what is due, the first to happen on top.
 type dueQueue []due
 
 func (q dueQueue) Len() int { return len(q) }
@@ -60,18 +63,19 @@
 // jobCell is one box that holds a cell, its workers, the log and the advice
 // service, in virtual time. Nothing fails in it.
 type jobCell struct {
-	mix     jobMix
-	rng     *rand.Rand
-	now     time.Time
-	queue   dueQueue
-	number  int
-	core    *dispatch.Core
+	mix jobMix
+	rng *rand.Rand
+	now time.Time
+	// queue is what is still to happen, number that of the last thing put there.
+	queue  dueQueue
+	number int
+	core   *dispatch.Core
+	// offset is that of the next record of the log.
 	offset  int64
 	workers map[string]*cellWorker
 	// advising is when the calls of each box are over.
 	advising map[string]time.Time
 	jobs     map[job.ID]*cellJob
-	calls    map[dispatch.CallID]func(dispatch.Answer)
 	lastCall dispatch.CallID
 
 	// deciding is the processor time that the reducer took, mostDeciding that of
@@ -86,18 +90,20 @@
 
 // cellJob is a job as its caller sees it.
 type cellJob struct {
-	kind   *jobKind
-	sub    job.Submission
+	kind *jobKind
+	sub  job.Submission
+	// work is how long the tasks of each step work.
 	work   []time.Duration
 	sentAt time.Time
+	// doneAt is when the log had its good end, if it has.
 	doneAt time.Time
 }
 
+// newJobCell returns a cell whose box is about to take it over.
 func newJobCell(mix jobMix, seed int64) *jobCell {
 	c := &jobCell{
 		mix: mix, rng: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*cellWorker{}, advising: map[string]time.Time{}, jobs: map[job.ID]*cellJob{},
-		calls: map[dispatch.CallID]func(dispatch.Answer){},
 	}
 	for i := range mix.workers {
 		w := newCellWorker(c, i)
@@ -127,11 +133,13 @@
 	c.tick()
 }
 
+// tick gives the reducer its ticks.
 func (c *jobCell) tick() {
 	c.give(dispatch.Tick{})
 	c.after(cellTick, c.tick)
 }
 
+// after does something once some time has passed.
 func (c *jobCell) after(d time.Duration, do func()) {
 	c.number++
 	heap.Push(&c.queue, due{at: c.now.Add(d), number: c.number, do: do})
@@ -166,7 +174,8 @@
 // back gives the reducer an event after a while.
 func (c *jobCell) back(d time.Duration, e dispatch.Event) { c.after(d, func() { c.give(e) }) }
 
-// do carries out one effect.
+// do carries out one effect. Answers to callers are not looked at: what becomes of a
+// job is seen in the log.
 func (c *jobCell) do(e dispatch.Effect) {
 	switch e := e.(type) {
 	case dispatch.Append:
@@ -184,14 +193,10 @@
 		c.workers[e.Worker].stop(e)
 	case dispatch.Advise:
 		c.advise(e)
-	case dispatch.Reply:
-		if f := c.calls[e.Call]; f != nil {
-			delete(c.calls, e.Call)
-			f(e.Reply)
-		}
 	}
 }
 
+// append keeps records, whose end the reducer hears of later.
 func (c *jobCell) append(e dispatch.Append) {
 	first := c.offset
 	c.offset += int64(len(e.Append.Records))
@@ -219,6 +224,7 @@
 	}
 }
 
+// list tells the reducer of all workers.
 func (c *jobCell) list() {
 	l := order.Listing{Whole: true}
 	for i := range c.mix.workers {
--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -28,26 +28,35 @@
 	profile string
 }
 
-// The times of a run: jobs are handed in for jobsFor, and may end until jobsWait
-// later.
+// The times of a run: the box has settleTime to take the cell over, jobs are handed in
+// for jobsFor, and may end until jobsWait later.
 const (
-	jobsFor  = 30 * time.Second
-	jobsWait = 20 * time.Second
+	settleTime = 2 * time.Second
+	jobsFor    = 30 * time.Second
+	jobsWait   = 20 * time.Second
 )
 
 // benchJobs plays what callers submit against the reducer alone, in virtual time.
 func benchJobs(out io.Writer, o jobOptions) error {
-	if o.profile != "" {
-		f, err := os.Create(o.profile)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		if err := pprof.StartCPUProfile(f); err != nil {
-			return err
-		}
-		defer pprof.StopCPUProfile()
+	if o.profile == "" {
+		printJobs(out, o)
+		return nil
+	}
+	f, err := os.Create(o.profile)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return err
 	}
+	defer pprof.StopCPUProfile()
+	printJobs(out, o)
+	return nil
+}
+
+// printJobs plays the cells and prints what came of the jobs.
+func printJobs(out io.Writer, o jobOptions) {
 	fmt.Fprintf(out, "Submitted jobs against the reducer, virtual time: %v of jobs at %.1f times the load, nothing fails.\n\n", jobsFor, o.load)
 	fmt.Fprintln(out, "| cell | seed | kind | jobs | on time | late | never or later | p50 | p99 |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -67,13 +76,12 @@
 	for _, line := range totals {
 		fmt.Fprintln(out, line)
 	}
-	return nil
 }
 
 // playJobs plays one run.
 func playJobs(mix jobMix, seed int64, load float64) *jobCell {
 	c := newJobCell(mix, seed)
-	begin := c.now.Add(2 * time.Second)
+	begin := c.now.Add(settleTime)
 	c.run(begin)
 	number := 0
 	for i := range mix.kinds {
@@ -102,44 +110,62 @@
 	return time.Duration(j.kind.queue.Stretch*float64(chain)) + j.kind.queue.Latency
 }
 
-// lateMost is how many times its objective a job may take and still earn a fifth.
 const (
+	// lateMost is how many times its objective a job may take and still earn the
+	// share lateWorth of its worth (the users' rules).
 	lateMost  = 3
 	lateWorth = 0.2
 )
 
+// kindResult is what became of the jobs of a kind.
+type kindResult struct {
+	jobs, onTime, late int
+	// took has how long those took that are done, in order.
+	took []time.Duration
+}
+
+// result sums up the jobs of a kind.
+func (c *jobCell) result(k *jobKind) kindResult {
+	var r kindResult
+	for _, j := range c.jobs {
+		if j.kind.queue.Name != k.queue.Name {
+			continue
+		}
+		r.jobs++
+		if j.doneAt.IsZero() {
+			continue
+		}
+		d := j.doneAt.Sub(j.sentAt)
+		r.took = append(r.took, d)
+		switch {
+		case d <= j.objective():
+			r.onTime++
+		case d <= lateMost*j.objective():
+			r.late++
+		}
+	}
+	slices.Sort(r.took)
+	return r
+}
+
+// share returns the share of some of the jobs.
+func (r *kindResult) share(n int) float64 { return float64(n) / float64(r.jobs) }
+
+// quantile returns the time within which a share of the jobs that are done took.
+func (r *kindResult) quantile(share float64) time.Duration {
+	if len(r.took) == 0 {
+		return 0
+	}
+	return r.took[int(share*float64(len(r.took)-1))].Round(time.Millisecond)
+}
+
 // table prints a line for each kind of job.
 func (c *jobCell) table(out io.Writer, seed int) {
 	for i := range c.mix.kinds {
 		k := &c.mix.kinds[i]
-		var took []time.Duration
-		jobs, onTime, late := 0, 0, 0
-		for _, j := range c.jobs {
-			if j.kind.queue.Name != k.queue.Name {
-				continue
-			}
-			jobs++
-			if j.doneAt.IsZero() {
-				continue
-			}
-			d := j.doneAt.Sub(j.sentAt)
-			took = append(took, d)
-			switch {
-			case d <= j.objective():
-				onTime++
-			case d <= lateMost*j.objective():
-				late++
-			}
-		}
-		slices.Sort(took)
-		at := func(share float64) time.Duration {
-			if len(took) == 0 {
-				return 0
-			}
-			return took[int(share*float64(len(took)-1))].Round(time.Millisecond)
-		}
-		fmt.Fprintf(out, "| %s | %d | %s | %d | %.3f | %.3f | %.3f | %v | %v |\n", c.mix.name, seed, k.queue.Name, jobs,
-			float64(onTime)/float64(jobs), float64(late)/float64(jobs), float64(jobs-onTime-late)/float64(jobs), at(0.5), at(0.99))
+		r := c.result(k)
+		fmt.Fprintf(out, "| %s | %d | %s | %d | %.3f | %.3f | %.3f | %v | %v |\n", c.mix.name, seed, k.queue.Name, r.jobs,
+			r.share(r.onTime), r.share(r.late), r.share(r.jobs-r.onTime-r.late), r.quantile(0.5), r.quantile(0.99))
 	}
 }
 
@@ -197,12 +223,12 @@
 // part that the largest three tenths of them earn, by number.
 func (c *jobCell) earnings(k *jobKind) (owed, earned, large float64) {
 	jobs, worth := c.worths(k)
-	first := max(1, 3*len(jobs)/10)
+	largest := max(1, 3*len(jobs)/10)
 	for i, j := range jobs {
 		owed += worth[j]
 		earned += worth[j] * j.earns()
-		if i < first && j.earns() > 0 {
-			large += 1 / float64(first)
+		if i < largest && j.earns() > 0 {
+			large += 1 / float64(largest)
 		}
 	}
 	return owed, earned, large
