--- a/cmd/saddlevane-bench/jobworker.go
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -8,12 +8,12 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/services/dispatch"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // cellWorker is a worker that does as it is told.
--- a/cmd/saddlevane-bench/measure.go
+++ b/cmd/saddlevane-bench/measure.go
@@ -11,8 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/box"
 	"saddlevane/models/event"
 	"saddlevane/models/peer"
@@ -25,6 +23,8 @@
 	"saddlevane/services/ledger"
 	"saddlevane/services/membership"
 	"saddlevane/services/routing"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // measureHolder measures one shard against its workers and tasks.
--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -12,16 +12,16 @@
 	"os"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/peer"
 	"saddlevane/modules/logger"
 	"saddlevane/modules/setting"
 	"saddlevane/routers"
 	"saddlevane/services/core"
 	"saddlevane/services/runtime"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 )
 
 // The bounds of the HTTP servers. The idle time is longer than that of
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -15,10 +15,6 @@
 	"syscall"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/claim"
 	"saddlevane/modules/logger"
 	"saddlevane/modules/setting"
@@ -27,6 +23,10 @@
 	"saddlevane/services/authority"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 )
 
 const (
--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/claim"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 func TestTheEndOfAnEarlierAppendConfirmsNothing(t *testing.T) {
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 // serving returns a world in which a box serves the cell's jobs.
--- a/services/dispatch/driven_test.go
+++ b/services/dispatch/driven_test.go
@@ -8,14 +8,14 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 // fullSize is the capacity of a worker in these tests.
--- a/services/dispatch/look_test.go
+++ b/services/dispatch/look_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/order"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 // TestALookAskedForBeforeAStartProvesNothing: the worker answered the look before
--- a/services/dispatch/runtimes_test.go
+++ b/services/dispatch/runtimes_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/job"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 // slackOf asks the holder how much later a job could finish and be on time.
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
 )
 
 // sharedWorker is a worker on which a task serves and another fills.
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -10,14 +10,14 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 )
 
 // Log is the platform's log.
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -14,12 +14,12 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/platform/standin"
 	"saddlevane/services/dispatch"
+
+	"github.com/sourcegraph/conc"
 )
 
 // queues are those of the soak's configuration.
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -10,10 +10,10 @@
 	"syscall"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/platform/standin"
 	"saddlevane/tests/cell"
+
+	"github.com/sourcegraph/conc"
 )
 
 // The times and sizes of faults.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/tests/soak"
+
+	"gotest.tools/v3/assert"
 )
 
 // The times and sizes of a run: faults for faultsFor, then all that was accepted has
