--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -13,7 +13,7 @@
 // needs. It returns false if tasks are left for want of room.
 func (h *holding) placeStep(p *pass, r ranked) bool {
 	s := r.step
-	defer func() { s.advice.first = false }()
+	defer func() { s.advice.goesFirst = false }()
 	if r.queue.Pool == "" || s.advice.keepsRoom() {
 		return true
 	}
@@ -29,7 +29,7 @@
 	}
 	shares, placed := h.fit(p.now, s, r.suited(set.workers))
 	if r.queue.Advice != nil {
-		if placed == 0 && h.askMore(p, r, set.workers) {
+		if placed == 0 && h.askMore(p.now, r, set.workers) {
 			return true
 		}
 		var stale []share
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -292,6 +292,8 @@
 	on := platformOf(t)
 	b := start(t, on, "a", io.Discard)
 	served(t, b, jobrun.Request{Submit: submission("first")}, "")
+	// Only what has begun no longer waits.
+	served(t, b, jobrun.Request{State: "first"}, job.Succeeded)
 	s := httptest.NewServer(routers.NewJobs(b.loop))
 	defer s.Close()
 	for _, c := range []struct {
--- a/tests/memory/memory.go
+++ b/tests/memory/memory.go
@@ -46,7 +46,7 @@
 	}
 	p.streams[stream.Config] = []stream.Record{{Key: "config", Value: value}}
 	for i := range workers {
-		p.workers[fmt.Sprintf("w%d", i)] = &worker{}
+		p.workers[fmt.Sprintf("w%d", i)] = &worker{running: map[order.Run]bool{}}
 	}
 	return p, nil
 }
--- a/tests/memory/workers.go
+++ b/tests/memory/workers.go
@@ -13,9 +13,10 @@
 )
 
 type worker struct {
-	fence int64
-	ended []order.End
-	last  int64
+	fence   int64
+	running map[order.Run]bool
+	ended   []order.End
+	last    int64
 }
 
 // taskTime is how long a task runs.
@@ -67,7 +68,11 @@
 		w.ended = w.ended[1:]
 	}
 	clock := order.WorkerClock(time.Now().UnixMilli())
-	report := order.Report{Clock: clock, Ended: append([]order.End(nil), w.ended...)}
+	var running []order.Running
+	for run := range w.running {
+		running = append(running, order.Running{Run: run, Pace: 100})
+	}
+	report := order.Report{Clock: clock, Running: running, Ended: append([]order.End(nil), w.ended...)}
 	return report, order.Answer{Fate: order.Carried, Clock: clock}, len(w.ended) > 0
 }
 
@@ -79,9 +84,11 @@
 		return order.Answer{Fate: order.Refused, Reason: order.Fenced}
 	}
 	p.runs[s.Task.String()]++
+	w.running[s.Run] = true
 	time.AfterFunc(taskTime, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		delete(w.running, s.Run)
 		w.last++
 		w.ended = append(w.ended, order.End{Number: w.last, Run: s.Run, How: order.Done})
 	})
