--- a/cmd/saddlevane-bench/load.go
+++ b/cmd/saddlevane-bench/load.go
@@ -13,11 +13,11 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/verdict"
 	"saddlevane/tests/cell"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
 )
 
 // load sends requests at a rate, whether or not earlier ones were answered.
--- a/cmd/saddlevane-standin/log.go
+++ b/cmd/saddlevane-standin/log.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"saddlevane/models/platform"
 	"saddlevane/modules/httpjson"
+
+	"golang.org/x/time/rate"
 )
 
 // maxAppend bounds one append, in bytes.
--- a/cmd/saddlevane-standin/main.go
+++ b/cmd/saddlevane-standin/main.go
@@ -20,9 +20,9 @@
 	"syscall"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/resource"
+
+	"github.com/sourcegraph/conc"
 )
 
 // member is one worker or target that this process plays.
--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -12,11 +12,11 @@
 	"net/url"
 	"os"
 
-	"github.com/peterbourgon/ff/v3/ffcli"
-
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
 	"saddlevane/services/dispatch"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 // job is the command that explains one job.
--- a/cmd/saddlevanectl/main.go
+++ b/cmd/saddlevanectl/main.go
@@ -13,10 +13,10 @@
 	"io"
 	"os"
 
+	"saddlevane/modules/setting"
+
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
-
-	"saddlevane/modules/setting"
 )
 
 // Exit codes.
--- a/cmd/saddlevanectl/publish.go
+++ b/cmd/saddlevanectl/publish.go
@@ -14,11 +14,11 @@
 	"strings"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"github.com/peterbourgon/ff/v3/ffcli"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/spec"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func (t *tool) validate() *ffcli.Command {
--- a/cmd/saddlevanectl/read.go
+++ b/cmd/saddlevanectl/read.go
@@ -10,10 +10,10 @@
 	"net/url"
 	"strings"
 
-	"github.com/peterbourgon/ff/v3/ffcli"
-
 	"saddlevane/models/status"
 	"saddlevane/modules/version"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func (t *tool) get() *ffcli.Command {
--- a/cmd/saddlevanectl/trace.go
+++ b/cmd/saddlevanectl/trace.go
@@ -9,9 +9,9 @@
 	"os"
 	"time"
 
-	"github.com/peterbourgon/ff/v3/ffcli"
-
 	"saddlevane/modules/joblog"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 // trace is the command that prints the history of one job.
--- a/models/request/request.go
+++ b/models/request/request.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/verdict"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // ID names one arrival of a request at one process.
--- a/models/resource/resource_test.go
+++ b/models/resource/resource_test.go
@@ -6,10 +6,10 @@
 import (
 	"testing"
 
+	"saddlevane/models/resource"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
-
-	"saddlevane/models/resource"
 )
 
 func TestAmountsAreReadAsTheyAreWritten(t *testing.T) {
--- a/models/spec/parse_test.go
+++ b/models/spec/parse_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/resource"
 	"saddlevane/models/spec"
+
+	"gotest.tools/v3/assert"
 )
 
 func examples(t testing.TB) map[string][]byte {
--- a/models/wire_test.go
+++ b/models/wire_test.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/box"
 	"saddlevane/models/peer"
 	"saddlevane/models/platform"
@@ -17,6 +15,8 @@
 	"saddlevane/models/request"
 	"saddlevane/models/task"
 	"saddlevane/models/worker"
+
+	"gotest.tools/v3/assert"
 )
 
 // decoders decode and encode again, which must never panic.
--- a/modules/joblog/joblog_test.go
+++ b/modules/joblog/joblog_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/modules/joblog"
+
+	"gotest.tools/v3/assert"
 )
 
 const lines = `
--- a/modules/peering/peering.go
+++ b/modules/peering/peering.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
+	"saddlevane/modules/frame"
+
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/jsonrpc2"
-
-	"saddlevane/modules/frame"
 )
 
 // Handler serves one call of a peer.
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
+	"saddlevane/modules/peering"
+
 	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
-
-	"saddlevane/modules/peering"
 )
 
 // newBox returns links that answer each call with the name of its method, and
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -12,9 +12,9 @@
 	"os"
 	"reflect"
 
-	"github.com/peterbourgon/ff/v3"
-
 	"saddlevane/modules/strictyaml"
+
+	"github.com/peterbourgon/ff/v3"
 )
 
 // EnvPrefix starts the name of each environment variable.
--- a/modules/setting/setting_test.go
+++ b/modules/setting/setting_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/modules/setting"
+
+	"gotest.tools/v3/assert"
 )
 
 const example = "../../custom/conf/saddlevaned.example.yaml"
--- a/modules/strictyaml/decode_test.go
+++ b/modules/strictyaml/decode_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/modules/strictyaml"
+
+	"gotest.tools/v3/assert"
 )
 
 // inner is a nested section.
--- a/routers/callers.go
+++ b/routers/callers.go
@@ -10,13 +10,13 @@
 	"net/http"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
 	"saddlevane/modules/httpjson"
 	"saddlevane/services/core"
 	"saddlevane/services/runtime"
+
+	"github.com/julienschmidt/httprouter"
 )
 
 // Callers serves callers' requests and the balancer's health checks.
--- a/routers/health.go
+++ b/routers/health.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-
 	"saddlevane/modules/httpjson"
 	"saddlevane/services/core"
 	"saddlevane/services/runtime"
+
+	"github.com/julienschmidt/httprouter"
 )
 
 // health is the answer to a health check.
--- a/routers/jobs.go
+++ b/routers/jobs.go
@@ -9,14 +9,14 @@
 	"strconv"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
 	"saddlevane/modules/version"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // maxJobBody bounds a submitted job, in bytes.
--- a/routers/metrics.go
+++ b/routers/metrics.go
@@ -7,13 +7,13 @@
 	"strconv"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-
 	"saddlevane/models/status"
 	"saddlevane/services/core"
 	"saddlevane/services/routing"
 	"saddlevane/services/runtime"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 )
 
 // collector reads the reducer's state when metrics are asked for.
--- a/routers/operators.go
+++ b/routers/operators.go
@@ -9,10 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/record"
 	"saddlevane/models/spec"
@@ -21,6 +17,10 @@
 	"saddlevane/modules/version"
 	"saddlevane/services/core"
 	"saddlevane/services/runtime"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // publishPatience is how long an operator waits for the log's decision.
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -11,10 +11,10 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"saddlevane/models/claim"
 	"saddlevane/models/stream"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Settings are the times of the authority.
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -10,8 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/box"
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
@@ -24,6 +22,8 @@
 	"saddlevane/services/membership"
 	"saddlevane/services/routing"
 	"saddlevane/services/shard"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // Settings are the settings of all parts.
--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/status"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // The random worlds are the same in each run, unless free seeds are asked for.
--- a/services/core/world_test.go
+++ b/services/core/world_test.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/box"
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
@@ -25,6 +23,8 @@
 	"saddlevane/services/routing"
 	"saddlevane/services/shard"
 	"saddlevane/tests/fake"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // The times of the world.
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -16,10 +16,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
-
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
@@ -29,6 +25,10 @@
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/tests/memory"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 func config() job.Config {
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -7,12 +7,12 @@
 	"errors"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 )
 
 // Metrics are the counters and histograms of a process. All label sets are
--- a/services/jobrun/notes.go
+++ b/services/jobrun/notes.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
+	"saddlevane/services/dispatch"
+
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-
-	"saddlevane/services/dispatch"
 )
 
 const (
--- a/services/jobrun/outage.go
+++ b/services/jobrun/outage.go
@@ -7,9 +7,9 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/services/dispatch"
+
+	"github.com/sourcegraph/conc"
 )
 
 // askPledges asks all other boxes at once.
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"saddlevane/models/job"
 	"saddlevane/modules/peering"
 	"saddlevane/services/dispatch"
+
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // The methods that entry boxes call on each other.
--- a/services/jobrun/reset_test.go
+++ b/services/jobrun/reset_test.go
@@ -11,11 +11,11 @@
 	"sync"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/job"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+
+	"gotest.tools/v3/assert"
 )
 
 // resetter forwards connections and resets all of them when it is told to.
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/record"
 	"saddlevane/services/journal"
+
+	"gotest.tools/v3/assert"
 )
 
 var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
--- a/services/ledger/ledger_test.go
+++ b/services/ledger/ledger_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/record"
 	"saddlevane/models/spec"
 	"saddlevane/models/task"
 	"saddlevane/services/ledger"
+
+	"gotest.tools/v3/assert"
 )
 
 var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
--- a/services/ledger/progress.go
+++ b/services/ledger/progress.go
@@ -4,11 +4,11 @@
 package ledger
 
 import (
-	"github.com/RoaringBitmap/roaring/v2"
-
 	"saddlevane/models/record"
 	"saddlevane/models/spec"
 	"saddlevane/models/task"
+
+	"github.com/RoaringBitmap/roaring/v2"
 )
 
 // Progress is what the log says of one object's tasks. Each set only grows, so
--- a/services/ledger/snapshot.go
+++ b/services/ledger/snapshot.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"github.com/RoaringBitmap/roaring/v2"
-
 	"saddlevane/models/record"
 	"saddlevane/models/spec"
+
+	"github.com/RoaringBitmap/roaring/v2"
 )
 
 // Snapshot returns what the records read so far come to.
--- a/services/placement/index_test.go
+++ b/services/placement/index_test.go
@@ -9,11 +9,11 @@
 	"os"
 	"testing"
 
-	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
-
 	"saddlevane/models/resource"
 	"saddlevane/services/placement"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func init() {
--- a/services/routing/keys.go
+++ b/services/routing/keys.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // keyTable remembers requests that may not be repeated, by key. A key is bound
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -12,13 +12,13 @@
 	"slices"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/request"
 	"saddlevane/models/spec"
 	"saddlevane/models/verdict"
 	"saddlevane/modules/ordered"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // Settings bound a Router.
--- a/services/routing/router_test.go
+++ b/services/routing/router_test.go
@@ -11,16 +11,16 @@
 	"testing"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/request"
 	"saddlevane/models/spec"
 	"saddlevane/models/verdict"
 	"saddlevane/services/routing"
+
+	"github.com/oklog/ulid/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
--- a/services/runtime/log.go
+++ b/services/runtime/log.go
@@ -10,14 +10,14 @@
 	"net/http"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/box"
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/platform"
 	"saddlevane/models/record"
 	"saddlevane/modules/httpjson"
+
+	"github.com/sourcegraph/conc"
 )
 
 // maxPlatformAnswer bounds one answer of the platform, in bytes.
--- a/services/runtime/loop.go
+++ b/services/runtime/loop.go
@@ -11,12 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/services/core"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 )
 
 // tickEvery is the time between two ticks of the reducer: the most that a
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -12,9 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/jsonrpc2"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/peer"
@@ -23,6 +20,9 @@
 	"saddlevane/models/verdict"
 	"saddlevane/modules/peering"
 	"saddlevane/services/core"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // The times of the peers' protocol.
--- a/services/runtime/requests.go
+++ b/services/runtime/requests.go
@@ -9,13 +9,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 )
 
 // RequestSettings bound callers' requests.
--- a/services/runtime/workers.go
+++ b/services/runtime/workers.go
@@ -9,12 +9,12 @@
 	"strconv"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/effect"
 	"saddlevane/models/event"
 	"saddlevane/models/worker"
 	"saddlevane/modules/httpjson"
+
+	"github.com/sourcegraph/conc"
 )
 
 // maxReport bounds a worker's report, in bytes.
--- a/services/shard/outcome.go
+++ b/services/shard/outcome.go
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"github.com/RoaringBitmap/roaring/v2"
-
 	"saddlevane/models/record"
 	"saddlevane/models/task"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/journal"
 	"saddlevane/services/ledger"
+
+	"github.com/RoaringBitmap/roaring/v2"
 )
 
 // outcomes gathers what the log has to take in: intents before tasks that may
--- a/services/shard/status.go
+++ b/services/shard/status.go
@@ -8,12 +8,12 @@
 	"slices"
 	"time"
 
-	"github.com/RoaringBitmap/roaring/v2"
-
 	"saddlevane/models/resource"
 	"saddlevane/models/status"
 	"saddlevane/models/task"
 	"saddlevane/services/ledger"
+
+	"github.com/RoaringBitmap/roaring/v2"
 )
 
 // Status returns the shard in short.
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -6,8 +6,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"saddlevane/models/box"
 	"saddlevane/models/record"
 	"saddlevane/models/spec"
@@ -15,6 +13,8 @@
 	"saddlevane/models/worker"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/placement"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // workerState is one worker of the shard as the holder knows it.
--- a/tests/integration/callers_test.go
+++ b/tests/integration/callers_test.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"saddlevane/models/verdict"
 	"saddlevane/tests/cell"
+
+	"github.com/sourcegraph/conc"
 )
 
 // asked is a request and what its caller got.
--- a/tests/integration/config_test.go
+++ b/tests/integration/config_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/tests/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 const waitStop = 30 * time.Second
--- a/tests/integration/frame_test.go
+++ b/tests/integration/frame_test.go
@@ -17,9 +17,9 @@
 	"strings"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/tests/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 func TestBadSettingsAreAllReportedAndNoPortIsOpened(t *testing.T) {
--- a/tests/integration/main_test.go
+++ b/tests/integration/main_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/resource"
 	"saddlevane/tests/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 var binaries cell.Binaries
--- a/tests/integration/requests_test.go
+++ b/tests/integration/requests_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/box"
 	"saddlevane/models/verdict"
 	"saddlevane/tests/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 func TestEveryCallerGetsItsOwnWholeAnswer(t *testing.T) {
--- a/tests/integration/shard_test.go
+++ b/tests/integration/shard_test.go
@@ -9,12 +9,12 @@
 	"strings"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"saddlevane/models/box"
 	"saddlevane/models/status"
 	"saddlevane/models/task"
 	"saddlevane/tests/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 // work returns a file with a service, a job that may be repeated, one that may
