jobrun: a box that is cut off with the cell is not ready; one that the log turns away follows the cell

A box is ready without the log only while the box it takes for the holder answers as the holder. A box that does not hold the cell says who does, so that one that the log turns away follows; if all it knows is a released claim it asks the box that gave it up.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -153,7 +153,10 @@
 
 // elsewhere answers that nothing was done here, and when to come back.
 func (c *Core) elsewhere(id CallID, reason string) {
-	c.reply(id, Answer{Outcome: Elsewhere, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds())})
+	holder := c.Holder()
+	c.reply(id, Answer{
+		Outcome: Elsewhere, Reason: reason, Holder: &holder, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
+	})
 }
 
 // tick acts on what falls due with time.
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
@@ -131,6 +132,9 @@
 	Waiting int       `json:"waiting,omitempty"`
 	// Explanation is set if it was asked for.
 	Explanation *job.Explanation `json:"explanation,omitempty"`
+	// Holder is the claim in force as far as the box knows, if it does not hold the
+	// cell itself.
+	Holder *claim.Claim `json:"holder,omitempty"`
 	// Steady says that the log answers the box.
 	Steady bool `json:"steady,omitempty"`
 	// Reason says why it was not done.
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/services/dispatch"
 )
@@ -58,12 +59,12 @@
 // is cut off from the log and from the holder can only refuse.
 func (l *Loop) Ready() bool {
 	l.mu.Lock()
-	v := l.view
+	v, holder := l.view, l.holder()
 	l.mu.Unlock()
 	if v.config == nil {
 		return false
 	}
-	return v.holds || l.now().Sub(v.steadyAt) < cutOffAfter || l.peers.reaches(v.holder.Address)
+	return v.holds || l.now().Sub(v.steadyAt) < cutOffAfter || l.peers.reaches(holder.Address)
 }
 
 // Serve answers a caller: by this box if it holds the cell, else by the holder.
@@ -104,6 +105,9 @@
 	until := l.now().Add(handoverWait)
 	for {
 		a := l.serveOnce(ctx, r)
+		if l.hears(a.Holder) {
+			continue
+		}
 		if a.Outcome != dispatch.Elsewhere || !l.handingOver() || !l.now().Before(until) || ctx.Err() != nil {
 			return a
 		}
@@ -111,6 +115,27 @@
 	}
 }
 
+// hears takes the claim that another box told of, and returns true if it is newer
+// than what this box knew, so that the call can be made there at once.
+func (l *Loop) hears(c *claim.Claim) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c == nil || c.Epoch <= max(l.view.holder.Epoch, l.told.Epoch) {
+		return false
+	}
+	l.told = *c
+	return true
+}
+
+// holder returns the newest claim that this box has read or was told of. The lock is
+// held.
+func (l *Loop) holder() claim.Claim {
+	if l.told.Epoch > l.view.holder.Epoch {
+		return l.told
+	}
+	return l.view.holder
+}
+
 // handingOver says whether a box that has the claim, or had it until just now, is
 // known, and the log answers, so that a holder will serve soon.
 func (l *Loop) handingOver() bool {
@@ -123,10 +148,13 @@
 // the holder.
 func (l *Loop) serveOnce(ctx context.Context, r Request) dispatch.Answer {
 	l.mu.Lock()
-	v := l.view
+	holds, holder := l.view.holds, l.holder()
+	steady := l.now().Sub(l.view.steadyAt) < cutOffAfter
 	l.mu.Unlock()
-	if v.holds || v.holder.Box == l.self.Box || v.holder.Address == "" || v.holder.Released {
+	// A box that has given the cell up knows who has it now; this one reads it from
+	// the log, if that answers.
+	if holds || holder.Box == l.self.Box || holder.Address == "" || holder.Released && steady {
 		return l.ask(ctx, r.event)
 	}
-	return l.peers.request(ctx, v.holder.Address, r)
+	return l.peers.request(ctx, holder.Address, r)
 }
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -66,18 +66,18 @@
 
 func start(t *testing.T, on *memory.Platform, name string, out io.Writer) *process {
 	t.Helper()
-	return startVia(t, on, name, out, func(address string) string { return address })
+	return startVia(t, on.Calls(), name, out, func(address string) string { return address })
 }
 
 // startVia starts a box that others reach under the address that via returns.
-func startVia(t *testing.T, on *memory.Platform, name string, out io.Writer, via func(address string) string) *process {
+func startVia(t *testing.T, on jobrun.Platform, name string, out io.Writer, via func(address string) string) *process {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	log := logrus.New()
 	log.SetOutput(out)
 	self := claim.Member{Box: name, Incarnation: name + time.Now().String(), Domain: "a", Address: via(listener.Addr().String())}
-	p := &process{loop: jobrun.NewLoop(settings(), self, on.Calls(), log.WithField("box", name), time.Now)}
+	p := &process{loop: jobrun.NewLoop(settings(), self, on, log.WithField("box", name), time.Now)}
 	p.peers = jobrun.NewPeers(listener, p.loop)
 	p.loop.Run(p.peers)
 	p.peers.Serve()
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -93,6 +93,9 @@
 	calls    map[dispatch.CallID]chan dispatch.Answer
 	lastCall dispatch.CallID
 	view     view
+	// told is the newest claim that another box has told of. A box that the log does
+	// not answer learns from it who holds the cell.
+	told claim.Claim
 	// endFollow ends the following of the list of workers.
 	endFollow context.CancelFunc
 }
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -34,12 +34,14 @@
 	mu sync.Mutex
 	// silentUntil is until when a box that did not answer is not asked.
 	silentUntil map[string]time.Time
+	// elsewhere says of boxes that they last answered that they do not hold the cell.
+	elsewhere map[string]bool
 }
 
 // NewPeers returns the adapter; Serve starts it.
 func NewPeers(listener net.Listener, loop *Loop) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}}
+	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}, elsewhere: map[string]bool{}}
 	p.links = peering.New(ctx, listener, loop.settings.PeerTimeout, p.handle)
 	return p
 }
@@ -117,7 +119,7 @@
 		p.setSilent(address)
 		return a
 	}
-	p.answered(address)
+	p.answered(address, a.Outcome == dispatch.Elsewhere)
 	return a
 }
 
--- a/services/jobrun/reach.go
+++ b/services/jobrun/reach.go
@@ -23,16 +23,19 @@
 	p.silentUntil[address] = p.loop.now().Add(silentFor)
 }
 
-// reaches says whether the last call to a box was answered.
+// reaches says whether the box at an address, as far as is known, holds the cell and
+// answers this one. A box that has just stepped down does not reach itself.
 func (p *Peers) reaches(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.silentUntil[address].IsZero()
+	return address != p.loop.self.Address && p.silentUntil[address].IsZero() && !p.elsewhere[address]
 }
 
-// answered notes that a box has answered.
-func (p *Peers) answered(address string) {
+// answered notes that a box has answered, and whether it said that it does not hold
+// the cell.
+func (p *Peers) answered(address string, elsewhere bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.silentUntil, address)
+	p.elsewhere[address] = elsewhere
 }
--- a/services/jobrun/reset_test.go
+++ b/services/jobrun/reset_test.go
@@ -20,9 +20,11 @@
 
 // resetter forwards connections and resets all of them when it is told to.
 type resetter struct {
-	t     *testing.T
-	mu    sync.Mutex
-	conns []net.Conn
+	t  *testing.T
+	mu sync.Mutex
+	// refuses resets new connections too.
+	refuses bool
+	conns   []net.Conn
 }
 
 // via forwards to an address and returns where it listens.
@@ -42,6 +44,9 @@
 				continue
 			}
 			r.mu.Lock()
+			if r.refuses {
+				_ = in.Close()
+			}
 			r.conns = append(r.conns, in, out)
 			r.mu.Unlock()
 			go func() { _, _ = io.Copy(out, in); _ = out.Close() }()
@@ -63,7 +68,7 @@
 func TestACallerIsServedThoughConnectionsToTheHolderAreReset(t *testing.T) {
 	on := platformOf(t)
 	links := &resetter{t: t}
-	holder := startVia(t, on, "a", io.Discard, links.via)
+	holder := startVia(t, on.Calls(), "a", io.Discard, links.via)
 	served(t, holder, jobrun.Request{Submit: submission("first")}, "")
 	other := start(t, on, "b", io.Discard)
 	served(t, other, jobrun.Request{Submit: submission("second")}, "")
