dispatch: the end of a job tells what delayed it

Cause: late jobs could be counted from the lines, but not why: waiting for advice, for room, in a takeover, or a run that was lost, stopped or stood still all looked alike. Each step now sums up what it waited for before its first start, why its last task was started again and by how much the last run was longer than usual; the line of the job's end has the sum along the steps that ended last, and the objective that it is held against.

Unchanged: what is decided.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -102,6 +102,7 @@
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
 	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks, pace: fullPace}
 	h.place(a)
+	a.task().began(now)
 	saved := a.task().saved
 	if s.spec.Gang {
 		saved = s.gangSaved()
@@ -167,6 +168,7 @@
 		return
 	}
 	a.state = unsure
+	a.task().interrupted(delayUnsure)
 	h.mark(now, a)
 	h.gangBroke(now, a.step)
 }
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -53,6 +53,8 @@
 		if a != nil {
 			h.learnSpeed(now, a)
 		}
+	} else {
+		t.interrupted(interruption(end.How))
 	}
 	h.applyEnd(now, w, s, end)
 	h.noteEnd(s, w, end)
@@ -107,13 +109,15 @@
 		}
 	}
 	if s.done == len(s.tasks) {
-		h.stepDone(now, s)
+		h.stepDone(now, s, end.Task.Index)
 	}
 }
 
-// stepDone opens the steps that come after one that is done, or ends its job.
-func (h *holding) stepDone(now time.Time, s *step) {
+// stepDone opens the steps that come after one of which the last task is done, or
+// ends its job.
+func (h *holding) stepDone(now time.Time, s *step, last int) {
 	s.open = false
+	s.doneAt, s.delayed = now, s.delaysOf(now, last, h.usual(s))
 	h.releasePromises(s)
 	h.learnTimes(s)
 	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -83,6 +83,9 @@
 
 // openInstance opens the steps whose earlier steps are done.
 func (h *holding) openInstance(now time.Time, in *instance) {
+	if in.openedAt.IsZero() {
+		in.openedAt = now
+	}
 	for _, s := range in.steps {
 		if s.open || s.job.state.Final() || !in.reached(s) {
 			continue
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -49,7 +49,9 @@
 
 // instance is one time that a job's steps run.
 type instance struct {
-	dueAt     time.Time
+	dueAt time.Time
+	// openedAt is when this holder could first start something of it.
+	openedAt  time.Time
 	steps     []*step
 	doneSteps int
 }
@@ -87,6 +89,12 @@
 	// says that not all ran whole.
 	took        time.Duration
 	interrupted bool
+	// waits sums up what the step waited for before its first start, until waitedAt.
+	waits    delays
+	waitedAt time.Time
+	// doneAt is when the last task was done, delayed what it took besides its work.
+	doneAt  time.Time
+	delayed delays
 	// left is the longest chain of work from the step on, itself included.
 	left time.Duration
 }
@@ -102,6 +110,10 @@
 	lastRun int64
 	// attempt is the one under way, or nil.
 	attempt *attempt
+	// firstAt is when it was first started under this claim, startedAt when last, and
+	// again why that was not the same.
+	firstAt, startedAt time.Time
+	again              delay
 }
 
 // newJob adds a job.
@@ -146,8 +158,7 @@
 			}
 		}
 	}
-	h.core.note("job ended", Field{"job", string(j.id)}, Field{"queue", j.queue}, Field{"outcome", string(state)},
-		Field{"reason", why}, Field{"age", now.Sub(j.acceptedAt).String()}, Field{"claim", h.epoch})
+	h.noteEnded(now, j, state, why)
 }
 
 // close drops all but the final state of a job.
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -41,6 +41,9 @@
 			p.misses++
 			h.missed(p, r)
 		}
+		if r.step.waiting > 0 {
+			r.step.waited(now, r.step.waitsFor())
+		}
 	}
 }
 
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -120,6 +120,7 @@
 			continue
 		}
 		if s.job.inherited && len(h.unsettled) > 0 {
+			s.waited(now, delayTakeover)
 			continue
 		}
 		all = append(all, h.rank(now, s))
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -120,6 +120,7 @@
 // lose frees an attempt of which the worker knows nothing any more.
 func (h *holding) lose(now time.Time, a *attempt, why string) {
 	h.unplace(a)
+	a.task().interrupted(delayLost)
 	h.core.note("task lost", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", a.run},
 		Field{"worker", a.worker.ID}, Field{"state", string(a.state)}, Field{"reason", why})
 	if !a.step.job.state.Final() {
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -146,6 +146,11 @@
 	if s.took > 0 && s.done == len(s.tasks) {
 		return s.took
 	}
+	return h.usual(s)
+}
+
+// usual returns what steps of a step's queue with its estimate usually take.
+func (h *holding) usual(s *step) time.Duration {
 	return h.learned.timesOf(s.job.queue).expect(s.spec.Estimate.Duration())
 }
 
