dispatch: calls for advice are divided evenly between queues

Hypothesis: where boxes are few the calls of the gang queue, long and often in vain, leave nothing to the others (jobs that had not started 60 s after they were accepted).

--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -26,6 +26,9 @@
 	callMost = 64
 	// leastAsk is how many workers a call names at least, if there are so many.
 	leastAsk = 4
+	// namesShare is what more names may add to the time of a call, as a share of its
+	// fixed part.
+	namesShare = 0.25
 	// askSpare is for how many times the waiting tasks workers are named.
 	askSpare = 1.5
 	// leastRoom is the room, in tasks, that a named worker counts for which has none
@@ -48,14 +51,20 @@
 // calls under way as they should. What is late anyway waits until a box has none.
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
+	class := adviceClass{queue: s.job.queue, late: h.rank(now, s).tier != onTime}
+	if !h.advisers.turnOf(now, class, takes) {
+		return nil
+	}
 	patience := time.Duration(0)
-	if h.rank(now, s).tier == onTime {
+	if !class.late {
 		patience = adviceQueue
 	}
 	box, address, ok := h.chooseAdviser(now, takes, patience)
 	if !ok {
+		h.advisers.turnAway(now, class)
 		return nil
 	}
+	h.advisers.spend(now, class, takes)
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
@@ -168,9 +177,10 @@
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
+	least := namedAtLeast(r.queue.Advice)
 	var named []*worker
 	for w, room := range s.shuffled(candidates) {
-		if len(named) == roomAsk || len(named) >= leastAsk && missing <= 0 {
+		if len(named) == roomAsk || len(named) >= least && missing <= 0 {
 			break
 		}
 		named = append(named, w)
@@ -248,10 +258,20 @@
 	}
 	each := float64(max(1, s.slotsOfEmpty(h.largestCapacity()))) * good
 	unknown := s.roomiest(candidates)
-	wanted := max(leastAsk, int(math.Ceil(missing/each)))
+	wanted := max(namedAtLeast(r.queue.Advice), int(math.Ceil(missing/each)))
 	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
 }
 
+// namedAtLeast returns how many workers a call names at least, if there are so many:
+// what they add to the time of the call is small beside its fixed part, and a second
+// call would take that again.
+func namedAtLeast(q *job.Advice) int {
+	if q.Each <= 0 {
+		return callMost
+	}
+	return min(callMost, max(leastAsk, int(namesShare*float64(q.Base)/float64(q.Each))))
+}
+
 // askMore asks about those of some workers that have room now. It returns false if
 // no call was made.
 func (h *holding) askMore(now time.Time, r ranked, workers []*worker) bool {
