dispatch: starts without an answer are sent again; leases are renewed under authority only

Hypothesis: a start whose answer is lost, or that a worker carries out late, costs its step 2 to 3 s (a second until it is given up, a look, a stop, another look), and on a worker that has gone silent up to the rest of its lease. Change: an order is given up after 300 ms in place of 1 s; the same start is sent up to four times, since a worker that has the run says so; a worker that owes an answer to a start for 100 ms gets no more.

Leases are now renewed under authority only, and not once another box was invited.

--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -41,7 +41,7 @@
 		Ready: "127.0.0.1:8083", Lease: 6 * time.Second, Wait: time.Second,
 		Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
 		Gather: 12 * time.Millisecond, KeepEnded: 150 * time.Second,
-		OrderTimeout: time.Second, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond,
+		OrderTimeout: 300 * time.Millisecond, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond,
 	}
 }
 
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,6 +22,10 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
+	// checkpoint and ticket are what it was ordered with, tries how often the order was
+	// sent: the same order again changes nothing more.
+	checkpoint, ticket string
+	tries              int
 	// figure is the worker's rough figure of the run, pace the percentage of its
 	// speed at which it works.
 	figure int64
@@ -108,9 +112,20 @@
 		saved = s.gangSaved()
 	}
 	a.resumed = saved != ""
+	a.checkpoint, a.ticket = saved, ticket
+	if w.owesSince.IsZero() {
+		w.owesSince = now
+	}
+	h.orderStart(now, a)
+}
+
+// orderStart sends the order to start an attempt, for the first time or again.
+func (h *holding) orderStart(now time.Time, a *attempt) {
+	a.tries++
+	w := a.worker
 	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
-		Run: a.name(), Spec: s.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
-		Checkpoint: saved, Ticket: ticket,
+		Run: a.name(), Spec: a.step.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
+		Checkpoint: a.checkpoint, Ticket: a.ticket,
 	}})
 }
 
@@ -134,11 +149,19 @@
 		h.workerDied(now, w, otherLife)
 		return
 	}
+	if e.Answer.Fate != order.Unknown {
+		w.owesSince = time.Time{}
+	}
 	a := w.attempts[e.Run]
 	if a == nil {
 		return
 	}
 	a.confirmed = a.confirmed && a.state == stopping
+	if a.tries > 1 && e.Answer.Fate != order.Carried && e.Answer.Reason != order.Fenced {
+		// An earlier order may have been carried out, or may be yet.
+		h.startUnsure(now, a, e.Answer)
+		return
+	}
 	switch e.Answer.Fate {
 	case order.Carried:
 		if a.state == starting {
@@ -156,12 +179,20 @@
 	}
 }
 
+// startTries is how often a start is sent that has no answer. Mostly the answer, or
+// the order alone, was lost, and a worker that has the run already says so.
+const startTries = 4
+
 // notDoneFor is how long a worker that did nothing gets no starts.
 const notDoneFor = 500 * time.Millisecond
 
 // startUnsure keeps the place of a start of which it is not known whether it was
 // carried out. The worker's next report tells.
 func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
+	if answer.Fate == order.Unknown && a.state == starting && a.tries < startTries && !a.step.job.state.Final() {
+		h.orderStart(now, a)
+		return
+	}
 	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
 		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
 	if a.state != starting {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -46,7 +46,7 @@
 // renew renews a worker's lease and asks what it runs, if that is due. The call
 // waits at the worker for an end where there is nothing else to hear.
 func (h *holding) renew(now time.Time, w *worker) {
-	if w.look != 0 || now.Before(w.renewAt) || w.Address == "" {
+	if w.look != 0 || now.Before(w.renewAt) || w.Address == "" || !h.mayRenew(now) {
 		return
 	}
 	h.looks++
@@ -69,6 +69,12 @@
 	})
 }
 
+// mayRenew says whether leases may be renewed: the next holder counts on it that
+// those of this one run out after its authority has ended.
+func (h *holding) mayRenew(now time.Time) bool {
+	return h.core.authority.Holds(now) && !h.suspended
+}
+
 // renewEnded takes the end of a renewal's call.
 func (h *holding) renewEnded(now time.Time, e RenewEnded) {
 	w := h.workers[e.Worker]
@@ -124,6 +130,7 @@
 	}
 	w.failures = 0
 	w.answeredAt = now
+	w.owesSince = time.Time{}
 	w.clock, w.clockAt = e.Report.Clock, now
 	h.applyReport(now, w, e)
 	if !w.settled {
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -35,6 +35,9 @@
 	lapseMargin = 150 * time.Millisecond
 	// silentAfter is how long a worker may not answer before it gets no starts.
 	silentAfter = 1500 * time.Millisecond
+	// owesAfter is how long a worker may take to answer a start before it gets no more:
+	// usual answers take some milliseconds.
+	owesAfter = 100 * time.Millisecond
 	// stopAgain is when a stop without an answer is sent again.
 	stopAgain = 300 * time.Millisecond
 	// renewAgain is when a renewal that failed is sent again.
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -53,6 +53,9 @@
 	// since.
 	answeredAt time.Time
 	failures   int
+	// owesSince is when a start was ordered of which, and of all those after it, none
+	// was answered, or zero.
+	owesSince time.Time
 	// notes are ends that the worker may not forget yet, in order.
 	notes []*endNote
 	// seen is the last end that the worker may forget, told the last one heard.
@@ -115,7 +118,12 @@
 // takes says whether new tasks may be started on the worker.
 func (h *holding) takes(now time.Time, w *worker) bool {
 	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
-		now.Sub(w.answeredAt) < h.core.settings.Wait+silentAfter && !now.Before(w.excludedTill)
+		now.Sub(w.answeredAt) < h.core.settings.Wait+silentAfter && !now.Before(w.excludedTill) && !w.owes(now)
+}
+
+// owes says whether a worker has not answered the starts that it was given.
+func (w *worker) owes(now time.Time) bool {
+	return !w.owesSince.IsZero() && now.Sub(w.owesSince) > owesAfter
 }
 
 // record has the log name a worker before anything is started on it.
