dispatch: what runs is late only if the rest of its work makes it so

Cause: whether a running step may give way to others was judged as if it had yet to begin, so most steps counted as late after having run for as long as their slack, and were stopped for steps on time, again and again (one job of the device queue eight times in 12 s). Change: of a step that is all at work only the rest counts, by the progress that looks tell.

Ruled out before: room (up to half of the devices were free while steps on time waited) and advice (boxes were free).

--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -61,6 +61,7 @@
 				longest = max(longest, later.left)
 			}
 		}
+		steps[i].after = longest
 		steps[i].left = longest + h.expect(steps[i])
 	}
 }
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -95,8 +95,9 @@
 	// doneAt is when the last task was done, delayed what it took besides its work.
 	doneAt  time.Time
 	delayed delays
-	// left is the longest chain of work from the step on, itself included.
-	left time.Duration
+	// left is the longest chain of work from the step on, itself included, after what
+	// of it comes after the step.
+	left, after time.Duration
 }
 
 // task is one task of a step.
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -43,6 +43,7 @@
 	}
 	h.core.note("state of the cell", Field{"claim", h.epoch}, Field{"workers", len(h.workers)}, Field{"taking", taking},
 		Field{"processors", capacity.Processors.String()}, Field{"free", free.Processors.String()},
+		Field{"accelerators", capacity.Accelerators}, Field{"free_accelerators", free.Accelerators}, Field{"promised_accelerators", promised.Accelerators},
 		Field{"promised", promised.Processors.String()}, Field{"stopping", stopping.Processors.String()},
 		Field{"workers_kept", kept}, Field{"steps_on_time", tiers[onTime]}, Field{"steps_late", tiers[late]},
 		Field{"steps_hopeless", tiers[hopeless]}, Field{"unsettled", len(h.unsettled)}, Field{"plans", h.passes},
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -50,7 +50,7 @@
 // slack returns how much later than now a step may start and be on time.
 func (h *holding) slack(now time.Time, s *step) time.Duration {
 	wanted := s.instance.dueAt.Add(objective(s.instance, h.queueOf(s.job)))
-	return wanted.Sub(now) - s.left
+	return wanted.Sub(now) - h.leftNow(now, s)
 }
 
 // ranked is a step with what orders it.
@@ -66,7 +66,7 @@
 	r := ranked{step: s, queue: h.queueOf(s.job)}
 	most := objective(s.instance, r.queue)
 	r.wantedAt = s.instance.dueAt.Add(most)
-	finish := now.Add(s.left)
+	finish := now.Add(h.leftNow(now, s))
 	switch {
 	case s.spec.Service || !finish.After(r.wantedAt):
 		r.tier = onTime
--- /dev/null
+++ b/services/dispatch/remaining.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import "time"
+
+// leastTold is the progress, in percent, from which a run's own speed tells better
+// than the usual time when it will end.
+const leastTold = 10
+
+// leftNow returns the longest chain of work from a step on at now: of a step that is
+// all at work only what remains of it. Counted whole, a step would be taken for late,
+// and give way to others, while it is about to end on time.
+func (h *holding) leftNow(now time.Time, s *step) time.Duration {
+	if s.waiting > 0 || s.attempts == 0 || s.spec.Service {
+		return s.left
+	}
+	longest := time.Duration(0)
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil && !s.tasks[i].done {
+			longest = max(longest, h.remaining(now, a))
+		}
+	}
+	return s.after + longest
+}
+
+// remaining returns how much longer a run should take: by its own progress if that
+// tells enough, else by what its like usually take.
+func (h *holding) remaining(now time.Time, a *attempt) time.Duration {
+	total, done := h.usual(a.step), float64(a.progress)/workDone
+	if a.state != running {
+		return total
+	}
+	toldAt := a.since
+	if !a.progressAt.IsZero() {
+		toldAt = a.progressAt
+	}
+	if a.progress >= leastTold && !a.resumed && !a.adopted {
+		total = time.Duration(float64(toldAt.Sub(a.since)) / done)
+	}
+	return max(0, time.Duration((1-done)*float64(total))-now.Sub(toldAt))
+}
