dispatch: tasks that end soon or have just resumed are not stopped for others

Hypothesis: a task that is stopped 0.3 s before its end, or a moment after it resumed, gives less room than its stop and its second start cost. Change: left alone are tasks that should end within half a second of when a stop would have freed their room, and resumed ones for their first 2 s.

--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -24,6 +24,12 @@
 	// preemptEvery is the least time between two searches for tasks to stop for one
 	// step.
 	preemptEvery = 300 * time.Millisecond
+	// resumedWorks is how long a task that has resumed works at least before it may be
+	// stopped again: else what it does between two stops is no more than they lose.
+	resumedWorks = 2 * time.Second
+	// endsSoon is how much later than a stop would free its room a task may end by
+	// itself and be left alone.
+	endsSoon = 500 * time.Millisecond
 	// resumeLoses is the work that a task loses which resumes: that since its last
 	// checkpoint, and the time to begin again.
 	resumeLoses = time.Second
@@ -195,6 +201,9 @@
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
 		return false
 	}
+	if a.resumed && p.now.Sub(a.since) < resumedWorks || h.remaining(p.now, a) < h.learned.stopTime+endsSoon {
+		return false
+	}
 	v := h.rank(p.now, s)
 	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (h.slack(p.now, s) > victimSlack || p.roomy)
 }
