jobrun: a box that is cut off sends callers elsewhere sooner; tests of silent workers

Hypothesis: a box that is cut off counted the log as answering until a read failed, 1.9 s after the cut, and refused its callers for 0.5 s more before it was unready, while boxes elsewhere could have served them. Change: reads of the claims wait 0.5 s, and a box that has heard neither from the log for 0.9 s nor from the holder is unready.

The workers of the tests and the stand-in now tell real progress, and in random worlds runs stand still on some for a while.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -35,8 +35,9 @@
 	jobTick = 20 * time.Millisecond
 	// logCall bounds a call to the log; its usual answer takes 4 ms.
 	logCall = 900 * time.Millisecond
-	// claimsWait is how long a read of the claims waits for a record.
-	claimsWait = time.Second
+	// claimsWait is how long a read of the claims waits for a record. Renewals come
+	// more often, so that it costs no more calls than a longer one.
+	claimsWait = 500 * time.Millisecond
 	// workersEvery is the time between two reads of the list of workers, which
 	// itself lags by 0.8 s.
 	workersEvery = 300 * time.Millisecond
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -50,6 +50,8 @@
 	read bool
 	// steadySince is since when all reads succeed, or zero after a failed one.
 	steadySince time.Time
+	// readAt is when the log last answered a read.
+	readAt time.Time
 	// heardAt is when the last renewal was read.
 	heardAt time.Time
 
@@ -111,6 +113,9 @@
 // Steady says whether the log answers this process.
 func (a *Authority) Steady() bool { return !a.steadySince.IsZero() }
 
+// ReadAt returns when the log last answered a read of this process.
+func (a *Authority) ReadAt() time.Time { return a.readAt }
+
 // Start takes what the stream held when the process began to read.
 func (a *Authority) Start(now time.Time, records []stream.Record, next int64) {
 	a.read = true
@@ -122,6 +127,7 @@
 	if a.steadySince.IsZero() {
 		a.steadySince = now
 	}
+	a.readAt = now
 	for _, r := range records {
 		var c claim.Claim
 		if r.Key != claimKey || json.Unmarshal(r.Value, &c) != nil || c.Check() != nil || c.Epoch < a.current.Epoch {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -86,6 +86,9 @@
 // Steady says whether the log answers this process.
 func (c *Core) Steady() bool { return c.authority.Steady() }
 
+// LogReadAt returns when the log last answered a read of this process.
+func (c *Core) LogReadAt() time.Time { return c.authority.ReadAt() }
+
 // Handle takes one event.
 func (c *Core) Handle(now time.Time, e Event) {
 	switch e := e.(type) {
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -431,7 +431,10 @@
 		b = h
 	}
 	f := w.workers[w.rng.Intn(len(w.workers))]
-	switch w.rng.Intn(10) {
+	switch w.rng.Intn(11) {
+	case 10:
+		f.stalls = true
+		w.after(lasts, func() { f.stalls = false })
 	case 0:
 		w.killBox(b, lasts)
 	case 1:
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -119,11 +119,19 @@
 	// workers do (tried on a day of theirs: 280 looks at such runs, 42 at runs
 	// that were stopped before they began, none of which ended later).
 	for run := range ordered.By(f.runs, order.Run.Compare) {
-		r.Running = append(r.Running, order.Running{Run: run, Progress: 100})
+		r.Running = append(r.Running, order.Running{Run: run, Progress: f.runs[run].progress(f.w.now)})
 	}
 	return r
 }
 
+// progress returns how much of a run is done, in percent.
+func (r *fakeRun) progress(now time.Time) int {
+	if r.begun.IsZero() || r.stalled {
+		return 0
+	}
+	return min(99, int(100*now.Sub(r.begun)/max(1, r.lasts)))
+}
+
 // forget drops ends that the holder has noted; what they say stands for good.
 func (f *fakeWorker) forget(seen int64) {
 	for len(f.ended) > 0 && f.ended[0].Number <= seen {
@@ -185,7 +193,8 @@
 	h := f.w.rng.Intn(100)
 	f.runs[s.Run] = &fakeRun{
 		run: s.Run, step: step, present: f.w.now, fails: f.failAll || h < 4,
-		lasts: step.Estimate.Duration() * time.Duration(50+f.w.rng.Intn(100)) / 100 * time.Duration(max(1, f.slowBy)),
+		stalled: f.stalls,
+		lasts:   step.Estimate.Duration() * time.Duration(50+f.w.rng.Intn(100)) / 100 * time.Duration(max(1, f.slowBy)),
 	}
 	f.begun++
 	return order.Answer{Fate: order.Carried, Clock: f.clock()}
@@ -261,7 +270,7 @@
 		if now.After(f.leaseEnd) {
 			r.stopping, r.how = now, order.Lapsed
 		}
-		if r.stopping.IsZero() && !r.begun.IsZero() && now.Sub(r.begun) >= r.lasts {
+		if r.stopping.IsZero() && !r.begun.IsZero() && !r.stalled && now.Sub(r.begun) >= r.lasts {
 			f.w.finish(run, r)
 		}
 		if !r.stopping.IsZero() && !now.Before(r.stopping) {
@@ -341,6 +350,8 @@
 	ended    []order.End
 	highest  map[job.TaskID]int64
 	failAll  bool
+	// stalls makes runs stand still that start on it.
+	stalls bool
 	// slowBy is how many times as long tasks take on it, if not 0.
 	slowBy int
 	// begun counts the starts on it.
@@ -356,6 +367,8 @@
 	fails    bool
 	stopping time.Time
 	how      order.How
+	// stalled says that it comes no further.
+	stalled bool
 }
 
 func newFakeWorker(w *world, name, rack string) *fakeWorker {
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -52,8 +52,9 @@
 }
 
 // cutOffAfter is how long neither the log nor the holder may answer before a
-// box sends callers elsewhere.
-const cutOffAfter = 500 * time.Millisecond
+// box sends callers elsewhere. The log answers with each renewal of the claim, and
+// at the latest when a read has waited for half a second.
+const cutOffAfter = 900 * time.Millisecond
 
 // Ready says whether callers are served better here than elsewhere. A box that
 // is cut off from the log and from the holder can only refuse.
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -212,11 +212,7 @@
 		l.do(e)
 	}
 	l.mu.Lock()
-	steadyAt := l.view.steadyAt
-	if l.core.Steady() {
-		steadyAt = now
-	}
-	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(now), steadyAt: steadyAt}
+	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(now), steadyAt: l.core.LogReadAt()}
 	l.mu.Unlock()
 }
 
