authority: the cell is followed soon after the log returns

Hypothesis: where a holder is cut off while the log is away, nobody claims until the log has answered for as long as a silent holder is waited for (1.55 s and more), and a renewal that is read again counts as a sign of life. Change: after the log's return a box waits for the time between two renewals; a renewal read before is none.

Test: TestTheCellIsFollowedSoonAfterTheLogReturns, not within 1.1 s before, within it after.

--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -140,8 +140,11 @@
 
 // take puts a claim in force that is in the log.
 func (a *Authority) take(now time.Time, c claim.Claim) {
+	if c != a.current {
+		// A renewal that is read again, after the log was away, is no sign of life.
+		a.heardAt = now
+	}
 	a.current = c
-	a.heardAt = now
 	mine := c.Box == a.self.Box && c.Incarnation == a.self.Incarnation
 	if mine && !c.Released {
 		a.confirm(c)
--- a/services/authority/claiming.go
+++ b/services/authority/claiming.go
@@ -75,8 +75,9 @@
 		// An earlier life of this very box is gone.
 		return !a.Small() || now.Sub(a.steadySince) >= smallWait
 	}
-	quiet := a.settings.ClaimAfter + a.patience()
-	return now.Sub(a.heardAt) >= quiet && now.Sub(a.steadySince) >= quiet
+	// Once the log answers again, a holder that it answers too has renewed its claim
+	// within the time between two renewals; one that lives on pledges has this box's.
+	return now.Sub(a.heardAt) >= a.settings.ClaimAfter+a.patience() && now.Sub(a.steadySince) >= a.settings.Renew+a.patience()
 }
 
 // MemberRestarted notes that a box has announced a new life. A claim of an
--- a/services/dispatch/silent_test.go
+++ b/services/dispatch/silent_test.go
@@ -97,3 +97,19 @@
 	assert.Check(t, w.workers[0].begun > 0, "none began on the worker whose runs stand still")
 	w.check()
 }
+
+func TestTheCellIsFollowedSoonAfterTheLogReturns(t *testing.T) {
+	w := serving(t, 41, 3, 4)
+	first := w.holder()
+	w.logDown = true
+	w.run(2 * time.Second)
+	// The holder is cut off before the log is back.
+	first.noLog, first.noPeers = true, true
+	w.run(3 * time.Second)
+	w.logDown = false
+	w.until(1100*time.Millisecond, "another box holds the cell", func() bool {
+		h := w.holder()
+		return h != nil && h != first
+	})
+	w.check()
+}
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -53,7 +53,11 @@
 
 // read reads the whole stream, or waits for what comes after next.
 func (f follower) read(ctx context.Context, next int64, started bool) (stream.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.loop.settings.CallTimeout+f.wait)
+	timeout := f.loop.settings.CallTimeout
+	if started {
+		timeout += f.wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !started {
 		return f.loop.platform.Log.Newest(ctx, f.name)
