--- /dev/null
+++ b/services/dispatch/turns_test.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+
+	"gotest.tools/v3/assert"
+)
+
+// scarceAdvice is a configuration with two queues that need advice: gangs rank higher
+// and ask for so long that all boxes together make two calls a second, and
+// sweeps are late soon.
+func scarceAdvice(boxes int) job.Config {
+	c := config()
+	c.Queues = map[string]job.Queue{
+		"gangs": {
+			Name: "gangs", Pool: pool, Priority: 1, Attempts: 3, Stretch: 2.2, Latency: time.Second,
+			Advice: &job.Advice{Base: time.Duration(boxes) * 490 * time.Millisecond, Each: 7 * time.Millisecond, Valid: 2 * time.Second},
+		},
+		"sweeps": {
+			Name: "sweeps", Pool: pool, Priority: 2, Attempts: 3, Stretch: 1, Latency: 100 * time.Millisecond,
+			Advice: &job.Advice{Base: 170 * time.Millisecond, Each: 2400 * time.Microsecond, Valid: 2 * time.Second},
+		},
+	}
+	return c
+}
+
+// gang returns a job of two tasks that take most of a worker each.
+func gang(id string) job.Submission {
+	s := oneStep(id, "gangs", 2, true)
+	s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor, Memory: resource.GiB}
+	s.Steps[0].Estimate = 3000
+	return s
+}
+
+// startedWithin says whether a job's first task starts within some time.
+func (w *world) startedWithin(most time.Duration, a *asked) bool {
+	first := job.TaskID{StepID: job.StepID{Job: a.sub.ID}}
+	for end := w.now.Add(most); w.now.Before(end); {
+		if w.starts[first] > 0 {
+			return true
+		}
+		w.run(50 * time.Millisecond)
+	}
+	return false
+}
+
+func TestNoQueueWaitsForEverWhereAdviceIsScarce(t *testing.T) {
+	for boxes := 1; boxes <= 4; boxes++ {
+		w := newWorld(t, int64(60+boxes), boxes, 12)
+		w.config = scarceAdvice(boxes)
+		for _, b := range w.boxes {
+			b.kill()
+			b.start()
+		}
+		w.until(5*time.Second, "a box holds the cell", func() bool { return w.holder() != nil })
+		w.run(time.Second)
+		// More gangs than the boxes can ask about, and than the workers hold.
+		for i := range 80 {
+			w.after(time.Duration(i)*300*time.Millisecond, func() { w.submit(gang(fmt.Sprintf("gang%d", i))) })
+		}
+		w.run(3 * time.Second)
+		for i := range 4 {
+			a := w.submit(oneStep(fmt.Sprintf("sweep%d", i), "sweeps", 1, false))
+			assert.Check(t, w.startedWithin(5*time.Second, a), "boxes: %d: sweep %d has not started after 5 s", boxes, i)
+		}
+		// A takeover finds the backlog.
+		w.killBox(w.holder(), time.Second)
+		w.untilEnded()
+	}
+}
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -94,6 +94,8 @@
 	broken []string
 	// alone counts ends of gangs that started incomplete.
 	alone int
+	// adviserFree is when the advice service has answered all calls of a box.
+	adviserFree map[string]time.Time
 	// starts counts the starts of each task.
 	starts map[job.TaskID]int
 	trace  []string
@@ -128,6 +130,7 @@
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: begin, begin: begin,
 		log: map[stream.Name]*fakeStream{}, config: config(), jobs: map[job.ID]*asked{}, starts: map[job.TaskID]int{},
+		adviserFree: map[string]time.Time{},
 	}
 	for _, name := range []stream.Name{stream.Claims, stream.Boxes, stream.Jobs} {
 		w.log[name] = &fakeStream{}
@@ -183,14 +186,26 @@
 
 // --- other boxes
 
+// advise answers a call for advice; those of one box are served in turn.
 func (w *world) advise(e dispatch.Advise, back func(time.Duration, dispatch.Event)) {
+	q := w.config.Queues[w.jobs[e.Step.Job].sub.Queue].Advice
+	if q == nil {
+		// The queue is gone.
+		q = &job.Advice{Base: 50 * time.Millisecond, Each: time.Millisecond}
+	}
+	begins := w.adviserFree[e.Box]
+	if begins.Before(w.now) {
+		begins = w.now
+	}
+	done := begins.Add(q.Base + time.Duration(len(e.Workers))*q.Each)
+	w.adviserFree[e.Box] = done
 	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
 	for _, id := range e.Workers {
 		if suits(e.Step, id) {
-			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: ticketOf(e.Step, id, w.now)})
+			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: ticketOf(e.Step, id, done)})
 		}
 	}
-	back(50*time.Millisecond+time.Duration(len(e.Workers))*time.Millisecond, a)
+	back(done.Sub(w.now), a)
 }
 
 // suits says whether a worker may run a step: each second worker may, so that
--- a/services/dispatch/worldcheck_test.go
+++ b/services/dispatch/worldcheck_test.go
@@ -12,6 +12,15 @@
 	"saddlevane/modules/ordered"
 )
 
+// attemptsOf returns how often a task of a queue may fail. Jobs of a queue that is
+// gone keep what held before.
+func (w *world) attemptsOf(queue string) int {
+	if q, ok := w.config.Queues[queue]; ok {
+		return q.Attempts
+	}
+	return config().Queues[queue].Attempts
+}
+
 // checkStart notes what a start would break.
 func (w *world) checkStart(f *fakeWorker, s order.Start) {
 	a := w.jobs[s.Task.Job]
@@ -41,7 +50,7 @@
 	if a.noted[id] {
 		w.breaks("%v starts again after its end was noted", s.Task)
 	}
-	if most := config().Queues[a.sub.Queue].Attempts; a.failures[id] >= most {
+	if most := w.attemptsOf(a.sub.Queue); a.failures[id] >= most {
 		w.breaks("%v starts again after %d failed runs", s.Task, a.failures[id])
 	}
 	for _, before := range step.After {
