saddlevanectl: losses sums up why jobs were late and calls were not served

A table by queue (ended, failed, late, and by which delays) and one by time and reason, out of log files; also as JSON and YAML.

--- /dev/null
+++ b/cmd/saddlevanectl/losses.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"saddlevane/modules/joblog"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// lossSpan is the time that one row of the losses by time covers, unless the flag
+// says otherwise.
+const lossSpan = 2 * time.Second
+
+// losses is the command that sums up why jobs were late and calls not served.
+func (t *tool) losses() *ffcli.Command {
+	var every *time.Duration
+	c := t.command("losses", "[LOG FILE ...]", "sums up what the daemons logged of late and failed jobs and of calls not served",
+		"losses -every 10s box-a.log box-b.log", func(_ context.Context, args []string) error {
+			if *every <= 0 {
+				return usageError("losses: -every: want a time above 0, got %v", *every)
+			}
+			l := joblog.NewLosses(*every)
+			if err := readLogs(args, l.Read); err != nil {
+				return usageError("losses: %v", err)
+			}
+			return t.printLosses(l)
+		})
+	every = c.FlagSet.Duration("every", lossSpan, "time that one row of the losses by time covers")
+	return c
+}
+
+// lossReport is the output for programs.
+type lossReport struct {
+	Queues []joblog.QueueLoss `json:"queues"`
+	Spans  []joblog.SpanLoss  `json:"spans"`
+	Torn   int                `json:"torn_lines"`
+}
+
+// printLosses prints the losses by queue and by time.
+func (t *tool) printLosses(l *joblog.Losses) error {
+	report := lossReport{Queues: l.Queues(), Spans: l.Spans(), Torn: l.Torn}
+	return t.print(report, func() {
+		queues := t.table("QUEUE", "ENDED", "FAILED", "LATE", "DELAY", "LATE JOBS")
+		for _, q := range report.Queues {
+			queues.row(q.Queue, q.Ended, q.Failed, q.Late, "", "")
+			for _, d := range q.Longest() {
+				queues.row("", "", "", "", d, fmt.Sprintf("%.1f", q.Delays[d]))
+			}
+		}
+		queues.flush()
+		spans := t.table("FROM", "COUNT", "REASON")
+		for _, s := range report.Spans {
+			spans.row(s.Begin.UTC().Format(time.TimeOnly), s.Count, s.Reason)
+		}
+		spans.flush()
+		if l.Torn > 0 {
+			fmt.Fprintf(t.out, "# %d lines were torn\n", l.Torn)
+		}
+	})
+}
--- a/cmd/saddlevanectl/trace.go
+++ b/cmd/saddlevanectl/trace.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -22,7 +23,7 @@
 				return usageError("trace: want the ID of a job")
 			}
 			var h joblog.History
-			if err := readLogs(&h, args[0], args[1:]); err != nil {
+			if err := readLogs(args[1:], func(r io.Reader) error { return h.Read(r, args[0]) }); err != nil {
 				return usageError("trace: %v", err)
 			}
 			h.Sort()
@@ -35,16 +36,16 @@
 }
 
 // readLogs reads files, or standard input if there are none.
-func readLogs(h *joblog.History, id string, files []string) error {
+func readLogs(files []string, read func(io.Reader) error) error {
 	if len(files) == 0 {
-		return h.Read(os.Stdin, id)
+		return read(os.Stdin)
 	}
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		err = h.Read(f, id)
+		err = read(f)
 		_ = f.Close()
 		if err != nil {
 			return err
--- a/modules/joblog/joblog.go
+++ b/modules/joblog/joblog.go
@@ -52,11 +52,16 @@
 
 // Read adds the lines of r that concern a job.
 func (h *History) Read(r io.Reader, job string) error {
+	return eachLine(r, func(text string) { h.take(text, job) })
+}
+
+// eachLine gives the lines of r that are not empty to a function.
+func eachLine(r io.Reader, take func(text string)) error {
 	in := bufio.NewReaderSize(r, 64<<10)
 	for {
 		text, err := in.ReadString('\n')
 		if text = strings.TrimSpace(text); text != "" {
-			h.take(text, job)
+			take(text)
 		}
 		if err == io.EOF {
 			return nil
