dispatch: workers are kept free for tasks that take one whole, and such tasks ask about all workers at once

Change: such steps ask about all workers when they wait; where nothing can be stopped for them, the suiting workers that will be empty first are kept from other tasks, one a task, an eighth of all at most.

--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -43,6 +44,54 @@
 	}
 }
 
+// largeShare is one over the share of the largest worker from which a task is large:
+// two of them do not fit one worker.
+const largeShare = 2
+
+// isLarge says whether a worker has room for only one of a step's tasks at a time, so
+// that they find none while smaller tasks come and go.
+func (h *holding) isLarge(s *step) bool {
+	return fits(s.spec.Reserved(), h.largestCapacity()) < largeShare
+}
+
+// drainSoonest keeps other tasks off the workers that will be empty first, one for each
+// waiting task of a step, if not too many are kept already.
+func (h *holding) drainSoonest(p *pass, r ranked) {
+	s := r.step
+	open := h.openWorkers(p, r)
+	emptyIn := make(map[*worker]time.Duration, len(open))
+	for _, w := range open {
+		emptyIn[w] = h.emptyIn(p.now, w)
+	}
+	slices.SortStableFunc(open, func(a, b *worker) int {
+		return cmp.Or(trueFirst(a.drainedBefore == s, b.drainedBefore == s), cmp.Compare(emptyIn[a], emptyIn[b]))
+	})
+	for _, w := range open[:min(s.waiting, len(open))] {
+		if p.drained >= max(1, len(h.workers)/drainedShare) {
+			return
+		}
+		if w.drainedFor == nil && w.slots(s, w.Capacity) > 0 {
+			w.drainedFor = s
+			p.drained++
+		}
+	}
+}
+
+// emptyIn returns how long the tasks on a worker will be at work.
+func (h *holding) emptyIn(now time.Time, w *worker) time.Duration {
+	longest := time.Duration(0)
+	for _, a := range w.attempts {
+		if a.step.spec.Service {
+			return unbounded
+		}
+		longest = max(longest, h.remaining(now, a))
+	}
+	return longest
+}
+
+// unbounded is how long a service takes.
+const unbounded = time.Duration(math.MaxInt64)
+
 // keepEmptied chooses the workers with most room among those that could hold a
 // gang if they were empty.
 func keepEmptied(s *step, open []*worker) ([]*worker, bool) {
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -21,7 +21,9 @@
 	if s.spec.Gang {
 		return h.placeGang(p, r, set)
 	}
-	if s.advice.asking() {
+	if s.advice.asking() || r.queue.Advice != nil && h.isLarge(s) && h.askForRoom(p.now, r, set.workers) {
+		// Which workers suit large tasks must be known before one of them is empty, so
+		// that it is kept for them.
 		return true
 	}
 	if !s.spec.Reserved().Fits(set.most) {
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -28,7 +28,8 @@
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
 	for _, w := range h.byName() {
-		w.keptFor, w.keeper, w.drainedFor, w.held = w.keeper, nil, nil, resource.Vector{}
+		w.keptFor, w.keeper, w.held = w.keeper, nil, resource.Vector{}
+		w.drainedBefore, w.drainedFor = w.drainedFor, nil
 	}
 	p := newPass(now)
 	p.roomy = h.roomy(now)
@@ -63,10 +64,13 @@
 }
 
 // missed has a gang that found no room reserve some, if not too many gangs do, and
-// any other step stop what may give way to it.
+// any other step stop what may give way to it. Where that does not do, workers are
+// kept free for tasks that share theirs with few others.
 func (h *holding) missed(p *pass, r ranked) {
 	if !r.step.spec.Gang {
-		h.makeWay(p, r)
+		if !h.makeWay(p, r) && r.tier == onTime && h.isLarge(r.step) {
+			h.drainSoonest(p, r)
+		}
 		return
 	}
 	if p.misses <= explained {
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -48,15 +48,17 @@
 }
 
 // makeWay stops tasks that may give way to a step which is no gang, as many as its
-// waiting tasks need, if they end soon enough for it to be on time.
-func (h *holding) makeWay(p *pass, r ranked) {
+// waiting tasks need, if they end soon enough for it to be on time. It returns
+// whether that gives room for all of them.
+func (h *holding) makeWay(p *pass, r ranked) bool {
 	s := r.step
 	if r.tier != onTime || h.slack(p.now, s) < h.learned.stopTime {
-		return
+		return false
 	}
 	open := h.openWorkers(p, r)
 	gains := h.gainsFor(p, r, open, s.waiting, true)
 	h.take(p, r, cheapest(gains, s.waiting), s.waiting)
+	return tasksOf(gains) >= s.waiting
 }
 
 // gainsFor returns what a step could have on some workers: what is free or ending
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -74,6 +74,8 @@
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
+	// drainedBefore is what drainedFor was in the pass before.
+	drainedBefore *step
 	// failedJobs counts failed ends of different jobs in a row.
 	failedJobs int
 	lastFailed job.ID
