--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -108,11 +108,15 @@
 // startJobs starts all parts of the daemon.
 func startJobs(s setting.Settings, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
 	d := &jobDaemon{failed: make(chan error, 2)}
+	settings, err := jobSettings(s.Jobs)
+	if err != nil {
+		return nil, fmt.Errorf("settings: jobs.without: %w", err)
+	}
 	listener, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	d.loop = jobrun.NewLoop(jobSettings(s.Jobs), self, newPlatform(s.Jobs), log, time.Now)
+	d.loop = jobrun.NewLoop(settings, self, newPlatform(s.Jobs), log, time.Now)
 	d.peers = jobrun.NewPeers(listener, d.loop)
 	d.loop.Run(d.peers)
 	d.peers.Serve()
@@ -146,16 +150,17 @@
 }
 
 // jobSettings returns what the loop and the reducer need of the settings.
-func jobSettings(j setting.Jobs) jobrun.Settings {
+func jobSettings(j setting.Jobs) (jobrun.Settings, error) {
+	without, err := dispatch.ParseMechanisms(j.Without)
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
 			Authority: authority.Settings{Renew: j.Renew, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
 			Lease:     j.Lease, Wait: j.Wait, OrderTimeout: j.OrderTimeout, Gather: j.Gather,
-			KeepEnded: j.KeepEnded, StopGrace: j.StopGrace,
+			KeepEnded: j.KeepEnded, StopGrace: j.StopGrace, Without: without,
 		},
 		Tick: jobTick, ReadWait: claimsWait, WorkersEvery: workersEvery, CallTimeout: logCall,
 		OrderTimeout: j.OrderTimeout, PeerTimeout: j.PeerTimeout,
-	}
+	}, err
 }
 
 // newPlatform returns the calls to the platform. The log has a client of its
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -33,6 +33,8 @@
 	PeerTimeout time.Duration `yaml:"peer_timeout"`
 	// StopGrace is how long a stopping box still passes calls on.
 	StopGrace time.Duration `yaml:"stop_grace"`
+	// Without names parts of the policy that are switched off.
+	Without []string `yaml:"without"`
 }
 
 // defaultJobs returns what holds for settings that are not given.
@@ -41,7 +43,7 @@
 		Ready: "127.0.0.1:8083", Lease: 6 * time.Second, Wait: time.Second,
 		Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
 		Gather: 12 * time.Millisecond, KeepEnded: 150 * time.Second,
-		OrderTimeout: 300 * time.Millisecond, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond,
+		OrderTimeout: 300 * time.Millisecond, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond, Without: []string{},
 	}
 }
 
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -52,7 +52,7 @@
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
 	class := adviceClass{queue: s.job.queue, late: h.rank(now, s).tier != onTime}
-	if !h.advisers.turnOf(now, class, takes) {
+	if h.uses(DividedAdvice) && !h.advisers.turnOf(now, class, takes) {
 		return nil
 	}
 	patience := time.Duration(0)
@@ -82,7 +82,7 @@
 // adviseEarly asks for the first steps of a job while the log takes it in.
 func (h *holding) adviseEarly(now time.Time, j *submitted) {
 	q := h.queueOf(j)
-	if q.Advice == nil {
+	if q.Advice == nil || !h.uses(EarlyAdvice) {
 		return
 	}
 	p := h.earlyPass(now)
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -197,7 +197,7 @@
 // startUnsure keeps the place of a start of which it is not known whether it was
 // carried out. The worker's next report tells.
 func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
-	if answer.Fate == order.Unknown && a.state == starting && a.tries < startTries && !a.step.job.state.Final() {
+	if h.uses(RepeatedStarts) && answer.Fate == order.Unknown && a.state == starting && a.tries < startTries && !a.step.job.state.Final() {
 		h.orderStart(now, a)
 		return
 	}
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -23,9 +23,14 @@
 func serving(t *testing.T, seed int64, boxes, workers int) *world {
 	t.Helper()
 	w := newWorld(t, seed, boxes, workers)
+	w.serves()
+	return w
+}
+
+// serves waits until a box serves the cell's jobs.
+func (w *world) serves() {
 	w.until(5*time.Second, "a box holds the cell", func() bool { return w.holder() != nil })
 	w.run(time.Second)
-	return w
 }
 
 func TestAGangCountsOnceWhenAllItsMembersEndWell(t *testing.T) {
@@ -382,8 +387,20 @@
 	}
 }
 
-func randomWorld(t *testing.T, seed int64) {
-	w := serving(t, seed, 3, 8)
+func randomWorld(t *testing.T, seed int64) { randomWorldWithout(t, seed) }
+
+// randomWorldWithout plays a random world whose boxes do without some mechanisms.
+func randomWorldWithout(t *testing.T, seed int64, without ...dispatch.Mechanism) {
+	w := newWorld(t, seed, 3, 8)
+	w.without = map[dispatch.Mechanism]bool{}
+	for _, m := range without {
+		w.without[m] = true
+	}
+	for _, b := range w.boxes {
+		b.kill()
+		b.start()
+	}
+	w.serves()
 	w.lateShare = []float64{0, 0, 0.05}[w.rng.Intn(3)]
 	for i := range 40 {
 		w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, func() {
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -188,7 +188,7 @@
 
 // suspect excludes a worker on which one job after another fails.
 func (h *holding) suspect(now time.Time, w *worker, id job.ID) {
-	if w.lastFailed == id {
+	if w.lastFailed == id || !h.uses(Exclusion) {
 		return
 	}
 	w.lastFailed = id
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -35,7 +35,7 @@
 // they are empty, if not too many are kept like that already.
 func (h *holding) drain(p *pass, s *step, open []*worker) {
 	kept, ok := keepEmptied(s, open)
-	if !ok || p.drained+len(kept) > max(len(kept), len(h.workers)/drainedShare) || p.drained > 0 && len(h.workers) < drainedShare {
+	if !ok || !h.uses(Draining) || p.drained+len(kept) > max(len(kept), len(h.workers)/drainedShare) || p.drained > 0 && len(h.workers) < drainedShare {
 		return
 	}
 	p.drained += len(kept)
@@ -57,6 +57,9 @@
 // drainSoonest keeps other tasks off the workers that will be empty first, one for each
 // waiting task of a step, if not too many are kept already.
 func (h *holding) drainSoonest(p *pass, r ranked) {
+	if !h.uses(Draining) {
+		return
+	}
 	s := r.step
 	open := h.openWorkers(p, r)
 	emptyIn := make(map[*worker]time.Duration, len(open))
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -110,6 +110,9 @@
 	if _, shared := w.besideFillers(); shared {
 		wait = min(servingWait, wait)
 	}
+	if !h.uses(ShortLooks) {
+		return wait
+	}
 	for _, a := range w.attempts {
 		if !a.step.spec.Service {
 			wait = min(wait, max(leastLookWait, time.Duration(lookShare*float64(h.usual(a.step)))))
--- /dev/null
+++ b/services/dispatch/mechanism.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Mechanism is a part of the policy that can be switched off, so that what it is
+// worth can be measured.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// LearnedTimes expects steps to take what their like took, not what was estimated.
+	LearnedTimes Mechanism = "learned-times"
+	// SlowWorkers leaves slow workers to tasks in no hurry.
+	SlowWorkers Mechanism = "slow-workers"
+	// Reservations keeps room for gangs that cannot start at once.
+	Reservations Mechanism = "reservations"
+	// Draining keeps workers free for tasks that need much of one.
+	Draining Mechanism = "draining"
+	// Preemption stops tasks for steps that rank higher.
+	Preemption Mechanism = "preemption"
+	// SparedTasks leaves tasks alone that end soon or have just resumed.
+	SparedTasks Mechanism = "spared-tasks"
+	// RemainingWork judges whether a running step is late by the rest of its work.
+	RemainingWork Mechanism = "remaining-work"
+	// EarlyAdvice asks for advice while the log takes a job in.
+	EarlyAdvice Mechanism = "early-advice"
+	// DividedAdvice divides calls for advice evenly between queues.
+	DividedAdvice Mechanism = "divided-advice"
+	// RepeatedStarts sends a start again that has no answer.
+	RepeatedStarts Mechanism = "repeated-starts"
+	// OwedAnswers gives no starts to a worker that owes answers.
+	OwedAnswers Mechanism = "owed-answers"
+	// ShortLooks has looks wait no longer than the shortest task allows.
+	ShortLooks Mechanism = "short-looks"
+	// MovedRuns moves runs that stand still.
+	MovedRuns Mechanism = "moved-runs"
+	// Exclusion leaves workers out on which different jobs fail.
+	Exclusion Mechanism = "exclusion"
+)
+
+// Mechanisms lists all.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		LearnedTimes, SlowWorkers, Reservations, Draining, Preemption, SparedTasks, RemainingWork, EarlyAdvice,
+		DividedAdvice, RepeatedStarts, OwedAnswers, ShortLooks, MovedRuns, Exclusion,
+	}
+}
+
+// ParseMechanisms returns the set of mechanisms with some names.
+func ParseMechanisms(names []string) (map[Mechanism]bool, error) {
+	set := map[Mechanism]bool{}
+	for _, name := range names {
+		m := Mechanism(name)
+		if !slices.Contains(Mechanisms(), m) {
+			return nil, fmt.Errorf("there is no mechanism %q; there are %v", name, Mechanisms())
+		}
+		set[m] = true
+	}
+	return set, nil
+}
+
+// uses says whether a mechanism is not switched off.
+func (h *holding) uses(m Mechanism) bool { return !h.core.settings.Without[m] }
--- /dev/null
+++ b/services/dispatch/mechanism_test.go
@@ -0,0 +1,42 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMechanismsHaveNames(t *testing.T) {
+	var names []string
+	for _, m := range dispatch.Mechanisms() {
+		names = append(names, string(m))
+	}
+	all, err := dispatch.ParseMechanisms(names)
+	assert.NilError(t, err)
+	assert.Equal(t, len(all), len(names))
+	_, err = dispatch.ParseMechanisms([]string{"draining", "nothing"})
+	assert.ErrorContains(t, err, `"nothing"`)
+	example, err := os.ReadFile("../../custom/conf/saddlevaned.example.yaml")
+	assert.NilError(t, err)
+	for _, name := range names {
+		assert.Check(t, strings.Contains(string(example), name), "the example file does not name %s", name)
+	}
+}
+
+// TestWorldsWithoutEachMechanism holds that what is switched off to be measured is
+// policy only: no promise rests on it.
+func TestWorldsWithoutEachMechanism(t *testing.T) {
+	for i, m := range dispatch.Mechanisms() {
+		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
+			randomWorldWithout(t, int64(700+i), m)
+		})
+	}
+}
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -197,13 +197,13 @@
 // start again and still be on time.
 func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
 	s := a.step
-	if a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
+	if !h.uses(Preemption) || a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
 		return false
 	}
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
 		return false
 	}
-	if a.resumed && p.now.Sub(a.since) < resumedWorks || h.remaining(p.now, a) < h.learned.stopTime+endsSoon {
+	if h.uses(SparedTasks) && (a.resumed && p.now.Sub(a.since) < resumedWorks || h.remaining(p.now, a) < h.learned.stopTime+endsSoon) {
 		return false
 	}
 	v := h.rank(p.now, s)
--- a/services/dispatch/remaining.go
+++ b/services/dispatch/remaining.go
@@ -13,7 +13,7 @@
 // all at work only what remains of it. Counted whole, a step would be taken for late,
 // and give way to others, while it is about to end on time.
 func (h *holding) leftNow(now time.Time, s *step) time.Duration {
-	if s.waiting > 0 || s.attempts == 0 || s.spec.Service {
+	if !h.uses(RemainingWork) || s.waiting > 0 || s.attempts == 0 || s.spec.Service {
 		return s.left
 	}
 	longest := time.Duration(0)
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -151,6 +151,9 @@
 
 // usual returns what steps of a step's queue with its estimate usually take.
 func (h *holding) usual(s *step) time.Duration {
+	if !h.uses(LearnedTimes) {
+		return s.spec.Estimate.Duration()
+	}
 	return h.learned.timesOf(s.job.queue).expect(s.spec.Estimate.Duration())
 }
 
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -25,6 +25,8 @@
 	KeepEnded time.Duration
 	// StopGrace is how long a stopping process still serves.
 	StopGrace time.Duration
+	// Without names the parts of the policy that are switched off.
+	Without map[Mechanism]bool
 }
 
 const (
--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -60,6 +60,9 @@
 // slownessOf returns how slow a worker is among all.
 func (h *holding) slownessOf(now time.Time, w *worker) slowness {
 	p := &w.speed
+	if !h.uses(SlowWorkers) {
+		return usual
+	}
 	if p.seen < fewSlowTasks || now.Sub(p.lastAt) > speedFor {
 		return usual
 	}
--- a/services/dispatch/stall.go
+++ b/services/dispatch/stall.go
@@ -50,6 +50,9 @@
 // elsewhere, and leaves the worker out. A gang is stopped if all its members stand
 // still.
 func (h *holding) moveStalled(now time.Time, w *worker) {
+	if !h.uses(MovedRuns) {
+		return
+	}
 	for _, a := range w.sorted() {
 		if !h.standsStill(a) || a.step.spec.Gang && !h.gangStandsStill(a.step) {
 			continue
--- a/services/dispatch/turns_test.go
+++ b/services/dispatch/turns_test.go
@@ -60,8 +60,7 @@
 			b.kill()
 			b.start()
 		}
-		w.until(5*time.Second, "a box holds the cell", func() bool { return w.holder() != nil })
-		w.run(time.Second)
+		w.serves()
 		// More gangs than the boxes can ask about, and than the workers hold.
 		for i := range 80 {
 			w.after(time.Duration(i)*300*time.Millisecond, func() { w.submit(gang(fmt.Sprintf("gang%d", i))) })
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -120,7 +120,7 @@
 // takes says whether new tasks may be started on the worker.
 func (h *holding) takes(now time.Time, w *worker) bool {
 	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
-		now.Sub(w.answeredAt) < h.core.settings.Wait+silentAfter && !now.Before(w.excludedTill) && !w.owes(now)
+		now.Sub(w.answeredAt) < h.core.settings.Wait+silentAfter && !now.Before(w.excludedTill) && !(h.uses(OwedAnswers) && w.owes(now))
 }
 
 // owes says whether a worker has not answered the starts that it was given.
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -94,6 +94,8 @@
 	broken []string
 	// alone counts ends of gangs that started incomplete.
 	alone int
+	// without is what the boxes' policy does without.
+	without map[dispatch.Mechanism]bool
 	// adviserFree is when the advice service has answered all calls of a box.
 	adviserFree map[string]time.Time
 	// starts counts the starts of each task.
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -42,7 +42,9 @@
 	b.nextClaim, b.nextMember = 0, 0
 	b.calls = map[dispatch.CallID]func(dispatch.Answer){}
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.life), Domain: "a", Address: b.name, Size: 1 + b.size}
-	b.core = dispatch.New(settings(), self)
+	s := settings()
+	s.Without = b.w.without
+	b.core = dispatch.New(s, self)
 	b.post(dispatch.ConfigRead{Config: b.w.config})
 	b.tick(b.life)
 	b.poll(b.life)
