dispatch: reservations cannot be switched off

Cause: TestWorldsWithoutEachMechanism, without them: a gang asks for its tickets only while it has room reserved, so one whose tickets have run out would wait for ever. They are no choice of policy.

--- a/services/dispatch/mechanism.go
+++ b/services/dispatch/mechanism.go
@@ -18,8 +18,6 @@
 	LearnedTimes Mechanism = "learned-times"
 	// SlowWorkers leaves slow workers to tasks in no hurry.
 	SlowWorkers Mechanism = "slow-workers"
-	// Reservations keeps room for gangs that cannot start at once.
-	Reservations Mechanism = "reservations"
 	// Draining keeps workers free for tasks that need much of one.
 	Draining Mechanism = "draining"
 	// Preemption stops tasks for steps that rank higher.
@@ -47,7 +45,7 @@
 // Mechanisms lists all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		LearnedTimes, SlowWorkers, Reservations, Draining, Preemption, SparedTasks, RemainingWork, EarlyAdvice,
+		LearnedTimes, SlowWorkers, Draining, Preemption, SparedTasks, RemainingWork, EarlyAdvice,
 		DividedAdvice, RepeatedStarts, OwedAnswers, ShortLooks, MovedRuns, Exclusion,
 	}
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -38,7 +38,7 @@
 
 // mayReserve says whether one more gang may reserve room.
 func (h *holding) mayReserve() bool {
-	return h.uses(Reservations) && h.reserved < gangsReserving+len(h.workers)/workersPerGang
+	return h.reserved < gangsReserving+len(h.workers)/workersPerGang
 }
 
 // reserve keeps room for a waiting gang: what is free, what is ending and, where
