dispatch: a task that failed is tried on another worker

Hypothesis: a worker that fails all that it runs is often the fullest that has room right after a failure, so a task of a queue with two attempts fails there twice and its job with it. Change: workers on which a task of the step has failed come last.

--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -85,6 +85,7 @@
 		h.taskDone(now, s, end)
 	case end.How == order.Failed:
 		h.suspect(now, w, s.job.id)
+		s.failsOn(w)
 		h.taskFailed(now, s, end)
 	default:
 		h.gangBroke(now, s)
@@ -186,6 +187,15 @@
 	}
 }
 
+// failsOn notes that a task of a step has failed on a worker, so that the next try is
+// made on another if there is one: whose fault it was is not known.
+func (s *step) failsOn(w *worker) {
+	if s.failedOn == nil {
+		s.failedOn = map[*worker]bool{}
+	}
+	s.failedOn[w] = true
+}
+
 // suspect excludes a worker on which one job after another fails.
 func (h *holding) suspect(now time.Time, w *worker, id job.ID) {
 	if w.lastFailed == id || !h.uses(Exclusion) {
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -21,6 +21,8 @@
 // against it, in this order.
 type candidate struct {
 	share
+	// failed is 1 if a task of the step has failed on the worker.
+	failed int
 	// far is 1 if the worker is not near the step's data.
 	far int
 	// slowness is how slow the worker is, as far as that matters to the step.
@@ -33,9 +35,10 @@
 }
 
 // fit chooses workers for a step's waiting tasks, and returns for how many of them
-// they have room: those near its data first, then those that are not slow, then
-// those whose room no step of higher rank waits for, then those whose tickets are
-// valid, then the fullest that have room, so that large holes stay whole.
+// they have room: those on which none of its tasks has failed first, then those near
+// its data, then those that are not slow, then those whose room no step of higher rank
+// waits for, then those whose tickets are valid, then the fullest that have room, so
+// that large holes stay whole.
 func (h *holding) fit(now time.Time, s *step, suited []*worker) ([]share, int) {
 	open := h.candidates(now, s, suited)
 	slices.SortFunc(open, candidate.compare)
@@ -86,6 +89,9 @@
 // candidate returns what speaks against a worker that has room for n tasks.
 func (s *step) candidate(now time.Time, w *worker, n int) candidate {
 	c := candidate{share: share{w, n}, far: s.far(w), left: w.room().Processors}
+	if s.failedOn[w] {
+		c.failed = 1
+	}
 	if w.keptFor != nil && w.keptFor != s {
 		c.kept = 1
 	}
@@ -99,7 +105,7 @@
 // that the same candidates always have the same order.
 func (c candidate) compare(o candidate) int {
 	return cmp.Or(
-		cmp.Compare(c.far, o.far), cmp.Compare(c.slowness, o.slowness), cmp.Compare(c.kept, o.kept),
+		cmp.Compare(c.failed, o.failed), cmp.Compare(c.far, o.far), cmp.Compare(c.slowness, o.slowness), cmp.Compare(c.kept, o.kept),
 		cmp.Compare(c.unticketed, o.unticketed), cmp.Compare(c.left, o.left), cmp.Compare(c.worker.ID, o.worker.ID),
 	)
 }
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -80,6 +80,8 @@
 	widenAgain time.Time
 	// preemptedAt is when tasks to stop for it were last looked for.
 	preemptedAt time.Time
+	// failedOn has the workers on which a task of it has failed.
+	failedOn map[*worker]bool
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
