--- /dev/null
+++ b/services/dispatch/choice.go
@@ -0,0 +1,98 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"saddlevane/models/resource"
+)
+
+const (
+	// gangChoice is for how many times its tasks a gang is to know workers, so that
+	// it need not wait for particular ones, and gangChoiceGrows how much that is
+	// more for each second for which it has waited.
+	gangChoice      = 2
+	gangChoiceGrows = 0.5
+	// gangChoiceMost bounds gangChoice as it grows, gangChoiceRoomy while much of the
+	// workers' room is free: nobody else needs the advice then.
+	gangChoiceMost  = 3.5
+	gangChoiceRoomy = 12
+	// widenEvery is the time between two looks whether a gang knows enough workers.
+	widenEvery = 200 * time.Millisecond
+)
+
+// slotsOfEmpty returns how many tasks of a step an empty worker takes.
+func (s *step) slotsOfEmpty(capacity resource.Vector) int {
+	n := fits(s.spec.Reserved(), capacity)
+	if s.spec.PerWorker > 0 {
+		n = min(n, s.spec.PerWorker)
+	}
+	return n
+}
+
+// largestCapacity returns the capacity of the worker with most processors.
+func (h *holding) largestCapacity() resource.Vector {
+	most := resource.Vector{}
+	for _, w := range h.byName() {
+		if w.Capacity.Processors > most.Processors {
+			most = w.Capacity
+		}
+	}
+	return most
+}
+
+// choice returns for how many tasks a gang is to know room on workers.
+func (s *step) choice(now time.Time, roomy bool) float64 {
+	times := float64(gangChoice)
+	if !s.openedAt.IsZero() {
+		times += gangChoiceGrows * max(0, now.Sub(s.openedAt).Seconds())
+	}
+	most := gangChoiceMost
+	if roomy {
+		most = gangChoiceRoomy
+	}
+	return min(times, most) * float64(len(s.tasks))
+}
+
+// missing returns for how many of some tasks there is no room yet on candidates that
+// are known to suit, if they were empty, or are asked about now, of which a share
+// should be good.
+func (s *step) missing(tasks float64, candidates []*worker, good float64) float64 {
+	for _, w := range candidates {
+		slots := float64(s.slotsOfEmpty(w.Capacity))
+		switch suits, known := s.advice.suits[w]; {
+		case known && suits:
+			tasks -= slots
+		case !known && s.advice.awaited(w):
+			tasks -= slots * good
+		}
+	}
+	return tasks
+}
+
+// widenChoice asks about more workers for a gang until those known to suit, and
+// those that will be by the answers under way, could hold its tasks a few times
+// over. A gang that has waited asks for a wider choice.
+func (h *holding) widenChoice(now time.Time, r ranked, candidates []*worker, roomy bool) {
+	s := r.step
+	if now.Before(s.widenAgain) {
+		return
+	}
+	s.widenAgain = now.Add(widenEvery)
+	good := h.learned.goodShare(r.queue.Name)
+	missing := s.missing(s.choice(now, roomy), candidates, good)
+	if missing <= 0 {
+		return
+	}
+	if r.queue.Advice.Base <= shortCall {
+		h.askForRoom(now, r, candidates)
+		return
+	}
+	each := float64(max(1, s.slotsOfEmpty(h.largestCapacity()))) * good
+	unknown := s.roomiest(candidates)
+	wanted := max(namedAtLeast(r.queue.Advice), int(math.Ceil(missing/each)))
+	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -6,7 +6,7 @@
 // others pass calls on to it. The reducer is told each event with the present
 // time and returns what to do; it does no I/O and reads no clock.
 //
-// Core is what every process has; claim, stop, outage and move decide who holds
+// Core is what every process has; claim, handover, outage and move decide who holds
 // the cell. A holding is what the holder has besides:
 //
 //   - load reads what earlier holders kept, journal and confirm keep what is new;
@@ -16,12 +16,16 @@
 //   - plan ranks the open steps (rank) and places their tasks (placement, fit,
 //     room); where there is no room it stops tasks of lower rank (preempt), reserves
 //     room for a gang (reserve) or keeps workers for it until they are empty (keep);
-//   - ask, advice and advisers ask which workers suit a step;
+//   - ask and choice decide whom to ask which workers suit a step, advice and advisers
+//     carry the calls, turns divides them between queues;
 //   - learn, runtimes and speed hold what answers and ends have shown: how many
-//     workers suit, how long steps take, and which workers are slow;
-//   - attempts, reports and ends follow the tasks on their workers, throttle sets
-//     the pace of those that fill idle processors;
-//   - workers, listing and lease follow the workers themselves.
+//     workers suit, how long steps take, and which workers are slow; remaining says
+//     how much of a step is left;
+//   - attempts, starts, stops, reports and ends follow the tasks on their workers, stall
+//     moves those that stand still, throttle sets the pace of those that fill idle
+//     processors;
+//   - workers, listing and lease follow the workers themselves;
+//   - delay tells what made jobs late, mechanism what can be switched off.
 package dispatch
 
 import (
--- a/services/dispatch/silent_test.go
+++ b/services/dispatch/silent_test.go
@@ -113,3 +113,10 @@
 	})
 	w.check()
 }
+
+func TestAStartIsNotSentAgainWithoutAuthority(t *testing.T) {
+	d := oneWorker(t)
+	first := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.later(settings().Authority.HoldFor)
+	assert.Equal(t, len(only[dispatch.StartRun](d.unanswered(first))), 0)
+}
--- /dev/null
+++ b/services/dispatch/starts.go
@@ -0,0 +1,153 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// start orders a worker to run a task.
+func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
+	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks, pace: fullPace}
+	h.place(a)
+	a.task().began(now)
+	saved := a.task().saved
+	if s.spec.Gang {
+		saved = s.gangSaved()
+	}
+	a.resumed = saved != ""
+	a.checkpoint, a.ticket = saved, ticket
+	if w.owesSince.IsZero() {
+		w.owesSince = now
+	}
+	h.orderStart(now, a)
+}
+
+// orderStart sends the order to start an attempt, for the first time or again.
+func (h *holding) orderStart(now time.Time, a *attempt) {
+	a.tries++
+	w := a.worker
+	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
+		Run: a.name(), Spec: a.step.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
+		Checkpoint: a.checkpoint, Ticket: a.ticket,
+	}})
+}
+
+// gangSaved returns a checkpoint that all members of a gang can resume from.
+func (s *step) gangSaved() string {
+	for i := range s.tasks {
+		if s.tasks[i].saved != "" {
+			return s.tasks[i].saved
+		}
+	}
+	return ""
+}
+
+// startEnded takes the end of a start's call.
+func (h *holding) startEnded(now time.Time, e StartEnded) {
+	w := h.workers[e.Worker]
+	if w == nil || e.Epoch != h.epoch {
+		return
+	}
+	if e.Answer.Fate == order.NoLife {
+		h.workerDied(now, w, otherLife)
+		return
+	}
+	if e.Answer.Fate != order.Unknown {
+		w.owesSince = time.Time{}
+	}
+	a := w.attempts[e.Run]
+	if a == nil {
+		return
+	}
+	a.confirmed = a.confirmed && a.state == stopping
+	if a.tries > 1 && e.Answer.Fate != order.Carried && e.Answer.Reason != order.Fenced {
+		// An earlier order may have been carried out, or may be yet.
+		h.startUnsure(now, a, e.Answer)
+		return
+	}
+	switch e.Answer.Fate {
+	case order.Carried:
+		if a.state == starting {
+			a.state = running
+			h.mark(now, a)
+		}
+		h.started(a)
+	case order.Refused:
+		h.startRefused(now, a, e.Answer)
+	case order.NotDone:
+		w.excludedTill = maxTime(w.excludedTill, now.Add(notDoneFor))
+		h.lose(now, a, "the worker did nothing: "+e.Answer.Problem)
+	default:
+		h.startUnsure(now, a, e.Answer)
+	}
+}
+
+// startTries is how often a start is sent that has no answer. Mostly the answer, or
+// the order alone, was lost, and a worker that has the run already says so.
+const startTries = 4
+
+// notDoneFor is how long a worker that did nothing gets no starts.
+const notDoneFor = 500 * time.Millisecond
+
+// mayTryAgain says whether the order to start an attempt may be sent again. It sets
+// the worker's lease, which takes authority.
+func (h *holding) mayTryAgain(now time.Time, a *attempt) bool {
+	return h.uses(RepeatedStarts) && a.state == starting && a.tries < startTries && !a.step.job.state.Final() && h.mayRenew(now)
+}
+
+// startUnsure keeps the place of a start of which it is not known whether it was
+// carried out. The worker's next report tells.
+func (h *holding) startUnsure(now time.Time, a *attempt, answer order.Answer) {
+	if h.mayTryAgain(now, a) && answer.Fate == order.Unknown {
+		h.orderStart(now, a)
+		return
+	}
+	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
+		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
+	if a.state != starting {
+		return
+	}
+	a.state = unsure
+	a.task().interrupted(delayUnsure)
+	h.mark(now, a)
+	h.gangBroke(now, a.step)
+}
+
+// startRefused acts on why a worker refused a start.
+func (h *holding) startRefused(now time.Time, a *attempt, answer order.Answer) {
+	h.core.note("a start was refused", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
+		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"reason", string(answer.Reason)})
+	switch answer.Reason {
+	case order.Fenced:
+		h.core.stepDown(laterHolder)
+		return
+	case order.BadTicket:
+		a.step.advice.dropTicket(a.worker)
+	case order.OldRun:
+		// The run has ended there; its end, if it is not known, is still to come.
+	default:
+		a.step.notBefore = now.Add(refusedWait)
+	}
+	h.lose(now, a, "refused: "+string(answer.Reason))
+}
+
+// refusedWait delays a step after a start was refused for no reason that can be
+// mended at once.
+const refusedWait = 50 * time.Millisecond
+
+// started notes that some task of a job is, or was, at work.
+func (h *holding) started(a *attempt) {
+	j := a.step.job
+	j.started = true
+	if j.state == job.Queued {
+		j.state = job.Running
+	}
+	if j.shown == job.Queued {
+		j.shown = job.Running
+	}
+}
