--- a/cmd/saddlevane-bench/jobcell.go
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -100,7 +100,7 @@
 }
 
 // newJobCell returns a cell whose box is about to take it over.
-func newJobCell(mix jobMix, seed int64) *jobCell {
+func newJobCell(mix jobMix, seed int64, without map[dispatch.Mechanism]bool) *jobCell {
 	c := &jobCell{
 		mix: mix, rng: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*cellWorker{}, advising: map[string]time.Time{}, jobs: map[job.ID]*cellJob{},
@@ -112,6 +112,7 @@
 	c.core = dispatch.New(dispatch.Settings{
 		Authority: authority.Settings{Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
 		Lease:     cellLease, Wait: renewWait, OrderTimeout: time.Second, Gather: gatherTime, KeepEnded: time.Minute, StopGrace: time.Second,
+		Without: without,
 	}, claim.Member{Box: "box-00", Incarnation: "1", Address: "box-00", Size: 1000})
 	c.begin()
 	return c
--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"saddlevane/models/resource"
+	"saddlevane/services/dispatch"
 )
 
 // jobOptions say what the bench of submitted jobs plays.
@@ -24,6 +25,8 @@
 	load float64
 	// seeds is how many runs are made of each cell.
 	seeds int
+	// without names parts of the policy that are switched off, separated by commas.
+	without string
 	// profile is a file for a profile of the processor time, or empty.
 	profile string
 }
@@ -38,8 +41,12 @@
 
 // benchJobs plays what callers submit against the reducer alone, in virtual time.
 func benchJobs(out io.Writer, o jobOptions) error {
+	without, err := dispatch.ParseMechanisms(strings.FieldsFunc(o.without, func(r rune) bool { return r == ',' }))
+	if err != nil {
+		return fmt.Errorf("-without: %w", err)
+	}
 	if o.profile == "" {
-		printJobs(out, o)
+		printJobs(out, o, without)
 		return nil
 	}
 	f, err := os.Create(o.profile)
@@ -51,12 +58,12 @@
 		return err
 	}
 	defer pprof.StopCPUProfile()
-	printJobs(out, o)
+	printJobs(out, o, without)
 	return nil
 }
 
 // printJobs plays the cells and prints what came of the jobs.
-func printJobs(out io.Writer, o jobOptions) {
+func printJobs(out io.Writer, o jobOptions, without map[dispatch.Mechanism]bool) {
 	fmt.Fprintf(out, "Submitted jobs against the reducer, virtual time: %v of jobs at %.1f times the load, nothing fails.\n\n", jobsFor, o.load)
 	fmt.Fprintln(out, "| cell | seed | kind | jobs | on time | late | never or later | p50 | p99 |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -66,7 +73,7 @@
 			continue
 		}
 		for seed := range o.seeds {
-			c := playJobs(mix, int64(seed+1), o.load)
+			c := playJobs(mix, int64(seed+1), o.load, without)
 			c.table(out, seed+1)
 			totals = append(totals, c.totals(seed+1))
 		}
@@ -79,8 +86,8 @@
 }
 
 // playJobs plays one run.
-func playJobs(mix jobMix, seed int64, load float64) *jobCell {
-	c := newJobCell(mix, seed)
+func playJobs(mix jobMix, seed int64, load float64, without map[dispatch.Mechanism]bool) *jobCell {
+	c := newJobCell(mix, seed, without)
 	begin := c.now.Add(settleTime)
 	c.run(begin)
 	number := 0
--- a/cmd/saddlevane-bench/jobworker.go
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -35,10 +35,20 @@
 type cellRun struct {
 	order.Run
 	since time.Time
+	// lasts is how long its work takes on its worker.
+	lasts time.Duration
 	step  *job.Step
 	ends  bool
 }
 
+// mostProgress is the progress, in percent, of a run that is about to end.
+const mostProgress = 99
+
+// progress returns how much of a run's work is done, in percent.
+func (r *cellRun) progress(now time.Time) int {
+	return min(mostProgress, int(100*now.Sub(r.since)/max(1, r.lasts)))
+}
+
 func workerName(i int) string { return fmt.Sprintf("w-%03d", i) }
 
 func newCellWorker(c *jobCell, i int) *cellWorker {
@@ -81,7 +91,7 @@
 func (w *cellWorker) report(e dispatch.Renew) {
 	r := order.Report{Clock: order.WorkerClock(w.cell.now.Sub(w.begin).Milliseconds()), Ended: slices.Clone(w.ended)}
 	for _, run := range w.runs {
-		r.Running = append(r.Running, order.Running{Run: run.Run, Progress: 100})
+		r.Running = append(r.Running, order.Running{Run: run.Run, Progress: run.progress(w.cell.now)})
 	}
 	w.cell.back(orderTime, dispatch.RenewEnded{
 		Worker: w.ID, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Carried}, Report: r,
@@ -92,13 +102,15 @@
 // within a few milliseconds, so they begin on their own here.
 func (w *cellWorker) start(e dispatch.StartRun) {
 	j := w.cell.jobs[e.Order.Task.Job]
-	run := &cellRun{Run: e.Order.Run, since: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step]}
+	run := &cellRun{
+		Run: e.Order.Run, since: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step],
+		lasts: time.Duration(w.slowBy * float64(j.work[e.Order.Task.Step])),
+	}
 	w.runs[run.Run] = run
 	w.cell.back(orderTime, dispatch.StartEnded{
 		Worker: w.ID, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Fate: order.Carried},
 	})
-	work := time.Duration(w.slowBy * float64(j.work[e.Order.Task.Step]))
-	w.cell.after(work, func() { w.end(run, order.Done) })
+	w.cell.after(run.lasts, func() { w.end(run, order.Done) })
 }
 
 // stop ends a task within the time that a stop may take.
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -203,9 +203,18 @@
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
 		return false
 	}
-	if h.uses(SparedTasks) && (a.resumed && p.now.Sub(a.since) < resumedWorks || h.remaining(p.now, a) < h.learned.stopTime+endsSoon) {
+	if h.spares(p.now, r, a) {
 		return false
 	}
 	v := h.rank(p.now, s)
 	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (h.slack(p.now, s) > victimSlack || p.roomy)
 }
+
+// spares says whether a task is left alone because a stop would gain little. Not for a
+// gang: it needs much room at once, and what it marks works on until its tickets come.
+func (h *holding) spares(now time.Time, r ranked, a *attempt) bool {
+	if r.step.spec.Gang || !h.uses(SparedTasks) {
+		return false
+	}
+	return a.resumed && now.Sub(a.since) < resumedWorks || h.remaining(now, a) < h.learned.stopTime+endsSoon
+}
