--- a/models/resource/vector.go
+++ b/models/resource/vector.go
@@ -32,6 +32,13 @@
 	return v.Processors <= free.Processors && v.Memory <= free.Memory && v.Accelerators <= free.Accelerators
 }
 
+// Max returns the larger of both in each resource.
+func (v Vector) Max(o Vector) Vector {
+	return Vector{
+		Processors: max(v.Processors, o.Processors), Memory: max(v.Memory, o.Memory), Accelerators: max(v.Accelerators, o.Accelerators),
+	}
+}
+
 // IsZero says whether v is nothing.
 func (v Vector) IsZero() bool { return v == Vector{} }
 
--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -166,16 +166,9 @@
 // usualObjective returns the time within which an instance was wanted whose steps
 // had taken what they usually take.
 func (h *holding) usualObjective(in *instance, q job.Queue) time.Duration {
-	left := make([]time.Duration, len(in.steps))
 	longest := time.Duration(0)
-	for i := len(in.steps) - 1; i >= 0; i-- {
-		for later := i + 1; later < len(in.steps); later++ {
-			if slices.Contains(in.steps[later].spec.After, i) {
-				left[i] = max(left[i], left[later])
-			}
-		}
-		left[i] += h.usual(in.steps[i])
-		longest = max(longest, left[i])
+	for i, after := range workAfter(in.steps, h.usual) {
+		longest = max(longest, after+h.usual(in.steps[i]))
 	}
 	return time.Duration(q.Stretch*float64(longest)) + q.Latency
 }
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"saddlevane/models/job"
@@ -54,16 +53,22 @@
 
 // chains sets how much work follows each step.
 func (h *holding) chains(steps []*step) {
+	for i, after := range workAfter(steps, h.expect) {
+		steps[i].after = after
+		steps[i].left = after + h.expect(steps[i])
+	}
+}
+
+// workAfter returns the longest chain of work after each step, if steps take some time.
+func workAfter(steps []*step, takes func(*step) time.Duration) []time.Duration {
+	after := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		longest := time.Duration(0)
-		for _, later := range steps[i+1:] {
-			if slices.Contains(later.spec.After, i) {
-				longest = max(longest, later.left)
-			}
+		work := after[i] + takes(steps[i])
+		for _, before := range steps[i].spec.After {
+			after[before] = max(after[before], work)
 		}
-		steps[i].after = longest
-		steps[i].left = longest + h.expect(steps[i])
 	}
+	return after
 }
 
 // chain returns the longest chain of an instance's work.
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -48,11 +48,9 @@
 // two of them do not fit one worker.
 const largeShare = 2
 
-// isLarge says whether a worker has room for only one of a step's tasks at a time, so
+// large says whether a worker has room for only one of a step's tasks at a time, so
 // that they find none while smaller tasks come and go.
-func (h *holding) isLarge(s *step) bool {
-	return fits(s.spec.Reserved(), h.largestCapacity()) < largeShare
-}
+func (set *workerSet) large(s *step) bool { return fits(s.spec.Reserved(), set.largest) < largeShare }
 
 // drainSoonest keeps other tasks off the workers that will be empty first, one for each
 // waiting task of a step, if not too many are kept already.
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -21,7 +21,7 @@
 	if s.spec.Gang {
 		return h.placeGang(p, r, set)
 	}
-	if s.advice.asking() || r.queue.Advice != nil && h.isLarge(s) && h.askForRoom(p.now, r, set.workers) {
+	if s.advice.asking() || r.queue.Advice != nil && set.large(s) && h.askForRoom(p.now, r, set.workers) {
 		// Which workers suit large tasks must be known before one of them is empty, so
 		// that it is kept for them.
 		return true
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -68,7 +68,7 @@
 // kept free for tasks that share theirs with few others.
 func (h *holding) missed(p *pass, r ranked) {
 	if !r.step.spec.Gang {
-		if !h.makeWay(p, r) && r.tier == onTime && h.isLarge(r.step) {
+		if !h.makeWay(p, r) && r.tier == onTime && h.workersFor(p, r.step, r.queue.Pool).large(r.step) {
 			h.drainSoonest(p, r)
 		}
 		return
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -16,8 +16,8 @@
 // workerSet is the workers for one key, as they were when the pass began.
 type workerSet struct {
 	workers []*worker
-	// most bounds the room of each of them in each resource.
-	most resource.Vector
+	// most bounds the room of each of them in each resource, largest their capacity.
+	most, largest resource.Vector
 }
 
 // workersFor returns the workers that may run a step, advice aside.
@@ -32,10 +32,8 @@
 			continue
 		}
 		set.workers = append(set.workers, w)
-		room := w.room()
-		set.most.Processors = max(set.most.Processors, room.Processors)
-		set.most.Memory = max(set.most.Memory, room.Memory)
-		set.most.Accelerators = max(set.most.Accelerators, room.Accelerators)
+		set.most = set.most.Max(w.room())
+		set.largest = set.largest.Max(w.Capacity)
 	}
 	p.sets[key] = set
 	return set
