dispatch: a planned stop under load hands the cell over once no caller waits for the log

What waits besides callers is not lost: workers tell of ends until the log has them.

TestAPlannedStopUnderLoadDoesNotWaitForEnds: not within 0.6 s before, within it now.

--- a/services/dispatch/handover.go
+++ b/services/dispatch/handover.go
@@ -18,12 +18,14 @@
 	}
 }
 
-// stopOn hands the cell over once nothing waits for the log.
+// stopOn hands the cell over once no caller waits for the log. What else waits is not
+// lost: workers tell of ends until the log has them. Waiting for that too, a holder under
+// load would never be done, and went on refusing callers for half of its grace.
 func (c *Core) stopOn(now time.Time) {
 	if !c.authority.Stopping() || c.stopDone {
 		return
 	}
-	if h := c.holding; h != nil && !c.authority.Busy() && (h.journal.idle() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
+	if h := c.holding; h != nil && !c.authority.Busy() && (!h.journal.callersWait() || now.After(c.stopAt.Add(-c.settings.StopGrace/2))) {
 		c.handOver(now)
 	}
 	if now.After(c.stopAt) {
--- /dev/null
+++ b/services/dispatch/handover_test.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saddlevane/services/dispatch"
+)
+
+func TestAPlannedStopUnderLoadDoesNotWaitForEnds(t *testing.T) {
+	w := serving(t, 51, 3, 8)
+	for i := range 120 {
+		s := oneStep(fmt.Sprint("j", i), "quick", 3, false)
+		s.Steps[0].Estimate = 300
+		w.after(time.Duration(i)*25*time.Millisecond, func() { w.submit(s) })
+	}
+	w.run(1500 * time.Millisecond)
+	w.logSlow = 200 * time.Millisecond
+	w.run(500 * time.Millisecond)
+	first := w.holder()
+	first.post(dispatch.Stop{})
+	// Two appends of the journal, at most: one under way, one with jobs that came
+	// before. Half of the grace of the stop is 750 ms.
+	w.until(600*time.Millisecond, "the box has given the cell up", func() bool { return !first.core.Holds(w.now) })
+	w.logSlow = 0
+	w.until(30*time.Second, "the jobs have ended", w.ended)
+	w.check()
+}
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -64,6 +64,15 @@
 	return j.batch == nil && len(j.extra) == 0 && len(j.accepts) == 0 && len(j.dirty) == 0
 }
 
+// callersWait says whether a caller's job or cancellation waits for the log.
+func (j *journal) callersWait() bool {
+	if len(j.accepts) > 0 || slices.ContainsFunc(j.dirty, func(s *submitted) bool { return len(s.waitCancel) > 0 }) {
+		return true
+	}
+	return j.batch != nil && (len(j.batch.accepts) > 0 ||
+		slices.ContainsFunc(j.batch.progress, func(p batched) bool { return len(p.cancels) > 0 }))
+}
+
 // failing says whether the log has not taken an append for a while.
 func (j *journal) failing(now time.Time) bool {
 	if !j.failingSince.IsZero() && now.Sub(j.failingSince) > failingAfter {
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -107,6 +107,8 @@
 	logDown bool
 	// logSilent makes it take appends to the stream of jobs without an answer.
 	logSilent bool
+	// logSlow is how much longer appends take.
+	logSlow time.Duration
 	// answers counts answers to the calls of a test.
 	answers  int
 	logLoses float64
--- a/services/dispatch/worldlog_test.go
+++ b/services/dispatch/worldlog_test.go
@@ -52,7 +52,7 @@
 	}
 	w.after(w.delay(), func() {
 		offset, err := w.apply(e.Append)
-		ended(w.delay(), offset, err)
+		ended(w.logSlow+w.delay(), offset, err)
 	})
 }
 
