--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -176,8 +176,12 @@
 // noteEnded says how a job ended, against when it was wanted, and what delayed it.
 func (h *holding) noteEnded(now time.Time, j *submitted, state job.State, why string) {
 	fields := []Field{
-		{"job", string(j.id)}, {"queue", j.queue}, {"outcome", string(state)}, {"reason", why},
-		{"age", now.Sub(j.acceptedAt).String()}, {"claim", h.epoch},
+		{"job", string(j.id)},
+		{"queue", j.queue},
+		{"outcome", string(state)},
+		{"reason", why},
+		{"age", now.Sub(j.acceptedAt).String()},
+		{"claim", h.epoch},
 	}
 	if in := j.instances[0]; in != nil && state == job.Succeeded && j.submission.Instances() == 1 && !in.steps[0].spec.Service {
 		most := h.usualObjective(in, h.queueOf(j))
