jobrun: a job that may have arrived is never refused; a caller who leaves tells nothing of the holder

Ruled out: jobs that wait for the log when it fails (they are in no append). Change: after a call that may have arrived, an answer that nothing was done is not passed on; a call that ends because its caller leaves neither closes the connection nor has the holder taken for silent.

TestAJobThatMayHaveArrivedIsNeverRefused ('held elsewhere' before, unsure now) and TestACallerWhoLeavesTellsNothingOfTheHolder ('the holder does not answer' before, served now).

--- /dev/null
+++ b/services/jobrun/passed_test.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/stream"
+	"saddlevane/modules/peering"
+	"saddlevane/services/dispatch"
+	"saddlevane/services/jobrun"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+)
+
+// peerCall is how a box answers the call of another.
+type peerCall func() (any, error)
+
+// heldBy has a box follow another that is reached by links and answers calls as the
+// test says.
+func heldBy(t *testing.T, on jobrun.Platform, follower *process, by *resetter, answer peerCall) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	links := peering.New(context.Background(), listener, time.Second,
+		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
+	links.Serve()
+	t.Cleanup(func() { by.reset(); links.Close() })
+	value, err := json.Marshal(claim.Claim{Epoch: 7, Box: "other", Incarnation: "o1", Address: by.via(listener.Addr().String()), Renewal: 1})
+	assert.NilError(t, err)
+	_, err = on.Log.Append(context.Background(), stream.Append{Stream: stream.Claims, Records: []stream.Record{{Key: "holder", Value: value}}})
+	assert.NilError(t, err)
+	until(t, "the box follows the other", func() bool { return !follower.holds() })
+}
+
+func TestAJobThatMayHaveArrivedIsNeverRefused(t *testing.T) {
+	on := platformOf(t)
+	b := start(t, on, "b", io.Discard)
+	served(t, b, jobrun.Request{Submit: submission("first")}, "")
+	var calls atomic.Int32
+	cut := &resetter{t: t}
+	heldBy(t, on.Calls(), b, cut, func() (any, error) {
+		if calls.Add(1) == 1 {
+			// It has the job; its answer is lost with the connection.
+			cut.reset()
+			return nil, nil
+		}
+		return dispatch.Answer{Outcome: dispatch.Elsewhere, Reason: "its authority has run out meanwhile"}, nil
+	})
+	a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("second")})
+	assert.Equal(t, a.Outcome, dispatch.Unsure, "%+v", a)
+	assert.Check(t, calls.Load() > 1, "it is passed on again")
+}
+
+func TestACallerWhoLeavesTellsNothingOfTheHolder(t *testing.T) {
+	on := platformOf(t)
+	b := start(t, on, "b", io.Discard)
+	served(t, b, jobrun.Request{Submit: submission("first")}, "")
+	left := make(chan struct{})
+	var slow atomic.Bool
+	slow.Store(true)
+	heldBy(t, on.Calls(), b, &resetter{t: t}, func() (any, error) {
+		if slow.Swap(false) {
+			<-left
+		}
+		return dispatch.Answer{Outcome: dispatch.OK}, nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	a := b.loop.Serve(ctx, jobrun.Request{Submit: submission("second")})
+	assert.Equal(t, a.Outcome, dispatch.Unsure, "%+v", a)
+	close(left)
+	a = b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("third")})
+	assert.Equal(t, a.Outcome, dispatch.OK, "%+v", a)
+}
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -102,6 +103,7 @@
 	if p.silent(address) {
 		return p.unreached("the holder does not answer")
 	}
+	began := p.loop.now()
 	ctx, cancel := context.WithTimeout(ctx, p.loop.settings.PeerTimeout)
 	defer cancel()
 	a, err := p.requestOnce(ctx, address, r)
@@ -109,20 +111,37 @@
 		// The connection was lost, not the holder, and the same wish again changes
 		// nothing more.
 		var again dispatch.Answer
-		if again, err = p.requestOnce(ctx, address, r); again.Outcome == dispatch.Unavailable {
-			// Nobody is reached now; an earlier call may still have been served.
-			break
+		again, err = p.requestOnce(ctx, address, r)
+		if err == nil {
+			p.answered(address, again.Outcome == dispatch.Elsewhere)
+		}
+		if refused(again) {
+			// Nothing was done this time; an earlier call may still have been served.
+			return a
 		}
 		a = again
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		p.answered(address, a.Outcome == dispatch.Elsewhere)
+	case !p.impatient(err, began):
 		p.setSilent(address)
-		return a
 	}
-	p.answered(address, a.Outcome == dispatch.Elsewhere)
 	return a
 }
 
+// refused says whether an answer says that nothing was done.
+func refused(a dispatch.Answer) bool {
+	return a.Outcome == dispatch.Unavailable || a.Outcome == dispatch.Elsewhere
+}
+
+// impatient says whether a call that began at some time has failed because its caller
+// waits no longer, which says nothing of the box that was called.
+func (p *Peers) impatient(err error, began time.Time) bool {
+	ended := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	return ended && p.loop.now().Sub(began) < p.loop.settings.PeerTimeout
+}
+
 // requestTries is how often a wish is passed on whose connection is lost: another
 // connection is had in a few milliseconds.
 const requestTries = 4
@@ -135,8 +154,12 @@
 		return p.unreached(err.Error()), err
 	}
 	var a dispatch.Answer
+	began := p.loop.now()
 	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
-		_ = c.Close()
+		if !p.impatient(err, began) {
+			// Other callers' calls are under way on a connection that works.
+			_ = c.Close()
+		}
 		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}, err
 	}
 	return a, nil
