--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -155,7 +155,7 @@
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
 			Authority: authority.Settings{Renew: j.Renew, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
-			Lease:     j.WorkerLease(), Wait: j.Wait, OrderTimeout: j.OrderTimeout, Gather: j.Gather,
+			Lease:     j.WorkerLease(), Wait: j.Wait, Gather: j.Gather,
 			KeepEnded: j.KeepEnded, StopGrace: j.StopGrace, Without: without,
 		},
 		Tick: jobTick, ReadWait: claimsWait, WorkersEvery: workersEvery, CallTimeout: logCall,
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -17,8 +17,6 @@
 	Lease time.Duration
 	// Wait is how long a renewal waits at the worker for an end.
 	Wait time.Duration
-	// OrderTimeout bounds one order's call, without the time it waits.
-	OrderTimeout time.Duration
 	// Gather is the least time between two appends to the stream of jobs.
 	Gather time.Duration
 	// KeepEnded is how long a job's final state can be asked for.
