jobrun: calls without an answer tell on what connection they were

A line and a counter, no change of logic: what was called, on a connection used before or not, how long nothing had come over it. The record could not tell a dead link between boxes from a dead connection to the advice service, nor whether a box was tried on a new connection.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
 	"saddlevane/modules/logger"
 	"saddlevane/modules/setting"
 	"saddlevane/platform"
@@ -116,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	d.loop = jobrun.NewLoop(settings, self, newPlatform(s.Jobs), log, time.Now)
+	d.loop = jobrun.NewLoop(settings, self, newPlatform(s.Jobs, func(u conntrack.Unanswered) { d.loop.Unanswered(u) }), log, time.Now)
 	d.peers = jobrun.NewPeers(listener, d.loop)
 	d.loop.Run(d.peers)
 	d.peers.Serve()
@@ -163,12 +165,18 @@
 	}, err
 }
 
-// newPlatform returns the calls to the platform. The log has a client of its
-// own, so that its connections are not taken up by workers.
-func newPlatform(j setting.Jobs) jobrun.Platform {
-	log := platform.NewLog(j.Log, newClient())
-	workers := platform.NewWorkers(newClient())
-	advice := platform.NewAdvice(j.Advice, newClient())
+// newPlatform returns the calls to the platform. Each service has a client of its
+// own, so that its connections are not taken up by others. Calls without an answer
+// are told to unanswered.
+func newPlatform(j setting.Jobs, unanswered func(conntrack.Unanswered)) jobrun.Platform {
+	client := func(to string) *http.Client {
+		return httpclient.New(httpclient.Settings{
+			To: to, Dial: dialWithin, Idle: idleWithin, PerHost: connsPerHost, Now: time.Now, Unanswered: unanswered,
+		})
+	}
+	log := platform.NewLog(j.Log, client("log"))
+	workers := platform.NewWorkers(client("worker"))
+	advice := platform.NewAdvice(j.Advice, client("advice service"))
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
 		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
@@ -176,15 +184,6 @@
 	}
 }
 
-// newClient returns a client with connections of its own.
-func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialWithin}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: connsPerHost,
-		IdleConnTimeout: idleWithin,
-	}}
-}
-
 // shutdown closes the callers' ports and waits for the answers under way.
 func (d *jobDaemon) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownWithin)
--- a/modules/peering/peering.go
+++ b/modules/peering/peering.go
@@ -8,10 +8,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"saddlevane/modules/conntrack"
 	"saddlevane/modules/frame"
 
 	"github.com/sourcegraph/conc"
@@ -21,25 +24,36 @@
 // Handler serves one call of a peer.
 type Handler func(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error)
 
+// Settings of the connections of one box.
+type Settings struct {
+	// Dial bounds the opening of a connection.
+	Dial time.Duration
+	// Now tells the time.
+	Now func() time.Time
+	// Unanswered is told of each call that ran out of its time without an answer.
+	Unanswered func(conntrack.Unanswered)
+}
+
 // Links are the connections of one box. They may be used by several goroutines.
 type Links struct {
 	ctx      context.Context
+	settings Settings
 	listener net.Listener
 	dialer   net.Dialer
 	handle   Handler
+	table    *conntrack.Table
 	tasks    conc.WaitGroup
 
 	mu sync.Mutex
 	// conns has the newest connection that this box opened, by address.
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*Link
 }
 
-// New returns links that end with ctx. Peers' calls go to handle; opening a
-// connection takes dialWithin at the most.
-func New(ctx context.Context, listener net.Listener, dialWithin time.Duration, handle Handler) *Links {
+// New returns links that end with ctx. Peers' calls go to handle.
+func New(ctx context.Context, listener net.Listener, s Settings, handle Handler) *Links {
 	return &Links{
-		ctx: ctx, listener: listener, dialer: net.Dialer{Timeout: dialWithin}, handle: handle,
-		conns: map[string]*jsonrpc2.Conn{},
+		ctx: ctx, settings: s, listener: listener, dialer: net.Dialer{Timeout: s.Dial}, handle: handle,
+		table: conntrack.NewTable(s.Now), conns: map[string]*Link{},
 	}
 }
 
@@ -52,15 +66,43 @@
 	_ = l.listener.Close()
 	l.mu.Lock()
 	for _, c := range l.conns {
-		_ = c.Close()
+		c.Close()
 	}
 	l.mu.Unlock()
 	l.tasks.Wait()
 }
 
+// Link is a connection to a box.
+type Link struct {
+	links *Links
+	rpc   *jsonrpc2.Conn
+	raw   *conntrack.Conn
+	// used says that a call was made on it.
+	used atomic.Bool
+}
+
+// Call makes one call.
+func (k *Link) Call(ctx context.Context, method string, in, out any) error {
+	began := k.links.settings.Now()
+	reused := k.used.Swap(true)
+	err := k.rpc.Call(ctx, method, in, out)
+	if errors.Is(err, context.DeadlineExceeded) {
+		u := k.raw.Unanswered(k.links.settings.Now(), began)
+		u.To, u.Call, u.Reused = "entry box", method, reused
+		k.links.settings.Unanswered(u)
+	}
+	return err
+}
+
+// Close ends the connection; calls under way on it fail.
+func (k *Link) Close() { _ = k.rpc.Close() }
+
+// Closed is closed once the connection has ended.
+func (k *Link) Closed() <-chan struct{} { return k.rpc.DisconnectNotify() }
+
 // Conn returns a connection to the box at an address, a new one if there is none.
 // An error means that nobody was reached.
-func (l *Links) Conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (l *Links) Conn(ctx context.Context, address string) (*Link, error) {
 	l.mu.Lock()
 	c := l.conns[address]
 	l.mu.Unlock()
@@ -71,12 +113,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c = l.connect(raw)
+	c = l.connect(l.table.Add(address, raw))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if other := l.conns[address]; other != nil && !disconnected(other) {
 		// Another caller was faster.
-		_ = c.Close()
+		c.Close()
 		return other, nil
 	}
 	l.conns[address] = c
@@ -89,25 +131,26 @@
 		if err != nil {
 			return
 		}
-		c := l.connect(raw)
+		c := l.connect(l.table.Add(raw.RemoteAddr().String(), raw))
 		l.tasks.Go(func() {
 			select {
-			case <-c.DisconnectNotify():
+			case <-c.Closed():
 			case <-l.ctx.Done():
-				_ = c.Close()
+				c.Close()
 			}
 		})
 	}
 }
 
-func (l *Links) connect(raw net.Conn) *jsonrpc2.Conn {
+func (l *Links) connect(raw *conntrack.Conn) *Link {
 	stream := jsonrpc2.NewBufferedStream(raw, frame.Codec{})
-	return jsonrpc2.NewConn(l.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.handle)))
+	rpc := jsonrpc2.NewConn(l.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(l.handle)))
+	return &Link{links: l, rpc: rpc, raw: raw}
 }
 
-func disconnected(c *jsonrpc2.Conn) bool {
+func disconnected(c *Link) bool {
 	select {
-	case <-c.DisconnectNotify():
+	case <-c.Closed():
 		return true
 	default:
 		return false
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -9,12 +9,17 @@
 	"testing"
 	"time"
 
+	"saddlevane/modules/conntrack"
 	"saddlevane/modules/peering"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
 )
 
+func settings() peering.Settings {
+	return peering.Settings{Dial: time.Second, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}}
+}
+
 // newBox returns links that answer each call with the name of its method, and
 // their address.
 func newBox(t *testing.T) (*peering.Links, string) {
@@ -22,7 +27,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	l := peering.New(ctx, listener, time.Second, func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	l := peering.New(ctx, listener, settings(), func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		return req.Method, nil
 	})
 	l.Serve()
@@ -51,8 +56,8 @@
 	again, err := a.Conn(context.Background(), address)
 	assert.NilError(t, err)
 	assert.Check(t, first == again)
-	assert.NilError(t, first.Close())
-	<-first.DisconnectNotify()
+	first.Close()
+	<-first.Closed()
 	other, err := a.Conn(context.Background(), address)
 	assert.NilError(t, err)
 	assert.Check(t, first != other)
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -9,6 +9,7 @@
 
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
+	"saddlevane/modules/conntrack"
 	"saddlevane/services/dispatch"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,8 @@
 	appends  *prometheus.CounterVec
 	logTime  *prometheus.HistogramVec
 	advice   *prometheus.CounterVec
+	// unanswered counts calls that ran out of their time, by what was called.
+	unanswered *prometheus.CounterVec
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -33,16 +36,17 @@
 
 func newMetrics() *Metrics {
 	m := &Metrics{
-		registry: prometheus.NewRegistry(),
-		calls:    counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
-		callTime: histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
-		orders:   counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
-		ends:     counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
-		appends:  counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
-		logTime:  histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
-		advice:   counter("advice_calls_total", "Calls for advice, by result.", "result"),
+		registry:   prometheus.NewRegistry(),
+		calls:      counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
+		callTime:   histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
+		orders:     counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
+		ends:       counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
+		appends:    counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
+		logTime:    histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
+		advice:     counter("advice_calls_total", "Calls for advice, by result.", "result"),
+		unanswered: counter("calls_unanswered_total", "Calls that ran out of their time, by what was called and whether the connection had carried earlier calls.", "to", "connection"),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered)
 	return m
 }
 
@@ -100,3 +104,11 @@
 		m.advice.WithLabelValues("failed").Inc()
 	}
 }
+
+func (m *Metrics) unansweredCall(u conntrack.Unanswered) {
+	connection := "new"
+	if u.Reused {
+		connection = "reused"
+	}
+	m.unanswered.WithLabelValues(u.To, connection).Inc()
+}
--- a/services/jobrun/passed_test.go
+++ b/services/jobrun/passed_test.go
@@ -14,6 +14,7 @@
 
 	"saddlevane/models/claim"
 	"saddlevane/models/stream"
+	"saddlevane/modules/conntrack"
 	"saddlevane/modules/peering"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
@@ -31,7 +32,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	links := peering.New(context.Background(), listener, time.Second,
+	links := peering.New(context.Background(), listener, peering.Settings{Dial: time.Second, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}},
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
 	links.Serve()
 	t.Cleanup(func() { by.reset(); links.Close() })
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -43,7 +43,7 @@
 func NewPeers(listener net.Listener, loop *Loop) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}, elsewhere: map[string]bool{}}
-	p.links = peering.New(ctx, listener, loop.settings.PeerTimeout, p.handle)
+	p.links = peering.New(ctx, listener, peering.Settings{Dial: loop.settings.PeerTimeout, Now: loop.now, Unanswered: loop.Unanswered}, p.handle)
 	return p
 }
 
@@ -90,7 +90,7 @@
 }
 
 // conn returns a connection to a peer. An error means that nobody was reached.
-func (p *Peers) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (p *Peers) conn(ctx context.Context, address string) (*peering.Link, error) {
 	c, err := p.links.Conn(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("entry box %s: %w", address, err)
@@ -158,7 +158,7 @@
 	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
 		if !p.impatient(err, began) {
 			// Other callers' calls are under way on a connection that works.
-			_ = c.Close()
+			c.Close()
 		}
 		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}, err
 	}
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -50,7 +50,7 @@
 func NewPeers(listener net.Listener, loop *Loop, requests *Requests) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, requests: requests, ctx: ctx, cancel: cancel, greeting: map[string]bool{}}
-	p.links = peering.New(ctx, listener, peerDial, p.handle)
+	p.links = peering.New(ctx, listener, peering.Settings{Dial: peerDial, Now: time.Now, Unanswered: loop.unanswered}, p.handle)
 	p.links.Serve()
 	return p
 }
@@ -126,7 +126,7 @@
 	}
 	err = c.Call(ctx, method, in, out)
 	if err != nil && ctx.Err() != nil && method == peer.MethodHello {
-		_ = c.Close()
+		c.Close()
 	}
 	return err
 }
--- /dev/null
+++ b/services/runtime/unanswered.go
@@ -0,0 +1,18 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"saddlevane/modules/conntrack"
+
+	"github.com/sirupsen/logrus"
+)
+
+// unanswered logs a call that ran out of its time without an answer.
+func (l *Loop) unanswered(u conntrack.Unanswered) {
+	l.log.WithFields(logrus.Fields{
+		"to": u.To, "address": u.Address, "call": u.Call, "reused": u.Reused, "waited": u.Waited.String(),
+		"open_for": u.OpenFor.String(), "heard_ago": u.HeardAgo.String(),
+	}).Debug("a call had no answer")
+}
