--- a/modules/setting/check.go
+++ b/modules/setting/check.go
@@ -72,6 +72,7 @@
 		s.Platform.check(c)
 	}
 	s.Jobs.check(c)
+	s.Connections.check(c)
 	s.Peers.check(c)
 	s.Requests.check(c)
 	s.Workers.check(c)
--- /dev/null
+++ b/modules/setting/connections.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import "time"
+
+// Connections bounds how long an open connection may be silent before it is given
+// up. Connections can go silent for good without a reset while new ones work.
+type Connections struct {
+	// Probe is how long nothing may have come over a link to another entry box before
+	// it is probed.
+	Probe time.Duration `yaml:"probe"`
+	// Answer is how long the answer to a probe may take, and how long the answer to a
+	// call that can be made again may be overdue before it is made again on a new
+	// connection.
+	Answer time.Duration `yaml:"answer"`
+	// Unused is how long a connection to the platform or a worker is kept that carries
+	// no call.
+	Unused time.Duration `yaml:"unused"`
+	// Callers is how long a caller's connection may give no sign of life before it is
+	// closed.
+	Callers time.Duration `yaml:"callers"`
+}
+
+func defaultConnections() Connections {
+	return Connections{
+		Probe: time.Second, Answer: 250 * time.Millisecond, Unused: 10 * time.Second, Callers: 5 * time.Second,
+	}
+}
+
+func (s *Connections) check(c *checker) {
+	between(c, "connections.probe", s.Probe, 10*time.Millisecond, time.Minute)
+	between(c, "connections.answer", s.Answer, 10*time.Millisecond, time.Minute)
+	between(c, "connections.unused", s.Unused, 10*time.Millisecond, 10*time.Minute)
+	between(c, "connections.callers", s.Callers, 3*time.Second, 10*time.Minute)
+}
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -36,6 +36,8 @@
 	Stop     Stop     `yaml:"stop"`
 	Log      Log      `yaml:"log"`
 	Jobs     Jobs     `yaml:"jobs"`
+	// Connections bounds how long open connections may be silent.
+	Connections Connections `yaml:"connections"`
 }
 
 // Default returns the settings that hold where nothing else is said.
@@ -44,7 +46,7 @@
 		Box: defaultBox(), Listen: defaultListen(), Platform: defaultPlatform(), Peers: defaultPeers(),
 		Requests: defaultRequests(), Workers: defaultWorkers(), Queue: defaultQueue(),
 		Policy: defaultPolicy(), Stop: defaultStop(), Log: defaultLog(),
-		Jobs: defaultJobs(),
+		Jobs: defaultJobs(), Connections: defaultConnections(),
 	}
 }
 
