soak: forwarders before all that boxes and callers open connections to

Cause: the rig's proxies cut ways, but could not silence open connections while new ones work, and the boxes had one address of the advice service among them, without anything between.

Each box now has its own way to the advice service, which may refuse one box, as the platform's does when too many of its calls wait; the ways of links, log, workers and callers lead through forwarders too. The soak's callers have connections of their own, and give their unused ones up when a call had no answer, as silent connections come in numbers.

--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -30,8 +30,8 @@
 }
 
 const (
-	// callWithin bounds one call; a box answers or refuses well before.
-	callWithin = 3 * time.Second
+	// CallWithin bounds one call; a box answers or refuses well before.
+	CallWithin = 3 * time.Second
 	// triesMost is how often a caller hands a job in.
 	triesMost = 8
 	// tryAgain is the pause between two tries, stateEvery that between two questions
@@ -66,7 +66,8 @@
 // NewCallers returns callers of a rig. They keep connections open.
 func NewCallers(r *Rig, seed int64) *Callers {
 	return &Callers{
-		rig: r, client: &http.Client{Timeout: callWithin}, rng: rand.New(rand.NewSource(seed)), ended: map[job.State]int{},
+		rig: r, client: &http.Client{Timeout: CallWithin, Transport: &http.Transport{}}, rng: rand.New(rand.NewSource(seed)),
+		ended: map[job.State]int{},
 	}
 }
 
@@ -80,6 +81,13 @@
 	}
 }
 
+// HandIn hands in a job of which the stand-in was told, and says whether it was
+// accepted.
+func (c *Callers) HandIn(ctx context.Context, s job.Submission) bool { return c.submit(ctx, s) }
+
+// AwaitEnd waits until a job that was accepted has ended.
+func (c *Callers) AwaitEnd(ctx context.Context, s job.Submission) { c.watch(ctx, s, time.Now()) }
+
 // Wait waits until every job has ended or was refused, or ctx has ended.
 func (c *Callers) Wait() { c.tasks.Wait() }
 
@@ -154,12 +162,14 @@
 	if err != nil {
 		panic(err)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.operators+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.callers+path, bytes.NewReader(data))
 	if err != nil {
 		panic(err)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
+		// The other connections may be silent too.
+		c.client.CloseIdleConnections()
 		return 0, dispatch.Answer{}
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -85,11 +85,11 @@
 	case 3:
 		f.on(b.name+"/hup", "asked to reload", 0, func() { _ = b.running().Signal(syscall.SIGHUP) }, func() {})
 	case 4, 5:
-		f.cut(logProxy(i), lasts, directions)
+		f.cut(logWay(i), lasts, directions)
 	case 6:
-		f.cut(peerProxy(i), lasts, directions)
+		f.cut(peerWay(i), lasts, directions)
 	case 7:
-		f.refuse(logProxy(i), lasts)
+		f.refuse(logWay(i), lasts)
 	case 8:
 		f.cut(worker, lasts, directions)
 	case 9:
--- a/tests/soak/rig.go
+++ b/tests/soak/rig.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -18,26 +19,48 @@
 	"saddlevane/platform/standin"
 	"saddlevane/services/dispatch"
 	"saddlevane/tests/cell"
+	"saddlevane/tests/forward"
 )
 
-// Rig is a cell of daemons, a stand-in of the platform, and the proxies between
-// them.
+// Rig is a cell of daemons, a stand-in of the platform, and the proxies and forwarders
+// between them.
 type Rig struct {
 	// dir takes settings and output, daemon is the program to run.
 	dir      string
 	daemon   string
 	platform *standin.Platform
 	proxies  *cell.Proxies
-	boxes    []*box
-	workers  []*standin.Worker
+	// ways has what silences open connections, by name.
+	ways    map[string]*forward.Forwarder
+	boxes   []*box
+	workers []*standin.Worker
+	// holdFor and claimAfter are times of the claim on the cell.
+	holdFor, claimAfter time.Duration
 }
 
+// Option changes a rig from the usual.
+type Option func(*Rig)
+
+// LastingClaims has a box hold the cell although the log does not answer for a while.
+func LastingClaims(holdFor, claimAfter time.Duration) Option {
+	return func(r *Rig) { r.holdFor, r.claimAfter = holdFor, claimAfter }
+}
+
+// The usual times of the claim on the cell.
+const (
+	usualHold  = 700 * time.Millisecond
+	usualClaim = 800 * time.Millisecond
+)
+
 // box is one entry box.
 type box struct {
 	name string
 	// settings is the file with its settings, operators its address for them.
 	settings  string
 	operators string
+	// callers is where callers reach the box.
+	callers string
+	advice  *standin.Advice
 
 	mu      sync.Mutex
 	process *cell.Process
@@ -63,25 +86,33 @@
   lease: 2500ms
   wait: 500ms
   renew: 150ms
-  hold_for: 700ms
-  claim_after: 800ms
+  hold_for: %v
+  claim_after: %v
   stop_grace: 500ms
 `
 
 // NewRig starts a rig with some boxes and workers; daemon is the program to run,
 // and dir takes its output.
-func NewRig(seed int64, daemon, dir string, boxes, workers int) (*Rig, error) {
+func NewRig(seed int64, daemon, dir string, boxes, workers int, options ...Option) (*Rig, error) {
 	p, err := standin.New(seed)
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{dir: dir, daemon: daemon, platform: p, proxies: cell.NewProxies()}
+	r := &Rig{
+		dir: dir, daemon: daemon, platform: p, proxies: cell.NewProxies(), ways: map[string]*forward.Forwarder{},
+		holdFor: usualHold, claimAfter: usualClaim,
+	}
+	for _, o := range options {
+		o(r)
+	}
 	if err := p.Configure(queues...); err != nil {
 		return r, err
 	}
 	for i := range workers {
 		name := workerName(i)
-		w, err := p.AddWorker(name, func(address string) string { return r.proxies.Via(name, address) })
+		w, err := p.AddWorker(name, func(address string) (string, error) {
+			return r.via(name, r.proxies.Via(name, address))
+		})
 		if err != nil {
 			return r, err
 		}
@@ -100,22 +131,56 @@
 	return r, nil
 }
 
-// newBox writes the settings of a box, whose ways to the log and from other boxes
-// lead through proxies.
+// newBox writes the settings of a box. All connections from it and to it lead through
+// forwarders, those to the log and from other boxes through proxies too.
 func (r *Rig) newBox(i int) (*box, error) {
 	b := &box{name: fmt.Sprintf("box-%d", i), operators: cell.FreeAddress()}
 	b.settings = filepath.Join(r.dir, b.name+".yaml")
-	peers := cell.FreeAddress()
-	text := fmt.Sprintf(settingsText, b.name, cell.FreeAddress(), b.operators, peers, r.proxies.Via(peerProxy(i), peers),
-		cell.FreeAddress(), r.proxies.Via(logProxy(i), r.platform.Log()), r.platform.Advice())
+	var err error
+	if b.advice, err = r.platform.AddAdvice(); err != nil {
+		return nil, err
+	}
+	listen := cell.FreeAddress()
+	peers, errPeers := r.via(peerWay(i), r.proxies.Via(peerWay(i), listen))
+	log, errLog := r.via(logWay(i), r.proxies.Via(logWay(i), r.platform.Log()))
+	advice, errAdvice := r.via(adviceWay(i), b.advice.Address())
+	callers, errCallers := r.via(callersWay(i), b.operators)
+	if err := errors.Join(errPeers, errLog, errAdvice, errCallers); err != nil {
+		return nil, fmt.Errorf("forward to and from %s: %w", b.name, err)
+	}
+	b.callers = callers
+	text := fmt.Sprintf(settingsText, b.name, cell.FreeAddress(), b.operators, listen, peers,
+		cell.FreeAddress(), log, advice, r.holdFor, r.claimAfter)
 	return b, os.WriteFile(b.settings, []byte(text), 0o600)
 }
 
-// logProxy and peerProxy name the proxies before the log and the peers' address of a
-// box, workerName a worker and the proxy before it.
-func logProxy(i int) string { return fmt.Sprintf("log-%d", i) }
+// via returns the address of a new forwarder to an address.
+func (r *Rig) via(name, address string) (string, error) {
+	f := forward.New()
+	r.ways[name] = f
+	return f.Via(address)
+}
+
+// Silence silences all connections that are open now, for good, and returns how many
+// there were. New ones work.
+func (r *Rig) Silence() int {
+	n := 0
+	for _, f := range r.ways {
+		n += f.Silence()
+	}
+	return n
+}
+
+// logWay and peerWay name what stands before the log and the peers' address of a box,
+// adviceWay and callersWay the forwarders before its advice service and its callers'
+// address, workerName a worker and what stands before it.
+func logWay(i int) string { return fmt.Sprintf("log-%d", i) }
+
+func peerWay(i int) string { return fmt.Sprintf("peer-%d", i) }
 
-func peerProxy(i int) string { return fmt.Sprintf("peer-%d", i) }
+func adviceWay(i int) string { return fmt.Sprintf("advice-%d", i) }
+
+func callersWay(i int) string { return fmt.Sprintf("callers-%d", i) }
 
 func workerName(i int) string { return fmt.Sprintf("worker-%d", i) }
 
@@ -167,6 +232,9 @@
 			p.Kill()
 		}
 	}
+	for _, f := range r.ways {
+		f.Close()
+	}
 	r.proxies.Close()
 	r.platform.Close()
 }
@@ -216,17 +284,37 @@
 
 // KillHolder kills the box that holds the cell and returns its name.
 func (r *Rig) KillHolder(ctx context.Context) (string, error) {
+	b, err := r.holder(ctx)
+	if err != nil {
+		return "", err
+	}
+	b.running().Kill()
+	return b.name, nil
+}
+
+// RefuseHolderAdvice has the advice service refuse the box that holds the cell, so that
+// it needs the others for it.
+func (r *Rig) RefuseHolderAdvice(ctx context.Context) error {
+	b, err := r.holder(ctx)
+	if err != nil {
+		return err
+	}
+	b.advice.SetBusy(true)
+	return nil
+}
+
+// holder returns the box that holds the cell, and waits until there is one.
+func (r *Rig) holder(ctx context.Context) (*box, error) {
 	for ctx.Err() == nil {
 		for _, b := range r.boxes {
 			var s job.CellStatus
 			if b.get(ctx, "/v1/cell", &s) && s.Holds {
-				b.running().Kill()
-				return b.name, nil
+				return b, nil
 			}
 		}
 		time.Sleep(readyEvery)
 	}
-	return "", ctx.Err()
+	return nil, fmt.Errorf("no box holds the cell: %w", ctx.Err())
 }
 
 // State returns the state of a job, or nothing if no box tells it.
