--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -115,7 +115,7 @@
 	d.adapters = runtime.Adapters{
 		Requests: requests,
 		Workers:  runtime.NewWorkers(s.Workers.Timeout, d.loop),
-		Peers:    runtime.NewPeers(l.peers, d.loop, requests),
+		Peers:    runtime.NewPeers(l.peers, runtime.PeerSettings{Probe: s.Connections.Probe, Answer: s.Connections.Answer}, d.loop, requests),
 		Log: runtime.NewLog(runtime.PlatformSettings{
 			Log: s.Platform.Log, Boxes: s.Platform.Boxes, Timeout: s.Platform.Timeout,
 			Wait: s.Platform.Wait, BoxesEvery: s.Platform.BoxesEvery,
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -110,7 +110,7 @@
 // startJobs starts all parts of the daemon.
 func startJobs(s setting.Settings, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
 	d := &jobDaemon{failed: make(chan error, 2)}
-	settings, err := jobSettings(s.Jobs)
+	settings, err := jobSettings(s.Jobs, s.Connections)
 	if err != nil {
 		return nil, fmt.Errorf("settings: jobs.without: %w", err)
 	}
@@ -152,7 +152,7 @@
 }
 
 // jobSettings returns what the loop and the reducer need of the settings.
-func jobSettings(j setting.Jobs) (jobrun.Settings, error) {
+func jobSettings(j setting.Jobs, c setting.Connections) (jobrun.Settings, error) {
 	without, err := dispatch.ParseMechanisms(j.Without)
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
@@ -161,7 +161,7 @@
 			KeepEnded: j.KeepEnded, StopGrace: j.StopGrace, Without: without,
 		},
 		Tick: jobTick, ReadWait: claimsWait, WorkersEvery: workersEvery, CallTimeout: logCall,
-		OrderTimeout: j.OrderTimeout, PeerTimeout: j.PeerTimeout,
+		OrderTimeout: j.OrderTimeout, PeerTimeout: j.PeerTimeout, Probe: c.Probe, Answer: c.Answer,
 	}, err
 }
 
--- a/modules/peering/peering.go
+++ b/modules/peering/peering.go
@@ -28,6 +28,11 @@
 type Settings struct {
 	// Dial bounds the opening of a connection.
 	Dial time.Duration
+	// Probe is how long nothing may have come over a connection before it is probed.
+	Probe time.Duration
+	// Answer is how long nothing may come after a probe before the connection is given
+	// up.
+	Answer time.Duration
 	// Now tells the time.
 	Now func() time.Time
 	// Unanswered is told of each call that ran out of its time without an answer.
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -17,7 +17,9 @@
 )
 
 func settings() peering.Settings {
-	return peering.Settings{Dial: time.Second, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}}
+	return peering.Settings{
+		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {},
+	}
 }
 
 // newBox returns links that answer each call with the name of its method, and
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -47,6 +47,7 @@
 		},
 		Tick: 10 * time.Millisecond, ReadWait: 200 * time.Millisecond, WorkersEvery: 50 * time.Millisecond,
 		CallTimeout: 300 * time.Millisecond, OrderTimeout: 300 * time.Millisecond, PeerTimeout: 300 * time.Millisecond,
+		Probe: time.Second, Answer: 250 * time.Millisecond,
 	}
 }
 
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -64,6 +64,8 @@
 	OrderTimeout time.Duration
 	// PeerTimeout bounds a call to another entry box.
 	PeerTimeout time.Duration
+	// Probe and Answer bound the silence of links to other entry boxes.
+	Probe, Answer time.Duration
 }
 
 // eventBuffer is how many events may wait for the loop.
--- a/services/jobrun/passed_test.go
+++ b/services/jobrun/passed_test.go
@@ -33,8 +33,10 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	links := peering.New(context.Background(), listener, peering.Settings{Dial: time.Second, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}},
-		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
+	s := peering.Settings{
+		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {},
+	}
+	links := peering.New(context.Background(), listener, s, func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
 	links.Serve()
 	t.Cleanup(func() { by.Reset(); links.Close() })
 	value, err := json.Marshal(claim.Claim{Epoch: 7, Box: "other", Incarnation: "o1", Address: via(t, by)(listener.Addr().String()), Renewal: 1})
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -43,7 +43,10 @@
 func NewPeers(listener net.Listener, loop *Loop) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}, elsewhere: map[string]bool{}}
-	p.links = peering.New(ctx, listener, peering.Settings{Dial: loop.settings.PeerTimeout, Now: loop.now, Unanswered: loop.Unanswered}, p.handle)
+	p.links = peering.New(ctx, listener, peering.Settings{
+		Dial: loop.settings.PeerTimeout, Probe: loop.settings.Probe, Answer: loop.settings.Answer, Now: loop.now,
+		Unanswered: loop.Unanswered,
+	}, p.handle)
 	return p
 }
 
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -32,6 +32,9 @@
 	fetchWithin = 5 * time.Second
 )
 
+// PeerSettings bound the silence of links to other entry boxes.
+type PeerSettings struct{ Probe, Answer time.Duration }
+
 // Peers is the adapter for other entry boxes: it serves them and calls them.
 type Peers struct {
 	loop     *Loop
@@ -47,10 +50,12 @@
 }
 
 // NewPeers returns the adapter and starts to serve peers on listener.
-func NewPeers(listener net.Listener, loop *Loop, requests *Requests) *Peers {
+func NewPeers(listener net.Listener, s PeerSettings, loop *Loop, requests *Requests) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, requests: requests, ctx: ctx, cancel: cancel, greeting: map[string]bool{}}
-	p.links = peering.New(ctx, listener, peering.Settings{Dial: peerDial, Now: time.Now, Unanswered: loop.unanswered}, p.handle)
+	p.links = peering.New(ctx, listener, peering.Settings{
+		Dial: peerDial, Probe: s.Probe, Answer: s.Answer, Now: time.Now, Unanswered: loop.unanswered,
+	}, p.handle)
 	p.links.Serve()
 	return p
 }
