--- a/modules/peering/peering.go
+++ b/modules/peering/peering.go
@@ -77,6 +77,9 @@
 	l.tasks.Wait()
 }
 
+// Len returns how many connections are open, also those that peers have opened.
+func (l *Links) Len() int { return l.table.Len() }
+
 // Link is a connection to a box.
 type Link struct {
 	links *Links
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -45,6 +45,7 @@
 	_, address := newBox(t)
 	c, err := a.Conn(context.Background(), address)
 	assert.NilError(t, err)
+	assert.Equal(t, a.Len(), 1)
 	var got string
 	assert.NilError(t, c.Call(context.Background(), "greet", struct{}{}, &got))
 	assert.Equal(t, got, "greet")
