--- /dev/null
+++ b/modules/peering/silent_test.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peering_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"saddlevane/modules/peering"
+	"saddlevane/tests/forward"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Symptom: calls to a box run out of their time, whatever that is, though the box
+// answers others; or callers hang beyond their time.
+//
+// Sequence: the connection to a box goes silent, in one direction or both, without a
+// reset; new ones work. Nothing ends it at either end. Calls are made on it until their
+// time is out; a large one stays in its writing, with the lock held that others wait for.
+//
+// Cause: a connection was used until somebody closed it, and nobody looked whether
+// anything came over it.
+//
+// What settled it: in the lines of calls without an answer all were on connections over
+// which nothing had come since the silence; here, the connections are still open at both
+// ends, and a second connection answers at once.
+func TestASilentLink(t *testing.T) {
+	for name, directions := range map[string][]forward.Direction{
+		"silent in both directions": {forward.Requests, forward.Answers},
+		"without requests":          {forward.Requests},
+		"without answers":           {forward.Answers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Run("is given up at both ends if nobody calls", func(t *testing.T) {
+				p := newPair(t)
+				p.silence(directions...)
+				poll.WaitOn(t, p.givenUp, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+			})
+			t.Run("costs a call only a small part of its time", func(t *testing.T) {
+				p := newPair(t)
+				p.silence(directions...)
+				began := time.Now()
+				p.answered(10 * time.Second)
+				assert.Check(t, time.Since(began) < 3*time.Second, "answered after %v", time.Since(began))
+			})
+		})
+	}
+	t.Run("whose writes block holds up other calls for a bounded time", func(t *testing.T) {
+		p := newPair(t)
+		p.silence(forward.Requests)
+		var calls sync.WaitGroup
+		defer calls.Wait()
+		defer p.by.Close()
+		calls.Go(func() { _, _ = p.calls(20*time.Second, strings.Repeat("x", largeMessage)) })
+		var done atomic.Int32
+		for range 5 {
+			calls.Go(func() {
+				if _, err := p.calls(20*time.Second, struct{}{}); err == nil {
+					done.Add(1)
+				}
+			})
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if done.Load() == 5 {
+				return poll.Success()
+			}
+			return poll.Continue("%d of 5 calls are answered", done.Load())
+		}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+	})
+}
+
+// largeMessage is more than the system takes for a connection that nobody reads from,
+// in bytes.
+const largeMessage = 16 << 20
+
+// pair is a box that calls another one through a forwarder.
+type pair struct {
+	t       *testing.T
+	from    *peering.Links
+	to      *peering.Links
+	address string
+	by      *forward.Forwarder
+}
+
+// newPair returns two boxes with an open connection.
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{t: t, by: forward.New()}
+	var address string
+	p.from, _ = newBox(t)
+	p.to, address = newBox(t)
+	t.Cleanup(p.by.Close)
+	var err error
+	p.address, err = p.by.Via(address)
+	assert.NilError(t, err)
+	p.answered(10 * time.Second)
+	return p
+}
+
+// silence silences the open connection.
+func (p *pair) silence(directions ...forward.Direction) {
+	p.t.Helper()
+	assert.Equal(p.t, p.by.Silence(directions...), 1)
+}
+
+// calls makes a call and returns its answer.
+func (p *pair) calls(within time.Duration, params any) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	var got string
+	c, err := p.from.Conn(ctx, p.address)
+	if err == nil {
+		err = c.Call(ctx, "greet", params, &got)
+	}
+	return got, err
+}
+
+// answered makes a call that must be answered.
+func (p *pair) answered(within time.Duration) {
+	p.t.Helper()
+	got, err := p.calls(within, struct{}{})
+	assert.NilError(p.t, err)
+	assert.Equal(p.t, got, "greet")
+}
+
+// givenUp says whether no connection is open at either end.
+func (p *pair) givenUp(poll.LogT) poll.Result {
+	if p.from.Len() == 0 && p.to.Len() == 0 {
+		return poll.Success()
+	}
+	return poll.Continue("%d and %d connections are open", p.from.Len(), p.to.Len())
+}
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -72,13 +72,19 @@
 
 // startVia starts a box that others reach under the address that via returns.
 func startVia(t *testing.T, on jobrun.Platform, name string, out io.Writer, via func(address string) string) *process {
+	t.Helper()
+	return startWith(t, settings(), on, name, out, via)
+}
+
+// startWith starts a box with settings of its own.
+func startWith(t *testing.T, s jobrun.Settings, on jobrun.Platform, name string, out io.Writer, via func(address string) string) *process {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	log := logrus.New()
 	log.SetOutput(out)
 	self := claim.Member{Box: name, Incarnation: name + time.Now().String(), Domain: "a", Address: via(listener.Addr().String())}
-	p := &process{loop: jobrun.NewLoop(settings(), self, on, log.WithField("box", name), time.Now)}
+	p := &process{loop: jobrun.NewLoop(s, self, on, log.WithField("box", name), time.Now)}
 	p.peers = jobrun.NewPeers(listener, p.loop)
 	p.loop.Run(p.peers)
 	p.peers.Serve()
--- a/services/jobrun/silent_test.go
+++ b/services/jobrun/silent_test.go
@@ -7,12 +7,17 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/services/authority"
+	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+	"saddlevane/tests/forward"
 	"saddlevane/tests/memory"
 
 	"gotest.tools/v3/assert"
@@ -50,6 +55,97 @@
 	}
 }
 
+// Symptom: after the connections between boxes went silent callers are refused with
+// "the holder does not answer", though it answers on new ones; and a holder that the log
+// does not answer loses the cell though the other boxes would promise not to claim.
+//
+// Sequence: connections go silent while the holder and the boxes behind them work. Wishes
+// on them run out of their whole time, and the box is marked silent for that. The
+// holder's questions to the other boxes run out in every round until its authority ends.
+//
+// Cause: a call that had no answer on an old connection was taken for a box that does not
+// answer; questions to other boxes left the connection in use.
+//
+// What settled it: the lines of refusals at boxes whose next call, on a new connection,
+// was answered at once; no call on a new connection was without an answer.
+func TestACellWhoseConnectionsWentSilent(t *testing.T) {
+	t.Run("refuses no caller while its holder answers", func(t *testing.T) {
+		links := forwarder(t)
+		boxes, _ := usualCell(t, platformOf(t), links)
+		assert.Check(t, links.Silence() > 0)
+		var callers sync.WaitGroup
+		for i := range 5 {
+			callers.Go(func() {
+				for j := range 4 {
+					a := boxes[1].loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d-%d", i, j))})
+					assert.Check(t, a.Outcome == dispatch.OK, "call %d of caller %d: %+v", j, i, a)
+				}
+			})
+		}
+		callers.Wait()
+	})
+	t.Run("keeps its holder while the log is away", func(t *testing.T) {
+		on, links := platformOf(t), forwarder(t)
+		boxes, cut := usualCell(t, on, links)
+		// The holder is the last to miss the log, so that it invites nobody.
+		cut.Store(true)
+		for _, b := range boxes[1:] {
+			until(t, "the log is away", b.misses)
+		}
+		on.SetDown(true)
+		span := 2 * usualSettings().Dispatch.Authority.HoldFor
+		holds(t, boxes[0], span)
+		assert.Check(t, links.Silence() > 0)
+		holds(t, boxes[0], span)
+	})
+}
+
+// usualSettings has the usual times of a cell, which leave room for a link to be given up.
+func usualSettings() jobrun.Settings {
+	s := settings()
+	s.Dispatch.Authority = authority.Settings{
+		Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
+	}
+	s.PeerTimeout = 700 * time.Millisecond
+	return s
+}
+
+// usualCell starts three boxes of which the first holds the cell and the others know
+// it. Those others can be cut off from the log.
+func usualCell(t *testing.T, on *memory.Platform, links *forward.Forwarder) ([]*process, *atomic.Bool) {
+	t.Helper()
+	boxes := make([]*process, 3)
+	calls, cut := cuttable(on)
+	for i := range boxes {
+		through := calls
+		if i == 0 {
+			through = on.Calls()
+		}
+		boxes[i] = startWith(t, usualSettings(), through, fmt.Sprint("box", i), io.Discard, via(t, links))
+		served(t, boxes[i], jobrun.Request{Submit: submission(fmt.Sprint("warm", i))}, "")
+	}
+	until(t, "the first box holds the cell", boxes[0].holds)
+	return boxes, cut
+}
+
+// misses says whether the log has not answered a box for some time.
+func (p *process) misses() bool {
+	var ago time.Duration
+	p.loop.Query(func(now time.Time, c *dispatch.Core) { ago = now.Sub(c.LogReadAt()) })
+	return ago > 3*usualSettings().ReadWait
+}
+
+// holds checks that a box holds the cell for some time.
+func holds(t *testing.T, p *process, span time.Duration) {
+	t.Helper()
+	began, held := time.Now(), true
+	until(t, "the time is over", func() bool {
+		held = held && p.holds()
+		return !held || time.Since(began) > span
+	})
+	assert.Assert(t, held, "it has lost the cell after %v", time.Since(began))
+}
+
 // advisedConfig has one queue whose tasks need advice.
 func advisedConfig() job.Config {
 	c := config()
