peering: make all calls in one way

Links.Call makes a call on the connection to an address, and makes it again on a new one if its connection was lost, if it is idempotent or has surely not arrived. NoAnswerError tells a box that was not reached from a call that may have arrived, and an old connection from the box behind it: jobrun marks a box as silent only by a connection that was opened for the call or later.

The two places that closed connections on their own are gone. Callers who come together share one opening of a connection, where each opened one of its own and all but one were closed again.

TestAConnectionIsKeptUntilItEnds and TestNobodyReachedIsAnError held the connections that Conn returned, which is gone; they now hold on which connections calls arrive, and that the error says that nothing was sent.

Ruled out: a call that is given up by its own time-out closing its connection. Other callers' calls are under way on it, and how long one call may take says nothing of the connection.

--- /dev/null
+++ b/modules/peering/links.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package peering keeps the connections between entry boxes: one to each box
+// that is called, and those that other boxes have opened. Calls go both ways over
+// a connection, as JSON-RPC 2.0 in the frames of package frame.
+package peering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"saddlevane/modules/conntrack"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler serves one call of a peer.
+type Handler func(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error)
+
+// Settings of the connections of one box.
+type Settings struct {
+	// Dial bounds the opening of a connection.
+	Dial time.Duration
+	// Probe is how long nothing may have come over a connection before it is probed.
+	Probe time.Duration
+	// Answer is how long nothing may come after a probe before the connection is given
+	// up.
+	Answer time.Duration
+	// Now tells the time.
+	Now func() time.Time
+	// Unanswered is told of each call that ran out of its time without an answer.
+	Unanswered func(conntrack.Unanswered)
+}
+
+// Links are the connections of one box. They may be used by several goroutines.
+type Links struct {
+	settings Settings
+	listener net.Listener
+	dialer   net.Dialer
+	handle   Handler
+	table    *conntrack.Table
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+
+	mu sync.Mutex
+	// open has all connections that are open.
+	open map[*link]struct{}
+	// newest has the newest connection, open or being opened, to each address that was
+	// called.
+	newest map[string]*opening
+	closed bool
+}
+
+// New returns links that end with ctx. Peers' calls go to handle.
+func New(ctx context.Context, listener net.Listener, s Settings, handle Handler) *Links {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Links{
+		settings: s, listener: listener, dialer: net.Dialer{Timeout: s.Dial}, handle: handle,
+		table: conntrack.NewTable(s.Now), ctx: ctx, cancel: cancel,
+		open: map[*link]struct{}{}, newest: map[string]*opening{},
+	}
+}
+
+// Serve accepts peers until Close.
+func (l *Links) Serve() { l.tasks.Go(l.accept) }
+
+// Close ends all connections and waits for what is under way on them.
+func (l *Links) Close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.mu.Lock()
+	l.closed = true
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, k := range open {
+		k.close()
+	}
+	l.tasks.Wait()
+}
+
+// Len returns how many connections are open.
+func (l *Links) Len() int { return l.table.Len() }
+
+func (l *Links) accept() {
+	for {
+		raw, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.connect(raw.RemoteAddr().String(), raw)
+	}
+}
+
+// opening is a connection to a box, or the opening of one, which all callers of that
+// box share.
+type opening struct {
+	// began is when the opening began.
+	began time.Time
+	// done is closed once link or err is set.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// wait waits until the connection is open. An error means that nobody was reached.
+func (o *opening) wait(ctx context.Context) error {
+	select {
+	case <-o.done:
+		return o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// over says whether the opening has failed or its connection has ended.
+func (o *opening) over() bool {
+	select {
+	case <-o.done:
+		return o.err != nil || o.link.ended()
+	default:
+		return false
+	}
+}
+
+// errUnreached means that no connection could be opened.
+var errUnreached = errors.New("not reached")
+
+// errClosed means that the links of this box are closed.
+var errClosed = fmt.Errorf("%w: the links are closed", errUnreached)
+
+// opening returns the connection to an address. It opens one if there is none, within
+// the time that the settings allow, whatever its first caller waits.
+func (l *Links) opening(address string) *opening {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o := l.newest[address]; o != nil && !o.over() {
+		return o
+	}
+	o := &opening{began: l.settings.Now(), done: make(chan struct{})}
+	if l.closed {
+		o.err = errClosed
+		close(o.done)
+		return o
+	}
+	l.newest[address] = o
+	l.tasks.Go(func() {
+		defer close(o.done)
+		raw, err := l.dialer.DialContext(l.ctx, "tcp", address)
+		if err != nil {
+			o.err = fmt.Errorf("%w: %w", errUnreached, err)
+			return
+		}
+		o.link = l.connect(address, raw)
+	})
+	return o
+}
+
+// connect makes a link of a connection.
+func (l *Links) connect(address string, raw net.Conn) *link {
+	l.mu.Lock()
+	k := newLink(l, l.table.Add(address, raw))
+	l.open[k] = struct{}{}
+	closed := l.closed
+	l.mu.Unlock()
+	if closed {
+		k.close()
+	}
+	return k
+}
+
+// forget takes a connection out that has ended.
+func (l *Links) forget(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, k)
+}
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"saddlevane/modules/conntrack"
 	"saddlevane/modules/peering"
+	"saddlevane/tests/forward"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
@@ -22,56 +25,167 @@
 	}
 }
 
-// newBox returns links that answer each call with the name of its method, and
-// their address.
-func newBox(t *testing.T) (*peering.Links, string) {
+// box is one end of the links that are tested. It answers each call with the name of
+// its method, but for those that the methods below name.
+type box struct {
+	links   *peering.Links
+	address string
+	// reset closes the connections on which a call comes the first time.
+	reset *forward.Forwarder
+
+	mu sync.Mutex
+	// conns has the connections on which calls came, in their order.
+	conns []*jsonrpc2.Conn
+}
+
+// The methods that are served in their own way.
+const (
+	// methodRefuse is answered with an error.
+	methodRefuse = "refuse"
+	// methodLose is answered after its first connection was lost.
+	methodLose = "lose"
+)
+
+// newBox returns a box that is served until the test ends.
+func newBox(t *testing.T) *box {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	l := peering.New(ctx, listener, settings(), func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		return req.Method, nil
-	})
-	l.Serve()
-	t.Cleanup(func() {
-		cancel()
-		l.Close()
-	})
-	return l, listener.Addr().String()
+	b := &box{address: listener.Addr().String()}
+	b.links = peering.New(context.Background(), listener, settings(), b.handle)
+	b.links.Serve()
+	t.Cleanup(b.links.Close)
+	return b
+}
+
+// handle serves one call.
+func (b *box) handle(_ context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	b.mu.Lock()
+	b.conns = append(b.conns, c)
+	calls := len(b.conns)
+	b.mu.Unlock()
+	switch req.Method {
+	case methodRefuse:
+		return nil, errors.New("it is refused")
+	case methodLose:
+		if calls == 1 {
+			b.reset.Reset()
+		}
+	}
+	return req.Method, nil
+}
+
+// callsOn returns on how many connections calls came, and how many there were.
+func (b *box) callsOn() (connections, calls int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	different := map[*jsonrpc2.Conn]bool{}
+	for _, c := range b.conns {
+		different[c] = true
+	}
+	return len(different), len(b.conns)
+}
+
+// ask makes a call and returns its answer.
+func (b *box) ask(address string, c peering.Call) (answer string, repeated bool, err error) {
+	c.Result = &answer
+	repeated, err = b.links.Call(context.Background(), address, c)
+	return answer, repeated, err
 }
 
 func TestACallReachesThePeer(t *testing.T) {
-	a, _ := newBox(t)
-	_, address := newBox(t)
-	c, err := a.Conn(context.Background(), address)
+	a, b := newBox(t), newBox(t)
+	got, repeated, err := a.ask(b.address, peering.Call{Method: "greet"})
 	assert.NilError(t, err)
-	assert.Equal(t, a.Len(), 1)
-	var got string
-	assert.NilError(t, c.Call(context.Background(), "greet", struct{}{}, &got))
 	assert.Equal(t, got, "greet")
+	assert.Check(t, !repeated)
+	assert.Equal(t, a.links.Len(), 1)
 }
 
 func TestAConnectionIsKeptUntilItEnds(t *testing.T) {
-	a, _ := newBox(t)
-	_, address := newBox(t)
-	first, err := a.Conn(context.Background(), address)
+	a, b := newBox(t), newBox(t)
+	by := forward.New()
+	defer by.Close()
+	address, err := by.Via(b.address)
 	assert.NilError(t, err)
-	again, err := a.Conn(context.Background(), address)
-	assert.NilError(t, err)
-	assert.Check(t, first == again)
-	first.Close()
-	<-first.Closed()
-	other, err := a.Conn(context.Background(), address)
-	assert.NilError(t, err)
-	assert.Check(t, first != other)
+	for _, want := range []int{1, 1, 2} {
+		got, _, err := a.ask(address, peering.Call{Method: "greet"})
+		assert.NilError(t, err)
+		assert.Equal(t, got, "greet")
+		connections, calls := b.callsOn()
+		assert.Equal(t, connections, want)
+		if calls == 2 {
+			by.Reset()
+			until(t, "the connection has ended", func() bool { return a.links.Len() == 0 })
+		}
+	}
+}
+
+func TestCallersWhoComeTogetherShareAConnection(t *testing.T) {
+	a, b := newBox(t), newBox(t)
+	var callers sync.WaitGroup
+	for range 50 {
+		callers.Go(func() {
+			_, _, err := a.ask(b.address, peering.Call{Method: "greet"})
+			assert.Check(t, err == nil, "%v", err)
+		})
+	}
+	callers.Wait()
+	connections, calls := b.callsOn()
+	assert.Equal(t, connections, 1)
+	assert.Equal(t, calls, 50)
 }
 
 func TestNobodyReachedIsAnError(t *testing.T) {
-	a, _ := newBox(t)
+	a := newBox(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = a.Conn(context.Background(), address)
-	assert.Check(t, err != nil)
+	_, _, err = a.ask(address, peering.Call{Method: "greet"})
+	e, ok := errors.AsType[*peering.NoAnswerError](err)
+	assert.Assert(t, ok, "%v", err)
+	assert.Check(t, !e.Sent && e.Fresh, "%+v", e)
+}
+
+func TestWhatABoxHasRefusedIsNotACallWithoutAnAnswer(t *testing.T) {
+	a, b := newBox(t), newBox(t)
+	_, _, err := a.ask(b.address, peering.Call{Method: methodRefuse, Idempotent: true})
+	assert.ErrorContains(t, err, "it is refused")
+	_, ok := errors.AsType[*peering.NoAnswerError](err)
+	assert.Check(t, !ok, "%v", err)
+	_, calls := b.callsOn()
+	assert.Equal(t, calls, 1)
+}
+
+func TestACallWhoseConnectionIsLostIsMadeAgainOnlyIfItMayBe(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		a, b := newBox(t), newBox(t)
+		b.reset = forward.New()
+		defer b.reset.Close()
+		address, err := b.reset.Via(b.address)
+		assert.NilError(t, err)
+		got, repeated, err := a.ask(address, peering.Call{Method: methodLose, Idempotent: idempotent})
+		_, calls := b.callsOn()
+		if idempotent {
+			assert.NilError(t, err)
+			assert.Equal(t, got, methodLose)
+			assert.Check(t, repeated)
+			assert.Equal(t, calls, 2)
+			continue
+		}
+		e, ok := errors.AsType[*peering.NoAnswerError](err)
+		assert.Assert(t, ok, "%v", err)
+		assert.Check(t, e.Sent, "%+v", e)
+		assert.Equal(t, calls, 1)
+	}
+}
+
+func TestClosedLinksReachNobody(t *testing.T) {
+	a, b := newBox(t), newBox(t)
+	a.links.Close()
+	_, _, err := a.ask(b.address, peering.Call{Method: "greet", Idempotent: true})
+	e, ok := errors.AsType[*peering.NoAnswerError](err)
+	assert.Assert(t, ok, "%v", err)
+	assert.Check(t, !e.Sent, "%+v", e)
 }
--- a/modules/peering/silent_test.go
+++ b/modules/peering/silent_test.go
@@ -41,7 +41,7 @@
 			t.Run("is given up at both ends if nobody calls", func(t *testing.T) {
 				p := newPair(t)
 				p.silence(directions...)
-				poll.WaitOn(t, p.givenUp, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+				until(t, "no connection is open at either end", p.givenUp)
 			})
 			t.Run("costs a call only a small part of its time", func(t *testing.T) {
 				p := newPair(t)
@@ -82,23 +82,19 @@
 
 // pair is a box that calls another one through a forwarder.
 type pair struct {
-	t       *testing.T
-	from    *peering.Links
-	to      *peering.Links
-	address string
-	by      *forward.Forwarder
+	t        *testing.T
+	from, to *box
+	address  string
+	by       *forward.Forwarder
 }
 
 // newPair returns two boxes with an open connection.
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	p := &pair{t: t, by: forward.New()}
-	var address string
-	p.from, _ = newBox(t)
-	p.to, address = newBox(t)
+	p := &pair{t: t, from: newBox(t), to: newBox(t), by: forward.New()}
 	t.Cleanup(p.by.Close)
 	var err error
-	p.address, err = p.by.Via(address)
+	p.address, err = p.by.Via(p.to.address)
 	assert.NilError(t, err)
 	p.answered(10 * time.Second)
 	return p
@@ -110,15 +106,12 @@
 	assert.Equal(p.t, p.by.Silence(directions...), 1)
 }
 
-// calls makes a call and returns its answer.
+// calls makes a call that may be made again, and returns its answer.
 func (p *pair) calls(within time.Duration, params any) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	var got string
-	c, err := p.from.Conn(ctx, p.address)
-	if err == nil {
-		err = c.Call(ctx, "greet", params, &got)
-	}
+	_, err := p.from.links.Call(ctx, p.address, peering.Call{Method: "greet", Params: params, Result: &got, Idempotent: true})
 	return got, err
 }
 
@@ -131,9 +124,15 @@
 }
 
 // givenUp says whether no connection is open at either end.
-func (p *pair) givenUp(poll.LogT) poll.Result {
-	if p.from.Len() == 0 && p.to.Len() == 0 {
-		return poll.Success()
-	}
-	return poll.Continue("%d and %d connections are open", p.from.Len(), p.to.Len())
+func (p *pair) givenUp() bool { return p.from.links.Len() == 0 && p.to.links.Len() == 0 }
+
+// until waits until a condition holds.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 }
--- a/services/jobrun/advice.go
+++ b/services/jobrun/advice.go
@@ -10,6 +10,7 @@
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/modules/peering"
 	"saddlevane/services/dispatch"
 )
 
@@ -39,14 +40,13 @@
 
 // advise has another entry box call the advice service.
 func (p *Peers) advise(ctx context.Context, address string, step job.StepID, workers []string) ([]order.Ticket, error) {
-	c, err := p.conn(ctx, address)
+	var a advised
+	_, err := p.links.Call(ctx, address, peering.Call{
+		Method: methodAdvise, Params: adviseParams{Step: step, Workers: workers}, Result: &a, Idempotent: true,
+	})
 	if err != nil {
 		return nil, err
 	}
-	var a advised
-	if err := c.Call(ctx, methodAdvise, adviseParams{Step: step, Workers: workers}, &a); err != nil {
-		return nil, fmt.Errorf("entry box %s: %w", address, err)
-	}
 	if a.Busy {
 		return nil, fmt.Errorf("entry box %s: %w", address, ErrAdviceBusy)
 	}
--- a/services/jobrun/outage.go
+++ b/services/jobrun/outage.go
@@ -42,18 +42,11 @@
 // hear in time to go on.
 const quickWithin = 400 * time.Millisecond
 
-// quick makes one call that must be answered at once.
+// quick passes a wish on that must be answered at once.
 func (p *Peers) quick(address string, r Request) dispatch.Answer {
 	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
 	defer cancel()
-	c, err := p.conn(ctx, address)
-	if err != nil {
-		// Nobody was reached, so nothing was asked.
-		return dispatch.Answer{Outcome: dispatch.Unavailable, Reason: err.Error()}
-	}
-	var a dispatch.Answer
-	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
-		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
-	}
-	return a
+	// What became of it stands in the answer.
+	a, repeated, _ := p.pass(ctx, address, r)
+	return sure(a, repeated)
 }
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -92,80 +91,50 @@
 	return nil
 }
 
-// conn returns a connection to a peer. An error means that nobody was reached.
-func (p *Peers) conn(ctx context.Context, address string) (*peering.Link, error) {
-	c, err := p.links.Conn(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("entry box %s: %w", address, err)
-	}
-	return c, nil
-}
-
 // request passes a caller's wish on to the holder.
 func (p *Peers) request(ctx context.Context, address string, r Request) dispatch.Answer {
 	if p.silent(address) {
 		return p.unreached("the holder does not answer")
 	}
-	began := p.loop.now()
-	ctx, cancel := context.WithTimeout(ctx, p.loop.settings.PeerTimeout)
+	within, cancel := context.WithTimeout(ctx, p.loop.settings.PeerTimeout)
 	defer cancel()
-	a, err := p.requestOnce(ctx, address, r)
-	for tries := 1; err != nil && a.Outcome == dispatch.Unsure && tries < requestTries && ctx.Err() == nil; tries++ {
-		// The connection was lost, not the holder, and the same wish again changes
-		// nothing more.
-		var again dispatch.Answer
-		again, err = p.requestOnce(ctx, address, r)
-		if err == nil {
-			p.answered(address, again.Outcome == dispatch.Elsewhere)
-		}
-		if refused(again) {
-			// Nothing was done this time; an earlier call may still have been served.
-			return a
-		}
-		a = again
-	}
+	a, repeated, err := p.pass(within, address, r)
+	failed, _ := errors.AsType[*peering.NoAnswerError](err)
 	switch {
 	case err == nil:
 		p.answered(address, a.Outcome == dispatch.Elsewhere)
-	case !p.impatient(err, began):
+	case failed != nil && failed.Fresh && ctx.Err() == nil:
+		// An old connection may be dead while the box answers, and a caller who has left
+		// tells nothing of it.
 		p.setSilent(address)
 	}
-	return a
+	return sure(a, repeated)
 }
 
-// refused says whether an answer says that nothing was done.
-func refused(a dispatch.Answer) bool {
-	return a.Outcome == dispatch.Unavailable || a.Outcome == dispatch.Elsewhere
-}
-
-// impatient says whether a call that began at some time has failed because its caller
-// waits no longer, which says nothing of the box that was called.
-func (p *Peers) impatient(err error, began time.Time) bool {
-	ended := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
-	return ended && p.loop.now().Sub(began) < p.loop.settings.PeerTimeout
+// pass passes a wish on to another box. The same wish again changes nothing more, so
+// it may be made again; repeated says that an earlier try may have been served besides.
+// An error means that the box has not answered it; the outcome then says whether it may
+// have been asked.
+func (p *Peers) pass(ctx context.Context, address string, r Request) (a dispatch.Answer, repeated bool, err error) {
+	repeated, err = p.links.Call(ctx, address, peering.Call{Method: methodRequest, Params: r, Result: &a, Idempotent: true})
+	failed, _ := errors.AsType[*peering.NoAnswerError](err)
+	switch {
+	case failed != nil && !failed.Sent:
+		a = p.unreached(err.Error())
+	case err != nil:
+		a = dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
+	}
+	return a, repeated, err
 }
 
-// requestTries is how often a wish is passed on whose connection is lost: another
-// connection is had in a few milliseconds.
-const requestTries = 4
-
-// requestOnce makes one call. An error means that there was no answer; the outcome
-// then says whether the holder may have been asked.
-func (p *Peers) requestOnce(ctx context.Context, address string, r Request) (dispatch.Answer, error) {
-	c, err := p.conn(ctx, address)
-	if err != nil {
-		return p.unreached(err.Error()), err
-	}
-	var a dispatch.Answer
-	began := p.loop.now()
-	if err := c.Call(ctx, methodRequest, r, &a); err != nil {
-		if !p.impatient(err, began) {
-			// Other callers' calls are under way on a connection that works.
-			c.Close()
-		}
-		return dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}, err
+// sure returns an answer as far as it is sure: if it says that nothing was done, an
+// earlier try may still have been served.
+func sure(a dispatch.Answer, repeated bool) dispatch.Answer {
+	refused := a.Outcome == dispatch.Unavailable || a.Outcome == dispatch.Elsewhere
+	if !repeated || !refused {
+		return a
 	}
-	return a, nil
+	return dispatch.Answer{Outcome: dispatch.Unsure, Reason: "an earlier try had no answer, a later one was refused: " + a.Reason}
 }
 
 // unreached is the answer where the holder was not asked, so nothing was done.
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -121,17 +121,11 @@
 	}, nil
 }
 
-// call makes one call and drops the connection if it does not end in time, so
-// that the next call does not wait on a dead one.
-func (p *Peers) call(ctx context.Context, address, method string, in, out any) error {
-	c, err := p.links.Conn(ctx, address)
-	if err != nil {
-		// Nobody was reached, so nothing was sent.
-		return verdict.Wrap(verdict.NotRun, fmt.Errorf("peer %s: %w", address, err))
-	}
-	err = c.Call(ctx, method, in, out)
-	if err != nil && ctx.Err() != nil && method == peer.MethodHello {
-		c.Close()
+// call calls a peer.
+func (p *Peers) call(ctx context.Context, address string, c peering.Call) error {
+	_, err := p.links.Call(ctx, address, c)
+	if failed, ok := errors.AsType[*peering.NoAnswerError](err); ok && !failed.Sent {
+		return verdict.Wrap(verdict.NotRun, err)
 	}
 	return err
 }
@@ -148,7 +142,8 @@
 		ctx, cancel := context.WithTimeout(p.ctx, helloWithin)
 		defer cancel()
 		var none struct{}
-		if err := p.call(ctx, e.Address, peer.MethodHello, e.Hello, &none); err != nil {
+		hello := peering.Call{Method: peer.MethodHello, Params: e.Hello, Result: &none, Idempotent: true}
+		if err := p.call(ctx, e.Address, hello); err != nil {
 			p.loop.log.WithError(err).Debug("a heartbeat was not answered")
 		}
 		p.mu.Lock()
@@ -162,7 +157,8 @@
 		ctx, cancel := context.WithTimeout(p.ctx, fetchWithin)
 		defer cancel()
 		var s record.Snapshot
-		if err := p.call(ctx, e.Address, peer.MethodSnapshot, struct{}{}, &s); err != nil {
+		fetch := peering.Call{Method: peer.MethodSnapshot, Params: struct{}{}, Result: &s, Idempotent: true}
+		if err := p.call(ctx, e.Address, fetch); err != nil {
 			p.loop.log.WithError(err).Debug("a peer's snapshot could not be read")
 			return
 		}
@@ -180,10 +176,11 @@
 		defer cancel()
 		in := &k.incoming
 		var answer peer.Answer
-		err := p.call(ctx, e.Address, peer.MethodForward, peer.Forward{
+		// Not idempotent: a request that may have run is not sent again.
+		err := p.call(ctx, e.Address, peering.Call{Method: peer.MethodForward, Result: &answer, Params: peer.Forward{
 			Pool: in.Pool, Class: in.Class, Key: in.Key.String(), Method: in.Method, Path: in.Path,
 			Header: in.Header, Body: in.Body, Budget: e.Timeout.Milliseconds(), Delegated: e.Delegated,
-		}, &answer)
+		}})
 		ended := event.ForwardEnded{ID: e.ID, Verdict: answer.Verdict}
 		if err != nil {
 			ended.Failed, ended.Verdict = err.Error(), verdict.Of(err)
