peering: give silent links up at both ends

Each end of a link probes it when nothing has come over it for connections.probe, or for 100 ms while calls wait on it, and gives it up when nothing comes within connections.answer after that. Calls that may be made again are then made again on a new link. A probe is a JSON-RPC call, so that boxes of an older version answer it too. Writes are bounded by their progress; the time of the least rate for what was written, and of a busy box for decoding it, is allowed for. Probes are answered past the lock that jsonrpc2 holds while it encodes other messages: with it held, a large answer got its link closed.

Each link that is given up is told of by a line and counted in saddlevane_connections_given_up_total{to,reason}.

Ruled out: TCP keep-alive and user time-outs, which a box that accepts segments but reads nothing satisfies; a timer a link, which wakes a holder of 42 links as often as they carry calls; deadlines of reads, which say nothing of a link that nobody calls on.

--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -90,6 +90,9 @@
 	return c.Conn.Close()
 }
 
+// Address returns where the connection leads to.
+func (c *Conn) Address() string { return c.address }
+
 // OpenedAt returns when the connection was opened.
 func (c *Conn) OpenedAt() time.Time { return c.openedAt }
 
--- a/modules/peering/call.go
+++ b/modules/peering/call.go
@@ -19,6 +19,9 @@
 	// Idempotent says that serving the call twice does no more than serving it once. It
 	// is then made again, on a new connection, if its connection is lost.
 	Idempotent bool
+	// Urgent has its link probed at once, so that a silent one costs the call no more
+	// than the bound on the probe's answer.
+	Urgent bool
 }
 
 // NoAnswerError means that a box has not answered a call.
--- /dev/null
+++ b/modules/peering/givenup.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peering
+
+import "time"
+
+// Reason is why a link was given up.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonProbe means that nothing came over it after a probe.
+	ReasonProbe Reason = "probe"
+	// ReasonWrite means that a part of a message could not be written in time.
+	ReasonWrite Reason = "write"
+)
+
+// GivenUp describes a link that was given up as silent.
+type GivenUp struct {
+	// To is what was at its other end, and Address where.
+	To      string
+	Address string
+	Reason  Reason
+	// OpenFor is how long it had been open, HeardAgo how long nothing had come over it.
+	OpenFor  time.Duration
+	HeardAgo time.Duration
+	// Calls is how many calls of this box were under way on it.
+	Calls int
+}
+
+// giveUp ends a silent link.
+func (k *link) giveUp(now time.Time, reason Reason) {
+	k.mu.Lock()
+	first, calls := !k.givenUp, k.calls
+	k.givenUp = true
+	k.mu.Unlock()
+	if !first || k.ended() {
+		return
+	}
+	k.links.settings.GivenUp(GivenUp{
+		To: linkTo, Address: k.conn.Address(), Reason: reason,
+		OpenFor: now.Sub(k.conn.OpenedAt()), HeardAgo: now.Sub(k.conn.HeardAt()), Calls: calls,
+	})
+	k.close()
+}
--- a/modules/peering/link.go
+++ b/modules/peering/link.go
@@ -5,12 +5,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"saddlevane/modules/conntrack"
-	"saddlevane/modules/frame"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -19,25 +20,46 @@
 type link struct {
 	links *Links
 	conn  *conntrack.Conn
+	// stream is what the end that speaks JSON-RPC reads from and writes to.
+	stream *stream
 	// used says that a call was made on it.
 	used atomic.Bool
+	// reading says that the next bytes are waited for.
+	reading atomic.Bool
 	// sending is held by the call that is being written, so that others can leave when
 	// their time is out.
 	sending chan struct{}
 
-	mu  sync.Mutex
+	mu sync.Mutex
+	// rpc is the end that speaks JSON-RPC.
 	rpc *jsonrpc2.Conn
 	// serve has the calls of the peer handled.
 	serve jsonrpc2.Handler
+	// calls is how many calls of this box wait on it, and waitingSince since when there
+	// has been at least one.
+	calls        int
+	waitingSince time.Time
+	// urgent says that it is to be probed at once.
+	urgent bool
+	// probing says that a probe is under way. probedAt is when all that was written until
+	// the probe should have arrived, or zero while the probe waits to be written.
+	probing  bool
+	probedAt time.Time
+	// overdue says that it was found to be silent once.
+	overdue bool
+	givenUp bool
+	// clearAt is when the peer should have all that was written, if the link works.
+	clearAt time.Time
 }
 
 // newLink serves the calls that come over a connection.
 func newLink(l *Links, conn *conntrack.Conn) *link {
 	k := &link{links: l, conn: conn, sending: make(chan struct{}, 1)}
+	k.stream = newStream(k)
 	k.serve = jsonrpc2.HandlerWithError(l.handle).SuppressErrClosed()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.rpc = jsonrpc2.NewConn(l.ctx, jsonrpc2.NewBufferedStream(stream{k}, frame.Codec{}), jsonrpc2.AsyncHandler(k))
+	k.rpc = jsonrpc2.NewConn(l.ctx, k.stream, jsonrpc2.AsyncHandler(k))
 	return k
 }
 
@@ -65,6 +87,8 @@
 // written whole is not served.
 func (k *link) call(ctx context.Context, c Call) (sent bool, err error) {
 	began, reused := k.links.settings.Now(), k.used.Swap(true)
+	k.begin(began, c.Urgent)
+	defer k.end()
 	defer func() {
 		if !errors.Is(err, context.DeadlineExceeded) {
 			return
@@ -96,22 +120,17 @@
 	return k.peer().DispatchCall(ctx, c.Method, c.Params)
 }
 
-// Handle serves one call of the peer, as a jsonrpc2.Handler.
+// pong is the result of a probe.
+var pong = json.RawMessage("null")
+
+// Handle serves one call of the peer, as a jsonrpc2.Handler. A probe is answered at
+// once, whatever the other calls wait for.
 func (k *link) Handle(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == methodPing {
+		// Written past the lock that is held while other messages are encoded. It fails
+		// if the link has ended.
+		_ = k.stream.WriteObject(&jsonrpc2.Response{ID: req.ID, Result: &pong})
+		return
+	}
 	k.serve.Handle(ctx, c, req)
 }
-
-// stream is what the JSON-RPC end of a link reads from and writes to.
-type stream struct{ link *link }
-
-// Read reads from the connection.
-func (s stream) Read(b []byte) (int, error) { return s.link.conn.Read(b) }
-
-// Write writes to the connection.
-func (s stream) Write(b []byte) (int, error) { return s.link.conn.Write(b) }
-
-// Close closes the connection.
-func (s stream) Close() error {
-	s.link.links.forget(s.link)
-	return s.link.conn.Close()
-}
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -38,6 +38,8 @@
 	Now func() time.Time
 	// Unanswered is told of each call that ran out of its time without an answer.
 	Unanswered func(conntrack.Unanswered)
+	// GivenUp is told of each connection that is given up as silent.
+	GivenUp func(GivenUp)
 }
 
 // Links are the connections of one box. They may be used by several goroutines.
@@ -47,6 +49,7 @@
 	dialer   net.Dialer
 	handle   Handler
 	table    *conntrack.Table
+	alarm    *alarm
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
@@ -63,11 +66,13 @@
 // New returns links that end with ctx. Peers' calls go to handle.
 func New(ctx context.Context, listener net.Listener, s Settings, handle Handler) *Links {
 	ctx, cancel := context.WithCancel(ctx)
-	return &Links{
+	l := &Links{
 		settings: s, listener: listener, dialer: net.Dialer{Timeout: s.Dial}, handle: handle,
-		table: conntrack.NewTable(s.Now), ctx: ctx, cancel: cancel,
+		table: conntrack.NewTable(s.Now), alarm: newAlarm(s.Now()), ctx: ctx, cancel: cancel,
 		open: map[*link]struct{}{}, newest: map[string]*opening{},
 	}
+	l.tasks.Go(l.watch)
+	return l
 }
 
 // Serve accepts peers until Close.
@@ -79,14 +84,20 @@
 	_ = l.listener.Close()
 	l.mu.Lock()
 	l.closed = true
-	open := slices.Collect(maps.Keys(l.open))
 	l.mu.Unlock()
-	for _, k := range open {
+	for _, k := range l.all() {
 		k.close()
 	}
 	l.tasks.Wait()
 }
 
+// all returns the connections that are open.
+func (l *Links) all() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
 // Len returns how many connections are open.
 func (l *Links) Len() int { return l.table.Len() }
 
@@ -166,6 +177,7 @@
 
 // connect makes a link of a connection.
 func (l *Links) connect(address string, raw net.Conn) *link {
+	boundBuffer(raw)
 	l.mu.Lock()
 	k := newLink(l, l.table.Add(address, raw))
 	l.open[k] = struct{}{}
@@ -174,6 +186,8 @@
 	if closed {
 		k.close()
 	}
+	now := l.settings.Now()
+	l.alarm.setBy(now, now.Add(l.settings.Probe))
 	return k
 }
 
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,7 +23,7 @@
 
 func settings() peering.Settings {
 	return peering.Settings{
-		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {},
+		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}, GivenUp: func(peering.GivenUp) {},
 	}
 }
 
@@ -33,7 +35,12 @@
 	// reset closes the connections on which a call comes the first time.
 	reset *forward.Forwarder
 
+	// until is closed when calls that wait are to be answered.
+	until chan struct{}
+
 	mu sync.Mutex
+	// given has the links that were given up.
+	given []peering.GivenUp
 	// conns has the connections on which calls came, in their order.
 	conns []*jsonrpc2.Conn
 }
@@ -44,6 +51,10 @@
 	methodRefuse = "refuse"
 	// methodLose is answered after its first connection was lost.
 	methodLose = "lose"
+	// methodWait is answered when the box is told to.
+	methodWait = "wait"
+	// methodLarge has a large answer.
+	methodLarge = "large"
 )
 
 // newBox returns a box that is served until the test ends.
@@ -51,8 +62,10 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	b := &box{address: listener.Addr().String()}
-	b.links = peering.New(context.Background(), listener, settings(), b.handle)
+	b := &box{address: listener.Addr().String(), until: make(chan struct{})}
+	s := settings()
+	s.GivenUp = b.gaveUp
+	b.links = peering.New(context.Background(), listener, s, b.handle)
 	b.links.Serve()
 	t.Cleanup(b.links.Close)
 	return b
@@ -71,10 +84,28 @@
 		if calls == 1 {
 			b.reset.Reset()
 		}
+	case methodWait:
+		<-b.until
+	case methodLarge:
+		return strings.Repeat("x", slowMessage), nil
 	}
 	return req.Method, nil
 }
 
+// gaveUp notes a link that was given up.
+func (b *box) gaveUp(g peering.GivenUp) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.given = append(b.given, g)
+}
+
+// givenUp returns the links that were given up.
+func (b *box) givenUp() []peering.GivenUp {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.given)
+}
+
 // callsOn returns on how many connections calls came, and how many there were.
 func (b *box) callsOn() (connections, calls int) {
 	b.mu.Lock()
--- /dev/null
+++ b/modules/peering/probe.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peering
+
+import "time"
+
+// Each end of a link probes it when nothing has come over it for some time, whether
+// calls are made on it or not, and gives it up when nothing comes after the probe:
+// connections can go silent for good without a reset, while new ones work.
+
+// methodPing is the call by which a link is probed. A peer that does not know it says
+// so, which is an answer too.
+const methodPing = "peering.ping"
+
+const (
+	// probeWaiting is how long nothing may have come over a link that calls wait on
+	// before it is probed. With it and the usual bound on answers, a call that has 700 ms
+	// can be made again on a new link; shorter, and links on which calls wait for long
+	// would carry more probes than calls.
+	probeWaiting = 100 * time.Millisecond
+	// lookAgain is how long after its answer became overdue a link is given up, so that
+	// what came while this process had no processor is read before.
+	lookAgain = 10 * time.Millisecond
+)
+
+// look does what is due on a link. It returns when it is due next, or that nothing has
+// come over it for too long after a probe.
+func (k *link) look(now time.Time) (due time.Time, silent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	due = k.due(now)
+	switch {
+	case now.Before(due):
+		k.overdue = false
+		return due, false
+	case !k.probing:
+		k.probing, k.probedAt, k.urgent, k.overdue = true, time.Time{}, false, false
+		k.links.tasks.Go(k.probe)
+		return now.Add(k.links.settings.Answer), false
+	case !k.overdue:
+		k.overdue = true
+		return now.Add(lookAgain), false
+	default:
+		return time.Time{}, true
+	}
+}
+
+// due returns when a link is to be looked at. The lock is held.
+func (k *link) due(now time.Time) time.Time {
+	s, heard := &k.links.settings, k.heardAt(now)
+	switch {
+	case k.probing && k.probedAt.IsZero():
+		// The probe still waits to be written, and writes are bounded.
+		return now.Add(s.Answer)
+	case k.probing:
+		return later(heard, k.probedAt).Add(s.Answer)
+	case k.urgent:
+		return now
+	case k.calls > 0:
+		return k.links.alarm.onGrid(later(heard, k.waitingSince).Add(min(probeWaiting, s.Probe)))
+	default:
+		return k.links.alarm.onGrid(heard.Add(s.Probe))
+	}
+}
+
+// heardAt returns when something last came over a link. While a message is being
+// decoded nothing is read, which is no silence.
+func (k *link) heardAt(now time.Time) time.Time {
+	if !k.reading.Load() {
+		return now
+	}
+	return k.conn.HeardAt()
+}
+
+// probe makes one probe and waits for its answer.
+func (k *link) probe() {
+	defer k.probed()
+	ping, err := k.peer().DispatchCall(k.links.ctx, methodPing, nil)
+	if err != nil {
+		// The link has ended.
+		return
+	}
+	k.mu.Lock()
+	// What was written before it may still be on its way.
+	k.probedAt = later(k.links.settings.Now(), k.clearAt)
+	k.mu.Unlock()
+	// An error is an answer as well, or the end of the link.
+	_ = ping.Wait(k.links.ctx, nil)
+}
+
+// probed notes that a probe has ended.
+func (k *link) probed() {
+	now := k.links.settings.Now()
+	k.mu.Lock()
+	k.probing = false
+	due := k.due(now)
+	k.mu.Unlock()
+	k.links.alarm.setBy(now, due)
+}
+
+// begin notes that a call waits on a link. An urgent one has it probed at once.
+func (k *link) begin(now time.Time, urgent bool) {
+	k.mu.Lock()
+	if k.calls == 0 {
+		k.waitingSince = now
+	}
+	k.calls++
+	k.urgent = k.urgent || urgent && !k.probing
+	due := k.due(now)
+	k.mu.Unlock()
+	k.links.alarm.setBy(now, due)
+}
+
+// end notes that a call no longer waits.
+func (k *link) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.calls--
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/modules/peering/stream.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peering
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"saddlevane/modules/frame"
+)
+
+const (
+	// leastRate is how fast a link that works carries bytes at least, in bytes a second:
+	// thin links have 10 Mbit/s.
+	leastRate = 10_000_000 / 8
+	// decodeRate is how fast a busy box decodes a message at least, in bytes a second: a
+	// fifteenth of a core decodes 2 MB. Until it has, it reads nothing more from the link.
+	decodeRate = 2_000_000
+	// sendBuffer is how many bytes the system is asked to take for a link before they are
+	// sent. It holds up to twice as many; without the bound, silence would show only after
+	// megabytes.
+	sendBuffer = 128 << 10
+	// bufferedFor is how long a link of the least rate takes for what the system holds.
+	bufferedFor = 2 * sendBuffer * time.Second / leastRate
+	// writePart is how many bytes are written at a time, so that the bound on writes is
+	// one on their progress, however long a message is.
+	writePart = 64 << 10
+)
+
+// boundBuffer has the system hold no more than sendBuffer for a connection. Where that
+// cannot be set, only the time is longer until a silent link is given up.
+func boundBuffer(raw net.Conn) {
+	if c, ok := raw.(*net.TCPConn); ok {
+		_ = c.SetWriteBuffer(sendBuffer)
+	}
+}
+
+// stream carries the messages of a link. It may be written to by several goroutines.
+type stream struct {
+	link   *link
+	reader *bufio.Reader
+	// writing is held while a message is written, but not while it is encoded: a probe is
+	// answered meanwhile.
+	writing sync.Mutex
+}
+
+// newStream returns the stream of a link.
+func newStream(k *link) *stream {
+	s := &stream{link: k}
+	s.reader = bufio.NewReader(s)
+	return s
+}
+
+// ReadObject reads a message.
+func (s *stream) ReadObject(v any) error { return frame.Codec{}.ReadObject(s.reader, v) }
+
+// WriteObject writes a message.
+func (s *stream) WriteObject(v any) error { return frame.Codec{}.WriteObject(s, v) }
+
+// Read reads from the connection.
+func (s *stream) Read(b []byte) (int, error) {
+	s.link.reading.Store(true)
+	defer s.link.reading.Store(false)
+	return s.link.conn.Read(b)
+}
+
+// Write writes a whole message in parts that must each be taken in time. A failure ends
+// the link: the peer could make nothing of what comes after half a message.
+func (s *stream) Write(b []byte) (n int, err error) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	for n < len(b) {
+		part := b[n:min(n+writePart, len(b))]
+		written, err := s.link.write(part)
+		n += written
+		if err != nil {
+			s.link.writeFailed(err)
+			return n, err
+		}
+	}
+	s.link.written(n)
+	return n, nil
+}
+
+// Close closes the connection.
+func (s *stream) Close() error {
+	s.link.links.forget(s.link)
+	return s.link.conn.Close()
+}
+
+// write writes a part of a message within the time that a link that works takes for it
+// and for what was written before.
+func (k *link) write(part []byte) (int, error) {
+	now := k.links.settings.Now()
+	k.mu.Lock()
+	by := later(now, k.clearAt).Add(bufferedFor + k.links.settings.Answer)
+	k.mu.Unlock()
+	if err := k.conn.SetWriteDeadline(by); err != nil {
+		return 0, err
+	}
+	n, err := k.conn.Write(part)
+	if err != nil {
+		return n, err
+	}
+	// A deadline left behind would wake the process when it passes. An error would say
+	// that the link has ended, and the part is written.
+	_ = k.conn.SetWriteDeadline(time.Time{})
+	return n, nil
+}
+
+// written notes when the peer should have a message of some bytes that was written.
+func (k *link) written(n int) {
+	now := k.links.settings.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	carried := later(k.clearAt, now).Add(time.Duration(n) * time.Second / leastRate)
+	if most := now.Add(bufferedFor); carried.After(most) {
+		// The system has no more of it.
+		carried = most
+	}
+	decoded := now.Add(time.Duration(n) * time.Second / decodeRate)
+	k.clearAt = later(k.clearAt, later(carried, decoded))
+}
+
+// writeFailed ends a link on which a write has failed.
+func (k *link) writeFailed(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		k.giveUp(k.links.settings.Now(), ReasonWrite)
+		return
+	}
+	k.close()
+}
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -29,6 +29,8 @@
 	advice   *prometheus.CounterVec
 	// unanswered counts calls that ran out of their time, by what was called.
 	unanswered *prometheus.CounterVec
+	// givenUp counts connections that were given up as silent.
+	givenUp *prometheus.CounterVec
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -45,8 +47,9 @@
 		logTime:    histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
 		advice:     counter("advice_calls_total", "Calls for advice, by result.", "result"),
 		unanswered: counter("calls_unanswered_total", "Calls that ran out of their time, by what was called and whether the connection had carried earlier calls.", "to", "connection"),
+		givenUp:    counter("connections_given_up_total", "Connections that were given up as silent, by what they led to and why.", "to", "reason"),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered, m.givenUp)
 	return m
 }
 
@@ -112,3 +115,5 @@
 	}
 	m.unanswered.WithLabelValues(u.To, connection).Inc()
 }
+
+func (m *Metrics) connectionGivenUp(to, reason string) { m.givenUp.WithLabelValues(to, reason).Inc() }
--- a/services/runtime/unanswered.go
+++ b/services/runtime/unanswered.go
@@ -5,6 +5,7 @@
 
 import (
 	"saddlevane/modules/conntrack"
+	"saddlevane/modules/peering"
 
 	"github.com/sirupsen/logrus"
 )
@@ -16,3 +17,10 @@
 		"open_for": u.OpenFor.String(), "heard_ago": u.HeardAgo.String(),
 	}).Debug("a call had no answer")
 }
+
+// givenUp logs a link to another entry box that was given up as silent.
+func (l *Loop) givenUp(g peering.GivenUp) {
+	l.log.WithFields(logrus.Fields{
+		"address": g.Address, "reason": g.Reason, "open_for": g.OpenFor.String(), "heard_ago": g.HeardAgo.String(), "calls": g.Calls,
+	}).Info("a link to an entry box was given up")
+}
--- a/tests/forward/forward.go
+++ b/tests/forward/forward.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 )
@@ -34,6 +35,9 @@
 	pairs     map[*pair]struct{}
 	refuses   bool
 	closed    bool
+	// rate is how many bytes a second pass in each direction of a connection, or 0 for
+	// all that come.
+	rate int
 }
 
 // New returns a forwarder; Close ends it.
@@ -90,8 +94,34 @@
 		return
 	}
 	f.pairs[p] = struct{}{}
-	f.tasks.Go(func() { f.copy(p, p.out, p.in, &p.requests) })
-	f.tasks.Go(func() { f.copy(p, p.in, p.out, &p.answers) })
+	rate := f.rate
+	if rate > 0 {
+		p.bound()
+	}
+	f.tasks.Go(func() { f.copy(p, p.out, p.in, &p.requests, rate) })
+	f.tasks.Go(func() { f.copy(p, p.in, p.out, &p.answers, rate) })
+}
+
+// Pace sets how many bytes a second pass in each direction of connections that are
+// opened from now on.
+func (f *Forwarder) Pace(rate int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rate = rate
+}
+
+// paceBuffer is how many bytes the system is asked to hold for a connection whose rate
+// is bounded: what it holds passes at once.
+const paceBuffer = 32 << 10
+
+// bound bounds what the system holds of a connection.
+func (p *pair) bound() {
+	for _, c := range []net.Conn{p.in, p.out} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(paceBuffer)
+			_ = tcp.SetWriteBuffer(paceBuffer)
+		}
+	}
 }
 
 // copySize is how many bytes are forwarded at a time.
@@ -99,13 +129,16 @@
 
 // copy forwards one direction. Once that is silent nothing is read any more, and
 // neither bytes nor the end of the connection are passed on.
-func (f *Forwarder) copy(p *pair, to, from net.Conn, silent *atomic.Bool) {
+func (f *Forwarder) copy(p *pair, to, from net.Conn, silent *atomic.Bool, rate int) {
 	buffer := make([]byte, copySize)
 	for {
 		n, err := from.Read(buffer)
 		if silent.Load() {
 			return
 		}
+		if rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		if err == nil {
 			_, err = to.Write(buffer[:n])
 		}
