--- /dev/null
+++ b/modules/peering/links.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package peering keeps the connections between entry boxes: one to each box
+// that is called, and those that other boxes have opened. Calls go both ways over
+// a connection, as JSON-RPC 2.0 in the frames of package frame.
+package peering
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"saddlevane/modules/conntrack"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler serves one call of a peer.
+type Handler func(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error)
+
+// Settings of the connections of one box.
+type Settings struct {
+	// Dial bounds the opening of a connection.
+	Dial time.Duration
+	// Probe is how long nothing may have come over a connection before it is probed.
+	Probe time.Duration
+	// Answer is how long nothing may come after a probe before the connection is given
+	// up.
+	Answer time.Duration
+	// Now tells the time.
+	Now func() time.Time
+	// Unanswered is told of each call that ran out of its time without an answer.
+	Unanswered func(conntrack.Unanswered)
+	// GivenUp is told of each connection that is given up as silent.
+	GivenUp func(GivenUp)
+}
+
+// Links are the connections of one box. They may be used by several goroutines.
+type Links struct {
+	settings Settings
+	listener net.Listener
+	dialer   net.Dialer
+	handle   Handler
+	table    *conntrack.Table
+	alarm    *alarm
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+
+	mu sync.Mutex
+	// links has all connections that are open.
+	links map[*link]struct{}
+	// newest has the newest connection, open or being opened, to each address that was
+	// called.
+	newest map[string]*opening
+	closed bool
+}
+
+// New returns links that end with ctx. Peers' calls go to handle.
+func New(ctx context.Context, listener net.Listener, s Settings, handle Handler) *Links {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &Links{
+		settings: s, listener: listener, dialer: net.Dialer{Timeout: s.Dial}, handle: handle,
+		table: conntrack.NewTable(s.Now), alarm: newAlarm(s.Now()), ctx: ctx, cancel: cancel,
+		links: map[*link]struct{}{}, newest: map[string]*opening{},
+	}
+	l.tasks.Go(l.watch)
+	return l
+}
+
+// Serve accepts peers until Close.
+func (l *Links) Serve() { l.tasks.Go(l.accept) }
+
+// Close ends all connections and waits for what is under way on them.
+func (l *Links) Close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	for _, k := range l.all() {
+		k.close()
+	}
+	l.tasks.Wait()
+}
+
+// all returns the connections that are open.
+func (l *Links) all() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.links))
+}
+
+// Len returns how many connections are open.
+func (l *Links) Len() int { return l.table.Len() }
+
+func (l *Links) accept() {
+	for {
+		raw, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.connect(raw.RemoteAddr().String(), raw)
+	}
+}
+
+// connect makes a link of a connection.
+func (l *Links) connect(address string, raw net.Conn) *link {
+	boundBuffer(raw)
+	l.mu.Lock()
+	k := newLink(l, l.table.Add(address, raw))
+	l.links[k] = struct{}{}
+	closed := l.closed
+	l.mu.Unlock()
+	if closed {
+		k.close()
+	}
+	now := l.settings.Now()
+	l.alarm.setBy(now, now.Add(l.settings.Probe))
+	return k
+}
+
+// forget takes a connection out that has ended.
+func (l *Links) forget(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.links, k)
+	address := k.conn.Address()
+	if o := l.newest[address]; o != nil && o.over() {
+		delete(l.newest, address)
+	}
+}
--- a/services/jobrun/silent_test.go
+++ b/services/jobrun/silent_test.go
@@ -7,12 +7,19 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/services/authority"
+	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+	"saddlevane/tests/forward"
 	"saddlevane/tests/memory"
 
 	"gotest.tools/v3/assert"
@@ -50,6 +57,155 @@
 	}
 }
 
+// Symptom: after the connections between boxes went silent callers are refused with
+// "the holder does not answer", though it answers on new ones; and a holder that the log
+// does not answer loses the cell though the other boxes would promise not to claim.
+//
+// Sequence: connections go silent while the holder and the boxes behind them work. Wishes
+// on them run out of their whole time, and the box is marked silent for that. The
+// holder's questions to the other boxes run out in every round until its authority ends.
+//
+// Cause: a call that had no answer on an old connection was taken for a box that does not
+// answer; questions to other boxes left the connection in use.
+//
+// What settled it: the lines of refusals at boxes whose next call, on a new connection,
+// was answered at once; no call on a new connection was without an answer.
+func TestACellWhoseConnectionsWentSilent(t *testing.T) {
+	t.Run("refuses no caller while its holder answers", func(t *testing.T) {
+		links := forwarder(t)
+		boxes, _ := usualCell(t, platformOf(t), links)
+		assert.Check(t, links.Silence() > 0)
+		var callers sync.WaitGroup
+		for i := range 5 {
+			callers.Go(func() {
+				for j := range 4 {
+					a := boxes[1].loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d-%d", i, j))})
+					assert.Check(t, a.Outcome == dispatch.OK, "call %d of caller %d: %+v", j, i, a)
+				}
+			})
+		}
+		callers.Wait()
+	})
+	t.Run("keeps its holder while the log is away", func(t *testing.T) {
+		on, links := platformOf(t), forwarder(t)
+		boxes, cut := usualCell(t, on, links)
+		// The holder is the last to miss the log, so that it invites nobody.
+		cut.Store(true)
+		for _, b := range boxes[1:] {
+			until(t, "the log is away", b.misses)
+		}
+		on.SetDown(true)
+		span := 2 * usualSettings().Dispatch.Authority.HoldFor
+		holds(t, boxes[0], span)
+		assert.Check(t, links.Silence() > 0)
+		holds(t, boxes[0], span)
+	})
+}
+
+func TestALinkThatIsGivenUpIsToldOf(t *testing.T) {
+	links, out := forwarder(t), &lines{}
+	holder := startVia(t, platformOf(t).Calls(), "a", out, via(t, links))
+	assert.Equal(t, metric(t, holder, "saddlevane_connections_open"), 0.0)
+	raw, err := net.Dial("tcp", holder.address)
+	assert.NilError(t, err)
+	defer raw.Close()
+	until(t, "the link is counted", func() bool { return metric(t, holder, "saddlevane_connections_open") == 1 })
+	// The other end never says anything.
+	until(t, "the link is given up", func() bool { return metric(t, holder, "saddlevane_connections_given_up_total") == 1 })
+	until(t, "no link is counted", func() bool { return metric(t, holder, "saddlevane_connections_open") == 0 })
+	until(t, "a line tells of it", func() bool {
+		got := out.text()
+		for _, want := range []string{"a link to an entry box was given up", raw.LocalAddr().String(), "reason=probe", "open_for=", "heard_ago=", "calls=0"} {
+			if !strings.Contains(got, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// lines keeps what a box logs.
+type lines struct {
+	mu  sync.Mutex
+	all strings.Builder
+}
+
+// Write keeps a line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+// text returns all lines.
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+// metric returns the value of a metric, summed over its labels.
+func metric(t *testing.T, p *process, name string) (sum float64) {
+	t.Helper()
+	families, err := p.loop.Metrics().Gatherer().Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return sum
+}
+
+// usualSettings has the usual times of a cell, which leave room for a link to be given up.
+func usualSettings() jobrun.Settings {
+	s := settings()
+	s.Dispatch.Authority = authority.Settings{
+		Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
+	}
+	s.PeerTimeout = 700 * time.Millisecond
+	return s
+}
+
+// usualCell starts three boxes of which the first holds the cell and the others know
+// it. Those others can be cut off from the log.
+func usualCell(t *testing.T, on *memory.Platform, links *forward.Forwarder) ([]*process, *atomic.Bool) {
+	t.Helper()
+	boxes := make([]*process, 3)
+	calls, cut := cuttable(on)
+	for i := range boxes {
+		through := calls
+		if i == 0 {
+			through = on.Calls()
+		}
+		boxes[i] = startWith(t, usualSettings(), through, fmt.Sprint("box", i), io.Discard, via(t, links))
+		served(t, boxes[i], jobrun.Request{Submit: submission(fmt.Sprint("warm", i))}, "")
+	}
+	until(t, "the first box holds the cell", boxes[0].holds)
+	return boxes, cut
+}
+
+// misses says whether the log has not answered a box for some time.
+func (p *process) misses() bool {
+	var ago time.Duration
+	p.loop.Query(func(now time.Time, c *dispatch.Core) { ago = now.Sub(c.LogReadAt()) })
+	return ago > 3*usualSettings().ReadWait
+}
+
+// holds checks that a box holds the cell for some time.
+func holds(t *testing.T, p *process, span time.Duration) {
+	t.Helper()
+	began, held := time.Now(), true
+	until(t, "the time is over", func() bool {
+		held = held && p.holds()
+		return !held || time.Since(began) > span
+	})
+	assert.Assert(t, held, "it has lost the cell after %v", time.Since(began))
+}
+
 // advisedConfig has one queue whose tasks need advice.
 func advisedConfig() job.Config {
 	c := config()
