peering: take busy boxes for silent links less often

A probe that was answered tells that it is the calls that take long; the next one then waits 250 ms in place of 100.

--- a/modules/peering/link.go
+++ b/modules/peering/link.go
@@ -45,6 +45,8 @@
 	// the probe should have arrived, or zero while the probe waits to be written.
 	probing  bool
 	probedAt time.Time
+	// answeredAt is when the last probe was answered, or zero before calls wait.
+	answeredAt time.Time
 	// overdue says that it was found to be silent once.
 	overdue bool
 	givenUp bool
--- a/modules/peering/probe.go
+++ b/modules/peering/probe.go
@@ -16,9 +16,13 @@
 const (
 	// probeWaiting is how long nothing may have come over a link that calls wait on
 	// before it is probed. With it and the usual bound on answers, a call that has 700 ms
-	// can be made again on a new link; shorter, and links on which calls wait for long
-	// would carry more probes than calls.
+	// can be made again on a new link. Once the link has answered, it is the calls that
+	// take long, and the next probe can wait for as long as answers may take.
 	probeWaiting = 100 * time.Millisecond
+	// firstAnswer is how many times the usual bound the first answer on a link may take.
+	// What has not answered on a new connection is a busy box rather than a silent
+	// connection, and yet another one would only be more work for it.
+	firstAnswer = 4
 	// lookAgain is how long after its answer became overdue a link is given up, so that
 	// what came while this process had no processor is read before.
 	lookAgain = 10 * time.Millisecond
@@ -48,15 +52,20 @@
 
 // due returns when a link is to be looked at. The lock is held.
 func (k *link) due(now time.Time) time.Time {
-	s, heard := &k.links.settings, k.heardAt(now)
+	s, heard, answer := &k.links.settings, k.heardAt(now), k.links.settings.Answer
+	if heard.Equal(k.conn.OpenedAt()) {
+		answer *= firstAnswer
+	}
 	switch {
 	case k.probing && k.probedAt.IsZero():
 		// The probe still waits to be written, and writes are bounded.
-		return now.Add(s.Answer)
+		return now.Add(answer)
 	case k.probing:
-		return later(heard, k.probedAt).Add(s.Answer)
+		return later(heard, k.probedAt).Add(answer)
 	case k.urgent:
 		return now
+	case k.calls > 0 && heard.Equal(k.answeredAt):
+		return k.links.alarm.onGrid(later(heard, k.waitingSince).Add(min(s.Answer, s.Probe)))
 	case k.calls > 0:
 		return k.links.alarm.onGrid(later(heard, k.waitingSince).Add(min(probeWaiting, s.Probe)))
 	default:
@@ -93,7 +102,7 @@
 func (k *link) probed() {
 	now := k.links.settings.Now()
 	k.mu.Lock()
-	k.probing = false
+	k.probing, k.answeredAt = false, k.conn.HeardAt()
 	due := k.due(now)
 	k.mu.Unlock()
 	k.links.alarm.setBy(now, due)
@@ -103,7 +112,7 @@
 func (k *link) begin(now time.Time, urgent bool) {
 	k.mu.Lock()
 	if k.calls == 0 {
-		k.waitingSince = now
+		k.waitingSince, k.answeredAt = now, time.Time{}
 	}
 	k.calls++
 	k.urgent = k.urgent || urgent && !k.probing
