--- a/modules/peering/givenup.go
+++ b/modules/peering/givenup.go
@@ -39,7 +39,7 @@
 		return
 	}
 	k.links.settings.GivenUp(GivenUp{
-		To: linkTo, Address: k.conn.Address(), Reason: reason,
+		To: To, Address: k.conn.Address(), Reason: reason,
 		OpenFor: now.Sub(k.conn.OpenedAt()), HeardAgo: now.Sub(k.conn.HeardAt()), Calls: calls,
 	})
 	k.close()
--- a/modules/peering/link.go
+++ b/modules/peering/link.go
@@ -96,7 +96,7 @@
 			return
 		}
 		u := k.conn.Unanswered(k.links.settings.Now(), began)
-		u.To, u.Call, u.Reused = linkTo, c.Method, reused
+		u.To, u.Call, u.Reused = To, c.Method, reused
 		k.links.settings.Unanswered(u)
 	}()
 	answer, err := k.send(ctx, c)
@@ -106,8 +106,8 @@
 	return true, answer.Wait(ctx, c.Result)
 }
 
-// linkTo is what the lines and counters of connections call the other end of a link.
-const linkTo = "entry box"
+// To is what the lines and counters of connections call the other end of a link.
+const To = "entry box"
 
 // send writes a call.
 func (k *link) send(ctx context.Context, c Call) (jsonrpc2.Waiter, error) {
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -56,6 +56,8 @@
 	loop  *jobrun.Loop
 	peers *jobrun.Peers
 	once  atomic.Bool
+	// address is where the box itself listens for others.
+	address string
 }
 
 func (p *process) close() {
@@ -84,7 +86,7 @@
 	log := logrus.New()
 	log.SetOutput(out)
 	self := claim.Member{Box: name, Incarnation: name + time.Now().String(), Domain: "a", Address: via(listener.Addr().String())}
-	p := &process{loop: jobrun.NewLoop(s, self, on, log.WithField("box", name), time.Now)}
+	p := &process{address: listener.Addr().String(), loop: jobrun.NewLoop(s, self, on, log.WithField("box", name), time.Now)}
 	p.peers = jobrun.NewPeers(listener, p.loop)
 	p.loop.Run(p.peers)
 	p.peers.Serve()
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// countOpen has the connections counted that lead to something.
+func (m *Metrics) countOpen(to string, open func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "saddlevane_connections_open", Help: "Connections that are open, by what they lead to.",
+		ConstLabels: prometheus.Labels{"to": to},
+	}, func() float64 { return float64(open()) }))
+}
+
 func (m *Metrics) unansweredCall(u conntrack.Unanswered) {
 	connection := "new"
 	if u.Reused {
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -46,6 +46,7 @@
 		Dial: loop.settings.PeerTimeout, Probe: loop.settings.Probe, Answer: loop.settings.Answer, Now: loop.now,
 		Unanswered: loop.Unanswered, GivenUp: loop.givenUp,
 	}, p.handle)
+	loop.metrics.countOpen(peering.To, p.links.Len)
 	return p
 }
 
--- a/services/jobrun/silent_test.go
+++ b/services/jobrun/silent_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -100,6 +102,64 @@
 	})
 }
 
+func TestALinkThatIsGivenUpIsToldOf(t *testing.T) {
+	links, out := forwarder(t), &lines{}
+	holder := startVia(t, platformOf(t).Calls(), "a", out, via(t, links))
+	assert.Equal(t, metric(t, holder, "saddlevane_connections_open"), 0.0)
+	raw, err := net.Dial("tcp", holder.address)
+	assert.NilError(t, err)
+	defer raw.Close()
+	until(t, "the link is counted", func() bool { return metric(t, holder, "saddlevane_connections_open") == 1 })
+	// The other end never says anything.
+	until(t, "the link is given up", func() bool { return metric(t, holder, "saddlevane_connections_given_up_total") == 1 })
+	until(t, "no link is counted", func() bool { return metric(t, holder, "saddlevane_connections_open") == 0 })
+	until(t, "a line tells of it", func() bool {
+		got := out.text()
+		for _, want := range []string{"a link to an entry box was given up", raw.LocalAddr().String(), "reason=probe", "open_for=", "heard_ago=", "calls=0"} {
+			if !strings.Contains(got, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// lines keeps what a box logs.
+type lines struct {
+	mu  sync.Mutex
+	all strings.Builder
+}
+
+// Write keeps a line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+// text returns all lines.
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+// metric returns the value of a metric, summed over its labels.
+func metric(t *testing.T, p *process, name string) (sum float64) {
+	t.Helper()
+	families, err := p.loop.Metrics().Gatherer().Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return sum
+}
+
 // usualSettings has the usual times of a cell, which leave room for a link to be given up.
 func usualSettings() jobrun.Settings {
 	s := settings()
