peering: tell a box that does not answer from a link that is dead

A call that ran out of its time on a link opened shortly before it said nothing of the box; one whose link had been opened 50 ms before its time was out marked the box as silent. Now a box is marked if nothing has ever come over the connection that was tried last, and it had the usual time of an answer, or if no connection could be opened. A link that has carried an answer before tells of itself only.

Openings of connections stand in a file of their own, and those that have ended are forgotten: one stayed for each address that was ever called.

--- a/modules/peering/call.go
+++ b/modules/peering/call.go
@@ -29,9 +29,10 @@
 	Address, Method string
 	// Sent says that the call may have arrived. Without it nothing was done.
 	Sent bool
-	// Fresh says that the box was last tried on a connection whose opening began no
-	// earlier than the call, so that it tells of the box and not of an old connection.
-	Fresh bool
+	// OfBox says that this tells of the box and not of an old connection that is dead: no
+	// connection could be opened, or nothing has ever come over the last one, though it
+	// had the usual time of an answer.
+	OfBox bool
 	// Err is why the last try has failed.
 	Err error
 }
@@ -64,7 +65,7 @@
 			return failed.Sent, fmt.Errorf("entry box %s: %s: %w", address, c.Method, err)
 		}
 		failed.Sent = failed.Sent || sent
-		failed.Fresh, failed.Err = !o.began.Before(began), err
+		failed.OfBox, failed.Err = o.tells(l.settings.Now(), began, l.settings.Answer), err
 		if tries == maxTries || ctx.Err() != nil || !c.mayRepeat(failed) {
 			return failed.Sent, failed
 		}
@@ -74,7 +75,7 @@
 // mayRepeat says whether a call that has failed may be made again: if it has not
 // arrived, or does no harm twice, and the box was not found to be out of reach.
 func (c Call) mayRepeat(failed *NoAnswerError) bool {
-	unreached := failed.Fresh && errors.Is(failed.Err, errUnreached)
+	unreached := failed.OfBox && errors.Is(failed.Err, errUnreached)
 	return !unreached && (c.Idempotent || !failed.Sent)
 }
 
--- a/modules/peering/kept_test.go
+++ b/modules/peering/kept_test.go
@@ -60,7 +60,7 @@
 			cancel()
 			e, ok := errors.AsType[*peering.NoAnswerError](err)
 			assert.Assert(t, ok, "%v", err)
-			assert.Check(t, e.Sent && !e.Fresh && errors.Is(err, context.DeadlineExceeded), "%+v", e)
+			assert.Check(t, e.Sent && !e.OfBox && errors.Is(err, context.DeadlineExceeded), "%+v", e)
 		}
 		p.kept()
 	})
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -55,8 +53,8 @@
 	tasks    conc.WaitGroup
 
 	mu sync.Mutex
-	// open has all connections that are open.
-	open map[*link]struct{}
+	// links has all connections that are open.
+	links map[*link]struct{}
 	// newest has the newest connection, open or being opened, to each address that was
 	// called.
 	newest map[string]*opening
@@ -69,7 +67,7 @@
 	l := &Links{
 		settings: s, listener: listener, dialer: net.Dialer{Timeout: s.Dial}, handle: handle,
 		table: conntrack.NewTable(s.Now), alarm: newAlarm(s.Now()), ctx: ctx, cancel: cancel,
-		open: map[*link]struct{}{}, newest: map[string]*opening{},
+		links: map[*link]struct{}{}, newest: map[string]*opening{},
 	}
 	l.tasks.Go(l.watch)
 	return l
@@ -95,7 +93,7 @@
 func (l *Links) all() []*link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Keys(l.open))
+	return slices.Collect(maps.Keys(l.links))
 }
 
 // Len returns how many connections are open.
@@ -111,76 +109,12 @@
 	}
 }
 
-// opening is a connection to a box, or the opening of one, which all callers of that
-// box share.
-type opening struct {
-	// began is when the opening began.
-	began time.Time
-	// done is closed once link or err is set.
-	done chan struct{}
-	link *link
-	err  error
-}
-
-// wait waits until the connection is open. An error means that nobody was reached.
-func (o *opening) wait(ctx context.Context) error {
-	select {
-	case <-o.done:
-		return o.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// over says whether the opening has failed or its connection has ended.
-func (o *opening) over() bool {
-	select {
-	case <-o.done:
-		return o.err != nil || o.link.ended()
-	default:
-		return false
-	}
-}
-
-// errUnreached means that no connection could be opened.
-var errUnreached = errors.New("not reached")
-
-// errClosed means that the links of this box are closed.
-var errClosed = fmt.Errorf("%w: the links are closed", errUnreached)
-
-// opening returns the connection to an address. It opens one if there is none, within
-// the time that the settings allow, whatever its first caller waits.
-func (l *Links) opening(address string) *opening {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if o := l.newest[address]; o != nil && !o.over() {
-		return o
-	}
-	o := &opening{began: l.settings.Now(), done: make(chan struct{})}
-	if l.closed {
-		o.err = errClosed
-		close(o.done)
-		return o
-	}
-	l.newest[address] = o
-	l.tasks.Go(func() {
-		defer close(o.done)
-		raw, err := l.dialer.DialContext(l.ctx, "tcp", address)
-		if err != nil {
-			o.err = fmt.Errorf("%w: %w", errUnreached, err)
-			return
-		}
-		o.link = l.connect(address, raw)
-	})
-	return o
-}
-
 // connect makes a link of a connection.
 func (l *Links) connect(address string, raw net.Conn) *link {
 	boundBuffer(raw)
 	l.mu.Lock()
 	k := newLink(l, l.table.Add(address, raw))
-	l.open[k] = struct{}{}
+	l.links[k] = struct{}{}
 	closed := l.closed
 	l.mu.Unlock()
 	if closed {
@@ -195,5 +129,9 @@
 func (l *Links) forget(k *link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.open, k)
+	delete(l.links, k)
+	address := k.conn.Address()
+	if o := l.newest[address]; o != nil && o.over() {
+		delete(l.newest, address)
+	}
 }
--- /dev/null
+++ b/modules/peering/opening.go
@@ -0,0 +1,98 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// opening is a connection to a box, or the opening of one, which all callers of that
+// box share.
+type opening struct {
+	// began is when the opening began.
+	began time.Time
+	// done is closed once link or err is set.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// wait waits until the connection is open. An error means that nobody was reached.
+func (o *opening) wait(ctx context.Context) error {
+	select {
+	case <-o.done:
+		return o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// over says whether the opening has failed or its connection has ended.
+func (o *opening) over() bool {
+	select {
+	case <-o.done:
+		return o.err != nil || o.link.ended()
+	default:
+		return false
+	}
+}
+
+// tells says whether a call that began at some time and has no answer by now tells of the
+// box, and not of an old connection that is dead: if a connection could not be opened for
+// it, or nothing has ever come over one that had time enough.
+func (o *opening) tells(now, began time.Time, enough time.Duration) bool {
+	select {
+	case <-o.done:
+		if o.err != nil {
+			return !o.began.Before(began)
+		}
+		if o.link.heard() {
+			return false
+		}
+	default:
+	}
+	return now.Sub(later(o.began, began)) >= enough
+}
+
+// errUnreached means that no connection could be opened.
+var errUnreached = errors.New("not reached")
+
+// errClosed means that the links of this box are closed.
+var errClosed = fmt.Errorf("%w: the links are closed", errUnreached)
+
+// opening returns the connection to an address. It opens one if there is none, within
+// the time that the settings allow, whatever its first caller waits.
+func (l *Links) opening(address string) *opening {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o := l.newest[address]; o != nil && !o.over() {
+		return o
+	}
+	o := &opening{began: l.settings.Now(), done: make(chan struct{})}
+	if l.closed {
+		o.err = errClosed
+		close(o.done)
+		return o
+	}
+	l.newest[address] = o
+	l.tasks.Go(func() { l.open(address, o) })
+	return o
+}
+
+// open opens a connection.
+func (l *Links) open(address string, o *opening) {
+	defer close(o.done)
+	raw, err := l.dialer.DialContext(l.ctx, "tcp", address)
+	if err != nil {
+		o.err = fmt.Errorf("%w: %w", errUnreached, err)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.newest, address)
+		return
+	}
+	o.link = l.connect(address, raw)
+}
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -119,8 +119,15 @@
 
 // ask makes a call and returns its answer.
 func (b *box) ask(address string, c peering.Call) (answer string, repeated bool, err error) {
+	return b.within(address, time.Minute, c)
+}
+
+// within makes a call that is to be answered in some time.
+func (b *box) within(address string, span time.Duration, c peering.Call) (answer string, repeated bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
 	c.Result = &answer
-	repeated, err = b.links.Call(context.Background(), address, c)
+	repeated, err = b.links.Call(ctx, address, c)
 	return answer, repeated, err
 }
 
@@ -176,7 +183,30 @@
 	_, _, err = a.ask(address, peering.Call{Method: "greet"})
 	e, ok := errors.AsType[*peering.NoAnswerError](err)
 	assert.Assert(t, ok, "%v", err)
-	assert.Check(t, !e.Sent && e.Fresh, "%+v", e)
+	assert.Check(t, !e.Sent && e.OfBox, "%+v", e)
+}
+
+func TestABoxThatDoesNotAnswerIsToldFromASilentLink(t *testing.T) {
+	within := settings().Answer + 50*time.Millisecond
+	call := peering.Call{Method: "greet", Idempotent: true}
+	t.Run("a box that takes connections and never answers", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		a := newBox(t)
+		_, _, err = a.within(listener.Addr().String(), within, call)
+		e, ok := errors.AsType[*peering.NoAnswerError](err)
+		assert.Assert(t, ok, "%v", err)
+		assert.Check(t, e.Sent && e.OfBox, "%+v", e)
+	})
+	t.Run("a link that went silent", func(t *testing.T) {
+		p := newPair(t)
+		p.silence()
+		_, _, err := p.from.within(p.address, within, call)
+		e, ok := errors.AsType[*peering.NoAnswerError](err)
+		assert.Assert(t, ok, "%v", err)
+		assert.Check(t, e.Sent && !e.OfBox, "%+v", e)
+	})
 }
 
 func TestWhatABoxHasRefusedIsNotACallWithoutAnAnswer(t *testing.T) {
--- a/modules/peering/probe.go
+++ b/modules/peering/probe.go
@@ -53,7 +53,7 @@
 // due returns when a link is to be looked at. The lock is held.
 func (k *link) due(now time.Time) time.Time {
 	s, heard, answer := &k.links.settings, k.heardAt(now), k.links.settings.Answer
-	if heard.Equal(k.conn.OpenedAt()) {
+	if !k.heard() {
 		answer *= firstAnswer
 	}
 	switch {
@@ -73,6 +73,9 @@
 	}
 }
 
+// heard says whether anything has ever come over a link.
+func (k *link) heard() bool { return k.conn.HeardAt().After(k.conn.OpenedAt()) }
+
 // heardAt returns when something last came over a link. While a message is being
 // decoded nothing is read, which is no silence.
 func (k *link) heardAt(now time.Time) time.Time {
--- a/modules/peering/silent_test.go
+++ b/modules/peering/silent_test.go
@@ -4,7 +4,6 @@
 package peering_test
 
 import (
-	"context"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,7 +58,7 @@
 		began := time.Now()
 		until(t, "the link is at rest", func() bool { return time.Since(began) > settings().Probe/2 })
 		s := settings()
-		got, repeated, err := p.within(s.Answer+100*time.Millisecond, peering.Call{Method: "greet", Idempotent: true, Urgent: true})
+		got, repeated, err := p.from.within(p.address, s.Answer+100*time.Millisecond, peering.Call{Method: "greet", Idempotent: true, Urgent: true})
 		assert.NilError(t, err)
 		assert.Equal(t, got, "greet")
 		assert.Check(t, repeated)
@@ -120,19 +119,10 @@
 
 // calls makes a call that may be made again, and returns its answer.
 func (p *pair) calls(within time.Duration, params any) (string, error) {
-	got, _, err := p.within(within, peering.Call{Method: "greet", Params: params, Idempotent: true})
+	got, _, err := p.from.within(p.address, within, peering.Call{Method: "greet", Params: params, Idempotent: true})
 	return got, err
 }
 
-// within makes a call that is to be answered in some time.
-func (p *pair) within(span time.Duration, c peering.Call) (got string, repeated bool, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), span)
-	defer cancel()
-	c.Result = &got
-	repeated, err = p.from.links.Call(ctx, p.address, c)
-	return got, repeated, err
-}
-
 // answered makes a call that must be answered.
 func (p *pair) answered(within time.Duration) {
 	p.t.Helper()
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -104,9 +104,8 @@
 	switch {
 	case err == nil:
 		p.answered(address, a.Outcome == dispatch.Elsewhere)
-	case failed != nil && failed.Fresh && ctx.Err() == nil:
-		// An old connection may be dead while the box answers, and a caller who has left
-		// tells nothing of it.
+	case failed != nil && failed.OfBox && ctx.Err() == nil:
+		// A caller who has left tells nothing of the box.
 		p.setSilent(address)
 	}
 	return sure(a, repeated)
