peering: go on accepting after an accept that failed

Silent connections can use up a process's descriptors for a moment; the first accept that failed for want of one ended all accepting, so that the box was reached by no other for as long as it lived. It now waits 50 ms and goes on, and says so in a line.

--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -38,6 +39,8 @@
 	Unanswered func(conntrack.Unanswered)
 	// GivenUp is told of each connection that is given up as silent.
 	GivenUp func(GivenUp)
+	// NotAccepted is told why a connection of a peer could not be accepted.
+	NotAccepted func(error)
 }
 
 // Links are the connections of one box. They may be used by several goroutines.
@@ -99,13 +102,34 @@
 // Len returns how many connections are open.
 func (l *Links) Len() int { return l.table.Len() }
 
+// acceptAgain is the pause after an accept that failed, mostly for want of a
+// descriptor: others are closed within that time.
+const acceptAgain = 50 * time.Millisecond
+
+// accept takes connections of peers until the links are closed. One that cannot be taken
+// does not end it: the box would answer nobody any more.
 func (l *Links) accept() {
-	for {
+	for l.ctx.Err() == nil {
 		raw, err := l.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			l.connect(raw.RemoteAddr().String(), raw)
+		case errors.Is(err, net.ErrClosed):
 			return
+		default:
+			l.settings.NotAccepted(err)
+			l.pause(acceptAgain)
 		}
-		l.connect(raw.RemoteAddr().String(), raw)
+	}
+}
+
+// pause waits, or less if the links are closed.
+func (l *Links) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.ctx.Done():
 	}
 }
 
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -23,7 +23,7 @@
 
 func settings() peering.Settings {
 	return peering.Settings{
-		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}, GivenUp: func(peering.GivenUp) {},
+		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}, GivenUp: func(peering.GivenUp) {}, NotAccepted: func(error) {},
 	}
 }
 
--- a/services/jobrun/givenup.go
+++ b/services/jobrun/givenup.go
@@ -19,3 +19,8 @@
 		{Name: "calls", Value: g.Calls},
 	}})
 }
+
+// notAccepted logs why a connection of another entry box could not be accepted.
+func (l *Loop) notAccepted(err error) {
+	l.notes.write(dispatch.Note{Message: "a link could not be accepted", Fields: []dispatch.Field{{Name: "problem", Value: err.Error()}}})
+}
--- a/services/jobrun/passed_test.go
+++ b/services/jobrun/passed_test.go
@@ -34,7 +34,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := peering.Settings{
-		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}, GivenUp: func(peering.GivenUp) {},
+		Dial: time.Second, Probe: time.Second, Answer: 250 * time.Millisecond, Now: time.Now, Unanswered: func(conntrack.Unanswered) {}, GivenUp: func(peering.GivenUp) {}, NotAccepted: func(error) {},
 	}
 	links := peering.New(context.Background(), listener, s, func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
 	links.Serve()
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -44,7 +44,7 @@
 	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}, elsewhere: map[string]bool{}}
 	p.links = peering.New(ctx, listener, peering.Settings{
 		Dial: loop.settings.PeerTimeout, Probe: loop.settings.Probe, Answer: loop.settings.Answer, Now: loop.now,
-		Unanswered: loop.Unanswered, GivenUp: loop.givenUp,
+		Unanswered: loop.Unanswered, GivenUp: loop.givenUp, NotAccepted: loop.notAccepted,
 	}, p.handle)
 	loop.metrics.countOpen(peering.To, p.links.Len)
 	return p
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -55,7 +55,7 @@
 	p := &Peers{loop: loop, requests: requests, ctx: ctx, cancel: cancel, greeting: map[string]bool{}}
 	p.links = peering.New(ctx, listener, peering.Settings{
 		Dial: peerDial, Probe: s.Probe, Answer: s.Answer, Now: time.Now, Unanswered: loop.unanswered,
-		GivenUp: loop.givenUp,
+		GivenUp: loop.givenUp, NotAccepted: loop.notAccepted,
 	}, p.handle)
 	p.links.Serve()
 	return p
--- a/services/runtime/unanswered.go
+++ b/services/runtime/unanswered.go
@@ -24,3 +24,8 @@
 		"address": g.Address, "reason": g.Reason, "open_for": g.OpenFor.String(), "heard_ago": g.HeardAgo.String(), "calls": g.Calls,
 	}).Info("a link to an entry box was given up")
 }
+
+// notAccepted logs why a connection of another entry box could not be accepted.
+func (l *Loop) notAccepted(err error) {
+	l.log.WithError(err).Warning("a link could not be accepted")
+}
