conntrack: keep times on the steady clock

Cause: when something last came over a connection was kept in nanoseconds since 1970, which loses the steady clock's reading. It is kept as what has passed since the table was made.

--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -15,6 +15,9 @@
 // Table holds open connections. It may be used by several goroutines.
 type Table struct {
 	now func() time.Time
+	// began is when the table was made. Times of connections are kept as what has
+	// passed since then on the steady clock: the time of day may be set meanwhile.
+	began time.Time
 
 	mu sync.Mutex
 	// conns holds the open connections by address.
@@ -24,13 +27,13 @@
 
 // NewTable returns an empty table that tells the time by now.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, conns: map[string]map[*Conn]struct{}{}}
+	return &Table{now: now, began: now(), conns: map[string]map[*Conn]struct{}{}}
 }
 
 // Add returns a connection that is in the table until it is closed.
 func (t *Table) Add(address string, raw net.Conn) *Conn {
 	c := &Conn{Conn: raw, table: t, address: address, openedAt: t.now()}
-	c.heardAt.Store(c.openedAt.UnixNano())
+	c.heard.Store(int64(c.openedAt.Sub(t.began)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns[address] == nil {
@@ -68,15 +71,15 @@
 	table    *Table
 	address  string
 	openedAt time.Time
-	// heardAt is when something last came, in nanoseconds since 1970.
-	heardAt atomic.Int64
+	// heard is when something last came, in nanoseconds since the table was made.
+	heard atomic.Int64
 }
 
 // Read reads and notes that something came.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.heardAt.Store(c.table.now().UnixNano())
+		c.heard.Store(int64(c.table.now().Sub(c.table.began)))
 	}
 	return n, err
 }
@@ -92,7 +95,7 @@
 
 // HeardAt returns when something last came over the connection; before that, when it
 // was opened.
-func (c *Conn) HeardAt() time.Time { return time.Unix(0, c.heardAt.Load()) }
+func (c *Conn) HeardAt() time.Time { return c.table.began.Add(time.Duration(c.heard.Load())) }
 
 // Unanswered is a call that ran out of its time without an answer.
 type Unanswered struct {
