conntrack: give up connections that were silent since an unanswered call

A connection over which something came since that call was sent is kept, and so is one that was opened later: only those can be told from dead ones. Calls under way on the others end with ErrGivenUp, or are left alone if asked. Nothing calls it yet.

--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -2,10 +2,12 @@
 // SPDX-License-Identifier: MIT
 
 // Package conntrack keeps the open connections of a process by the address they
-// lead to, with when each was opened and when something last came over it.
+// lead to, with when each was opened and when something last came over it, and gives
+// up those that are not trusted any more.
 package conntrack
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,6 +22,8 @@
 	began time.Time
 
 	mu sync.Mutex
+	// changed is told of each connection that is opened (1) or closed (-1).
+	changed func(delta int)
 	// conns holds the open connections by address.
 	conns map[string]map[*Conn]struct{}
 	count int
@@ -27,7 +31,14 @@
 
 // NewTable returns an empty table that tells the time by now.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, began: now(), conns: map[string]map[*Conn]struct{}{}}
+	return &Table{now: now, began: now(), changed: func(int) {}, conns: map[string]map[*Conn]struct{}{}}
+}
+
+// OnChange has f told of each connection that is opened (1) or closed (-1) from now on.
+func (t *Table) OnChange(f func(delta int)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed = f
 }
 
 // Add returns a connection that is in the table until it is closed.
@@ -41,6 +52,7 @@
 	}
 	t.conns[address][c] = struct{}{}
 	t.count++
+	t.changed(1)
 	return c
 }
 
@@ -63,6 +75,21 @@
 		delete(t.conns, c.address)
 	}
 	t.count--
+	t.changed(-1)
+}
+
+// silent returns the connections to an address over which nothing has come since a
+// time, but for one.
+func (t *Table) silent(address string, since time.Time, but *Conn) []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var silent []*Conn
+	for c := range t.conns[address] {
+		if c != but && c.HeardAt().Before(since) {
+			silent = append(silent, c)
+		}
+	}
+	return silent
 }
 
 // Conn is a connection of a table.
@@ -73,17 +100,44 @@
 	openedAt time.Time
 	// heard is when something last came, in nanoseconds since the table was made.
 	heard atomic.Int64
+	// busy counts the calls under way.
+	busy atomic.Int32
+	// distrusted says that the connection was given up.
+	distrusted atomic.Bool
 }
 
+// ErrGivenUp ends what is under way on a connection that was given up.
+var ErrGivenUp = errors.New("the connection was given up: a call to its address had no answer")
+
 // Read reads and notes that something came.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.heard.Store(int64(c.table.now().Sub(c.table.began)))
 	}
-	return n, err
+	return n, c.explain(err)
+}
+
+// Write writes.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	return n, c.explain(err)
+}
+
+// explain says of an error that it came of giving the connection up.
+func (c *Conn) explain(err error) error {
+	if err != nil && c.distrusted.Load() {
+		return ErrGivenUp
+	}
+	return err
 }
 
+// Begin notes that a call is under way on the connection, End that one is over.
+func (c *Conn) Begin() { c.busy.Add(1) }
+
+// End notes that a call on the connection is over.
+func (c *Conn) End() { c.busy.Add(-1) }
+
 // Close closes the connection and takes it out of its table.
 func (c *Conn) Close() error {
 	c.table.remove(c)
@@ -97,6 +151,45 @@
 // was opened.
 func (c *Conn) HeardAt() time.Time { return c.table.began.Add(time.Duration(c.heard.Load())) }
 
+// Which says which connections are given up.
+type Which string
+
+// The connections to give up beside the one that gave no answer.
+const (
+	// All that have been silent as well.
+	All Which = "all"
+	// Idle ones only: calls under way on the others may still be answered.
+	Idle Which = "idle"
+)
+
+// GivenUp tells of connections to one address that were given up together.
+type GivenUp struct {
+	// To is what was called, such as the log or an entry box, and Address where.
+	To      string
+	Address string
+	// Count is how many there were, HeardAgo how long nothing had come over any.
+	Count    int
+	HeardAgo time.Duration
+}
+
+// GiveUp closes the connection, on which a call sent at some time has had no answer,
+// and others to its address over which nothing has come since then either: whatever
+// silenced one may have silenced all that were open. One that was opened later or over
+// which something came is trusted.
+func (c *Conn) GiveUp(now, sentAt time.Time, which Which) GivenUp {
+	g := GivenUp{Address: c.address, HeardAgo: now.Sub(c.HeardAt())}
+	for _, o := range append(c.table.silent(c.address, sentAt, c), c) {
+		if o != c && which == Idle && o.busy.Load() > 0 {
+			continue
+		}
+		g.Count++
+		g.HeardAgo = min(g.HeardAgo, now.Sub(o.HeardAt()))
+		o.distrusted.Store(true)
+		_ = o.Close()
+	}
+	return g
+}
+
 // Unanswered is a call that ran out of its time without an answer.
 type Unanswered struct {
 	// To is what was called, such as the log or an entry box, and Address where.
--- a/modules/conntrack/conntrack_test.go
+++ b/modules/conntrack/conntrack_test.go
@@ -4,6 +4,7 @@
 package conntrack_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -13,6 +14,11 @@
 	"gotest.tools/v3/assert"
 )
 
+// clock is the time of a test.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
 // pipe returns a connection of a table and its far end.
 func pipe(t *testing.T, table *conntrack.Table, address string) (*conntrack.Conn, net.Conn) {
 	t.Helper()
@@ -32,6 +38,63 @@
 	assert.NilError(t, err)
 }
 
+// closed says whether a connection is closed at its far end.
+func closed(far net.Conn) bool {
+	_ = far.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	_, err := far.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+func TestOnlyConnectionsSilentSinceTheUnansweredCallAreGivenUp(t *testing.T) {
+	at := &clock{now: time.Now()}
+	table := conntrack.NewTable(at.read)
+	silent, silentFar := pipe(t, table, "a")
+	idle, idleFar := pipe(t, table, "a")
+	heard, heardFar := pipe(t, table, "a")
+	other, otherFar := pipe(t, table, "b")
+	hear(t, idle, idleFar)
+
+	at.now = at.now.Add(time.Second)
+	sentAt := at.now
+	at.now = at.now.Add(time.Second)
+	hear(t, heard, heardFar)
+	_, laterFar := pipe(t, table, "a")
+	assert.Equal(t, table.Len(), 5)
+
+	got := silent.GiveUp(at.now, sentAt, conntrack.All)
+	assert.Equal(t, got, conntrack.GivenUp{Address: "a", Count: 2, HeardAgo: 2 * time.Second})
+	assert.Check(t, closed(silentFar) && closed(idleFar))
+	assert.Check(t, !closed(heardFar), "something came over it since the call was sent")
+	assert.Check(t, !closed(laterFar), "it was opened since the call was sent")
+	assert.Check(t, !closed(otherFar), "it leads elsewhere")
+	assert.Equal(t, table.Len(), 3)
+	_, err := idle.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, conntrack.ErrGivenUp)
+	_, err = idle.Write([]byte{'x'})
+	assert.ErrorIs(t, err, conntrack.ErrGivenUp)
+	assert.NilError(t, other.Close())
+	_, err = other.Read(make([]byte, 1))
+	assert.Check(t, err != nil && err != conntrack.ErrGivenUp, "%v", err)
+}
+
+func TestConnectionsWithACallUnderWayAreKeptIfAsked(t *testing.T) {
+	at := &clock{now: time.Now()}
+	table := conntrack.NewTable(at.read)
+	silent, silentFar := pipe(t, table, "a")
+	busy, busyFar := pipe(t, table, "a")
+	was, wasFar := pipe(t, table, "a")
+	silent.Begin()
+	busy.Begin()
+	was.Begin()
+	was.End()
+	at.now = at.now.Add(time.Second)
+
+	got := silent.GiveUp(at.now, at.now, conntrack.Idle)
+	assert.Equal(t, got.Count, 2)
+	assert.Check(t, closed(silentFar) && closed(wasFar))
+	assert.Check(t, !closed(busyFar))
+}
+
 // Symptom: a connection seems silent for seconds over which something has just come,
 // or the other way round.
 //
@@ -45,3 +108,15 @@
 	hear(t, c, far)
 	assert.Check(t, c.HeardAt() != c.HeardAt().Round(0), "%v has no steady time", c.HeardAt())
 }
+
+func TestOpenConnectionsAreCounted(t *testing.T) {
+	table := conntrack.NewTable(time.Now)
+	open := 0
+	table.OnChange(func(delta int) { open += delta })
+	c, _ := pipe(t, table, "a")
+	_, _ = pipe(t, table, "a")
+	assert.Equal(t, open, 2)
+	assert.NilError(t, c.Close())
+	_ = c.Close()
+	assert.Equal(t, open, 1)
+}
