httpclient: a red test of connections to a service that go silent

Six parts: a pool of silent connections costs one call; calls under way on them fail with the first; a call that may be made again, a read that waits, an answer that stops half-way are had again on a new connection; so is a call whose connection was given up. All fail: each call waits out its own time. Repeatable is there so that the test compiles; nothing acts on it.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -171,7 +171,8 @@
 func newPlatform(j setting.Jobs, unanswered func(conntrack.Unanswered)) jobrun.Platform {
 	client := func(to string) *http.Client {
 		return httpclient.New(httpclient.Settings{
-			To: to, Dial: dialWithin, Idle: idleWithin, PerHost: connsPerHost, Now: time.Now, Unanswered: unanswered,
+			To: to, Dial: dialWithin, Unused: idleWithin, PerHost: connsPerHost, Now: time.Now,
+			Reports: httpclient.Reports{Unanswered: unanswered},
 		})
 	}
 	log := platform.NewLog(j.Log, client("log"))
--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -10,7 +10,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"saddlevane/modules/conntrack"
@@ -22,29 +21,43 @@
 	To string
 	// Dial bounds the opening of a connection.
 	Dial time.Duration
-	// Idle is how long a connection is kept that is not used.
-	Idle time.Duration
-	// PerHost is how many unused connections to one address are kept.
-	PerHost int
+	// Unused is how long a connection is kept that carries no call.
+	Unused time.Duration
+	// Answer is how long the answer to a call that may be made again may at least be
+	// overdue before it is made again.
+	Answer time.Duration
+	// PerHost is how many unused connections to one address are kept, Most how many
+	// connections there are to it at a time, or 0 for any number.
+	PerHost, Most int
+	// GiveUp says which connections are given up beside one that gave no answer. Empty
+	// means all.
+	GiveUp conntrack.Which
 	// Now tells the time.
-	Now func() time.Time
+	Now     func() time.Time
+	Reports Reports
+}
+
+// Reports are told what happens to connections and calls. Each may be nil.
+type Reports struct {
 	// Unanswered is told of each call that ran out of its time without an answer.
 	Unanswered func(conntrack.Unanswered)
+	// GivenUp is told of connections that were given up.
+	GivenUp func(conntrack.GivenUp)
+	// Again is told of each call that was made again, once it is over.
+	Again func(Again)
+	// Open is told of each connection that is opened (1) or closed (-1).
+	Open func(delta int)
 }
 
 // New returns a client with connections of its own.
 func New(s Settings) *http.Client {
 	t := &transport{settings: s, table: conntrack.NewTable(s.Now)}
-	dialer := &net.Dialer{Timeout: s.Dial}
-	t.base = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			raw, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return t.table.Add(address, raw), nil
-		},
-		DisableCompression: true, MaxIdleConnsPerHost: s.PerHost, IdleConnTimeout: s.Idle,
+	if s.Reports.Open != nil {
+		t.table.OnChange(s.Reports.Open)
+	}
+	t.kept = &http.Transport{
+		DialContext: t.dial, DisableCompression: true,
+		MaxIdleConnsPerHost: s.PerHost, MaxConnsPerHost: s.Most, IdleConnTimeout: s.Unused,
 	}
 	return &http.Client{Transport: t}
 }
@@ -53,28 +66,46 @@
 type transport struct {
 	settings Settings
 	table    *conntrack.Table
-	base     *http.Transport
+	// kept has the connections that are used again.
+	kept *http.Transport
+}
+
+// dial opens a connection.
+func (t *transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: t.settings.Dial}
+	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return t.table.Add(address, raw), nil
 }
 
+// CloseIdleConnections closes the connections that carry no call.
+func (t *transport) CloseIdleConnections() { t.kept.CloseIdleConnections() }
+
 // RoundTrip makes one call.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var on httptrace.GotConnInfo
-	began := t.settings.Now()
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { on = i }})
-	resp, err := t.base.RoundTrip(req.WithContext(ctx))
-	if errors.Is(err, context.DeadlineExceeded) {
-		t.tell(req, on, began)
+	a := t.newAttempt(req)
+	resp, err := t.kept.RoundTrip(a.req)
+	if err != nil {
+		t.failed(a, err)
+		return nil, err
 	}
-	return resp, err
+	return resp, nil
 }
 
-// tell reports a call that had no answer, if it had a connection.
-func (t *transport) tell(req *http.Request, on httptrace.GotConnInfo, began time.Time) {
-	c, ok := on.Conn.(*conntrack.Conn)
-	if !ok {
+// failed takes the failure of a try.
+func (t *transport) failed(a *attempt, err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	u := c.Unanswered(t.settings.Now(), began)
-	u.To, u.Call, u.Reused = t.settings.To, req.URL.Path, on.Reused
-	t.settings.Unanswered(u)
+	conn, sentAt, reused := a.connection()
+	if conn == nil {
+		return
+	}
+	if report := t.settings.Reports.Unanswered; report != nil {
+		u := conn.Unanswered(t.settings.Now(), sentAt)
+		u.To, u.Call, u.Reused = t.settings.To, a.req.URL.Path, reused
+		report(u)
+	}
 }
--- /dev/null
+++ b/modules/httpclient/httpclient_test.go
@@ -0,0 +1,319 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package httpclient_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
+	"saddlevane/tests/forward"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// overdue is after how long a call of the tests that may be made again is.
+	overdue = 100 * time.Millisecond
+	// within bounds the calls of the tests; it is far longer than an answer takes.
+	within = 2 * time.Second
+)
+
+// rig is a client, a service, and what stands between them.
+type rig struct {
+	t       *testing.T
+	client  *http.Client
+	between *forward.Forwarder
+	url     string
+	// served counts the calls that the service has taken.
+	served atomic.Int64
+	open   atomic.Int64
+
+	mu         sync.Mutex
+	unanswered []conntrack.Unanswered
+	givenUp    []conntrack.GivenUp
+	again      []httpclient.Again
+}
+
+// newRig returns a client of a service that answers by a function, or with what it
+// was sent.
+func newRig(t *testing.T, answer http.HandlerFunc, change func(*httpclient.Settings)) *rig {
+	t.Helper()
+	r := &rig{t: t, between: forward.New()}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.served.Add(1)
+		answer(w, req)
+	}))
+	address, err := r.between.Via(server.Listener.Addr().String())
+	assert.NilError(t, err)
+	r.url = "http://" + address
+	s := httpclient.Settings{
+		To: "service", Dial: time.Second, Unused: time.Minute, Answer: overdue, PerHost: 16, Now: time.Now,
+		Reports: httpclient.Reports{
+			Unanswered: func(u conntrack.Unanswered) { r.note(func() { r.unanswered = append(r.unanswered, u) }) },
+			GivenUp:    func(g conntrack.GivenUp) { r.note(func() { r.givenUp = append(r.givenUp, g) }) },
+			Again:      func(a httpclient.Again) { r.note(func() { r.again = append(r.again, a) }) },
+			Open:       func(delta int) { r.open.Add(int64(delta)) },
+		},
+	}
+	if change != nil {
+		change(&s)
+	}
+	r.client = httpclient.New(s)
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		r.between.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return r
+}
+
+func (r *rig) note(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// echo answers with what was sent.
+func echo(w http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	_, _ = w.Write(body)
+}
+
+// hang gives no answer as long as the caller waits.
+func hang(req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	<-req.Context().Done()
+}
+
+// call posts a text and returns the answer.
+func (r *rig) call(ctx context.Context, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/call", bytes.NewReader([]byte(text)))
+	assert.NilError(r.t, err)
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// repeatable marks calls of the tests that may be made again.
+func repeatable(expected time.Duration) context.Context {
+	return httpclient.Repeatable(context.Background(), httpclient.Repeat{Expected: expected})
+}
+
+// fill opens some connections by as many calls at once, and waits until the client
+// has them all back.
+func (r *rig) fill(count int) {
+	r.t.Helper()
+	var all, calls sync.WaitGroup
+	all.Add(count)
+	for range count {
+		calls.Go(func() {
+			body := &held{wait: func() { all.Done(); all.Wait() }}
+			req, err := http.NewRequest(http.MethodPost, r.url+"/fill", body)
+			assert.Check(r.t, err)
+			resp, err := r.client.Do(req)
+			if assert.Check(r.t, err) {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	calls.Wait()
+	assert.Equal(r.t, r.open.Load(), int64(count))
+}
+
+// held is an empty body that ends once wait returns.
+type held struct{ wait func() }
+
+// Read ends the body.
+func (h *held) Read([]byte) (int, error) {
+	h.wait()
+	return 0, io.EOF
+}
+
+// soon fails the test unless what began then took less than a call's whole time.
+func (r *rig) soon(began time.Time) {
+	r.t.Helper()
+	took := time.Since(began)
+	assert.Check(r.t, took < within/2, "it took %v", took)
+}
+
+// Symptom: after the connections of a process had gone silent, each that was left in
+// the pool cost its next caller a whole time-out, as many as there were; reads of the
+// log that wait were missed for 1.4 s.
+//
+// Sequence: open connections to the log, the advice service, workers or targets go
+// silent, without a reset, while new ones work. The calls under way run out of their
+// time; the next calls are made on the connections that are left.
+//
+// Cause: a call that runs out of its time gives up its own connection only, and a call
+// that may be made again is not made again on a new one.
+//
+// What settled it: of 2,668 calls without an answer not one was on a connection opened
+// for it; the log was read anew on a connection that nobody had used for 27 s, which
+// took another 0.9 s.
+func TestSilentConnectionsToAService(t *testing.T) {
+	t.Run("a pool of them costs one call", testAPoolCostsOneCall)
+	t.Run("calls under way on them fail with the first", testCallsUnderWayFail)
+	t.Run("a call that may be made again is answered", testARepeatableCallIsAnswered)
+	t.Run("a read that waits is answered", testAWaitingReadIsAnswered)
+	t.Run("an answer that stops half-way is had again", testAStoppedAnswerIsHadAgain)
+	t.Run("a call whose connection was given up is made again", testAGivenUpCallIsMadeAgain)
+}
+
+func testAPoolCostsOneCall(t *testing.T) {
+	r := newRig(t, echo, nil)
+	r.fill(8)
+	assert.Equal(t, r.between.Silence(), 8)
+
+	_, err := r.call(context.Background(), "lost")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	for i := range 8 {
+		began := time.Now()
+		got, err := r.call(context.Background(), fmt.Sprint(i))
+		assert.NilError(t, err)
+		assert.Equal(t, got, fmt.Sprint(i))
+		r.soon(began)
+	}
+	assert.Equal(t, r.served.Load(), int64(8+8), "a call that may not be made again was")
+	assert.Equal(t, len(r.unanswered), 1)
+	assert.Equal(t, len(r.givenUp), 1)
+	assert.Equal(t, r.givenUp[0].Count, 8)
+}
+
+func testCallsUnderWayFail(t *testing.T) {
+	r := newRig(t, echo, nil)
+	r.fill(4)
+	r.between.Silence()
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), within/8)
+		defer cancel()
+		_, err := r.call(ctx, "first")
+		assert.Check(t, err != nil)
+	})
+	for range 3 {
+		calls.Go(func() {
+			began := time.Now()
+			_, err := r.call(context.Background(), "beside it")
+			assert.ErrorIs(t, err, conntrack.ErrGivenUp)
+			r.soon(began)
+		})
+	}
+	calls.Wait()
+}
+
+func testARepeatableCallIsAnswered(t *testing.T) {
+	r := newRig(t, echo, nil)
+	r.fill(8)
+	r.between.Silence()
+	for i := range 8 {
+		began := time.Now()
+		got, err := r.call(repeatable(0), fmt.Sprint(i))
+		assert.NilError(t, err)
+		assert.Equal(t, got, fmt.Sprint(i))
+		r.soon(began)
+	}
+	assert.Equal(t, r.served.Load(), int64(8+8))
+	assert.Equal(t, len(r.again), 1)
+	assert.Equal(t, r.again[0].Answered, httpclient.OnNew)
+	assert.Equal(t, r.givenUp[0].Count, 8)
+	assert.Equal(t, len(r.unanswered), 0)
+}
+
+func testAWaitingReadIsAnswered(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Has("wait") {
+			time.Sleep(wait)
+		}
+		echo(w, req)
+	}, nil)
+	read := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(httpclient.Repeatable(context.Background(), httpclient.Repeat{
+			Expected: wait, Change: func(req *http.Request) { req.URL.RawQuery = "" },
+		}), within)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/read?wait=1", nil)
+		assert.NilError(t, err)
+		began := time.Now()
+		resp, err := r.client.Do(req)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		r.soon(began)
+	}
+	read()
+	read()
+	assert.Equal(t, len(r.again), 0)
+	r.between.Silence()
+	read()
+	assert.Equal(t, len(r.again), 1)
+}
+
+func testAStoppedAnswerIsHadAgain(t *testing.T) {
+	var stops atomic.Bool
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.WriteString(w, "half ")
+		_ = http.NewResponseController(w).Flush()
+		if stops.CompareAndSwap(true, false) {
+			hang(req)
+			return
+		}
+		_, _ = io.WriteString(w, "whole")
+	}, nil)
+	_, err := r.call(repeatable(0), "")
+	assert.NilError(t, err)
+
+	stops.Store(true)
+	began := time.Now()
+	got, err := r.call(repeatable(0), "")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "half whole")
+	r.soon(began)
+
+	// One that may not be made again ends at its own time.
+	_, err = r.call(context.Background(), "")
+	assert.NilError(t, err)
+	stops.Store(true)
+	_, err = r.call(context.Background(), "")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, len(r.unanswered), 1)
+}
+
+func testAGivenUpCallIsMadeAgain(t *testing.T) {
+	r := newRig(t, echo, nil)
+	r.fill(4)
+	r.between.Silence()
+	var calls sync.WaitGroup
+	for _, expected := range []time.Duration{0, time.Minute, time.Minute, time.Minute} {
+		calls.Go(func() {
+			began := time.Now()
+			got, err := r.call(repeatable(expected), "text")
+			if assert.Check(t, err) {
+				assert.Check(t, got == "text")
+			}
+			r.soon(began)
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/modules/httpclient/repeat.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package httpclient
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Repeat says of a call that it may be made again, and how.
+type Repeat struct {
+	// Expected is how long the answer should take beside its way, such as the time for
+	// which a read waits.
+	Expected time.Duration
+	// Change, if set, alters the second request before it is made: a read that has
+	// waited need not wait again.
+	Change func(*http.Request)
+}
+
+// repeatKey is the key of a Repeat in a context.
+type repeatKey struct{}
+
+// Repeatable says of the calls made with a context that each does no more if it is made
+// twice, at once or one after the other. The answer to the second does not tell what
+// became of the first.
+func Repeatable(ctx context.Context, r Repeat) context.Context {
+	return context.WithValue(ctx, repeatKey{}, r)
+}
+
+// Answered says on which connection a call that was made again was answered.
+type Answered string
+
+// The connections: that of the first try, that of the second, or neither.
+const (
+	OnOld     Answered = "old"
+	OnNew     Answered = "new"
+	OnNeither Answered = "neither"
+)
+
+// Again tells of a call that was made again.
+type Again struct {
+	// To is what was called, Address where, and Call the path.
+	To, Address, Call string
+	Answered          Answered
+	// Took is how long it took in all.
+	Took time.Duration
+}
