httpclient: one call pays for silent connections, and repeatable ones are made again

Cause: a call that ran out of its time gave up its own connection only, so each of the others cost its next caller a whole time-out; and a call that may be made again waited out its own time. Ruled out: to send every call twice when it is late whatever its connection (a connection opened for the call tells that the service is slow or away).

--- a/modules/httpclient/attempt.go
+++ b/modules/httpclient/attempt.go
@@ -62,3 +62,20 @@
 	defer a.mu.Unlock()
 	return a.conn, a.sentAt, a.reused
 }
+
+// dueIn returns how long the answer may take from now on, if it may be late by some
+// time after it was expected. An answer that comes in pieces is under way as long as
+// they come.
+func (a *attempt) dueIn(now time.Time, expected, late time.Duration) time.Duration {
+	conn, sentAt, reused := a.connection()
+	if !reused {
+		// The connection is being opened, or was opened for the call: then the service
+		// is slow or away, and another one would be no faster.
+		return expected + late
+	}
+	due := sentAt.Add(expected)
+	if heard := conn.HeardAt(); heard.After(sentAt) {
+		due = heard
+	}
+	return due.Add(late).Sub(now)
+}
--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -2,12 +2,20 @@
 // SPDX-License-Identifier: MIT
 
 // Package httpclient makes the clients with which a process calls services over
-// HTTP. It tells of each call that had no answer on what connection that was.
+// HTTP. Open connections can go silent for good without a reset while new ones work,
+// so a client keeps two rules:
+//
+//   - Once a call on a connection that was used before has had no answer in its time,
+//     all other connections to that address over which nothing has come since are given
+//     up too, so that one call pays and not one for each connection.
+//   - A call that may be made again (see Repeatable) is made again on a connection opened
+//     for it when its answer is overdue; the first answer counts.
 package httpclient
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -51,7 +59,7 @@
 
 // New returns a client with connections of its own.
 func New(s Settings) *http.Client {
-	t := &transport{settings: s, table: conntrack.NewTable(s.Now)}
+	t := &transport{settings: s, table: conntrack.NewTable(s.Now), pace: newPace(s.Answer)}
 	if s.Reports.Open != nil {
 		t.table.OnChange(s.Reports.Open)
 	}
@@ -59,6 +67,8 @@
 		DialContext: t.dial, DisableCompression: true,
 		MaxIdleConnsPerHost: s.PerHost, MaxConnsPerHost: s.Most, IdleConnTimeout: s.Unused,
 	}
+	// It keeps no connection, so each call on it is on one opened for it.
+	t.fresh = &http.Transport{DialContext: t.dial, DisableCompression: true, MaxIdleConnsPerHost: -1}
 	return &http.Client{Transport: t}
 }
 
@@ -66,8 +76,10 @@
 type transport struct {
 	settings Settings
 	table    *conntrack.Table
+	pace     *pace
 	// kept has the connections that are used again.
-	kept *http.Transport
+	kept  *http.Transport
+	fresh *http.Transport
 }
 
 // dial opens a connection.
@@ -83,18 +95,44 @@
 // CloseIdleConnections closes the connections that carry no call.
 func (t *transport) CloseIdleConnections() { t.kept.CloseIdleConnections() }
 
-// RoundTrip makes one call.
+// RoundTrip makes one call, or one and a second time if that may be.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if r, ok := repeatOf(req); ok {
+		return t.race(req, r)
+	}
+	return t.once(req)
+}
+
+// once makes a call that may not be made again.
+func (t *transport) once(req *http.Request) (*http.Response, error) {
 	a := t.newAttempt(req)
 	resp, err := t.kept.RoundTrip(a.req)
 	if err != nil {
 		t.failed(a, err)
 		return nil, err
 	}
+	resp.Body = &watched{ReadCloser: resp.Body, failed: func(err error) { t.failed(a, err) }}
 	return resp, nil
 }
 
-// failed takes the failure of a try.
+// watched is the body of an answer. It tells of an error while it is read: the call
+// lasts until its answer is whole.
+type watched struct {
+	io.ReadCloser
+	failed func(error)
+}
+
+// Read reads.
+func (w *watched) Read(b []byte) (int, error) {
+	n, err := w.ReadCloser.Read(b)
+	if err != nil && err != io.EOF {
+		w.failed(err)
+	}
+	return n, err
+}
+
+// failed takes the failure of a try. One that ran out of its time on a connection used
+// before is the sign that connections to its address may be silent.
 func (t *transport) failed(a *attempt, err error) {
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return
@@ -108,4 +146,17 @@
 		u.To, u.Call, u.Reused = t.settings.To, a.req.URL.Path, reused
 		report(u)
 	}
+	if reused {
+		t.giveUp(conn, sentAt)
+	}
+}
+
+// giveUp gives up a connection on which a call had no answer, and others to its address
+// that may be as silent.
+func (t *transport) giveUp(conn *conntrack.Conn, sentAt time.Time) {
+	g := conn.GiveUp(t.settings.Now(), sentAt, t.settings.GiveUp)
+	g.To = t.settings.To
+	if report := t.settings.Reports.GivenUp; report != nil {
+		report(g)
+	}
 }
--- a/modules/httpclient/repeat.go
+++ b/modules/httpclient/repeat.go
@@ -29,6 +29,12 @@
 	return context.WithValue(ctx, repeatKey{}, r)
 }
 
+// repeatOf returns how a call may be made again, if it may and its body can be had twice.
+func repeatOf(req *http.Request) (Repeat, bool) {
+	r, ok := req.Context().Value(repeatKey{}).(Repeat)
+	return r, ok && (req.Body == nil || req.Body == http.NoBody || req.GetBody != nil)
+}
+
 // Answered says on which connection a call that was made again was answered.
 type Answered string
 
