jobrun: bound calls for advice, and make calls to the log and the service again

Cause: on a silent connection an append took 900 ms, a waiting read 1.4 s, a call for advice its time and 1.5 s, and the call that a box makes for the holder never ended. New: saddlevane_connections_given_up_total, _connections_open, _calls_made_again_total and their lines.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	d.loop = jobrun.NewLoop(settings, self, newPlatform(s.Jobs, func(u conntrack.Unanswered) { d.loop.Unanswered(u) }), log, time.Now)
+	d.loop = jobrun.NewLoop(settings, self, newPlatform(s, d.reports), log, time.Now)
 	d.peers = jobrun.NewPeers(listener, d.loop)
 	d.loop.Run(d.peers)
 	d.peers.Serve()
@@ -166,18 +166,18 @@
 }
 
 // newPlatform returns the calls to the platform. Each service has a client of its
-// own, so that its connections are not taken up by others. Calls without an answer
-// are told to unanswered.
-func newPlatform(j setting.Jobs, unanswered func(conntrack.Unanswered)) jobrun.Platform {
+// own, so that its connections are not taken up by others. What happens to them is told
+// to the reports of what they lead to.
+func newPlatform(s setting.Settings, reports func(to string) httpclient.Reports) jobrun.Platform {
 	client := func(to string) *http.Client {
 		return httpclient.New(httpclient.Settings{
-			To: to, Dial: dialWithin, Unused: idleWithin, PerHost: connsPerHost, Now: time.Now,
-			Reports: httpclient.Reports{Unanswered: unanswered},
+			To: to, Dial: dialWithin, Unused: s.Connections.Unused, Answer: s.Connections.Answer,
+			PerHost: connsPerHost, Now: time.Now, Reports: reports(to),
 		})
 	}
-	log := platform.NewLog(j.Log, client("log"))
+	log := platform.NewLog(s.Jobs.Log, client("log"))
 	workers := platform.NewWorkers(client("worker"))
-	advice := platform.NewAdvice(j.Advice, client("advice service"))
+	advice := platform.NewAdvice(s.Jobs.Advice, client("advice service"))
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
 		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
@@ -185,6 +185,17 @@
 	}
 }
 
+// reports has the loop told of the connections to a service. There is a loop by the time
+// that the first is opened.
+func (d *jobDaemon) reports(to string) httpclient.Reports {
+	return httpclient.Reports{
+		Unanswered: func(u conntrack.Unanswered) { d.loop.Unanswered(u) },
+		GivenUp:    func(g conntrack.GivenUp) { d.loop.ConnectionsGivenUp(g) },
+		Again:      func(a httpclient.Again) { d.loop.CallMadeAgain(a) },
+		Open:       func(delta int) { d.loop.ConnectionsChanged(to, delta) },
+	}
+}
+
 // shutdown closes the callers' ports and waits for the answers under way.
 func (d *jobDaemon) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownWithin)
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -61,7 +61,7 @@
 	h.advisers.spent[s.job.queue] += takes
 	h.core.do(Advise{
 		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
-		Timeout: c.due.Sub(now) + adviceMargin,
+		Expected: c.due.Sub(now), Timeout: c.due.Sub(now) + adviceMargin,
 	})
 	return c
 }
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -86,7 +86,9 @@
 	Number  int64
 	Step    job.StepID
 	Workers []string
-	Timeout time.Duration
+	// Expected is how long the answer should take.
+	Expected time.Duration
+	Timeout  time.Duration
 }
 
 // AskPledges asks all other boxes not to claim. Its end comes back as Pledged.
--- a/services/jobrun/advice.go
+++ b/services/jobrun/advice.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/modules/httpclient"
 	"saddlevane/services/dispatch"
 )
 
@@ -17,6 +19,26 @@
 type adviseParams struct {
 	Step    job.StepID `json:"step"`
 	Workers []string   `json:"workers"`
+	// Expected is how long the answer should take, Within how long the caller waits.
+	Expected job.Milliseconds `json:"expected_ms,omitempty"`
+	Within   job.Milliseconds `json:"within_ms,omitempty"`
+}
+
+const (
+	// adviseWay is how much sooner than its caller a box gives a call for advice up, so
+	// that the caller hears of it and does not take the box for silent.
+	adviseWay = 100 * time.Millisecond
+	// adviseMost bounds the call of a caller that does not say how long it waits, such as
+	// a box of an earlier version. The service lets up to 32 calls of a box wait.
+	adviseMost = 5 * time.Second
+)
+
+// bound returns how long a call for advice may take here.
+func (a adviseParams) bound() time.Duration {
+	if a.Within <= 0 {
+		return adviseMost
+	}
+	return max(a.Within.Duration()-adviseWay, a.Within.Duration()/2)
 }
 
 // advised is the answer to a call for advice through another box.
@@ -27,7 +49,9 @@
 
 // adviseFor calls the advice service for another box.
 func (p *Peers) adviseFor(ctx context.Context, a adviseParams) (*advised, error) {
-	good, err := p.loop.platform.Advise(ctx, a.Step, a.Workers)
+	ctx, cancel := context.WithTimeout(ctx, a.bound())
+	defer cancel()
+	good, err := p.loop.askAdvice(ctx, a)
 	if errors.Is(err, ErrAdviceBusy) {
 		return &advised{Busy: true}, nil
 	}
@@ -38,13 +62,13 @@
 }
 
 // advise has another entry box call the advice service.
-func (p *Peers) advise(ctx context.Context, address string, step job.StepID, workers []string) ([]order.Ticket, error) {
+func (p *Peers) advise(ctx context.Context, address string, params adviseParams) ([]order.Ticket, error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	var a advised
-	if err := c.Call(ctx, methodAdvise, adviseParams{Step: step, Workers: workers}, &a); err != nil {
+	if err := c.Call(ctx, methodAdvise, params, &a); err != nil {
 		return nil, fmt.Errorf("entry box %s: %w", address, err)
 	}
 	if a.Busy {
@@ -62,12 +86,16 @@
 func (l *Loop) advise(e dispatch.Advise) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
+	params := adviseParams{
+		Step: e.Step, Workers: e.Workers,
+		Expected: job.Milliseconds(e.Expected.Milliseconds()), Within: job.Milliseconds(e.Timeout.Milliseconds()),
+	}
 	var good []order.Ticket
 	var err error
 	if e.Address == "" {
-		good, err = l.platform.Advise(ctx, e.Step, e.Workers)
+		good, err = l.askAdvice(ctx, params)
 	} else {
-		good, err = l.peers.advise(ctx, e.Address, e.Step, e.Workers)
+		good, err = l.peers.advise(ctx, e.Address, params)
 	}
 	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number, Good: good}
 	l.metrics.advised(err)
@@ -77,3 +105,10 @@
 	}
 	l.post(ended)
 }
+
+// askAdvice calls the advice service. The call may be made again; since the service goes
+// on with calls that were given up, that is done only once the answer is overdue.
+func (l *Loop) askAdvice(ctx context.Context, a adviseParams) ([]order.Ticket, error) {
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{Expected: a.Expected.Duration()})
+	return l.platform.Advise(ctx, a.Step, a.Workers)
+}
--- /dev/null
+++ b/services/jobrun/connections.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
+	"saddlevane/services/dispatch"
+)
+
+// noAnswer is why connections are given up on which calls are made: one had no answer.
+const noAnswer = "no answer"
+
+// ConnectionsGivenUp counts connections that were given up because a call had no answer,
+// and logs it if others were given up than that of the call.
+func (l *Loop) ConnectionsGivenUp(g conntrack.GivenUp) {
+	l.metrics.connectionsGivenUp.WithLabelValues(g.To, noAnswer).Add(float64(g.Count))
+	if g.Count < 2 {
+		return
+	}
+	l.notes.write(dispatch.Note{Message: "connections were given up", Fields: []dispatch.Field{
+		{Name: "to", Value: g.To},
+		{Name: "address", Value: g.Address},
+		{Name: "count", Value: g.Count},
+		{Name: "reason", Value: noAnswer},
+		{Name: "heard_ago", Value: g.HeardAgo.String()},
+	}})
+}
+
+// CallMadeAgain logs and counts a call that was made again.
+func (l *Loop) CallMadeAgain(a httpclient.Again) {
+	l.metrics.callsAgain.WithLabelValues(a.To, string(a.Answered)).Inc()
+	l.notes.write(dispatch.Note{Message: "a call was made again", Fields: []dispatch.Field{
+		{Name: "to", Value: a.To},
+		{Name: "address", Value: a.Address},
+		{Name: "call", Value: a.Call},
+		{Name: "answered_on", Value: string(a.Answered)},
+		{Name: "took", Value: a.Took.String()},
+	}})
+}
+
+// ConnectionsChanged counts open connections.
+func (l *Loop) ConnectionsChanged(to string, delta int) {
+	l.metrics.connectionsOpen.WithLabelValues(to).Add(float64(delta))
+}
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -29,6 +29,13 @@
 	advice   *prometheus.CounterVec
 	// unanswered counts calls that ran out of their time, by what was called.
 	unanswered *prometheus.CounterVec
+	// callsAgain counts calls that were made again, by what was called and which try was
+	// answered.
+	callsAgain *prometheus.CounterVec
+	// connectionsGivenUp counts connections that are not trusted any more, by what they
+	// lead to.
+	connectionsGivenUp *prometheus.CounterVec
+	connectionsOpen    *prometheus.GaugeVec
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -36,17 +43,23 @@
 
 func newMetrics() *Metrics {
 	m := &Metrics{
-		registry:   prometheus.NewRegistry(),
-		calls:      counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
-		callTime:   histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
-		orders:     counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
-		ends:       counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
-		appends:    counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
-		logTime:    histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
-		advice:     counter("advice_calls_total", "Calls for advice, by result.", "result"),
-		unanswered: counter("calls_unanswered_total", "Calls that ran out of their time, by what was called and whether the connection had carried earlier calls.", "to", "connection"),
+		registry:           prometheus.NewRegistry(),
+		calls:              counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
+		callTime:           histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
+		orders:             counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
+		ends:               counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
+		appends:            counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
+		logTime:            histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
+		advice:             counter("advice_calls_total", "Calls for advice, by result.", "result"),
+		unanswered:         counter("calls_unanswered_total", "Calls that ran out of their time, by what was called and whether the connection had carried earlier calls.", "to", "connection"),
+		callsAgain:         counter("calls_made_again_total", "Calls that were made again on a new connection, by what was called and on which connection they were answered.", "to", "answered"),
+		connectionsGivenUp: counter("connections_given_up_total", "Open connections that were closed because they were silent, by what they lead to and why.", "to", "reason"),
+		connectionsOpen: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "saddlevane_connections_open", Help: "Open connections, by what they lead to.",
+		}, []string{"to"}),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen)
 	return m
 }
 
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -8,13 +8,19 @@
 	"time"
 
 	"saddlevane/models/stream"
+	"saddlevane/modules/httpclient"
 	"saddlevane/services/dispatch"
 )
 
-// append appends to the log.
+// append appends to the log. It may be made again: an append of the journal has a
+// sequence number and takes effect once; so does a claim, which names the place where it
+// goes; an announcement says the same twice. The reducer takes no error for a sign that
+// nothing was appended, since a claim whose first try was done is answered that the
+// stream has moved.
 func (l *Loop) append(e dispatch.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{})
 	began := l.now()
 	offset, err := l.platform.Log.Append(ctx, e.Append)
 	l.metrics.appended(e.Purpose, l.now().Sub(began), err)
