httpclient: a call that waits its turn is not made again while the service answers

The service takes a box's calls one at a time and goes on with those given up. Now a call marked InTurn is made again only if nothing has come from the service since it was made.

--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -151,6 +151,19 @@
 // was opened.
 func (c *Conn) HeardAt() time.Time { return c.table.began.Add(time.Duration(c.heard.Load())) }
 
+// HeardBeside says whether something has come since a time over another connection to
+// the same address that was open by then.
+func (c *Conn) HeardBeside(since time.Time) bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	for o := range c.table.conns[c.address] {
+		if o != c && o.openedAt.Before(since) && o.HeardAt().After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // Which says which connections are given up.
 type Which string
 
--- a/modules/conntrack/conntrack_test.go
+++ b/modules/conntrack/conntrack_test.go
@@ -120,3 +120,20 @@
 	_ = c.Close()
 	assert.Equal(t, open, 1)
 }
+
+func TestWhatCameBesideAConnectionIsKnown(t *testing.T) {
+	at := &clock{now: time.Now()}
+	table := conntrack.NewTable(at.read)
+	c, _ := pipe(t, table, "a")
+	beside, besideFar := pipe(t, table, "a")
+	elsewhere, elsewhereFar := pipe(t, table, "b")
+	at.now = at.now.Add(time.Second)
+	since := at.now
+	at.now = at.now.Add(time.Second)
+	later, laterFar := pipe(t, table, "a")
+	hear(t, later, laterFar)
+	hear(t, elsewhere, elsewhereFar)
+	assert.Check(t, !c.HeardBeside(since), "only what was open by then counts")
+	hear(t, beside, besideFar)
+	assert.Check(t, c.HeardBeside(since))
+}
--- a/modules/httpclient/attempt.go
+++ b/modules/httpclient/attempt.go
@@ -63,17 +63,23 @@
 	return a.conn, a.sentAt, a.reused
 }
 
+// awaitsTurn says of a call that the service takes in turn whether others may be before
+// it: the service has answered some since it was made.
+func (a *attempt) awaitsTurn(r Repeat) bool {
+	conn, sentAt, _ := a.connection()
+	return r.InTurn && conn != nil && conn.HeardBeside(sentAt)
+}
+
 // dueIn returns how long the answer may take from now on, if it may be late by some
-// time after it was expected. An answer that comes in pieces is under way as long as
-// they come.
-func (a *attempt) dueIn(now time.Time, expected, late time.Duration) time.Duration {
+// time. An answer that comes in pieces is under way as long as they come.
+func (a *attempt) dueIn(now time.Time, r Repeat, late time.Duration) time.Duration {
 	conn, sentAt, reused := a.connection()
-	if !reused {
-		// The connection is being opened, or was opened for the call: then the service
+	if !reused || a.awaitsTurn(r) {
+		// A connection that is being opened, or was opened for the call: then the service
 		// is slow or away, and another one would be no faster.
-		return expected + late
+		return r.Expected + late
 	}
-	due := sentAt.Add(expected)
+	due := sentAt.Add(r.Expected)
 	if heard := conn.HeardAt(); heard.After(sentAt) {
 		due = heard
 	}
--- a/modules/httpclient/httpclient_test.go
+++ b/modules/httpclient/httpclient_test.go
@@ -271,6 +271,70 @@
 	assert.Equal(t, len(r.again), 1)
 }
 
+// A read whose connection is given up has waited long enough, too.
+func TestAReadWhoseConnectionIsGivenUpNeedNotWaitAgain(t *testing.T) {
+	const wait = 600 * time.Millisecond
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Has("wait") {
+			time.Sleep(wait)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(2)
+	r.between.Silence()
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := r.call(repeatable(0), "beside it")
+		assert.Check(t, err)
+	})
+	began := time.Now()
+	ctx := httpclient.Repeatable(context.Background(), httpclient.Repeat{
+		Expected: wait, Change: func(req *http.Request) { req.URL.RawQuery = "" },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/read?wait=1", nil)
+	assert.NilError(t, err)
+	resp, err := r.client.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	took := time.Since(began)
+	assert.Check(t, took < wait, "it took %v", took)
+	calls.Wait()
+	assert.Equal(t, len(r.again), 2)
+}
+
+// A service that takes a caller's calls one at a time goes on with those that were given
+// up, so each needless one makes its queue longer.
+func TestACallThatWaitsItsTurnIsNotMadeAgainWhileTheServiceAnswers(t *testing.T) {
+	const takes = 3 * overdue
+	turn := make(chan struct{}, 1)
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		turn <- struct{}{}
+		defer func() { <-turn }()
+		if req.URL.Path == "/call" {
+			time.Sleep(takes)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(3)
+	inTurn := httpclient.Repeatable(context.Background(), httpclient.Repeat{Expected: takes, InTurn: true})
+	var calls sync.WaitGroup
+	for range 3 {
+		calls.Go(func() {
+			_, err := r.call(inTurn, "text")
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, len(r.again), 0)
+	assert.Equal(t, r.served.Load(), int64(3+3))
+
+	r.between.Silence()
+	began := time.Now()
+	_, err := r.call(inTurn, "text")
+	assert.NilError(t, err)
+	r.soon(began)
+}
+
 func testAStoppedAnswerIsHadAgain(t *testing.T) {
 	var stops atomic.Bool
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
--- a/modules/httpclient/race.go
+++ b/modules/httpclient/race.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -30,7 +31,7 @@
 func (t *transport) race(req *http.Request, r Repeat) (*http.Response, error) {
 	c := &race{t: t, req: req, repeat: r, began: t.settings.Now(), ended: make(chan *try, 2)}
 	defer c.tasks.Wait()
-	c.first = c.begin(t.kept, req)
+	c.first = c.begin(t.kept, onlyOnce(req))
 	timer := time.NewTimer(r.Expected + c.late())
 	defer timer.Stop()
 	for {
@@ -45,6 +46,17 @@
 	}
 }
 
+// onlyOnce returns the request so that the transport does not make it again by itself.
+// Once its connection is closed it would make a read again as it was, with its whole wait.
+func onlyOnce(req *http.Request) *http.Request {
+	if req.Body != nil && req.Body != http.NoBody {
+		return req
+	}
+	once := req.WithContext(req.Context())
+	once.Body = io.NopCloser(http.NoBody)
+	return once
+}
+
 // late returns how late the answer may be.
 func (c *race) late() time.Duration {
 	return c.t.pace.allowed(c.t.settings.Now(), c.req.URL.Host)
@@ -67,7 +79,7 @@
 	if c.second != nil {
 		return
 	}
-	if wait := c.first.dueIn(c.t.settings.Now(), c.repeat.Expected, c.late()); wait > 0 {
+	if wait := c.first.dueIn(c.t.settings.Now(), c.repeat, c.late()); wait > 0 {
 		timer.Reset(wait)
 		return
 	}
@@ -121,7 +133,7 @@
 // learn draws the conclusions: from how late the answer was, and on which connection it
 // came.
 func (c *race) learn(done *try) {
-	if done.err == nil {
+	if done.err == nil && !done.awaitsTurn(c.repeat) {
 		_, sentAt, _ := done.connection()
 		c.t.pace.answered(done.answeredAt, c.req.URL.Host, done.answeredAt.Sub(sentAt)-c.repeat.Expected)
 	}
--- a/modules/httpclient/repeat.go
+++ b/modules/httpclient/repeat.go
@@ -17,6 +17,10 @@
 	// Change, if set, alters the second request before it is made: a read that has
 	// waited need not wait again.
 	Change func(*http.Request)
+	// InTurn says that the service takes this process's calls one at a time and goes on
+	// with those that were given up. Such a call is made again only if nothing at all has
+	// come from the service since it was made; else its turn may not have come.
+	InTurn bool
 }
 
 // repeatKey is the key of a Repeat in a context.
--- a/services/jobrun/advice.go
+++ b/services/jobrun/advice.go
@@ -106,9 +106,9 @@
 	l.post(ended)
 }
 
-// askAdvice calls the advice service. The call may be made again; since the service goes
-// on with calls that were given up, that is done only once the answer is overdue.
+// askAdvice calls the advice service. The call may be made again. The service takes one
+// call of a box at a time and goes on with those that were given up.
 func (l *Loop) askAdvice(ctx context.Context, a adviseParams) ([]order.Ticket, error) {
-	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{Expected: a.Expected.Duration()})
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{Expected: a.Expected.Duration(), InTurn: true})
 	return l.platform.Advise(ctx, a.Step, a.Workers)
 }
