--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -100,8 +100,10 @@
 	openedAt time.Time
 	// heard is when something last came, in nanoseconds since the table was made.
 	heard atomic.Int64
-	// busy counts the calls under way.
-	busy atomic.Int32
+	// busy counts the calls under way, and begun is when the last one began, in
+	// nanoseconds since the table was made.
+	busy  atomic.Int32
+	begun atomic.Int64
 	// distrusted says that the connection was given up.
 	distrusted atomic.Bool
 }
@@ -132,8 +134,14 @@
 	return err
 }
 
-// Begin notes that a call is under way on the connection, End that one is over.
-func (c *Conn) Begin() { c.busy.Add(1) }
+// Begin notes that a call is made on the connection.
+func (c *Conn) Begin() {
+	c.begun.Store(int64(c.table.now().Sub(c.table.began)))
+	c.busy.Add(1)
+}
+
+// begunAt returns when the last call on the connection was made.
+func (c *Conn) begunAt() time.Time { return c.table.began.Add(time.Duration(c.begun.Load())) }
 
 // End notes that a call on the connection is over.
 func (c *Conn) End() { c.busy.Add(-1) }
@@ -151,13 +159,17 @@
 // was opened.
 func (c *Conn) HeardAt() time.Time { return c.table.began.Add(time.Duration(c.heard.Load())) }
 
-// HeardBeside says whether something has come since a time over another connection to
-// the same address that was open by then.
-func (c *Conn) HeardBeside(since time.Time) bool {
+// Behind says whether a call that was made on the connection at some time may wait behind
+// others at its address: one made earlier on another connection is still under way, or
+// something has come since over one that was open by then.
+func (c *Conn) Behind(sentAt time.Time) bool {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	for o := range c.table.conns[c.address] {
-		if o != c && o.openedAt.Before(since) && o.HeardAt().After(since) {
+		if o == c || !o.openedAt.Before(sentAt) {
+			continue
+		}
+		if o.HeardAt().After(sentAt) || o.busy.Load() > 0 && o.begunAt().Before(sentAt) {
 			return true
 		}
 	}
--- a/modules/httpclient/attempt.go
+++ b/modules/httpclient/attempt.go
@@ -64,10 +64,10 @@
 }
 
 // awaitsTurn says of a call that the service takes in turn whether others may be before
-// it: the service has answered some since it was made.
+// it.
 func (a *attempt) awaitsTurn(r Repeat) bool {
 	conn, sentAt, _ := a.connection()
-	return r.InTurn && conn != nil && conn.HeardBeside(sentAt)
+	return r.InTurn && conn != nil && conn.Behind(sentAt)
 }
 
 // dueIn returns how long the answer may take from now on, if it may be late by some
--- a/modules/httpclient/repeat.go
+++ b/modules/httpclient/repeat.go
@@ -18,8 +18,9 @@
 	// waited need not wait again.
 	Change func(*http.Request)
 	// InTurn says that the service takes this process's calls one at a time and goes on
-	// with those that were given up. Such a call is made again only if nothing at all has
-	// come from the service since it was made; else its turn may not have come.
+	// with those that were given up. Such a call is made again only if it is the first of
+	// those under way and nothing at all has come from the service since it was made; else
+	// its turn may not have come. If it is answered then, the others are made again too.
 	InTurn bool
 }
 
