--- /dev/null
+++ b/services/runtime/silent_test.go
@@ -0,0 +1,318 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"saddlevane/models/box"
+	"saddlevane/models/effect"
+	"saddlevane/models/peer"
+	"saddlevane/models/platform"
+	"saddlevane/models/record"
+	"saddlevane/models/verdict"
+	"saddlevane/modules/httpjson"
+	"saddlevane/services/core"
+	"saddlevane/services/journal"
+	"saddlevane/services/membership"
+	"saddlevane/services/routing"
+	"saddlevane/services/runtime"
+	"saddlevane/services/shard"
+	"saddlevane/tests/forward"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	// deadline is that of requests of the tests; a target answers at once.
+	deadline = 600 * time.Millisecond
+	// callWithin bounds calls to the log of the tests, readWait how long a read waits.
+	callWithin = 3 * time.Second
+	readWait   = 300 * time.Millisecond
+	// soon is well below what runs out of its time.
+	soon = callWithin / 2
+)
+
+const poolFile = `name: cell
+pools:
+  - name: p
+    slots: 8
+    connections: 8
+    classes:
+      - {name: c, priority: normal, deadline: 600ms, queue: 100}
+`
+
+// platformLog plays the platform's log.
+type platformLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	changed chan struct{}
+}
+
+// append takes a record in.
+func (l *platformLog) append(data string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := int64(len(l.records))
+	l.records = append(l.records, platform.Record{Offset: offset, At: time.Now().UnixMilli(), Data: data})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset
+}
+
+// from returns the records from an offset on, and what is closed once there are more.
+func (l *platformLog) from(offset int64) (platform.Read, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := int64(len(l.records))
+	return platform.Read{Next: next, Records: l.records[min(offset, next):]}, l.changed
+}
+
+// read answers a read, which waits for records.
+func (l *platformLog) read(w http.ResponseWriter, r *http.Request) {
+	offset, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	answer, more := l.from(offset)
+	if len(answer.Records) == 0 {
+		select {
+		case <-more:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		answer, _ = l.from(offset)
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+// rig is one entry box, its platform and one target.
+type rig struct {
+	t        *testing.T
+	loop     *runtime.Loop
+	requests *runtime.Requests
+	log      *platformLog
+	// toLog and toTarget stand before the log and the target.
+	toLog, toTarget *forward.Forwarder
+	// gate, if set, is what requests at the target wait for.
+	mu   sync.Mutex
+	gate *sync.WaitGroup
+}
+
+// newRig starts a box that has a target in a pool.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, log: &platformLog{changed: make(chan struct{})}, toLog: forward.New(), toTarget: forward.New()}
+	target := r.serve(r.toTarget, http.HandlerFunc(r.answer))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/read", r.log.read)
+	mux.HandleFunc("POST /v1/append", func(w http.ResponseWriter, req *http.Request) {
+		var a platform.Append
+		if httpjson.Decode(w, req, 1<<20, &a) {
+			httpjson.Write(w, http.StatusOK, platform.Appended{Offset: r.log.append(a.Data)})
+		}
+	})
+	mux.HandleFunc("GET /v1/boxes", func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, box.List{Boxes: []box.Box{
+			{Name: "t1", Role: box.Target, Domain: "a", Pool: "p", Address: target, State: box.Live},
+		}})
+	})
+	r.start("http://" + r.serve(r.toLog, mux))
+	r.published("cell", poolFile)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if result := r.ask(); result.Verdict != verdict.Ran {
+			return poll.Continue("%+v", result)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	return r
+}
+
+// serve has a handler answer behind a forwarder and returns its address.
+func (r *rig) serve(f *forward.Forwarder, h http.Handler) string {
+	r.t.Helper()
+	server := httptest.NewServer(h)
+	address, err := f.Via(server.Listener.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() {
+		f.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return address
+}
+
+// start starts the box.
+func (r *rig) start(url string) {
+	r.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Now()
+	self := peer.Hello{Box: "a", Incarnation: "1", Domain: "a", Address: listener.Addr().String()}
+	newKey := func(now time.Time) ulid.ULID { return ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()) }
+	policies := core.Policies{Routing: routing.DefaultPolicy(), Shard: shard.DefaultPolicy()}
+	r.loop = runtime.NewLoop(core.New(now, settings(), policies, self, newKey), log, time.Now)
+	r.requests = runtime.NewRequests(runtime.RequestSettings{MaxAnswer: 1 << 20, MaxPending: 100, MaxKept: 1 << 20}, r.loop)
+	adapters := runtime.Adapters{
+		Requests: r.requests, Workers: runtime.NewWorkers(time.Second, r.loop), Peers: runtime.NewPeers(listener, r.loop, r.requests),
+		Log: runtime.NewLog(runtime.PlatformSettings{
+			Log: url, Boxes: url, Timeout: callWithin, Wait: readWait, BoxesEvery: 100 * time.Millisecond,
+		}, r.loop),
+	}
+	r.loop.Run(adapters)
+	r.t.Cleanup(func() {
+		adapters.Peers.Close()
+		adapters.Log.Close()
+		adapters.Workers.Close()
+		r.requests.Close()
+		r.loop.Close()
+	})
+}
+
+func settings() core.Settings {
+	return core.Settings{
+		Journal:    journal.Settings{Interval: 10 * time.Millisecond, RetryAfter: 50 * time.Millisecond, Limit: 1000},
+		Membership: membership.Settings{Heartbeat: 200 * time.Millisecond, DeadAfter: time.Second},
+		Routing: routing.Settings{
+			KeyTTL: time.Minute, MaxKeys: 100, RetryRatio: 0.1, RetryBurst: 10, LeastAttempt: 100 * time.Millisecond,
+			EjectAfter: 3, EjectFor: 10 * time.Second, EjectMost: 10 * time.Second,
+		},
+		Shard: shard.Settings{
+			Lease: 1500 * time.Millisecond, Renew: 300 * time.Millisecond, Margin: 100 * time.Millisecond, TaskLease: 3 * time.Second,
+			Settle: time.Second, GoneAfter: time.Hour, Backoff: 100 * time.Millisecond, BackoffMost: time.Second, GangPatience: time.Second,
+			QuarantineAfter: 3, QuarantineFor: time.Second, PlacementsPerTick: 100, StopsPerTick: 20,
+		},
+		Retention: time.Hour, StopMost: 10 * time.Second,
+	}
+}
+
+// published has a file come into force.
+func (r *rig) published(name, data string) {
+	r.t.Helper()
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		p := record.Publish{ID: name, File: name, Data: data}
+		got := r.loop.Publish(context.Background(), p, 5*time.Second)
+		if got.Outcome != effect.Accepted {
+			return poll.Continue("%+v", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// answer is how the target answers.
+func (r *rig) answer(w http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	r.mu.Lock()
+	gate := r.gate
+	r.mu.Unlock()
+	if gate != nil {
+		gate.Done()
+		gate.Wait()
+	}
+	httpjson.Write(w, http.StatusOK, struct{}{})
+}
+
+// ask makes one request, which may not be repeated: it is refused with the key that it
+// then bears.
+func (r *rig) ask() runtime.Result {
+	in := runtime.Incoming{
+		Pool: "p", Class: "c", Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: []byte("x"), Budget: deadline,
+	}
+	result, _ := r.requests.Serve(context.Background(), in)
+	if result.Refusal != nil && !result.Refusal.Key.IsZero() {
+		in.Key = result.Refusal.Key
+		result, _ = r.requests.Serve(context.Background(), in)
+	}
+	return result
+}
+
+// fill opens some connections to the target.
+func (r *rig) fill(count int) {
+	r.t.Helper()
+	gate := &sync.WaitGroup{}
+	gate.Add(count)
+	r.mu.Lock()
+	r.gate = gate
+	r.mu.Unlock()
+	for _, result := range r.together(count) {
+		assert.Equal(r.t, result.Verdict, verdict.Ran, "%+v", result.Refusal)
+	}
+	r.mu.Lock()
+	r.gate = nil
+	r.mu.Unlock()
+}
+
+// together makes some requests at once.
+func (r *rig) together(count int) []runtime.Result {
+	results := make([]runtime.Result, count)
+	var calls sync.WaitGroup
+	for i := range count {
+		calls.Go(func() { results[i] = r.ask() })
+	}
+	calls.Wait()
+	return results
+}
+
+// Symptom: after connections to a target had gone silent its requests failed one after
+// the other, and it got none for seconds though it was well; after those to the log had,
+// files came into force seconds late.
+//
+// Sequence: the open connections go silent, without a reset; new ones work.
+//
+// Cause: each silent connection in the pool cost a request its whole time, and three
+// such failures in a row took the target out; the only requests that may probe it went
+// to silent connections too. Reads of the log and appends waited out their time.
+//
+// What settled it: reading the code of the older mode beside the record of the other.
+func TestConnectionsOfTheOlderModeGoSilent(t *testing.T) {
+	t.Run("a pool of them to a target costs one request", testATargetsPoolCostsOneRequest)
+	t.Run("requests under way on them do not take the target out", testRequestsUnderWayDoNotEject)
+	t.Run("the log is read and written", testTheLogIsReadAndWritten)
+}
+
+func testATargetsPoolCostsOneRequest(t *testing.T) {
+	r := newRig(t)
+	r.fill(6)
+	assert.Check(t, r.toTarget.Silence() >= 6)
+	assert.Equal(t, r.ask().Verdict, verdict.MayHaveRun)
+	for i := range 6 {
+		result := r.ask()
+		assert.Equal(t, result.Verdict, verdict.Ran, "request %d: %+v", i, result.Refusal)
+	}
+}
+
+func testRequestsUnderWayDoNotEject(t *testing.T) {
+	r := newRig(t)
+	r.fill(6)
+	r.toTarget.Silence()
+	for _, result := range r.together(4) {
+		assert.Equal(t, result.Verdict, verdict.MayHaveRun)
+	}
+	result := r.ask()
+	assert.Equal(t, result.Verdict, verdict.Ran, "%+v", result.Refusal)
+}
+
+func testTheLogIsReadAndWritten(t *testing.T) {
+	r := newRig(t)
+	for round := range 3 {
+		assert.Check(t, r.toLog.Silence() > 0)
+		began := time.Now()
+		name := "f" + strconv.Itoa(round)
+		r.published(name, "name: "+name+"\n")
+		took := time.Since(began)
+		assert.Check(t, took < soon, "a file came into force after %v in round %d", took, round)
+	}
+}
