--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -109,16 +109,18 @@
 		failed: make(chan error, 2),
 	}
 	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log, time.Now)
+	connections := runtime.Connections{Unused: s.Connections.Unused, Answer: s.Connections.Answer}
 	requests := runtime.NewRequests(runtime.RequestSettings{
 		MaxAnswer: s.Requests.MaxAnswer, MaxPending: s.Requests.MaxPending, MaxKept: s.Requests.MaxKept,
+		Connections: connections,
 	}, d.loop)
 	d.adapters = runtime.Adapters{
 		Requests: requests,
-		Workers:  runtime.NewWorkers(s.Workers.Timeout, d.loop),
+		Workers:  runtime.NewWorkers(s.Workers.Timeout, connections, d.loop),
 		Peers:    runtime.NewPeers(l.peers, d.loop, requests),
 		Log: runtime.NewLog(runtime.PlatformSettings{
 			Log: s.Platform.Log, Boxes: s.Platform.Boxes, Timeout: s.Platform.Timeout,
-			Wait: s.Platform.Wait, BoxesEvery: s.Platform.BoxesEvery,
+			Wait: s.Platform.Wait, BoxesEvery: s.Platform.BoxesEvery, Connections: connections,
 		}, d.loop),
 	}
 	d.loop.Run(d.adapters)
--- a/models/event/event.go
+++ b/models/event/event.go
@@ -42,6 +42,9 @@
 	Leaving bool
 	// Busy says that the target refused because it was full.
 	Busy bool
+	// Silent says that there was no answer on a connection that had carried others, which
+	// may be at fault.
+	Silent bool
 }
 
 // ForwardEnded is the end of a request that was passed on to a peer.
--- a/modules/httpclient/attempt.go
+++ b/modules/httpclient/attempt.go
@@ -27,7 +27,7 @@
 }
 
 // newAttempt returns a try that is to be made with its own req.
-func (t *transport) newAttempt(req *http.Request) *attempt {
+func (t *Transport) newAttempt(req *http.Request) *attempt {
 	a := &attempt{now: t.settings.Now}
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn, PutIdleConn: a.putIdle}
 	a.req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -58,8 +58,11 @@
 }
 
 // New returns a client with connections of its own.
-func New(s Settings) *http.Client {
-	t := &transport{settings: s, table: conntrack.NewTable(s.Now), pace: newPace(s.Answer)}
+func New(s Settings) *http.Client { return &http.Client{Transport: NewTransport(s)} }
+
+// NewTransport returns what carries out the calls of a client.
+func NewTransport(s Settings) *Transport {
+	t := &Transport{settings: s, table: conntrack.NewTable(s.Now), pace: newPace(s.Answer)}
 	if s.Reports.Open != nil {
 		t.table.OnChange(s.Reports.Open)
 	}
@@ -69,11 +72,11 @@
 	}
 	// It keeps no connection, so each call on it is on one opened for it.
 	t.fresh = &http.Transport{DialContext: t.dial, DisableCompression: true, MaxIdleConnsPerHost: -1}
-	return &http.Client{Transport: t}
+	return t
 }
 
-// transport carries out calls.
-type transport struct {
+// Transport carries out calls.
+type Transport struct {
 	settings Settings
 	table    *conntrack.Table
 	pace     *pace
@@ -83,7 +86,7 @@
 }
 
 // dial opens a connection.
-func (t *transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: t.settings.Dial}
 	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
@@ -93,10 +96,10 @@
 }
 
 // CloseIdleConnections closes the connections that carry no call.
-func (t *transport) CloseIdleConnections() { t.kept.CloseIdleConnections() }
+func (t *Transport) CloseIdleConnections() { t.kept.CloseIdleConnections() }
 
 // RoundTrip makes one call, or one and a second time if that may be.
-func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if r, ok := repeatOf(req); ok {
 		return t.race(req, r)
 	}
@@ -104,7 +107,7 @@
 }
 
 // once makes a call that may not be made again.
-func (t *transport) once(req *http.Request) (*http.Response, error) {
+func (t *Transport) once(req *http.Request) (*http.Response, error) {
 	a := t.newAttempt(req)
 	resp, err := t.kept.RoundTrip(a.req)
 	if err != nil {
@@ -133,7 +136,7 @@
 
 // failed takes the failure of a try. One that ran out of its time on a connection used
 // before is the sign that connections to its address may be silent.
-func (t *transport) failed(a *attempt, err error) {
+func (t *Transport) failed(a *attempt, err error) {
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
@@ -153,7 +156,7 @@
 
 // giveUp gives up a connection on which a call had no answer, and others to its address
 // that may be as silent.
-func (t *transport) giveUp(conn *conntrack.Conn, sentAt time.Time) {
+func (t *Transport) giveUp(conn *conntrack.Conn, sentAt time.Time) {
 	g := conn.GiveUp(t.settings.Now(), sentAt, t.settings.GiveUp)
 	g.To = t.settings.To
 	if report := t.settings.Reports.GivenUp; report != nil {
--- a/modules/httpclient/race.go
+++ b/modules/httpclient/race.go
@@ -15,7 +15,7 @@
 // race is a call that may be made again: two tries at most, of which the first answer
 // counts.
 type race struct {
-	t      *transport
+	t      *Transport
 	req    *http.Request
 	repeat Repeat
 	began  time.Time
@@ -28,7 +28,7 @@
 }
 
 // race makes a call, and makes it again when its answer is overdue.
-func (t *transport) race(req *http.Request, r Repeat) (*http.Response, error) {
+func (t *Transport) race(req *http.Request, r Repeat) (*http.Response, error) {
 	c := &race{t: t, req: req, repeat: r, began: t.settings.Now(), ended: make(chan *try, 2)}
 	defer c.tasks.Wait()
 	c.first = c.begin(t.kept, onlyOnce(req))
--- a/modules/httpclient/try.go
+++ b/modules/httpclient/try.go
@@ -28,7 +28,7 @@
 }
 
 // make carries the try out until its answer is whole, or as large as is kept.
-func (y *try) make(t *transport, on *http.Transport) {
+func (y *try) make(t *Transport, on *http.Transport) {
 	y.resp, y.err = on.RoundTrip(y.req)
 	y.answeredAt = y.now()
 	if y.err != nil {
--- a/services/routing/router_test.go
+++ b/services/routing/router_test.go
@@ -101,14 +101,17 @@
 	return id
 }
 
-func (d *driver) end(i int, v verdict.Verdict) {
+func (d *driver) end(i int, v verdict.Verdict) { d.endOn(i, v, false) }
+
+// endOn ends an attempt, which may have had no answer on a connection used before.
+func (d *driver) endOn(i int, v verdict.Verdict, silent bool) {
 	s := d.sends[i]
 	d.sends = append(d.sends[:i:i], d.sends[i+1:]...)
 	d.open[s.Target]--
 	if v != verdict.NotRun {
 		d.maybe[s.ID]++
 	}
-	d.do(d.r.Answered(d.now, event.TargetAnswered{ID: s.ID, Attempt: s.Attempt, Target: s.Target, Verdict: v, Reason: "test"}))
+	d.do(d.r.Answered(d.now, event.TargetAnswered{ID: s.ID, Attempt: s.Attempt, Target: s.Target, Verdict: v, Reason: "test", Silent: silent}))
 }
 
 func (d *driver) do(effects []effect.Effect) {
@@ -283,6 +286,23 @@
 	assert.Check(t, seen["t1"], "not taken back after a good probe")
 }
 
+func TestATargetIsNotEjectedForSilentConnectionsButForNewOnes(t *testing.T) {
+	d := newDriver(t, "e1")
+	d.targets("t1")
+	for range 4 {
+		d.arrive(render, request.Key{})
+	}
+	for range 4 {
+		d.endOn(0, verdict.MayHaveRun, true)
+	}
+	assert.Check(t, len(d.sends) > 0, "t1 is ejected though its connections may be at fault")
+	d.end(0, verdict.MayHaveRun)
+	d.end(0, verdict.MayHaveRun)
+	under := len(d.sends)
+	d.arrive(preview, request.Key{})
+	assert.Equal(t, len(d.sends), under, "t1 is not ejected though it does not answer on new connections")
+}
+
 func TestALateRequestIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
 	d := newDriver(t, "e1")
 	d.targets("t1")
--- a/services/routing/target.go
+++ b/services/routing/target.go
@@ -55,6 +55,10 @@
 	case e.Verdict == verdict.Ran:
 		t.failures, t.ejections = 0, 0
 	case e.Leaving || e.Busy:
+	case e.Silent && !t.ejected():
+		// Any number of connections can go silent at once while the target is well; the
+		// next request goes on a new one and tells.
+		t.failures = max(t.failures, 1)
 	default:
 		t.failed(now, s)
 	}
--- a/services/runtime/log.go
+++ b/services/runtime/log.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/event"
 	"saddlevane/models/platform"
 	"saddlevane/models/record"
+	"saddlevane/modules/httpclient"
 	"saddlevane/modules/httpjson"
 
 	"github.com/sourcegraph/conc"
@@ -33,6 +34,8 @@
 	Timeout    time.Duration
 	Wait       time.Duration
 	BoxesEvery time.Duration
+	// Connections bounds the open connections.
+	Connections Connections
 }
 
 // Log is the adapter for the platform's log and list of boxes.
@@ -50,7 +53,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Log{
 		settings: s, loop: loop, ctx: ctx, cancel: cancel,
-		client: httpjson.NewClient(&http.Client{}, maxPlatformAnswer),
+		client: httpjson.NewClient(loop.client("log", s.Connections, connsPerHost), maxPlatformAnswer),
 	}
 	l.tasks.Go(l.readBoxes)
 	return l
@@ -66,6 +69,7 @@
 	l.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
 		defer cancel()
+		ctx = httpclient.Repeatable(ctx, httpclient.Repeat{Expected: l.settings.Wait, Change: waitNoMore})
 		url := fmt.Sprintf("%s/v1/read?from=%d&limit=%d&wait_ms=%d", l.settings.Log, e.From, readBatch, l.settings.Wait.Milliseconds())
 		var answer platform.Read
 		if err := l.client.Get(ctx, url, &answer); err != nil {
@@ -76,6 +80,13 @@
 	})
 }
 
+// waitNoMore has a read that is made again answer at once.
+func waitNoMore(req *http.Request) {
+	query := req.URL.Query()
+	query.Set("wait_ms", "0")
+	req.URL.RawQuery = query.Encode()
+}
+
 func logRead(from int64, r platform.Read) event.LogRead {
 	e := event.LogRead{First: r.First, Head: r.Next <= from}
 	for _, rec := range r.Records {
@@ -106,6 +117,8 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
 	defer cancel()
+	// Readers drop an envelope that they have read, so it may be appended again.
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{})
 	var answer platform.Appended
 	err = l.client.Post(ctx, l.settings.Log+"/v1/append", platform.Append{ID: e.ID, Data: string(data)}, &answer)
 	return answer.Offset, err
@@ -127,6 +140,7 @@
 func (l *Log) readBoxesOnce() {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.Timeout)
 	defer cancel()
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{})
 	var list box.List
 	if err := l.client.Get(ctx, l.settings.Boxes+"/v1/boxes", &list); err != nil {
 		l.loop.log.WithError(err).Debug("the list of boxes could not be read")
--- a/services/runtime/requests.go
+++ b/services/runtime/requests.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	MaxAnswer  int64
 	MaxPending int
 	MaxKept    int64
+	// Connections bounds the open connections to targets.
+	Connections Connections
 }
 
 // Incoming is a caller's request with all that is passed on to a target.
@@ -97,7 +100,7 @@
 func NewRequests(s RequestSettings, loop *Loop) *Requests {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Requests{
-		settings: s, loop: loop, targets: newTargetClient(s.MaxAnswer), ctx: ctx, cancel: cancel,
+		settings: s, loop: loop, targets: newTargetClient(s.MaxAnswer, s.Connections, loop), ctx: ctx, cancel: cancel,
 		pending: map[request.ID]*kept{},
 	}
 }
@@ -172,6 +175,7 @@
 		if err != nil {
 			ended.Reason = err.Error()
 			ended.Leaving, ended.Busy = targetWords(err)
+			_, ended.Silent = errors.AsType[*silentError](err)
 		} else {
 			ended.Leaving = result.Header.Get(request.HeaderLeaving) != ""
 			r.keep(e.ID, e.Attempt, result)
--- a/services/runtime/silent_test.go
+++ b/services/runtime/silent_test.go
@@ -41,6 +41,8 @@
 	// callWithin bounds calls to the log of the tests, readWait how long a read waits.
 	callWithin = 3 * time.Second
 	readWait   = 300 * time.Millisecond
+	// overdue is how late an answer of the log may be.
+	overdue = 100 * time.Millisecond
 	// soon is well below what runs out of its time.
 	soon = callWithin / 2
 )
@@ -164,12 +166,15 @@
 	self := peer.Hello{Box: "a", Incarnation: "1", Domain: "a", Address: listener.Addr().String()}
 	newKey := func(now time.Time) ulid.ULID { return ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()) }
 	policies := core.Policies{Routing: routing.DefaultPolicy(), Shard: shard.DefaultPolicy()}
+	connections := runtime.Connections{Unused: time.Minute, Answer: overdue}
 	r.loop = runtime.NewLoop(core.New(now, settings(), policies, self, newKey), log, time.Now)
-	r.requests = runtime.NewRequests(runtime.RequestSettings{MaxAnswer: 1 << 20, MaxPending: 100, MaxKept: 1 << 20}, r.loop)
+	r.requests = runtime.NewRequests(runtime.RequestSettings{
+		MaxAnswer: 1 << 20, MaxPending: 100, MaxKept: 1 << 20, Connections: connections,
+	}, r.loop)
 	adapters := runtime.Adapters{
-		Requests: r.requests, Workers: runtime.NewWorkers(time.Second, r.loop), Peers: runtime.NewPeers(listener, r.loop, r.requests),
+		Requests: r.requests, Workers: runtime.NewWorkers(time.Second, connections, r.loop), Peers: runtime.NewPeers(listener, r.loop, r.requests),
 		Log: runtime.NewLog(runtime.PlatformSettings{
-			Log: url, Boxes: url, Timeout: callWithin, Wait: readWait, BoxesEvery: 100 * time.Millisecond,
+			Log: url, Boxes: url, Timeout: callWithin, Wait: readWait, BoxesEvery: 100 * time.Millisecond, Connections: connections,
 		}, r.loop),
 	}
 	r.loop.Run(adapters)
--- a/services/runtime/target.go
+++ b/services/runtime/target.go
@@ -18,6 +18,8 @@
 	"saddlevane/models/effect"
 	"saddlevane/models/request"
 	"saddlevane/models/verdict"
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
 	"saddlevane/modules/httpjson"
 )
 
@@ -34,6 +36,16 @@
 	return "the target refused the request"
 }
 
+// silentError says that a request had no answer on a connection that had carried others:
+// that may be silent, and the target well.
+type silentError struct{ err error }
+
+// Error returns what went wrong.
+func (e *silentError) Error() string { return e.err.Error() }
+
+// Unwrap returns what went wrong.
+func (e *silentError) Unwrap() error { return e.err }
+
 // targetWords returns what a target said of itself.
 func targetWords(err error) (leaving, busy bool) {
 	if said, ok := errors.AsType[*saidError](err); ok {
@@ -46,26 +58,31 @@
 // connections for each bound on connections to a target.
 type targetClient struct {
 	maxAnswer int64
+	settings  httpclient.Settings
 	mu        sync.Mutex
-	pools     map[int]*http.Transport
+	pools     map[int]*httpclient.Transport
 }
 
-func newTargetClient(maxAnswer int64) *targetClient {
-	return &targetClient{maxAnswer: maxAnswer, pools: map[int]*http.Transport{}}
+// newTargetClient returns a client of targets. A request that has no answer gives up only
+// connections that carry none: those under way may have run and are not sent again, so
+// they keep their time.
+func newTargetClient(maxAnswer int64, c Connections, loop *Loop) *targetClient {
+	return &targetClient{maxAnswer: maxAnswer, pools: map[int]*httpclient.Transport{}, settings: httpclient.Settings{
+		To: "target", Dial: targetDial, Unused: c.Unused, GiveUp: conntrack.Idle, Now: loop.now, Reports: loop.reports(),
+	}}
 }
 
-// targetIdle is how long an unused connection to a target is kept. Targets must
-// keep theirs longer.
-const targetIdle = 10 * time.Second
+// targetDial bounds the opening of a connection to a target: a packet that is lost is
+// sent again after 1 s and 3 s.
+const targetDial = 5 * time.Second
 
-func (t *targetClient) transport(connections int) *http.Transport {
+func (t *targetClient) transport(connections int) *httpclient.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pools[connections] == nil {
-		t.pools[connections] = &http.Transport{
-			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-			IdleConnTimeout: targetIdle, DisableCompression: true,
-		}
+		s := t.settings
+		s.PerHost, s.Most = connections, connections
+		t.pools[connections] = httpclient.NewTransport(s)
 	}
 	return t.pools[connections]
 }
@@ -84,14 +101,19 @@
 func (t *targetClient) exchange(ctx context.Context, e effect.SendRequest, in *Incoming) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	connected, reused := false, false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected, reused = true, i.Reused
+	}})
 	req, err := targetRequest(ctx, e, in)
 	if err != nil {
 		return Result{}, verdict.Wrap(verdict.NotRun, err)
 	}
 	resp, err := t.transport(e.Connections).RoundTrip(req)
 	if err != nil {
+		if reused && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, conntrack.ErrGivenUp)) {
+			err = &silentError{err}
+		}
 		if connected {
 			return Result{}, verdict.Wrap(verdict.MayHaveRun, fmt.Errorf("target %s: %w", e.Target, err))
 		}
--- a/services/runtime/workers.go
+++ b/services/runtime/workers.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -30,13 +29,14 @@
 	tasks   conc.WaitGroup
 }
 
-// NewWorkers returns the adapter. One exchange takes at most timeout.
-func NewWorkers(timeout time.Duration, loop *Loop) *Workers {
+// NewWorkers returns the adapter. One exchange takes at most timeout. An exchange is not
+// made again: its number must exceed those that the worker has seen, so the second would
+// be refused though the first was carried out.
+func NewWorkers(timeout time.Duration, c Connections, loop *Loop) *Workers {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &Workers{
 		timeout: timeout, loop: loop, ctx: ctx, cancel: cancel,
-		client: httpjson.NewClient(&http.Client{Transport: transport}, maxReport),
+		client: httpjson.NewClient(loop.client("worker", c, 1), maxReport),
 	}
 }
 
