--- a/cmd/saddlevanectl/client.go
+++ b/cmd/saddlevanectl/client.go
@@ -15,14 +15,23 @@
 	"strings"
 	"time"
 
+	"saddlevane/modules/httpclient"
 	"saddlevane/modules/httpjson"
 )
 
 // maxAnswer bounds an answer of a daemon, in bytes.
 const maxAnswer = 64 << 20
 
-// callWithin bounds one call.
-const callWithin = 15 * time.Second
+const (
+	// callWithin bounds one call, dialWithin the opening of a connection.
+	callWithin = 15 * time.Second
+	dialWithin = 5 * time.Second
+	// unusedFor is how long a connection is kept between two calls.
+	unusedFor = 10 * time.Second
+	// answerWithin is after how long a read on a connection that may be silent is made
+	// again. A dump of a large cell takes longer, and then is made twice.
+	answerWithin = time.Second
+)
 
 // client calls the operators' ports of daemons.
 type client struct {
@@ -32,7 +41,10 @@
 }
 
 func newClient(addresses string) (*client, error) {
-	c := &client{http: &http.Client{Timeout: callWithin}}
+	c := &client{http: httpclient.New(httpclient.Settings{
+		To: "entry box", Dial: dialWithin, Unused: unusedFor, Answer: answerWithin, PerHost: 1, Now: time.Now,
+	})}
+	c.http.Timeout = callWithin
 	c.json = httpjson.NewClient(c.http, maxAnswer)
 	for _, a := range strings.Split(addresses, ",") {
 		if _, err := netip.ParseAddrPort(a); err != nil {
@@ -46,6 +58,7 @@
 // get reads path from one daemon.
 func get[T any](ctx context.Context, c *client, address, path string) (T, error) {
 	var v T
+	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{})
 	err := c.json.Get(ctx, "http://"+address+path, &v)
 	return v, err
 }
