authority: promise nothing while a claim of this box may be in the log

Cause: a box promised the former holder not to claim as soon as no append of its own was under way, also when a claim had run out of its time, or had been made again and answered that the stream has moved, and so may be in the log. Until it read its claim both boxes could hold the cell. A claim is now unsure until it is read, or another record has its place.

--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -69,8 +69,8 @@
 	// this process, so that each has its own number.
 	renewAt time.Time
 	renewal int64
-	// sentTimes has the time of each renewal whose fate is not known.
-	sentTimes map[int64]time.Time
+	// unsure has each claim and renewal that may be in the log, or may come there yet.
+	unsure map[int64]sent
 	// spread is this box's part of claimSpread.
 	spread time.Duration
 	// stopping says that this process must not claim again.
@@ -79,6 +79,12 @@
 	largest int64
 }
 
+// sent is when a claim or renewal was sent, and the place in the log that it may take.
+type sent struct {
+	at    time.Time
+	place int64
+}
+
 // pending is an append under way.
 type pending struct {
 	claim  claim.Claim
@@ -88,7 +94,7 @@
 // New returns the view of a process that has read nothing.
 func New(s Settings, self claim.Member) *Authority {
 	return &Authority{
-		settings: s, self: self, sentTimes: map[int64]time.Time{},
+		settings: s, self: self, unsure: map[int64]sent{},
 		spread: time.Duration(xxhash.Sum64String(self.Box) % uint64(claimSpread)),
 	}
 }
@@ -136,6 +142,12 @@
 		a.take(now, c)
 	}
 	a.next = max(a.next, next)
+	for n, s := range a.unsure {
+		if s.place < a.next {
+			// It was not among the records, so another one has its place.
+			delete(a.unsure, n)
+		}
+	}
 }
 
 // take puts a claim in force that is in the log.
@@ -153,7 +165,7 @@
 
 // confirm notes that a claim or renewal of this process is in the log.
 func (a *Authority) confirm(c claim.Claim) {
-	sent, ok := a.sentTimes[c.Renewal]
+	sent, ok := a.unsure[c.Renewal]
 	if !ok || a.stopping {
 		return
 	}
@@ -162,12 +174,12 @@
 		a.pending = nil
 	}
 	a.held = c.Epoch
-	if sent.After(a.sentAt) {
-		a.sentAt = sent
+	if sent.at.After(a.sentAt) {
+		a.sentAt = sent.at
 	}
-	for n := range a.sentTimes {
+	for n := range a.unsure {
 		if n <= c.Renewal {
-			delete(a.sentTimes, n)
+			delete(a.unsure, n)
 		}
 	}
 }
@@ -235,7 +247,7 @@
 func (a *Authority) StepDown() {
 	a.held = 0
 	a.sentAt = time.Time{}
-	clear(a.sentTimes)
+	clear(a.unsure)
 }
 
 // append returns the append of a claim. It takes effect only if the stream ends
@@ -244,7 +256,7 @@
 	a.pending = &pending{claim: c, sentAt: now}
 	a.renewAt = now.Add(a.settings.Renew)
 	if !c.Released {
-		a.sentTimes[c.Renewal] = now
+		a.unsure[c.Renewal] = sent{at: now, place: a.next}
 	}
 	value, err := json.Marshal(c)
 	if err != nil {
--- a/services/authority/claiming.go
+++ b/services/authority/claiming.go
@@ -33,9 +33,10 @@
 func (a *Authority) Small() bool { return a.self.Size < a.largest && 2*a.self.Size <= a.largest }
 
 // Pledge promises the holder of the current claim not to claim before now plus
-// ClaimAfter. It returns false if this process cannot promise that.
+// ClaimAfter. It returns false if this process cannot promise that: a claim of its own
+// whose answer was lost, or was that the stream has moved, may be in the log.
 func (a *Authority) Pledge(now time.Time, epoch int64) bool {
-	if a.pending != nil || a.held != 0 || a.current.Epoch != epoch || a.current.Released {
+	if a.pending != nil || len(a.unsure) > 0 || a.held != 0 || a.current.Epoch != epoch || a.current.Released {
 		return false
 	}
 	a.pledgedUntil = now.Add(a.settings.ClaimAfter)
