httpclient: connections are given up only if a new one is answered

Cause: a call that was answered neither on the old connection nor on a new one still gave up the others, with calls under way that a slow service was about to answer; they began anew. Now that happens only if the new connection is answered first, or if the call may not be made again.

--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -9,7 +9,9 @@
 //     all other connections to that address over which nothing has come since are given
 //     up too, so that one call pays and not one for each connection.
 //   - A call that may be made again (see Repeatable) is made again on a connection opened
-//     for it when its answer is overdue; the first answer counts.
+//     for it when its answer is overdue; the first answer counts. The connections are
+//     given up only if that comes on the new one: if it comes on neither, the service is
+//     slow or away, and calls under way on the others may be about to be answered.
 package httpclient
 
 import (
@@ -111,13 +113,22 @@
 	a := t.newAttempt(req)
 	resp, err := t.kept.RoundTrip(a.req)
 	if err != nil {
-		t.failed(a, err)
+		t.lost(a, err)
 		return nil, err
 	}
-	resp.Body = &watched{ReadCloser: resp.Body, failed: func(err error) { t.failed(a, err) }}
+	resp.Body = &watched{ReadCloser: resp.Body, failed: func(err error) { t.lost(a, err) }}
 	return resp, nil
 }
 
+// lost takes the failure of a call that may not be made again. One that ran out of its
+// time on a connection used before is the sign that those to its address may be silent.
+func (t *Transport) lost(a *attempt, err error) {
+	t.unanswered(a, err)
+	if conn, sentAt, reused := a.connection(); reused && errors.Is(err, context.DeadlineExceeded) {
+		t.giveUp(conn, sentAt)
+	}
+}
+
 // watched is the body of an answer. It tells of an error while it is read: the call
 // lasts until its answer is whole.
 type watched struct {
@@ -134,24 +145,16 @@
 	return n, err
 }
 
-// failed takes the failure of a try. One that ran out of its time on a connection used
-// before is the sign that connections to its address may be silent.
-func (t *Transport) failed(a *attempt, err error) {
-	if !errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
+// unanswered tells of a try that failed because its time ran out.
+func (t *Transport) unanswered(a *attempt, err error) {
+	report := t.settings.Reports.Unanswered
 	conn, sentAt, reused := a.connection()
-	if conn == nil {
+	if report == nil || conn == nil || !errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	if report := t.settings.Reports.Unanswered; report != nil {
-		u := conn.Unanswered(t.settings.Now(), sentAt)
-		u.To, u.Call, u.Reused = t.settings.To, a.req.URL.Path, reused
-		report(u)
-	}
-	if reused {
-		t.giveUp(conn, sentAt)
-	}
+	u := conn.Unanswered(t.settings.Now(), sentAt)
+	u.To, u.Call, u.Reused = t.settings.To, a.req.URL.Path, reused
+	report(u)
 }
 
 // giveUp gives up a connection on which a call had no answer, and others to its address
--- a/modules/httpclient/httpclient_test.go
+++ b/modules/httpclient/httpclient_test.go
@@ -504,6 +504,7 @@
 	assert.Equal(t, r.served.Load(), int64(3))
 	assert.Equal(t, r.again[0].Answered, httpclient.OnNeither)
 	assert.Equal(t, len(r.unanswered), 2)
+	assert.Equal(t, len(r.givenUp), 0, "calls on other connections may be about to be answered")
 }
 
 // An answer that comes in pieces is under way, however long it takes.
--- a/modules/httpclient/race.go
+++ b/modules/httpclient/race.go
@@ -110,7 +110,7 @@
 	if done.err == nil {
 		return true
 	}
-	c.t.failed(done.attempt, done.err)
+	c.t.unanswered(done.attempt, done.err)
 	if c.second == nil {
 		_, _, reused := done.connection()
 		return !reused || c.req.Context().Err() != nil || !c.again()
--- a/modules/httpclient/try.go
+++ b/modules/httpclient/try.go
@@ -45,7 +45,7 @@
 		_ = body.Close()
 		y.resp.Body = io.NopCloser(bytes.NewReader(kept))
 	default:
-		rest := &watched{ReadCloser: body, failed: func(err error) { t.failed(y.attempt, err) }}
+		rest := &watched{ReadCloser: body, failed: func(err error) { t.unanswered(y.attempt, err) }}
 		y.resp.Body = &large{Reader: io.MultiReader(bytes.NewReader(kept), rest), body: body, cancel: y.cancel}
 		return
 	}
