Merge the HTTP clients that give silent connections up

Both parts counted open connections in their own way, which cannot be registered twice: all go through one gauge now.

--- a/modules/conntrack/conntrack.go
+++ b/modules/conntrack/conntrack.go
@@ -2,10 +2,12 @@
 // SPDX-License-Identifier: MIT
 
 // Package conntrack keeps the open connections of a process by the address they
-// lead to, with when each was opened and when something last came over it.
+// lead to, with when each was opened and when something last came over it, and gives
+// up those that are not trusted any more.
 package conntrack
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,10 +17,13 @@
 // Table holds open connections. It may be used by several goroutines.
 type Table struct {
 	now func() time.Time
-	// base is what times of the steady clock are kept from.
-	base time.Time
+	// began is when the table was made. Times of connections are kept as what has
+	// passed since then on the steady clock: the time of day may be set meanwhile.
+	began time.Time
 
 	mu sync.Mutex
+	// changed is told of each connection that is opened (1) or closed (-1).
+	changed func(delta int)
 	// conns holds the open connections by address.
 	conns map[string]map[*Conn]struct{}
 	count int
@@ -26,13 +31,20 @@
 
 // NewTable returns an empty table that tells the time by now.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, base: now(), conns: map[string]map[*Conn]struct{}{}}
+	return &Table{now: now, began: now(), changed: func(int) {}, conns: map[string]map[*Conn]struct{}{}}
+}
+
+// OnChange has f told of each connection that is opened (1) or closed (-1) from now on.
+func (t *Table) OnChange(f func(delta int)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed = f
 }
 
 // Add returns a connection that is in the table until it is closed.
 func (t *Table) Add(address string, raw net.Conn) *Conn {
 	c := &Conn{Conn: raw, table: t, address: address, openedAt: t.now()}
-	c.heard.Store(int64(c.openedAt.Sub(t.base)))
+	c.heard.Store(int64(c.openedAt.Sub(t.began)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns[address] == nil {
@@ -40,6 +52,7 @@
 	}
 	t.conns[address][c] = struct{}{}
 	t.count++
+	t.changed(1)
 	return c
 }
 
@@ -62,6 +75,21 @@
 		delete(t.conns, c.address)
 	}
 	t.count--
+	t.changed(-1)
+}
+
+// silent returns the connections to an address over which nothing has come since a
+// time, but for one.
+func (t *Table) silent(address string, since time.Time, but *Conn) []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var silent []*Conn
+	for c := range t.conns[address] {
+		if c != but && c.HeardAt().Before(since) {
+			silent = append(silent, c)
+		}
+	}
+	return silent
 }
 
 // Conn is a connection of a table.
@@ -70,27 +98,61 @@
 	table    *Table
 	address  string
 	openedAt time.Time
-	// heard is when something last came, as a time.Duration since the base of the table.
-	// Of the time of day alone it would be wrong after that is set.
+	// heard is when something last came, in nanoseconds since the table was made.
 	heard atomic.Int64
+	// busy counts the calls under way, and begun is when the last one began, in
+	// nanoseconds since the table was made.
+	busy  atomic.Int32
+	begun atomic.Int64
+	// distrusted says that the connection was given up.
+	distrusted atomic.Bool
 }
 
+// ErrGivenUp ends what is under way on a connection that was given up.
+var ErrGivenUp = errors.New("the connection was given up: a call to its address had no answer")
+
 // Read reads and notes that something came.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.heard.Store(int64(c.table.now().Sub(c.table.base)))
+		c.heard.Store(int64(c.table.now().Sub(c.table.began)))
+	}
+	return n, c.explain(err)
+}
+
+// Write writes.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	return n, c.explain(err)
+}
+
+// explain says of an error that it came of giving the connection up.
+func (c *Conn) explain(err error) error {
+	if err != nil && c.distrusted.Load() {
+		return ErrGivenUp
 	}
-	return n, err
+	return err
+}
+
+// Begin notes that a call is made on the connection.
+func (c *Conn) Begin() {
+	c.begun.Store(int64(c.table.now().Sub(c.table.began)))
+	c.busy.Add(1)
 }
 
+// begunAt returns when the last call on the connection was made.
+func (c *Conn) begunAt() time.Time { return c.table.began.Add(time.Duration(c.begun.Load())) }
+
+// End notes that a call on the connection is over.
+func (c *Conn) End() { c.busy.Add(-1) }
+
 // Close closes the connection and takes it out of its table.
 func (c *Conn) Close() error {
 	c.table.remove(c)
 	return c.Conn.Close()
 }
 
-// Address returns where the connection leads to.
+// Address returns the address that the connection leads to.
 func (c *Conn) Address() string { return c.address }
 
 // OpenedAt returns when the connection was opened.
@@ -98,7 +160,63 @@
 
 // HeardAt returns when something last came over the connection; before that, when it
 // was opened.
-func (c *Conn) HeardAt() time.Time { return c.table.base.Add(time.Duration(c.heard.Load())) }
+func (c *Conn) HeardAt() time.Time { return c.table.began.Add(time.Duration(c.heard.Load())) }
+
+// Behind says whether a call that was made on the connection at some time may wait behind
+// others at its address: one made earlier on another connection is still under way, or
+// something has come since over one that was open by then.
+func (c *Conn) Behind(sentAt time.Time) bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	for o := range c.table.conns[c.address] {
+		if o == c || !o.openedAt.Before(sentAt) {
+			continue
+		}
+		if o.HeardAt().After(sentAt) || o.busy.Load() > 0 && o.begunAt().Before(sentAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// Which says which connections are given up.
+type Which string
+
+// The connections to give up beside the one that gave no answer.
+const (
+	// All that have been silent as well.
+	All Which = "all"
+	// Idle ones only: calls under way on the others may still be answered.
+	Idle Which = "idle"
+)
+
+// GivenUp tells of connections to one address that were given up together.
+type GivenUp struct {
+	// To is what was called, such as the log or an entry box, and Address where.
+	To      string
+	Address string
+	// Count is how many there were, HeardAgo how long nothing had come over any.
+	Count    int
+	HeardAgo time.Duration
+}
+
+// GiveUp closes the connection, on which a call sent at some time has had no answer,
+// and others to its address over which nothing has come since then either: whatever
+// silenced one may have silenced all that were open. One that was opened later or over
+// which something came is trusted.
+func (c *Conn) GiveUp(now, sentAt time.Time, which Which) GivenUp {
+	g := GivenUp{Address: c.address, HeardAgo: now.Sub(c.HeardAt())}
+	for _, o := range append(c.table.silent(c.address, sentAt, c), c) {
+		if o != c && which == Idle && o.busy.Load() > 0 {
+			continue
+		}
+		g.Count++
+		g.HeardAgo = min(g.HeardAgo, now.Sub(o.HeardAt()))
+		o.distrusted.Store(true)
+		_ = o.Close()
+	}
+	return g
+}
 
 // Unanswered is a call that ran out of its time without an answer.
 type Unanswered struct {
--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -2,15 +2,24 @@
 // SPDX-License-Identifier: MIT
 
 // Package httpclient makes the clients with which a process calls services over
-// HTTP. It tells of each call that had no answer on what connection that was.
+// HTTP. Open connections can go silent for good without a reset while new ones work,
+// so a client keeps two rules:
+//
+//   - Once a call on a connection that was used before has had no answer in its time,
+//     all other connections to that address over which nothing has come since are given
+//     up too, so that one call pays and not one for each connection.
+//   - A call that may be made again (see Repeatable) is made again on a connection opened
+//     for it when its answer is overdue; the first answer counts. The connections are
+//     given up only if that comes on the new one: if it comes on neither, the service is
+//     slow or away, and calls under way on the others may be about to be answered.
 package httpclient
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"saddlevane/modules/conntrack"
@@ -22,59 +31,138 @@
 	To string
 	// Dial bounds the opening of a connection.
 	Dial time.Duration
-	// Idle is how long a connection is kept that is not used.
-	Idle time.Duration
-	// PerHost is how many unused connections to one address are kept.
-	PerHost int
+	// Unused is how long a connection is kept that carries no call.
+	Unused time.Duration
+	// Answer is how long the answer to a call that may be made again may at least be
+	// overdue before it is made again.
+	Answer time.Duration
+	// PerHost is how many unused connections to one address are kept, Most how many
+	// connections there are to it at a time, or 0 for any number.
+	PerHost, Most int
+	// GiveUp says which connections are given up beside one that gave no answer. Empty
+	// means all.
+	GiveUp conntrack.Which
 	// Now tells the time.
-	Now func() time.Time
+	Now     func() time.Time
+	Reports Reports
+}
+
+// Reports are told what happens to connections and calls. Each may be nil.
+type Reports struct {
 	// Unanswered is told of each call that ran out of its time without an answer.
 	Unanswered func(conntrack.Unanswered)
+	// GivenUp is told of connections that were given up.
+	GivenUp func(conntrack.GivenUp)
+	// Again is told of each call that was made again, once it is over.
+	Again func(Again)
+	// Open is told of each connection that is opened (1) or closed (-1).
+	Open func(delta int)
 }
 
 // New returns a client with connections of its own.
-func New(s Settings) *http.Client {
-	t := &transport{settings: s, table: conntrack.NewTable(s.Now)}
-	dialer := &net.Dialer{Timeout: s.Dial}
-	t.base = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			raw, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return t.table.Add(address, raw), nil
-		},
-		DisableCompression: true, MaxIdleConnsPerHost: s.PerHost, IdleConnTimeout: s.Idle,
+func New(s Settings) *http.Client { return &http.Client{Transport: NewTransport(s)} }
+
+// NewTransport returns what carries out the calls of a client.
+func NewTransport(s Settings) *Transport {
+	t := &Transport{settings: s, table: conntrack.NewTable(s.Now), pace: newPace(s.Answer)}
+	if s.Reports.Open != nil {
+		t.table.OnChange(s.Reports.Open)
 	}
-	return &http.Client{Transport: t}
+	t.kept = &http.Transport{
+		DialContext: t.dial, DisableCompression: true,
+		MaxIdleConnsPerHost: s.PerHost, MaxConnsPerHost: s.Most, IdleConnTimeout: s.Unused,
+	}
+	// It keeps no connection, so each call on it is on one opened for it.
+	t.fresh = &http.Transport{DialContext: t.dial, DisableCompression: true, MaxIdleConnsPerHost: -1}
+	return t
 }
 
-// transport carries out calls.
-type transport struct {
+// Transport carries out calls.
+type Transport struct {
 	settings Settings
 	table    *conntrack.Table
-	base     *http.Transport
+	pace     *pace
+	// kept has the connections that are used again.
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// dial opens a connection.
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: t.settings.Dial}
+	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return t.table.Add(address, raw), nil
+}
+
+// CloseIdleConnections closes the connections that carry no call.
+func (t *Transport) CloseIdleConnections() { t.kept.CloseIdleConnections() }
+
+// RoundTrip makes one call, or one and a second time if that may be.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if r, ok := repeatOf(req); ok {
+		return t.race(req, r)
+	}
+	return t.once(req)
 }
 
-// RoundTrip makes one call.
-func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var on httptrace.GotConnInfo
-	began := t.settings.Now()
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { on = i }})
-	resp, err := t.base.RoundTrip(req.WithContext(ctx))
-	if errors.Is(err, context.DeadlineExceeded) {
-		t.tell(req, on, began)
+// once makes a call that may not be made again.
+func (t *Transport) once(req *http.Request) (*http.Response, error) {
+	a := t.newAttempt(req)
+	resp, err := t.kept.RoundTrip(a.req)
+	if err != nil {
+		t.lost(a, err)
+		return nil, err
 	}
-	return resp, err
+	resp.Body = &watched{ReadCloser: resp.Body, failed: func(err error) { t.lost(a, err) }}
+	return resp, nil
 }
 
-// tell reports a call that had no answer, if it had a connection.
-func (t *transport) tell(req *http.Request, on httptrace.GotConnInfo, began time.Time) {
-	c, ok := on.Conn.(*conntrack.Conn)
-	if !ok {
+// lost takes the failure of a call that may not be made again. One that ran out of its
+// time on a connection used before is the sign that those to its address may be silent.
+func (t *Transport) lost(a *attempt, err error) {
+	t.unanswered(a, err)
+	if conn, sentAt, reused := a.connection(); reused && errors.Is(err, context.DeadlineExceeded) {
+		t.giveUp(conn, sentAt)
+	}
+}
+
+// watched is the body of an answer. It tells of an error while it is read: the call
+// lasts until its answer is whole.
+type watched struct {
+	io.ReadCloser
+	failed func(error)
+}
+
+// Read reads.
+func (w *watched) Read(b []byte) (int, error) {
+	n, err := w.ReadCloser.Read(b)
+	if err != nil && err != io.EOF {
+		w.failed(err)
+	}
+	return n, err
+}
+
+// unanswered tells of a try that failed because its time ran out.
+func (t *Transport) unanswered(a *attempt, err error) {
+	report := t.settings.Reports.Unanswered
+	conn, sentAt, reused := a.connection()
+	if report == nil || conn == nil || !errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	u := c.Unanswered(t.settings.Now(), began)
-	u.To, u.Call, u.Reused = t.settings.To, req.URL.Path, on.Reused
-	t.settings.Unanswered(u)
+	u := conn.Unanswered(t.settings.Now(), sentAt)
+	u.To, u.Call, u.Reused = t.settings.To, a.req.URL.Path, reused
+	report(u)
+}
+
+// giveUp gives up a connection on which a call had no answer, and others to its address
+// that may be as silent.
+func (t *Transport) giveUp(conn *conntrack.Conn, sentAt time.Time) {
+	g := conn.GiveUp(t.settings.Now(), sentAt, t.settings.GiveUp)
+	g.To = t.settings.To
+	if report := t.settings.Reports.GivenUp; report != nil {
+		report(g)
+	}
 }
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -41,6 +41,8 @@
 	GivenUp func(GivenUp)
 	// NotAccepted is told why a connection of a peer could not be accepted.
 	NotAccepted func(error)
+	// Open, if set, is told of each connection that is opened (1) or closed (-1).
+	Open func(delta int)
 }
 
 // Links are the connections of one box. They may be used by several goroutines.
@@ -72,6 +74,9 @@
 		table: conntrack.NewTable(s.Now), alarm: newAlarm(s.Now()), ctx: ctx, cancel: cancel,
 		links: map[*link]struct{}{}, newest: map[string]*opening{},
 	}
+	if s.Open != nil {
+		l.table.OnChange(s.Open)
+	}
 	l.tasks.Go(l.watch)
 	return l
 }
--- /dev/null
+++ b/services/runtime/connections.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package runtime
+
+import (
+	"net/http"
+	"time"
+
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
+	"saddlevane/modules/peering"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Connections bounds the open connections of the adapters.
+type Connections struct {
+	// Probe is how long nothing may have come over a link to another entry box before it
+	// is probed.
+	Probe time.Duration
+	// Answer is how long the answer to a probe may take, and how long that to a call that
+	// may be made again may be overdue.
+	Answer time.Duration
+	// Unused is how long a connection to a service is kept that carries no call.
+	Unused time.Duration
+}
+
+const (
+	// dialWithin bounds the opening of a connection.
+	dialWithin = time.Second
+	// connsPerHost bounds the unused connections kept to one service.
+	connsPerHost = 4
+)
+
+// client returns a client for one sort of service.
+func (l *Loop) client(to string, c Connections, perHost int) *http.Client {
+	return httpclient.New(httpclient.Settings{
+		To: to, Dial: dialWithin, Unused: c.Unused, Answer: c.Answer, PerHost: perHost, Now: l.now, Reports: l.reports(),
+	})
+}
+
+// reports logs what happens to connections.
+func (l *Loop) reports() httpclient.Reports {
+	return httpclient.Reports{Unanswered: l.unanswered, GivenUp: l.givenUp, Again: l.again}
+}
+
+// unanswered logs a call that ran out of its time without an answer.
+func (l *Loop) unanswered(u conntrack.Unanswered) {
+	l.log.WithFields(logrus.Fields{
+		"to": u.To, "address": u.Address, "call": u.Call, "reused": u.Reused, "waited": u.Waited.String(),
+		"open_for": u.OpenFor.String(), "heard_ago": u.HeardAgo.String(),
+	}).Debug("a call had no answer")
+}
+
+// givenUp logs that connections were given up because a call had no answer.
+func (l *Loop) givenUp(g conntrack.GivenUp) {
+	l.log.WithFields(logrus.Fields{
+		"to": g.To, "address": g.Address, "count": g.Count, "heard_ago": g.HeardAgo.String(),
+	}).Info("connections were given up")
+}
+
+// again logs a call that was made again.
+func (l *Loop) again(a httpclient.Again) {
+	l.log.WithFields(logrus.Fields{
+		"to": a.To, "address": a.Address, "call": a.Call, "answered_on": string(a.Answered), "took": a.Took.String(),
+	}).Debug("a call was made again")
+}
+
+// linkGivenUp logs a link to another entry box that was given up as silent.
+func (l *Loop) linkGivenUp(g peering.GivenUp) {
+	l.log.WithFields(logrus.Fields{
+		"address": g.Address, "reason": g.Reason, "open_for": g.OpenFor.String(), "heard_ago": g.HeardAgo.String(), "calls": g.Calls,
+	}).Info("a link to an entry box was given up")
+}
+
+// linkNotAccepted logs why a connection of another entry box could not be accepted.
+func (l *Loop) linkNotAccepted(err error) {
+	l.log.WithError(err).Warning("a link could not be accepted")
+}
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -32,9 +32,6 @@
 	fetchWithin = 5 * time.Second
 )
 
-// PeerSettings bound the silence of links to other entry boxes.
-type PeerSettings struct{ Probe, Answer time.Duration }
-
 // Peers is the adapter for other entry boxes: it serves them and calls them.
 type Peers struct {
 	loop     *Loop
@@ -50,12 +47,12 @@
 }
 
 // NewPeers returns the adapter and starts to serve peers on listener.
-func NewPeers(listener net.Listener, s PeerSettings, loop *Loop, requests *Requests) *Peers {
+func NewPeers(listener net.Listener, s Connections, loop *Loop, requests *Requests) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, requests: requests, ctx: ctx, cancel: cancel, greeting: map[string]bool{}}
 	p.links = peering.New(ctx, listener, peering.Settings{
 		Dial: peerDial, Probe: s.Probe, Answer: s.Answer, Now: time.Now, Unanswered: loop.unanswered,
-		GivenUp: loop.givenUp, NotAccepted: loop.notAccepted,
+		GivenUp: loop.linkGivenUp, NotAccepted: loop.linkNotAccepted,
 	}, p.handle)
 	p.links.Serve()
 	return p
