--- a/modules/httpclient/httpclient_test.go
+++ b/modules/httpclient/httpclient_test.go
@@ -271,8 +271,16 @@
 	assert.Equal(t, len(r.again), 1)
 }
 
-// A read whose connection is given up has waited long enough, too.
+// A read whose connection is given up has waited long enough, too. The transport would
+// make it again as it was, with its whole wait, if it could read the body again; one
+// that is empty, but was given, can be.
 func TestAReadWhoseConnectionIsGivenUpNeedNotWaitAgain(t *testing.T) {
+	for name, body := range map[string]io.Reader{"no body": nil, "an empty body": bytes.NewReader(nil)} {
+		t.Run(name, func(t *testing.T) { testAGivenUpReadNeedNotWait(t, body) })
+	}
+}
+
+func testAGivenUpReadNeedNotWait(t *testing.T, body io.Reader) {
 	const wait = 600 * time.Millisecond
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		if req.URL.Query().Has("wait") {
@@ -291,7 +299,7 @@
 	ctx := httpclient.Repeatable(context.Background(), httpclient.Repeat{
 		Expected: wait, Change: func(req *http.Request) { req.URL.RawQuery = "" },
 	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/read?wait=1", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/read?wait=1", body)
 	assert.NilError(t, err)
 	resp, err := r.client.Do(req)
 	assert.NilError(t, err)
