--- a/modules/httpclient/race.go
+++ b/modules/httpclient/race.go
@@ -53,7 +53,7 @@
 		return req
 	}
 	once := req.WithContext(req.Context())
-	once.Body = io.NopCloser(http.NoBody)
+	once.Body, once.GetBody = io.NopCloser(http.NoBody), nil
 	return once
 }
 
