integration: a red test of requests after open connections went silent

Two domains of two boxes, two targets and four workers each. All that boxes have open goes silent three times; callers keep theirs. Each time a file is published and must be in force everywhere within 5.3 s, heartbeats must go on within 3.5 s, and from 5.3 s on at least 0.85 as many requests must have whole answers in 2 s as before (the sums of the settings that each takes).

Files (1.3 s to 2.5 s) and heartbeats (1.3 s) are within their bounds on this code. Requests are not: 1104, 1106 and 1117 whole answers before, after the second silence 572, 301 and 634, after the third 854, 439 and 624; the state of the boxes shows targets ejected for seconds. The first silence costs nothing that can be seen.

The cause is not the rig: without the silences 3 of 3 runs pass (0.93 to 1.07 of the usual number). With all unused connections to targets closed after any request that failed (a trial, not kept) 3 of 3 runs pass (0.90 to 1.08).

--- a/tests/integration/callers_test.go
+++ b/tests/integration/callers_test.go
@@ -21,6 +21,7 @@
 // asked is a request and what its caller got.
 type asked struct {
 	nonce   string
+	began   time.Time
 	ms      int
 	class   string
 	body    string
@@ -101,7 +102,7 @@
 
 // ask sends one request, with a key if its class needs one.
 func (c *callers) ask(class, nonce string) asked {
-	a := asked{nonce: nonce, ms: rand.IntN(c.ms + 1), class: class, body: nonce + strings.Repeat("x", rand.IntN(c.size+1))}
+	a := asked{nonce: nonce, began: time.Now(), ms: rand.IntN(c.ms + 1), class: class, body: nonce + strings.Repeat("x", rand.IntN(c.size+1))}
 	e := c.pick()
 	key := ""
 	if class == "extract" {
--- /dev/null
+++ b/tests/integration/silent_test.go
@@ -0,0 +1,178 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"sync"
+	"testing"
+	"time"
+
+	"saddlevane/tests/cell"
+	"saddlevane/tests/forward"
+
+	"gotest.tools/v3/assert"
+)
+
+// What the daemons of the fixture are told, besides defaults.
+const (
+	// probeAfter and answerWithin are connections.probe and connections.answer.
+	probeAfter   = time.Second
+	answerWithin = 250 * time.Millisecond
+	// readWithin is what a waiting read of the log takes that has no answer
+	// (platform.wait and platform.timeout), appendWithin an append.
+	readWithin   = 1500 * time.Millisecond
+	appendWithin = time.Second
+	// deadAfter is peers.dead_after.
+	deadAfter = 700 * time.Millisecond
+)
+
+const (
+	// filesWithin is when a file that is published after open connections went silent
+	// is in force everywhere: the silent ones are found one after the other.
+	filesWithin = probeAfter + answerWithin + appendWithin + 2*readWithin
+	// liveWithin is when all boxes hear each other's heartbeats again.
+	liveWithin = probeAfter + answerWithin + deadAfter + readWithin
+	// answersWithin is when requests are answered as before: those that went out on
+	// silent connections take up their deadline, and their targets may be left alone
+	// for twice requests.eject_for.
+	answersWithin = requestDeadline + 2*ejectFor + probeAfter + answerWithin
+	// requestDeadline is that of the classes here, ejectFor requests.eject_for.
+	requestDeadline = 2 * time.Second
+	ejectFor        = time.Second
+	// servedFor is a stretch of time in which whole answers are counted, and servedShare
+	// the least share of the usual number: the users ask for it of jobs.
+	servedFor   = 2 * time.Second
+	servedShare = 0.85
+)
+
+// deadlines finds those of the classes in the cell's file.
+var deadlines = regexp.MustCompile(`deadline: \d+s`)
+
+// silences is how often all that is open goes silent.
+const silences = 3
+
+// forwards are the forwarders of a cell, one before each address.
+type forwards struct {
+	mu  sync.Mutex
+	all map[string]*forward.Forwarder
+	// at has where each listens.
+	at map[string]string
+}
+
+// via returns a function that puts a forwarder before what next returns.
+func (f *forwards) via(t *testing.T, next func(name, address string) string) func(name, address string) string {
+	return func(name, address string) string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.all[name] == nil {
+			w := forward.New()
+			at, err := w.Via(next(name, address))
+			assert.Check(t, err == nil, "%v", err)
+			f.all[name], f.at[name] = w, at
+			t.Cleanup(w.Close)
+		}
+		return f.at[name]
+	}
+}
+
+// silence silences all open connections.
+func (f *forwards) silence() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.all {
+		n += w.Silence()
+	}
+	return n
+}
+
+// Symptom: after open connections had gone silent several times, about half as many
+// requests had whole answers as before, also once all deadlines were over.
+//
+// Sequence: all that boxes had open to others went silent, without a reset: links, the
+// log, the list of boxes, workers and targets. New connections worked, and callers kept
+// theirs. Heartbeats went on after 1.3 s and files came into force. Requests on silent
+// connections ran out of their deadlines, and boxes ejected targets for seconds.
+//
+// Cause: after a request without an answer the unused connections to the same target
+// were kept, so that the next requests and probes took further silent ones.
+//
+// What settled it: with all unused connections closed after the first request that
+// failed, the same number of requests has whole answers as before.
+func TestABoxServesOnAfterItsOpenConnectionsWentSilent(t *testing.T) {
+	ways := &forwards{all: map[string]*forward.Forwarder{}, at: map[string]string{}}
+	f := newFixture(t, func(o *cell.Options) { o.Via = ways.via(t, o.Via) }, domain("a"), domain("b"))
+	f.republish("cell", deadlines.ReplaceAllString(f.CellFile("cell"), "deadline: "+requestDeadline.String()))
+	f.inForce("cell", f.Entries()...)
+	c := newCallers(f)
+	c.ms = 100
+	c.run(40, "preview", "render", "extract")
+	f.until("all boxes are live", f.allLive)
+	f.until("answers come", func() bool { return c.count(asked.whole) >= 200 })
+	usual := f.served(c, time.Now())
+	for round := range silences {
+		f.serveThrough(c, ways, fmt.Sprint("after", round), usual)
+	}
+	all := c.end()
+	f.checkTruth(all)
+	for _, a := range all {
+		assert.Check(t, a.err == nil, "%s had no answer: %v", a.nonce, a.err)
+	}
+	f.noHarm()
+}
+
+// serveThrough silences all that is open, publishes a file of some name, and checks that
+// as many requests have whole answers as usual.
+func (f *fixture) serveThrough(c *callers, ways *forwards, name string, usual int) {
+	f.t.Helper()
+	assert.Check(f.t, ways.silence() > 0, "nothing was open")
+	silent := time.Now()
+	f.publish(name, "0", "name: "+name+"\n")
+	// By then only heartbeats that came after the silence count.
+	f.by(silent.Add(liveWithin), "all boxes are live", func() bool { return time.Since(silent) > deadAfter && f.allLive() })
+	f.by(silent.Add(filesWithin), name+" is in force", func() bool { return f.isInForce(name) })
+	served := f.served(c, silent.Add(answersWithin))
+	f.t.Logf("%s: %d whole answers, usually %d", name, served, usual)
+	assert.Check(f.t, float64(served) >= servedShare*float64(usual), "%s: %d whole answers, usually %d", name, served, usual)
+}
+
+// served returns how many requests that callers send in a while from some time on have
+// whole answers.
+func (f *fixture) served(c *callers, from time.Time) int {
+	f.t.Helper()
+	to := from.Add(servedFor)
+	f.until("the requests of a while were answered", func() bool { return time.Since(to) > requestDeadline })
+	return c.count(func(a asked) bool { return a.whole() && !a.began.Before(from) && a.began.Before(to) })
+}
+
+// by waits for a condition until some time.
+func (f *fixture) by(end time.Time, what string, ok func() bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithDeadline(f.ctx, end)
+	defer cancel()
+	assert.NilError(f.t, cell.Until(ctx, what, ok))
+}
+
+// allLive says whether each box hears the heartbeats of all of its domain.
+func (f *fixture) allLive() bool {
+	for _, e := range f.Entries() {
+		if s, err := e.Status(f.ctx); err != nil || len(s.Live) != len(f.EntriesIn(e.Domain)) {
+			return false
+		}
+	}
+	return true
+}
+
+// isInForce says whether a file that was published once is in force on all boxes.
+func (f *fixture) isInForce(name string) bool {
+	for _, e := range f.Entries() {
+		if revisionOn(f.ctx, e, name) == 0 {
+			return false
+		}
+	}
+	return true
+}
