--- /dev/null
+++ b/modules/httpclient/calls_test.go
@@ -0,0 +1,273 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package httpclient_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"saddlevane/modules/httpclient"
+	"saddlevane/tests/forward"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// A read whose connection is given up has waited long enough, too.
+func TestAReadWhoseConnectionIsGivenUpNeedNotWaitAgain(t *testing.T) {
+	for name, body := range map[string]io.Reader{"no body": nil, "an empty body": bytes.NewReader(nil)} {
+		t.Run(name, func(t *testing.T) { testAGivenUpReadNeedNotWait(t, body) })
+	}
+}
+
+func testAGivenUpReadNeedNotWait(t *testing.T, body io.Reader) {
+	const wait = 600 * time.Millisecond
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Has("wait") {
+			time.Sleep(wait)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(2)
+	r.between.Silence()
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := r.call(repeatable(0), "beside it")
+		assert.Check(t, err)
+	})
+	began := time.Now()
+	ctx := httpclient.Repeatable(context.Background(), httpclient.Repeat{
+		Expected: wait, Change: func(req *http.Request) { req.URL.RawQuery = "" },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/read?wait=1", body)
+	assert.NilError(t, err)
+	resp, err := r.client.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	took := time.Since(began)
+	assert.Check(t, took < wait, "it took %v", took)
+	calls.Wait()
+	assert.Equal(t, len(r.again), 2)
+}
+
+// A service that takes a caller's calls one at a time goes on with those that were given
+// up, so each needless one makes its queue longer.
+func TestACallThatWaitsItsTurnIsNotMadeAgainWhileTheServiceAnswers(t *testing.T) {
+	const takes = 3 * overdue
+	turn := make(chan struct{}, 1)
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		turn <- struct{}{}
+		defer func() { <-turn }()
+		if req.URL.Path == "/call" {
+			time.Sleep(takes)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(3)
+	inTurn := httpclient.Repeatable(context.Background(), httpclient.Repeat{Expected: takes, InTurn: true})
+	var calls sync.WaitGroup
+	for range 3 {
+		calls.Go(func() {
+			_, err := r.call(inTurn, "text")
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, len(r.again), 0)
+	assert.Equal(t, r.served.Load(), int64(3+3))
+
+	// The first is made again, and the others once that was answered.
+	r.between.Silence()
+	for range 3 {
+		calls.Go(func() {
+			_, err := r.call(inTurn, "text")
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, len(r.again), 3)
+	assert.Equal(t, r.served.Load(), int64(3+3+3))
+}
+
+func TestACallThatMayNotBeMadeAgainIsMadeOnceAndTheNextOneWorks(t *testing.T) {
+	r := newRig(t, echo, nil)
+	r.fill(1)
+	r.between.Silence(forward.Answers)
+	_, err := r.call(context.Background(), "lost answer")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, r.served.Load(), int64(2))
+	got, err := r.call(context.Background(), "next")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "next")
+	assert.Equal(t, r.served.Load(), int64(3))
+}
+
+// An address that leaves one call unanswered and talks on another connection is well.
+func TestAConnectionThatTalksIsKept(t *testing.T) {
+	var hold atomic.Bool
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if hold.CompareAndSwap(true, false) {
+			hang(req)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(2)
+	hold.Store(true)
+	var lost sync.WaitGroup
+	lost.Go(func() {
+		_, err := r.call(context.Background(), "left unanswered")
+		assert.Check(t, err != nil)
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if hold.Load() {
+			return poll.Continue("it is not under way")
+		}
+		return poll.Success()
+	})
+	_, err := r.call(context.Background(), "beside it")
+	assert.NilError(t, err)
+	lost.Wait()
+	assert.Equal(t, r.givenUp[0].Count, 1)
+	assert.Equal(t, r.open.Load(), int64(1), "the other connection is kept")
+}
+
+// The log can be fifty times slower for seconds. Two calls in place of each would make
+// it slower still.
+func TestASlowServiceIsNotAskedTwiceForEver(t *testing.T) {
+	var slow atomic.Bool
+	var later atomic.Int64
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if slow.Load() {
+			time.Sleep(3 * overdue)
+		}
+		echo(w, req)
+	}, func(s *httpclient.Settings) {
+		s.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
+	})
+	r.fill(1)
+	slow.Store(true)
+	for range 6 {
+		_, err := r.call(repeatable(0), "text")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(r.again), 1)
+	assert.Equal(t, r.again[0].Answered, httpclient.OnOld)
+	assert.Equal(t, len(r.givenUp), 0)
+	assert.Equal(t, r.served.Load(), int64(1+6+1))
+
+	// That it was slow is forgotten.
+	later.Store(int64(time.Minute))
+	_, err := r.call(repeatable(0), "text")
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.again), 2)
+}
+
+func TestACallWhoseConnectionIsResetIsMadeAgain(t *testing.T) {
+	var resets atomic.Bool
+	var r *rig
+	r = newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if resets.CompareAndSwap(true, false) {
+			r.between.Reset()
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(1)
+	resets.Store(true)
+	got, err := r.call(repeatable(time.Minute), "text")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "text")
+	assert.Equal(t, r.served.Load(), int64(3))
+	assert.Equal(t, len(r.givenUp), 0, "a reset is told to each connection by itself")
+}
+
+func TestACallOnAConnectionOpenedForItIsMadeOnce(t *testing.T) {
+	r := newRig(t, func(_ http.ResponseWriter, req *http.Request) { hang(req) }, nil)
+	_, err := r.call(repeatable(0), "text")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, r.served.Load(), int64(1))
+	assert.Equal(t, len(r.again), 0)
+	assert.Equal(t, len(r.givenUp), 0)
+}
+
+func TestAServiceThatIsAwayIsAskedAtMostTwice(t *testing.T) {
+	var away atomic.Bool
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if away.Load() {
+			hang(req)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(1)
+	away.Store(true)
+	_, err := r.call(repeatable(0), "text")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, r.served.Load(), int64(3))
+	assert.Equal(t, r.again[0].Answered, httpclient.OnNeither)
+	assert.Equal(t, len(r.unanswered), 2)
+	assert.Equal(t, len(r.givenUp), 0, "calls on other connections may be about to be answered")
+}
+
+// An answer that comes in pieces is under way, however long it takes.
+func TestALongAnswerIsNotHadTwice(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 8 {
+			_, _ = io.WriteString(w, "piece ")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(overdue / 4)
+		}
+	}, nil)
+	for range 2 {
+		_, err := r.call(repeatable(0), "")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(r.again), 0)
+}
+
+// What is too large to keep is passed on as it comes.
+func TestALargeAnswerIsWhole(t *testing.T) {
+	const size = 20 << 20
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }, nil)
+	got, err := r.call(repeatable(0), "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), size)
+}
+
+func TestASilentConnectionThatNobodyUsesIsGoneAfterAWhile(t *testing.T) {
+	const unused = 200 * time.Millisecond
+	r := newRig(t, echo, func(s *httpclient.Settings) { s.Unused = unused })
+	r.fill(4)
+	r.between.Silence()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := r.open.Load(); n > 0 {
+			return poll.Continue("%d are open", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func TestACallerThatWaitsNoLongerSaysNothingOfTheConnection(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Has("hold") {
+			hang(req)
+		}
+		echo(w, req)
+	}, nil)
+	r.fill(2)
+	for _, ctx := range []context.Context{context.Background(), repeatable(time.Minute)} {
+		ctx, cancel := context.WithCancel(ctx)
+		time.AfterFunc(overdue, cancel)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/?hold", nil)
+		assert.NilError(t, err)
+		_, err = r.client.Do(req)
+		assert.ErrorIs(t, err, context.Canceled)
+	}
+	assert.Equal(t, len(r.givenUp), 0)
+	assert.Equal(t, len(r.unanswered), 0)
+}
--- a/modules/httpclient/try.go
+++ b/modules/httpclient/try.go
@@ -12,7 +12,7 @@
 )
 
 // keepMost is how much of an answer is read before its call counts as answered, in
-// bytes. Answers of the log and of the advice service are smaller.
+// bytes. A page of the log has 1 MB.
 const keepMost = 4 << 20
 
 // try is one of the tries of a race.
--- a/modules/setting/connections.go
+++ b/modules/setting/connections.go
@@ -16,7 +16,9 @@
 	// connection.
 	Answer time.Duration `yaml:"answer"`
 	// Unused is how long a connection to the platform or a worker is kept that carries
-	// no call.
+	// no call. It bounds what silent ones hold that nobody calls on. To 350 workers 4,050
+	// connections were opened in a minute with 10 s, 2,800 with 75 s, 7,700 with 3 s and
+	// 13,500 with 1 s, with no difference to callers (means of 2 plays).
 	Unused time.Duration `yaml:"unused"`
 	// Callers is how long a caller's connection may give no sign of life before it is
 	// closed.
--- /dev/null
+++ b/services/jobrun/connections_test.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"saddlevane/modules/conntrack"
+	"saddlevane/modules/httpclient"
+
+	"gotest.tools/v3/assert"
+)
+
+// values returns the values of a process's metrics by name and labels.
+func (p *process) values(t *testing.T) map[string]float64 {
+	t.Helper()
+	families, err := p.loop.Metrics().Gatherer().Gather()
+	assert.NilError(t, err)
+	values := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			name := f.GetName()
+			for _, l := range m.GetLabel() {
+				name += fmt.Sprintf(" %s=%s", l.GetName(), l.GetValue())
+			}
+			values[name] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return values
+}
+
+func TestConnectionsAreCountedByWhatTheyLeadTo(t *testing.T) {
+	p := start(t, platformOf(t), "a", io.Discard)
+	p.loop.ConnectionsChanged("log", 1)
+	p.loop.ConnectionsChanged("log", 1)
+	p.loop.ConnectionsChanged("log", -1)
+	p.loop.ConnectionsGivenUp(conntrack.GivenUp{To: "worker", Count: 3, HeardAgo: time.Second})
+	p.loop.CallMadeAgain(httpclient.Again{To: "log", Answered: httpclient.OnNew})
+	got := p.values(t)
+	assert.Equal(t, got["saddlevane_connections_open to=log"], 1.0)
+	assert.Equal(t, got["saddlevane_connections_given_up_total reason=no answer to=worker"], 3.0)
+	assert.Equal(t, got["saddlevane_calls_made_again_total answered=new to=log"], 1.0)
+}
