dispatch: a red test of ends that are heard late; who keeps how much room for gangs, and what came of it

Sight first: the line 'state of the cell' tells how many gangs keep how much room, and of the reservations that ended since the last line how many there were and how many processor-seconds they kept idle, by outcome. No logic changes.

--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -9,6 +9,7 @@
 
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/reservations"
 )
 
 // advice is what is known of the workers that may run a step.
@@ -108,8 +109,8 @@
 }
 
 // releasePromises gives back all room that was kept for a step.
-func (h *holding) releasePromises(s *step) {
-	h.unreserve(s)
+func (h *holding) releasePromises(now time.Time, s *step) {
+	h.unreserve(now, s, reservations.Ended)
 	for _, c := range s.advice.calls {
 		c.release()
 	}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -119,7 +119,7 @@
 func (h *holding) stepDone(now time.Time, s *step, last int) {
 	s.open = false
 	s.doneAt, s.delayed = now, s.delaysOf(now, last, h.usual(s))
-	h.releasePromises(s)
+	h.releasePromises(now, s)
 	h.learnTimes(s)
 	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + h.expect(s)).String()},
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/reservations"
 )
 
 // phase is how far a takeover has come.
@@ -50,8 +51,8 @@
 	sorted []*worker
 	// early is the pass with which jobs that come at once are asked about.
 	early *pass
-	// reserved counts the gangs that have room reserved.
-	reserved int
+	// reserved has the room that is reserved for gangs.
+	reserved *reservations.Book
 	// looks counts the renewals asked for.
 	looks int64
 	// unsettled names workers of earlier holders that have not told what they
@@ -80,7 +81,7 @@
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{},
-		advisers: newAdvisers(), learned: newLearned(),
+		advisers: newAdvisers(), learned: newLearned(), reserved: reservations.New(),
 	}
 }
 
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -153,7 +153,7 @@
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
 			s.open = false
-			h.releasePromises(s)
+			h.releasePromises(now, s)
 			for i := range s.tasks {
 				if a := s.tasks[i].attempt; a != nil && state != job.Succeeded {
 					h.stop(now, a)
--- /dev/null
+++ b/services/dispatch/late_test.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
+)
+
+// doneOn is the answer to a look at a worker on which a run has ended well.
+func doneOn(r dispatch.Renew, run order.Run) dispatch.RenewEnded {
+	e := looked(r)
+	e.Report.Ended = []order.End{{Number: 1, Run: run, How: order.Done}}
+	return e
+}
+
+// lookUnanswered ends a look that ran out of its time, and returns the next one.
+func (d *driven) lookUnanswered(r dispatch.Renew) dispatch.Renew {
+	d.t.Helper()
+	effects := d.handle(dispatch.RenewEnded{Worker: r.Worker, Epoch: r.Epoch, Look: r.Look, Answer: order.Answer{Fate: order.Unknown}})
+	next := only[dispatch.Renew](append(effects, d.later(200*time.Millisecond)...))
+	assert.Equal(d.t, len(next), 1)
+	return next[0]
+}
+
+// Symptom: a task ran up to four times, each time to its good end, although its worker
+// had listed each end in the answer to a look (42 tasks in one play of 120 workers under
+// a holder with a link of 2 Mbit/s).
+//
+// Sequence: the holder's link is full, so an answer takes 1.5 s; the look runs out after
+// 1.2 s; the next look is asked for; the answer to the first comes and is not taken; the
+// same happens to all that follow until the lease has run out, and the task is started
+// elsewhere.
+//
+// Cause: only the answer to the look under way counted, and ends that others told of
+// were dropped, although ends have numbers and stay true.
+//
+// What settled it: the worker's lines `does not answer` without `answers again` between
+// the end of the run and the next start, on a day without any disturbance.
+func TestAnEndThatIsHeardLateCounts(t *testing.T) {
+	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
+	start := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	d.lookUnanswered(looks["w"])
+	effects := d.handle(doneOn(looks["w"], start.Order.Run))
+	d.keepsAny(append(effects, d.later(20*time.Millisecond)...))
+	effects = d.handle(dispatch.StateAsked{Call: 9, Job: "j"})
+	assert.Equal(t, only[dispatch.Reply](effects)[0].Reply.State, job.Succeeded)
+}
+
+// A late answer is from before the look under way: what ran by then may have ended, and
+// what did not may have begun.
+func TestALateAnswerTellsOfEndsOnly(t *testing.T) {
+	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
+	start := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	second := d.lookUnanswered(looks["w"])
+	third := d.lookUnanswered(second)
+	effects := d.handle(looked(second))
+	effects = append(effects, d.later(20*time.Millisecond)...)
+	assert.Equal(t, len(only[dispatch.StartRun](effects)), 0, "an empty list that came late is no proof")
+	stray := order.Run{Task: job.TaskID{StepID: job.StepID{Job: "gone"}}, Number: 1}
+	effects = d.handle(looked(second, stray))
+	assert.Equal(t, len(only[dispatch.StopRun](effects)), 0, "what ran by then may have ended")
+	effects = d.handle(looked(third))
+	effects = append(effects, d.later(20*time.Millisecond)...)
+	assert.Equal(t, len(only[dispatch.StartRun](effects)), 1, "the look under way is one")
+}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -106,6 +106,6 @@
 	_, placed := h.fit(p.now, s, suited)
 	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
-		Field{"workers_suited", len(suited)}, Field{"gangs_reserving", h.reserved}, Field{"tier", int(r.tier)},
+		Field{"workers_suited", len(suited)}, Field{"gangs_reserving", h.reserved.Len()}, Field{"tier", int(r.tier)},
 		Field{"slack", h.slack(p.now, s).String()})
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"saddlevane/services/reservations"
 )
 
 // reservation is room kept for a gang that cannot start at once: until its tickets
@@ -38,7 +40,7 @@
 
 // mayReserve says whether one more gang may reserve room.
 func (h *holding) mayReserve() bool {
-	return h.reserved < gangsReserving+len(h.workers)/workersPerGang
+	return h.reserved.Len() < gangsReserving+len(h.workers)/workersPerGang
 }
 
 // reserve keeps room for a waiting gang: what is free, what is ending and, where
@@ -53,7 +55,7 @@
 		return
 	}
 	s.reservation = newReservation(p.now, s, cheapest(gains, len(s.tasks)))
-	h.reserved++
+	h.reserved.Begin(p.now, s.id, s.spec.Reserved().Times(len(s.tasks)).Processors)
 	h.advance(p, r)
 }
 
@@ -86,7 +88,7 @@
 }
 
 // unreserve gives back the room reserved for a step, if any is.
-func (h *holding) unreserve(s *step) {
+func (h *holding) unreserve(now time.Time, s *step, o reservations.Outcome) {
 	res := s.reservation
 	if res == nil {
 		return
@@ -98,7 +100,7 @@
 		a.marked = false
 	}
 	s.reservation = nil
-	h.reserved--
+	h.reserved.End(now, s.id, o)
 	h.planDue = true
 }
 
@@ -108,8 +110,8 @@
 func (h *holding) advance(p *pass, r ranked) {
 	s := r.step
 	res := s.reservation
-	if p.now.Sub(res.since) > reservationMost || !h.usable(p.now, res) {
-		h.unreserve(s)
+	if failed := h.failure(p.now, s); failed != "" {
+		h.unreserve(p.now, s, failed)
 		s.notBefore = p.now.Add(reserveAgain)
 		return
 	}
@@ -118,11 +120,30 @@
 		h.stopVictims(p, s)
 	}
 	if ready && len(res.victims) == 0 && res.isFree() {
-		h.unreserve(s)
+		h.unreserve(p.now, s, reservations.Started)
 		h.startShares(p.now, s, res.shares)
 	}
 }
 
+// failure returns why the reservation of a step comes to nothing, or "".
+func (h *holding) failure(now time.Time, s *step) reservations.Outcome {
+	if !h.usable(now, s.reservation) {
+		return reservations.Unusable
+	}
+	if now.Sub(s.reservation.since) <= reservationMost {
+		return ""
+	}
+	_, stale := s.ticketed(now, s.reservation.shares)
+	switch {
+	case h.queueOf(s.job).Advice == nil || len(stale) == 0:
+		return reservations.Occupied
+	case s.advice.asking():
+		return reservations.Unticketed
+	default:
+		return reservations.Unasked
+	}
+}
+
 // usable says whether all workers of a reservation still take tasks.
 func (h *holding) usable(now time.Time, res *reservation) bool {
 	return !slices.ContainsFunc(res.shares, func(sh share) bool {
