relay: entry boxes near the workers carry the holder's orders, in batches

Cause: one box opened a connection to each worker and paid for an HTTP exchange for each look, start and stop; its processor and its link ended the cell's size, while 146 boxes did nothing. One reducer still decides and all orders bear its fence number; relays keep nothing and renew nothing by themselves. Cells of under 100 workers have none.

Ruled out: a relay that looks at workers by itself (it would renew leases of a holder whose authority has ended); answers in the response of the batch (the slowest worker of a batch would hold up the others).

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -25,6 +25,7 @@
 	"saddlevane/services/authority"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+	"saddlevane/services/relay"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
@@ -161,7 +162,7 @@
 			OrderTimeout: j.OrderTimeout, KeepEnded: j.KeepEnded, StopGrace: j.StopGrace, Without: without,
 		},
 		Tick: jobTick, ReadWait: claimsWait, WorkersEvery: workersEvery, CallTimeout: logCall,
-		PeerTimeout: j.PeerTimeout, Probe: c.Probe, Answer: c.Answer,
+		Relays: relay.Limits{From: j.RelayFrom, PerRelay: j.RelayWorkers}, PeerTimeout: j.PeerTimeout, Probe: c.Probe, Answer: c.Answer,
 	}, err
 }
 
@@ -180,7 +181,7 @@
 	advice := platform.NewAdvice(s.Jobs.Advice, client("advice service"))
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
-		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
+		Workers: relay.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
 		Advise:  advice.Ask, Config: platform.Config, Listing: platform.Listing,
 	}
 }
--- a/models/job/task.go
+++ b/models/job/task.go
@@ -30,6 +30,19 @@
 // String returns the name that workers know.
 func (t TaskID) String() string { return t.StepID.String() + "." + strconv.Itoa(t.Index) }
 
+// MarshalText returns the name.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText reads the name.
+func (t *TaskID) UnmarshalText(text []byte) error {
+	id, err := ParseTask(string(text))
+	if err != nil {
+		return err
+	}
+	*t = id
+	return nil
+}
+
 // ParseTask reads what String wrote.
 func ParseTask(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
--- a/models/order/order.go
+++ b/models/order/order.go
@@ -16,8 +16,8 @@
 
 // Run names one start of a task. Runs of a task rise over all holders.
 type Run struct {
-	Task   job.TaskID
-	Number int64
+	Task   job.TaskID `json:"task"`
+	Number int64      `json:"run"`
 }
 
 // Compare orders runs by their names.
@@ -31,66 +31,66 @@
 // Start asks a worker to run a task.
 type Start struct {
 	Run
-	Spec string
+	Spec string `json:"spec,omitempty"`
 	// Until is when the worker's lease ends; a start that is carried out later
 	// is refused.
-	Until      WorkerClock
-	Fence      int64
-	Checkpoint string
+	Until      WorkerClock `json:"until"`
+	Fence      int64       `json:"fence"`
+	Checkpoint string      `json:"checkpoint,omitempty"`
 	// Ticket is the advice service's leave, if the queue needs it.
-	Ticket string
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // Stop asks a worker to end a run, and never to begin it.
 type Stop struct {
 	Run
-	Fence int64
+	Fence int64 `json:"fence"`
 }
 
 // Throttle sets at which percentage of its speed a run may work.
 type Throttle struct {
 	Run
-	Percent int
-	Fence   int64
+	Percent int   `json:"percent"`
+	Fence   int64 `json:"fence"`
 }
 
 // Renew renews a worker's lease and asks what it runs.
 type Renew struct {
 	// Until is the new end of the lease, or 0 to leave it.
-	Until WorkerClock
-	Fence int64
+	Until WorkerClock `json:"until,omitempty"`
+	Fence int64       `json:"fence"`
 	// Seen is the last end that may be forgotten.
-	Seen int64
+	Seen int64 `json:"seen,omitempty"`
 	// Wait is how long the worker may wait for an end before it answers.
-	Wait job.Milliseconds
+	Wait job.Milliseconds `json:"wait_ms,omitempty"`
 }
 
 // Report is what a worker runs and what has ended on it.
 type Report struct {
-	Clock   WorkerClock
-	Running []Running
-	Ended   []End
+	Clock   WorkerClock `json:"clock"`
+	Running []Running   `json:"running,omitempty"`
+	Ended   []End       `json:"ended,omitempty"`
 }
 
 // Running is one run at work.
 type Running struct {
 	Run
-	Checkpoint string
+	Checkpoint string `json:"checkpoint,omitempty"`
 	// Progress is how much of its work is done, in percent; of a service, how far its
 	// start has come.
-	Progress int
+	Progress int `json:"progress,omitempty"`
 	// Figure is a rough figure of the last half second, or 0: for a serving task the
 	// tail of its answers' times, in milliseconds, else the processors in use, in
 	// thousandths of one.
-	Figure int64
+	Figure int64 `json:"figure,omitempty"`
 }
 
 // End is one run that has ended. Numbers rise in each life of a worker.
 type End struct {
-	Number int64
+	Number int64 `json:"number"`
 	Run
-	How        How
-	Checkpoint string
+	How        How    `json:"how"`
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // How a run ended.
@@ -138,10 +138,10 @@
 
 // Answer is the end of a call that carried an order.
 type Answer struct {
-	Fate   Fate
-	Reason Reason
+	Fate   Fate   `json:"fate"`
+	Reason Reason `json:"reason,omitempty"`
 	// Clock is the worker's clock when it answered, or 0.
-	Clock WorkerClock
+	Clock WorkerClock `json:"clock,omitempty"`
 	// Problem says what went wrong with the call, for logs.
-	Problem string
+	Problem string `json:"problem,omitempty"`
 }
--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -127,7 +127,7 @@
 // lost takes the failure of a call that may not be made again. One that ran out of its
 // time on a connection used before is the sign that those to its address may be silent.
 func (t *Transport) lost(a *attempt, err error) {
-	if _, told := overdueOf(a.req); !told {
+	if _, told := OverdueOf(a.req.Context()); !told {
 		t.unanswered(a, err)
 	}
 	if conn, sentAt, reused := a.connection(); reused && errors.Is(err, context.DeadlineExceeded) {
@@ -139,7 +139,7 @@
 // answer is overdue and they are as silent. The call itself goes on. It returns what ends
 // the watch.
 func (t *Transport) watchOverdue(a *attempt) (end func()) {
-	after, ok := overdueOf(a.req)
+	after, ok := OverdueOf(a.req.Context())
 	if !ok {
 		return func() {}
 	}
--- a/modules/httpclient/repeat.go
+++ b/modules/httpclient/repeat.go
@@ -69,8 +69,9 @@
 	return context.WithValue(ctx, overdueKey{}, after)
 }
 
-// overdueOf returns after which time a call is overdue, if that is before its end.
-func overdueOf(req *http.Request) (time.Duration, bool) {
-	after, ok := req.Context().Value(overdueKey{}).(time.Duration)
+// OverdueOf returns after which time the calls made with a context are overdue, if that
+// is before their end.
+func OverdueOf(ctx context.Context) (time.Duration, bool) {
+	after, ok := ctx.Value(overdueKey{}).(time.Duration)
 	return after, ok
 }
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -31,6 +31,10 @@
 	KeepEnded time.Duration `yaml:"keep_ended"`
 	// OrderTimeout bounds one order to a worker.
 	OrderTimeout time.Duration `yaml:"order_timeout"`
+	// RelayFrom is how many workers a cell has at least whose orders are carried by entry
+	// boxes near them, RelayWorkers how many workers' orders one box should carry.
+	RelayFrom    int `yaml:"relay_from"`
+	RelayWorkers int `yaml:"relay_workers"`
 	// PeerTimeout bounds a call to another entry box.
 	PeerTimeout time.Duration `yaml:"peer_timeout"`
 	// StopGrace is how long a stopping box still passes calls on.
@@ -53,6 +57,7 @@
 		Ready: "127.0.0.1:8083", Lease: usualLease, LeaseMost: time.Minute, Wait: time.Second,
 		Renew: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
 		Gather: 12 * time.Millisecond, KeepEnded: 150 * time.Second,
+		RelayFrom: 100, RelayWorkers: 48,
 		OrderTimeout: 300 * time.Millisecond, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond, Without: []string{},
 	}
 }
@@ -77,6 +82,8 @@
 	between(c, "jobs.gather", j.Gather, 0, time.Second)
 	between(c, "jobs.keep_ended", j.KeepEnded, time.Second, 24*time.Hour)
 	between(c, "jobs.order_timeout", j.OrderTimeout, 10*time.Millisecond, time.Minute)
+	between(c, "jobs.relay_from", j.RelayFrom, 1, 1_000_000)
+	between(c, "jobs.relay_workers", j.RelayWorkers, 1, 10_000)
 	between(c, "jobs.peer_timeout", j.PeerTimeout, 10*time.Millisecond, time.Minute)
 	between(c, "jobs.stop_grace", j.StopGrace, 0, time.Minute)
 }
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -120,6 +120,7 @@
 		members = append(members, m)
 	}
 	if len(members) > 0 {
+		l.relays.Boxes(members)
 		l.post(dispatch.MembersRead{Members: members})
 	}
 }
@@ -142,6 +143,7 @@
 				listing := l.platform.Listing(p.Records)
 				listing.Whole = whole
 				if whole || len(p.Records) > 0 {
+					l.relays.Workers(listing)
 					l.post(dispatch.WorkersRead{Listing: listing})
 				}
 			},
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
+	"saddlevane/services/relay"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -29,19 +30,10 @@
 	Newest func(ctx context.Context, name stream.Name) (stream.Page, error)
 }
 
-// Workers are the calls to workers. Their answers say what became of the order.
-type Workers struct {
-	Renew func(ctx context.Context, address, worker string, r order.Renew) (order.Report, order.Answer)
-	Start func(ctx context.Context, address, worker string, s order.Start) order.Answer
-	Stop  func(ctx context.Context, address, worker string, s order.Stop) order.Answer
-	// Throttle sets the pace of a run.
-	Throttle func(ctx context.Context, address, worker string, t order.Throttle) order.Answer
-}
-
 // Platform is what the process reaches outside the cell's entry boxes.
 type Platform struct {
 	Log     Log
-	Workers Workers
+	Workers relay.Workers
 	Advise  func(ctx context.Context, step job.StepID, workers []string) ([]order.Ticket, error)
 	// Config returns the configuration that the records hold, if any does.
 	Config func(records []stream.Record) (job.Config, bool, error)
@@ -62,6 +54,8 @@
 	CallTimeout time.Duration
 	// PeerTimeout bounds a call to another entry box.
 	PeerTimeout time.Duration
+	// Relays say from when on other boxes carry orders to workers.
+	Relays relay.Limits
 	// Probe and Answer bound the silence of links to other entry boxes.
 	Probe, Answer time.Duration
 }
@@ -82,6 +76,11 @@
 	queries  chan func(now time.Time, c *dispatch.Core)
 	metrics  *Metrics
 	peers    *Peers
+	// relays says which boxes carry orders to workers, carrier gives them.
+	relays  *relay.Roster
+	carrier *relay.Client
+	// workers gives orders through relays.
+	workers  relay.Workers
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
@@ -112,12 +111,16 @@
 // NewLoop returns a loop that does not run yet.
 func NewLoop(s Settings, self claim.Member, p Platform, log *logrus.Entry, now func() time.Time) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Loop{
+	l := &Loop{
 		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log, now), now: now,
 		events: make(chan dispatch.Event, eventBuffer), queries: make(chan func(time.Time, *dispatch.Core)),
 		metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
+		relays: relay.NewRoster(s.Relays, self.Box),
 	}
+	l.carrier = relay.NewClient(self, now, l.relays, p.Workers, l.sendBatch(methodCarry))
+	l.workers = l.carrier.Workers()
+	return l
 }
 
 // Run starts the loop and all that feeds it.
@@ -138,6 +141,7 @@
 // Close ends the loop and waits for it.
 func (l *Loop) Close() {
 	l.cancel()
+	l.carrier.Close()
 	l.tasks.Wait()
 	l.notes.close()
 }
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -54,7 +54,7 @@
 		none.Answer = order.Answer{Fate: order.Unknown, Problem: "no answer in time"}
 		l.post(none)
 	})
-	ended.Report, ended.Answer = l.platform.Workers.Renew(ctx, e.Address, e.Worker, e.Order)
+	ended.Report, ended.Answer = l.workers.Renew(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("renew", ended.Answer)
 	for _, end := range ended.Report.Ended {
 		l.metrics.ended(end.How)
@@ -68,7 +68,7 @@
 func (l *Loop) start(e dispatch.StartRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
-	answer := l.platform.Workers.Start(ctx, e.Address, e.Worker, e.Order)
+	answer := l.workers.Start(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("start", answer)
 	l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
@@ -77,7 +77,7 @@
 func (l *Loop) throttle(e dispatch.ThrottleRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
-	answer := l.platform.Workers.Throttle(ctx, e.Address, e.Worker, e.Order)
+	answer := l.workers.Throttle(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("throttle", answer)
 	l.post(dispatch.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: answer})
 }
@@ -86,7 +86,7 @@
 func (l *Loop) stop(e dispatch.StopRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
-	answer := l.platform.Workers.Stop(ctx, e.Address, e.Worker, e.Order)
+	answer := l.workers.Stop(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("stop", answer)
 	l.post(dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -14,6 +14,7 @@
 	"saddlevane/models/job"
 	"saddlevane/modules/peering"
 	"saddlevane/services/dispatch"
+	"saddlevane/services/relay"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -22,12 +23,16 @@
 const (
 	methodRequest = "jobs.request"
 	methodAdvise  = "jobs.advise"
+	methodCarry   = "jobs.carry"
+	methodCarried = "jobs.carried"
 )
 
 // Peers serves other entry boxes and calls them.
 type Peers struct {
-	loop   *Loop
-	links  *peering.Links
+	loop  *Loop
+	links *peering.Links
+	// relay carries the orders of holders to workers.
+	relay  *relay.Server
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -42,6 +47,7 @@
 func NewPeers(listener net.Listener, loop *Loop) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{loop: loop, ctx: ctx, cancel: cancel, silentUntil: map[string]time.Time{}, elsewhere: map[string]bool{}}
+	p.relay = relay.NewServer(loop.now, loop.platform.Workers, loop.sendBatch(methodCarried))
 	p.links = peering.New(ctx, listener, peering.Settings{
 		Dial: loop.settings.PeerTimeout, Probe: loop.settings.Probe, Answer: loop.settings.Answer, Now: loop.now,
 		Unanswered: loop.Unanswered, GivenUp: loop.linkGivenUp, NotAccepted: loop.linkNotAccepted,
@@ -57,6 +63,7 @@
 func (p *Peers) Close() {
 	p.cancel()
 	p.links.Close()
+	p.relay.Close()
 }
 
 // handle serves one call of a peer.
@@ -79,6 +86,12 @@
 			return nil, err
 		}
 		return p.adviseFor(ctx, a)
+	case methodCarry, methodCarried:
+		var b relay.Batch
+		if err := decode(req, &b); err != nil {
+			return nil, err
+		}
+		return nil, p.takeBatch(req.Method, b)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
 	}
--- /dev/null
+++ b/services/jobrun/relays.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun
+
+import (
+	"context"
+	"errors"
+
+	"saddlevane/models/claim"
+	"saddlevane/modules/peering"
+	"saddlevane/services/relay"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// sendBatch returns what sends batches to other boxes by a method. The ends of orders may
+// be told of twice; orders may not be given twice, as the second could be taken for a new
+// one of the same holder.
+func (l *Loop) sendBatch(method string) func(context.Context, claim.Member, relay.Batch) relay.Fate {
+	return func(ctx context.Context, box claim.Member, b relay.Batch) relay.Fate {
+		_, err := l.peers.links.Call(ctx, box.Address, peering.Call{Method: method, Params: b, Idempotent: method == methodCarried})
+		failed, _ := errors.AsType[*peering.NoAnswerError](err)
+		switch {
+		case err == nil:
+			return relay.Arrived
+		case failed != nil && failed.Sent:
+			return relay.Lost
+		default:
+			// A box that refuses a batch, such as one of an earlier version, gives none of it.
+			return relay.Unsent
+		}
+	}
+}
+
+// takeBatch takes a batch of another box: orders to carry, or the ends of those that this
+// box has sent.
+func (p *Peers) takeBatch(method string, b relay.Batch) error {
+	if method == methodCarried {
+		p.loop.carrier.Ended(b)
+		return nil
+	}
+	if err := p.relay.Carry(b); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
--- a/services/jobrun/service_test.go
+++ b/services/jobrun/service_test.go
@@ -22,6 +22,7 @@
 	"saddlevane/platform/standin"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
+	"saddlevane/services/relay"
 	"saddlevane/tests/forward"
 	"saddlevane/tests/memory"
 
@@ -76,7 +77,7 @@
 	log := platform.NewLog(via(t, between)(on.Log()), caller(t, "log"))
 	p := startVia(t, jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
-		Workers: jobrun.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
+		Workers: relay.Workers{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
 		Config:  platform.Config, Listing: platform.Listing,
 	}, "a", io.Discard, func(address string) string { return address })
 	served(t, p, jobrun.Request{Submit: submission("first")}, "")
--- /dev/null
+++ b/services/relay/relay.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package relay has entry boxes near the workers carry a holder's orders to them, in
+// batches over the links between boxes. The holder alone decides and all orders bear its
+// fence number; a relay keeps nothing and renews nothing by itself, so that leases still
+// end with the holder's authority, and a relay that is lost costs its workers one order
+// each, which is given again directly.
+//
+// Without relays one box opens a connection to each worker and pays for an HTTP exchange
+// for each order: at 1,100 workers 0.3 of the 0.39 processors that its holder used.
+//
+//   - roster says which box carries a worker's orders, if any;
+//   - outbox gathers what goes to one box;
+//   - client is the holder's side, server the relay's.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+)
+
+// Workers are the calls to workers. Their answers say what became of the order.
+type Workers struct {
+	Renew func(ctx context.Context, address, worker string, r order.Renew) (order.Report, order.Answer)
+	Start func(ctx context.Context, address, worker string, s order.Start) order.Answer
+	Stop  func(ctx context.Context, address, worker string, s order.Stop) order.Answer
+	// Throttle sets the pace of a run.
+	Throttle func(ctx context.Context, address, worker string, t order.Throttle) order.Answer
+}
+
+// Order is one order on its way to a worker. Exactly one of its parts is set.
+type Order struct {
+	// ID tells the orders of one sender apart.
+	ID       uint64          `json:"id"`
+	Worker   string          `json:"worker"`
+	Address  string          `json:"address"`
+	Renew    *order.Renew    `json:"renew,omitempty"`
+	Start    *order.Start    `json:"start,omitempty"`
+	Stop     *order.Stop     `json:"stop,omitempty"`
+	Throttle *order.Throttle `json:"throttle,omitempty"`
+	// Within is how long the answer counts from now on, Overdue after which time it is
+	// overdue, if that is sooner.
+	Within  job.Milliseconds `json:"within_ms"`
+	Overdue job.Milliseconds `json:"overdue_ms,omitempty"`
+}
+
+// Check returns an error if the order makes no sense.
+func (o Order) Check() error {
+	parts := 0
+	for _, set := range []bool{o.Renew != nil, o.Start != nil, o.Stop != nil, o.Throttle != nil} {
+		if set {
+			parts++
+		}
+	}
+	if parts != 1 {
+		return fmt.Errorf("order %d has %d parts", o.ID, parts)
+	}
+	if o.Worker == "" || o.Address == "" || o.Within <= 0 {
+		return fmt.Errorf("order %d: worker %q at %q within %v", o.ID, o.Worker, o.Address, o.Within.Duration())
+	}
+	return nil
+}
+
+// Answered is the end of one order.
+type Answered struct {
+	ID     uint64       `json:"id"`
+	Answer order.Answer `json:"answer"`
+	// Report is set for a renewal that was carried out.
+	Report *order.Report `json:"report,omitempty"`
+}
+
+// Batch carries orders to a relay, or their ends back.
+type Batch struct {
+	// From is where the sender serves other boxes, Life its incarnation: ends of another
+	// life's orders are dropped.
+	From   string     `json:"from"`
+	Life   string     `json:"life"`
+	Orders []Order    `json:"orders,omitempty"`
+	Ended  []Answered `json:"ended,omitempty"`
+}
+
+// Check returns an error if the batch makes no sense.
+func (b Batch) Check() error {
+	if b.From == "" || b.Life == "" {
+		return errors.New("a batch without its sender")
+	}
+	for _, o := range b.Orders {
+		if err := o.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Fate says what is known of a batch that was sent.
+type Fate string
+
+// The fates. Lost batches may have arrived, Unsent ones have surely not.
+const (
+	Arrived Fate = "arrived"
+	Lost    Fate = "lost"
+	Unsent  Fate = "unsent"
+)
--- /dev/null
+++ b/services/relay/server.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/order"
+	"saddlevane/modules/httpclient"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Server carries the orders of holders to workers.
+type Server struct {
+	now    func() time.Time
+	direct Workers
+	send   func(ctx context.Context, box claim.Member, b Batch) Fate
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+
+	mu       sync.Mutex
+	outboxes map[sender]*outbox[Answered]
+}
+
+// sender is one life of a box that has sent orders.
+type sender struct{ address, life string }
+
+// NewServer returns a server that gives orders by direct and tells of their ends by send.
+func NewServer(now func() time.Time, direct Workers, send func(context.Context, claim.Member, Batch) Fate) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{now: now, direct: direct, send: send, ctx: ctx, cancel: cancel, outboxes: map[sender]*outbox[Answered]{}}
+}
+
+// Close ends what is under way and waits for it.
+func (s *Server) Close() {
+	s.cancel()
+	s.tasks.Wait()
+}
+
+// Carry takes the orders of a batch.
+func (s *Server) Carry(b Batch) error {
+	if err := b.Check(); err != nil {
+		return err
+	}
+	out := s.outbox(sender{b.From, b.Life})
+	received := s.now()
+	for _, o := range b.Orders {
+		s.tasks.Go(func() {
+			// A box that was stopped for a while must not give an order late.
+			within := o.Within.Duration() - s.now().Sub(received)
+			ctx, cancel := context.WithTimeout(httpclient.Overdue(s.ctx, o.Overdue.Duration()), within)
+			defer cancel()
+			out.add(s.ctx, &s.tasks, s.give(ctx, o))
+		})
+	}
+	return nil
+}
+
+// give gives one order.
+func (s *Server) give(ctx context.Context, o Order) Answered {
+	a := Answered{ID: o.ID}
+	switch {
+	case ctx.Err() != nil:
+		a.Answer = order.Answer{Fate: order.NotDone, Problem: "it came too late to the relay"}
+	case o.Renew != nil:
+		var r order.Report
+		r, a.Answer = s.direct.Renew(ctx, o.Address, o.Worker, *o.Renew)
+		a.Report = &r
+	case o.Start != nil:
+		a.Answer = s.direct.Start(ctx, o.Address, o.Worker, *o.Start)
+	case o.Stop != nil:
+		a.Answer = s.direct.Stop(ctx, o.Address, o.Worker, *o.Stop)
+	default:
+		a.Answer = s.direct.Throttle(ctx, o.Address, o.Worker, *o.Throttle)
+	}
+	return a
+}
+
+// outbox returns what goes back to a sender. A later life of its box replaces it.
+func (s *Server) outbox(to sender) *outbox[Answered] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if out := s.outboxes[to]; out != nil {
+		return out
+	}
+	for other := range s.outboxes {
+		if other.address == to.address {
+			delete(s.outboxes, other)
+		}
+	}
+	out := &outbox[Answered]{
+		box: claim.Member{Address: to.address}, now: s.now, lost: func([]Answered, Fate) {},
+		send: func(ctx context.Context, box claim.Member, ended []Answered) Fate {
+			return s.send(ctx, box, Batch{From: to.address, Life: to.life, Ended: ended})
+		},
+	}
+	s.outboxes[to] = out
+	return out
+}
--- a/tests/memory/memory.go
+++ b/tests/memory/memory.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/jobrun"
+	"saddlevane/services/relay"
 )
 
 // Platform is a platform with one pool of workers. It may be used by several
@@ -55,7 +56,7 @@
 func (p *Platform) Calls() jobrun.Platform {
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: p.append, Read: p.read, Newest: p.newest},
-		Workers: jobrun.Workers{Renew: p.renew, Start: p.start, Stop: p.stop, Throttle: p.throttle},
+		Workers: relay.Workers{Renew: p.renew, Start: p.start, Stop: p.stop, Throttle: p.throttle},
 		Advise: func(context.Context, job.StepID, []string) ([]order.Ticket, error) {
 			return nil, nil
 		},
