--- /dev/null
+++ b/services/relay/relay_test.go
@@ -0,0 +1,233 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/services/relay"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// route is how batches fare between the holder and its relay.
+type route struct {
+	mu sync.Mutex
+	// orders is the fate of batches of orders, or empty for Arrived; silent drops the ends
+	// that come back.
+	orders relay.Fate
+	silent bool
+	// batches counts those of orders.
+	batches int
+}
+
+func (r *route) set(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// pair is a holder and one relay with a worker behind it.
+type pair struct {
+	route
+	t      *testing.T
+	client *relay.Client
+	server *relay.Server
+	roster *relay.Roster
+	// takes is how long the worker takes to answer.
+	takes atomic.Int64
+	// direct counts the orders that the holder gave itself, carried those of the relay.
+	direct, carried atomic.Int64
+}
+
+// newPair returns a holder whose worker w-b-000 has a relay.
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{t: t}
+	p.roster = relay.NewRoster(relay.Limits{From: 1, PerRelay: 48}, "a-00")
+	p.roster.Boxes([]claim.Member{member("b", 0)})
+	p.roster.Workers(listing(1, "b"))
+	p.server = relay.NewServer(time.Now, p.workers(&p.carried), func(_ context.Context, _ claim.Member, b relay.Batch) relay.Fate {
+		p.mu.Lock()
+		silent := p.silent
+		p.mu.Unlock()
+		if !silent {
+			p.client.Ended(reread(t, b))
+		}
+		return relay.Arrived
+	})
+	p.client = relay.NewClient(member("a", 0), time.Now, p.roster, p.workers(&p.direct), func(_ context.Context, _ claim.Member, b relay.Batch) relay.Fate {
+		p.mu.Lock()
+		p.batches++
+		fate := p.orders
+		p.mu.Unlock()
+		if fate != "" {
+			return fate
+		}
+		assert.Check(t, p.server.Carry(reread(t, b)))
+		return relay.Arrived
+	})
+	t.Cleanup(func() {
+		p.client.Close()
+		p.server.Close()
+	})
+	return p
+}
+
+// reread returns a batch as the other box reads it.
+func reread(t *testing.T, b relay.Batch) relay.Batch {
+	data, err := json.Marshal(b)
+	assert.Check(t, err)
+	var got relay.Batch
+	assert.Check(t, json.Unmarshal(data, &got))
+	return got
+}
+
+// workers are the calls to the worker, counted.
+func (p *pair) workers(count *atomic.Int64) relay.Workers {
+	work := func(ctx context.Context) order.Answer {
+		count.Add(1)
+		select {
+		case <-time.After(time.Duration(p.takes.Load())):
+			return order.Answer{Fate: order.Carried, Clock: 7}
+		case <-ctx.Done():
+			return order.Answer{Fate: order.Unknown, Problem: ctx.Err().Error()}
+		}
+	}
+	return relay.Workers{
+		Renew: func(ctx context.Context, _, _ string, r order.Renew) (order.Report, order.Answer) {
+			end := order.End{Number: r.Seen + 1, Run: run(1), How: order.Done, Checkpoint: "c"}
+			running := order.Running{Run: run(2), Checkpoint: "d", Progress: 40, Figure: 9}
+			return order.Report{Clock: 7, Running: []order.Running{running}, Ended: []order.End{end}}, work(ctx)
+		},
+		Start:    func(ctx context.Context, _, _ string, _ order.Start) order.Answer { return work(ctx) },
+		Stop:     func(ctx context.Context, _, _ string, _ order.Stop) order.Answer { return work(ctx) },
+		Throttle: func(ctx context.Context, _, _ string, _ order.Throttle) order.Answer { return work(ctx) },
+	}
+}
+
+func run(number int64) order.Run {
+	return order.Run{Task: job.TaskID{StepID: job.StepID{Job: "5c0e7a21d94b36f8", Instance: 1, Step: 2}, Index: 3}, Number: number}
+}
+
+// starts gives the order to start a run.
+func (p *pair) starts(within time.Duration) order.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return p.client.Workers().Start(ctx, "address", "w-b-000", order.Start{Run: run(1), Until: 9, Fence: 4})
+}
+
+func TestOrdersAndTheirAnswersComeThroughWhole(t *testing.T) {
+	p := newPair(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	w := p.client.Workers()
+	report, answer := w.Renew(ctx, "address", "w-b-000", order.Renew{Until: 9, Fence: 4, Seen: 11})
+	assert.Equal(t, answer, order.Answer{Fate: order.Carried, Clock: 7})
+	assert.DeepEqual(t, report.Ended, []order.End{{Number: 12, Run: run(1), How: order.Done, Checkpoint: "c"}})
+	assert.DeepEqual(t, report.Running, []order.Running{{Run: run(2), Checkpoint: "d", Progress: 40, Figure: 9}})
+	assert.Equal(t, p.starts(time.Second).Fate, order.Carried)
+	assert.Equal(t, w.Stop(ctx, "address", "w-b-000", order.Stop{Run: run(1)}).Fate, order.Carried)
+	assert.Equal(t, w.Throttle(ctx, "address", "w-b-000", order.Throttle{Run: run(1)}).Fate, order.Carried)
+	assert.Equal(t, p.carried.Load(), int64(4))
+	assert.Equal(t, p.direct.Load(), int64(0))
+}
+
+// Each message costs the holder about 18 µs of processor time, whatever it carries.
+func TestOrdersThatComeTogetherShareMessages(t *testing.T) {
+	p := newPair(t)
+	var calls sync.WaitGroup
+	for range 200 {
+		calls.Go(func() { assert.Check(t, p.starts(5*time.Second).Fate == order.Carried) })
+	}
+	calls.Wait()
+	p.set(func() { assert.Check(t, p.batches <= 20, "%d messages for 200 orders", p.batches) })
+}
+
+func TestOrdersThatWereSurelyNotSentAreGivenDirectly(t *testing.T) {
+	p := newPair(t)
+	p.set(func() { p.orders = relay.Unsent })
+	assert.Equal(t, p.starts(5*time.Second).Fate, order.Carried)
+	assert.Equal(t, p.direct.Load(), int64(1))
+	p.set(func() { p.orders = "" })
+	assert.Equal(t, p.starts(5*time.Second).Fate, order.Carried)
+	assert.Equal(t, p.direct.Load(), int64(2), "the box is put aside")
+}
+
+func TestOrdersThatMayHaveBeenGivenAreNotGivenAgain(t *testing.T) {
+	p := newPair(t)
+	p.set(func() { p.orders = relay.Lost })
+	assert.Equal(t, p.starts(5*time.Second).Fate, order.Unknown)
+	assert.Equal(t, p.direct.Load(), int64(0))
+	assert.Equal(t, p.starts(5*time.Second).Fate, order.Carried)
+	assert.Equal(t, p.direct.Load(), int64(1), "the next one is given directly")
+}
+
+func TestARelayThatTellsNothingIsPutAside(t *testing.T) {
+	p := newPair(t)
+	p.set(func() { p.silent = true })
+	assert.Equal(t, p.starts(100*time.Millisecond).Fate, order.Unknown)
+	_, ok := p.roster.Pick(time.Now(), "w-b-000")
+	assert.Check(t, !ok)
+}
+
+// A relay that was stopped for a while must not give orders that count as lost.
+func TestAnOrderWhoseTimeIsOverIsNotGiven(t *testing.T) {
+	var later atomic.Int64
+	given := make(chan relay.Batch, 1)
+	server := relay.NewServer(
+		func() time.Time { return time.Now().Add(time.Duration(later.Add(int64(time.Second)))) },
+		relay.Workers{}, func(_ context.Context, _ claim.Member, b relay.Batch) relay.Fate { given <- b; return relay.Arrived })
+	defer server.Close()
+	o := relay.Order{ID: 1, Worker: "w", Address: "a", Start: &order.Start{Run: run(1)}, Within: 300}
+	assert.NilError(t, server.Carry(relay.Batch{From: "holder", Life: "1", Orders: []relay.Order{o}}))
+	b := <-given
+	assert.Equal(t, b.Ended[0].Answer.Fate, order.NotDone)
+}
+
+func TestWhatMakesNoSenseIsRefusedWhole(t *testing.T) {
+	good := relay.Order{ID: 1, Worker: "w", Address: "a", Stop: &order.Stop{Run: run(1)}, Within: 300}
+	two := good
+	two.Start = &order.Start{Run: run(1)}
+	nobody, none, never := good, good, good
+	nobody.Worker, none.Stop, never.Within = "", nil, 0
+	for name, b := range map[string]relay.Batch{
+		"no sender": {Life: "1", Orders: []relay.Order{good}}, "no life": {From: "holder", Orders: []relay.Order{good}},
+		"two parts": {From: "holder", Life: "1", Orders: []relay.Order{good, two}},
+		"no worker": {From: "holder", Life: "1", Orders: []relay.Order{nobody}},
+		"no part":   {From: "holder", Life: "1", Orders: []relay.Order{none}},
+		"no time":   {From: "holder", Life: "1", Orders: []relay.Order{never}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			assert.Check(t, p.server.Carry(b) != nil)
+			assert.Equal(t, p.carried.Load(), int64(0))
+		})
+	}
+}
+
+func TestEndsOfAnotherLifeAreDropped(t *testing.T) {
+	p := newPair(t)
+	p.takes.Store(int64(200 * time.Millisecond))
+	done := make(chan order.Answer, 1)
+	go func() { done <- p.starts(5 * time.Second) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.carried.Load() == 0 {
+			return poll.Continue("the order is on its way")
+		}
+		return poll.Success()
+	})
+	forged := relay.Answered{ID: 1, Answer: order.Answer{Fate: order.Refused}}
+	p.client.Ended(relay.Batch{From: "a-00:1", Life: "an earlier life", Ended: []relay.Answered{forged}})
+	assert.Equal(t, (<-done).Fate, order.Carried)
+}
