--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -111,6 +111,7 @@
 	s := r.step
 	res := s.reservation
 	if failed := h.failure(p.now, s); failed != "" {
+		h.noteFailed(p.now, s, failed)
 		h.unreserve(p.now, s, failed)
 		s.notBefore = p.now.Add(reserveAgain)
 		return
@@ -144,6 +145,19 @@
 	}
 }
 
+// noteFailed says why a gang gives room back without having started.
+func (h *holding) noteFailed(now time.Time, s *step, why reservations.Outcome) {
+	_, stale := s.ticketed(now, s.reservation.shares)
+	due := now
+	for _, c := range s.advice.calls {
+		due = maxTime(due, c.due)
+	}
+	h.core.note("a gang gives room back", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"reason", string(why)},
+		Field{"tasks", len(s.tasks)}, Field{"workers", len(s.reservation.shares)}, Field{"without_ticket", len(stale)},
+		Field{"calls", len(s.advice.calls)}, Field{"tickets_due_in", due.Sub(now).String()}, Field{"to_stop", len(s.reservation.victims)},
+		Field{"held_for", now.Sub(s.reservation.since).String()}, Field{"claim", h.epoch})
+}
+
 // usable says whether all workers of a reservation still take tasks.
 func (h *holding) usable(now time.Time, res *reservation) bool {
 	return !slices.ContainsFunc(res.shares, func(sh share) bool {
