dispatch: a gang asks for its tickets together, and its room is free whatever later gangs wait for

Cause of LOST with two thirds of the processors free: gangs that hold and wait. (1) A call for tickets left out those that would have run out when it was answered, so a gang's tickets never all held at one time (valid for 1.4 s, a call takes 0.6 s to 1.2 s). Now all are asked for that do not outlast the call, in calls of one size at once. (2) A reservation counted as free only when all room promised on its workers was there, also what later gangs had reserved in the place of tasks still to be stopped: a circle. Now only earlier reservations come before it, so the earliest waits for nobody.

--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/resource"
 	"saddlevane/services/reservations"
 )
 
@@ -73,7 +74,9 @@
 		}
 	}
 	for _, sh := range res.shares {
-		sh.worker.promised = sh.worker.promised.Plus(s.spec.Reserved().Times(sh.tasks))
+		room := s.spec.Reserved().Times(sh.tasks)
+		sh.worker.promised = sh.worker.promised.Plus(room)
+		sh.worker.reserved = append(sh.worker.reserved, kept{step: s, room: room})
 	}
 	return res
 }
@@ -95,6 +98,7 @@
 	}
 	for _, sh := range res.shares {
 		sh.worker.promised = sh.worker.promised.Minus(s.spec.Reserved().Times(sh.tasks))
+		sh.worker.reserved = slices.DeleteFunc(sh.worker.reserved, func(k kept) bool { return k.step == s })
 	}
 	for _, a := range res.victims {
 		a.marked = false
@@ -120,7 +124,7 @@
 	if ready || due.Sub(p.now) <= h.learned.stopTime+stopLead {
 		h.stopVictims(p, s)
 	}
-	if ready && len(res.victims) == 0 && res.isFree() {
+	if ready && len(res.victims) == 0 && h.isFree(s) {
 		h.unreserve(p.now, s, reservations.Started)
 		h.startShares(p.now, s, res.shares)
 	}
@@ -165,13 +169,35 @@
 	})
 }
 
-// isFree says whether all room reserved is there.
-func (res *reservation) isFree() bool {
-	return !slices.ContainsFunc(res.shares, func(sh share) bool {
-		return sh.worker.free.Minus(sh.worker.promised).IsNegative()
+// isFree says whether all room reserved for a step is there. Room that was reserved
+// later on the same worker takes nothing from it: the later gang waits for tasks that it
+// has stopped, and each could wait for the other.
+func (h *holding) isFree(s *step) bool {
+	return !slices.ContainsFunc(s.reservation.shares, func(sh share) bool {
+		room := sh.worker.free.Minus(sh.worker.promised)
+		for _, later := range sh.worker.reservedAfter(s) {
+			room = room.Plus(later)
+		}
+		return room.IsNegative()
 	})
 }
 
+// reservedAfter returns what is reserved on a worker for gangs later than for a step.
+func (w *worker) reservedAfter(s *step) []resource.Vector {
+	var all []resource.Vector
+	first := slices.IndexFunc(w.reserved, func(k kept) bool { return k.step == s })
+	for _, k := range w.reserved[first+1:] {
+		all = append(all, k.room)
+	}
+	return all
+}
+
+// kept is room on a worker that is reserved for a gang.
+type kept struct {
+	step *step
+	room resource.Vector
+}
+
 // ticketsFor says whether a gang with reserved room has all its tickets, or when
 // those should come that are being asked for.
 func (h *holding) ticketsFor(now time.Time, r ranked) (ready bool, due time.Time) {
@@ -183,19 +209,44 @@
 	if len(stale) == 0 {
 		return true, now
 	}
+	if missing := h.notAwaited(now, r, len(stale)); len(missing) > 0 && !h.askTogether(now, r, missing) {
+		return false, now.Add(reservationMost)
+	}
+	for _, c := range s.advice.calls {
+		due = maxTime(due, c.due)
+	}
+	return false, due
+}
+
+// notAwaited returns the workers of a reservation whose tickets are not being asked for
+// and would have run out when the answers about some workers come: all tickets of a gang
+// must hold at one time, and a call takes about as long as one holds.
+func (h *holding) notAwaited(now time.Time, r ranked, asked int) []*worker {
+	s := r.step
+	takes := r.queue.Advice.Base + time.Duration(min(asked, callMost))*r.queue.Advice.Each
+	_, stale := s.ticketed(now.Add(takes+adviceQueue+ticketMargin), s.reservation.shares)
 	var missing []*worker
 	for _, sh := range stale {
 		if !s.advice.awaited(sh.worker) {
 			missing = append(missing, sh.worker)
 		}
 	}
-	if len(missing) > 0 && !now.Before(s.advice.askAgain) && h.ask(now, s, r.queue.Advice, missing) == nil {
-		return false, now.Add(reservationMost)
+	return missing
+}
+
+// askTogether calls for tickets in as many calls of one size as it takes, so that their
+// answers come at about the same time. It returns false if not all could be made.
+func (h *holding) askTogether(now time.Time, r ranked, workers []*worker) bool {
+	if now.Before(r.step.advice.askAgain) {
+		return true
 	}
-	for _, c := range s.advice.calls {
-		due = maxTime(due, c.due)
+	calls := (len(workers) + callMost - 1) / callMost
+	for chunk := range slices.Chunk(workers, (len(workers)+calls-1)/calls) {
+		if h.ask(now, r.step, r.queue.Advice, chunk) == nil {
+			return false
+		}
 	}
-	return false, due
+	return true
 }
 
 // stopVictims stops the tasks that are in the place of a gang.
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -38,6 +38,8 @@
 	strays map[order.Run]bool
 	// promised is room kept for steps that wait for tickets.
 	promised resource.Vector
+	// reserved is the part of it that is reserved for gangs, in the order in which it was.
+	reserved []kept
 
 	// clock was the worker's clock when an answer came at clockAt.
 	clock   order.WorkerClock
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -112,6 +112,8 @@
 	// answers counts answers to the calls of a test.
 	answers  int
 	logLoses float64
+	// stopTakes is how long a stop takes, or 0 for stopTime.
+	stopTakes time.Duration
 	// lateShare is the share of orders that get no answer and are carried out
 	// seconds later.
 	lateShare float64
