--- a/cmd/saddlevane-bench/jobmix.go
+++ b/cmd/saddlevane-bench/jobmix.go
@@ -82,7 +82,11 @@
 	grown := jobMix{name: "grown", boxes: 43, workers: 350, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
 	slow := grown
 	slow.name, slow.slowShare, slow.slowBy = "slow", 0.15, 5
-	return []jobMix{small, grown, slow}
+	heavy.perSecond, heavy.tasks, heavy.gigabytes = 5.4, spread{40, 0.8, 240}, spread{52, 0.5, 100}
+	batch.perSecond, batch.tasks, batch.processors, batch.gigabytes = 11, spread{50, 0.8, 300}, spread{11, 0.45, 33}, spread{31, 0.6, 94}
+	urgent.perSecond, urgent.tasks, urgent.processors, urgent.gigabytes = 142, spread{4.5, 0.8, 27}, spread{16, 0.45, 47}, spread{45, 0.6, 130}
+	large := jobMix{name: "large", boxes: 147, workers: 1100, domains: 5, stopMost: 900 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
+	return []jobMix{small, grown, slow, large}
 }
 
 // advice returns the cost of calls to the advice service, in milliseconds.
--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -25,7 +25,7 @@
 	requests.BoolVar(&skew, "skew", false, "send everything to the first domain")
 	var jobsOf jobOptions
 	jobs := flag.NewFlagSet("jobs", flag.ExitOnError)
-	jobs.StringVar(&jobsOf.mix, "mix", "", "only this cell: today, grown or slow")
+	jobs.StringVar(&jobsOf.mix, "mix", "", "only this cell: today, grown, slow or large")
 	jobs.Float64Var(&jobsOf.load, "load", 1, "times the usual load")
 	jobs.IntVar(&jobsOf.seeds, "seeds", 2, "runs of each cell")
 	jobs.StringVar(&jobsOf.without, "without", "", "parts of the policy that are switched off, separated by commas")
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 type advice struct {
 	// suits says of each worker asked about whether it may.
 	suits map[*worker]bool
+	// good has those that may, by name, and waiting how many calls under way name a
+	// worker.
+	good    []*worker
+	waiting map[*worker]int
 	// tickets has the last ticket for each worker, which may have run out.
 	tickets map[*worker]ticket
 	// calls are those whose answers the step waits for.
@@ -82,7 +87,47 @@
 
 // awaited says whether an answer about a worker is under way.
 func (a *advice) awaited(w *worker) bool {
-	return slices.ContainsFunc(a.calls, func(c *adviceCall) bool { return slices.Contains(c.workers, w) })
+	return a.waiting[w] > 0
+}
+
+// began notes a call that names some workers.
+func (a *advice) began(c *adviceCall) {
+	a.calls = append(a.calls, c)
+	if a.waiting == nil {
+		a.waiting = map[*worker]int{}
+	}
+	for _, w := range c.workers {
+		a.waiting[w]++
+	}
+}
+
+// ended notes that the answer to a call is not waited for any more.
+func (a *advice) ended(c *adviceCall) {
+	i := slices.Index(a.calls, c)
+	if i < 0 {
+		return
+	}
+	a.calls = slices.Delete(a.calls, i, i+1)
+	for _, w := range c.workers {
+		if a.waiting[w]--; a.waiting[w] == 0 {
+			delete(a.waiting, w)
+		}
+	}
+}
+
+// suit notes whether a worker may run the step.
+func (a *advice) suit(w *worker, may bool) {
+	i, listed := slices.BinarySearchFunc(a.good, w.ID, func(o *worker, id string) int { return cmp.Compare(o.ID, id) })
+	a.suits[w] = may
+	switch {
+	case may && listed:
+		// An entry may have come back as a worker of its own.
+		a.good[i] = w
+	case may:
+		a.good = slices.Insert(a.good, i, w)
+	case listed:
+		a.good = slices.Delete(a.good, i, i+1)
+	}
 }
 
 // dropTicket forgets a ticket that a worker refused.
@@ -105,7 +150,7 @@
 // endCall ends the step's wait for one call.
 func (s *step) endCall(c *adviceCall) {
 	c.release()
-	s.advice.calls = slices.DeleteFunc(s.advice.calls, func(o *adviceCall) bool { return o == c })
+	s.advice.ended(c)
 }
 
 // releasePromises gives back all room that was kept for a step.
@@ -114,7 +159,7 @@
 	for _, c := range s.advice.calls {
 		c.release()
 	}
-	s.advice.calls = nil
+	s.advice.calls, s.advice.waiting = nil, nil
 }
 
 // promise keeps room for tasks of a step on a worker until a call's answer comes.
@@ -188,7 +233,7 @@
 		}
 		if h.workers[w.ID] == w {
 			// A worker that gets no ticket any more is not asked about again.
-			a.suits[w] = false
+			a.suit(w, false)
 		}
 	}
 	good := 0
@@ -198,7 +243,7 @@
 	}
 	for _, t := range e.Good {
 		if w := h.workers[t.Worker]; w != nil {
-			a.suits[w] = true
+			a.suit(w, true)
 			if fresh[w] {
 				good++
 			}
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -34,6 +34,9 @@
 	badUntil map[string]time.Time
 	// calls holds the calls under way by box and number.
 	calls map[string]map[int64]*adviceCall
+	// open has the boxes that calls could be given to at openAt.
+	open   []string
+	openAt time.Time
 	// numbers counts all calls.
 	numbers int64
 	// spent is the time of the calls made since the state of the cell was last told,
@@ -93,7 +96,10 @@
 
 // openAdvisers returns the boxes that calls may be given to, by name.
 func (h *holding) openAdvisers(now time.Time) []string {
-	var names []string
+	if h.advisers.open != nil && h.advisers.openAt.Equal(now) {
+		return h.advisers.open
+	}
+	names := []string{}
 	if !h.advisers.passedOver(now, h.core.self.Box) {
 		names = append(names, h.core.self.Box)
 	}
@@ -103,29 +109,44 @@
 		}
 	}
 	slices.Sort(names)
+	h.advisers.open, h.advisers.openAt = names, now
 	return names
 }
 
-// chooseAdviser gives a call that takes some time to the box whose calls are over
-// first, if that is within patience. Calls that are not brief keep off the first
-// boxes in the order of names.
-func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
+// adviserFree says whether a box could take a call of some time within patience.
+func (h *holding) adviserFree(now time.Time, takes, patience time.Duration) bool {
+	_, ok := h.freestAdviser(now, takes, patience)
+	return ok
+}
+
+// freestAdviser returns the box whose calls are over first, if that is within patience.
+// Calls that are not brief keep off the first boxes in the order of names.
+func (h *holding) freestAdviser(now time.Time, takes, patience time.Duration) (box string, ok bool) {
 	names := h.openAdvisers(now)
 	if len(names) == 0 {
-		return "", "", false
+		return "", false
 	}
-	names = names[keptOff(len(names), takes):]
-	best := slices.MinFunc(names, func(a, b string) int {
-		return h.advisers.freeAt(now, a).Compare(h.advisers.freeAt(now, b))
-	})
-	if h.advisers.freeAt(now, best).Sub(now) > patience {
+	best := ""
+	for _, name := range names[keptOff(len(names), takes):] {
+		if best == "" || h.advisers.freeAt(now, name).Before(h.advisers.freeAt(now, best)) {
+			best = name
+		}
+	}
+	return best, h.advisers.freeAt(now, best).Sub(now) <= patience
+}
+
+// chooseAdviser gives a call that takes some time to the box whose calls are over
+// first, if that is within patience.
+func (h *holding) chooseAdviser(now time.Time, takes, patience time.Duration) (box, address string, ok bool) {
+	box, ok = h.freestAdviser(now, takes, patience)
+	if !ok {
 		return "", "", false
 	}
-	if best != h.core.self.Box {
-		address = h.core.members[best].Address
+	if box != h.core.self.Box {
+		address = h.core.members[box].Address
 	}
-	h.advisers.busyUntil[best] = h.advisers.freeAt(now, best).Add(takes)
-	return best, address, true
+	h.advisers.busyUntil[box] = h.advisers.freeAt(now, box).Add(takes)
+	return box, address, true
 }
 
 // freeAt returns when the calls given to a box should be over.
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -38,7 +38,7 @@
 // calls under way as they should. What is late anyway waits until a box has none.
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
-	class := adviceClass{queue: s.job.queue, late: h.rank(now, s).tier != onTime}
+	class := h.classOf(now, s)
 	if h.uses(DividedAdvice) && !h.advisers.turnOf(now, class, takes) {
 		return nil
 	}
@@ -57,7 +57,7 @@
 		ids[i] = w.ID
 	}
 	c := h.advisers.began(&adviceCall{step: s, box: box, workers: workers, due: h.advisers.busyUntil[box]})
-	s.advice.calls = append(s.advice.calls, c)
+	s.advice.began(c)
 	h.advisers.spent[s.job.queue] += takes
 	h.core.do(Advise{
 		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
@@ -66,6 +66,11 @@
 	return c
 }
 
+// classOf returns what a step competes as for calls.
+func (h *holding) classOf(now time.Time, s *step) adviceClass {
+	return adviceClass{queue: s.job.queue, late: h.rank(now, s).tier != onTime}
+}
+
 // adviseEarly asks for the first steps of a job while the log takes it in.
 func (h *holding) adviseEarly(now time.Time, j *submitted) {
 	q := h.queueOf(j)
@@ -129,13 +134,22 @@
 			return
 		}
 		start := int(xxhash.Sum64String(s.id.String()) % uint64(len(candidates)))
-		for _, withRoom := range []bool{true, false} {
-			for i := range candidates {
-				w := candidates[(start+i)%len(candidates)]
-				room := w.slots(s, w.room())
-				if (room > 0) == withRoom && !s.advice.asked(w) && !yield(w, room) {
-					return
-				}
+		var full []*worker
+		for i := range candidates {
+			w := candidates[(start+i)%len(candidates)]
+			if s.advice.asked(w) {
+				continue
+			}
+			room := w.slots(s, w.room())
+			if room == 0 {
+				full = append(full, w)
+			} else if !yield(w, room) {
+				return
+			}
+		}
+		for _, w := range full {
+			if !yield(w, 0) {
+				return
 			}
 		}
 	}
@@ -163,6 +177,10 @@
 // more, which may have it next. It returns false if no call was made.
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
+	if !h.adviserFree(now, r.queue.Advice.Base, adviceQueue) {
+		h.advisers.turnAway(now, h.classOf(now, s))
+		return false
+	}
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
 	least := namedAtLeast(r.queue.Advice)
 	var named []*worker
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -98,6 +98,8 @@
 	switch e := e.(type) {
 	case Tick:
 		c.tick(now)
+	case Decided:
+		c.decided(now, e.Took)
 	case Stop:
 		c.beginStop(now)
 	case ConfigRead:
@@ -144,6 +146,27 @@
 	return out
 }
 
+// planRest is how many times as long as a plan took the next one waits at least, so that
+// plans take a third of the processor at most. What waits meanwhile is events: looks and
+// ends are what keeps leases and frees room. With a backlog on 1,100 workers a plan took
+// 20 ms and more, one after the other.
+const planRest = 2
+
+// decided delays the next plan by what the last one took.
+func (c *Core) decided(now time.Time, took time.Duration) {
+	if h := c.holding; h != nil {
+		h.planAt = maxTime(h.planAt, now.Add(planRest*took))
+	}
+}
+
+// Plans returns how many plans were made under the present claim.
+func (c *Core) Plans() int {
+	if c.holding == nil {
+		return 0
+	}
+	return c.holding.passes
+}
+
 func (c *Core) do(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) note(message string, fields ...Field) { c.do(Note{Message: message, Fields: fields}) }
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -18,6 +18,9 @@
 // Tick says that time has passed.
 type Tick struct{}
 
+// Decided says how long the last Decide took that has made a plan.
+type Decided struct{ Took time.Duration }
+
 // Stop asks for a planned stop.
 type Stop struct{}
 
@@ -166,6 +169,7 @@
 }
 
 func (Tick) event()             {}
+func (Decided) event()          {}
 func (Stop) event()             {}
 func (ConfigRead) event()       {}
 func (ClaimsRead) event()       {}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -85,6 +85,8 @@
 	// notBefore delays a step whose last start was refused.
 	notBefore time.Time
 	advice    advice
+	// reserveAfter delays the next look for room to reserve.
+	reserveAfter time.Time
 	// reservation is room kept for a gang, or nil.
 	reservation *reservation
 	// took is how long the step's tasks took at most in whole runs, and interrupted
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -29,7 +29,7 @@
 	if !s.spec.Reserved().Fits(set.most) {
 		return false
 	}
-	shares, placed := h.fit(p.now, s, r.suited(set.workers))
+	shares, placed := h.fit(p.now, s, r.suited(set))
 	if r.queue.Advice != nil {
 		if placed == 0 && h.askMore(p.now, r, set.workers) {
 			return true
@@ -57,7 +57,7 @@
 	if !s.spec.Reserved().Fits(set.most) {
 		return false
 	}
-	shares, placed := h.fit(p.now, s, r.suited(set.workers))
+	shares, placed := h.fit(p.now, s, r.suited(set))
 	if placed < len(s.tasks) {
 		return false
 	}
@@ -70,20 +70,15 @@
 	return true
 }
 
-// suited returns the candidates that may run the step: all, if its queue needs no
-// advice.
-func (r ranked) suited(candidates []*worker) []*worker {
+// suited returns the workers of a set that may run the step: all, if its queue needs no
+// advice, else those that the advice service named.
+func (r ranked) suited(set *workerSet) []*worker {
 	if r.queue.Advice == nil {
-		return candidates
+		return set.workers
 	}
-	return r.step.suited(candidates)
-}
-
-// suited returns the candidates that the advice service named.
-func (s *step) suited(candidates []*worker) []*worker {
 	var all []*worker
-	for _, w := range candidates {
-		if s.advice.suits[w] {
+	for _, w := range r.step.advice.good {
+		if set.has[w] {
 			all = append(all, w)
 		}
 	}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -20,10 +20,31 @@
 	roomy bool
 	// drained counts the workers that are kept until they are empty.
 	drained int
+	// ranks has the steps whose tasks may give way, as they rank in this pass: one step's
+	// tasks are on many workers.
+	ranks map[*step]placed
+}
+
+// placed is how a step ranks whose tasks are at work.
+type placed struct {
+	ranked
+	slack time.Duration
 }
 
 // newPass returns a pass that has looked at no worker yet.
-func newPass(now time.Time) *pass { return &pass{now: now, sets: map[setKey]*workerSet{}} }
+func newPass(now time.Time) *pass {
+	return &pass{now: now, sets: map[setKey]*workerSet{}, ranks: map[*step]placed{}}
+}
+
+// rankOf returns how a step ranks in a pass.
+func (h *holding) rankOf(p *pass, s *step) placed {
+	r, ok := p.ranks[s]
+	if !ok {
+		r = placed{ranked: h.rank(p.now, s), slack: h.slack(p.now, s)}
+		p.ranks[s] = r
+	}
+	return r
+}
 
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
@@ -102,7 +123,7 @@
 		return
 	}
 	s.explainedAt = p.now
-	suited := r.suited(h.workersFor(p, s, r.queue.Pool).workers)
+	suited := r.suited(h.workersFor(p, s, r.queue.Pool))
 	_, placed := h.fit(p.now, s, suited)
 	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
 		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -206,8 +206,8 @@
 	if h.spares(p.now, r, a) {
 		return false
 	}
-	v := h.rank(p.now, s)
-	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (h.slack(p.now, s) > victimSlack || p.roomy)
+	v := h.rankOf(p, s)
+	return v.tier > r.tier || v.queue.Priority > r.queue.Priority && (v.slack > victimSlack || p.roomy)
 }
 
 // spares says whether a task is left alone because a stop would gain little: worth rose
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -34,6 +34,10 @@
 	// reserveAgain delays the next reservation of a gang whose last one came to
 	// nothing.
 	reserveAgain = 300 * time.Millisecond
+	// lookAgain is the least time between two looks for room to reserve for one gang: each
+	// goes through all workers that suit. With 1,100 workers and a backlog, looks in each
+	// pass took 40% of the reducer's time.
+	lookAgain = 100 * time.Millisecond
 	// stopLead is how much earlier tasks are stopped than their room is needed,
 	// besides the time that stops usually take.
 	stopLead = 100 * time.Millisecond
@@ -49,9 +53,13 @@
 // not do, workers are drained for it.
 func (h *holding) reserve(p *pass, r ranked) {
 	s := r.step
+	if p.now.Before(s.reserveAfter) {
+		return
+	}
 	open := h.openWorkers(p, r)
 	gains := h.gainsFor(p, r, open, len(s.tasks), r.tier != hopeless || p.roomy)
 	if tasksOf(gains) < len(s.tasks) {
+		s.reserveAfter = p.now.Add(lookAgain)
 		h.drain(p, s, open)
 		return
 	}
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -16,6 +16,7 @@
 // workerSet is the workers for one key, as they were when the pass began.
 type workerSet struct {
 	workers []*worker
+	has     map[*worker]bool
 	// most bounds the room of each of them in each resource, largest their capacity.
 	most, largest resource.Vector
 }
@@ -26,12 +27,13 @@
 	if set := p.sets[key]; set != nil {
 		return set
 	}
-	set := &workerSet{}
+	set := &workerSet{has: map[*worker]bool{}}
 	for _, w := range h.byName() {
 		if w.Pool != pool || !h.takes(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
 			continue
 		}
 		set.workers = append(set.workers, w)
+		set.has[w] = true
 		set.most = set.most.Max(w.room())
 		set.largest = set.largest.Max(w.Capacity)
 	}
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -98,10 +98,10 @@
 		return "the advice service has not answered yet"
 	case q.Advice != nil && len(s.advice.suits) == 0:
 		return "no worker has been asked about yet"
-	case q.Advice != nil && len(s.suited(set.workers)) == 0:
+	case len(ranked{step: s, queue: q}.suited(set)) == 0:
 		return fmt.Sprintf("none of the %d workers asked about may run it", len(s.advice.suits))
 	default:
-		_, placed := h.fit(now, s, set.workers)
+		_, placed := h.fit(now, s, ranked{step: s, queue: q}.suited(set))
 		return fmt.Sprintf("%d tasks need %v each, and there is room for %d", s.waiting, s.spec.Need, placed)
 	}
 }
--- a/services/jobrun/load.go
+++ b/services/jobrun/load.go
@@ -26,7 +26,9 @@
 	// long they waited at most, and when the next line is due.
 	events int
 	waited time.Duration
-	noteAt time.Time
+	// plans is the time of all plans, longest that of the longest.
+	plans, longest time.Duration
+	noteAt         time.Time
 }
 
 // passed counts bytes.
@@ -51,6 +53,12 @@
 	l.waited = max(l.waited, waited)
 }
 
+// planned notes a plan.
+func (l *load) planned(took time.Duration) {
+	l.plans += took
+	l.longest = max(l.longest, took)
+}
+
 // note returns the line about the load, and begins to count anew.
 func (l *load) note(queued int) dispatch.Note {
 	l.mu.Lock()
@@ -64,10 +72,12 @@
 		{Name: "events", Value: l.events},
 		{Name: "waited_most", Value: l.waited.String()},
 		{Name: "queued", Value: queued},
+		{Name: "plans_took", Value: l.plans.String()},
+		{Name: "longest_plan", Value: l.longest.String()},
 		{Name: "bytes_in", Value: fmt.Sprint(in)},
 		{Name: "bytes_out", Value: fmt.Sprint(out)},
 	}}
-	l.events, l.waited = 0, 0
+	l.events, l.waited, l.plans, l.longest = 0, 0, 0, 0
 	return n
 }
 
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -229,7 +229,15 @@
 // decide has the reducer decide, and carries out its effects; callers see the
 // state that came of it.
 func (l *Loop) decide(now time.Time) {
-	for _, e := range l.core.Decide(now) {
+	plans := l.core.Plans()
+	effects := l.core.Decide(now)
+	if l.core.Plans() != plans {
+		took := l.now().Sub(now)
+		l.metrics.planned.Observe(took.Seconds())
+		l.load.planned(took)
+		l.core.Handle(l.now(), dispatch.Decided{Took: took})
+	}
+	for _, e := range effects {
 		l.do(e)
 	}
 	l.mu.Lock()
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -40,6 +40,8 @@
 	bytes *prometheus.CounterVec
 	// waited is how long events waited for the loop.
 	waited prometheus.Histogram
+	// planned is the time of plans.
+	planned prometheus.Histogram
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -65,9 +67,12 @@
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "saddlevane_loop_wait_seconds", Help: "Time that events wait for the loop.", Buckets: callBuckets,
 		}),
+		planned: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "saddlevane_plan_seconds", Help: "Time of one plan over the open steps.", Buckets: callBuckets,
+		}),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
-		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited)
+		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned)
 	return m
 }
 
