--- /dev/null
+++ b/services/relay/bench_test.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/order"
+	"saddlevane/services/relay"
+)
+
+// BenchmarkLook measures what a look through a relay costs the holder, encoding and
+// decoding included and the link left out: 48 looks share a batch, and each worker runs
+// five tasks.
+func BenchmarkLook(b *testing.B) {
+	var report order.Report
+	for i := range 5 {
+		report.Running = append(report.Running, order.Running{Run: run(int64(100_000 + i)), Checkpoint: "00000bb87a21d94b", Progress: 40, Figure: 16000})
+	}
+	var client *relay.Client
+	send := func(_ context.Context, _ claim.Member, sent relay.Batch) relay.Fate {
+		if _, err := json.Marshal(sent); err != nil {
+			b.Error(err)
+		}
+		back := relay.Batch{From: sent.From, Life: sent.Life}
+		for _, o := range sent.Orders {
+			back.Ended = append(back.Ended, relay.Answered{ID: o.ID, Answer: order.Answer{Fate: order.Carried, Clock: 7}, Report: &report})
+		}
+		data, err := json.Marshal(back)
+		if err != nil {
+			b.Error(err)
+		}
+		b.SetBytes(int64(len(data) / len(back.Ended)))
+		var got relay.Batch
+		if err := json.Unmarshal(data, &got); err != nil {
+			b.Error(err)
+		}
+		client.Ended(got)
+		return relay.Arrived
+	}
+	roster := relay.NewRoster(relay.Limits{From: 1, PerRelay: 48}, "a-00")
+	roster.Boxes([]claim.Member{member("b", 0)})
+	roster.Workers(listing(48, "b"))
+	client = relay.NewClient(member("a", 0), time.Now, roster, relay.Workers{}, send)
+	defer client.Close()
+	workers := client.Workers()
+	for b.Loop() {
+		var calls sync.WaitGroup
+		for i := range 48 {
+			calls.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				workers.Renew(ctx, "10.3.64.47:8684", fmt.Sprintf("w-b-%03d", i), order.Renew{Until: 9, Fence: 4, Seen: 11, Wait: 400})
+			})
+		}
+		calls.Wait()
+	}
+	b.ReportMetric(float64(b.N*48), "looks")
+}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -13,7 +13,7 @@
 //   - roster says which box carries a worker's orders, if any;
 //   - outbox gathers what goes to one box;
 //   - client is the holder's side, server the relay's;
-//   - codec has the rows in which orders and their ends are sent.
+//   - codec packs orders and their ends for the wire.
 package relay
 
 import (
@@ -79,10 +79,9 @@
 type Batch struct {
 	// From is where the sender serves other boxes, Life its incarnation: ends of another
 	// life's orders are dropped.
-	From   string     `json:"from"`
-	Life   string     `json:"life"`
-	Orders []Order    `json:"orders,omitempty"`
-	Ended  []Answered `json:"ended,omitempty"`
+	From, Life string
+	Orders     []Order
+	Ended      []Answered
 }
 
 // Check returns an error if the batch makes no sense.
