planning: a budget of plans by how long they took

On the large fleet with all boxes of the small class a plan took up to 0.5 s, one after the other, and 0.25 of the processor went to plans with hardly a step to place (lines 'load of the process').

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -146,16 +146,10 @@
 	return out
 }
 
-// planRest is how many times as long as a plan took the next one waits at least, so that
-// plans take a third of the processor at most. What waits meanwhile is events: looks and
-// ends are what keeps leases and frees room. With a backlog on 1,100 workers a plan took
-// 20 ms and more, one after the other.
-const planRest = 2
-
 // decided delays the next plan by what the last one took.
 func (c *Core) decided(now time.Time, took time.Duration) {
 	if h := c.holding; h != nil {
-		h.planAt = maxTime(h.planAt, now.Add(planRest*took))
+		h.planAt = maxTime(h.planAt, now.Add(h.budget.Took(took)))
 	}
 }
 
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/lateness"
+	"saddlevane/services/planning"
 	"saddlevane/services/reservations"
 )
 
@@ -69,6 +70,10 @@
 	planDue bool
 	// passes counts the plans made.
 	passes int
+	// budget bounds what plans may take.
+	budget planning.Budget
+	// isRoomy says whether much of the workers' room was free at the last sweep.
+	isRoomy bool
 	// planAt is when the next plan may be made.
 	planAt time.Time
 	// overviewAt is when the state of the cell is next told.
@@ -84,7 +89,7 @@
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{},
-		advisers: newAdvisers(), learned: newLearned(), reserved: reservations.New(),
+		advisers: newAdvisers(), learned: newLearned(), budget: planning.New(), reserved: reservations.New(),
 	}
 }
 
@@ -153,6 +158,7 @@
 	h.sweepAt = now.Add(sweepEvery)
 	h.planDue = true
 	h.fallDue(now)
+	h.isRoomy = h.roomy(now)
 	h.sweepWorkers(now)
 	h.sweepAdvice(now)
 	h.dropEnded(now)
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -78,7 +78,7 @@
 	}
 	var all []*worker
 	for _, w := range r.step.advice.good {
-		if set.has[w] {
+		if set.has(w) {
 			all = append(all, w)
 		}
 	}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -48,15 +48,19 @@
 
 // plan places the tasks of open steps, the first in rank first.
 func (h *holding) plan(now time.Time) {
+	h.passes++
+	ranked := h.rankOpen(now)
+	if len(ranked) == 0 {
+		return
+	}
 	for _, w := range h.byName() {
 		w.keptFor, w.keeper, w.held = w.keeper, nil, resource.Vector{}
 		w.drainedBefore, w.drainedFor = w.drainedFor, nil
 	}
 	p := newPass(now)
-	p.roomy = h.roomy(now)
-	h.passes++
-	for _, r := range h.rankOpen(now) {
-		if p.misses >= mostMisses && h.passes%fullPass != 0 {
+	p.roomy = h.isRoomy
+	for _, r := range ranked {
+		if p.misses >= h.budget.Misses() && !h.budget.Whole(h.passes) {
 			return
 		}
 		if !h.placeStep(p, r) {
@@ -103,12 +107,6 @@
 }
 
 const (
-	// mostMisses ends a pass: where so many steps that rank higher have found no
-	// room, a search through thousands of others costs more than it finds.
-	mostMisses = 300
-	// fullPass is how often a pass goes through all steps nevertheless, so that
-	// many jobs that can never run hold nobody up.
-	fullPass = 8
 	// explained is of how many waiting steps a pass says why they wait.
 	explained = 20
 )
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -16,7 +16,8 @@
 // workerSet is the workers for one key, as they were when the pass began.
 type workerSet struct {
 	workers []*worker
-	has     map[*worker]bool
+	// at has each of them at its place in the order of all workers.
+	at []*worker
 	// most bounds the room of each of them in each resource, largest their capacity.
 	most, largest resource.Vector
 }
@@ -27,13 +28,14 @@
 	if set := p.sets[key]; set != nil {
 		return set
 	}
-	set := &workerSet{has: map[*worker]bool{}}
-	for _, w := range h.byName() {
+	all := h.byName()
+	set := &workerSet{at: make([]*worker, len(all))}
+	for i, w := range all {
 		if w.Pool != pool || !h.takes(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
 			continue
 		}
 		set.workers = append(set.workers, w)
-		set.has[w] = true
+		set.at[i] = w
 		set.most = set.most.Max(w.room())
 		set.largest = set.largest.Max(w.Capacity)
 	}
@@ -41,6 +43,9 @@
 	return set
 }
 
+// has says whether a worker is one of the set.
+func (set *workerSet) has(w *worker) bool { return w.place < len(set.at) && set.at[w.place] == w }
+
 // room returns what is free on a worker and neither promised nor held.
 func (w *worker) room() resource.Vector { return w.free.Minus(w.promised).Minus(w.held) }
 
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -30,6 +30,9 @@
 	// recording says that the record waits for the log.
 	recording bool
 
+	// place is where it is among all workers by name.
+	place int
+
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt takes.
 	free resource.Vector
@@ -104,6 +107,9 @@
 	if h.sorted == nil {
 		h.sorted = slices.Collect(maps.Values(h.workers))
 		slices.SortFunc(h.sorted, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+		for i, w := range h.sorted {
+			w.place = i
+		}
 	}
 	return h.sorted
 }
--- /dev/null
+++ b/services/planning/budget_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package planning_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/services/planning"
+
+	"gotest.tools/v3/assert"
+)
+
+const ms = time.Millisecond
+
+func TestPlansTakeAFifthOfTheTimeAtMost(t *testing.T) {
+	b := planning.New()
+	for _, took := range []time.Duration{0, ms, 30 * ms, time.Second} {
+		assert.Equal(t, b.Took(took), 4*took)
+	}
+}
+
+func TestAPlanThatTakesLongIsCutShort(t *testing.T) {
+	b := planning.New()
+	assert.Equal(t, b.Misses(), 300)
+	b.Took(25 * ms)
+	assert.Equal(t, b.Misses(), 240)
+	b.Took(time.Second)
+	assert.Equal(t, b.Misses(), 120, "by half at most: one plan may have been held up")
+	for range 10 {
+		b.Took(time.Second)
+	}
+	assert.Equal(t, b.Misses(), 20, "some steps are always tried")
+	for range 13 {
+		b.Took(ms)
+	}
+	assert.Equal(t, b.Misses(), 300)
+}
+
+func TestAllStepsAreTriedNowAndThen(t *testing.T) {
+	b := planning.New()
+	count := func() (whole int) {
+		for plan := range 400 {
+			if b.Whole(plan) {
+				whole++
+			}
+		}
+		return whole
+	}
+	assert.Equal(t, count(), 50)
+	b.Took(time.Second)
+	assert.Equal(t, count(), 10)
+}
