--- a/cmd/saddlevane-bench/jobcell.go
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -12,6 +12,7 @@
 
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/authority"
@@ -100,7 +101,7 @@
 }
 
 // newJobCell returns a cell whose box is about to take it over.
-func newJobCell(mix jobMix, seed int64, without map[dispatch.Mechanism]bool) *jobCell {
+func newJobCell(mix jobMix, seed int64, without map[mechanism.Mechanism]bool) *jobCell {
 	c := &jobCell{
 		mix: mix, rng: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*cellWorker{}, advising: map[string]time.Time{}, jobs: map[job.ID]*cellJob{},
--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
+	"saddlevane/models/mechanism"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 )
 
 // jobOptions say what the bench of submitted jobs plays.
@@ -41,7 +41,7 @@
 
 // benchJobs plays what callers submit against the reducer alone, in virtual time.
 func benchJobs(out io.Writer, o jobOptions) error {
-	without, err := dispatch.ParseMechanisms(strings.FieldsFunc(o.without, func(r rune) bool { return r == ',' }))
+	without, err := mechanism.Parse(strings.FieldsFunc(o.without, func(r rune) bool { return r == ',' }))
 	if err != nil {
 		return fmt.Errorf("-without: %w", err)
 	}
@@ -63,7 +63,7 @@
 }
 
 // printJobs plays the cells and prints what came of the jobs.
-func printJobs(out io.Writer, o jobOptions, without map[dispatch.Mechanism]bool) {
+func printJobs(out io.Writer, o jobOptions, without map[mechanism.Mechanism]bool) {
 	fmt.Fprintf(out, "Submitted jobs against the reducer, virtual time: %v of jobs at %.1f times the load, nothing fails.\n\n", jobsFor, o.load)
 	fmt.Fprintln(out, "| cell | seed | kind | jobs | on time | late | never or later | p50 | p99 |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -86,7 +86,7 @@
 }
 
 // playJobs plays one run.
-func playJobs(mix jobMix, seed int64, load float64, without map[dispatch.Mechanism]bool) *jobCell {
+func playJobs(mix jobMix, seed int64, load float64, without map[mechanism.Mechanism]bool) *jobCell {
 	c := newJobCell(mix, seed, without)
 	begin := c.now.Add(settleTime)
 	c.run(begin)
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/mechanism"
 	"saddlevane/modules/conntrack"
 	"saddlevane/modules/httpclient"
 	"saddlevane/modules/logger"
@@ -155,7 +156,7 @@
 
 // jobSettings returns what the loop and the reducer need of the settings.
 func jobSettings(j setting.Jobs, c setting.Connections) (jobrun.Settings, error) {
-	without, err := dispatch.ParseMechanisms(j.Without)
+	without, err := mechanism.Parse(j.Without)
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
 			Authority: authority.Settings{Renew: j.Renew, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
--- a/services/dispatch/mechanism.go
+++ b/models/mechanism/mechanism.go
@@ -1,7 +1,8 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package dispatch
+// Package mechanism names the parts of the policy that can be switched off.
+package mechanism
 
 import (
 	"fmt"
@@ -42,26 +43,23 @@
 	Exclusion Mechanism = "exclusion"
 )
 
-// Mechanisms lists all.
-func Mechanisms() []Mechanism {
+// All lists all.
+func All() []Mechanism {
 	return []Mechanism{
 		LearnedTimes, SlowWorkers, Draining, Preemption, SparedTasks, RemainingWork, EarlyAdvice,
 		DividedAdvice, RepeatedStarts, OwedAnswers, ShortLooks, MovedRuns, Exclusion,
 	}
 }
 
-// ParseMechanisms returns the set of mechanisms with some names.
-func ParseMechanisms(names []string) (map[Mechanism]bool, error) {
+// Parse returns the set of mechanisms with some names.
+func Parse(names []string) (map[Mechanism]bool, error) {
 	set := map[Mechanism]bool{}
 	for _, name := range names {
 		m := Mechanism(name)
-		if !slices.Contains(Mechanisms(), m) {
-			return nil, fmt.Errorf("there is no mechanism %q; there are %v", name, Mechanisms())
+		if !slices.Contains(All(), m) {
+			return nil, fmt.Errorf("there is no mechanism %q; there are %v", name, All())
 		}
 		set[m] = true
 	}
 	return set, nil
 }
-
-// uses says whether a mechanism is not switched off.
-func (h *holding) uses(m Mechanism) bool { return !h.core.settings.Without[m] }
--- a/services/dispatch/advisers.go
+++ b/services/dispatch/advisers.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"saddlevane/services/turns"
 )
 
 const (
@@ -42,15 +44,15 @@
 	// spent is the time of the calls made since the state of the cell was last told,
 	// by queue.
 	spent map[string]time.Duration
-	// shares is how the boxes' time is divided among those who compete for it.
-	shares map[adviceClass]*adviceShare
+	// turns is how the boxes' time is divided among those who compete for it.
+	turns *turns.Turns
 }
 
 // newAdvisers returns advisers without a call.
 func newAdvisers() advisers {
 	return advisers{
 		busyUntil: map[string]time.Time{}, badUntil: map[string]time.Time{}, calls: map[string]map[int64]*adviceCall{},
-		spent: map[string]time.Duration{}, shares: map[adviceClass]*adviceShare{},
+		spent: map[string]time.Duration{}, turns: turns.New(),
 	}
 }
 
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/turns"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -39,19 +41,19 @@
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
 	class := h.classOf(now, s)
-	if h.uses(DividedAdvice) && !h.advisers.turnOf(now, class, takes) {
+	if h.uses(mechanism.DividedAdvice) && takes > briefCall && !h.advisers.turns.May(now, class) {
 		return nil
 	}
 	patience := time.Duration(0)
-	if !class.late {
+	if !class.Late {
 		patience = adviceQueue
 	}
 	box, address, ok := h.chooseAdviser(now, takes, patience)
 	if !ok {
-		h.advisers.turnAway(now, class)
+		h.advisers.turns.TurnAway(now, class)
 		return nil
 	}
-	h.advisers.spend(now, class, takes)
+	h.advisers.turns.Spend(now, class, takes)
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
@@ -67,14 +69,14 @@
 }
 
 // classOf returns what a step competes as for calls.
-func (h *holding) classOf(now time.Time, s *step) adviceClass {
-	return adviceClass{queue: s.job.queue, late: h.rank(now, s).tier != onTime}
+func (h *holding) classOf(now time.Time, s *step) turns.Class {
+	return turns.Class{Queue: s.job.queue, Late: h.rank(now, s).tier != onTime}
 }
 
 // adviseEarly asks for the first steps of a job while the log takes it in.
 func (h *holding) adviseEarly(now time.Time, j *submitted) {
 	q := h.queueOf(j)
-	if q.Advice == nil || !h.uses(EarlyAdvice) {
+	if q.Advice == nil || !h.uses(mechanism.EarlyAdvice) {
 		return
 	}
 	p := h.earlyPass(now)
@@ -178,7 +180,7 @@
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
 	if !h.adviserFree(now, r.queue.Advice.Base, adviceQueue) {
-		h.advisers.turnAway(now, h.classOf(now, s))
+		h.advisers.turns.TurnAway(now, h.classOf(now, s))
 		return false
 	}
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -17,15 +17,15 @@
 //     room); where there is no room it stops tasks of lower rank (preempt), reserves
 //     room for a gang (reserve) or keeps workers for it until they are empty (keep);
 //   - ask and choice decide whom to ask which workers suit a step, advice and advisers
-//     carry the calls, turns divides them between queues;
-//   - learn, runtimes and speed hold what answers and ends have shown: how many
+//     carry the calls;
+//   - learn, runtimes and speed note what answers and ends have shown: how many
 //     workers suit, how long steps take, and which workers are slow; remaining says
 //     how much of a step is left;
 //   - attempts, starts, stops, reports and ends follow the tasks on their workers, stall
 //     moves those that stand still, throttle sets the pace of those that fill idle
 //     processors;
 //   - workers, listing and lease follow the workers themselves;
-//   - delay tells what made jobs late, mechanism what can be switched off.
+//   - delay tells what made jobs late.
 package dispatch
 
 import (
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/services/dispatch"
@@ -390,9 +391,9 @@
 func randomWorld(t *testing.T, seed int64) { randomWorldWithout(t, seed) }
 
 // randomWorldWithout plays a random world whose boxes do without some mechanisms.
-func randomWorldWithout(t *testing.T, seed int64, without ...dispatch.Mechanism) {
+func randomWorldWithout(t *testing.T, seed int64, without ...mechanism.Mechanism) {
 	w := newWorld(t, seed, 3, 8)
-	w.without = map[dispatch.Mechanism]bool{}
+	w.without = map[mechanism.Mechanism]bool{}
 	for _, m := range without {
 		w.without[m] = true
 	}
@@ -451,7 +452,7 @@
 	switch w.rng.Intn(11) {
 	case 10:
 		// Such a run never ends by itself, so only a policy that moves it gets on.
-		f.stalls = !w.without[dispatch.MovedRuns]
+		f.stalls = !w.without[mechanism.MovedRuns]
 		w.after(lasts, func() { f.stalls = false })
 	case 0:
 		w.killBox(b, lasts)
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 )
 
@@ -198,7 +199,7 @@
 
 // suspect excludes a worker on which one job after another fails.
 func (h *holding) suspect(now time.Time, w *worker, id job.ID) {
-	if w.lastFailed == id || !h.uses(Exclusion) {
+	if w.lastFailed == id || !h.uses(mechanism.Exclusion) {
 		return
 	}
 	w.lastFailed = id
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saddlevane/models/resource"
+	"saddlevane/services/learned"
 )
 
 // share is some tasks on one worker.
@@ -26,7 +27,7 @@
 	// far is 1 if the worker is not near the step's data.
 	far int
 	// slowness is how slow the worker is, as far as that matters to the step.
-	slowness slowness
+	slowness learned.Slowness
 	// kept is 1 if the last pass kept its room for another step, unticketed if a
 	// start there has to wait for a ticket.
 	kept, unticketed int
@@ -69,11 +70,11 @@
 		}
 		c := s.candidate(now, w, n)
 		c.slowness = h.slownessOf(now, w)
-		if c.slowness == avoided && s.spec.Gang {
+		if c.slowness == learned.Avoided && s.spec.Gang {
 			continue
 		}
-		if c.slowness == slow && !short {
-			c.slowness = usual
+		if c.slowness == learned.Slow && !short {
+			c.slowness = learned.Usual
 		}
 		open = append(open, c)
 	}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -62,7 +62,7 @@
 	unsettled map[string]bool
 
 	advisers advisers
-	learned  learned
+	learned  lessons
 	// answers tells how late workers' answers are.
 	answers lateness.Meter
 
@@ -89,7 +89,7 @@
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{},
-		advisers: newAdvisers(), learned: newLearned(), budget: planning.New(), reserved: reservations.New(),
+		advisers: newAdvisers(), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
 	}
 }
 
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -8,6 +8,9 @@
 	"math"
 	"slices"
 	"time"
+
+	"saddlevane/models/mechanism"
+	"saddlevane/services/learned"
 )
 
 const (
@@ -24,7 +27,7 @@
 	short := h.expect(r.step) <= shortStep
 	var open []*worker
 	for _, w := range r.suited(h.workersFor(p, r.step, r.queue.Pool)) {
-		if w.openTo(r.step, short) && (!r.step.spec.Gang || h.slownessOf(p.now, w) != avoided) {
+		if w.openTo(r.step, short) && (!r.step.spec.Gang || h.slownessOf(p.now, w) != learned.Avoided) {
 			open = append(open, w)
 		}
 	}
@@ -35,7 +38,7 @@
 // they are empty, if not too many are kept like that already.
 func (h *holding) drain(p *pass, s *step, open []*worker) {
 	kept, ok := keepEmptied(s, open)
-	if !ok || !h.uses(Draining) || p.drained+len(kept) > max(len(kept), len(h.workers)/drainedShare) || p.drained > 0 && len(h.workers) < drainedShare {
+	if !ok || !h.uses(mechanism.Draining) || p.drained+len(kept) > max(len(kept), len(h.workers)/drainedShare) || p.drained > 0 && len(h.workers) < drainedShare {
 		return
 	}
 	p.drained += len(kept)
@@ -55,7 +58,7 @@
 // drainSoonest keeps other tasks off the workers that will be empty first, one for each
 // waiting task of a step, if not too many are kept already.
 func (h *holding) drainSoonest(p *pass, r ranked) {
-	if !h.uses(Draining) {
+	if !h.uses(mechanism.Draining) {
 		return
 	}
 	s := r.step
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -3,10 +3,14 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// learned is what ends and answers have shown.
-type learned struct {
+	"saddlevane/services/learned"
+)
+
+// lessons are what ends and answers have shown.
+type lessons struct {
 	// good is the share of workers that suited a queue's steps.
 	good map[string]float64
 	// stopTime is how long it usually takes until a task that is to end has ended.
@@ -14,7 +18,7 @@
 	// fleetSpeed is the mean over all workers of what speed.mean is of one.
 	fleetSpeed float64
 	// times is what is known of the run times of each queue's steps.
-	times map[string]*runTimes
+	times map[string]*learned.RunTimes
 	// changed says that times were learned that the log does not have.
 	changed bool
 }
@@ -30,13 +34,13 @@
 	firstStopTime = 200 * time.Millisecond
 )
 
-// newLearned returns what is believed before anything was seen.
-func newLearned() learned {
-	return learned{good: map[string]float64{}, times: map[string]*runTimes{}, stopTime: firstStopTime}
+// newLessons returns what is believed before anything was seen.
+func newLessons() lessons {
+	return lessons{good: map[string]float64{}, times: map[string]*learned.RunTimes{}, stopTime: firstStopTime}
 }
 
 // advised takes how many of the workers asked about suited a step of a queue.
-func (l *learned) advised(queue string, asked, good int) {
+func (l *lessons) advised(queue string, asked, good int) {
 	if asked == 0 {
 		return
 	}
@@ -44,12 +48,12 @@
 }
 
 // stopped takes how long a stop took from its order until its end was told.
-func (l *learned) stopped(took time.Duration) {
+func (l *lessons) stopped(took time.Duration) {
 	l.stopTime += time.Duration(forgetting * float64(took-l.stopTime))
 }
 
 // goodShare returns the share of workers that are expected to suit.
-func (l *learned) goodShare(queue string) float64 {
+func (l *lessons) goodShare(queue string) float64 {
 	if share, ok := l.good[queue]; ok {
 		return max(leastGood, share)
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 )
 
@@ -155,7 +156,7 @@
 	if _, shared := w.besideFillers(); shared {
 		wait = min(servingWait, wait)
 	}
-	if !h.uses(ShortLooks) {
+	if !h.uses(mechanism.ShortLooks) {
 		return wait
 	}
 	for _, a := range w.attempts {
--- a/services/dispatch/mechanism_test.go
+++ b/services/dispatch/mechanism_test.go
@@ -8,20 +8,20 @@
 	"strings"
 	"testing"
 
-	"saddlevane/services/dispatch"
+	"saddlevane/models/mechanism"
 
 	"gotest.tools/v3/assert"
 )
 
 func TestMechanismsHaveNames(t *testing.T) {
 	var names []string
-	for _, m := range dispatch.Mechanisms() {
+	for _, m := range mechanism.All() {
 		names = append(names, string(m))
 	}
-	all, err := dispatch.ParseMechanisms(names)
+	all, err := mechanism.Parse(names)
 	assert.NilError(t, err)
 	assert.Equal(t, len(all), len(names))
-	_, err = dispatch.ParseMechanisms([]string{"draining", "nothing"})
+	_, err = mechanism.Parse([]string{"draining", "nothing"})
 	assert.ErrorContains(t, err, `"nothing"`)
 	example, err := os.ReadFile("../../custom/conf/saddlevaned.example.yaml")
 	assert.NilError(t, err)
@@ -33,7 +33,7 @@
 // TestWorldsWithoutEachMechanism holds that what is switched off to be measured is
 // policy only: no promise rests on it.
 func TestWorldsWithoutEachMechanism(t *testing.T) {
-	for i, m := range dispatch.Mechanisms() {
+	for i, m := range mechanism.All() {
 		t.Run(string(m), func(t *testing.T) {
 			t.Parallel()
 			randomWorldWithout(t, int64(700+i), m)
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/mechanism"
 	"saddlevane/models/resource"
 )
 
@@ -197,7 +198,7 @@
 // start again and still be on time.
 func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
 	s := a.step
-	if !h.uses(Preemption) || a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
+	if !h.uses(mechanism.Preemption) || a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
 		return false
 	}
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
@@ -214,7 +215,7 @@
 // by 0.008 (standard error 0.004, 18 pairs of days with faults on 48 workers). Not for a
 // gang: it needs much room at once, and what it marks works on until its tickets come.
 func (h *holding) spares(now time.Time, r ranked, a *attempt) bool {
-	if r.step.spec.Gang || !h.uses(SparedTasks) {
+	if r.step.spec.Gang || !h.uses(mechanism.SparedTasks) {
 		return false
 	}
 	return a.resumed && now.Sub(a.since) < resumedWorks || h.remaining(now, a) < h.learned.stopTime+endsSoon
--- a/services/dispatch/remaining.go
+++ b/services/dispatch/remaining.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"saddlevane/models/mechanism"
+)
 
 // leastTold is the progress, in percent, from which a run's own speed tells better
 // than the usual time when it will end.
@@ -14,7 +18,7 @@
 // and give way to others, while it is about to end on time: worth rose by 0.013
 // (standard error 0.006, 18 pairs of days with faults on 48 workers).
 func (h *holding) leftNow(now time.Time, s *step) time.Duration {
-	if !h.uses(RemainingWork) || s.waiting > 0 || s.attempts == 0 || s.spec.Service {
+	if !h.uses(mechanism.RemainingWork) || s.waiting > 0 || s.attempts == 0 || s.spec.Service {
 		return s.left
 	}
 	longest := time.Duration(0)
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/mechanism"
 	"saddlevane/services/authority"
 )
 
@@ -27,7 +28,7 @@
 	// StopGrace is how long a stopping process still serves.
 	StopGrace time.Duration
 	// Without names the parts of the policy that are switched off.
-	Without map[Mechanism]bool
+	Without map[mechanism.Mechanism]bool
 }
 
 const (
@@ -66,3 +67,6 @@
 	// numbers rise over all claims.
 	runsPerEpoch = 100_000
 )
+
+// uses says whether a mechanism is not switched off.
+func (h *holding) uses(m mechanism.Mechanism) bool { return !h.core.settings.Without[m] }
--- a/services/dispatch/stall.go
+++ b/services/dispatch/stall.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 )
 
@@ -63,7 +64,7 @@
 // elsewhere, and leaves the worker out. A gang is stopped if all its members stand
 // still.
 func (h *holding) moveStalled(now time.Time, w *worker) {
-	if !h.uses(MovedRuns) {
+	if !h.uses(mechanism.MovedRuns) {
 		return
 	}
 	for _, a := range w.sorted() {
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 )
 
@@ -108,7 +109,7 @@
 // mayTryAgain says whether the order to start an attempt may be sent again. It sets
 // the worker's lease, which takes authority.
 func (h *holding) mayTryAgain(now time.Time, a *attempt) bool {
-	return h.uses(RepeatedStarts) && a.state == starting && a.tries < startTries && !a.step.job.state.Final() && h.mayRenew(now)
+	return h.uses(mechanism.RepeatedStarts) && a.state == starting && a.tries < startTries && !a.step.job.state.Final() && h.mayRenew(now)
 }
 
 // startUnsure keeps the place of a start of which it is not known whether it was
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
+	"saddlevane/services/learned"
 )
 
 // worker is one life of a worker.
@@ -79,7 +81,7 @@
 	fillPace    int
 	throttledAt time.Time
 	// speed is how long tasks take on it.
-	speed speed
+	speed learned.Speed
 	// drainedFor is the gang that waits for the worker's tasks to end. Meanwhile
 	// short steps may use it.
 	drainedFor *step
@@ -133,7 +135,7 @@
 // takes says whether new tasks may be started on the worker.
 func (h *holding) takes(now time.Time, w *worker) bool {
 	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
-		now.Sub(w.answeredAt) < h.core.settings.Wait+h.patience(now, silentAfter) && !now.Before(w.excludedTill) && !(h.uses(OwedAnswers) && h.owes(now, w))
+		now.Sub(w.answeredAt) < h.core.settings.Wait+h.patience(now, silentAfter) && !now.Before(w.excludedTill) && !(h.uses(mechanism.OwedAnswers) && h.owes(now, w))
 }
 
 // owes says whether a worker has not answered the starts that it was given.
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/authority"
@@ -95,7 +96,7 @@
 	// alone counts ends of gangs that started incomplete.
 	alone int
 	// without is what the boxes' policy does without.
-	without map[dispatch.Mechanism]bool
+	without map[mechanism.Mechanism]bool
 	// adviserFree is when the advice service has answered all calls of a box.
 	adviserFree map[string]time.Time
 	// starts counts the starts of each task.
--- a/services/dispatch/turns.go
+++ b/services/turns/turns.go
@@ -1,28 +1,35 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package dispatch
-
-import (
-	"math"
-	"time"
-)
-
+// Package turns divides calls for advice between those who compete for them.
+//
 // Where the boxes cannot make all the calls for advice that steps want, they are
 // divided evenly between queues, so that one whose calls are long or often in vain
 // does not keep the others from starting anything: with four boxes and three queues,
 // jobs that had been accepted a minute before had not started, and worth rose by 0.019
 // (standard error 0.007, 12 pairs of days). Within a queue, steps that are
 // late anyway have a smaller share, so that each is asked about some time.
+package turns
+
+import (
+	"math"
+	"time"
+)
 
-// adviceClass is steps that compete for calls as one.
-type adviceClass struct {
-	queue string
-	late  bool
+// Class is steps that compete for calls as one.
+type Class struct {
+	Queue string
+	Late  bool
 }
 
-// adviceShare is what a class has had of the boxes' time.
-type adviceShare struct {
+// Turns divides calls. It is not safe for concurrent use.
+type Turns struct{ shares map[Class]*share }
+
+// New returns turns that nobody has had.
+func New() *Turns { return &Turns{shares: map[Class]*share{}} }
+
+// share is what a class has had of the boxes' time.
+type share struct {
 	// used is the time of its calls, of which old ones count ever less, as of usedAt.
 	used   time.Duration
 	usedAt time.Time
@@ -43,42 +50,38 @@
 )
 
 // shareOf returns what a class has had, as of now.
-func (a *advisers) shareOf(now time.Time, class adviceClass) *adviceShare {
-	s := a.shares[class]
+func (t *Turns) shareOf(now time.Time, class Class) *share {
+	s := t.shares[class]
 	if s == nil {
-		s = &adviceShare{usedAt: now}
-		a.shares[class] = s
+		s = &share{usedAt: now}
+		t.shares[class] = s
 	}
 	s.used = time.Duration(float64(s.used) * math.Exp(-now.Sub(s.usedAt).Seconds()/usedFor.Seconds()))
 	s.usedAt = now
 	return s
 }
 
-// turnOf says whether a class may make a call that takes some time: no class waits
-// that has had less. Brief calls always may; long ones keep off some boxes for them.
-func (a *advisers) turnOf(now time.Time, class adviceClass, takes time.Duration) bool {
-	if takes <= briefCall {
-		return true
-	}
-	used := a.shareOf(now, class).used
-	for other, s := range a.shares {
-		if other != class && now.Sub(s.turnedAway) < turnedAwayFor && a.shareOf(now, other).used < used {
-			a.turnAway(now, class)
+// May says whether a class may make a call: no class waits that has had less.
+func (t *Turns) May(now time.Time, class Class) bool {
+	used := t.shareOf(now, class).used
+	for other, s := range t.shares {
+		if other != class && now.Sub(s.turnedAway) < turnedAwayFor && t.shareOf(now, other).used < used {
+			t.TurnAway(now, class)
 			return false
 		}
 	}
 	return true
 }
 
-// turnAway notes that a class could not make a call.
-func (a *advisers) turnAway(now time.Time, class adviceClass) { a.shareOf(now, class).turnedAway = now }
+// TurnAway notes that a class could not make a call.
+func (t *Turns) TurnAway(now time.Time, class Class) { t.shareOf(now, class).turnedAway = now }
 
-// spend notes a call of a class.
-func (a *advisers) spend(now time.Time, class adviceClass, takes time.Duration) {
-	if class.late {
+// Spend notes a call of a class.
+func (t *Turns) Spend(now time.Time, class Class, takes time.Duration) {
+	if class.Late {
 		takes *= lateCosts
 	}
-	s := a.shareOf(now, class)
+	s := t.shareOf(now, class)
 	s.used += takes
 	s.turnedAway = time.Time{}
 }
