overload: a holder that is behind refuses part of the new jobs at once

Overload is a state now: the age of the events that wait for the holder's loop, looked at every 100 ms. From 0.3 s on, five looks in a row, the share of new jobs that is taken shrinks by a tenth a look, and grows again by 0.02 a look when the age is below (additive increase, multiplicative decrease, on age and not on number). Refusals are at once and true: a job that the holder knows is never refused, a new one is in no append; they come back spread over 1 s to 3 s. A submission whose box has answered its caller by then is not taken either. Leases, ends, stops and accepted jobs are never refused.

Lines when it begins and ends, the share in 'load of the process', a counter.

--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -27,6 +27,11 @@
 	case h.yielding:
 		h.core.elsewhere(e.Call, "this box is handing the cell over")
 		return
+	case e.ComeBack > 0:
+		h.core.reply(e.Call, Answer{
+			Outcome: Unavailable, Reason: "the holder is behind with its work", RetryAfter: job.Milliseconds(e.ComeBack.Milliseconds()),
+		})
+		return
 	case h.journal.failing(now):
 		h.unavailable(e.Call, "the log keeps no records at present")
 		return
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -388,6 +388,20 @@
 	}
 }
 
+// TestRandomWorldsWithLateAnswers plays worlds in which many answers to looks come
+// seconds late and in bunches, as under a holder that is slow or whose link is full.
+func TestRandomWorldsWithLateAnswers(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 7000+seed, 3, 8)
+			w.lateLooks = []float64{0.1, 0.4, 0.8}[w.rng.Intn(3)]
+			w.serves()
+			w.plays()
+		})
+	}
+}
+
 func randomWorld(t *testing.T, seed int64) { randomWorldWithout(t, seed) }
 
 // randomWorldWithout plays a random world whose boxes do without some mechanisms.
@@ -403,6 +417,12 @@
 	}
 	w.serves()
 	w.lateShare = []float64{0, 0, 0.05}[w.rng.Intn(3)]
+	w.plays()
+}
+
+// plays hands random jobs in while things fail, and checks the promises.
+func (w *world) plays() {
+	w.t.Helper()
 	for i := range 40 {
 		w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, func() {
 			a := w.submit(w.randomJob(i))
@@ -419,7 +439,7 @@
 		w.states()
 		w.check()
 	}
-	w.lateShare = 0
+	w.lateShare, w.lateLooks = 0, 0
 	w.untilEnded()
 }
 
--- a/services/dispatch/events.go
+++ b/services/dispatch/events.go
@@ -64,6 +64,8 @@
 type Submitted struct {
 	Call       CallID
 	Submission job.Submission
+	// ComeBack is set if no new job is to be taken now: it is when to come back.
+	ComeBack time.Duration
 }
 
 // CancelAsked is a caller's wish to end a job.
--- a/services/dispatch/late_test.go
+++ b/services/dispatch/late_test.go
@@ -73,3 +73,17 @@
 	effects = append(effects, d.later(20*time.Millisecond)...)
 	assert.Equal(t, len(only[dispatch.StartRun](effects)), 1, "the look under way is one")
 }
+
+// A refusal says that the job has not run; one that is known may have.
+func TestAHolderThatIsBehindRefusesOnlyJobsItDoesNotKnow(t *testing.T) {
+	d := oneWorker(t)
+	d.submits(oneStep("known", "quick", 1, false))
+	again := d.handle(dispatch.Submitted{Call: 7, Submission: oneStep("known", "quick", 1, false), ComeBack: 2 * time.Second})
+	assert.Equal(t, only[dispatch.Reply](again)[0].Reply.Outcome, dispatch.OK)
+	fresh := d.handle(dispatch.Submitted{Call: 8, Submission: oneStep("new", "quick", 1, false), ComeBack: 2 * time.Second})
+	reply := only[dispatch.Reply](fresh)[0].Reply
+	assert.Equal(t, reply.Outcome, dispatch.Unavailable)
+	assert.Equal(t, reply.RetryAfter.Duration(), 2*time.Second)
+	state := d.handle(dispatch.StateAsked{Call: 9, Job: "new"})
+	assert.Equal(t, only[dispatch.Reply](state)[0].Reply.Outcome, dispatch.NoJob)
+}
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -115,6 +115,9 @@
 	logLoses float64
 	// stopTakes is how long a stop takes, or 0 for stopTime.
 	stopTakes time.Duration
+	// lateLooks is the share of looks whose answers come only after they are overdue, in
+	// bunches.
+	lateLooks float64
 	// lateShare is the share of orders that get no answer and are carried out
 	// seconds later.
 	lateShare float64
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -75,7 +75,28 @@
 	}
 }
 
+// bunch is the time from one bunch of late answers to the next.
+const bunch = 700 * time.Millisecond
+
+// overdue returns how the answer to a look comes back: some are overdue first, and those
+// that are come together, up to four seconds later.
+func (w *world) overdue(e dispatch.Renew, back func(time.Duration, dispatch.Event)) func(time.Duration, dispatch.Event) {
+	if w.lateLooks == 0 || w.rng.Float64() >= w.lateLooks {
+		return back
+	}
+	back(e.Timeout, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
+	sent := w.now
+	after := e.Timeout + time.Duration(w.rng.Intn(4000))*time.Millisecond
+	return func(d time.Duration, answer dispatch.Event) {
+		at := sent.Add(after).Truncate(bunch).Add(bunch)
+		if at.Sub(sent) <= e.Timeout+e.Late {
+			back(max(d, at.Sub(w.now)), answer)
+		}
+	}
+}
+
 func (w *world) renew(b *fakeBox, e dispatch.Renew, back func(time.Duration, dispatch.Event)) {
+	back = w.overdue(e, back)
 	var report order.Report
 	answered := func(d time.Duration, a order.Answer) {
 		back(d, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: a, Report: report})
--- a/services/jobrun/load.go
+++ b/services/jobrun/load.go
@@ -60,7 +60,7 @@
 }
 
 // note returns the line about the load, and begins to count anew.
-func (l *load) note(queued int) dispatch.Note {
+func (l *load) note(queued int, taken float64) dispatch.Note {
 	l.mu.Lock()
 	all := maps.Clone(l.bytes)
 	l.mu.Unlock()
@@ -72,6 +72,7 @@
 		{Name: "events", Value: l.events},
 		{Name: "waited_most", Value: l.waited.String()},
 		{Name: "queued", Value: queued},
+		{Name: "jobs_taken", Value: taken},
 		{Name: "plans_took", Value: l.plans.String()},
 		{Name: "longest_plan", Value: l.longest.String()},
 		{Name: "bytes_in", Value: fmt.Sprint(in)},
@@ -97,5 +98,37 @@
 		return
 	}
 	l.load.noteAt = now.Add(loadEvery)
-	l.notes.write(l.load.note(len(l.events)))
+	l.notes.write(l.load.note(len(l.events), l.gate.Share()))
+}
+
+// admit returns a caller's new job as one that is not to be taken, if this box is behind
+// with its work or the caller has been told by now that there was no answer in time. The
+// reducer knows whether the job is new.
+func (l *Loop) admit(now time.Time, waited time.Duration, e dispatch.Event) dispatch.Event {
+	s, ok := e.(dispatch.Submitted)
+	if !ok {
+		return e
+	}
+	if taken, after := l.gate.Takes(now, string(s.Submission.ID)); !taken {
+		s.ComeBack = after
+	}
+	if waited > l.settings.PeerTimeout {
+		s.ComeBack = max(s.ComeBack, waited)
+	}
+	if s.ComeBack > 0 {
+		l.metrics.refused.Inc()
+	}
+	return s
+}
+
+// lookAtGate adapts the share of new jobs that is taken.
+func (l *Loop) lookAtGate(now time.Time) {
+	if !l.gate.Look(now) {
+		return
+	}
+	message := "the holder keeps up again"
+	if l.gate.Behind() {
+		message = "the holder is behind and refuses new jobs in part"
+	}
+	l.notes.write(dispatch.Note{Message: message, Fields: []dispatch.Field{{Name: "jobs_taken", Value: l.gate.Share()}}})
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
+	"saddlevane/services/overload"
 	"saddlevane/services/relay"
 
 	"github.com/sirupsen/logrus"
@@ -82,7 +83,9 @@
 	queries  chan func(now time.Time, c *dispatch.Core)
 	metrics  *Metrics
 	load     load
-	peers    *Peers
+	// gate says which new jobs are taken while this box holds the cell and is behind.
+	gate  overload.Gate
+	peers *Peers
 	// relays says which boxes carry orders to workers, carrier gives them.
 	relays  *relay.Roster
 	carrier *relay.Client
@@ -199,6 +202,7 @@
 			l.drain()
 			l.decide(l.now())
 			l.noteLoad(l.now())
+			l.lookAtGate(l.now())
 		}
 	}
 }
@@ -209,7 +213,8 @@
 	waited := now.Sub(p.at)
 	l.load.took(waited)
 	l.metrics.waited.Observe(waited.Seconds())
-	l.core.Handle(now, p.event)
+	l.gate.Waited(waited)
+	l.core.Handle(now, l.admit(now, waited, p.event))
 }
 
 // drain takes the events that came together, so that one decision serves all. Each
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -42,6 +42,8 @@
 	waited prometheus.Histogram
 	// planned is the time of plans.
 	planned prometheus.Histogram
+	// refused counts new jobs that were refused because the holder was behind.
+	refused prometheus.Counter
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -70,9 +72,12 @@
 		planned: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "saddlevane_plan_seconds", Help: "Time of one plan over the open steps.", Buckets: callBuckets,
 		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "saddlevane_jobs_refused_behind_total", Help: "New jobs that were refused because the holder was behind with its work.",
+		}),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
-		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned)
+		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned, m.refused)
 	return m
 }
 
--- /dev/null
+++ b/services/overload/gate.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package overload decides which new jobs a holder takes in while it falls behind. It
+// goes by the age of what waits, not by its number: a queue of 1,000 events is 50 ms on a
+// large box and half a second on a small one (controlled delay, RFC 8289). While the age
+// stays high the share of new jobs that is taken shrinks step by step and grows again as
+// it falls (additive increase, multiplicative decrease). All kinds of jobs are refused
+// alike, so that none falls to nothing; what keeps promises already made (leases, ends,
+// stops, jobs accepted) is never refused.
+package overload
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// late is the age of what waits from which the holder is behind: with it a short
+	// task, which may start 0.6 s late, is still on time. On boxes that keep up it is
+	// below 50 ms at 1,100 workers.
+	late = 300 * time.Millisecond
+	// patience is for how many looks in a row it must be late before jobs are refused: a
+	// box that was held up once needs no less work.
+	patience = 5
+	// lookEvery is the time between two looks.
+	lookEvery = 100 * time.Millisecond
+	// shrinks is what the share is multiplied with at each look while the holder is
+	// behind, grows what is added at each other one: back from a half within 2.5 s.
+	shrinks = 0.9
+	grows   = 0.02
+	// leastShare is taken in any case, so that the way back is noticed.
+	leastShare = 0.05
+	// comeBack is when the first of those refused are told to come back, comeBackMost
+	// when the last are: all at once would be the next burst.
+	comeBack     = time.Second
+	comeBackMost = 3 * time.Second
+)
+
+// Gate decides which new jobs are taken. It is not safe for concurrent use.
+type Gate struct {
+	// refused is the share of new jobs that is not taken.
+	refused float64
+	// oldest is the highest age since the last look, lateFor for how many looks in a row
+	// that was late.
+	oldest  time.Duration
+	lateFor int
+	lookAt  time.Time
+}
+
+// Waited takes for how long something has waited that is dealt with now.
+func (g *Gate) Waited(age time.Duration) { g.oldest = max(g.oldest, age) }
+
+// Look adapts the share if that is due, and says whether the holder began or ceased to
+// refuse jobs by that.
+func (g *Gate) Look(now time.Time) (changed bool) {
+	if now.Before(g.lookAt) {
+		return false
+	}
+	g.lookAt = now.Add(lookEvery)
+	before := g.Behind()
+	if g.oldest > late {
+		g.lateFor++
+	} else {
+		g.lateFor = 0
+	}
+	g.oldest = 0
+	switch {
+	case g.lateFor >= patience:
+		g.refused = min(1-leastShare, 1-(1-g.refused)*shrinks)
+	case g.lateFor == 0:
+		g.refused = max(0, g.refused-grows)
+	}
+	return g.Behind() != before
+}
+
+// Behind says whether some new jobs are refused.
+func (g *Gate) Behind() bool { return g.refused > 0 }
+
+// Share returns the share of new jobs that is taken.
+func (g *Gate) Share() float64 { return 1 - g.refused }
+
+// Takes says whether a new job is taken, else when its caller should come back. A job
+// that comes again has another chance each second.
+func (g *Gate) Takes(now time.Time, job string) (ok bool, after time.Duration) {
+	if !g.Behind() {
+		return true, 0
+	}
+	draw := float64(xxhash.Sum64String(job+now.Format("05"))>>11) / (1 << 53)
+	if draw < g.Share() {
+		return true, 0
+	}
+	spread := float64(xxhash.Sum64String(job)>>11) / (1 << 53)
+	return false, comeBack + time.Duration(spread*float64(comeBackMost-comeBack))
+}
