--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -61,14 +61,14 @@
 
 // cellTable prints one row for each daemon.
 func (t *tool) cellTable(all []answered[job.CellStatus]) {
-	table := t.table("BOX", "HOLDER", "CLAIM", "HOLDS", "LOG", "CONFIG", "OPEN STEPS", "WORKERS", "USED", "CAPACITY")
+	table := t.table("BOX", "HOLDER", "CLAIM", "HOLDS", "LOG", "CONFIG", "OPEN STEPS", "WORKERS", "RELAYS", "USED", "CAPACITY")
 	for _, a := range all {
 		s := a.Answer
 		log := "answers"
 		if !s.LogAnswers {
 			log = "silent"
 		}
-		table.row(s.Box, s.Holder, s.Claim, s.Holds, log, s.Config, s.Open, len(s.Workers), s.Used, s.Capacity)
+		table.row(s.Box, s.Holder, s.Claim, s.Holds, log, s.Config, s.Open, len(s.Workers), len(s.Relays), s.Used, s.Capacity)
 	}
 	table.flush()
 }
--- a/models/job/explain.go
+++ b/models/job/explain.go
@@ -44,6 +44,8 @@
 	Workers  []WorkerStatus `json:"workers,omitempty"`
 	Capacity string         `json:"processors,omitempty"`
 	Used     string         `json:"processors_used,omitempty"`
+	// Relays has how many workers' orders each entry box carries.
+	Relays map[string]int `json:"relays,omitempty"`
 }
 
 // WorkerStatus is what the holder believes of a worker.
--- a/routers/jobs.go
+++ b/routers/jobs.go
@@ -88,6 +88,7 @@
 		httpjson.Error(w, http.StatusServiceUnavailable, "this entry box has stopped")
 		return
 	}
+	s.Relays = j.loop.Relays()
 	httpjson.Write(w, http.StatusOK, s)
 }
 
--- a/services/jobrun/relays.go
+++ b/services/jobrun/relays.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// Relays returns how many workers' orders each entry box carries for this one, if it holds
+// the cell.
+func (l *Loop) Relays() map[string]int {
+	l.mu.Lock()
+	holds := l.view.holds
+	l.mu.Unlock()
+	if !holds {
+		return nil
+	}
+	return l.relays.Relays(l.now())
+}
+
 // takeBatch takes a batch of another box: orders to carry, or the ends of those that this
 // box has sent.
 func (p *Peers) takeBatch(method string, b relay.Batch) error {
--- /dev/null
+++ b/services/jobrun/relays_test.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package jobrun_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/services/jobrun"
+	"saddlevane/services/relay"
+	"saddlevane/tests/memory"
+
+	"gotest.tools/v3/assert"
+)
+
+// relayed returns settings with which even a small cell has relays.
+func relayed() jobrun.Settings {
+	s := settings()
+	s.Relays = relay.Limits{From: 1, PerRelay: 48}
+	return s
+}
+
+// startCounted starts a box with relays, and returns how many orders it gives to workers
+// itself.
+func startCounted(t *testing.T, on *memory.Platform, name string) (*process, *atomic.Int64) {
+	t.Helper()
+	calls, given := on.Calls(), &atomic.Int64{}
+	start := calls.Workers.Start
+	calls.Workers.Start = func(ctx context.Context, address, worker string, s order.Start) order.Answer {
+		given.Add(1)
+		return start(ctx, address, worker, s)
+	}
+	return startWith(t, relayed(), calls, name, io.Discard, func(address string) string { return address }), given
+}
+
+func TestJobsRunThroughRelaysAndGoOnWithoutThem(t *testing.T) {
+	on := platformOf(t)
+	holder, direct := startCounted(t, on, "a")
+	served(t, holder, jobrun.Request{Submit: submission("alone")}, "")
+	served(t, holder, jobrun.Request{State: "alone"}, job.Succeeded)
+	assert.Check(t, holder.holds())
+	assert.Check(t, direct.Load() > 0, "there is no other box")
+
+	other, carried := startCounted(t, on, "b")
+	until(t, "the other box carries orders", func() bool {
+		id := fmt.Sprint("with", carried.Load(), "-", direct.Load())
+		served(t, holder, jobrun.Request{Submit: submission(id)}, "")
+		served(t, holder, jobrun.Request{State: job.ID(id)}, job.Succeeded)
+		return carried.Load() > 0
+	})
+	before := direct.Load()
+	served(t, holder, jobrun.Request{Submit: submission("carried")}, "")
+	served(t, holder, jobrun.Request{State: "carried"}, job.Succeeded)
+	assert.Equal(t, direct.Load(), before, "the holder gives none itself")
+	assert.DeepEqual(t, holder.loop.Relays(), map[string]int{"b": 2})
+	assert.Equal(t, len(other.loop.Relays()), 0, "it does not hold the cell")
+
+	other.close()
+	for i := range 3 {
+		id := fmt.Sprint("without", i)
+		served(t, holder, jobrun.Request{Submit: submission(id)}, "")
+		served(t, holder, jobrun.Request{State: job.ID(id)}, job.Succeeded)
+	}
+	assert.Check(t, direct.Load() > before, "the relay is gone")
+}
