--- a/modules/conntrack/conntrack_test.go
+++ b/modules/conntrack/conntrack_test.go
@@ -149,3 +149,17 @@
 	beside.End()
 	assert.Check(t, !c.Behind(at.now))
 }
+
+func TestTheConnectionOfAnOverdueCallIsKept(t *testing.T) {
+	at := &clock{now: time.Now()}
+	table := conntrack.NewTable(at.read)
+	overdue, overdueFar := pipe(t, table, "a")
+	_, idleFar := pipe(t, table, "a")
+	overdue.Begin()
+	at.now = at.now.Add(time.Second)
+
+	got := overdue.GiveUpOthers(at.now, at.now, conntrack.Idle)
+	assert.Equal(t, got, conntrack.GivenUp{Address: "a", Count: 1, HeardAgo: time.Second})
+	assert.Check(t, closed(idleFar))
+	assert.Check(t, !closed(overdueFar))
+}
--- a/services/relay/roster.go
+++ b/services/relay/roster.go
@@ -97,6 +97,7 @@
 	}
 	for _, id := range l.Gone {
 		r.remove(id)
+		delete(r.direct, id)
 	}
 	r.teams = nil
 }
