--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -7,8 +7,9 @@
 // end with the holder's authority, and a relay that is lost costs its workers one order
 // each, which is given again directly.
 //
-// Without relays one box opens a connection to each worker and pays for an HTTP exchange
-// for each order: at 1,100 workers 0.3 of the 0.39 processors that its holder used.
+// Without relays one box opens connections to each worker and pays for an HTTP exchange
+// for each order, so that its processor and its link end the cell's size: worth was 0.133
+// without and 0.303 with them on a day of 120 workers and links of 2 Mbit/s (one play each).
 //
 //   - roster says which box carries a worker's orders, if any;
 //   - outbox gathers what goes to one box;
