--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -22,8 +22,9 @@
 	// looks is how many renewals the holder had asked for by then.
 	looks     int64
 	confirmed bool
-	// orderedAt is when the order was last sent.
-	orderedAt time.Time
+	// beganAt is when the order was first sent, or zero if an earlier holder sent it,
+	// orderedAt when it was last.
+	beganAt, orderedAt time.Time
 	// checkpoint and ticket are what it was ordered with, tries how often the order was
 	// sent: the same order again changes nothing more.
 	checkpoint, ticket string
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -115,6 +115,8 @@
 	lastRun int64
 	// attempt is the one under way, or nil.
 	attempt *attempt
+	// lost counts the runs that were lost with their workers under this claim.
+	lost int
 	// firstAt is when it was first started under this claim, startedAt when last, and
 	// again why that was not the same.
 	firstAt, startedAt time.Time
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -194,6 +194,7 @@
 		w.overdue[e.Look] = w.lookDue
 	}
 	if w.failures == 1 {
+		w.silent(now)
 		h.core.note("worker does not answer", Field{"worker", w.ID}, Field{"problem", e.Answer.Problem}, Field{"tasks", len(w.attempts)})
 	}
 	w.renewAt = now.Add(renewAgain)
@@ -213,6 +214,7 @@
 		h.core.note("worker answers again", Field{"worker", w.ID}, Field{"failures", w.failures})
 	}
 	w.failures = 0
+	w.silentSince = time.Time{}
 	clear(w.overdue)
 	w.answeredAt = now
 	h.answeredLook(now, w, e)
@@ -256,11 +258,10 @@
 // lapsed frees the tasks of a worker that has surely ended them.
 func (h *holding) lapsed(now time.Time, w *worker) {
 	if len(w.attempts) > 0 || w.settled || h.unsettled[w.ID] {
-		h.core.note("worker's lease has run out", Field{"worker", w.ID}, Field{"tasks", len(w.attempts)}, Field{"lapsed_for", now.Sub(w.goneAt).String()})
-	}
-	for _, a := range w.sorted() {
-		h.lose(now, a, "the worker's lease has run out")
+		h.core.note("worker's lease has run out", Field{"worker", w.ID}, Field{"tasks", len(w.attempts)},
+			Field{"lapsed_for", now.Sub(w.goneAt).String()}, Field{"how", string(w.endedAs(now, false))})
 	}
+	h.loseAll(now, w, w.endedAs(now, false), "the worker's lease has run out")
 	w.settled = false
 	delete(h.unsettled, w.ID)
 	if !w.listed {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -126,7 +126,8 @@
 	h.unplace(a)
 	a.task().interrupted(delayLost)
 	h.core.note("task lost", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", a.run},
-		Field{"worker", a.worker.ID}, Field{"state", string(a.state)}, Field{"reason", why})
+		Field{"worker", a.worker.ID}, Field{"state", string(a.state)}, Field{"reason", why},
+		Field{"worked_most", a.workedUntil(a.worker.silentSince).String()}, Field{"times_lost", a.task().lost})
 	if !a.step.job.state.Final() {
 		h.gangBroke(now, a.step)
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -64,6 +64,10 @@
 	// since.
 	answeredAt time.Time
 	failures   int
+	// silentSince is when the first of those was not answered, and silentListed says
+	// that the platform listed the worker then and that it was not leaving.
+	silentSince  time.Time
+	silentListed bool
 	// owesSince is when a start was ordered of which, and of all those after it, none
 	// was answered, or zero.
 	owesSince time.Time
@@ -169,10 +173,9 @@
 
 // workerDied frees the tasks of a worker whose life is over for sure.
 func (h *holding) workerDied(now time.Time, w *worker, why string) {
-	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)})
-	for _, a := range w.sorted() {
-		h.lose(now, a, why)
-	}
+	how := w.endedAs(now, true)
+	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)}, Field{"how", string(how)})
+	h.loseAll(now, w, how, why)
 	delete(h.unsettled, w.ID)
 	h.forget(w)
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -278,6 +278,8 @@
 		l.answer(e.Call, e.Reply)
 	case dispatch.Note:
 		l.notes.write(e)
+	case dispatch.TasksLost:
+		l.metrics.lost(e)
 	case dispatch.Stopped:
 		l.stopOnce.Do(func() { close(l.stopped) })
 	}
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -44,6 +44,9 @@
 	planned prometheus.Histogram
 	// refused counts new jobs that were refused because the holder was behind.
 	refused prometheus.Counter
+	// tasksLost counts tasks that were lost with their workers, by how those ended,
+	// workLost how long they had been at work.
+	tasksLost, workLost *prometheus.CounterVec
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -76,7 +79,9 @@
 			Name: "saddlevane_jobs_refused_behind_total", Help: "New jobs that were refused because the holder was behind with its work.",
 		}),
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+	m.tasksLost = counter("tasks_lost_total", "Tasks that were lost with their workers, by how those ended.", "worker")
+	m.workLost = counter("tasks_lost_worked_seconds_total", "How long tasks that were lost with their workers had been at work, by how those ended.", "worker")
+	m.registry.MustRegister(m.tasksLost, m.workLost, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
 		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned, m.refused)
 	return m
 }
@@ -101,6 +106,11 @@
 	m.orders.WithLabelValues(kind, string(a.Fate)).Inc()
 }
 
+func (m *Metrics) lost(e dispatch.TasksLost) {
+	m.tasksLost.WithLabelValues(string(e.How)).Add(float64(e.Tasks))
+	m.workLost.WithLabelValues(string(e.How)).Add(e.Worked.Seconds())
+}
+
 func (m *Metrics) ended(how order.How) { m.ends.WithLabelValues(string(how)).Inc() }
 
 func (m *Metrics) appended(p dispatch.Purpose, took time.Duration, err error) {
