blame: a task that crashes its workers is found and given up

Cause: only ends that a worker tells of counted against a task, and a worker that has crashed tells of none. A run that was lost with its worker left no trace on the task, which was placed again in the next plan, for ever.

What is held against each task that was on a worker when it crashed is judged by package blame (competing hazards: the tasks on the worker by how long they had been at work, and crashes by themselves as often as they were seen), kept in the log with the job's progress, and survives takeovers; a suspect that was started is kept with its worker, so that a crash during a takeover counts. Suspects are tried apart, likely ones on a worker that gets nothing else, with waits that grow. A run that ends well or outlives the crashes clears its task. A crash, a planned leave and a cut are told apart by what was seen.

Ruled out: counting alone.

--- a/models/job/progress.go
+++ b/models/job/progress.go
@@ -26,6 +26,8 @@
 	// an end again until it is acknowledged, and perhaps after later ones, so a
 	// count would not do.
 	Failed map[int][]int64 `json:"f,omitempty"`
+	// Blame is what is held against tasks under which workers crashed, by index.
+	Blame map[int]Blame `json:"b,omitempty"`
 	// Saved holds checkpoints of tasks that were stopped, by index.
 	Saved map[int]string `json:"c,omitempty"`
 }
--- /dev/null
+++ b/services/blame/blame_test.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package blame_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/services/blame"
+
+	"gotest.tools/v3/assert"
+)
+
+// quiet is the hazard, a second, of a crash by itself where workers seldom crash.
+const quiet = 1.0 / 3600
+
+func TestTheTaskThatBeganLastIsSuspectedMost(t *testing.T) {
+	on := []blame.Suspect{{Worked: 15 * time.Millisecond}, {Worked: 2 * time.Second}, {Worked: time.Minute}}
+	judged := blame.Judge(on, quiet)
+	assert.Check(t, blame.Likely(judged[0]), "%+v", judged[0])
+	assert.Check(t, blame.Suspected(judged[1]) && !blame.Likely(judged[1]), "%+v", judged[1])
+	assert.Check(t, !blame.Suspected(judged[2]), "%+v", judged[2])
+}
+
+// repeat judges the same task after several crashes, each with others beside it that had
+// been at work for long.
+func repeat(times int, alone bool, worked time.Duration, background float64) job.Blame {
+	var b job.Blame
+	for range times {
+		on := []blame.Suspect{{Before: b, Worked: worked, Alone: alone}, {Worked: 3 * time.Second}, {Worked: 5 * time.Second}}
+		b = blame.Judge(on, background)[0]
+	}
+	return b
+}
+
+func TestHowManyCrashesGiveATaskUp(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		crashes    int
+		alone      bool
+		worked     time.Duration
+		background float64
+		guilty     bool
+	}{
+		{"one is never enough", 1, true, 10 * time.Millisecond, quiet, false},
+		{"two are, alone and at once, where workers seldom crash", 2, true, 10 * time.Millisecond, quiet, true},
+		{"two among tasks that had just begun are not", 2, false, 10 * time.Millisecond, quiet, false},
+		{"three are after half a second", 3, true, 500 * time.Millisecond, quiet, true},
+		{"three late ones are not where workers crash every ten seconds", 3, true, 5 * time.Second, 0.1, false},
+		{"five late ones are not where workers crash every ten seconds", 5, true, 20 * time.Second, 0.1, false},
+		{"four are, beside others", 4, false, 10 * time.Millisecond, 0.01, true},
+	} {
+		b := repeat(c.crashes, c.alone, c.worked, c.background)
+		assert.Check(t, blame.Guilty(b) == c.guilty, "%s: %+v", c.name, b)
+	}
+}
+
+func TestCrashesAtDifferentPointsOfTheWorkSayLess(t *testing.T) {
+	first := repeat(1, true, 4*time.Second, quiet)
+	same := blame.Judge([]blame.Suspect{{Before: first, Worked: 4 * time.Second}}, quiet)[0]
+	other := blame.Judge([]blame.Suspect{{Before: first, Worked: 9 * time.Second}}, quiet)[0]
+	assert.Check(t, same.Odds > 5*other.Odds, "%v, %v", same.Odds, other.Odds)
+}
+
+func TestARunThatOutlivesTheCrashesClearsItsTask(t *testing.T) {
+	b := repeat(2, true, 3*time.Second, quiet)
+	assert.Check(t, !blame.Cleared(b, 7*time.Second))
+	assert.Check(t, blame.Cleared(b, 9*time.Second))
+}
+
+func TestAKnownSuspectShieldsWhatIsBesideIt(t *testing.T) {
+	known := repeat(2, true, 10*time.Millisecond, quiet)
+	judged := blame.Judge([]blame.Suspect{{Before: known, Worked: 10 * time.Millisecond}, {Worked: 200 * time.Millisecond}}, quiet)
+	assert.Check(t, !blame.Suspected(judged[1]), "%+v", judged[1])
+	assert.Check(t, blame.Unexplained(judged) < 0.01)
+	assert.Equal(t, blame.Unexplained(nil), 1.0, "an empty worker crashed by itself")
+}
+
+func TestWaitsGrow(t *testing.T) {
+	assert.Equal(t, blame.Wait(job.Blame{Crashes: 1, Odds: 0.01}), time.Duration(0))
+	last := time.Duration(0)
+	for n := 2; n < 6; n++ {
+		wait := blame.Wait(job.Blame{Crashes: n, Odds: 1})
+		assert.Check(t, wait > last && wait <= 4*time.Second, "%v after %v", wait, last)
+		last = wait
+	}
+}
+
+func TestWorkersThatCrashTogetherHaveOneCause(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var b blame.Background
+	b.Saw(now, map[string]int{"r1": 4, "r2": 20})
+	calm := b.Hazard(now, "a", "r1")
+	b.Silent(now, "b", "r2")
+	assert.Equal(t, b.Hazard(now, "a", "r1"), calm, "one more is no sign of a common cause")
+	b.Silent(now, "c", "r1")
+	b.Silent(now, "d", "r1")
+	together := b.Hazard(now, "a", "r1")
+	assert.Check(t, together > 100*calm, "%v, %v", together, calm)
+	assert.Check(t, b.Hazard(now, "e", "r2") < together, "it struck one rack")
+	b.Answers("c")
+	b.Answers("d")
+	assert.Equal(t, b.Hazard(now, "a", "r1"), calm, "they had not crashed")
+}
+
+func TestHowOftenWorkersCrashIsLearnedByRack(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var b blame.Background
+	for range 100 {
+		b.Saw(now, map[string]int{"bad": 6, "good": 42})
+		now = now.Add(time.Second)
+	}
+	for range 6 {
+		b.Crashed("bad", 1)
+	}
+	bad, good := b.Hazard(now, "x", "bad"), b.Hazard(now, "y", "good")
+	assert.Check(t, bad > 0.004 && bad < 0.01, "%v; six in 600 seconds of one worker are 0.01", bad)
+	assert.Check(t, good < 0.001, "%v", good)
+}
+
+func TestWhatIsHeldAgainstATaskIsCheckedWhenItIsRead(t *testing.T) {
+	kept := job.Blame{Crashes: 3, Alone: 1, Odds: 12.5, Longest: 20, TriedOn: []string{"w"}, TriedAt: 77}
+	data, err := json.Marshal(kept)
+	assert.NilError(t, err)
+	var read job.Blame
+	assert.NilError(t, json.Unmarshal(data, &read))
+	assert.DeepEqual(t, read, kept)
+	for _, bad := range []string{`{"n":0,"o":1}`, `{"n":1,"o":-1}`, `{"n":1,"a":2,"o":1}`, `{"n":1,"o":1,"l":-5}`, `{"n":1,"o":1e999}`, `[]`} {
+		assert.Check(t, json.Unmarshal([]byte(bad), &read) != nil, bad)
+	}
+}
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -45,6 +45,10 @@
 	marked bool
 	// stopAt is when its end was first ordered.
 	stopAt time.Time
+	// risk is the probability that it crashes its worker, if it is of a suspect, and trial
+	// says that the worker gets nothing else meanwhile.
+	risk  float64
+	trial bool
 	// adopted says that an earlier holder started it, resumed that it began from a
 	// checkpoint.
 	adopted, resumed bool
@@ -79,7 +83,7 @@
 }
 
 // place takes an attempt's room on its worker.
-func (h *holding) place(a *attempt) {
+func (h *holding) place(now time.Time, a *attempt) {
 	a.worker.attempts[a.name()] = a
 	a.worker.free = a.worker.free.Minus(a.step.spec.Reserved())
 	t := a.task()
@@ -89,10 +93,12 @@
 	if !t.done {
 		a.step.waiting--
 	}
+	h.enterTrial(now, a)
 }
 
 // unplace gives the room back.
 func (h *holding) unplace(a *attempt) {
+	a.leaveTrial()
 	delete(a.worker.attempts, a.name())
 	a.worker.free = a.worker.free.Plus(a.step.spec.Reserved())
 	t := a.task()
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -5,6 +5,9 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,7 +40,7 @@
 		w.until(30*time.Second, "the job is given up", func() bool { w.states(); return a.state == job.Failed })
 		w.check()
 	})
-	for seed := range seeds() {
+	for seed := range crashSeeds() {
 		t.Run(fmt.Sprint("among others ", seed), func(t *testing.T) {
 			t.Parallel()
 			crashesAmongOthers(t, 9000+seed)
@@ -45,6 +48,14 @@
 	}
 }
 
+// crashSeeds returns how many worlds are played.
+func crashSeeds() int64 {
+	if n, err := strconv.ParseInt(os.Getenv("SADDLEVANE_CRASH_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return seeds()
+}
+
 const (
 	// crashesFirst and startsAfter bound how often a task is started that crashes its
 	// workers: after this many crashes, fewer than that many times more.
@@ -82,6 +93,7 @@
 	if !guilty {
 		return
 	}
+	f.runs[run].lasts = max(f.runs[run].lasts, after+time.Second)
 	r := w.crashes[run.Task]
 	if r == nil {
 		r = &crashRecord{}
@@ -101,6 +113,29 @@
 	})
 }
 
+// entryLingers is how long the entry of a worker that has crashed is still listed: three
+// heartbeats.
+const entryLingers = 1200 * time.Millisecond
+
+// lingering returns the entries of workers that have crashed and are still listed.
+func (w *world) lingering() []order.Worker {
+	var all []order.Worker
+	for _, f := range w.workers {
+		if w.crashesSeen && !f.crashedAt.IsZero() && w.now.Sub(f.crashedAt) < entryLingers {
+			all = append(all, f.last)
+		}
+	}
+	return all
+}
+
+// entry returns what the list says of a worker.
+func (f *fakeWorker) entry() order.Worker {
+	return order.Worker{
+		ID: f.id, Address: f.id[:3], Pool: pool, Domain: "a", Rack: f.rack, Labels: []string{"a", f.rack},
+		Capacity: f.capacity, Leaving: f.leaving,
+	}
+}
+
 // isGuilty says whether a task of a job crashes its workers.
 func (w *world) isGuilty(a *asked) bool {
 	for task := range w.guilty {
@@ -117,19 +152,11 @@
 	if a.state != job.Failed || w.isGuilty(a) {
 		return
 	}
-	for task, n := range a.failures {
-		if n >= w.attemptsOf(a.sub.Queue) && task.Job == a.sub.ID {
+	for _, n := range a.failedRuns {
+		if n >= w.attemptsOf(a.sub.Queue) {
 			return
 		}
 	}
-	for _, f := range w.workers {
-		for _, end := range f.ended {
-			if end.Task.Job == a.sub.ID && end.How == order.Failed {
-				// Its end is in the log, and not forgotten by the worker yet.
-				return
-			}
-		}
-	}
 	w.breaks("%s is shown as failed after %v", a.sub.ID, a.failures)
 }
 
@@ -138,6 +165,9 @@
 // that are killed, one or all.
 func crashesAmongOthers(t *testing.T, seed int64) {
 	w := crashWorld(t, seed, 24)
+	if dir := os.Getenv("SADDLEVANE_CRASH_TRACE"); dir != "" {
+		t.Cleanup(func() { os.WriteFile(fmt.Sprintf("%s/%d", dir, seed), []byte(strings.Join(w.trace, "\n")), 0o600) })
+	}
 	for i := range 60 {
 		w.after(time.Duration(w.rng.Intn(25000))*time.Millisecond, func() { w.submit(w.randomJob(i)) })
 	}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -50,6 +50,7 @@
 		t.saved = end.Checkpoint
 	}
 	if end.How == order.Done {
+		h.acquit(s, end.Task.Index)
 		s.tookUntil(now, a)
 		if a != nil {
 			h.learnSpeed(now, a)
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -52,7 +52,7 @@
 			return together, s.waiting
 		}
 	}
-	return take(shares, s.waiting)
+	return take(shares, s.toPlace())
 }
 
 // candidates returns the workers that have room for a step. Avoided ones take no
@@ -82,9 +82,9 @@
 }
 
 // openTo says whether a step may use a worker: one that is drained for a gang takes
-// short steps only besides.
+// short steps only besides, and one with a suspect no suspected gang.
 func (w *worker) openTo(s *step, short bool) bool {
-	return w.drainedFor == nil || w.drainedFor == s || short
+	return (w.drainedFor == nil || w.drainedFor == s || short) && !(s.gangSuspected() && w.suspects > 0)
 }
 
 // candidate returns what speaks against a worker that has room for n tasks.
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -26,22 +26,43 @@
 	Worked time.Duration
 }
 
+// GivenUp says that a job was given up because workers crashed under a task of it. It is
+// told for the metrics.
+type GivenUp struct{ Crashes int }
+
 func (TasksLost) effect() {}
+func (GivenUp) effect()   {}
 
 // silent notes that a worker does not answer from now on.
-func (w *worker) silent(now time.Time) {
+func (h *holding) silent(now time.Time, w *worker) {
 	w.silentSince = now
-	w.silentListed = w.staysListed()
+	w.silentListed = h.staysListed(now, w)
+	if w.trials == 0 {
+		h.background.Silent(now, w.ID, w.Rack)
+	}
 }
 
-// staysListed says whether a worker is listed, and not about to leave.
-func (w *worker) staysListed() bool { return w.listed && w.missingSince.IsZero() && !w.Leaving }
+// answersAgain notes that a worker has answered.
+func (h *holding) answersAgain(w *worker) {
+	if !w.silentSince.IsZero() {
+		w.silentSince = time.Time{}
+		h.background.Answers(w.ID)
+	}
+}
+
+// staysListed says whether a worker that is found silent now was listed until then, and
+// not about to leave. The entry of one that has crashed goes some time after the crash,
+// which is found by the next look; one that leaves answers for long after its entry went.
+func (h *holding) staysListed(now time.Time, w *worker) bool {
+	missing := !w.missingSince.IsZero() && now.Sub(w.missingSince) > h.core.settings.Wait+lookMargin
+	return !missing && !w.Leaving
+}
 
 // endedAs tells how the life of a worker has ended that does not answer any more, or
 // of which it is sure that it is over.
-func (w *worker) endedAs(now time.Time, over bool) Ending {
+func (h *holding) endedAs(now time.Time, w *worker, over bool) Ending {
 	if w.silentSince.IsZero() {
-		w.silent(now)
+		h.silent(now, w)
 	}
 	switch {
 	case !w.silentListed:
@@ -56,6 +77,7 @@
 // loseAll frees the tasks of a worker that has surely ended them.
 func (h *holding) loseAll(now time.Time, w *worker, how Ending, why string) {
 	lost := TasksLost{How: how, Tasks: len(w.attempts)}
+	suspects := h.suspectsOn(w, w.silentSince)
 	for _, a := range w.sorted() {
 		lost.Worked += a.workedUntil(w.silentSince)
 		a.task().lost++
@@ -64,6 +86,9 @@
 	if lost.Tasks > 0 {
 		h.core.do(lost)
 	}
+	if how == Crashed {
+		h.judge(now, w, suspects)
+	}
 }
 
 // workedUntil returns for how long at most an attempt had been at work at a time, or 0
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/blame"
 	"saddlevane/services/lateness"
 	"saddlevane/services/planning"
 	"saddlevane/services/reservations"
@@ -63,6 +64,10 @@
 
 	advisers advisers
 	learned  lessons
+	// background is how often workers crash by no fault of their tasks.
+	background blame.Background
+	// triedOn has the suspects that earlier holders had started, by worker.
+	triedOn map[string][]suspect
 	// answers tells how late workers' answers are.
 	answers lateness.Meter
 
@@ -88,7 +93,7 @@
 	return &holding{
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
-		workers: map[string]*worker{}, unsettled: map[string]bool{},
+		workers: map[string]*worker{}, unsettled: map[string]bool{}, triedOn: map[string][]suspect{},
 		advisers: newAdvisers(), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
 	}
 }
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -68,6 +68,8 @@
 	// done counts tasks with a good end, attempts those with a place.
 	done     int
 	attempts int
+	// suspects counts the tasks that are to be tried apart.
+	suspects int
 	// open says that all earlier steps are done and tasks may be left.
 	open bool
 	// lastRun is the highest run number used for the step.
@@ -117,6 +119,11 @@
 	attempt *attempt
 	// lost counts the runs that were lost with their workers under this claim.
 	lost int
+	// blame is what is held against it since workers crashed under it, blamedRun the run
+	// that they crashed under last, tryAfter when it may be tried again.
+	blame     job.Blame
+	blamedRun int64
+	tryAfter  time.Time
 	// firstAt is when it was first started under this claim, startedAt when last, and
 	// again why that was not the same.
 	firstAt, startedAt time.Time
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -194,7 +194,7 @@
 		w.overdue[e.Look] = w.lookDue
 	}
 	if w.failures == 1 {
-		w.silent(now)
+		h.silent(now, w)
 		h.core.note("worker does not answer", Field{"worker", w.ID}, Field{"problem", e.Answer.Problem}, Field{"tasks", len(w.attempts)})
 	}
 	w.renewAt = now.Add(renewAgain)
@@ -214,7 +214,7 @@
 		h.core.note("worker answers again", Field{"worker", w.ID}, Field{"failures", w.failures})
 	}
 	w.failures = 0
-	w.silentSince = time.Time{}
+	h.answersAgain(w)
 	clear(w.overdue)
 	w.answeredAt = now
 	h.answeredLook(now, w, e)
@@ -249,6 +249,7 @@
 		} else {
 			h.resendStops(now, w)
 		}
+		h.endPreparation(now, w)
 		if h.phase == active {
 			h.renew(now, w)
 		}
@@ -259,9 +260,9 @@
 func (h *holding) lapsed(now time.Time, w *worker) {
 	if len(w.attempts) > 0 || w.settled || h.unsettled[w.ID] {
 		h.core.note("worker's lease has run out", Field{"worker", w.ID}, Field{"tasks", len(w.attempts)},
-			Field{"lapsed_for", now.Sub(w.goneAt).String()}, Field{"how", string(w.endedAs(now, false))})
+			Field{"lapsed_for", now.Sub(w.goneAt).String()}, Field{"how", string(h.endedAs(now, w, false))})
 	}
-	h.loseAll(now, w, w.endedAs(now, false), "the worker's lease has run out")
+	h.loseAll(now, w, h.endedAs(now, w, false), "the worker's lease has run out")
 	w.settled = false
 	delete(h.unsettled, w.ID)
 	if !w.listed {
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -13,6 +13,15 @@
 // overviewEvery is the time between two lines that sum the cell up.
 const overviewEvery = 2 * time.Second
 
+// byRack counts the workers of each rack.
+func (h *holding) byRack() map[string]int {
+	n := map[string]int{}
+	for _, w := range h.byName() {
+		n[w.Rack]++
+	}
+	return n
+}
+
 // overview says how full the workers are and what waits, so that a late job can
 // be seen in its surroundings.
 func (h *holding) overview(now time.Time) {
@@ -20,6 +29,7 @@
 		return
 	}
 	h.overviewAt = now.Add(overviewEvery)
+	h.background.Saw(now, h.byRack())
 	var capacity, free, promised, stopping resource.Vector
 	taking, kept := 0, 0
 	for _, w := range h.byName() {
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -198,7 +198,7 @@
 // start again and still be on time.
 func (h *holding) mayStop(p *pass, r ranked, a *attempt) bool {
 	s := a.step
-	if !h.uses(mechanism.Preemption) || a.state != running || a.marked || s.spec.Gang || s.spec.Service || s.job.state.Final() {
+	if !h.uses(mechanism.Preemption) || a.state != running || a.marked || a.trial || s.spec.Gang || s.spec.Service || s.job.state.Final() {
 		return false
 	}
 	if !s.spec.Checkpoints && (p.now.Sub(a.since) > youngTask || h.expect(s) < shortTask) {
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -25,7 +25,7 @@
 			in = h.addInstance(j, sp.Instance, now)
 		}
 		if sp.Step < len(in.steps) {
-			in.steps[sp.Step].resume(sp)
+			h.resumeStep(in.steps[sp.Step], sp)
 		}
 	}
 	for _, in := range ordered.Map(j.instances) {
@@ -38,8 +38,8 @@
 	h.opened(now, j)
 }
 
-// resume applies the log's progress to a step.
-func (s *step) resume(p job.StepProgress) {
+// resumeStep applies the log's progress to a step.
+func (h *holding) resumeStep(s *step, p job.StepProgress) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
@@ -49,6 +49,10 @@
 		}
 		t.failed = p.Failed[i]
 		t.saved = p.Saved[i]
+		if b, held := p.Blame[i]; held {
+			s.holdAgainst(i, b)
+			h.noteTried(s, i)
+		}
 	}
 }
 
@@ -101,6 +105,13 @@
 			sp.Failed[i] = t.failed
 			found = true
 		}
+		if t.blame.Crashes > 0 && !t.done {
+			if sp.Blame == nil {
+				sp.Blame = map[int]job.Blame{}
+			}
+			sp.Blame[i] = t.blame
+			found = true
+		}
 		if t.saved != "" && !t.done {
 			if sp.Saved == nil {
 				sp.Saved = map[int]string{}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -50,6 +50,7 @@
 		}
 	}
 	a.seen(now, r)
+	h.worksOn(now, a)
 	if a.step.spec.Checkpoints && r.Checkpoint != "" {
 		a.task().saved = r.Checkpoint
 	}
@@ -75,7 +76,7 @@
 		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true, adopted: true,
 		pace: paceUnknown,
 	}
-	h.place(a)
+	h.place(now, a)
 	s.lastRun = max(s.lastRun, r.Number)
 	h.started(a)
 	return a
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -14,7 +14,7 @@
 // start orders a worker to run a task.
 func (h *holding) start(now time.Time, s *step, index int, run int64, w *worker, ticket string) {
 	a := &attempt{step: s, index: index, run: run, worker: w, state: starting, since: now, looks: h.looks, pace: fullPace, beganAt: now}
-	h.place(a)
+	h.place(now, a)
 	a.task().began(now)
 	saved := a.task().saved
 	if s.spec.Gang {
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -80,6 +80,8 @@
 	q := h.queueOf(s.job)
 	set := h.workersFor(newPass(now), s, q.Pool)
 	switch {
+	case s.suspects > 0 && s.toPlace() <= 0:
+		return h.whySuspected(s)
 	case !s.job.accepted:
 		return "the log has not confirmed the job yet"
 	case !s.instance.reached(s):
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -94,6 +94,11 @@
 	// failedJobs counts failed ends of different jobs in a row.
 	failedJobs int
 	lastFailed job.ID
+	// suspects counts the attempts of suspects on it, trials those beside which nothing
+	// is started.
+	suspects, trials int
+	// prepared says for which likely suspect it is kept, or is nil.
+	prepared *preparation
 	// excludedTill is until when the worker gets no starts.
 	excludedTill time.Time
 }
@@ -138,6 +143,11 @@
 
 // takes says whether new tasks may be started on the worker.
 func (h *holding) takes(now time.Time, w *worker) bool {
+	return w.trials == 0 && w.prepared == nil && h.isSound(now, w)
+}
+
+// isSound says whether a worker could take new tasks if it were not kept for a suspect.
+func (h *holding) isSound(now time.Time, w *worker) bool {
 	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
 		now.Sub(w.answeredAt) < h.core.settings.Wait+h.patience(now, silentAfter) && !now.Before(w.excludedTill) && !(h.uses(mechanism.OwedAnswers) && h.owes(now, w))
 }
@@ -173,7 +183,7 @@
 
 // workerDied frees the tasks of a worker whose life is over for sure.
 func (h *holding) workerDied(now time.Time, w *worker, why string) {
-	how := w.endedAs(now, true)
+	how := h.endedAs(now, w, true)
 	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)}, Field{"how", string(how)})
 	h.loseAll(now, w, how, why)
 	delete(h.unsettled, w.ID)
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -139,6 +139,8 @@
 	done      map[job.TaskID]bool
 	noted     map[job.TaskID]bool
 	failures  map[job.TaskID]int
+	// failedRuns counts runs that ended failed, also those whose end was never noted.
+	failedRuns map[job.TaskID]int
 }
 
 func newWorld(t *testing.T, seed int64, boxes, workers int) *world {
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -166,12 +166,10 @@
 	l := order.Listing{Whole: true}
 	for _, f := range b.w.workers {
 		if f.alive && !f.hidden {
-			l.Present = append(l.Present, order.Worker{
-				ID: f.id, Address: f.id[:3], Pool: pool, Domain: "a", Rack: f.rack, Labels: []string{"a", f.rack},
-				Capacity: f.capacity, Leaving: f.leaving,
-			})
+			l.Present = append(l.Present, f.entry())
 		}
 	}
+	l.Present = append(l.Present, b.w.lingering()...)
 	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.WorkersRead{Listing: l}) })
 }
 
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -321,6 +321,9 @@
 		how = order.Failed
 	}
 	a := w.jobs[run.Task.Job]
+	if how == order.Failed {
+		a.failedRun(run, r.step.Gang)
+	}
 	if !r.step.Gang {
 		r.end(w.now, how)
 		if how == order.Done {
@@ -347,12 +350,24 @@
 	}
 }
 
+// failedRun counts a run that ended failed; one of a gang counts for all its members.
+func (a *asked) failedRun(run order.Run, gang bool) {
+	if a.failedRuns == nil {
+		a.failedRuns = map[job.TaskID]int{}
+	}
+	if gang {
+		run = gangOf(run)
+	}
+	a.failedRuns[run.Task]++
+}
+
 // crash ends a worker's life; another one comes later at the same address.
 func (f *fakeWorker) crash(back time.Duration) {
 	if !f.alive {
 		return
 	}
 	f.alive = false
+	f.last, f.crashedAt = f.entry(), f.w.now
 	f.runs = map[order.Run]*fakeRun{}
 	f.ended = nil
 	f.w.after(back, func() {
@@ -386,6 +401,9 @@
 	stalls bool
 	// slowBy is how many times as long tasks take on it, if not 0.
 	slowBy int
+	// last is the entry of the life before, which crashed at crashedAt.
+	last      order.Worker
+	crashedAt time.Time
 	// begun counts the starts on it.
 	begun int
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -280,6 +280,9 @@
 		l.notes.write(e)
 	case dispatch.TasksLost:
 		l.metrics.lost(e)
+	case dispatch.GivenUp:
+		l.metrics.givenUp.Inc()
+		l.metrics.crashesBlamed.Add(float64(e.Crashes))
 	case dispatch.Stopped:
 		l.stopOnce.Do(func() { close(l.stopped) })
 	}
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -47,6 +47,9 @@
 	// tasksLost counts tasks that were lost with their workers, by how those ended,
 	// workLost how long they had been at work.
 	tasksLost, workLost *prometheus.CounterVec
+	// givenUp counts jobs that were given up because workers crashed under a task of them,
+	// crashesBlamed those workers.
+	givenUp, crashesBlamed prometheus.Counter
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -81,7 +84,13 @@
 	}
 	m.tasksLost = counter("tasks_lost_total", "Tasks that were lost with their workers, by how those ended.", "worker")
 	m.workLost = counter("tasks_lost_worked_seconds_total", "How long tasks that were lost with their workers had been at work, by how those ended.", "worker")
-	m.registry.MustRegister(m.tasksLost, m.workLost, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "saddlevane_jobs_given_up_crashes_total", Help: "Jobs that were given up because workers crashed under a task of them.",
+	})
+	m.crashesBlamed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "saddlevane_worker_crashes_blamed_total", Help: "Crashes of workers under tasks whose jobs were given up for it.",
+	})
+	m.registry.MustRegister(m.tasksLost, m.workLost, m.givenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
 		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned, m.refused)
 	return m
 }
