blame: verdicts wait for what else is seen, and three crashes are enough for a trial alone

Cause: a job was given up for the crash that was seen first of several workers that crashed together; a task under which several workers had crashed stayed below the odds for a trial alone, since tasks beside it had just begun; a late look made its crashes seem to come at different points of its work.

--- a/models/job/blame.go
+++ b/models/job/blame.go
@@ -19,8 +19,10 @@
 	// Odds are how much likelier it is that the task crashes its workers than that it
 	// does not.
 	Odds float64 `json:"o"`
-	// Longest is the longest time for which it had been at work when a worker crashed.
-	Longest Milliseconds `json:"l,omitempty"`
+	// Longest is the longest time for which it may have been at work when a worker
+	// crashed, Shortest the shortest.
+	Longest  Milliseconds `json:"l,omitempty"`
+	Shortest Milliseconds `json:"s,omitempty"`
 	// TriedOn has the workers on which it was started last since, one but for a gang, and
 	// TriedAt when, in milliseconds since 1970: if one is gone when another box takes the
 	// cell over, it crashed under the task.
@@ -35,7 +37,7 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return err
 	}
-	if p.Crashes < 1 || p.Alone < 0 || p.Alone > p.Crashes || p.Odds < 0 || math.IsInf(p.Odds, 0) || p.Longest < 0 {
+	if p.Crashes < 1 || p.Alone < 0 || p.Alone > p.Crashes || p.Odds < 0 || math.IsInf(p.Odds, 0) || p.Shortest < 0 || p.Longest < p.Shortest {
 		return fmt.Errorf("blame: %+v makes no sense", p)
 	}
 	*b = Blame(p)
--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -116,25 +116,23 @@
 func (b *Background) Hazard(at time.Time, worker, rack string) float64 {
 	all := (b.all.crashes + firstRate*firstWeight) / (b.all.seconds + firstWeight)
 	r := b.rack(rack)
-	rate := (r.crashes + all*rackWeight) / (r.seconds + rackWeight)
-	return rate + max(b.shareSilent(at, worker, ""), b.shareSilent(at, worker, rack))/(2*together).Seconds()
+	ofRack := (r.crashes + all*rackWeight) / (r.seconds + rackWeight)
+	common := max(b.common(at, worker, "", b.total, all), b.common(at, worker, rack, b.workers[rack], ofRack))
+	return ofRack + common
 }
 
-// shareSilent returns the share of the other workers, of a rack or of all, that stopped
-// answering at about a time. One is no sign of a common cause: it does not count.
-func (b *Background) shareSilent(at time.Time, worker, rack string) float64 {
-	others := b.total - 1
-	if rack != "" {
-		others = b.workers[rack] - 1
-	}
+// common returns how much likelier a worker was to crash at a time, a second, because
+// others of a rack, or of all, stopped answering at about the same time. One that did is no
+// sign of a common cause, and neither are as many as the rate explains.
+func (b *Background) common(at time.Time, worker, rack string, workers int, rate float64) float64 {
 	n := 0
 	for _, s := range b.silent {
 		if s.worker != worker && s.at.Sub(at).Abs() <= together && (rack == "" || s.rack == rack) {
 			n++
 		}
 	}
-	if n < 2 {
-		return 0
-	}
-	return min(1, float64(n-1)/float64(max(1, others)))
+	others := float64(max(1, workers-1))
+	window := (2 * together).Seconds()
+	more := float64(n-1) - rate*others*window
+	return min(1, max(0, more)/others) / window
 }
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -16,10 +16,11 @@
 // more than one beside another suspect: suspects are therefore to be tried apart, as in
 // group testing.
 //
-// In 600 random worlds of 24 workers, with three guilty tasks each, workers and racks that
-// crash by themselves, and boxes that are killed, none of 36,600 jobs that crash nothing was
-// given up, and 7 of 1,800 guilty tasks were started more than five times
-// (services/dispatch, crash_test.go).
+// In 1,200 random worlds of 24 workers, with three guilty tasks each, workers and racks that
+// crash by themselves, and boxes that are killed, none of 73,200 jobs that crash nothing was
+// given up, and 4 of 3,600 guilty tasks were started more than five times, where counting
+// three crashes would have given up 336 tasks that crash nothing (services/dispatch,
+// crash_test.go).
 package blame
 
 import (
@@ -45,7 +46,7 @@
 	// suspected and likely are from which probability of guilt on a task is kept apart
 	// from other suspects, and is tried on a worker that gets
 	// nothing else meanwhile. Of tasks that crash nothing and were on a worker that
-	// crashed, 42% come to suspected and 11% to likely (14,266 tasks of random worlds).
+	// crashed, 42% come to suspected and 11% to likely (14,266 in random worlds).
 	suspected = 0.005
 	likely    = 0.05
 	// samePoint is the share of guilty tasks that crash their workers at about the same
@@ -56,6 +57,8 @@
 	// crashesLeast is how many workers must have crashed under a task before it is given
 	// up.
 	crashesLeast = 2
+	// crashesMany is from how many crashes on it is tried alone whatever the odds.
+	crashesMany = 3
 
 	// A run that has been at work for clearFactor times as long as any before at the
 	// crash of its worker, and clearLeast more, clears its task.
@@ -84,8 +87,9 @@
 // Suspected says whether a task is to be kept apart from other suspects.
 func Suspected(b job.Blame) bool { return Probability(b) >= suspected }
 
-// Likely says whether a task is to be tried on a worker that gets nothing else.
-func Likely(b job.Blame) bool { return Probability(b) >= likely }
+// Likely says whether a task is to be tried on a worker that gets nothing else: it is
+// likely to be guilty, or so many workers have crashed under it that it is time to know.
+func Likely(b job.Blame) bool { return Probability(b) >= likely || b.Crashes >= crashesMany }
 
 // Guilty says whether a task is to be given up.
 func Guilty(b job.Blame) bool {
@@ -173,7 +177,11 @@
 		b.Alone++
 	}
 	if !s.Bound {
-		b.Longest = max(b.Longest, job.Milliseconds(s.Worked.Milliseconds()))
+		worked := job.Milliseconds(s.Worked.Milliseconds())
+		if b.Longest == 0 || worked < b.Shortest {
+			b.Shortest = worked
+		}
+		b.Longest = max(b.Longest, worked)
 	}
 	b.TriedOn, b.TriedAt = nil, 0
 	return job.Blame(b)
@@ -186,12 +194,17 @@
 	if s.Before.Crashes == 0 || s.Before.Longest == 0 || s.Bound {
 		return any
 	}
-	before := s.Before.Longest.Duration()
-	span := max(seenWithin, before/samePart)
-	if (s.Worked - before).Abs() > span {
-		return (1 - samePoint) * any
+	return (1-samePoint)*any + samePoint*max(s.near(s.Before.Shortest), s.near(s.Before.Longest))
+}
+
+// near returns the hazard, a second, of a crash at about the time for which the task had
+// been at work at one before.
+func (s Suspect) near(before job.Milliseconds) float64 {
+	span := max(seenWithin, before.Duration()/samePart)
+	if (s.Worked - before.Duration()).Abs() > span {
+		return 0
 	}
-	return (1-samePoint)*any + samePoint/(2*span).Seconds()
+	return 1 / (2 * span).Seconds()
 }
 
 // hazard returns the hazard, a second, of a crash by a guilty task of which nothing else
--- a/services/blame/blame_test.go
+++ b/services/blame/blame_test.go
@@ -122,13 +122,13 @@
 }
 
 func TestWhatIsHeldAgainstATaskIsCheckedWhenItIsRead(t *testing.T) {
-	kept := job.Blame{Crashes: 3, Alone: 1, Odds: 12.5, Longest: 20, TriedOn: []string{"w"}, TriedAt: 77}
+	kept := job.Blame{Crashes: 3, Alone: 1, Odds: 12.5, Longest: 20, Shortest: 10, TriedOn: []string{"w"}, TriedAt: 77}
 	data, err := json.Marshal(kept)
 	assert.NilError(t, err)
 	var read job.Blame
 	assert.NilError(t, json.Unmarshal(data, &read))
 	assert.DeepEqual(t, read, kept)
-	for _, bad := range []string{`{"n":0,"o":1}`, `{"n":1,"o":-1}`, `{"n":1,"a":2,"o":1}`, `{"n":1,"o":1,"l":-5}`, `{"n":1,"o":1e999}`, `[]`} {
+	for _, bad := range []string{`{"n":0,"o":1}`, `{"n":1,"o":-1}`, `{"n":1,"a":2,"o":1}`, `{"n":1,"o":1,"l":-5}`, `{"n":1,"o":1,"l":5,"s":6}`, `{"n":1,"o":1e999}`, `[]`} {
 		assert.Check(t, json.Unmarshal([]byte(bad), &read) != nil, bad)
 	}
 }
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -66,6 +66,8 @@
 	learned  lessons
 	// background is how often workers crash by no fault of their tasks.
 	background blame.Background
+	// accused are the tasks that are to be given up, the first due first.
+	accused []accusation
 	// triedOn has the suspects that earlier holders had started, by worker.
 	triedOn map[string][]suspect
 	// answers tells how late workers' answers are.
@@ -165,6 +167,7 @@
 	h.fallDue(now)
 	h.isRoomy = h.roomy(now)
 	h.sweepWorkers(now)
+	h.verdicts(now)
 	h.sweepAdvice(now)
 	h.dropEnded(now)
 	h.overview(now)
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -124,6 +124,8 @@
 	blame     job.Blame
 	blamedRun int64
 	tryAfter  time.Time
+	// accused says that its job is about to be given up for it.
+	accused bool
 	// firstAt is when it was first started under this claim, startedAt when last, and
 	// again why that was not the same.
 	firstAt, startedAt time.Time
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -8,6 +8,7 @@
 
 	"saddlevane/models/job"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/blame"
 )
 
 // resume applies the log's progress to a job that has just been read.
@@ -52,6 +53,11 @@
 		if b, held := p.Blame[i]; held {
 			s.holdAgainst(i, b)
 			h.noteTried(s, i)
+			if blame.Guilty(b) {
+				// The holder before was lost before it gave the job up.
+				s.tasks[s.unit(i)].accused = true
+				h.accused = append(h.accused, accusation{task: suspect{step: s, index: s.unit(i)}})
+			}
 		}
 	}
 }
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -27,6 +27,9 @@
 	trialFor   = 2 * time.Second
 	// prepareMost is how long a worker is kept for a likely suspect that has not begun.
 	prepareMost = 3 * time.Second
+	// verdictAfter is how long after a crash a job is given up for it: about as long as it
+	// takes until other workers that crashed at the same time are seen.
+	verdictAfter = time.Second
 	// unknownTasks is the hazard, a second, of a crash by tasks of which this holder does
 	// not know: those on a worker that it has not heard yet, about a dozen.
 	unknownTasks = 0.01
@@ -157,38 +160,99 @@
 	return a.workedUntil(at)
 }
 
+// crash is what is known of the crash of a worker.
+type crash struct {
+	worker, rack string
+	at           time.Time
+	on           []suspect
+	// input is what is held against each of them before, and for how long they worked.
+	input []blame.Suspect
+	// unknown is the hazard by tasks that this holder does not know.
+	unknown float64
+}
+
+// judged returns what the crash says of the tasks that were on the worker, by what is
+// known of other workers now.
+func (c *crash) judged(b *blame.Background) []job.Blame {
+	return blame.Judge(c.input, b.Hazard(c.at, c.worker, c.rack)+c.unknown)
+}
+
 // judge tells what the crash of a worker says of the tasks that were on it.
 func (h *holding) judge(now time.Time, w *worker, on []suspect) {
-	input := make([]blame.Suspect, len(on))
-	for i, s := range on {
-		input[i] = blame.Suspect{Before: s.step.tasks[s.index].blame, Worked: s.worked, Alone: s.alone, Bound: s.bound}
+	c := &crash{worker: w.ID, rack: w.Rack, at: w.silentSince, on: on}
+	for _, s := range on {
+		c.input = append(c.input, blame.Suspect{Before: s.step.tasks[s.index].blame, Worked: s.worked, Alone: s.alone, Bound: s.bound})
 	}
-	hazard := h.background.Hazard(w.silentSince, w.ID, w.Rack)
 	if !w.settled {
-		hazard += unknownTasks
+		c.unknown = unknownTasks
 	}
-	judged := blame.Judge(input, hazard)
+	judged := c.judged(&h.background)
 	h.background.Crashed(w.Rack, blame.Unexplained(judged))
-	for i, s := range on {
-		h.holdAgainst(now, w, s, judged[i])
+	for i := range on {
+		h.holdAgainst(now, c, i, judged[i])
 	}
 }
 
-// holdAgainst notes what is held against a task since a worker crashed under it, and
-// gives its job up if that is enough. What is little is not kept in the log.
-func (h *holding) holdAgainst(now time.Time, w *worker, on suspect, b job.Blame) {
-	s := on.step
+// holdAgainst notes what is held against a task since a worker crashed under it. If that
+// is enough to give its job up, it is judged again shortly.
+func (h *holding) holdAgainst(now time.Time, c *crash, i int, b job.Blame) {
+	on := c.on[i]
+	s, t := on.step, &on.step.tasks[on.index]
 	s.holdAgainst(on.index, b)
-	s.tasks[on.index].blamedRun = on.run
-	h.core.note("a worker crashed under a task", Field{"job", string(s.job.id)}, Field{"task", s.taskName(on.index)}, Field{"worker", w.ID},
+	t.blamedRun = on.run
+	h.markDirty(s.job)
+	h.core.note("a worker crashed under a task", Field{"job", string(s.job.id)}, Field{"task", s.taskName(on.index)}, Field{"worker", c.worker},
 		Field{"crashes", b.Crashes}, Field{"guilty", fmt.Sprintf("%.3g", blame.Probability(b))}, Field{"worked_most", on.worked.String()})
+	t.tryAfter = now.Add(blame.Wait(b))
 	if blame.Guilty(b) {
-		h.core.do(GivenUp{Crashes: b.Crashes})
-		h.finish(now, s.job, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, s.taskName(on.index)))
-		return
+		t.accused = true
+		h.accused = append(h.accused, accusation{task: on, crash: c, place: i, due: now.Add(verdictAfter)})
 	}
-	h.markDirty(s.job)
-	s.tasks[on.index].tryAfter = now.Add(blame.Wait(b))
+}
+
+// accusation is a task that is to be given up, unless more is known of the crash by then:
+// when the first of several workers that crash together is seen, the others are not.
+type accusation struct {
+	task suspect
+	// crash is what it is accused for, at which it has a place, or nil under an earlier
+	// holder.
+	crash *crash
+	place int
+	due   time.Time
+}
+
+// judged returns what is held against the task by what is known now.
+func (a accusation) judged(b *blame.Background) job.Blame {
+	if a.crash == nil {
+		return a.task.step.blameOf(a.task.index)
+	}
+	return a.crash.judged(b)[a.place]
+}
+
+// verdicts gives up the jobs of accused tasks whose time has come, if all that is known
+// now still says so.
+func (h *holding) verdicts(now time.Time) {
+	for len(h.accused) > 0 && !now.Before(h.accused[0].due) {
+		a := h.accused[0]
+		h.accused = h.accused[1:]
+		s, b := a.task.step, a.judged(&h.background)
+		s.tasks[a.task.index].accused = false
+		if s.job.state.Final() || s.blameOf(a.task.index).Crashes != b.Crashes {
+			continue
+		}
+		s.holdAgainst(a.task.index, b)
+		h.markDirty(s.job)
+		if blame.Guilty(b) {
+			h.giveUp(now, s, a.task.index)
+		}
+	}
+}
+
+// giveUp gives up the job of a task under which workers crashed.
+func (h *holding) giveUp(now time.Time, s *step, index int) {
+	b := s.blameOf(index)
+	h.core.do(GivenUp{Crashes: b.Crashes})
+	h.finish(now, s.job, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, s.taskName(index)))
 }
 
 // taskName names a task of the step.
@@ -360,7 +424,8 @@
 // if it is likely to be guilty, and not too many workers are at risk.
 func (h *holding) mayTry(now time.Time, s *step, index int) bool {
 	b := s.blameOf(index)
-	if now.Before(s.tasks[s.unit(index)].tryAfter) || blame.Likely(b) && h.journal.awaits(s.job) {
+	t := &s.tasks[s.unit(index)]
+	if t.accused || now.Before(t.tryAfter) || blame.Likely(b) && h.journal.awaits(s.job) {
 		return false
 	}
 	risk := blame.Probability(b)
