platform, dispatch: entries that another writer left name no worker

Cause: whatever could be decoded became a worker. An entry is checked now: its fields, their types, the state, the address, its room; one that fails is as good as gone, told of once with the reason, and counted. Workers of pools that no configuration or job names are left alone. The same for announcements of boxes, kept jobs and their progress, and a configuration beside one that cannot be read, which was passed over with it.

TestAListingTellsWhoIsThereAndWhoIsGone: its third entry had a state and no other field; it is a whole one now, that drains, as strict.

TestEntriesOfOtherWritersNameNoWorker: red before, green after.

--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,7 @@
 	$(GO) test ./modules/joblog -run xxx -fuzz FuzzRead -fuzztime 60s
 	$(GO) test ./platform -run xxx -fuzz FuzzListingAndConfig -fuzztime 60s
 	$(GO) test ./services/relay -run xxx -fuzz FuzzBatch -fuzztime 60s
+	$(GO) test ./services/dispatch -run xxx -fuzz FuzzLoadedJobs -fuzztime 60s
 
 clean: ## remove what was built
 	rm -rf $(BIN)
--- a/models/claim/claim.go
+++ b/models/claim/claim.go
@@ -40,3 +40,11 @@
 	// held by a large box if there is one.
 	Size int64 `json:"size,omitempty"`
 }
+
+// Check says why an announcement names no box, or nothing if it does.
+func (m Member) Check() error {
+	if m.Box == "" || m.Incarnation == "" || m.Address == "" || m.Size < 0 {
+		return fmt.Errorf("box %q of incarnation %q at %q, size %d", m.Box, m.Incarnation, m.Address, m.Size)
+	}
+	return nil
+}
--- a/models/order/worker.go
+++ b/models/order/worker.go
@@ -4,6 +4,10 @@
 package order
 
 import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"saddlevane/models/resource"
@@ -25,12 +29,38 @@
 	Remaining time.Duration
 }
 
+// Check says why an entry names no worker, or nothing if it does. A worker's room may be
+// nothing for a while.
+func (w *Worker) Check() error {
+	host, port, err := net.SplitHostPort(w.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	switch {
+	case w.ID == "":
+		return errors.New("it has no id")
+	case w.Pool == "":
+		return errors.New("it names no pool")
+	case w.Domain == "":
+		return errors.New("it names no failure domain")
+	case err != nil || host == "" || portErr != nil || number == 0:
+		return fmt.Errorf("%q is no address", w.Address)
+	case w.Capacity.IsNegative():
+		return fmt.Errorf("its capacity %v is below nothing", w.Capacity)
+	case w.Remaining < 0:
+		return fmt.Errorf("it leaves in %v", w.Remaining)
+	default:
+		return nil
+	}
+}
+
 // Listing is a change of the platform's list of workers.
 type Listing struct {
 	// Whole says that workers which are not named are no longer listed.
 	Whole   bool
 	Present []Worker
-	Gone    []string
+	// Gone has the ids of entries that name no worker any more.
+	Gone []string
+	// Foreign says why, of those that were there and could not be read.
+	Foreign map[string]string
 }
 
 // Ticket is the advice service's leave to run a step on a worker.
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -230,6 +230,7 @@
 	c.config = &config
 	c.note("configuration in force", Field{"config", config.Version}, Field{"queues", len(config.Queues)})
 	if c.holding != nil {
+		c.holding.namePools(config)
 		c.holding.planDue = true
 	}
 }
--- a/services/dispatch/effects.go
+++ b/services/dispatch/effects.go
@@ -166,6 +166,11 @@
 // Stopped says that a planned stop is complete.
 type Stopped struct{}
 
+// EntryRefused says that an entry of the list of workers names none. It is told for the
+// metrics.
+type EntryRefused struct{}
+
+func (EntryRefused) effect()  {}
 func (Append) effect()        {}
 func (LoadJobs) effect()      {}
 func (FollowWorkers) effect() {}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -56,6 +56,10 @@
 	early *pass
 	// reserved has the room that is reserved for gangs.
 	reserved *reservations.Book
+	// pools has the pools that configurations, or jobs, have named. foreign says of entries
+	// why they name no worker.
+	pools   map[string]bool
+	foreign map[string]string
 	// looks counts the renewals asked for.
 	looks int64
 	// unsettled names workers of earlier holders that have not told what they
@@ -92,12 +96,17 @@
 }
 
 func newHolding(c *Core, now time.Time, epoch int64) *holding {
-	return &holding{
+	h := &holding{
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{}, triedOn: map[string][]suspect{},
 		advisers: newAdvisers(), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
+		pools: map[string]bool{}, foreign: map[string]string{},
 	}
+	if c.config != nil {
+		h.namePools(*c.config)
+	}
+	return h
 }
 
 // Keys of the stream of jobs start with what they hold.
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -140,6 +140,7 @@
 		acceptedAt: now.Add(-max(0, age)), instances: map[int]*instance{}, state: job.Queued, shown: job.Queued,
 	}
 	h.jobs[j.id] = j
+	h.pools[in.Pool] = true
 	if sub.Repeat.Times > 0 {
 		h.repeating = append(h.repeating, j)
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -51,6 +51,10 @@
 	if w.look != 0 || now.Before(w.renewAt) || w.Address == "" || !h.mayRenew(now) {
 		return
 	}
+	if !h.pools[w.Pool] && len(w.attempts) == 0 && !h.unsettled[w.ID] {
+		// No job could run there.
+		return
+	}
 	h.looks++
 	w.look = h.looks
 	for len(w.notes) > 0 && w.notes[0].kept {
--- a/services/dispatch/listing.go
+++ b/services/dispatch/listing.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/models/order"
 )
 
@@ -20,8 +21,10 @@
 		h.missingIn(now, l)
 	}
 	for _, o := range l.Present {
+		delete(h.foreign, o.ID)
 		h.workerListed(now, o)
 	}
+	h.noteForeign(l)
 	for _, id := range l.Gone {
 		if w := h.workers[id]; w != nil {
 			h.entryMissing(now, w)
@@ -30,6 +33,38 @@
 	h.planDue = true
 }
 
+// foreignMost bounds the entries of other writers that are remembered, so that each is
+// told of once.
+const foreignMost = 1000
+
+// noteForeign tells of entries that name no worker, once for each reason. A worker at work
+// under such a name keeps its tasks and gets no more.
+func (h *holding) noteForeign(l order.Listing) {
+	for _, id := range l.Gone {
+		why, foreign := l.Foreign[id]
+		if !foreign {
+			delete(h.foreign, id)
+			continue
+		}
+		if h.foreign[id] == why || len(h.foreign) >= foreignMost {
+			continue
+		}
+		h.foreign[id] = why
+		h.core.note("an entry names no worker", Field{"entry", id}, Field{"reason", why}, Field{"known", h.workers[id] != nil})
+		h.core.do(EntryRefused{})
+	}
+}
+
+// namePools notes the pools that a configuration names: workers of others are left alone.
+func (h *holding) namePools(config job.Config) {
+	for pool := range config.Guarded {
+		h.pools[pool] = true
+	}
+	for _, q := range config.Queues {
+		h.pools[q.Pool] = true
+	}
+}
+
 // missingIn acts on the workers that a whole list does not name.
 func (h *holding) missingIn(now time.Time, l order.Listing) {
 	present := map[string]bool{}
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -64,7 +65,14 @@
 // foldJob takes over a job that an earlier holder accepted.
 func (h *holding) foldJob(now time.Time, id job.ID, value, progress []byte) {
 	var kept keptSubmission
-	if err := json.Unmarshal(value, &kept); err != nil {
+	err := json.Unmarshal(value, &kept)
+	if err == nil && kept.Submission.ID != id {
+		err = fmt.Errorf("it is that of job %q", kept.Submission.ID)
+	}
+	if err == nil {
+		err = kept.Submission.Check()
+	}
+	if err != nil {
 		h.core.note("a kept job could not be read", Field{"job", string(id)}, Field{"error", err.Error()})
 		return
 	}
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -20,12 +20,12 @@
 	for _, sp := range p.Steps {
 		in := j.instances[sp.Instance]
 		if in == nil {
-			if sp.Instance >= j.submission.Instances() || sp.Step >= len(j.submission.Steps) {
+			if sp.Instance < 0 || sp.Instance >= j.submission.Instances() {
 				continue
 			}
 			in = h.addInstance(j, sp.Instance, now)
 		}
-		if sp.Step < len(in.steps) {
+		if sp.Step >= 0 && sp.Step < len(in.steps) {
 			h.resumeStep(in.steps[sp.Step], sp)
 		}
 	}
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -87,7 +87,6 @@
 	config, found, err := l.platform.Config(p.Records)
 	if err != nil {
 		l.log.WithError(err).Error("a configuration could not be read")
-		return
 	}
 	if found {
 		l.post(dispatch.ConfigRead{Config: config})
@@ -113,7 +112,11 @@
 	var members []claim.Member
 	for _, r := range p.Records {
 		var m claim.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		err := json.Unmarshal(r.Value, &m)
+		if err == nil {
+			err = m.Check()
+		}
+		if err != nil {
 			l.log.WithError(err).Warning("a box's announcement could not be read")
 			continue
 		}
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -280,6 +280,8 @@
 		l.notes.write(e)
 	case dispatch.TasksLost:
 		l.metrics.lost(e)
+	case dispatch.EntryRefused:
+		l.metrics.entriesRefused.Inc()
 	case dispatch.GivenUp:
 		l.metrics.givenUp.Inc()
 		l.metrics.crashesBlamed.Add(float64(e.Crashes))
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -50,6 +50,8 @@
 	// givenUp counts jobs that were given up because workers crashed under a task of them,
 	// crashesBlamed those workers.
 	givenUp, crashesBlamed prometheus.Counter
+	// entriesRefused counts entries of the list of workers that name none.
+	entriesRefused prometheus.Counter
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
@@ -90,7 +92,10 @@
 	m.crashesBlamed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_worker_crashes_blamed_total", Help: "Crashes of workers under tasks whose jobs were given up for it.",
 	})
-	m.registry.MustRegister(m.tasksLost, m.workLost, m.givenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+	m.entriesRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "saddlevane_worker_entries_refused_total", Help: "Entries of the list of workers that name no worker, as they changed.",
+	})
+	m.registry.MustRegister(m.entriesRefused, m.tasksLost, m.workLost, m.givenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
 		m.callsAgain, m.connectionsGivenUp, m.connectionsOpen, m.bytes, m.waited, m.planned, m.refused)
 	return m
 }
