--- a/services/dispatch/foreign_test.go
+++ b/services/dispatch/foreign_test.go
@@ -46,13 +46,13 @@
 	d, _ := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
 	other := order.Worker{ID: "o", Address: "o", Pool: "other", Capacity: fullSize}
 	effects := d.handle(dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{other}}})
-	effects = append(effects, d.later(200 * time.Millisecond)...)
+	effects = append(effects, d.later(200*time.Millisecond)...)
 	for _, r := range only[dispatch.Renew](effects) {
 		assert.Check(t, r.Worker != "o")
 	}
 	c := config()
 	c.Version, c.Guarded = 2, map[string]bool{"other": false}
-	effects = append(d.handle(dispatch.ConfigRead{Config: c}), d.later(200 * time.Millisecond)...)
+	effects = append(d.handle(dispatch.ConfigRead{Config: c}), d.later(200*time.Millisecond)...)
 	asked := false
 	for _, r := range only[dispatch.Renew](effects) {
 		asked = asked || r.Worker == "o"
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -140,7 +140,7 @@
 
 // failure returns why the reservation of a step comes to nothing, or "".
 func (h *holding) failure(now time.Time, s *step) reservations.Outcome {
-	if !h.usable(now, s.reservation) {
+	if !h.usable(now, s.reservation, s.spec.Reserved()) {
 		return reservations.Unusable
 	}
 	if now.Sub(s.reservation.since) <= reservationMost {
@@ -170,10 +170,11 @@
 		Field{"held_for", now.Sub(s.reservation.since).String()}, Field{"claim", h.epoch})
 }
 
-// usable says whether all workers of a reservation still take tasks.
-func (h *holding) usable(now time.Time, res *reservation) bool {
+// usable says whether all workers of a reservation still take tasks, and could hold those
+// that need some room each: room may shrink.
+func (h *holding) usable(now time.Time, res *reservation, need resource.Vector) bool {
 	return !slices.ContainsFunc(res.shares, func(sh share) bool {
-		return h.workers[sh.worker.ID] != sh.worker || !h.takes(now, sh.worker)
+		return h.workers[sh.worker.ID] != sh.worker || !h.takes(now, sh.worker) || !need.Times(sh.tasks).Fits(sh.worker.Capacity)
 	})
 }
 
--- /dev/null
+++ b/services/dispatch/shrink_test.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saddlevane/models/order"
+	"saddlevane/models/resource"
+	"saddlevane/services/dispatch"
+
+	"gotest.tools/v3/assert"
+)
+
+// shrinkCounts is how long after a worker's room has shrunk a start counts as over it: it
+// has to be written to the list and read from it.
+const shrinkCounts = 3400 * time.Millisecond
+
+// room returns what a start on a worker may take.
+func (f *fakeWorker) room() resource.Vector {
+	if f.w.now.Sub(f.shrunkAt) < shrinkCounts {
+		return f.capacity.Max(f.before)
+	}
+	return f.capacity
+}
+
+// resize changes a worker's room. Smaller room is told of at once, and counts later.
+func (f *fakeWorker) resize(to resource.Vector) {
+	f.before, f.shrunkAt = f.room(), f.w.now
+	f.capacity = to
+}
+
+// TestRandomWorldsWhereRoomShrinksAndGrows changes the room of workers while tasks run,
+// gangs have room reserved, and workers and boxes are lost.
+func TestRandomWorldsWhereRoomShrinksAndGrows(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 11000+seed, 3, 8)
+			w.serves()
+			for i := range 40 {
+				w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, func() { w.submit(w.randomJob(i)) })
+			}
+			for range 30 {
+				w.after(time.Duration(w.rng.Intn(18000))*time.Millisecond, w.changeRoom)
+			}
+			for range 2 {
+				w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, w.crashTrouble)
+			}
+			for range 100 {
+				w.run(200 * time.Millisecond)
+				w.states()
+				w.check()
+			}
+			for _, f := range w.workers {
+				f.resize(fullSize)
+			}
+			w.untilEnded()
+		})
+	}
+}
+
+// changeRoom leaves a worker some of its full room, or nothing.
+func (w *world) changeRoom() {
+	f := w.workers[w.rng.Intn(len(w.workers))]
+	part := []int64{0, 1, 2, 3, 4, 4}[w.rng.Intn(6)]
+	f.resize(resource.Vector{
+		Processors: fullSize.Processors * resource.Millis(part) / 4, Memory: fullSize.Memory * resource.Bytes(part) / 4,
+	})
+}
+
+// resized is a change of the list by which a worker has some room.
+func resized(id string, to resource.Vector) dispatch.WorkersRead {
+	return dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{{ID: id, Address: id, Pool: pool, Capacity: to}}}}
+}
+
+func TestRoomThatGrowsAgainIsUsed(t *testing.T) {
+	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
+	d.handle(resized("w", resource.Vector{}))
+	assert.Equal(t, d.startsOf(oneStep("j", "quick", 2, false), 1, looks), 0, "there is no room")
+	d.handle(resized("w", fullSize))
+	assert.Equal(t, d.answers(time.Second, looks), 2)
+}
+
+// A gang had room reserved on a worker whose room shrank below what was reserved: the
+// reservation was kept for its 3 s, and with it the room on all other workers of the gang.
+func TestAReservationThatNoLongerFitsIsGivenBack(t *testing.T) {
+	d, _ := holding(t,
+		order.Worker{ID: "v", Address: "v", Pool: pool, Capacity: fullSize}, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
+	c := config()
+	wide := c.Queues["wide"]
+	wide.Advice = nil
+	c.Version, c.Queues["wide"] = 2, wide
+	d.handle(dispatch.ConfigRead{Config: c})
+	for _, id := range []string{"a", "b"} {
+		s := oneStep(id, "wide", 1, false)
+		s.Steps[0].Checkpoints = true
+		s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor}
+		s.Steps[0].Estimate = 60_000
+		for _, start := range only[dispatch.StartRun](d.submits(s)) {
+			d.handle(dispatch.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+		}
+	}
+	gang := oneStep("g", "quick", 2, true)
+	gang.Steps[0].Need = resource.Vector{Processors: 60 * resource.Processor}
+	gang.Steps[0].Estimate = 500
+	assert.Equal(t, len(only[dispatch.StopRun](d.submits(gang))), 2, "room is made for the gang")
+	shrunk := resource.Vector{Processors: 50 * resource.Processor, Memory: fullSize.Memory}
+	given := 0
+	for _, n := range only[dispatch.Note](append(d.handle(resized("w", shrunk)), d.later(50*time.Millisecond)...)) {
+		if n.Message == "a gang gives room back" {
+			given++
+		}
+	}
+	assert.Equal(t, given, 1)
+}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -368,7 +368,11 @@
 	s := r.step
 	likely := blame.Likely(s.blameOf(index))
 	if w := h.preparedFor(s, index); likely && w != nil {
-		return w
+		if w.slots(s, w.room()) > 0 {
+			return w
+		}
+		// Its room has shrunk, or is taken by what started late.
+		w.prepared = nil
 	}
 	var best *candidate
 	for _, c := range h.candidates(p.now, s, r.suited(set)) {
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -401,6 +401,9 @@
 	stalls bool
 	// slowBy is how many times as long tasks take on it, if not 0.
 	slowBy int
+	// before is the room that it had until shrunkAt.
+	before   resource.Vector
+	shrunkAt time.Time
 	// last is the entry of the life before, which crashed at crashedAt.
 	last      order.Worker
 	crashedAt time.Time
