clock: leases, authority and silence are judged by time that counts suspensions

Cause: Go's steady clock stands still while the machine is suspended, so a holder that woke up took its authority, its workers' leases and what it knew for as fresh as before. Package clock adds what CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC; it is the only one that reads clocks, which a test holds. The reducer is told by how much its times are ahead of the time of day. An order that was decided before its authority ended is not written after it: the loop looks again where it is written.

--- a/cmd/saddlevanectl/client.go
+++ b/cmd/saddlevanectl/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"saddlevane/modules/clock"
 	"saddlevane/modules/httpclient"
 	"saddlevane/modules/httpjson"
 )
@@ -41,8 +42,12 @@
 }
 
 func newClient(addresses string) (*client, error) {
+	now, err := clock.New()
+	if err != nil {
+		return nil, err
+	}
 	c := &client{http: httpclient.New(httpclient.Settings{
-		To: "entry box", Dial: dialWithin, Unused: unusedFor, Answer: answerWithin, PerHost: 1, Now: time.Now,
+		To: "entry box", Dial: dialWithin, Unused: unusedFor, Answer: answerWithin, PerHost: 1, Now: now.Now,
 	})}
 	c.http.Timeout = callWithin
 	c.json = httpjson.NewClient(c.http, maxAnswer)
--- a/cmd/saddlevaned/daemon.go
+++ b/cmd/saddlevaned/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"saddlevane/models/peer"
+	"saddlevane/modules/clock"
 	"saddlevane/modules/logger"
 	"saddlevane/modules/setting"
 	"saddlevane/routers"
@@ -48,11 +49,15 @@
 
 // serve runs the daemon until a signal has stopped it.
 func serve(s setting.Settings, log *logrus.Logger, signals <-chan os.Signal) error {
+	c, err := clock.New()
+	if err != nil {
+		return err
+	}
 	l, err := listen(s.Listen)
 	if err != nil {
 		return err
 	}
-	d := start(s, log, l)
+	d := start(s, c, log, l)
 	defer d.close()
 	d.log.WithField(logger.FieldAddress, s.Listen.Callers).Info("serving")
 	select {
@@ -96,8 +101,8 @@
 	}
 }
 
-func start(s setting.Settings, log *logrus.Logger, l listeners) *daemon {
-	now := time.Now()
+func start(s setting.Settings, c *clock.Clock, log *logrus.Logger, l listeners) *daemon {
+	now := c.Now()
 	self := peer.Hello{
 		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(now), ulid.DefaultEntropy()).String(),
 		Domain: s.Box.Domain, Address: s.Listen.Reached(),
@@ -108,7 +113,7 @@
 		}),
 		failed: make(chan error, 2),
 	}
-	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log, time.Now)
+	d.loop = runtime.NewLoop(core.New(now, coreSettings(s), policies(s.Policy), self, newKey), d.log, c.Now)
 	connections := runtime.Connections{Probe: s.Connections.Probe, Answer: s.Connections.Answer, Unused: s.Connections.Unused}
 	requests := runtime.NewRequests(runtime.RequestSettings{
 		MaxAnswer: s.Requests.MaxAnswer, MaxPending: s.Requests.MaxPending, MaxKept: s.Requests.MaxKept,
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -18,6 +18,7 @@
 
 	"saddlevane/models/claim"
 	"saddlevane/models/mechanism"
+	"saddlevane/modules/clock"
 	"saddlevane/modules/conntrack"
 	"saddlevane/modules/httpclient"
 	"saddlevane/modules/logger"
@@ -66,12 +67,16 @@
 
 // serveJobs runs the daemon until a signal has stopped it.
 func serveJobs(s setting.Settings, log *logrus.Logger, signals <-chan os.Signal) error {
+	c, err := clock.New()
+	if err != nil {
+		return err
+	}
 	self := claim.Member{
-		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(time.Now()), ulid.DefaultEntropy()).String(),
+		Box: s.Box.Name, Incarnation: ulid.MustNew(ulid.Timestamp(c.Now()), ulid.DefaultEntropy()).String(),
 		Domain: s.Box.Domain, Address: s.Listen.Reached(), Size: s.Box.Size(),
 	}
 	entry := log.WithFields(logrus.Fields{logger.FieldBox: self.Box, logger.FieldIncarnation: self.Incarnation})
-	d, err := startJobs(s, self, entry)
+	d, err := startJobs(s, c, self, entry)
 	if err != nil {
 		return err
 	}
@@ -111,7 +116,7 @@
 }
 
 // startJobs starts all parts of the daemon.
-func startJobs(s setting.Settings, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
+func startJobs(s setting.Settings, c *clock.Clock, self claim.Member, log *logrus.Entry) (*jobDaemon, error) {
 	d := &jobDaemon{failed: make(chan error, 2)}
 	settings, err := jobSettings(s.Jobs, s.Connections)
 	if err != nil {
@@ -121,7 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	d.loop = jobrun.NewLoop(settings, self, newPlatform(s, d.reports), log, time.Now)
+	d.loop = jobrun.NewLoop(settings, self, newPlatform(s, c, d.reports), log, c)
 	d.peers = jobrun.NewPeers(listener, d.loop)
 	d.loop.Run(d.peers)
 	d.peers.Serve()
@@ -171,11 +176,11 @@
 // newPlatform returns the calls to the platform. Each service has a client of its
 // own, so that its connections are not taken up by others. What happens to them is told
 // to the reports of what they lead to.
-func newPlatform(s setting.Settings, reports func(to string) httpclient.Reports) jobrun.Platform {
+func newPlatform(s setting.Settings, c *clock.Clock, reports func(to string) httpclient.Reports) jobrun.Platform {
 	client := func(to string) *http.Client {
 		return httpclient.New(httpclient.Settings{
 			To: to, Dial: dialWithin, Unused: s.Connections.Unused, Answer: s.Connections.Answer,
-			PerHost: connsPerHost, Now: time.Now, Reports: reports(to),
+			PerHost: connsPerHost, Now: c.Now, Reports: reports(to),
 		})
 	}
 	log := platform.NewLog(s.Jobs.Log, client("log"))
--- /dev/null
+++ b/modules/clock/clock_test.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/modules/clock"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTimeGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	steady, suspended := time.Now(), 90*time.Minute
+	c := clock.Of(func() time.Time { return steady }, func() time.Duration { return suspended })
+	began := c.Now()
+	assert.Equal(t, c.Suspended(), time.Duration(0), "what was before it counts for nothing")
+
+	steady = steady.Add(time.Second)
+	assert.Equal(t, c.Now().Sub(began), time.Second)
+
+	suspended += 5 * time.Second
+	assert.Equal(t, c.Now().Sub(began), 6*time.Second)
+	assert.Equal(t, c.Suspended(), 5*time.Second)
+}
+
+// The two clocks are read one after the other, so what they differ by varies.
+func TestTimeNeverGoesBack(t *testing.T) {
+	steady, suspended := time.Now(), time.Duration(0)
+	c := clock.Of(func() time.Time { return steady }, func() time.Duration { return suspended })
+	last := c.Now()
+	for _, told := range []time.Duration{30, 0, 2000, -700, 2000, 1500, 0} {
+		suspended = told * time.Microsecond
+		now := c.Now()
+		assert.Check(t, !now.Before(last), "%v after %v", now, last)
+		last = now
+	}
+	assert.Equal(t, c.Suspended(), 2*time.Millisecond)
+}
+
+func TestTheClockOfTheMachine(t *testing.T) {
+	c, err := clock.New()
+	assert.NilError(t, err)
+	began, same := time.Now(), c.Now()
+	passed := c.Now().Sub(same)
+	assert.Check(t, passed >= 0 && passed <= time.Since(began)+c.Suspended()+time.Second, "%v", passed)
+}
--- a/modules/peering/stream.go
+++ b/modules/peering/stream.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"saddlevane/modules/clock"
 	"saddlevane/modules/frame"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -139,7 +140,8 @@
 	k.mu.Lock()
 	by := later(now, k.clearAt).Add(bufferedFor + k.links.settings.Answer)
 	k.mu.Unlock()
-	if err := k.conn.SetWriteDeadline(by); err != nil {
+	// The deadline is one of Go's clock, which the links' own may be ahead of.
+	if err := k.conn.SetWriteDeadline(clock.Deadline(by.Sub(now))); err != nil {
 		return 0, err
 	}
 	n, err := k.conn.Write(part)
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -36,7 +36,7 @@
 		h.unavailable(e.Call, "the log keeps no records at present")
 		return
 	}
-	j := h.newJob(now, e.Submission, now.UnixMilli(), h.core.config.Queues[e.Submission.Queue])
+	j := h.newJob(now, e.Submission, h.core.unixMilli(now), h.core.config.Queues[e.Submission.Queue])
 	j.waitAccept = append(j.waitAccept, e.Call)
 	h.journal.accepts = append(h.journal.accepts, j)
 	h.adviseEarly(now, j)
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -64,6 +64,9 @@
 	pledgeAgain time.Time
 	// logBackAt is when the log last began to answer after a silence.
 	logBackAt time.Time
+	// suspended is by how much the time that the reducer is told is ahead of the time of
+	// day, because the machine was suspended.
+	suspended time.Duration
 	// moveAgain is when a larger box may next be asked to take the cell.
 	moveAgain time.Time
 }
@@ -76,6 +79,21 @@
 	}
 }
 
+// Woke tells by how much the times that are told from now on are ahead of the time of day,
+// because the machine was suspended for so long.
+func (c *Core) Woke(suspended time.Duration) { c.suspended = suspended }
+
+// unixMilli returns the time of day at now, in milliseconds since 1970.
+func (c *Core) unixMilli(now time.Time) int64 { return now.Add(-c.suspended).UnixMilli() }
+
+// HoldsUntil returns the claim under which this process may give orders, and until when.
+func (c *Core) HoldsUntil() (epoch int64, until time.Time) {
+	if c.holding == nil {
+		return 0, time.Time{}
+	}
+	return c.holding.epoch, c.authority.HoldsUntil()
+}
+
 // Config returns the configuration in force, or nil.
 func (c *Core) Config() *job.Config { return c.config }
 
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -20,7 +20,7 @@
 	}
 	for j.nextInstance < j.submission.Repeat.Times {
 		due := j.submission.Repeat.Due(j.nextInstance)
-		if now.UnixMilli() < due.UnixMilli() {
+		if h.core.unixMilli(now) < due.UnixMilli() {
 			return
 		}
 		if j.instances[j.nextInstance] != nil {
@@ -28,7 +28,7 @@
 			j.nextInstance++
 			continue
 		}
-		in := h.addInstance(j, j.nextInstance, now.Add(-time.Duration(now.UnixMilli()-due.UnixMilli())*time.Millisecond))
+		in := h.addInstance(j, j.nextInstance, now.Add(-time.Duration(h.core.unixMilli(now)-due.UnixMilli())*time.Millisecond))
 		j.nextInstance++
 		if j.accepted {
 			h.openInstance(now, in)
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -134,7 +134,7 @@
 
 // newJob adds a job.
 func (h *holding) newJob(now time.Time, sub job.Submission, acceptedUnix int64, in job.Queue) *submitted {
-	age := time.Duration(now.UnixMilli()-acceptedUnix) * time.Millisecond
+	age := time.Duration(h.core.unixMilli(now)-acceptedUnix) * time.Millisecond
 	j := &submitted{
 		id: sub.ID, queue: sub.Queue, acceptedIn: in, submission: &sub, acceptedUnix: acceptedUnix,
 		acceptedAt: now.Add(-max(0, age)), instances: map[int]*instance{}, state: job.Queued, shown: job.Queued,
@@ -162,7 +162,7 @@
 		return
 	}
 	j.state = state
-	j.ended = now.UnixMilli()
+	j.ended = h.core.unixMilli(now)
 	h.markDirty(j)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
@@ -191,7 +191,7 @@
 // dropEnded forgets jobs whose final state was kept long enough.
 func (h *holding) dropEnded(now time.Time) {
 	keep := h.core.settings.KeepEnded.Milliseconds()
-	for len(h.endedJobs) > 0 && now.UnixMilli()-h.endedJobs[0].ended > keep {
+	for len(h.endedJobs) > 0 && h.core.unixMilli(now)-h.endedJobs[0].ended > keep {
 		j := h.endedJobs[0]
 		h.endedJobs = h.endedJobs[1:]
 		delete(h.jobs, j.id)
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -111,7 +111,7 @@
 	for _, s := range h.triedOn[w.ID] {
 		if b := s.step.blameOf(s.index); slices.Contains(b.TriedOn, w.ID) {
 			s.bound = true
-			s.worked = max(0, time.Duration(at.UnixMilli()-b.TriedAt)*time.Millisecond)
+			s.worked = max(0, time.Duration(h.core.unixMilli(at)-b.TriedAt)*time.Millisecond)
 			add(s)
 		}
 	}
@@ -294,8 +294,8 @@
 	if b.Crashes == 0 {
 		return
 	}
-	if b.TriedAt != now.UnixMilli() {
-		b.TriedOn, b.TriedAt = nil, now.UnixMilli()
+	if b.TriedAt != h.core.unixMilli(now) {
+		b.TriedOn, b.TriedAt = nil, h.core.unixMilli(now)
 	}
 	b.TriedOn = append(slices.Clone(b.TriedOn), a.worker.ID)
 	a.step.holdAgainst(a.index, b)
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -19,6 +19,7 @@
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
+	"saddlevane/modules/clock"
 	"saddlevane/platform"
 	"saddlevane/routers"
 	"saddlevane/services/authority"
@@ -80,13 +81,21 @@
 
 // startWith starts a box with settings of its own.
 func startWith(t *testing.T, s jobrun.Settings, on jobrun.Platform, name string, out io.Writer, via func(address string) string) *process {
+	t.Helper()
+	c, err := clock.New()
+	assert.NilError(t, err)
+	return startBy(t, c, s, on, name, out, via)
+}
+
+// startBy starts a box that reads some clock.
+func startBy(t *testing.T, c *clock.Clock, s jobrun.Settings, on jobrun.Platform, name string, out io.Writer, via func(address string) string) *process {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	log := logrus.New()
 	log.SetOutput(out)
 	self := claim.Member{Box: name, Incarnation: name + time.Now().String(), Domain: "a", Address: via(listener.Addr().String())}
-	p := &process{address: listener.Addr().String(), loop: jobrun.NewLoop(s, self, on, log.WithField("box", name), time.Now)}
+	p := &process{address: listener.Addr().String(), loop: jobrun.NewLoop(s, self, on, log.WithField("box", name), c)}
 	p.peers = jobrun.NewPeers(listener, p.loop)
 	p.loop.Run(p.peers)
 	p.peers.Serve()
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -14,6 +14,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
+	"saddlevane/modules/clock"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/overload"
 	"saddlevane/services/relay"
@@ -78,6 +79,7 @@
 	platform Platform
 	log      *logrus.Entry
 	notes    *notes
+	clock    *clock.Clock
 	now      func() time.Time
 	events   chan posted
 	queries  chan func(now time.Time, c *dispatch.Core)
@@ -116,19 +118,22 @@
 	holds  bool
 	// steadyAt is when the log last answered.
 	steadyAt time.Time
+	// epoch is the claim under which orders may be given until orderUntil.
+	epoch      int64
+	orderUntil time.Time
 }
 
 // NewLoop returns a loop that does not run yet.
-func NewLoop(s Settings, self claim.Member, p Platform, log *logrus.Entry, now func() time.Time) *Loop {
+func NewLoop(s Settings, self claim.Member, p Platform, log *logrus.Entry, c *clock.Clock) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Loop{
-		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log, now), now: now,
+		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log, c.Now), clock: c, now: c.Now,
 		events: make(chan posted, eventBuffer), queries: make(chan func(time.Time, *dispatch.Core)),
 		metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
 		relays: relay.NewRoster(s.Relays, self.Box),
 	}
-	l.carrier = relay.NewClient(self, now, l.relays, p.Workers, l.sendBatch(methodCarry))
+	l.carrier = relay.NewClient(self, l.now, l.relays, p.Workers, l.sendBatch(methodCarry))
 	l.workers = l.carrier.Workers()
 	return l
 }
@@ -198,7 +203,9 @@
 		case f := <-l.queries:
 			f(l.now(), l.core)
 		case <-ticker.C:
-			l.core.Handle(l.now(), dispatch.Tick{})
+			now := l.now()
+			l.core.Woke(l.clock.Suspended())
+			l.core.Handle(now, dispatch.Tick{})
 			l.drain()
 			l.decide(l.now())
 			l.noteLoad(l.now())
@@ -214,6 +221,7 @@
 	l.load.took(waited)
 	l.metrics.waited.Observe(waited.Seconds())
 	l.gate.Waited(waited)
+	l.core.Woke(l.clock.Suspended())
 	l.core.Handle(now, l.admit(now, waited, p.event))
 }
 
@@ -242,14 +250,34 @@
 		l.load.planned(took)
 		l.core.Handle(l.now(), dispatch.Decided{Took: took})
 	}
+	l.show(now)
 	for _, e := range effects {
 		l.do(e)
 	}
+}
+
+// show has callers and the orders under way see the state that the reducer has come to.
+func (l *Loop) show(now time.Time) {
+	v := view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(now), steadyAt: l.core.LogReadAt()}
+	v.epoch, v.orderUntil = l.core.HoldsUntil()
 	l.mu.Lock()
-	l.view = view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(now), steadyAt: l.core.LogReadAt()}
+	l.view = v
 	l.mu.Unlock()
 }
 
+// mayOrder says whether an order under a claim may still be written. It was decided by a
+// process that had authority; the machine may have been suspended since, and another box
+// may hold the cell by now.
+func (l *Loop) mayOrder(epoch int64) bool {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	return v.epoch == epoch && l.now().Before(v.orderUntil)
+}
+
+// decidedBefore is the answer to an order that was not written.
+var decidedBefore = order.Answer{Fate: order.NotDone, Problem: "the authority under which it was decided has ended"}
+
 // do carries out one effect. What takes time runs beside the loop and comes
 // back as an event.
 func (l *Loop) do(e dispatch.Effect) {
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -46,6 +46,10 @@
 // renew renews a worker's lease. When the answer is overdue the reducer is told so, and
 // of the answer too if it comes later.
 func (l *Loop) renew(e dispatch.Renew) {
+	if !l.mayOrder(e.Epoch) {
+		l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: decidedBefore})
+		return
+	}
 	ctx, cancel := context.WithTimeout(httpclient.Overdue(l.ctx, e.Timeout), e.Timeout+e.Late)
 	defer cancel()
 	ended := dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look}
@@ -66,6 +70,10 @@
 
 // start orders a start.
 func (l *Loop) start(e dispatch.StartRun) {
+	if !l.mayOrder(e.Epoch) {
+		l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: decidedBefore})
+		return
+	}
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	answer := l.workers.Start(ctx, e.Address, e.Worker, e.Order)
