--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -52,7 +52,7 @@
 			return together, s.waiting
 		}
 	}
-	return take(shares, s.toPlace())
+	return take(shares, h.toPlace(s))
 }
 
 // candidates returns the workers that have room for a step. Avoided ones take no
@@ -61,7 +61,7 @@
 	open := make([]candidate, 0, len(suited))
 	short := h.expect(s) <= shortStep
 	for _, w := range suited {
-		if !w.openTo(s, short) {
+		if !h.openTo(w, s, short) {
 			continue
 		}
 		n := w.slots(s, w.room())
@@ -83,8 +83,8 @@
 
 // openTo says whether a step may use a worker: one that is drained for a gang takes
 // short steps only besides, and one with a suspect no suspected gang.
-func (w *worker) openTo(s *step, short bool) bool {
-	return (w.drainedFor == nil || w.drainedFor == s || short) && !(s.gangSuspected() && w.suspects > 0)
+func (h *holding) openTo(w *worker, s *step, short bool) bool {
+	return (w.drainedFor == nil || w.drainedFor == s || short) && !(w.suspects > 0 && h.gangSuspected(s))
 }
 
 // candidate returns what speaks against a worker that has room for n tasks.
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -38,7 +38,7 @@
 	w.silentSince = now
 	w.silentListed = h.staysListed(now, w)
 	if w.trials == 0 {
-		h.background.Silent(now, w.ID, w.Rack)
+		h.docket.Silent(now, w.ID, w.Rack)
 	}
 }
 
@@ -46,7 +46,7 @@
 func (h *holding) answersAgain(w *worker) {
 	if !w.silentSince.IsZero() {
 		w.silentSince = time.Time{}
-		h.background.Answers(w.ID)
+		h.docket.Answers(w.ID)
 	}
 }
 
@@ -77,7 +77,7 @@
 // loseAll frees the tasks of a worker that has surely ended them.
 func (h *holding) loseAll(now time.Time, w *worker, how Ending, why string) {
 	lost := TasksLost{How: how, Tasks: len(w.attempts)}
-	suspects := h.suspectsOn(w, w.silentSince)
+	suspects := h.tasksOn(w, w.silentSince)
 	for _, a := range w.sorted() {
 		lost.Worked += a.workedUntil(w.silentSince)
 		a.task().lost++
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -68,12 +68,8 @@
 
 	advisers advisers
 	learned  lessons
-	// background is how often workers crash by no fault of their tasks.
-	background blame.Background
-	// accused are the tasks that are to be given up, the first due first.
-	accused []accusation
-	// triedOn has the suspects that earlier holders had started, by worker.
-	triedOn map[string][]suspect
+	// docket has what is held against tasks under which workers crashed.
+	docket *blame.Docket
 	// answers tells how late workers' answers are.
 	answers lateness.Meter
 
@@ -99,7 +95,7 @@
 	h := &holding{
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
-		workers: map[string]*worker{}, unsettled: map[string]bool{}, triedOn: map[string][]suspect{},
+		workers: map[string]*worker{}, unsettled: map[string]bool{}, docket: blame.NewDocket(),
 		advisers: newAdvisers(), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
 		pools: map[string]bool{}, foreign: map[string]string{},
 	}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -68,8 +68,6 @@
 	// done counts tasks with a good end, attempts those with a place.
 	done     int
 	attempts int
-	// suspects counts the tasks that are to be tried apart.
-	suspects int
 	// open says that all earlier steps are done and tasks may be left.
 	open bool
 	// lastRun is the highest run number used for the step.
@@ -119,13 +117,6 @@
 	attempt *attempt
 	// lost counts the runs that were lost with their workers under this claim.
 	lost int
-	// blame is what is held against it since workers crashed under it, blamedRun the run
-	// that they crashed under last, tryAfter when it may be tried again.
-	blame     job.Blame
-	blamedRun int64
-	tryAfter  time.Time
-	// accused says that its job is about to be given up for it.
-	accused bool
 	// firstAt is when it was first started under this claim, startedAt when last, and
 	// again why that was not the same.
 	firstAt, startedAt time.Time
@@ -164,6 +155,7 @@
 	j.state = state
 	j.ended = h.core.unixMilli(now)
 	h.markDirty(j)
+	h.docket.Drop(j.id)
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
 			s.open = false
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -159,7 +159,7 @@
 		s.dirty = false
 		b.progress = append(b.progress, batched{job: s, state: s.state, ends: s.ends, cancels: s.waitCancel})
 		s.ends, s.waitCancel = nil, nil
-		size += b.put(keyProgress+string(s.id), s.progress())
+		size += b.put(keyProgress+string(s.id), s.progress(h.docket))
 		if s.state.Final() {
 			b.append.Records = append(b.append.Records, keyDropped(keySubmission+string(s.id)))
 		}
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -27,7 +27,7 @@
 	short := h.expect(r.step) <= shortStep
 	var open []*worker
 	for _, w := range r.suited(h.workersFor(p, r.step, r.queue.Pool)) {
-		if w.openTo(r.step, short) && (!r.step.spec.Gang || h.slownessOf(p.now, w) != learned.Avoided) {
+		if h.openTo(w, r.step, short) && (!r.step.spec.Gang || h.slownessOf(p.now, w) != learned.Avoided) {
 			open = append(open, w)
 		}
 	}
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -28,7 +28,7 @@
 	}
 	h.fold(now, e.Records)
 	h.phase = active
-	h.background.Saw(now, h.byRack())
+	h.docket.Saw(now, h.byRack())
 	h.planDue = true
 	h.core.note("serves the cell's jobs", Field{"claim", h.epoch}, Field{"jobs", len(h.jobs)},
 		Field{"workers_to_ask", len(h.unsettled)}, Field{"took", now.Sub(h.since).String()})
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -29,7 +29,7 @@
 		return
 	}
 	h.overviewAt = now.Add(overviewEvery)
-	h.background.Saw(now, h.byRack())
+	h.docket.Saw(now, h.byRack())
 	var capacity, free, promised, stopping resource.Vector
 	taking, kept := 0, 0
 	for _, w := range h.byName() {
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -21,9 +21,9 @@
 	if s.spec.Gang {
 		return h.placeGang(p, r, set)
 	}
-	if s.suspects > 0 {
+	if h.docket.Suspects(s.id) > 0 {
 		h.tryOut(p, r, set)
-		if s.toPlace() == 0 {
+		if h.toPlace(s) == 0 {
 			return true
 		}
 	}
@@ -47,13 +47,13 @@
 	if len(shares) > 0 {
 		h.startShares(p.now, s, shares)
 	}
-	return placed > 0 && s.toPlace() == 0 || s.advice.asking()
+	return placed > 0 && h.toPlace(s) == 0 || s.advice.asking()
 }
 
 // placeGang starts a gang whole, or not at all.
 func (h *holding) placeGang(p *pass, r ranked, set *workerSet) bool {
 	s := r.step
-	if s.gangSuspected() && !h.mayTry(p.now, s, 0) {
+	if h.gangSuspected(s) && !h.mayTry(p.now, s, 0) {
 		return true
 	}
 	if s.reservation != nil {
@@ -101,7 +101,7 @@
 	for _, sh := range shares {
 		ticket, _ := s.advice.ticketFor(now, sh.worker)
 		for range sh.tasks {
-			for s.tasks[next].done || s.tasks[next].attempt != nil || s.waitsSuspected(next) {
+			for s.tasks[next].done || s.tasks[next].attempt != nil || h.waitsSuspected(s, next) {
 				next++
 			}
 			h.start(now, s, next, run, sh.worker, ticket)
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -51,13 +51,7 @@
 		t.failed = p.Failed[i]
 		t.saved = p.Saved[i]
 		if b, held := p.Blame[i]; held {
-			s.holdAgainst(i, b)
-			h.noteTried(s, i)
-			if blame.Guilty(b) {
-				// The holder before was lost before it gave the job up.
-				s.tasks[s.unit(i)].accused = true
-				h.accused = append(h.accused, accusation{task: suspect{step: s, index: s.unit(i)}})
-			}
+			h.docket.Resume(s.unit(i), b)
 		}
 	}
 }
@@ -75,14 +69,14 @@
 }
 
 // progress returns what the log must keep of a job.
-func (j *submitted) progress() job.Progress {
+func (j *submitted) progress(d *blame.Docket) job.Progress {
 	p := job.Progress{State: j.state, Started: j.started, Queue: j.queue, Ended: j.ended}
 	if j.state.Final() {
 		return p
 	}
 	for _, in := range ordered.Map(j.instances) {
 		for _, s := range in.steps {
-			if sp, any := s.progress(); any {
+			if sp, any := s.progress(d); any {
 				p.Steps = append(p.Steps, sp)
 			}
 		}
@@ -92,7 +86,7 @@
 
 // progress returns what the log must keep of a step, and whether that is
 // anything.
-func (s *step) progress() (job.StepProgress, bool) {
+func (s *step) progress(d *blame.Docket) (job.StepProgress, bool) {
 	sp := job.StepProgress{Instance: s.id.Instance, Step: s.id.Step}
 	found := false
 	for i := range s.tasks {
@@ -111,11 +105,11 @@
 			sp.Failed[i] = t.failed
 			found = true
 		}
-		if t.blame.Crashes > 0 && !t.done {
+		if b := d.Of(job.TaskID{StepID: s.id, Index: i}); b.Crashes > 0 && !t.done {
 			if sp.Blame == nil {
 				sp.Blame = map[int]job.Blame{}
 			}
-			sp.Blame[i] = t.blame
+			sp.Blame[i] = b
 			found = true
 		}
 		if t.saved != "" && !t.done {
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -80,7 +80,7 @@
 	q := h.queueOf(s.job)
 	set := h.workersFor(newPass(now), s, q.Pool)
 	switch {
-	case s.suspects > 0 && s.toPlace() <= 0:
+	case h.docket.Suspects(s.id) > 0 && h.toPlace(s) <= 0:
 		return h.whySuspected(s)
 	case !s.job.accepted:
 		return "the log has not confirmed the job yet"
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -27,95 +27,55 @@
 	trialFor   = 2 * time.Second
 	// prepareMost is how long a worker is kept for a likely suspect that has not begun.
 	prepareMost = 3 * time.Second
-	// verdictAfter is how long after a crash a job is given up for it: about as long as it
-	// takes until other workers that crashed at the same time are seen.
-	verdictAfter = time.Second
-	// unknownTasks is the hazard, a second, of a crash by tasks of which this holder does
-	// not know: those on a worker that it has not heard yet, about a dozen.
-	unknownTasks = 0.01
 )
 
 // unit returns the task that stands for another in what is held against it: the members
 // of a gang run together, and the first stands for all.
-func (s *step) unit(index int) int {
+func (s *step) unit(index int) job.TaskID {
 	if s.spec.Gang {
-		return 0
+		index = 0
 	}
-	return index
+	return job.TaskID{StepID: s.id, Index: index}
 }
 
 // blameOf returns what is held against a task.
-func (s *step) blameOf(index int) job.Blame { return s.tasks[s.unit(index)].blame }
-
-// holdAgainst notes what is held against a task from now on.
-func (s *step) holdAgainst(index int, b job.Blame) {
-	t := &s.tasks[s.unit(index)]
-	if blame.Suspected(t.blame) {
-		s.suspects--
-	}
-	t.blame = b
-	if blame.Suspected(b) {
-		s.suspects++
-	}
-}
+func (h *holding) blameOf(s *step, index int) job.Blame { return h.docket.Of(s.unit(index)) }
 
 // gangSuspected says whether a step is a gang that is to be kept apart from other suspects.
-func (s *step) gangSuspected() bool { return s.spec.Gang && s.suspects > 0 }
+func (h *holding) gangSuspected(s *step) bool { return s.spec.Gang && h.docket.Suspects(s.id) > 0 }
 
 // waitsSuspected says whether a task waits for a place that is to be tried apart.
-func (s *step) waitsSuspected(index int) bool {
+func (h *holding) waitsSuspected(s *step, index int) bool {
 	t := &s.tasks[index]
-	return s.suspects > 0 && !s.spec.Gang && !t.done && t.attempt == nil && blame.Suspected(t.blame)
+	return !s.spec.Gang && !t.done && t.attempt == nil && h.docket.Suspects(s.id) > 0 && blame.Suspected(h.blameOf(s, index))
 }
 
 // toPlace counts the waiting tasks that need not be tried apart.
-func (s *step) toPlace() int {
+func (h *holding) toPlace(s *step) int {
 	n := s.waiting
-	for i := 0; i < len(s.tasks) && s.suspects > 0; i++ {
-		if s.waitsSuspected(i) {
+	if h.docket.Suspects(s.id) == 0 {
+		return n
+	}
+	for i := range s.tasks {
+		if h.waitsSuspected(s, i) {
 			n--
 		}
 	}
 	return n
 }
 
-// suspect is a task, or a gang, that was on a worker when it crashed.
-type suspect struct {
-	step   *step
-	index  int
-	run    int64
-	worked time.Duration
-	// alone says that no other task had begun on the worker shortly before, or since.
-	alone bool
-	// bound says that worked is no more than a bound.
-	bound bool
-}
-
-// suspectsOn returns the tasks on a worker that stopped answering at a time.
-func (h *holding) suspectsOn(w *worker, at time.Time) []suspect {
-	var all []suspect
-	add := func(next suspect) {
-		if next.step.job.state.Final() || next.step.blamedFor(next) {
-			return
-		}
-		if i := slices.IndexFunc(all, next.same); i >= 0 {
-			all[i].worked = max(all[i].worked, next.worked)
-			all[i].alone = all[i].alone && next.alone
-			return
-		}
-		all = append(all, next)
-	}
+// tasksOn returns the tasks on a worker that stopped answering at a time.
+func (h *holding) tasksOn(w *worker, at time.Time) []blame.On {
+	var all []blame.On
 	for _, a := range w.sorted() {
-		add(suspect{step: a.step, index: a.step.unit(a.index), run: a.run, worked: h.atWorkMost(a, at), alone: a.isAlone(), bound: a.beganAt.IsZero()})
-	}
-	for _, s := range h.triedOn[w.ID] {
-		if b := s.step.blameOf(s.index); slices.Contains(b.TriedOn, w.ID) {
-			s.bound = true
-			s.worked = max(0, time.Duration(h.core.unixMilli(at)-b.TriedAt)*time.Millisecond)
-			add(s)
+		if a.step.job.state.Final() {
+			continue
 		}
+		all = append(all, blame.On{
+			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Worked: h.atWorkMost(a, at),
+			Alone: a.isAlone(), Bound: a.beganAt.IsZero(),
+		})
 	}
-	delete(h.triedOn, w.ID)
 	return all
 }
 
@@ -133,23 +93,6 @@
 	return !a.beganAt.IsZero()
 }
 
-// blamedFor says whether a crash under the same run of a gang was judged before. The run
-// ended with it, and workers that crash together have one cause.
-func (s *step) blamedFor(o suspect) bool {
-	return s.spec.Gang && o.run != 0 && s.tasks[o.index].blamedRun == o.run
-}
-
-// same says whether another suspect is the same task.
-func (s suspect) same(o suspect) bool { return s.step == o.step && s.index == o.index }
-
-// noteTried notes on which worker an earlier holder had started a suspect: if the worker
-// is gone, it crashed under it.
-func (h *holding) noteTried(s *step, index int) {
-	for _, id := range s.blameOf(index).TriedOn {
-		h.triedOn[id] = append(h.triedOn[id], suspect{step: s, index: s.unit(index)})
-	}
-}
-
 // atWorkMost returns for how long at most an attempt had been at work at a time. One that
 // an earlier holder started had been for at least as long as a lease lasts, or so it is
 // taken: little is held against it.
@@ -160,112 +103,36 @@
 	return a.workedUntil(at)
 }
 
-// crash is what is known of the crash of a worker.
-type crash struct {
-	worker, rack string
-	at           time.Time
-	on           []suspect
-	// input is what is held against each of them before, and for how long they worked.
-	input []blame.Suspect
-	// unknown is the hazard by tasks that this holder does not know.
-	unknown float64
-}
-
-// judged returns what the crash says of the tasks that were on the worker, by what is
-// known of other workers now.
-func (c *crash) judged(b *blame.Background) []job.Blame {
-	return blame.Judge(c.input, b.Hazard(c.at, c.worker, c.rack)+c.unknown)
-}
-
 // judge tells what the crash of a worker says of the tasks that were on it.
-func (h *holding) judge(now time.Time, w *worker, on []suspect) {
-	c := &crash{worker: w.ID, rack: w.Rack, at: w.silentSince, on: on}
-	for _, s := range on {
-		c.input = append(c.input, blame.Suspect{Before: s.step.tasks[s.index].blame, Worked: s.worked, Alone: s.alone, Bound: s.bound})
-	}
-	if !w.settled {
-		c.unknown = unknownTasks
-	}
-	judged := c.judged(&h.background)
-	h.background.Crashed(w.Rack, blame.Unexplained(judged))
-	for i := range on {
-		h.holdAgainst(now, c, i, judged[i])
+func (h *holding) judge(now time.Time, w *worker, on []blame.On) {
+	found := h.docket.Crashed(now, blame.Crash{
+		Worker: w.ID, Rack: w.Rack, At: w.silentSince, UnixMilli: h.core.unixMilli(w.silentSince), Heard: w.settled, On: on,
+	})
+	for _, f := range found {
+		h.core.note("a worker crashed under a task", Field{"job", string(f.Task.Job)}, Field{"task", f.Task.String()}, Field{"worker", w.ID},
+			Field{"crashes", f.Blame.Crashes}, Field{"guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))}, Field{"worked_most", f.Worked.String()})
+		h.markDirty(h.jobs[f.Task.Job])
 	}
 }
 
-// holdAgainst notes what is held against a task since a worker crashed under it. If that
-// is enough to give its job up, it is judged again shortly.
-func (h *holding) holdAgainst(now time.Time, c *crash, i int, b job.Blame) {
-	on := c.on[i]
-	s, t := on.step, &on.step.tasks[on.index]
-	s.holdAgainst(on.index, b)
-	t.blamedRun = on.run
-	h.markDirty(s.job)
-	h.core.note("a worker crashed under a task", Field{"job", string(s.job.id)}, Field{"task", s.taskName(on.index)}, Field{"worker", c.worker},
-		Field{"crashes", b.Crashes}, Field{"guilty", fmt.Sprintf("%.3g", blame.Probability(b))}, Field{"worked_most", on.worked.String()})
-	t.tryAfter = now.Add(blame.Wait(b))
-	if blame.Guilty(b) {
-		t.accused = true
-		h.accused = append(h.accused, accusation{task: on, crash: c, place: i, due: now.Add(verdictAfter)})
-	}
-}
-
-// accusation is a task that is to be given up, unless more is known of the crash by then:
-// when the first of several workers that crash together is seen, the others are not.
-type accusation struct {
-	task suspect
-	// crash is what it is accused for, at which it has a place, or nil under an earlier
-	// holder.
-	crash *crash
-	place int
-	due   time.Time
-}
-
-// judged returns what is held against the task by what is known now.
-func (a accusation) judged(b *blame.Background) job.Blame {
-	if a.crash == nil {
-		return a.task.step.blameOf(a.task.index)
-	}
-	return a.crash.judged(b)[a.place]
-}
-
-// verdicts gives up the jobs of accused tasks whose time has come, if all that is known
-// now still says so.
+// verdicts gives up the jobs of tasks that are found guilty.
 func (h *holding) verdicts(now time.Time) {
-	for len(h.accused) > 0 && !now.Before(h.accused[0].due) {
-		a := h.accused[0]
-		h.accused = h.accused[1:]
-		s, b := a.task.step, a.judged(&h.background)
-		s.tasks[a.task.index].accused = false
-		if s.job.state.Final() || s.blameOf(a.task.index).Crashes != b.Crashes {
-			continue
-		}
-		s.holdAgainst(a.task.index, b)
-		h.markDirty(s.job)
+	for _, t := range h.docket.Verdicts(now) {
+		j, b := h.jobs[t.Job], h.docket.Of(t)
+		h.markDirty(j)
 		if blame.Guilty(b) {
-			h.giveUp(now, s, a.task.index)
+			h.core.do(GivenUp{Crashes: b.Crashes})
+			h.finish(now, j, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, t))
 		}
 	}
 }
 
-// giveUp gives up the job of a task under which workers crashed.
-func (h *holding) giveUp(now time.Time, s *step, index int) {
-	b := s.blameOf(index)
-	h.core.do(GivenUp{Crashes: b.Crashes})
-	h.finish(now, s.job, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, s.taskName(index)))
-}
-
-// taskName names a task of the step.
-func (s *step) taskName(index int) string { return job.TaskID{StepID: s.id, Index: index}.String() }
-
-// acquit drops what is held against a task: a run of it has ended, or has been at work
-// for long. The crashes that were put down to it have had other causes.
+// acquit drops what is held against a task: a run of it has ended well, or has been at
+// work for long. The crashes that were put down to it have had other causes.
 func (h *holding) acquit(s *step, index int) {
-	b := s.blameOf(index)
-	if b.Crashes == 0 {
+	if !h.docket.Acquit(s.unit(index)) {
 		return
 	}
-	s.holdAgainst(index, job.Blame{})
 	for i := range s.tasks {
 		if a := s.tasks[i].attempt; a != nil && s.unit(i) == s.unit(index) {
 			a.leaveTrial()
@@ -279,7 +146,7 @@
 // worksOn takes that an attempt is at work on a worker that lives.
 func (h *holding) worksOn(now time.Time, a *attempt) {
 	worked := now.Sub(a.since)
-	if b := a.step.blameOf(a.index); b.Crashes > 0 && blame.Cleared(b, worked) {
+	if b := h.blameOf(a.step, a.index); b.Crashes > 0 && blame.Cleared(b, worked) {
 		h.acquit(a.step, a.index)
 	}
 	if a.trial && worked > trialFor {
@@ -290,16 +157,11 @@
 // enterTrial notes on its worker, and for the next holder, that an attempt is of a
 // suspect.
 func (h *holding) enterTrial(now time.Time, a *attempt) {
-	b := a.step.blameOf(a.index)
-	if b.Crashes == 0 {
+	if !h.docket.Tried(a.step.unit(a.index), a.worker.ID, h.core.unixMilli(now)) {
 		return
 	}
-	if b.TriedAt != h.core.unixMilli(now) {
-		b.TriedOn, b.TriedAt = nil, h.core.unixMilli(now)
-	}
-	b.TriedOn = append(slices.Clone(b.TriedOn), a.worker.ID)
-	a.step.holdAgainst(a.index, b)
 	h.markDirty(a.step.job)
+	b := h.blameOf(a.step, a.index)
 	if !blame.Suspected(b) {
 		return
 	}
@@ -337,7 +199,7 @@
 func (h *holding) tryOut(p *pass, r ranked, set *workerSet) {
 	s := r.step
 	for i := range s.tasks {
-		if !s.waitsSuspected(i) || !h.mayTry(p.now, s, i) {
+		if !h.waitsSuspected(s, i) || !h.mayTry(p.now, s, i) {
 			continue
 		}
 		w := h.trialPlace(p, r, set, i)
@@ -352,13 +214,13 @@
 			h.refresh(p.now, r, []share{{w, 1}})
 			return
 		}
-		if !w.calm(p.now) && blame.Likely(s.tasks[i].blame) {
+		if !w.calm(p.now) && blame.Likely(h.blameOf(s, i)) {
 			continue
 		}
 		w.prepared = nil
 		h.start(p.now, s, i, h.nextRun(s), w, ticket)
-		h.core.note("a suspected task is tried", Field{"job", string(s.job.id)}, Field{"task", s.taskName(i)}, Field{"run", s.lastRun},
-			Field{"worker", w.ID}, Field{"beside", len(w.attempts) - 1}, Field{"crashes", s.tasks[i].blame.Crashes}, Field{"claim", h.epoch})
+		h.core.note("a suspected task is tried", Field{"job", string(s.job.id)}, Field{"task", s.unit(i).String()}, Field{"run", s.lastRun},
+			Field{"worker", w.ID}, Field{"beside", len(w.attempts) - 1}, Field{"crashes", h.blameOf(s, i).Crashes}, Field{"claim", h.epoch})
 	}
 }
 
@@ -366,7 +228,7 @@
 // likely one that is the emptiest, which from then on gets nothing else.
 func (h *holding) trialPlace(p *pass, r ranked, set *workerSet, index int) *worker {
 	s := r.step
-	likely := blame.Likely(s.blameOf(index))
+	likely := blame.Likely(h.blameOf(s, index))
 	if w := h.preparedFor(s, index); likely && w != nil {
 		if w.slots(s, w.room()) > 0 {
 			return w
@@ -408,7 +270,7 @@
 
 // endPreparation lets a worker take other tasks again whose suspect does not come.
 func (h *holding) endPreparation(now time.Time, w *worker) {
-	if pr := w.prepared; pr != nil && (now.Sub(pr.since) > prepareMost || !pr.step.open || !pr.step.waitsSuspected(pr.index) || !h.isSound(now, w)) {
+	if pr := w.prepared; pr != nil && (now.Sub(pr.since) > prepareMost || !pr.step.open || !h.waitsSuspected(pr.step, pr.index) || !h.isSound(now, w)) {
 		w.prepared = nil
 		h.planDue = true
 	}
@@ -427,9 +289,8 @@
 // mayTry says whether a suspect may be tried now: what is held against it is in the log
 // if it is likely to be guilty, and not too many workers are at risk.
 func (h *holding) mayTry(now time.Time, s *step, index int) bool {
-	b := s.blameOf(index)
-	t := &s.tasks[s.unit(index)]
-	if t.accused || now.Before(t.tryAfter) || blame.Likely(b) && h.journal.awaits(s.job) {
+	b := h.blameOf(s, index)
+	if h.docket.Waits(now, s.unit(index)) || blame.Likely(b) && h.journal.awaits(s.job) {
 		return false
 	}
 	risk := blame.Probability(b)
@@ -471,8 +332,9 @@
 // whySuspected says why the suspects of a step wait, or "".
 func (h *holding) whySuspected(s *step) string {
 	for i := range s.tasks {
-		if b := s.tasks[i].blame; blame.Suspected(b) {
-			return fmt.Sprintf("%d workers crashed under task %d, which crashes them with probability %.2g; it is tried apart", b.Crashes, i, blame.Probability(b))
+		if b := h.blameOf(s, i); blame.Suspected(b) {
+			return fmt.Sprintf("%d workers crashed under task %d, which crashes them with probability %.2g; it is tried apart",
+				b.Crashes, i, blame.Probability(b))
 		}
 	}
 	return ""
