--- a/cmd/saddlevane-bench/jobcell.go
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
@@ -77,7 +78,7 @@
 	// advising is when the calls of each box are over.
 	advising map[string]time.Time
 	jobs     map[job.ID]*cellJob
-	lastCall dispatch.CallID
+	lastCall exchange.CallID
 
 	// deciding is the processor time that the reducer took, mostDeciding that of
 	// its longest group of events.
@@ -132,13 +133,13 @@
 		members = append(members, claim.Member{Box: name, Incarnation: "1", Address: name, Size: 500})
 	}
 	members[0].Size = 1000
-	c.give(dispatch.ConfigRead{Config: config}, dispatch.MembersRead{Members: members}, dispatch.ClaimsRead{Start: true})
+	c.give(exchange.ConfigRead{Config: config}, exchange.MembersRead{Members: members}, exchange.ClaimsRead{Start: true})
 	c.tick()
 }
 
 // tick gives the reducer its ticks.
 func (c *jobCell) tick() {
-	c.give(dispatch.Tick{})
+	c.give(exchange.Tick{})
 	c.after(cellTick, c.tick)
 }
 
@@ -160,7 +161,7 @@
 
 // give tells the reducer some events that came together, and carries out what it
 // asks for.
-func (c *jobCell) give(events ...dispatch.Event) {
+func (c *jobCell) give(events ...exchange.Event) {
 	began := time.Now()
 	for _, e := range events {
 		c.core.Handle(c.now, e)
@@ -175,37 +176,37 @@
 }
 
 // back gives the reducer an event after a while.
-func (c *jobCell) back(d time.Duration, e dispatch.Event) { c.after(d, func() { c.give(e) }) }
+func (c *jobCell) back(d time.Duration, e exchange.Event) { c.after(d, func() { c.give(e) }) }
 
 // do carries out one effect. Answers to callers are not looked at: what becomes of a
 // job is seen in the log.
-func (c *jobCell) do(e dispatch.Effect) {
+func (c *jobCell) do(e exchange.Effect) {
 	switch e := e.(type) {
-	case dispatch.Append:
+	case exchange.Append:
 		c.append(e)
-	case dispatch.LoadJobs:
-		c.back(appendTime, dispatch.JobsLoaded{Epoch: e.Epoch})
-	case dispatch.FollowWorkers:
+	case exchange.LoadJobs:
+		c.back(appendTime, exchange.JobsLoaded{Epoch: e.Epoch})
+	case exchange.FollowWorkers:
 		c.list()
-	case dispatch.Renew:
+	case exchange.Renew:
 		c.workers[e.Worker].renew(e)
-	case dispatch.StartRun:
+	case exchange.StartRun:
 		c.starts++
 		c.workers[e.Worker].start(e)
-	case dispatch.StopRun:
+	case exchange.StopRun:
 		c.workers[e.Worker].stop(e)
-	case dispatch.Advise:
+	case exchange.Advise:
 		c.advise(e)
 	}
 }
 
 // append keeps records, whose end the reducer hears of later.
-func (c *jobCell) append(e dispatch.Append) {
+func (c *jobCell) append(e exchange.Append) {
 	first := c.offset
 	c.offset += int64(len(e.Append.Records))
 	c.after(appendTime, func() {
-		c.give(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: first})
-		if e.Purpose == dispatch.ForJournal {
+		c.give(exchange.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: first})
+		if e.Purpose == exchange.ForJournal {
 			c.see(e.Append.Records)
 		}
 	})
@@ -233,11 +234,11 @@
 	for i := range c.mix.workers {
 		l.Present = append(l.Present, c.workers[workerName(i)].Worker)
 	}
-	c.back(appendTime, dispatch.WorkersRead{Listing: l})
+	c.back(appendTime, exchange.WorkersRead{Listing: l})
 }
 
 // advise answers a call for advice: one after the other for each box.
-func (c *jobCell) advise(e dispatch.Advise) {
+func (c *jobCell) advise(e exchange.Advise) {
 	j := c.jobs[e.Step.Job]
 	q := j.kind.queue.Advice
 	takes := q.Base + time.Duration(len(e.Workers))*q.Each
@@ -249,7 +250,7 @@
 	}
 	free = free.Add(takes)
 	c.advising[e.Box] = free
-	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
+	a := exchange.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
 	for _, id := range e.Workers {
 		if c.workers[id].suits(e.Step, j.kind.suits) {
 			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: "t"})
@@ -263,5 +264,5 @@
 	sub, work := k.submission(c.rng, number)
 	c.jobs[sub.ID] = &cellJob{kind: k, sub: sub, work: work, sentAt: c.now}
 	c.lastCall++
-	c.give(dispatch.Submitted{Call: c.lastCall, Submission: sub})
+	c.give(exchange.Submitted{Call: c.lastCall, Submission: sub})
 }
--- a/cmd/saddlevane-bench/jobworker.go
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -25,7 +25,7 @@
 	ended   []order.End
 	lastEnd int64
 	// waiting is the renewal that waits for an end, or nil.
-	waiting *dispatch.Renew
+	waiting *exchange.Renew
 	begin   time.Time
 	// slowBy is how many times as long tasks take on it.
 	slowBy float64
@@ -72,7 +72,7 @@
 }
 
 // renew answers at once if there is an end to tell, else waits for one.
-func (w *cellWorker) renew(e dispatch.Renew) {
+func (w *cellWorker) renew(e exchange.Renew) {
 	w.ended = slices.DeleteFunc(w.ended, func(end order.End) bool { return end.Number <= e.Order.Seen })
 	if len(w.ended) > 0 || e.Order.Wait == 0 {
 		w.report(e)
@@ -88,34 +88,34 @@
 }
 
 // report answers a renewal.
-func (w *cellWorker) report(e dispatch.Renew) {
+func (w *cellWorker) report(e exchange.Renew) {
 	r := order.Report{Clock: order.WorkerClock(w.cell.now.Sub(w.begin).Milliseconds()), Ended: slices.Clone(w.ended)}
 	for _, run := range w.runs {
 		r.Running = append(r.Running, order.Running{Run: run.Run, Progress: run.progress(w.cell.now)})
 	}
-	w.cell.back(orderTime, dispatch.RenewEnded{
+	w.cell.back(orderTime, exchange.RenewEnded{
 		Worker: w.ID, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Carried}, Report: r,
 	})
 }
 
 // start begins a task, which ends well after its work. All members of a gang come
 // within a few milliseconds, so they begin on their own here.
-func (w *cellWorker) start(e dispatch.StartRun) {
+func (w *cellWorker) start(e exchange.StartRun) {
 	j := w.cell.jobs[e.Order.Task.Job]
 	run := &cellRun{
 		Run: e.Order.Run, since: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step],
 		lasts: time.Duration(w.slowBy * float64(j.work[e.Order.Task.Step])),
 	}
 	w.runs[run.Run] = run
-	w.cell.back(orderTime, dispatch.StartEnded{
+	w.cell.back(orderTime, exchange.StartEnded{
 		Worker: w.ID, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Fate: order.Carried},
 	})
 	w.cell.after(run.lasts, func() { w.end(run, order.Done) })
 }
 
 // stop ends a task within the time that a stop may take.
-func (w *cellWorker) stop(e dispatch.StopRun) {
-	w.cell.back(orderTime, dispatch.StopEnded{
+func (w *cellWorker) stop(e exchange.StopRun) {
+	w.cell.back(orderTime, exchange.StopEnded{
 		Worker: w.ID, Epoch: e.Epoch, Run: e.Order.Run, Answer: order.Answer{Fate: order.Carried},
 	})
 	run := w.runs[e.Order.Run]
--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -12,9 +12,9 @@
 	"net/url"
 	"os"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
-	"saddlevane/services/dispatch"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -26,7 +26,7 @@
 			if len(args) != 1 {
 				return usageError("job: want the ID of a job")
 			}
-			a, err := first[dispatch.Answer](ctx, t.client, "/v1/jobs/"+url.PathEscape(args[0])+"/explain")
+			a, err := first[exchange.Answer](ctx, t.client, "/v1/jobs/"+url.PathEscape(args[0])+"/explain")
 			if err != nil {
 				return err
 			}
--- a/services/dispatch/effects.go
+++ b/models/exchange/effects.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package dispatch
+package exchange
 
 import (
 	"time"
@@ -166,10 +166,37 @@
 // Stopped says that a planned stop is complete.
 type Stopped struct{}
 
+// Ending is how the life of a worker ended, as far as the holder saw it.
+type Ending string
+
+// The endings.
+const (
+	// Crashed: it was listed, was not leaving, and is gone.
+	Crashed Ending = "crashed"
+	// Left: it was leaving, or its entry went while it answered.
+	Left Ending = "left"
+	// CutOff: it is listed, but has not answered for as long as its lease lasts.
+	CutOff Ending = "cut off"
+)
+
+// TasksLost says that tasks were lost with their worker. It is told for the metrics.
+type TasksLost struct {
+	How   Ending
+	Tasks int
+	// Worked is how long they had been at work together.
+	Worked time.Duration
+}
+
+// GivenUp says that a job was given up because workers crashed under a task of it. It is
+// told for the metrics.
+type GivenUp struct{ Crashes int }
+
 // EntryRefused says that an entry of the list of workers names none. It is told for the
 // metrics.
 type EntryRefused struct{}
 
+func (TasksLost) effect()     {}
+func (GivenUp) effect()       {}
 func (EntryRefused) effect()  {}
 func (Append) effect()        {}
 func (LoadJobs) effect()      {}
--- a/services/dispatch/events.go
+++ b/models/exchange/events.go
@@ -1,7 +1,10 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-package dispatch
+// Package exchange has what passes between the reducer for submitted jobs and the loop that
+// runs it: events, which the reducer is told with the present time, and effects, which it
+// asks for and which come back as events.
+package exchange
 
 import (
 	"time"
--- a/models/resource/resource_test.go
+++ b/models/resource/resource_test.go
@@ -42,3 +42,19 @@
 	total := resource.Vector{Processors: 10, Memory: 100}
 	assert.Equal(t, resource.Vector{Processors: 5, Memory: 20, Accelerators: 3}.DominantShare(total), 0.5)
 }
+
+func TestHowOftenANeedFits(t *testing.T) {
+	room := resource.Vector{Processors: 10 * resource.Processor, Memory: 4 * resource.GiB, Accelerators: 1}
+	for _, c := range []struct {
+		need resource.Vector
+		want int
+	}{
+		{resource.Vector{Processors: 3 * resource.Processor}, 3},
+		{resource.Vector{Processors: resource.Processor, Memory: 2 * resource.GiB}, 2},
+		{resource.Vector{Accelerators: 2}, 0},
+		{resource.Vector{}, 5},
+	} {
+		assert.Equal(t, room.Holds(c.need, 5), c.want, "%v", c.need)
+	}
+	assert.Equal(t, room.Minus(resource.Vector{Memory: 5 * resource.GiB}).Holds(resource.Vector{Processors: 1}, 5), 0, "room that is overdrawn holds nothing")
+}
--- a/models/resource/vector.go
+++ b/models/resource/vector.go
@@ -47,6 +47,24 @@
 	return v.Processors < 0 || v.Memory < 0 || v.Accelerators < 0
 }
 
+// Holds returns how many times need fits v, at most as often as most.
+func (v Vector) Holds(need Vector, most int) int {
+	if v.IsNegative() {
+		return 0
+	}
+	n := most
+	if need.Processors > 0 {
+		n = min(n, int(v.Processors/need.Processors))
+	}
+	if need.Memory > 0 {
+		n = min(n, int(v.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(v.Accelerators/need.Accelerators))
+	}
+	return n
+}
+
 // DominantShare returns the largest share that v takes of any resource of
 // total, as a fraction. A resource that total lacks does not count.
 func (v Vector) DominantShare(total Vector) float64 {
--- a/routers/jobs.go
+++ b/routers/jobs.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
 	"saddlevane/modules/version"
@@ -106,13 +107,13 @@
 }
 
 // answer renders what became of a call.
-func (j *Jobs) answer(w http.ResponseWriter, a dispatch.Answer) {
+func (j *Jobs) answer(w http.ResponseWriter, a exchange.Answer) {
 	switch a.Outcome {
-	case dispatch.OK:
+	case exchange.OK:
 		httpjson.Write(w, http.StatusOK, a)
-	case dispatch.NoJob:
+	case exchange.NoJob:
 		httpjson.Write(w, http.StatusGone, a)
-	case dispatch.Unsure:
+	case exchange.Unsure:
 		httpjson.Write(w, http.StatusGatewayTimeout, a)
 	default:
 		w.Header().Set(headerRetryAfter, strconv.Itoa(max(1, int(a.RetryAfter.Duration().Seconds()))))
--- /dev/null
+++ b/services/delays/delays.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package delays names what makes jobs take longer than their work, and sums it up.
+package delays
+
+import (
+	"time"
+
+	"saddlevane/modules/ordered"
+)
+
+// Cause names what made a job take longer than its work.
+type Cause string
+
+// The causes. Together they tell where the time of a late job went.
+const (
+	// Log: the log had not confirmed the job yet.
+	Log Cause = "log"
+	// Takeover: an earlier holder had the job, or its workers had not told yet
+	// what they run.
+	Takeover Cause = "takeover"
+	// Advice: an answer of the advice service was awaited.
+	Advice Cause = "advice"
+	// Room: no worker had room.
+	Room Cause = "room"
+	// Failed, Stopped, Lost and Unsure: a task ran, or was to run,
+	// more than once because its run failed, was stopped for another step, ended with
+	// its worker, or began on a worker that did not answer.
+	Failed  Cause = "run failed"
+	Stopped Cause = "run stopped"
+	Lost    Cause = "run lost"
+	Unsure  Cause = "order unanswered"
+	// Stalled: a run stood still and its task was moved.
+	Stalled Cause = "run stood still"
+	// Slow: the last run took longer than expected.
+	Slow Cause = "slow run"
+)
+
+// leastDelay is the shortest delay that is told.
+const leastDelay = 20 * time.Millisecond
+
+// Sum sums up times by what they were lost to.
+type Sum map[Cause]time.Duration
+
+// Add adds a time, if it is worth telling.
+func (d Sum) Add(why Cause, took time.Duration) {
+	if took >= leastDelay {
+		d[why] += took
+	}
+}
+
+// Main returns what most time was lost to, or nothing.
+func (d Sum) Main() Cause {
+	best := Cause("")
+	for why, took := range ordered.Map(d) {
+		if best == "" || took > d[best] {
+			best = why
+		}
+	}
+	return best
+}
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/reservations"
@@ -182,7 +183,7 @@
 }
 
 // advised takes the end of a call. An answer that was given up still counts.
-func (h *holding) advised(now time.Time, e Advised) {
+func (h *holding) advised(now time.Time, e exchange.Advised) {
 	if e.Epoch != h.epoch {
 		return
 	}
@@ -206,7 +207,7 @@
 }
 
 // notAdvised delays the next call for a step and spares the box that failed.
-func (h *holding) notAdvised(now time.Time, s *step, e Advised) {
+func (h *holding) notAdvised(now time.Time, s *step, e exchange.Advised) {
 	s.advice.askAgain = now.Add(adviceAgain)
 	if e.Busy {
 		h.advisers.busyUntil[e.Box] = maxTime(h.advisers.busyUntil[e.Box], now.Add(adviceBusy))
@@ -215,12 +216,12 @@
 	if e.Box != h.core.self.Box {
 		h.advisers.badUntil[e.Box] = now.Add(adviserBad)
 	}
-	h.core.note("advice failed", Field{"step", s.id.String()}, Field{"asked_from", e.Box}, Field{"problem", e.Failed})
+	h.core.note("advice failed", field("step", s.id.String()), field("asked_from", e.Box), field("problem", e.Failed))
 }
 
 // noteAdvice keeps which of the workers asked about suit a step, and their
 // tickets. How many suit is learned from those asked about for the first time.
-func (h *holding) noteAdvice(now time.Time, c *adviceCall, e Advised) {
+func (h *holding) noteAdvice(now time.Time, c *adviceCall, e exchange.Advised) {
 	s := c.step
 	a := &s.advice
 	if a.suits == nil {
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/modules/ordered"
@@ -61,7 +62,7 @@
 	c := h.advisers.began(&adviceCall{step: s, box: box, workers: workers, due: h.advisers.busyUntil[box]})
 	s.advice.began(c)
 	h.advisers.spent[s.job.queue] += takes
-	h.core.do(Advise{
+	h.core.do(exchange.Advise{
 		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
 		Expected: c.due.Sub(now), Timeout: c.due.Sub(now) + adviceMargin,
 	})
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -6,18 +6,19 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 )
 
 // submit accepts a job once the log has it. The same ID is the same job.
-func (h *holding) submit(now time.Time, e Submitted) {
+func (h *holding) submit(now time.Time, e exchange.Submitted) {
 	if j := h.jobs[e.Submission.ID]; j != nil {
 		if j.accepted {
-			h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown})
+			h.core.reply(e.Call, exchange.Answer{Outcome: exchange.OK, State: j.shown})
 			return
 		}
 		if h.journal.failing(now) {
-			h.core.reply(e.Call, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
+			h.core.reply(e.Call, exchange.Answer{Outcome: exchange.Unsure, Reason: "the log has not confirmed the job"})
 			return
 		}
 		j.waitAccept = append(j.waitAccept, e.Call)
@@ -28,8 +29,8 @@
 		h.core.elsewhere(e.Call, "this box is handing the cell over")
 		return
 	case e.ComeBack > 0:
-		h.core.reply(e.Call, Answer{
-			Outcome: Unavailable, Reason: "the holder is behind with its work", RetryAfter: job.Milliseconds(e.ComeBack.Milliseconds()),
+		h.core.reply(e.Call, exchange.Answer{
+			Outcome: exchange.Unavailable, Reason: "the holder is behind with its work", RetryAfter: job.Milliseconds(e.ComeBack.Milliseconds()),
 		})
 		return
 	case h.journal.failing(now):
@@ -43,21 +44,21 @@
 }
 
 // unavailable answers that nothing was done and when to come back.
-func (h *holding) unavailable(call CallID, reason string) {
-	h.core.reply(call, Answer{
-		Outcome: Unavailable, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
+func (h *holding) unavailable(call exchange.CallID, reason string) {
+	h.core.reply(call, exchange.Answer{
+		Outcome: exchange.Unavailable, Reason: reason, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
 	})
 }
 
 // cancel ends a job; the caller is told once the log has it.
-func (h *holding) cancel(now time.Time, e CancelAsked) {
+func (h *holding) cancel(now time.Time, e exchange.CancelAsked) {
 	j := h.jobs[e.Job]
 	switch {
 	case j == nil:
-		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
 		return
 	case j.shown.Final():
-		h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown})
+		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.OK, State: j.shown})
 		return
 	case h.journal.failing(now) && j.state.Final():
 		h.core.reply(e.Call, unsureCancel)
@@ -70,26 +71,26 @@
 
 // askState answers with the state that the log has, or running once a task was
 // seen at work.
-func (h *holding) askState(e StateAsked) {
+func (h *holding) askState(e exchange.StateAsked) {
 	j := h.jobs[e.Job]
 	if j == nil {
-		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
 		return
 	}
 	state := j.shown
 	if state == job.Queued && j.started {
 		state = job.Running
 	}
-	h.core.reply(e.Call, Answer{Outcome: OK, State: state})
+	h.core.reply(e.Call, exchange.Answer{Outcome: exchange.OK, State: state})
 }
 
 // askCount counts the accepted jobs of a queue of which no task was seen at work.
-func (h *holding) askCount(e CountAsked) {
+func (h *holding) askCount(e exchange.CountAsked) {
 	count := 0
 	for _, j := range h.jobs {
 		if j.queue == e.Queue && j.accepted && !j.started && !j.state.Final() {
 			count++
 		}
 	}
-	h.core.reply(e.Call, Answer{Outcome: OK, Waiting: count})
+	h.core.reply(e.Call, exchange.Answer{Outcome: exchange.OK, Waiting: count})
 }
--- a/services/dispatch/choice.go
+++ b/services/dispatch/choice.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/models/resource"
 )
 
@@ -26,7 +27,7 @@
 
 // slotsOfEmpty returns how many tasks of a step an empty worker takes.
 func (s *step) slotsOfEmpty(capacity resource.Vector) int {
-	n := fits(s.spec.Reserved(), capacity)
+	n := capacity.Holds(s.spec.Reserved(), job.MaxTasks)
 	if s.spec.PerWorker > 0 {
 		n = min(n, s.spec.PerWorker)
 	}
--- a/services/dispatch/claim.go
+++ b/services/dispatch/claim.go
@@ -3,13 +3,17 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"saddlevane/models/exchange"
+)
 
 // tryClaim claims the cell, renews the claim or gives it to a better box,
 // whichever is due.
 func (c *Core) tryClaim(now time.Time) {
 	if a := c.authority.Tick(now); a != nil {
-		c.do(Append{Purpose: ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
+		c.do(exchange.Append{Purpose: exchange.ForClaim, Number: a.Claim.Renewal, Append: a.Stream})
 	}
 	c.askPledges(now)
 	c.moveToLarger(now)
@@ -38,17 +42,17 @@
 		return
 	}
 	h.refuseAll(why)
-	c.do(FollowWorkers{On: false})
-	c.note("stopped holding the cell", Field{"claim", h.epoch}, Field{"reason", why},
-		Field{"holder", c.authority.Current().Box}, Field{"holder_claim", c.authority.Current().Epoch})
+	c.do(exchange.FollowWorkers{On: false})
+	c.note("stopped holding the cell", field("claim", h.epoch), field("reason", why),
+		field("holder", c.authority.Current().Box), field("holder_claim", c.authority.Current().Epoch))
 }
 
 // claimsRead takes a part of the stream of claims, or that it could not be
 // read.
-func (c *Core) claimsRead(now time.Time, e ClaimsRead) {
+func (c *Core) claimsRead(now time.Time, e exchange.ClaimsRead) {
 	if e.Failed != "" {
 		if c.authority.Steady() {
-			c.note("the log does not answer", Field{"reason", e.Failed})
+			c.note("the log does not answer", field("reason", e.Failed))
 		}
 		c.authority.ReadFailed()
 		return
@@ -56,7 +60,7 @@
 	before := c.authority.Current().Epoch
 	if !c.authority.Steady() {
 		c.logBackAt = now
-		c.note("the log answers", Field{"next", e.Next})
+		c.note("the log answers", field("next", e.Next))
 	}
 	if e.Start {
 		c.authority.Start(now, e.Records, e.Next)
@@ -64,7 +68,7 @@
 		c.authority.Read(now, e.Records, e.Next)
 	}
 	if cur := c.authority.Current(); cur.Epoch != before {
-		c.note("a box holds the cell", Field{"holder", cur.Box}, Field{"claim", cur.Epoch}, Field{"earlier_claim", before})
+		c.note("a box holds the cell", field("holder", cur.Box), field("claim", cur.Epoch), field("earlier_claim", before))
 	}
 	if c.announced && c.config != nil {
 		c.tryClaim(now)
--- a/services/dispatch/confirm.go
+++ b/services/dispatch/confirm.go
@@ -7,13 +7,14 @@
 	"errors"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 )
 
 // journalEnded takes the end of the append under way. One that the log has seen
 // before is in the log.
-func (h *holding) journalEnded(now time.Time, e AppendEnded) {
+func (h *holding) journalEnded(now time.Time, e exchange.AppendEnded) {
 	j := &h.journal
 	if j.batch == nil || !j.batch.sent || e.Number != j.batch.number() {
 		return
@@ -35,7 +36,7 @@
 	j.sendAt = now.Add(appendAgain)
 	if j.failingSince.IsZero() {
 		j.failingSince = now
-		h.core.note("the log does not keep records", Field{"error", err.Error()})
+		h.core.note("the log does not keep records", field("error", err.Error()))
 	}
 	h.answerUnsure(j.batch)
 	h.refuseWhileFailing(now)
@@ -44,7 +45,7 @@
 // answerUnsure tells the callers of a batch that its fate is not known.
 func (h *holding) answerUnsure(b *batch) {
 	for _, s := range b.accepts {
-		h.answer(s.waitAccept, Answer{Outcome: Unsure, Reason: "the log has not confirmed the job"})
+		h.answer(s.waitAccept, exchange.Answer{Outcome: exchange.Unsure, Reason: "the log has not confirmed the job"})
 		s.waitAccept = nil
 	}
 	for i := range b.progress {
@@ -66,7 +67,7 @@
 }
 
 // unsureCancel is what a caller is told whose cancellation waits for the log.
-var unsureCancel = Answer{Outcome: Unsure, Reason: "the log has not confirmed the cancellation"}
+var unsureCancel = exchange.Answer{Outcome: exchange.Unsure, Reason: "the log has not confirmed the cancellation"}
 
 // refuseQueued answers the callers who wait for a later append. Jobs that were
 // in none are forgotten, so they never run.
@@ -92,7 +93,7 @@
 	b := j.batch
 	j.batch = nil
 	if !j.failingSince.IsZero() {
-		h.core.note("the log keeps records again", Field{"after", now.Sub(j.failingSince).String()})
+		h.core.note("the log keeps records again", field("after", now.Sub(j.failingSince).String()))
 		j.failingSince = time.Time{}
 	}
 	for _, w := range b.recorded {
@@ -100,10 +101,10 @@
 	}
 	for _, s := range b.accepts {
 		s.accepted = true
-		h.answer(s.waitAccept, Answer{Outcome: OK, State: s.state})
+		h.answer(s.waitAccept, exchange.Answer{Outcome: exchange.OK, State: s.state})
 		s.waitAccept = nil
-		h.core.note("job accepted", Field{"job", string(s.id)}, Field{"queue", s.queue}, Field{"claim", h.epoch},
-			Field{"took", now.Sub(s.acceptedAt).String()}, Field{"open_steps", len(h.open)})
+		h.core.note("job accepted", field("job", string(s.id)), field("queue", s.queue), field("claim", h.epoch),
+			field("took", now.Sub(s.acceptedAt).String()), field("open_steps", len(h.open)))
 		h.opened(now, s)
 	}
 	for _, p := range b.progress {
@@ -117,7 +118,7 @@
 // and workers may forget the ends.
 func (h *holding) keptProgress(now time.Time, p batched) {
 	p.job.shown = p.state
-	h.answer(p.cancels, Answer{Outcome: OK, State: p.state})
+	h.answer(p.cancels, exchange.Answer{Outcome: exchange.OK, State: p.state})
 	for _, n := range p.ends {
 		n.kept = true
 		h.renewSoon(now, n.worker)
--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"saddlevane/models/claim"
-	"saddlevane/services/dispatch"
+	"saddlevane/models/exchange"
 
 	"gotest.tools/v3/assert"
 )
@@ -18,19 +18,19 @@
 	first := d.takeOver(time.Second)
 	d.claimed(claim.Claim{Epoch: 2, Box: "b", Incarnation: "b1"})
 	second := d.fences(d.claimed(claim.Claim{Epoch: 2, Box: "b", Incarnation: "b1", Released: true}))
-	effects := d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: first.Number})
+	effects := d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: first.Number})
 	assert.Check(t, !loads(effects), "the jobs are read before the fence is in the log")
-	effects = d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: second.Number})
+	effects = d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: second.Number})
 	assert.Check(t, loads(effects))
 }
 
 func TestAHolderThatKnowsNoOtherBoxAsksForNoPledges(t *testing.T) {
 	d := newDriven(t)
 	d.takeOver(time.Second)
-	d.handle(dispatch.ClaimsRead{Failed: "down"})
+	d.handle(exchange.ClaimsRead{Failed: "down"})
 	for range 10 {
 		for _, e := range d.later(100 * time.Millisecond) {
-			_, asked := e.(dispatch.AskPledges)
+			_, asked := e.(exchange.AskPledges)
 			assert.Check(t, !asked)
 		}
 	}
--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -8,67 +8,17 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
-	"saddlevane/modules/ordered"
+	"saddlevane/services/delays"
 )
 
-// delay names what made a job take longer than its work.
-type delay string
-
-// The delays. Together they tell where the time of a late job went.
-const (
-	// delayLog: the log had not confirmed the job yet.
-	delayLog delay = "log"
-	// delayTakeover: an earlier holder had the job, or its workers had not told yet
-	// what they run.
-	delayTakeover delay = "takeover"
-	// delayAdvice: an answer of the advice service was awaited.
-	delayAdvice delay = "advice"
-	// delayRoom: no worker had room.
-	delayRoom delay = "room"
-	// delayFailed, delayStopped, delayLost and delayUnsure: a task ran, or was to run,
-	// more than once because its run failed, was stopped for another step, ended with
-	// its worker, or began on a worker that did not answer.
-	delayFailed  delay = "run failed"
-	delayStopped delay = "run stopped"
-	delayLost    delay = "run lost"
-	delayUnsure  delay = "order unanswered"
-	// delayStalled: a run stood still and its task was moved.
-	delayStalled delay = "run stood still"
-	// delaySlow: the last run took longer than expected.
-	delaySlow delay = "slow run"
-)
-
-// leastDelay is the shortest delay that is told.
-const leastDelay = 20 * time.Millisecond
-
-// delays sums up times by what they were lost to.
-type delays map[delay]time.Duration
-
-// add adds a time, if it is worth telling.
-func (d delays) add(why delay, took time.Duration) {
-	if took >= leastDelay {
-		d[why] += took
-	}
-}
-
-// main returns what most time was lost to, or nothing.
-func (d delays) main() delay {
-	best := delay("")
-	for why, took := range ordered.Map(d) {
-		if best == "" || took > d[best] {
-			best = why
-		}
-	}
-	return best
-}
-
 // waited notes what a step waits for at now.
-func (s *step) waited(now time.Time, why delay) {
+func (s *step) waited(now time.Time, why delays.Cause) {
 	if since := maxTime(s.waitedAt, s.openedAt); s.done+s.attempts == 0 && !since.IsZero() {
 		if s.waits == nil {
-			s.waits = delays{}
+			s.waits = delays.Sum{}
 		}
 		s.waits[why] += now.Sub(since)
 	}
@@ -76,11 +26,11 @@
 }
 
 // waitsFor returns what a step waits for that has found no place in a plan.
-func (s *step) waitsFor() delay {
+func (s *step) waitsFor() delays.Cause {
 	if s.advice.asking() {
-		return delayAdvice
+		return delays.Advice
 	}
-	return delayRoom
+	return delays.Room
 }
 
 // began notes that a task is started.
@@ -93,50 +43,50 @@
 
 // interrupted notes why a task's run ended without being done, or may never have
 // begun. The first reason is the one that cost the time of those after it.
-func (t *task) interrupted(why delay) {
+func (t *task) interrupted(why delays.Cause) {
 	if t.again == "" {
 		t.again = why
 	}
 }
 
 // interruption returns the delay that an end which is not a good one stands for.
-func interruption(how order.How) delay {
+func interruption(how order.How) delays.Cause {
 	switch how {
 	case order.Failed:
-		return delayFailed
+		return delays.Failed
 	case order.Stopped:
-		return delayStopped
+		return delays.Stopped
 	default:
-		return delayLost
+		return delays.Lost
 	}
 }
 
 // delaysOf returns where the time of a step went that has just been done by one of
 // its tasks, of which that was expected to take some time.
-func (s *step) delaysOf(now time.Time, last int, expected time.Duration) delays {
-	d := delays{}
+func (s *step) delaysOf(now time.Time, last int, expected time.Duration) delays.Sum {
+	d := delays.Sum{}
 	t := &s.tasks[last]
 	began := t.startedAt
 	if began.IsZero() {
 		// An earlier holder started it.
-		d.add(delayTakeover, now.Sub(s.openedAt)-expected)
+		d.Add(delays.Takeover, now.Sub(s.openedAt)-expected)
 		return d
 	}
-	d.add(cmp.Or(s.waits.main(), delayRoom), t.firstAt.Sub(s.openedAt))
-	d.add(cmp.Or(t.again, delayLost), began.Sub(t.firstAt))
-	d.add(delaySlow, now.Sub(began)-expected)
+	d.Add(cmp.Or(s.waits.Main(), delays.Room), t.firstAt.Sub(s.openedAt))
+	d.Add(cmp.Or(t.again, delays.Lost), began.Sub(t.firstAt))
+	d.Add(delays.Slow, now.Sub(began)-expected)
 	return d
 }
 
 // delaysOf returns where the time of an instance went, along the steps that ended
 // last.
-func (j *submitted) delaysOf(in *instance) delays {
-	d := delays{}
+func (j *submitted) delaysOf(in *instance) delays.Sum {
+	d := delays.Sum{}
 	opened := in.openedAt
 	if j.inherited {
-		d.add(delayTakeover, opened.Sub(in.dueAt))
+		d.Add(delays.Takeover, opened.Sub(in.dueAt))
 	} else {
-		d.add(delayLog, opened.Sub(in.dueAt))
+		d.Add(delays.Log, opened.Sub(in.dueAt))
 	}
 	for s := in.lastOf(nil); s != nil; s = in.lastOf(s.spec.After) {
 		for why, took := range s.delayed {
@@ -175,17 +125,13 @@
 
 // noteEnded says how a job ended, against when it was wanted, and what delayed it.
 func (h *holding) noteEnded(now time.Time, j *submitted, state job.State, why string) {
-	fields := []Field{
-		{"job", string(j.id)},
-		{"queue", j.queue},
-		{"outcome", string(state)},
-		{"reason", why},
-		{"age", now.Sub(j.acceptedAt).String()},
-		{"claim", h.epoch},
+	fields := []exchange.Field{
+		field("job", string(j.id)), field("queue", j.queue), field("outcome", string(state)), field("reason", why),
+		field("age", now.Sub(j.acceptedAt).String()), field("claim", h.epoch),
 	}
 	if in := j.instances[0]; in != nil && state == job.Succeeded && j.submission.Instances() == 1 && !in.steps[0].spec.Service {
 		most := h.usualObjective(in, h.queueOf(j))
-		fields = append(fields, Field{"objective", most.String()}, Field{"late", now.Sub(in.dueAt) > most}, Field{"delays", j.delaysOf(in)})
+		fields = append(fields, field("objective", most.String()), field("late", now.Sub(in.dueAt) > most), field("delays", j.delaysOf(in)))
 	}
 	h.core.note("job ended", fields...)
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/services/authority"
@@ -48,7 +49,7 @@
 	// holding is set while this process holds the cell, or is about to.
 	holding *holding
 	// out has the effects that Decide returns next.
-	out []Effect
+	out []exchange.Effect
 
 	// announced says that the log has this life of the box, announcing that an
 	// append of it is under way, announceAt when one may be sent again.
@@ -112,39 +113,39 @@
 func (c *Core) LogReadAt() time.Time { return c.authority.ReadAt() }
 
 // Handle takes one event.
-func (c *Core) Handle(now time.Time, e Event) {
+func (c *Core) Handle(now time.Time, e exchange.Event) {
 	switch e := e.(type) {
-	case Tick:
+	case exchange.Tick:
 		c.tick(now)
-	case Decided:
+	case exchange.Decided:
 		c.decided(now, e.Took)
-	case Stop:
+	case exchange.Stop:
 		c.beginStop(now)
-	case ConfigRead:
+	case exchange.ConfigRead:
 		c.configRead(e.Config)
-	case ClaimsRead:
+	case exchange.ClaimsRead:
 		c.claimsRead(now, e)
-	case MembersRead:
+	case exchange.MembersRead:
 		c.membersRead(now, e.Members)
-	case AppendEnded:
+	case exchange.AppendEnded:
 		c.appendEnded(now, e)
-	case PledgeAsked:
+	case exchange.PledgeAsked:
 		c.pledgeAsked(now, e)
-	case Pledged:
+	case exchange.Pledged:
 		c.pledged(e)
-	case InviteAsked:
+	case exchange.InviteAsked:
 		c.inviteAsked(now, e)
-	case Invited:
+	case exchange.Invited:
 		c.invited(e)
-	case Submitted:
+	case exchange.Submitted:
 		c.call(now, e.Call, func(h *holding) { h.submit(now, e) })
-	case CancelAsked:
+	case exchange.CancelAsked:
 		c.call(now, e.Call, func(h *holding) { h.cancel(now, e) })
-	case StateAsked:
+	case exchange.StateAsked:
 		c.call(now, e.Call, func(h *holding) { h.askState(e) })
-	case ExplanationAsked:
+	case exchange.ExplanationAsked:
 		c.call(now, e.Call, func(h *holding) { h.askExplanation(now, e) })
-	case CountAsked:
+	case exchange.CountAsked:
 		c.call(now, e.Call, func(h *holding) { h.askCount(e) })
 	default:
 		if c.holding != nil {
@@ -155,7 +156,7 @@
 
 // Decide places what can be placed and returns all that is to be done. It is
 // called once after each group of events that came together.
-func (c *Core) Decide(now time.Time) []Effect {
+func (c *Core) Decide(now time.Time) []exchange.Effect {
 	if h := c.holding; h != nil {
 		h.decide(now)
 	}
@@ -188,15 +189,22 @@
 	return c.holding.passes
 }
 
-func (c *Core) do(e Effect) { c.out = append(c.out, e) }
+func (c *Core) do(e exchange.Effect) { c.out = append(c.out, e) }
 
-func (c *Core) note(message string, fields ...Field) { c.do(Note{Message: message, Fields: fields}) }
+func (c *Core) note(message string, fields ...exchange.Field) {
+	c.do(exchange.Note{Message: message, Fields: fields})
+}
+
+// field returns a named value of a note.
+func field(name string, value any) exchange.Field { return exchange.Field{Name: name, Value: value} }
 
-func (c *Core) reply(call CallID, a Answer) { c.do(Reply{Call: call, Reply: a}) }
+func (c *Core) reply(call exchange.CallID, a exchange.Answer) {
+	c.do(exchange.Reply{Call: call, Reply: a})
+}
 
 // call runs f if this process serves the cell's jobs. A holder that was paused
 // does not know what others have done meanwhile.
-func (c *Core) call(now time.Time, id CallID, f func(*holding)) {
+func (c *Core) call(now time.Time, id exchange.CallID, f func(*holding)) {
 	if !c.Holds(now) {
 		c.elsewhere(id, "this box does not hold the cell")
 		return
@@ -205,10 +213,10 @@
 }
 
 // elsewhere answers that nothing was done here, and when to come back.
-func (c *Core) elsewhere(id CallID, reason string) {
+func (c *Core) elsewhere(id exchange.CallID, reason string) {
 	holder := c.Holder()
-	c.reply(id, Answer{
-		Outcome: Elsewhere, Reason: reason, Holder: &holder, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
+	c.reply(id, exchange.Answer{
+		Outcome: exchange.Elsewhere, Reason: reason, Holder: &holder, RetryAfter: job.Milliseconds(comeBack.Milliseconds()),
 	})
 }
 
@@ -235,7 +243,7 @@
 		panic(err)
 	}
 	c.announcing = true
-	c.do(Append{Purpose: ForAnnounce, Append: stream.Append{
+	c.do(exchange.Append{Purpose: exchange.ForAnnounce, Append: stream.Append{
 		Stream: stream.Boxes, Records: []stream.Record{{Key: c.self.Box, Value: value}},
 	}})
 }
@@ -246,7 +254,7 @@
 		return
 	}
 	c.config = &config
-	c.note("configuration in force", Field{"config", config.Version}, Field{"queues", len(config.Queues)})
+	c.note("configuration in force", field("config", config.Version), field("queues", len(config.Queues)))
 	if c.holding != nil {
 		c.holding.namePools(config)
 		c.holding.planDue = true
@@ -254,21 +262,21 @@
 }
 
 // appendEnded takes the end of an append to whoever asked for it.
-func (c *Core) appendEnded(now time.Time, e AppendEnded) {
+func (c *Core) appendEnded(now time.Time, e exchange.AppendEnded) {
 	switch e.Purpose {
-	case ForAnnounce:
+	case exchange.ForAnnounce:
 		c.announcing = false
 		c.announced = e.Err == nil
 		c.announceAt = now.Add(appendAgain)
 		if e.Err != nil {
-			c.note("announcing this box failed", Field{"error", e.Err.Error()})
+			c.note("announcing this box failed", field("error", e.Err.Error()))
 		}
-	case ForClaim:
+	case exchange.ForClaim:
 		if !c.authority.Appended(now, e.Number, e.Offset, e.Err) && e.Err != nil {
-			c.note("a claim or renewal was not confirmed", Field{"error", e.Err.Error()})
+			c.note("a claim or renewal was not confirmed", field("error", e.Err.Error()))
 		}
 		c.followAuthority(now)
-	case ForJournal:
+	case exchange.ForJournal:
 		if c.holding != nil {
 			c.holding.journalEnded(now, e)
 		}
--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -125,10 +125,10 @@
 			askedAt := w.now
 			s := oneStep(fmt.Sprintf("j%d", i), "quick", 1, false)
 			w.jobs[s.ID] = &asked{sub: s, mayRun: true, done: map[job.TaskID]bool{}, noted: map[job.TaskID]bool{}, failures: map[job.TaskID]int{}}
-			w.holder().ask(func(id dispatch.CallID) dispatch.Event { return dispatch.Submitted{Call: id, Submission: s} },
-				func(a dispatch.Answer) {
+			w.holder().ask(func(id exchange.CallID) exchange.Event { return exchange.Submitted{Call: id, Submission: s} },
+				func(a exchange.Answer) {
 					w.answers++
-					if took := w.now.Sub(askedAt); took > 500*time.Millisecond || a.Outcome == dispatch.OK {
+					if took := w.now.Sub(askedAt); took > 500*time.Millisecond || a.Outcome == exchange.OK {
 						w.breaks("%s was answered %s after %v", s.ID, a.Outcome, took)
 					}
 				})
@@ -146,7 +146,7 @@
 	a := w.submit(s)
 	w.until(2*time.Second, "tasks run", func() bool { return len(w.workers[0].runs) > 0 })
 	first := w.holder()
-	first.post(dispatch.Stop{})
+	first.post(exchange.Stop{})
 	w.until(500*time.Millisecond, "another box holds the cell", func() bool {
 		h := w.holder()
 		return h != nil && h != first
@@ -166,8 +166,8 @@
 	newer, older := config(), config()
 	newer.Version, older.Version = 7, 5
 	older.Queues = nil
-	b.post(dispatch.ConfigRead{Config: newer})
-	b.post(dispatch.ConfigRead{Config: older})
+	b.post(exchange.ConfigRead{Config: newer})
+	b.post(exchange.ConfigRead{Config: older})
 	w.run(50 * time.Millisecond)
 	assert.Equal(t, b.core.Config().Version, int64(7))
 	assert.Equal(t, len(b.core.Config().Queues), 2)
@@ -253,7 +253,7 @@
 	w.config.Version = 2
 	w.config.Queues = map[string]job.Queue{"quick": w.config.Queues["quick"]}
 	for _, b := range w.boxes {
-		b.post(dispatch.ConfigRead{Config: w.config})
+		b.post(exchange.ConfigRead{Config: w.config})
 	}
 	// The next holder has never read a configuration with the queue.
 	for _, b := range w.boxes {
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -73,8 +73,8 @@
 	if end.How == order.Done {
 		return
 	}
-	h.core.note("task ended", Field{"job", string(s.job.id)}, Field{"task", end.Task.String()}, Field{"run", end.Run.Number},
-		Field{"worker", w.ID}, Field{"outcome", string(end.How)}, Field{"claim", h.epoch})
+	h.core.note("task ended", field("job", string(s.job.id)), field("task", end.Task.String()), field("run", end.Run.Number),
+		field("worker", w.ID), field("outcome", string(end.How)), field("claim", h.epoch))
 }
 
 // applyEnd draws the consequences of one end.
@@ -123,9 +123,9 @@
 	s.doneAt, s.delayed = now, s.delaysOf(now, last, h.usual(s))
 	h.releasePromises(now, s)
 	h.learnTimes(s)
-	h.core.note("step done", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
-		Field{"age", now.Sub(s.instance.dueAt).String()}, Field{"slack", (h.slack(now, s) + h.expect(s)).String()},
-		Field{"took", s.took.String()}, Field{"estimate", s.spec.Estimate.Duration().String()})
+	h.core.note("step done", field("job", string(s.job.id)), field("step", s.id.String()), field("tasks", len(s.tasks)),
+		field("age", now.Sub(s.instance.dueAt).String()), field("slack", (h.slack(now, s)+h.expect(s)).String()),
+		field("took", s.took.String()), field("estimate", s.spec.Estimate.Duration().String()))
 	in := s.instance
 	in.doneSteps++
 	if in.doneSteps < len(in.steps) {
@@ -208,6 +208,6 @@
 	if w.failedJobs >= excludeAfter {
 		w.failedJobs = excludeAfter - 1
 		w.excludedTill = now.Add(excludeFor)
-		h.core.note("worker is left out because different jobs fail on it", Field{"worker", w.ID}, Field{"until", w.excludedTill.UTC()})
+		h.core.note("worker is left out because different jobs fail on it", field("worker", w.ID), field("until", w.excludedTill.UTC()))
 	}
 }
--- a/services/dispatch/failed_test.go
+++ b/services/dispatch/failed_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -16,11 +16,11 @@
 func TestATaskThatFailedIsTriedOnAnotherWorker(t *testing.T) {
 	d, looks := holding(t,
 		order.Worker{ID: "v", Address: "v", Pool: pool, Capacity: fullSize}, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	first := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
-	d.handle(dispatch.StartEnded{Worker: first.Worker, Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	first := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(exchange.StartEnded{Worker: first.Worker, Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	failed := looked(looks[first.Worker])
 	failed.Report.Ended = []order.End{{Number: 1, Run: first.Order.Run, How: order.Failed}}
-	again := only[dispatch.StartRun](append(d.handle(failed), d.later(100*time.Millisecond)...))
+	again := only[exchange.StartRun](append(d.handle(failed), d.later(100*time.Millisecond)...))
 	assert.Equal(t, len(again), 1)
 	assert.Check(t, again[0].Worker != first.Worker, "both tries are on %s", first.Worker)
 }
--- a/services/dispatch/foreign_test.go
+++ b/services/dispatch/foreign_test.go
@@ -9,52 +9,52 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
 
 // refused is a change of the list by which some entries name no worker any more.
-func refused(why string, ids ...string) dispatch.WorkersRead {
+func refused(why string, ids ...string) exchange.WorkersRead {
 	l := order.Listing{Gone: ids, Foreign: map[string]string{}}
 	for _, id := range ids {
 		l.Foreign[id] = why
 	}
-	return dispatch.WorkersRead{Listing: l}
+	return exchange.WorkersRead{Listing: l}
 }
 
 func TestAWorkerWhoseEntryAnotherWriterLeftKeepsItsTasksAndGetsNoMore(t *testing.T) {
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	start := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	d.answers(3*time.Second, looks)
-	told := only[dispatch.EntryRefused](d.handle(refused("it cannot be read", "w", "x")))
+	told := only[exchange.EntryRefused](d.handle(refused("it cannot be read", "w", "x")))
 	assert.Equal(t, len(told), 2)
-	told = only[dispatch.EntryRefused](d.handle(refused("it cannot be read", "w", "x")))
+	told = only[exchange.EntryRefused](d.handle(refused("it cannot be read", "w", "x")))
 	assert.Equal(t, len(told), 0, "it is told of once")
 	assert.Equal(t, d.startsOf(oneStep("k", "quick", 1, false), 3, looks), 0, "it gets no more")
-	state := only[dispatch.Reply](d.handle(dispatch.StateAsked{Call: 9, Job: "j"}))[0].Reply.State
+	state := only[exchange.Reply](d.handle(exchange.StateAsked{Call: 9, Job: "j"}))[0].Reply.State
 	assert.Equal(t, state, job.Running, "it keeps its task")
-	d.handle(dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{{ID: "w", Address: "w", Pool: pool, Capacity: fullSize}}}})
+	d.handle(exchange.WorkersRead{Listing: order.Listing{Present: []order.Worker{{ID: "w", Address: "w", Pool: pool, Capacity: fullSize}}}})
 	assert.Equal(t, d.answers(time.Second, looks), 1, "it is a worker again")
 }
 
 func TestAWorkerOfAPoolThatNobodyNamesIsLeftAlone(t *testing.T) {
 	d, _ := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
 	other := order.Worker{ID: "o", Address: "o", Pool: "other", Capacity: fullSize}
-	effects := d.handle(dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{other}}})
+	effects := d.handle(exchange.WorkersRead{Listing: order.Listing{Present: []order.Worker{other}}})
 	effects = append(effects, d.later(200*time.Millisecond)...)
-	for _, r := range only[dispatch.Renew](effects) {
+	for _, r := range only[exchange.Renew](effects) {
 		assert.Check(t, r.Worker != "o")
 	}
 	c := config()
 	c.Version, c.Guarded = 2, map[string]bool{"other": false}
-	effects = append(d.handle(dispatch.ConfigRead{Config: c}), d.later(200*time.Millisecond)...)
+	effects = append(d.handle(exchange.ConfigRead{Config: c}), d.later(200*time.Millisecond)...)
 	asked := false
-	for _, r := range only[dispatch.Renew](effects) {
+	for _, r := range only[exchange.Renew](effects) {
 		asked = asked || r.Worker == "o"
 	}
 	assert.Check(t, asked, "a configuration names its pool")
@@ -74,16 +74,16 @@
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		d := newDriven(t)
 		fence := d.takeOver(time.Second)
-		d.handle(dispatch.AppendEnded{Purpose: dispatch.ForJournal, Number: fence.Number})
+		d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: fence.Number})
 		records := []stream.Record{{Key: "s/j", Value: good, Offset: 1}, {Key: key, Value: value, Offset: 2}}
-		d.handle(dispatch.JobsLoaded{Epoch: 1, Records: records})
+		d.handle(exchange.JobsLoaded{Epoch: 1, Records: records})
 		w := order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize}
-		d.handle(dispatch.WorkersRead{Listing: order.Listing{Whole: true, Present: []order.Worker{w}}})
+		d.handle(exchange.WorkersRead{Listing: order.Listing{Whole: true, Present: []order.Worker{w}}})
 		d.later(time.Second)
 		if strings.HasSuffix(key, "/j") {
 			return
 		}
-		state := only[dispatch.Reply](d.handle(dispatch.StateAsked{Call: 9, Job: "j"}))
-		assert.Check(t, len(state) == 0 || state[0].Reply.Outcome != dispatch.NoJob, "the others hold")
+		state := only[exchange.Reply](d.handle(exchange.StateAsked{Call: 9, Job: "j"}))
+		assert.Check(t, len(state) == 0 || state[0].Reply.Outcome != exchange.NoJob, "the others hold")
 	})
 }
--- a/services/dispatch/gangs_test.go
+++ b/services/dispatch/gangs_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -95,16 +95,16 @@
 }
 
 // passes lets time pass while the claim is kept and workers go on answering.
-func (d *driven) passes(span time.Duration, looks map[string]dispatch.Renew, running map[string][]order.Run) []dispatch.Effect {
+func (d *driven) passes(span time.Duration, looks map[string]exchange.Renew, running map[string][]order.Run) []exchange.Effect {
 	d.t.Helper()
-	var all []dispatch.Effect
+	var all []exchange.Effect
 	for end := d.now.Add(span); d.now.Before(end); {
 		effects := d.later(20 * time.Millisecond)
 		d.claimEnded(effects)
 		for _, r := range looks {
 			effects = append(effects, d.handle(looked(r, running[r.Worker]...))...)
 		}
-		for _, r := range only[dispatch.Renew](effects) {
+		for _, r := range only[exchange.Renew](effects) {
 			looks[r.Worker] = r
 		}
 		all = append(all, effects...)
@@ -113,8 +113,8 @@
 }
 
 // advises answers a call for advice: all workers that it names suit.
-func (d *driven) advises(a dispatch.Advise) []dispatch.Effect {
-	e := dispatch.Advised{Step: a.Step, Box: a.Box, Epoch: a.Epoch, Number: a.Number}
+func (d *driven) advises(a exchange.Advise) []exchange.Effect {
+	e := exchange.Advised{Step: a.Step, Box: a.Box, Epoch: a.Epoch, Number: a.Number}
 	for _, w := range a.Workers {
 		e.Good = append(e.Good, order.Ticket{Worker: w, Ticket: "ticket"})
 	}
@@ -123,7 +123,7 @@
 
 // full has some workers, of which one runs a task of a sweep that takes some time, and
 // the queues of gangConfig.
-func full(t *testing.T, takes job.Milliseconds, workers ...string) (*driven, map[string]dispatch.Renew, map[string][]order.Run) {
+func full(t *testing.T, takes job.Milliseconds, workers ...string) (*driven, map[string]exchange.Renew, map[string][]order.Run) {
 	t.Helper()
 	var all []order.Worker
 	for _, id := range workers {
@@ -132,12 +132,12 @@
 	d, looks := holding(t, all...)
 	c := gangConfig()
 	c.Version = 2
-	d.handle(dispatch.ConfigRead{Config: c})
+	d.handle(exchange.ConfigRead{Config: c})
 	var boxes []claim.Member
 	for i := range 8 {
 		boxes = append(boxes, claim.Member{Box: fmt.Sprint("box", i), Incarnation: "1", Address: fmt.Sprint("box", i)})
 	}
-	d.handle(dispatch.MembersRead{Members: boxes})
+	d.handle(exchange.MembersRead{Members: boxes})
 	sweep := sweepOf("sweep", 1)
 	sweep.Steps[0].Need.Processors = 30 * resource.Processor
 	sweep.Steps[0].Estimate = takes
@@ -145,30 +145,30 @@
 	sweep.Steps[0].Checkpoints = takes > 2000
 	effects := d.submits(sweep)
 	d.claimEnded(effects)
-	start := only[dispatch.StartRun](effects)[0]
-	d.handle(dispatch.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](effects)[0]
+	d.handle(exchange.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	return d, looks, map[string][]order.Run{start.Worker: {start.Order.Run}}
 }
 
 // The story is that of TestGangsDoNotLockEachOther; this is its part on room.
 func TestAGangStartsInTheRoomItReservedFirst(t *testing.T) {
 	d, looks, running := full(t, 20_000, "w0", "w1")
-	d.core.Handle(d.now, dispatch.Submitted{Call: 10, Submission: ofGang("first", 2)})
-	kept := d.handle(dispatch.Submitted{Call: 11, Submission: ofGang("second", 2)})
-	for _, a := range only[dispatch.Advise](kept) {
+	d.core.Handle(d.now, exchange.Submitted{Call: 10, Submission: ofGang("first", 2)})
+	kept := d.handle(exchange.Submitted{Call: 11, Submission: ofGang("second", 2)})
+	for _, a := range only[exchange.Advise](kept) {
 		d.advises(a)
 	}
 	// The tickets have run out by the time that the log has the jobs.
 	kept = append(kept, d.passes(1500*time.Millisecond, looks, running)...)
-	calls := map[job.ID][]dispatch.Advise{}
+	calls := map[job.ID][]exchange.Advise{}
 	opened := append(d.keepsAny(kept), d.passes(60*time.Millisecond, looks, running)...)
-	for _, a := range only[dispatch.Advise](opened) {
+	for _, a := range only[exchange.Advise](opened) {
 		calls[a.Step.Job] = append(calls[a.Step.Job], a)
 	}
 	assert.Equal(t, len(calls["first"]), 1)
 	assert.Equal(t, len(calls["second"]), 1, "it reserves the room of the sweep's task, which works on")
-	assert.Equal(t, len(only[dispatch.StopRun](opened)), 0)
-	starts := only[dispatch.StartRun](append(d.advises(calls["first"][0]), d.passes(20*time.Millisecond, looks, running)...))
+	assert.Equal(t, len(only[exchange.StopRun](opened)), 0)
+	starts := only[exchange.StartRun](append(d.advises(calls["first"][0]), d.passes(20*time.Millisecond, looks, running)...))
 	assert.Equal(t, len(starts), 2, "its room is free, whatever the second waits for")
 }
 
@@ -178,22 +178,22 @@
 	// 40 of 64 processors do not fit beside the sweep's task.
 	gang := ofGang("gang", 4)
 	gang.Steps[0].Need.Processors = 40 * resource.Processor
-	effects := d.handle(dispatch.Submitted{Call: 10, Submission: gang})
+	effects := d.handle(exchange.Submitted{Call: 10, Submission: gang})
 	effects = append(effects, d.keepsAny(effects)...)
-	for _, a := range only[dispatch.Advise](effects) {
+	for _, a := range only[exchange.Advise](effects) {
 		d.advises(a)
 	}
-	listed := d.handle(dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{
+	listed := d.handle(exchange.WorkersRead{Listing: order.Listing{Present: []order.Worker{
 		{ID: "w2", Address: "w2", Pool: pool, Capacity: fullSize}, {ID: "w3", Address: "w3", Pool: pool, Capacity: fullSize},
 	}}})
-	for _, r := range only[dispatch.Renew](listed) {
+	for _, r := range only[exchange.Renew](listed) {
 		looks[r.Worker] = r
 	}
 	// Two more workers are asked about 0.9 s later.
 	effects = d.passes(800*time.Millisecond, looks, running)
 	for range 3 {
 		effects = append(d.keepsAny(effects), d.passes(100*time.Millisecond, looks, running)...)
-		for _, a := range only[dispatch.Advise](effects) {
+		for _, a := range only[exchange.Advise](effects) {
 			d.advises(a)
 		}
 	}
@@ -208,7 +208,7 @@
 	clear(running)
 	effects = append(effects, d.passes(40*time.Millisecond, looks, running)...)
 	var named []string
-	for _, a := range only[dispatch.Advise](effects) {
+	for _, a := range only[exchange.Advise](effects) {
 		named = append(named, a.Workers...)
 	}
 	assert.DeepEqual(t, slices.Sorted(slices.Values(named)), []string{"w0", "w1", "w2", "w3"})
--- a/services/dispatch/handover.go
+++ b/services/dispatch/handover.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"saddlevane/models/exchange"
+)
 
 // beginStop gives the cell up, so that another box takes it over at once, and
 // goes on passing calls on for a while.
@@ -30,7 +34,7 @@
 	}
 	if now.After(c.stopAt) {
 		c.stopDone = true
-		c.do(Stopped{})
+		c.do(exchange.Stopped{})
 	}
 }
 
@@ -40,6 +44,6 @@
 	if release == nil {
 		return
 	}
-	c.do(Append{Purpose: ForClaim, Number: release.Claim.Renewal, Append: release.Stream})
+	c.do(exchange.Append{Purpose: exchange.ForClaim, Number: release.Claim.Renewal, Append: release.Stream})
 	c.stepDown("handed over")
 }
--- a/services/dispatch/handover_test.go
+++ b/services/dispatch/handover_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"saddlevane/services/dispatch"
+	"saddlevane/models/exchange"
 )
 
 func TestAPlannedStopUnderLoadDoesNotWaitForEnds(t *testing.T) {
@@ -22,7 +22,7 @@
 	w.logSlow = 200 * time.Millisecond
 	w.run(500 * time.Millisecond)
 	first := w.holder()
-	first.post(dispatch.Stop{})
+	first.post(exchange.Stop{})
 	// Two appends of the journal, at most: one under way, one with jobs that came
 	// before. Half of the grace of the stop is 750 ms.
 	w.until(600*time.Millisecond, "the box has given the cell up", func() bool { return !first.core.Holds(w.now) })
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -6,10 +6,11 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/blame"
+	"saddlevane/services/kept"
 	"saddlevane/services/lateness"
 	"saddlevane/services/planning"
 	"saddlevane/services/reservations"
@@ -105,41 +106,30 @@
 	return h
 }
 
-// Keys of the stream of jobs start with what they hold.
-const (
-	keySubmission = "s/"
-	keyProgress   = "p/"
-	keyWorker     = "w/"
-	keyFence      = "fence"
-	// keyTimes holds what is known of run times, so that the next holder need not
-	// learn it anew.
-	keyTimes = "times"
-)
-
 // begin fences earlier holders' appends and looks at the workers meanwhile.
 func (h *holding) begin(now time.Time) {
-	h.core.note("took the cell over", Field{"claim", h.epoch})
-	h.core.do(FollowWorkers{On: true})
-	h.journal.add(stream.Record{Key: keyFence, Value: []byte{'1'}})
+	h.core.note("took the cell over", field("claim", h.epoch))
+	h.core.do(exchange.FollowWorkers{On: true})
+	h.journal.add(kept.Fence())
 	h.flush(now)
 }
 
 // handle takes the events that only a holder needs.
-func (h *holding) handle(now time.Time, e Event) {
+func (h *holding) handle(now time.Time, e exchange.Event) {
 	switch e := e.(type) {
-	case JobsLoaded:
+	case exchange.JobsLoaded:
 		h.loaded(now, e)
-	case WorkersRead:
+	case exchange.WorkersRead:
 		h.workersRead(now, e.Listing)
-	case RenewEnded:
+	case exchange.RenewEnded:
 		h.renewEnded(now, e)
-	case StartEnded:
+	case exchange.StartEnded:
 		h.startEnded(now, e)
-	case StopEnded:
+	case exchange.StopEnded:
 		h.stopEnded(now, e)
-	case ThrottleEnded:
+	case exchange.ThrottleEnded:
 		h.throttleEnded(e)
-	case Advised:
+	case exchange.Advised:
 		h.advised(now, e)
 	}
 }
@@ -148,7 +138,7 @@
 func (h *holding) fenced() {
 	if h.phase == fencing {
 		h.phase = loading
-		h.core.do(LoadJobs{Epoch: h.epoch})
+		h.core.do(exchange.LoadJobs{Epoch: h.epoch})
 	}
 }
 
@@ -193,7 +183,7 @@
 
 // refuseAll answers every caller who waits for the log.
 func (h *holding) refuseAll(why string) {
-	a := Answer{Outcome: Unsure, Reason: why}
+	a := exchange.Answer{Outcome: exchange.Unsure, Reason: why}
 	for _, j := range ordered.Map(h.jobs) {
 		h.answer(j.waitAccept, a)
 		h.answer(j.waitCancel, a)
@@ -201,7 +191,7 @@
 }
 
 // answer tells several callers the same.
-func (h *holding) answer(calls []CallID, a Answer) {
+func (h *holding) answer(calls []exchange.CallID, a exchange.Answer) {
 	for _, call := range calls {
 		h.core.reply(call, a)
 	}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -6,8 +6,11 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/delays"
+	"saddlevane/services/kept"
 )
 
 // submitted is one job.
@@ -43,8 +46,8 @@
 	// ends are those that wait for the next append of the job's progress.
 	ends []*endNote
 	// waitAccept and waitCancel are callers who wait for the log.
-	waitAccept []CallID
-	waitCancel []CallID
+	waitAccept []exchange.CallID
+	waitCancel []exchange.CallID
 }
 
 // instance is one time that a job's steps run.
@@ -94,11 +97,11 @@
 	took        time.Duration
 	interrupted bool
 	// waits sums up what the step waited for before its first start, until waitedAt.
-	waits    delays
+	waits    delays.Sum
 	waitedAt time.Time
 	// doneAt is when the last task was done, delayed what it took besides its work.
 	doneAt  time.Time
-	delayed delays
+	delayed delays.Sum
 	// left is the longest chain of work from the step on, itself included, after what
 	// of it comes after the step.
 	left, after time.Duration
@@ -120,7 +123,7 @@
 	// firstAt is when it was first started under this claim, startedAt when last, and
 	// again why that was not the same.
 	firstAt, startedAt time.Time
-	again              delay
+	again              delays.Cause
 }
 
 // newJob adds a job.
@@ -187,7 +190,7 @@
 		j := h.endedJobs[0]
 		h.endedJobs = h.endedJobs[1:]
 		delete(h.jobs, j.id)
-		h.journal.add(keyDropped(keyProgress + string(j.id)))
+		h.journal.add(kept.NoProgress(j.id))
 	}
 }
 
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -4,12 +4,13 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
+	"saddlevane/services/kept"
 )
 
 // journal gathers what must last and appends it, one append at a time. Under one
@@ -50,7 +51,7 @@
 	job     *submitted
 	state   job.State
 	ends    []*endNote
-	cancels []CallID
+	cancels []exchange.CallID
 }
 
 // maxBatch bounds one append, in bytes, well below what the log takes.
@@ -115,7 +116,7 @@
 		b.sentAt = now
 	}
 	h.journal.sendAt = now.Add(h.core.settings.Gather)
-	h.core.do(Append{Purpose: ForJournal, Number: b.number(), Append: b.append})
+	h.core.do(exchange.Append{Purpose: exchange.ForJournal, Number: b.number(), Append: b.append})
 }
 
 // compose builds the next append.
@@ -135,7 +136,7 @@
 		s := j.accepts[0]
 		j.accepts = j.accepts[1:]
 		b.accepts = append(b.accepts, s)
-		size += b.put(keySubmission+string(s.id), keptSubmission{Queue: s.acceptedIn, Submission: *s.submission, Accepted: s.acceptedUnix})
+		size += b.put(kept.Submission{Queue: s.acceptedIn, Submission: *s.submission, Accepted: s.acceptedUnix}.Record())
 	}
 	return size
 }
@@ -159,27 +160,19 @@
 		s.dirty = false
 		b.progress = append(b.progress, batched{job: s, state: s.state, ends: s.ends, cancels: s.waitCancel})
 		s.ends, s.waitCancel = nil, nil
-		size += b.put(keyProgress+string(s.id), s.progress(h.docket))
+		size += b.put(kept.Progress(s.id, s.progress(h.docket)))
 		if s.state.Final() {
-			b.append.Records = append(b.append.Records, keyDropped(keySubmission+string(s.id)))
+			b.append.Records = append(b.append.Records, kept.NoSubmission(s.id))
 		}
 	}
 }
 
 // put adds a record and returns its size in bytes.
-func (b *batch) put(key string, v any) int {
-	value, err := json.Marshal(v)
-	if err != nil {
-		// The records have only plain fields.
-		panic(err)
-	}
-	b.append.Records = append(b.append.Records, stream.Record{Key: key, Value: value})
-	return len(key) + len(value)
+func (b *batch) put(r stream.Record) int {
+	b.append.Records = append(b.append.Records, r)
+	return len(r.Key) + len(r.Value)
 }
 
-// keyDropped is a record that drops its key from the stream.
-func keyDropped(key string) stream.Record { return stream.Record{Key: key} }
-
 // sequenceBits is how many bits of a batch's number its sequence number takes.
 const sequenceBits = 32
 
--- a/services/dispatch/keep.go
+++ b/services/dispatch/keep.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/services/learned"
 )
@@ -53,7 +54,9 @@
 
 // large says whether a worker has room for only one of a step's tasks at a time, so
 // that they find none while smaller tasks come and go.
-func (set *workerSet) large(s *step) bool { return fits(s.spec.Reserved(), set.largest) < largeShare }
+func (set *workerSet) large(s *step) bool {
+	return set.largest.Holds(s.spec.Reserved(), job.MaxTasks) < largeShare
+}
 
 // drainSoonest keeps other tasks off the workers that will be empty first, one for each
 // waiting task of a step, if not too many are kept already.
--- a/services/dispatch/late_test.go
+++ b/services/dispatch/late_test.go
@@ -7,25 +7,25 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
 
 // doneOn is the answer to a look at a worker on which a run has ended well.
-func doneOn(r dispatch.Renew, run order.Run) dispatch.RenewEnded {
+func doneOn(r exchange.Renew, run order.Run) exchange.RenewEnded {
 	e := looked(r)
 	e.Report.Ended = []order.End{{Number: 1, Run: run, How: order.Done}}
 	return e
 }
 
 // lookUnanswered ends a look that ran out of its time, and returns the next one.
-func (d *driven) lookUnanswered(r dispatch.Renew) dispatch.Renew {
+func (d *driven) lookUnanswered(r exchange.Renew) exchange.Renew {
 	d.t.Helper()
-	effects := d.handle(dispatch.RenewEnded{Worker: r.Worker, Epoch: r.Epoch, Look: r.Look, Answer: order.Answer{Fate: order.Unknown}})
-	next := only[dispatch.Renew](append(effects, d.later(200*time.Millisecond)...))
+	effects := d.handle(exchange.RenewEnded{Worker: r.Worker, Epoch: r.Epoch, Look: r.Look, Answer: order.Answer{Fate: order.Unknown}})
+	next := only[exchange.Renew](append(effects, d.later(200*time.Millisecond)...))
 	assert.Equal(d.t, len(next), 1)
 	return next[0]
 }
@@ -46,44 +46,44 @@
 // the end of the run and the next start, on a day without any disturbance.
 func TestAnEndThatIsHeardLateCounts(t *testing.T) {
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	start := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	d.lookUnanswered(looks["w"])
 	effects := d.handle(doneOn(looks["w"], start.Order.Run))
 	d.keepsAny(append(effects, d.later(20*time.Millisecond)...))
-	effects = d.handle(dispatch.StateAsked{Call: 9, Job: "j"})
-	assert.Equal(t, only[dispatch.Reply](effects)[0].Reply.State, job.Succeeded)
+	effects = d.handle(exchange.StateAsked{Call: 9, Job: "j"})
+	assert.Equal(t, only[exchange.Reply](effects)[0].Reply.State, job.Succeeded)
 }
 
 // A late answer is from before the look under way: what ran by then may have ended, and
 // what did not may have begun.
 func TestALateAnswerTellsOfEndsOnly(t *testing.T) {
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	start := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	second := d.lookUnanswered(looks["w"])
 	third := d.lookUnanswered(second)
 	effects := d.handle(looked(second))
 	effects = append(effects, d.later(20*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 0, "an empty list that came late is no proof")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 0, "an empty list that came late is no proof")
 	stray := order.Run{Task: job.TaskID{StepID: job.StepID{Job: "gone"}}, Number: 1}
 	effects = d.handle(looked(second, stray))
-	assert.Equal(t, len(only[dispatch.StopRun](effects)), 0, "what ran by then may have ended")
+	assert.Equal(t, len(only[exchange.StopRun](effects)), 0, "what ran by then may have ended")
 	effects = d.handle(looked(third))
 	effects = append(effects, d.later(20*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 1, "the look under way is one")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 1, "the look under way is one")
 }
 
 // A refusal says that the job has not run; one that is known may have.
 func TestAHolderThatIsBehindRefusesOnlyJobsItDoesNotKnow(t *testing.T) {
 	d := oneWorker(t)
 	d.submits(oneStep("known", "quick", 1, false))
-	again := d.handle(dispatch.Submitted{Call: 7, Submission: oneStep("known", "quick", 1, false), ComeBack: 2 * time.Second})
-	assert.Equal(t, only[dispatch.Reply](again)[0].Reply.Outcome, dispatch.OK)
-	fresh := d.handle(dispatch.Submitted{Call: 8, Submission: oneStep("new", "quick", 1, false), ComeBack: 2 * time.Second})
-	reply := only[dispatch.Reply](fresh)[0].Reply
-	assert.Equal(t, reply.Outcome, dispatch.Unavailable)
+	again := d.handle(exchange.Submitted{Call: 7, Submission: oneStep("known", "quick", 1, false), ComeBack: 2 * time.Second})
+	assert.Equal(t, only[exchange.Reply](again)[0].Reply.Outcome, exchange.OK)
+	fresh := d.handle(exchange.Submitted{Call: 8, Submission: oneStep("new", "quick", 1, false), ComeBack: 2 * time.Second})
+	reply := only[exchange.Reply](fresh)[0].Reply
+	assert.Equal(t, reply.Outcome, exchange.Unavailable)
 	assert.Equal(t, reply.RetryAfter.Duration(), 2*time.Second)
-	state := d.handle(dispatch.StateAsked{Call: 9, Job: "new"})
-	assert.Equal(t, only[dispatch.Reply](state)[0].Reply.Outcome, dispatch.NoJob)
+	state := d.handle(exchange.StateAsked{Call: 9, Job: "new"})
+	assert.Equal(t, only[exchange.Reply](state)[0].Reply.Outcome, exchange.NoJob)
 }
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
@@ -70,7 +71,7 @@
 		r.Wait = job.Milliseconds(h.lookWait(w).Milliseconds())
 	}
 	w.lookDue = now.Add(r.Wait.Duration())
-	h.core.do(Renew{
+	h.core.do(exchange.Renew{
 		Worker: w.ID, Address: w.Address, Epoch: h.epoch, Look: w.look, Order: r,
 		Timeout: h.patience(now, lookMargin) + r.Wait.Duration(), Late: h.lateFor(now, w),
 	})
@@ -83,7 +84,7 @@
 }
 
 // renewEnded takes the end of a renewal's call.
-func (h *holding) renewEnded(now time.Time, e RenewEnded) {
+func (h *holding) renewEnded(now time.Time, e exchange.RenewEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
@@ -120,7 +121,7 @@
 
 // cameLate takes the answer to a look that has run out of its time. Ends have numbers
 // and stay true; what ran by then may have ended since, so the rest tells nothing.
-func (h *holding) cameLate(now time.Time, w *worker, e RenewEnded) {
+func (h *holding) cameLate(now time.Time, w *worker, e exchange.RenewEnded) {
 	due, waited := w.overdue[e.Look]
 	delete(w.overdue, e.Look)
 	if e.Answer.Fate != order.Carried {
@@ -134,7 +135,7 @@
 
 // answeredLook takes how long the answer to a look took beside its wait. Where an end cut
 // the wait short that is not known.
-func (h *holding) answeredLook(now time.Time, w *worker, e RenewEnded) {
+func (h *holding) answeredLook(now time.Time, w *worker, e exchange.RenewEnded) {
 	if took := now.Sub(w.lookDue); took > 0 || len(e.Report.Ended) == 0 {
 		h.answers.Answered(now, took)
 	}
@@ -192,14 +193,14 @@
 }
 
 // renewFailed tries again soon, and ever less often at a worker that runs nothing.
-func (h *holding) renewFailed(now time.Time, w *worker, e RenewEnded) {
+func (h *holding) renewFailed(now time.Time, w *worker, e exchange.RenewEnded) {
 	w.failures++
 	if len(w.overdue) < lateLooks {
 		w.overdue[e.Look] = w.lookDue
 	}
 	if w.failures == 1 {
 		h.silent(now, w)
-		h.core.note("worker does not answer", Field{"worker", w.ID}, Field{"problem", e.Answer.Problem}, Field{"tasks", len(w.attempts)})
+		h.core.note("worker does not answer", field("worker", w.ID), field("problem", e.Answer.Problem), field("tasks", len(w.attempts)))
 	}
 	w.renewAt = now.Add(renewAgain)
 	if w.failures == 1 {
@@ -213,12 +214,14 @@
 }
 
 // renewed takes a worker's report and asks again.
-func (h *holding) renewed(now time.Time, w *worker, e RenewEnded) {
+func (h *holding) renewed(now time.Time, w *worker, e exchange.RenewEnded) {
 	if w.failures > 0 {
-		h.core.note("worker answers again", Field{"worker", w.ID}, Field{"failures", w.failures})
+		h.core.note("worker answers again", field("worker", w.ID), field("failures", w.failures))
 	}
 	w.failures = 0
-	h.answersAgain(w)
+	if w.presence.Answers() {
+		h.docket.Answers(w.ID)
+	}
 	clear(w.overdue)
 	w.answeredAt = now
 	h.answeredLook(now, w, e)
@@ -231,7 +234,7 @@
 		delete(h.unsettled, w.ID)
 		h.record(w)
 		if inherited && len(h.unsettled) == 0 {
-			h.core.note("all workers of earlier holders have told what they run", Field{"claim", h.epoch}, Field{"took", now.Sub(h.since).String()})
+			h.core.note("all workers of earlier holders have told what they run", field("claim", h.epoch), field("took", now.Sub(h.since).String()))
 		}
 	}
 	h.planDue = true
@@ -263,13 +266,13 @@
 // lapsed frees the tasks of a worker that has surely ended them.
 func (h *holding) lapsed(now time.Time, w *worker) {
 	if len(w.attempts) > 0 || w.settled || h.unsettled[w.ID] {
-		h.core.note("worker's lease has run out", Field{"worker", w.ID}, Field{"tasks", len(w.attempts)},
-			Field{"lapsed_for", now.Sub(w.goneAt).String()}, Field{"how", string(h.endedAs(now, w, false))})
+		h.core.note("worker's lease has run out", field("worker", w.ID), field("tasks", len(w.attempts)),
+			field("lapsed_for", now.Sub(w.goneAt).String()), field("how", string(h.endedAs(now, w, false))))
 	}
 	h.loseAll(now, w, h.endedAs(now, w, false), "the worker's lease has run out")
 	w.settled = false
 	delete(h.unsettled, w.ID)
-	if !w.listed {
+	if !w.presence.Listed() {
 		h.forget(w)
 	}
 }
--- a/services/dispatch/listing.go
+++ b/services/dispatch/listing.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 )
@@ -50,8 +51,8 @@
 			continue
 		}
 		h.foreign[id] = why
-		h.core.note("an entry names no worker", Field{"entry", id}, Field{"reason", why}, Field{"known", h.workers[id] != nil})
-		h.core.do(EntryRefused{})
+		h.core.note("an entry names no worker", field("entry", id), field("reason", why), field("known", h.workers[id] != nil))
+		h.core.do(exchange.EntryRefused{})
 	}
 }
 
@@ -81,13 +82,7 @@
 // entryMissing acts on a worker that is no longer listed. Shortly after the log was
 // away its entry may only have lapsed, and it is used on as long as it answers.
 func (h *holding) entryMissing(now time.Time, w *worker) {
-	if !w.listed {
-		return
-	}
-	if w.missingSince.IsZero() {
-		w.missingSince = now
-	}
-	w.listed = h.mayBeBack(now)
+	w.presence.Missing(now, h.mayBeBack(now))
 }
 
 // mayBeBack says whether entries may be missing that will be back.
@@ -101,8 +96,7 @@
 		return
 	}
 	for _, w := range h.byName() {
-		if w.listed && !w.missingSince.IsZero() {
-			w.listed = false
+		if w.presence.GiveUp() {
 			h.planDue = true
 		}
 	}
@@ -113,12 +107,12 @@
 	w := h.workers[o.ID]
 	if w == nil {
 		w = h.addWorker(now, o)
-		h.core.note("worker listed", Field{"worker", o.ID}, Field{"address", o.Address}, Field{"pool", o.Pool}, Field{"domain", o.Domain})
+		h.core.note("worker listed", field("worker", o.ID), field("address", o.Address), field("pool", o.Pool), field("domain", o.Domain))
 	}
 	if o.Leaving && !w.Leaving {
-		h.core.note("worker is leaving", Field{"worker", o.ID}, Field{"remaining", o.Remaining.String()}, Field{"tasks", len(w.attempts)})
+		h.core.note("worker is leaving", field("worker", o.ID), field("remaining", o.Remaining.String()), field("tasks", len(w.attempts)))
 	}
-	w.listed, w.missingSince = true, time.Time{}
+	w.presence.Entry(o.Leaving)
 	used := w.Capacity.Minus(w.free)
 	w.Worker = o
 	w.free = o.Capacity.Minus(used)
--- a/services/dispatch/look_test.go
+++ b/services/dispatch/look_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -18,18 +18,18 @@
 // with a time from before the look was sent.
 func TestALookAskedForBeforeAStartProvesNothing(t *testing.T) {
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	starts := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))
+	starts := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))
 	assert.Equal(t, len(starts), 1)
 	run := starts[0].Order.Run
 	d.now = d.now.Add(-15 * time.Millisecond)
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: run, Answer: order.Answer{Fate: order.Carried}})
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: run, Answer: order.Answer{Fate: order.Carried}})
 	d.now = d.now.Add(40 * time.Millisecond)
 	effects := d.handle(looked(looks["w"]))
 	effects = append(effects, d.later(20*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 0, "the task is started again beside its first run")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 0, "the task is started again beside its first run")
 
-	next := only[dispatch.Renew](effects)
+	next := only[exchange.Renew](effects)
 	assert.Equal(t, len(next), 1)
 	effects = append(d.handle(looked(next[0])), d.later(20*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 1, "a later look shows that the worker no longer has it")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 1, "a later look shows that the worker no longer has it")
 }
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/modules/ordered"
 )
 
@@ -54,7 +55,7 @@
 		return
 	}
 	c.pledging = true
-	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
+	c.do(exchange.AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
 }
 
 // inviteOne invites the largest of the boxes that the log answers to take the cell
@@ -72,23 +73,23 @@
 		return
 	}
 	h.suspended = true
-	c.note("invites another box to take the cell over", Field{"claim", h.epoch}, Field{"box", best.Box}, Field{"address", best.Address},
-		Field{"reason", reason}, Field{"size", c.self.Size}, Field{"its_size", best.Size}, Field{"could", len(steady)})
-	c.do(Invite{Epoch: h.epoch, Address: best.Address})
+	c.note("invites another box to take the cell over", field("claim", h.epoch), field("box", best.Box), field("address", best.Address),
+		field("reason", reason), field("size", c.self.Size), field("its_size", best.Size), field("could", len(steady)))
+	c.do(exchange.Invite{Epoch: h.epoch, Address: best.Address})
 }
 
 // inviteAsked answers a holder that wants this box to claim the cell.
-func (c *Core) inviteAsked(now time.Time, e InviteAsked) {
-	a := Answer{Outcome: Unavailable}
+func (c *Core) inviteAsked(now time.Time, e exchange.InviteAsked) {
+	a := exchange.Answer{Outcome: exchange.Unavailable}
 	if c.config != nil && c.announced && c.authority.Invite(e.Epoch) {
-		a.Outcome = OK
+		a.Outcome = exchange.OK
 	}
 	c.reply(e.Call, a)
 	c.tryClaim(now)
 }
 
 // invited ends the holding unless the other box has surely refused.
-func (c *Core) invited(e Invited) {
+func (c *Core) invited(e exchange.Invited) {
 	h := c.holding
 	if h == nil || h.epoch != e.Epoch {
 		return
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"saddlevane/models/exchange"
 )
 
 // While the log does not answer the holder, it asks the other boxes. If the log
@@ -26,7 +28,7 @@
 		return
 	}
 	c.pledging = true
-	c.do(AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
+	c.do(exchange.AskPledges{Epoch: h.epoch, Addresses: c.otherAddresses()})
 }
 
 // otherAddresses returns where the other boxes are, in a fixed order.
@@ -42,16 +44,16 @@
 }
 
 // pledgeAsked answers a holder that wants this box not to claim for a while.
-func (c *Core) pledgeAsked(now time.Time, e PledgeAsked) {
-	a := Answer{Outcome: Unavailable, Steady: c.authority.Steady() && !c.authority.Stopping() && c.config != nil}
+func (c *Core) pledgeAsked(now time.Time, e exchange.PledgeAsked) {
+	a := exchange.Answer{Outcome: exchange.Unavailable, Steady: c.authority.Steady() && !c.authority.Stopping() && c.config != nil}
 	if c.authority.Pledge(now, e.Epoch) {
-		a.Outcome = OK
+		a.Outcome = exchange.OK
 	}
 	c.reply(e.Call, a)
 }
 
 // pledged takes what the other boxes have answered.
-func (c *Core) pledged(e Pledged) {
+func (c *Core) pledged(e exchange.Pledged) {
 	c.pledging = false
 	c.pledgeAgain = e.SentAt.Add(c.settings.Authority.Renew / 2)
 	if e.All {
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -51,13 +51,13 @@
 			tiers[h.rank(now, s).tier]++
 		}
 	}
-	h.core.note("state of the cell", Field{"claim", h.epoch}, Field{"workers", len(h.workers)}, Field{"taking", taking},
-		Field{"processors", capacity.Processors.String()}, Field{"free", free.Processors.String()},
-		Field{"accelerators", capacity.Accelerators}, Field{"free_accelerators", free.Accelerators}, Field{"promised_accelerators", promised.Accelerators},
-		Field{"promised", promised.Processors.String()}, Field{"stopping", stopping.Processors.String()},
-		Field{"workers_kept", kept}, Field{"steps_on_time", tiers[onTime]}, Field{"steps_late", tiers[late]},
-		Field{"steps_hopeless", tiers[hopeless]}, Field{"unsettled", len(h.unsettled)}, Field{"plans", h.passes},
-		Field{"advice_time", fmt.Sprint(h.advisers.spent)}, Field{"stop_time", h.learned.stopTime.String()},
-		Field{"answers_take", h.answers.Usual(now).String()}, Field{"gangs_reserving", h.reserved.Len()}, Field{"reserved", h.reserved.Room().String()}, Field{"reservations_ended", fmt.Sprint(h.reserved.Take())})
+	h.core.note("state of the cell", field("claim", h.epoch), field("workers", len(h.workers)), field("taking", taking),
+		field("processors", capacity.Processors.String()), field("free", free.Processors.String()),
+		field("accelerators", capacity.Accelerators), field("free_accelerators", free.Accelerators), field("promised_accelerators", promised.Accelerators),
+		field("promised", promised.Processors.String()), field("stopping", stopping.Processors.String()),
+		field("workers_kept", kept), field("steps_on_time", tiers[onTime]), field("steps_late", tiers[late]),
+		field("steps_hopeless", tiers[hopeless]), field("unsettled", len(h.unsettled)), field("plans", h.passes),
+		field("advice_time", fmt.Sprint(h.advisers.spent)), field("stop_time", h.learned.stopTime.String()),
+		field("answers_take", h.answers.Usual(now).String()), field("gangs_reserving", h.reserved.Len()), field("reserved", h.reserved.Room().String()), field("reservations_ended", fmt.Sprint(h.reserved.Take())))
 	clear(h.advisers.spent)
 }
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -107,10 +107,10 @@
 			h.start(now, s, next, run, sh.worker, ticket)
 		}
 	}
-	h.core.note("tasks started", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"run", run},
-		Field{"workers", names(shares)}, Field{"still_waiting", s.waiting}, Field{"advised", len(s.advice.suits)},
-		Field{"claim", h.epoch}, Field{"config", h.core.config.Version}, Field{"age", now.Sub(s.instance.dueAt).String()},
-		Field{"slack", h.slack(now, s).String()})
+	h.core.note("tasks started", field("job", string(s.job.id)), field("step", s.id.String()), field("run", run),
+		field("workers", names(shares)), field("still_waiting", s.waiting), field("advised", len(s.advice.suits)),
+		field("claim", h.epoch), field("config", h.core.config.Version), field("age", now.Sub(s.instance.dueAt).String()),
+		field("slack", h.slack(now, s).String()))
 }
 
 // names lists workers with the number of tasks on each.
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -106,10 +106,8 @@
 	}
 }
 
-const (
-	// explained is of how many waiting steps a pass says why they wait.
-	explained = 20
-)
+// explained is of how many waiting steps a pass says why they wait.
+const explained = 20
 
 // explainEvery is the least time between two lines about a gang that waits.
 const explainEvery = 2 * time.Second
@@ -123,8 +121,8 @@
 	s.explainedAt = p.now
 	suited := r.suited(h.workersFor(p, s, r.queue.Pool))
 	_, placed := h.fit(p.now, s, suited)
-	h.core.note("gang waits for room", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"tasks", len(s.tasks)},
-		Field{"need", s.spec.Need.Processors.String()}, Field{"room_for", placed}, Field{"workers_asked", len(s.advice.suits)},
-		Field{"workers_suited", len(suited)}, Field{"gangs_reserving", h.reserved.Len()}, Field{"tier", int(r.tier)},
-		Field{"slack", h.slack(p.now, s).String()})
+	h.core.note("gang waits for room", field("job", string(s.job.id)), field("step", s.id.String()), field("tasks", len(s.tasks)),
+		field("need", s.spec.Need.Processors.String()), field("room_for", placed), field("workers_asked", len(s.advice.suits)),
+		field("workers_suited", len(suited)), field("gangs_reserving", h.reserved.Len()), field("tier", int(r.tier)),
+		field("slack", h.slack(p.now, s).String()))
 }
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -96,8 +96,8 @@
 // noteStopped says that tasks are stopped for a step.
 func (h *holding) noteStopped(p *pass, s *step, stopped, workers int) {
 	if stopped > 0 {
-		h.core.note("tasks are stopped for a step", Field{"job", string(s.job.id)}, Field{"step", s.id.String()},
-			Field{"stopped", stopped}, Field{"workers", workers}, Field{"slack", h.slack(p.now, s).String()}, Field{"claim", h.epoch})
+		h.core.note("tasks are stopped for a step", field("job", string(s.job.id)), field("step", s.id.String()),
+			field("stopped", stopped), field("workers", workers), field("slack", h.slack(p.now, s).String()), field("claim", h.epoch))
 	}
 }
 
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/services/delays"
 )
 
 // tier orders steps before anything else does.
@@ -120,7 +121,7 @@
 			continue
 		}
 		if s.job.inherited && len(h.unsettled) > 0 {
-			s.waited(now, delayTakeover)
+			s.waited(now, delays.Takeover)
 			continue
 		}
 		all = append(all, h.rank(now, s))
--- a/services/dispatch/remaining_test.go
+++ b/services/dispatch/remaining_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -29,7 +29,7 @@
 // working is a worker on which one task works.
 type working struct {
 	*driven
-	look dispatch.Renew
+	look exchange.Renew
 	run  order.Run
 }
 
@@ -37,33 +37,33 @@
 func newWorking(t *testing.T, s job.Submission) *working {
 	t.Helper()
 	d, looks := holding(t, order.Worker{ID: "w", Address: "w", Pool: pool, Capacity: fullSize})
-	start := only[dispatch.StartRun](d.submits(s))[0]
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](d.submits(s))[0]
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	return &working{driven: d, look: looks["w"], run: start.Order.Run}
 }
 
 // works lets time pass, after which a look tells the task's progress.
-func (w *working) works(passed time.Duration, progress int) []dispatch.Effect {
+func (w *working) works(passed time.Duration, progress int) []exchange.Effect {
 	for end := w.now.Add(passed); w.now.Before(end); {
 		w.claimEnded(w.later(100 * time.Millisecond))
 	}
 	answer := looked(w.look)
 	answer.Report.Running = []order.Running{{Run: w.run, Progress: progress}}
 	effects := w.handle(answer)
-	for _, r := range only[dispatch.Renew](effects) {
+	for _, r := range only[exchange.Renew](effects) {
 		w.look = r
 	}
 	return effects
 }
 
 // stops hands a job in that needs the whole worker and returns the stops ordered.
-func (w *working) stops(id string) []dispatch.StopRun {
-	effects := w.keepsAny(w.handle(dispatch.Submitted{Call: 2, Submission: whole(id)}))
+func (w *working) stops(id string) []exchange.StopRun {
+	effects := w.keepsAny(w.handle(exchange.Submitted{Call: 2, Submission: whole(id)}))
 	for range 3 {
 		effects = append(effects, w.later(100*time.Millisecond)...)
 		effects = append(effects, w.keepsAny(effects)...)
 	}
-	return only[dispatch.StopRun](effects)
+	return only[exchange.StopRun](effects)
 }
 
 func TestAStepAboutToEndOnTimeGivesWayToNobody(t *testing.T) {
@@ -102,7 +102,7 @@
 	done := looked(w.look)
 	done.Report.Ended = []order.End{{Number: 1, Run: w.run, How: order.Done}}
 	found := false
-	for _, n := range only[dispatch.Note](w.handle(done)) {
+	for _, n := range only[exchange.Note](w.handle(done)) {
 		if n.Message != "job ended" {
 			continue
 		}
@@ -119,19 +119,19 @@
 
 func TestARunOfMuchMoreWorkThanUsualIsNotTakenToStandStill(t *testing.T) {
 	w := newWorking(t, whole("j"))
-	var stops []dispatch.StopRun
+	var stops []exchange.StopRun
 	for i := range 30 {
 		// A percent takes 0.8 s, which is 80 s for all.
-		stops = append(stops, only[dispatch.StopRun](w.works(400*time.Millisecond, (i+1)/2))...)
+		stops = append(stops, only[exchange.StopRun](w.works(400*time.Millisecond, (i+1)/2))...)
 	}
 	assert.Equal(t, len(stops), 0)
 }
 
 func TestARunThatComesNoFurtherIsStopped(t *testing.T) {
 	w := newWorking(t, whole("j"))
-	var stops []dispatch.StopRun
+	var stops []exchange.StopRun
 	for i := range 8 {
-		stops = append(stops, only[dispatch.StopRun](w.works(400*time.Millisecond, min(20, 10*(i+1))))...)
+		stops = append(stops, only[exchange.StopRun](w.works(400*time.Millisecond, min(20, 10*(i+1))))...)
 	}
 	assert.Check(t, len(stops) > 0)
 }
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -6,12 +6,14 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/services/delays"
 )
 
 // applyReport brings what is believed of a worker in line with its own word.
-func (h *holding) applyReport(now time.Time, w *worker, e RenewEnded) {
+func (h *holding) applyReport(now time.Time, w *worker, e exchange.RenewEnded) {
 	h.takeEnds(now, w, e.Report.Ended)
 	clear(w.strays)
 	present := make(map[order.Run]bool, len(e.Report.Running))
@@ -98,7 +100,7 @@
 
 // stopStray ends a run that the holder would not have started.
 func (h *holding) stopStray(now time.Time, w *worker, run order.Run) {
-	h.core.note("a run that should not be there is stopped", Field{"task", run.Task.String()}, Field{"run", run.Number}, Field{"worker", w.ID})
+	h.core.note("a run that should not be there is stopped", field("task", run.Task.String()), field("run", run.Number), field("worker", w.ID))
 	h.orderStop(now, w, run)
 }
 
@@ -125,10 +127,10 @@
 // lose frees an attempt of which the worker knows nothing any more.
 func (h *holding) lose(now time.Time, a *attempt, why string) {
 	h.unplace(a)
-	a.task().interrupted(delayLost)
-	h.core.note("task lost", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()}, Field{"run", a.run},
-		Field{"worker", a.worker.ID}, Field{"state", string(a.state)}, Field{"reason", why},
-		Field{"worked_most", a.workedUntil(a.worker.silentSince).String()}, Field{"times_lost", a.task().lost})
+	a.task().interrupted(delays.Lost)
+	h.core.note("task lost", field("job", string(a.step.job.id)), field("task", a.name().Task.String()), field("run", a.run),
+		field("worker", a.worker.ID), field("state", string(a.state)), field("reason", why),
+		field("worked_most", a.workedUntil(a.worker.presence.SilentSince()).String()), field("times_lost", a.task().lost))
 	if !a.step.job.state.Final() {
 		h.gangBroke(now, a.step)
 	}
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -84,7 +84,7 @@
 	for _, sh := range res.shares {
 		room := s.spec.Reserved().Times(sh.tasks)
 		sh.worker.promised = sh.worker.promised.Plus(room)
-		sh.worker.reserved = append(sh.worker.reserved, kept{step: s, room: room})
+		sh.worker.reserved = append(sh.worker.reserved, keptRoom{step: s, room: room})
 	}
 	return res
 }
@@ -106,7 +106,7 @@
 	}
 	for _, sh := range res.shares {
 		sh.worker.promised = sh.worker.promised.Minus(s.spec.Reserved().Times(sh.tasks))
-		sh.worker.reserved = slices.DeleteFunc(sh.worker.reserved, func(k kept) bool { return k.step == s })
+		sh.worker.reserved = slices.DeleteFunc(sh.worker.reserved, func(k keptRoom) bool { return k.step == s })
 	}
 	for _, a := range res.victims {
 		a.marked = false
@@ -164,10 +164,10 @@
 	for _, c := range s.advice.calls {
 		due = maxTime(due, c.due)
 	}
-	h.core.note("a gang gives room back", Field{"job", string(s.job.id)}, Field{"step", s.id.String()}, Field{"reason", string(why)},
-		Field{"tasks", len(s.tasks)}, Field{"workers", len(s.reservation.shares)}, Field{"without_ticket", len(stale)},
-		Field{"calls", len(s.advice.calls)}, Field{"tickets_due_in", due.Sub(now).String()}, Field{"to_stop", len(s.reservation.victims)},
-		Field{"held_for", now.Sub(s.reservation.since).String()}, Field{"claim", h.epoch})
+	h.core.note("a gang gives room back", field("job", string(s.job.id)), field("step", s.id.String()), field("reason", string(why)),
+		field("tasks", len(s.tasks)), field("workers", len(s.reservation.shares)), field("without_ticket", len(stale)),
+		field("calls", len(s.advice.calls)), field("tickets_due_in", due.Sub(now).String()), field("to_stop", len(s.reservation.victims)),
+		field("held_for", now.Sub(s.reservation.since).String()), field("claim", h.epoch))
 }
 
 // usable says whether all workers of a reservation still take tasks, and could hold those
@@ -194,15 +194,15 @@
 // reservedAfter returns what is reserved on a worker for gangs later than for a step.
 func (w *worker) reservedAfter(s *step) []resource.Vector {
 	var all []resource.Vector
-	first := slices.IndexFunc(w.reserved, func(k kept) bool { return k.step == s })
+	first := slices.IndexFunc(w.reserved, func(k keptRoom) bool { return k.step == s })
 	for _, k := range w.reserved[first+1:] {
 		all = append(all, k.room)
 	}
 	return all
 }
 
-// kept is room on a worker that is reserved for a gang.
-type kept struct {
+// keptRoom is room on a worker that is reserved for a gang.
+type keptRoom struct {
 	step *step
 	room resource.Vector
 }
--- a/services/dispatch/room.go
+++ b/services/dispatch/room.go
@@ -68,7 +68,7 @@
 
 // slots returns how many more tasks of a step a worker has room for.
 func (w *worker) slots(s *step, room resource.Vector) int {
-	n := fits(s.spec.Reserved(), room)
+	n := room.Holds(s.spec.Reserved(), job.MaxTasks)
 	if s.spec.PerWorker > 0 {
 		held := 0
 		for _, a := range w.attempts {
@@ -80,21 +80,3 @@
 	}
 	return max(0, n)
 }
-
-// fits returns how many times need fits room.
-func fits(need, room resource.Vector) int {
-	n := job.MaxTasks
-	if need.Processors > 0 {
-		n = min(n, int(room.Processors/need.Processors))
-	}
-	if need.Memory > 0 {
-		n = min(n, int(room.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(room.Accelerators/need.Accelerators))
-	}
-	if room.IsNegative() {
-		return 0
-	}
-	return n
-}
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"saddlevane/models/mechanism"
-	"saddlevane/models/stream"
+	"saddlevane/services/kept"
 	"saddlevane/services/learned"
 )
 
@@ -32,19 +32,17 @@
 	}
 	h.keepTimesAt = now.Add(keepTimesEvery)
 	h.learned.changed = false
-	value, err := json.Marshal(h.learned.times)
-	if err != nil {
-		// The figures are plain numbers.
-		panic(err)
-	}
-	h.journal.add(stream.Record{Key: keyTimes, Value: value})
+	h.journal.add(kept.Times(h.learned.times))
 }
 
 // foldTimes takes over what an earlier holder knew of run times.
 func (h *holding) foldTimes(value []byte) {
+	if len(value) == 0 {
+		return
+	}
 	times := map[string]*learned.RunTimes{}
 	if err := json.Unmarshal(value, &times); err != nil {
-		h.core.note("kept run times could not be read", Field{"error", err.Error()})
+		h.core.note("kept run times could not be read", field("error", err.Error()))
 		return
 	}
 	for queue, r := range times {
--- a/services/dispatch/runtimes_test.go
+++ b/services/dispatch/runtimes_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -19,8 +19,8 @@
 	w.t.Helper()
 	var slack time.Duration
 	told := false
-	w.holder().ask(func(call dispatch.CallID) dispatch.Event { return dispatch.ExplanationAsked{Call: call, Job: id} },
-		func(a dispatch.Answer) { slack, told = a.Explanation.Slack.Duration(), true })
+	w.holder().ask(func(call exchange.CallID) exchange.Event { return exchange.ExplanationAsked{Call: call, Job: id} },
+		func(a exchange.Answer) { slack, told = a.Explanation.Slack.Duration(), true })
 	w.run(50 * time.Millisecond)
 	assert.Assert(w.t, told)
 	return slack
--- a/services/dispatch/shrink_test.go
+++ b/services/dispatch/shrink_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -73,8 +73,8 @@
 }
 
 // resized is a change of the list by which a worker has some room.
-func resized(id string, to resource.Vector) dispatch.WorkersRead {
-	return dispatch.WorkersRead{Listing: order.Listing{Present: []order.Worker{{ID: id, Address: id, Pool: pool, Capacity: to}}}}
+func resized(id string, to resource.Vector) exchange.WorkersRead {
+	return exchange.WorkersRead{Listing: order.Listing{Present: []order.Worker{{ID: id, Address: id, Pool: pool, Capacity: to}}}}
 }
 
 func TestRoomThatGrowsAgainIsUsed(t *testing.T) {
@@ -94,23 +94,23 @@
 	wide := c.Queues["wide"]
 	wide.Advice = nil
 	c.Version, c.Queues["wide"] = 2, wide
-	d.handle(dispatch.ConfigRead{Config: c})
+	d.handle(exchange.ConfigRead{Config: c})
 	for _, id := range []string{"a", "b"} {
 		s := oneStep(id, "wide", 1, false)
 		s.Steps[0].Checkpoints = true
 		s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor}
 		s.Steps[0].Estimate = 60_000
-		for _, start := range only[dispatch.StartRun](d.submits(s)) {
-			d.handle(dispatch.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+		for _, start := range only[exchange.StartRun](d.submits(s)) {
+			d.handle(exchange.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 		}
 	}
 	gang := oneStep("g", "quick", 2, true)
 	gang.Steps[0].Need = resource.Vector{Processors: 60 * resource.Processor}
 	gang.Steps[0].Estimate = 500
-	assert.Equal(t, len(only[dispatch.StopRun](d.submits(gang))), 2, "room is made for the gang")
+	assert.Equal(t, len(only[exchange.StopRun](d.submits(gang))), 2, "room is made for the gang")
 	shrunk := resource.Vector{Processors: 50 * resource.Processor, Memory: fullSize.Memory}
 	given := 0
-	for _, n := range only[dispatch.Note](append(d.handle(resized("w", shrunk)), d.later(50*time.Millisecond)...)) {
+	for _, n := range only[exchange.Note](append(d.handle(resized("w", shrunk)), d.later(50*time.Millisecond)...)) {
 		if n.Message == "a gang gives room back" {
 			given++
 		}
--- a/services/dispatch/silent_test.go
+++ b/services/dispatch/silent_test.go
@@ -7,15 +7,15 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
 
 // unanswered ends the call of a start that had no answer.
-func (d *driven) unanswered(s dispatch.StartRun) []dispatch.Effect {
-	return d.handle(dispatch.StartEnded{Worker: s.Worker, Epoch: 1, Run: s.Order.Run, Answer: order.Answer{Fate: order.Unknown}})
+func (d *driven) unanswered(s exchange.StartRun) []exchange.Effect {
+	return d.handle(exchange.StartEnded{Worker: s.Worker, Epoch: 1, Run: s.Order.Run, Answer: order.Answer{Fate: order.Unknown}})
 }
 
 // oneWorker returns a reducer that holds the cell with one worker.
@@ -27,38 +27,38 @@
 
 func TestAStartWithoutAnAnswerIsSentAgain(t *testing.T) {
 	d := oneWorker(t)
-	starts := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))
+	starts := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))
 	assert.Equal(t, len(starts), 1)
 	first := starts[0]
 	for range 3 {
-		again := only[dispatch.StartRun](d.unanswered(first))
+		again := only[exchange.StartRun](d.unanswered(first))
 		assert.Equal(t, len(again), 1)
 		assert.Equal(t, again[0].Order.Run, first.Order.Run, "the same run is ordered")
 		assert.Equal(t, again[0].Order.Ticket, first.Order.Ticket)
 	}
 	effects := d.unanswered(first)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 0, "it is not tried for ever")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 0, "it is not tried for ever")
 }
 
 func TestAStartThatWasTriedTwiceMayHaveBeenCarriedOut(t *testing.T) {
 	for _, fate := range []order.Fate{order.NotDone, order.Refused} {
 		d := oneWorker(t)
-		first := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+		first := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
 		d.unanswered(first)
-		effects := d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: fate, Reason: order.NoRoom}})
+		effects := d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: fate, Reason: order.NoRoom}})
 		effects = append(effects, d.later(200*time.Millisecond)...)
-		assert.Equal(t, len(only[dispatch.StartRun](effects)), 0, "after %s the first order may still be carried out", fate)
+		assert.Equal(t, len(only[exchange.StartRun](effects)), 0, "after %s the first order may still be carried out", fate)
 	}
 }
 
 func TestAWorkerThatOwesAnAnswerGetsNoMoreStarts(t *testing.T) {
 	d := oneWorker(t)
-	first := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	first := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
 	d.now = d.now.Add(150 * time.Millisecond)
-	assert.Equal(t, len(only[dispatch.StartRun](d.submits(oneStep("k", "quick", 1, false)))), 0)
-	effects := d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	assert.Equal(t, len(only[exchange.StartRun](d.submits(oneStep("k", "quick", 1, false)))), 0)
+	effects := d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: first.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	effects = append(effects, d.later(100*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.StartRun](effects)), 1, "it has answered")
+	assert.Equal(t, len(only[exchange.StartRun](effects)), 1, "it has answered")
 }
 
 func TestAHolderWithoutAuthorityRenewsNoLease(t *testing.T) {
@@ -67,7 +67,7 @@
 	d.later(settings().Authority.HoldFor)
 	effects := d.handle(looked(looks["w"]))
 	effects = append(effects, d.later(200*time.Millisecond)...)
-	assert.Equal(t, len(only[dispatch.Renew](effects)), 0, "the next holder counts on leases to run out")
+	assert.Equal(t, len(only[exchange.Renew](effects)), 0, "the next holder counts on leases to run out")
 	assert.Check(t, !d.core.Holds(d.now))
 }
 
@@ -76,15 +76,15 @@
 	assert.Equal(t, looks["w"].Order.Wait.Duration(), settings().Wait, "nothing runs there")
 	s := oneStep("j", "quick", 1, false)
 	s.Steps[0].Estimate = 600
-	start := only[dispatch.StartRun](d.submits(s))[0]
-	d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+	start := only[exchange.StartRun](d.submits(s))[0]
+	d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	effects := d.handle(looked(looks["w"], start.Order.Run))
-	look := only[dispatch.Renew](effects)[0]
+	look := only[exchange.Renew](effects)[0]
 	assert.Equal(t, look.Order.Wait.Duration(), 300*time.Millisecond)
 	assert.Check(t, look.Timeout <= 500*time.Millisecond, "a lost answer is noticed after %v", look.Timeout)
 	// The next look follows at once.
-	effects = d.handle(dispatch.RenewEnded{Worker: "w", Epoch: 1, Look: look.Look, Answer: order.Answer{Fate: order.Unknown}})
-	assert.Equal(t, len(only[dispatch.Renew](effects)), 1)
+	effects = d.handle(exchange.RenewEnded{Worker: "w", Epoch: 1, Look: look.Look, Answer: order.Answer{Fate: order.Unknown}})
+	assert.Equal(t, len(only[exchange.Renew](effects)), 1)
 }
 
 func TestRunsThatStandStillAreMoved(t *testing.T) {
@@ -116,7 +116,7 @@
 
 func TestAStartIsNotSentAgainWithoutAuthority(t *testing.T) {
 	d := oneWorker(t)
-	first := only[dispatch.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
+	first := only[exchange.StartRun](d.submits(oneStep("j", "quick", 1, false)))[0]
 	d.later(settings().Authority.HoldFor)
-	assert.Equal(t, len(only[dispatch.StartRun](d.unanswered(first))), 0)
+	assert.Equal(t, len(only[exchange.StartRun](d.unanswered(first))), 0)
 }
--- a/services/dispatch/stall.go
+++ b/services/dispatch/stall.go
@@ -8,6 +8,7 @@
 
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
+	"saddlevane/services/delays"
 )
 
 // A worker may answer and list its runs as running although they stand still. What a
@@ -71,11 +72,11 @@
 		if !h.standsStill(a) || a.step.spec.Gang && !h.gangStandsStill(a.step) {
 			continue
 		}
-		h.core.note("a run stands still and is moved", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
-			Field{"run", a.run}, Field{"worker", w.ID}, Field{"progress", a.progress}, Field{"ran", now.Sub(a.since).String()},
-			Field{"usual", h.usual(a.step).String()})
+		h.core.note("a run stands still and is moved", field("job", string(a.step.job.id)), field("task", a.name().Task.String()),
+			field("run", a.run), field("worker", w.ID), field("progress", a.progress), field("ran", now.Sub(a.since).String()),
+			field("usual", h.usual(a.step).String()))
 		w.excludedTill = maxTime(w.excludedTill, now.Add(excludeFor))
-		a.task().interrupted(delayStalled)
+		a.task().interrupted(delays.Stalled)
 		if a.step.spec.Gang {
 			h.gangBroke(now, a.step)
 		} else {
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -6,9 +6,11 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
+	"saddlevane/services/delays"
 )
 
 // start orders a worker to run a task.
@@ -33,7 +35,7 @@
 	a.tries++
 	a.orderedAt = now
 	w := a.worker
-	h.core.do(StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
+	h.core.do(exchange.StartRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Start{
 		Run: a.name(), Spec: a.step.job.submission.Spec, Until: h.until(now, w), Fence: h.epoch,
 		Checkpoint: a.checkpoint, Ticket: a.ticket,
 	}, Timeout: h.orderTimeout(now)})
@@ -55,7 +57,7 @@
 }
 
 // startEnded takes the end of a start's call.
-func (h *holding) startEnded(now time.Time, e StartEnded) {
+func (h *holding) startEnded(now time.Time, e exchange.StartEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
@@ -119,21 +121,21 @@
 		h.orderStart(now, a)
 		return
 	}
-	h.core.note("a start had no answer", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
-		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"problem", answer.Problem})
+	h.core.note("a start had no answer", field("job", string(a.step.job.id)), field("task", a.name().Task.String()),
+		field("run", a.run), field("worker", a.worker.ID), field("problem", answer.Problem))
 	if a.state != starting {
 		return
 	}
 	a.state = unsure
-	a.task().interrupted(delayUnsure)
+	a.task().interrupted(delays.Unsure)
 	h.mark(now, a)
 	h.gangBroke(now, a.step)
 }
 
 // startRefused acts on why a worker refused a start.
 func (h *holding) startRefused(now time.Time, a *attempt, answer order.Answer) {
-	h.core.note("a start was refused", Field{"job", string(a.step.job.id)}, Field{"task", a.name().Task.String()},
-		Field{"run", a.run}, Field{"worker", a.worker.ID}, Field{"reason", string(answer.Reason)})
+	h.core.note("a start was refused", field("job", string(a.step.job.id)), field("task", a.name().Task.String()),
+		field("run", a.run), field("worker", a.worker.ID), field("reason", string(answer.Reason)))
 	switch answer.Reason {
 	case order.Fenced:
 		h.core.stepDown(laterHolder)
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
@@ -50,10 +51,10 @@
 }
 
 // askExplanation answers why a job is as it is.
-func (h *holding) askExplanation(now time.Time, e ExplanationAsked) {
+func (h *holding) askExplanation(now time.Time, e exchange.ExplanationAsked) {
 	j := h.jobs[e.Job]
 	if j == nil {
-		h.core.reply(e.Call, Answer{Outcome: NoJob})
+		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
 		return
 	}
 	x := job.Explanation{ID: j.id, Queue: j.queue, State: j.shown}
@@ -63,7 +64,7 @@
 			x.Steps = append(x.Steps, h.explainStep(now, s))
 		}
 	}
-	h.core.reply(e.Call, Answer{Outcome: OK, State: j.shown, Explanation: &x})
+	h.core.reply(e.Call, exchange.Answer{Outcome: exchange.OK, State: j.shown, Explanation: &x})
 }
 
 // explainStep says what became of the tasks of a step, and why some wait.
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/services/blame"
 )
@@ -105,12 +106,11 @@
 
 // judge tells what the crash of a worker says of the tasks that were on it.
 func (h *holding) judge(now time.Time, w *worker, on []blame.On) {
-	found := h.docket.Crashed(now, blame.Crash{
-		Worker: w.ID, Rack: w.Rack, At: w.silentSince, UnixMilli: h.core.unixMilli(w.silentSince), Heard: w.settled, On: on,
-	})
-	for _, f := range found {
-		h.core.note("a worker crashed under a task", Field{"job", string(f.Task.Job)}, Field{"task", f.Task.String()}, Field{"worker", w.ID},
-			Field{"crashes", f.Blame.Crashes}, Field{"guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))}, Field{"worked_most", f.Worked.String()})
+	at := w.presence.SilentSince()
+	c := blame.Crash{Worker: w.ID, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at), Heard: w.settled, On: on}
+	for _, f := range h.docket.Crashed(now, c) {
+		h.core.note("a worker crashed under a task", field("job", string(f.Task.Job)), field("task", f.Task.String()), field("worker", w.ID),
+			field("crashes", f.Blame.Crashes), field("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))), field("worked_most", f.Worked.String()))
 		h.markDirty(h.jobs[f.Task.Job])
 	}
 }
@@ -121,7 +121,7 @@
 		j, b := h.jobs[t.Job], h.docket.Of(t)
 		h.markDirty(j)
 		if blame.Guilty(b) {
-			h.core.do(GivenUp{Crashes: b.Crashes})
+			h.core.do(exchange.GivenUp{Crashes: b.Crashes})
 			h.finish(now, j, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, t))
 		}
 	}
@@ -219,8 +219,8 @@
 		}
 		w.prepared = nil
 		h.start(p.now, s, i, h.nextRun(s), w, ticket)
-		h.core.note("a suspected task is tried", Field{"job", string(s.job.id)}, Field{"task", s.unit(i).String()}, Field{"run", s.lastRun},
-			Field{"worker", w.ID}, Field{"beside", len(w.attempts) - 1}, Field{"crashes", h.blameOf(s, i).Crashes}, Field{"claim", h.epoch})
+		h.core.note("a suspected task is tried", field("job", string(s.job.id)), field("task", s.unit(i).String()), field("run", s.lastRun),
+			field("worker", w.ID), field("beside", len(w.attempts)-1), field("crashes", h.blameOf(s, i).Crashes), field("claim", h.epoch))
 	}
 }
 
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -6,7 +6,9 @@
 import (
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
+	"saddlevane/services/pace"
 )
 
 // Fillers live on processors that others leave idle, and disturb the tasks that
@@ -16,21 +18,9 @@
 
 const (
 	// fullPace is the percentage of its speed at which a run begins.
-	fullPace = 100
+	fullPace = pace.Full
 	// paceUnknown is the pace of a run that an earlier holder started.
 	paceUnknown = -1
-	// throttleAt and easeAt are shares of the target. Tails are rough figures of the
-	// last half second, so there is some way between them.
-	throttleAt, easeAt = 0.85, 0.6
-	// urgentAt is the share from which fillers are nearly stopped at once.
-	urgentAt = 1.2
-	// throttleBy and urgentBy are what a pace is multiplied by.
-	throttleBy, urgentBy = 0.6, 0.2
-	// easeBy is added to a pace, in percent of a run's speed.
-	easeBy = 10
-	// leastPace is the pace, in percent, below which fillers are halted: they keep
-	// their memory.
-	leastPace = 5
 	// throttleEvery is the time after which a change shows in the figures: half a
 	// second that they cover, and 100 ms until it takes effect (the users' protocol).
 	throttleEvery = 650 * time.Millisecond
@@ -69,12 +59,12 @@
 // changePace sets the pace of a worker's fillers by the worst tail beside them, as a
 // share of its target.
 func (h *holding) changePace(now time.Time, w *worker, worst float64) {
-	next := nextPace(w.fillPace, worst)
+	next := pace.Next(w.fillPace, worst)
 	if next == w.fillPace {
 		return
 	}
-	h.core.note("fillers change their pace", Field{"worker", w.ID}, Field{"percent", next}, Field{"before", w.fillPace},
-		Field{"tail_of_target", worst}, Field{"claim", h.epoch})
+	h.core.note("fillers change their pace", field("worker", w.ID), field("percent", next), field("before", w.fillPace),
+		field("tail_of_target", worst), field("claim", h.epoch))
 	w.fillPace, w.throttledAt = next, now
 }
 
@@ -83,33 +73,16 @@
 	for _, a := range w.sorted() {
 		if a.step.spec.Filler && a.state == running && a.pace != w.fillPace && !a.pacing {
 			a.pacing = true
-			h.core.do(ThrottleRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Throttle{
+			h.core.do(exchange.ThrottleRun{Worker: w.ID, Address: w.Address, Epoch: h.epoch, Order: order.Throttle{
 				Run: a.name(), Percent: w.fillPace, Fence: h.epoch,
 			}, Timeout: h.orderTimeout(now)})
 		}
 	}
 }
 
-// nextPace returns the pace of fillers beside tasks of which the worst tail is some
-// share of its target.
-func nextPace(pace int, worst float64) int {
-	switch {
-	case worst >= urgentAt:
-		pace = int(urgentBy * float64(pace))
-	case worst >= throttleAt:
-		pace = int(throttleBy * float64(pace))
-	case worst < easeAt:
-		return min(fullPace, pace+easeBy)
-	}
-	if pace < leastPace {
-		return 0
-	}
-	return pace
-}
-
 // throttleEnded takes the end of an order of a pace. One that may not have been
 // carried out is given again at the next look.
-func (h *holding) throttleEnded(e ThrottleEnded) {
+func (h *holding) throttleEnded(e exchange.ThrottleEnded) {
 	w := h.workers[e.Worker]
 	if w == nil || e.Epoch != h.epoch {
 		return
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
-	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,7 +17,7 @@
 // sharedWorker is a worker on which a task serves and another fills.
 type sharedWorker struct {
 	*driven
-	look           dispatch.Renew
+	look           exchange.Renew
 	serves, filler order.Run
 	losesOrders    bool
 }
@@ -29,10 +29,10 @@
 	s := oneStep("j", "quick", 1, false)
 	s.Steps[0].Service, s.Steps[0].TailTarget = true, 100
 	s.Steps = append(s.Steps, job.Step{Tasks: 1, Need: need, Filler: true})
-	starts := only[dispatch.StartRun](d.submits(s))
+	starts := only[exchange.StartRun](d.submits(s))
 	assert.Equal(t, len(starts), 2)
 	for _, start := range starts {
-		d.handle(dispatch.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
+		d.handle(exchange.StartEnded{Worker: "w", Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Fate: order.Carried}})
 	}
 	w := &sharedWorker{driven: d, look: looks["w"], serves: starts[0].Order.Run, filler: starts[1].Order.Run}
 	if w.serves.Task.Step != 0 {
@@ -51,16 +51,16 @@
 	answer.Report.Running = []order.Running{{Run: w.serves, Progress: 100, Figure: tail}, {Run: w.filler, Progress: 3, Figure: 4000}}
 	effects := w.handle(answer)
 	effects = append(effects, w.later(20*time.Millisecond)...)
-	w.look = only[dispatch.Renew](effects)[0]
+	w.look = only[exchange.Renew](effects)[0]
 	var paces []int
-	for _, e := range only[dispatch.ThrottleRun](effects) {
+	for _, e := range only[exchange.ThrottleRun](effects) {
 		assert.Equal(w.t, e.Order.Run, w.filler)
 		paces = append(paces, e.Order.Percent)
 		fate := order.Carried
 		if w.losesOrders {
 			fate = order.Unknown
 		}
-		w.handle(dispatch.ThrottleEnded{Worker: "w", Epoch: 1, Run: w.filler, Percent: e.Order.Percent, Answer: order.Answer{Fate: fate}})
+		w.handle(exchange.ThrottleEnded{Worker: "w", Epoch: 1, Run: w.filler, Percent: e.Order.Percent, Answer: order.Answer{Fate: fate}})
 	}
 	return paces
 }
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -14,17 +13,16 @@
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
-	"saddlevane/models/stream"
+	"saddlevane/services/kept"
 	"saddlevane/services/learned"
+	"saddlevane/services/presence"
 )
 
 // worker is one life of a worker.
 type worker struct {
 	order.Worker
-	// listed says that the platform lists it. An entry that is missing since
-	// missingSince may have lapsed with the log.
-	listed       bool
-	missingSince time.Time
+	// presence is whether it is listed and answers.
+	presence presence.Presence
 	// settled says that it has told under this claim what it runs.
 	settled bool
 	// recorded says that the log names it, so that the next holder asks it.
@@ -44,7 +42,7 @@
 	// promised is room kept for steps that wait for tickets.
 	promised resource.Vector
 	// reserved is the part of it that is reserved for gangs, in the order in which it was.
-	reserved []kept
+	reserved []keptRoom
 
 	// clock was the worker's clock when an answer came at clockAt.
 	clock   order.WorkerClock
@@ -64,10 +62,6 @@
 	// since.
 	answeredAt time.Time
 	failures   int
-	// silentSince is when the first of those was not answered, and silentListed says
-	// that the platform listed the worker then and that it was not leaving.
-	silentSince  time.Time
-	silentListed bool
 	// owesSince is when a start was ordered of which, and of all those after it, none
 	// was answered, or zero.
 	owesSince time.Time
@@ -148,7 +142,7 @@
 
 // isSound says whether a worker could take new tasks if it were not kept for a suspect.
 func (h *holding) isSound(now time.Time, w *worker) bool {
-	return w.settled && w.listed && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
+	return w.settled && w.presence.Listed() && w.recorded && !w.Leaving && w.failures == 0 && len(w.strays) == 0 &&
 		now.Sub(w.answeredAt) < h.core.settings.Wait+h.patience(now, silentAfter) && !now.Before(w.excludedTill) && !(h.uses(mechanism.OwedAnswers) && h.owes(now, w))
 }
 
@@ -171,20 +165,15 @@
 	if w.recorded || w.recording {
 		return
 	}
-	value, err := json.Marshal(w.Worker)
-	if err != nil {
-		// A worker has only plain fields.
-		panic(err)
-	}
 	w.recording = true
 	h.journal.recording = append(h.journal.recording, w)
-	h.journal.add(stream.Record{Key: keyWorker + w.ID, Value: value})
+	h.journal.add(kept.Worker(w.Worker))
 }
 
 // workerDied frees the tasks of a worker whose life is over for sure.
 func (h *holding) workerDied(now time.Time, w *worker, why string) {
 	how := h.endedAs(now, w, true)
-	h.core.note("worker is gone", Field{"worker", w.ID}, Field{"reason", why}, Field{"tasks", len(w.attempts)}, Field{"how", string(how)})
+	h.core.note("worker is gone", field("worker", w.ID), field("reason", why), field("tasks", len(w.attempts)), field("how", string(how)))
 	h.loseAll(now, w, how, why)
 	delete(h.unsettled, w.ID)
 	h.forget(w)
@@ -195,6 +184,6 @@
 	delete(h.workers, w.ID)
 	h.sorted = nil
 	if w.recorded || w.recording {
-		h.journal.add(keyDropped(keyWorker + w.ID))
+		h.journal.add(kept.NoWorker(w.ID))
 	}
 }
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
@@ -205,7 +206,7 @@
 // --- other boxes
 
 // advise answers a call for advice; those of one box are served in turn.
-func (w *world) advise(e dispatch.Advise, back func(time.Duration, dispatch.Event)) {
+func (w *world) advise(e exchange.Advise, back func(time.Duration, exchange.Event)) {
 	q := w.config.Queues[w.jobs[e.Step.Job].sub.Queue].Advice
 	if q == nil {
 		// The queue is gone.
@@ -217,7 +218,7 @@
 	}
 	done := begins.Add(q.Base + time.Duration(len(e.Workers))*q.Each)
 	w.adviserFree[e.Box] = done
-	a := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
+	a := exchange.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number}
 	for _, id := range e.Workers {
 		if suits(e.Step, id) {
 			a.Good = append(a.Good, order.Ticket{Worker: id, Ticket: ticketOf(e.Step, id, done)})
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/dispatch"
@@ -29,8 +30,8 @@
 	nextClaim      int64
 	nextMember     int64
 	follow         bool
-	calls          map[dispatch.CallID]func(dispatch.Answer)
-	lastCall       dispatch.CallID
+	calls          map[exchange.CallID]func(exchange.Answer)
+	lastCall       exchange.CallID
 	// stopped says that a planned stop is complete.
 	stopped bool
 }
@@ -40,25 +41,25 @@
 	b.alive, b.started, b.follow = true, false, false
 	b.pausedUntil = time.Time{}
 	b.nextClaim, b.nextMember = 0, 0
-	b.calls = map[dispatch.CallID]func(dispatch.Answer){}
+	b.calls = map[exchange.CallID]func(exchange.Answer){}
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.life), Domain: "a", Address: b.name, Size: 1 + b.size}
 	s := settings()
 	s.Without = b.w.without
 	b.core = dispatch.New(s, self)
-	b.post(dispatch.ConfigRead{Config: b.w.config})
+	b.post(exchange.ConfigRead{Config: b.w.config})
 	b.tick(b.life)
 	b.poll(b.life)
 }
 
 func (b *fakeBox) kill() { b.alive = false }
 
-func (b *fakeBox) post(e dispatch.Event) {
+func (b *fakeBox) post(e exchange.Event) {
 	life := b.life
 	b.w.after(0, func() { b.deliver(life, e) })
 }
 
 // deliver gives the reducer an event, once the box is no longer paused.
-func (b *fakeBox) deliver(life int, e dispatch.Event) {
+func (b *fakeBox) deliver(life int, e exchange.Event) {
 	if !b.alive || b.life != life {
 		return
 	}
@@ -76,7 +77,7 @@
 	if !b.alive || b.life != life {
 		return
 	}
-	b.deliver(life, dispatch.Tick{})
+	b.deliver(life, exchange.Tick{})
 	b.w.after(20*time.Millisecond, func() { b.tick(life) })
 }
 
@@ -87,7 +88,7 @@
 	}
 	b.w.after(30*time.Millisecond, func() { b.poll(life) })
 	if b.w.logDown || b.noLog {
-		b.deliver(life, dispatch.ClaimsRead{Failed: "down"})
+		b.deliver(life, exchange.ClaimsRead{Failed: "down"})
 		return
 	}
 	b.readMembers(life)
@@ -99,7 +100,7 @@
 	records := slices.Clone(claims.records[b.nextClaim:])
 	start := !b.started
 	b.nextClaim, b.started = next, true
-	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.ClaimsRead{Start: start, Records: records, Next: next}) })
+	b.w.after(b.w.delay(), func() { b.deliver(life, exchange.ClaimsRead{Start: start, Records: records, Next: next}) })
 }
 
 func (b *fakeBox) readMembers(life int) {
@@ -115,42 +116,42 @@
 		}
 	}
 	b.nextMember = int64(len(records))
-	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.MembersRead{Members: members}) })
+	b.w.after(b.w.delay(), func() { b.deliver(life, exchange.MembersRead{Members: members}) })
 }
 
-func (b *fakeBox) do(life int, e dispatch.Effect) {
+func (b *fakeBox) do(life int, e exchange.Effect) {
 	w := b.w
-	back := func(d time.Duration, e dispatch.Event) { w.after(d, func() { b.deliver(life, e) }) }
+	back := func(d time.Duration, e exchange.Event) { w.after(d, func() { b.deliver(life, e) }) }
 	switch e := e.(type) {
-	case dispatch.Append:
+	case exchange.Append:
 		w.append(b, e, back)
-	case dispatch.LoadJobs:
+	case exchange.LoadJobs:
 		w.load(b, e, back)
-	case dispatch.FollowWorkers:
+	case exchange.FollowWorkers:
 		b.follow = e.On
 		if e.On {
 			b.followWorkers(life)
 		}
-	case dispatch.Renew:
+	case exchange.Renew:
 		w.renew(b, e, back)
-	case dispatch.StartRun:
+	case exchange.StartRun:
 		w.start(b, e, back)
-	case dispatch.StopRun:
+	case exchange.StopRun:
 		w.stop(b, e, back)
-	case dispatch.Advise:
+	case exchange.Advise:
 		w.advise(e, back)
-	case dispatch.AskPledges:
+	case exchange.AskPledges:
 		w.askPledges(b, e, back)
-	case dispatch.Invite:
+	case exchange.Invite:
 		w.invite(b, e, back)
-	case dispatch.Reply:
+	case exchange.Reply:
 		if f := b.calls[e.Call]; f != nil {
 			delete(b.calls, e.Call)
 			f(e.Reply)
 		}
-	case dispatch.Stopped:
+	case exchange.Stopped:
 		b.stopped = true
-	case dispatch.Note:
+	case exchange.Note:
 		w.trace = append(w.trace, fmt.Sprintf("%v %s %s %v", w.now.Sub(w.begin), b.name, e.Message, e.Fields))
 	}
 }
@@ -170,20 +171,20 @@
 		}
 	}
 	l.Present = append(l.Present, b.w.lingering()...)
-	b.w.after(b.w.delay(), func() { b.deliver(life, dispatch.WorkersRead{Listing: l}) })
+	b.w.after(b.w.delay(), func() { b.deliver(life, exchange.WorkersRead{Listing: l}) })
 }
 
 // ask makes a call at a box and tells the answer.
-func (b *fakeBox) ask(event func(dispatch.CallID) dispatch.Event, answer func(dispatch.Answer)) {
+func (b *fakeBox) ask(event func(exchange.CallID) exchange.Event, answer func(exchange.Answer)) {
 	b.lastCall++
 	id := b.lastCall
 	b.calls[id] = answer
 	b.post(event(id))
 }
 
-func (w *world) askPledges(b *fakeBox, e dispatch.AskPledges, back func(time.Duration, dispatch.Event)) {
+func (w *world) askPledges(b *fakeBox, e exchange.AskPledges, back func(time.Duration, exchange.Event)) {
 	sentAt := w.now
-	p := dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
+	p := exchange.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
 	left := len(e.Addresses)
 	ended := func() { back(w.delay(), p) }
 	if left == 0 {
@@ -192,12 +193,12 @@
 	}
 	for _, name := range e.Addresses {
 		once := false
-		take := func(a dispatch.Answer) {
+		take := func(a exchange.Answer) {
 			if once {
 				return
 			}
 			once = true
-			p.All = p.All && a.Outcome == dispatch.OK
+			p.All = p.All && a.Outcome == exchange.OK
 			if a.Steady {
 				p.Steady = append(p.Steady, name)
 			}
@@ -205,27 +206,27 @@
 				ended()
 			}
 		}
-		w.after(400*time.Millisecond, func() { take(dispatch.Answer{}) })
+		w.after(400*time.Millisecond, func() { take(exchange.Answer{}) })
 		if other := w.box(name); other.alive && !b.noPeers && !other.noPeers {
 			w.after(w.delay(), func() {
-				other.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.PledgeAsked{Call: id, Epoch: e.Epoch} }, take)
+				other.ask(func(id exchange.CallID) exchange.Event { return exchange.PledgeAsked{Call: id, Epoch: e.Epoch} }, take)
 			})
 		}
 	}
 }
 
-func (w *world) invite(b *fakeBox, e dispatch.Invite, back func(time.Duration, dispatch.Event)) {
+func (w *world) invite(b *fakeBox, e exchange.Invite, back func(time.Duration, exchange.Event)) {
 	once := false
 	ended := func(refused bool) {
 		if !once {
 			once = true
-			back(w.delay(), dispatch.Invited{Epoch: e.Epoch, Refused: refused})
+			back(w.delay(), exchange.Invited{Epoch: e.Epoch, Refused: refused})
 		}
 	}
 	w.after(400*time.Millisecond, func() { ended(false) })
 	if other := w.box(e.Address); other.alive && !b.noPeers && !other.noPeers {
-		other.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.InviteAsked{Call: id, Epoch: e.Epoch} },
-			func(a dispatch.Answer) { ended(a.Outcome != dispatch.OK) })
+		other.ask(func(id exchange.CallID) exchange.Event { return exchange.InviteAsked{Call: id, Epoch: e.Epoch} },
+			func(a exchange.Answer) { ended(a.Outcome != exchange.OK) })
 	}
 }
 
--- a/services/dispatch/worldjobs_test.go
+++ b/services/dispatch/worldjobs_test.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
-	"saddlevane/services/dispatch"
 )
 
 // submit hands a job in at some box until it is accepted.
@@ -42,13 +42,13 @@
 			again()
 		}
 	})
-	b.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.Submitted{Call: id, Submission: a.sub} },
-		func(got dispatch.Answer) {
+	b.ask(func(id exchange.CallID) exchange.Event { return exchange.Submitted{Call: id, Submission: a.sub} },
+		func(got exchange.Answer) {
 			if answered {
 				return
 			}
 			answered = true
-			if got.Outcome == dispatch.OK {
+			if got.Outcome == exchange.OK {
 				a.accepted = true
 				return
 			}
@@ -62,9 +62,9 @@
 		w.after(100*time.Millisecond, func() { w.cancel(a) })
 		return
 	}
-	h.ask(func(id dispatch.CallID) dispatch.Event { return dispatch.CancelAsked{Call: id, Job: a.sub.ID} },
-		func(got dispatch.Answer) {
-			if got.Outcome == dispatch.OK && got.State == job.Cancelled {
+	h.ask(func(id exchange.CallID) exchange.Event { return exchange.CancelAsked{Call: id, Job: a.sub.ID} },
+		func(got exchange.Answer) {
+			if got.Outcome == exchange.OK && got.State == job.Cancelled {
 				a.cancelled = w.now
 			}
 		})
@@ -78,9 +78,9 @@
 	}
 	for _, id := range w.order {
 		a := w.jobs[id]
-		h.ask(func(call dispatch.CallID) dispatch.Event { return dispatch.StateAsked{Call: call, Job: id} },
-			func(got dispatch.Answer) {
-				if got.Outcome == dispatch.NoJob && a.accepted {
+		h.ask(func(call exchange.CallID) exchange.Event { return exchange.StateAsked{Call: call, Job: id} },
+			func(got exchange.Answer) {
+				if got.Outcome == exchange.NoJob && a.accepted {
 					w.breaks("%s was accepted and is not known", id)
 				}
 				a.state = got.State
--- a/services/dispatch/worldlog_test.go
+++ b/services/dispatch/worldlog_test.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/stream"
-	"saddlevane/services/dispatch"
 )
 
 type fakeStream struct {
@@ -29,15 +29,15 @@
 	return all
 }
 
-func (w *world) append(b *fakeBox, e dispatch.Append, back func(time.Duration, dispatch.Event)) {
+func (w *world) append(b *fakeBox, e exchange.Append, back func(time.Duration, exchange.Event)) {
 	ended := func(d time.Duration, offset int64, err error) {
-		back(d, dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
+		back(d, exchange.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 	}
 	if w.logDown || b.noLog {
 		ended(w.delay(), 0, stream.ErrNotDone)
 		return
 	}
-	if w.logSilent && e.Purpose == dispatch.ForJournal {
+	if w.logSilent && e.Purpose == exchange.ForJournal {
 		ended(900*time.Millisecond, 0, fmt.Errorf("no answer"))
 		return
 	}
@@ -78,10 +78,10 @@
 	return int64(len(s.records)) - 1, nil
 }
 
-func (w *world) load(b *fakeBox, e dispatch.LoadJobs, back func(time.Duration, dispatch.Event)) {
+func (w *world) load(b *fakeBox, e exchange.LoadJobs, back func(time.Duration, exchange.Event)) {
 	if w.logDown || b.noLog {
-		back(100*time.Millisecond, dispatch.JobsLoaded{Epoch: e.Epoch, Err: stream.ErrNotDone})
+		back(100*time.Millisecond, exchange.JobsLoaded{Epoch: e.Epoch, Err: stream.ErrNotDone})
 		return
 	}
-	back(5*time.Millisecond, dispatch.JobsLoaded{Epoch: e.Epoch, Records: w.log[stream.Jobs].newest()})
+	back(5*time.Millisecond, exchange.JobsLoaded{Epoch: e.Epoch, Records: w.log[stream.Jobs].newest()})
 }
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
-	"saddlevane/services/dispatch"
 )
 
 func (w *world) worker(address string) *fakeWorker {
@@ -80,14 +80,14 @@
 
 // overdue returns how the answer to a look comes back: some are overdue first, and those
 // that are come together, up to four seconds later.
-func (w *world) overdue(e dispatch.Renew, back func(time.Duration, dispatch.Event)) func(time.Duration, dispatch.Event) {
+func (w *world) overdue(e exchange.Renew, back func(time.Duration, exchange.Event)) func(time.Duration, exchange.Event) {
 	if w.lateLooks == 0 || w.rng.Float64() >= w.lateLooks {
 		return back
 	}
-	back(e.Timeout, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
+	back(e.Timeout, exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
 	sent := w.now
 	after := e.Timeout + time.Duration(w.rng.Intn(4000))*time.Millisecond
-	return func(d time.Duration, answer dispatch.Event) {
+	return func(d time.Duration, answer exchange.Event) {
 		at := sent.Add(after).Truncate(bunch).Add(bunch)
 		if at.Sub(sent) <= e.Timeout+e.Late {
 			back(max(d, at.Sub(w.now)), answer)
@@ -95,11 +95,11 @@
 	}
 }
 
-func (w *world) renew(b *fakeBox, e dispatch.Renew, back func(time.Duration, dispatch.Event)) {
+func (w *world) renew(b *fakeBox, e exchange.Renew, back func(time.Duration, exchange.Event)) {
 	back = w.overdue(e, back)
 	var report order.Report
 	answered := func(d time.Duration, a order.Answer) {
-		back(d, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: a, Report: report})
+		back(d, exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: a, Report: report})
 	}
 	look := func(f *fakeWorker) order.Answer {
 		if f.fenced(e.Order.Fence) {
@@ -120,15 +120,15 @@
 }
 
 // await answers a renewal at the next end, or when its wait is over.
-func (w *world) await(e dispatch.Renew, until time.Time, back func(time.Duration, dispatch.Event)) {
+func (w *world) await(e exchange.Renew, until time.Time, back func(time.Duration, exchange.Event)) {
 	f := w.worker(e.Address)
 	switch {
 	case w.crashesSeen && f != nil && !f.alive && !f.cut:
-		back(w.delay(), dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown, Problem: "EOF"}})
+		back(w.delay(), exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown, Problem: "EOF"}})
 	case f == nil || f.id != e.Worker || !f.alive || f.cut:
-		back(time.Second, dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
+		back(time.Second, exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Unknown}})
 	case len(f.ended) > 0 || w.now.After(until):
-		back(w.delay(), dispatch.RenewEnded{
+		back(w.delay(), exchange.RenewEnded{
 			Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: order.Answer{Fate: order.Carried, Clock: f.clock()}, Report: f.report(),
 		})
 	default:
@@ -180,15 +180,15 @@
 	}
 }
 
-func (w *world) start(_ *fakeBox, e dispatch.StartRun, back func(time.Duration, dispatch.Event)) {
+func (w *world) start(_ *fakeBox, e exchange.StartRun, back func(time.Duration, exchange.Event)) {
 	w.carry(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
-		back(d, dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		back(d, exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
 	}, true, func(f *fakeWorker) order.Answer { return f.start(e.Order) })
 }
 
-func (w *world) stop(_ *fakeBox, e dispatch.StopRun, back func(time.Duration, dispatch.Event)) {
+func (w *world) stop(_ *fakeBox, e exchange.StopRun, back func(time.Duration, exchange.Event)) {
 	w.carry(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
-		back(d, dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		back(d, exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
 	}, true, func(f *fakeWorker) order.Answer { return f.stop(e.Order) })
 }
 
--- a/services/jobrun/advice.go
+++ b/services/jobrun/advice.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/modules/httpclient"
 	"saddlevane/modules/peering"
-	"saddlevane/services/dispatch"
 )
 
 // adviseParams asks a box to call the advice service.
@@ -81,7 +81,7 @@
 
 // advise asks the advice service from this box or has another box ask it: the
 // service takes one call at a time from each.
-func (l *Loop) advise(e dispatch.Advise) {
+func (l *Loop) advise(e exchange.Advise) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	params := adviseParams{
@@ -95,7 +95,7 @@
 	} else {
 		good, err = l.peers.advise(ctx, e.Address, params)
 	}
-	ended := dispatch.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number, Good: good}
+	ended := exchange.Advised{Step: e.Step, Box: e.Box, Epoch: e.Epoch, Number: e.Number, Good: good}
 	l.metrics.advised(err)
 	if err != nil {
 		ended.Failed = err.Error()
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/services/dispatch"
 )
 
 // ask gives the reducer an event that it answers, and waits for the answer.
-func (l *Loop) ask(ctx context.Context, event func(dispatch.CallID) dispatch.Event) dispatch.Answer {
-	answer := make(chan dispatch.Answer, 1)
+func (l *Loop) ask(ctx context.Context, event func(exchange.CallID) exchange.Event) exchange.Answer {
+	answer := make(chan exchange.Answer, 1)
 	l.mu.Lock()
 	l.lastCall++
 	id := l.lastCall
@@ -30,11 +30,11 @@
 	l.mu.Lock()
 	delete(l.calls, id)
 	l.mu.Unlock()
-	return dispatch.Answer{Outcome: dispatch.Unsure, Reason: "no answer in time"}
+	return exchange.Answer{Outcome: exchange.Unsure, Reason: "no answer in time"}
 }
 
 // answer hands an answer to the caller who waits for it, if one still does.
-func (l *Loop) answer(id dispatch.CallID, a dispatch.Answer) {
+func (l *Loop) answer(id exchange.CallID, a exchange.Answer) {
 	l.mu.Lock()
 	answer := l.calls[id]
 	delete(l.calls, id)
@@ -70,19 +70,19 @@
 }
 
 // Serve answers a caller: by this box if it holds the cell, else by the holder.
-func (l *Loop) Serve(ctx context.Context, r Request) dispatch.Answer {
+func (l *Loop) Serve(ctx context.Context, r Request) exchange.Answer {
 	began := l.now()
 	a := l.serve(ctx, r)
 	l.metrics.served(r.kind(), a.Outcome, l.now().Sub(began))
-	if a.Outcome != dispatch.OK && a.Outcome != dispatch.NoJob {
+	if a.Outcome != exchange.OK && a.Outcome != exchange.NoJob {
 		l.notes.write(refusalNote(r, a, l.now().Sub(began)))
 	}
 	return a
 }
 
 // refusalNote is the line about a call that was not served.
-func refusalNote(r Request, a dispatch.Answer, took time.Duration) dispatch.Note {
-	return dispatch.Note{Message: "call not served", Fields: []dispatch.Field{
+func refusalNote(r Request, a exchange.Answer, took time.Duration) exchange.Note {
+	return exchange.Note{Message: "call not served", Fields: []exchange.Field{
 		{Name: "call", Value: r.kind()},
 		{Name: "job", Value: string(r.job())},
 		{Name: "outcome", Value: string(a.Outcome)},
@@ -103,14 +103,14 @@
 
 // serve answers by the holder. While the cell is being handed over, nobody has done
 // anything, and the next holder is about to serve.
-func (l *Loop) serve(ctx context.Context, r Request) dispatch.Answer {
+func (l *Loop) serve(ctx context.Context, r Request) exchange.Answer {
 	until := l.now().Add(handoverWait)
 	for {
 		a := l.serveOnce(ctx, r)
 		if l.hears(a.Holder) {
 			continue
 		}
-		if a.Outcome != dispatch.Elsewhere || !l.handingOver() || !l.now().Before(until) || ctx.Err() != nil {
+		if a.Outcome != exchange.Elsewhere || !l.handingOver() || !l.now().Before(until) || ctx.Err() != nil {
 			return a
 		}
 		sleep(ctx, handoverAgain)
@@ -148,7 +148,7 @@
 
 // serveOnce answers by this box if it holds the cell or nobody is known to, else by
 // the holder.
-func (l *Loop) serveOnce(ctx context.Context, r Request) dispatch.Answer {
+func (l *Loop) serveOnce(ctx context.Context, r Request) exchange.Answer {
 	l.mu.Lock()
 	holds, holder := l.view.holds, l.holder()
 	steady := l.now().Sub(l.view.steadyAt) < cutOffAfter
--- a/services/jobrun/cut_test.go
+++ b/services/jobrun/cut_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
-	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/tests/memory"
 
@@ -99,7 +99,7 @@
 	served(t, away, jobrun.Request{Submit: submission("after")}, "")
 	for i := range 20 {
 		a := away.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprint("j", i))})
-		assert.Check(t, a.Outcome == dispatch.OK, "call %d: %+v", i, a)
+		assert.Check(t, a.Outcome == exchange.OK, "call %d: %+v", i, a)
 	}
 	assert.Check(t, away.loop.Ready())
 	served(t, away, jobrun.Request{State: job.ID("j19")}, job.Succeeded)
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/stream"
-	"saddlevane/services/dispatch"
 )
 
 // followAgain is the pause after a read of the log that failed.
@@ -89,7 +89,7 @@
 		l.log.WithError(err).Error("a configuration could not be read")
 	}
 	if found {
-		l.post(dispatch.ConfigRead{Config: config})
+		l.post(exchange.ConfigRead{Config: config})
 	}
 }
 
@@ -97,9 +97,9 @@
 	l.follow(l.ctx, follower{
 		loop: l, name: stream.Claims, wait: l.settings.ReadWait,
 		take: func(p stream.Page, whole bool) {
-			l.post(dispatch.ClaimsRead{Start: whole, Records: p.Records, Next: p.Next})
+			l.post(exchange.ClaimsRead{Start: whole, Records: p.Records, Next: p.Next})
 		},
-		fail: func(err error) { l.post(dispatch.ClaimsRead{Failed: err.Error()}) },
+		fail: func(err error) { l.post(exchange.ClaimsRead{Failed: err.Error()}) },
 	})
 }
 
@@ -124,7 +124,7 @@
 	}
 	if len(members) > 0 {
 		l.relays.Boxes(members)
-		l.post(dispatch.MembersRead{Members: members})
+		l.post(exchange.MembersRead{Members: members})
 	}
 }
 
@@ -147,7 +147,7 @@
 				listing.Whole = whole
 				if whole || len(p.Records) > 0 {
 					l.relays.Workers(listing)
-					l.post(dispatch.WorkersRead{Listing: listing})
+					l.post(exchange.WorkersRead{Listing: listing})
 				}
 			},
 			fail: l.debugFail(stream.Workers),
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/clock"
@@ -121,7 +122,7 @@
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		a := p.loop.Serve(context.Background(), r)
-		if a.Outcome == dispatch.OK && (want == "" || a.State == want) {
+		if a.Outcome == exchange.OK && (want == "" || a.State == want) {
 			return poll.Success()
 		}
 		return poll.Continue("%+v", a)
@@ -185,7 +186,7 @@
 				continue
 			}
 			a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d", i))})
-			assert.Equal(t, a.Outcome, dispatch.OK, "call %d: %+v", i, a)
+			assert.Equal(t, a.Outcome, exchange.OK, "call %d: %+v", i, a)
 		}
 	}
 }
@@ -198,7 +199,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		began := time.Now()
 		a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("j" + fmt.Sprint(began.UnixNano()))})
-		if a.Outcome == dispatch.Unavailable && a.RetryAfter > 0 {
+		if a.Outcome == exchange.Unavailable && a.RetryAfter > 0 {
 			return poll.Success()
 		}
 		return poll.Continue("%+v", a)
@@ -231,7 +232,7 @@
 	began := time.Now()
 	for range 5000 {
 		a := b.loop.Serve(context.Background(), jobrun.Request{State: "j"})
-		assert.Equal(t, a.Outcome, dispatch.Elsewhere)
+		assert.Equal(t, a.Outcome, exchange.Elsewhere)
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		b.loop.Serve(context.Background(), jobrun.Request{State: "j"})
--- a/services/jobrun/load.go
+++ b/services/jobrun/load.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"saddlevane/services/dispatch"
+	"saddlevane/models/exchange"
 )
 
 // loadEvery is the time between two lines about the load of a process that holds the
@@ -60,7 +60,7 @@
 }
 
 // note returns the line about the load, and begins to count anew.
-func (l *load) note(queued int, taken float64) dispatch.Note {
+func (l *load) note(queued int, taken float64) exchange.Note {
 	l.mu.Lock()
 	all := maps.Clone(l.bytes)
 	l.mu.Unlock()
@@ -68,7 +68,7 @@
 	for name, p := range all {
 		in[name], out[name] = p.in.Swap(0), p.out.Swap(0)
 	}
-	n := dispatch.Note{Message: "load of the process", Fields: []dispatch.Field{
+	n := exchange.Note{Message: "load of the process", Fields: []exchange.Field{
 		{Name: "events", Value: l.events},
 		{Name: "waited_most", Value: l.waited.String()},
 		{Name: "queued", Value: queued},
@@ -104,8 +104,8 @@
 // admit returns a caller's new job as one that is not to be taken, if this box is behind
 // with its work or the caller has been told by now that there was no answer in time. The
 // reducer knows whether the job is new.
-func (l *Loop) admit(now time.Time, waited time.Duration, e dispatch.Event) dispatch.Event {
-	s, ok := e.(dispatch.Submitted)
+func (l *Loop) admit(now time.Time, waited time.Duration, e exchange.Event) exchange.Event {
+	s, ok := e.(exchange.Submitted)
 	if !ok {
 		return e
 	}
@@ -131,5 +131,5 @@
 	if l.gate.Behind() {
 		message = "the holder is behind and refuses new jobs in part"
 	}
-	l.notes.write(dispatch.Note{Message: message, Fields: []dispatch.Field{{Name: "jobs_taken", Value: l.gate.Share()}}})
+	l.notes.write(exchange.Note{Message: message, Fields: []exchange.Field{{Name: "jobs_taken", Value: l.gate.Share()}}})
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
@@ -67,7 +68,7 @@
 
 // posted is an event and when it began to wait for the loop.
 type posted struct {
-	event dispatch.Event
+	event exchange.Event
 	at    time.Time
 }
 
@@ -101,8 +102,8 @@
 
 	mu sync.Mutex
 	// calls are the callers that wait for an answer.
-	calls    map[dispatch.CallID]chan dispatch.Answer
-	lastCall dispatch.CallID
+	calls    map[exchange.CallID]chan exchange.Answer
+	lastCall exchange.CallID
 	view     view
 	// told is the newest claim that another box has told of. A box that the log does
 	// not answer learns from it who holds the cell.
@@ -130,7 +131,7 @@
 		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, notes: newNotes(log, c.Now), clock: c, now: c.Now,
 		events: make(chan posted, eventBuffer), queries: make(chan func(time.Time, *dispatch.Core)),
 		metrics: newMetrics(), ctx: ctx, cancel: cancel,
-		stopped: make(chan struct{}), calls: map[dispatch.CallID]chan dispatch.Answer{},
+		stopped: make(chan struct{}), calls: map[exchange.CallID]chan exchange.Answer{},
 		relays: relay.NewRoster(s.Relays, self.Box),
 	}
 	l.carrier = relay.NewClient(self, l.now, l.relays, p.Workers, l.sendBatch(methodCarry))
@@ -148,7 +149,7 @@
 }
 
 // Stop begins a planned stop.
-func (l *Loop) Stop() { l.post(dispatch.Stop{}) }
+func (l *Loop) Stop() { l.post(exchange.Stop{}) }
 
 // Stopped is closed when a planned stop is complete.
 func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
@@ -162,7 +163,7 @@
 }
 
 // post gives the reducer an event.
-func (l *Loop) post(e dispatch.Event) {
+func (l *Loop) post(e exchange.Event) {
 	select {
 	case l.events <- posted{event: e, at: l.now()}:
 	case <-l.ctx.Done():
@@ -205,7 +206,7 @@
 		case <-ticker.C:
 			now := l.now()
 			l.core.Woke(l.clock.Suspended())
-			l.core.Handle(now, dispatch.Tick{})
+			l.core.Handle(now, exchange.Tick{})
 			l.drain()
 			l.decide(l.now())
 			l.noteLoad(l.now())
@@ -248,7 +249,7 @@
 		took := l.now().Sub(now)
 		l.metrics.planned.Observe(took.Seconds())
 		l.load.planned(took)
-		l.core.Handle(l.now(), dispatch.Decided{Took: took})
+		l.core.Handle(l.now(), exchange.Decided{Took: took})
 	}
 	l.show(now)
 	for _, e := range effects {
@@ -280,40 +281,40 @@
 
 // do carries out one effect. What takes time runs beside the loop and comes
 // back as an event.
-func (l *Loop) do(e dispatch.Effect) {
+func (l *Loop) do(e exchange.Effect) {
 	switch e := e.(type) {
-	case dispatch.Append:
+	case exchange.Append:
 		l.tasks.Go(func() { l.append(e) })
-	case dispatch.LoadJobs:
+	case exchange.LoadJobs:
 		l.tasks.Go(func() { l.loadJobs(e) })
-	case dispatch.FollowWorkers:
+	case exchange.FollowWorkers:
 		l.setFollow(e.On)
-	case dispatch.Renew:
+	case exchange.Renew:
 		l.tasks.Go(func() { l.renew(e) })
-	case dispatch.StartRun:
+	case exchange.StartRun:
 		l.tasks.Go(func() { l.start(e) })
-	case dispatch.StopRun:
+	case exchange.StopRun:
 		l.tasks.Go(func() { l.stop(e) })
-	case dispatch.ThrottleRun:
+	case exchange.ThrottleRun:
 		l.tasks.Go(func() { l.throttle(e) })
-	case dispatch.Advise:
+	case exchange.Advise:
 		l.tasks.Go(func() { l.advise(e) })
-	case dispatch.AskPledges:
+	case exchange.AskPledges:
 		l.tasks.Go(func() { l.peers.askPledges(e) })
-	case dispatch.Invite:
+	case exchange.Invite:
 		l.tasks.Go(func() { l.peers.invite(e) })
-	case dispatch.Reply:
+	case exchange.Reply:
 		l.answer(e.Call, e.Reply)
-	case dispatch.Note:
+	case exchange.Note:
 		l.notes.write(e)
-	case dispatch.TasksLost:
+	case exchange.TasksLost:
 		l.metrics.lost(e)
-	case dispatch.EntryRefused:
+	case exchange.EntryRefused:
 		l.metrics.entriesRefused.Inc()
-	case dispatch.GivenUp:
+	case exchange.GivenUp:
 		l.metrics.givenUp.Inc()
 		l.metrics.crashesBlamed.Add(float64(e.Crashes))
-	case dispatch.Stopped:
+	case exchange.Stopped:
 		l.stopOnce.Do(func() { close(l.stopped) })
 	}
 }
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -7,10 +7,10 @@
 	"errors"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/modules/conntrack"
-	"saddlevane/services/dispatch"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -111,7 +111,7 @@
 // Gatherer returns what the metrics address serves.
 func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
 
-func (m *Metrics) served(call string, outcome dispatch.Outcome, took time.Duration) {
+func (m *Metrics) served(call string, outcome exchange.Outcome, took time.Duration) {
 	m.calls.WithLabelValues(call, string(outcome)).Inc()
 	m.callTime.WithLabelValues(call).Observe(took.Seconds())
 }
@@ -120,14 +120,14 @@
 	m.orders.WithLabelValues(kind, string(a.Fate)).Inc()
 }
 
-func (m *Metrics) lost(e dispatch.TasksLost) {
+func (m *Metrics) lost(e exchange.TasksLost) {
 	m.tasksLost.WithLabelValues(string(e.How)).Add(float64(e.Tasks))
 	m.workLost.WithLabelValues(string(e.How)).Add(e.Worked.Seconds())
 }
 
 func (m *Metrics) ended(how order.How) { m.ends.WithLabelValues(string(how)).Inc() }
 
-func (m *Metrics) appended(p dispatch.Purpose, took time.Duration, err error) {
+func (m *Metrics) appended(p exchange.Purpose, took time.Duration, err error) {
 	m.appends.WithLabelValues(string(p), appendResult(err)).Inc()
 	m.logTime.WithLabelValues(string(p)).Observe(took.Seconds())
 }
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -7,10 +7,10 @@
 	"context"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/modules/httpclient"
-	"saddlevane/services/dispatch"
 )
 
 // append appends to the log. It may be made again: an append of the journal has a
@@ -18,14 +18,14 @@
 // goes; an announcement says the same twice. The reducer takes no error for a sign that
 // nothing was appended, since a claim whose first try was done is answered that the
 // stream has moved.
-func (l *Loop) append(e dispatch.Append) {
+func (l *Loop) append(e exchange.Append) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.CallTimeout)
 	defer cancel()
 	ctx = httpclient.Repeatable(ctx, httpclient.Repeat{})
 	began := l.now()
 	offset, err := l.platform.Log.Append(ctx, e.Append)
 	l.metrics.appended(e.Purpose, l.now().Sub(began), err)
-	l.post(dispatch.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
+	l.post(exchange.AppendEnded{Purpose: e.Purpose, Number: e.Number, Offset: offset, Err: err})
 }
 
 // loadWithin bounds the reading of all jobs.
@@ -33,26 +33,26 @@
 
 // loadJobs reads the stream of jobs whole. After a failure it waits a moment,
 // since the reducer asks again at once.
-func (l *Loop) loadJobs(e dispatch.LoadJobs) {
+func (l *Loop) loadJobs(e exchange.LoadJobs) {
 	ctx, cancel := context.WithTimeout(l.ctx, loadWithin)
 	defer cancel()
 	page, err := l.platform.Log.Newest(ctx, stream.Jobs)
 	if err != nil {
 		sleep(l.ctx, followAgain)
 	}
-	l.post(dispatch.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
+	l.post(exchange.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
 }
 
 // renew renews a worker's lease. When the answer is overdue the reducer is told so, and
 // of the answer too if it comes later.
-func (l *Loop) renew(e dispatch.Renew) {
+func (l *Loop) renew(e exchange.Renew) {
 	if !l.mayOrder(e.Epoch) {
-		l.post(dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: decidedBefore})
+		l.post(exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look, Answer: decidedBefore})
 		return
 	}
 	ctx, cancel := context.WithTimeout(httpclient.Overdue(l.ctx, e.Timeout), e.Timeout+e.Late)
 	defer cancel()
-	ended := dispatch.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look}
+	ended := exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look}
 	overdue := time.AfterFunc(e.Timeout, func() {
 		none := ended
 		none.Answer = order.Answer{Fate: order.Unknown, Problem: "no answer in time"}
@@ -69,32 +69,32 @@
 }
 
 // start orders a start.
-func (l *Loop) start(e dispatch.StartRun) {
+func (l *Loop) start(e exchange.StartRun) {
 	if !l.mayOrder(e.Epoch) {
-		l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: decidedBefore})
+		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: decidedBefore})
 		return
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	answer := l.workers.Start(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("start", answer)
-	l.post(dispatch.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+	l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
 
 // throttle orders a pace.
-func (l *Loop) throttle(e dispatch.ThrottleRun) {
+func (l *Loop) throttle(e exchange.ThrottleRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	answer := l.workers.Throttle(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("throttle", answer)
-	l.post(dispatch.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: answer})
+	l.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: answer})
 }
 
 // stop orders a stop.
-func (l *Loop) stop(e dispatch.StopRun) {
+func (l *Loop) stop(e exchange.StopRun) {
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	answer := l.workers.Stop(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("stop", answer)
-	l.post(dispatch.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+	l.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
 }
--- a/services/jobrun/outage.go
+++ b/services/jobrun/outage.go
@@ -7,23 +7,23 @@
 	"context"
 	"time"
 
-	"saddlevane/services/dispatch"
+	"saddlevane/models/exchange"
 
 	"github.com/sourcegraph/conc"
 )
 
 // askPledges asks all other boxes at once.
-func (p *Peers) askPledges(e dispatch.AskPledges) {
+func (p *Peers) askPledges(e exchange.AskPledges) {
 	sentAt := p.loop.now()
-	answers := make([]dispatch.Answer, len(e.Addresses))
+	answers := make([]exchange.Answer, len(e.Addresses))
 	var tasks conc.WaitGroup
 	for i, address := range e.Addresses {
 		tasks.Go(func() { answers[i] = p.quick(address, Request{Pledge: e.Epoch}) })
 	}
 	tasks.Wait()
-	pledged := dispatch.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
+	pledged := exchange.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
 	for i, a := range answers {
-		pledged.All = pledged.All && a.Outcome == dispatch.OK
+		pledged.All = pledged.All && a.Outcome == exchange.OK
 		if a.Steady {
 			pledged.Steady = append(pledged.Steady, e.Addresses[i])
 		}
@@ -32,10 +32,10 @@
 }
 
 // invite asks one box to take the cell over.
-func (p *Peers) invite(e dispatch.Invite) {
+func (p *Peers) invite(e exchange.Invite) {
 	a := p.quick(e.Address, Request{Invite: e.Epoch})
-	refused := a.Outcome == dispatch.Unavailable
-	p.loop.post(dispatch.Invited{Epoch: e.Epoch, Refused: refused, Reason: a.Reason})
+	refused := a.Outcome == exchange.Unavailable
+	p.loop.post(exchange.Invited{Epoch: e.Epoch, Refused: refused, Reason: a.Reason})
 }
 
 // quickWithin bounds the calls with which a holder asks about the log: it must
@@ -44,7 +44,7 @@
 const quickWithin = 400 * time.Millisecond
 
 // quick passes a wish on that must be answered at once.
-func (p *Peers) quick(address string, r Request) dispatch.Answer {
+func (p *Peers) quick(address string, r Request) exchange.Answer {
 	ctx, cancel := context.WithTimeout(p.ctx, quickWithin)
 	defer cancel()
 	// What became of it stands in the answer.
--- a/services/jobrun/passed_test.go
+++ b/services/jobrun/passed_test.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
 	"saddlevane/models/stream"
 	"saddlevane/modules/conntrack"
 	"saddlevane/modules/peering"
-	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/tests/forward"
 
@@ -58,10 +58,10 @@
 			cut.Reset()
 			return nil, nil
 		}
-		return dispatch.Answer{Outcome: dispatch.Elsewhere, Reason: "its authority has run out meanwhile"}, nil
+		return exchange.Answer{Outcome: exchange.Elsewhere, Reason: "its authority has run out meanwhile"}, nil
 	})
 	a := b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("second")})
-	assert.Equal(t, a.Outcome, dispatch.Unsure, "%+v", a)
+	assert.Equal(t, a.Outcome, exchange.Unsure, "%+v", a)
 	assert.Check(t, calls.Load() > 1, "it is passed on again")
 }
 
@@ -76,13 +76,13 @@
 		if slow.Swap(false) {
 			<-left
 		}
-		return dispatch.Answer{Outcome: dispatch.OK}, nil
+		return exchange.Answer{Outcome: exchange.OK}, nil
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
 	a := b.loop.Serve(ctx, jobrun.Request{Submit: submission("second")})
-	assert.Equal(t, a.Outcome, dispatch.Unsure, "%+v", a)
+	assert.Equal(t, a.Outcome, exchange.Unsure, "%+v", a)
 	close(left)
 	a = b.loop.Serve(context.Background(), jobrun.Request{Submit: submission("third")})
-	assert.Equal(t, a.Outcome, dispatch.OK, "%+v", a)
+	assert.Equal(t, a.Outcome, exchange.OK, "%+v", a)
 }
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/peering"
-	"saddlevane/services/dispatch"
 	"saddlevane/services/relay"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -107,7 +107,7 @@
 }
 
 // request passes a caller's wish on to the holder.
-func (p *Peers) request(ctx context.Context, address string, r Request) dispatch.Answer {
+func (p *Peers) request(ctx context.Context, address string, r Request) exchange.Answer {
 	if p.silent(address) {
 		return p.unreached("the holder does not answer")
 	}
@@ -117,7 +117,7 @@
 	failed, _ := errors.AsType[*peering.NoAnswerError](err)
 	switch {
 	case err == nil:
-		p.answered(address, a.Outcome == dispatch.Elsewhere)
+		p.answered(address, a.Outcome == exchange.Elsewhere)
 	case failed != nil && failed.OfBox && ctx.Err() == nil:
 		// A caller who has left tells nothing of the box.
 		p.setSilent(address)
@@ -129,7 +129,7 @@
 // same wish again changes nothing more, so it may be made again; repeated says that an earlier try may have been served besides.
 // An error means that the box has not answered it; the outcome then says whether it may
 // have been asked.
-func (p *Peers) pass(ctx context.Context, address string, r Request, urgent bool) (a dispatch.Answer, repeated bool, err error) {
+func (p *Peers) pass(ctx context.Context, address string, r Request, urgent bool) (a exchange.Answer, repeated bool, err error) {
 	repeated, err = p.links.Call(ctx, address, peering.Call{
 		Method: methodRequest, Params: r, Result: &a, Idempotent: true, Urgent: urgent,
 	})
@@ -138,25 +138,25 @@
 	case failed != nil && !failed.Sent:
 		a = p.unreached(err.Error())
 	case err != nil:
-		a = dispatch.Answer{Outcome: dispatch.Unsure, Reason: err.Error()}
+		a = exchange.Answer{Outcome: exchange.Unsure, Reason: err.Error()}
 	}
 	return a, repeated, err
 }
 
 // sure returns an answer as far as it is sure: if it says that nothing was done, an
 // earlier try may still have been served.
-func sure(a dispatch.Answer, repeated bool) dispatch.Answer {
-	refused := a.Outcome == dispatch.Unavailable || a.Outcome == dispatch.Elsewhere
+func sure(a exchange.Answer, repeated bool) exchange.Answer {
+	refused := a.Outcome == exchange.Unavailable || a.Outcome == exchange.Elsewhere
 	if !repeated || !refused {
 		return a
 	}
-	return dispatch.Answer{Outcome: dispatch.Unsure, Reason: "an earlier try had no answer, a later one was refused: " + a.Reason}
+	return exchange.Answer{Outcome: exchange.Unsure, Reason: "an earlier try had no answer, a later one was refused: " + a.Reason}
 }
 
 // unreached is the answer where the holder was not asked, so nothing was done.
-func (p *Peers) unreached(reason string) dispatch.Answer {
-	return dispatch.Answer{
-		Outcome: dispatch.Unavailable, Reason: reason,
+func (p *Peers) unreached(reason string) exchange.Answer {
+	return exchange.Answer{
+		Outcome: exchange.Unavailable, Reason: reason,
 		RetryAfter: job.Milliseconds(p.loop.settings.PeerTimeout.Milliseconds()),
 	}
 }
--- a/services/jobrun/request.go
+++ b/services/jobrun/request.go
@@ -4,8 +4,8 @@
 package jobrun
 
 import (
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/services/dispatch"
 )
 
 // Request is one caller's wish about submitted jobs. Exactly one part is set.
@@ -23,22 +23,22 @@
 }
 
 // event returns the event that gives the wish to the reducer.
-func (r Request) event(id dispatch.CallID) dispatch.Event {
+func (r Request) event(id exchange.CallID) exchange.Event {
 	switch {
 	case r.Submit != nil:
-		return dispatch.Submitted{Call: id, Submission: *r.Submit}
+		return exchange.Submitted{Call: id, Submission: *r.Submit}
 	case r.Cancel != "":
-		return dispatch.CancelAsked{Call: id, Job: r.Cancel}
+		return exchange.CancelAsked{Call: id, Job: r.Cancel}
 	case r.State != "":
-		return dispatch.StateAsked{Call: id, Job: r.State}
+		return exchange.StateAsked{Call: id, Job: r.State}
 	case r.Explain != "":
-		return dispatch.ExplanationAsked{Call: id, Job: r.Explain}
+		return exchange.ExplanationAsked{Call: id, Job: r.Explain}
 	case r.Pledge != 0:
-		return dispatch.PledgeAsked{Call: id, Epoch: r.Pledge}
+		return exchange.PledgeAsked{Call: id, Epoch: r.Pledge}
 	case r.Invite != 0:
-		return dispatch.InviteAsked{Call: id, Epoch: r.Invite}
+		return exchange.InviteAsked{Call: id, Epoch: r.Invite}
 	default:
-		return dispatch.CountAsked{Call: id, Queue: r.Count}
+		return exchange.CountAsked{Call: id, Queue: r.Count}
 	}
 }
 
--- a/services/jobrun/reset_test.go
+++ b/services/jobrun/reset_test.go
@@ -10,8 +10,8 @@
 	"sync"
 	"testing"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/tests/forward"
 
@@ -50,7 +50,7 @@
 		for i := range 10 {
 			calls.Go(func() {
 				a := other.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d-%d", round, i))})
-				assert.Check(t, a.Outcome == dispatch.OK, "call %d in round %d: %+v", i, round, a)
+				assert.Check(t, a.Outcome == exchange.OK, "call %d in round %d: %+v", i, round, a)
 			})
 		}
 		links.Reset()
--- a/services/jobrun/service_test.go
+++ b/services/jobrun/service_test.go
@@ -15,12 +15,12 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/modules/httpclient"
 	"saddlevane/platform"
 	"saddlevane/platform/standin"
-	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/services/relay"
 	"saddlevane/tests/forward"
@@ -85,7 +85,7 @@
 	for round := range 3 {
 		assert.Check(t, between.Silence() > 0)
 		a := p.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprint("silent", round))})
-		assert.Equal(t, a.Outcome, dispatch.OK, "round %d: %+v", round, a)
+		assert.Equal(t, a.Outcome, exchange.OK, "round %d: %+v", round, a)
 	}
 }
 
--- a/services/jobrun/silent_test.go
+++ b/services/jobrun/silent_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/services/authority"
@@ -80,7 +81,7 @@
 			callers.Go(func() {
 				for j := range 4 {
 					a := boxes[1].loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprintf("j%d-%d", i, j))})
-					assert.Check(t, a.Outcome == dispatch.OK, "call %d of caller %d: %+v", j, i, a)
+					assert.Check(t, a.Outcome == exchange.OK, "call %d of caller %d: %+v", j, i, a)
 				}
 			})
 		}
--- /dev/null
+++ b/services/kept/kept.go
@@ -0,0 +1,180 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package kept writes what the log keeps of a cell's submitted jobs, and reads it back for
+// the next holder. A record that cannot be read takes nothing from the others.
+package kept
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+)
+
+// Keys of the stream of jobs start with what they hold.
+const (
+	keySubmission = "s/"
+	keyProgress   = "p/"
+	keyWorker     = "w/"
+	keyFence      = "fence"
+	// keyTimes holds what is known of run times, so that the next holder need not
+	// learn it anew.
+	keyTimes = "times"
+)
+
+// Submission is what is kept of a job that was accepted.
+type Submission struct {
+	// Queue is how the job's queue was treated when it was accepted.
+	Queue      job.Queue      `json:"queue"`
+	Submission job.Submission `json:"job"`
+	// Accepted is when it was accepted, in milliseconds since 1970.
+	Accepted int64 `json:"accepted_unix_ms"`
+}
+
+// Record is the log's record of the submission.
+func (s Submission) Record() stream.Record { return record(keySubmission+string(s.Submission.ID), s) }
+
+// Progress is the record of a job's progress.
+func Progress(id job.ID, p job.Progress) stream.Record { return record(keyProgress+string(id), p) }
+
+// Worker is the record of a worker on which tasks may be started.
+func Worker(w order.Worker) stream.Record { return record(keyWorker+w.ID, w) }
+
+// Times is the record of what is known of run times.
+func Times(times any) stream.Record { return record(keyTimes, times) }
+
+// Fence is a record that says nothing: the append that brings it refuses earlier holders.
+func Fence() stream.Record { return stream.Record{Key: keyFence, Value: []byte{'1'}} }
+
+// NoSubmission, NoProgress and NoWorker drop what was kept.
+func NoSubmission(id job.ID) stream.Record { return stream.Record{Key: keySubmission + string(id)} }
+
+// NoProgress drops what was kept of an ended job.
+func NoProgress(id job.ID) stream.Record { return stream.Record{Key: keyProgress + string(id)} }
+
+// NoWorker drops a worker whose life is over.
+func NoWorker(id string) stream.Record { return stream.Record{Key: keyWorker + id} }
+
+// record returns a record of a value that has only plain fields.
+func record(key string, v any) stream.Record {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return stream.Record{Key: key, Value: value}
+}
+
+// State is what the log keeps.
+type State struct {
+	// Jobs are those that have not ended, in the order of their records, Ended the others,
+	// the first to end first.
+	Jobs    []Job
+	Ended   []Ended
+	Workers []order.Worker
+	// Times is what is known of run times, or nil.
+	Times []byte
+	// Unread are the records that could not be read.
+	Unread []Unread
+}
+
+// Job is a job that has not ended.
+type Job struct {
+	Submission
+	Progress job.Progress
+}
+
+// Ended is a job of which only the final state is kept.
+type Ended struct {
+	ID       job.ID
+	Progress job.Progress
+}
+
+// Unread is a record that could not be read, and why.
+type Unread struct{ Key, Why string }
+
+// Read returns what some records keep, of which the newest of each key counts.
+func Read(records []stream.Record) State {
+	newest := map[string]stream.Record{}
+	for _, r := range records {
+		if n, known := newest[r.Key]; !known || r.Offset >= n.Offset {
+			newest[r.Key] = r
+		}
+	}
+	var s State
+	s.Times = newest[keyTimes].Value
+	inOrder := slices.SortedFunc(maps.Values(newest), func(a, b stream.Record) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
+	})
+	open := map[job.ID]bool{}
+	for _, r := range inOrder {
+		if id, ok := strings.CutPrefix(r.Key, keySubmission); ok && !r.Dropped() {
+			open[job.ID(id)] = s.readJob(job.ID(id), r, newest[keyProgress+id])
+		}
+	}
+	for _, r := range inOrder {
+		s.readOther(r, open)
+	}
+	slices.SortStableFunc(s.Ended, func(a, b Ended) int { return cmp.Compare(a.Progress.Ended, b.Progress.Ended) })
+	return s
+}
+
+// readJob reads a job that has not ended, and returns whether it could.
+func (s *State) readJob(id job.ID, submission, progress stream.Record) bool {
+	var j Job
+	err := json.Unmarshal(submission.Value, &j.Submission)
+	if err == nil && j.Submission.Submission.ID != id {
+		err = fmt.Errorf("it is that of job %q", j.Submission.Submission.ID)
+	}
+	if err == nil {
+		err = j.Submission.Submission.Check()
+	}
+	if err != nil {
+		s.unread(submission.Key, err)
+		return false
+	}
+	if len(progress.Value) > 0 {
+		err = json.Unmarshal(progress.Value, &j.Progress)
+	}
+	if err != nil {
+		s.unread(progress.Key, err)
+		return false
+	}
+	s.Jobs = append(s.Jobs, j)
+	return true
+}
+
+// readOther reads a record that is not of a job which has not ended.
+func (s *State) readOther(r stream.Record, open map[job.ID]bool) {
+	if r.Dropped() {
+		return
+	}
+	if id, ok := strings.CutPrefix(r.Key, keyProgress); ok && !open[job.ID(id)] {
+		var p job.Progress
+		if json.Unmarshal(r.Value, &p) == nil && p.State.Final() {
+			s.Ended = append(s.Ended, Ended{ID: job.ID(id), Progress: p})
+		}
+	}
+	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
+		var w order.Worker
+		err := json.Unmarshal(r.Value, &w)
+		if err == nil && w.ID == "" {
+			err = fmt.Errorf("it has no id")
+		}
+		if err != nil {
+			s.unread(r.Key, err)
+			return
+		}
+		s.Workers = append(s.Workers, w)
+	}
+}
+
+func (s *State) unread(key string, err error) {
+	s.Unread = append(s.Unread, Unread{Key: key, Why: err.Error()})
+}
--- /dev/null
+++ b/services/kept/kept_test.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package kept_test
+
+import (
+	"testing"
+
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/services/kept"
+
+	"gotest.tools/v3/assert"
+)
+
+func submission(id job.ID) kept.Submission {
+	return kept.Submission{
+		Queue: job.Queue{Name: "q", Pool: "p"}, Accepted: 7,
+		Submission: job.Submission{ID: id, Queue: "q", Steps: []job.Step{{Tasks: 2}}},
+	}
+}
+
+// at gives records their offsets.
+func at(records ...stream.Record) []stream.Record {
+	for i := range records {
+		records[i].Offset = int64(i)
+	}
+	return records
+}
+
+func TestWhatIsKeptIsReadBack(t *testing.T) {
+	blamed := job.Progress{State: job.Running, Steps: []job.StepProgress{{Blame: map[int]job.Blame{1: {Crashes: 2, Odds: 3}}}}}
+	s := kept.Read(at(
+		kept.Fence(), kept.Times(map[string]int{"q": 1}),
+		submission("b").Record(), submission("a").Record(), kept.Progress("a", job.Progress{State: job.Running}),
+		kept.Worker(order.Worker{ID: "w", Pool: "p"}), kept.Worker(order.Worker{ID: "gone"}), kept.NoWorker("gone"),
+		submission("done").Record(), kept.Progress("done", job.Progress{State: job.Succeeded, Ended: 9}), kept.NoSubmission("done"),
+		kept.Progress("earlier", job.Progress{State: job.Failed, Ended: 4}),
+		kept.Progress("old", job.Progress{State: job.Failed, Ended: 1}), kept.NoProgress("old"),
+		kept.Progress("a", blamed),
+	))
+	assert.Equal(t, len(s.Jobs), 2)
+	assert.Equal(t, s.Jobs[0].Submission.Submission.ID, job.ID("b"))
+	assert.DeepEqual(t, s.Jobs[1].Progress, blamed)
+	assert.Equal(t, len(s.Ended), 2)
+	assert.Equal(t, s.Ended[0].ID, job.ID("earlier"), "the first to end comes first")
+	assert.Equal(t, len(s.Workers), 1)
+	assert.Equal(t, string(s.Times), `{"q":1}`)
+	assert.Equal(t, len(s.Unread), 0)
+}
+
+func TestARecordThatCannotBeReadTakesNothingFromTheOthers(t *testing.T) {
+	s := kept.Read(at(
+		submission("a").Record(),
+		stream.Record{Key: "s/b", Value: []byte("{")},
+		stream.Record{Key: "s/c", Value: submission("x").Record().Value},
+		stream.Record{Key: "s/d", Value: []byte(`{"job":{"id":"d","queue":"q","steps":[{"tasks":-1}]}}`)},
+		stream.Record{Key: "w/x", Value: []byte("null")},
+		submission("e").Record(), stream.Record{Key: "p/e", Value: []byte(`{"steps":[{"b":{"0":{"n":-1}}}]}`)},
+		stream.Record{Key: "unknown", Value: []byte{0xff}},
+	))
+	assert.Equal(t, len(s.Jobs), 1)
+	assert.Equal(t, len(s.Unread), 5, "%v", s.Unread)
+}
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -14,10 +14,10 @@
 	"sync"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/platform/standin"
-	"saddlevane/services/dispatch"
 
 	"github.com/sourcegraph/conc"
 )
@@ -164,7 +164,7 @@
 }
 
 // call makes one call at some box; status 0 means that there was no whole answer.
-func (c *Callers) call(ctx context.Context, method, path string, body any) (int, dispatch.Answer) {
+func (c *Callers) call(ctx context.Context, method, path string, body any) (int, exchange.Answer) {
 	b := c.rig.boxes[c.number(len(c.rig.boxes))]
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -178,13 +178,13 @@
 	if err != nil {
 		// The other connections may be silent too, so the next call gets a new one.
 		c.clients[b].CloseIdleConnections()
-		return 0, dispatch.Answer{}
+		return 0, exchange.Answer{}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err = io.ReadAll(resp.Body)
-	var a dispatch.Answer
+	var a exchange.Answer
 	if err != nil || json.Unmarshal(data, &a) != nil {
-		return 0, dispatch.Answer{}
+		return 0, exchange.Answer{}
 	}
 	return resp.StatusCode, a
 }
--- a/tests/soak/rig.go
+++ b/tests/soak/rig.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/platform/standin"
-	"saddlevane/services/dispatch"
 	"saddlevane/tests/cell"
 	"saddlevane/tests/forward"
 )
@@ -343,7 +343,7 @@
 // State returns the state of a job, or nothing if no box tells it.
 func (r *Rig) State(ctx context.Context, id job.ID) job.State {
 	for _, b := range r.boxes {
-		var a dispatch.Answer
+		var a exchange.Answer
 		if b.get(ctx, "/v1/jobs/"+string(id), &a) {
 			return a.State
 		}
