--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -42,6 +42,10 @@
 	visibleAfter = 3 * time.Second
 	// keptOpen is how many connections callers keep open to a box that carry no call.
 	keptOpen = 8
+	// crashingWork is how long the tasks would work that crash their workers, crashingEvery
+	// the time between the end of one and the next.
+	crashingWork  = time.Second
+	crashingEvery = time.Second
 	// cancelShare of the jobs are cancelled.
 	cancelShare = 0.1
 )
@@ -89,6 +93,23 @@
 	}
 }
 
+// RunCrashing hands in some jobs, one after the other, that have a task which crashes each
+// worker that starts it. Jobs beside them must not be given up for it.
+func (c *Callers) RunCrashing(ctx context.Context, jobs int) {
+	c.tasks.Go(func() {
+		for i := range jobs {
+			s := job.Submission{ID: job.ID(fmt.Sprintf("crashing%d", i)), Queue: queues[0].Name, Spec: standin.CrashSpec}
+			need := resource.Vector{Processors: 2 * resource.Processor, Memory: resource.GiB}
+			s.Steps = []job.Step{{Tasks: 1, Need: need, Estimate: job.Milliseconds(crashingWork.Milliseconds())}}
+			c.rig.platform.Expect(s, queues[0], crashingWork)
+			if c.submit(ctx, s) {
+				c.watch(ctx, s, time.Now())
+			}
+			sleep(ctx, crashingEvery)
+		}
+	})
+}
+
 // HandIn hands in a job of which the stand-in was told, and says whether it was
 // accepted.
 func (c *Callers) HandIn(ctx context.Context, s job.Submission) bool { return c.submit(ctx, s) }
--- a/tests/soak/played_test.go
+++ b/tests/soak/played_test.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// crashing is how many jobs of a run crash their workers.
+	crashing = 2
 	// servedAgainAfter is how long after open connections went silent jobs are served as
 	// before, and servedAgain the least share of it: the users ask for both.
 	servedAgainAfter = 6 * time.Second
@@ -54,6 +56,7 @@
 	tasks.Go(func() { p.callers.Run(p.ctx, handIn, jobsASecond) })
 	before := p.calm()
 	p.await(endingFor)
+	p.callers.RunCrashing(p.ctx, crashing)
 	p.faults.Run(p.ctx, faultsFor)
 	assert.Check(p.t, p.faults.SilenceAll() > 0, "nothing was open")
 	silent := time.Now()
