--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -10,7 +10,6 @@
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/resource"
-	"saddlevane/modules/ordered"
 	"saddlevane/services/reservations"
 )
 
@@ -65,9 +64,6 @@
 	// it is given up. The service goes on with calls that were given up, so that
 	// a short margin only makes its queue longer.
 	adviceMargin = 1500 * time.Millisecond
-	// adviceOverdue is how late an answer makes its box be passed over, and its
-	// step be asked about through another box.
-	adviceOverdue = 250 * time.Millisecond
 	// adviceAgain delays a call after one that failed.
 	adviceAgain = 100 * time.Millisecond
 )
@@ -172,12 +168,10 @@
 
 // sweepAdvice has steps asked about anew whose answers are overdue.
 func (h *holding) sweepAdvice(now time.Time) {
-	for _, calls := range ordered.Map(h.advisers.calls) {
-		for _, c := range ordered.Map(calls) {
-			if now.Sub(c.due) > adviceOverdue && slices.Contains(c.step.advice.calls, c) {
-				c.step.endCall(c)
-				h.planDue = true
-			}
+	for c := range h.advisers.Overdue(now) {
+		if slices.Contains(c.step.advice.calls, c) {
+			c.step.endCall(c)
+			h.planDue = true
 		}
 	}
 }
@@ -187,11 +181,10 @@
 	if e.Epoch != h.epoch {
 		return
 	}
-	c := h.advisers.calls[e.Box][e.Number]
-	if c == nil {
+	c, known := h.advisers.End(e.Box, e.Number)
+	if !known {
 		return
 	}
-	delete(h.advisers.calls[e.Box], e.Number)
 	s := c.step
 	s.advice.goesFirst = s.advice.goesFirst || len(c.promises) > 0
 	s.endCall(c)
@@ -210,12 +203,10 @@
 func (h *holding) notAdvised(now time.Time, s *step, e exchange.Advised) {
 	s.advice.askAgain = now.Add(adviceAgain)
 	if e.Busy {
-		h.advisers.busyUntil[e.Box] = maxTime(h.advisers.busyUntil[e.Box], now.Add(adviceBusy))
+		h.advisers.Refused(now, e.Box)
 		return
 	}
-	if e.Box != h.core.self.Box {
-		h.advisers.badUntil[e.Box] = now.Add(adviserBad)
-	}
+	h.advisers.Failed(now, e.Box)
 	h.core.note("advice failed", field("step", s.id.String()), field("asked_from", e.Box), field("problem", e.Failed))
 }
 
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/advisers"
 	"saddlevane/services/turns"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,26 +44,31 @@
 func (h *holding) ask(now time.Time, s *step, q *job.Advice, workers []*worker) *adviceCall {
 	takes := q.Base + time.Duration(len(workers))*q.Each
 	class := h.classOf(now, s)
-	if h.uses(mechanism.DividedAdvice) && takes > briefCall && !h.advisers.turns.May(now, class) {
+	if h.uses(mechanism.DividedAdvice) && takes > advisers.Brief && !h.advisers.Turns.May(now, class) {
 		return nil
 	}
 	patience := time.Duration(0)
 	if !class.Late {
-		patience = adviceQueue
+		patience = advisers.Queue
 	}
-	box, address, ok := h.chooseAdviser(now, takes, patience)
+	box, ok := h.advisers.Choose(now, maps.Keys(h.core.members), takes, patience)
 	if !ok {
-		h.advisers.turns.TurnAway(now, class)
+		h.advisers.Turns.TurnAway(now, class)
 		return nil
 	}
-	h.advisers.turns.Spend(now, class, takes)
+	h.advisers.Turns.Spend(now, class, takes)
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
 	}
-	c := h.advisers.began(&adviceCall{step: s, box: box, workers: workers, due: h.advisers.busyUntil[box]})
+	c := &adviceCall{step: s, box: box, workers: workers}
+	c.number, c.due = h.advisers.Begin(box, c)
+	address := ""
+	if box != h.core.self.Box {
+		address = h.core.members[box].Address
+	}
 	s.advice.began(c)
-	h.advisers.spent[s.job.queue] += takes
+	h.advisers.Spent[s.job.queue] += takes
 	h.core.do(exchange.Advise{
 		Box: box, Address: address, Epoch: h.epoch, Number: c.number, Step: s.id, Workers: ids,
 		Expected: c.due.Sub(now), Timeout: c.due.Sub(now) + adviceMargin,
@@ -180,8 +187,8 @@
 // more, which may have it next. It returns false if no call was made.
 func (h *holding) askForRoom(now time.Time, r ranked, candidates []*worker) bool {
 	s := r.step
-	if !h.adviserFree(now, r.queue.Advice.Base, adviceQueue) {
-		h.advisers.turns.TurnAway(now, h.classOf(now, s))
+	if !h.advisers.Free(now, maps.Keys(h.core.members), r.queue.Advice.Base, advisers.Queue) {
+		h.advisers.Turns.TurnAway(now, h.classOf(now, s))
 		return false
 	}
 	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
--- a/services/dispatch/choice.go
+++ b/services/dispatch/choice.go
@@ -9,6 +9,7 @@
 
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
+	"saddlevane/services/advisers"
 )
 
 const (
@@ -88,7 +89,7 @@
 	if missing <= 0 {
 		return
 	}
-	if r.queue.Advice.Base <= shortCall {
+	if r.queue.Advice.Base <= advisers.Short {
 		h.askForRoom(now, r, candidates)
 		return
 	}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/advisers"
 	"saddlevane/services/blame"
 	"saddlevane/services/kept"
 	"saddlevane/services/lateness"
@@ -67,7 +68,8 @@
 	// run. Until it is empty, no task of an earlier holder's job starts.
 	unsettled map[string]bool
 
-	advisers advisers
+	// advisers are the boxes through which calls for advice are made.
+	advisers *advisers.Advisers[*adviceCall]
 	learned  lessons
 	// docket has what is held against tasks under which workers crashed.
 	docket *blame.Docket
@@ -97,7 +99,7 @@
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{}, docket: blame.NewDocket(),
-		advisers: newAdvisers(), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
+		advisers: advisers.New[*adviceCall](c.self.Box), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
 		pools: map[string]bool{}, foreign: map[string]string{},
 	}
 	if c.config != nil {
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"saddlevane/models/resource"
+	"saddlevane/services/advisers"
 	"saddlevane/services/reservations"
 )
 
@@ -233,7 +234,7 @@
 func (h *holding) notAwaited(now time.Time, r ranked, asked int) []*worker {
 	s := r.step
 	takes := r.queue.Advice.Base + time.Duration(min(asked, callMost))*r.queue.Advice.Each
-	_, stale := s.ticketed(now.Add(takes+adviceQueue+ticketMargin), s.reservation.shares)
+	_, stale := s.ticketed(now.Add(takes+advisers.Queue+ticketMargin), s.reservation.shares)
 	var missing []*worker
 	for _, sh := range stale {
 		if !s.advice.awaited(sh.worker) {
