--- a/services/ledger/ledger_test.go
+++ b/services/ledger/ledger_test.go
@@ -91,6 +91,23 @@
 	assert.Equal(t, e.Publication(), "one")
 }
 
+// An operator's file was refused with "replaces revision 0, but 9 is in force", and 9 was the
+// file itself. The box that was asked first had appended it and could not answer any more;
+// the second did not have it yet and appended it too, then took its ledger from a peer
+// that had, and read its own record of the file after that. Nothing told that both are
+// one publication.
+func TestAPublicationThatTwoBoxesAppendIsAcceptedTwice(t *testing.T) {
+	w, l := withWork(t)
+	revision := w.publish("x", "more", 0, strings.ReplaceAll(strings.ReplaceAll(jobFile, "work", "more"), "name: j", "name: k")) + 1
+	first := w.read(l)
+	w.publish("x", "more", 0, strings.ReplaceAll(strings.ReplaceAll(jobFile, "work", "more"), "name: j", "name: k"))
+	second := w.read(l)
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(second), 1)
+	assert.Check(t, first[0].Accepted && second[0].Accepted, "%+v, %+v", first[0], second[0])
+	assert.Equal(t, second[0].Revision, revision, "it came into force once")
+}
+
 func TestOfTwoBoxesTheFirstClaimInTheLogWins(t *testing.T) {
 	w, l := &writer{t: t}, ledger.New()
 	shard := spec.ShardID{Domain: "a"}
