ledger: a publication that is in force is accepted when it is read again

Cause: a tool that has no answer from one box asks the next with the same id. That box may append the file a second time and then read it after it has taken over, from a peer, a state in which the first is in force: it judged its own record as another publication and refused it with the file's own revision.

TestAPublicationThatTwoBoxesAppendIsAcceptedTwice: red before, green after. Found by reading, from the message of the one failure that was seen; that this was its cause is not shown by a run.

--- a/services/ledger/publish.go
+++ b/services/ledger/publish.go
@@ -119,6 +119,10 @@
 }
 
 func (l *Ledger) applyPublish(revision int64, p *record.Publish) Change {
+	if e, ok := l.files[p.File]; ok && e.publication == p.ID {
+		// Another box has appended it too, since the first one asked gave no answer.
+		return Change{Publication: &Publication{ID: p.ID, Accepted: true, Revision: e.revision}}
+	}
 	if reasons := l.Check(p); len(reasons) > 0 {
 		return Change{Publication: &Publication{ID: p.ID, Revision: l.Revision(p.File), Reasons: reasons}}
 	}
