jobs: why a job failed is kept and told, and placed suspects are explained

saddlevanectl job tells why a job has failed, also under the next holder, and of each step whether a task of it is suspected.

--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -39,6 +39,10 @@
 	if x == nil {
 		return
 	}
+	if x.State.Final() {
+		fmt.Fprintf(t.out, "%s in queue %s is %s%s\n", x.ID, x.Queue, x.State, because(x.Why))
+		return
+	}
 	fmt.Fprintf(t.out, "%s in queue %s is %s, slack %v\n", x.ID, x.Queue, x.State, x.Slack.Duration())
 	table := t.table("STEP", "TASKS", "DONE", "PLACED", "WAITING", "WHY")
 	for _, s := range x.Steps {
@@ -47,6 +51,14 @@
 	table.flush()
 }
 
+// because puts a reason after what it is for, if there is one.
+func because(why string) string {
+	if why == "" {
+		return ""
+	}
+	return ": " + why
+}
+
 // cell is the command that asks every daemon what it knows of the cell.
 func (t *tool) cell() *ffcli.Command {
 	return t.command("cell", "", "shows who holds the cell and what each process knows of it",
--- a/models/job/explain.go
+++ b/models/job/explain.go
@@ -8,6 +8,8 @@
 	ID    ID     `json:"id"`
 	Queue string `json:"queue"`
 	State State  `json:"state"`
+	// Why says of a job that has failed why it has.
+	Why string `json:"why,omitempty"`
 	// Slack is how much later the job could finish and be on time, in
 	// milliseconds; below zero it is late.
 	Slack Milliseconds      `json:"slack_ms"`
--- a/models/job/progress.go
+++ b/models/job/progress.go
@@ -10,6 +10,8 @@
 	// Started says that some task of the job was seen at work.
 	Started bool           `json:"started,omitempty"`
 	Steps   []StepProgress `json:"steps,omitempty"`
+	// Why says why the job has failed.
+	Why string `json:"why,omitempty"`
 	// Queue is kept once the submission is dropped, for counting.
 	Queue string `json:"queue,omitempty"`
 	// Ended is when the job reached a final state, in milliseconds since 1970.
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
@@ -37,7 +38,21 @@
 		w := crashWorld(t, 1, 8)
 		a := w.submit(oneStep("guilty", "quick", 1, false))
 		w.blames(a, 0, 0, 10*time.Millisecond)
-		w.until(30*time.Second, "the job is given up", func() bool { w.states(); return a.state == job.Failed })
+		told := map[string]bool{}
+		w.until(30*time.Second, "the job is given up", func() bool {
+			w.states()
+			w.explains(a, told)
+			return a.state == job.Failed
+		})
+		w.explains(a, told)
+		w.run(100 * time.Millisecond)
+		var all []string
+		for why := range told {
+			all = append(all, why)
+		}
+		sentences := strings.Join(all, "; ")
+		assert.Check(t, strings.Contains(sentences, "it is tried apart"), sentences)
+		assert.Check(t, strings.Contains(sentences, "workers crashed under task guilty.0.0.0"), sentences)
 		w.check()
 	})
 	for seed := range crashSeeds() {
@@ -56,6 +71,18 @@
 	return seeds()
 }
 
+// explains notes what the holder says of why a job and its steps are as they are.
+func (w *world) explains(a *asked, told map[string]bool) {
+	w.holder().ask(func(id exchange.CallID) exchange.Event { return exchange.ExplanationAsked{Call: id, Job: a.sub.ID} }, func(got exchange.Answer) {
+		if x := got.Explanation; x != nil {
+			told[x.Why] = true
+			for _, s := range x.Steps {
+				told[s.Reason] = true
+			}
+		}
+	})
+}
+
 const (
 	// crashesFirst and startsAfter bound how often a task is started that crashes its
 	// workers: after this many crashes, fewer than that many times more.
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -37,6 +37,8 @@
 	inherited bool
 	// started says that some task is, or was, at work.
 	started bool
+	// why says why it has failed.
+	why string
 	// ended is when it reached its final state, in milliseconds since 1970.
 	ended int64
 	// dirty says that its progress waits for the journal.
@@ -157,6 +159,9 @@
 	}
 	j.state = state
 	j.ended = h.core.unixMilli(now)
+	if state == job.Failed {
+		j.why = why
+	}
 	h.markDirty(j)
 	h.docket.Drop(j.id)
 	for _, in := range ordered.Map(j.instances) {
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -46,7 +46,7 @@
 	}
 	for _, e := range state.Ended {
 		p := e.Progress
-		j := &submitted{id: e.ID, queue: p.Queue, state: p.State, shown: p.State, accepted: true, ended: p.Ended}
+		j := &submitted{id: e.ID, queue: p.Queue, state: p.State, shown: p.State, accepted: true, ended: p.Ended, why: p.Why}
 		h.jobs[e.ID] = j
 		h.endedJobs = append(h.endedJobs, j)
 	}
--- a/services/dispatch/progress.go
+++ b/services/dispatch/progress.go
@@ -15,7 +15,7 @@
 func (h *holding) resume(now time.Time, j *submitted, p job.Progress) {
 	j.started = p.Started
 	if p.State != "" {
-		j.state, j.shown = p.State, p.State
+		j.state, j.shown, j.why = p.State, p.State, p.Why
 	}
 	for _, sp := range p.Steps {
 		in := j.instances[sp.Instance]
@@ -70,7 +70,7 @@
 
 // progress returns what the log must keep of a job.
 func (j *submitted) progress(d *blame.Docket) job.Progress {
-	p := job.Progress{State: j.state, Started: j.started, Queue: j.queue, Ended: j.ended}
+	p := job.Progress{State: j.state, Started: j.started, Queue: j.queue, Ended: j.ended, Why: j.why}
 	if j.state.Final() {
 		return p
 	}
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -57,7 +57,7 @@
 		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
 		return
 	}
-	x := job.Explanation{ID: j.id, Queue: j.queue, State: j.shown}
+	x := job.Explanation{ID: j.id, Queue: j.queue, State: j.shown, Why: j.why}
 	for _, in := range ordered.Map(j.instances) {
 		x.Slack = job.Milliseconds(in.dueAt.Add(objective(in, h.queueOf(j))).Sub(now).Milliseconds())
 		for _, s := range in.steps {
@@ -70,8 +70,12 @@
 // explainStep says what became of the tasks of a step, and why some wait.
 func (h *holding) explainStep(now time.Time, s *step) job.StepExplanation {
 	x := job.StepExplanation{Step: s.id.String(), Tasks: len(s.tasks), Done: s.done, Placed: s.attempts, Waiting: s.waiting}
-	if s.waiting > 0 && !s.job.state.Final() {
+	switch {
+	case s.job.state.Final():
+	case s.waiting > 0:
 		x.Reason = h.whyWaits(now, s)
+	default:
+		x.Reason = h.whySuspected(s)
 	}
 	return x
 }
