--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -16,15 +16,16 @@
 //   - plan ranks the open steps (rank) and places their tasks (placement, fit,
 //     room); where there is no room it stops tasks of lower rank (preempt), reserves
 //     room for a gang (reserve) or keeps workers for it until they are empty (keep);
-//   - ask and choice decide whom to ask which workers suit a step, advice and advisers
-//     carry the calls;
+//   - ask and choice decide whom to ask which workers suit a step, advice
+//     carries the calls;
 //   - learn, runtimes and speed note what answers and ends have shown: how many
 //     workers suit, how long steps take, and which workers are slow; remaining says
 //     how much of a step is left;
 //   - attempts, starts, stops, reports and ends follow the tasks on their workers, stall
 //     moves those that stand still, throttle sets the pace of those that fill idle
 //     processors;
-//   - workers, listing and lease follow the workers themselves;
+//   - workers, listing, lease and gone follow the workers themselves, suspects tries
+//     the tasks apart under which workers have crashed;
 //   - delay tells what made jobs late.
 package dispatch
 
