blame: a gang on several workers is as likely to be hit on each; the last verdict needs odds of 10

Cause: a crash of any worker of a gang was held against the gang as if it ran on one, and from five crashes on odds of 1 to 4 were enough. Found by worlds in which workers crash by themselves every 7 to 100 s each and no task is guilty.

--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -74,7 +74,7 @@
 // guiltyOdds are the odds from which a task is given up under which crashesLeast or more
 // workers have crashed. They fall with each further crash: few tasks that crash nothing
 // come so far, and each further try costs a worker with all that runs on it.
-var guiltyOdds = []float64{1e4, 1e2, 10, 0.25}
+var guiltyOdds = []float64{1e4, 1e2, 10}
 
 // Probability returns how likely it is that a task crashes its workers.
 func Probability(b job.Blame) float64 {
@@ -124,6 +124,9 @@
 	Worked time.Duration
 	// Alone says that no other task had begun on the worker shortly before.
 	Alone bool
+	// Workers is on how many workers it ran, a gang on several: a guilty member crashes its
+	// own, and any of them may crash by itself. 0 counts as 1.
+	Workers int
 	// Bound says that Worked is no more than a bound: when the worker crashed, or when the
 	// task began, is not known.
 	Bound bool
@@ -187,9 +190,12 @@
 	return job.Blame(b)
 }
 
-// hazard returns the hazard, a second, of a crash by the task if it is guilty, at the time
-// for which it had been at work.
-func (s Suspect) hazard() float64 {
+// hazard returns the hazard, a second, of a crash of the worker by the task if it is guilty,
+// at the time for which it had been at work.
+func (s Suspect) hazard() float64 { return s.anywhere() / float64(max(1, s.Workers)) }
+
+// anywhere returns the hazard of a crash on any of the task's workers.
+func (s Suspect) anywhere() float64 {
 	any := hazard(s.Worked)
 	if s.Before.Crashes == 0 || s.Before.Longest == 0 || s.Bound {
 		return any
--- a/services/blame/docket.go
+++ b/services/blame/docket.go
@@ -148,9 +148,10 @@
 	// Gang says that it stands for a gang, whose run ends with the first crash: workers
 	// that crash together have one cause.
 	Gang bool
-	// Worked, Alone and Bound are those of Suspect.
+	// Worked, Alone, Workers and Bound are those of Suspect.
 	Worked       time.Duration
 	Alone, Bound bool
+	Workers      int
 }
 
 // Crash is the crash of a worker, as it was seen.
@@ -190,7 +191,7 @@
 	j := &judgement{crash: c}
 	j.crash.On = d.all(c)
 	for _, on := range j.crash.On {
-		j.input = append(j.input, Suspect{Before: d.Of(on.Task), Worked: on.Worked, Alone: on.Alone, Bound: on.Bound})
+		j.input = append(j.input, Suspect{Before: d.Of(on.Task), Worked: on.Worked, Alone: on.Alone, Bound: on.Bound, Workers: on.Workers})
 	}
 	judged := j.by(&d.Background)
 	d.Background.Crashed(c.Rack, Unexplained(judged))
@@ -234,7 +235,7 @@
 	for _, t := range d.triedOn[c.Worker] {
 		if b := d.Of(t); slices.Contains(b.TriedOn, c.Worker) {
 			worked := time.Duration(c.UnixMilli-b.TriedAt) * time.Millisecond
-			add(On{Task: t, Worked: max(0, worked), Bound: true})
+			add(On{Task: t, Worked: max(0, worked), Bound: true, Workers: len(b.TriedOn)})
 		}
 	}
 	delete(d.triedOn, c.Worker)
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -265,3 +265,38 @@
 		}
 	}
 }
+
+// Workers that crash by themselves, one after the other, must cost no job that crashes
+// nothing: here each does so every 100 or 250 seconds.
+func TestJobsAreNotGivenUpWhereWorkersCrashByThemselves(t *testing.T) {
+	for seed := range crashSeeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := crashWorld(t, 50000+seed, 24)
+			every := []time.Duration{4 * time.Second, 10 * time.Second}[seed%2]
+			for i := range 60 {
+				w.after(time.Duration(w.rng.Intn(25000))*time.Millisecond, func() { w.submit(w.randomJob(i)) })
+			}
+			lasting := oneStep("lasting", "quick", 12, false)
+			lasting.Steps[0].Service, lasting.Steps[0].Estimate = true, 600_000
+			lasts := w.submit(lasting)
+			w.after(time.Second, func() { w.crashOften(every) })
+			for range 160 {
+				w.run(200 * time.Millisecond)
+				w.states()
+				w.check()
+			}
+			w.cancel(lasts)
+			w.untilEnded()
+		})
+	}
+}
+
+// crashOften crashes a worker now, and others after it, some time apart on average.
+func (w *world) crashOften(every time.Duration) {
+	if w.now.Sub(w.begin) > 30*time.Second {
+		return
+	}
+	w.workers[w.rng.Intn(len(w.workers))].crash(crashBack)
+	w.after(time.Duration(w.rng.Int63n(int64(2*every))), func() { w.crashOften(every) })
+}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -74,12 +74,23 @@
 		}
 		all = append(all, blame.On{
 			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Worked: h.atWorkMost(a, at),
-			Alone: a.isAlone(), Bound: a.beganAt.IsZero(),
+			Alone: a.isAlone(), Bound: a.beganAt.IsZero(), Workers: a.step.workersOf(a.index),
 		})
 	}
 	return all
 }
 
+// workersOf counts the workers on which a task is at work, or its gang.
+func (s *step) workersOf(index int) int {
+	on := map[*worker]bool{}
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil && s.unit(i) == s.unit(index) {
+			on[a.worker] = true
+		}
+	}
+	return len(on)
+}
+
 // isAlone says whether no task but those of its unit had begun on its worker shortly
 // before an attempt, or since.
 func (a *attempt) isAlone() bool {
