dispatch: few workers are kept for trials, and who is hardly suspected does not wait for one

Cause: each task that was a little likely to be guilty was tried alone, on a worker that got nothing else for three seconds. After the crash of one of six workers that were all of them. One worker in twelve is kept at a time now, and a task of less than 0.2 that finds none is tried beside others, apart from other suspects.

--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -49,6 +49,8 @@
 	// crashed, 42% come to suspected and 11% to likely (14,266 in random worlds).
 	suspected = 0.005
 	likely    = 0.05
+	// alone is from which probability on it rather waits than is tried beside others.
+	alone = 0.2
 	// samePoint is the share of guilty tasks that crash their workers at about the same
 	// point of their work each time: within a part of samePart of the time, or seenWithin.
 	samePoint = 0.8
@@ -91,6 +93,9 @@
 // likely to be guilty, or so many workers have crashed under it that it is time to know.
 func Likely(b job.Blame) bool { return Probability(b) >= likely || b.Crashes >= crashesMany }
 
+// MustBeAlone says whether a task is not to be tried beside others, even if it has to wait.
+func MustBeAlone(b job.Blame) bool { return Probability(b) >= alone || b.Crashes >= crashesMany }
+
 // Guilty says whether a task is to be given up.
 func Guilty(b job.Blame) bool {
 	further := b.Crashes - crashesLeast
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -300,3 +300,36 @@
 	w.workers[w.rng.Intn(len(w.workers))].crash(crashBack)
 	w.after(time.Duration(w.rng.Int63n(int64(2*every))), func() { w.crashOften(every) })
 }
+
+// Four tasks of a job were lost with a worker that had crashed by itself. Each was a little
+// likely to be guilty, was tried alone on a worker that got nothing else for three
+// seconds, and only one of the job at a time: the last began 9 s after the first, and other
+// jobs found no room meanwhile.
+//
+//	00:43:06 a suspected task is tried beside=0 task=job185.0.1.0 worker=worker-0-2
+//	00:43:16 a suspected task is tried beside=0 task=job185.0.1.3 worker=worker-4-4
+func TestTasksThatAreHardlySuspectedDoNotWaitForEachOther(t *testing.T) {
+	w := crashWorld(t, 3, 6)
+	s := oneStep("j", "quick", 4, false)
+	s.Steps[0].Estimate = 4000
+	w.submit(s)
+	var on *fakeWorker
+	w.until(time.Second, "all tasks run on one worker", func() bool {
+		for _, f := range w.workers {
+			if len(f.runs) == 4 {
+				on = f
+			}
+		}
+		return on != nil
+	})
+	w.run(400 * time.Millisecond)
+	on.crash(crashBack)
+	w.until(4*time.Second, "all tasks are at work again", func() bool {
+		running := 0
+		for _, f := range w.workers {
+			running += len(f.runs)
+		}
+		return running == 4
+	})
+	w.untilEnded()
+}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -22,6 +22,10 @@
 	// time under suspects, and jobAtRisk how many workers one job may risk.
 	atRiskShare = 16
 	jobAtRisk   = 0.5
+	// trialShare is one over the share of the workers that get nothing else for a trial at a
+	// time: without the bound tasks beside a guilty one, each a little likely, took six of
+	// six workers for it, and jobs waited for room for 9 s.
+	trialShare = 12
 	// calmBefore is for how long a worker starts nothing before a likely suspect begins
 	// there, and trialFor for how long after it.
 	calmBefore = time.Second
@@ -181,10 +185,11 @@
 		a.risk /= float64(len(a.step.tasks))
 	}
 	a.worker.suspects++
-	if blame.Likely(b) {
+	if blame.MustBeAlone(b) || a.worker.prepared.isFor(a) {
 		a.trial = true
 		a.worker.trials++
 	}
+	a.worker.prepared = nil
 }
 
 // leaveTrial takes back what enterTrial noted.
@@ -213,7 +218,14 @@
 		if !h.waitsSuspected(s, i) || !h.mayTry(p.now, s, i) {
 			continue
 		}
-		w := h.trialPlace(p, r, set, i)
+		alone := blame.Likely(h.blameOf(s, i))
+		if alone && !h.mayPrepare(s, i) {
+			if blame.MustBeAlone(h.blameOf(s, i)) {
+				continue
+			}
+			alone = false
+		}
+		w := h.trialPlace(p, r, set, i, alone)
 		if w == nil {
 			if r.queue.Advice != nil && !s.advice.asking() {
 				h.askMore(p.now, r, set.workers)
@@ -225,22 +237,31 @@
 			h.refresh(p.now, r, []share{{w, 1}})
 			return
 		}
-		if !w.calm(p.now) && blame.Likely(h.blameOf(s, i)) {
+		if alone && !w.calm(p.now) {
 			continue
 		}
-		w.prepared = nil
 		h.start(p.now, s, i, h.nextRun(s), w, ticket)
 		h.core.note("a suspected task is tried", field("job", string(s.job.id)), field("task", s.unit(i).String()), field("run", s.lastRun),
 			field("worker", w.ID), field("beside", len(w.attempts)-1), field("crashes", h.blameOf(s, i).Crashes), field("claim", h.epoch))
 	}
 }
 
-// trialPlace returns a worker for a suspect, or nil: one without another suspect. For a
-// likely one that is the emptiest, which from then on gets nothing else.
-func (h *holding) trialPlace(p *pass, r ranked, set *workerSet, index int) *worker {
+// mayPrepare says whether a worker is kept for a suspect, or may be: few are at a time.
+func (h *holding) mayPrepare(s *step, index int) bool {
+	kept := 0
+	for _, w := range h.byName() {
+		if w.prepared != nil || w.trials > 0 {
+			kept++
+		}
+	}
+	return kept < max(1, len(h.workers)/trialShare) || h.preparedFor(s, index) != nil
+}
+
+// trialPlace returns a worker for a suspect, or nil: one without another suspect. For one
+// that is to be alone it is the emptiest, which from then on gets nothing else.
+func (h *holding) trialPlace(p *pass, r ranked, set *workerSet, index int, alone bool) *worker {
 	s := r.step
-	likely := blame.Likely(h.blameOf(s, index))
-	if w := h.preparedFor(s, index); likely && w != nil {
+	if w := h.preparedFor(s, index); alone && w != nil {
 		if w.slots(s, w.room()) > 0 {
 			return w
 		}
@@ -249,14 +270,14 @@
 	}
 	var best *candidate
 	for _, c := range h.candidates(p.now, s, r.suited(set)) {
-		if c.worker.suspects == 0 && c.worker.prepared == nil && (best == nil || c.betterTrial(*best, likely)) {
+		if c.worker.suspects == 0 && c.worker.prepared == nil && (best == nil || c.betterTrial(*best, alone)) {
 			best = &c
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	if likely {
+	if alone {
 		best.worker.prepared = &preparation{step: s, index: index, since: p.now}
 	}
 	return best.worker
@@ -269,6 +290,11 @@
 	since time.Time
 }
 
+// isFor says whether a worker is kept for an attempt.
+func (pr *preparation) isFor(a *attempt) bool {
+	return pr != nil && pr.step == a.step && pr.index == a.index
+}
+
 // preparedFor returns the worker that is kept for a suspect, or nil.
 func (h *holding) preparedFor(s *step, index int) *worker {
 	for _, w := range h.byName() {
@@ -327,9 +353,9 @@
 }
 
 // betterTrial says whether a candidate is better than another for trying a suspect.
-func (c candidate) betterTrial(o candidate, likely bool) bool {
+func (c candidate) betterTrial(o candidate, alone bool) bool {
 	beside := 0
-	if likely {
+	if alone {
 		beside = cmp.Compare(len(c.worker.attempts), len(o.worker.attempts))
 	}
 	return cmp.Or(cmp.Compare(c.unticketed, o.unticketed), beside, c.compare(o)) < 0
