--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -76,7 +76,7 @@
 // guiltyOdds are the odds from which a task is given up under which crashesLeast or more
 // workers have crashed. They fall with each further crash: few tasks that crash nothing
 // come so far, and each further try costs a worker with all that runs on it.
-var guiltyOdds = []float64{1e4, 1e2, 10}
+var guiltyOdds = []float64{1e4, 1e2, 30}
 
 // Probability returns how likely it is that a task crashes its workers.
 func Probability(b job.Blame) float64 {
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -19,9 +19,11 @@
 
 const (
 	// atRiskShare is one over the share of the workers that may be expected to crash at a
-	// time under suspects, and jobAtRisk how many workers one job may risk.
+	// time under suspects, and atRiskLeast how many may be in a small cell, and under the
+	// tasks of one job: those that were beside each other when a worker crashed can be
+	// tried at once, since one of them at most is guilty of it.
 	atRiskShare = 16
-	jobAtRisk   = 0.5
+	atRiskLeast = 1.0
 	// trialShare is one over the share of the workers that get nothing else for a trial at a
 	// time: without the bound tasks beside a guilty one, each a little likely, took six of
 	// six workers for it, and jobs waited for room for 9 s.
@@ -332,7 +334,8 @@
 	}
 	risk := blame.Probability(b)
 	all, ofJob := h.atRisk(s.job)
-	return (all == 0 || all+risk <= float64(len(h.workers))/atRiskShare) && (ofJob == 0 || ofJob+risk <= jobAtRisk)
+	most := max(atRiskLeast, float64(len(h.workers))/atRiskShare)
+	return (all == 0 || all+risk <= most) && (ofJob == 0 || ofJob+risk <= atRiskLeast)
 }
 
 // atRisk returns how many workers are expected to crash under the suspects on them, all
