--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -43,10 +43,10 @@
 	// mostOdds bounds the odds: more says nothing more.
 	mostOdds = 1e9
 
-	// suspected and likely are from which probability of guilt on a task is kept apart
-	// from other suspects, and is tried on a worker that gets
-	// nothing else meanwhile. Of tasks that crash nothing and were on a worker that
-	// crashed, 42% come to suspected and 11% to likely (14,266 in random worlds).
+	// suspected is the probability of guilt from which on a task is kept apart from other
+	// suspects, likely the one from which on it is tried on a worker that gets nothing else
+	// meanwhile. Of tasks that crash nothing and were on a worker that crashed, 42% come to
+	// suspected and 11% to likely (14,266 in random worlds).
 	suspected = 0.005
 	likely    = 0.05
 	// alone is from which probability on it rather waits than is tried beside others.
