clock: one wait in place of three

The links between boxes, the loop and the relays' outboxes each had the same wait that ends early with its context. Nothing else changes: an outbox that has sent nothing yet counts as one that sent long ago, and does not wait either.

--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -10,6 +10,7 @@
 package clock
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,19 @@
 // connections are kept. A suspension lengthens it.
 func Deadline(in time.Duration) time.Time { return time.Now().Add(in) }
 
+// Wait waits for some time, or less if ctx ends. A suspension lengthens it.
+func Wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Suspended returns how long the machine has been suspended since the clock was made.
 func (c *Clock) Suspended() time.Duration {
 	d := c.suspended() - c.first
--- a/modules/clock/clock_test.go
+++ b/modules/clock/clock_test.go
@@ -4,6 +4,7 @@
 package clock_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -47,3 +48,15 @@
 	passed := c.Now().Sub(same)
 	assert.Check(t, passed >= 0 && passed <= time.Since(began)+c.Suspended()+time.Second, "%v", passed)
 }
+
+func TestAWaitEndsWithItsTimeOrWhatItIsFor(t *testing.T) {
+	began := time.Now()
+	clock.Wait(context.Background(), 20*time.Millisecond)
+	assert.Check(t, time.Since(began) >= 20*time.Millisecond)
+
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	clock.Wait(over, time.Hour)
+	clock.Wait(context.Background(), -time.Hour)
+	assert.Check(t, time.Since(began) < time.Hour)
+}
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"saddlevane/modules/clock"
 	"saddlevane/modules/conntrack"
 
 	"github.com/sourcegraph/conc"
@@ -128,21 +129,11 @@
 			return
 		default:
 			l.settings.NotAccepted(err)
-			l.pause(acceptAgain)
+			clock.Wait(l.ctx, acceptAgain)
 		}
 	}
 }
 
-// pause waits, or less if the links are closed.
-func (l *Links) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-l.ctx.Done():
-	}
-}
-
 // connect makes a link of a connection.
 func (l *Links) connect(address string, raw net.Conn) *link {
 	boundBuffer(raw)
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/claim"
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
+	"saddlevane/modules/clock"
 )
 
 // ask gives the reducer an event that it answers, and waits for the answer.
@@ -113,7 +114,7 @@
 		if a.Outcome != exchange.Elsewhere || !l.handingOver() || !l.now().Before(until) || ctx.Err() != nil {
 			return a
 		}
-		sleep(ctx, handoverAgain)
+		clock.Wait(ctx, handoverAgain)
 	}
 }
 
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -11,6 +11,7 @@
 	"saddlevane/models/claim"
 	"saddlevane/models/exchange"
 	"saddlevane/models/stream"
+	"saddlevane/modules/clock"
 )
 
 // followAgain is the pause after a read of the log that failed.
@@ -42,12 +43,12 @@
 			// A stream whose records are gone is read anew.
 			started = false
 			f.fail(err)
-			sleep(ctx, followAgain)
+			clock.Wait(ctx, followAgain)
 			continue
 		}
 		f.take(page, !started)
 		next, started = page.Next, true
-		sleep(ctx, f.pause)
+		clock.Wait(ctx, f.pause)
 	}
 }
 
@@ -65,19 +66,6 @@
 	return f.loop.platform.Log.Read(ctx, f.name, next, f.wait)
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (l *Loop) followConfig() {
 	l.follow(l.ctx, follower{loop: l, name: stream.Config, wait: rareWait, take: l.takeConfig, fail: l.debugFail(stream.Config)})
 }
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
+	"saddlevane/modules/clock"
 	"saddlevane/modules/httpclient"
 )
 
@@ -38,7 +39,7 @@
 	defer cancel()
 	page, err := l.platform.Log.Newest(ctx, stream.Jobs)
 	if err != nil {
-		sleep(l.ctx, followAgain)
+		clock.Wait(l.ctx, followAgain)
 	}
 	l.post(exchange.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
 }
--- a/services/relay/outbox.go
+++ b/services/relay/outbox.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/modules/clock"
 
 	"github.com/sourcegraph/conc"
 )
@@ -84,16 +85,7 @@
 
 // pause waits until the next batch may be sent.
 func (o *outbox[T]) pause(ctx context.Context) {
-	wait := gather - o.now().Sub(o.sentAt)
-	if o.sentAt.IsZero() || wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Wait(ctx, gather-o.now().Sub(o.sentAt))
 }
 
 // take returns what waits, or ends the flushing.
