dispatch: what a lost worker's tasks are to blame for is worked out only if it crashed

It was worked out for each worker that left or was cut off, too, and then dropped; and for each task the whole step was searched for members of a gang that most steps are not.

--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -201,11 +201,11 @@
 
 // anywhere returns the hazard of a crash on any of the task's workers.
 func (s Suspect) anywhere() float64 {
-	any := hazard(s.Worked)
+	unknown := hazard(s.Worked)
 	if s.Before.Crashes == 0 || s.Before.Longest == 0 || s.Bound {
-		return any
+		return unknown
 	}
-	return (1-samePoint)*any + samePoint*max(s.near(s.Before.Shortest), s.near(s.Before.Longest))
+	return (1-samePoint)*unknown + samePoint*max(s.near(s.Before.Shortest), s.near(s.Before.Longest))
 }
 
 // near returns the hazard, a second, of a crash at about the time for which the task had
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"saddlevane/models/exchange"
+	"saddlevane/services/blame"
 )
 
 // silent notes that a worker does not answer from now on.
@@ -29,9 +30,13 @@
 // loseAll frees the tasks of a worker that has surely ended them.
 func (h *holding) loseAll(now time.Time, w *worker, how exchange.Ending, why string) {
 	lost := exchange.TasksLost{How: how, Tasks: len(w.attempts)}
-	suspects := h.tasksOn(w, w.presence.SilentSince())
+	at := w.presence.SilentSince()
+	var suspects []blame.On
+	if how == exchange.Crashed {
+		suspects = h.tasksOn(w, at)
+	}
 	for _, a := range w.sorted() {
-		lost.Worked += a.workedUntil(w.presence.SilentSince())
+		lost.Worked += a.workedUntil(at)
 		a.task().lost++
 		h.lose(now, a, why)
 	}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -80,17 +80,20 @@
 		}
 		all = append(all, blame.On{
 			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Worked: h.atWorkMost(a, at),
-			Alone: a.isAlone(), Bound: a.beganAt.IsZero(), Workers: a.step.workersOf(a.index),
+			Alone: a.isAlone(), Bound: a.beganAt.IsZero(), Workers: a.step.workersOf(),
 		})
 	}
 	return all
 }
 
-// workersOf counts the workers on which a task is at work, or its gang.
-func (s *step) workersOf(index int) int {
+// workersOf counts the workers on which a task of the step is at work, or the whole gang.
+func (s *step) workersOf() int {
+	if !s.spec.Gang {
+		return 1
+	}
 	on := map[*worker]bool{}
 	for i := range s.tasks {
-		if a := s.tasks[i].attempt; a != nil && s.unit(i) == s.unit(index) {
+		if a := s.tasks[i].attempt; a != nil {
 			on[a.worker] = true
 		}
 	}
@@ -101,7 +104,7 @@
 // before an attempt, or since.
 func (a *attempt) isAlone() bool {
 	for _, o := range a.worker.attempts {
-		if o.step == a.step && o.step.unit(o.index) == a.step.unit(a.index) {
+		if o.step.unit(o.index) == a.step.unit(a.index) {
 			continue
 		}
 		if o.beganAt.After(a.beganAt.Add(-calmBefore)) {
