kept: what is kept of an ended job and cannot be read is told of

The error was dropped, against the package's own promise: a caller who asked for such a job was told that there is none, and no line said why. A job whose progress could not be read before is still told of once. The test now names the keys instead of counting them; it fails without the mend.

--- a/services/kept/kept.go
+++ b/services/kept/kept.go
@@ -155,10 +155,10 @@
 	if r.Dropped() {
 		return
 	}
-	if id, ok := strings.CutPrefix(r.Key, keyProgress); ok && !open[job.ID(id)] {
-		var p job.Progress
-		if json.Unmarshal(r.Value, &p) == nil && p.State.Final() {
-			s.Ended = append(s.Ended, Ended{ID: job.ID(id), Progress: p})
+	if id, ok := strings.CutPrefix(r.Key, keyProgress); ok {
+		isOpen, submitted := open[job.ID(id)]
+		if !isOpen {
+			s.readEnded(job.ID(id), r, submitted)
 		}
 	}
 	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
@@ -175,6 +175,21 @@
 	}
 }
 
+// readEnded reads what is kept of a job that may have ended. Told says that the job is
+// among the unread already.
+func (s *State) readEnded(id job.ID, r stream.Record, told bool) {
+	var p job.Progress
+	if err := json.Unmarshal(r.Value, &p); err != nil {
+		if !told {
+			s.unread(r.Key, err)
+		}
+		return
+	}
+	if p.State.Final() {
+		s.Ended = append(s.Ended, Ended{ID: id, Progress: p})
+	}
+}
+
 func (s *State) unread(key string, err error) {
 	s.Unread = append(s.Unread, Unread{Key: key, Why: err.Error()})
 }
--- a/services/kept/kept_test.go
+++ b/services/kept/kept_test.go
@@ -58,8 +58,13 @@
 		stream.Record{Key: "s/d", Value: []byte(`{"job":{"id":"d","queue":"q","steps":[{"tasks":-1}]}}`)},
 		stream.Record{Key: "w/x", Value: []byte("null")},
 		submission("e").Record(), stream.Record{Key: "p/e", Value: []byte(`{"steps":[{"b":{"0":{"n":-1}}}]}`)},
+		stream.Record{Key: "p/ended", Value: []byte(`{"state":7}`)},
 		stream.Record{Key: "unknown", Value: []byte{0xff}},
 	))
 	assert.Equal(t, len(s.Jobs), 1)
-	assert.Equal(t, len(s.Unread), 5, "%v", s.Unread)
+	var unread []string
+	for _, u := range s.Unread {
+		unread = append(unread, u.Key)
+	}
+	assert.DeepEqual(t, unread, []string{"s/b", "s/c", "s/d", "p/e", "w/x", "p/ended"})
 }
