--- a/modules/httpclient/calls_test.go
+++ b/modules/httpclient/calls_test.go
@@ -29,12 +29,7 @@
 
 func testAGivenUpReadNeedNotWait(t *testing.T, body io.Reader) {
 	const wait = 600 * time.Millisecond
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		if req.URL.Query().Has("wait") {
-			time.Sleep(wait)
-		}
-		echo(w, req)
-	}, nil)
+	r := newRig(t, slow(wait, waits), nil)
 	r.fill(2)
 	r.between.Silence()
 	var calls sync.WaitGroup
@@ -61,14 +56,11 @@
 // up, so each needless one makes its queue longer.
 func TestACallThatWaitsItsTurnIsNotMadeAgainWhileTheServiceAnswers(t *testing.T) {
 	const takes = 3 * overdue
-	turn := make(chan struct{}, 1)
+	turn, serve := make(chan struct{}, 1), slow(takes, isCall)
 	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
 		turn <- struct{}{}
 		defer func() { <-turn }()
-		if req.URL.Path == "/call" {
-			time.Sleep(takes)
-		}
-		echo(w, req)
+		serve(w, req)
 	}, nil)
 	r.fill(3)
 	inTurn := httpclient.Repeatable(context.Background(), httpclient.Repeat{Expected: takes, InTurn: true})
@@ -141,18 +133,13 @@
 // The log can be fifty times slower for seconds. Two calls in place of each would make
 // it slower still.
 func TestASlowServiceIsNotAskedTwiceForEver(t *testing.T) {
-	var slow atomic.Bool
+	var isSlow atomic.Bool
 	var later atomic.Int64
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		if slow.Load() {
-			time.Sleep(3 * overdue)
-		}
-		echo(w, req)
-	}, func(s *httpclient.Settings) {
+	r := newRig(t, slow(3*overdue, func(*http.Request) bool { return isSlow.Load() }), func(s *httpclient.Settings) {
 		s.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
 	})
 	r.fill(1)
-	slow.Store(true)
+	isSlow.Store(true)
 	for range 6 {
 		_, err := r.call(repeatable(0), "text")
 		assert.NilError(t, err)
@@ -275,12 +262,7 @@
 // An answer that is overdue may still come; the connections beside it may be as silent,
 // and the next call must not be made on one of them.
 func TestAnOverdueCallIsWaitedForAndTheNextOneGetsANewConnection(t *testing.T) {
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		if req.URL.Path == "/call" {
-			time.Sleep(3 * overdue)
-		}
-		echo(w, req)
-	}, nil)
+	r := newRig(t, slow(3*overdue, isCall), nil)
 	r.fill(3)
 	got, err := r.call(httpclient.Overdue(context.Background(), overdue), "late")
 	assert.NilError(t, err)
--- a/modules/httpclient/httpclient_test.go
+++ b/modules/httpclient/httpclient_test.go
@@ -91,6 +91,20 @@
 	_, _ = w.Write(body)
 }
 
+// slow answers as echo does, but some requests only after a while.
+func slow(takes time.Duration, which func(*http.Request) bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if which(req) {
+			time.Sleep(takes)
+		}
+		echo(w, req)
+	}
+}
+
+// waits and isCall tell requests apart that are to be slow.
+func waits(req *http.Request) bool  { return req.URL.Query().Has("wait") }
+func isCall(req *http.Request) bool { return req.URL.Path == "/call" }
+
 // hang gives no answer as long as the caller waits.
 func hang(req *http.Request) {
 	_, _ = io.Copy(io.Discard, req.Body)
@@ -240,12 +254,7 @@
 
 func testAWaitingReadIsAnswered(t *testing.T) {
 	const wait = 300 * time.Millisecond
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		if req.URL.Query().Has("wait") {
-			time.Sleep(wait)
-		}
-		echo(w, req)
-	}, nil)
+	r := newRig(t, slow(wait, waits), nil)
 	read := func() {
 		t.Helper()
 		ctx, cancel := context.WithTimeout(httpclient.Repeatable(context.Background(), httpclient.Repeat{
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -198,20 +198,14 @@
 	for i := range 60 {
 		w.after(time.Duration(w.rng.Intn(25000))*time.Millisecond, func() { w.submit(w.randomJob(i)) })
 	}
-	lasting := oneStep("lasting", "quick", 6, false)
-	lasting.Steps[0].Service, lasting.Steps[0].Estimate = true, 600_000
-	lasts := w.submit(lasting)
+	lasts := w.submitLasting(6)
 	for i := range 3 {
 		w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, func() { w.submitGuilty(i) })
 	}
 	for range 4 {
 		w.after(time.Duration(w.rng.Intn(25000))*time.Millisecond, w.crashTrouble)
 	}
-	for range 150 {
-		w.run(200 * time.Millisecond)
-		w.states()
-		w.check()
-	}
+	w.watch(150)
 	w.cancel(lasts)
 	w.untilEnded()
 	for task, r := range w.crashes {
@@ -219,6 +213,13 @@
 	}
 }
 
+// submitLasting hands in a job whose tasks run until it is cancelled.
+func (w *world) submitLasting(tasks int) *asked {
+	s := oneStep("lasting", "quick", tasks, false)
+	s.Steps[0].Service, s.Steps[0].Estimate = true, 600_000
+	return w.submit(s)
+}
+
 // submitGuilty hands in a job with a task that crashes its workers: one of many, a member
 // of a gang, one that lasts, or one of a job with times.
 func (w *world) submitGuilty(n int) {
@@ -302,15 +303,9 @@
 			w.submit(s)
 		})
 	}
-	lasting := oneStep("lasting", "quick", 12, false)
-	lasting.Steps[0].Service, lasting.Steps[0].Estimate = true, 600_000
-	lasts := w.submit(lasting)
+	lasts := w.submitLasting(12)
 	w.after(time.Second, func() { w.crashOften(every) })
-	for range 160 {
-		w.run(200 * time.Millisecond)
-		w.states()
-		w.check()
-	}
+	w.watch(160)
 	w.cancel(lasts)
 	w.untilEnded()
 }
--- /dev/null
+++ b/services/dispatch/random_test.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"saddlevane/models/mechanism"
+
+	"gotest.tools/v3/assert"
+)
+
+// seeds returns how many random worlds are played.
+func seeds() int64 {
+	if os.Getenv("SADDLEVANE_FREE_SEEDS") != "" {
+		return 400
+	}
+	return 60
+}
+
+// TestRandomWorlds plays worlds in which boxes, workers and the log fail, and
+// checks the promises whenever a task starts.
+func TestRandomWorlds(t *testing.T) {
+	if text := os.Getenv("SADDLEVANE_SEED"); text != "" {
+		seed, err := strconv.ParseInt(text, 10, 64)
+		assert.NilError(t, err)
+		randomWorld(t, seed)
+		return
+	}
+	base := int64(0)
+	if os.Getenv("SADDLEVANE_FREE_SEEDS") != "" {
+		base = time.Now().UnixNano() % 1_000_000_000
+	}
+	for seed := range seeds() {
+		t.Run(fmt.Sprint(base+seed), func(t *testing.T) {
+			t.Parallel()
+			randomWorld(t, base+seed)
+		})
+	}
+}
+
+// TestRandomWorldsWithLateAnswers plays worlds in which many answers to looks come
+// seconds late and in bunches, as under a holder that is slow or whose link is full.
+func TestRandomWorldsWithLateAnswers(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 7000+seed, 3, 8)
+			w.lateLooks = []float64{0.1, 0.4, 0.8}[w.rng.Intn(3)]
+			w.serves()
+			w.plays()
+		})
+	}
+}
+
+func randomWorld(t *testing.T, seed int64) { randomWorldWithout(t, seed) }
+
+// randomWorldWithout plays a random world whose boxes do without some mechanisms.
+func randomWorldWithout(t *testing.T, seed int64, without ...mechanism.Mechanism) {
+	w := newWorld(t, seed, 3, 8)
+	w.without = map[mechanism.Mechanism]bool{}
+	for _, m := range without {
+		w.without[m] = true
+	}
+	for _, b := range w.boxes {
+		b.kill()
+		b.start()
+	}
+	w.serves()
+	w.lateShare = []float64{0, 0, 0.05}[w.rng.Intn(3)]
+	w.plays()
+}
+
+// plays hands random jobs in while things fail, and checks the promises.
+func (w *world) plays() {
+	w.t.Helper()
+	for i := range 40 {
+		w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, func() {
+			a := w.submit(w.randomJob(i))
+			if w.rng.Intn(10) == 0 {
+				w.after(time.Duration(w.rng.Intn(4000))*time.Millisecond, func() { w.cancel(a) })
+			}
+		})
+	}
+	for range 6 {
+		w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, w.trouble)
+	}
+	w.watch(100)
+	w.lateShare, w.lateLooks = 0, 0
+	w.untilEnded()
+}
+
+// watch lets time pass, in steps of 200 ms, and checks the promises after each.
+func (w *world) watch(steps int) {
+	w.t.Helper()
+	for range steps {
+		w.run(200 * time.Millisecond)
+		w.states()
+		w.check()
+	}
+}
+
+// untilEnded waits until no accepted job is left, and names those that are.
+func (w *world) untilEnded() {
+	w.t.Helper()
+	for range 1500 {
+		w.run(100 * time.Millisecond)
+		if w.ended() {
+			w.check()
+			return
+		}
+	}
+	for _, id := range w.order {
+		if a := w.jobs[id]; a.accepted && !a.state.Final() {
+			w.t.Logf("%s is %s: %+v, done %v", id, a.state, a.sub, a.done)
+		}
+	}
+	w.fail("jobs have not ended")
+}
+
+// trouble makes one thing fail for a while.
+func (w *world) trouble() {
+	lasts := time.Duration(500+w.rng.Intn(6000)) * time.Millisecond
+	b := w.boxes[w.rng.Intn(len(w.boxes))]
+	if h := w.holder(); h != nil && w.rng.Intn(2) == 0 {
+		b = h
+	}
+	f := w.workers[w.rng.Intn(len(w.workers))]
+	switch w.rng.Intn(11) {
+	case 10:
+		// Such a run never ends by itself, so only a policy that moves it gets on.
+		f.stalls = !w.without[mechanism.MovedRuns]
+		w.after(lasts, func() { f.stalls = false })
+	case 0:
+		w.killBox(b, lasts)
+	case 1:
+		b.pausedUntil = w.now.Add(lasts)
+	case 2:
+		b.noLog = true
+		w.after(lasts, func() { b.noLog = false })
+	case 3:
+		b.noLog, b.noPeers = true, true
+		w.after(lasts, func() { b.noLog, b.noPeers = false, false })
+	case 4:
+		w.logDown = true
+		w.after(lasts, func() { w.logDown = false })
+	case 5:
+		w.logLoses = 0.4
+		w.after(lasts, func() { w.logLoses = 0 })
+	case 6:
+		f.crash(lasts)
+	case 7:
+		f.cut = true
+		w.after(lasts, func() { f.cut = false })
+	case 8:
+		f.hidden = true
+		w.after(lasts, func() { f.hidden = false })
+	case 9:
+		for _, other := range w.boxes {
+			w.killBox(other, lasts)
+		}
+	}
+}
+
+func (w *world) killBox(b *fakeBox, lasts time.Duration) {
+	if !b.alive {
+		return
+	}
+	b.kill()
+	w.after(lasts, b.start)
+}
--- a/services/dispatch/shrink_test.go
+++ b/services/dispatch/shrink_test.go
@@ -50,11 +50,7 @@
 			for range 2 {
 				w.after(time.Duration(w.rng.Intn(15000))*time.Millisecond, w.crashTrouble)
 			}
-			for range 100 {
-				w.run(200 * time.Millisecond)
-				w.states()
-				w.check()
-			}
+			w.watch(100)
 			for _, f := range w.workers {
 				f.resize(fullSize)
 			}
