jobrun: a test for an answer that comes while it is told to be overdue, red

An answer to a look at a worker that came after it was overdue was written into a value that the overdue notice, on another goroutine, was copying at that time: the reducer could have been told of a report of which only a part was there, with a wrong length of its lists.

--- a/services/jobrun/late_test.go
+++ b/services/jobrun/late_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -40,3 +41,23 @@
 		assert.Equal(t, on.Runs(task), 1, "%s", task)
 	}
 }
+
+// The answer may come while the loop tells that it is overdue. Between both nothing but
+// their order in time is kept here, so that the race detector sees what they share.
+func TestAnAnswerThatComesWhileItIsToldToBeOverdueIsWhole(t *testing.T) {
+	on, err := memory.New(config(), 2)
+	assert.NilError(t, err)
+	calls := on.Calls()
+	renew := calls.Workers.Renew
+	calls.Workers.Renew = func(ctx context.Context, address, worker string, r order.Renew) (order.Report, order.Answer) {
+		began := time.Now()
+		report, answer := renew(ctx, address, worker, r)
+		for time.Since(began) < 210*time.Millisecond {
+			runtime.Gosched()
+		}
+		return report, answer
+	}
+	p := startVia(t, calls, "a", io.Discard, func(address string) string { return address })
+	served(t, p, jobrun.Request{Submit: submission("late")}, "")
+	served(t, p, jobrun.Request{State: "late"}, job.Succeeded)
+}
