--- a/services/jobrun/late_test.go
+++ b/services/jobrun/late_test.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// The answer may come while the loop tells that it is overdue. Between both nothing but
-// their order in time is kept here, so that the race detector sees what they share.
+// The answer may come while the loop tells that it is overdue. Nothing here makes one wait
+// for the other, so that the race detector sees what they share.
+// The notice copied the value into which the answer was written; each has its own.
 func TestAnAnswerThatComesWhileItIsToldToBeOverdueIsWhole(t *testing.T) {
 	on, err := memory.New(config(), 2)
 	assert.NilError(t, err)
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -54,11 +54,9 @@
 	ctx, cancel := context.WithTimeout(httpclient.Overdue(l.ctx, e.Timeout), e.Timeout+e.Late)
 	defer cancel()
 	ended := exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Look: e.Look}
-	overdue := time.AfterFunc(e.Timeout, func() {
-		none := ended
-		none.Answer = order.Answer{Fate: order.Unknown, Problem: "no answer in time"}
-		l.post(none)
-	})
+	none := ended
+	none.Answer = order.Answer{Fate: order.Unknown, Problem: "no answer in time"}
+	overdue := time.AfterFunc(e.Timeout, func() { l.post(none) })
 	ended.Report, ended.Answer = l.workers.Renew(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.ordered("renew", ended.Answer)
 	for _, end := range ended.Report.Ended {
