blame: a run of crashes convicts no task where workers crash often anyway

Cause: the odds from which a task is given up fell from 1e4 to 30 with each further crash, whatever the rate at which workers crash by no fault of their tasks. Where each worker crashes every 7 or 14 s, a task that crashes nothing is at work at five or six crashes in a row now and then.

Before: 8 of 300 worlds gave an innocent job up.

--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -20,6 +20,10 @@
 	rackWeight = 600.0
 	// remembers is the time after which what was seen counts for a third.
 	remembers = 10 * time.Minute
+	// oftenRate is from how many crashes of a worker a second on workers crash often: where
+	// each crashed every 7 s or 14 s, 8 of 9,000 jobs that crash nothing were given up after
+	// five or six crashes in a row, and none where each crashed every 29 s.
+	oftenRate = 1.0 / 40
 	// together is how far apart two workers may stop to answer that have one cause: a
 	// look that waits at a worker breaks off at once, others run out of their time.
 	together = 1500 * time.Millisecond
@@ -110,11 +114,19 @@
 	b.silent = slices.DeleteFunc(b.silent, func(s silence) bool { return s.worker == worker })
 }
 
+// Often says whether workers crash often by no fault of their tasks.
+func (b *Background) Often() bool { return b.rate() > oftenRate }
+
+// rate returns how often a worker crashes by no fault of its tasks, a second, over all.
+func (b *Background) rate() float64 {
+	return (b.all.crashes + firstRate*firstWeight) / (b.all.seconds + firstWeight)
+}
+
 // Hazard returns how likely a worker was to crash at a time by no fault of its tasks, a
 // second: as often as workers of its rack crash, and more if others stopped answering at
 // the same time.
 func (b *Background) Hazard(at time.Time, worker, rack string) float64 {
-	all := (b.all.crashes + firstRate*firstWeight) / (b.all.seconds + firstWeight)
+	all := b.rate()
 	r := b.rack(rack)
 	ofRack := (r.crashes + all*rackWeight) / (r.seconds + rackWeight)
 	common := max(b.common(at, worker, "", b.total, all), b.common(at, worker, rack, b.workers[rack], ofRack))
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -96,10 +96,18 @@
 // MustBeAlone says whether a task is not to be tried beside others, even if it has to wait.
 func MustBeAlone(b job.Blame) bool { return Probability(b) >= alone || b.Crashes >= crashesMany }
 
-// Guilty says whether a task is to be given up.
-func Guilty(b job.Blame) bool {
+// Guilty says whether a task is to be given up. Often says that workers crash often by no
+// fault of their tasks: then a task that crashes nothing may well be at work at five crashes
+// in a row, and no number of them makes up for odds that are low.
+func Guilty(b job.Blame, often bool) bool {
 	further := b.Crashes - crashesLeast
-	return further >= 0 && (b.Alone > 0 || further > 1) && b.Odds >= guiltyOdds[min(further, len(guiltyOdds)-1)]
+	if further < 0 || further <= 1 && b.Alone == 0 {
+		return false
+	}
+	if often {
+		return b.Odds >= guiltyOdds[0]
+	}
+	return b.Odds >= guiltyOdds[min(further, len(guiltyOdds)-1)]
 }
 
 // Cleared says whether a run that has been at work for some time, on a worker that lives,
--- a/services/blame/blame_test.go
+++ b/services/blame/blame_test.go
@@ -54,7 +54,7 @@
 		{"four are, beside others", 4, false, 10 * time.Millisecond, 0.01, true},
 	} {
 		b := repeat(c.crashes, c.alone, c.worked, c.background)
-		assert.Check(t, blame.Guilty(b) == c.guilty, "%s: %+v", c.name, b)
+		assert.Check(t, blame.Guilty(b, false) == c.guilty, "%s: %+v", c.name, b)
 	}
 }
 
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -279,7 +279,16 @@
 }
 
 // Where each worker crashes every 7, 14, 29 or 60 seconds, a task that crashes nothing may
-// be at work at several crashes in a row, and at about the same point of its work.
+// be at work at several crashes in a row, and at about the same point of its work. Eight of
+// 300 worlds gave up such a job, after five or six crashes at odds of 30 to 400; what
+// settled it were lines like these, of a world in which each worker crashed every 7 s:
+//
+//	19.745 a worker crashed under a task task=job25.0.1.0 crashes=4 guilty=0.679 worked_most=1.33s
+//	24.145 a worker crashed under a task task=job25.0.1.0 crashes=5 guilty=0.987 worked_most=1.02s
+//	25.240 job ended                     job=job25 outcome=failed
+//
+// The odds that were enough fell with the number of crashes, and such a number proves
+// nothing where workers crash that often anyway.
 func TestJobsAreNotGivenUpWhereWorkersCrashEveryMinute(t *testing.T) {
 	for seed := range int64(300) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -314,7 +323,7 @@
 // falls into a takeover is seen by no holder as long as nothing is known of the task: the
 // log names the workers of suspects only.
 func TestTasksThatCrashTheirWorkersDuringTakeovers(t *testing.T) {
-	for _, seed := range []int64{9188, 9234, 9315, 9481, 9570} {
+	for _, seed := range []int64{9188, 9234, 9315, 9481, 9570, 9795, 9835} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			crashesAmongOthers(t, seed)
