--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -43,7 +43,7 @@
 		fmt.Fprintf(t.out, "%s in queue %s is %s%s\n", x.ID, x.Queue, x.State, because(x.Why))
 		return
 	}
-	fmt.Fprintf(t.out, "%s in queue %s is %s, slack %v\n", x.ID, x.Queue, x.State, x.Slack.Duration())
+	fmt.Fprintf(t.out, "%s in queue %s%s is %s, slack %v\n", x.ID, x.Queue, ofWorkspace(x.Workspace), x.State, x.Slack.Duration())
 	table := t.table("STEP", "TASKS", "DONE", "PLACED", "WAITING", "WHY")
 	for _, s := range x.Steps {
 		table.row(s.Step, s.Tasks, s.Done, s.Placed, s.Waiting, s.Reason)
@@ -51,6 +51,14 @@
 	table.flush()
 }
 
+// ofWorkspace names whose job it is, if it is anyone's.
+func ofWorkspace(name string) string {
+	if name == "" {
+		return ""
+	}
+	return " of workspace " + name
+}
+
 // because puts a reason after what it is for, if there is one.
 func because(why string) string {
 	if why == "" {
@@ -83,6 +91,21 @@
 		table.row(s.Box, s.Holder, s.Claim, s.Holds, log, s.Config, s.Open, len(s.Workers), len(s.Relays), s.Used, s.Capacity)
 	}
 	table.flush()
+	for _, a := range all {
+		t.workspaceTable(a.Answer)
+	}
+}
+
+// workspaceTable prints what the tasks of each workspace take, as the holder knows it.
+func (t *tool) workspaceTable(s job.CellStatus) {
+	if len(s.Workspaces) == 0 {
+		return
+	}
+	table := t.table("WORKSPACE", "WEIGHT", "USED", "CAP", "MEMORY", "CAP", "WAITING", "FOR ITS CAP")
+	for _, w := range s.Workspaces {
+		table.row(w.Name, w.Weight, w.Used.Processors, w.Most.Processors, w.Used.Memory, w.Most.Memory, w.Waiting, w.Capped)
+	}
+	table.flush()
 }
 
 // submit is the command that hands a job in.
--- a/cmd/saddlevanectl/losses.go
+++ b/cmd/saddlevanectl/losses.go
@@ -37,23 +37,20 @@
 
 // lossReport is the output for programs.
 type lossReport struct {
-	Queues []joblog.QueueLoss `json:"queues"`
-	Spans  []joblog.SpanLoss  `json:"spans"`
-	Torn   int                `json:"torn_lines"`
+	Queues     []joblog.QueueLoss `json:"queues"`
+	Workspaces []joblog.QueueLoss `json:"workspaces,omitempty"`
+	Spans      []joblog.SpanLoss  `json:"spans"`
+	Torn       int                `json:"torn_lines"`
 }
 
 // printLosses prints the losses by queue and by time.
 func (t *tool) printLosses(l *joblog.Losses) error {
-	report := lossReport{Queues: l.Queues(), Spans: l.Spans(), Torn: l.Torn}
+	report := lossReport{Queues: l.Queues(), Workspaces: l.Workspaces(), Spans: l.Spans(), Torn: l.Torn}
 	return t.print(report, func() {
-		queues := t.table("QUEUE", "ENDED", "FAILED", "LATE", "DELAY", "LATE JOBS")
-		for _, q := range report.Queues {
-			queues.row(q.Queue, q.Ended, q.Failed, q.Late, "", "")
-			for _, d := range q.Longest() {
-				queues.row("", "", "", "", d, fmt.Sprintf("%.1f", q.Delays[d]))
-			}
+		t.lossTable("QUEUE", report.Queues, func(q joblog.QueueLoss) string { return q.Queue })
+		if len(report.Workspaces) > 0 {
+			t.lossTable("WORKSPACE", report.Workspaces, func(q joblog.QueueLoss) string { return q.Workspace })
 		}
-		queues.flush()
 		spans := t.table("FROM", "COUNT", "REASON")
 		for _, s := range report.Spans {
 			spans.row(s.Begin.UTC().Format(time.TimeOnly), s.Count, s.Reason)
@@ -64,3 +61,15 @@
 		}
 	})
 }
+
+// lossTable prints losses by what they are of.
+func (t *tool) lossTable(title string, all []joblog.QueueLoss, name func(joblog.QueueLoss) string) {
+	table := t.table(title, "ENDED", "FAILED", "LATE", "DELAY", "LATE JOBS")
+	for _, q := range all {
+		table.row(name(q), q.Ended, q.Failed, q.Late, "", "")
+		for _, d := range q.Longest() {
+			table.row("", "", "", "", d, fmt.Sprintf("%.1f", q.Delays[d]))
+		}
+	}
+	table.flush()
+}
--- a/modules/joblog/losses.go
+++ b/modules/joblog/losses.go
@@ -26,13 +26,16 @@
 	// spans counts by the time of the day and by reason, in steps of every.
 	spans map[time.Time]map[string]int
 	every time.Duration
+	// workspaces has the losses of each workspace.
+	workspaces map[string]*QueueLoss
 	// Torn counts lines that looked like a daemon's and could not be read.
 	Torn int
 }
 
-// QueueLoss is what one queue has lost.
+// QueueLoss is what one queue, or one workspace, has lost.
 type QueueLoss struct {
-	Queue string `json:"queue"`
+	Queue     string `json:"queue,omitempty"`
+	Workspace string `json:"workspace,omitempty"`
 	// Ended counts the jobs that have ended well or failed, Late those that took longer
 	// than their objective, Failed those that failed.
 	Ended  int `json:"ended"`
@@ -52,7 +55,7 @@
 
 // NewLosses returns no losses yet; they are counted in spans of some length.
 func NewLosses(every time.Duration) *Losses {
-	return &Losses{queues: map[string]*QueueLoss{}, spans: map[time.Time]map[string]int{}, every: every}
+	return &Losses{queues: map[string]*QueueLoss{}, workspaces: map[string]*QueueLoss{}, spans: map[time.Time]map[string]int{}, every: every}
 }
 
 // endedLine is the part of a line that tells the end of a job or of a call.
@@ -60,6 +63,7 @@
 	Message   string                   `json:"msg"`
 	At        time.Time                `json:"time"`
 	Queue     string                   `json:"queue"`
+	Workspace string                   `json:"workspace"`
 	Outcome   string                   `json:"outcome"`
 	Call      string                   `json:"call"`
 	Reason    string                   `json:"reason"`
@@ -95,30 +99,48 @@
 	}
 }
 
-// ended counts the end of a job. One without an objective has none: it lasts, or
-// falls due several times.
+// ended counts the end of a job, for its queue and for its workspace if it is of one.
 func (l *Losses) ended(line endedLine) {
 	q := l.queues[line.Queue]
 	if q == nil {
 		q = &QueueLoss{Queue: line.Queue, Delays: map[string]float64{}}
 		l.queues[line.Queue] = q
 	}
+	why := q.ended(line)
+	if why != "" {
+		l.lose(line.At, why)
+	}
+	if line.Workspace == "" {
+		return
+	}
+	w := l.workspaces[line.Workspace]
+	if w == nil {
+		w = &QueueLoss{Workspace: line.Workspace, Delays: map[string]float64{}}
+		l.workspaces[line.Workspace] = w
+	}
+	w.ended(line)
+}
+
+// ended counts the end of a job, and returns what was lost by it, if anything. One without
+// an objective has none: it lasts, or falls due several times.
+func (q *QueueLoss) ended(line endedLine) string {
 	switch {
 	case line.Outcome == "failed":
 		q.Ended++
 		q.Failed++
-		l.lose(line.At, "job failed")
+		return "job failed"
 	case line.Outcome == "succeeded" && line.Objective != "":
 		q.Ended++
 		if line.Late {
 			q.Late++
-			l.late(q, line)
+			return "job late: " + q.late(line)
 		}
 	}
+	return ""
 }
 
-// late divides a late job among what delayed it.
-func (l *Losses) late(q *QueueLoss, line endedLine) {
+// late divides a late job among what delayed it, and returns what did most.
+func (q *QueueLoss) late(line endedLine) string {
 	total, longest := time.Duration(0), ""
 	for _, why := range slices.Sorted(maps.Keys(line.Delays)) {
 		took := line.Delays[why]
@@ -134,7 +156,7 @@
 		longest = "no delay was told"
 		q.Delays[longest]++
 	}
-	l.lose(line.At, "job late: "+longest)
+	return longest
 }
 
 // lose counts one loss.
@@ -155,10 +177,15 @@
 }
 
 // Queues returns the losses of each queue, by name.
-func (l *Losses) Queues() []QueueLoss {
+func (l *Losses) Queues() []QueueLoss { return byName(l.queues) }
+
+// Workspaces returns the losses of each workspace, by name.
+func (l *Losses) Workspaces() []QueueLoss { return byName(l.workspaces) }
+
+func byName(losses map[string]*QueueLoss) []QueueLoss {
 	var all []QueueLoss
-	for _, name := range slices.Sorted(maps.Keys(l.queues)) {
-		all = append(all, *l.queues[name])
+	for _, name := range slices.Sorted(maps.Keys(losses)) {
+		all = append(all, *losses[name])
 	}
 	return all
 }
