dispatch: the log is told what may run on a worker that does not answer

Cause: after a takeover no task of an earlier job starts until every worker of the log has told what it runs, or its lease is over; workers that were silent before the takeover held all of them up for 6.3 s, and each handover began that anew.

Ruled out: the end of a lease by the time of day (clocks of boxes differ and jump); counting the lease from when the worker fell silent without the log.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -52,6 +52,8 @@
 	// adopted says that an earlier holder started it, resumed that it began from a
 	// checkpoint.
 	adopted, resumed bool
+	// unheard says that only the log told of it: its worker was silent.
+	unheard bool
 }
 
 // mark notes that an attempt has come to its present state.
--- a/services/dispatch/confirm.go
+++ b/services/dispatch/confirm.go
@@ -96,8 +96,8 @@
 		h.core.note("the log keeps records again", field("after", now.Sub(j.failingSince).String()))
 		j.failingSince = time.Time{}
 	}
-	for _, w := range b.recorded {
-		w.recorded = true
+	for _, r := range b.recorded {
+		r.worker.recorded = r.worker.recorded || r.number == r.worker.records
 	}
 	for _, s := range b.accepts {
 		s.accepted = true
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -22,7 +22,7 @@
 	// extra are records that are not of jobs: the fence, workers, dropped keys.
 	extra []stream.Record
 	// recording names workers among the extra records.
-	recording []*worker
+	recording []recording
 	// accepts are jobs that the log does not have yet, dirty those whose progress
 	// it does not have.
 	accepts []*submitted
@@ -38,7 +38,7 @@
 // batch is one append and what is true once it is in the log.
 type batch struct {
 	append   stream.Append
-	recorded []*worker
+	recorded []recording
 	accepts  []*submitted
 	progress []batched
 	sent     bool
@@ -46,6 +46,13 @@
 	sentAt time.Time
 }
 
+// recording is the record of a worker that is to be in the log, and which one of it that is:
+// only the last counts.
+type recording struct {
+	worker *worker
+	number int
+}
+
 // batched is one job's progress in a batch.
 type batched struct {
 	job     *submitted
--- a/services/dispatch/late_test.go
+++ b/services/dispatch/late_test.go
@@ -25,7 +25,9 @@
 func (d *driven) lookUnanswered(r exchange.Renew) exchange.Renew {
 	d.t.Helper()
 	effects := d.handle(exchange.RenewEnded{Worker: r.Worker, Epoch: r.Epoch, Look: r.Look, Answer: order.Answer{Fate: order.Unknown}})
-	next := only[exchange.Renew](append(effects, d.later(200*time.Millisecond)...))
+	effects = append(effects, d.later(200*time.Millisecond)...)
+	d.keepsAny(effects)
+	next := only[exchange.Renew](effects)
 	assert.Equal(d.t, len(next), 1)
 	return next[0]
 }
@@ -70,7 +72,9 @@
 	effects = d.handle(looked(second, stray))
 	assert.Equal(t, len(only[exchange.StopRun](effects)), 0, "what ran by then may have ended")
 	effects = d.handle(looked(third))
-	effects = append(effects, d.later(20*time.Millisecond)...)
+	// Nothing starts on a worker that was silent before the log has it that it answers.
+	d.keeps(append(effects, d.later(20*time.Millisecond)...))
+	effects = d.later(20 * time.Millisecond)
 	assert.Equal(t, len(only[exchange.StartRun](effects)), 1, "the look under way is one")
 }
 
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -219,6 +219,7 @@
 		h.core.note("worker answers again", field("worker", w.ID), field("failures", w.failures))
 	}
 	w.failures = 0
+	h.heardAgain(w)
 	if w.presence.Answers() {
 		h.docket.Answers(w.ID)
 	}
@@ -256,6 +257,7 @@
 		} else {
 			h.resendStops(now, w)
 		}
+		h.keepSilence(now, w)
 		h.endPreparation(now, w)
 		if h.phase == active {
 			h.renew(now, w)
@@ -272,6 +274,10 @@
 	h.loseAll(now, w, h.endedAs(now, w, false), "the worker's lease has run out")
 	w.settled = false
 	delete(h.unsettled, w.ID)
+	if w.silence.kept {
+		// Nothing runs on it any more.
+		h.tellSilence(now, w)
+	}
 	if !w.presence.Listed() {
 		h.forget(w)
 	}
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"saddlevane/models/exchange"
-	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/services/kept"
 )
@@ -51,18 +50,23 @@
 		h.endedJobs = append(h.endedJobs, j)
 		h.leave(now, p)
 	}
-	for _, o := range state.Workers {
-		h.foldWorker(now, o)
+	for _, k := range state.Workers {
+		h.foldWorker(now, k)
 	}
 }
 
 // foldWorker takes over a worker on which an earlier holder may have started
 // tasks.
-func (h *holding) foldWorker(now time.Time, o order.Worker) {
+func (h *holding) foldWorker(now time.Time, k kept.KnownWorker) {
+	o := k.Worker
 	w := h.workers[o.ID]
 	if w == nil {
 		w = h.addWorker(now, o)
 	}
+	if k.Silent != nil && !w.settled {
+		h.foldSilent(now, w, k.Silent)
+		return
+	}
 	w.recorded = true
 	// An earlier holder may have renewed its lease until just now.
 	w.goneAt = maxTime(w.goneAt, now.Add(h.leaseMost()))
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -71,9 +71,12 @@
 		return nil
 	}
 	t := &s.tasks[r.Task.Index]
-	if t.done || t.attempt != nil || r.Number <= t.lastRun {
+	if t.done || !t.supersedes(r.Run) {
 		return nil
 	}
+	if t.attempt != nil {
+		h.unplace(t.attempt)
+	}
 	a := &attempt{
 		step: s, index: r.Task.Index, run: r.Number, worker: w, state: running, since: now, looks: h.looks, confirmed: true, adopted: true,
 		pace: paceUnknown,
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -27,8 +27,11 @@
 	settled bool
 	// recorded says that the log names it, so that the next holder asks it.
 	recorded bool
-	// recording says that the record waits for the log.
+	// recording says that the record waits for the log, records counts those of it.
 	recording bool
+	records   int
+	// silence is what the log is told while it does not answer.
+	silence silence
 
 	// place is where it is among all workers by name.
 	place int
@@ -166,7 +169,8 @@
 		return
 	}
 	w.recording = true
-	h.journal.recording = append(h.journal.recording, w)
+	w.records++
+	h.journal.recording = append(h.journal.recording, recording{worker: w, number: w.records})
 	h.journal.add(kept.Worker(w.Worker))
 }
 
@@ -183,7 +187,7 @@
 func (h *holding) forget(w *worker) {
 	delete(h.workers, w.ID)
 	h.sorted = nil
-	if w.recorded || w.recording {
+	if w.recorded || w.recording || w.silence.kept {
 		h.journal.add(kept.NoWorker(w.ID))
 	}
 }
--- a/services/kept/kept.go
+++ b/services/kept/kept.go
@@ -44,8 +44,29 @@
 // Progress is the record of a job's progress.
 func Progress(id job.ID, p job.Progress) stream.Record { return record(keyProgress+string(id), p) }
 
+// KnownWorker is what is kept of a worker on which tasks may be started.
+type KnownWorker struct {
+	order.Worker
+	// Silent is set if it did not answer, and nothing has been started on it since.
+	Silent *Silence `json:"silent,omitempty"`
+}
+
+// Silence is what is kept of a worker that does not answer.
+type Silence struct {
+	// Left is how long its lease lasted at most when that was written.
+	Left job.Milliseconds `json:"left_ms"`
+	// Runs are all that may be at work on it.
+	Runs []order.Run `json:"runs,omitempty"`
+}
+
 // Worker is the record of a worker on which tasks may be started.
-func Worker(w order.Worker) stream.Record { return record(keyWorker+w.ID, w) }
+func Worker(w order.Worker) stream.Record { return record(keyWorker+w.ID, KnownWorker{Worker: w}) }
+
+// SilentWorker is the record of a worker that does not answer, and on which nothing is
+// started until Worker is kept of it again.
+func SilentWorker(w order.Worker, s Silence) stream.Record {
+	return record(keyWorker+w.ID, KnownWorker{Worker: w, Silent: &s})
+}
 
 // Times is the record of what is known of run times.
 func Times(times any) stream.Record { return record(keyTimes, times) }
@@ -77,7 +98,7 @@
 	// the first to end first.
 	Jobs    []Job
 	Ended   []Ended
-	Workers []order.Worker
+	Workers []KnownWorker
 	// Times is what is known of run times, or nil.
 	Times []byte
 	// Unread are the records that could not be read.
@@ -162,7 +183,7 @@
 		}
 	}
 	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
-		var w order.Worker
+		var w KnownWorker
 		err := json.Unmarshal(r.Value, &w)
 		if err == nil && w.ID == "" {
 			err = fmt.Errorf("it has no id")
