--- a/cmd/saddlevane-bench/jobcell.go
+++ b/cmd/saddlevane-bench/jobcell.go
@@ -23,15 +23,13 @@
 // The times and sizes of what surrounds the reducer, like those of the users'
 // platform.
 const (
-	cellTick    = 20 * time.Millisecond
-	appendTime  = 5 * time.Millisecond
-	orderTime   = 2 * time.Millisecond
-	cellLease   = 6 * time.Second
-	renewWait   = time.Second
-	gatherTime  = 12 * time.Millisecond
-	workerCores = 64
-	workerGiB   = 128
-	rackSize    = 12
+	cellTick   = 20 * time.Millisecond
+	appendTime = 5 * time.Millisecond
+	orderTime  = 2 * time.Millisecond
+	cellLease  = 6 * time.Second
+	renewWait  = time.Second
+	gatherTime = 12 * time.Millisecond
+	rackSize   = 12
 )
 
 // due is something that happens at a time. Numbers order what happens at the same
@@ -67,6 +65,8 @@
 type jobCell struct {
 	mix jobMix
 	rng *rand.Rand
+	// arrivals draws the jobs, so that they are the same under each policy.
+	arrivals *rand.Rand
 	now time.Time
 	// queue is what is still to happen, number that of the last thing put there.
 	queue  dueQueue
@@ -104,7 +104,7 @@
 // newJobCell returns a cell whose box is about to take it over.
 func newJobCell(mix jobMix, seed int64, without map[mechanism.Mechanism]bool) *jobCell {
 	c := &jobCell{
-		mix: mix, rng: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		mix: mix, rng: rand.New(rand.NewSource(seed)), arrivals: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*cellWorker{}, advising: map[string]time.Time{}, jobs: map[job.ID]*cellJob{},
 	}
 	for i := range mix.workers {
@@ -261,7 +261,7 @@
 
 // submit hands a job in.
 func (c *jobCell) submit(k *jobKind, number int) {
-	sub, work := k.submission(c.rng, number)
+	sub, work := k.submission(c.arrivals, number)
 	c.jobs[sub.ID] = &cellJob{kind: k, sub: sub, work: work, sentAt: c.now}
 	c.lastCall++
 	c.give(exchange.Submitted{Call: c.lastCall, Submission: sub})
--- a/cmd/saddlevane-bench/jobmix.go
+++ b/cmd/saddlevane-bench/jobmix.go
@@ -41,6 +41,9 @@
 	// gangs and checkpoints are shares of the jobs, suits that of the workers which
 	// may run a step.
 	gangs, checkpoints, suits float64
+	// uneven is the standard deviation of the logarithm of what tasks of one step differ by.
+	uneven float64
+	burst  burst
 	// worth is what a job of mean work earns that is on time.
 	worth float64
 }
@@ -55,7 +58,24 @@
 	stopMost time.Duration
 	// slowShare of the workers take slowBy times as long for everything.
 	slowShare, slowBy float64
-	kinds             []jobKind
+	// cores and gigabytes are what a worker has.
+	cores     resource.Millis
+	gigabytes resource.Bytes
+	kinds     []jobKind
+}
+
+// burst is a time in which more jobs of a kind come, a span after the first job.
+type burst struct {
+	from, lasts time.Duration
+	times       float64
+}
+
+// rate returns how many times as many jobs as usual come at a span after the first job.
+func (b burst) rate(at time.Duration) float64 {
+	if at >= b.from && at < b.from+b.lasts {
+		return b.times
+	}
+	return 1
 }
 
 // jobMixes are like the deployments that the users described, and the same grown.
@@ -75,18 +95,45 @@
 		perSecond: 48, steps: spread{1, 0, 1}, tasks: spread{2, 0.8, 12}, processors: spread{5.6, 0.45, 20}, gigabytes: spread{10, 0.6, 30},
 		seconds: spread{0.64, 0.5, 1.6}, estimateOff: 0.5, gangs: 0.3, suits: 0.7, worth: 0.4,
 	}
-	small := jobMix{name: "today", boxes: 7, workers: 48, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
+	small := jobMix{name: "today", cores: 64, gigabytes: 128, boxes: 7, workers: 48, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
 	heavy.perSecond, heavy.tasks = 3.1, spread{20, 0.8, 120}
 	batch.perSecond, batch.tasks, batch.processors = 10, spread{25, 0.8, 150}, spread{6.9, 0.45, 21}
 	urgent.perSecond, urgent.tasks, urgent.processors = 113, spread{3.2, 0.8, 19}, spread{9.9, 0.45, 30}
-	grown := jobMix{name: "grown", boxes: 43, workers: 350, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
+	grown := jobMix{name: "grown", cores: 64, gigabytes: 128, boxes: 43, workers: 350, domains: 3, stopMost: 200 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
 	slow := grown
 	slow.name, slow.slowShare, slow.slowBy = "slow", 0.15, 5
 	heavy.perSecond, heavy.tasks, heavy.gigabytes = 5.4, spread{40, 0.8, 240}, spread{52, 0.5, 100}
 	batch.perSecond, batch.tasks, batch.processors, batch.gigabytes = 11, spread{50, 0.8, 300}, spread{11, 0.45, 33}, spread{31, 0.6, 94}
 	urgent.perSecond, urgent.tasks, urgent.processors, urgent.gigabytes = 142, spread{4.5, 0.8, 27}, spread{16, 0.45, 47}, spread{45, 0.6, 130}
-	large := jobMix{name: "large", boxes: 147, workers: 1100, domains: 5, stopMost: 900 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
-	return []jobMix{small, grown, slow, large}
+	large := jobMix{name: "large", cores: 64, gigabytes: 128, boxes: 147, workers: 1100, domains: 5, stopMost: 900 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
+	return []jobMix{small, grown, slow, large, shiftedMix()}
+}
+
+// shiftedMix is a cell of many small workers, of which a third are slower, with large gangs
+// that come in bursts.
+func shiftedMix() jobMix {
+	return jobMix{
+		name: "shifted", cores: 16, gigabytes: 32, boxes: 30, workers: 350, domains: 3, stopMost: 900 * time.Millisecond, slowShare: 1.0 / 3, slowBy: 1.3,
+		kinds: []jobKind{
+			{
+				queue:     job.Queue{Name: "heavy", Pool: "pool", Priority: 1, Attempts: 4, Stretch: 2.2, Latency: time.Second, Advice: advice(455, 6.5, 1500)},
+				perSecond: 4.44, steps: spread{1.2, 0.4, 3}, tasks: spread{20, 0.8, 120}, processors: spread{4.5, 0.4, 7.6}, gigabytes: spread{4.5, 0.5, 9.1},
+				seconds: spread{4, 0.5, 10}, estimateOff: 0.5, uneven: 0.15, gangs: 1, checkpoints: 0.5, suits: 0.25, worth: 10.4,
+				burst: burst{from: 12 * time.Second, lasts: 4 * time.Second, times: 1.6},
+			},
+			{
+				queue:     job.Queue{Name: "batch", Pool: "pool", Priority: 2, Attempts: 4, Stretch: 4, Latency: 3 * time.Second, Advice: advice(156, 2.34, 1500)},
+				perSecond: 10.3, steps: spread{1.5, 0.4, 3.8}, tasks: spread{25, 0.8, 150}, processors: spread{1.7, 0.45, 5.2}, gigabytes: spread{2.5, 0.6, 7.5},
+				seconds: spread{3.4, 0.5, 8.4}, estimateOff: 0.9, uneven: 0.3, checkpoints: 0.8, suits: 0.45, worth: 4.86,
+			},
+			{
+				queue:     job.Queue{Name: "urgent", Pool: "pool", Priority: 0, Attempts: 2, Stretch: 1.5, Latency: 250 * time.Millisecond, Advice: advice(9.36, 0.13, 1500)},
+				perSecond: 103, steps: spread{1, 0, 1}, tasks: spread{3.2, 0.8, 19}, processors: spread{2.5, 0.45, 7.4}, gigabytes: spread{2.5, 0.6, 7.6},
+				seconds: spread{0.64, 0.5, 1.6}, estimateOff: 0.5, uneven: 0.15, gangs: 0.3, suits: 0.7, worth: 0.39,
+				burst: burst{from: 22 * time.Second, lasts: 4 * time.Second, times: 1.6},
+			},
+		},
+	}
 }
 
 // advice returns the cost of calls to the advice service, in milliseconds.
--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -95,7 +95,8 @@
 		k := &mix.kinds[i]
 		at := begin
 		for {
-			at = at.Add(time.Duration(c.rng.ExpFloat64() / (load * k.perSecond) * float64(time.Second)))
+			rate := load * k.perSecond * k.burst.rate(at.Sub(begin))
+			at = at.Add(time.Duration(c.arrivals.ExpFloat64() / rate * float64(time.Second)))
 			if at.Sub(begin) > jobsFor {
 				break
 			}
--- a/cmd/saddlevane-bench/jobworker.go
+++ b/cmd/saddlevane-bench/jobworker.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand"
 	"slices"
 	"time"
 
@@ -61,7 +63,7 @@
 		Worker: order.Worker{
 			ID: workerName(i), Address: workerName(i), Pool: "pool", Domain: fmt.Sprintf("d%d", i%c.mix.domains),
 			Rack:     fmt.Sprintf("r%d", i/rackSize),
-			Capacity: resource.Vector{Processors: workerCores * resource.Processor, Memory: workerGiB * resource.GiB},
+			Capacity: resource.Vector{Processors: c.mix.cores * resource.Processor, Memory: c.mix.gigabytes * resource.GiB},
 		},
 	}
 }
@@ -104,7 +106,7 @@
 	j := w.cell.jobs[e.Order.Task.Job]
 	run := &cellRun{
 		Run: e.Order.Run, since: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step],
-		lasts: time.Duration(w.slowBy * float64(j.work[e.Order.Task.Step])),
+		lasts: time.Duration(w.slowBy * j.uneven(e.Order.Task) * float64(j.work[e.Order.Task.Step])),
 	}
 	w.runs[run.Run] = run
 	w.cell.back(orderTime, exchange.StartEnded{
@@ -146,3 +148,13 @@
 		w.report(*e)
 	}
 }
+
+// uneven returns how many times as much as its step's a task has to do: the same each time
+// that it runs.
+func (j *cellJob) uneven(id job.TaskID) float64 {
+	if j.kind.uneven == 0 {
+		return 1
+	}
+	rng := rand.New(rand.NewSource(int64(xxhash.Sum64String(id.String()))))
+	return math.Exp(j.kind.uneven * rng.NormFloat64())
+}
--- a/models/mechanism/mechanism.go
+++ b/models/mechanism/mechanism.go
@@ -41,6 +41,11 @@
 	MovedRuns Mechanism = "moved-runs"
 	// Exclusion leaves workers out on which different jobs fail.
 	Exclusion Mechanism = "exclusion"
+	// RefusedShares refuses jobs that are more than their workspace's share while there is
+	// little room.
+	RefusedShares Mechanism = "refused-shares"
+	// SharedOrder places jobs that are more than their workspace's share after all others.
+	SharedOrder Mechanism = "shared-order"
 )
 
 // All lists all.
@@ -48,6 +53,7 @@
 	return []Mechanism{
 		LearnedTimes, SlowWorkers, Draining, Preemption, SparedTasks, RemainingWork, EarlyAdvice,
 		DividedAdvice, RepeatedStarts, OwedAnswers, ShortLooks, MovedRuns, Exclusion,
+		RefusedShares, SharedOrder,
 	}
 }
 
--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -9,6 +9,7 @@
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/models/resource"
 	"saddlevane/models/workspace"
 	"saddlevane/modules/ordered"
@@ -33,7 +34,7 @@
 	if h.shares.Within(now, ws) {
 		return true, nil
 	}
-	if !h.isRoomy {
+	if !h.isRoomy && h.uses(mechanism.RefusedShares) {
 		return false, &exchange.Answer{
 			Outcome: exchange.Busy, Reason: "the workspace has sent more than its share, and there is little room",
 			RetryAfter: job.Milliseconds(h.shares.Next(now, ws).Milliseconds()),
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/models/mechanism"
 	"saddlevane/services/delays"
 )
 
@@ -60,11 +61,13 @@
 	queue    job.Queue
 	tier     tier
 	wantedAt time.Time
+	// beyond says that its job is more than its workspace's share.
+	beyond bool
 }
 
 // rank puts a step in its tier. A service has no end, so it is never late.
 func (h *holding) rank(now time.Time, s *step) ranked {
-	r := ranked{step: s, queue: h.queueOf(s.job)}
+	r := ranked{step: s, queue: h.queueOf(s.job), beyond: s.job.beyond && h.uses(mechanism.SharedOrder)}
 	most := objective(s.instance, r.queue)
 	r.wantedAt = s.instance.dueAt.Add(most)
 	finish := now.Add(h.leftNow(now, s))
@@ -88,6 +91,7 @@
 	return cmp.Or(
 		trueFirst(a.step.advice.goesFirst, b.step.advice.goesFirst),
 		cmp.Compare(a.tier, b.tier),
+		-trueFirst(a.beyond, b.beyond),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
 		a.wantedAt.Compare(b.wantedAt),
 		cmp.Compare(a.step.id.Job, b.step.id.Job),
