--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -23,7 +23,7 @@
 	// oftenRate is from how many crashes of a worker a second on workers crash often: where
 	// each crashed every 7 s or 14 s, 8 of 9,000 jobs that crash nothing were given up after
 	// five or six crashes in a row, and none where each crashed every 29 s.
-	oftenRate = 1.0 / 60
+	oftenRate = 1.0 / 40
 	// together is how far apart two workers may stop to answer that have one cause: a
 	// look that waits at a worker breaks off at once, others run out of their time.
 	together = 1500 * time.Millisecond
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -323,7 +323,7 @@
 // falls into a takeover is seen by no holder as long as nothing is known of the task: the
 // log names the workers of suspects only.
 func TestTasksThatCrashTheirWorkersDuringTakeovers(t *testing.T) {
-	for _, seed := range []int64{9188, 9234, 9315, 9481, 9570, 9795, 9835} {
+	for _, seed := range []int64{9121, 9188, 9234, 9315, 9385, 9481, 9570, 9795, 9835} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			crashesAmongOthers(t, seed)
