jobrun: a box that was suspended does not judge keys by what it knew before

What a box knows of the configuration was a mark that its loop renewed every 20 ms; between waking and the next tick it was still set. It is a time now. The sums over a job's tasks stand once, the metrics have their comments.

--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -68,12 +68,22 @@
 	return h.core.config.Workspace(j.workspace)
 }
 
-// placed returns what the tasks of a job take that have a place.
+// placed returns what the tasks of a job take that have a place, unplaced what those would
+// that are neither done nor known to have one.
 func (j *submitted) placed() resource.Vector {
+	return j.sum(func(s *step) int { return s.attempts })
+}
+
+func (j *submitted) unplaced() resource.Vector {
+	return j.sum(func(s *step) int { return s.waiting })
+}
+
+// sum returns what some tasks of each step of a job need together.
+func (j *submitted) sum(tasks func(*step) int) resource.Vector {
 	var all resource.Vector
 	for _, in := range j.instances {
 		for _, s := range in.steps {
-			all = all.Plus(s.spec.Need.Times(s.attempts))
+			all = all.Plus(s.spec.Need.Times(tasks(s)))
 		}
 	}
 	return all
@@ -122,18 +132,6 @@
 	h.usage.Unheard(unheard)
 }
 
-// unplaced returns what the tasks of a job would take that are neither done nor known to
-// have a place.
-func (j *submitted) unplaced() resource.Vector {
-	var all resource.Vector
-	for _, in := range j.instances {
-		for _, s := range in.steps {
-			all = all.Plus(s.spec.Need.Times(s.waiting))
-		}
-	}
-	return all
-}
-
 // workspaceStatus says what the tasks of each workspace take and which of its jobs wait.
 func (h *holding) workspaceStatus() []job.WorkspaceStatus {
 	waiting, capped := map[string]int{}, map[string]int{}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -225,8 +225,11 @@
 
 // ConfigIsCurrent says whether the configuration is known to be the newest, but for changes
 // that are not in force everywhere yet.
-func (c *Core) ConfigIsCurrent(now time.Time) bool {
-	return now.Sub(c.configSeenAt) < c.settings.ConfigWithin-configMargin
+func (c *Core) ConfigIsCurrent(now time.Time) bool { return now.Before(c.ConfigIsCurrentUntil()) }
+
+// ConfigIsCurrentUntil returns until when that holds if nothing more is read.
+func (c *Core) ConfigIsCurrentUntil() time.Time {
+	return c.configSeenAt.Add(c.settings.ConfigWithin - configMargin)
 }
 
 // elsewhere answers that nothing was done here, and when to come back.
--- a/services/jobrun/callers.go
+++ b/services/jobrun/callers.go
@@ -16,33 +16,31 @@
 	v := l.view
 	l.mu.Unlock()
 	if v.config == nil {
-		return nil, l.refuse(queue, exchange.Answer{Outcome: exchange.Unavailable, Reason: "no configuration has been read yet"})
+		a := exchange.Answer{Outcome: exchange.Unavailable, Reason: "no configuration has been read yet"}
+		l.noteRefused(queue, a, 0, false)
+		return nil, &a
 	}
-	caller, verdict := workspaces.Take(v.config, v.configIsCurrent, queue, keys)
+	// A box that was suspended must not judge by what it knew before.
+	current := l.now().Before(v.configUntil)
+	caller, verdict := workspaces.Take(v.config, current, queue, keys)
 	if verdict == workspaces.Allowed || verdict == workspaces.NotKnown && caller != nil {
 		// The holder may know what this box does not.
 		return caller, nil
 	}
 	a := workspaces.Refused(verdict)
-	return nil, l.refuse(queue, a)
+	l.noteRefused(queue, a, v.config.Version, current)
+	return nil, &a
 }
 
-// refuse counts and logs a call that is refused before it is passed on.
-func (l *Loop) refuse(queue string, a exchange.Answer) *exchange.Answer {
+// noteRefused counts and logs a call that is refused before it is passed on, and by which
+// configuration.
+func (l *Loop) noteRefused(queue string, a exchange.Answer, version int64, current bool) {
 	l.metrics.refusedCalls.WithLabelValues(string(a.Outcome)).Inc()
-	l.mu.Lock()
-	v := l.view
-	l.mu.Unlock()
-	version := int64(0)
-	if v.config != nil {
-		version = v.config.Version
-	}
 	l.notes.write(exchange.Note{Message: "call refused", Fields: []exchange.Field{
 		{Name: "queue", Value: queue},
 		{Name: "outcome", Value: string(a.Outcome)},
 		{Name: "reason", Value: a.Reason},
 		{Name: "config", Value: version},
-		{Name: "config_is_current", Value: v.configIsCurrent},
+		{Name: "config_is_current", Value: current},
 	}})
-	return &a
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -115,8 +115,8 @@
 // view is what the callers' side knows of the reducer.
 type view struct {
 	config *job.Config
-	// configIsCurrent says that the configuration is known to be the newest.
-	configIsCurrent bool
+	// configUntil is until when the configuration is known to be the newest.
+	configUntil time.Time
 	holder          claim.Claim
 	holds           bool
 	// steadyAt is when the log last answered.
@@ -262,7 +262,7 @@
 // show has callers and the orders under way see the state that the reducer has come to.
 func (l *Loop) show(now time.Time) {
 	v := view{config: l.core.Config(), holder: l.core.Holder(), holds: l.core.Holds(now), steadyAt: l.core.LogReadAt()}
-	v.configIsCurrent = l.core.ConfigIsCurrent(now)
+	v.configUntil = l.core.ConfigIsCurrentUntil()
 	v.epoch, v.orderUntil = l.core.HoldsUntil()
 	l.mu.Lock()
 	l.view = v
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -54,11 +54,13 @@
 	// crashesBlamed those workers.
 	givenUp, crashesBlamed prometheus.Counter
 	// entriesRefused counts entries of the list of workers that name none.
+	entriesRefused prometheus.Counter
+	// refusedCalls counts calls that the box which took them has refused.
 	refusedCalls *prometheus.CounterVec
 	// workspaces has what the tasks of the largest workspaces take, and may take.
-	workspaces     *prometheus.GaugeVec
-	jobsBeyond     *prometheus.CounterVec
-	entriesRefused prometheus.Counter
+	workspaces *prometheus.GaugeVec
+	// jobsBeyond counts new jobs that were more than their workspace's share.
+	jobsBeyond *prometheus.CounterVec
 }
 
 // callBuckets reach from an answer out of memory to the longest deadline.
