--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -117,8 +117,8 @@
 	config *job.Config
 	// configUntil is until when the configuration is known to be the newest.
 	configUntil time.Time
-	holder          claim.Claim
-	holds           bool
+	holder      claim.Claim
+	holds       bool
 	// steadyAt is when the log last answered.
 	steadyAt time.Time
 	// epoch is the claim under which orders may be given until orderUntil.
