--- a/services/ranking/ranking_test.go
+++ b/services/ranking/ranking_test.go
@@ -63,3 +63,19 @@
 	assert.Check(t, ranking.Backlog(resource.Vector{Processors: 10, Memory: 31}, all))
 	assert.Check(t, !ranking.Backlog(resource.Vector{Processors: 1000}, resource.Vector{}))
 }
+
+// A backlog of 60 steps had built up while connections were silent, and the cell of 6 workers
+// was full for 10 s after. A job that had become of no use waited there for room for 10.3 s:
+// each smaller one went before it, although nothing was earned by either, and it ended 10.5 s
+// after the last silence, later than is promised.
+//
+//	03:34:09 state of the cell free=1 processors=80 steps_late=28 steps_hopeless=11
+//	03:34:14 job ended job=job212 age=12.51s delays=map[room:10.3s takeover:1.45s]
+func TestWhatIsHopelessKeepsItsOrderInABacklog(t *testing.T) {
+	wanted := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	older := ranking.Rank{Tier: ranking.Hopeless, WantedAt: wanted, Work: 0.4}
+	younger := ranking.Rank{Tier: ranking.Hopeless, WantedAt: wanted.Add(time.Second), Work: 0.1}
+	assert.Check(t, older.Compare(younger, true) < 0)
+	older.Tier, younger.Tier = ranking.Late, ranking.Late
+	assert.Check(t, older.Compare(younger, true) > 0)
+}
