--- a/services/blame/docket.go
+++ b/services/blame/docket.go
@@ -172,6 +172,9 @@
 type Finding struct {
 	On
 	Blame job.Blame
+	// Otherwise is the hazard, a second, of a crash that none of the worker's tasks
+	// caused, by which it was judged.
+	Otherwise float64
 }
 
 // judgement is a crash and what was held against the tasks before it.
@@ -180,15 +183,19 @@
 	input []Suspect
 }
 
-// by returns what the crash says of the tasks by what is known of other workers now.
-func (j *judgement) by(b *Background) []job.Blame {
+// otherwise returns the hazard, a second, of a crash that none of the tasks caused, by what
+// is known of other workers now.
+func (j *judgement) otherwise(b *Background) float64 {
 	hazard := b.Hazard(j.crash.At, j.crash.Worker, j.crash.Rack)
 	if !j.crash.Heard {
 		hazard += unknownTasks
 	}
-	return Judge(j.input, hazard)
+	return hazard
 }
 
+// by returns what the crash says of the tasks by what is known of other workers now.
+func (j *judgement) by(b *Background) []job.Blame { return Judge(j.input, j.otherwise(b)) }
+
 // Crashed judges the tasks that were on a worker that has crashed.
 func (d *Docket) Crashed(now time.Time, c Crash) []Finding {
 	j := &judgement{crash: c}
@@ -196,11 +203,12 @@
 	for _, on := range j.crash.On {
 		j.input = append(j.input, Suspect{Before: d.Of(on.Task), Worked: on.Worked, Alone: on.Alone, Bound: on.Bound, Workers: on.Workers})
 	}
-	judged := j.by(&d.Background)
+	otherwise := j.otherwise(&d.Background)
+	judged := Judge(j.input, otherwise)
 	d.Background.Crashed(c.Rack, Unexplained(judged))
 	found := make([]Finding, len(judged))
 	for i, b := range judged {
-		found[i] = Finding{On: j.crash.On[i], Blame: b}
+		found[i] = Finding{On: j.crash.On[i], Blame: b, Otherwise: otherwise}
 		d.charge(now, j, i, b)
 	}
 	return found
--- /dev/null
+++ b/services/dispatch/crashcases_test.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+
+	"gotest.tools/v3/assert"
+)
+
+// Scenarios of crashes, written out: which worker crashes when, and which box is lost when.
+
+// runs returns the worker on which a task of a job runs, and when it began there, or nil.
+func (w *world) runs(id job.ID) (*fakeWorker, time.Time) {
+	for _, f := range w.workers {
+		for run, r := range f.runs {
+			if f.alive && run.Task.Job == id {
+				return f, r.present
+			}
+		}
+	}
+	return nil, time.Time{}
+}
+
+// crashesUnder crashes the worker of a job's only task each time after it has been at work for
+// some time, and returns when it has.
+func (w *world) crashesUnder(id job.ID, worked ...time.Duration) {
+	w.t.Helper()
+	for _, after := range worked {
+		w.until(30*time.Second, "the task is at work", func() bool { f, _ := w.runs(id); return f != nil })
+		f, began := w.runs(id)
+		w.run(began.Add(after).Sub(w.now))
+		f.crash(crashBack)
+	}
+}
+
+// A task that crashes nothing was at work for 0.92 s, 0.89 s and 0.81 s when its workers
+// crashed by themselves, and its job was given up at odds of 6,000, where 100 were enough.
+// Each worker crashed every 29 s:
+//
+//	 5.346 a worker crashed under a task crashes=1 odds=0.44     worked_most=924ms crashes_otherwise_every=4.26e+03s
+//	 8.246 a worker crashed under a task crashes=2 odds=52.5     worked_most=897ms crashes_otherwise_every=67.3s
+//	11.044 a worker crashed under a task crashes=3 odds=6.23e+03 worked_most=824ms crashes_otherwise_every=65.2s
+//	12.140 job ended reason="3 workers crashed under task sound.0.0.0"
+func TestAJobIsNotGivenUpForThreeCrashesWhereWorkersCrashByThemselves(t *testing.T) {
+	w := crashWorld(t, 1, 24)
+	// One after the other, the first while there is nothing to learn from.
+	next := 0
+	var others func()
+	others = func() {
+		f := w.workers[(7*next)%len(w.workers)]
+		if on, _ := w.runs("sound"); on != f {
+			f.crash(crashBack)
+		}
+		if next++; next < 25 {
+			w.after(1200*time.Millisecond, others)
+		}
+	}
+	w.after(3*time.Second, others)
+	w.run(2 * time.Second)
+	s := oneStep("sound", "quick", 1, false)
+	s.Steps[0].Estimate = 8000
+	a := w.submit(s)
+	w.crashesUnder("sound", 919*time.Millisecond, 886*time.Millisecond, 813*time.Millisecond)
+	w.until(60*time.Second, "the job has ended", func() bool { w.states(); return a.state.Final() })
+	assert.Equal(t, a.state, job.Succeeded)
+	w.check()
+}
+
+// guiltyAlone hands in a job of one task that crashes its workers, too large for others to
+// begin beside it by chance.
+func (w *world) guiltyAlone(after time.Duration) *asked {
+	s := oneStep("guilty", "quick", 1, false)
+	s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor, Memory: resource.GiB}
+	a := w.submit(s)
+	w.blames(a, 0, 0, after)
+	return a
+}
+
+// crashed returns how many workers the guilty task has crashed.
+func (w *world) crashed() int {
+	if r := w.crashes[job.TaskID{StepID: job.StepID{Job: "guilty"}}]; r != nil {
+		return r.crashes
+	}
+	return 0
+}
+
+// A task crashed its workers after 0.6 s, and each time the box that held the cell was lost
+// 0.4 s later, before the worker was back and its old life known to be over. The next holder
+// took the crash for one after 6 s of work, that is for next to nothing, and a sixth and a
+// seventh worker were lost:
+//
+//	 6.926 a worker crashed under a task crashes=3 guilty=0.0161 worked_most=6.000681s
+//	14.022 a worker crashed under a task crashes=5 guilty=0.096  worked_most=6.000765s
+//	18.107 a suspected task is tried     crashes=5
+func TestATaskThatCrashesItsWorkersIsFoundOverTakeovers(t *testing.T) {
+	w := crashWorld(t, 1, 24)
+	a := w.guiltyAlone(600 * time.Millisecond)
+	lasts := w.submitLasting(12)
+	for crashes := 1; crashes <= 5; crashes++ {
+		w.until(30*time.Second, "a worker has crashed, or the job is given up", func() bool {
+			w.states()
+			return w.crashed() == crashes || a.state == job.Failed
+		})
+		if a.state == job.Failed {
+			break
+		}
+		w.run(400 * time.Millisecond)
+		w.killBox(w.holder(), 500*time.Millisecond)
+	}
+	w.until(30*time.Second, "the job is given up", func() bool { w.states(); return a.state == job.Failed })
+	w.cancel(lasts)
+	w.check()
+}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -130,7 +130,9 @@
 	c := blame.Crash{Worker: w.ID, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at), Heard: w.settled, On: on}
 	for _, f := range h.docket.Crashed(now, c) {
 		h.core.note("a worker crashed under a task", field("job", string(f.Task.Job)), field("task", f.Task.String()), field("worker", w.ID),
-			field("crashes", f.Blame.Crashes), field("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))), field("worked_most", f.Worked.String()))
+			field("crashes", f.Blame.Crashes), field("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))), field("worked_most", f.Worked.String()),
+			field("bound", f.Bound), field("alone", f.Alone), field("odds", fmt.Sprintf("%.3g", f.Blame.Odds)),
+			field("crashes_otherwise_every", fmt.Sprintf("%.3gs", 1/f.Otherwise)))
 		h.markDirty(h.jobs[f.Task.Job])
 	}
 }
