silence: the log is told how long what runs on a silent worker had been at work

What callers saw: beside takeovers a task that crashes its workers took a sixth and a seventh one, with all that ran there.

Cause: the holder sees at once that a worker is silent and tells the log what runs on it, but not for how long it had. If that holder is lost before the worker's next life answers, the next one took each such crash for one after a lease of work or more (the lines say worked_most=6.00s for a task that was at work for 0.6 s), also where the log had the start as a trial, and reckoned with unknown tasks beside it. Ruled out: that the crash was not counted (crashes rises by one each time).

Why it holds: what the holder saw is in the record that was written anyway, so it survives the loss of all boxes; nothing is written for a run that ends well.

--- a/services/blame/docket.go
+++ b/services/blame/docket.go
@@ -163,7 +163,8 @@
 	// At is when it stopped answering, UnixMilli the same as a time of day.
 	At        time.Time
 	UnixMilli int64
-	// Heard says that the worker had told this holder what it runs.
+	// Heard says that what ran on the worker is known: it had told this holder, or an
+	// earlier one the log.
 	Heard bool
 	On    []On
 }
@@ -234,8 +235,7 @@
 			return
 		}
 		if i := slices.IndexFunc(all, func(o On) bool { return o.Task == next.Task }); i >= 0 {
-			all[i].Worked = max(all[i].Worked, next.Worked)
-			all[i].Alone = all[i].Alone && next.Alone
+			all[i].join(next)
 			return
 		}
 		all = append(all, next)
@@ -253,6 +253,19 @@
 	return all
 }
 
+// join takes what else is known of the same task on the same worker: of a gang, or of a run
+// that the log tells of and whose worker is known to have had it.
+func (o *On) join(next On) {
+	o.Alone = o.Alone && (next.Alone || next.Bound)
+	switch {
+	case o.Bound:
+		o.Worked = next.Worked
+		o.Bound = next.Bound
+	case !next.Bound:
+		o.Worked = max(o.Worked, next.Worked)
+	}
+}
+
 // accusation is a task that is to be given up, unless more is known of the crash by then:
 // when the first of several workers that crash together is seen, the others are not.
 type accusation struct {
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -54,6 +54,10 @@
 	adopted, resumed bool
 	// unheard says that only the log told of it: its worker was silent.
 	unheard bool
+	// silentAfter is for how long it had been at work when its worker fell silent under an
+	// earlier holder, if silentKnown.
+	silentAfter time.Duration
+	silentKnown bool
 }
 
 // mark notes that an attempt has come to its present state.
--- a/services/dispatch/crashcases_test.go
+++ b/services/dispatch/crashcases_test.go
@@ -98,6 +98,11 @@
 //	 6.926 a worker crashed under a task crashes=3 guilty=0.0161 worked_most=6.000681s
 //	14.022 a worker crashed under a task crashes=5 guilty=0.096  worked_most=6.000765s
 //	18.107 a suspected task is tried     crashes=5
+//
+// The cause: the holder that was lost had seen to the millisecond when the worker fell silent,
+// and told the log what ran there, but not for how long. For a run that only the log told of
+// the next holder reckoned with a whole lease of work, and with others beside it that nobody
+// had named, also where the log had the very start as a trial.
 func TestATaskThatCrashesItsWorkersIsFoundOverTakeovers(t *testing.T) {
 	w := crashWorld(t, 1, 24)
 	a := w.guiltyAlone(600 * time.Millisecond)
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// workedExactly returns for how long an attempt had been at work when its worker fell silent
+// at a time, if that is known.
+func (a *attempt) workedExactly(at time.Time) (time.Duration, bool) {
+	if a.beganAt.IsZero() {
+		return a.silentAfter, a.silentKnown
+	}
+	return a.workedUntil(at), true
+}
+
 // workedUntil returns for how long at most an attempt had been at work at a time, or 0
 // if an earlier holder started it.
 func (a *attempt) workedUntil(at time.Time) time.Duration {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -51,6 +51,7 @@
 			return
 		}
 	}
+	a.silentKnown = false
 	a.seen(now, r)
 	h.worksOn(now, a)
 	if a.step.spec.Checkpoints && r.Checkpoint != "" {
--- a/services/dispatch/silence.go
+++ b/services/dispatch/silence.go
@@ -57,6 +57,7 @@
 	s := kept.Silence{Left: job.Milliseconds(max(0, w.goneAt.Sub(now)).Milliseconds())}
 	for _, a := range w.sorted() {
 		s.Runs = append(s.Runs, a.name())
+		s.Worked = append(s.Worked, a.workedBefore(w.presence.SilentSince()))
 	}
 	for run := range ordered.By(w.strays, order.Run.Compare) {
 		s.Runs = append(s.Runs, run)
@@ -64,6 +65,16 @@
 	h.journal.add(kept.SilentWorker(w.Worker, s))
 }
 
+// workedBefore returns for how long an attempt had been at work at a time, as the log keeps
+// it. Without it each crash that was followed by a takeover counted as one after a lease or
+// more of work, that is for next to nothing, and a task that crashes its workers took seven.
+func (a *attempt) workedBefore(at time.Time) job.Milliseconds {
+	if worked, known := a.workedExactly(at); known {
+		return job.Milliseconds(worked.Milliseconds())
+	}
+	return -1
+}
+
 // heardAgain has the log tell that a worker answers again.
 func (h *holding) heardAgain(w *worker) {
 	if w.silence.kept {
@@ -78,30 +89,36 @@
 func (h *holding) foldSilent(now time.Time, w *worker, s *kept.Silence) {
 	w.silence = silence{kept: true, at: now}
 	w.goneAt = maxTime(w.goneAt, now.Add(min(h.leaseMost(), s.Left.Duration())))
-	for _, run := range s.Runs {
-		h.foldRun(now, w, run)
+	for i, run := range s.Runs {
+		a := h.foldRun(now, w, run)
+		if worked, known := s.WorkedOf(i); a != nil && known {
+			a.silentAfter, a.silentKnown = worked, true
+		}
 	}
 }
 
-// foldRun takes a run as being at work on a silent worker. Where the log names two runs of a
-// task, the first was over before the second was ordered.
-func (h *holding) foldRun(now time.Time, w *worker, run order.Run) {
+// foldRun takes a run as being at work on a silent worker, and returns it, or nil if it is
+// over. Where the log names two runs of a task, the first was over before the second was
+// ordered.
+func (h *holding) foldRun(now time.Time, w *worker, run order.Run) *attempt {
 	s := h.findStep(run.Task.StepID)
 	if s == nil || run.Task.Index >= len(s.tasks) || s.job.state.Final() {
-		return
+		return nil
 	}
 	t := &s.tasks[run.Task.Index]
 	if t.done || !t.supersedes(run) {
-		return
+		return nil
 	}
 	if t.attempt != nil {
 		h.unplace(t.attempt)
 	}
-	h.place(now, &attempt{
+	a := &attempt{
 		step: s, index: run.Task.Index, run: run.Number, worker: w, state: running, since: now, confirmed: true, adopted: true,
 		pace: paceUnknown, unheard: true,
-	})
+	}
+	h.place(now, a)
 	s.lastRun = max(s.lastRun, run.Number)
+	return a
 }
 
 // supersedes says whether a run is later than the one that the log told of, if any did, and
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -78,9 +78,10 @@
 		if a.step.job.state.Final() {
 			continue
 		}
+		worked, known := h.atWorkMost(a, at)
 		all = append(all, blame.On{
-			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Worked: h.atWorkMost(a, at),
-			Alone: a.isAlone(), Bound: a.beganAt.IsZero(), Workers: a.step.workersOf(),
+			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Worked: worked, Bound: !known,
+			Alone: a.isAlone(at), Workers: a.step.workersOf(),
 		})
 	}
 	return all
@@ -101,33 +102,34 @@
 }
 
 // isAlone says whether no task but those of its unit had begun on its worker shortly
-// before an attempt, or since.
-func (a *attempt) isAlone() bool {
+// before an attempt, or since, when the worker fell silent at a time.
+func (a *attempt) isAlone(at time.Time) bool {
+	worked, known := a.workedExactly(at)
 	for _, o := range a.worker.attempts {
 		if o.step.unit(o.index) == a.step.unit(a.index) {
 			continue
 		}
-		if o.beganAt.After(a.beganAt.Add(-calmBefore)) {
+		if others, known := o.workedExactly(at); known && others < worked+calmBefore {
 			return false
 		}
 	}
-	return !a.beganAt.IsZero()
+	return known
 }
 
-// atWorkMost returns for how long at most an attempt had been at work at a time. One that
-// an earlier holder started had been for at least as long as a lease lasts, or so it is
-// taken: little is held against it.
-func (h *holding) atWorkMost(a *attempt, at time.Time) time.Duration {
-	if a.beganAt.IsZero() {
-		return max(0, at.Sub(a.since)) + h.core.settings.Lease
+// atWorkMost returns for how long at most an attempt had been at work at a time, and whether
+// that is known exactly. One that an earlier holder started had been for at least as long as
+// a lease lasts, or so it is taken: little is held against it.
+func (h *holding) atWorkMost(a *attempt, at time.Time) (time.Duration, bool) {
+	if worked, known := a.workedExactly(at); known {
+		return worked, true
 	}
-	return a.workedUntil(at)
+	return max(0, at.Sub(a.since)) + h.core.settings.Lease, false
 }
 
 // judge tells what the crash of a worker says of the tasks that were on it.
 func (h *holding) judge(now time.Time, w *worker, on []blame.On) {
 	at := w.presence.SilentSince()
-	c := blame.Crash{Worker: w.ID, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at), Heard: w.settled, On: on}
+	c := blame.Crash{Worker: w.ID, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at), Heard: w.settled || w.silence.kept, On: on}
 	for _, f := range h.docket.Crashed(now, c) {
 		h.core.note("a worker crashed under a task", field("job", string(f.Task.Job)), field("task", f.Task.String()), field("worker", w.ID),
 			field("crashes", f.Blame.Crashes), field("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))), field("worked_most", f.Worked.String()),
--- a/services/kept/kept.go
+++ b/services/kept/kept.go
@@ -12,6 +12,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
@@ -57,6 +58,17 @@
 	Left job.Milliseconds `json:"left_ms"`
 	// Runs are all that may be at work on it.
 	Runs []order.Run `json:"runs,omitempty"`
+	// Worked is for how long each of them had been at work when it fell silent, or -1 where
+	// that is not known: if the worker has crashed, the next holder judges by it.
+	Worked []job.Milliseconds `json:"worked_ms,omitempty"`
+}
+
+// WorkedOf returns for how long a run had been at work, if that is known.
+func (s *Silence) WorkedOf(run int) (time.Duration, bool) {
+	if run >= len(s.Worked) || s.Worked[run] < 0 {
+		return 0, false
+	}
+	return s.Worked[run].Duration(), true
 }
 
 // Worker is the record of a worker on which tasks may be started.
--- a/services/kept/kept_test.go
+++ b/services/kept/kept_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/order"
@@ -68,3 +69,16 @@
 	}
 	assert.DeepEqual(t, unread, []string{"s/b", "s/c", "s/d", "p/e", "w/x", "p/ended"})
 }
+
+func TestASilentWorkerTellsHowLongItsRunsWereAtWork(t *testing.T) {
+	run := order.Run{Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Number: 7}
+	s := kept.Read(at(kept.SilentWorker(order.Worker{ID: "w"}, kept.Silence{Left: 5, Runs: []order.Run{run, run, run}, Worked: []job.Milliseconds{600, -1}})))
+	assert.Equal(t, len(s.Workers), 1)
+	silent := s.Workers[0].Silent
+	worked, known := silent.WorkedOf(0)
+	assert.Check(t, known && worked == 600*time.Millisecond)
+	for _, unknown := range []int{1, 2} {
+		_, known = silent.WorkedOf(unknown)
+		assert.Check(t, !known, "run %d", unknown)
+	}
+}
