recent: the log is told of the last starts, so that a crash that no holder saw is put to them

What callers saw: a task that crashes its workers took seven, where the holder was lost shortly before each of its first crashes.

Cause: only suspects and silent workers have records that name what runs where. A crash while nobody holds the cell left no trace on a task of which nothing was known, and the next holder started it anew. The scenario that is written out was red before (the first line of a holder tells of the fourth crash, as the first).

Why it holds: the starts are in the log, so they survive all boxes; they ride with appends that are made anyway, or get one of their own after 100 ms, and no start waits for them. Ruled out: memory of other boxes (does not survive the loss of all), a record before each start (an append's time for every start).

--- a/services/blame/docket.go
+++ b/services/blame/docket.go
@@ -273,7 +273,7 @@
 	}
 	for _, t := range d.triedOn[c.Worker] {
 		if b := d.Of(t); slices.Contains(b.TriedOn, c.Worker) {
-			add(tried(t, b, c.UnixMilli))
+			add(StartedBefore(t, b.TriedAt, c.UnixMilli, len(b.TriedOn)))
 		}
 	}
 	delete(d.triedOn, c.Worker)
@@ -284,10 +284,10 @@
 // was tried after its worker crashed: little is held against it.
 const clockStepped = 10 * time.Second
 
-// tried returns a task that an earlier holder had tried on a worker which crashed at a time,
-// in milliseconds since 1970.
-func tried(t job.TaskID, b job.Blame, unixMilli int64) On {
-	on := On{Task: t, Worked: time.Duration(unixMilli-b.TriedAt) * time.Millisecond, Time: job.Within, Workers: len(b.TriedOn)}
+// StartedBefore returns a task that an earlier holder had started at a time, on a worker which
+// crashed at another, both in milliseconds since 1970. A gang was started on several workers.
+func StartedBefore(t job.TaskID, startedAt, crashedAt int64, workers int) On {
+	on := On{Task: t, Worked: time.Duration(crashedAt-startedAt) * time.Millisecond, Time: job.Within, Workers: workers}
 	if on.Worked < 0 {
 		on.Worked, on.Time = clockStepped, job.AtLeast
 	}
--- a/services/dispatch/crashcases_test.go
+++ b/services/dispatch/crashcases_test.go
@@ -126,3 +126,31 @@
 	w.cancel(lasts)
 	w.check()
 }
+
+// A task crashed its workers after 0.6 s, and the first three times the box that held the cell
+// had been lost 0.3 s before. No holder saw these crashes, and the next ones started it as if
+// nothing had happened, so that it took seven workers. The first line of a holder tells of the
+// fourth:
+//
+//	 1.647 w00-1 crashes under {guilty.0.0.0 100000}
+//	 4.011 w00-2 crashes under {guilty.0.0.0 200000}
+//	 6.349 w00-3 crashes under {guilty.0.0.0 300000}
+//	 8.711 w00-4 crashes under {guilty.0.0.0 400000}
+//	10.107 a worker crashed under a task crashes=1 worked_most=606.926ms
+//
+// The cause: only suspects and silent workers had records that name what runs where. The log
+// is told of the last starts since.
+func TestCrashesThatNoHolderSawAreCounted(t *testing.T) {
+	w := crashWorld(t, 1, 24)
+	a := w.guiltyAlone(600 * time.Millisecond)
+	lasts := w.submitLasting(12)
+	for crashes := range 3 {
+		w.until(30*time.Second, "the task is at work", func() bool { f, _ := w.runs("guilty"); return f != nil })
+		w.run(300 * time.Millisecond)
+		w.killBox(w.holder(), 500*time.Millisecond)
+		w.until(30*time.Second, "it has crashed its worker", func() bool { return w.crashed() == crashes+1 })
+	}
+	w.until(60*time.Second, "the job is given up", func() bool { w.states(); return a.state == job.Failed })
+	w.cancel(lasts)
+	w.check()
+}
--- /dev/null
+++ b/services/dispatch/hidden.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"saddlevane/services/blame"
+	"saddlevane/services/recent"
+)
+
+// A worker may crash while no box holds the cell. What ran there is known only from what the
+// log tells of the last starts.
+
+// startMatters says whether the log is told of a start: not if its run has ended well.
+func (h *holding) startMatters(s recent.Start) bool {
+	st := h.findStep(s.Task.StepID)
+	return st != nil && !st.job.state.Final() && !st.tasks[s.Task.Index].done
+}
+
+// foldStarts takes over which tasks earlier holders had started last.
+func (h *holding) foldStarts(records [][]byte) {
+	told, unread := recent.Read(records)
+	for _, err := range unread {
+		h.core.note("kept starts could not be read", field("error", err.Error()))
+	}
+	h.startedLast = told
+}
+
+// startedOn returns the tasks that an earlier holder had started on a worker which has not
+// told this one what it runs, as far as they may have run there until it crashed.
+func (h *holding) startedOn(w *worker, at time.Time) []blame.On {
+	var all []blame.On
+	for _, s := range h.startedLast.On(w.ID) {
+		if st := h.lostWith(s); st != nil {
+			on := blame.StartedBefore(st.unit(s.Task.Index), s.UnixMilli, h.core.unixMilli(at), h.gangWorkers(st))
+			on.Run, on.Gang = s.Run, st.spec.Gang
+			all = append(all, on)
+		}
+	}
+	h.startedLast.Forget(w.ID)
+	return all
+}
+
+// lostWith returns the step of a start if its task is not known to have run on, ended or begun
+// anew since, else nil.
+func (h *holding) lostWith(s recent.Start) *step {
+	st := h.findStep(s.Task.StepID)
+	if st == nil || s.Task.Index >= len(st.tasks) || st.job.state.Final() {
+		return nil
+	}
+	t := &st.tasks[s.Task.Index]
+	if t.done || t.attempt != nil || t.lastRun > s.Run || slices.Contains(t.failed, s.Run) {
+		return nil
+	}
+	return st
+}
+
+// gangWorkers counts the workers on which a gang was started last.
+func (h *holding) gangWorkers(s *step) int {
+	if !s.spec.Gang {
+		return 1
+	}
+	return h.startedLast.Workers(s.id)
+}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -15,6 +15,7 @@
 	"saddlevane/services/kept"
 	"saddlevane/services/lateness"
 	"saddlevane/services/planning"
+	"saddlevane/services/recent"
 	"saddlevane/services/reservations"
 	"saddlevane/services/workspaces"
 )
@@ -81,6 +82,9 @@
 	left   map[string]resource.Vector
 	// docket has what is held against tasks under which workers crashed.
 	docket *blame.Docket
+	// startedLast are the tasks that earlier holders had started last on workers that have
+	// not told yet what they run.
+	startedLast recent.Told
 	// answers tells how late workers' answers are.
 	answers lateness.Meter
 
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -11,6 +11,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/services/kept"
+	"saddlevane/services/recent"
 )
 
 // journal gathers what must last and appends it, one append at a time. Under one
@@ -27,6 +28,8 @@
 	// it does not have.
 	accepts []*submitted
 	dirty   []*submitted
+	// starts are the last ones, of which the log is told with what else there is.
+	starts recent.Starts
 	// batch is the append under way, or nil.
 	batch *batch
 	// sendAt is when the next append may be sent.
@@ -106,10 +109,10 @@
 		}
 		return
 	}
-	if j.idle() || now.Before(j.sendAt) || (h.phase == active && !h.core.authority.Holds(now)) {
+	if j.idle() && !j.starts.Due(now) || now.Before(j.sendAt) || (h.phase == active && !h.core.authority.Holds(now)) {
 		return
 	}
-	j.batch = h.compose()
+	j.batch = h.compose(now)
 	j.sequence++
 	j.batch.append.Writer = &stream.Writer{Epoch: j.epoch, Sequence: j.sequence}
 	h.send(now)
@@ -127,8 +130,11 @@
 }
 
 // compose builds the next append.
-func (h *holding) compose() *batch {
+func (h *holding) compose(now time.Time) *batch {
 	j := &h.journal
+	if slot, starts := j.starts.Take(now, h.startMatters); len(starts) > 0 {
+		j.add(kept.Starts(slot, starts))
+	}
 	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extra}, recorded: j.recording}
 	j.extra, j.recording = nil, nil
 	h.composeProgress(b, j.composeAccepts(b))
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -231,6 +231,7 @@
 	h.applyReport(now, w, e)
 	if !w.settled {
 		w.settled = true
+		h.startedLast.Forget(w.ID)
 		inherited := h.unsettled[w.ID]
 		delete(h.unsettled, w.ID)
 		h.record(w)
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -38,6 +38,7 @@
 	}
 	h.foldTimes(state.Times)
 	h.foldCrashes(state.Crashes)
+	h.foldStarts(state.Starts)
 	for _, k := range state.Jobs {
 		j := h.newJob(now, k.Submission.Submission, k.Accepted, k.Queue)
 		j.accepted = true
--- a/services/dispatch/remaining_test.go
+++ b/services/dispatch/remaining_test.go
@@ -45,7 +45,9 @@
 // works lets time pass, after which a look tells the task's progress.
 func (w *working) works(passed time.Duration, progress int) []exchange.Effect {
 	for end := w.now.Add(passed); w.now.Before(end); {
-		w.claimEnded(w.later(100 * time.Millisecond))
+		effects := w.later(100 * time.Millisecond)
+		w.claimEnded(effects)
+		w.keepsAny(effects)
 	}
 	answer := looked(w.look)
 	answer.Report.Running = []order.Running{{Run: w.run, Progress: progress}}
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -11,6 +11,7 @@
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/services/delays"
+	"saddlevane/services/recent"
 )
 
 // start orders a worker to run a task.
@@ -24,6 +25,7 @@
 	}
 	a.resumed = saved != ""
 	a.checkpoint, a.ticket = saved, ticket
+	h.journal.starts.Add(now, recent.Start{Task: a.name().Task, Run: run, Worker: w.ID, UnixMilli: h.core.unixMilli(now)})
 	if w.owesSince.IsZero() {
 		w.owesSince = now
 	}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -89,7 +89,7 @@
 		}
 		all = append(all, on)
 	}
-	return all
+	return append(all, h.startedOn(w, at)...)
 }
 
 // workersOf counts the workers on which a task of the step is at work, or the whole gang.
--- a/services/kept/kept.go
+++ b/services/kept/kept.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +31,8 @@
 	keyTimes = "times"
 	// keyCrashes holds how often workers crash by themselves.
 	keyCrashes = "crashes"
+	// keyStarts hold which tasks were started last.
+	keyStarts = "r/"
 )
 
 // Submission is what is kept of a job that was accepted.
@@ -88,6 +91,11 @@
 // Crashes is the record of how often workers crash by themselves.
 func Crashes(learned any) stream.Record { return record(keyCrashes, learned) }
 
+// Starts is the record, of those that the log keeps of them, of tasks that were started last.
+func Starts(slot int, starts any) stream.Record {
+	return record(keyStarts+strconv.Itoa(slot), starts)
+}
+
 // Fence is a record that says nothing: the append that brings it refuses earlier holders.
 func Fence() stream.Record { return stream.Record{Key: keyFence, Value: []byte{'1'}} }
 
@@ -120,6 +128,8 @@
 	Times []byte
 	// Crashes is how often workers crash by themselves, or nil.
 	Crashes []byte
+	// Starts are the records of which tasks were started last.
+	Starts [][]byte
 	// Unread are the records that could not be read.
 	Unread []Unread
 }
@@ -201,6 +211,9 @@
 			s.readEnded(job.ID(id), r, submitted)
 		}
 	}
+	if strings.HasPrefix(r.Key, keyStarts) {
+		s.Starts = append(s.Starts, r.Value)
+	}
 	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
 		var w KnownWorker
 		err := json.Unmarshal(r.Value, &w)
--- /dev/null
+++ b/services/recent/recent.go
@@ -0,0 +1,155 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package recent has the log tell which tasks were started last, and on which workers. If a
+// worker crashes while no box holds the cell, nobody sees what ran there, and a task that
+// crashes its workers would be started as if nothing had happened: the next holder puts the
+// crash to the tasks that were started there last.
+//
+// The starts go into appends that are made anyway, or into one of their own after a while,
+// under a few keys in turn, so that what the log keeps of them is bounded. No start waits for
+// them.
+package recent
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"saddlevane/models/job"
+)
+
+const (
+	// Every is the least time between two records of starts.
+	Every = 25 * time.Millisecond
+	// Alone is after how long starts get an append of their own: in a cell in which nothing
+	// else happens a task that crashes its worker after half a second is known by then.
+	Alone = 100 * time.Millisecond
+	// Slots is how many records the log keeps: those of the last 3 s or more.
+	Slots = 128
+	// most bounds the starts of a record: at 4,000 starts/s all are told, beyond that a
+	// part, so that a record of about 60 bytes a start stays under 6 kB.
+	most = 100
+)
+
+// Start is the start of a task on a worker.
+type Start struct {
+	Task   job.TaskID `json:"t"`
+	Run    int64      `json:"n"`
+	Worker string     `json:"w"`
+	// UnixMilli is when it was ordered, in milliseconds since 1970.
+	UnixMilli int64 `json:"m"`
+}
+
+// check says what makes no sense in a start that was kept.
+func (s Start) check() error {
+	if s.Worker == "" || s.Task.Job == "" || s.Run <= 0 || s.UnixMilli <= 0 {
+		return fmt.Errorf("recent: start %+v makes no sense", s)
+	}
+	return nil
+}
+
+// Starts gathers what the log is to be told next.
+type Starts struct {
+	waiting []Start
+	// since is when the first of them was added, toldAt when the log was last told, slot the
+	// next key.
+	since, toldAt time.Time
+	slot          int
+}
+
+// Add takes a start.
+func (s *Starts) Add(now time.Time, start Start) {
+	if len(s.waiting) == 0 {
+		s.since = now
+	}
+	if len(s.waiting) < most {
+		s.waiting = append(s.waiting, start)
+	}
+}
+
+// Due says whether the starts that wait get an append of their own.
+func (s *Starts) Due(now time.Time) bool { return len(s.waiting) > 0 && now.Sub(s.since) >= Alone }
+
+// Take returns the starts for an append that is made now, and the slot to keep them in, or
+// none: those that have ended well since need not be told.
+func (s *Starts) Take(now time.Time, matters func(Start) bool) (slot int, starts []Start) {
+	if len(s.waiting) == 0 || now.Sub(s.toldAt) < Every {
+		return 0, nil
+	}
+	for _, start := range s.waiting {
+		if matters(start) {
+			starts = append(starts, start)
+		}
+	}
+	s.waiting = nil
+	if len(starts) == 0 {
+		return 0, nil
+	}
+	slot, s.slot, s.toldAt = s.slot, (s.slot+1)%Slots, now
+	return slot, starts
+}
+
+// Told are the starts of which the log told, by worker.
+type Told struct{ on map[string][]Start }
+
+// Read returns the last start of each task. Records that could not be read are returned too.
+func Read(records [][]byte) (Told, []error) {
+	last := map[job.TaskID]Start{}
+	var unread []error
+	for _, r := range records {
+		starts, err := decode(r)
+		if err != nil {
+			unread = append(unread, err)
+			continue
+		}
+		for _, s := range starts {
+			if s.Run > last[s.Task].Run {
+				last[s.Task] = s
+			}
+		}
+	}
+	told := Told{on: map[string][]Start{}}
+	for _, s := range slices.SortedFunc(maps.Values(last), Start.compare) {
+		told.on[s.Worker] = append(told.on[s.Worker], s)
+	}
+	return told, unread
+}
+
+func decode(record []byte) ([]Start, error) {
+	var starts []Start
+	if err := json.Unmarshal(record, &starts); err != nil {
+		return nil, fmt.Errorf("recent: %w", err)
+	}
+	for _, s := range starts {
+		if err := s.check(); err != nil {
+			return nil, err
+		}
+	}
+	return starts, nil
+}
+
+func (s Start) compare(o Start) int {
+	return cmp.Or(cmp.Compare(s.Task.Job, o.Task.Job), cmp.Compare(s.Task.Instance, o.Task.Instance),
+		cmp.Compare(s.Task.Step, o.Task.Step), cmp.Compare(s.Task.Index, o.Task.Index))
+}
+
+// On returns the tasks that were started last on a worker.
+func (t Told) On(worker string) []Start { return t.on[worker] }
+
+// Workers counts the workers on which tasks of a step were started.
+func (t Told) Workers(step job.StepID) int {
+	n := 0
+	for _, starts := range t.on {
+		if slices.ContainsFunc(starts, func(s Start) bool { return s.Task.StepID == step }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops what was started on a worker: it has told itself what it runs.
+func (t Told) Forget(worker string) { delete(t.on, worker) }
--- /dev/null
+++ b/services/recent/recent_test.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package recent_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/services/recent"
+
+	"gotest.tools/v3/assert"
+)
+
+func start(id job.ID, run int64, worker string) recent.Start {
+	return recent.Start{Task: job.TaskID{StepID: job.StepID{Job: id}, Index: 1}, Run: run, Worker: worker, UnixMilli: 1000 + run}
+}
+
+func all(recent.Start) bool { return true }
+
+func TestStartsAreToldInTurnAndNotTooOften(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var s recent.Starts
+	_, none := s.Take(now, all)
+	assert.Equal(t, len(none), 0)
+	s.Add(now, start("a", 1, "w"))
+	assert.Check(t, !s.Due(now))
+	assert.Check(t, s.Due(now.Add(recent.Alone)))
+	slot, starts := s.Take(now, all)
+	assert.Equal(t, slot, 0)
+	assert.DeepEqual(t, starts, []recent.Start{start("a", 1, "w")})
+	s.Add(now, start("b", 1, "w"))
+	_, none = s.Take(now.Add(recent.Every/2), all)
+	assert.Equal(t, len(none), 0, "that would be too often")
+	s.Add(now, start("ended", 1, "w"))
+	slot, starts = s.Take(now.Add(recent.Every), func(s recent.Start) bool { return s.Task.Job != "ended" })
+	assert.Equal(t, slot, 1)
+	assert.DeepEqual(t, starts, []recent.Start{start("b", 1, "w")})
+	assert.Check(t, !s.Due(now.Add(time.Hour)))
+}
+
+func TestTheLastStartOfEachTaskCounts(t *testing.T) {
+	record := func(starts ...recent.Start) []byte {
+		data, err := json.Marshal(starts)
+		assert.NilError(t, err)
+		return data
+	}
+	told, unread := recent.Read([][]byte{
+		record(start("a", 7, "w2"), start("b", 3, "w1")), record(start("a", 5, "w1")), []byte(`{`), []byte(`[{"t":"a.0.0.1","n":9,"w":"","m":1}]`),
+	})
+	assert.Equal(t, len(unread), 2)
+	assert.DeepEqual(t, told.On("w1"), []recent.Start{start("b", 3, "w1")})
+	assert.DeepEqual(t, told.On("w2"), []recent.Start{start("a", 7, "w2")})
+	assert.Equal(t, told.Workers(job.StepID{Job: "a"}), 1)
+	told.Forget("w2")
+	assert.Equal(t, len(told.On("w2")), 0)
+}
