blame: by how much a crash may have been seen late is weighed with it

What callers saw: a guilty task took a sixth worker.

Cause: while ends of a worker are not in the log yet no look waits there, and its crash is seen by the next look, 0.1 s to 0.5 s late (the lines: worker does not answer, problem=refused). A crash after 0.6 s counted as one after 1 s, and so for a run that had worked on beyond the point at which the task crashes its workers.

Why it holds: the time since the worker was last surely alive bounds it, and goes into the likelihood and into the record of a silent worker. After five crashes odds of 300 are enough where workers seldom crash, 1,000 before: joint with the chance of coming so far that is still less than one sound task in 10 million.

--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -64,8 +64,9 @@
 // tasks. A job that is given up is lost for good, a further try costs one worker, so the first
 // error is bounded: by Wald's sequential test (1945) odds of 1e4, that is crashes 1e7 times
 // as likely as without guilt, give up one in ten million tasks that crash nothing, or fewer,
-// whenever the test stops. After five crashes 1e3 are enough where workers seldom crash: few
-// tasks that crash nothing come so far. Where they crash often 1e5 are needed by then: a rate
+// whenever the test stops. After five crashes 300 are enough where workers seldom crash: of
+// tasks that are at work for 2 s at a time, and crash nothing, one in 3 million comes so far.
+// Where they crash often 1e5 are needed by then: a rate
 // of crashes that is believed to be a quarter too low makes five of them three times as likely.
 //
 // Of 2,936 times that a task that crashes nothing came to three or four crashes, in worlds of
@@ -73,7 +74,7 @@
 // that it came to more, over 1,000 once. Of guilty tasks 93% to all come to 1e4 by the fifth
 // crash (60 worlds a class, verdicts switched off).
 var (
-	guiltyOdds = []float64{1e4, 1e4, 1e4, 1e3}
+	guiltyOdds = []float64{1e4, 1e4, 1e4, 300}
 	oftenOdds  = []float64{1e4, 1e4, 1e4, 1e5}
 )
 
@@ -136,6 +137,8 @@
 	// Worked is for how long it had been at work, and Time what is known of that.
 	Worked time.Duration
 	Time   job.CrashTime
+	// Late is by how much the crash may have been seen too late.
+	Late time.Duration
 	// Alone says that no other task had begun on the worker shortly before.
 	Alone bool
 	// Workers is on how many workers it ran, a gang on several: a guilty member crashes its
@@ -145,7 +148,9 @@
 
 // crash returns the crash under the suspect.
 func (s Suspect) crash() job.Crash {
-	return job.Crash{Worked: job.Milliseconds(s.Worked.Milliseconds()), Time: s.Time, Workers: s.Workers}
+	return job.Crash{
+		Worked: job.Milliseconds(s.Worked.Milliseconds()), Time: s.Time, Late: job.Milliseconds(min(s.Worked, s.Late).Milliseconds()), Workers: s.Workers,
+	}
 }
 
 // Judge returns what is held against each task that was on a worker when it crashed.
--- a/services/blame/blame_test.go
+++ b/services/blame/blame_test.go
@@ -132,3 +132,68 @@
 		assert.Check(t, json.Unmarshal([]byte(bad), &read) != nil, bad)
 	}
 }
+
+// While no look waits at a worker its crash is seen by the next, up to 0.5 s later. Taken for
+// exact, a crash at 0.6 s that was seen at 1 s spoke for a run that had worked on beyond its
+// point, as if the task crashed its workers at another each time: odds of 0.05 to 0.7 after
+// three to five crashes of guilty tasks, five of whose sixth starts in 300 worlds came so.
+func TestACrashThatWasSeenLateDoesNotSpeakForATask(t *testing.T) {
+	var exact, late job.Blame
+	for _, worked := range []time.Duration{610 * time.Millisecond, time.Second, 605 * time.Millisecond, 608 * time.Millisecond} {
+		suspect := blame.Suspect{Before: exact, Worked: worked, Alone: true}
+		exact = blame.Judge([]blame.Suspect{suspect}, 0.03)[0]
+		suspect.Before = late
+		if worked == time.Second {
+			suspect.Late = 400 * time.Millisecond
+		}
+		late = blame.Judge([]blame.Suspect{suspect}, 0.03)[0]
+	}
+	assert.Check(t, late.Odds > 50*exact.Odds, "%v, %v", late.Odds, exact.Odds)
+	assert.Check(t, blame.Guilty(late, true), "%+v", late)
+	assert.Check(t, !blame.Guilty(exact, true), "%+v", exact)
+}
+
+func TestARateThatIsLearnedLaterCounts(t *testing.T) {
+	b := repeat(3, true, 900*time.Millisecond, quiet)
+	assert.Check(t, blame.Guilty(b, false))
+	assert.Check(t, !blame.Guilty(blame.Again(b, 1.0/29), false), "workers crash every 29 s")
+}
+
+func TestCrashesAtTwoPointsAreNotFourAtOne(t *testing.T) {
+	var b job.Blame
+	for _, worked := range []time.Duration{286, 310, 2022, 2190, 292} {
+		b = blame.Judge([]blame.Suspect{{Before: b, Worked: worked * time.Millisecond, Alone: true}}, 1.0/40)[0]
+	}
+	assert.Check(t, !blame.Guilty(b, false), "%+v", b)
+}
+
+func TestAnUnexplainedCrashIsTakenBackOnceItIsExplained(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	d := blame.NewDocket()
+	d.Saw(now, map[string]int{"r": 24})
+	task := job.TaskID{StepID: job.StepID{Job: "j"}}
+	for n := range 3 {
+		now = now.Add(5 * time.Second)
+		d.Saw(now, map[string]int{"r": 24})
+		d.Crashed(now, blame.Crash{Worker: "w", Rack: "r", At: now, Heard: true, On: []blame.On{{Task: task, Run: int64(n), Worked: 12 * time.Millisecond, Alone: true}}})
+	}
+	assert.Check(t, d.IsGuilty(d.Of(task)), "%+v", d.Of(task))
+	assert.Equal(t, d.Learned().All.Crashes, 0.0, "all three were the task's")
+}
+
+func TestWhatIsKeptOfCrashesIsCheckedWhenItIsRead(t *testing.T) {
+	kept := job.Blame{Crashes: 1, Odds: 2, Seen: []job.Crash{{Worked: 600, Time: job.Within, Late: 5, Workers: 2, Others: 0.5, Itself: 0.25, Counted: 1}}}
+	data, err := json.Marshal(kept)
+	assert.NilError(t, err)
+	var read job.Blame
+	assert.NilError(t, json.Unmarshal(data, &read))
+	assert.DeepEqual(t, read, kept)
+	for _, bad := range []string{
+		`{"n":1,"o":1,"c":[{"w":-1,"o":0,"i":1}]}`, `{"n":1,"o":1,"c":[{"w":1,"o":0,"i":0}]}`, `{"n":1,"o":1,"c":[{"w":1,"o":0,"i":1,"t":"soon"}]}`,
+		`{"n":1,"o":1,"c":[{"w":1,"o":0,"i":1,"d":-1}]}`, `{"n":1,"o":1,"c":[{"w":1,"o":0,"i":1,"k":2}]}`,
+	} {
+		assert.Check(t, json.Unmarshal([]byte(bad), &read) != nil, bad)
+	}
+	var learned blame.Learned
+	assert.Check(t, json.Unmarshal([]byte(`{"all":{"crashes":-1,"seconds":5}}`), &learned) != nil)
+}
--- a/services/blame/docket.go
+++ b/services/blame/docket.go
@@ -151,9 +151,10 @@
 	// Gang says that it stands for a gang, whose run ends with the first crash: workers
 	// that crash together have one cause.
 	Gang bool
-	// Worked, Time, Alone and Workers are those of Suspect.
+	// Worked, Time, Late, Alone and Workers are those of Suspect.
 	Worked  time.Duration
 	Time    job.CrashTime
+	Late    time.Duration
 	Alone   bool
 	Workers int
 }
@@ -205,7 +206,7 @@
 	j := &judgement{crash: c}
 	j.crash.On = d.all(c)
 	for _, on := range j.crash.On {
-		j.input = append(j.input, Suspect{Before: d.Of(on.Task), Worked: on.Worked, Time: on.Time, Alone: on.Alone, Workers: on.Workers})
+		j.input = append(j.input, Suspect{Before: d.Of(on.Task), Worked: on.Worked, Time: on.Time, Late: on.Late, Alone: on.Alone, Workers: on.Workers})
 	}
 	otherwise := j.otherwise(&d.Background)
 	judged := Judge(j.input, otherwise)
--- a/services/blame/evidence.go
+++ b/services/blame/evidence.go
@@ -100,7 +100,7 @@
 // likelier returns how much likelier a crash is if the task crashes its workers at a point
 // of its work than if it does not, where others cause one with some hazard, a second.
 func likelier(c job.Crash, p point, otherwise float64) float64 {
-	if c.Time == job.Exact && c.Worked.Duration() > p.at+p.around() {
+	if c.Time == job.Exact && c.Worked.Duration()-c.Late.Duration() > p.at+p.around() {
 		return passed
 	}
 	return 1 + perWorker(c, hazardAt(c, p))/otherwise
@@ -145,7 +145,7 @@
 	case job.AtLeast:
 		return hazard(worked)
 	}
-	return closeShare*p.density(worked, p.close()) + (1-closeShare)*p.density(worked, p.around())
+	return closeShare*p.density(c, p.close()) + (1-closeShare)*p.density(c, p.around())
 }
 
 // close returns how far from a point crashes are that come close to it, around how far all
@@ -154,13 +154,14 @@
 
 func (p point) around() time.Duration { return max(aroundLeast, p.at/aroundPart) }
 
-// density returns the density, a second, of a time that lies within some span of the point,
-// where any such time is as likely as another.
-func (p point) density(worked, span time.Duration) float64 {
-	if (worked - p.at).Abs() > span {
+// density returns the density, a second, of a crash that comes within some span of the point,
+// where any such time is as likely as another, and which may have been seen late.
+func (p point) density(c job.Crash, span time.Duration) float64 {
+	worked, late := c.Worked.Duration(), c.Late.Duration()
+	if worked < p.at-span || worked-late > p.at+span {
 		return 0
 	}
-	return 1 / (span + min(span, p.at)).Seconds()
+	return 1 / (span + min(span, p.at) + late).Seconds()
 }
 
 // hazard returns the hazard, a second, of a crash by a guilty task of which nothing else
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -55,6 +55,16 @@
 	return a.workedUntil(at), true
 }
 
+// seenLate returns by how much the silence of a worker may have been seen too late: while no
+// look waits there a crash is seen by the next, up to 0.5 s later. Taken for exact, such a
+// time made a crash at 0.6 s one at 1 s, as if the task had worked on beyond its point.
+func (w *worker) seenLate() time.Duration {
+	if w.silence.late > 0 || w.aliveAt.IsZero() {
+		return w.silence.late
+	}
+	return max(0, w.presence.SilentSince().Sub(w.aliveAt))
+}
+
 // workedUntil returns for how long at most an attempt had been at work at a time, or 0
 // if an earlier holder started it.
 func (a *attempt) workedUntil(at time.Time) time.Duration {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -199,6 +199,10 @@
 		w.overdue[e.Look] = w.lookDue
 	}
 	if w.failures == 1 {
+		if e.Answer.Fate == order.Unknown && now.Before(w.lookDue) {
+			// The look waited there, and broke off.
+			w.aliveAt = now
+		}
 		h.silent(now, w)
 		h.core.note("worker does not answer", field("worker", w.ID), field("problem", e.Answer.Problem), field("tasks", len(w.attempts)))
 	}
@@ -224,7 +228,7 @@
 		h.docket.Answers(w.ID)
 	}
 	clear(w.overdue)
-	w.answeredAt = now
+	w.answeredAt, w.aliveAt = now, now
 	h.answeredLook(now, w, e)
 	w.owesSince = time.Time{}
 	w.clock, w.clockAt = e.Report.Clock, now
--- a/services/dispatch/silence.go
+++ b/services/dispatch/silence.go
@@ -25,6 +25,8 @@
 	// kept says that the log has it, or is about to, at is when it was last told.
 	kept bool
 	at   time.Time
+	// late is by how much an earlier holder may have seen it too late.
+	late time.Duration
 }
 
 const (
@@ -51,10 +53,11 @@
 // tellSilence adds the record of a silent worker to the next append. No start may be ordered
 // to it until a later record says that it answers.
 func (h *holding) tellSilence(now time.Time, w *worker) {
-	w.silence = silence{kept: true, at: now}
+	late := w.seenLate()
+	w.silence = silence{kept: true, at: now, late: w.silence.late}
 	w.recorded, w.recording = false, false
 	w.records++
-	s := kept.Silence{Left: job.Milliseconds(max(0, w.goneAt.Sub(now)).Milliseconds())}
+	s := kept.Silence{Late: job.Milliseconds(late.Milliseconds()), Left: job.Milliseconds(max(0, w.goneAt.Sub(now)).Milliseconds())}
 	for _, a := range w.sorted() {
 		s.Runs = append(s.Runs, a.name())
 		s.Worked = append(s.Worked, a.workedBefore(w.presence.SilentSince()))
@@ -87,7 +90,7 @@
 // foldSilent takes over a worker that was silent under an earlier holder: what may run on it
 // is known, and counts as being at work until it answers or its lease is over.
 func (h *holding) foldSilent(now time.Time, w *worker, s *kept.Silence) {
-	w.silence = silence{kept: true, at: now}
+	w.silence = silence{kept: true, at: now, late: s.Late.Duration()}
 	w.goneAt = maxTime(w.goneAt, now.Add(min(h.leaseMost(), s.Left.Duration())))
 	for i, run := range s.Runs {
 		a := h.foldRun(now, w, run)
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -84,8 +84,8 @@
 			Task: a.step.unit(a.index), Run: a.run, Gang: a.step.spec.Gang, Alone: a.isAlone(at), Workers: a.step.workersOf(),
 		}
 		worked, known := a.workedExactly(at)
-		if on.Worked = worked; !known {
-			on.Worked, on.Time = h.atWorkLeast(a, at), job.AtLeast
+		if on.Worked, on.Late = worked, w.seenLate(); !known {
+			on.Worked, on.Time, on.Late = h.atWorkLeast(a, at), job.AtLeast, 0
 		}
 		all = append(all, on)
 	}
@@ -135,7 +135,7 @@
 	for _, f := range h.docket.Crashed(now, c) {
 		h.core.note("a worker crashed under a task", field("job", string(f.Task.Job)), field("task", f.Task.String()), field("worker", w.ID),
 			field("crashes", f.Blame.Crashes), field("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))), field("worked_most", f.Worked.String()),
-			field("time", string(f.Time)), field("alone", f.Alone), field("odds", fmt.Sprintf("%.3g", f.Blame.Odds)),
+			field("time", string(f.Time)), field("late", f.Late.String()), field("alone", f.Alone), field("odds", fmt.Sprintf("%.3g", f.Blame.Odds)),
 			field("crashes_otherwise_every", fmt.Sprintf("%.3gs", 1/f.Otherwise)))
 		h.markDirty(h.jobs[f.Task.Job])
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -65,6 +65,8 @@
 	// since.
 	answeredAt time.Time
 	failures   int
+	// aliveAt is when it was last surely alive.
+	aliveAt time.Time
 	// owesSince is when a start was ordered of which, and of all those after it, none
 	// was answered, or zero.
 	owesSince time.Time
--- a/services/kept/kept.go
+++ b/services/kept/kept.go
@@ -66,6 +66,8 @@
 	// Worked is for how long each of them had been at work when it fell silent, or -1 where
 	// that is not known: if the worker has crashed, the next holder judges by it.
 	Worked []job.Milliseconds `json:"worked_ms,omitempty"`
+	// Late is by how much that may have been seen too late.
+	Late job.Milliseconds `json:"late_ms,omitempty"`
 }
 
 // WorkedOf returns for how long a run had been at work, if that is known.
