--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -82,8 +82,18 @@
 // Learned returns how often workers crash by themselves.
 func (b *Background) Learned() Learned { return Learned{All: b.all, Lately: b.lately} }
 
-// Resume takes over what an earlier holder had learned.
-func (b *Background) Resume(l Learned) { b.all, b.lately = l.All, l.Lately }
+// ResumeRate takes over what an earlier holder had learned, from the log.
+func (b *Background) ResumeRate(kept []byte) error {
+	if len(kept) == 0 {
+		return nil
+	}
+	var l Learned
+	if err := json.Unmarshal(kept, &l); err != nil {
+		return fmt.Errorf("kept rate of crashes: %w", err)
+	}
+	b.all, b.lately = l.All, l.Lately
+	return nil
+}
 
 // silence is a worker that stopped answering.
 type silence struct {
--- a/services/dispatch/advice.go
+++ b/services/dispatch/advice.go
@@ -242,5 +242,5 @@
 			a.tickets[w] = ticket{text: t.Ticket, until: now.Add(valid - ticketMargin)}
 		}
 	}
-	h.learned.advised(s.job.queue, len(fresh), good)
+	h.learned.Advised(s.job.queue, len(fresh), good)
 }
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -192,7 +192,7 @@
 		h.advisers.Turns.TurnAway(now, h.classOf(now, s))
 		return false
 	}
-	missing := askSpare * float64(s.waiting) / h.learned.goodShare(r.queue.Name)
+	missing := askSpare * float64(s.waiting) / h.learned.GoodShare(r.queue.Name)
 	least := namedAtLeast(r.queue.Advice)
 	var named []*worker
 	for w, room := range s.shuffled(candidates) {
--- a/services/dispatch/choice.go
+++ b/services/dispatch/choice.go
@@ -84,7 +84,7 @@
 		return
 	}
 	s.widenAgain = now.Add(widenEvery)
-	good := h.learned.goodShare(r.queue.Name)
+	good := h.learned.GoodShare(r.queue.Name)
 	missing := s.missing(s.choice(now, roomy), candidates, good)
 	if missing <= 0 {
 		return
--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -10,7 +10,6 @@
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/models/order"
 	"saddlevane/services/delays"
 )
 
@@ -52,18 +51,6 @@
 	}
 }
 
-// interruption returns the delay that an end which is not a good one stands for.
-func interruption(how order.How) delays.Cause {
-	switch how {
-	case order.Failed:
-		return delays.Failed
-	case order.Stopped:
-		return delays.Stopped
-	default:
-		return delays.Lost
-	}
-}
-
 // delaysOf returns where the time of a step went that has just been done by one of
 // its tasks, of which that was expected to take some time.
 func (s *step) delaysOf(now time.Time, last int, expected time.Duration) delays.Sum {
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
+	"saddlevane/services/delays"
 )
 
 // excludeAfter is how many failed ends of different jobs in a row exclude a
@@ -37,7 +38,7 @@
 		s = a.step
 		h.unplace(a)
 		if end.How == order.Stopped && !a.stopAt.IsZero() {
-			h.learned.stopped(now.Sub(a.stopAt))
+			h.learned.Stopped(now.Sub(a.stopAt))
 		}
 	}
 	if s == nil || end.Task.Index >= len(s.tasks) {
@@ -56,7 +57,7 @@
 			h.learnSpeed(now, a)
 		}
 	} else {
-		t.interrupted(interruption(end.How))
+		t.interrupted(delays.Interruption(end.How))
 	}
 	h.applyEnd(now, w, s, end)
 	h.noteEnd(s, w, end)
--- a/services/dispatch/hidden.go
+++ b/services/dispatch/hidden.go
@@ -11,8 +11,7 @@
 	"saddlevane/services/recent"
 )
 
-// A worker may crash while no box holds the cell. What ran there is known only from what the
-// log tells of the last starts.
+// A worker may crash while no box holds the cell: only the log tells what ran there.
 
 // startMatters says whether the log is told of a start: not if its run has ended well.
 func (h *holding) startMatters(s recent.Start) bool {
@@ -35,7 +34,7 @@
 	var all []blame.On
 	for _, s := range h.startedLast.On(w.ID) {
 		if st := h.lostWith(s); st != nil {
-			on := blame.StartedBefore(st.unit(s.Task.Index), s.UnixMilli, h.core.unixMilli(at), h.gangWorkers(st))
+			on := blame.StartedBefore(st.unit(s.Task.Index), s.UnixMilli, h.core.unixMilli(at), h.startedLast.Workers(st.id, st.spec.Gang))
 			on.Run, on.Gang = s.Run, st.spec.Gang
 			all = append(all, on)
 		}
@@ -57,11 +56,3 @@
 	}
 	return st
 }
-
-// gangWorkers counts the workers on which a gang was started last.
-func (h *holding) gangWorkers(s *step) int {
-	if !s.spec.Gang {
-		return 1
-	}
-	return h.startedLast.Workers(s.id)
-}
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -14,7 +14,9 @@
 	"saddlevane/services/blame"
 	"saddlevane/services/kept"
 	"saddlevane/services/lateness"
+	"saddlevane/services/learned"
 	"saddlevane/services/planning"
+	"saddlevane/services/presence"
 	"saddlevane/services/recent"
 	"saddlevane/services/reservations"
 	"saddlevane/services/workspaces"
@@ -61,10 +63,10 @@
 	early *pass
 	// reserved has the room that is reserved for gangs.
 	reserved *reservations.Book
-	// pools has the pools that configurations, or jobs, have named. foreign says of entries
-	// why they name no worker.
+	// pools has the pools that configurations, or jobs, have named, foreign the entries that
+	// name no worker.
 	pools   map[string]bool
-	foreign map[string]string
+	foreign presence.Foreign
 	// looks counts the renewals asked for.
 	looks int64
 	// unsettled names workers of earlier holders that have not told what they
@@ -73,7 +75,7 @@
 
 	// advisers are the boxes through which calls for advice are made.
 	advisers *advisers.Advisers[*adviceCall]
-	learned  lessons
+	learned  *learned.Lessons
 	// usage counts what the tasks of each workspace take, shares says which jobs are beyond
 	// a workspace's share, and left what may still run of jobs that had ended under earlier
 	// holders.
@@ -113,9 +115,9 @@
 		core: c, epoch: epoch, phase: fencing, since: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*submitted{},
 		workers: map[string]*worker{}, unsettled: map[string]bool{}, docket: blame.NewDocket(),
-		advisers: advisers.New[*adviceCall](c.self.Box), learned: newLessons(), budget: planning.New(), reserved: reservations.New(),
+		advisers: advisers.New[*adviceCall](c.self.Box), learned: learned.NewLessons(), budget: planning.New(), reserved: reservations.New(),
 		usage: workspaces.NewUsage(), shares: workspaces.NewShares(c.settings.Share), left: map[string]resource.Vector{},
-		pools: map[string]bool{}, foreign: map[string]string{},
+		pools: map[string]bool{},
 	}
 	if c.config != nil {
 		h.namePools(*c.config)
--- a/services/dispatch/listing.go
+++ b/services/dispatch/listing.go
@@ -22,7 +22,6 @@
 		h.missingIn(now, l)
 	}
 	for _, o := range l.Present {
-		delete(h.foreign, o.ID)
 		h.workerListed(now, o)
 	}
 	h.noteForeign(l)
@@ -34,24 +33,10 @@
 	h.planDue = true
 }
 
-// foreignMost bounds the entries of other writers that are remembered, so that each is
-// told of once.
-const foreignMost = 1000
-
-// noteForeign tells of entries that name no worker, once for each reason. A worker at work
-// under such a name keeps its tasks and gets no more.
+// noteForeign tells of entries that name no worker. A worker of that name keeps its tasks.
 func (h *holding) noteForeign(l order.Listing) {
-	for _, id := range l.Gone {
-		why, foreign := l.Foreign[id]
-		if !foreign {
-			delete(h.foreign, id)
-			continue
-		}
-		if h.foreign[id] == why || len(h.foreign) >= foreignMost {
-			continue
-		}
-		h.foreign[id] = why
-		h.core.note("an entry names no worker", field("entry", id), field("reason", why), field("known", h.workers[id] != nil))
+	for _, r := range h.foreign.News(l) {
+		h.core.note("an entry names no worker", field("entry", r.Entry), field("reason", r.Why), field("known", h.workers[r.Entry] != nil))
 		h.core.do(exchange.EntryRefused{})
 	}
 }
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -36,8 +36,12 @@
 	for _, u := range state.Unread {
 		h.core.note("a kept record could not be read", field("key", u.Key), field("error", u.Why))
 	}
-	h.foldTimes(state.Times)
-	h.foldCrashes(state.Crashes)
+	if err := h.learned.Resume(state.Times); err != nil {
+		h.core.note("kept run times could not be read", field("error", err.Error()))
+	}
+	if err := h.docket.ResumeRate(state.Crashes); err != nil {
+		h.core.note("the kept rate of crashes could not be read", field("error", err.Error()))
+	}
 	h.foldStarts(state.Starts)
 	for _, k := range state.Jobs {
 		j := h.newJob(now, k.Submission.Submission, k.Accepted, k.Queue)
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -54,7 +54,7 @@
 // whether that gives room for all of them.
 func (h *holding) makeWay(p *pass, r ranked) bool {
 	s := r.step
-	if r.Tier != ranking.OnTime || h.slack(p.now, s) < h.learned.stopTime {
+	if r.Tier != ranking.OnTime || h.slack(p.now, s) < h.learned.StopTime() {
 		return false
 	}
 	open := h.openWorkers(p, r)
@@ -220,5 +220,5 @@
 	if r.step.spec.Gang || !h.uses(mechanism.SparedTasks) {
 		return false
 	}
-	return a.resumed && now.Sub(a.since) < resumedWorks || h.remaining(now, a) < h.learned.stopTime+endsSoon
+	return a.resumed && now.Sub(a.since) < resumedWorks || h.remaining(now, a) < h.learned.StopTime()+endsSoon
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -133,7 +133,7 @@
 		return
 	}
 	ready, due := h.ticketsFor(p.now, r)
-	if ready || due.Sub(p.now) <= h.learned.stopTime+stopLead {
+	if ready || due.Sub(p.now) <= h.learned.StopTime()+stopLead {
 		h.stopVictims(p, s)
 	}
 	if ready && len(res.victims) == 0 && h.isFree(s) {
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -4,52 +4,22 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"time"
 
 	"saddlevane/models/mechanism"
 	"saddlevane/services/kept"
-	"saddlevane/services/learned"
 )
 
-// timesOf returns what is known of a queue's run times.
-func (l *lessons) timesOf(queue string) *learned.RunTimes {
-	r := l.times[queue]
-	if r == nil {
-		r = &learned.RunTimes{}
-		l.times[queue] = r
-	}
-	return r
-}
-
 // keepTimesEvery is the time between two records of what is known of run times.
 const keepTimesEvery = 3 * time.Second
 
 // keepTimes has the log keep what is known of run times, if there is more of it.
 func (h *holding) keepTimes(now time.Time) {
-	if now.Before(h.keepTimesAt) || h.phase != active || !h.learned.changed || h.journal.failing(now) {
+	if now.Before(h.keepTimesAt) || h.phase != active || !h.learned.Changed() || h.journal.failing(now) {
 		return
 	}
 	h.keepTimesAt = now.Add(keepTimesEvery)
-	h.learned.changed = false
-	h.journal.add(kept.Times(h.learned.times))
-}
-
-// foldTimes takes over what an earlier holder knew of run times.
-func (h *holding) foldTimes(value []byte) {
-	if len(value) == 0 {
-		return
-	}
-	times := map[string]*learned.RunTimes{}
-	if err := json.Unmarshal(value, &times); err != nil {
-		h.core.note("kept run times could not be read", field("error", err.Error()))
-		return
-	}
-	for queue, r := range times {
-		if r != nil {
-			h.learned.times[queue] = r
-		}
-	}
+	h.journal.add(kept.Times(h.learned.Times()))
 }
 
 // expect returns how long a step takes: what it took if it is done, else what
@@ -66,7 +36,7 @@
 	if !h.uses(mechanism.LearnedTimes) {
 		return s.spec.Estimate.Duration()
 	}
-	return h.learned.timesOf(s.job.queue).Expect(s.spec.Estimate.Duration())
+	return h.learned.Expect(s.job.queue, s.spec.Estimate.Duration())
 }
 
 // tookUntil notes that a task of a step ends well at now. Only whole runs show
@@ -85,8 +55,7 @@
 	if s.interrupted || s.took == 0 {
 		s.took = 0
 	} else {
-		h.learned.timesOf(s.job.queue).Observe(s.spec.Estimate.Duration(), s.took)
-		h.learned.changed = true
+		h.learned.Took(s.job.queue, s.spec.Estimate.Duration(), s.took)
 	}
 	h.chains(s.instance.steps)
 }
--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -15,7 +15,7 @@
 	if !h.uses(mechanism.SlowWorkers) {
 		return learned.Usual
 	}
-	return w.speed.Among(now, h.learned.fleetSpeed)
+	return w.speed.Among(now, h.learned.FleetSpeed())
 }
 
 // learnSpeed takes how long a task took on its worker. Members of a gang end
@@ -27,5 +27,5 @@
 	}
 	ratio := max(now.Sub(a.since), learned.LeastTime).Seconds() / max(h.expect(s), learned.LeastTime).Seconds()
 	a.worker.speed.Observe(now, ratio)
-	h.learned.fleetSpeed = learned.Fleet(h.learned.fleetSpeed, ratio)
+	h.learned.Worked(ratio)
 }
--- a/services/dispatch/stall.go
+++ b/services/dispatch/stall.go
@@ -9,27 +9,14 @@
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/services/delays"
+	"saddlevane/services/lateness"
 )
 
 // A worker may answer and list its runs as running although they stand still. What a
 // look tells of their progress shows it.
 
-const (
-	// stallShare is the part of the usual time of a step's tasks after which one that
-	// has come no further stands still, beginShare that of one that has shown no progress
-	// at all, and stallLeast the least such time: progress is told in whole percents.
-	stallShare = 0.08
-	beginShare = 0.25
-	stallLeast = 400 * time.Millisecond
-	// stallSteps is for how many times as long as a percent took so far a run may show
-	// no further one: its work may be many times what is usual.
-	stallSteps = 3
-	// resumeTakes is how long a run may take to go on from a checkpoint: of that it
-	// shows no progress.
-	resumeTakes = time.Second
-	// workDone is the progress of a run that is about to end, in percent.
-	workDone = 100
-)
+// workDone is the progress of a run that is about to end, in percent.
+const workDone = 100
 
 // seen takes what a look tells of a run at work.
 func (a *attempt) seen(now time.Time, r order.Running) {
@@ -50,15 +37,10 @@
 
 // stallPatience returns how long a run may show no further progress.
 func (h *holding) stallPatience(a *attempt) time.Duration {
-	usual := float64(max(h.usual(a.step), a.step.spec.Estimate.Duration()))
-	if a.resumed || a.adopted {
-		return max(stallLeast, time.Duration(beginShare*usual)) + resumeTakes
-	}
-	if a.progress == 0 {
-		return max(stallLeast, time.Duration(beginShare*usual))
-	}
-	percentTook := a.progressAt.Sub(a.since) / time.Duration(a.progress)
-	return max(stallLeast, time.Duration(stallShare*usual), stallSteps*percentTook)
+	return lateness.StallPatience(lateness.Work{
+		Usual: max(h.usual(a.step), a.step.spec.Estimate.Duration()), Progress: a.progress, Took: a.progressAt.Sub(a.since),
+		Resumed: a.resumed || a.adopted,
+	})
 }
 
 // moveStalled stops the runs on a worker that stand still, so that their tasks start
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -20,16 +19,6 @@
 // judged by package blame and kept in the log. They are tried apart from each other.
 
 const (
-	// atRiskShare is one over the share of the workers that may be expected to crash at a
-	// time under suspects, and atRiskLeast how many may be in a small cell, and under the
-	// tasks of one job: those that were beside each other when a worker crashed can be
-	// tried at once, since one of them at most is guilty of it.
-	atRiskShare = 16
-	atRiskLeast = 1.0
-	// trialShare is one over the share of the workers that get nothing else for a trial at a
-	// time: without the bound tasks beside a guilty one, each a little likely, took six of
-	// six workers for it, and jobs waited for room for 9 s.
-	trialShare = 12
 	// calmBefore is for how long a worker starts nothing before a likely suspect begins
 	// there, and trialFor for how long after it.
 	calmBefore = time.Second
@@ -142,19 +131,6 @@
 	h.journal.add(kept.Crashes(h.docket.Learned()))
 }
 
-// foldCrashes takes over how often workers crash by themselves.
-func (h *holding) foldCrashes(value []byte) {
-	if len(value) == 0 {
-		return
-	}
-	var l blame.Learned
-	if err := json.Unmarshal(value, &l); err != nil {
-		h.core.note("the kept rate of crashes could not be read", field("error", err.Error()))
-		return
-	}
-	h.docket.Background.Resume(l)
-}
-
 // verdicts gives up the jobs of tasks that are found guilty.
 func (h *holding) verdicts(now time.Time) {
 	for _, t := range h.docket.Verdicts(now) {
@@ -279,7 +255,7 @@
 			kept++
 		}
 	}
-	return kept < max(1, len(h.workers)/trialShare) || h.preparedFor(s, index) != nil
+	return blame.MayKeep(kept, len(h.workers)) || h.preparedFor(s, index) != nil
 }
 
 // trialPlace returns a worker for a suspect, or nil: one without another suspect. For one
@@ -357,8 +333,7 @@
 	}
 	risk := blame.Probability(b)
 	all, ofJob := h.atRisk(s.job)
-	most := max(atRiskLeast, float64(len(h.workers))/atRiskShare)
-	return (all == 0 || all+risk <= most) && (ofJob == 0 || ofJob+risk <= atRiskLeast)
+	return blame.MayRisk(risk, all, ofJob, len(h.workers))
 }
 
 // atRisk returns how many workers are expected to crash under the suspects on them, all
--- a/services/recent/recent.go
+++ b/services/recent/recent.go
@@ -140,8 +140,11 @@
 // On returns the tasks that were started last on a worker.
 func (t Told) On(worker string) []Start { return t.on[worker] }
 
-// Workers counts the workers on which tasks of a step were started.
-func (t Told) Workers(step job.StepID) int {
+// Workers counts the workers on which a task of a step was started, or its gang.
+func (t Told) Workers(step job.StepID, gang bool) int {
+	if !gang {
+		return 1
+	}
 	n := 0
 	for _, starts := range t.on {
 		if slices.ContainsFunc(starts, func(s Start) bool { return s.Task.StepID == step }) {
--- a/services/recent/recent_test.go
+++ b/services/recent/recent_test.go
@@ -53,7 +53,7 @@
 	assert.Equal(t, len(unread), 2)
 	assert.DeepEqual(t, told.On("w1"), []recent.Start{start("b", 3, "w1")})
 	assert.DeepEqual(t, told.On("w2"), []recent.Start{start("a", 7, "w2")})
-	assert.Equal(t, told.Workers(job.StepID{Job: "a"}), 1)
+	assert.Equal(t, told.Workers(job.StepID{Job: "a"}, true), 1)
 	told.Forget("w2")
 	assert.Equal(t, len(told.On("w2")), 0)
 }
