blame: the first crash under a task is weighed at once, not point by point

A rack of 48 workers with 40 tasks each took 181 ms of a busy machine to judge, 29 ms now (BenchmarkARackThatCrashes, the same minute): on a fifth of a core a holder would have stood still for most of a second while its callers wait. Each point says the same of a first crash, so the sum has a closed form.

--- /dev/null
+++ b/services/blame/bench_test.go
@@ -0,0 +1,30 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package blame_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/services/blame"
+)
+
+// BenchmarkARackThatCrashes measures what a holder takes to judge the crash of 48 workers with
+// 40 tasks each, under which nothing has crashed before.
+func BenchmarkARackThatCrashes(b *testing.B) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for b.Loop() {
+		d := blame.NewDocket()
+		d.Saw(now, map[string]int{"r": 48})
+		for worker := range 48 {
+			var on []blame.On
+			for i := range 40 {
+				task := job.TaskID{StepID: job.StepID{Job: "j", Step: worker}, Index: i}
+				on = append(on, blame.On{Task: task, Run: 1, Worked: time.Duration(i) * 100 * time.Millisecond})
+			}
+			d.Crashed(now, blame.Crash{Worker: "w", Rack: "r", At: now, Heard: true, On: on})
+		}
+	}
+}
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -159,8 +159,8 @@
 	caused := make([]float64, len(suspects))
 	all := 0.0
 	for i, s := range suspects {
-		before := believe(s.Before.Seen, 0)
-		caused[i] = before.guilt() * before.hazard(s.crash())
+		odds := oddsOf(s.Before.Seen, 0)
+		caused[i] = odds / (1 + odds) * hazardOf(s.Before.Seen, s.crash())
 		all += caused[i]
 	}
 	judged := make([]job.Blame, len(suspects))
@@ -195,7 +195,7 @@
 // fault of its tasks by what is known now, a second.
 func Again(b job.Blame, rate float64) job.Blame {
 	if len(b.Seen) > 0 {
-		b.Odds = believe(b.Seen, rate).odds()
+		b.Odds = oddsOf(b.Seen, rate)
 	}
 	return b
 }
--- a/services/blame/evidence.go
+++ b/services/blame/evidence.go
@@ -79,6 +79,33 @@
 	ever float64
 }
 
+// oddsOf returns how much likelier it is than not that a task is guilty under which there were
+// some crashes. Rate is how often a worker crashes by no fault of its tasks by what is known
+// now, a second.
+func oddsOf(crashes []job.Crash, rate float64) float64 {
+	if len(crashes) == 0 {
+		return priorOdds
+	}
+	if c := crashes[0]; len(crashes) == 1 && c.Time == job.Exact {
+		return min(mostOdds, priorOdds*(1+firstHazard(c)/(c.Others+max(c.Itself, rate))))
+	}
+	return believe(crashes, rate).odds()
+}
+
+// hazardOf returns the hazard, a second, of one more crash by a task if it is guilty.
+func hazardOf(before []job.Crash, c job.Crash) float64 {
+	if len(before) == 0 && c.Time == job.Exact {
+		return firstHazard(c)
+	}
+	return believe(before, 0).hazard(c)
+}
+
+// firstHazard returns the hazard, a second, of the first crash under a task: each point says
+// the same of it. A rack of 48 workers with 40 tasks each is judged in a sixth of the time that
+// it takes point by point (BenchmarkARackThatCrashes: 181 ms and 29 ms, beside other load), so
+// that a holder on a fifth of a core stands still for less.
+func firstHazard(c job.Crash) float64 { return perWorker(c, hazard(c.Worked.Duration())) }
+
 // believe weighs crashes. Rate is how often a worker crashes by no fault of its tasks by
 // what is known now, a second: the first crashes in a cell, or under a holder, are judged
 // while little is known of it.
@@ -115,9 +142,6 @@
 	return min(mostOdds, sum)
 }
 
-// guilt returns how likely it is that the task crashes its workers.
-func (b belief) guilt() float64 { return b.odds() / (1 + b.odds()) }
-
 // hazard returns the hazard, a second, of one more crash if the task is guilty.
 func (b belief) hazard(c job.Crash) float64 {
 	sum, all := b.ever*hazard(c.Worked.Duration()), b.ever
