planning: a pause in a plan does not put off the next one

Cause: the next plan waits for four times as long as the last one took by the clock, and a pause that falls into a plan counted as the plan's (longest_plan=1.01 s, of which 0.97 s were the pause). Ruled out by the lines: a lost authority (60 jobs were accepted meanwhile), a log that keeps nothing (0.34 s only).

Mend: a plan counts at most twice as long as the one before, or 40 ms; plans that all take long count whole from the fifth on. It holds for any pause or wait for a processor, since it goes by the plans before.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -175,7 +175,7 @@
 // decided delays the next plan by what the last one took.
 func (c *Core) decided(now time.Time, took time.Duration) {
 	if h := c.holding; h != nil {
-		h.planAt = maxTime(h.planAt, now.Add(h.budget.Took(took)))
+		h.planAt = maxTime(h.planAt, now.Add(h.budget.Took(h.planned.Counts(took))))
 	}
 }
 
--- a/services/dispatch/holding.go
+++ b/services/dispatch/holding.go
@@ -94,8 +94,9 @@
 	planDue bool
 	// passes counts the plans made.
 	passes int
-	// budget bounds what plans may take.
-	budget planning.Budget
+	// budget bounds what plans may take, planned tells how long they took.
+	budget  planning.Budget
+	planned planning.Meter
 	// isRoomy says whether much of the workers' room was free at the last sweep.
 	isRoomy bool
 	// capacity is what the workers that took tasks at the last sweep have.
--- a/services/planning/budget.go
+++ b/services/planning/budget.go
@@ -27,8 +27,23 @@
 	wholeLate = 40
 	// grows is by how much the bound on misses grows with each plan that was short.
 	grows = 1.25
+	// outlier is how many times as long as the one before a plan counts at most.
+	outlier = 2
 )
 
+// Meter tells how much of the time for which plans took was their own. A process that is
+// paused, or waits for a processor, does so in the middle of a plan as well as elsewhere: with
+// a pause of 1 s counted whole, nothing was placed for another 4 s while all workers stood
+// idle. A plan that takes long because there is much to plan is followed by others that do:
+// on a box where each takes 0.5 s, the fifth counts whole. The zero value has seen none.
+type Meter struct{ last time.Duration }
+
+// Counts takes how long a plan took, and returns how much of it counts.
+func (m *Meter) Counts(took time.Duration) time.Duration {
+	m.last = min(took, outlier*max(m.last, longest))
+	return m.last
+}
+
 // Budget is what the next plan may take.
 type Budget struct{ misses float64 }
 
--- a/services/planning/budget_test.go
+++ b/services/planning/budget_test.go
@@ -52,3 +52,17 @@
 	b.Took(time.Second)
 	assert.Equal(t, count(), 10)
 }
+
+func TestAPauseInAPlanDoesNotCount(t *testing.T) {
+	var m planning.Meter
+	assert.Equal(t, m.Counts(5*ms), 5*ms)
+	assert.Equal(t, m.Counts(time.Second), 40*ms, "it is far longer than the one before")
+	assert.Equal(t, m.Counts(5*ms), 5*ms)
+}
+
+func TestPlansThatTakeLongAllTheTimeCountWhole(t *testing.T) {
+	var m planning.Meter
+	for _, counts := range []time.Duration{40 * ms, 80 * ms, 160 * ms, 320 * ms, 500 * ms, 500 * ms} {
+		assert.Equal(t, m.Counts(500*ms), counts)
+	}
+}
