--- a/services/dispatch/crashcases_test.go
+++ b/services/dispatch/crashcases_test.go
@@ -231,3 +231,36 @@
 		w.check()
 	}
 }
+
+// A member of a gang crashed its worker within 14 ms, before all members had begun, and the
+// worker stayed away for 2 s. The other members waited for it at their workers meanwhile, which
+// named them as running, and what was held against the gang after two crashes was dropped:
+//
+//	 9.544 a worker crashed under a task task=guilty1.0.0.0 crashes=2 odds=438
+//	10.059 w13-2 crashes under guilty1.0.0.3
+//	12.194 the gang is acquitted, by member 4 on another worker
+//	14.113 a worker crashed under a task task=guilty1.0.0.0 crashes=1 odds=0.12
+//	19.351 a sixth worker crashes
+//
+// The cause: one member that had been on its worker for 2 s cleared the whole gang, whatever was
+// known of the others.
+func TestAGangIsNotClearedByTheMembersThatAreLeft(t *testing.T) {
+	w := crashWorld(t, 1, 24)
+	s := oneStep("guilty", "quick", 4, true)
+	s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor, Memory: resource.GiB}
+	a := w.submit(s)
+	w.blames(a, 0, 3, 0)
+	w.guiltyBegins = func() { w.after(20*time.Millisecond, w.hideCrashed) }
+	w.until(90*time.Second, "the job is given up", func() bool { w.states(); return a.state == job.Failed })
+	w.check()
+}
+
+// hideCrashed has the workers that have crashed answer nobody for 3 s.
+func (w *world) hideCrashed() {
+	for _, f := range w.workers {
+		if !f.alive {
+			f.cut = true
+			w.after(3*time.Second, func() { f.cut = false })
+		}
+	}
+}
