blame: a gang is cleared only while all its members are known to be at work

Callers saw six workers lost to one gang that crashes them (rates, beside four troubles).

Cause: a run at work for long clears its task, and for a gang one member did, whatever was known of the others. Those left wait for the member that has crashed its worker, are named as running meanwhile, and a silent worker is known to have crashed only seconds later: at 12.19 s the log was told to forget two crashes (odds 438). Ruled out by the records: that the charges were lost with the holder, or that a run ended well.

Mend: the time that clears a gang is that for which all members have been at work on workers heard since.

--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -167,7 +167,7 @@
 // worksOn takes that an attempt is at work on a worker that lives.
 func (h *holding) worksOn(now time.Time, a *attempt) {
 	worked := now.Sub(a.since)
-	if b := h.blameOf(a.step, a.index); b.Crashes > 0 && blame.Cleared(b, worked) {
+	if b := h.blameOf(a.step, a.index); b.Crashes > 0 && blame.Cleared(b, min(worked, a.wholeFor())) {
 		h.acquit(a.step, a.index)
 	}
 	if a.trial && worked > trialFor {
@@ -185,6 +185,24 @@
 	return true
 }
 
+// wholeFor returns for how long all members of an attempt's gang have surely been at work: those
+// that are left wait for a member that has crashed its worker, and are named as running. They
+// cleared a gang which crashed its workers, and it took a sixth.
+func (a *attempt) wholeFor() time.Duration {
+	least := a.worker.aliveAt.Sub(a.since)
+	if !a.step.spec.Gang {
+		return least
+	}
+	for i := range a.step.tasks {
+		m := a.step.tasks[i].attempt
+		if m == nil || m.state != running {
+			return 0
+		}
+		least = min(least, m.worker.aliveAt.Sub(m.since))
+	}
+	return least
+}
+
 // enterTrial notes on its worker, and for the next holder, that an attempt is of a
 // suspect.
 func (h *holding) enterTrial(now time.Time, a *attempt) {
