--- a/models/job/job.go
+++ b/models/job/job.go
@@ -80,6 +80,14 @@
 	AwayMost int `json:"away_most,omitempty"`
 }
 
+// Least returns what a step takes at least once any of it runs.
+func (s *Step) Least() resource.Vector {
+	if s.Gang {
+		return s.Need.Times(s.Tasks)
+	}
+	return s.Need
+}
+
 // Reserved returns what a task of the step takes of its worker's capacity.
 func (s *Step) Reserved() resource.Vector {
 	if s.Filler {
--- a/services/dispatch/ask.go
+++ b/services/dispatch/ask.go
@@ -25,14 +25,6 @@
 	// roomAsk bounds the workers that a step is asked about at a time because they
 	// have room.
 	roomAsk = 60
-	// callMost bounds the workers named in one call. A gang may have several calls
-	// under way.
-	callMost = 64
-	// leastAsk is how many workers a call names at least, if there are so many.
-	leastAsk = 4
-	// namesShare is what more names may add to the time of a call, as a share of its
-	// fixed part.
-	namesShare = 0.25
 	// askSpare is for how many times the waiting tasks workers are named.
 	askSpare = 1.5
 	// leastRoom is the room, in tasks, that a named worker counts for which has none
@@ -174,7 +166,7 @@
 		return false
 	}
 	asked := false
-	for chunk := range slices.Chunk(workers, callMost) {
+	for chunk := range slices.Chunk(workers, advisers.NamesMost) {
 		if h.ask(now, s, r.queue.Advice, chunk) == nil {
 			break
 		}
@@ -193,7 +185,7 @@
 		return false
 	}
 	missing := askSpare * float64(s.waiting) / h.learned.GoodShare(r.queue.Name)
-	least := namedAtLeast(r.queue.Advice)
+	least := advisers.NamesAtLeast(r.queue.Advice)
 	var named []*worker
 	for w, room := range s.shuffled(candidates) {
 		if len(named) == roomAsk || len(named) >= least && missing <= 0 {
@@ -205,16 +197,6 @@
 	return h.askAbout(now, r, named)
 }
 
-// namedAtLeast returns how many workers a call names at least, if there are so many:
-// what they add to the time of the call is small beside its fixed part, and a second
-// call would take that again.
-func namedAtLeast(q *job.Advice) int {
-	if q.Each <= 0 {
-		return callMost
-	}
-	return min(callMost, max(leastAsk, int(namesShare*float64(q.Base)/float64(q.Each))))
-}
-
 // askMore asks about those of some workers that have room now. It returns false if
 // no call was made.
 func (h *holding) askMore(now time.Time, r ranked, workers []*worker) bool {
--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -25,7 +25,7 @@
 	}
 	ws := h.core.config.Workspace(sub.Workspace)
 	for i := range sub.Steps {
-		if need := least(&sub.Steps[i]); !workspaces.MayEver(ws, need) {
+		if need := sub.Steps[i].Least(); !workspaces.MayEver(ws, need) {
 			return false, &exchange.Answer{
 				Outcome: exchange.Busy, Reason: fmt.Sprintf("step %d needs %v at a time, and the workspace may have %v", i, need, ws.Most),
 			}
@@ -43,14 +43,6 @@
 	return false, nil
 }
 
-// least returns what a step takes at least once any of it runs.
-func least(s *job.Step) resource.Vector {
-	if s.Gang {
-		return s.Need.Times(s.Tasks)
-	}
-	return s.Need
-}
-
 // mayPlace returns how many of the waiting tasks of a step may be placed that need not be
 // tried apart: no more than its workspace may take.
 func (h *holding) mayPlace(s *step) int { return min(h.toPlace(s), h.capRoom(s)) }
--- a/services/dispatch/choice.go
+++ b/services/dispatch/choice.go
@@ -95,6 +95,6 @@
 	}
 	each := float64(max(1, s.slotsOfEmpty(h.largestCapacity()))) * good
 	unknown := s.roomiest(candidates)
-	wanted := max(namedAtLeast(r.queue.Advice), int(math.Ceil(missing/each)))
+	wanted := max(advisers.NamesAtLeast(r.queue.Advice), int(math.Ceil(missing/each)))
 	h.askAbout(now, r, unknown[:min(len(unknown), wanted)])
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -241,7 +241,7 @@
 // must hold at one time, and a call takes about as long as one holds.
 func (h *holding) notAwaited(now time.Time, r ranked, asked int) []*worker {
 	s := r.step
-	takes := r.queue.Advice.Base + time.Duration(min(asked, callMost))*r.queue.Advice.Each
+	takes := r.queue.Advice.Base + time.Duration(min(asked, advisers.NamesMost))*r.queue.Advice.Each
 	_, stale := s.ticketed(now.Add(takes+advisers.Queue+ticketMargin), s.reservation.shares)
 	var missing []*worker
 	for _, sh := range stale {
@@ -258,7 +258,7 @@
 	if now.Before(r.step.advice.askAgain) {
 		return true
 	}
-	calls := (len(workers) + callMost - 1) / callMost
+	calls := (len(workers) + advisers.NamesMost - 1) / advisers.NamesMost
 	for chunk := range slices.Chunk(workers, (len(workers)+calls-1)/calls) {
 		if h.ask(now, r.step, r.queue.Advice, chunk) == nil {
 			return false
