relay: a relay is excluded also if the call's deadline ends the wait for its answer

Cause: without a shorter limit an order is overdue when the deadline of its call passes, so that the timer and the context end together; where the context was seen first, sendViaRelay returned without handleOverdue. Ruled out: the selector (it excludes whenever it is told). Before: TestRelayIsExcludedAtTheDeadlineOfTheCall, which has the deadline pass first, fails each time.

--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -126,14 +127,19 @@
 	}
 	timer := time.NewTimer(overdue)
 	defer timer.Stop()
+	isOverdue := false
 	for {
 		select {
 		case result := <-p.done:
 			return c.handleResult(o, result)
 		case <-timer.C:
+			isOverdue = true
 			c.handleOverdue(o.Worker.Name, box.Box, sentAt)
 			continue
 		case <-ctx.Done():
+			if !isOverdue && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				c.handleOverdue(o.Worker.Name, box.Box, sentAt)
+			}
 		case <-c.ctx.Done():
 		}
 		c.removePending(o.ID)
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/modules/httpclient"
 	"saddlevane/services/relay"
 
 	"gotest.tools/v3/assert"
@@ -191,6 +192,18 @@
 	assert.Check(t, !ok)
 }
 
+// The deadline of a call may pass before its answer counts as overdue, or at the same time.
+func TestRelayIsExcludedAtTheDeadlineOfTheCall(t *testing.T) {
+	h := newRelayHarness(t)
+	h.update(func() { h.dropResults = true })
+	ctx, cancel := context.WithTimeout(httpclient.WithOverdueAfter(t.Context(), time.Hour), 100*time.Millisecond)
+	defer cancel()
+	answer := h.client.WorkerCalls().Start(ctx, "address", order.Incarnation{Name: "w-b-000"}, order.Start{Run: run(1), LeaseEnd: 9, Fence: 4})
+	assert.Equal(t, answer.Outcome, order.Unknown)
+	_, ok := h.selector.Pick(time.Now(), "w-b-000")
+	assert.Check(t, !ok)
+}
+
 // A relay that was paused must not send orders that the holder has already given up.
 func TestExpiredOrderIsNotSentToWorker(t *testing.T) {
 	var pause atomic.Int64
