--- a/cmd/saddlevane-bench/capacity.go
+++ b/cmd/saddlevane-bench/capacity.go
@@ -93,11 +93,10 @@
 	secondsPerDay       = 86_400
 	// sizeObjects is the number of jobs, gangs and services in force at a time, assumed to
 	// be a tenth of the 100,000 jobs of a day.
-	sizeObjects  = 10_000
-	nodeCores    = 0.012
-	nodeMemory   = 256.0
-	nodeTraffic  = 10.0
-	appendBudget = 100.0
+	sizeObjects = 10_000
+	nodeCores   = 0.012
+	nodeMemory  = 256.0
+	nodeTraffic = 10.0
 )
 
 // roleCost is the cost of one of the scheduler's roles in a domain.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -295,7 +295,7 @@
 	w.renewAt = now
 	if w.reportedEnds.HasPending() {
 		w.renewAt = now.Add(minRenewIntervalAfterEnds)
-		if w.reportedEnds.IsLastUnlogged() {
+		if w.reportedEnds.HasUnlogged() {
 			w.renewAt = now.Add(renewDelayWhileUnlogged)
 		}
 		return
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -53,8 +53,8 @@
 	// minRenewIntervalAfterEnds is the minimum time between two renewals at a worker that
 	// reported ends, so that one answer reports several ends.
 	minRenewIntervalAfterEnds = 20 * time.Millisecond
-	// renewDelayWhileUnlogged is the time until the next renewal of a worker whose last reported
-	// end is not in the log yet.
+	// renewDelayWhileUnlogged is the time until the next renewal of a worker some of whose reported
+	// ends are not in the log yet.
 	renewDelayWhileUnlogged = 400 * time.Millisecond
 	// noHolderRetryAfter is the retry time that callers get from a box that does not hold the
 	// cell.
--- a/services/endreports/tracker.go
+++ b/services/endreports/tracker.go
@@ -7,7 +7,10 @@
 // and may delete it then.
 package endreports
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A task does not end earlier after its start was ordered than minRunTime, or its usual run time
 // divided by minRunTimeDivisor if that is less.
@@ -82,7 +85,8 @@
 // HasPending reports whether there are ends that Acknowledge has not taken as logged yet.
 func (t *Tracker[W]) HasPending() bool { return len(t.pending) > 0 }
 
-// IsLastUnlogged reports whether the last received end is not marked as logged.
-func (t *Tracker[W]) IsLastUnlogged() bool {
-	return t.HasPending() && !t.pending[len(t.pending)-1].logged
+// HasUnlogged reports whether some received end is not marked as logged. Acknowledge takes no end
+// that follows it.
+func (t *Tracker[W]) HasUnlogged() bool {
+	return slices.ContainsFunc(t.pending, func(r *Report[W]) bool { return !r.logged })
 }
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -62,7 +62,7 @@
 	nextAt time.Time
 	// lastFailure is the reason why the last append failed, or "".
 	lastFailure string
-	// failures is the number of answered appends of current.
+	// failures is the number of failed appends of current.
 	failures int
 }
 
@@ -139,8 +139,9 @@
 	// The delay grows, so that a recovering log does not receive the retries of all
 	// processes at once.
 	wait := j.settings.RetryAfter << min(j.failures, maxBackoffDoublings)
-	j.failures++
-	if e.Failure == "" {
+	if e.Failure != "" {
+		j.failures++
+	} else {
 		// The envelope is in the log. If it is not read back within this time, it is
 		// appended again, which has no effect on the state because the ID is the same.
 		wait = readBackTimeout
--- a/services/journal/journal_test.go
+++ b/services/journal/journal_test.go
@@ -48,6 +48,22 @@
 	assert.Equal(t, len(next.Entries), 1)
 }
 
+// An append that succeeded is repeated if it is not read back. Such appends are no failures, so a later
+// failure is retried after the first delay.
+func TestAppendsThatAreNotReadBackDoNotCountAsFailures(t *testing.T) {
+	j := journal.New(journal.Settings{Interval: 100 * time.Millisecond, RetryAfter: time.Second, Limit: 10}, "me")
+	j.Add(mark())
+	now := start
+	for range 3 {
+		e := sentEnvelope(t, j.Tick(now))
+		j.AppendEnded(now, event.AppendEnded{ID: e.ID})
+		now = now.Add(10 * time.Second)
+	}
+	e := sentEnvelope(t, j.Tick(now))
+	j.AppendEnded(now, event.AppendEnded{ID: e.ID, Failure: "lost"})
+	assert.Equal(t, len(j.Tick(now.Add(time.Second))), 1)
+}
+
 func TestFailedAppendsBackOff(t *testing.T) {
 	j := journal.New(journal.Settings{Interval: time.Millisecond, RetryAfter: time.Second, Limit: 10}, "me")
 	j.Add(mark())
