evacuations: operators can have a failure domain evacuated

Change: every box folds the requests by offset with the configuration (package evacuations). Nothing is placed on workers of an evacuated domain, unanswered starts are not repeated there, reservations of gangs there are given up when the request is read; running tasks go on. If the log renews the claim but does not answer reads of the operators' stream for evacuate_within, nothing is started. saddlevanectl evacuate [-withdraw] DOMAIN, PUT and DELETE /v1/evacuations/DOMAIN, cell, job, lines and metrics show it. Records that cannot be read, or that name a domain without workers, are told of once and counted. TestKeyAccessesOnlyJobsOfItsWorkspace: simulated boxes now confirm that their configuration is current, so its callers carry real keys in place of none; all its assertions stay.

--- a/cmd/saddlevane-bench/simcell.go
+++ b/cmd/saddlevane-bench/simcell.go
@@ -28,6 +28,8 @@
 	workerLease    = 6 * time.Second
 	renewWait      = time.Second
 	appendInterval = 12 * time.Millisecond
+	configBound    = 5 * time.Second
+	configReadWait = time.Second
 	rackSize       = 12
 )
 
@@ -118,8 +120,8 @@
 	c.core = dispatch.New(dispatch.Settings{
 		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
 		Lease:     workerLease, RenewWait: renewWait, AppendInterval: appendInterval, EndedRetention: time.Minute, StopGrace: time.Second,
-		OrderTimeout: 300 * time.Millisecond,
-		Disabled:     disabled,
+		OrderTimeout: 300 * time.Millisecond, ConfigPropagation: configBound, EvacuationPropagation: configBound,
+		Disabled: disabled,
 	}, claim.Member{Box: "box-00", Incarnation: "1", Address: "box-00", Size: 1000})
 	c.takeOver()
 	return c
@@ -139,9 +141,16 @@
 	}
 	members[0].Size = 1000
 	c.deliver(exchange.ConfigRead{Config: config}, exchange.MembersRead{Members: members}, exchange.ClaimsRead{First: true})
+	c.readConfig()
 	c.tick()
 }
 
+// readConfig confirms that the configuration is current, and schedules the next read.
+func (c *simCell) readConfig() {
+	c.deliver(exchange.ConfigReadEnded{AskedAt: c.now})
+	c.schedule(configReadWait, c.readConfig)
+}
+
 // tick delivers a tick and schedules the next one.
 func (c *simCell) tick() {
 	c.deliver(exchange.Tick{})
--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -95,6 +95,9 @@
 	for _, a := range all {
 		t.printWorkspaces(a.Answer)
 	}
+	for _, a := range all {
+		t.printEvacuations(a.Answer)
+	}
 }
 
 // printWorkspaces prints the resources that the tasks of each workspace use, and their caps.
--- a/cmd/saddlevanectl/main.go
+++ b/cmd/saddlevanectl/main.go
@@ -97,7 +97,7 @@
 			"3 unknown whether it was applied.\n\nExample:\n  saddlevanectl -address 127.0.0.1:8081 status",
 		Subcommands: []*ffcli.Command{
 			t.validate(), t.publish(), t.get(), t.status(), t.queue(), t.explain(), t.dump(), t.version(),
-			t.submit(), t.job(), t.cancel(), t.cell(), t.trace(), t.losses(),
+			t.submit(), t.job(), t.cancel(), t.cell(), t.evacuate(), t.trace(), t.losses(),
 		},
 		Exec: func(context.Context, []string) error { return usageError("want a command; see --help") },
 	}
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -172,7 +172,7 @@
 			Authority: authority.Settings{RenewInterval: j.RenewInterval, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
 			Lease:     j.WorkerLease(), MaxLease: j.MaxLease, RenewWait: j.RenewWait, AppendInterval: j.AppendInterval,
 			OrderTimeout: j.OrderTimeout, EndedRetention: j.EndedRetention, StopGrace: j.StopGrace,
-			ConfigPropagation: j.ConfigPropagation, ShareWindow: j.ShareWindow, Disabled: disabled,
+			ConfigPropagation: j.ConfigPropagation, EvacuationPropagation: j.EvacuationBound(), ShareWindow: j.ShareWindow, Disabled: disabled,
 		},
 		Tick: jobTick, ReadWait: claimsReadWait, WorkersInterval: workersReadInterval, CallTimeout: logTimeout,
 		Relays:      relay.Limits{MinWorkers: j.MinRelayedWorkers, WorkersPerRelay: j.WorkersPerRelay},
@@ -196,7 +196,7 @@
 	return jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
 		Workers: relay.WorkerCalls{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
-		Advise:  advice.Ask, Config: platform.Config, Listing: platform.Listing,
+		Advise:  advice.Ask, Config: platform.Config, Listing: platform.Listing, Evacuations: platform.Evacuations, EvacuationRecord: platform.EvacuationRecord,
 	}
 }
 
--- a/models/exchange/effects.go
+++ b/models/exchange/effects.go
@@ -210,6 +210,10 @@
 // EntryRefused reports to the metrics that an entry in the list of workers does not describe a worker.
 type EntryRefused struct{}
 
+// Evacuations reports to the metrics how many failure domains are evacuated, and how many requests
+// were read that could not be decoded or that name a domain without workers.
+type Evacuations struct{ InForce, Refused int }
+
 // WorkspaceUsage reports to the metrics what the tasks of each workspace take.
 type WorkspaceUsage struct{ All []job.WorkspaceStatus }
 
@@ -222,6 +226,7 @@
 func (TasksLost) effect()      {}
 func (JobGivenUp) effect()     {}
 func (EntryRefused) effect()   {}
+func (Evacuations) effect()    {}
 func (Append) effect()         {}
 func (LoadJobs) effect()       {}
 func (FollowWorkers) effect()  {}
--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/evacuation"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
@@ -31,10 +32,13 @@
 // ConfigRead is a configuration read from the log.
 type ConfigRead struct{ Config job.Config }
 
-// ConfigReadEnded reports that a read of the configurations, started at AskedAt, has ended. Every
-// configuration that was in force at that time is now known.
+// ConfigReadEnded reports that a read of the configurations, started at AskedAt, has ended. The
+// configuration and the evacuations that were in force at that time are now known.
 type ConfigReadEnded struct{ AskedAt time.Time }
 
+// EvacuationsRead is what a read of the configurations contains about evacuations.
+type EvacuationsRead struct{ Update evacuation.Update }
+
 // ClaimsRead is a part of the stream of claims, the first part if First is set. Next is the offset
 // to read from next.
 type ClaimsRead struct {
@@ -189,6 +193,7 @@
 func (Stop) event()             {}
 func (ConfigRead) event()       {}
 func (ConfigReadEnded) event()  {}
+func (EvacuationsRead) event()  {}
 func (ClaimsRead) event()       {}
 func (MembersRead) event()      {}
 func (WorkersRead) event()      {}
--- a/models/job/explain.go
+++ b/models/job/explain.go
@@ -3,7 +3,10 @@
 
 package job
 
-import "saddlevane/models/resource"
+import (
+	"saddlevane/models/evacuation"
+	"saddlevane/models/resource"
+)
 
 // Explanation reports the state of a job and, for each of its steps, why tasks wait.
 type Explanation struct {
@@ -42,6 +45,8 @@
 	LogAnswers bool     `json:"log_answers"`
 	Config     int64    `json:"config"`
 	Members    []string `json:"members"`
+	// Evacuations lists the failure domains on whose workers no task may be started.
+	Evacuations []evacuation.Status `json:"evacuations,omitempty"`
 	// The fields below are set by the holder only. OpenSteps counts the steps that are not done,
 	// UnsettledWorkers the workers of earlier holders that have not reported their runs yet, and
 	// AppendsFailing is set while appends to the log fail.
@@ -82,4 +87,6 @@
 	FreeProcessors string `json:"free_processors"`
 	Failures       int    `json:"failures,omitempty"`
 	Leaving        bool   `json:"leaving,omitempty"`
+	// Evacuated is set if the worker's failure domain is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -3,7 +3,10 @@
 
 package setting
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Jobs holds the settings for serving jobs that callers submit, on a platform that delivers
 // orders to each worker separately. If it is not enabled, the daemon serves files instead.
@@ -47,6 +50,10 @@
 	// boxes. A box that has not read the log for about this long no longer relies on the keys
 	// and queues it has.
 	ConfigPropagation time.Duration `yaml:"config_within"`
+	// EvacuationPropagation is how long the evacuation of a failure domain may take until it is in
+	// force on all boxes. A holder that has not read the log for about this long, although the log
+	// answers it, starts no tasks. 0 means the value of ConfigPropagation.
+	EvacuationPropagation time.Duration `yaml:"evacuate_within"`
 	// ShareWindow is how long a workspace that submits less than its share may accumulate the
 	// rest.
 	ShareWindow time.Duration `yaml:"share"`
@@ -62,6 +69,11 @@
 // WorkerLease returns the lease that workers are given.
 func (j *Jobs) WorkerLease() time.Duration { return min(j.Lease, j.MaxLease) }
 
+// EvacuationBound returns how long an evacuation may take until it is in force on all boxes.
+func (j *Jobs) EvacuationBound() time.Duration {
+	return cmp.Or(j.EvacuationPropagation, j.ConfigPropagation)
+}
+
 // defaultJobs returns the defaults of Jobs.
 func defaultJobs() Jobs {
 	return Jobs{
@@ -99,5 +111,8 @@
 	checkRange(c, "jobs.peer_timeout", j.PeerTimeout, 10*time.Millisecond, time.Minute)
 	checkRange(c, "jobs.stop_grace", j.StopGrace, 0, time.Minute)
 	checkRange(c, "jobs.config_within", j.ConfigPropagation, 1500*time.Millisecond, time.Hour)
+	if j.EvacuationPropagation != 0 {
+		checkRange(c, "jobs.evacuate_within", j.EvacuationPropagation, 1500*time.Millisecond, time.Hour)
+	}
 	checkRange(c, "jobs.share", j.ShareWindow, 100*time.Millisecond, time.Hour)
 }
--- a/routers/jobs.go
+++ b/routers/jobs.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"saddlevane/models/evacuation"
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/httpjson"
@@ -37,6 +38,8 @@
 	r.GET("/v1/jobs/:id/explain", j.explain)
 	r.GET("/v1/queues/:name", j.countWaitingJobs)
 	r.GET("/v1/cell", j.cellStatus)
+	r.PUT("/v1/evacuations/:domain", j.requestEvacuation)
+	r.DELETE("/v1/evacuations/:domain", j.withdrawEvacuation)
 	r.GET("/v1/version", j.version)
 	r.GET("/healthz", handleHealth)
 	r.GET("/readyz", j.ready)
@@ -97,6 +100,25 @@
 	httpjson.Write(w, http.StatusOK, s)
 }
 
+// requestEvacuation requests that no task is started any more in a failure domain.
+func (j *Jobs) requestEvacuation(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.setEvacuation(w, r, p.ByName("domain"), true)
+}
+
+// withdrawEvacuation withdraws the request to evacuate a failure domain.
+func (j *Jobs) withdrawEvacuation(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	j.setEvacuation(w, r, p.ByName("domain"), false)
+}
+
+// setEvacuation appends to the log whether a failure domain is to be evacuated.
+func (j *Jobs) setEvacuation(w http.ResponseWriter, r *http.Request, domain string, requested bool) {
+	if err := evacuation.CheckDomain(domain); err != nil {
+		httpjson.Error(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	j.writeAnswer(w, j.loop.SetEvacuation(r.Context(), domain, requested))
+}
+
 func (j *Jobs) version(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	httpjson.Write(w, http.StatusOK, version.Current())
 }
--- a/services/dispatch/caps_test.go
+++ b/services/dispatch/caps_test.go
@@ -49,11 +49,15 @@
 // The argument is the processor cap.
 func testCaps(processors int64) []workspace.Workspace {
 	cores := func(n int64) resource.Millis { return resource.Millis(n) * resource.Processor }
-	return []workspace.Workspace{
+	all := []workspace.Workspace{
 		{Name: "small", Weight: 100, Cap: resource.Vector{Processors: cores(processors)}},
 		{Name: "narrow", Weight: 100, Cap: resource.Vector{Memory: resource.Bytes(processors/12) * resource.GiB}},
 		{Name: "free", Weight: 100},
 	}
+	for i := range all {
+		all[i].Keys = []workspace.Digest{workspace.DigestOf(all[i].Name)}
+	}
+	return all
 }
 
 // minCap is the number of processors that the largest gang of the random jobs needs.
@@ -213,7 +217,8 @@
 	w.useWorkspaces()
 	w.waitUntilServing()
 	as := func(name string) *workspace.Caller {
-		return &workspace.Caller{Queue: "quick", Version: w.config.Version, Current: true, Workspace: name}
+		key := workspace.DigestOf(name)
+		return &workspace.Caller{Queue: "quick", Version: w.config.Version, Current: true, Workspace: name, Digest: &key}
 	}
 	s := oneStep("j", "quick", 1, false)
 	s.Steps[0].Estimate = 5000
@@ -266,6 +271,7 @@
 		}
 		w.config = next
 		w.holder().post(exchange.ConfigRead{Config: next})
+		w.configReadsStopped = true
 		w.run(5 * time.Second)
 		if c.holderIsCurrent {
 			w.holder().post(exchange.ConfigReadEnded{AskedAt: w.now})
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -171,7 +171,7 @@
 // entry returns the list entry of a worker.
 func (f *fakeWorker) entry() order.Worker {
 	return order.Worker{
-		Incarnation: f.incarnation, Address: f.name, Pool: pool, Domain: "a", Rack: f.rack, Labels: []string{"a", f.rack},
+		Incarnation: f.incarnation, Address: f.name, Pool: pool, Domain: f.domain, Rack: f.rack, Labels: []string{"a", f.rack},
 		Capacity: f.capacity, Leaving: f.leaving,
 	}
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 //     the log what may run on a worker that does not answer, inheritedstarts restores
 //     the starts that earlier holders ordered;
 //   - suspects runs tasks that are suspected of crashing workers on separate workers;
+//   - evacuation keeps tasks off the failure domains that operators evacuate;
 //   - delay computes what made a job late.
 package dispatch
 
@@ -46,6 +47,7 @@
 	"saddlevane/models/workspace"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/authority"
+	"saddlevane/services/evacuations"
 	"saddlevane/services/workspaces"
 )
 
@@ -57,6 +59,8 @@
 	authority *authority.Authority
 	members   authority.Boxes
 	config    *job.Config
+	// evacuations has the failure domains on whose workers no task may be started.
+	evacuations evacuations.Tracker
 	// configReadAt is when the latest completed read of the configurations was requested.
 	configReadAt time.Time
 	// holding is the holder's state, or nil unless this process holds the cell or is taking
@@ -142,6 +146,8 @@
 		c.beginStop(now)
 	case exchange.ConfigRead:
 		c.handleConfigRead(e.Config)
+	case exchange.EvacuationsRead:
+		c.handleEvacuationsRead(now, e.Update)
 	case exchange.ConfigReadEnded:
 		c.configReadAt = ordered.Later(c.configReadAt, e.AskedAt)
 	case exchange.ClaimsRead:
--- a/services/dispatch/harness_test.go
+++ b/services/dispatch/harness_test.go
@@ -29,6 +29,8 @@
 	now  time.Time
 	// nextOffset is the offset of the next record of the stream of claims.
 	nextOffset int64
+	// configReadsStopped keeps handle from reporting that the configuration is current.
+	configReadsStopped bool
 }
 
 // newHarness returns a harness whose core has its configuration and may claim the cell.
@@ -48,6 +50,9 @@
 // handle advances the time by a millisecond, applies an event and returns its effects.
 func (d *harness) handle(e exchange.Event) []exchange.Effect {
 	d.now = d.now.Add(time.Millisecond)
+	if !d.configReadsStopped {
+		d.core.Handle(d.now, exchange.ConfigReadEnded{AskedAt: d.now})
+	}
 	d.core.Handle(d.now, e)
 	return d.core.Decide(d.now)
 }
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -114,6 +114,8 @@
 	capacity resource.Vector
 	// nextPlanAt is when the next plan may be made.
 	nextPlanAt time.Time
+	// startsWithheld is set while no task is started because the evacuations are not known.
+	startsWithheld bool
 	// nextOverviewAt is when the summary of the cell is next logged.
 	nextOverviewAt time.Time
 	// nextRunTimesAt is when the learned run times are next written to the log.
@@ -211,6 +213,9 @@
 	if h.phase != phaseActive || h.shuttingDown || h.invitePending || !h.planDue || now.Before(h.nextPlanAt) || !h.core.authority.IsHolder(now) {
 		return
 	}
+	if h.withholdStarts(now) {
+		return
+	}
 	h.planDue = false
 	h.nextPlanAt = now.Add(planInterval + time.Duration(len(h.openSteps))*planDelayPerStep)
 	h.plan(now)
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -130,9 +130,7 @@
 	s := r.step
 	res := s.reservation
 	if failure := h.reservationFailure(p.now, s); failure != "" {
-		h.logReservationFailure(p.now, s, failure)
-		h.releaseReservation(p.now, s, failure)
-		s.delayStart(p.now.Add(reserveRetryDelay))
+		h.failReservation(p.now, s, failure)
 		return
 	}
 	ready, due := h.requestTickets(p.now, r)
@@ -149,6 +147,13 @@
 	}
 }
 
+// failReservation releases a reservation whose gang cannot start with it, and delays the gang.
+func (h *holderState) failReservation(now time.Time, s *step, failure reservations.Outcome) {
+	h.logReservationFailure(now, s, failure)
+	h.releaseReservation(now, s, failure)
+	s.delayStart(now.Add(reserveRetryDelay))
+}
+
 // reservationFailure returns why the reservation of a step has failed, or "" if it has not.
 func (h *holderState) reservationFailure(now time.Time, s *step) reservations.Outcome {
 	if !h.isReservationUsable(now, s.reservation, s.spec.Reserved()) {
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -31,6 +31,9 @@
 	// ConfigPropagation is how long a change of the configuration may take until it is in force
 	// everywhere. ShareWindow is how long the unused share of a workspace accumulates.
 	ConfigPropagation, ShareWindow time.Duration
+	// EvacuationPropagation is how long the evacuation of a failure domain may take until it is in
+	// force everywhere.
+	EvacuationPropagation time.Duration
 	// Disabled has the parts of the policy that are switched off.
 	Disabled map[mechanism.Mechanism]bool
 }
@@ -65,7 +68,7 @@
 	// are late, to a third of the lease: after a renewal whose answer is lost there is still
 	// time for another one.
 	leaseWaitDivisor = 3
-	// configMargin is subtracted from ConfigPropagation to get the time for which a configuration
+	// configMargin is subtracted from ConfigPropagation and EvacuationPropagation to get the time for which a configuration
 	// counts as current after it was last read, because a call may be in transit for that long.
 	configMargin = 300 * time.Millisecond
 	// runsPerEpoch is the range of run numbers of each claim. Run numbers start at the epoch
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -22,6 +22,7 @@
 	if c.config != nil {
 		s.Config = c.config.Version
 	}
+	s.Evacuations = c.evacuationStatus()
 	for name := range ordered.Map(c.members) {
 		s.Members = append(s.Members, name)
 	}
@@ -42,7 +43,7 @@
 	for id, w := range ordered.Map(h.workers) {
 		s.Workers = append(s.Workers, job.WorkerStatus{
 			ID: id, Domain: w.Domain, AcceptsTasks: h.isSchedulable(now, w), Tasks: len(w.attempts), FreeProcessors: w.free.Processors.String(),
-			Failures: w.failedRenewals, Leaving: w.Leaving,
+			Failures: w.failedRenewals, Leaving: w.Leaving, Evacuated: h.isEvacuated(w),
 		})
 		capacity = capacity.Plus(w.Capacity)
 		used = used.Plus(w.Capacity.Minus(w.free))
@@ -86,6 +87,8 @@
 	q := h.queueOf(s.job)
 	set := h.workersFor(newPass(now), s, q.Pool)
 	switch {
+	case h.startsWithheld:
+		return "the log has not confirmed for some time which failure domains are evacuated"
 	case h.blame.SuspectCount(s.id) > 0 && h.unsuspectedWaiting(s) <= 0:
 		return h.suspectReason(s)
 	case !s.job.accepted:
@@ -102,17 +105,17 @@
 		return fmt.Sprintf("%d tasks need %v each; tasks of workspace %q use or may use %v of its cap of %v",
 			s.unplacedTasks, s.spec.Need, s.job.workspace, h.usage.Of(s.job.workspace), h.workspaceOf(s.job).Cap)
 	case len(set.workers) == 0:
-		return "no worker of the pool accepts new tasks at present"
+		return "no worker of the pool accepts new tasks at present" + h.evacuatedNote()
 	case !slices.ContainsFunc(set.workers, func(w *worker) bool { return s.spec.Reserved().Fits(w.Capacity) }):
-		return fmt.Sprintf("no worker is large enough for %v", s.spec.Need)
+		return fmt.Sprintf("no worker is large enough for %v%s", s.spec.Need, h.evacuatedNote())
 	case s.advice.hasCalls():
 		return "the advice service has not answered yet"
 	case q.Advice != nil && s.advice.knownCount() == 0:
 		return "the advice service has not been asked about any worker yet"
 	case len(rankedStep{step: s, queue: q}.eligibleWorkers(set)) == 0:
-		return fmt.Sprintf("the advice service allows none of the %d workers it was asked about", s.advice.knownCount())
+		return fmt.Sprintf("the advice service allows none of the %d workers it was asked about%s", s.advice.knownCount(), h.evacuatedNote())
 	default:
 		_, placed := h.fit(now, s, rankedStep{step: s, queue: q}.eligibleWorkers(set))
-		return fmt.Sprintf("%d tasks need %v each, and the workers have room for %d", s.unplacedTasks, s.spec.Need, placed)
+		return fmt.Sprintf("%d tasks need %v each, and the workers have room for %d%s", s.unplacedTasks, s.spec.Need, placed, h.evacuatedNote())
 	}
 }
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -158,7 +158,7 @@
 // isHealthy reports whether new tasks could be started on the worker if it were not kept for a
 // suspect.
 func (h *holderState) isHealthy(now time.Time, w *worker) bool {
-	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
+	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
 		now.Sub(w.answeredAt) < h.core.settings.RenewWait+h.adaptiveTimeout(now, unresponsiveTimeout) && !now.Before(w.excludedUntil) && !(h.isEnabled(mechanism.OverdueStarts) && h.hasOverdueStart(now, w))
 }
 
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -42,7 +42,7 @@
 		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
 		Lease:     lease, RenewWait: time.Second, OrderTimeout: 300 * time.Millisecond, AppendInterval: 12 * time.Millisecond,
 		EndedRetention: 150 * time.Second, StopGrace: 1500 * time.Millisecond,
-		ConfigPropagation: 3 * time.Second, ShareWindow: 5 * time.Second,
+		ConfigPropagation: 3 * time.Second, EvacuationPropagation: evacuationBound, ShareWindow: 5 * time.Second,
 	}
 }
 
@@ -115,6 +115,13 @@
 	starts map[job.TaskID]int
 	trace  []string
 
+	// evacuatedAt has the time at which each evacuated failure domain was requested to be.
+	evacuatedAt map[string]time.Time
+	// configReadsStopped keeps boxes from reading the stream of configurations.
+	configReadsStopped bool
+
+	// pledgesAsked counts the requests for pledges.
+	pledgesAsked int
 	// logDown makes the log reject all reads and appends.
 	logDown bool
 	// dropsJournalAppends makes the log drop appends to the stream of jobs without an answer.
@@ -181,7 +188,7 @@
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: start, startedAt: start,
-		streams: map[stream.Name]*fakeStream{}, config: config(), jobs: map[job.ID]*submittedJob{}, starts: map[job.TaskID]int{},
+		streams: map[stream.Name]*fakeStream{}, evacuatedAt: map[string]time.Time{}, config: config(), jobs: map[job.ID]*submittedJob{}, starts: map[job.TaskID]int{},
 		adviserFreeAt: map[string]time.Time{}, guiltyTasks: map[job.TaskID]time.Duration{}, crashRecords: map[job.TaskID]*crashRecord{},
 	}
 	for _, name := range []stream.Name{stream.Claims, stream.Boxes, stream.Jobs} {
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -29,11 +29,17 @@
 	// logUnreachable disconnects the box from the log, and peersUnreachable from the other boxes.
 	logUnreachable, peersUnreachable bool
 	hasReadClaims                    bool
-	nextClaimOffset                  int64
-	nextMemberOffset                 int64
-	followsWorkers                   bool
-	pendingCalls                     map[exchange.CallID]func(exchange.Answer)
-	lastCall                         exchange.CallID
+	// lastRelayed is set if another box has read the claims that were delivered last.
+	lastRelayed      bool
+	nextClaimOffset  int64
+	nextMemberOffset int64
+	nextConfigOffset int64
+	hasReadConfig    bool
+	// logTroubleAt is when the box last could not reach the log, or was paused.
+	logTroubleAt   time.Time
+	followsWorkers bool
+	pendingCalls   map[exchange.CallID]func(exchange.Answer)
+	lastCall       exchange.CallID
 	// stopped is set when a planned stop is complete.
 	stopped bool
 }
@@ -43,7 +49,8 @@
 	b.incarnation++
 	b.alive, b.hasReadClaims, b.followsWorkers = true, false, false
 	b.pausedUntil = time.Time{}
-	b.nextClaimOffset, b.nextMemberOffset = 0, 0
+	b.nextClaimOffset, b.nextMemberOffset, b.nextConfigOffset, b.hasReadConfig = 0, 0, 0, false
+	b.logTroubleAt = b.w.now
 	b.pendingCalls = map[exchange.CallID]func(exchange.Answer){}
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.incarnation), Domain: "a", Address: b.name, Size: 1 + b.extraSize}
 	s := settings()
@@ -52,6 +59,7 @@
 	b.post(exchange.ConfigRead{Config: b.w.config})
 	b.tick(b.incarnation)
 	b.pollStreams(b.incarnation)
+	b.pollConfig(b.incarnation)
 }
 
 // kill stops the box at once, without a planned stop.
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -217,10 +217,17 @@
 }
 
 // startRun sends a start order to a worker.
-func (w *world) startRun(_ *fakeBox, e exchange.StartRun, respond func(time.Duration, exchange.Event)) {
+func (w *world) startRun(b *fakeBox, e exchange.StartRun, respond func(time.Duration, exchange.Event)) {
 	w.sendOrder(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
 		respond(d, exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
-	}, true, func(f *fakeWorker) order.Answer { return f.start(e.Order) })
+	}, true, func(f *fakeWorker) order.Answer {
+		known := f.runs[e.Order.Run] != nil
+		answer := f.start(e.Order)
+		if !known && f.runs[e.Order.Run] != nil {
+			w.checkEvacuation(b, f, e.Order)
+		}
+		return answer
+	})
 }
 
 // stopRun sends a stop order to a worker.
@@ -444,6 +451,7 @@
 	incarnationCount int
 	bornAt           time.Time
 	listedAt         time.Time
+	domain           string
 	rack             string
 	capacity         resource.Vector
 	alive            bool
@@ -494,7 +502,7 @@
 // newFakeWorker returns a running worker that is listed from the start.
 func newFakeWorker(w *world, name, rack string) *fakeWorker {
 	f := &fakeWorker{
-		w: w, name: name, rack: rack, alive: true, runs: map[order.Run]*fakeRun{}, highestRun: map[job.TaskID]int64{},
+		w: w, name: name, domain: "a", rack: rack, alive: true, runs: map[order.Run]*fakeRun{}, highestRun: map[job.TaskID]int64{},
 		capacity: resource.Vector{Processors: 64 * resource.Processor, Memory: 128 * resource.GiB},
 	}
 	f.beginIncarnation()
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -87,8 +87,8 @@
 	})
 }
 
-// handleConfigPage posts the newest configuration of a page to the reducer.
-func (l *Loop) handleConfigPage(p stream.Page, _ bool) {
+// handleConfigPage posts the newest configuration of a page, and its evacuations, to the reducer.
+func (l *Loop) handleConfigPage(p stream.Page, whole bool) {
 	config, found, err := l.platform.Config(p.Records)
 	if err != nil {
 		l.log.WithError(err).Error("a configuration could not be read")
@@ -96,6 +96,9 @@
 	if found {
 		l.post(exchange.ConfigRead{Config: config})
 	}
+	if whole || len(p.Records) > 0 {
+		l.post(exchange.EvacuationsRead{Update: l.platform.Evacuations(p, whole)})
+	}
 }
 
 // followClaims posts the records of the stream of claims to the reducer, and failures to read it.
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -46,7 +46,7 @@
 			Authority: authority.Settings{RenewInterval: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond},
 			Lease:     2 * time.Second, RenewWait: 200 * time.Millisecond,
 			OrderTimeout: 300 * time.Millisecond, AppendInterval: 2 * time.Millisecond, EndedRetention: time.Minute, StopGrace: 100 * time.Millisecond,
-			ConfigPropagation: 3 * time.Second, ShareWindow: 5 * time.Second,
+			ConfigPropagation: 3 * time.Second, EvacuationPropagation: 3 * time.Second, ShareWindow: 5 * time.Second,
 		},
 		Tick: 10 * time.Millisecond, ReadWait: 200 * time.Millisecond, WorkersInterval: 50 * time.Millisecond,
 		CallTimeout: 300 * time.Millisecond, PeerTimeout: 300 * time.Millisecond,
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"saddlevane/models/claim"
+	"saddlevane/models/evacuation"
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
@@ -42,6 +43,12 @@
 	Advise  func(ctx context.Context, step job.StepID, workers []string) ([]order.Ticket, error)
 	// Config returns the configuration that the records contain, and whether they contain one.
 	Config func(records []stream.Record) (job.Config, bool, error)
+	// Evacuations returns what a page of the stream of configurations contains about evacuations.
+	// complete is set if the page has the newest record of each key.
+	Evacuations func(page stream.Page, complete bool) evacuation.Update
+	// EvacuationRecord returns the record that requests the evacuation of a failure domain, or
+	// withdraws the request.
+	EvacuationRecord func(domain string, requested bool) stream.Record
 	// Listing returns what the records report about workers.
 	Listing func(records []stream.Record) order.Listing
 }
@@ -325,6 +332,8 @@
 		l.metrics.recordOverShare(e.Refused)
 	case exchange.EntryRefused:
 		l.metrics.entriesRefused.Inc()
+	case exchange.Evacuations:
+		l.metrics.recordEvacuations(e)
 	case exchange.JobGivenUp:
 		l.metrics.jobsGivenUp.Inc()
 		l.metrics.crashesBlamed.Add(float64(e.Crashes))
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -53,6 +53,10 @@
 	jobsGivenUp, crashesBlamed prometheus.Counter
 	// entriesRefused counts entries of the list of workers that do not describe a worker.
 	entriesRefused prometheus.Counter
+	// evacuations is the number of failure domains that are evacuated. evacuationsRefused counts the
+	// requests that could not be decoded or that name a domain without workers.
+	evacuations        prometheus.Gauge
+	evacuationsRefused prometheus.Counter
 	// refusedCalls counts calls that this box has refused without forwarding them.
 	refusedCalls *prometheus.CounterVec
 	// workspaces holds the usage and the caps of the workspaces with the largest weights.
@@ -109,7 +113,13 @@
 	m.entriesRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_worker_entries_refused_total", Help: "Entries of the list of workers that name no worker, as they changed.",
 	})
-	m.registry.MustRegister(m.refusedCalls, m.workspaces, m.jobsOverShare, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+	m.evacuations = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "saddlevane_domains_evacuated", Help: "Failure domains on whose workers no task is started, as operators have asked.",
+	})
+	m.evacuationsRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "saddlevane_evacuations_refused_total", Help: "Requests to evacuate a failure domain that cannot be read or that name a domain without workers.",
+	})
+	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
 		m.callsRetried, m.connectionsDiscarded, m.connectionsOpen, m.bytes, m.queueWait, m.passTime, m.overloadRefusals)
 	return m
 }
@@ -145,6 +155,12 @@
 	m.lostWorkTime.WithLabelValues(string(e.Ending)).Add(e.Worked.Seconds())
 }
 
+// recordEvacuations sets the number of evacuated domains and counts refused requests.
+func (m *Metrics) recordEvacuations(e exchange.Evacuations) {
+	m.evacuations.Set(float64(e.InForce))
+	m.evacuationsRefused.Add(float64(e.Refused))
+}
+
 // recordEnd counts a reported end of a run.
 func (m *Metrics) recordEnd(how order.EndStatus) { m.ends.WithLabelValues(string(how)).Inc() }
 
--- a/services/jobrun/silentservices_test.go
+++ b/services/jobrun/silentservices_test.go
@@ -73,7 +73,7 @@
 	p := startBoxVia(t, jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
 		Workers: relay.WorkerCalls{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
-		Config:  platform.Config, Listing: platform.Listing,
+		Config:  platform.Config, Listing: platform.Listing, Evacuations: platform.Evacuations,
 	}, "a", io.Discard, func(address string) string { return address })
 	waitServed(t, p, jobrun.Request{Submit: submission("first")}, "")
 
--- a/tests/memory/memory.go
+++ b/tests/memory/memory.go
@@ -9,8 +9,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 
+	"saddlevane/models/evacuation"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
@@ -60,10 +62,34 @@
 		Advise: func(context.Context, job.StepID, []string) ([]order.Ticket, error) {
 			return nil, nil
 		},
-		Config: p.config, Listing: p.listing,
+		Config: p.config, Listing: p.listing, Evacuations: evacuations, EvacuationRecord: evacuationRecord,
 	}
 }
 
+// evacuationPrefix precedes the failure domain in the key of a request to evacuate it.
+const evacuationPrefix = "evacuate/"
+
+// evacuations returns the evacuations that a page of the stream of configurations contains.
+func evacuations(page stream.Page, complete bool) evacuation.Update {
+	u := evacuation.Update{Complete: complete, Next: page.Next}
+	for _, r := range page.Records {
+		if domain, found := strings.CutPrefix(r.Key, evacuationPrefix); found {
+			u.Changes = append(u.Changes, evacuation.Change{Domain: domain, Requested: !r.IsTombstone(), Offset: r.Offset})
+		}
+	}
+	return u
+}
+
+// evacuationRecord returns the record that requests the evacuation of a domain or withdraws the
+// request.
+func evacuationRecord(domain string, requested bool) stream.Record {
+	r := stream.Record{Key: evacuationPrefix + domain}
+	if requested {
+		r.Value = []byte("{}")
+	}
+	return r
+}
+
 // config returns the configuration in the newest of the records, and whether there is one.
 func (p *Platform) config(records []stream.Record) (job.Config, bool, error) {
 	var c job.Config
