--- a/services/relay/selector.go
+++ b/services/relay/selector.go
@@ -11,6 +11,7 @@
 
 	"saddlevane/models/claim"
 	"saddlevane/models/order"
+	"saddlevane/modules/exclusion"
 	"saddlevane/modules/rendezvous"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,10 +28,9 @@
 }
 
 const (
-	// initialBackoff is how long a box is excluded after it did not answer. The time doubles
-	// with each further failure, up to maxBackoff.
-	initialBackoff = time.Second
-	maxBackoff     = 16 * time.Second
+	// initialExclusion and longestExclusion bound how long a box is excluded after it did not answer.
+	initialExclusion = time.Second
+	longestExclusion = 16 * time.Second
 	// directDuration is how long the holder sends orders directly to a worker after an order
 	// through its relay was not answered, because the relay may be unable to reach it.
 	directDuration = 2 * time.Second
@@ -49,7 +49,7 @@
 	workerDomains map[string]string
 	// workerCounts holds the number of workers by domain.
 	workerCounts map[string]int
-	backoffs     map[string]backoff
+	excluded     *exclusion.List
 	// directUntil holds the time until which a worker's orders are sent directly.
 	directUntil map[string]time.Time
 	// relaysByDomain caches the relays of each domain since relaysChosenAt.
@@ -57,18 +57,12 @@
 	relaysChosenAt time.Time
 }
 
-// backoff is the exclusion of a box that did not answer.
-type backoff struct {
-	until    time.Time
-	duration time.Duration
-}
-
 // NewSelector returns a Selector without boxes or workers. self is the name of this box,
 // which is not used as a relay.
 func NewSelector(l Limits, self string) *Selector {
 	return &Selector{
 		limits: l, self: self, boxes: map[string]claim.Member{}, workerDomains: map[string]string{}, workerCounts: map[string]int{},
-		backoffs: map[string]backoff{}, directUntil: map[string]time.Time{},
+		excluded: exclusion.New(initialExclusion, longestExclusion), directUntil: map[string]time.Time{},
 	}
 }
 
@@ -79,7 +73,7 @@
 	defer s.mu.Unlock()
 	for _, m := range members {
 		s.boxes[m.Box] = m
-		delete(s.backoffs, m.Box)
+		s.excluded.Clear(m.Box)
 	}
 	s.relaysByDomain = nil
 }
@@ -125,8 +119,8 @@
 	return s.boxes[name], name != ""
 }
 
-// relayChoiceTTL is how long the chosen relays of a domain are cached. Boxes whose backoff
-// has ended are used again after that.
+// relayChoiceTTL is how long the chosen relays of a domain are cached. Boxes that are no
+// longer excluded are used again after that.
 const relayChoiceTTL = 100 * time.Millisecond
 
 // relaysOf returns the names of the relays of a domain. The caller holds mu.
@@ -147,7 +141,7 @@
 func (s *Selector) chooseRelays(now time.Time, domain string) []string {
 	var names []string
 	for name, m := range s.boxes {
-		if m.Domain == domain && name != s.self && !now.Before(s.backoffs[name].until) {
+		if m.Domain == domain && name != s.self && !s.excluded.Includes(now, name) {
 			names = append(names, name)
 		}
 	}
@@ -158,26 +152,20 @@
 	return names[:min(need, len(names))]
 }
 
-// RecordBoxFailure records that a box did not answer and excludes it for its backoff time.
-// Failures during that time are ignored: they concern batches that were sent before it.
+// RecordBoxFailure records that a box did not answer and excludes it for a while.
 func (s *Selector) RecordBoxFailure(now time.Time, box string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.backoffs[box]
-	if now.Before(b.until) {
-		return
+	if s.excluded.RecordFailure(now, box) {
+		s.relaysByDomain = nil
 	}
-	b.duration = min(maxBackoff, max(initialBackoff, 2*b.duration))
-	b.until = now.Add(b.duration)
-	s.backoffs[box] = b
-	s.relaysByDomain = nil
 }
 
-// RecordBoxAnswer records that a box has answered and resets its backoff.
+// RecordBoxAnswer records that a box has answered and is no longer excluded.
 func (s *Selector) RecordBoxAnswer(box string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.backoffs, box)
+	s.excluded.Clear(box)
 }
 
 // RecordUnanswered records that a worker did not answer an order through its relay. Its
