logfeed, authority: a few boxes of each failure domain read the log for the others, a few may claim

A holder that the log does not answer went on only while all other boxes promised not to claim, which with 585 never holds. Both rest on who reads the claims, so they change together. Change: the readers of a domain are its largest boxes, 2 and one of 64; the others ask one of them for what it has read and are told how old that is at most (package logfeed); whoever gets no answer reads itself at once. The holder names itself and 8 boxes in its claim, in the log's order; only these claim soon after it falls silent and only their promises are needed; all others wait outsider_claim_after, before which a holder that depends on promises stops. Ruled out: longer waits and rarer renewals (the same limit at three times the size); the holder telling all boxes.

--- a/cmd/saddlevane-bench/simcell.go
+++ b/cmd/saddlevane-bench/simcell.go
@@ -118,7 +118,7 @@
 		c.workers[w.Name] = w
 	}
 	c.core = dispatch.New(dispatch.Settings{
-		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
+		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond, OutsiderClaimAfter: 10 * time.Second},
 		Lease:     workerLease, RenewWait: renewWait, AppendInterval: appendInterval, EndedRetention: time.Minute, StopGrace: time.Second,
 		OrderTimeout: 300 * time.Millisecond, ConfigPropagation: configBound, EvacuationPropagation: configBound,
 		Disabled: disabled,
--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -169,7 +169,7 @@
 	disabled, err := mechanism.Parse(j.Disabled)
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
-			Authority: authority.Settings{RenewInterval: j.RenewInterval, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter},
+			Authority: authority.Settings{RenewInterval: j.RenewInterval, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter, OutsiderClaimAfter: j.OutsiderClaimAfter},
 			Lease:     j.WorkerLease(), MaxLease: j.MaxLease, RenewWait: j.RenewWait, AppendInterval: j.AppendInterval,
 			OrderTimeout: j.OrderTimeout, EndedRetention: j.EndedRetention, StopGrace: j.StopGrace,
 			ConfigPropagation: j.ConfigPropagation, EvacuationPropagation: j.EvacuationBound(), ShareWindow: j.ShareWindow, Disabled: disabled,
--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -45,6 +45,8 @@
 	First   bool
 	Records []stream.Record
 	Next    int64
+	// Relayed is set if another box has read them and passed them on.
+	Relayed bool
 	// Failure says why the read failed, or is empty.
 	Failure string
 }
--- a/models/stream/stream.go
+++ b/models/stream/stream.go
@@ -29,9 +29,9 @@
 
 // Record is one record of a stream. A record without a value deletes its key.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Offset int64  `json:"offset"`
 }
 
 // IsTombstone reports whether the record deletes its key.
--- a/modules/ordered/compare.go
+++ b/modules/ordered/compare.go
@@ -24,3 +24,11 @@
 	}
 	return b
 }
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -31,6 +31,9 @@
 	RenewInterval time.Duration `yaml:"renew"`
 	HoldFor       time.Duration `yaml:"hold_for"`
 	ClaimAfter    time.Duration `yaml:"claim_after"`
+	// OutsiderClaimAfter is the same for boxes that the holder has not named as candidates. A holder
+	// that the log does not answer acts nearly as long while all candidates pledge not to claim.
+	OutsiderClaimAfter time.Duration `yaml:"outsider_claim_after"`
 	// AppendInterval is the minimum time between two appends of the holder.
 	AppendInterval time.Duration `yaml:"gather"`
 	// EndedRetention is how long the final state of a job can be queried.
@@ -78,7 +81,7 @@
 func defaultJobs() Jobs {
 	return Jobs{
 		ReadyAddress: "127.0.0.1:8083", Lease: defaultLease, MaxLease: time.Minute, RenewWait: time.Second,
-		RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
+		RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond, OutsiderClaimAfter: 10 * time.Second,
 		AppendInterval: 12 * time.Millisecond, EndedRetention: 150 * time.Second,
 		MinRelayedWorkers: 100, WorkersPerRelay: 48,
 		OrderTimeout: 300 * time.Millisecond, PeerTimeout: 700 * time.Millisecond, StopGrace: 1500 * time.Millisecond,
@@ -103,6 +106,8 @@
 	checkRange(c, "jobs.renew", j.RenewInterval, 10*time.Millisecond, time.Minute)
 	checkBelow(c, "jobs.renew", j.RenewInterval, "jobs.hold_for", j.HoldFor)
 	checkBelow(c, "jobs.hold_for", j.HoldFor, "jobs.claim_after", j.ClaimAfter)
+	checkRange(c, "jobs.outsider_claim_after", j.OutsiderClaimAfter, 10*time.Millisecond, 10*time.Minute)
+	checkBelow(c, "jobs.claim_after", j.ClaimAfter, "jobs.outsider_claim_after", j.OutsiderClaimAfter)
 	checkRange(c, "jobs.gather", j.AppendInterval, 0, time.Second)
 	checkRange(c, "jobs.keep_ended", j.EndedRetention, time.Second, 24*time.Hour)
 	checkRange(c, "jobs.order_timeout", j.OrderTimeout, 10*time.Millisecond, time.Minute)
--- a/services/authority/authority.go
+++ b/services/authority/authority.go
@@ -14,6 +14,7 @@
 
 	"saddlevane/models/claim"
 	"saddlevane/models/stream"
+	"saddlevane/modules/ordered"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,6 +29,9 @@
 	// ClaimAfter is how long a box must not have read any renewal before it claims. It
 	// exceeds HoldFor by the most that two monotonic clocks may drift apart in that time.
 	ClaimAfter time.Duration
+	// OutsiderClaimAfter is how long a box that the holder has not named as a candidate must not have
+	// read any renewal before it claims.
+	OutsiderClaimAfter time.Duration
 }
 
 // claimKey is the key of all records in the stream of claims.
@@ -48,6 +52,9 @@
 
 	// current is the newest claim or renewal in the part of the stream that was read.
 	current claim.Claim
+	// candidates are the boxes that the newest claim names as candidates, sorted. If there are none,
+	// all boxes are candidates.
+	candidates []string
 	// nextOffset is the offset after the last record that was read.
 	nextOffset int64
 	// loaded is set once the stream was read to its end.
@@ -57,6 +64,8 @@
 	logReachableSince time.Time
 	// logReadAt is when the log last answered a read.
 	logReadAt time.Time
+	// relayed is set if the last part of the stream that was applied was read by another box.
+	relayed bool
 	// claimReadAt is when the last new claim or renewal was read.
 	claimReadAt time.Time
 
@@ -65,6 +74,10 @@
 	// confirmedSentAt is when the last renewal that is known to be in the log was
 	// sent, or the last request that all other boxes answered with a pledge.
 	confirmedSentAt time.Time
+	// loggedSentAt is when the last renewal that is known to be in the log was sent.
+	loggedSentAt time.Time
+	// proposed are the candidates that the next claim or renewal of this process names.
+	proposed []string
 	// invitedEpoch is the epoch whose holder has invited this box to take over, or 0.
 	invitedEpoch int64
 	// pledgedUntil is when this box's pledge to the holder not to claim expires.
@@ -84,20 +97,22 @@
 	claimJitter time.Duration
 	// stopping is set once this process must not claim again.
 	stopping bool
-	// largestSize is the size of the largest known box.
+	// largestSize is the size of the largest known box, boxCount the number of known boxes.
 	largestSize int64
+	boxCount    int
 }
 
-// sentClaim records when a claim or renewal was sent and the offset that it takes
-// in the log if it is appended.
+// sentClaim records when a claim or renewal was sent, the offset that it takes in the log if it is
+// appended, and the candidates that it names.
 type sentClaim struct {
-	sentAt time.Time
-	offset int64
+	sentAt     time.Time
+	offset     int64
+	candidates []string
 }
 
 // pendingAppend is an append that has not been answered yet.
 type pendingAppend struct {
-	claim  claim.Claim
+	claim  record
 	sentAt time.Time
 }
 
@@ -145,7 +160,7 @@
 	}
 	a.logReadAt = now
 	for _, r := range records {
-		var c claim.Claim
+		var c record
 		if r.Key != claimKey || json.Unmarshal(r.Value, &c) != nil || c.Check() != nil || c.Epoch < a.current.Epoch {
 			continue
 		}
@@ -162,16 +177,16 @@
 }
 
 // applyClaim makes a claim that is in the log the current one.
-func (a *Authority) applyClaim(now time.Time, c claim.Claim) {
-	if c != a.current {
+func (a *Authority) applyClaim(now time.Time, c record) {
+	if c.Claim != a.current {
 		// A renewal that is read again, after a log outage, does not show that the
 		// holder is still running.
 		a.claimReadAt = now
 	}
-	a.current = c
+	a.current, a.candidates = c.Claim, c.Candidates
 	own := c.Box == a.self.Box && c.Incarnation == a.self.Incarnation
 	if own && !c.Released {
-		a.confirm(c)
+		a.confirm(c.Claim)
 	}
 }
 
@@ -187,9 +202,8 @@
 		a.pending = nil
 	}
 	a.heldEpoch = c.Epoch
-	if sent.sentAt.After(a.confirmedSentAt) {
-		a.confirmedSentAt = sent.sentAt
-	}
+	a.confirmedSentAt = ordered.Later(a.confirmedSentAt, sent.sentAt)
+	a.loggedSentAt = ordered.Later(a.loggedSentAt, sent.sentAt)
 	for n := range a.unconfirmed {
 		if n <= c.Renewal {
 			delete(a.unconfirmed, n)
@@ -197,15 +211,39 @@
 	}
 }
 
+// SetRelayed records whether the records that are applied next were read by another box.
+func (a *Authority) SetRelayed(relayed bool) { a.relayed = relayed }
+
+// IsRelayed reports whether the last records were read by another box, so that it is not known whether
+// the log answers this process.
+func (a *Authority) IsRelayed() bool { return a.relayed }
+
 // RecordReadFailure records that the log did not answer a read.
 func (a *Authority) RecordReadFailure() { a.logReachableSince = time.Time{} }
 
-// RecordPledges records that every other box has pledged not to claim, in answer to a
-// request sent at sentAt. It extends the authority like a renewal sent at that time.
-func (a *Authority) RecordPledges(sentAt time.Time, epoch int64) {
-	if a.heldEpoch == epoch && sentAt.After(a.confirmedSentAt) {
-		a.confirmedSentAt = sentAt
+// RecordPledges records that every other candidate has pledged not to claim, in answer to a request
+// sent at sentAt. It extends the authority like a renewal sent at that time, but not beyond the time at
+// which a box that is no candidate may claim. areAll means that there are no such boxes.
+func (a *Authority) RecordPledges(sentAt time.Time, epoch int64, areAll bool) {
+	if a.heldEpoch != epoch {
+		return
+	}
+	if !areAll {
+		sentAt = ordered.Earlier(sentAt, a.loggedSentAt.Add(a.outsidersWait()-a.settings.HoldFor))
 	}
+	a.confirmedSentAt = ordered.Later(a.confirmedSentAt, sentAt)
+}
+
+// outsidersWait returns for how long after the last renewal in the log no box claims that is no
+// candidate, on the clock of this process. Clocks drift as in HoldFor and ClaimAfter.
+func (a *Authority) outsidersWait() time.Duration {
+	drift := a.settings.HoldFor.Seconds() / a.settings.ClaimAfter.Seconds()
+	return time.Duration(float64(a.settings.OutsiderClaimAfter) * drift)
+}
+
+// MayAppend reports whether Tick may return a claim or renewal at now.
+func (a *Authority) MayAppend(now time.Time) bool {
+	return a.pending == nil && a.loaded && (a.heldEpoch == 0 && a.mayClaim(now) || a.heldEpoch != 0 && !now.Before(a.nextRenewalAt))
 }
 
 // Tick returns the claim or renewal to append now, or nil if none is due.
@@ -231,11 +269,11 @@
 }
 
 // newClaim returns a claim or renewal of this process under epoch, with the next number.
-func (a *Authority) newClaim(epoch int64) claim.Claim {
+func (a *Authority) newClaim(epoch int64) record {
 	a.lastRenewal++
-	return claim.Claim{
+	return record{Claim: claim.Claim{
 		Epoch: epoch, Box: a.self.Box, Incarnation: a.self.Incarnation, Address: a.self.Address, Renewal: a.lastRenewal,
-	}
+	}, Candidates: a.proposed}
 }
 
 // Release gives up the authority of this process and returns the record to append that
@@ -259,26 +297,26 @@
 // StepDown ends the authority of this process at once, without a record in the log.
 func (a *Authority) StepDown() {
 	a.heldEpoch = 0
-	a.confirmedSentAt = time.Time{}
+	a.confirmedSentAt, a.loggedSentAt = time.Time{}, time.Time{}
 	clear(a.unconfirmed)
 }
 
 // startAppend records an append of a claim as pending and returns it. The log accepts
 // it only if the stream ends where this process has read to, so that no claim of
 // another box can come in between.
-func (a *Authority) startAppend(now time.Time, c claim.Claim) *ClaimAppend {
+func (a *Authority) startAppend(now time.Time, c record) *ClaimAppend {
 	a.pending = &pendingAppend{claim: c, sentAt: now}
 	a.nextRenewalAt = now.Add(a.settings.RenewInterval)
 	if !c.Released {
-		a.unconfirmed[c.Renewal] = sentClaim{sentAt: now, offset: a.nextOffset}
+		a.unconfirmed[c.Renewal] = sentClaim{sentAt: now, offset: a.nextOffset, candidates: c.Candidates}
 	}
 	value, err := json.Marshal(c)
 	if err != nil {
-		// Claim has only string, integer and boolean fields, which always marshal.
+		// A record has only string, integer and boolean fields, which always marshal.
 		panic(err)
 	}
 	end := a.nextOffset
-	return &ClaimAppend{Claim: c, Append: stream.Append{
+	return &ClaimAppend{Claim: c.Claim, Append: stream.Append{
 		Stream: stream.Claims, Records: []stream.Record{{Key: claimKey, Value: value}}, ExpectedEnd: &end,
 	}}
 }
--- a/services/authority/authority_test.go
+++ b/services/authority/authority_test.go
@@ -30,7 +30,7 @@
 // box, the claim, and when it was sent.
 func newClaimingBox(t *testing.T) (*authority.Authority, *authority.ClaimAppend, time.Time) {
 	t.Helper()
-	s := authority.Settings{RenewInterval: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond}
+	s := authority.Settings{RenewInterval: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond, OutsiderClaimAfter: 3 * time.Second}
 	a := authority.New(s, claim.Member{Box: "b", Incarnation: "1", Domain: "a", Address: "b"})
 	now := time.Now()
 	a.ApplyFirst(now, claimRecords(t, claim.Claim{Epoch: formerEpoch, Box: "a", Incarnation: "1", Address: "a", Renewal: 1}), 1)
--- a/services/authority/boxes_test.go
+++ b/services/authority/boxes_test.go
@@ -4,6 +4,8 @@
 package authority_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"saddlevane/models/claim"
@@ -24,3 +26,32 @@
 	assert.DeepEqual(t, boxes.OtherAddresses(box("b", 4)), []string{"at-a", "at-c", "at-d"})
 	assert.Check(t, authority.IsMuchLarger(boxes["b"], box("x", 2)) && !authority.IsMuchLarger(boxes["c"], box("x", 2)))
 }
+
+// The candidates are bounded in number, and spread over domains and sizes.
+func TestCandidatesAreSpreadOverDomainsAndSizes(t *testing.T) {
+	boxes := authority.Boxes{}
+	for i := range 60 {
+		m := claim.Member{Box: fmt.Sprintf("b%02d", i), Domain: fmt.Sprintf("d%d", i%3), Size: 192}
+		if i < 9 {
+			m.Size = 1600
+		}
+		boxes[m.Box] = m
+	}
+	self := boxes["b00"]
+	none := func(string) bool { return false }
+	names := boxes.Candidates(self, none)
+	assert.Equal(t, len(names), authority.MaxCandidates)
+	assert.Assert(t, slices.Contains(names, "b00"))
+	domains, small := map[string]int{}, 0
+	for _, name := range names {
+		domains[boxes[name].Domain]++
+		if boxes[name].Size == 192 {
+			small++
+		}
+	}
+	assert.Equal(t, len(domains), 3)
+	assert.Assert(t, small >= 3, "%d small boxes among %v", small, names)
+	avoided := names[5]
+	assert.Assert(t, !slices.Contains(boxes.Candidates(self, func(box string) bool { return box == avoided }), avoided))
+	assert.DeepEqual(t, authority.Boxes{}.Candidates(self, none), []string{"b00"})
+}
--- a/services/authority/claiming.go
+++ b/services/authority/claiming.go
@@ -27,9 +27,11 @@
 	return a.claimJitter
 }
 
-// SetLargestSize sets the size of the largest known box, in thousandths of a processor.
-// A box of at most half that size waits smallBoxDelay before it claims.
-func (a *Authority) SetLargestSize(size int64) { a.largestSize = size }
+// SetBoxes records the size of the largest known box, in thousandths of a processor, and the number of
+// known boxes. A box of at most half that size waits smallBoxDelay before it claims.
+func (a *Authority) SetBoxes(largestSize int64, count int) {
+	a.largestSize, a.boxCount = largestSize, count
+}
 
 // IsSmall reports whether this box is at most half the size of the largest known box,
 // which should then hold the cell instead.
@@ -52,7 +54,7 @@
 // AcceptInvitation allows this process to claim at once, because the holder under epoch
 // has reported that it stops. It returns false if this process cannot claim.
 func (a *Authority) AcceptInvitation(epoch int64) bool {
-	if a.pending != nil || a.heldEpoch != 0 || a.stopping || a.current.Epoch != epoch || !a.IsLogReachable() {
+	if a.pending != nil || a.heldEpoch != 0 || a.stopping || a.current.Epoch != epoch || !a.IsLogReachable() || a.relayed {
 		return false
 	}
 	a.invitedEpoch = epoch
@@ -62,7 +64,7 @@
 // mayClaim reports whether this process may claim the cell at now: no other box can act
 // under a claim, and the delays that favor other boxes are over.
 func (a *Authority) mayClaim(now time.Time) bool {
-	if a.stopping || a.logReachableSince.IsZero() {
+	if a.stopping || a.logReachableSince.IsZero() || a.relayed {
 		return false
 	}
 	c := a.current
@@ -76,6 +78,9 @@
 		// No box has ever claimed the cell; the wait uses only a quarter of the jitter.
 		return now.Sub(a.logReachableSince) >= a.claimDelay()-a.claimJitter*3/4
 	}
+	if !a.IsCandidate() {
+		return a.mayClaimAsOutsider(now)
+	}
 	if c.Released {
 		ready := !a.IsSmall() || now.Sub(a.claimReadAt) >= smallBoxDelay
 		return c.Incarnation != a.self.Incarnation && (ready || now.Sub(a.claimReadAt) >= maxClaimJitter+a.claimDelay())
@@ -91,6 +96,38 @@
 		now.Sub(a.logReachableSince) >= a.settings.RenewInterval+a.claimDelay()
 }
 
+// mayClaimAsOutsider reports whether this process, which is no candidate, may claim the cell at now.
+// All candidates are lost then, or cannot claim.
+func (a *Authority) mayClaimAsOutsider(now time.Time) bool {
+	due := a.outsiderDue()
+	return !now.Before(due) && (a.current.Released || now.Sub(a.logReachableSince) >= a.settings.RenewInterval+a.claimDelay())
+}
+
+// outsiderDue returns when this process may claim if it reads nothing new and is no candidate. The
+// claims of outsiders are spread over a time that grows with their number, so that only a few read the
+// log at once.
+func (a *Authority) outsiderDue() time.Time {
+	wait := a.settings.OutsiderClaimAfter
+	if a.current.Released {
+		wait = min(wait, a.settings.ClaimAfter)
+	}
+	spread := time.Duration(float64(a.claimJitter) / float64(maxClaimJitter) * float64(a.boxCount) * float64(outsiderSpacing))
+	return a.claimReadAt.Add(wait + a.claimDelay() + spread)
+}
+
+// outsiderSpacing is the mean time between the claims of two outsiders.
+const outsiderSpacing = 5 * time.Millisecond
+
+// MustReadLog reports whether this process has to read the log by itself: it acts under a claim or
+// appends one, or the holder may ask it for a pledge or to take the cell over, or it would claim at now
+// if nothing new is read.
+func (a *Authority) MustReadLog(now time.Time) bool {
+	if !a.loaded || a.heldEpoch != 0 || a.pending != nil || len(a.unconfirmed) > 0 || a.current.Epoch == 0 {
+		return true
+	}
+	return a.IsCandidate() || !now.Before(a.outsiderDue())
+}
+
 // MemberRestarted records that a box has announced a new incarnation, which voids a
 // claim of an earlier incarnation of that box.
 func (a *Authority) MemberRestarted(now time.Time, m claim.Member) {
--- a/services/dispatch/claim.go
+++ b/services/dispatch/claim.go
@@ -12,11 +12,14 @@
 // updateClaim claims the cell, renews the claim, asks the other boxes for pledges or moves
 // the cell to a larger box, whichever is due.
 func (c *Core) updateClaim(now time.Time) {
+	if c.authority.MayAppend(now) {
+		c.authority.Propose(c.candidates(now))
+	}
 	if a := c.authority.Tick(now); a != nil {
 		c.emit(exchange.Append{Purpose: exchange.ForClaim, Number: a.Claim.Renewal, Append: a.Append})
 	}
 	c.askPledges(now)
-	c.moveToLarger(now)
+	c.probeCandidates(now)
 	c.syncWithAuthority(now)
 }
 
@@ -63,6 +66,7 @@
 		c.logRecoveredAt = now
 		c.logEvent("the log answers", logField("next", e.Next))
 	}
+	c.authority.SetRelayed(e.Relayed)
 	if e.First {
 		c.authority.ApplyFirst(now, e.Records, e.Next)
 	} else {
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -7,8 +7,8 @@
 // it receives each event with the current time and returns the effects to carry
 // out. It does no I/O and reads no clock.
 //
-// Core is the state that every process has; the files claim, handover, outage and
-// relocate decide which box holds the cell. holderState (holderstate) is the additional
+// Core is the state that every process has; the files claim, claimants, handover,
+// outage and relocate decide which box holds the cell. holderState (holderstate) is the additional
 // state of the holder, and these files work on it:
 //
 //   - restore rebuilds the state that earlier holders wrote to the log; journal appends
@@ -45,6 +45,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/models/workspace"
+	"saddlevane/modules/exclusion"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/authority"
 	"saddlevane/services/evacuations"
@@ -79,24 +80,27 @@
 	// reported.
 	stopDeadline time.Time
 	stopped      bool
-	// awaitingPledges is set while a request to the other boxes not to claim the cell is
+	// awaitingPledges is set while a request to the other candidates not to claim the cell is
 	// pending; pledgeRetryAt is when the next one may be sent.
 	awaitingPledges bool
 	pledgeRetryAt   time.Time
+	// probedBoxes are the candidates that were asked whether they reach the log and have not answered
+	// yet, probeAt is when they are next asked, and unusableBoxes has those that lately did not.
+	probedBoxes   []claim.Member
+	probeAt       time.Time
+	unusableBoxes *exclusion.List
 	// logRecoveredAt is when the log last became reachable after an outage.
 	logRecoveredAt time.Time
 	// suspendOffset is how far the event times are ahead of the wall clock because the
 	// machine was suspended.
 	suspendOffset time.Duration
-	// moveRetryAt is when a larger box may next be asked to take the cell over.
-	moveRetryAt time.Time
 }
 
 // New returns the state of a process that has just started and announces itself as self.
 func New(s Settings, self claim.Member) *Core {
 	return &Core{
 		settings: s, self: self, authority: authority.New(s.Authority, self),
-		members: authority.Boxes{},
+		members: authority.Boxes{}, unusableBoxes: exclusion.New(initialUnusable, longestUnusable),
 	}
 }
 
@@ -132,6 +136,10 @@
 // IsLogReachable reports whether the log answers this process.
 func (c *Core) IsLogReachable() bool { return c.authority.IsLogReachable() }
 
+// MustReadLog reports whether this process has to read the claims from the log by itself, rather than
+// through another box: it holds the cell or may have to claim it.
+func (c *Core) MustReadLog(now time.Time) bool { return c.authority.MustReadLog(now) }
+
 // LogReadAt returns when the log last answered a read by this process.
 func (c *Core) LogReadAt() time.Time { return c.authority.LogReadAt() }
 
@@ -159,7 +167,7 @@
 	case exchange.PledgeAsked:
 		c.handlePledgeAsked(now, e)
 	case exchange.Pledged:
-		c.handlePledged(e)
+		c.handlePledged(now, e)
 	case exchange.InviteAsked:
 		c.handleInviteAsked(now, e)
 	case exchange.Invited:
--- a/services/dispatch/relocate.go
+++ b/services/dispatch/relocate.go
@@ -11,25 +11,6 @@
 	"saddlevane/services/authority"
 )
 
-// moveInterval is the minimum time between two attempts to move the cell to a larger box.
-const moveInterval = 2 * time.Second
-
-// moveToLarger asks the other boxes whether they can take over the cell, if this box is small and
-// there is a larger one: a small box cannot keep up with many workers.
-func (c *Core) moveToLarger(now time.Time) {
-	h := c.holding
-	if h == nil || h.phase != phaseActive || h.invitePending || h.shuttingDown || c.awaitingPledges || !c.authority.IsSmall() ||
-		now.Before(c.moveRetryAt) {
-		return
-	}
-	c.moveRetryAt = now.Add(moveInterval)
-	if c.members.Largest(c.self).Box == c.self.Box {
-		return
-	}
-	c.awaitingPledges = true
-	c.emit(exchange.AskPledges{Epoch: h.epoch, Addresses: c.members.OtherAddresses(c.self)})
-}
-
 // inviteLargest invites the largest of the given boxes, which can reach the log, to take over the
 // cell if this box cannot reach the log or is much smaller.
 func (c *Core) inviteLargest(reachable []string) {
@@ -78,7 +59,7 @@
 // handleMembersRead updates the known boxes. A box that has restarted can no longer act under a
 // claim of its earlier process.
 func (c *Core) handleMembersRead(now time.Time, members []claim.Member) {
-	defer func() { c.authority.SetLargestSize(c.members.Largest(c.self).Size) }()
+	defer func() { c.authority.SetBoxes(c.members.Largest(c.self).Size, len(c.members)) }()
 	for _, m := range members {
 		if m.Box == c.self.Box && m.Incarnation != c.self.Incarnation && c.announced {
 			// A delayed append of an earlier process of this box has replaced its entry, so the box
@@ -87,6 +68,7 @@
 		}
 		previous, known := c.members[m.Box]
 		c.members[m.Box] = m
+		c.unusableBoxes.Clear(m.Box)
 		if known && previous.Incarnation == c.authority.Current().Incarnation && m.Incarnation != previous.Incarnation {
 			c.authority.MemberRestarted(now, m)
 		}
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -39,7 +39,7 @@
 // settings returns the scheduler settings of the boxes, with intervals short enough for tests.
 func settings() dispatch.Settings {
 	return dispatch.Settings{
-		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond},
+		Authority: authority.Settings{RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond, OutsiderClaimAfter: 10 * time.Second},
 		Lease:     lease, RenewWait: time.Second, OrderTimeout: 300 * time.Millisecond, AppendInterval: 12 * time.Millisecond,
 		EndedRetention: 150 * time.Second, StopGrace: 1500 * time.Millisecond,
 		ConfigPropagation: 3 * time.Second, EvacuationPropagation: evacuationBound, ShareWindow: 5 * time.Second,
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -102,20 +102,32 @@
 		return
 	}
 	b.w.after(30*time.Millisecond, func() { b.pollStreams(incarnation) })
-	if b.w.logDown || b.logUnreachable {
+	relayed := b.hasReadClaims && !b.core.MustReadLog(b.w.now) && b.w.hasReaderFor(b)
+	if b.w.logDown || b.logUnreachable && !relayed {
 		b.deliver(incarnation, exchange.ClaimsRead{Failure: "down"})
 		return
 	}
 	b.readMembers(incarnation)
 	claims := b.w.streams[stream.Claims]
 	next := int64(len(claims.records))
-	if b.hasReadClaims && next == b.nextClaimOffset && b.core.IsLogReachable() {
+	if b.hasReadClaims && next == b.nextClaimOffset && b.core.IsLogReachable() && relayed == b.lastRelayed {
 		return
 	}
 	records := slices.Clone(claims.records[b.nextClaimOffset:])
 	first := !b.hasReadClaims
-	b.nextClaimOffset, b.hasReadClaims = next, true
-	b.w.after(b.w.delay(), func() { b.deliver(incarnation, exchange.ClaimsRead{First: first, Records: records, Next: next}) })
+	b.nextClaimOffset, b.hasReadClaims, b.lastRelayed = next, true, relayed
+	b.w.after(b.w.delay(), func() {
+		b.deliver(incarnation, exchange.ClaimsRead{First: first, Records: records, Next: next, Relayed: relayed})
+	})
+}
+
+// hasReaderFor reports whether a box can read the claims through another box: one that reads the log
+// itself and reaches both the log and the box.
+func (w *world) hasReaderFor(b *fakeBox) bool {
+	return !b.peersUnreachable && slices.ContainsFunc(w.boxes, func(other *fakeBox) bool {
+		return other != b && other.alive && !other.logUnreachable && !other.peersUnreachable && !w.now.Before(other.pausedUntil) &&
+			other.core.MustReadLog(w.now)
+	})
 }
 
 // readMembers delivers the records of boxes that were appended since the last read.
@@ -202,6 +214,7 @@
 	sentAt := w.now
 	pledged := exchange.Pledged{Epoch: e.Epoch, SentAt: sentAt, All: true}
 	remaining := len(e.Addresses)
+	w.pledgesAsked += remaining
 	finish := func() { respond(w.delay(), pledged) }
 	if remaining == 0 {
 		finish()
--- a/services/jobrun/jobrun_test.go
+++ b/services/jobrun/jobrun_test.go
@@ -43,7 +43,7 @@
 func settings() jobrun.Settings {
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
-			Authority: authority.Settings{RenewInterval: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond},
+			Authority: authority.Settings{RenewInterval: 100 * time.Millisecond, HoldFor: 400 * time.Millisecond, ClaimAfter: 500 * time.Millisecond, OutsiderClaimAfter: 3 * time.Second},
 			Lease:     2 * time.Second, RenewWait: 200 * time.Millisecond,
 			OrderTimeout: 300 * time.Millisecond, AppendInterval: 2 * time.Millisecond, EndedRetention: time.Minute, StopGrace: 100 * time.Millisecond,
 			ConfigPropagation: 3 * time.Second, EvacuationPropagation: 3 * time.Second, ShareWindow: 5 * time.Second,
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -19,6 +19,7 @@
 	"saddlevane/models/stream"
 	"saddlevane/modules/clock"
 	"saddlevane/services/dispatch"
+	"saddlevane/services/logfeed"
 	"saddlevane/services/overload"
 	"saddlevane/services/relay"
 
@@ -104,6 +105,10 @@
 	// relays determines which box relays the orders for a worker, relayClient sends them.
 	relays      *relay.Selector
 	relayClient *relay.Client
+	// readers chooses the box through which this one reads the log. windows keep what this box has
+	// read, by stream, for boxes that read through it.
+	readers *logfeed.Selector
+	windows map[stream.Name]*logfeed.Window
 	// workers gives orders to workers, through relays where there are any.
 	workers  relay.WorkerCalls
 	ctx      context.Context
@@ -134,6 +139,8 @@
 	holdsCell          bool
 	// logReadAt is when the log last answered.
 	logReadAt time.Time
+	// mustReadLog is set if this box may not read the log through another one.
+	mustReadLog bool
 	// epoch is the epoch of the claim under which orders may be given until orderUntil.
 	epoch      int64
 	orderUntil time.Time
@@ -147,7 +154,10 @@
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(time.Time, *dispatch.Core)),
 		metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[exchange.CallID]chan exchange.Answer{},
-		relays: relay.NewSelector(s.Relays, self.Box),
+		relays: relay.NewSelector(s.Relays, self.Box), readers: logfeed.NewSelector(self), windows: map[stream.Name]*logfeed.Window{},
+	}
+	for _, name := range []stream.Name{stream.Config, stream.Claims, stream.Boxes} {
+		l.windows[name] = logfeed.NewWindow(l.now)
 	}
 	l.relayClient = relay.NewClient(self, l.now, l.relays, p.Workers, l.batchSender(methodCarry))
 	l.workers = l.relayClient.WorkerCalls()
@@ -276,7 +286,7 @@
 // updateView copies the reducer's state to the view that callers and pending orders read.
 func (l *Loop) updateView(now time.Time) {
 	v := view{config: l.core.Config(), holder: l.core.Holder(), holdsCell: l.core.IsServing(now), logReadAt: l.core.LogReadAt()}
-	v.configCurrentUntil = l.core.ConfigCurrentUntil()
+	v.configCurrentUntil, v.mustReadLog = l.core.ConfigCurrentUntil(), l.core.MustReadLog(now)
 	v.epoch, v.orderUntil = l.core.HoldsUntil()
 	l.mu.Lock()
 	l.view = v
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -29,6 +29,9 @@
 	ends     *prometheus.CounterVec
 	appends  *prometheus.CounterVec
 	logTime  *prometheus.HistogramVec
+	// logReads counts reads of the log, by stream, whether this box has read the log itself or
+	// through another box, and result.
+	logReads *prometheus.CounterVec
 	advice   *prometheus.CounterVec
 	// unanswered counts calls that timed out, by destination.
 	unanswered *prometheus.CounterVec
@@ -79,6 +82,7 @@
 		ends:                 counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
 		appends:              counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
 		logTime:              histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
+		logReads:             counter("log_reads_total", "Reads of the log, by stream, by whether the log or another box was asked, and by result.", "stream", "from", "result"),
 		advice:               counter("advice_calls_total", "Calls for advice, by result.", "result"),
 		unanswered:           counter("calls_unanswered_total", "Calls that ran out of their time, by what was called and whether the connection had carried earlier calls.", "to", "connection"),
 		callsRetried:         counter("calls_made_again_total", "Calls that were made again on a new connection, by what was called and on which connection they were answered.", "to", "answered"),
@@ -119,7 +123,7 @@
 	m.evacuationsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_evacuations_refused_total", Help: "Requests to evacuate a failure domain that cannot be read or that name a domain without workers.",
 	})
-	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.advice, m.unanswered,
+	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.logReads, m.advice, m.unanswered,
 		m.callsRetried, m.connectionsDiscarded, m.connectionsOpen, m.bytes, m.queueWait, m.passTime, m.overloadRefusals)
 	return m
 }
@@ -170,6 +174,21 @@
 	m.logTime.WithLabelValues(string(p)).Observe(took.Seconds())
 }
 
+// The sources of a read, as label values.
+const (
+	readFromLog = "log"
+	readFromBox = "box"
+)
+
+// recordLogRead counts a read of a stream.
+func (m *Metrics) recordLogRead(name stream.Name, from string, err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	m.logReads.WithLabelValues(string(name), from, result).Inc()
+}
+
 // appendResult returns the label value for the result of an append.
 func appendResult(err error) string {
 	_, endMismatch := errors.AsType[*stream.EndMismatchError](err)
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -14,6 +14,7 @@
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/modules/peering"
+	"saddlevane/services/logfeed"
 	"saddlevane/services/relay"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -25,6 +26,7 @@
 	methodAdvise  = "jobs.advise"
 	methodCarry   = "jobs.carry"
 	methodCarried = "jobs.carried"
+	methodFollow  = "jobs.follow"
 )
 
 // Peers is the adapter for other entry boxes: it serves their calls and calls them.
@@ -94,6 +96,12 @@
 			return nil, err
 		}
 		return nil, p.handleBatch(req.Method, b)
+	case methodFollow:
+		var r logfeed.Request
+		if err := decodeParams(req, &r); err != nil {
+			return nil, err
+		}
+		return p.serveFollower(ctx, r)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
 	}
--- a/services/jobrun/silentpeers_test.go
+++ b/services/jobrun/silentpeers_test.go
@@ -151,7 +151,7 @@
 func typicalSettings() jobrun.Settings {
 	s := settings()
 	s.Dispatch.Authority = authority.Settings{
-		RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond,
+		RenewInterval: 400 * time.Millisecond, HoldFor: 1400 * time.Millisecond, ClaimAfter: 1550 * time.Millisecond, OutsiderClaimAfter: 10 * time.Second,
 	}
 	s.PeerTimeout = 700 * time.Millisecond
 	return s
