--- a/services/advicecalls/balancer.go
+++ b/services/advicecalls/balancer.go
@@ -32,6 +32,8 @@
 	// of a call that counts as brief. See reservedBoxes.
 	ShortCall = 150 * time.Millisecond
 	BriefCall = 30 * time.Millisecond
+	// availableFor is how long the list of boxes that may get calls is reused.
+	availableFor = 10 * time.Millisecond
 	// overdueMargin is the delay after which an answer counts as overdue. Its box then gets
 	// no calls, and the call may be repeated through another box.
 	overdueMargin = 250 * time.Millisecond
@@ -54,7 +56,7 @@
 	excludedUntil map[string]time.Time
 	// calls holds the calls in progress by box and number.
 	calls map[string]map[int64]call[C]
-	// available holds the names of the boxes that could get calls at availableAt.
+	// available holds the names of the boxes that could get calls at availableAt, or nil after a change.
 	available   []string
 	availableAt time.Time
 	// lastNumber is the number of the last call.
@@ -84,12 +86,18 @@
 	b.lastNumber++
 	due = b.busyUntil[box]
 	b.calls[box][b.lastNumber] = call[C]{payload: payload, due: due}
+	if len(b.calls[box]) >= maxCallsPerBox {
+		b.available = nil
+	}
 	return b.lastNumber, due
 }
 
 // End removes a call that has ended, and returns its data and whether the call was in progress.
 func (b *Balancer[C]) End(box string, number int64) (payload C, known bool) {
 	c, known := b.calls[box][number]
+	if len(b.calls[box]) >= maxCallsPerBox {
+		b.available = nil
+	}
 	delete(b.calls[box], number)
 	return c.payload, known
 }
@@ -120,6 +128,7 @@
 func (b *Balancer[C]) RecordFailure(now time.Time, box string) {
 	if box != b.self {
 		b.excludedUntil[box] = now.Add(failureBackoff)
+		b.available = nil
 	}
 }
 
@@ -151,14 +160,18 @@
 		if best == "" || b.freeAt(now, name).Before(b.freeAt(now, best)) {
 			best = name
 		}
+		if b.freeAt(now, best).Equal(now) {
+			break
+		}
 	}
 	return best, b.freeAt(now, best).Sub(now) <= maxWait
 }
 
 // availableBoxes returns the sorted names of the boxes that may get calls, among them the box of
-// this process. The result is cached until now changes.
+// this process. The result is cached for availableFor, or until a box gets or ends a call or fails in
+// such a way that it differs.
 func (b *Balancer[C]) availableBoxes(now time.Time, boxes iter.Seq[string]) []string {
-	if b.available != nil && b.availableAt.Equal(now) {
+	if b.available != nil && now.Sub(b.availableAt) < availableFor {
 		return b.available
 	}
 	names := []string{}
--- a/services/dispatch/advicerequests.go
+++ b/services/dispatch/advicerequests.go
@@ -116,19 +116,19 @@
 	return h.submitPass
 }
 
-// unaskedByFreeCapacity returns the candidates whose suitability for the step is neither known nor
+// unaskedByFreeCapacity returns up to n candidates whose suitability for the step is neither known nor
 // requested, those with the most available processors first.
-func (s *step) unaskedByFreeCapacity(candidates []*worker) []*worker {
-	var all []*worker
-	for _, w := range candidates {
-		if !s.advice.IsKnownOrPending(w) {
-			all = append(all, w)
+func (s *step) unaskedByFreeCapacity(candidates []*worker, n int) []*worker {
+	unasked := func(yield func(*worker) bool) {
+		for _, w := range candidates {
+			if !s.advice.IsKnownOrPending(w) && !yield(w) {
+				return
+			}
 		}
 	}
-	slices.SortFunc(all, func(a, b *worker) int {
+	return ordered.First(unasked, n, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(b.available().Processors, a.available().Processors), cmp.Compare(a.Name, b.Name))
 	})
-	return all
 }
 
 // unaskedRotated yields the candidates whose suitability for the step is neither known nor
--- a/services/dispatch/appended.go
+++ b/services/dispatch/appended.go
@@ -98,6 +98,7 @@
 	}
 	for _, r := range b.workerRecords {
 		r.worker.recorded = r.worker.recorded || r.number == r.worker.recordCount
+		h.refreshHealthOf(now, r.worker.Name)
 	}
 	for _, tj := range b.newJobs {
 		tj.accepted = true
--- a/services/dispatch/candidates.go
+++ b/services/dispatch/candidates.go
@@ -36,17 +36,6 @@
 	return n
 }
 
-// largestCapacity returns the capacity of the worker with the most processors.
-func (h *holderState) largestCapacity() resource.Vector {
-	largest := resource.Vector{}
-	for _, w := range h.workersByName() {
-		if w.Capacity.Processors > largest.Processors {
-			largest = w.Capacity
-		}
-	}
-	return largest
-}
-
 // wantedSlots returns the number of task slots on eligible workers that should be known for a gang.
 func (s *step) wantedSlots(now time.Time, ampleRoom bool) float64 {
 	factor := float64(gangCandidateFactor)
@@ -94,8 +83,7 @@
 		h.requestAdviceForUnplacedTasks(now, r, candidates)
 		return
 	}
-	slotsPerWorker := float64(max(1, s.slotsWhenEmpty(h.largestCapacity()))) * suitableShare
-	unasked := s.unaskedByFreeCapacity(candidates)
+	slotsPerWorker := float64(max(1, s.slotsWhenEmpty(h.largestWorker))) * suitableShare
 	wanted := max(advicecalls.MinWorkersPerCall(r.queue.Advice), int(math.Ceil(missing/slotsPerWorker)))
-	h.requestAdviceOn(now, r, unasked[:min(len(unasked), wanted)])
+	h.requestAdviceOn(now, r, s.unaskedByFreeCapacity(candidates, wanted))
 }
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
@@ -13,12 +14,16 @@
 // workerSetKey identifies the workers that a step may use, without regard to advice.
 type workerSetKey struct{ pool, label string }
 
+// matches reports whether a worker belongs to the pool and has the label.
+func (k workerSetKey) matches(w *worker) bool {
+	return w.Pool == k.pool && (k.label == "" || slices.Contains(w.Labels, k.label))
+}
+
 // workerSet holds the schedulable workers for one key, as they were when the pass first needed
 // them.
 type workerSet struct {
+	key     workerSetKey
 	workers []*worker
-	// byIndex holds each worker of the set at its nameIndex; other entries are nil.
-	byIndex []*worker
 	// maxAvailable and maxCapacity are the maxima of the workers' available and total capacity, for
 	// each resource separately.
 	maxAvailable, maxCapacity resource.Vector
@@ -31,14 +36,12 @@
 	if set := p.sets[key]; set != nil {
 		return set
 	}
-	all := h.workersByName()
-	set := &workerSet{byIndex: make([]*worker, len(all))}
-	for i, w := range all {
-		if w.Pool != pool || !h.isSchedulable(p.now, w) || s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
-			continue
-		}
-		set.workers = append(set.workers, w)
-		set.byIndex[i] = w
+	set := &workerSet{key: key, workers: h.healthyWorkers(key)}
+	isUnusable := func(w *worker) bool { return w.isKeptForSuspect() || h.hasOverdueStart(p.now, w) }
+	if slices.ContainsFunc(set.workers, isUnusable) {
+		set.workers = slices.DeleteFunc(slices.Clone(set.workers), isUnusable)
+	}
+	for _, w := range set.workers {
 		set.maxAvailable = set.maxAvailable.Max(w.available())
 		set.maxCapacity = set.maxCapacity.Max(w.Capacity)
 	}
@@ -48,7 +51,46 @@
 
 // contains reports whether a worker is in the set.
 func (set *workerSet) contains(w *worker) bool {
-	return w.nameIndex < len(set.byIndex) && set.byIndex[w.nameIndex] == w
+	return w.healthy && !w.isKeptForSuspect() && set.key.matches(w)
+}
+
+// healthyWorkers returns the healthy workers for a key, sorted by name. They are kept between passes,
+// since a worker's health changes far less often than its free capacity.
+func (h *holderState) healthyWorkers(key workerSetKey) []*worker {
+	if all, known := h.healthyByKey[key]; known {
+		return all
+	}
+	all := []*worker{}
+	for _, w := range h.workersByName() {
+		if w.healthy && key.matches(w) {
+			all = append(all, w)
+		}
+	}
+	h.healthyByKey[key] = all
+	return all
+}
+
+// refreshHealth updates whether a worker is healthy. It is called after each event that concerns the
+// worker, and for all workers at each sweep, since health also changes with time.
+func (h *holderState) refreshHealth(now time.Time, w *worker) {
+	if healthy := h.isHealthy(now, w); healthy != w.healthy {
+		w.healthy = healthy
+		clear(h.healthyByKey)
+	}
+}
+
+// refreshHealthOf updates whether the worker of a name is healthy, if there is one.
+func (h *holderState) refreshHealthOf(now time.Time, name string) {
+	if w := h.workers[name]; w != nil {
+		h.refreshHealth(now, w)
+	}
+}
+
+// refreshAllHealth updates whether the workers are healthy.
+func (h *holderState) refreshAllHealth(now time.Time) {
+	for _, w := range h.workersByName() {
+		h.refreshHealth(now, w)
+	}
 }
 
 // available returns a worker's free capacity that is neither committed to calls and reservations
@@ -67,8 +109,9 @@
 	return capacity
 }
 
-// hold sets aside capacity for tasks of a step until the pass ends.
-func (w *worker) hold(s *step, tasks int) {
+// hold sets aside capacity of a worker for tasks of a step until the pass ends.
+func (h *holderState) hold(w *worker, s *step, tasks int) {
+	h.markPlanned(w)
 	w.heldInPass = w.heldInPass.Plus(s.spec.Reserved().Times(tasks))
 	w.heldFor = s
 }
--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -99,11 +99,13 @@
 // known, and at most the capacity of these workers.
 func (h *holderState) setUnreportedUsage() {
 	var capacity resource.Vector
-	for _, w := range h.workersByName() {
-		switch {
-		case h.unreportedWorkers[w.Name]:
+	for name := range h.unreportedWorkers {
+		if w := h.workers[name]; w != nil {
 			capacity = capacity.Plus(w.Capacity)
-		case len(w.orphans) > 0:
+		}
+	}
+	for w := range h.workersWithOrphans {
+		if !h.unreportedWorkers[w.Name] {
 			capacity = capacity.Plus(w.free)
 		}
 	}
--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -47,6 +47,7 @@
 	}
 	p.drained += len(chosen)
 	for _, w := range chosen {
+		h.markPlanned(w)
 		w.drainedFor = s
 	}
 }
@@ -82,6 +83,7 @@
 			return
 		}
 		if w.drainedFor == nil && w.slots(s, w.Capacity) > 0 {
+			h.markPlanned(w)
 			w.drainedFor = s
 			p.drained++
 		}
--- a/services/dispatch/evacuation.go
+++ b/services/dispatch/evacuation.go
@@ -42,6 +42,7 @@
 	c.emit(exchange.Evacuations{InForce: len(c.evacuations.Domains()), Refused: refused})
 	if c.holding != nil {
 		c.holding.planDue = true
+		c.holding.refreshAllHealth(now)
 		c.holding.releaseUnusableReservations(now)
 	}
 }
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -78,6 +78,8 @@
 	// to this holder what they run. Until it is empty, no task of a job that an earlier
 	// holder accepted is started, because the task may be running already.
 	unreportedWorkers map[string]bool
+	// workersWithOrphans are the workers that run what this holder does not expect.
+	workersWithOrphans map[*worker]bool
 
 	// advisers distributes calls to the advice service among the boxes.
 	advisers *advicecalls.Balancer[*adviceCall]
@@ -110,8 +112,14 @@
 	hasAmpleFreeCapacity bool
 	// hasUnplacedTasks is set if some step found no room for all its tasks in the last plan.
 	hasUnplacedTasks bool
-	// capacity is the total capacity of the workers that accepted tasks at the last sweep.
-	capacity resource.Vector
+	// capacity is the total capacity of the workers that accepted tasks at the last sweep, and
+	// largestWorker that of the worker with the most processors.
+	capacity, largestWorker resource.Vector
+	// planned are the workers that the current or last pass kept for steps, plannedBefore those of
+	// the pass before.
+	planned, plannedBefore []*worker
+	// healthyByKey caches the healthy workers by the pool and the label that steps need.
+	healthyByKey map[workerSetKey][]*worker
 	// nextPlanAt is when the next plan may be made.
 	nextPlanAt time.Time
 	// startsWithheld is set while no task is started because the evacuations are not known.
@@ -129,12 +137,12 @@
 	h := &holderState{
 		core: c, epoch: epoch, phase: phaseFencing, startedAt: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*trackedJob{},
-		workers: map[string]*worker{}, unreportedWorkers: map[string]bool{}, blame: blame.NewTracker(),
+		workers: map[string]*worker{}, unreportedWorkers: map[string]bool{}, workersWithOrphans: map[*worker]bool{}, blame: blame.NewTracker(),
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
 		leftoverUsage: map[string]resource.Vector{},
-		knownPools:    map[string]bool{},
+		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{},
 	}
 	if c.config != nil {
 		h.addPools(*c.config)
@@ -156,14 +164,19 @@
 	switch e := e.(type) {
 	case exchange.JobsLoaded:
 		h.handleJobsLoaded(now, e)
+		h.refreshAllHealth(now)
 	case exchange.WorkersRead:
 		h.handleWorkersRead(now, e.Listing)
+		h.refreshAllHealth(now)
 	case exchange.RenewEnded:
 		h.handleRenewEnded(now, e)
+		h.refreshHealthOf(now, e.Worker.Name)
 	case exchange.StartEnded:
 		h.handleStartEnded(now, e)
+		h.refreshHealthOf(now, e.Worker.Name)
 	case exchange.StopEnded:
 		h.handleStopEnded(now, e)
+		h.refreshHealthOf(now, e.Worker.Name)
 	case exchange.ThrottleEnded:
 		h.handleThrottleEnded(e)
 	case exchange.Advised:
@@ -197,8 +210,9 @@
 	h.nextSweepAt = now.Add(sweepInterval)
 	h.planDue = true
 	h.createAllDueInstances(now)
-	h.hasAmpleFreeCapacity = h.updateCapacity(now)
 	h.sweepWorkers(now)
+	h.refreshAllHealth(now)
+	h.hasAmpleFreeCapacity = h.updateCapacity()
 	h.giveUpGuiltyJobs(now)
 	h.expireAdvice(now)
 	h.dropExpiredJobs(now)
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -57,10 +57,7 @@
 	if len(ranked) == 0 {
 		return
 	}
-	for _, w := range h.workersByName() {
-		w.prevHeldFor, w.heldFor, w.heldInPass = w.heldFor, nil, resource.Vector{}
-		w.prevDrainedFor, w.drainedFor = w.drainedFor, nil
-	}
+	h.beginPass()
 	h.setUnreportedUsage()
 	p := newPass(now)
 	p.ampleFreeCapacity = h.hasAmpleFreeCapacity
@@ -79,17 +76,43 @@
 	}
 }
 
+// beginPass forgets what the pass before the previous one kept workers for, and makes what the previous
+// one kept them for the previous value.
+func (h *holderState) beginPass() {
+	for _, w := range h.plannedBefore {
+		w.prevHeldFor, w.prevDrainedFor = nil, nil
+	}
+	for _, w := range h.planned {
+		w.planned = false
+		w.prevHeldFor, w.heldFor, w.heldInPass = w.heldFor, nil, resource.Vector{}
+		w.prevDrainedFor, w.drainedFor = w.drainedFor, nil
+	}
+	h.planned, h.plannedBefore = h.plannedBefore[:0], h.planned
+}
+
+// markPlanned notes that the current pass keeps a worker for a step.
+func (h *holderState) markPlanned(w *worker) {
+	if !w.planned {
+		w.planned = true
+		h.planned = append(h.planned, w)
+	}
+}
+
 // ampleFreeCapacityShare is the share of the schedulable workers' processors that must be free for
 // h.hasAmpleFreeCapacity to be set.
 const ampleFreeCapacityShare = 0.4
 
-// updateCapacity recomputes the total capacity of the schedulable workers and reports whether more
+// updateCapacity recomputes the total capacity of the schedulable workers and the capacity of the
+// largest worker, and reports whether more
 // than ampleFreeCapacityShare of their processors is free.
-func (h *holderState) updateCapacity(now time.Time) bool {
+func (h *holderState) updateCapacity() bool {
 	var free resource.Vector
-	h.capacity = resource.Vector{}
+	h.capacity, h.largestWorker = resource.Vector{}, resource.Vector{}
 	for _, w := range h.workersByName() {
-		if h.isSchedulable(now, w) {
+		if w.Capacity.Processors > h.largestWorker.Processors {
+			h.largestWorker = w.Capacity
+		}
+		if w.healthy && !w.isKeptForSuspect() {
 			free = free.Plus(w.free)
 			h.capacity = h.capacity.Plus(w.Capacity)
 		}
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -79,7 +79,7 @@
 func (h *holderState) applyPreemptions(p *pass, r rankedStep, chosen []preemption, wanted int) {
 	stopped := 0
 	for _, c := range chosen {
-		c.Worker.hold(r.step, min(wanted, c.Tasks))
+		h.hold(c.Worker, r.step, min(wanted, c.Tasks))
 		wanted -= c.Tasks
 		for _, a := range c.Victims {
 			h.stopAttempt(p.now, a)
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -21,6 +21,7 @@
 		listed[r.Run] = true
 		h.applyRunning(now, w, r)
 	}
+	h.noteOrphans(w)
 	h.throttleFillers(now, w)
 	for _, a := range w.sortedAttempts() {
 		if !listed[a.runID()] {
@@ -30,6 +31,15 @@
 	h.moveStalled(now, w)
 }
 
+// noteOrphans updates whether the worker is one of those with unexpected runs.
+func (h *holderState) noteOrphans(w *worker) {
+	if len(w.orphans) == 0 {
+		delete(h.workersWithOrphans, w)
+		return
+	}
+	h.workersWithOrphans[w] = true
+}
+
 // applyEnds applies those ends of runs in a report that were not reported before.
 func (h *holderState) applyEnds(now time.Time, w *worker, all []order.End) {
 	for _, end := range all {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -12,6 +12,7 @@
 	"saddlevane/models/mechanism"
 	"saddlevane/models/order"
 	"saddlevane/models/resource"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/endreports"
 	"saddlevane/services/estimates"
 	"saddlevane/services/jobrecords"
@@ -106,6 +107,10 @@
 	suspectAttempts, isolatedAttempts int
 	// trialPreparation is set while the worker is kept free for the trial of a likely suspect.
 	trialPreparation *trialPreparation
+	// healthy is the value of isHealthy after the last event of the worker or the last sweep.
+	healthy bool
+	// planned is set while the worker is in the holder's list of workers kept for steps.
+	planned bool
 	// excludedUntil is when the worker may get starts again.
 	excludedUntil time.Time
 }
@@ -132,13 +137,27 @@
 	return h.sortedWorkers
 }
 
+// forgetWorkerLists forgets the cached lists of workers after one was added or removed.
+func (h *holderState) forgetWorkerLists() {
+	h.sortedWorkers = nil
+	clear(h.healthyByKey)
+}
+
+// retire makes a worker that is no longer among the holder's workers unusable: advice and lists may
+// still refer to it.
+func (h *holderState) retire(w *worker) {
+	w.healthy = false
+	delete(h.workersWithOrphans, w)
+	h.forgetWorkerLists()
+}
+
 // addWorker adds an incarnation of a worker, with what is remembered of earlier incarnations of
 // that name.
 func (h *holderState) addWorker(now time.Time, o order.Worker) *worker {
 	w := newWorker(now, o)
 	w.incarnations = h.formerWorkers.Take(o.Name)
 	h.workers[o.Name] = w
-	h.sortedWorkers = nil
+	h.forgetWorkerLists()
 	return w
 }
 
@@ -152,19 +171,25 @@
 
 // isSchedulable reports whether new tasks may be started on the worker.
 func (h *holderState) isSchedulable(now time.Time, w *worker) bool {
-	return w.isolatedAttempts == 0 && w.trialPreparation == nil && h.isHealthy(now, w)
+	return !w.isKeptForSuspect() && h.isHealthy(now, w)
+}
+
+// isKeptForSuspect reports whether the worker runs a suspect that must be alone, or is kept free for
+// one.
+func (w *worker) isKeptForSuspect() bool {
+	return w.isolatedAttempts > 0 || w.trialPreparation != nil
 }
 
 // isHealthy reports whether new tasks could be started on the worker if it were not kept for a
 // suspect.
 func (h *holderState) isHealthy(now time.Time, w *worker) bool {
 	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
-		now.Sub(w.answeredAt) < h.core.settings.RenewWait+h.adaptiveTimeout(now, unresponsiveTimeout) && !now.Before(w.excludedUntil) && !(h.isEnabled(mechanism.OverdueStarts) && h.hasOverdueStart(now, w))
+		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w)
 }
 
 // hasOverdueStart reports whether the worker is overdue with the answers to its start orders.
 func (h *holderState) hasOverdueStart(now time.Time, w *worker) bool {
-	return !w.unansweredSince.IsZero() && now.Sub(w.unansweredSince) > h.adaptiveTimeout(now, startAnswerTimeout)
+	return !w.unansweredSince.IsZero() && h.isEnabled(mechanism.OverdueStarts) && now.Sub(w.unansweredSince) > h.adaptiveTimeout(now, startAnswerTimeout)
 }
 
 // adaptiveTimeout returns how long to wait for an answer that usually arrives within base: longer
@@ -199,7 +224,7 @@
 // removeWorker removes the worker from the holder's state and its record from the log.
 func (h *holderState) removeWorker(now time.Time, w *worker) {
 	delete(h.workers, w.Name)
-	h.sortedWorkers = nil
+	h.retire(w)
 	w.incarnations.End(w.Incarnation)
 	h.formerWorkers.Add(now, w.Name, w.incarnations)
 	if w.recorded || w.recordPending || w.unresponsive.written {
