relay: a worker without tasks costs its holder one message in 5 s

Cause: of 6,637 renewals a second at 6,000 workers most went to workers without tasks, each an order, a result and timers at the holder, whether anything had changed or not. Change: a renewal of such a worker waits up to 5 s; the relay (or the holder, where there is none) asks the worker each second as before, extends its lease only once, and answers at once if it runs or ends anything, has restarted, refuses or falls silent. A link to a relay that closes ends the orders pending there.

--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -40,6 +40,9 @@
 	OnUnanswered func(conntrack.Unanswered)
 	// OnDiscard is called for each connection that is discarded as silent.
 	OnDiscard func(Discarded)
+	// OnClose, if set, is called with the address of a box when the last connection that was opened to it
+	// has closed.
+	OnClose func(address string)
 	// OnAcceptError is called with the error of each failed accept.
 	OnAcceptError func(error)
 	// OnOpen, if set, is called for each connection that is opened (1) or closed (-1).
@@ -152,11 +155,21 @@
 
 // removeLink removes a closed link.
 func (l *Links) removeLink(k *link) {
+	address := k.conn.Address()
+	if l.forgetLink(k, address) && l.settings.OnClose != nil {
+		l.settings.OnClose(address)
+	}
+}
+
+// forgetLink removes a closed link and reports whether it was the newest one to an address.
+func (l *Links) forgetLink(k *link, address string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.links, k)
-	address := k.conn.Address()
-	if s := l.newest[address]; s != nil && s.hasEnded() {
-		delete(l.newest, address)
+	s := l.newest[address]
+	if s == nil || !s.hasEnded() {
+		return false
 	}
+	delete(l.newest, address)
+	return true
 }
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -190,8 +190,15 @@
 	renewMargin = 200 * time.Millisecond
 )
 
+// idleRenewWait is how long a renewal of a worker without runs waits. It is answered earlier if the
+// worker starts or ends a run, or falls silent.
+const idleRenewWait = 5 * time.Second
+
 // renewWait returns how long a renewal waits at the worker for the end of a run.
 func (h *holderState) renewWait(w *worker) time.Duration {
+	if h.isIdle(w) {
+		return max(idleRenewWait, h.core.settings.RenewWait)
+	}
 	wait := h.core.settings.RenewWait
 	if _, shared := w.tailBesideFillers(); shared {
 		wait = min(maxServingWait, wait)
@@ -207,6 +214,11 @@
 	return wait
 }
 
+// isIdle reports whether a worker surely has no runs and nothing to report.
+func (h *holderState) isIdle(w *worker) bool {
+	return len(w.attempts) == 0 && len(w.orphans) == 0 && w.reported && w.failedRenewals == 0 && !w.reportedEnds.HasPending()
+}
+
 const (
 	reasonOtherIncarnation = "another incarnation answers at its address"
 	reasonRestarted        = "the worker has restarted"
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -162,6 +162,7 @@
 			b.followWorkers(incarnation)
 		}
 	case exchange.Renew:
+		w.renewalsSent++
 		w.renew(b, e, respond)
 	case exchange.StartRun:
 		w.startRun(b, e, respond)
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -54,6 +54,7 @@
 	p.links = peering.New(ctx, listener, peering.Settings{
 		DialTimeout: loop.settings.PeerTimeout, ProbeAfter: loop.settings.ProbeAfter, AnswerTimeout: loop.settings.AnswerTimeout, Now: loop.now,
 		OnUnanswered: loop.CallUnanswered, OnDiscard: loop.linkDiscarded, OnAcceptError: loop.linkNotAccepted,
+		OnClose: loop.relayClient.HandleLinkClosed,
 		OnOpen:  func(delta int) { loop.ConnectionsChanged(peering.PeerName, delta) },
 		OnBytes: loop.ByteCounter(peering.PeerName),
 	}, p.handle)
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -43,7 +43,8 @@
 
 // pendingOrder is an order that has no result yet.
 type pendingOrder struct {
-	box string
+	// box and address are the name and the address of the relay.
+	box, address string
 	// done receives the result.
 	done chan Result
 }
@@ -72,7 +73,7 @@
 		Renew: func(ctx context.Context, address string, worker order.Incarnation, r order.Renew) (order.Report, order.Answer) {
 			a, ok := c.sendViaRelay(ctx, Order{Worker: worker, Address: address, Renew: &r})
 			if !ok {
-				return c.direct.Renew(ctx, address, worker, r)
+				return c.direct.renew(ctx, address, worker, r)
 			}
 			if a.Report == nil {
 				a.Report = &order.Report{Clock: a.Answer.Clock}
@@ -120,7 +121,7 @@
 		overdue = timeout
 	}
 	o.OverdueAfter = job.Milliseconds(overdue.Milliseconds())
-	p := &pendingOrder{box: box.Box, done: make(chan Result, 1)}
+	p := &pendingOrder{box: box.Box, address: box.Address, done: make(chan Result, 1)}
 	sentAt := c.now()
 	if !c.enqueue(box, &o, p) {
 		return Result{}, false
@@ -205,6 +206,22 @@
 	}
 }
 
+// HandleLinkClosed handles the end of the link to a box: it may be lost, so that the results of the
+// orders which it relays may never come.
+func (c *Client) HandleLinkClosed(address string) {
+	var lost []uint64
+	c.mu.Lock()
+	for id, p := range c.pending {
+		if p.address == address {
+			lost = append(lost, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, id := range lost {
+		c.deliver(unknownResult(id, "the link to the relay was closed"))
+	}
+}
+
 // HandleResults processes the results of orders that a relay sent back. Those for another
 // incarnation of this box are dropped.
 func (c *Client) HandleResults(b Batch) {
