bench: saddlevane-bench size counts what the reducer and the boxes do at several sizes

Virtual time, deciding code only: events, effects and processor time a second by kind at given numbers of workers, reads of the log and replies to followers at given numbers of boxes, each with its exponent; and a mix of the fleet's size for jobs.

--- a/cmd/saddlevane-bench/jobmix.go
+++ b/cmd/saddlevane-bench/jobmix.go
@@ -108,7 +108,31 @@
 	batch.perSecond, batch.tasks, batch.processors, batch.gigabytes = 11, logNormal{50, 0.8, 300}, logNormal{11, 0.45, 33}, logNormal{31, 0.6, 94}
 	urgent.perSecond, urgent.tasks, urgent.processors, urgent.gigabytes = 142, logNormal{4.5, 0.8, 27}, logNormal{16, 0.45, 47}, logNormal{45, 0.6, 130}
 	large := jobMix{name: "large", cores: 64, gigabytes: 128, boxes: 147, workers: 1100, domains: 5, maxStopTime: 900 * time.Millisecond, kinds: []jobKind{heavy, batch, urgent}}
-	return []jobMix{small, grown, slow, large, shiftedMix()}
+	return []jobMix{small, grown, slow, large, shiftedMix(), fleetMix()}
+}
+
+// fleetMix returns a cell of several thousand workers.
+func fleetMix() jobMix {
+	return jobMix{
+		name: "fleet", cores: 64, gigabytes: 256, boxes: 585, workers: 6000, domains: 5, maxStopTime: 900 * time.Millisecond, slowShare: 1.0 / 3, slowFactor: 1.3,
+		kinds: []jobKind{
+			{
+				queue:     job.Queue{Name: "heavy", Pool: "pool", Priority: 1, Attempts: 3, Stretch: 2.2, Latency: time.Second, Advice: advice(660, 9.5, 1500)},
+				perSecond: 2.95, steps: logNormal{1.2, 0.4, 3}, tasks: logNormal{40, 0.8, 64}, processors: logNormal{18, 0.4, 30}, gigabytes: logNormal{51, 0.5, 98},
+				seconds: logNormal{6.2, 0.5, 16}, estimateError: 0.5, taskVariation: 0.15, gangShare: 1, checkpointShare: 0.5, eligibleShare: 0.25, worth: 12.9,
+			},
+			{
+				queue:     job.Queue{Name: "batch", Pool: "pool", Priority: 2, Attempts: 3, Stretch: 4, Latency: 3 * time.Second, Advice: advice(140, 2, 1500)},
+				perSecond: 6.72, steps: logNormal{1.5, 0.4, 3.8}, tasks: logNormal{50, 0.8, 300}, processors: logNormal{9.9, 0.45, 30}, gigabytes: logNormal{27, 0.6, 83},
+				seconds: logNormal{2.2, 0.5, 5.4}, estimateError: 0.2, taskVariation: 0.3, checkpointShare: 0.8, eligibleShare: 0.45, worth: 3.55,
+			},
+			{
+				queue:     job.Queue{Name: "urgent", Pool: "pool", Priority: 0, Attempts: 3, Stretch: 1.5, Latency: 250 * time.Millisecond, Advice: advice(11, 0.16, 1500)},
+				perSecond: 85.2, steps: logNormal{1, 0, 1}, tasks: logNormal{4.5, 0.8, 27}, processors: logNormal{14, 0.45, 42}, gigabytes: logNormal{40, 0.6, 117},
+				seconds: logNormal{0.8, 0.5, 2}, estimateError: 0.5, taskVariation: 0.15, gangShare: 0.3, eligibleShare: 0.7, worth: 0.392,
+			},
+		},
+	}
 }
 
 // shiftedMix returns a cell of many small workers, of which a third are slower. Large gangs and
--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -91,14 +91,23 @@
 	c := newSimCell(mix, seed, disabled)
 	begin := c.now.Add(takeoverTime)
 	c.runUntil(begin)
+	c.scheduleArrivals(load, 0, submitPeriod)
+	c.runUntil(begin.Add(submitPeriod + completionPeriod))
+	return c
+}
+
+// scheduleArrivals schedules the jobs that are submitted from the given time on for a period, at a
+// multiple of the usual rate.
+func (c *simCell) scheduleArrivals(load float64, from, period time.Duration) {
+	begin := c.now.Add(from)
 	number := 0
-	for i := range mix.kinds {
-		k := &mix.kinds[i]
+	for i := range c.mix.kinds {
+		k := &c.mix.kinds[i]
 		at := begin
 		for {
 			rate := load * k.perSecond * k.burst.rate(at.Sub(begin))
 			at = at.Add(time.Duration(c.arrivals.ExpFloat64() / rate * float64(time.Second)))
-			if at.Sub(begin) > submitPeriod {
+			if at.Sub(begin) > period {
 				break
 			}
 			number++
@@ -106,8 +115,6 @@
 			c.schedule(at.Sub(c.now), func() { c.submit(k, n) })
 		}
 	}
-	c.runUntil(begin.Add(submitPeriod + completionPeriod))
-	return c
 }
 
 // objective returns the time within which a job should complete, based on its actual run time.
--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -25,17 +25,23 @@
 	requests.BoolVar(&skew, "skew", false, "send all requests to the first domain")
 	var jobsOf jobOptions
 	jobs := flag.NewFlagSet("jobs", flag.ExitOnError)
-	jobs.StringVar(&jobsOf.mix, "mix", "", "simulate only this cell: today, grown, slow, large or shifted")
+	jobs.StringVar(&jobsOf.mix, "mix", "", "simulate only this cell: today, grown, slow, large, shifted or fleet")
 	jobs.Float64Var(&jobsOf.load, "load", 1, "factor on the usual load")
 	jobs.IntVar(&jobsOf.seeds, "seeds", 2, "number of runs per cell")
 	jobs.StringVar(&jobsOf.disabled, "without", "", "mechanisms to disable, separated by commas")
 	jobs.StringVar(&jobsOf.profile, "profile", "", "file to write a CPU profile to")
+	var sizeOf sizeOptions
+	size := flag.NewFlagSet("size", flag.ExitOnError)
+	size.StringVar(&sizeOf.workers, "workers", "48,350,6000,20000", "numbers of workers to simulate, separated by commas")
+	size.StringVar(&sizeOf.boxes, "boxes", "7,50,585,1170,2000,28180", "numbers of entry boxes to simulate, separated by commas")
+	size.StringVar(&sizeOf.profile, "profile", "", "file to write a CPU profile to")
 	root := &ffcli.Command{
-		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|requests|takeover|capacity", FlagSet: fs,
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|size|requests|takeover|capacity", FlagSet: fs,
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
 			{Name: "jobs", FlagSet: jobs, Exec: func(context.Context, []string) error { return benchJobs(os.Stdout, jobsOf) }},
+			{Name: "size", FlagSet: size, Exec: func(context.Context, []string) error { return benchSize(os.Stdout, sizeOf) }},
 			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
 				return benchRequests(ctx, os.Stdout, requestOptions{bin: bin, baseline: baseline, skew: skew})
 			}},
--- a/cmd/saddlevane-bench/simcell.go
+++ b/cmd/saddlevane-bench/simcell.go
@@ -88,6 +88,8 @@
 	// group of events.
 	decideTime, maxDecideTime time.Duration
 	starts                    int
+	// eventCounts and effectCounts count what the reducer received and returned, by type.
+	eventCounts, effectCounts map[string]int
 	adviceCalls               int
 	adviceTime                time.Duration
 	// usefulCoreSeconds is the work of runs that completed, wastedCoreSeconds that of runs
@@ -112,6 +114,7 @@
 	c := &simCell{
 		mix: mix, rng: rand.New(rand.NewSource(seed)), arrivals: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*simWorker{}, adviceBusyUntil: map[string]time.Time{}, jobs: map[job.ID]*simJob{},
+		eventCounts: map[string]int{}, effectCounts: map[string]int{},
 	}
 	for i := range mix.workers {
 		w := newSimWorker(c, i)
@@ -178,6 +181,7 @@
 func (c *simCell) deliver(events ...exchange.Event) {
 	start := time.Now()
 	for _, e := range events {
+		c.eventCounts[fmt.Sprintf("%T", e)]++
 		c.core.Handle(c.now, e)
 	}
 	effects := c.core.Decide(c.now)
@@ -185,6 +189,7 @@
 	c.decideTime += took
 	c.maxDecideTime = max(c.maxDecideTime, took)
 	for _, e := range effects {
+		c.effectCounts[fmt.Sprintf("%T", e)]++
 		c.execute(e)
 	}
 }
