--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -55,9 +55,8 @@
 
 // disconnectedAfter is how long neither the log nor the holder may answer before a box
 // reports that it is not ready, so that callers use other boxes. The log answers each renewal
-// of the claim, and a waiting read at the latest after half a second. With this limit, callers
-// in a domain that was cut off were refused in 1 of 1,000 cases instead of 5 (4 simulations
-// of one day).
+// of the claim, and a waiting read at the latest after half a second. A longer limit
+// keeps callers at boxes of a domain that was cut off, where they are refused.
 const disconnectedAfter = 900 * time.Millisecond
 
 // Ready reports whether this box can serve callers. A box that reaches neither the log nor the
--- a/services/logfeed/window_test.go
+++ b/services/logfeed/window_test.go
@@ -140,7 +140,10 @@
 	assert.NilError(t, good.Check(10))
 	assert.Assert(t, good.Check(11) != nil, "a record before the requested offset")
 	for _, r := range []logfeed.Reply{
-		{Next: 9, Seen: 1}, {Next: 12}, {Next: 12, Seen: 1, Age: -1}, {Next: 12, Seen: 1, Waited: -1},
+		{Next: 9, Seen: 1},
+		{Next: 12},
+		{Next: 12, Seen: 1, Age: -1},
+		{Next: 12, Seen: 1, Waited: -1},
 		{Records: page(11, 2).Records, Next: 12, Seen: 1},
 	} {
 		assert.Assert(t, r.Check(10) != nil)
--- a/services/ranking/ranking.go
+++ b/services/ranking/ranking.go
@@ -112,10 +112,8 @@
 }
 
 // backlogShare is the dominant share of the workers' capacity above which the waiting tasks are a
-// backlog. In simulations of 350 workers with bursts of gangs, at 1.2 times the usual load, jobs
-// earned 0.749 of their value with a share of 0, 0.748 with 0.1 and 0.745 with 0.3, and 0.721
-// without a backlog rule. At the usual load these were 0.886, 0.885 and 0.885, and 0.888 without it
-// (8 random loads each).
+// backlog. Under overload the rule lets more jobs be on time; at the usual load few tasks wait, and it
+// should not apply.
 const backlogShare = 0.3
 
 // IsBacklog reports whether more tasks wait than can start soon, given the resources that the
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -3,14 +3,12 @@
 
 // Package relay sends a holder's orders to workers through entry boxes near them, called
 // relays, in batches over the links between boxes. Only the holder makes decisions, and
-// each order carries its fence number. A relay stores nothing and renews no lease by
+// each order carries its fence number. A relay stores nothing and extends no lease by
 // itself, so leases still end with the holder's authority. If a relay fails, each of its
 // workers loses one order, which the holder sends again directly.
 //
 // Without relays, the holder opens connections to every worker and pays for an HTTP
-// exchange per order, so its processor and its link limit the size of the cell. On a
-// simulated day with 120 workers and links of 2 Mbit/s, jobs earned 0.133 of their value
-// without relays and 0.303 with them (one run each).
+// exchange per order, so its processor and its link limit the size of the cell.
 //
 //   - Selector selects the relay of a worker, if any;
 //   - outbox batches what is sent to one box;
