dispatch: candidates are really asked whether they reach the log

Cause: a request for pledges under epoch 0 has no field set on the wire and was served as another kind of request, so that every candidate counted as one that does not reach the log, and all were replaced every 2 s. Found when the diff was read. TestReachableBoxesStayCandidates fails with epoch 0 and passes with -1 (3 of 3).

--- a/services/dispatch/claimants.go
+++ b/services/dispatch/claimants.go
@@ -19,8 +19,9 @@
 const (
 	// probeInterval is the time between two such requests.
 	probeInterval = 2 * time.Second
-	// probeEpoch is the epoch of a request for pledges that asks for none: no claim has this epoch.
-	probeEpoch = 0
+	// probeEpoch is the epoch of a request for pledges that asks for none: no claim has this epoch, and
+	// unlike 0 it is sent.
+	probeEpoch = -1
 	// initialUnusable and longestUnusable bound how long a box that did not answer, or that the log did
 	// not answer, is not named.
 	initialUnusable = 10 * time.Second
@@ -101,6 +102,7 @@
 	if c.holding == nil || !c.authority.IsLogReachable() {
 		return
 	}
+	c.logEvent("candidates were asked whether they reach the log", logField("asked", len(probed)), logField("reach", len(e.LogReachable)))
 	for _, m := range probed {
 		if !slices.Contains(e.LogReachable, m.Address) && c.members[m.Box] == m {
 			c.recordUnusable(now, m)
--- a/services/jobrun/logfeed_test.go
+++ b/services/jobrun/logfeed_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,3 +131,20 @@
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second))
 }
+
+// The holder asks the candidates whether they reach the log. Those that do stay candidates.
+func TestReachableBoxesStayCandidates(t *testing.T) {
+	p, err := memory.New(config(), 2)
+	assert.NilError(t, err)
+	out := &safeBuffer{}
+	for i := range 12 {
+		startBox(t, p, fmt.Sprintf("box-%d", i), out)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !strings.Contains(out.String(), "candidates were asked") {
+			return poll.Continue("the candidates were not asked yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	assert.Assert(t, !strings.Contains(out.String(), "is no candidate"), "%s", out.String())
+}
