--- a/models/exchange/effects.go
+++ b/models/exchange/effects.go
@@ -97,8 +97,8 @@
 	Timeout  time.Duration
 }
 
-// AskPledges asks all other boxes to promise not to claim the cell for a while. Its result comes back
-// as Pledged.
+// AskPledges asks other boxes to promise not to claim the cell for a while, and whether they reach the
+// log. Its result comes back as Pledged.
 type AskPledges struct {
 	Epoch     int64
 	Addresses []string
--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -170,7 +170,7 @@
 type Pledged struct {
 	Epoch  int64
 	SentAt time.Time
-	// All is set if all other boxes have promised not to claim.
+	// All is set if all boxes that were asked have promised not to claim.
 	All bool
 	// LogReachable lists the addresses of the boxes that can reach the log.
 	LogReachable []string
--- a/services/dispatch/claimants.go
+++ b/services/dispatch/claimants.go
@@ -13,7 +13,7 @@
 )
 
 // The holder names the boxes that may claim the cell soon after it falls silent, see package authority.
-// While there are other boxes, it asks the named ones from time to time whether they reach the log, and
+// Where there are more boxes than it names, it asks the named ones from time to time whether they reach the log, and
 // names others in place of those that do not. If it is small, it invites a large one that does.
 
 const (
--- a/services/jobrun/request.go
+++ b/services/jobrun/request.go
@@ -23,7 +23,8 @@
 	Count  string          `json:"count,omitempty"`
 	// Explain names a job whose state is to be explained.
 	Explain job.ID `json:"explain,omitempty"`
-	// Pledge asks the box not to claim the cell while the claim with this epoch is held.
+	// Pledge asks the box not to claim the cell while the claim with this epoch is held. With an epoch
+	// that no claim has, it only asks whether the box reaches the log.
 	Pledge int64 `json:"pledge,omitempty"`
 	// Invite asks the box to claim the cell from the holder of the claim with this epoch.
 	Invite int64 `json:"invite,omitempty"`
--- a/services/logfeed/logfeed.go
+++ b/services/logfeed/logfeed.go
@@ -65,9 +65,9 @@
 	return nil
 }
 
-// RequestedAt returns the latest time at which the reported read can have been requested, on the clock
-// of the box that sent its request at sentAt. It errs to the early side by the time that the request
-// was on its way.
+// RequestedAt returns the earliest time at which the reported read can have been requested, on the clock
+// of the box that sent its request at sentAt. The read was requested later by at most the time that the
+// request and the reply were on their way.
 func (r Reply) RequestedAt(sentAt time.Time) time.Time {
 	return sentAt.Add(r.Waited.Duration() - r.Age.Duration())
 }
