--- a/cmd/saddlevane-bench/jobs.go
+++ b/cmd/saddlevane-bench/jobs.go
@@ -7,8 +7,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"os"
-	"runtime/pprof"
 	"slices"
 	"strings"
 	"time"
@@ -46,21 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("-without: %w", err)
 	}
-	if o.profile == "" {
-		printJobs(out, o, disabled)
-		return nil
-	}
-	f, err := os.Create(o.profile)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if err := pprof.StartCPUProfile(f); err != nil {
-		return err
-	}
-	defer pprof.StopCPUProfile()
-	printJobs(out, o, disabled)
-	return nil
+	return withProfile(o.profile, func() { printJobs(out, o, disabled) })
 }
 
 // printJobs simulates the selected cells and prints tables of the results.
--- a/cmd/saddlevane-bench/size.go
+++ b/cmd/saddlevane-bench/size.go
@@ -8,8 +8,6 @@
 	"io"
 	"maps"
 	"math"
-	"os"
-	"runtime/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -45,20 +43,10 @@
 	if err != nil {
 		return fmt.Errorf("-boxes: %w", err)
 	}
-	if o.profile != "" {
-		f, err := os.Create(o.profile)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		if err := pprof.StartCPUProfile(f); err != nil {
-			return err
-		}
-		defer pprof.StopCPUProfile()
-	}
-	printWorkerSizes(out, workers)
-	printBoxSizes(out, boxes)
-	return nil
+	return withProfile(o.profile, func() {
+		printWorkerSizes(out, workers)
+		printBoxSizes(out, boxes)
+	})
 }
 
 // parseSizes parses numbers that are separated by commas.
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -40,8 +40,6 @@
 	// unresponsive describes the record that the log has of the worker while it does not answer.
 	unresponsive unresponsiveRecord
 
-	// nameIndex is the worker's index among all workers sorted by name.
-	nameIndex int
 
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt uses.
@@ -130,9 +128,6 @@
 	if h.sortedWorkers == nil {
 		h.sortedWorkers = slices.Collect(maps.Values(h.workers))
 		slices.SortFunc(h.sortedWorkers, compareNames)
-		for i, w := range h.sortedWorkers {
-			w.nameIndex = i
-		}
 	}
 	return h.sortedWorkers
 }
