--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -40,7 +40,6 @@
 	// unresponsive describes the record that the log has of the worker while it does not answer.
 	unresponsive unresponsiveRecord
 
-
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt uses.
 	free resource.Vector
