jobrun: count the log's reads by renewals, not by seconds, in a test

TestLogReadsDoNotGrowWithBoxes slept for 2 s twice and counted, so that its verdict depended on the machine. It waits now until the holder has renewed its claim 20 times, twice (2 s at the test's interval of 100 ms), with the same bound. With Selector.Pick made to always have a box read by itself it still fails: 184 reads with 8 boxes, 736 with 32.

--- a/services/jobrun/logfeed_test.go
+++ b/services/jobrun/logfeed_test.go
@@ -23,19 +23,50 @@
 	"gotest.tools/v3/poll"
 )
 
-// countingPlatform returns the calls of a platform, with a counter of the reads of the streams that all
-// boxes follow.
-func countingPlatform(p *memory.Platform) (jobrun.Platform, *atomic.Int64) {
-	reads := &atomic.Int64{}
+// logCalls counts calls to the log: reads of the streams that all boxes follow, and appends of claims,
+// nearly all of which are renewals.
+type logCalls struct{ reads, claims atomic.Int64 }
+
+// countingPlatform returns the calls of a platform, with a counter of calls to the log.
+func countingPlatform(p *memory.Platform) (jobrun.Platform, *logCalls) {
+	counts := &logCalls{}
 	calls := p.Calls()
-	read := calls.Log.Read
+	read, appendTo := calls.Log.Read, calls.Log.Append
 	calls.Log.Read = func(ctx context.Context, name stream.Name, from int64, wait time.Duration) (stream.Page, error) {
 		if name != stream.Workers {
-			reads.Add(1)
+			counts.reads.Add(1)
 		}
 		return read(ctx, name, from, wait)
 	}
-	return calls, reads
+	calls.Log.Append = func(ctx context.Context, a stream.Append) (int64, error) {
+		if a.Stream == stream.Claims {
+			counts.claims.Add(1)
+		}
+		return appendTo(ctx, a)
+	}
+	return calls, counts
+}
+
+// waitForClaims waits until n more claims have been appended.
+func (c *logCalls) waitForClaims(t *testing.T, n int64) {
+	t.Helper()
+	want := c.claims.Load() + n
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := c.claims.Load(); got < want {
+			return poll.Continue("%d claims appended, want %d", got, want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+// readsPerClaims returns how many reads are made while n claims are appended, after as many more that
+// let the boxes settle.
+func (c *logCalls) readsPerClaims(t *testing.T, n int64) int64 {
+	t.Helper()
+	c.waitForClaims(t, n)
+	before := c.reads.Load()
+	c.waitForClaims(t, n)
+	return c.reads.Load() - before
 }
 
 // startBoxes starts boxes of one failure domain and waits until one of them holds the cell and all know
@@ -63,28 +94,20 @@
 	return name
 }
 
-// readsWithin returns how many reads are counted in a time, after the boxes have settled.
-func readsWithin(reads *atomic.Int64, d time.Duration) int64 {
-	time.Sleep(d)
-	before := reads.Load()
-	time.Sleep(d)
-	return reads.Load() - before
-}
-
 // The number of reads of the log must not grow with the number of boxes.
 func TestLogReadsDoNotGrowWithBoxes(t *testing.T) {
 	counts := map[int]int64{}
 	for _, n := range []int{8, 32} {
 		p, err := memory.New(config(), 2)
 		assert.NilError(t, err)
-		calls, reads := countingPlatform(p)
+		calls, logCalls := countingPlatform(p)
 		all := startBoxes(t, calls, n)
-		counts[n] = readsWithin(reads, 2*time.Second)
+		counts[n] = logCalls.readsPerClaims(t, 20)
 		for _, b := range all {
 			b.close()
 		}
 	}
-	assert.Assert(t, counts[32] < 2*counts[8], "reads within 2 s by number of boxes: %v", counts)
+	assert.Assert(t, counts[32] < 2*counts[8], "reads during 20 renewals by number of boxes: %v", counts)
 }
 
 // A change of the configuration stream reaches boxes that read the log through others, also after the
