dispatch: create an instance when a worker reports a run of it

A holder creates the instances of a repeating job by its own clock. With its clock behind that of the earlier holder, it did not know an instance that the earlier holder had started and of which the log had nothing yet. It stopped the runs of that instance as unexpected, acknowledged their ends as if the log had them, and started the tasks again when the instance fell due by its clock: a task whose end was done and taken note of ran a second time. A run recorded on an unresponsive worker was dropped in the same way, and the task was started beside it.

A run of a valid instance of an accepted, unfinished job proves that the instance is due. findRunStep creates it then, and is used wherever a run of an earlier holder is looked up: reports of runs, ends, ends reported by another incarnation, recorded runs on unresponsive workers and recorded starts. createDueInstances already passes over instances that exist; instances are counted as done when they are completed or restored, so one that was created early is counted once.

Ruled out: jobs without repeats, whose only instance is created with the job, and jobs that are not in the log, of which nothing was started.

--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -25,7 +25,7 @@
 // once the log has its effect, or at once if it has no effect.
 func (h *holderState) handleRunEnd(now time.Time, w *worker, end order.End, report *endreports.Report[*worker]) {
 	a := w.attempts[end.Run]
-	s := h.findStep(end.Task.StepID)
+	s := h.findRunStep(now, end.Task.StepID)
 	if a != nil {
 		s = a.step
 		h.unassign(a)
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -108,7 +108,7 @@
 // applyFormerSuccess applies a successful end reported by an incarnation that is not the current
 // one.
 func (h *holderState) applyFormerSuccess(now time.Time, end order.End) {
-	s := h.findStep(end.Task.StepID)
+	s := h.findRunStep(now, end.Task.StepID)
 	if s == nil || end.Task.Index >= len(s.tasks) || s.spec.Service || s.job.state.IsFinal() || s.tasks[end.Task.Index].done {
 		return
 	}
--- a/services/dispatch/inheritedstarts.go
+++ b/services/dispatch/inheritedstarts.go
@@ -35,7 +35,7 @@
 func (h *holderState) takeInheritedStarts(w *worker, crashedAt time.Time) []blame.RunningTask {
 	var all []blame.RunningTask
 	for _, s := range h.inheritedStarts.StartedOn(w.Incarnation) {
-		if st := h.possiblyLostStep(s); st != nil {
+		if st := h.possiblyLostStep(crashedAt, s); st != nil {
 			running := blame.StartedByEarlierHolder(st.blameUnit(s.Task.Index), s.UnixMilli, h.core.unixMilli(crashedAt), h.inheritedStarts.WorkerCount(st.id, st.spec.Gang))
 			running.Run, running.Gang = s.Run, st.spec.Gang
 			all = append(all, running)
@@ -47,8 +47,8 @@
 
 // possiblyLostStep returns the step of a start, or nil if its task is known to have kept running,
 // ended or been started again since.
-func (h *holderState) possiblyLostStep(s startlog.Start) *step {
-	st := h.findStep(s.Task.StepID)
+func (h *holderState) possiblyLostStep(now time.Time, s startlog.Start) *step {
+	st := h.findRunStep(now, s.Task.StepID)
 	if st == nil || s.Task.Index >= len(st.tasks) || st.job.state.IsFinal() {
 		return nil
 	}
--- a/services/dispatch/instances.go
+++ b/services/dispatch/instances.go
@@ -26,7 +26,7 @@
 			return
 		}
 		if j.instances[j.nextDueInstance] != nil {
-			// An earlier holder whose clock was ahead has created it.
+			// A run of an earlier holder whose clock was ahead has created it.
 			j.nextDueInstance++
 			continue
 		}
@@ -117,3 +117,18 @@
 	}
 	h.repeatingJobs = unfinished
 }
+
+// findRunStep returns the step of a run that an earlier holder has started, or nil if it is unknown or
+// its job is no longer run. That the run was started shows that its instance is due, even if this
+// holder's clock is behind: the instance is created if necessary.
+func (h *holderState) findRunStep(now time.Time, id job.StepID) *step {
+	if s := h.findStep(id); s != nil {
+		return s
+	}
+	j := h.jobs[id.Job]
+	if j == nil || j.instances == nil || !j.accepted || j.state.IsFinal() || j.instances[id.Instance] != nil || id.Instance < 0 || id.Instance >= j.submission.Instances() {
+		return nil
+	}
+	h.openReadySteps(now, h.addInstance(j, id.Instance, now))
+	return h.findStep(id)
+}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -76,7 +76,7 @@
 // adopt creates the attempt for a run that an earlier holder started. It returns nil if the run
 // should not be running.
 func (h *holderState) adopt(now time.Time, w *worker, r order.Running) *attempt {
-	s := h.findStep(r.Task.StepID)
+	s := h.findRunStep(now, r.Task.StepID)
 	if s == nil || r.Task.Index >= len(s.tasks) || s.job.state.IsFinal() {
 		return nil
 	}
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -108,7 +108,7 @@
 // if the run has ended. If the log names two runs of a task, the first had ended before the second
 // was ordered.
 func (h *holderState) restoreRun(now time.Time, w *worker, run order.Run) *attempt {
-	s := h.findStep(run.Task.StepID)
+	s := h.findRunStep(now, run.Task.StepID)
 	if s == nil || run.Task.Index >= len(s.tasks) || s.job.state.IsFinal() {
 		return nil
 	}
