dispatch: do not take an incomplete list of ends for the loss of runs

A worker lists 500 ends at a time and the rest once those are acknowledged, which needs the log. With more ends on a worker than that, a run that had ended was listed neither as running nor as ended. The holder took it for lost and started the task again, and a new holder counted the worker as having reported everything. The list did not recover when the log came back: the repeated tasks ended beyond the list as well, and because a run that may have ended unreported holds back all acknowledgements, no end was acknowledged any more.

Three changes. A report with as many ends as fit says nothing about runs that it does not list, and does not count as the worker's first report; the rest follows with the acknowledgements. No more runs are started on a worker than one report can list with those whose ends are not acknowledged yet, so the holder's own runs never come to that; the cost is that during an outage of the log a worker takes no new tasks after 499 ends.

The limit is a setting of the reducer that the platform package names, and whether a report may be incomplete follows from the number of ends in it.

Ruled out: ends in late answers and of other incarnations, from which absence is never concluded.

--- a/cmd/saddlevaned/jobs.go
+++ b/cmd/saddlevaned/jobs.go
@@ -170,7 +170,7 @@
 	return jobrun.Settings{
 		Dispatch: dispatch.Settings{
 			Authority: authority.Settings{RenewInterval: j.RenewInterval, HoldFor: j.HoldFor, ClaimAfter: j.ClaimAfter, OutsiderClaimAfter: j.OutsiderClaimAfter},
-			Lease:     j.WorkerLease(), MaxLease: j.MaxLease, RenewWait: j.RenewWait, AppendInterval: j.AppendInterval,
+			Lease:     j.WorkerLease(), MaxLease: j.MaxLease, RenewWait: j.RenewWait, MaxListedEnds: platform.MaxListedEnds, AppendInterval: j.AppendInterval,
 			OrderTimeout: j.OrderTimeout, EndedRetention: j.EndedRetention, StopGrace: j.StopGrace,
 			ConfigPropagation: j.ConfigPropagation, EvacuationPropagation: j.EvacuationBound(), ShareWindow: j.ShareWindow, Disabled: disabled,
 		},
--- a/services/dispatch/clockbehind_test.go
+++ b/services/dispatch/clockbehind_test.go
@@ -20,7 +20,12 @@
 // records, with some listed workers, and the pending renewal of each worker by name.
 func newSuccessor(t *testing.T, records []stream.Record, workers ...order.Worker) (*harness, map[string]exchange.Renew) {
 	t.Helper()
-	d := newHarness(t)
+	return newSuccessorOn(newHarness(t), records, workers...)
+}
+
+// newSuccessorOn returns what newSuccessor does for the harness d.
+func newSuccessorOn(d *harness, records []stream.Record, workers ...order.Worker) (*harness, map[string]exchange.Renew) {
+	d.t.Helper()
 	fence := d.claimCell(time.Second)
 	d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: fence.Number})
 	d.handle(exchange.WorkersRead{Listing: order.Listing{Complete: true, Present: workers}})
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -64,7 +64,7 @@
 		if !h.canUse(w, s, short) {
 			continue
 		}
-		n := w.slots(s, w.available())
+		n := min(w.slots(s, w.available()), h.startsWithinReport(w))
 		if n == 0 {
 			continue
 		}
--- a/services/dispatch/harness_test.go
+++ b/services/dispatch/harness_test.go
@@ -35,10 +35,16 @@
 
 // newHarness returns a harness whose core has its configuration and may claim the cell.
 func newHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessWith(t, settings())
+}
+
+// newHarnessWith returns a harness like newHarness whose core has the settings s.
+func newHarnessWith(t *testing.T, s dispatch.Settings) *harness {
 	t.Helper()
 	d := &harness{
 		t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
-		core: dispatch.New(settings(), claim.Member{Box: "a", Incarnation: "a1", Address: "a"}),
+		core: dispatch.New(s, claim.Member{Box: "a", Incarnation: "a1", Address: "a"}),
 	}
 	d.handle(exchange.ConfigRead{Config: config()})
 	d.handle(exchange.Tick{})
@@ -140,7 +146,12 @@
 // pending renewal of each worker by name.
 func newHolder(t *testing.T, workers ...order.Worker) (*harness, map[string]exchange.Renew) {
 	t.Helper()
-	d := newHarness(t)
+	return newHolderOn(newHarness(t), workers...)
+}
+
+// newHolderOn returns what newHolder does for the harness d.
+func newHolderOn(d *harness, workers ...order.Worker) (*harness, map[string]exchange.Renew) {
+	d.t.Helper()
 	fence := d.claimCell(time.Second)
 	d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: fence.Number})
 	d.handle(exchange.JobsLoaded{Epoch: 1})
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -85,19 +85,26 @@
 // the worker may receive the renewal and would take the acknowledgement for one of its own ends,
 // which have the same numbers. That cannot happen if the worker answered the last renewal, no other
 // incarnation is listed, and every task started on the worker that may have ended by now has been
-// reported: a later incarnation, if there is one, then has no ends.
+// reported or can no longer be started by a later incarnation: that one, if it exists, then has no ends.
 func (h *holderState) canAcknowledgeEnds(now time.Time, w *worker) bool {
 	if w.failedRenewals > 0 || w.incarnations.HasCandidate() {
 		return false
 	}
 	for _, a := range w.attempts {
-		if a.reportedAt.IsZero() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) {
+		if a.reportedAt.IsZero() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) && !h.areOrdersOver(a) {
 			return false
 		}
 	}
 	return true
 }
 
+// areOrdersOver reports whether the worker's current incarnation has answered a renewal after the last
+// moment at which a copy of the attempt's start order could be carried out.
+func (h *holderState) areOrdersOver(a *attempt) bool {
+	lastOrderedBy := ordered.Later(a.lastOrderedAt, h.startedAt)
+	return a.worker.answeredAt.Sub(lastOrderedBy) > maxOrderDelay
+}
+
 // mayRenew reports whether leases may be extended. The next holder relies on this holder not
 // extending any lease after its authority has ended.
 func (h *holderState) mayRenew(now time.Time) bool {
@@ -292,7 +299,7 @@
 	w.clock, w.clockAt = e.Report.Clock, now
 	h.applyReport(now, w, e)
 	h.confirmFence(now, w)
-	if !w.reported {
+	if !w.reported && !h.mayOmitEnds(e.Report) {
 		w.reported = true
 		h.inheritedStarts.Forget(w.Incarnation)
 		h.blame.RecordReport(w.Incarnation, w.runsBlameUnit)
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -23,12 +23,37 @@
 	}
 	h.noteOrphans(w)
 	h.throttleFillers(now, w)
+	if !h.mayOmitEnds(e.Report) {
+		h.applyAbsences(now, w, listed, e.Renewal)
+	}
+	h.moveStalled(now, w)
+}
+
+// applyAbsences handles the attempts of a worker that its complete report does not list.
+func (h *holderState) applyAbsences(now time.Time, w *worker, listed map[order.Run]bool, renewal int64) {
 	for _, a := range w.sortedAttempts() {
 		if !listed[a.runID()] {
-			h.applyAbsence(now, a, e.Renewal)
+			h.applyAbsence(now, a, renewal)
 		}
 	}
-	h.moveStalled(now, w)
+}
+
+// mayOmitEnds reports whether runs may have ended that a report does not list. The worker lists them
+// once the listed ends are acknowledged.
+func (h *holderState) mayOmitEnds(r order.Report) bool {
+	limit := h.core.settings.MaxListedEnds
+	return limit > 0 && len(r.Ended) >= limit
+}
+
+// startsWithinReport returns how many more runs may be started on a worker so that a single report
+// can list the ends of all of its runs. More ends would remain unknown until the log accepts records
+// again.
+func (h *holderState) startsWithinReport(w *worker) int {
+	limit := h.core.settings.MaxListedEnds
+	if limit == 0 {
+		return job.MaxTasks
+	}
+	return max(0, limit-1-len(w.attempts)-w.reportedEnds.Unacknowledged())
 }
 
 // noteOrphans updates whether the worker is one of those with unexpected runs.
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -19,6 +19,9 @@
 	MaxLease time.Duration
 	// RenewWait is how long a renewal call waits at the worker for a run to end (long poll).
 	RenewWait time.Duration
+	// MaxListedEnds is how many ends of runs a worker lists in one report, or 0 for any number. It
+	// lists the others once the first ones are acknowledged.
+	MaxListedEnds int
 	// AppendInterval is the minimum time between two appends to the stream of jobs.
 	AppendInterval time.Duration
 	// OrderTimeout is the timeout of an order to start, stop or pace a task while response
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -178,7 +178,8 @@
 // suspect.
 func (h *holderState) isHealthy(now time.Time, w *worker) bool {
 	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
-		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w)
+		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w) &&
+		h.startsWithinReport(w) > 0
 }
 
 // hasOverdueStart reports whether the worker is overdue with the answers to its start orders.
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -163,6 +163,8 @@
 	noRandomFailures bool
 	// lateOrdersIncludeRenewals makes lateOrderShare apply to renewals as well.
 	lateOrdersIncludeRenewals bool
+	// maxListedEnds is how many ends a worker lists in a report; 0 means any number.
+	maxListedEnds int
 	// uniqueIncarnationNames gives each incarnation of a worker a name of its own and no start
 	// time, as the platform formerly did.
 	uniqueIncarnationNames bool
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -171,7 +171,11 @@
 
 // report returns the report of the worker's runs and ends.
 func (f *fakeWorker) report() order.Report {
-	r := order.Report{Incarnation: f.incarnation, Clock: f.clock(), Ended: slices.Clone(f.ended)}
+	ended := f.ended
+	if limit := f.w.maxListedEnds; limit > 0 {
+		ended = ended[:min(limit, len(ended))]
+	}
+	r := order.Report{Incarnation: f.incarnation, Clock: f.clock(), Ended: slices.Clone(ended)}
 	// A run that is being stopped is reported as running until its end is reported. The workers of
 	// users do the same: on one day, 280 renewals reported such runs, and 42 reported runs that
 	// were stopped before they began, none of which ended later.
--- a/services/endreports/tracker.go
+++ b/services/endreports/tracker.go
@@ -54,6 +54,10 @@
 	if number <= t.received {
 		return nil, false
 	}
+	if t.received == 0 {
+		// The worker no longer lists earlier ends, because an earlier holder acknowledged them.
+		t.ackConfirmed = number - 1
+	}
 	t.received = number
 	r := &Report[W]{worker: worker, number: number}
 	t.pending = append(t.pending, r)
@@ -82,6 +86,10 @@
 // acknowledgement.
 func (t *Tracker[W]) ConfirmAck() { t.ackConfirmed = max(t.ackConfirmed, t.ackSent) }
 
+// Unacknowledged returns how many of the received ends the worker may still list: those for which it
+// is not certain that the worker has received an acknowledgement.
+func (t *Tracker[W]) Unacknowledged() int { return int(t.received - t.ackConfirmed) }
+
 // HasPending reports whether there are ends that Acknowledge has not taken as logged yet.
 func (t *Tracker[W]) HasPending() bool { return len(t.pending) > 0 }
 
--- a/services/endreports/tracker_test.go
+++ b/services/endreports/tracker_test.go
@@ -39,3 +39,19 @@
 	assert.Check(t, endreports.MayHaveEnded(50*time.Millisecond, time.Second))
 	assert.Check(t, endreports.MayHaveEnded(20*time.Millisecond, 30*time.Millisecond), "a quarter of the usual run time is less than 20 ms")
 }
+
+// A new holder receives the ends from the first one on that the earlier holder has not acknowledged.
+func TestEndsAcknowledgedByAnEarlierHolderDoNotCountAsUnacknowledged(t *testing.T) {
+	var tracker endreports.Tracker[string]
+	var reports []*endreports.Report[string]
+	for number := int64(101); number <= 103; number++ {
+		r, _ := tracker.Add("w", number)
+		reports = append(reports, r)
+	}
+	assert.Equal(t, tracker.Unacknowledged(), 3)
+	reports[0].MarkLogged()
+	assert.Equal(t, tracker.Acknowledge(true), int64(101))
+	assert.Equal(t, tracker.Unacknowledged(), 3, "the worker may not have received the acknowledgement")
+	tracker.ConfirmAck()
+	assert.Equal(t, tracker.Unacknowledged(), 2)
+}
