platform, dispatch: take a rejected append for done only if the log says so

Any rejection of a sequence number counted as "an earlier attempt of the same append succeeded". The holder then acknowledged the ends and accepted the jobs in it, also if the log asked for a lower number and so had appended nothing. Only a wanted number above the one sent proves that the append was done.

After such a rejection the holder cannot know what the log has: it appends one batch at a time and the numbers follow each other, so one that it counted as done is missing. Sending the batch with the wanted number would leave that gap, and a late copy of the lost batch could follow the newer one. It therefore gives the cell up, and a holder with a new epoch reads the log.

--- a/models/stream/stream.go
+++ b/models/stream/stream.go
@@ -75,6 +75,9 @@
 	ErrFenced = errors.New("fenced by a writer with a higher epoch")
 	// ErrDuplicateSequence means that an append with this sequence number was already done.
 	ErrDuplicateSequence = errors.New("sequence number was already used")
+	// ErrOutOfSequence means that the sequence number is not the next one of the writer's epoch,
+	// without proof that an append with it was done.
+	ErrOutOfSequence = errors.New("sequence number is not the next one")
 	// ErrNotDone means that the log did not carry out the call, which may be repeated.
 	ErrNotDone = errors.New("log did not carry out the call")
 	// ErrTrimmed means that the log no longer has the requested records.
--- a/services/dispatch/appended.go
+++ b/services/dispatch/appended.go
@@ -13,7 +13,8 @@
 )
 
 // handleJournalAppendEnded handles the end of the append in flight. ErrDuplicateSequence means that
-// an earlier attempt of the same append succeeded.
+// an earlier attempt of the same append succeeded. After ErrOutOfSequence it is not known what the log
+// has, so a holder with a new epoch must read it again.
 func (h *holderState) handleJournalAppendEnded(now time.Time, e exchange.AppendEnded) {
 	j := &h.journal
 	if j.batch == nil || !j.batch.sent || e.Number != j.batch.append.Writer.Number() {
@@ -24,6 +25,8 @@
 		h.handleJournalAppended(now)
 	case errors.Is(e.Err, stream.ErrFenced):
 		h.core.stepDown("a later holder has appended to the log")
+	case errors.Is(e.Err, stream.ErrOutOfSequence):
+		h.core.stepDown("the log lacks an append that came before")
 	default:
 		h.retryAppend(now, e.Err)
 	}
--- a/services/dispatch/worldlog_test.go
+++ b/services/dispatch/worldlog_test.go
@@ -62,8 +62,8 @@
 }
 
 // applyAppend appends records to a stream and returns the offset of the last. It returns an error
-// if the stream does not end where the append expects, or if the writer is fenced or repeats a
-// sequence number.
+// if the stream does not end where the append expects, or if the writer is fenced or its
+// sequence number is not the next one.
 func (w *world) applyAppend(a stream.Append) (int64, error) {
 	s := w.streams[a.Stream]
 	end := int64(len(s.records))
@@ -76,6 +76,8 @@
 			return 0, stream.ErrFenced
 		case a.Writer.Epoch == w.writerEpoch && a.Writer.Sequence <= w.writerSequence:
 			return 0, stream.ErrDuplicateSequence
+		case a.Writer.Epoch == w.writerEpoch && a.Writer.Sequence > w.writerSequence+1:
+			return 0, stream.ErrOutOfSequence
 		}
 		w.writerEpoch, w.writerSequence = a.Writer.Epoch, a.Writer.Sequence
 	}
--- a/tests/memory/log.go
+++ b/tests/memory/log.go
@@ -29,6 +29,9 @@
 		if w.Epoch == p.writerEpoch && w.Sequence < p.nextSequence {
 			return 0, stream.ErrDuplicateSequence
 		}
+		if w.Epoch == p.writerEpoch && w.Sequence > p.nextSequence {
+			return 0, stream.ErrOutOfSequence
+		}
 		p.writerEpoch, p.nextSequence = w.Epoch, w.Sequence+1
 	}
 	for _, r := range a.Records {
