dispatch, jobrecords: preserve the runs and ends of jobs that cannot be decoded

If a holder cannot decode the record of an accepted job, for example after a downgrade, it took the job for one that does not exist. It stopped its runs as unexpected, acknowledged their ends without a trace in the log, left them out of the record of a worker that does not answer, and replied that there is no such job. A repeated submission replaced the record. A release that can decode the job then starts its tasks again although they had ended as done and that had been acknowledged.

Runs of such a job are now left running and stay in the record of an unresponsive worker. Each of their ends gets a record of its own ("e/" task "/" run), after which it is acknowledged: acknowledgements are cumulative, so an end that never could be acknowledged would block all later ones of its worker and, with the limit of ends in a report, stop the worker for good. A holder that can decode the job applies these records, which changes nothing if they are applied twice, and drops them with the end of the job. Earlier releases ignore the records. Callers get 504 for a repeated submission, since the job is accepted, and 503 for its state and its cancellation instead of 410.

The cost: one record for each such end, in the same appends and under the same size limit; no task is started on a worker while it runs a task of such a job, because what that uses is not known; a crash of such a worker blames none of its tasks. The job itself waits for a release that can decode it, as before. A job whose end the log has, but whose progress cannot be decoded, is not run again either; the ends of its runs are acknowledged.

--- a/services/dispatch/appended.go
+++ b/services/dispatch/appended.go
@@ -114,6 +114,7 @@
 	for _, p := range b.progressEntries {
 		h.handleProgressAppended(now, p)
 	}
+	h.markEndsLogged(now, b.recordedEnds)
 	h.startLoading()
 	h.planDue = true
 }
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -31,6 +31,9 @@
 		j.acceptCalls = append(j.acceptCalls, e.Call)
 		return
 	}
+	if h.replyUndecodable(e.Call, e.Submission.ID, true) {
+		return
+	}
 	switch {
 	case h.shuttingDown:
 		h.core.replyElsewhere(e.Call, "this box is handing the cell over")
@@ -68,6 +71,9 @@
 
 // cancel ends a job. The caller gets the reply once the log has the cancellation.
 func (h *holderState) cancel(now time.Time, e exchange.CancelAsked) {
+	if h.replyUndecodable(e.Call, e.Job, false) {
+		return
+	}
 	j := h.jobs[e.Job]
 	switch {
 	case j == nil, !e.Caller.MayActOn(j.workspace, j.queue):
@@ -87,6 +93,9 @@
 
 // replyState replies with a job's state in the log, or with running once one of its tasks has run.
 func (h *holderState) replyState(e exchange.StateAsked) {
+	if h.replyUndecodable(e.Call, e.Job, false) {
+		return
+	}
 	j := h.jobs[e.Job]
 	if j == nil || !e.Caller.MayActOn(j.workspace, j.queue) {
 		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -11,7 +11,8 @@
 // outage and relocate decide which box holds the cell. holderState (holderstate) is the additional
 // state of the holder, and these files work on it:
 //
-//   - restore rebuilds the state that earlier holders wrote to the log; journal appends
+//   - restore rebuilds the state that earlier holders wrote to the log, undecodable preserves
+//     what it could not decode; journal appends
 //     new state to the log, and appended handles the results of these appends;
 //   - calls and status answer callers and operators, overview logs a summary of the
 //     cell;
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -22,7 +22,8 @@
 )
 
 // handleRunEnd applies the end of a run that a worker has reported. The end is acknowledged
-// once the log has its effect, or at once if it has no effect.
+// once the log has its effect, or at once if it has no effect: the log has the end of its job, or has
+// never had the job.
 func (h *holderState) handleRunEnd(now time.Time, w *worker, end order.End, report *endreports.Report[*worker]) {
 	a := w.attempts[end.Run]
 	s := h.findRunStep(now, end.Task.StepID)
@@ -33,6 +34,10 @@
 			h.estimates.ObserveStop(now.Sub(a.stopRequestedAt))
 		}
 	}
+	if s == nil && h.mayBelongToJob(end.Task.Job) {
+		h.recordEnd(end, report)
+		return
+	}
 	if s == nil || end.Task.Index >= len(s.tasks) {
 		report.MarkLogged()
 		return
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -49,6 +49,8 @@
 	journal journal
 
 	jobs map[job.ID]*trackedJob
+	// unreadJobs are the jobs that the log has and that could not be decoded.
+	unreadJobs map[job.ID]jobrecords.UnreadJob
 	// openSteps are the steps whose dependencies are done and that may have tasks to place.
 	openSteps []*step
 	// repeatingJobs are the jobs whose instances fall due at an interval.
@@ -136,7 +138,7 @@
 func newHolderState(c *Core, now time.Time, epoch int64) *holderState {
 	h := &holderState{
 		core: c, epoch: epoch, phase: phaseFencing, startedAt: now,
-		journal: journal{epoch: epoch}, jobs: map[job.ID]*trackedJob{},
+		journal: journal{epoch: epoch}, jobs: map[job.ID]*trackedJob{}, unreadJobs: map[job.ID]jobrecords.UnreadJob{},
 		workers: map[string]*worker{}, unreportedWorkers: map[string]bool{}, workersWithOrphans: map[*worker]bool{}, blame: blame.NewTracker(),
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -109,6 +109,10 @@
 // one.
 func (h *holderState) applyFormerSuccess(now time.Time, end order.End) {
 	s := h.findRunStep(now, end.Task.StepID)
+	if s == nil && h.mayBelongToJob(end.Task.Job) {
+		h.recordEnd(end, nil)
+		return
+	}
 	if s == nil || end.Task.Index >= len(s.tasks) || s.spec.Service || s.job.state.IsFinal() || s.tasks[end.Task.Index].done {
 		return
 	}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -8,6 +8,7 @@
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
+	"saddlevane/models/order"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/delays"
 	"saddlevane/services/endreports"
@@ -55,6 +56,8 @@
 	// unloggedEnds are the reported ends of runs that wait for the next append of the job's
 	// progress; workers may forget them after that.
 	unloggedEnds []*endreports.Report[*worker]
+	// recordedEnds are the runs of the job whose ends have records of their own.
+	recordedEnds []order.Run
 	// acceptCalls and cancelCalls are the submit and cancel calls that wait for the log.
 	acceptCalls []exchange.CallID
 	cancelCalls []exchange.CallID
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -25,6 +25,8 @@
 	extraRecords []stream.Record
 	// workerRecords has the worker records among extraRecords.
 	workerRecords []workerRecord
+	// endsToRecord are ends of runs that get records of their own.
+	endsToRecord []endToRecord
 	// unloggedJobs are submitted jobs that the log does not have yet, dirtyJobs the jobs whose
 	// latest progress it does not have.
 	unloggedJobs []*trackedJob
@@ -44,6 +46,7 @@
 type batch struct {
 	append          stream.Append
 	workerRecords   []workerRecord
+	recordedEnds    []*endreports.Report[*worker]
 	newJobs         []*trackedJob
 	progressEntries []progressEntry
 	sent            bool
@@ -67,6 +70,12 @@
 	cancelCalls []exchange.CallID
 }
 
+// endToRecord is the record of an end, and the report to acknowledge once the log has it, or nil.
+type endToRecord struct {
+	record stream.Record
+	report *endreports.Report[*worker]
+}
+
 // maxBatchBytes is the size, in bytes, from which an append gets no more jobs. It is well
 // below the size limit of the log.
 const maxBatchBytes = 512 << 10
@@ -76,7 +85,7 @@
 
 // isIdle reports whether no append is pending and nothing but recent starts waits for one.
 func (j *journal) isIdle() bool {
-	return j.batch == nil && len(j.extraRecords) == 0 && len(j.unloggedJobs) == 0 && len(j.dirtyJobs) == 0
+	return j.batch == nil && len(j.extraRecords) == 0 && len(j.unloggedJobs) == 0 && len(j.dirtyJobs) == 0 && len(j.endsToRecord) == 0
 }
 
 // hasWaitingCallers reports whether a submitted job or a cancellation waits for the log.
@@ -142,7 +151,9 @@
 	}
 	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extraRecords}, workerRecords: j.workerRecords}
 	j.extraRecords, j.workerRecords = nil, nil
-	h.addProgress(b, j.addNewJobs(b))
+	size := j.addNewJobs(b)
+	size += j.addEnds(b, size)
+	h.addProgress(b, size)
 	return b
 }
 
@@ -159,6 +170,21 @@
 	return size
 }
 
+// addEnds adds the records of ends to a batch that has a size in bytes, as many as fit, and returns
+// their size.
+func (j *journal) addEnds(b *batch, size int) int {
+	added := 0
+	for len(j.endsToRecord) > 0 && size+added < maxBatchBytes {
+		e := j.endsToRecord[0]
+		j.endsToRecord = j.endsToRecord[1:]
+		added += b.addRecord(e.record)
+		if e.report != nil {
+			b.recordedEnds = append(b.recordedEnds, e.report)
+		}
+	}
+	return added
+}
+
 // addProgress adds the progress of dirty jobs that are accepted, or are accepted with this
 // batch, to a batch that has a size in bytes. What does not fit waits for the next append.
 func (h *holderState) addProgress(b *batch, size int) {
@@ -181,6 +207,9 @@
 		size += b.addRecord(jobrecords.ProgressRecord(tj.id, tj.progress(h.blame)))
 		if tj.state.IsFinal() {
 			b.append.Records = append(b.append.Records, jobrecords.DropSubmission(tj.id))
+			for _, run := range tj.recordedEnds {
+				b.append.Records = append(b.append.Records, jobrecords.DropEnd(run))
+			}
 		}
 	}
 }
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -81,7 +81,9 @@
 		a = h.adopt(now, w, r)
 		if a == nil {
 			w.orphans[r.Run] = true
-			h.stopOrphan(now, w, r.Run)
+			if !h.mayBelongToJob(r.Task.Job) {
+				h.stopOrphan(now, w, r.Run)
+			}
 			return
 		}
 	}
--- a/services/dispatch/restore.go
+++ b/services/dispatch/restore.go
@@ -39,6 +39,9 @@
 	for _, u := range state.Unread {
 		h.core.logEvent("failed to decode a logged record", logField("key", u.Key), logField("error", u.Reason))
 	}
+	for _, u := range state.UnreadJobs {
+		h.unreadJobs[u.ID] = u
+	}
 	if err := h.estimates.Restore(state.RunTimes); err != nil {
 		h.core.logEvent("failed to decode logged run times", logField("error", err.Error()))
 	}
@@ -62,6 +65,9 @@
 		h.endedJobs = append(h.endedJobs, j)
 		h.recordLeftoverUsage(now, p)
 	}
+	for _, e := range state.Ends {
+		h.restoreEnd(now, e)
+	}
 	for _, k := range state.Workers {
 		h.restoreRecordedWorker(now, k)
 	}
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -54,6 +54,9 @@
 
 // explainJob replies with the state of a job, its slack and the reasons why its tasks wait.
 func (h *holderState) explainJob(now time.Time, e exchange.ExplanationAsked) {
+	if h.replyUndecodable(e.Call, e.Job, false) {
+		return
+	}
 	j := h.jobs[e.Job]
 	if j == nil {
 		h.core.reply(e.Call, exchange.Answer{Outcome: exchange.NoJob})
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -33,6 +33,8 @@
 	keyCrashes = "crashes"
 	// keyStarts is the prefix of the records of recently started tasks, one for each slot.
 	keyStarts = "r/"
+	// keyEnd is the prefix of the records of single ends of runs.
+	keyEnd = "e/"
 )
 
 // Submission is the recorded submission of an accepted job.
@@ -111,6 +113,26 @@
 	return newRecord(keyStarts+strconv.Itoa(slot), starts)
 }
 
+// RunEnd is the recorded end of a run that was reported to a holder which could not decode its job.
+type RunEnd struct {
+	Run        order.Run       `json:"run"`
+	Status     order.EndStatus `json:"status"`
+	Checkpoint string          `json:"checkpoint,omitempty"`
+}
+
+// EndRecord returns the record of the end of a run, for a holder that can decode its job.
+func EndRecord(e order.End) stream.Record {
+	return newRecord(endKey(e.Run), RunEnd{Run: e.Run, Status: e.Status, Checkpoint: e.Checkpoint})
+}
+
+// DropEnd returns the record that deletes the record of the end of a run.
+func DropEnd(r order.Run) stream.Record { return stream.Record{Key: endKey(r)} }
+
+// endKey returns the key of the record of the end of a run.
+func endKey(r order.Run) string {
+	return keyEnd + r.Task.String() + "/" + strconv.FormatInt(r.Number, 10)
+}
+
 // FenceRecord returns a record without information. The append that contains it fences earlier
 // holders.
 func FenceRecord() stream.Record { return stream.Record{Key: keyFence, Value: []byte{'1'}} }
@@ -147,8 +169,19 @@
 	CrashRate []byte
 	// RecentStarts are the values of the records of recently started tasks.
 	RecentStarts [][]byte
-	// Unread are the records that could not be decoded.
-	Unread []Unread
+	// Unread are the records that could not be decoded, and UnreadJobs the jobs that some of them
+	// describe.
+	Unread     []Unread
+	UnreadJobs []UnreadJob
+	// Ends are the recorded ends of single runs, in the order of their records' offsets.
+	Ends []RunEnd
+}
+
+// UnreadJob is a job whose submission or progress could not be decoded. Ended is set if it has no
+// submission any more.
+type UnreadJob struct {
+	ID    job.ID
+	Ended bool
 }
 
 // UnfinishedJob is a job that has not ended, with its latest recorded progress.
@@ -205,6 +238,7 @@
 	}
 	if err != nil {
 		s.addUnread(submission.Key, err)
+		s.UnreadJobs = append(s.UnreadJobs, UnreadJob{ID: id})
 		return false
 	}
 	if len(progress.Value) > 0 {
@@ -212,14 +246,15 @@
 	}
 	if err != nil {
 		s.addUnread(progress.Key, err)
+		s.UnreadJobs = append(s.UnreadJobs, UnreadJob{ID: id})
 		return false
 	}
 	s.Jobs = append(s.Jobs, j)
 	return true
 }
 
-// decodeOther decodes a record of an ended job, a worker or recently started tasks, and ignores
-// others. The keys of submitted are the jobs with a submission, the values say whether it was
+// decodeOther decodes a record of an ended job, a worker, recently started tasks or the end of a run,
+// and ignores others. The keys of submitted are the jobs with a submission, the values say whether it was
 // decoded.
 func (s *State) decodeOther(r stream.Record, submitted map[job.ID]bool) {
 	if r.IsTombstone() {
@@ -234,6 +269,9 @@
 	if strings.HasPrefix(r.Key, keyStarts) {
 		s.RecentStarts = append(s.RecentStarts, r.Value)
 	}
+	if strings.HasPrefix(r.Key, keyEnd) {
+		s.decodeRunEnd(r)
+	}
 	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
 		var w KnownWorker
 		err := json.Unmarshal(r.Value, &w)
@@ -248,6 +286,20 @@
 	}
 }
 
+// decodeRunEnd decodes the record of the end of a run.
+func (s *State) decodeRunEnd(r stream.Record) {
+	var e RunEnd
+	err := json.Unmarshal(r.Value, &e)
+	if err == nil && endKey(e.Run) != r.Key {
+		err = fmt.Errorf("record holds the end of run %d of %s", e.Run.Number, e.Run.Task)
+	}
+	if err != nil {
+		s.addUnread(r.Key, err)
+		return
+	}
+	s.Ends = append(s.Ends, e)
+}
+
 // decodeEnded decodes the progress of a job that may have ended, and adds the job to Ended if it
 // has. An error is added to Unread, unless alreadyUnread says that a record of the job is there.
 func (s *State) decodeEnded(id job.ID, r stream.Record, alreadyUnread bool) {
@@ -255,6 +307,7 @@
 	if err := json.Unmarshal(r.Value, &p); err != nil {
 		if !alreadyUnread {
 			s.addUnread(r.Key, err)
+			s.UnreadJobs = append(s.UnreadJobs, UnreadJob{ID: id, Ended: true})
 		}
 		return
 	}
--- a/services/jobrecords/jobrecords_test.go
+++ b/services/jobrecords/jobrecords_test.go
@@ -69,6 +69,7 @@
 		unread = append(unread, u.Key)
 	}
 	assert.DeepEqual(t, unread, []string{"s/b", "s/c", "s/d", "p/e", "w/x", "p/ended"})
+	assert.DeepEqual(t, s.UnreadJobs, []jobrecords.UnreadJob{{ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "ended", Ended: true}})
 }
 
 func TestUnresponsiveWorkerRecordHoldsWorkTimes(t *testing.T) {
@@ -90,3 +91,13 @@
 	assert.Equal(t, s.Workers[0].Incarnation, order.Incarnation{Name: "i-7"})
 	assert.Equal(t, s.Workers[0].Address, "1.2.3.4:5")
 }
+
+func TestEndsOfRunsAreRecordedOneByOne(t *testing.T) {
+	first := order.End{Number: 9, Run: order.Run{Task: job.TaskID{StepID: job.StepID{Job: "a", Step: 1}, Index: 2}, Number: 7}, Status: order.Done, Checkpoint: "c"}
+	second := first
+	second.Run.Number = 8
+	s := jobrecords.Decode(withOffsets(jobrecords.EndRecord(first), jobrecords.EndRecord(second), jobrecords.DropEnd(second.Run),
+		stream.Record{Key: "e/a.0.0.0/1", Value: jobrecords.EndRecord(first).Value}))
+	assert.DeepEqual(t, s.Ends, []jobrecords.RunEnd{{Run: first.Run, Status: order.Done, Checkpoint: "c"}})
+	assert.Equal(t, len(s.Unread), 1, "the key of the record names another run")
+}
