dispatch: wait for workers whose record cannot be decoded

A new holder starts no task that an earlier one may have started before all recorded workers have reported what they run, or their leases have expired. A worker whose record could not be decoded was left out of these, so a task that ran there was started on another worker meanwhile.

The test on the code before this change:

undecodable_test.go:138: assertion failed: 1 (int) != 0 (int): listed: true [starts on the other worker]

The name of such a worker is known from the key of its record, which is all that is needed to wait for it. If the platform lists it, it is asked like the others; otherwise its lease must have expired. The record is replaced once the worker has reported, and dropped with a worker that is gone, so that it does not delay every later takeover. It is not rewritten before that: a record without runs would say that nothing runs there.

Cost: the first takeover with such a record delays inherited tasks by up to a lease.

--- a/services/dispatch/restore.go
+++ b/services/dispatch/restore.go
@@ -71,6 +71,9 @@
 	for _, k := range state.Workers {
 		h.restoreRecordedWorker(now, k)
 	}
+	for _, name := range state.UnreadWorkers {
+		h.restoreUndecodableWorker(now, name)
+	}
 }
 
 // restoreRecordedWorker restores a worker on which an earlier holder may have started tasks.
--- a/services/dispatch/undecodable.go
+++ b/services/dispatch/undecodable.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/modules/ordered"
 	"saddlevane/services/endreports"
 	"saddlevane/services/jobrecords"
 )
@@ -92,3 +93,20 @@
 	}
 	return true
 }
+
+// restoreUndecodableWorker restores a worker of whose record only the name is known. An earlier holder
+// may have started tasks there until just now. Its record is replaced once the worker has reported, and
+// dropped if its lease has expired and the platform does not list it.
+func (h *holderState) restoreUndecodableWorker(now time.Time, name string) {
+	w := h.workers[name]
+	if w == nil {
+		w = h.addWorker(now, order.Worker{Incarnation: order.Incarnation{Name: name}})
+		// There is no address yet to which a renewal could be sent.
+		w.failedRenewals = 1
+	}
+	w.undecodable = true
+	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(h.maxLeaseDuration()))
+	if !w.reported {
+		h.unreportedWorkers[name] = true
+	}
+}
--- a/services/dispatch/undecodable_test.go
+++ b/services/dispatch/undecodable_test.go
@@ -121,3 +121,32 @@
 		}
 	}
 }
+
+// The record of a worker cannot be decoded, so that what an earlier holder has started there is known
+// only once the worker reports or its lease has expired.
+func TestTaskThatMayRunOnWorkerWithUndecodableRecordIsNotStarted(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		workers := []order.Worker{workerEntry("v", 1000)}
+		if listed {
+			workers = append(workers, workerEntry("w", 1000))
+		}
+		d, renewals := newSuccessor(t, []stream.Record{
+			logged(oneStep("j", "quick", 1, false)), jobrecords.WorkerRecord(workerEntry("v", 1000)), {Key: "w/w", Value: []byte(`{"Pool":7}`)},
+		}, workers...)
+		silent := renewals["w"]
+		delete(renewals, "w")
+		assert.Equal(t, len(d.startsWithin(lease/2, renewals)), 0, "listed: %v", listed)
+		if listed {
+			d.handle(exchange.RenewEnded{Worker: silent.Worker, Epoch: silent.Epoch, Renewal: silent.Renewal, Answer: order.Answer{Outcome: order.Unknown}})
+		}
+		assert.Equal(t, len(d.startsWithin(lease, renewals)), 1, "listed: %v", listed)
+	}
+}
+
+func TestRunOnWorkerWithUndecodableRecordIsAdopted(t *testing.T) {
+	d, renewals := newSuccessor(t, []stream.Record{logged(oneStep("j", "quick", 1, false)), {Key: "w/w", Value: []byte(`{"Pool":7}`)}}, workerEntry("w", 1000))
+	effects := d.handle(renewAnswer(renewals["w"], firstRun("j")))
+	state := jobrecords.Decode(appended(append(effects, d.advance(20*time.Millisecond)...)))
+	assert.Equal(t, len(state.Workers), 1, "the worker has reported, so its record can be replaced")
+	assert.Equal(t, len(effectsOf[exchange.StopRun](effects))+len(effectsOf[exchange.StartRun](effects)), 0)
+}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -37,6 +37,8 @@
 	// worker's records: only the confirmation of the last one sets recorded.
 	recordPending bool
 	recordCount   int
+	// undecodable is true if the log has a record of the worker that could not be decoded.
+	undecodable bool
 	// unresponsive describes the record that the log has of the worker while it does not answer.
 	unresponsive unresponsiveRecord
 
@@ -222,7 +224,7 @@
 	h.retire(w)
 	w.incarnations.End(w.Incarnation)
 	h.formerWorkers.Add(now, w.Name, w.incarnations)
-	if w.recorded || w.recordPending || w.unresponsive.written {
+	if w.recorded || w.recordPending || w.unresponsive.written || w.undecodable {
 		h.journal.addRecord(jobrecords.DropWorker(w.Name))
 	}
 }
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -169,10 +169,11 @@
 	CrashRate []byte
 	// RecentStarts are the values of the records of recently started tasks.
 	RecentStarts [][]byte
-	// Unread are the records that could not be decoded, and UnreadJobs the jobs that some of them
-	// describe.
-	Unread     []Unread
-	UnreadJobs []UnreadJob
+	// Unread are the records that could not be decoded, UnreadJobs the jobs and UnreadWorkers the names
+	// of the workers that some of them describe.
+	Unread        []Unread
+	UnreadJobs    []UnreadJob
+	UnreadWorkers []string
 	// Ends are the recorded ends of single runs, in the order of their records' offsets.
 	Ends []RunEnd
 }
@@ -272,7 +273,7 @@
 	if strings.HasPrefix(r.Key, keyEnd) {
 		s.decodeRunEnd(r)
 	}
-	if _, ok := strings.CutPrefix(r.Key, keyWorker); ok {
+	if name, ok := strings.CutPrefix(r.Key, keyWorker); ok {
 		var w KnownWorker
 		err := json.Unmarshal(r.Value, &w)
 		if err == nil && w.Name == "" {
@@ -280,6 +281,7 @@
 		}
 		if err != nil {
 			s.addUnread(r.Key, err)
+			s.UnreadWorkers = append(s.UnreadWorkers, name)
 			return
 		}
 		s.Workers = append(s.Workers, w)
--- a/services/jobrecords/jobrecords_test.go
+++ b/services/jobrecords/jobrecords_test.go
@@ -69,6 +69,7 @@
 		unread = append(unread, u.Key)
 	}
 	assert.DeepEqual(t, unread, []string{"s/b", "s/c", "s/d", "p/e", "w/x", "p/ended"})
+	assert.DeepEqual(t, s.UnreadWorkers, []string{"x"})
 	assert.DeepEqual(t, s.UnreadJobs, []jobrecords.UnreadJob{{ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "ended", Ended: true}})
 }
 
