--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -23,12 +23,37 @@
 	}
 	h.noteOrphans(w)
 	h.throttleFillers(now, w)
+	if !h.mayOmitEnds(e.Report) {
+		h.applyAbsences(now, w, listed, e.Renewal)
+	}
+	h.moveStalled(now, w)
+}
+
+// applyAbsences handles the attempts of a worker that its complete report does not list.
+func (h *holderState) applyAbsences(now time.Time, w *worker, listed map[order.Run]bool, renewal int64) {
 	for _, a := range w.sortedAttempts() {
 		if !listed[a.runID()] {
-			h.applyAbsence(now, a, e.Renewal)
+			h.applyAbsence(now, a, renewal)
 		}
 	}
-	h.moveStalled(now, w)
+}
+
+// mayOmitEnds reports whether runs may have ended that a report does not list. The worker lists them
+// once the listed ends are acknowledged.
+func (h *holderState) mayOmitEnds(r order.Report) bool {
+	limit := h.core.settings.MaxListedEnds
+	return limit > 0 && len(r.Ended) >= limit
+}
+
+// startsWithinReport returns how many more runs may be started on a worker so that a single report
+// can list the ends of all of its runs. More ends would remain unknown until the log accepts records
+// again.
+func (h *holderState) startsWithinReport(w *worker) int {
+	limit := h.core.settings.MaxListedEnds
+	if limit == 0 {
+		return job.MaxTasks
+	}
+	return max(0, limit-1-len(w.attempts)-w.reportedEnds.Unacknowledged())
 }
 
 // noteOrphans updates whether the worker is one of those with unexpected runs.
@@ -56,7 +81,9 @@
 		a = h.adopt(now, w, r)
 		if a == nil {
 			w.orphans[r.Run] = true
-			h.stopOrphan(now, w, r.Run)
+			if !h.mayBelongToJob(r.Task.Job) {
+				h.stopOrphan(now, w, r.Run)
+			}
 			return
 		}
 	}
@@ -76,7 +103,7 @@
 // adopt creates the attempt for a run that an earlier holder started. It returns nil if the run
 // should not be running.
 func (h *holderState) adopt(now time.Time, w *worker, r order.Running) *attempt {
-	s := h.findStep(r.Task.StepID)
+	s := h.findRunStep(now, r.Task.StepID)
 	if s == nil || r.Task.Index >= len(s.tasks) || s.job.state.IsFinal() {
 		return nil
 	}
