dispatch: give no order while an invitation to take the cell over is pending

A holder that the log does not answer invites a box that the log answers. The invited box may claim at once, before its answer is back. From the invitation on the holder decides nothing more, but Core.HoldsUntil went on, so orders that had been decided before and waited to be sent still went out: for a moment two boxes gave orders.

HoldsUntil returns nothing while the invitation is pending. The event loop updates its view before it carries out the effects of a decision, so the view ends before the invitation is sent. If the invitation is refused, the holder goes on; if its answer is lost, it steps down as before. A pledge that arrives meanwhile extends the authority, but does not end the invitation.

Not shown: that an order sent in that moment broke a promise. Workers refuse orders with a lower fence number once the next holder has asked them, leases end at a time that is fixed when the order is decided, and the next holder waits for both.

--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -113,9 +113,9 @@
 
 // HoldsUntil returns the epoch of the claim under which this process may send orders to
 // workers, and when that authority expires. It returns zero values if this process does not
-// hold the cell.
+// hold the cell, or while the answer to an invitation is pending: the invited box may hold it.
 func (c *Core) HoldsUntil() (epoch int64, until time.Time) {
-	if c.holding == nil {
+	if c.holding == nil || c.holding.invitePending {
 		return 0, time.Time{}
 	}
 	return c.holding.epoch, c.authority.HoldsUntil()
