relay, jobrun: check the authority of an order when it is sent, and of every kind of order

Whether an order might still be sent was asked once, before it was handed to the relay client, and only for renewals and starts. There it waits while an earlier batch to the same box is sent, for up to a second; if that fails, it is sent directly. An order whose authority had ended meanwhile was sent nevertheless, as were stops and orders of another pace at any time. An order whose caller had given it up was sent as well, and so reached the relay later than the holder counts on.

The relay client now asks when a batch is taken from the queue and before each direct call, by the fence number of the order, which holds the claim. That covers all kinds of orders, so the check in the event loop's adapters goes. Orders that nobody waits for any more are left out of the batch.

Left as it is: time spent in connection set-up after the last check. It is bounded by the timeout of the order (a second for a batch). What reaches a worker late is refused by its fence number once the next holder has asked that worker, and extends no lease beyond the end that was fixed when it was decided.

--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -21,6 +21,7 @@
 	"saddlevane/services/dispatch"
 	"saddlevane/services/logfeed"
 	"saddlevane/services/overload"
+	"saddlevane/services/presence"
 	"saddlevane/services/relay"
 
 	"github.com/sirupsen/logrus"
@@ -159,7 +160,7 @@
 	for _, name := range []stream.Name{stream.Config, stream.Claims, stream.Boxes} {
 		l.windows[name] = logfeed.NewWindow(l.now)
 	}
-	l.relayClient = relay.NewClient(self, l.now, l.relays, p.Workers, l.batchSender(methodCarry))
+	l.relayClient = relay.NewClient(self, l.now, l.relays, p.Workers, l.mayOrder, l.batchSender(methodCarry))
 	l.workers = l.relayClient.WorkerCalls()
 	return l
 }
@@ -293,19 +294,16 @@
 	l.mu.Unlock()
 }
 
-// canOrder reports whether an order decided under the claim with the given epoch may still be
-// sent. The authority existed when the order was decided, but the machine may have been
+// mayOrder reports whether an order with the given fence number may still be sent. The authority
+// existed when the order was decided, but the order may have waited or the machine may have been
 // suspended since, and another box may hold the cell by now.
-func (l *Loop) canOrder(epoch int64) bool {
+func (l *Loop) mayOrder(fence int64) bool {
 	l.mu.Lock()
 	v := l.view
 	l.mu.Unlock()
-	return v.epoch == epoch && l.now().Before(v.orderUntil)
+	return v.epoch == presence.ClaimOfFence(fence) && l.now().Before(v.orderUntil)
 }
 
-// answerAuthorityEnded is the answer to an order that was not sent because canOrder was false.
-var answerAuthorityEnded = order.Answer{Outcome: order.NotDone, Problem: "the authority under which it was decided has ended"}
-
 // execute carries out one effect. An effect that takes time runs in its own goroutine, and its
 // result is posted as an event.
 func (l *Loop) execute(e exchange.Effect) {
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -48,10 +48,6 @@
 // with an unknown outcome. A successful answer that arrives within the grace period after that
 // is posted as a second result.
 func (l *Loop) renewLease(e exchange.Renew) {
-	if !l.canOrder(e.Epoch) {
-		l.post(exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal, Answer: answerAuthorityEnded})
-		return
-	}
 	ctx, cancel := context.WithTimeout(httpclient.WithOverdueAfter(l.ctx, e.Timeout), e.Timeout+e.GracePeriod)
 	defer cancel()
 	ended := exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal}
@@ -70,10 +66,6 @@
 
 // startRun orders a worker to start a run.
 func (l *Loop) startRun(e exchange.StartRun) {
-	if !l.canOrder(e.Epoch) {
-		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answerAuthorityEnded})
-		return
-	}
 	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
 	defer cancel()
 	answer := l.workers.Start(ctx, e.Address, e.Worker, e.Order)
--- a/services/presence/incarnations.go
+++ b/services/presence/incarnations.go
@@ -46,6 +46,9 @@
 // incarnation.
 func (l *Incarnations) Fence(claim int64) int64 { return claim*fencesPerClaim + l.fenceRaises }
 
+// ClaimOfFence returns the claim under which an order with a fence number was decided.
+func ClaimOfFence(fence int64) int64 { return fence / fencesPerClaim }
+
 // RaiseFence raises the fence number of the worker. Once the worker has received a call with a
 // number above calls, it refuses the orders that were in transit to it.
 func (l *Incarnations) RaiseFence(calls int64) {
--- a/services/presence/incarnations_test.go
+++ b/services/presence/incarnations_test.go
@@ -36,6 +36,7 @@
 	assert.Check(t, !l.HasCandidate(), "the entry is known to be old")
 	assert.Check(t, l.RecordAnswer(known, incarnation(100), 10), "a smaller number may be the later incarnation")
 	assert.Equal(t, l.Fence(3), int64(3_000_001))
+	assert.Equal(t, presence.ClaimOfFence(l.Fence(3)), int64(3))
 	assert.Check(t, !l.RecordEntry(incarnation(100), entry(500), 11) && !l.HasCandidate(), "the list is outdated")
 }
 
--- a/services/relay/bench_test.go
+++ b/services/relay/bench_test.go
@@ -48,7 +48,7 @@
 	selector := relay.NewSelector(relay.Limits{MinWorkers: 1, WorkersPerRelay: 48}, "a-00")
 	selector.AddBoxes([]claim.Member{member("b", 0)})
 	selector.UpdateWorkers(listing(48, "b"))
-	client = relay.NewClient(member("a", 0), time.Now, selector, relay.WorkerCalls{}, send)
+	client = relay.NewClient(member("a", 0), time.Now, selector, relay.WorkerCalls{}, func(int64) bool { return true }, send)
 	defer client.Close()
 	workers := client.WorkerCalls()
 	for b.Loop() {
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -23,10 +23,12 @@
 
 // Client sends orders to workers through relays, or directly if a worker has no relay.
 type Client struct {
-	self       claim.Member
-	now        func() time.Time
-	selector   *Selector
-	direct     WorkerCalls
+	self     claim.Member
+	now      func() time.Time
+	selector *Selector
+	direct   WorkerCalls
+	// mayOrder reports whether orders with a fence number may still be sent.
+	mayOrder   func(fence int64) bool
 	send       func(ctx context.Context, box claim.Member, b Batch) DeliveryStatus
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -50,13 +52,14 @@
 }
 
 // NewClient returns a client that sends batches with send, and orders to workers without a
-// relay with direct.
-func NewClient(self claim.Member, now func() time.Time, selector *Selector, direct WorkerCalls,
+// relay with direct. Before it sends an order it asks mayOrder whether the authority under which
+// it was decided still exists.
+func NewClient(self claim.Member, now func() time.Time, selector *Selector, direct WorkerCalls, mayOrder func(fence int64) bool,
 	send func(context.Context, claim.Member, Batch) DeliveryStatus,
 ) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
-		self: self, now: now, selector: selector, direct: direct, send: send, ctx: ctx, cancel: cancel,
+		self: self, now: now, selector: selector, direct: direct.whileAuthorized(mayOrder), mayOrder: mayOrder, send: send, ctx: ctx, cancel: cancel,
 		pending: map[uint64]*pendingOrder{}, lastAnswerAt: map[string]time.Time{}, outboxes: map[string]*outbox[Order]{},
 	}
 }
@@ -188,11 +191,6 @@
 	return false
 }
 
-// sendOrders sends a batch of orders to a box.
-func (c *Client) sendOrders(ctx context.Context, box claim.Member, orders []Order) DeliveryStatus {
-	return c.send(ctx, box, Batch{From: c.self.Address, Incarnation: c.self.Incarnation, Orders: orders})
-}
-
 // handleBatchFailure delivers results for the orders of a batch that was not confirmed. The
 // outcome is unknown, or empty if the batch was not sent.
 func (c *Client) handleBatchFailure(box string, orders []Order, status DeliveryStatus) {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -30,6 +30,10 @@
 	dropResults   bool
 	// batches is the number of batches of orders.
 	batches int
+	// hold, if set, keeps batches of orders from being delivered until it is closed.
+	hold chan struct{}
+	// authorityEnded is set once no order may be sent any more.
+	authorityEnded bool
 }
 
 // update calls f, which changes or reads the link, under the lock.
@@ -69,9 +73,15 @@
 		}
 		return relay.Delivered
 	})
-	h.client = relay.NewClient(member("a", 0), time.Now, h.selector, h.workers(&h.direct), func(_ context.Context, _ claim.Member, b relay.Batch) relay.DeliveryStatus {
+	h.client = relay.NewClient(member("a", 0), time.Now, h.selector, h.workers(&h.direct), h.mayOrder, func(_ context.Context, _ claim.Member, b relay.Batch) relay.DeliveryStatus {
 		h.mu.Lock()
 		h.batches++
+		hold := h.hold
+		h.mu.Unlock()
+		if hold != nil {
+			<-hold
+		}
+		h.mu.Lock()
 		status := h.orderDelivery
 		h.mu.Unlock()
 		if status != "" {
@@ -87,6 +97,13 @@
 	return h
 }
 
+// mayOrder reports whether orders may be sent.
+func (h *relayHarness) mayOrder(int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.authorityEnded
+}
+
 // roundTrip returns a batch after encoding and decoding.
 func roundTrip(t *testing.T, b relay.Batch) relay.Batch {
 	data, err := json.Marshal(b)
