dispatch: start no member of a gang again whose earlier run has succeeded

What callers would see: a gang that was done was started again. A gang was restarted since the lease of a member's worker had expired; that the first run had been successful became known only then, from a late answer. The end was written to the log and acknowledged, but the start orders of the second run that had no answer were still sent again, and runs of it that had started were left to work to their end.

Cause: the success of a member marks all members as done, but unlike for other tasks it stopped none of their attempts, and the repeat of a start order asked only whether the job had ended. In a job with a later step it has not.

A success now stops every attempt of its task, and of the other members of a gang, that does not belong to the successful run, and a start order of a task that is done is not repeated. Members of the successful run end by themselves and are not stopped; an attempt that waits for the report of a later incarnation of its worker is, since only a late order could start it. The first start order cannot be for a task that is done: both places that give one (startTasks, startSuspects) leave such tasks out, without an event in between.

Not covered: a first start order that was sent before the success was known and is carried out late, after the acknowledgement but before the stop.

--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -89,19 +89,18 @@
 }
 
 // completeTask records that a task has succeeded. The success of one member of a gang
-// counts for all members.
+// counts for all members. Attempts that were started since are stopped.
 func (h *holderState) completeTask(now time.Time, s *step, end order.End) {
 	if s.doneTasks == len(s.tasks) {
 		// All members of a gang report their success; only the first report counts.
 		return
 	}
-	if s.spec.Gang {
-		for i := range s.tasks {
-			s.markDone(i)
+	for i := range s.tasks {
+		if i != end.Task.Index && !s.spec.Gang {
+			continue
 		}
-	} else {
-		s.markDone(end.Task.Index)
-		if a := s.tasks[end.Task.Index].attempt; a != nil {
+		s.markDone(i)
+		if a := s.tasks[i].attempt; a != nil && !a.endsWith(end) {
 			h.stopAttempt(now, a)
 		}
 	}
@@ -110,6 +109,12 @@
 	}
 }
 
+// endsWith reports whether the attempt belongs to the run of a gang of which another member has
+// ended successfully, so that its run ends as well.
+func (a *attempt) endsWith(end order.End) bool {
+	return a.index != end.Task.Index && a.run == end.Run.Number && !a.fromEarlierIncarnation
+}
+
 // completeStep is called when the last task of a step is done. It opens the steps that
 // depended on it, or ends the job if there are none left.
 func (h *holderState) completeStep(now time.Time, s *step, last int) {
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -129,7 +129,7 @@
 // order also extends the worker's lease, so the holder must be allowed to renew leases.
 func (h *holderState) canRetryStart(now time.Time, a *attempt) bool {
 	return h.isEnabled(mechanism.RepeatedStarts) && a.state == attemptStarting && a.orderCount < maxStartTries &&
-		!a.step.job.state.IsFinal() && h.mayRenew(now) && !h.isEvacuated(a.worker)
+		!a.task().done && !a.step.job.state.IsFinal() && h.mayRenew(now) && !h.isEvacuated(a.worker)
 }
 
 // handleStartUnconfirmed handles a start that may or may not have been carried out. It sends
