dispatch: worlds check that no task is started after a success that is acknowledged later

The random worlds only asked at a start whether a success of the task had been acknowledged before. A start after a success that the holder did not know of, and acknowledged afterwards, broke no check, although the task has been run twice and both runs count.

At each acknowledgement of a successful end the worlds now ask whether the task was started after the run had ended. That is allowed only if the lease of the worker had lapsed in between: until then the holder may not take the run for lost.

--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -183,6 +183,16 @@
 	acknowledgedFailures map[job.TaskID]int
 	// failedRuns counts the runs that failed, including those whose end no holder acknowledged.
 	failedRuns map[job.TaskID]int
+	// lastStarts has the last start of each task.
+	lastStarts map[job.TaskID]taskStart
+}
+
+// taskStart is a start of a task on a worker at a time. late is set if the order was carried out late.
+type taskStart struct {
+	at     time.Time
+	number int64
+	worker order.Incarnation
+	late   bool
 }
 
 // newWorld returns a world whose boxes have just started. Three workers each share a rack.
--- a/services/dispatch/worldcheck_test.go
+++ b/services/dispatch/worldcheck_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// recordStart records the last start of a task.
+func (a *submittedJob) recordStart(task job.TaskID, s taskStart) {
+	if a.lastStarts == nil {
+		a.lastStarts = map[job.TaskID]taskStart{}
+	}
+	a.lastStarts[task] = s
+}
+
+// checkAcknowledgedSuccess records a violation if a task was started after a successful end of it that
+// is acknowledged only now. It was not known that the task was done, so the worker's lease must have
+// lapsed in between.
+func (w *world) checkAcknowledgedSuccess(f *fakeWorker, e order.End) {
+	s, started := w.jobs[e.Task.Job].lastStarts[e.Task]
+	ended := f.endedAt[e.Number]
+	if started && s.at.After(ended) && f.lapsedAt.Before(ended) {
+		w.violationf("%v was started as run %d on %s at %v (late order: %v), after run %d had ended successfully on %s at %v, which is acknowledged now",
+			e.Task, s.number, s.worker, s.at.Sub(w.startedAt), s.late, e.Run.Number, f.incarnation, ended.Sub(w.startedAt))
+	}
+}
+
 // fatalf logs the last lines of the trace and fails the test.
 func (w *world) fatalf(format string, args ...any) {
 	w.t.Helper()
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -193,13 +193,14 @@
 // the holder must never revise it.
 func (f *fakeWorker) dropAcknowledged(acknowledged int64) {
 	for len(f.ended) > 0 && f.ended[0].Number <= acknowledged {
-		f.w.acknowledgeEnd(f.ended[0])
+		f.w.acknowledgeEnd(f, f.ended[0])
 		f.ended = f.ended[1:]
 	}
 }
 
-// acknowledgeEnd records that the holder has acknowledged an end. Ends of services do not count.
-func (w *world) acknowledgeEnd(e order.End) {
+// acknowledgeEnd records that the holder has acknowledged an end of a run on worker f. Ends of services
+// do not count.
+func (w *world) acknowledgeEnd(f *fakeWorker, e order.End) {
 	a := w.jobs[e.Task.Job]
 	if a == nil || a.sub.Steps[e.Task.Step].Service {
 		return
@@ -211,6 +212,7 @@
 	switch e.Status {
 	case order.Done:
 		a.acknowledged[id] = true
+		w.checkAcknowledgedSuccess(f, e)
 	case order.Failed:
 		a.acknowledgedFailures[id]++
 	}
@@ -266,6 +268,9 @@
 	}
 	f.w.starts[s.Task]++
 	a := f.w.jobs[s.Task.Job]
+	if !unreached {
+		a.recordStart(s.Task, taskStart{at: f.w.now, number: s.Number, worker: f.incarnation, late: f.w.executingLateOrder})
+	}
 	step := a.sub.Steps[s.Task.Step]
 	failureDraw := f.w.rng.Intn(100)
 	f.runs[s.Run] = &fakeRun{
@@ -358,6 +363,9 @@
 // advance ends the worker's runs that are complete, stopped, or without a lease.
 func (f *fakeWorker) advance() {
 	now := f.w.now
+	if now.After(f.leaseEnd) {
+		f.lapsedAt = now
+	}
 	for run, r := range ordered.MapFunc(f.runs, order.Run.Compare) {
 		if now.After(f.leaseEnd) {
 			r.endsAt, r.endStatus = now, order.LeaseExpired
@@ -369,6 +377,7 @@
 			delete(f.runs, run)
 			f.highestRun[run.Task] = max(f.highestRun[run.Task], run.Number)
 			f.lastEndNumber++
+			f.endedAt[f.lastEndNumber] = now
 			f.ended = append(f.ended, order.End{Number: f.lastEndNumber, Run: run, Status: r.endStatus})
 		}
 	}
@@ -463,6 +472,10 @@
 	fence         int64
 	lastEndNumber int64
 	leaseEnd      time.Time
+	// lapsedAt is when the worker last was without a lease, endedAt has when its runs ended, by the
+	// numbers of their ends.
+	lapsedAt      time.Time
+	endedAt       map[int64]time.Time
 	runs          map[order.Run]*fakeRun
 	ended         []order.End
 	highestRun    map[job.TaskID]int64
@@ -515,6 +528,7 @@
 // is listed up to 0.8 s later.
 func (f *fakeWorker) beginIncarnation() {
 	f.incarnationCount++
+	f.endedAt = map[int64]time.Time{}
 	f.bornAt, f.reachedAt = f.w.now, time.Time{}
 	f.listedAt = f.w.now.Add(time.Duration(f.incarnationCount*131%800) * time.Millisecond)
 	if f.w.uniqueIncarnationNames {
