jobrun: count what the event loop works on, and how long submissions wait

Callers saw short jobs started late at a busy holder, and the holder's metrics could not say why: the queueing time was that of all events, most of which are answers of workers, and nothing told the time of the reducer, of placement passes and of carrying out effects from the time that the rest of the process takes.

Cause: loadStats and the metrics had one wait for all events and the time of passes only; the process's processor time was not read.

The loop now counts each event, decision and effect by kind, with its time, and observes the wait of submissions apart from other events and the events that wait each time it turns to them. The line "load of the process" has the same for its period, beside the processor time of the process from the operating system.

--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -64,6 +64,13 @@
 	return t.Add(c.Suspended())
 }
 
+// processStart is the origin of Monotonic.
+var processStart = time.Now()
+
+// Monotonic returns a reading of Go's monotonic clock, which stops during a suspension. It is for
+// measuring how long work of this process takes, and costs less than Now, which makes system calls.
+func Monotonic() time.Duration { return time.Since(processStart) }
+
 // Deadline returns the time in Go's own clock that is d from now, as deadlines of connections
 // require. A suspension delays it.
 func Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/modules/procusage/procusage.go
+++ b/modules/procusage/procusage.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The saddlevane Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package procusage reads the resource usage of processes from Linux' /proc.
+// Package procusage reads the resource usage of processes, that of other processes from Linux' /proc.
 package procusage
 
 import (
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +35,17 @@
 	return Parse(string(stat), string(status))
 }
 
+// OwnProcessorTime returns the processor time of this process in user and system mode. It is more
+// precise than Read.
+func OwnProcessorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		// The call fails only for invalid arguments.
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // Parse returns the usage that the files stat and status of a process show. Fields that are missing or
 // are no numbers count as 0.
 func Parse(stat, status string) Usage {
--- a/modules/procusage/procusage_test.go
+++ b/modules/procusage/procusage_test.go
@@ -35,3 +35,13 @@
 	assert.Assert(t, procusage.Read(os.Getpid()).PeakMemory > 0)
 	assert.Equal(t, procusage.Read(-1), procusage.Usage{})
 }
+
+func TestOwnProcessorTimeGrowsWithWork(t *testing.T) {
+	before := procusage.OwnProcessorTime()
+	assert.Assert(t, before > 0)
+	sum := 0
+	for procusage.OwnProcessorTime() == before {
+		sum++
+	}
+	assert.Assert(t, procusage.OwnProcessorTime() > before)
+}
--- a/services/jobrun/loadstats.go
+++ b/services/jobrun/loadstats.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"saddlevane/models/exchange"
+	"saddlevane/modules/procusage"
 )
 
 // loadLogInterval is the time between two log lines about the load of the holder.
@@ -23,13 +24,22 @@
 	byteCounts map[string]*byteCount
 	// The fields below are used only by the goroutine of Loop.run. eventCount is the number
 	// of events handled since the last line, maxWait the longest time that one of them waited
-	// in the queue.
+	// in the queue, maxQueued the largest number of waiting events.
 	eventCount int
 	maxWait    time.Duration
+	maxQueued  int
+	// submits is the number of submissions among these events, submitWait the total and
+	// maxSubmitWait the longest time that they waited.
+	submits                   int
+	submitWait, maxSubmitWait time.Duration
 	// passTime is the total time of the placement passes since the last line, longestPass the
 	// time of the longest one.
 	passTime, longestPass time.Duration
 	nextLogAt             time.Time
+	// countedFrom is when the statistics were last reset, processorTime the processor time that
+	// the process had used by then.
+	countedFrom   time.Time
+	processorTime time.Duration
 }
 
 // byteCount counts received (in) and sent (out) bytes.
@@ -54,6 +64,16 @@
 	l.maxWait = max(l.maxWait, waited)
 }
 
+// recordSubmit counts a submission that has waited in the queue. recordEvent counts it as well.
+func (l *loadStats) recordSubmit(waited time.Duration) {
+	l.submits++
+	l.submitWait += waited
+	l.maxSubmitWait = max(l.maxSubmitWait, waited)
+}
+
+// recordQueued records the number of waiting events.
+func (l *loadStats) recordQueued(n int) { l.maxQueued = max(l.maxQueued, n) }
+
 // recordPass adds the time of a placement pass.
 func (l *loadStats) recordPass(took time.Duration) {
 	l.passTime += took
@@ -61,8 +81,9 @@
 }
 
 // takeLogEvent returns the log line about the load and resets the statistics. queued is the
-// number of waiting events, admittedShare the share of new jobs that is admitted.
-func (l *loadStats) takeLogEvent(queued int, admittedShare float64) exchange.LogEvent {
+// number of waiting events, admittedShare the share of new jobs that is admitted, processorTime
+// the processor time that the process has used since its start.
+func (l *loadStats) takeLogEvent(now time.Time, queued int, admittedShare float64, processorTime time.Duration) exchange.LogEvent {
 	l.mu.Lock()
 	counts := maps.Clone(l.byteCounts)
 	l.mu.Unlock()
@@ -74,13 +95,21 @@
 		{Name: "events", Value: l.eventCount},
 		{Name: "waited_most", Value: l.maxWait.String()},
 		{Name: "queued", Value: queued},
+		{Name: "queued_most", Value: l.maxQueued},
+		{Name: "submits", Value: l.submits},
+		{Name: "submits_waited", Value: (l.submitWait / time.Duration(max(1, l.submits))).String()},
+		{Name: "submits_waited_most", Value: l.maxSubmitWait.String()},
 		{Name: "jobs_taken", Value: admittedShare},
 		{Name: "plans_took", Value: l.passTime.String()},
 		{Name: "longest_plan", Value: l.longestPass.String()},
 		{Name: "bytes_in", Value: fmt.Sprint(in)},
 		{Name: "bytes_out", Value: fmt.Sprint(out)},
+		{Name: "period", Value: now.Sub(l.countedFrom).String()},
+		{Name: "processor", Value: (processorTime - l.processorTime).String()},
 	}}
-	l.eventCount, l.maxWait, l.passTime, l.longestPass = 0, 0, 0, 0
+	l.eventCount, l.maxWait, l.maxQueued, l.passTime, l.longestPass = 0, 0, 0, 0, 0
+	l.submits, l.submitWait, l.maxSubmitWait = 0, 0, 0
+	l.countedFrom, l.processorTime = now, processorTime
 	return line
 }
 
@@ -101,7 +130,9 @@
 		return
 	}
 	l.load.nextLogAt = now.Add(loadLogInterval)
-	l.logWriter.write(l.load.takeLogEvent(len(l.events), l.gate.AdmittedShare()))
+	line := l.load.takeLogEvent(now, len(l.events), l.gate.AdmittedShare(), procusage.OwnProcessorTime())
+	line.Fields = append(line.Fields, l.work.takeLogFields()...)
+	l.logWriter.write(line)
 }
 
 // applyOverload sets RetryAfter on a submission that must not be accepted as a new job: either
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -99,6 +99,7 @@
 	queries   chan func(now time.Time, c *dispatch.Core)
 	metrics   *Metrics
 	load      loadStats
+	work      loopWork
 	// gate decides which new jobs are admitted while this box holds the cell and is overloaded.
 	gate  overload.Gate
 	peers *Peers
@@ -156,6 +157,8 @@
 		stopped: make(chan struct{}), calls: map[exchange.CallID]chan exchange.Answer{},
 		relays: relay.NewSelector(s.Relays, self.Box), readers: logfeed.NewSelector(self), windows: map[stream.Name]*logfeed.Window{},
 	}
+	l.work, l.load.countedFrom = newLoopWork(l.metrics), l.now()
+	l.metrics.registerQueueLength(func() int { return len(l.events) })
 	for _, name := range []stream.Name{stream.Config, stream.Claims, stream.Boxes} {
 		l.windows[name] = logfeed.NewWindow(l.now)
 	}
@@ -224,15 +227,21 @@
 		case <-l.ctx.Done():
 			return
 		case e := <-l.events:
+			l.recordQueued(len(l.events) + 1)
 			l.handle(e)
 			l.handleQueued()
 			l.decide(l.now())
 		case f := <-l.queries:
+			startedAt := clock.Monotonic()
 			f(l.now(), l.core)
+			l.work.record(workQuery, clock.Monotonic()-startedAt)
 		case <-ticker.C:
+			l.recordQueued(len(l.events))
+			startedAt := clock.Monotonic()
 			now := l.now()
 			l.core.SetSuspendOffset(l.clock.Suspended())
 			l.core.Handle(now, exchange.Tick{})
+			l.work.record(workTick, clock.Monotonic()-startedAt)
 			l.handleQueued()
 			l.decide(l.now())
 			l.logLoad(l.now())
@@ -243,13 +252,26 @@
 
 // handle passes an event to the reducer.
 func (l *Loop) handle(q queuedEvent) {
+	startedAt := clock.Monotonic()
 	now := l.now()
 	waited := now.Sub(q.queuedAt)
 	l.load.recordEvent(waited)
 	l.metrics.queueWait.Observe(waited.Seconds())
+	kind := eventWork(q.event)
+	if kind == workSubmit {
+		l.load.recordSubmit(waited)
+		l.metrics.submitWait.Observe(waited.Seconds())
+	}
 	l.gate.RecordQueueAge(waited)
 	l.core.SetSuspendOffset(l.clock.Suspended())
 	l.core.Handle(now, l.applyOverload(now, waited, q.event))
+	l.work.record(kind, clock.Monotonic()-startedAt)
+}
+
+// recordQueued records how many events wait before a group of them is handled.
+func (l *Loop) recordQueued(n int) {
+	l.load.recordQueued(n)
+	l.metrics.queuedEvents.Observe(float64(n))
 }
 
 // handleQueued handles the events that are already queued, so that one decision covers all of
@@ -270,16 +292,29 @@
 // carries out the effects, so that callers who receive a reply already see that state.
 func (l *Loop) decide(now time.Time) {
 	plans := l.core.PlanCount()
+	startedAt := clock.Monotonic()
 	effects := l.core.Decide(now)
+	kind, workTook := workDecision, clock.Monotonic()-startedAt
 	if l.core.PlanCount() != plans {
+		kind = workPlan
 		took := l.now().Sub(now)
 		l.metrics.passTime.Observe(took.Seconds())
 		l.load.recordPass(took)
 		l.core.Handle(l.now(), exchange.Decided{Took: took})
 	}
+	l.work.record(kind, workTook)
 	l.updateView(now)
+	l.executeAll(effects)
+}
+
+// executeAll carries out effects and records the time that each takes in this goroutine.
+func (l *Loop) executeAll(effects []exchange.Effect) {
+	startedAt := clock.Monotonic()
 	for _, e := range effects {
 		l.execute(e)
+		endedAt := clock.Monotonic()
+		l.work.record(effectWork(e), endedAt-startedAt)
+		startedAt = endedAt
 	}
 }
 
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -44,6 +44,11 @@
 	bytes *prometheus.CounterVec
 	// queueWait is how long events wait in the loop's queue.
 	queueWait prometheus.Histogram
+	// submitWait is how long submissions wait in that queue, queuedEvents how many events wait in
+	// it before a group of them is handled.
+	submitWait, queuedEvents prometheus.Histogram
+	// loopWork counts what the loop does and loopSeconds the time that it takes, by kind of work.
+	loopWork, loopSeconds *prometheus.CounterVec
 	// passTime is the time of a placement pass.
 	passTime prometheus.Histogram
 	// overloadRefusals counts submissions to which applyOverload has set RetryAfter.
@@ -72,6 +77,9 @@
 // call.
 var callBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3}
 
+// queueBuckets range, in events, from a queue of one to a full one.
+var queueBuckets = []float64{1, 4, 16, 64, 256, 1024, eventQueueSize}
+
 // newMetrics returns the metrics of a process, registered in a registry of their own.
 func newMetrics() *Metrics {
 	m := &Metrics{
@@ -101,6 +109,15 @@
 			Name: "saddlevane_jobs_refused_behind_total", Help: "New jobs that were refused because the holder was behind with its work.",
 		}),
 	}
+	m.submitWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "saddlevane_loop_submit_wait_seconds", Help: "Time that submissions wait for the loop.", Buckets: callBuckets,
+	})
+	m.queuedEvents = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "saddlevane_loop_queued_events", Help: "Events that wait for the loop when it handles the next ones.", Buckets: queueBuckets,
+	})
+	m.loopWork = counter("loop_work_total", "What the loop has done: events handled, decisions made and effects carried out.", "work")
+	m.loopSeconds = counter("loop_work_seconds_total", "Time that the loop has spent, by what it did.", "work")
+	m.registry.MustRegister(m.submitWait, m.queuedEvents, m.loopWork, m.loopSeconds, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.refusedCalls = counter("calls_refused_total", "Calls that were refused by the box that took them, by why.", "outcome")
 	m.workspaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "saddlevane_workspace", Help: "What the tasks of a workspace take and may take, and its steps that wait; only at the holder.",
@@ -141,6 +158,13 @@
 // Gatherer returns the gatherer that the metrics endpoint serves.
 func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
 
+// registerQueueLength adds a gauge of the events that wait for the loop at present.
+func (m *Metrics) registerQueueLength(length func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "saddlevane_loop_queued", Help: "Events that wait for the loop at present.",
+	}, func() float64 { return float64(length()) }))
+}
+
 // recordCall counts a caller's call and records its duration.
 func (m *Metrics) recordCall(call string, outcome exchange.Outcome, took time.Duration) {
 	m.calls.WithLabelValues(call, string(outcome)).Inc()
