peering: encode and decode each message between boxes once

What was seen: at a holder with 1,100 workers behind 23 relays and 2,000 starts per second, about 4,600 messages and answers per second between it and the relays took 40% of its processor time. Package jsonrpc2 decodes the parameters of a request into maps of any values and encodes those again, after it has decoded the message twice to find out what it is; a request is encoded through a map, and each layer of json.Marshaler is checked and copied again.

The links keep the messages of JSON-RPC 2.0 and the types of package jsonrpc2, and have a connection of their own: a message in the form in which this package writes it is split without decoding its parameters, which are checked when they are decoded; others are decoded by encoding/json. Messages are encoded in reused buffers. Close now waits for the goroutines that read from connections and serve calls, which had no owner.

--- a/modules/frame/frame.go
+++ b/modules/frame/frame.go
@@ -21,16 +21,29 @@
 
 // WriteObject writes one object.
 func (Codec) WriteObject(w io.Writer, obj any) error {
-	data, err := json.Marshal(obj)
+	data, err := Append(nil, func(b []byte) ([]byte, error) {
+		encoded, err := json.Marshal(obj)
+		return append(b, encoded...), err
+	})
+	if err == nil {
+		_, err = w.Write(data)
+	}
+	return err
+}
+
+// Append appends a frame with the object that encode appends.
+func Append(b []byte, encode func([]byte) ([]byte, error)) ([]byte, error) {
+	start := len(b)
+	b, err := encode(append(b, make([]byte, frameHeader)...))
 	if err != nil {
-		return err
+		return b, err
 	}
-	if len(data) > maxMessage {
-		return fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", len(data), maxMessage)
+	size := len(b) - start - frameHeader
+	if size > maxMessage {
+		return b, fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxMessage)
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeader+len(data)), uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
-	return err
+	binary.BigEndian.PutUint32(b[start:], uint32(size))
+	return b, nil
 }
 
 // frameHeader is the size of the length prefix, in bytes.
@@ -45,17 +58,29 @@
 	return json.Unmarshal(data, v)
 }
 
-// Read reads one object without decoding it. Its buffer grows only as bytes arrive, so a peer
-// that announces a large object but sends little uses little memory.
+// directSize is the size, in bytes, up to which the buffer for an object is allocated at once.
+const directSize = 64 << 10
+
+// Read reads one object without decoding it. The buffer for a large one grows only as bytes arrive, so
+// a peer that announces a large object but sends little uses little memory.
 func Read(r *bufio.Reader) ([]byte, error) {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+	header, err := r.Peek(frameHeader)
+	if err != nil {
+		if err == io.EOF && len(header) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	size := int64(binary.BigEndian.Uint32(header))
+	if _, err := r.Discard(frameHeader); err != nil {
 		return nil, err
 	}
-	size := int64(binary.BigEndian.Uint32(header[:]))
 	if size > maxMessage {
 		return nil, fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxMessage)
 	}
+	if size <= directSize {
+		return readDirect(r, size)
+	}
 	data, err := io.ReadAll(io.LimitReader(r, size))
 	if err != nil {
 		return nil, err
@@ -65,3 +90,16 @@
 	}
 	return data, nil
 }
+
+// readDirect reads an object into a buffer of its size.
+func readDirect(r *bufio.Reader, size int64) ([]byte, error) {
+	data := make([]byte, size)
+	_, err := io.ReadFull(r, data)
+	if err == io.EOF && size > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	return data, nil
+}
--- a/modules/peering/accept_test.go
+++ b/modules/peering/accept_test.go
@@ -40,7 +40,7 @@
 	listener := &failingListener{Listener: l}
 	listener.failuresLeft.Store(3)
 	links := peering.New(context.Background(), listener, settings(),
-		func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) { return req.Method, nil })
+		func(_ context.Context, _ *peering.Conn, req *jsonrpc2.Request) (any, error) { return req.Method, nil })
 	links.Serve()
 	t.Cleanup(links.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/modules/peering/bench_test.go
+++ b/modules/peering/bench_test.go
@@ -57,7 +57,7 @@
 		b.Fatal(err)
 	}
 	l := &countingListener{Listener: listener}
-	box := peering.New(context.Background(), l, settings(), func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	box := peering.New(context.Background(), l, settings(), func(_ context.Context, _ *peering.Conn, req *jsonrpc2.Request) (any, error) {
 		return req.Method, nil
 	})
 	box.Serve()
--- a/modules/peering/link.go
+++ b/modules/peering/link.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -30,11 +29,10 @@
 	// give up when their context ends.
 	sendSlot chan struct{}
 
-	mu sync.Mutex
 	// rpc is the JSON-RPC connection.
-	rpc *jsonrpc2.Conn
-	// handler serves the calls of the peer.
-	handler jsonrpc2.Handler
+	rpc *Conn
+
+	mu sync.Mutex
 	// calls is the number of calls of this box in progress, and waitingSince is when calls last
 	// rose above 0.
 	calls        int
@@ -57,36 +55,19 @@
 	deliveredBy time.Time
 }
 
-// newLink wraps a connection and serves the calls that arrive on it.
+// newLink wraps a connection. Calls that arrive on it are served once k.rpc is started.
 func newLink(l *Links, conn *conntrack.Conn) *link {
 	k := &link{links: l, conn: conn, sendSlot: make(chan struct{}, 1)}
 	k.stream = newStream(k)
-	k.handler = jsonrpc2.HandlerWithError(l.handle).SuppressErrClosed()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.rpc = jsonrpc2.NewConn(l.ctx, k.stream, jsonrpc2.AsyncHandler(k))
+	k.rpc = newConn(l.ctx, k.stream, &l.served, k.serve)
 	return k
 }
 
-// peer returns the JSON-RPC connection.
-func (k *link) peer() *jsonrpc2.Conn {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.rpc
-}
-
 // close closes the connection; calls in progress on it fail.
-func (k *link) close() { _ = k.peer().Close() }
+func (k *link) close() { k.rpc.close() }
 
 // isClosed reports whether the connection is closed.
-func (k *link) isClosed() bool {
-	select {
-	case <-k.peer().DisconnectNotify():
-		return true
-	default:
-		return false
-	}
-}
+func (k *link) isClosed() bool { return k.rpc.isClosed() }
 
 // call makes one call. sent reports whether it may have arrived: a message that was not written
 // completely is not served.
@@ -106,7 +87,7 @@
 	if err != nil {
 		return false, err
 	}
-	return true, answer.Wait(ctx, c.Result)
+	return true, answer.wait(ctx, c.Result)
 }
 
 // PeerName names the remote end of a link in log lines and metrics of connections.
@@ -114,32 +95,29 @@
 
 // send writes a call. It returns early if ctx ends or the link is closed before the call is
 // written.
-func (k *link) send(ctx context.Context, c Call) (jsonrpc2.Waiter, error) {
+func (k *link) send(ctx context.Context, c Call) (*pendingCall, error) {
 	select {
 	case k.sendSlot <- struct{}{}:
 		defer func() { <-k.sendSlot }()
 	case <-ctx.Done():
-		return jsonrpc2.Waiter{}, ctx.Err()
-	case <-k.peer().DisconnectNotify():
-		return jsonrpc2.Waiter{}, jsonrpc2.ErrClosed
+		return nil, ctx.Err()
+	case <-k.rpc.disconnected:
+		return nil, jsonrpc2.ErrClosed
 	}
-	return k.peer().DispatchCall(ctx, c.Method, c.Params)
+	return k.rpc.begin(c.Method, c.Params)
 }
 
-// pong is the result of a probe.
-var pong = json.RawMessage("null")
-
-// Handle implements jsonrpc2.Handler. It answers a probe at once, even while other calls are
-// being served.
-func (k *link) Handle(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Method == methodPing {
-		// This bypasses the lock that jsonrpc2 holds while it encodes other messages. An error
-		// means that the link is closed.
-		_ = k.stream.WriteObject(&jsonrpc2.Response{ID: req.ID, Result: &pong})
-		return
-	}
-	if req.Method == methodBusy {
-		return
+// serve serves a request of the peer. It answers a probe at once, even while other calls are being
+// served.
+func (k *link) serve(ctx context.Context, req *jsonrpc2.Request) {
+	switch req.Method {
+	case methodPing:
+		k.rpc.respond(req.ID, nil, nil)
+	case methodBusy:
+	default:
+		result, err := k.links.handle(ctx, k.rpc, req)
+		if !req.Notif {
+			k.rpc.respond(req.ID, result, err)
+		}
 	}
-	k.handler.Handle(ctx, c, req)
 }
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -23,7 +23,7 @@
 )
 
 // Handler serves one call of a peer.
-type Handler func(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error)
+type Handler func(ctx context.Context, c *Conn, req *jsonrpc2.Request) (any, error)
 
 // Settings holds the settings of the connections of one box.
 type Settings struct {
@@ -62,6 +62,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wg         conc.WaitGroup
+	// served holds the goroutines that read from connections and serve calls.
+	served sync.WaitGroup
 
 	mu sync.Mutex
 	// links holds all open connections.
@@ -103,6 +105,10 @@
 	for _, k := range l.openLinks() {
 		k.close()
 	}
+	// Once no link is added any more, wait for those that read. They report that they are busy from
+	// other goroutines.
+	l.wg.Wait()
+	l.served.Wait()
 	l.wg.Wait()
 }
 
@@ -144,6 +150,7 @@
 	k := newLink(l, l.table.Add(address, raw))
 	l.links[k] = struct{}{}
 	closed := l.closed
+	k.rpc.start()
 	l.mu.Unlock()
 	if closed {
 		k.close()
--- a/modules/peering/peering_test.go
+++ b/modules/peering/peering_test.go
@@ -42,7 +42,7 @@
 	// discards holds the links that were discarded.
 	discards []peering.Discarded
 	// conns holds the connection of each call received, in order.
-	conns []*jsonrpc2.Conn
+	conns []*peering.Conn
 }
 
 // The methods with special behavior.
@@ -72,7 +72,7 @@
 }
 
 // handle serves one call.
-func (b *box) handle(_ context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (b *box) handle(_ context.Context, c *peering.Conn, req *jsonrpc2.Request) (any, error) {
 	b.mu.Lock()
 	b.conns = append(b.conns, c)
 	calls := len(b.conns)
@@ -111,7 +111,7 @@
 func (b *box) connectionsAndCalls() (connections, calls int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	different := map[*jsonrpc2.Conn]bool{}
+	different := map[*peering.Conn]bool{}
 	for _, c := range b.conns {
 		different[c] = true
 	}
--- a/modules/peering/probe.go
+++ b/modules/peering/probe.go
@@ -115,7 +115,7 @@
 // probe sends one probe and waits for its answer.
 func (k *link) probe() {
 	defer k.finishProbe()
-	ping, err := k.peer().DispatchCall(k.links.ctx, methodPing, nil)
+	ping, err := k.rpc.begin(methodPing, nil)
 	if err != nil {
 		// The link is closed.
 		return
@@ -125,7 +125,7 @@
 	k.probedAt = ordered.Later(k.links.settings.Now(), k.deliveredBy)
 	k.mu.Unlock()
 	// An error is either an answer as well, or means that the link is closed.
-	_ = ping.Wait(k.links.ctx, nil)
+	_ = ping.wait(k.links.ctx, nil)
 }
 
 // finishProbe records the end of a probe and schedules the next check.
--- a/modules/peering/stream.go
+++ b/modules/peering/stream.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"net"
 	"os"
@@ -15,8 +14,6 @@
 	"saddlevane/modules/clock"
 	"saddlevane/modules/frame"
 	"saddlevane/modules/ordered"
-
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
@@ -68,9 +65,9 @@
 	return s
 }
 
-// ReadObject reads a message. Nothing more is read while a large message is decoded, which the
-// peer would take for silence, so it is notified meanwhile.
-func (s *stream) ReadObject(v any) error {
+// readMessage reads a message. Nothing more is read while a large message is decoded, which the peer
+// would take for silence, so it is notified meanwhile.
+func (s *stream) readMessage(m *message) error {
 	data, err := frame.Read(s.reader)
 	if err != nil {
 		return err
@@ -78,7 +75,7 @@
 	if len(data) >= largeMessage {
 		defer s.reportBusy()()
 	}
-	return json.Unmarshal(data, v)
+	return m.decode(data)
 }
 
 // reportBusy sends busy notifications to the peer until end is called. Under a load of 22 on 8
@@ -95,15 +92,29 @@
 				return
 			case <-ticker.C:
 				// An error means that the link is closed.
-				_ = s.WriteObject(&jsonrpc2.Request{Method: methodBusy, Notif: true})
+				_ = s.link.rpc.notify(methodBusy)
 			}
 		}
 	})
 	return func() { close(done) }
 }
 
-// WriteObject writes a message.
-func (s *stream) WriteObject(v any) error { return frame.Codec{}.WriteObject(s, v) }
+// buffers holds buffers in which messages are encoded.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+// writeMessage writes the message that encode appends to a buffer.
+func (s *stream) writeMessage(encode func([]byte) ([]byte, error)) error {
+	buffer := buffers.Get().(*[]byte)
+	data, err := frame.Append((*buffer)[:0], encode)
+	if err == nil {
+		_, err = s.Write(data)
+	}
+	if cap(data) <= largeMessage {
+		*buffer = data
+		buffers.Put(buffer)
+	}
+	return err
+}
 
 // Read reads from the connection.
 func (s *stream) Read(b []byte) (int, error) {
--- a/services/jobrun/forwarding_test.go
+++ b/services/jobrun/forwarding_test.go
@@ -36,7 +36,7 @@
 	s := peering.Settings{
 		DialTimeout: time.Second, ProbeAfter: time.Second, AnswerTimeout: 250 * time.Millisecond, Now: time.Now, OnUnanswered: func(conntrack.Unanswered) {}, OnDiscard: func(peering.Discarded) {}, OnAcceptError: func(error) {},
 	}
-	links := peering.New(context.Background(), listener, s, func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return answer() })
+	links := peering.New(context.Background(), listener, s, func(context.Context, *peering.Conn, *jsonrpc2.Request) (any, error) { return answer() })
 	links.Serve()
 	t.Cleanup(func() { through.Reset(); links.Close() })
 	value, err := json.Marshal(claim.Claim{Epoch: 7, Box: "other", Incarnation: "o1", Address: via(t, through)(listener.Addr().String()), Renewal: 1})
--- a/services/jobrun/peers.go
+++ b/services/jobrun/peers.go
@@ -72,7 +72,7 @@
 }
 
 // handle serves one call of another box.
-func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (p *Peers) handle(ctx context.Context, _ *peering.Conn, req *jsonrpc2.Request) (any, error) {
 	if req.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
--- a/services/runtime/peers.go
+++ b/services/runtime/peers.go
@@ -66,7 +66,7 @@
 }
 
 // handle serves one call from a peer.
-func (p *Peers) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (p *Peers) handle(ctx context.Context, _ *peering.Conn, req *jsonrpc2.Request) (any, error) {
 	switch req.Method {
 	case peer.MethodHello:
 		hello, err := decodeParams[peer.Hello](req)
