dispatch, slots: sort the workers of a step only as far as they get tasks

Each placement of a step sorted all workers with room for it, and allocated lists of them: with 1,100 workers 100 KB a placement, nearly half of all bytes that the holder's process allocated at 2,000 starts per second. A heap yields the same workers in the same order, and the list of candidates is reused.

--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"saddlevane/models/resource"
@@ -41,24 +40,23 @@
 // room, so that large free capacity is preserved for large tasks.
 func (h *holderState) fit(now time.Time, s *step, eligible []*worker) ([]allocation, int) {
 	candidates := h.candidates(now, s, eligible)
-	slices.SortFunc(candidates, candidate.compare)
-	allocations := make([]allocation, len(candidates))
-	for i, c := range candidates {
-		allocations[i] = c.allocation
-	}
 	if s.spec.OneRack && s.spec.Gang {
-		if inOneRack, ok := slots.FillInOneGroup(allocations, s.unplacedTasks, func(w *worker) string { return w.Rack }); ok {
+		sorted := slots.Sorted(candidates, candidate.compare, candidate.slots)
+		if inOneRack, ok := slots.FillInOneGroup(sorted, s.unplacedTasks, func(w *worker) string { return w.Rack }); ok {
 			return inOneRack, s.unplacedTasks
 		}
 	}
-	return slots.FillInOrder(allocations, h.placeable(s))
+	return slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
 }
 
+// slots returns the allocation of all tasks that the worker has room for.
+func (c candidate) slots() allocation { return c.allocation }
+
 // candidates returns the workers that have room for a step. Workers whose slowness is
 // learned.Avoided get no gang members. For steps that are not short, workers whose slowness is
-// learned.Slow rank the same as others.
+// learned.Slow rank the same as others. The result is valid until the next call.
 func (h *holderState) candidates(now time.Time, s *step, eligible []*worker) []candidate {
-	candidates := make([]candidate, 0, len(eligible))
+	candidates := h.candidateBuffer[:0]
 	short := h.expectedTime(s) <= maxShortStep
 	for _, w := range eligible {
 		if !h.canUse(w, s, short) {
@@ -78,6 +76,7 @@
 		}
 		candidates = append(candidates, c)
 	}
+	h.candidateBuffer = candidates
 	return candidates
 }
 
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -63,6 +63,8 @@
 	formerWorkers presence.FormerWorkers
 	// sortedWorkers caches the workers in the order of their names; it is nil after a change.
 	sortedWorkers []*worker
+	// candidateBuffer holds the result of candidates.
+	candidateBuffer []candidate
 	// submitPass is the pass that is shared by early advice requests for jobs which are
 	// submitted at about the same time.
 	submitPass *pass
