dispatch: place large tasks without advice on all workers

Cause: a step of which a worker has room for one task at most asked about every worker before it was placed, some 17 at a time, so that workers could be drained for it. The time until its start grew with the number of workers, also while the first ones asked had room.

Evidence: TestLargeTasksStartWithoutAdviceOnAllWorkers, before: 'workers: 400: the task has not started within 250 ms'.

Ruled out: a slow advice service (a call takes 14 ms here), and a full cell: the steps started as soon as all workers were asked.

Now the step is placed on the workers known to be eligible first; only if tasks are left over are more workers asked about, all of them in the end, so that draining for large tasks has the knowledge it had.

--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -31,17 +31,16 @@
 			return true
 		}
 	}
-	if s.advice.hasCalls() || r.queue.Advice != nil && set.isLarge(s) && h.requestAdviceForUnplacedTasks(p.now, r, set.workers) {
-		// The workers that are eligible for large tasks must be known before one of them is empty,
-		// so that it can be drained for such a task.
+	if s.advice.hasCalls() {
 		return true
 	}
-	if !s.spec.Reserved().Fits(set.maxAvailable) {
-		return false
+	var allocations []allocation
+	placed := 0
+	if s.spec.Reserved().Fits(set.maxAvailable) {
+		allocations, placed = h.fit(p.now, s, r.eligibleWorkers(set))
 	}
-	allocations, placed := h.fit(p.now, s, r.eligibleWorkers(set))
 	if r.queue.Advice != nil {
-		if placed == 0 && h.requestAdviceOnFreeWorkers(p.now, r, set.workers) {
+		if h.requestAdviceOnMoreWorkers(p.now, r, set, placed) && placed == 0 {
 			return true
 		}
 		var stale []allocation
@@ -54,6 +53,23 @@
 	return placed > 0 && placed == wanted || s.advice.hasCalls()
 }
 
+// requestAdviceOnMoreWorkers requests advice for a step that has room for only some of its tasks on the
+// workers known to be eligible. It returns false if no call was made.
+func (h *holderState) requestAdviceOnMoreWorkers(now time.Time, r rankedStep, set *workerSet, placed int) bool {
+	switch {
+	case placed == h.placeable(r.step):
+		return false
+	case set.isLarge(r.step):
+		// The workers that are eligible for large tasks must be known before one of them is empty, so
+		// that it can be drained for such a task.
+		return h.requestAdviceForUnplacedTasks(now, r, set.workers)
+	case placed > 0 || !r.step.spec.Reserved().Fits(set.maxAvailable):
+		return false
+	default:
+		return h.requestAdviceOnFreeWorkers(now, r, set.workers)
+	}
+}
+
 // placeGang starts all tasks of a gang or none of them. It returns false if the gang could not
 // start for lack of capacity or valid tickets.
 func (h *holderState) placeGang(p *pass, r rankedStep, set *workerSet) bool {
