clock: read the suspension again after 20 ms even if the wall clock shows none

The suspension is read again only when the offset of the wall clock to the monotonic one has changed. A suspension during which the wall clock is set back by the same time leaves the offset unchanged, and would never have been counted: a lease or claim that has ended would have passed for valid. A reading is used for 20 ms now, which is 100 system calls a second at most.

--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -57,7 +57,7 @@
 }
 
 // NewCached returns a clock like NewWith that calls suspended only if the machine may have been
-// suspended since the last call. wallOffset returns by how much the wall clock is ahead of the
+// suspended since the last call, or that is some time ago. wallOffset returns by how much the wall clock is ahead of the
 // monotonic clock in a time that now has returned, relative to any fixed value: a suspension
 // advances only the wall clock.
 func NewCached(now func() time.Time, wallOffset func(time.Time) time.Duration, suspended func() time.Duration) *Clock {
@@ -79,19 +79,27 @@
 	last       atomic.Pointer[suspensionReading]
 }
 
-// suspensionReading is a reading of the total suspension, and the offset of the wall clock just before
-// it.
-type suspensionReading struct{ wallOffset, suspended time.Duration }
+// suspensionReading is a reading of the total suspension at a time, and the offset of the wall clock
+// just before it.
+type suspensionReading struct {
+	at                    time.Time
+	wallOffset, suspended time.Duration
+}
+
+// maxReadingAge is how long a reading is used. A suspension during which the wall clock is set back
+// by the same time leaves the offset unchanged, and is noticed after that.
+const maxReadingAge = 20 * time.Millisecond
 
 // at returns the total suspension. It reads it again if the offset of the wall clock has changed by
 // as much as the shortest suspension that is counted: the machine was suspended, or the wall clock
 // was set.
 func (s *suspensionCache) at(t time.Time) time.Duration {
 	offset := s.wallOffset(t)
-	if last := s.last.Load(); last != nil && (offset-last.wallOffset).Abs() < minSuspension {
+	last := s.last.Load()
+	if last != nil && (offset-last.wallOffset).Abs() < minSuspension && t.Sub(last.at) < maxReadingAge {
 		return last.suspended
 	}
-	r := &suspensionReading{wallOffset: offset, suspended: s.suspended()}
+	r := &suspensionReading{at: t, wallOffset: offset, suspended: s.suspended()}
 	s.last.Store(r)
 	return r.suspended
 }
