dispatch: renew the leases of workers with runs of jobs that cannot be decoded

Workers of a pool that neither the configuration nor a known job names are not renewed once they have reported. If the only job in such a pool cannot be decoded, its runs ended with the lease, and their ends, which are recorded in the log, were never acknowledged.

The test on the code before this change:

undecodable_test.go:167: renewals["w"].Renewal is <= before: no renewal is sent any more undecodable_test.go:170: assertion failed: 0 (int64) != 1 (int64)

A worker is now renewed as long as it runs something or has ends to be acknowledged, whatever its pool.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -58,8 +58,8 @@
 	if w.pendingRenewal != 0 || now.Before(w.renewAt) || w.renewAddress() == "" || !h.mayRenew(now) {
 		return
 	}
-	if !h.knownPools[w.Pool] && len(w.attempts) == 0 && !h.unreportedWorkers[w.Name] {
-		// No job can be placed in the worker's pool.
+	if !h.knownPools[w.Pool] && len(w.attempts) == 0 && len(w.orphans) == 0 && !w.reportedEnds.HasPending() && !h.unreportedWorkers[w.Name] {
+		// No job can be placed in the worker's pool, and none is running there.
 		return
 	}
 	h.renewalsSent++
--- a/services/dispatch/undecodable_test.go
+++ b/services/dispatch/undecodable_test.go
@@ -150,3 +150,22 @@
 	assert.Equal(t, len(state.Workers), 1, "the worker has reported, so its record can be replaced")
 	assert.Equal(t, len(effectsOf[exchange.StopRun](effects))+len(effectsOf[exchange.StartRun](effects)), 0)
 }
+
+// No configuration names the pool of the worker any more, and the job that still uses it cannot be
+// decoded.
+func TestLeaseOfWorkerWithRunOfUndecodableJobIsRenewed(t *testing.T) {
+	w := workerEntry("w", 1000)
+	w.Pool = "former"
+	d, renewals := newSuccessor(t, []stream.Record{undecodable("j"), jobrecords.WorkerRecord(w)}, w)
+	effects := d.handle(renewAnswer(renewals["w"], firstRun("j")))
+	for _, r := range effectsOf[exchange.Renew](effects) {
+		renewals["w"] = r
+	}
+	d.ticksUntilDue(renewals, map[string][]order.Run{"w": {firstRun("j")}})
+	before := renewals["w"].Renewal
+	d.runFor(time.Second, renewals, map[string][]order.Run{"w": {firstRun("j")}})
+	assert.Check(t, renewals["w"].Renewal > before, "no renewal is sent any more")
+	effects = d.handle(doneAnswer(renewals["w"], firstRun("j")))
+	d.confirmAnyAppend(append(effects, d.advance(20*time.Millisecond)...))
+	assert.Equal(t, acknowledged(d.advance(500*time.Millisecond)), int64(1))
+}
