dispatch: random worlds of gangs whose members' ends arrive at different times

Played by no world so far: gangs whose members run behind relays of which some are slow, so that answers arrive within the timeout of a renewal, after it, or when the lease has expired, beside takeovers, restarts, late orders and workers that cannot be reached.

--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -100,6 +100,9 @@
 // of the renewals it reports a timeout first and delivers the answer up to about 4.7 s later,
 // together with other late answers. Answers after the grace period are dropped.
 func (w *world) maybeDelayAnswer(e exchange.Renew, respond func(time.Duration, exchange.Event)) func(time.Duration, exchange.Event) {
+	if f := w.worker(e.Address); f != nil && f.answerDelay > 0 {
+		return w.delayAnswer(e, f.answerDelay, respond)
+	}
 	if w.lateAnswerShare == 0 || w.rng.Float64() >= w.lateAnswerShare {
 		return respond
 	}
@@ -114,6 +117,22 @@
 	}
 }
 
+// delayAnswer returns the function that delivers the answer to a renewal a time later. If that is after
+// the timeout, it reports the timeout too. Answers after the grace period are dropped.
+func (w *world) delayAnswer(e exchange.Renew, by time.Duration, respond func(time.Duration, exchange.Event)) func(time.Duration, exchange.Event) {
+	sent := w.now
+	return func(d time.Duration, answer exchange.Event) {
+		passed := w.now.Sub(sent)
+		took := passed + d + by
+		if took > e.Timeout {
+			respond(max(0, e.Timeout-passed), exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal, Answer: order.Answer{Outcome: order.Unknown}})
+		}
+		if took <= e.Timeout+e.GracePeriod {
+			respond(d+by, answer)
+		}
+	}
+}
+
 // renew carries out a renewal of a lease.
 func (w *world) renew(b *fakeBox, e exchange.Renew, respond func(time.Duration, exchange.Event)) {
 	respond = w.maybeDelayAnswer(e, respond)
@@ -482,6 +501,8 @@
 	failsAllTasks bool
 	// stallsRuns makes runs that start on the worker stall.
 	stallsRuns bool
+	// answerDelay is how much later the answers to renewals arrive.
+	answerDelay time.Duration
 	// slowdown is the factor by which tasks take longer on the worker; 0 means 1.
 	slowdown int
 	// formerCapacity is the capacity before it shrank at shrunkAt.
