dispatch: let the end of an earlier run not stop a gang that was restarted

A worker whose lease had expired answers again and reports that its member of a gang's first run has ended with the lease, or failed before. The gang has been restarted since, and all members of the second run were stopped: their work was lost and the gang waited once more.

restartGang stopped all attempts of the step, whichever run had lost a member. It now stops those of that run and of earlier ones.

Evidence, on the code before: TestEndOfEarlierRunStopsNoMemberOfRestartedGang printed "2 (int) != 0 (int): after an end with lapsed". Found beside the search for tasks that are started again after they are done; it is not a cause of that.

--- a/services/dispatch/donetasks_test.go
+++ b/services/dispatch/donetasks_test.go
@@ -137,3 +137,19 @@
 	effects = append(effects, d.advance(20*time.Millisecond)...)
 	assert.Equal(t, len(effectsOf[exchange.StopRun](effects)), 0)
 }
+
+// TestEndOfEarlierRunStopsNoMemberOfRestartedGang guards against the waste of a gang's second run: the worker whose
+// lease had expired answered again and reported that its member of the first run had ended with the lease,
+// whereupon the members of the second run were stopped.
+func TestEndOfEarlierRunStopsNoMemberOfRestartedGang(t *testing.T) {
+	for _, status := range []order.EndStatus{order.LeaseExpired, order.Failed} {
+		g := restartGang(t, 2)
+		for _, start := range g.starts {
+			g.startAnswered(start, order.CarriedOut)
+		}
+		answer := doneAnswer(g.lateRenewal, g.firstRun)
+		answer.Report.Ended[0].Status = status
+		effects := append(g.handle(answer), g.advance(20*time.Millisecond)...)
+		assert.Equal(t, len(effectsOf[exchange.StopRun](effects)), 0, "after an end with %s", status)
+	}
+}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -83,7 +83,7 @@
 		s.recordFailedWorker(w)
 		h.recordTaskFailure(now, s, end)
 	default:
-		h.restartGang(now, s)
+		h.restartGang(now, s, end.Run.Number)
 		h.replanAfterEnd(s)
 	}
 }
@@ -155,7 +155,7 @@
 func (h *holderState) recordTaskFailure(now time.Time, s *step, end order.End) {
 	t := &s.tasks[end.Task.Index]
 	if s.spec.Gang {
-		h.restartGang(now, s)
+		h.restartGang(now, s, end.Run.Number)
 		t = &s.tasks[0]
 	}
 	if !slices.Contains(t.failedRuns, end.Run.Number) {
@@ -168,14 +168,15 @@
 	h.replanAfterEnd(s)
 }
 
-// restartGang stops all members of a gang that lost one, so that the gang can start again as
-// a whole. It does nothing for other steps or if the gang is done.
-func (h *holderState) restartGang(now time.Time, s *step) {
+// restartGang stops all members of a gang that lost one of the given run, so that the gang can start
+// again as a whole. Members of a later run are not affected. It does nothing for other steps or if the
+// gang is done.
+func (h *holderState) restartGang(now time.Time, s *step, run int64) {
 	if !s.spec.Gang || s.doneTasks > 0 {
 		return
 	}
 	for i := range s.tasks {
-		if a := s.tasks[i].attempt; a != nil {
+		if a := s.tasks[i].attempt; a != nil && a.run <= run {
 			h.stopAttempt(now, a)
 		}
 	}
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -148,7 +148,7 @@
 		logField("worker", a.worker.Incarnation.String()), logField("state", string(a.state)), logField("reason", reason),
 		logField("worked_most", a.maxWorkTime(a.worker.presence.UnresponsiveSince()).String()), logField("times_lost", a.task().lostRuns))
 	if !a.step.job.state.IsFinal() {
-		h.restartGang(now, a.step)
+		h.restartGang(now, a.step, a.run)
 	}
 	h.replanAfterEnd(a.step)
 }
--- a/services/dispatch/stall.go
+++ b/services/dispatch/stall.go
@@ -61,7 +61,7 @@
 		w.excludedUntil = ordered.Later(w.excludedUntil, now.Add(excludeFor))
 		a.task().runs.RecordInterruption(delays.RunStalled)
 		if a.step.spec.Gang {
-			h.restartGang(now, a.step)
+			h.restartGang(now, a.step, a.run)
 		} else {
 			h.stopAttempt(now, a)
 		}
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -148,7 +148,7 @@
 	a.state = attemptUnconfirmed
 	a.task().runs.RecordInterruption(delays.OrderUnanswered)
 	h.markStateChange(now, a)
-	h.restartGang(now, a.step)
+	h.restartGang(now, a.step, a.run)
 }
 
 // handleStartRefused drops an attempt whose start the worker refused, and does what the
