bench: simulate a holder with one processor

No run on this machine could tell what a slower processor does to short tasks: the plays charge the processor of the machine they run on, and `size` and `jobs` let the reducer take no virtual time at all.

`saddlevane-bench holder` puts a processor before the reducer, in virtual time: events wait in a queue and are handled in groups as the event loop does, and each event, decision and effect takes its cost. Costs of messages are options (60 us an order or result, 100 us a submission, 10 us a log line); the reducer is charged with its real time, or with fixed costs, with which a run is the same each time (two runs compared). The gate for new jobs is part of it. Orders do not time out and are not relayed in it.

--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -35,13 +35,17 @@
 	size.StringVar(&sizeOf.workers, "workers", "48,350,6000,20000", "numbers of workers to simulate, separated by commas")
 	size.StringVar(&sizeOf.boxes, "boxes", "7,50,585,1170,2000,28180", "numbers of entry boxes to simulate, separated by commas")
 	size.StringVar(&sizeOf.profile, "profile", "", "file to write a CPU profile to")
+	var holderOf holderOptions
+	holder := flag.NewFlagSet("holder", flag.ExitOnError)
+	holderOf.register(holder)
 	root := &ffcli.Command{
-		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|size|requests|takeover|capacity", FlagSet: fs,
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|size|holder|requests|takeover|capacity", FlagSet: fs,
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
 			{Name: "jobs", FlagSet: jobs, Exec: func(context.Context, []string) error { return benchJobs(os.Stdout, jobsOf) }},
 			{Name: "size", FlagSet: size, Exec: func(context.Context, []string) error { return benchSize(os.Stdout, sizeOf) }},
+			{Name: "holder", FlagSet: holder, Exec: func(context.Context, []string) error { return benchHolder(os.Stdout, holderOf) }},
 			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
 				return benchRequests(ctx, os.Stdout, requestOptions{bin: bin, baseline: baseline, skew: skew})
 			}},
--- a/cmd/saddlevane-bench/simcell.go
+++ b/cmd/saddlevane-bench/simcell.go
@@ -76,6 +76,8 @@
 	queue   eventQueue
 	lastSeq int
 	core    *dispatch.Core
+	// processor is the processor of the box, or nil if what the box does takes no virtual time.
+	processor *processor
 	// nextOffset is the offset of the next record in the log.
 	nextOffset int64
 	workers    map[string]*simWorker
@@ -104,13 +106,20 @@
 	// work is the run time of the tasks of each step on a worker of normal speed.
 	work   []time.Duration
 	sentAt time.Time
-	// doneAt is when the log recorded that the job succeeded, or zero.
-	doneAt time.Time
+	// firstStartAt is when the first of its tasks was started, doneAt when the log recorded that the
+	// job succeeded. They are zero before.
+	firstStartAt, doneAt time.Time
 }
 
 // newSimCell returns a cell whose box has just started and takes the cell over. Mechanisms in
 // disabled are switched off.
 func newSimCell(mix jobMix, seed int64, disabled map[mechanism.Mechanism]bool) *simCell {
+	return newSimCellOn(nil, mix, seed, disabled)
+}
+
+// newSimCellOn returns a cell like newSimCell whose box has a processor with the given costs, unless
+// they are nil.
+func newSimCellOn(costs *processorCosts, mix jobMix, seed int64, disabled map[mechanism.Mechanism]bool) *simCell {
 	c := &simCell{
 		mix: mix, rng: rand.New(rand.NewSource(seed)), arrivals: rand.New(rand.NewSource(seed)), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		workers: map[string]*simWorker{}, adviceBusyUntil: map[string]time.Time{}, jobs: map[job.ID]*simJob{},
@@ -126,6 +135,9 @@
 		OrderTimeout: 300 * time.Millisecond, ConfigPropagation: configBound, EvacuationPropagation: configBound,
 		Disabled: disabled,
 	}, claim.Member{Box: "box-00", Incarnation: "1", Address: "box-00", Size: 1000})
+	if costs != nil {
+		c.processor = &processor{cell: c, costs: *costs, usage: newProcessorUsage()}
+	}
 	c.takeOver()
 	return c
 }
@@ -179,6 +191,13 @@
 // deliver passes events that arrive at the same time to the reducer, and carries out the effects
 // that it returns.
 func (c *simCell) deliver(events ...exchange.Event) {
+	if c.processor != nil {
+		for _, e := range events {
+			c.eventCounts[fmt.Sprintf("%T", e)]++
+			c.processor.enqueue(e)
+		}
+		return
+	}
 	start := time.Now()
 	for _, e := range events {
 		c.eventCounts[fmt.Sprintf("%T", e)]++
@@ -189,7 +208,6 @@
 	c.decideTime += took
 	c.maxDecideTime = max(c.maxDecideTime, took)
 	for _, e := range effects {
-		c.effectCounts[fmt.Sprintf("%T", e)]++
 		c.execute(e)
 	}
 }
@@ -202,6 +220,7 @@
 // execute carries out one effect. Replies to callers are ignored: the results of jobs are read
 // from the log.
 func (c *simCell) execute(e exchange.Effect) {
+	c.effectCounts[fmt.Sprintf("%T", e)]++
 	switch e := e.(type) {
 	case exchange.Append:
 		c.append(e)
--- a/cmd/saddlevane-bench/simworker.go
+++ b/cmd/saddlevane-bench/simworker.go
@@ -123,6 +123,9 @@
 		Run: e.Order.Run, startedAt: w.cell.now, step: &j.sub.Steps[e.Order.Task.Step],
 		duration: time.Duration(w.slowFactor * j.taskFactor(e.Order.Task) * float64(j.work[e.Order.Task.Step])),
 	}
+	if j.firstStartAt.IsZero() {
+		j.firstStartAt = w.cell.now
+	}
 	w.runs[run.Run] = run
 	w.cell.deliverAfter(orderLatency, exchange.StartEnded{
 		Worker: w.Incarnation, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Outcome: order.CarriedOut},
