--- a/cmd/saddlevane-bench/main.go
+++ b/cmd/saddlevane-bench/main.go
@@ -44,8 +44,11 @@
 	holder.IntVar(&holderOf.width, "width", 7, "number of tasks of a job")
 	holder.DurationVar(&holderOf.period, "period", 10*time.Second, "time to measure")
 	holder.StringVar(&holderOf.profile, "profile", "", "file to write a CPU profile of the holder to")
+	var queueOf queueOptions
+	queue := flag.NewFlagSet("queue", flag.ExitOnError)
+	queueOf.register(queue)
 	root := &ffcli.Command{
-		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|size|holder|requests|takeover|capacity", FlagSet: fs,
+		Name: "saddlevane-bench", ShortUsage: "saddlevane-bench [flags] decisions|jobs|size|holder|queue|requests|takeover|capacity", FlagSet: fs,
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "decisions", Exec: func(context.Context, []string) error { return decisions(os.Stdout) }},
@@ -55,6 +58,7 @@
 			{Name: "relays", ShortUsage: "saddlevane-bench relays RELAYS WORKERS (started by holder)", Exec: func(_ context.Context, args []string) error {
 				return benchRelays(os.Stdin, os.Stdout, args)
 			}},
+			{Name: "queue", FlagSet: queue, Exec: func(context.Context, []string) error { return benchQueue(os.Stdout, queueOf) }},
 			{Name: "requests", FlagSet: requests, Exec: func(ctx context.Context, _ []string) error {
 				return benchRequests(ctx, os.Stdout, requestOptions{bin: bin, baseline: baseline, skew: skew})
 			}},
