dispatch, tickets: do not look for workers to ask about again until something has changed

The step now keeps the result for the list of healthy workers until this list, the answers or the pending calls change. That no adviser is free is recorded as before.

TestListIsReadAgainOnlyAfterAChange counts the workers that are read.

--- a/services/dispatch/advicerequests.go
+++ b/services/dispatch/advicerequests.go
@@ -185,8 +185,7 @@
 // returns false if no call was made.
 func (h *holderState) requestAdviceForUnplacedTasks(now time.Time, r rankedStep, candidates []*worker) bool {
 	s := r.step
-	if !h.advisers.HasFreeBox(now, maps.Keys(h.core.members), r.queue.Advice.BaseTime, advicecalls.MaxQueueTime) {
-		h.advisers.FairShare.RecordDeferral(now, h.callClass(now, s))
+	if !h.hasFreeAdviser(now, r) {
 		return false
 	}
 	missing := askFactor * float64(s.unplacedTasks) / h.estimates.SuitableShare(r.queue.Name)
@@ -202,6 +201,24 @@
 	return h.requestAdviceOn(now, r, named)
 }
 
+// requestAdviceForLargeTasks does the same for the workers of a set that is current.
+func (h *holderState) requestAdviceForLargeTasks(now time.Time, r rankedStep, set *workerSet) bool {
+	if r.step.advice.HasAskedAll(set.listID, slices.Values(set.healthy)) {
+		h.hasFreeAdviser(now, r)
+		return false
+	}
+	return h.requestAdviceForUnplacedTasks(now, r, set.workers)
+}
+
+// hasFreeAdviser reports whether a box may make a call for a step, and records it if none may.
+func (h *holderState) hasFreeAdviser(now time.Time, r rankedStep) bool {
+	if h.advisers.HasFreeBox(now, maps.Keys(h.core.members), r.queue.Advice.BaseTime, advicecalls.MaxQueueTime) {
+		return true
+	}
+	h.advisers.FairShare.RecordDeferral(now, h.callClass(now, r.step))
+	return false
+}
+
 // requestAdviceOnFreeWorkers requests advice on those of the given workers that have room for a task
 // of the step now. It returns false if no call was made.
 func (h *holderState) requestAdviceOnFreeWorkers(now time.Time, r rankedStep, workers []*worker) bool {
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -9,6 +9,7 @@
 
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
+	"saddlevane/services/tickets"
 )
 
 // workerSetKey identifies the workers that a step may use, without regard to advice.
@@ -24,6 +25,10 @@
 type workerSet struct {
 	key     workerSetKey
 	workers []*worker
+	// healthy are the healthy workers for the key, of which workers are a part, and listID
+	// identifies them.
+	healthy []*worker
+	listID  tickets.ListID
 	// maxAvailable and maxCapacity are the maxima of the workers' available and total capacity, for
 	// each resource separately.
 	maxAvailable, maxCapacity resource.Vector
@@ -36,7 +41,8 @@
 	if set := p.sets[key]; set != nil {
 		return set
 	}
-	set := &workerSet{key: key, workers: h.healthyWorkers(key)}
+	healthy := h.healthyWorkers(key)
+	set := &workerSet{key: key, workers: healthy, healthy: healthy, listID: tickets.ListID{Key: key, Version: h.healthChanges}}
 	isUnusable := func(w *worker) bool { return w.isKeptForSuspect() || h.hasOverdueStart(p.now, w) }
 	if slices.ContainsFunc(set.workers, isUnusable) {
 		set.workers = slices.DeleteFunc(slices.Clone(set.workers), isUnusable)
@@ -75,10 +81,16 @@
 func (h *holderState) refreshHealth(now time.Time, w *worker) {
 	if healthy := h.isHealthy(now, w); healthy != w.healthy {
 		w.healthy = healthy
-		clear(h.healthyByKey)
+		h.forgetHealthy()
 	}
 }
 
+// forgetHealthy forgets the cached lists of healthy workers.
+func (h *holderState) forgetHealthy() {
+	h.healthChanges++
+	clear(h.healthyByKey)
+}
+
 // refreshHealthOf updates whether the worker of a name is healthy, if there is one.
 func (h *holderState) refreshHealthOf(now time.Time, name string) {
 	if w := h.workers[name]; w != nil {
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -122,6 +122,8 @@
 	planned, plannedBefore []*worker
 	// healthyByKey caches the healthy workers by the pool and the label that steps need.
 	healthyByKey map[workerSetKey][]*worker
+	// healthChanges counts the changes of these lists, from 1 on.
+	healthChanges int
 	// nextPlanAt is when the next plan may be made.
 	nextPlanAt time.Time
 	// startsWithheld is set while no task is started because the evacuations are not known.
@@ -144,7 +146,7 @@
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
 		leftoverUsage: map[string]resource.Vector{},
-		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{},
+		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
 	}
 	if c.config != nil {
 		h.addPools(*c.config)
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -31,7 +31,7 @@
 			return true
 		}
 	}
-	if s.advice.hasCalls() || r.queue.Advice != nil && set.isLarge(s) && h.requestAdviceForUnplacedTasks(p.now, r, set.workers) {
+	if s.advice.hasCalls() || r.queue.Advice != nil && set.isLarge(s) && h.requestAdviceForLargeTasks(p.now, r, set) {
 		// The workers that are eligible for large tasks must be known before one of them is empty,
 		// so that it can be drained for such a task.
 		return true
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -134,7 +134,7 @@
 // forgetWorkerLists forgets the cached lists of workers after one was added or removed.
 func (h *holderState) forgetWorkerLists() {
 	h.sortedWorkers = nil
-	clear(h.healthyByKey)
+	h.forgetHealthy()
 }
 
 // retire makes a worker that is no longer among the holder's workers unusable: advice and lists may
--- a/services/tickets/tickets.go
+++ b/services/tickets/tickets.go
@@ -6,6 +6,7 @@
 package tickets
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -26,6 +27,25 @@
 	pending map[W]int
 	// tickets holds the last ticket for each worker, which may have expired.
 	tickets map[W]ticket
+	// changes counts the changes of eligible and pending.
+	changes int
+	// lastCheck is the last result of HasAskedAll.
+	lastCheck askedCheck
+}
+
+// askedCheck is a result of HasAskedAll, for a list and the number of changes before.
+type askedCheck struct {
+	list    ListID
+	changes int
+	result  bool
+}
+
+// ListID identifies a list of workers: lists with the same ID are equal. The zero value identifies no
+// list.
+type ListID struct {
+	Key any
+	// Version is above 0 and changes with the lists.
+	Version int
 }
 
 // ticket is the permission to run a step on one worker.
@@ -58,6 +78,21 @@
 	return known || e.IsPending(w)
 }
 
+// HasAskedAll reports whether it is known for each worker of a list if it may run the step, or an answer
+// about it is pending. The list is read only if it or what is known has changed since the last call.
+func (e *Eligibility[W]) HasAskedAll(id ListID, list iter.Seq[W]) bool {
+	if c := e.lastCheck; id.Version == 0 || c.list != id || c.changes != e.changes {
+		e.lastCheck = askedCheck{list: id, changes: e.changes, result: true}
+		for w := range list {
+			if !e.IsKnownOrPending(w) {
+				e.lastCheck.result = false
+				break
+			}
+		}
+	}
+	return e.lastCheck.result
+}
+
 // IsPending reports whether a call in progress names a worker.
 func (e *Eligibility[W]) IsPending(w W) bool { return e.pending[w] > 0 }
 
@@ -66,6 +101,7 @@
 	if e.pending == nil {
 		e.pending = map[W]int{}
 	}
+	e.changes++
 	for _, w := range workers {
 		e.pending[w]++
 	}
@@ -73,6 +109,7 @@
 
 // EndCall records that the answer to a call that names the given workers is no longer awaited.
 func (e *Eligibility[W]) EndCall(workers []W) {
+	e.changes++
 	for _, w := range workers {
 		if e.pending[w]--; e.pending[w] <= 0 {
 			delete(e.pending, w)
@@ -81,7 +118,10 @@
 }
 
 // EndAllCalls records that no answers are awaited any longer.
-func (e *Eligibility[W]) EndAllCalls() { e.pending = nil }
+func (e *Eligibility[W]) EndAllCalls() {
+	e.changes++
+	e.pending = nil
+}
 
 // RecordAnswer records that an answer was received, whatever its content. It must be called
 // before SetEligible and SetTicket.
@@ -97,6 +137,7 @@
 func (e *Eligibility[W]) SetEligible(w W, eligible bool, compare func(a, b W) int) {
 	i, listed := slices.BinarySearchFunc(e.eligibleWorkers, w, compare)
 	e.eligible[w] = eligible
+	e.changes++
 	switch {
 	case eligible && listed:
 		e.eligibleWorkers[i] = w
--- a/services/tickets/tickets_test.go
+++ b/services/tickets/tickets_test.go
@@ -51,3 +51,42 @@
 	_, valid = answers.TicketFor(now, first)
 	assert.Check(t, !valid)
 }
+
+func TestListIsReadAgainOnlyAfterAChange(t *testing.T) {
+	var answers tickets.Eligibility[*incarnation]
+	first, second := &incarnation{"v", 1}, &incarnation{"w", 1}
+	read := 0
+	hasAskedAll := func(version int, list ...*incarnation) bool {
+		return answers.HasAskedAll(tickets.ListID{Key: "pool", Version: version}, func(yield func(*incarnation) bool) {
+			for _, w := range list {
+				read++
+				if !yield(w) {
+					return
+				}
+			}
+		})
+	}
+	both := []*incarnation{first, second}
+	assert.Check(t, !hasAskedAll(1, both...))
+	answers.BeginCall(both)
+	assert.Check(t, hasAskedAll(1, both...), "both are pending")
+	answers.EndCall(both)
+	assert.Check(t, !hasAskedAll(1, both...))
+	answers.RecordAnswer()
+	answers.SetEligible(first, false, byName)
+	assert.Check(t, !hasAskedAll(1, both...))
+	answers.SetEligible(second, true, byName)
+	read = 0
+	for range 100 {
+		assert.Check(t, hasAskedAll(1, both...))
+	}
+	assert.Equal(t, read, len(both), "the list is read once")
+	assert.Check(t, !hasAskedAll(2, first, second, &incarnation{"w", 2}), "the list has changed")
+	answers.BeginCall([]*incarnation{{"x", 1}})
+	answers.EndAllCalls()
+	assert.Check(t, hasAskedAll(1, both...))
+	read = 0
+	hasAskedAll(0, both...)
+	hasAskedAll(0, both...)
+	assert.Equal(t, read, 2*len(both), "a list without a version is not remembered")
+}
