relay, jobrun: let orders through relays wait without goroutines

Each renewal and each start took a goroutine, a context and two or three timers until its answer: about 1,000 goroutines at a holder with 1,100 workers, 4,500 created per second, whose stacks the garbage collector also scans. The event loop now hands an order to the client of the relays, which keeps one timer for it and calls a handler when it is overdue, has a result or was not sent. Orders that go to a worker directly have a goroutine as before, as have stops and throttles. What counts as overdue, late, not sent or unknown is unchanged; the synchronous calls are made with the new one. The results of a batch are looked up under one lock, and their box is recorded as answering before they are passed on. Handlers for a closed link run in a goroutine of the client, since they may wait for the event loop.

--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -306,8 +306,8 @@
 // answerAuthorityEnded is the answer to an order that was not sent because canOrder was false.
 var answerAuthorityEnded = order.Answer{Outcome: order.NotDone, Problem: "the authority under which it was decided has ended"}
 
-// execute carries out one effect. An effect that takes time runs in its own goroutine, and its
-// result is posted as an event.
+// execute carries out one effect. An effect that takes time does not block it: it runs in its own
+// goroutine, or it is an order through a relay. Its result is posted as an event.
 func (l *Loop) execute(e exchange.Effect) {
 	switch e := e.(type) {
 	case exchange.Append:
@@ -317,9 +317,9 @@
 	case exchange.FollowWorkers:
 		l.setFollowWorkers(e.On)
 	case exchange.Renew:
-		l.tasks.Go(func() { l.renewLease(e) })
+		l.beginRenewal(e)
 	case exchange.StartRun:
-		l.tasks.Go(func() { l.startRun(e) })
+		l.beginStart(e)
 	case exchange.StopRun:
 		l.tasks.Go(func() { l.stopRun(e) })
 	case exchange.ThrottleRun:
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"saddlevane/models/exchange"
@@ -12,6 +13,7 @@
 	"saddlevane/models/stream"
 	"saddlevane/modules/clock"
 	"saddlevane/modules/httpclient"
+	"saddlevane/services/relay"
 )
 
 // appendToLog appends to the log. The append may be retried, because a second one has no further
@@ -44,41 +46,102 @@
 	l.post(exchange.JobsLoaded{Epoch: e.Epoch, Records: page.Records, Err: err})
 }
 
-// renewLease renews a worker's lease. If there is no answer within e.Timeout, it posts a result
-// with an unknown outcome. A successful answer that arrives within the grace period after that
-// is posted as a second result.
-func (l *Loop) renewLease(e exchange.Renew) {
+// beginRenewal renews a worker's lease through its relay, without a goroutine, or else in one. It is
+// called by the event loop and does not block.
+func (l *Loop) beginRenewal(e exchange.Renew) {
 	if !l.canOrder(e.Epoch) {
-		l.post(exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal, Answer: answerAuthorityEnded})
+		l.tasks.Go(func() { l.post(renewalEnded(e, order.Report{}, answerAuthorityEnded)) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(httpclient.WithOverdueAfter(l.ctx, e.Timeout), e.Timeout+e.GracePeriod)
+	r := &renewal{loop: l, order: e, sentAt: l.now()}
+	o := relay.Order{Worker: e.Worker, Address: e.Address, Renew: &e.Order}
+	sent := l.relayClient.Begin(o, e.Timeout+e.GracePeriod, e.Timeout, relay.Handlers{
+		Overdue: r.handleOverdue,
+		Done:    func(result relay.Result) { r.end(result.RenewalReport(e.Worker), result.Answer) },
+		NotSent: r.sendDirectly,
+	})
+	if !sent {
+		l.tasks.Go(r.call)
+	}
+}
+
+// renewal is a renewal of a worker's lease in progress. If there is no answer within the timeout of the
+// order, it posts a result with an unknown outcome. A successful answer that arrives within the grace
+// period after that is posted as a second result.
+type renewal struct {
+	loop  *Loop
+	order exchange.Renew
+	// sentAt is when it was first sent.
+	sentAt time.Time
+	// isOverdue is set once the result with an unknown outcome was posted or is about to be.
+	isOverdue atomic.Bool
+}
+
+// renewalEnded returns the event that posts the end of a renewal.
+func renewalEnded(e exchange.Renew, report order.Report, answer order.Answer) exchange.RenewEnded {
+	return exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal, Report: report, Answer: answer}
+}
+
+// handleOverdue posts that there is no answer in time.
+func (r *renewal) handleOverdue() {
+	if r.isOverdue.CompareAndSwap(false, true) {
+		r.loop.post(renewalEnded(r.order, order.Report{}, order.Answer{Outcome: order.Unknown, Problem: "no answer in time"}))
+	}
+}
+
+// sendDirectly calls the worker after the order could not be sent to its relay.
+func (r *renewal) sendDirectly() { r.loop.tasks.Go(r.call) }
+
+// call calls the worker and waits for its answer.
+func (r *renewal) call() {
+	l, e := r.loop, r.order
+	elapsed := l.now().Sub(r.sentAt)
+	ctx, cancel := context.WithTimeout(httpclient.WithOverdueAfter(l.ctx, e.Timeout), e.Timeout+e.GracePeriod-elapsed)
 	defer cancel()
-	ended := exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal}
-	noAnswer := ended
-	noAnswer.Answer = order.Answer{Outcome: order.Unknown, Problem: "no answer in time"}
-	overdue := time.AfterFunc(e.Timeout, func() { l.post(noAnswer) })
-	ended.Report, ended.Answer = l.workers.Renew(ctx, e.Address, e.Worker, e.Order)
-	l.metrics.recordOrder("renew", ended.Answer)
-	for _, end := range ended.Report.Ended {
-		l.metrics.recordEnd(end.Status)
+	overdue := time.AfterFunc(e.Timeout-elapsed, r.handleOverdue)
+	defer overdue.Stop()
+	r.end(l.platform.Workers.RenewInParts(ctx, e.Address, e.Worker, e.Order))
+}
+
+// end handles the result.
+func (r *renewal) end(report order.Report, answer order.Answer) {
+	r.loop.metrics.recordOrder("renew", answer)
+	for _, end := range report.Ended {
+		r.loop.metrics.recordEnd(end.Status)
 	}
-	if overdue.Stop() || ended.Answer.Outcome == order.CarriedOut {
-		l.post(ended)
+	if r.isOverdue.CompareAndSwap(false, true) || answer.Outcome == order.CarriedOut {
+		r.loop.post(renewalEnded(r.order, report, answer))
 	}
 }
 
-// startRun orders a worker to start a run.
-func (l *Loop) startRun(e exchange.StartRun) {
+// beginStart orders a worker to start a run through its relay, without a goroutine, or else in one. It
+// is called by the event loop and does not block.
+func (l *Loop) beginStart(e exchange.StartRun) {
+	end := func(answer order.Answer) {
+		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+	}
 	if !l.canOrder(e.Epoch) {
-		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answerAuthorityEnded})
+		l.tasks.Go(func() { end(answerAuthorityEnded) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, e.Timeout)
-	defer cancel()
-	answer := l.workers.Start(ctx, e.Address, e.Worker, e.Order)
-	l.metrics.recordOrder("start", answer)
-	l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+	done := func(answer order.Answer) {
+		l.metrics.recordOrder("start", answer)
+		end(answer)
+	}
+	sentAt := l.now()
+	call := func() {
+		ctx, cancel := context.WithTimeout(l.ctx, e.Timeout-l.now().Sub(sentAt))
+		defer cancel()
+		done(l.platform.Workers.Start(ctx, e.Address, e.Worker, e.Order))
+	}
+	o := relay.Order{Worker: e.Worker, Address: e.Address, Start: &e.Order}
+	sent := l.relayClient.Begin(o, e.Timeout, e.Timeout, relay.Handlers{
+		Done:    func(result relay.Result) { done(result.Answer) },
+		NotSent: func() { l.tasks.Go(call) },
+	})
+	if !sent {
+		l.tasks.Go(call)
+	}
 }
 
 // throttleRun orders a worker to change the speed of a run.
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -43,10 +43,26 @@
 
 // pendingOrder is an order that has no result yet.
 type pendingOrder struct {
-	// box and address are the name and the address of the relay.
-	box, address string
-	// done receives the result.
-	done chan Result
+	// worker is the name of the worker, box and address are the name and the address of the relay.
+	worker, box, address string
+	sentAt               time.Time
+	// timer fires when the answer is overdue, and then, afterOverdue later, when it is too late.
+	timer        *time.Timer
+	afterOverdue time.Duration
+	isOverdue    bool
+	handlers     Handlers
+}
+
+// Handlers are called when something happens to an order. Exactly one of Done and NotSent is called,
+// unless the client is closed first.
+type Handlers struct {
+	// Overdue, if set, is called when the answer is overdue. Done may be called later, or already have
+	// been called.
+	Overdue func()
+	// Done is called with the result. The outcome is Unknown if there is none in time.
+	Done func(Result)
+	// NotSent is called if the order was certainly not sent, so that it can be sent directly.
+	NotSent func()
 }
 
 // NewClient returns a client that sends batches with send, and orders to workers without a
@@ -61,9 +77,16 @@
 	}
 }
 
-// Close cancels all calls and waits until they have returned.
+// Close cancels all calls and waits until they have returned. No handler is called for the orders that
+// have no result yet.
 func (c *Client) Close() {
 	c.cancel()
+	c.mu.Lock()
+	for id, p := range c.pending {
+		p.timer.Stop()
+		delete(c.pending, id)
+	}
+	c.mu.Unlock()
 	c.goroutines.Wait()
 }
 
@@ -73,13 +96,9 @@
 		Renew: func(ctx context.Context, address string, worker order.Incarnation, r order.Renew) (order.Report, order.Answer) {
 			a, ok := c.sendViaRelay(ctx, Order{Worker: worker, Address: address, Renew: &r})
 			if !ok {
-				return c.direct.renew(ctx, address, worker, r)
+				return c.direct.RenewInParts(ctx, address, worker, r)
 			}
-			if a.Report == nil {
-				a.Report = &order.Report{Clock: a.Answer.Clock}
-			}
-			a.Report.Incarnation.Name = worker.Name
-			return *a.Report, a.Answer
+			return a.RenewalReport(worker), a.Answer
 		},
 		Start: func(ctx context.Context, address string, worker order.Incarnation, s order.Start) order.Answer {
 			if a, ok := c.sendViaRelay(ctx, Order{Worker: worker, Address: address, Start: &s}); ok {
@@ -106,72 +125,98 @@
 // the order was certainly not sent and no time was spent waiting for the worker, so that the
 // caller can send it directly.
 func (c *Client) sendViaRelay(ctx context.Context, o Order) (Result, bool) {
-	box, ok := c.selector.Pick(c.now(), o.Worker.Name)
 	deadline, bounded := ctx.Deadline()
-	if !ok || !bounded {
+	if !bounded {
 		return Result{}, false
 	}
 	timeout := deadline.Sub(c.now())
-	o.AnswerTimeout = job.Milliseconds((timeout - min(relayMargin, timeout/4)).Milliseconds())
-	if o.AnswerTimeout <= 0 {
-		return Result{}, false
-	}
 	overdue, ok := httpclient.OverdueAfter(ctx)
 	if !ok {
 		overdue = timeout
 	}
-	o.OverdueAfter = job.Milliseconds(overdue.Milliseconds())
-	p := &pendingOrder{box: box.Box, address: box.Address, done: make(chan Result, 1)}
-	sentAt := c.now()
-	if !c.enqueue(box, &o, p) {
+	results := make(chan Result, 1)
+	id, ok := c.begin(o, timeout, overdue, Handlers{
+		Done: func(result Result) { results <- result },
+		// A result without an outcome stands for an order that was not sent.
+		NotSent: func() { results <- Result{} },
+	})
+	if !ok {
 		return Result{}, false
 	}
-	timer := time.NewTimer(overdue)
-	defer timer.Stop()
-	isOverdue := false
+	stopped := ctx.Done()
 	for {
 		select {
-		case result := <-p.done:
-			return c.handleResult(o, result)
-		case <-timer.C:
-			isOverdue = true
-			c.handleOverdue(o.Worker.Name, box.Box, sentAt)
-			continue
-		case <-ctx.Done():
-			if !isOverdue && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				c.handleOverdue(o.Worker.Name, box.Box, sentAt)
-			}
+		case result := <-results:
+			return result, result.Answer.Outcome != ""
 		case <-c.ctx.Done():
+			return unknownResult(id, problemNoAnswer), true
+		case <-stopped:
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				// The timer of the order fires at about the same time.
+				stopped = nil
+				continue
+			}
+			c.removePending(id)
+			return unknownResult(id, problemNoAnswer), true
 		}
-		c.removePending(o.ID)
-		return unknownResult(o.ID, "no answer via relay "+box.Box), true
 	}
 }
 
+// problemNoAnswer describes the failure of an order whose result did not arrive.
+const problemNoAnswer = "no answer via a relay"
+
+// Begin sends an order through a relay and returns at once. The answer is overdue after the time
+// overdue and too late after timeout. The handlers are called from other goroutines. It returns false,
+// and calls none of them, if the worker has no relay or too many orders wait for it.
+func (c *Client) Begin(o Order, timeout, overdue time.Duration, h Handlers) bool {
+	_, ok := c.begin(o, timeout, overdue, h)
+	return ok
+}
+
+// begin does the same and returns the ID of the order.
+func (c *Client) begin(o Order, timeout, overdue time.Duration, h Handlers) (id uint64, ok bool) {
+	now := c.now()
+	box, ok := c.selector.Pick(now, o.Worker.Name)
+	o.AnswerTimeout = job.Milliseconds((timeout - min(relayMargin, timeout/4)).Milliseconds())
+	if !ok || o.AnswerTimeout <= 0 {
+		return 0, false
+	}
+	o.OverdueAfter = job.Milliseconds(overdue.Milliseconds())
+	overdue = min(overdue, timeout)
+	p := &pendingOrder{worker: o.Worker.Name, box: box.Box, address: box.Address, sentAt: now, afterOverdue: timeout - overdue, handlers: h}
+	return c.enqueue(box, o, p, overdue)
+}
+
 // unknownResult returns the result of an order that may or may not have been carried out.
 func unknownResult(id uint64, problem string) Result {
 	return Result{ID: id, Answer: order.Answer{Outcome: order.Unknown, Problem: problem}}
 }
 
-// handleResult returns a result, or false if it is empty because the order was not sent. If
-// the outcome is unknown, the worker's next orders are sent directly.
-func (c *Client) handleResult(o Order, result Result) (Result, bool) {
+// finish calls the handlers of an order with its result. A result without an outcome means that the
+// order was not sent. If the outcome is unknown, the worker's next orders are sent directly.
+func (c *Client) finish(p *pendingOrder, result Result) {
 	if result.Answer.Outcome == "" {
-		return result, false
+		p.handlers.NotSent()
+		return
 	}
 	if result.Answer.Outcome == order.Unknown {
-		c.selector.RecordUnanswered(c.now(), o.Worker.Name)
+		c.selector.RecordUnanswered(c.now(), p.worker)
 	}
-	return result, true
+	p.handlers.Done(result)
 }
 
-// enqueue adds an order to the next batch to a box and assigns its ID. It returns false if
-// too many orders are queued for the box.
-func (c *Client) enqueue(box claim.Member, o *Order, p *pendingOrder) bool {
+// enqueue adds an order to the next batch to a box and returns its ID. It returns false if too many
+// orders are queued for the box.
+func (c *Client) enqueue(box claim.Member, o Order, p *pendingOrder, overdue time.Duration) (id uint64, ok bool) {
 	c.mu.Lock()
 	c.lastID++
 	o.ID = c.lastID
+	if c.ctx.Err() != nil {
+		c.mu.Unlock()
+		return o.ID, true
+	}
 	c.pending[o.ID] = p
+	p.timer = time.AfterFunc(overdue, func() { c.handleTimer(o.ID) })
 	out := c.outboxes[box.Address]
 	if out == nil {
 		out = &outbox[Order]{
@@ -181,11 +226,38 @@
 		c.outboxes[box.Address] = out
 	}
 	c.mu.Unlock()
-	if out.add(c.ctx, &c.goroutines, *o) {
-		return true
+	if out.add(c.ctx, &c.goroutines, o) {
+		return o.ID, true
 	}
 	c.removePending(o.ID)
-	return false
+	return o.ID, false
+}
+
+// handleTimer handles an order whose answer is overdue or too late.
+func (c *Client) handleTimer(id uint64) {
+	c.mu.Lock()
+	p := c.pending[id]
+	if p == nil || c.ctx.Err() != nil {
+		c.mu.Unlock()
+		return
+	}
+	wasOverdue, tooLate := p.isOverdue, p.isOverdue || p.afterOverdue <= 0
+	p.isOverdue = true
+	if tooLate {
+		delete(c.pending, id)
+	} else {
+		p.timer.Reset(p.afterOverdue)
+	}
+	c.mu.Unlock()
+	if !wasOverdue {
+		c.handleOverdue(p.worker, p.box, p.sentAt)
+		if p.handlers.Overdue != nil {
+			p.handlers.Overdue()
+		}
+	}
+	if tooLate {
+		p.handlers.Done(unknownResult(id, "no answer via relay "+p.box))
+	}
 }
 
 // sendOrders sends a batch of orders to a box.
@@ -217,9 +289,15 @@
 		}
 	}
 	c.mu.Unlock()
-	for _, id := range lost {
-		c.deliver(unknownResult(id, "the link to the relay was closed"))
+	if len(lost) == 0 || c.ctx.Err() != nil {
+		return
 	}
+	// The handlers may block, and the link is not closed before this function has returned.
+	c.goroutines.Go(func() {
+		for _, id := range lost {
+			c.deliver(unknownResult(id, "the link to the relay was closed"))
+		}
+	})
 }
 
 // HandleResults processes the results of orders that a relay sent back. Those for another
@@ -228,33 +306,53 @@
 	if b.Incarnation != c.self.Incarnation {
 		return
 	}
-	for _, result := range b.Results {
-		if box := c.deliver(result); box != "" {
-			c.recordAnswer(box)
+	answered := c.takeAnswered(b.Results)
+	for i, result := range b.Results {
+		if answered[i] != nil {
+			c.finish(answered[i], result)
 		}
 	}
 }
 
-// deliver passes a result to the goroutine that waits for it. It returns the box through
-// which the order was sent, or "" if nothing waits for the result.
-func (c *Client) deliver(result Result) (box string) {
+// takeAnswered removes the orders with the given results from those that wait for one, and records
+// that their boxes have sent results. Its entry for a result that nothing waits for is nil.
+func (c *Client) takeAnswered(results []Result) []*pendingOrder {
+	now, taken, boxes := c.now(), make([]*pendingOrder, len(results)), map[string]bool{}
 	c.mu.Lock()
-	p := c.pending[result.ID]
-	delete(c.pending, result.ID)
+	for i, result := range results {
+		p := c.takePending(result.ID)
+		taken[i] = p
+		if p != nil {
+			c.lastAnswerAt[p.box] = now
+			boxes[p.box] = true
+		}
+	}
 	c.mu.Unlock()
-	if p == nil {
-		return ""
+	for box := range boxes {
+		c.selector.RecordBoxAnswer(box)
 	}
-	p.done <- result
-	return p.box
+	return taken
 }
 
-// recordAnswer records that a box has sent a result.
-func (c *Client) recordAnswer(box string) {
+// takePending removes an order from those that wait for a result. It returns nil if it is not one of
+// them. c.mu must be held.
+func (c *Client) takePending(id uint64) *pendingOrder {
+	p := c.pending[id]
+	if p != nil {
+		p.timer.Stop()
+		delete(c.pending, id)
+	}
+	return p
+}
+
+// deliver passes a result to the handlers of its order, if it still waits for one.
+func (c *Client) deliver(result Result) {
 	c.mu.Lock()
-	c.lastAnswerAt[box] = c.now()
+	p := c.takePending(result.ID)
 	c.mu.Unlock()
-	c.selector.RecordBoxAnswer(box)
+	if p != nil {
+		c.finish(p, result)
+	}
 }
 
 // handleOverdue handles an order whose answer is overdue: the worker's next orders are sent
@@ -274,5 +372,5 @@
 func (c *Client) removePending(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.pending, id)
+	c.takePending(id)
 }
--- a/services/relay/longrenewal.go
+++ b/services/relay/longrenewal.go
@@ -16,11 +16,11 @@
 // noticed within about that time.
 const maxSingleWait = time.Second
 
-// renew renews a worker's lease. A wait longer than maxSingleWait is split into several calls, of which
+// RenewInParts renews a worker's lease. A wait longer than maxSingleWait is split into several calls, of which
 // only the first extends the lease. They end early if the worker runs anything or has ended a run, if
 // another incarnation answers, or if a call fails. So a worker without tasks costs the sender one
 // message in a long time, however often it is asked.
-func (c WorkerCalls) renew(ctx context.Context, address string, worker order.Incarnation, r order.Renew) (order.Report, order.Answer) {
+func (c WorkerCalls) RenewInParts(ctx context.Context, address string, worker order.Incarnation, r order.Renew) (order.Report, order.Answer) {
 	overdue, bounded := httpclient.OverdueAfter(ctx)
 	margin := overdue - r.MaxWait.Duration()
 	if r.MaxWait.Duration() <= maxSingleWait || !bounded || margin <= 0 {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -77,6 +77,17 @@
 	Report *order.Report
 }
 
+// RenewalReport returns the report of a renewal at a worker. It is empty if the renewal was not carried
+// out.
+func (r Result) RenewalReport(worker order.Incarnation) order.Report {
+	report := order.Report{Clock: r.Answer.Clock}
+	if r.Report != nil {
+		report = *r.Report
+	}
+	report.Incarnation.Name = worker.Name
+	return report
+}
+
 // Batch carries orders to a relay, or their results back to the sender of the orders.
 type Batch struct {
 	// From is the address at which the sender of the orders serves other boxes, Incarnation
--- a/services/relay/server.go
+++ b/services/relay/server.go
@@ -73,7 +73,7 @@
 		result.Answer = order.Answer{Outcome: order.NotDone, Problem: "the order reached the relay too late"}
 	case o.Renew != nil:
 		var r order.Report
-		r, result.Answer = s.direct.renew(ctx, o.Address, o.Worker, *o.Renew)
+		r, result.Answer = s.direct.RenewInParts(ctx, o.Address, o.Worker, *o.Renew)
 		if result.Answer.Outcome == order.CarriedOut {
 			result.Report = &r
 		}
