dispatch: keep the capacity of a worker's stopping attempts as a sum

The sum changes only when an attempt is stopped, assigned or unassigned.

No test counts this work: the package exports nothing that would show it.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -105,6 +105,9 @@
 func (h *holderState) assign(now time.Time, a *attempt) {
 	a.worker.attempts[a.runID()] = a
 	a.worker.free = a.worker.free.Minus(a.step.spec.Reserved())
+	if a.state == attemptStopping {
+		a.worker.addStopping(a)
+	}
 	h.usage.Add(a.step.job.workspace, a.step.spec.Need)
 	t := a.task()
 	t.attempt = a
@@ -122,6 +125,10 @@
 	a.untrackSuspect()
 	delete(a.worker.attempts, a.runID())
 	a.worker.free = a.worker.free.Plus(a.step.spec.Reserved())
+	if a.state == attemptStopping {
+		a.worker.stopping = a.worker.stopping.Minus(a.step.spec.Reserved())
+		a.worker.stoppingCount--
+	}
 	h.usage.Subtract(a.step.job.workspace, a.step.spec.Need)
 	t := a.task()
 	if t.attempt == a {
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -111,14 +111,12 @@
 
 // availableAfterStops returns a worker's available capacity once all attempts that are being
 // stopped have ended.
-func (w *worker) availableAfterStops() resource.Vector {
-	capacity := w.available()
-	for _, a := range w.attempts {
-		if a.state == attemptStopping {
-			capacity = capacity.Plus(a.step.spec.Reserved())
-		}
-	}
-	return capacity
+func (w *worker) availableAfterStops() resource.Vector { return w.available().Plus(w.stopping) }
+
+// addStopping records that an attempt of the worker is being stopped.
+func (w *worker) addStopping(a *attempt) {
+	w.stopping = w.stopping.Plus(a.step.spec.Reserved())
+	w.stoppingCount++
 }
 
 // hold sets aside capacity of a worker for tasks of a step until the pass ends.
--- a/services/dispatch/stops.go
+++ b/services/dispatch/stops.go
@@ -16,6 +16,9 @@
 		return
 	}
 	a.state = attemptStopping
+	if a.worker.attempts[a.runID()] == a {
+		a.worker.addStopping(a)
+	}
 	h.markStateChange(now, a)
 	a.stopConfirmed = false
 	a.stopRequestedAt = now
@@ -42,7 +45,7 @@
 
 // resendStops sends the unanswered stops of a responding worker again.
 func (h *holderState) resendStops(now time.Time, w *worker) {
-	if w.failedRenewals > 0 || !w.hasUnconfirmedStop() {
+	if w.failedRenewals > 0 || w.stoppingCount == 0 || !w.hasUnconfirmedStop() {
 		return
 	}
 	for _, a := range w.sortedAttempts() {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -43,6 +43,10 @@
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt uses.
 	free resource.Vector
+	// stoppingCount is the number of attempts that are being stopped, stopping the capacity that they
+	// use.
+	stoppingCount int
+	stopping      resource.Vector
 	// orphans are runs that this holder would not have started. What they use is unknown, so no
 	// task is started on the worker while it has any.
 	orphans map[order.Run]bool
