--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -62,7 +62,7 @@
 	case set.isLarge(r.step):
 		// The workers that are eligible for large tasks must be known before one of them is empty, so
 		// that it can be drained for such a task.
-		return h.requestAdviceForUnplacedTasks(now, r, set.workers)
+		return h.requestAdviceForLargeTasks(now, r, set)
 	case placed > 0 || !r.step.spec.Reserved().Fits(set.maxAvailable):
 		return false
 	default:
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -45,6 +45,10 @@
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt uses.
 	free resource.Vector
+	// stoppingCount is the number of attempts that are being stopped, stopping the capacity that they
+	// use.
+	stoppingCount int
+	stopping      resource.Vector
 	// orphans are runs that this holder would not have started. What they use is unknown, so no
 	// task is started on the worker while it has any.
 	orphans map[order.Run]bool
@@ -136,7 +140,7 @@
 // forgetWorkerLists forgets the cached lists of workers after one was added or removed.
 func (h *holderState) forgetWorkerLists() {
 	h.sortedWorkers = nil
-	clear(h.healthyByKey)
+	h.forgetHealthy()
 }
 
 // retire makes a worker that is no longer among the holder's workers unusable: advice and lists may
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -111,13 +111,13 @@
 	// read, by stream, for boxes that read through it.
 	readers *logfeed.Selector
 	windows map[stream.Name]*logfeed.Window
-	// workers gives orders to workers, through relays where there are any.
-	workers  relay.WorkerCalls
-	ctx      context.Context
-	cancel   context.CancelFunc
-	tasks    conc.WaitGroup
-	stopped  chan struct{}
-	stopOnce sync.Once
+	// workers gives orders to workers, through relays where there are any, and direct without them.
+	workers, direct relay.WorkerCalls
+	ctx             context.Context
+	cancel          context.CancelFunc
+	tasks           conc.WaitGroup
+	stopped         chan struct{}
+	stopOnce        sync.Once
 
 	mu sync.Mutex
 	// calls holds the channels of the goroutines that wait for a reply of the reducer.
@@ -164,7 +164,7 @@
 		l.windows[name] = logfeed.NewWindow(l.now)
 	}
 	l.relayClient = relay.NewClient(self, l.now, l.relays, p.Workers, l.mayOrder, l.batchSender(methodCarry))
-	l.workers = l.relayClient.WorkerCalls()
+	l.workers, l.direct = l.relayClient.WorkerCalls(), l.relayClient.Direct()
 	return l
 }
 
@@ -339,8 +339,8 @@
 	return v.epoch == presence.ClaimOfFence(fence) && l.now().Before(v.orderUntil)
 }
 
-// execute carries out one effect. An effect that takes time runs in its own goroutine, and its
-// result is posted as an event.
+// execute carries out one effect. An effect that takes time does not block it: it runs in its own
+// goroutine, or it is an order through a relay. Its result is posted as an event.
 func (l *Loop) execute(e exchange.Effect) {
 	switch e := e.(type) {
 	case exchange.Append:
@@ -350,9 +350,9 @@
 	case exchange.FollowWorkers:
 		l.setFollowWorkers(e.On)
 	case exchange.Renew:
-		l.tasks.Go(func() { l.renewLease(e) })
+		l.beginRenewal(e)
 	case exchange.StartRun:
-		l.tasks.Go(func() { l.startRun(e) })
+		l.beginStart(e)
 	case exchange.StopRun:
 		l.tasks.Go(func() { l.stopRun(e) })
 	case exchange.ThrottleRun:
