dispatch: ask about more workers with room before tasks are stopped

What callers saw: short jobs that are gangs were late whenever tasks of lower priority were stopped for them. Typical line: 6 tasks, room_for=2, workers_asked=17, workers_suited=10, of 1,100 workers.

Cause: a gang asks for advice until the workers named could hold twice its tasks if they were empty. In a cell that is 85% full the room they have now is less, and the gang stopped tasks there, although it had not asked about other workers with room. A step that is no gang did the same once some of its tasks were placed.

Now workers with room are asked about first, if several calls take less time than a stop, by the time that stops were observed to take.

--- a/services/advicecalls/balancer_test.go
+++ b/services/advicecalls/balancer_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/job"
 	"saddlevane/services/advicecalls"
 
 	"gotest.tools/v3/assert"
@@ -63,3 +64,11 @@
 	now = now.Add(5 * time.Second)
 	assert.Check(t, balancer.HasFreeBox(now, maps.Keys(map[string]bool{"b": true}), advicecalls.BriefCall, 0))
 }
+
+func TestOnlyBriefCallsAreFasterThanStops(t *testing.T) {
+	brief := &job.Advice{BaseTime: 11 * time.Millisecond, TimePerWorker: 160 * time.Microsecond}
+	long := &job.Advice{BaseTime: 600 * time.Millisecond, TimePerWorker: 8600 * time.Microsecond}
+	assert.Check(t, advicecalls.AreFasterThanStops(brief, 200*time.Millisecond))
+	assert.Check(t, !advicecalls.AreFasterThanStops(brief, 20*time.Millisecond))
+	assert.Check(t, !advicecalls.AreFasterThanStops(long, time.Second), "a few calls in a row take longer than a stop")
+}
--- a/services/advicecalls/batch.go
+++ b/services/advicecalls/batch.go
@@ -3,7 +3,11 @@
 
 package advicecalls
 
-import "saddlevane/models/job"
+import (
+	"time"
+
+	"saddlevane/models/job"
+)
 
 const (
 	// MaxWorkersPerCall is the maximum number of workers named in one call. A gang may have
@@ -25,3 +29,13 @@
 	}
 	return min(MaxWorkersPerCall, max(minWorkersPerCall, int(extraTimeShare*float64(q.BaseTime)/float64(q.TimePerWorker))))
 }
+
+// minCallsPerStop is how many calls have to take less time than a stop, so that more workers are asked about
+// before tasks are stopped.
+const minCallsPerStop = 4
+
+// AreFasterThanStops reports whether several calls usually take less time than to stop tasks.
+func AreFasterThanStops(q *job.Advice, stopTime time.Duration) bool {
+	callTime := q.BaseTime + time.Duration(MinWorkersPerCall(q))*q.TimePerWorker
+	return minCallsPerStop*callTime < stopTime
+}
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"saddlevane/services/advicecalls"
 	"saddlevane/services/slots"
 )
 
@@ -63,13 +64,22 @@
 		// The workers that are eligible for large tasks must be known before one of them is empty, so
 		// that it can be drained for such a task.
 		return h.requestAdviceForUnplacedTasks(now, r, set.workers)
-	case placed > 0 || !r.step.spec.Reserved().Fits(set.maxAvailable):
+	case placed > 0 && !advicecalls.AreFasterThanStops(r.queue.Advice, h.estimates.StopTime()) || !r.step.spec.Reserved().Fits(set.maxAvailable):
 		return false
 	default:
 		return h.requestAdviceOnFreeWorkers(now, r, set.workers)
 	}
 }
 
+// awaitsBriefAdvice reports whether a gang waits for advice on workers that have room now, which it requests
+// if necessary, instead of stopping tasks on the workers that are known.
+func (h *holderState) awaitsBriefAdvice(now time.Time, r rankedStep, set *workerSet) bool {
+	if r.queue.Advice == nil || !advicecalls.AreFasterThanStops(r.queue.Advice, h.estimates.StopTime()) {
+		return false
+	}
+	return r.step.advice.hasCalls() || h.requestAdviceOnFreeWorkers(now, r, set.workers)
+}
+
 // placeGang starts all tasks of a gang or none of them. It returns false if the gang could not
 // start for lack of capacity or valid tickets.
 func (h *holderState) placeGang(p *pass, r rankedStep, set *workerSet) bool {
@@ -92,7 +102,7 @@
 	}
 	allocations, placed := h.fit(p.now, s, r.eligibleWorkers(set))
 	if placed < len(s.tasks) {
-		return false
+		return h.awaitsBriefAdvice(p.now, r, set)
 	}
 	if r.queue.Advice != nil {
 		if _, stale := s.splitByTicket(p.now, allocations); len(stale) > 0 {
