--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -37,6 +37,8 @@
 	// worker's records: only the confirmation of the last one sets recorded.
 	recordPending bool
 	recordCount   int
+	// undecodable is true if the log has a record of the worker that could not be decoded.
+	undecodable bool
 	// unresponsive describes the record that the log has of the worker while it does not answer.
 	unresponsive unresponsiveRecord
 
@@ -178,7 +180,8 @@
 // suspect.
 func (h *holderState) isHealthy(now time.Time, w *worker) bool {
 	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
-		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w)
+		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w) &&
+		h.startsWithinReport(w) > 0
 }
 
 // hasOverdueStart reports whether the worker is overdue with the answers to its start orders.
@@ -221,7 +224,7 @@
 	h.retire(w)
 	w.incarnations.End(w.Incarnation)
 	h.formerWorkers.Add(now, w.Name, w.incarnations)
-	if w.recorded || w.recordPending || w.unresponsive.written {
+	if w.recorded || w.recordPending || w.unresponsive.written || w.undecodable {
 		h.journal.addRecord(jobrecords.DropWorker(w.Name))
 	}
 }
