dispatch: random worlds of timed jobs while the clocks of the boxes are stepped

Played by no world so far: the wall clocks of the boxes are up to 3 s apart and are stepped while jobs run at set times, beside takeovers and workers that the next holder cannot reach at first. The worlds now check the states and the order of steps of every instance, not only of the first one.

--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -26,6 +26,8 @@
 	core        *dispatch.Core
 	alive       bool
 	pausedUntil time.Time
+	// clockOffset is how far the wall clock of the box is ahead of the world's time.
+	clockOffset time.Duration
 	// logUnreachable disconnects the box from the log, and peersUnreachable from the other boxes.
 	logUnreachable, peersUnreachable bool
 	hasReadClaims                    bool
@@ -81,6 +83,7 @@
 		b.w.at(b.pausedUntil, func() { b.deliver(incarnation, e) })
 		return
 	}
+	b.core.SetSuspendOffset(-b.clockOffset)
 	b.core.Handle(b.w.now, e)
 	for _, eff := range b.core.Decide(b.w.now) {
 		b.perform(incarnation, eff)
--- a/services/dispatch/worldcheck_test.go
+++ b/services/dispatch/worldcheck_test.go
@@ -60,7 +60,7 @@
 	}
 	for _, before := range step.After {
 		for i := range j.sub.Steps[before].Tasks {
-			if !j.done[job.TaskID{StepID: job.StepID{Job: s.Task.Job, Step: before}, Index: i}] {
+			if !j.done[job.TaskID{StepID: job.StepID{Job: s.Task.Job, Instance: s.Task.Instance, Step: before}, Index: i}] {
 				w.violationf("%v starts before step %d, which it depends on, is done", s.Task, before)
 			}
 		}
--- a/services/dispatch/worldjobs_test.go
+++ b/services/dispatch/worldjobs_test.go
@@ -98,10 +98,12 @@
 	if a.state != job.Succeeded {
 		return
 	}
-	for i, s := range a.sub.Steps {
-		for index := range s.Tasks {
-			if !a.done[job.TaskID{StepID: job.StepID{Job: a.sub.ID, Step: i}, Index: index}] {
-				w.violationf("%s is shown as succeeded, but step %d task %d is not done", a.sub.ID, i, index)
+	for instance := range a.sub.Instances() {
+		for i, s := range a.sub.Steps {
+			for index := range s.Tasks {
+				if !a.done[job.TaskID{StepID: job.StepID{Job: a.sub.ID, Instance: instance, Step: i}, Index: index}] {
+					w.violationf("%s is shown as succeeded, but step %d task %d of instance %d is not done", a.sub.ID, i, index, instance)
+				}
 			}
 		}
 	}
