--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -162,7 +162,7 @@
 // sortedAttempts returns the worker's attempts in a fixed order, so that equal events have equal
 // effects.
 func (w *worker) sortedAttempts() []*attempt {
-	all := slices.Collect(maps.Values(w.attempts))
+	all := slices.AppendSeq(make([]*attempt, 0, len(w.attempts)), maps.Values(w.attempts))
 	slices.SortFunc(all, func(a, b *attempt) int { return a.runID().Compare(b.runID()) })
 	return all
 }
