--- a/cmd/saddlevane-bench/queue.go
+++ b/cmd/saddlevane-bench/queue.go
@@ -97,7 +97,8 @@
 
 // denseMix returns a cell of the given size in which many short tasks are started: about 1.6 a second
 // and worker at a load of 1. At higher loads the tasks need less, so that the workers have the
-// capacity for them and the processor is what binds.
+// capacity for them and the processor is what binds. The workers have half the memory, so that steps
+// wait for capacity and advice is requested for them again and again.
 func denseMix(workers int, load float64) (mix jobMix, rate float64) {
 	for _, m := range jobMixes() {
 		if m.name == "large" {
@@ -106,6 +107,7 @@
 	}
 	rate = load * float64(workers) / float64(mix.workers)
 	mix.workers = workers
+	mix.gigabytes /= 2
 	mix.kinds = slices.Clone(mix.kinds)
 	for i := range mix.kinds {
 		k := &mix.kinds[i]
