--- a/modules/peering/conn.go
+++ b/modules/peering/conn.go
@@ -11,6 +11,7 @@
 	"log"
 	"sync"
 
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -22,7 +23,7 @@
 	serve func(ctx context.Context, req *jsonrpc2.Request)
 	ctx   context.Context
 	// goroutines holds the goroutines that read messages and serve requests.
-	goroutines *sync.WaitGroup
+	goroutines *conc.WaitGroup
 	// stopFollowing stops closing the connection at the end of the context.
 	stopFollowing func() bool
 	cancel        context.CancelFunc
@@ -48,7 +49,7 @@
 }
 
 // newConn returns a connection that is closed when ctx ends. It reads nothing before start is called.
-func newConn(ctx context.Context, s *stream, goroutines *sync.WaitGroup, serve func(context.Context, *jsonrpc2.Request)) *Conn {
+func newConn(ctx context.Context, s *stream, goroutines *conc.WaitGroup, serve func(context.Context, *jsonrpc2.Request)) *Conn {
 	c := &Conn{stream: s, serve: serve, goroutines: goroutines, disconnected: make(chan struct{}), pending: map[uint64]*pendingCall{}}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
--- a/modules/peering/links.go
+++ b/modules/peering/links.go
@@ -63,7 +63,7 @@
 	cancel     context.CancelFunc
 	wg         conc.WaitGroup
 	// served holds the goroutines that read from connections and serve calls.
-	served sync.WaitGroup
+	served conc.WaitGroup
 
 	mu sync.Mutex
 	// links holds all open connections.
