relay: acknowledge ends only in the first call of a long renewal

A worker that restarted between two calls of a long renewal, and ended a run before the second one arrived, would have that end acknowledged although no holder has seen it: each call repeated the acknowledgement that was decided for the earlier incarnation, whose ends have the same numbers. The task would then be missing from all reports and be started again.

Evidence: TestLongRenewalDoesNotAcknowledgeEndsOfLaterIncarnation, before the mend: longrenewal_test.go:151: assertion failed: 0 (int) != 1 (int): the end of the later incarnation is lost

The first call has been carried out when the second is sent, so its acknowledgement need not be repeated. The window is small in practice (a relay that is paused between two calls, or a call that is delayed on its way); it was not observed in a run.

--- a/services/relay/longrenewal.go
+++ b/services/relay/longrenewal.go
@@ -33,8 +33,9 @@
 		if r.MaxWait <= 0 || answer.Outcome != order.CarriedOut || isEventful(known, report) {
 			return report, answer
 		}
-		// The sender may not know when the worker was started, but the first report tells.
-		known, r.LeaseEnd = report.Incarnation, 0
+		// The sender may not know when the worker was started, but the first report contains it. The next
+		// call may reach a later incarnation, whose ends have the same numbers.
+		known, r.LeaseEnd, r.Acknowledged = report.Incarnation, 0, 0
 	}
 }
 
--- a/services/relay/longrenewal_test.go
+++ b/services/relay/longrenewal_test.go
@@ -12,6 +12,7 @@
 	"saddlevane/models/claim"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/modules/httpclient"
 	"saddlevane/services/relay"
 
 	"gotest.tools/v3/assert"
@@ -125,3 +126,27 @@
 	assert.Equal(t, h.startRun(10*time.Second).Outcome, order.Unknown)
 	assert.Assert(t, time.Since(start) < 5*time.Second)
 }
+
+// TestLongRenewalDoesNotAcknowledgeEndsOfLaterIncarnation lets the worker restart between two calls of a
+// renewal, after which the next incarnation ends a run that has the number of an end of the earlier one.
+func TestLongRenewalDoesNotAcknowledgeEndsOfLaterIncarnation(t *testing.T) {
+	var acknowledged int64
+	calls := relay.WorkerCalls{
+		Renew: func(_ context.Context, _ string, w order.Incarnation, r order.Renew) (order.Report, order.Answer) {
+			if acknowledged == 0 {
+				acknowledged = r.Acknowledged
+				return order.Report{Incarnation: w}, order.Answer{Outcome: order.CarriedOut}
+			}
+			report := order.Report{Incarnation: order.Incarnation{Name: w.Name, BornUnixMilli: w.BornUnixMilli + 1}}
+			if end := int64(1); end > r.Acknowledged {
+				report.Ended = []order.End{{Number: end, Run: run(1), Status: order.Done}}
+			}
+			return report, order.Answer{Outcome: order.CarriedOut}
+		},
+	}
+	ctx := httpclient.WithOverdueAfter(t.Context(), 5200*time.Millisecond)
+	report, answer := calls.RenewInParts(ctx, "a", order.Incarnation{Name: "w", BornUnixMilli: 1}, order.Renew{LeaseEnd: 9, Fence: 4, Acknowledged: 1, MaxWait: 5000})
+	assert.Equal(t, answer.Outcome, order.CarriedOut)
+	assert.Equal(t, acknowledged, int64(1))
+	assert.Equal(t, len(report.Ended), 1, "the end of the later incarnation is lost")
+}
