shard: record a success that arrives after its task counts as lost

A worker that could not be reached until its task was queued again, or placed on another worker, then reported that the task had succeeded. The holder acknowledged that without a record, so that the worker forgot it, and ran the task to its end a second time.

Cause: isStale took every outcome for void once a retry was queued or another attempt placed.

Now the success is recorded and acknowledged only after that, the retry is dropped and the other attempt is stopped. Its end is void, and neither it nor its loss queues the task again: that is refused for a task whose end the log has or will have.

--- a/services/core/core_test.go
+++ b/services/core/core_test.go
@@ -413,3 +413,52 @@
 		}
 	}
 }
+
+// TestSuccessThatArrivesAfterTaskCountsAsLostIsRecorded cuts a worker off until its task, which has
+// succeeded meanwhile, is queued or placed again. The success that the worker then reports must be
+// recorded before it is acknowledged.
+func TestSuccessThatArrivesAfterTaskCountsAsLostIsRecorded(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newSettledWorld(t, seed)
+		one := "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 2s], repeatable: true, retries: 1}\n"
+		r := w.publish(w.nodes[0], "one", "one", 0, one)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		for range 40 {
+			if w.workerRunning("one") != "w9" {
+				break
+			}
+			w.run(step)
+		}
+		first := w.workerRunning("one")
+		for _, n := range w.nodes {
+			n.unreachableWorkers[first] = true
+		}
+		for range 200 {
+			if w.starts("one") == 2 {
+				break
+			}
+			w.run(step)
+		}
+		assert.Equal(t, w.starts("one"), 2, "seed %d: the task was not started again", seed)
+		for _, n := range w.nodes {
+			n.unreachableWorkers[first] = false
+		}
+		w.run(time.Second)
+		work := w.totalWork()["one"]
+		assert.Equal(t, work.Done, 1, "seed %d: the success is not recorded: %+v", seed, work)
+		w.run(6 * time.Second)
+		work = w.totalWork()["one"]
+		assert.Check(t, work.Done == 1 && work.Running == 0 && work.Waiting == 0, "seed %d: %+v", seed, work)
+		assert.Equal(t, w.starts("one"), 2, "seed %d: the task was started again after its success was recorded", seed)
+		w.checkNoViolations(t)
+	}
+}
+
+// starts returns how often the tasks of an object were started, on all workers.
+func (w *world) starts(object string) int {
+	sum := 0
+	for _, n := range w.startCounts(object) {
+		sum += n
+	}
+	return sum
+}
--- a/services/shard/failure.go
+++ b/services/shard/failure.go
@@ -64,10 +64,11 @@
 	return o.failuresByTask[index]
 }
 
-// requeueEnded puts a task whose attempt has ended back in the queue. Failed attempts wait
+// requeueEnded puts a task whose attempt has ended back in the queue, unless another attempt of it
+// has succeeded. Failed attempts wait
 // for the backoff; stopped ones are due at once.
 func (h *Holder) requeueEnded(now time.Time, o *object, item worker.Item) {
-	if o.removed || o.spec.Cancelled() || !o.hasTask(item.Task.Index) {
+	if o.removed || o.spec.Cancelled() || !o.hasTask(item.Task.Index) || h.hasEnded(o, item.Task.Index) {
 		return
 	}
 	r := retry{index: item.Task.Index, attempt: item.Task.Attempt + 1}
--- a/services/shard/inventory.go
+++ b/services/shard/inventory.go
@@ -105,7 +105,7 @@
 		// whole inventory again makes the worker repeat the outcome.
 		delete(w.ended, item.Task)
 		w.inventoryVersion = 0
-	case o == nil || h.isStale(t, item.Task, o):
+	case o == nil || h.isStale(t, item, o):
 		w.acks = append(w.acks, item.Task)
 	case o.spec.Kind() == ledger.KindService:
 		w.acks = append(w.acks, item.Task)
@@ -113,21 +113,40 @@
 	case item.State == task.Done:
 		h.recordSuccess(now, w, o, t)
 		h.outbox.addOutcome(w, item.Task, task.Done)
+		h.endOtherAttempts(o, item.Task)
 	default:
 		h.handleFailure(now, w, o, item)
 	}
 }
 
 // isStale reports whether an outcome no longer matters: the task has already ended, no
-// longer belongs to the object, or another attempt is placed or queued.
-func (h *Holder) isStale(t *attempt, id task.ID, o *object) bool {
-	if h.ledger.Progress(id.Object).Ended(id.Index) {
+// longer belongs to the object, or another attempt is placed or queued. Then a success still
+// matters, because the task must not be started again after it is acknowledged.
+func (h *Holder) isStale(t *attempt, item worker.Item, o *object) bool {
+	id := item.Task
+	if !o.hasTask(id.Index) || h.hasEnded(o, id.Index) {
 		return true
 	}
+	if item.State == task.Done && o.spec.Kind() != ledger.KindService {
+		return false
+	}
 	if other, ok := h.tasks[id.Key()]; ok && other != t {
 		return true
 	}
-	return !o.hasTask(id.Index) || o.retries.has(id.Index)
+	return o.retries.has(id.Index)
+}
+
+// hasEnded reports whether the log shows the end of a task of o, or will show it soon.
+func (h *Holder) hasEnded(o *object, index int) bool {
+	return h.ledger.Progress(o.spec.ID()).Ended(index) || h.outbox.unrecorded[taskKey(o, index)]
+}
+
+// endOtherAttempts stops the placed attempt of a task that has succeeded and drops its retry.
+func (h *Holder) endOtherAttempts(o *object, id task.ID) {
+	o.retries.remove(id.Index)
+	if other := h.tasks[id.Key()]; other != nil {
+		h.stopAttempt(other, false)
+	}
 }
 
 // hasTask reports whether the task index is in the ranges of o that are assigned to this
--- a/services/shard/object.go
+++ b/services/shard/object.go
@@ -246,7 +246,7 @@
 // requeueUnstarted puts a task whose attempt was not started back at the front of the
 // retries.
 func (h *Holder) requeueUnstarted(o *object, r retry) {
-	if o.removed || o.spec.Cancelled() || !o.hasTask(r.index) {
+	if o.removed || o.spec.Cancelled() || !o.hasTask(r.index) || h.hasEnded(o, r.index) {
 		return
 	}
 	o.retries.pushFront(r)
