relay: do not send an order again after a result without an outcome

An order whose relay returned a result without an outcome was taken for one that had never been sent, and was sent to its worker directly, as the first copy. Only this process uses an empty outcome, for batches that were certainly not sent; what arrives from a relay proves that the order was sent.

Evidence: TestResultWithoutOutcomeIsNotTakenForUnsent, before the mend: ["not sent"], want ["unknown"]. No box of the present code returns such a result: this guards against a broken or later one.

--- a/services/relay/begin_test.go
+++ b/services/relay/begin_test.go
@@ -148,3 +148,13 @@
 		called.expect(t, "unknown")
 	}
 }
+
+// TestResultWithoutOutcomeIsNotTakenForUnsent lets a relay return a result without an outcome. The order
+// must not be sent to its worker a second time, as if the relay had never got it.
+func TestResultWithoutOutcomeIsNotTakenForUnsent(t *testing.T) {
+	h := newRelayHarness(t)
+	h.update(func() { h.dropResults = true })
+	called := h.beginStart(10*time.Second, 10*time.Second)
+	h.client.HandleResults(relay.Batch{Incarnation: member("a", 0).Incarnation, Results: []relay.Result{{ID: 1}}})
+	called.expect(t, "unknown")
+}
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -311,6 +311,10 @@
 	answered := c.takeAnswered(b.Results)
 	for i, result := range b.Results {
 		if answered[i] != nil {
+			if result.Answer.Outcome == "" {
+				// The order was sent, whatever the relay did with it.
+				result = unknownResult(result.ID, "relay "+answered[i].box+" sent no outcome")
+			}
 			c.finish(answered[i], result)
 		}
 	}
