peering: answer a call with an error if its result cannot be sent

A caller whose answer exceeded the size limit of messages waited until its timeout and took the box for unresponsive: the box only logged the error. The entry of the call stayed with the connection.

A failed write is ruled out: it closes the connection.

--- a/modules/peering/conn.go
+++ b/modules/peering/conn.go
@@ -176,14 +176,25 @@
 	p.done <- m.response
 }
 
-// respond writes the response to a request. An error to write it means that the connection is closed.
+// respond writes the response to a request: result, or problem if it is not nil. If the result cannot be
+// sent, for example because it is too large, the response is the error that says so.
 func (c *Conn) respond(id jsonrpc2.ID, result any, problem error) {
-	err := c.stream.writeMessage(func(b []byte) ([]byte, error) { return appendResponse(b, id, result, problem) })
-	if err != nil && !c.isClosed() {
-		log.Printf("peering: response to %s: %v", c.stream.link.conn.Address(), err)
+	err := c.writeResponse(id, result, problem)
+	if err == nil || c.isClosed() {
+		return
+	}
+	log.Printf("peering: response to %s: %v", c.stream.link.conn.Address(), err)
+	if err := c.writeResponse(id, nil, err); err != nil && !c.isClosed() {
+		log.Printf("peering: error response to %s: %v", c.stream.link.conn.Address(), err)
 	}
 }
 
+// writeResponse writes the response to a request. An error to write it closes the connection, one to encode
+// it does not.
+func (c *Conn) writeResponse(id jsonrpc2.ID, result any, problem error) error {
+	return c.stream.writeMessage(func(b []byte) ([]byte, error) { return appendResponse(b, id, result, problem) })
+}
+
 // notify writes a notification.
 func (c *Conn) notify(method string) error {
 	return c.stream.writeMessage(func(b []byte) ([]byte, error) { return appendNotification(b, method), nil })
