--- a/services/relay/begin_test.go
+++ b/services/relay/begin_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/claim"
 	"saddlevane/models/order"
 	"saddlevane/services/relay"
 
@@ -158,3 +159,61 @@
 	h.client.HandleResults(relay.Batch{Incarnation: member("a", 0).Incarnation, Results: []relay.Result{{ID: 1}}})
 	called.expect(t, "unknown")
 }
+
+// Results, timers, failed batches and closed links compete for the same orders.
+func TestEachOrderEndsOnceWhileLinksFail(t *testing.T) {
+	const senders, ordersPerSender = 8, 200
+	h := newRelayHarness(t)
+	h.answerDelay.Store(int64(2 * time.Millisecond))
+	var mu sync.Mutex
+	var all []*calledHandlers
+	var running sync.WaitGroup
+	for sender := range senders {
+		running.Go(func() {
+			for i := range ordersPerSender {
+				h.update(func() {
+					h.orderDelivery = []relay.DeliveryStatus{"", "", "", relay.NotSent, relay.DeliveryUnknown}[(i+sender)%5]
+					h.dropResults = i%7 == 0
+				})
+				called := h.beginStart(time.Duration(1+i%40)*time.Millisecond, time.Duration(1+i%20)*time.Millisecond)
+				if i%11 == 0 {
+					h.client.HandleLinkClosed(member("b", 0).Address)
+				}
+				// Neither the box nor the worker stays excluded.
+				h.selector.AddBoxes([]claim.Member{member("b", 0)})
+				h.selector.UpdateWorkers(order.Listing{Removed: []string{"w-b-000"}})
+				h.selector.UpdateWorkers(listing(1, "b"))
+				mu.Lock()
+				all = append(all, called)
+				mu.Unlock()
+				runtime.Gosched()
+			}
+		})
+	}
+	running.Wait()
+	ends := func(c *calledHandlers) (n int) {
+		for _, name := range c.all() {
+			if name != "overdue" {
+				n++
+			}
+		}
+		return n
+	}
+	for i, called := range all {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if ends(called) == 0 {
+				return poll.Continue("order %d has not ended", i)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	h.client.Close()
+	sent := 0
+	for i, called := range all {
+		assert.Equal(t, ends(called), 1, "order %d: %q", i, called.all())
+		if called.all()[0] != "no relay" {
+			sent++
+		}
+	}
+	assert.Check(t, sent > len(all)/10, "only %d of %d orders were sent through the relay", sent, len(all))
+}
