--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -57,9 +57,9 @@
 }
 
 // NewCached returns a clock like NewWith that calls suspended only if the machine may have been
-// suspended since the last call, or that is some time ago. wallOffset returns by how much the wall clock is ahead of the
-// monotonic clock in a time that now has returned, relative to any fixed value: a suspension
-// advances only the wall clock.
+// suspended since the last call, or if that call is older than maxReadingAge. wallOffset returns by how
+// much the wall clock is ahead of the monotonic clock in a time that now has returned, relative to any
+// fixed value: a suspension advances only the wall clock.
 func NewCached(now func() time.Time, wallOffset func(time.Time) time.Duration, suspended func() time.Duration) *Clock {
 	c := &suspensionCache{wallOffset: wallOffset, suspended: suspended}
 	return &Clock{now: now, suspended: c.at, initialSuspension: c.at(now())}
@@ -71,7 +71,7 @@
 	return func(t time.Time) time.Duration { return t.Round(0).Sub(wallBase) - t.Sub(base) }
 }
 
-// suspensionCache keeps the last reading of the total suspension of the machine. It spares two
+// suspensionCache keeps the last reading of the total suspension of the machine. It avoids two
 // system calls for each reading of the time.
 type suspensionCache struct {
 	wallOffset func(time.Time) time.Duration
--- a/modules/peering/message.go
+++ b/modules/peering/message.go
@@ -14,7 +14,7 @@
 )
 
 // JSONAppender is implemented by parameters and results that append their JSON encoding to a buffer.
-// It spares the copies and checks that encoding/json makes of what a json.Marshaler returns.
+// It avoids the copies and checks that encoding/json makes of what a json.Marshaler returns.
 type JSONAppender interface {
 	AppendJSON(b []byte) ([]byte, error)
 }
--- a/services/dispatch/advicerequests.go
+++ b/services/dispatch/advicerequests.go
@@ -132,7 +132,7 @@
 }
 
 // unaskedRotated yields the candidates whose suitability for the step is neither known nor
-// requested, and how many of its tasks each has room for: candidates with room first. The iteration
+// requested, and how many of its tasks each has capacity for: candidates with capacity first. The iteration
 // starts at an index derived from the step's ID, so that steps waiting at the same time ask for
 // different workers.
 func (s *step) unaskedRotated(candidates []*worker) iter.Seq2[*worker, int] {
@@ -179,9 +179,9 @@
 	return requested
 }
 
-// requestAdviceForUnplacedTasks requests advice on as many candidates as should have room for the
+// requestAdviceForUnplacedTasks requests advice on as many candidates as should have capacity for the
 // step's unplaced tasks, leaving out those whose suitability is known or already requested. It names
-// candidates with room first; if few have room, it names some more, which may have room soon. It
+// candidates with capacity first; if few have capacity, it names some more, which may have capacity soon. It
 // returns false if no call was made.
 func (h *holderState) requestAdviceForUnplacedTasks(now time.Time, r rankedStep, candidates []*worker) bool {
 	s := r.step
@@ -219,7 +219,7 @@
 	return false
 }
 
-// requestAdviceOnFreeWorkers requests advice on those of the given workers that have room for a task
+// requestAdviceOnFreeWorkers requests advice on those of the given workers that have capacity for a task
 // of the step now. It returns false if no call was made.
 func (h *holderState) requestAdviceOnFreeWorkers(now time.Time, r rankedStep, workers []*worker) bool {
 	var withRoom []*worker
--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -56,7 +56,7 @@
 // the largest worker.
 const largeTaskSlots = 2
 
-// isLarge reports whether each worker of the set has room for at most one of a step's tasks at a
+// isLarge reports whether each worker of the set has capacity for at most one of a step's tasks at a
 // time. Smaller tasks use the capacity that becomes free before it is enough for such a task.
 func (set *workerSet) isLarge(s *step) bool {
 	return set.maxCapacity.FitCount(s.spec.Reserved(), job.MaxTasks) < largeTaskSlots
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -12,10 +12,10 @@
 	"saddlevane/services/slots"
 )
 
-// allocation is the number of tasks of a step that a worker has room for, or is given.
+// allocation is the number of tasks of a step that a worker has capacity for, or is given.
 type allocation = slots.Allocation[*worker]
 
-// candidate is a worker with room for some tasks of a step, and its sort key. The fields are in the
+// candidate is a worker with capacity for some tasks of a step, and its sort key. The fields are in the
 // order in which they are compared; lower values are better.
 type candidate struct {
 	allocation
@@ -37,7 +37,7 @@
 // they hold. It prefers, in this order: workers on which no task of the step has failed, workers in
 // the rack of its data, workers that are not slow, workers whose capacity was not held for another
 // step in the previous pass, workers with a valid ticket, and the fullest workers that still have
-// room, so that large free capacity is preserved for large tasks.
+// free capacity, so that large free capacity is preserved for large tasks.
 func (h *holderState) fit(now time.Time, s *step, eligible []*worker) ([]allocation, int) {
 	candidates := h.candidates(now, s, eligible)
 	if s.spec.OneRack && s.spec.Gang {
@@ -49,10 +49,10 @@
 	return slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
 }
 
-// slots returns the allocation of all tasks that the worker has room for.
+// slots returns the allocation of all tasks that the worker has capacity for.
 func (c candidate) slots() allocation { return c.allocation }
 
-// candidates returns the workers that have room for a step. Workers whose slowness is
+// candidates returns the workers that have capacity for a step. Workers whose slowness is
 // learned.Avoided get no gang members. For steps that are not short, workers whose slowness is
 // learned.Slow rank the same as others. The result is valid until the next call.
 func (h *holderState) candidates(now time.Time, s *step, eligible []*worker) []candidate {
@@ -86,7 +86,7 @@
 	return (w.drainedFor == nil || w.drainedFor == s || short) && !(w.suspectAttempts > 0 && h.isSuspectedGang(s))
 }
 
-// candidate returns the sort key of a worker that has room for n tasks, without its slowness.
+// candidate returns the sort key of a worker that has capacity for n tasks, without its slowness.
 func (s *step) candidate(now time.Time, w *worker, n int) candidate {
 	c := candidate{allocation: allocation{Worker: w, Tasks: n}, offRack: s.offRack(w), freeProcessors: w.available().Processors}
 	if s.failedOn[w] {
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -114,7 +114,7 @@
 	planTimes  planbudget.OutlierFilter
 	// hasAmpleFreeCapacity is set if a large share of the workers' capacity was free at the last sweep.
 	hasAmpleFreeCapacity bool
-	// hasUnplacedTasks is set if some step found no room for all its tasks in the last plan.
+	// hasUnplacedTasks is set if some step found no capacity for all its tasks in the last plan.
 	hasUnplacedTasks bool
 	// capacity is the total capacity of the workers that accepted tasks at the last sweep, and
 	// largestWorker that of the worker with the most processors.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -198,7 +198,7 @@
 )
 
 // idleRenewWait is how long a renewal of a worker without runs waits. It is answered earlier if the
-// worker starts or ends a run, or falls silent.
+// worker starts or ends a run, or stops answering.
 const idleRenewWait = 5 * time.Second
 
 // renewWait returns how long a renewal waits at the worker for the end of a run.
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -54,7 +54,7 @@
 	return placed > 0 && placed == wanted || s.advice.hasCalls()
 }
 
-// requestAdviceOnMoreWorkers requests advice for a step that has room for only some of its tasks on the
+// requestAdviceOnMoreWorkers requests advice for a step that has capacity for only some of its tasks on the
 // workers known to be eligible. It returns false if no call was made.
 func (h *holderState) requestAdviceOnMoreWorkers(now time.Time, r rankedStep, set *workerSet, placed int) bool {
 	switch {
@@ -71,7 +71,7 @@
 	}
 }
 
-// awaitsBriefAdvice reports whether a gang waits for advice on workers that have room now, which it requests
+// awaitsBriefAdvice reports whether a gang waits for advice on workers that have capacity now, which it requests
 // if necessary, instead of stopping tasks on the workers that are known.
 func (h *holderState) awaitsBriefAdvice(now time.Time, r rankedStep, set *workerSet) bool {
 	if r.queue.Advice == nil || !advicecalls.AreFasterThanStops(r.queue.Advice, h.estimates.StopTime()) {
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -44,7 +44,7 @@
 type preemption = slots.Preemption[*worker, *attempt]
 
 // preemptFor preempts as many tasks as the waiting tasks of a step that is not a gang need, if they
-// stop soon enough for the step to be on time. It reports whether there is room for all of its
+// stop soon enough for the step to be on time. It reports whether there is capacity for all of its
 // waiting tasks then.
 func (h *holderState) preemptFor(p *pass, r rankedStep) bool {
 	s := r.step
@@ -58,7 +58,7 @@
 	return slots.TotalTasks(preemptions) >= wanted
 }
 
-// preemptionsFor returns how a step can get room for the wanted tasks on the given workers:
+// preemptionsFor returns how a step can get capacity for the wanted tasks on the given workers:
 // capacity that is free or about to become free and, if that is not enough and mayStop is set,
 // capacity of tasks that can be preempted.
 func (h *holderState) preemptionsFor(p *pass, r rankedStep, workers []*worker, wanted int, mayStop bool) []preemption {
@@ -97,7 +97,7 @@
 	}
 }
 
-// capacityWithoutStops returns for how many more tasks of a step each worker has room, without
+// capacityWithoutStops returns for how many more tasks of a step each worker has capacity, without
 // further stops, once all attempts that are being stopped have ended.
 func (s *step) capacityWithoutStops(now time.Time, workers []*worker) []preemption {
 	var all []preemption
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -105,8 +105,8 @@
 }
 
 // restoreRun restores a run on an unresponsive worker as a running attempt and returns it, or nil
-// if the run has ended or its job could not be decoded. If the log names two runs of a task, the first had ended before the second
-// was ordered.
+// if the run has ended or its job could not be decoded. If the log names two runs of a task, the first had
+// ended before the second was ordered.
 func (h *holderState) restoreRun(now time.Time, w *worker, run order.Run) *attempt {
 	s := h.findRunStep(now, run.Task.StepID)
 	if s == nil && h.mayBelongToJob(run.Task.Job) {
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -87,7 +87,7 @@
 		calls:                counter("job_calls_total", "Callers' calls about jobs, by what they ask and how they ended.", "call", "outcome"),
 		callTime:             histogram("job_call_seconds", "Time to answer a caller's call about a job.", "call"),
 		orders:               counter("worker_orders_total", "Orders to workers, by kind and fate.", "order", "fate"),
-		ends:                 counter("task_ends_reported_total", "Ends that workers told of, repeats included.", "how"),
+		ends:                 counter("task_ends_reported_total", "Ends that workers reported, repeats included.", "how"),
 		appends:              counter("log_appends_total", "Appends to the log, by purpose and result.", "purpose", "result"),
 		logTime:              histogram("log_append_seconds", "Time of an append to the log.", "purpose"),
 		logReads:             counter("log_reads_total", "Reads of the log, by stream, by whether the log or another box was asked, and by result.", "stream", "from", "result"),
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -367,9 +367,9 @@
 func (c *Client) handleOverdue(worker, box string, sentAt time.Time) {
 	c.selector.RecordUnanswered(c.now(), worker)
 	c.mu.Lock()
-	silent := c.lastAnswerAt[box].Before(sentAt)
+	unresponsive := c.lastAnswerAt[box].Before(sentAt)
 	c.mu.Unlock()
-	if silent && c.ctx.Err() == nil {
+	if unresponsive && c.ctx.Err() == nil {
 		c.selector.RecordBoxFailure(c.now(), box)
 	}
 }
--- a/services/relay/longrenewal.go
+++ b/services/relay/longrenewal.go
@@ -12,7 +12,7 @@
 	"saddlevane/modules/httpclient"
 )
 
-// maxSingleWait is the longest wait of one renewal call at a worker. A worker that falls silent is
+// maxSingleWait is the longest wait of one renewal call at a worker. A worker that stops answering is
 // noticed within about that time.
 const maxSingleWait = time.Second
 
--- a/services/slots/slots.go
+++ b/services/slots/slots.go
@@ -62,7 +62,7 @@
 	return strings.Join(texts, " ")
 }
 
-// Preemption is an option to make room for more tasks of a step on one worker. W is the worker, and
+// Preemption is an option to free capacity for more tasks of a step on one worker. W is the worker, and
 // A is a running attempt of a task.
 type Preemption[W, A any] struct {
 	Allocation[W]
@@ -83,9 +83,9 @@
 	return n
 }
 
-// Cheapest returns the preemptions with the lowest cost that together make room for the wanted
+// Cheapest returns the preemptions with the lowest cost that together free capacity for the wanted
 // number of tasks, or all if they do not. Among those of the same cost, the ones with a ticket come
-// first, then those with room for more tasks. The function compare orders workers and breaks
+// first, then those with capacity for more tasks. The function compare orders workers and breaks
 // remaining ties. Cheapest sorts the given slice.
 func Cheapest[W, A any](preemptions []Preemption[W, A], wanted int, compare func(a, b W) int) []Preemption[W, A] {
 	slices.SortStableFunc(preemptions, func(p, o Preemption[W, A]) int {
