--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -311,6 +311,10 @@
 	answered := c.takeAnswered(b.Results)
 	for i, result := range b.Results {
 		if answered[i] != nil {
+			if result.Answer.Outcome == "" {
+				// The order was sent, whatever the relay did with it.
+				result = unknownResult(result.ID, "relay "+answered[i].box+" sent no outcome")
+			}
 			c.finish(answered[i], result)
 		}
 	}
@@ -363,9 +367,9 @@
 func (c *Client) handleOverdue(worker, box string, sentAt time.Time) {
 	c.selector.RecordUnanswered(c.now(), worker)
 	c.mu.Lock()
-	silent := c.lastAnswerAt[box].Before(sentAt)
+	unresponsive := c.lastAnswerAt[box].Before(sentAt)
 	c.mu.Unlock()
-	if silent && c.ctx.Err() == nil {
+	if unresponsive && c.ctx.Err() == nil {
 		c.selector.RecordBoxFailure(c.now(), box)
 	}
 }
