relay: start no goroutine while the client is being closed

HandleLinkClosed asked whether the client was closed and started a goroutine after that, so that Close could already wait for the goroutines (sync.WaitGroup: Add beside Wait). Both happen under the client's lock now, which Close takes after it has ended the context.

--- a/services/dispatch/undecodable.go
+++ b/services/dispatch/undecodable.go
@@ -17,7 +17,7 @@
 // The log may have jobs that this release cannot decode, for example because a later one has written
 // them. Their records stay in the log for a release that can. Until then their runs are left running,
 // and the ends of these runs are recorded one by one, since the later ends of the same worker cannot be
-// acknowledged before them. What such a run uses is unknown, so no task is started beside it.
+// acknowledged before them. What such a run uses is unknown, so no task is started on its worker.
 
 // undecodableReason is the reason in replies to callers who ask for a job that cannot be decoded.
 const undecodableReason = "this release cannot decode the job's record in the log"
--- a/services/relay/client.go
+++ b/services/relay/client.go
@@ -285,12 +285,13 @@
 func (c *Client) HandleLinkClosed(address string) {
 	var lost []uint64
 	c.mu.Lock()
+	// Close takes the lock after it has ended the context, and waits for the goroutines after that.
+	defer c.mu.Unlock()
 	for id, p := range c.pending {
 		if p.address == address {
 			lost = append(lost, id)
 		}
 	}
-	c.mu.Unlock()
 	if len(lost) == 0 || c.ctx.Err() != nil {
 		return
 	}
