--- a/services/dispatch/incarnations_test.go
+++ b/services/dispatch/incarnations_test.go
@@ -184,6 +184,29 @@
 	assert.Equal(t, d.lastAcknowledged(renewals, second[0].Order.Run), int64(1))
 }
 
+// TestNoEndIsAcknowledgedWhileSuccessorMayCarryOutCopyOfStart reports a run whose start was ordered twice.
+// The other copy may still be on its way and reach a later incarnation, which could end the run.
+func TestNoEndIsAcknowledgedWhileSuccessorMayCarryOutCopyOfStart(t *testing.T) {
+	d, renewals := newHolder(t, workerEntry("w", 1000))
+	first := d.startOneTask()
+	d.startSucceeds(first)
+	d.lastAcknowledged(renewals, first.Order.Run)
+	second := effectsOf[exchange.StartRun](d.submitAndLog(oneStep("k", "quick", 1, false)))
+	assert.Equal(t, len(second), 1)
+	again := effectsOf[exchange.StartRun](d.startAnswered(second[0], order.Unknown))
+	assert.Equal(t, len(again), 1)
+	d.startSucceeds(again[0])
+	d.now = d.now.Add(100 * time.Millisecond)
+	effects := d.handle(doneAnswer(renewals["w"], first.Order.Run))
+	renewals["w"] = effectsOf[exchange.Renew](append(effects, d.persist(effects)...))[0]
+	assert.Equal(t, d.lastAcknowledged(renewals, second[0].Order.Run), int64(0), "a later incarnation may have ended the second run")
+	acknowledged := int64(0)
+	for range 40 {
+		acknowledged = max(acknowledged, d.lastAcknowledged(renewals, second[0].Order.Run))
+	}
+	assert.Equal(t, acknowledged, int64(1), "no copy of the order can be carried out any more")
+}
+
 func TestRestartOfRecordedWorkerIsDetectedByItsAnswer(t *testing.T) {
 	d := newHarness(t)
 	fence := d.claimCell(time.Second)
