--- a/services/shard/failure.go
+++ b/services/shard/failure.go
@@ -65,8 +65,7 @@
 }
 
 // requeueEnded puts a task whose attempt has ended back in the queue, unless another attempt of it
-// has succeeded. Failed attempts wait
-// for the backoff; stopped ones are due at once.
+// has succeeded. Failed attempts wait for the backoff; stopped ones are due at once.
 func (h *Holder) requeueEnded(now time.Time, o *object, item worker.Item) {
 	if o.removed || o.spec.Cancelled() || !o.hasTask(item.Task.Index) || h.hasEnded(o, item.Task.Index) {
 		return
