dispatch: play late orders, renewals included, beside workers that restart

TestNoTaskRunsTwiceBesideLateOrders plays the same world and the same checks, but 5% and 20% of all orders, renewals included, are carried out seconds late once the cell is served. SADDLEVANE_LATE_ORDERS and SADDLEVANE_LATE_ORDERS_SEED set the number of seeds and the first one.

--- /dev/null
+++ b/services/dispatch/lateorderworlds_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lateOrderWorlds returns how many worlds TestNoTaskRunsTwiceBesideLateOrders runs for each share, and
+// the first seed. SADDLEVANE_LATE_ORDERS and SADDLEVANE_LATE_ORDERS_SEED override them.
+func lateOrderWorlds(t *testing.T) (worlds, first int64) {
+	worlds, first = 4, 800_000
+	for name, to := range map[string]*int64{"SADDLEVANE_LATE_ORDERS": &worlds, "SADDLEVANE_LATE_ORDERS_SEED": &first} {
+		text := os.Getenv(name)
+		if text == "" {
+			continue
+		}
+		n, err := strconv.ParseInt(text, 10, 64)
+		assert.NilError(t, err, name)
+		*to = n
+	}
+	return worlds, first
+}
+
+// Workers restart under their names while many orders, renewals included, are carried out seconds late.
+// No task that is done may run again, and no job may wait forever while there is room.
+func TestNoTaskRunsTwiceBesideLateOrders(t *testing.T) {
+	worlds, first := lateOrderWorlds(t)
+	for _, share := range []float64{0.05, 0.2} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			for seed := first; seed < first+worlds; seed++ {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					w := newWorld(t, seed, 3, 24)
+					w.scheduleRestarts()
+					w.lateOrderShare, w.lateOrdersIncludeRenewals = share, true
+					w.runChecked(int(restartPeriod / (200 * time.Millisecond)))
+					w.lateOrderShare, w.lateOrdersIncludeRenewals = 0, false
+					w.run(settleTime)
+					w.runUntilEndedWithoutIdleWaits()
+				})
+			}
+		})
+	}
+}
