dispatch: tests of orders that reach a later incarnation late (red until the fix)

The tests force the order of events: a single reducer, and workers that keep the highest fence number and their ends, restart when the test says so and carry out held orders when the test delivers them. They judge what workers do, not what the reducer keeps.

Two faults. canAcknowledgeEnds looks at attempts only: once the run has ended there is no attempt, and the end is acknowledged although another copy of its start is in transit. And it looks at what was started before the renewal, but a start that follows the renewal carries the same fence number, so that a later incarnation that has carried it out takes the late acknowledgement for its own end 1.

--- /dev/null
+++ b/services/dispatch/deliverycell_test.go
@@ -0,0 +1,601 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"saddlevane/models/claim"
+	"saddlevane/models/exchange"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+	"saddlevane/models/stream"
+	"saddlevane/modules/ordered"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// deliveryTick is the interval at which a deliveryCell advances.
+	deliveryTick = 5 * time.Millisecond
+	// deliveryDelay is the transit time of orders, answers and appends that are not held back.
+	deliveryDelay = 2 * time.Millisecond
+	// partialWait is the longest wait of one call of a renewal that waits longer in several calls.
+	partialWait = time.Second
+	// renewalMargin is how long after the end of its wait a call of a renewal is given up.
+	renewalMargin = 200 * time.Millisecond
+)
+
+// deliveryCell is a cell with one holder at a time, whose orders a test delivers to simulated workers
+// at moments of its choice. All other orders are carried out and answered after deliveryDelay.
+type deliveryCell struct {
+	*harness
+	// holders counts the holders so far. Answers to an earlier holder are dropped.
+	holders int
+	// records are the records of the stream of jobs.
+	records []stream.Record
+	workers map[string]*deliveryWorker
+	timers  []deliveryTimer
+	// holds reports whether an order stays in transit until the test delivers it. held are those orders.
+	holds func(o *transitOrder) bool
+	held  []*transitOrder
+	sent  []*transitOrder
+	// acknowledged has the tasks whose success was acknowledged, reported the ends that an answer to
+	// the holder has listed.
+	acknowledged map[job.TaskID]bool
+	reported     map[reportedEnd]bool
+	starts       []carriedOutStart
+	lostEnds     []string
+	doneStarts   []string
+	events       []string
+	startedAt    time.Time
+	lastCall     exchange.CallID
+}
+
+// deliveryTimer is a function that is called at a time.
+type deliveryTimer struct {
+	at time.Time
+	do func()
+}
+
+// reportedEnd is an end of a run on one incarnation of a worker.
+type reportedEnd struct {
+	worker order.Incarnation
+	number int64
+}
+
+// carriedOutStart is a start that a worker has carried out.
+type carriedOutStart struct {
+	worker order.Incarnation
+	run    order.Run
+}
+
+// orderKind is the kind of an order to a worker.
+type orderKind string
+
+// The kinds of orders.
+const (
+	renewalOrder  orderKind = "renewal"
+	startOrder    orderKind = "start"
+	stopOrder     orderKind = "stop"
+	throttleOrder orderKind = "throttle"
+)
+
+// transitOrder is an order that a holder has sent.
+type transitOrder struct {
+	kind         orderKind
+	worker       order.Incarnation
+	fence        int64
+	run          order.Run
+	acknowledged int64
+	maxWait      time.Duration
+	// isOver is set once the holder has an answer or counts the order as unanswered.
+	isOver   bool
+	carryOut func(w *deliveryWorker, answer func(order.Answer, order.Report))
+	respond  func(order.Answer, order.Report)
+}
+
+// deliveryWorker is a simulated worker. Each incarnation begins without fence number, runs and ends.
+type deliveryWorker struct {
+	c              *deliveryCell
+	incarnation    order.Incarnation
+	bornAt         time.Time
+	fence          int64
+	leaseEnd       time.Time
+	runs           map[order.Run]time.Time
+	paces          map[order.Run]int
+	endsNumbered   int64
+	ended          []order.End
+	highestRun     map[job.TaskID]int64
+	waitingAnswers []*waitingAnswer
+	// runTime is how long a run takes. tail is the tail latency that serving tasks report.
+	runTime time.Duration
+	tail    int64
+}
+
+// waitingAnswer is a renewal that waits at a worker for the end of a run, up to a time. partUntil is when
+// its current call ends.
+type waitingAnswer struct {
+	known            order.Incarnation
+	fence            int64
+	until, partUntil time.Time
+	answer           func(order.Answer, order.Report)
+}
+
+// newDeliveryCell returns a cell with a holder and listed workers, each in its incarnation 1000.
+func newDeliveryCell(t *testing.T, workers ...string) *deliveryCell {
+	t.Helper()
+	c := &deliveryCell{
+		harness: newHarness(t), holders: 1, workers: map[string]*deliveryWorker{}, holds: func(*transitOrder) bool { return false },
+		acknowledged: map[job.TaskID]bool{}, reported: map[reportedEnd]bool{},
+	}
+	c.startedAt = c.now
+	for _, name := range workers {
+		c.workers[name] = &deliveryWorker{c: c, runTime: 200 * time.Millisecond}
+		c.workers[name].begin(order.Incarnation{Name: name, BornUnixMilli: 1000})
+	}
+	c.waitForHolder()
+	return c
+}
+
+// waitForHolder runs the cell until its holder serves calls and has the reports of all workers.
+func (c *deliveryCell) waitForHolder() {
+	c.t.Helper()
+	c.runUntil(5*time.Second, "the cell is held", func() bool { return c.core.IsServing(c.now) })
+	c.run(500 * time.Millisecond)
+}
+
+// takeOver replaces the holder by one that knows only what is in the log. Orders of the earlier holder
+// stay in transit.
+func (c *deliveryCell) takeOver() {
+	c.t.Helper()
+	now, offset := c.now, c.nextOffset
+	c.harness = newHarness(c.t)
+	c.now, c.nextOffset = now, offset
+	c.holders++
+	c.trace("holder %d takes over", c.holders)
+	c.handleClaim(claim.Claim{Epoch: int64(c.holders - 1), Box: fmt.Sprint("earlier", c.holders), Incarnation: "1"})
+	c.waitForHolder()
+}
+
+// handleClaim applies the claim of another box, as read from the log.
+func (c *deliveryCell) handleClaim(held claim.Claim) { c.perform(c.readClaim(held)) }
+
+// post delivers an event to the current holder after deliveryDelay, unless another one has taken over.
+func (c *deliveryCell) post(e exchange.Event) {
+	holder := c.holders
+	c.after(deliveryDelay, func() {
+		if c.holders == holder {
+			c.perform(c.handle(e))
+		}
+	})
+}
+
+// after calls a function after some time.
+func (c *deliveryCell) after(d time.Duration, do func()) {
+	c.timers = append(c.timers, deliveryTimer{at: c.now.Add(d), do: do})
+}
+
+// trace adds a line to the events that a failed test prints.
+func (c *deliveryCell) trace(format string, args ...any) {
+	c.events = append(c.events, fmt.Sprintf("%8.3fs ", c.now.Sub(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// run advances the cell.
+func (c *deliveryCell) run(d time.Duration) {
+	c.t.Helper()
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.tick()
+	}
+}
+
+// runUntil advances the cell until a condition holds. The test fails if it does not within the bound.
+func (c *deliveryCell) runUntil(bound time.Duration, what string, holds func() bool) {
+	c.t.Helper()
+	for end := c.now.Add(bound); !holds(); {
+		if !c.now.Before(end) {
+			c.printEvents()
+			c.t.Fatalf("not reached within %v: %s", bound, what)
+		}
+		c.tick()
+	}
+}
+
+// tick advances the cell by deliveryTick.
+func (c *deliveryCell) tick() {
+	c.perform(c.advance(deliveryTick - time.Millisecond))
+	due := c.timers
+	c.timers = nil
+	for i, timer := range due {
+		if timer.at.After(c.now) {
+			c.timers = append(c.timers, due[i])
+			continue
+		}
+		timer.do()
+	}
+	for _, w := range ordered.Map(c.workers) {
+		w.advance()
+	}
+}
+
+// perform carries out the effects of the holder.
+func (c *deliveryCell) perform(effects []exchange.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case exchange.Append:
+			c.append(e)
+		case exchange.LoadJobs:
+			c.post(exchange.JobsLoaded{Epoch: e.Epoch, Records: (&fakeStream{records: c.records}).compacted()})
+		case exchange.FollowWorkers:
+			if e.On {
+				c.listWorkers()
+			}
+		case exchange.LogEvent:
+			if e.Message != "state of the cell" {
+				c.trace("holder: %s %v", e.Message, e.Fields)
+			}
+		case exchange.Renew:
+			c.send(c.renewalInTransit(e), min(e.Order.MaxWait.Duration(), partialWait)+e.Timeout-e.Order.MaxWait.Duration())
+		case exchange.StartRun:
+			c.send(c.startInTransit(e), e.Timeout)
+		case exchange.StopRun:
+			c.send(c.stopInTransit(e), e.Timeout)
+		case exchange.ThrottleRun:
+			c.send(c.throttleInTransit(e), e.Timeout)
+		}
+	}
+}
+
+// append appends to the log and confirms it.
+func (c *deliveryCell) append(e exchange.Append) {
+	ended := exchange.AppendEnded{Purpose: e.Purpose, Number: e.Number}
+	switch e.Purpose {
+	case exchange.ForClaim:
+		ended.Offset = c.nextOffset
+		c.nextOffset++
+	case exchange.ForJournal:
+		for _, r := range e.Append.Records {
+			r.Offset = int64(len(c.records))
+			c.records = append(c.records, r)
+		}
+	}
+	c.post(ended)
+}
+
+// listWorkers delivers the list of workers with their current incarnations.
+func (c *deliveryCell) listWorkers() {
+	l := order.Listing{Complete: true}
+	for _, w := range ordered.Map(c.workers) {
+		l.Present = append(l.Present, workerEntry(w.incarnation.Name, w.incarnation.BornUnixMilli))
+	}
+	c.post(exchange.WorkersRead{Listing: l})
+}
+
+// renewalInTransit returns the order for a renewal.
+func (c *deliveryCell) renewalInTransit(e exchange.Renew) *transitOrder {
+	return &transitOrder{
+		kind: renewalOrder, worker: e.Worker, fence: e.Order.Fence, acknowledged: e.Order.Acknowledged, maxWait: e.Order.MaxWait.Duration(),
+		respond: func(a order.Answer, r order.Report) {
+			for _, end := range r.Ended {
+				c.reported[reportedEnd{r.Incarnation, end.Number}] = true
+			}
+			c.post(exchange.RenewEnded{Worker: e.Worker, Epoch: e.Epoch, Renewal: e.Renewal, Answer: a, Report: r})
+		},
+		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) { w.renew(e, answer) },
+	}
+}
+
+// startInTransit returns the order for a start.
+func (c *deliveryCell) startInTransit(e exchange.StartRun) *transitOrder {
+	return &transitOrder{
+		kind: startOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
+		respond: func(a order.Answer, _ order.Report) {
+			c.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		},
+		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
+			answer(w.start(e.Order), order.Report{})
+		},
+	}
+}
+
+// stopInTransit returns the order for a stop.
+func (c *deliveryCell) stopInTransit(e exchange.StopRun) *transitOrder {
+	return &transitOrder{
+		kind: stopOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
+		respond: func(a order.Answer, _ order.Report) {
+			c.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		},
+		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
+			answer(w.stop(e.Order), order.Report{})
+		},
+	}
+}
+
+// throttleInTransit returns the order for a change of pace.
+func (c *deliveryCell) throttleInTransit(e exchange.ThrottleRun) *transitOrder {
+	return &transitOrder{
+		kind: throttleOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
+		respond: func(a order.Answer, _ order.Report) {
+			c.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: a})
+		},
+		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
+			answer(w.throttle(e.Order), order.Report{})
+		},
+	}
+}
+
+// send puts an order in transit. It counts as unanswered after the timeout.
+func (c *deliveryCell) send(o *transitOrder, timeout time.Duration) {
+	c.sent = append(c.sent, o)
+	if o.kind == renewalOrder {
+		c.trace("sent: renewal, fence %d, acknowledged %d, wait %v, to %v", o.fence, o.acknowledged, o.maxWait, o.worker)
+	} else {
+		c.trace("sent: %s of %v run %d, fence %d, to %v", o.kind, o.run.Task, o.run.Number, o.fence, o.worker)
+	}
+	if c.holds(o) {
+		c.trace("  stays in transit")
+		c.held = append(c.held, o)
+		c.after(timeout, func() { o.end(order.Answer{Outcome: order.Unknown, Problem: "no answer"}, order.Report{}) })
+		return
+	}
+	c.after(deliveryDelay, func() { c.deliver(o) })
+}
+
+// end ends the call of an order for the holder, once.
+func (o *transitOrder) end(a order.Answer, r order.Report) {
+	if !o.isOver {
+		o.isOver = true
+		o.respond(a, r)
+	}
+}
+
+// deliver has the worker carry out an order. The holder gets the answer if it still waits for it.
+func (c *deliveryCell) deliver(o *transitOrder) {
+	w := c.workers[o.worker.Name]
+	o.carryOut(w, func(a order.Answer, r order.Report) {
+		c.trace("%v answers %s %v: %s %s", w.incarnation, o.kind, o.run.Task, a.Outcome, a.Reason)
+		o.end(a, r)
+	})
+}
+
+// take removes and returns the first held order of a kind.
+func (c *deliveryCell) take(kind orderKind) *transitOrder {
+	c.t.Helper()
+	i := slices.IndexFunc(c.held, func(o *transitOrder) bool { return o.kind == kind })
+	if i < 0 {
+		c.printEvents()
+		c.t.Fatalf("no %s is in transit", kind)
+	}
+	o := c.held[i]
+	c.held = slices.Delete(c.held, i, i+1)
+	return o
+}
+
+// submit submits a job of one task, which the holder starts at once if it can.
+func (c *deliveryCell) submit(id job.ID) { c.submitJob(oneStep(string(id), "quick", 1, false)) }
+
+// submitJob submits a job.
+func (c *deliveryCell) submitJob(s job.Submission) {
+	c.lastCall++
+	c.perform(c.handle(exchange.Submitted{Call: c.lastCall, Submission: s}))
+}
+
+// restart ends the incarnation of a worker and begins another one with a birth time. Renewals that wait
+// at the worker fail, because their connections are closed.
+func (c *deliveryCell) restart(name string, born int64) {
+	w := c.workers[name]
+	c.trace("%v restarts as %d", w.incarnation, born)
+	waiting := w.waitingAnswers
+	w.begin(order.Incarnation{Name: name, BornUnixMilli: born})
+	for _, a := range waiting {
+		a.answer(order.Answer{Outcome: order.Unknown, Reason: order.ConnectionClosed, Problem: "EOF"}, order.Report{})
+	}
+}
+
+// restartSilently does what restart does, but the connections stay open: the calls of the renewals that wait at
+// the worker get no answer.
+func (c *deliveryCell) restartSilently(name string, born int64) {
+	w := c.workers[name]
+	c.trace("%v restarts as %d, its connections stay open", w.incarnation, born)
+	for _, a := range w.waitingAnswers {
+		c.after(a.partUntil.Add(renewalMargin).Sub(c.now), func() {
+			a.answer(order.Answer{Outcome: order.Unknown, Problem: "no answer"}, order.Report{})
+		})
+	}
+	w.begin(order.Incarnation{Name: name, BornUnixMilli: born})
+}
+
+// begin begins an incarnation.
+func (w *deliveryWorker) begin(id order.Incarnation) {
+	w.incarnation, w.bornAt, w.fence, w.leaseEnd, w.endsNumbered = id, w.c.now, 0, time.Time{}, 0
+	w.runs, w.paces, w.highestRun = map[order.Run]time.Time{}, map[order.Run]int{}, map[job.TaskID]int64{}
+	w.ended, w.waitingAnswers = nil, nil
+}
+
+// clock returns the time of the worker's clock, which begins at 1000 ms in each incarnation.
+func (w *deliveryWorker) clock() order.WorkerClock {
+	return order.WorkerClock(w.c.now.Sub(w.bornAt).Milliseconds()) + 1000
+}
+
+// refuses returns the answer to an order whose fence number is lower than one seen before, and whether
+// that is so. Otherwise it stores the number.
+func (w *deliveryWorker) refuses(fence int64) (order.Answer, bool) {
+	if fence < w.fence {
+		return order.Answer{Outcome: order.Refused, Reason: order.Fenced, Clock: w.clock()}, true
+	}
+	w.fence = fence
+	return order.Answer{Outcome: order.CarriedOut, Clock: w.clock()}, false
+}
+
+// extendLease extends the lease, by at most its longest duration.
+func (w *deliveryWorker) extendLease(until order.WorkerClock) {
+	if until == 0 {
+		return
+	}
+	end := w.c.now.Add(min(lease, time.Duration(until-w.clock())*time.Millisecond))
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
+// start carries out a start.
+func (w *deliveryWorker) start(s order.Start) order.Answer {
+	answer, refused := w.refuses(s.Fence)
+	switch {
+	case refused:
+		return answer
+	case s.LeaseEnd <= w.clock():
+		return order.Answer{Outcome: order.Refused, Reason: order.TooLate, Clock: w.clock()}
+	}
+	w.extendLease(s.LeaseEnd)
+	if _, running := w.runs[s.Run]; running {
+		return answer
+	}
+	if s.Number <= w.highestRun[s.Task] {
+		return order.Answer{Outcome: order.Refused, Reason: order.StaleRun, Clock: w.clock()}
+	}
+	w.c.trace("%v starts %v run %d under fence %d", w.incarnation, s.Task, s.Number, s.Fence)
+	if w.c.acknowledged[s.Task] {
+		w.c.doneStarts = append(w.c.doneStarts, fmt.Sprintf("%v run %d on %v", s.Task, s.Number, w.incarnation))
+	}
+	w.c.starts = append(w.c.starts, carriedOutStart{w.incarnation, s.Run})
+	w.runs[s.Run], w.paces[s.Run] = w.c.now.Add(w.runTime), 100
+	return answer
+}
+
+// stop carries out a stop. The run ends at once.
+func (w *deliveryWorker) stop(s order.Stop) order.Answer {
+	answer, refused := w.refuses(s.Fence)
+	if refused {
+		return answer
+	}
+	w.highestRun[s.Task] = max(w.highestRun[s.Task], s.Number)
+	if _, running := w.runs[s.Run]; running {
+		w.endRun(s.Run, order.Stopped)
+	}
+	return answer
+}
+
+// throttle carries out a change of pace.
+func (w *deliveryWorker) throttle(s order.Throttle) order.Answer {
+	answer, refused := w.refuses(s.Fence)
+	if refused {
+		return answer
+	}
+	if _, running := w.runs[s.Run]; running {
+		w.paces[s.Run] = s.Percent
+	}
+	return answer
+}
+
+// renew carries out a renewal. It is answered at the next end of a run, or when its wait is over.
+func (w *deliveryWorker) renew(e exchange.Renew, answer func(order.Answer, order.Report)) {
+	got, refused := w.refuses(e.Order.Fence)
+	if refused {
+		answer(got, order.Report{})
+		return
+	}
+	w.extendLease(e.Order.LeaseEnd)
+	w.forgetEnds(e.Order.Acknowledged)
+	until := w.c.now.Add(e.Order.MaxWait.Duration())
+	w.waitingAnswers = append(w.waitingAnswers, &waitingAnswer{
+		known: e.Worker, fence: e.Order.Fence, until: until, partUntil: w.c.now.Add(partialWait), answer: answer,
+	})
+}
+
+// forgetEnds drops the ends that a renewal acknowledges.
+func (w *deliveryWorker) forgetEnds(acknowledged int64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
+		end := w.ended[0]
+		w.ended = w.ended[1:]
+		w.c.trace("end %d of %v (%v run %d, %s) is acknowledged", end.Number, w.incarnation, end.Task, end.Run.Number, end.Status)
+		if !w.c.reported[reportedEnd{w.incarnation, end.Number}] {
+			w.c.lostEnds = append(w.c.lostEnds, fmt.Sprintf("end %d of %v: %v run %d, %s", end.Number, w.incarnation, end.Task, end.Run.Number, end.Status))
+		}
+		if end.Status == order.Done {
+			w.c.acknowledged[end.Task] = true
+		}
+	}
+}
+
+// report returns the report of the worker.
+func (w *deliveryWorker) report() order.Report {
+	r := order.Report{Incarnation: w.incarnation, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for run := range ordered.MapFunc(w.runs, order.Run.Compare) {
+		r.Running = append(r.Running, order.Running{Run: run, Progress: 100, Measurement: w.tail})
+	}
+	return r
+}
+
+// endRun ends a run.
+func (w *deliveryWorker) endRun(run order.Run, status order.EndStatus) {
+	delete(w.runs, run)
+	w.highestRun[run.Task] = max(w.highestRun[run.Task], run.Number)
+	w.endsNumbered++
+	w.ended = append(w.ended, order.End{Number: w.endsNumbered, Run: run, Status: status})
+	w.c.trace("%v: %v run %d ends as end %d, %s", w.incarnation, run.Task, run.Number, w.endsNumbered, status)
+}
+
+// advance ends the runs that are complete or without a lease and answers the renewals whose wait is over.
+func (w *deliveryWorker) advance() {
+	for run, endsAt := range ordered.MapFunc(w.runs, order.Run.Compare) {
+		switch {
+		case w.c.now.After(w.leaseEnd):
+			w.endRun(run, order.LeaseExpired)
+		case !w.c.now.Before(endsAt):
+			w.endRun(run, order.Done)
+		}
+	}
+	waiting := w.waitingAnswers
+	w.waitingAnswers = nil
+	for _, a := range waiting {
+		if !w.answerWaiting(a) {
+			w.waitingAnswers = append(w.waitingAnswers, a)
+		}
+	}
+}
+
+// answerWaiting answers a renewal that waits and returns true if a run has ended, its wait is over, or one call of
+// a longer wait has ended and the next one is refused or reports more than that the known incarnation is idle.
+func (w *deliveryWorker) answerWaiting(a *waitingAnswer) bool {
+	answer := order.Answer{Outcome: order.CarriedOut, Clock: w.clock()}
+	if len(w.ended) == 0 && w.c.now.Before(a.until) {
+		if w.c.now.Before(a.partUntil) {
+			return false
+		}
+		a.partUntil = w.c.now.Add(partialWait)
+		refusal, refused := w.refuses(a.fence)
+		if refused {
+			a.answer(refusal, order.Report{})
+			return true
+		}
+		if len(w.runs) == 0 && !a.known.DiffersFrom(w.incarnation) {
+			return false
+		}
+	}
+	a.answer(answer, w.report())
+	return true
+}
+
+// requireNoLoss fails the test if a done task was started after its success was acknowledged, or if an end
+// was acknowledged that no answer to the holder has listed.
+func (c *deliveryCell) requireNoLoss() {
+	c.t.Helper()
+	if len(c.doneStarts)+len(c.lostEnds) > 0 {
+		c.printEvents()
+	}
+	assert.Check(c.t, len(c.doneStarts) == 0, "started after their success was acknowledged: %v", c.doneStarts)
+	assert.Check(c.t, len(c.lostEnds) == 0, "acknowledged, but listed in no answer: %v", c.lostEnds)
+}
+
+// printEvents prints what has happened in the cell.
+func (c *deliveryCell) printEvents() {
+	c.t.Helper()
+	for _, e := range c.events {
+		c.t.Log(e)
+	}
+}
