--- /dev/null
+++ b/services/dispatch/lateorders_test.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/exchange"
+	"saddlevane/models/job"
+	"saddlevane/models/order"
+
+	"gotest.tools/v3/assert"
+)
+
+// maxStopTime is the longest time from the cancellation of a job until its runs have ended.
+const maxStopTime = 3 * time.Second
+
+// cancel cancels a job.
+func (c *deliveryCell) cancel(id job.ID) {
+	c.lastCall++
+	c.perform(c.handle(exchange.CancelAsked{Call: c.lastCall, Job: id}))
+}
+
+// A run is being stopped because its job was cancelled when its worker restarts, and a copy of its start reaches
+// the later incarnation.
+func TestRunOfCancelledJobIsStoppedOnLaterIncarnation(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.workers["w"].runTime = time.Minute
+	c.holds = holdFirst(startOrder)
+	c.submit("j")
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 1 })
+	c.run(500 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = func(o *transitOrder) bool { return o.kind == stopOrder || o.kind == renewalOrder }
+	c.cancel("j")
+	c.runUntil(time.Second, "the stop is in transit", func() bool { return len(c.sent) > 0 && c.sent[len(c.sent)-1].kind == stopOrder })
+	c.restart("w", 2000)
+	c.deliver(start)
+	c.listWorkers()
+	c.holds = holdNone
+	c.run(maxStopTime)
+	if len(c.workers["w"].runs) > 0 {
+		c.printEvents()
+	}
+	assert.Check(t, len(c.workers["w"].runs) == 0, "a run of the cancelled job continues")
+}
+
+// A copy of the start of a filler and an order that limits its pace reach the later incarnation.
+func TestFillerOnLaterIncarnationDoesNotKeepPaceOrderedForEarlierOne(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	w := c.workers["w"]
+	w.runTime = time.Hour
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.run.Task.Step == 1 && len(c.held) == 0 }
+	s := oneStep("j", "quick", 1, false)
+	s.Steps[0].Service, s.Steps[0].TailTarget = true, 100
+	s.Steps = append(s.Steps, job.Step{Tasks: 1, Need: defaultNeed, Filler: true})
+	c.submitJob(s)
+	c.runUntil(2*time.Second, "both tasks run", func() bool { return len(c.starts) == 2 })
+	start := c.take(startOrder)
+	w.tail = 130
+	c.holds = holdKind(throttleOrder)
+	c.runUntil(5*time.Second, "an order of a lower pace is in transit", func() bool { return len(c.held) > 0 })
+	throttle := c.take(throttleOrder)
+	w.tail = 10
+	c.holds = holdKind(renewalOrder)
+	c.restart("w", 2000)
+	c.deliver(start)
+	c.deliver(throttle)
+	c.holds = holdNone
+	c.listWorkers()
+	c.run(10 * time.Second)
+	pace, running := w.paces[start.run]
+	if pace != 100 {
+		c.printEvents()
+	}
+	assert.Check(t, running, "the filler must run on the later incarnation")
+	assert.Equal(t, pace, 100, "pace in percent of a filler beside serving tasks whose tail latency is low")
+}
+
+// The stop of a run of the earlier incarnation reaches the later one, which runs a later run of the task.
+func TestStopForEarlierIncarnationEndsNoLaterRun(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.workers["w"].runTime = 2 * time.Second
+	c.submit("j")
+	c.run(300 * time.Millisecond)
+	first := c.starts[0]
+	c.restart("w", 2000)
+	c.run(100 * time.Millisecond)
+	c.listWorkers()
+	c.runUntil(3*time.Second, "the task is started again", func() bool { return len(c.starts) == 2 })
+	w := c.workers["w"]
+	answer := w.stop(order.Stop{Run: first.run, Fence: 1_000_000})
+	assert.Equal(t, answer.Reason, order.Fenced)
+	c.run(3 * time.Second)
+	assert.Equal(t, len(c.starts), 2)
+	c.requireNoLoss()
+}
