--- /dev/null
+++ b/services/dispatch/raisedfence_test.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"saddlevane/models/exchange"
+	"saddlevane/models/order"
+	"saddlevane/models/resource"
+
+	"gotest.tools/v3/assert"
+)
+
+// listOutdated delivers an entry of an incarnation of the worker that has ended before the known one began, so
+// that the holder raises the worker's fence number.
+func (c *deliveryCell) listOutdated(name string) {
+	c.post(exchange.WorkersRead{Listing: order.Listing{Present: []order.Worker{workerEntry(name, 400)}}})
+}
+
+// countSent returns how many orders of a kind were sent to a worker.
+func (c *deliveryCell) countSent(kind orderKind, worker string) (count int) {
+	for _, o := range c.sent {
+		if o.kind == kind && o.worker.Name == worker {
+			count++
+		}
+	}
+	return count
+}
+
+// hasEvent reports whether a line with some text was logged.
+func (c *deliveryCell) hasEvent(text string) bool {
+	return slices.ContainsFunc(c.events, func(e string) bool { return strings.Contains(e, text) })
+}
+
+// The start of a gang's member is in transit while the holder raises the worker's fence number because of an outdated
+// entry. The worker refuses the start, which the holder can send again.
+func TestRefusalUnderRaisedFenceStopsNoOtherMemberOfGang(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.workers["v"].runTime, c.workers["w"].runTime = time.Minute, time.Minute
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
+	s := oneStep("j", "quick", 2, true)
+	s.Steps[0].PerWorker = 1
+	s.Steps[0].Need.Processors = 40 * resource.Processor
+	c.submitJob(s)
+	c.runUntil(time.Second, "the start of a member is in transit", func() bool { return len(c.held) > 0 })
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.listOutdated("w")
+	c.run(100 * time.Millisecond)
+	c.deliver(start)
+	c.run(2 * time.Second)
+	if c.countSent(stopOrder, "v") > 0 {
+		c.printEvents()
+	}
+	assert.Equal(t, c.countSent(stopOrder, "v"), 0, "stops of the other member")
+	assert.Equal(t, len(c.workers["w"].runs), 1)
+}
+
+// A renewal is in transit while the holder raises the worker's fence number, and is refused after that.
+func TestWorkerThatRefusesEarlierFenceIsNotUnresponsive(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.holds = holdFirst(renewalOrder)
+	c.runUntil(6*time.Second, "a renewal is in transit", func() bool { return len(c.held) > 0 })
+	renewal := c.take(renewalOrder)
+	c.listOutdated("w")
+	c.run(100 * time.Millisecond)
+	c.deliver(renewal)
+	c.run(2 * time.Second)
+	assert.Check(t, c.core.IsServing(c.now))
+	assert.Check(t, !c.hasEvent("worker stopped responding"))
+}
+
+// A later holder has ordered a worker whose fence number the earlier holder has raised. A refused start does not
+// show that, but the next call of the waiting renewal does.
+func TestLaterHolderIsNoticedByWorkerWithRaisedFence(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.listOutdated("w")
+	c.run(2 * time.Second)
+	c.workers["w"].fence = 2_000_000
+	c.submit("j")
+	c.runUntil(partialWait+renewalMargin, "the holder has stepped down", func() bool { return !c.core.IsServing(c.now) })
+}
