dispatch: test of a worker that returns after its raised fence number was forgotten (red until the fix)

What callers see: the holder steps down although there is no later one, and the cell is taken over anew.

92.606s holder: stopped holding the cell [{claim 1} {reason a worker has seen a later holder} ...] TestHolderDoesNotStepDownWhenWorkerReturnsThatWasGoneForLong: the holder has stepped down although there is no later one

The number of a worker was raised, and the worker has received it. Then the worker does not answer and is not listed for longer than its lease and formerRetention (a minute), and returns in the same incarnation. FormerWorkers has forgotten the raises by then, so the renewal carries the first number of the claim; the worker refuses it, and IsFencedByLaterHolder takes that for a later holder, since fenceRaisedAfter of the new Incarnations is 0.

--- a/services/dispatch/raisedfence_test.go
+++ b/services/dispatch/raisedfence_test.go
@@ -85,3 +85,21 @@
 	c.submit("j")
 	c.runUntil(partialWait+renewalMargin, "the holder has stepped down", func() bool { return !c.core.IsServing(c.now) })
 }
+
+// A worker refuses the number that it had before it was raised. The holder has forgotten the raised number, since
+// the worker was gone for a long time, and has not been replaced.
+func TestHolderDoesNotStepDownWhenWorkerReturnsThatWasGoneForLong(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.listOutdated("w")
+	c.run(2 * time.Second)
+	c.holds = func(o *transitOrder) bool { return o.worker.Name == "w" }
+	c.post(exchange.WorkersRead{Listing: order.Listing{Removed: []string{"w"}}})
+	c.run(90 * time.Second)
+	c.holds = holdNone
+	c.listWorkers()
+	c.run(time.Second)
+	if !c.core.IsServing(c.now) {
+		c.printEvents()
+	}
+	assert.Check(t, c.core.IsServing(c.now), "the holder has stepped down although there is no later one")
+}
