dispatch: tests of copies of starts for gangs and for lost runs (red until the fix)

The copy that is in transit need not be one of the run, or of the worker, whose success is acknowledged.

A gang's success is acknowledged by the worker of one member while a copy of the start of another member is in transit to its own worker. A run is lost, since the later incarnation does not have it under the raised number; the task is done elsewhere; the worker restarts once more, and its next incarnation has seen no number again. So it is not enough to keep the end of a run back on its own worker while a copy of that run's start may arrive.

--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -44,8 +44,9 @@
 	holds func(o *transitOrder) bool
 	held  []*transitOrder
 	sent  []*transitOrder
-	// acknowledged has the tasks whose success was acknowledged, reported the ends that an answer to
-	// the holder has listed.
+	// submitted are the submitted jobs. acknowledged has the tasks whose success was acknowledged, for a
+	// gang its first task, and reported the ends that an answer to the holder has listed.
+	submitted    map[job.ID]job.Submission
 	acknowledged map[job.TaskID]bool
 	reported     map[reportedEnd]bool
 	starts       []carriedOutStart
@@ -131,7 +132,7 @@
 	t.Helper()
 	c := &deliveryCell{
 		harness: newHarness(t), holders: 1, workers: map[string]*deliveryWorker{}, holds: func(*transitOrder) bool { return false },
-		acknowledged: map[job.TaskID]bool{}, reported: map[reportedEnd]bool{},
+		submitted: map[job.ID]job.Submission{}, acknowledged: map[job.TaskID]bool{}, reported: map[reportedEnd]bool{},
 	}
 	c.startedAt = c.now
 	for _, name := range workers {
@@ -381,9 +382,18 @@
 // submitJob submits a job.
 func (c *deliveryCell) submitJob(s job.Submission) {
 	c.lastCall++
+	c.submitted[s.ID] = s
 	c.perform(c.handle(exchange.Submitted{Call: c.lastCall, Submission: s}))
 }
 
+// unit returns the task that stands for a task in acknowledged. The success of one member of a gang counts for all.
+func (c *deliveryCell) unit(id job.TaskID) job.TaskID {
+	if c.submitted[id.Job].Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
 // restart ends the incarnation of a worker and begins another one with a birth time. Renewals that wait
 // at the worker fail, because their connections are closed.
 func (c *deliveryCell) restart(name string, born int64) {
@@ -459,7 +469,7 @@
 		return order.Answer{Outcome: order.Refused, Reason: order.StaleRun, Clock: w.clock()}
 	}
 	w.c.trace("%v starts %v run %d under fence %d", w.incarnation, s.Task, s.Number, s.Fence)
-	if w.c.acknowledged[s.Task] {
+	if w.c.acknowledged[w.c.unit(s.Task)] {
 		w.c.doneStarts = append(w.c.doneStarts, fmt.Sprintf("%v run %d on %v", s.Task, s.Number, w.incarnation))
 	}
 	w.c.starts = append(w.c.starts, carriedOutStart{w.incarnation, s.Run})
@@ -517,7 +527,7 @@
 			w.c.lostEnds = append(w.c.lostEnds, fmt.Sprintf("end %d of %v: %v run %d, %s", end.Number, w.incarnation, end.Task, end.Run.Number, end.Status))
 		}
 		if end.Status == order.Done {
-			w.c.acknowledged[end.Task] = true
+			w.c.acknowledged[w.c.unit(end.Task)] = true
 		}
 	}
 }
--- a/services/dispatch/laterincarnation_test.go
+++ b/services/dispatch/laterincarnation_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/resource"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -84,6 +86,47 @@
 	assert.Equal(t, len(c.starts), 1)
 }
 
+// The copy is that of the start of one member of a gang, and the worker of another member reports the success.
+func TestCopyOfStartOfMemberIsNotCarriedOutAfterGangIsDone(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
+	c.workers["v"].runTime, c.workers["w"].runTime = time.Second, 600*time.Millisecond
+	s := oneStep("j", "quick", 2, true)
+	s.Steps[0].PerWorker = 1
+	s.Steps[0].Need.Processors = 40 * resource.Processor
+	c.submitJob(s)
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 2 })
+	start := c.take(startOrder)
+	// The success of the member on v is reported first.
+	c.holds = func(o *transitOrder) bool { return o.kind == renewalOrder && o.worker.Name == "w" }
+	c.run(1500 * time.Millisecond)
+	c.holds = holdNone
+	c.restart("w", 2000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
+// No start of the first run is answered. The later incarnation reports that it does not have the run, the task is done
+// by a second run on another worker, and the first worker restarts once more. The incarnation that then receives
+// a copy of the first run's start has seen no fence number.
+func TestStartOfLostRunIsNotCarriedOutBySecondLaterIncarnation(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(500 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.restart(start.worker.Name, 2000)
+	c.runUntil(3*time.Second, "the task is started elsewhere", func() bool { return len(c.starts) > 0 })
+	assert.Check(t, c.starts[0].run.Number > start.run.Number)
+	c.run(2 * time.Second)
+	c.restart(start.worker.Name, 3000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
 // acknowledgementInTransit returns a cell in which the renewal that acknowledges the end of job j's task is in
 // transit, and the renewal. The worker that has done the task has not restarted yet.
 func acknowledgementInTransit(t *testing.T) (*deliveryCell, *transitOrder) {
