dispatch: test that a run of an evacuated domain is not ordered from a later incarnation

It passes on: a moved run that the later incarnation does not report is not ordered again while its domain is evacuated, and a late copy of its start is refused under the raised number. The workers of deliveryCell have a failure domain for it.

--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -30,6 +30,9 @@
 	renewalMargin = 200 * time.Millisecond
 )
 
+// deliveryDomain is the failure domain of the workers.
+const deliveryDomain = "zone"
+
 // deliveryCell is a cell with one holder at a time, whose orders a test delivers to simulated workers
 // at moments of its choice. All other orders are carried out and answered after deliveryDelay.
 type deliveryCell struct {
@@ -271,7 +274,9 @@
 func (c *deliveryCell) listWorkers() {
 	l := order.Listing{Complete: true}
 	for _, w := range ordered.Map(c.workers) {
-		l.Present = append(l.Present, workerEntry(w.incarnation.Name, w.incarnation.BornUnixMilli))
+		entry := workerEntry(w.incarnation.Name, w.incarnation.BornUnixMilli)
+		entry.Domain = deliveryDomain
+		l.Present = append(l.Present, entry)
 	}
 	c.post(exchange.WorkersRead{Listing: l})
 }
--- a/services/dispatch/lateorders_test.go
+++ b/services/dispatch/lateorders_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/evacuation"
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
@@ -97,3 +98,22 @@
 	assert.Equal(t, len(c.starts), 2)
 	c.requireNoLoss()
 }
+
+// A domain is evacuated while copies of a start are in transit to one of its workers, which restarts. A run that the
+// later incarnation does not report must not be ordered there again.
+func TestRunOfEvacuatedDomainIsNotOrderedFromLaterIncarnation(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.holds = holdFirst(startOrder)
+	c.submit("j")
+	c.run(50 * time.Millisecond)
+	start := c.take(startOrder)
+	c.post(exchange.EvacuationsRead{Update: evacuation.Update{Next: 1, Changes: []evacuation.Change{{Domain: deliveryDomain, Requested: true}}}})
+	c.run(50 * time.Millisecond)
+	assert.Check(t, c.hasEvent("failure domain is evacuated"))
+	c.restart("w", 2000)
+	c.listWorkers()
+	c.run(3 * time.Second)
+	assert.Equal(t, c.countSent(startOrder, "w"), 1, "starts ordered")
+	c.deliver(start)
+	assert.Equal(t, len(c.starts), 0, "the copy must be refused under the raised fence number")
+}
