presence: keep the fence numbers of a worker that is gone for more than a minute above those it has received

What callers saw: the holder stepped down although there was no later one, and the cell was taken over anew.

Cause: FormerWorkers drops the incarnations of a worker after a minute, and with them how often its fence number was raised. A worker that is not listed and does not answer for that long, but runs on, refuses the first number of the claim when it returns, which the holder takes for the sign of a later holder.

FormerWorkers now keeps the highest number of raises of the workers that it drops, and the incarnations of a worker that it does not know begin with it. One number for all, since a number that is too high does no harm.

TestHolderDoesNotStepDownWhenWorkerReturnsThatWasGoneForLong failed before ("the holder has stepped down although there is no later one") and passes; TestWorkerThatReturnsLateGetsNoLowerFence shows it for the package alone.

--- a/services/presence/former.go
+++ b/services/presence/former.go
@@ -11,7 +11,12 @@
 
 // FormerWorkers holds the incarnations of workers that are gone, by name, since a worker may come
 // back under its name. The zero value holds none.
-type FormerWorkers struct{ workers map[string]formerWorker }
+type FormerWorkers struct {
+	workers map[string]formerWorker
+	// expiredRaises is the highest number of times that the fence number of a dropped worker was
+	// raised.
+	expiredRaises int64
+}
 
 // formerWorker holds the incarnations of a worker that has been gone since some time.
 type formerWorker struct {
@@ -20,11 +25,12 @@
 }
 
 // Take removes and returns the incarnations kept under the name of a worker that is listed, or
-// returns new ones if there are none.
+// returns new ones if there are none. Their fence number is not lower than any that the worker may
+// have received under this claim.
 func (f *FormerWorkers) Take(name string) *Incarnations {
 	known, ok := f.workers[name]
 	if !ok {
-		return &Incarnations{}
+		return &Incarnations{fenceRaises: f.expiredRaises}
 	}
 	delete(f.workers, name)
 	return known.incarnations
@@ -42,6 +48,7 @@
 func (f *FormerWorkers) Expire(now time.Time) {
 	for name, known := range f.workers {
 		if now.Sub(known.since) > formerRetention {
+			f.expiredRaises = max(f.expiredRaises, known.incarnations.fenceRaises)
 			delete(f.workers, name)
 		}
 	}
