dispatch: stop a run on the later incarnation of its worker if it was being stopped

What callers saw: a task of a cancelled job ran on to its end, or for good if it was a service.

Cause: a run whose start a later incarnation may carry out is moved there as one whose start is unconfirmed. That it was being stopped was lost with the earlier attempt. When the later incarnation reported the run, it counted as running, and nothing stopped it again; a gang or a reservation that waited for its capacity waited on.

moveToSuccessor orders the stop from the later incarnation. It is harmless if that incarnation does not have the run: it then refuses the late start as well.

TestRunOfCancelledJobIsStoppedOnLaterIncarnation failed before ("a run of the cancelled job continues") and passes.

--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -83,7 +83,8 @@
 func (a *attempt) mayStartOnSuccessor() bool { return a.reportedAt.IsZero() || a.orderCount > 1 }
 
 // moveToSuccessor places an attempt on a later incarnation of its worker, which may have started the
-// run or may still do so. The attempt stays there until that incarnation reports what it runs.
+// run or may still do so. The attempt stays there until that incarnation reports what it runs. If the
+// run was to be stopped, the later incarnation is ordered to stop it.
 func (h *holderState) moveToSuccessor(now time.Time, a *attempt, successor *worker) {
 	h.unassign(a)
 	n := &attempt{
@@ -92,6 +93,9 @@
 	}
 	h.assign(now, n)
 	h.markStateChange(now, n)
+	if a.state == attemptStopping {
+		h.stopAttempt(now, n)
+	}
 }
 
 // handleOtherIncarnationAnswer handles a renewal's answer from an incarnation that is not the
