dispatch: order the pace of a filler anew on the later incarnation of its worker

What callers saw: a filler kept the low speed that had been ordered from an earlier incarnation of its worker, for good.

Cause: moveToSuccessor counted the run as running at full speed. A later incarnation that carried out both the late start and a late change of its pace runs it at the lower one, and the holder, which wants full speed, orders nothing.

The pace of such a run is unknown, as it is for runs of an earlier holder, so the first report leads to an order.

TestFillerOnLaterIncarnationDoesNotKeepPaceOrderedForEarlierOne failed before ("20 (pace int) != 100 (int)") and passes.

--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -88,7 +88,7 @@
 func (h *holderState) moveToSuccessor(now time.Time, a *attempt, successor *worker) {
 	h.unassign(a)
 	n := &attempt{
-		step: a.step, index: a.index, run: a.run, worker: successor, state: attemptUnconfirmed, pace: fullPace, firstOrderedAt: a.firstOrderedAt, lastOrderedAt: a.lastOrderedAt,
+		step: a.step, index: a.index, run: a.run, worker: successor, state: attemptUnconfirmed, pace: unknownPace, firstOrderedAt: a.firstOrderedAt, lastOrderedAt: a.lastOrderedAt,
 		checkpoint: a.checkpoint, ticket: a.ticket, orderCount: a.orderCount, resumed: a.resumed, onlyLogged: a.onlyLogged, fromEarlierIncarnation: true,
 	}
 	h.assign(now, n)
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -19,7 +19,8 @@
 const (
 	// fullPace is the pace at which a run starts, in percent of full speed.
 	fullPace = throttling.Full
-	// unknownPace is the pace of a run that an earlier holder started.
+	// unknownPace is the pace of a run that an earlier holder started, or that a later incarnation may
+	// have started, which may also have carried out an earlier order of another pace.
 	unknownPace = -1
 	// throttleSettleTime is the time after which a change of pace shows in the reported tail
 	// latencies: they cover the last half second, and a change takes 100 ms to take effect (the
