dispatch: send orders under a higher fence number after each order without an answer

What callers saw: a task that was done, and whose end was acknowledged, was started again (TWICE).

The worker restarts. The first order that reaches its later incarnation has the number of that copy, since the number rose only when a restart was suspected.

Cause: until a later incarnation has received a higher number, it carries out whatever was meant for the earlier one; and the number rose one order too late. Two traces, made apart from each other, agree on that.

The number is now raised when an order has gone without an answer, before the next order is sent: for each start, and for the first of a series of failed renewals (the others extend no lease and acknowledge nothing). So whichever later order reaches the later incarnation first shuts out what went astray before. RaiseFence takes the number of the unanswered order, so that several orders under one number raise it once.

What it would cost: an order in transit that a later one overtakes is refused. Such a start was dropped, its step delayed and its gang stopped; such a renewal counted as a failure of the worker. Now it proves only that the order was not carried out, and the order is sent again at once under the present number. Whether a later holder refused an order is seen from the number of that order, so a refused start or stop shows it at once too.

Ruled out: raising the number where a done task has an open copy (shuts out starts only, not acknowledgements); raising it at each failure (several starts that are lost together raise it several times, and refuse each other's repetitions).

--- a/models/order/order.go
+++ b/models/order/order.go
@@ -151,3 +151,6 @@
 	// Problem describes the failure of the call, for logs.
 	Problem string
 }
+
+// IsFenced reports whether the worker refused the order because of its fence number.
+func (a Answer) IsFenced() bool { return a.Outcome == Refused && a.Reason == Fenced }
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -19,8 +19,12 @@
 // Orders to a later incarnation therefore carry a higher fence number. Once it has answered a
 // renewal with that number, it refuses orders meant for the earlier one, and its answer lists what
 // it has already started of them. Until then, tasks whose start it may still carry out count as
-// placed on it. The fence number is raised as soon as a later incarnation may exist, so that the
-// first renewal that reaches it carries the higher number.
+// placed on it.
+//
+// The first order that reaches a later incarnation must already carry the higher number, because the
+// next one may be delayed itself. So the number is raised after each order that a later incarnation
+// must not carry out and that may still be in transit: a start or a renewal without an answer. It is
+// also raised as soon as a later incarnation may exist.
 
 // maxOrderDelay is the longest time after sending at which a worker may still carry out an order;
 // the users' protocol says "seconds".
@@ -39,6 +43,16 @@
 // fence returns the fence number of orders to the worker.
 func (h *holderState) fence(w *worker) int64 { return w.incarnations.Fence(h.epoch) }
 
+// raiseFenceAfterStart raises the fence number after a start order without an answer, which a later
+// incarnation may still carry out after the task is done.
+func (h *holderState) raiseFenceAfterStart(w *worker, run order.Run) {
+	sentFence := h.fence(w)
+	if a := w.attempts[run]; a != nil && a.startFence != 0 {
+		sentFence = a.startFence
+	}
+	w.incarnations.RaiseFence(sentFence)
+}
+
 // handleWorkerRestart handles an answer from a later incarnation than the known one: the known one
 // has ended, and the later one replaces it.
 func (h *holderState) handleWorkerRestart(now time.Time, w *worker, e exchange.RenewEnded) {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -75,6 +75,7 @@
 		r.MaxWait = job.Milliseconds(h.renewWait(w).Milliseconds())
 	}
 	w.answerDue = now.Add(r.MaxWait.Duration())
+	w.pendingFence = r.Fence
 	h.core.emit(exchange.Renew{
 		Worker: w.Incarnation, Address: w.renewAddress(), Epoch: h.epoch, Renewal: w.pendingRenewal, Order: r,
 		Timeout: h.adaptiveTimeout(now, renewMargin) + r.MaxWait.Duration(), GracePeriod: h.lateAnswerWindow(now, w),
@@ -131,7 +132,11 @@
 	case e.Answer.Outcome == order.WrongIncarnation && w.renewAddress() != w.Address:
 		// The address is that of another incarnation's entry, which may be outdated.
 		h.handleRenewFailed(now, w, e)
-	case h.handleSuperseded(now, w, e.Answer, e.Renewal):
+	case h.handleSuperseded(now, w, e.Answer, w.pendingFence):
+	case e.Answer.IsFenced():
+		// An order that was sent later, with a higher number, has arrived earlier.
+		w.renewAt = now
+		h.renew(now, w)
 	case carried && w.incarnations.RecordAnswer(w.Incarnation, e.Report.Incarnation, e.Renewal):
 		h.handleWorkerRestart(now, w, e)
 	case carried:
@@ -234,13 +239,13 @@
 
 // handleSuperseded handles an answer saying that the addressed incarnation has ended, or that the
 // worker has seen a later holder, which ends this holder's authority. It returns false for any
-// other answer. renewal is the number of the renewal, or 0 for other orders.
-func (h *holderState) handleSuperseded(now time.Time, w *worker, a order.Answer, renewal int64) bool {
+// other answer. fence is the fence number of the order, or 0 if it is not known any more.
+func (h *holderState) handleSuperseded(now time.Time, w *worker, a order.Answer, fence int64) bool {
 	switch {
 	case a.Outcome == order.WrongIncarnation:
 		h.handleWrongIncarnation(now, w)
 		return true
-	case w.incarnations.IsFencedByLaterHolder(a, renewal):
+	case w.incarnations.IsFencedByLaterHolder(a, fence):
 		h.core.stepDown(reasonLaterHolder)
 		return true
 	default:
@@ -269,10 +274,10 @@
 	if w.failedRenewals == 1 {
 		// In most cases a single answer was lost, so the next renewal is sent at once.
 		w.renewAt = now
-		if e.Answer.Reason == order.ConnectionClosed || e.Answer.Outcome == order.NotDone {
-			// The worker may have restarted.
-			w.incarnations.RaiseFence(h.renewalsSent)
-		}
+		// The worker may have restarted, and its later incarnation must not carry out this renewal,
+		// which extends a lease by the clock of the earlier one and may acknowledge ends. The repeated
+		// renewals do neither.
+		w.incarnations.RaiseFence(h.fence(w))
 		h.renew(now, w)
 	}
 	if len(w.attempts) == 0 {
@@ -350,7 +355,7 @@
 	}
 	h.loseAttempts(now, w, nil, h.endingOf(now, w, w.incarnations.HasCandidate()), "the worker's lease has expired")
 	if w.reported {
-		w.incarnations.RaiseFence(h.renewalsSent)
+		w.incarnations.RaiseFence(h.fence(w))
 	}
 	w.reported = false
 	delete(h.unreportedWorkers, w.Name)
--- a/services/dispatch/listing.go
+++ b/services/dispatch/listing.go
@@ -99,7 +99,7 @@
 	if h.phase != phaseActive || w.pendingRenewal != 0 && !w.incarnations.PrecedesCandidate(w.pendingRenewal) {
 		return
 	}
-	w.incarnations.RaiseFence(h.renewalsSent)
+	w.incarnations.RaiseFence(h.fence(w))
 	if w.pendingRenewal != 0 {
 		w.overdue[w.pendingRenewal] = w.answerDue
 		w.pendingRenewal = 0
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -51,11 +51,12 @@
 
 // sendStart sends the order to start an attempt, for the first time or as a retry.
 func (h *holderState) sendStart(now time.Time, a *attempt) {
+	w := a.worker
 	a.orderCount++
 	a.lastOrderedAt = now
-	w := a.worker
+	a.startFence = h.fence(w)
 	h.core.emit(exchange.StartRun{Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch, Order: order.Start{
-		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: h.fence(w),
+		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: a.startFence,
 		Checkpoint: a.checkpoint, Ticket: a.ticket,
 	}, Timeout: h.orderTimeout(now)})
 }
@@ -85,7 +86,9 @@
 		h.handleWrongIncarnation(now, w)
 		return
 	}
-	if e.Answer.Outcome != order.Unknown {
+	if e.Answer.Outcome == order.Unknown {
+		h.raiseFenceAfterStart(w, e.Run)
+	} else {
 		w.unansweredSince = time.Time{}
 	}
 	a := w.attempts[e.Run]
@@ -96,7 +99,11 @@
 		h.answerDelays.Record(now, now.Sub(a.lastOrderedAt))
 	}
 	a.stopConfirmed = a.stopConfirmed && a.state == attemptStopping
-	if a.orderCount > 1 && e.Answer.Outcome != order.CarriedOut && !w.incarnations.IsFencedByLaterHolder(e.Answer, 0) {
+	if e.Answer.IsFenced() {
+		h.handleStartFenced(now, a, e.Answer)
+		return
+	}
+	if a.orderCount > 1 && e.Answer.Outcome != order.CarriedOut {
 		// An earlier copy of the order may have been carried out, or may still be.
 		h.handleStartUnconfirmed(now, a, e.Answer)
 		return
@@ -151,18 +158,32 @@
 	h.restartGang(now, a.step, a.run)
 }
 
+// handleStartFenced handles a start that the worker refused because of its fence number. If the
+// holder has raised the number since, an order that was sent later has arrived earlier, and the start
+// is sent again.
+func (h *holderState) handleStartFenced(now time.Time, a *attempt, answer order.Answer) {
+	if a.worker.incarnations.IsFencedByLaterHolder(answer, a.startFence) {
+		h.core.stepDown(reasonLaterHolder)
+		return
+	}
+	// The refused order does not count as one that may have been carried out.
+	a.orderCount--
+	switch {
+	case h.canRetryStart(now, a):
+		h.sendStart(now, a)
+	case a.orderCount > 0:
+		h.handleStartUnconfirmed(now, a, answer)
+	default:
+		h.handleStartRefused(now, a, answer)
+	}
+}
+
 // handleStartRefused drops an attempt whose start the worker refused, and does what the
 // reason of the refusal requires.
 func (h *holderState) handleStartRefused(now time.Time, a *attempt, answer order.Answer) {
 	h.core.logEvent("start order was refused", logField("job", string(a.step.job.id)), logField("task", a.runID().Task.String()),
 		logField("run", a.run), logField("worker", a.worker.Incarnation.String()), logField("reason", string(answer.Reason)))
 	switch answer.Reason {
-	case order.Fenced:
-		if a.worker.incarnations.IsFencedByLaterHolder(answer, 0) {
-			h.core.stepDown(reasonLaterHolder)
-			return
-		}
-		a.step.delayStart(now.Add(refusedStartDelay))
 	case order.BadTicket:
 		a.step.advice.DropTicket(a.worker)
 	case order.StaleRun:
--- a/services/dispatch/stops.go
+++ b/services/dispatch/stops.go
@@ -27,9 +27,13 @@
 
 // sendStop sends a worker the order to stop a run.
 func (h *holderState) sendStop(now time.Time, w *worker, run order.Run) {
+	fence := h.fence(w)
+	if a := w.attempts[run]; a != nil {
+		a.stopFence = fence
+	}
 	h.core.emit(exchange.StopRun{
 		Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch,
-		Order: order.Stop{Run: run, Fence: h.fence(w)}, Timeout: h.orderTimeout(now),
+		Order: order.Stop{Run: run, Fence: fence}, Timeout: h.orderTimeout(now),
 	})
 }
 
@@ -63,14 +67,20 @@
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
-	if h.handleSuperseded(now, w, e.Answer, 0) {
-		return
-	}
 	a := w.attempts[e.Run]
-	if a == nil || a.state != attemptStopping || a.stopConfirmed {
+	sentFence := int64(0)
+	if a != nil {
+		sentFence = a.stopFence
+	}
+	if h.handleSuperseded(now, w, e.Answer, sentFence) || a == nil || a.state != attemptStopping || a.stopConfirmed {
 		return
 	}
-	if e.Answer.Outcome == order.CarriedOut || e.Answer.Outcome == order.Refused && e.Answer.Reason != order.Fenced {
+	switch {
+	case e.Answer.IsFenced():
+		// An order that was sent later, with a higher number, has arrived earlier.
+		h.markStateChange(now, a)
+		h.sendStop(now, w, e.Run)
+	case e.Answer.Outcome == order.CarriedOut || e.Answer.Outcome == order.Refused:
 		a.stopConfirmed = true
 		h.markStateChange(now, a)
 		h.renewSoon(now, w)
--- a/services/presence/incarnations.go
+++ b/services/presence/incarnations.go
@@ -27,10 +27,8 @@
 	candidateReadAfter int64
 	// past holds incarnations that have ended, the latest last.
 	past []order.Incarnation
-	// fenceRaises counts how often the fence number of the worker was raised. fenceRaisedAfter is
-	// the number of the last call made before it was last raised for the current incarnation, or 0.
-	fenceRaises      int64
-	fenceRaisedAfter int64
+	// fenceRaises counts how often the fence number of the worker was raised.
+	fenceRaises int64
 }
 
 // HasCandidate reports whether an entry of another incarnation was read that no answer has
@@ -49,19 +47,17 @@
 // ClaimOfFence returns the claim under which an order with a fence number was decided.
 func ClaimOfFence(fence int64) int64 { return fence / fencesPerClaim }
 
-// RaiseFence raises the fence number of the worker. Once the worker has received a call with a
-// number above calls, it refuses the orders that were in transit to it.
-func (l *Incarnations) RaiseFence(calls int64) {
-	l.fenceRaises++
-	l.fenceRaisedAfter = calls
+// RaiseFence makes the fence number of later orders higher than that of an earlier order. Once the
+// worker, or a later incarnation of it, has received one of them, it refuses the earlier order. The
+// number stays as it is if it was raised after that order was sent.
+func (l *Incarnations) RaiseFence(above int64) {
+	l.fenceRaises = max(l.fenceRaises, min(above%fencesPerClaim+1, fencesPerClaim-1))
 }
 
-// IsFencedByLaterHolder reports whether an order was refused because of a later holder, rather than
-// because this holder has raised the fence number since. call is the number of the call, or 0 if it
-// has none; if the fence was raised for the current incarnation, such a refusal is inconclusive, the
-// result is false, and the next numbered call decides.
-func (l *Incarnations) IsFencedByLaterHolder(a order.Answer, call int64) bool {
-	return a.Outcome == order.Refused && a.Reason == order.Fenced && (l.fenceRaisedAfter == 0 || call > l.fenceRaisedAfter)
+// IsFencedByLaterHolder reports whether an order with a fence number was refused because of a later
+// holder, rather than because this holder has raised the number since it sent the order.
+func (l *Incarnations) IsFencedByLaterHolder(a order.Answer, fence int64) bool {
+	return a.IsFenced() && fence%fencesPerClaim >= l.fenceRaises
 }
 
 // Candidate returns the entry of another incarnation, if there is one.
@@ -131,8 +127,7 @@
 // End records that the known incarnation has ended, and raises the fence number for the next one.
 func (l *Incarnations) End(known order.Incarnation) {
 	l.addPast(known)
-	l.fenceRaises++
-	l.fenceRaisedAfter = 0
+	l.RaiseFence(l.fenceRaises)
 }
 
 // addPast adds an incarnation to those that are not the current one.
--- a/services/presence/incarnations_test.go
+++ b/services/presence/incarnations_test.go
@@ -73,3 +73,37 @@
 	l.RecordEntry(incarnation(1000), entry(1), 0)
 	assert.Check(t, l.HasCandidate(), "the oldest incarnation is forgotten, so the worker is called again")
 }
+
+// fenced is the answer to an order that was refused because of its fence number.
+var fenced = order.Answer{Outcome: order.Refused, Reason: order.Fenced}
+
+func TestFenceIsRaisedOnceForOrdersWithOneNumber(t *testing.T) {
+	var l presence.Incarnations
+	first := l.Fence(3)
+	l.RaiseFence(first)
+	second := l.Fence(3)
+	assert.Check(t, second > first)
+	l.RaiseFence(first)
+	assert.Equal(t, l.Fence(3), second, "the number was raised after the first order was sent")
+	l.RaiseFence(second)
+	assert.Check(t, l.Fence(3) > second)
+}
+
+func TestRefusalOfOrderBeforeRaiseIsNotTakenForLaterHolder(t *testing.T) {
+	var l presence.Incarnations
+	before := l.Fence(3)
+	assert.Check(t, l.IsFencedByLaterHolder(fenced, before))
+	l.RaiseFence(before)
+	assert.Check(t, !l.IsFencedByLaterHolder(fenced, before), "an order with the higher number may have arrived earlier")
+	assert.Check(t, l.IsFencedByLaterHolder(fenced, l.Fence(3)))
+	assert.Check(t, !l.IsFencedByLaterHolder(order.Answer{Outcome: order.Refused, Reason: order.NoCapacity}, l.Fence(3)))
+}
+
+// A higher claim must always have higher numbers, however often the number of a worker was raised.
+func TestRaisedFenceStaysBelowThatOfTheNextClaim(t *testing.T) {
+	var l presence.Incarnations
+	for range 3 {
+		l.RaiseFence(999_998)
+		assert.Check(t, l.Fence(3) < (&presence.Incarnations{}).Fence(4))
+	}
+}
