dispatch: give a start a higher fence number than an acknowledgement in transit

What callers saw: the success of a task was lost and the task ran again.

Course: a renewal that acknowledges ends is late, and may wait at the worker for up to 5 s, so that the holder does not know that it went astray. The worker restarts; a start, sent meanwhile under the same number, is carried out by the later incarnation and ends there as its end 1; then the late renewal acknowledges end 1 of the earlier incarnation. canAcknowledgeEnds asks what the worker may have started when the renewal is sent, not when it is carried out.

A start now carries a higher number than the acknowledging renewal in flight. A later incarnation that has carried out the start refuses the acknowledgement; the earlier one, for which it was meant, has usually received it before, and else it is sent again. Ruled out: acknowledging only in renewals that do not wait, which shortens the time to a round trip but does not close it, and costs a message for each acknowledgement.

With that the number rises up to once for each acknowledgement. A claim has a million numbers for a worker; at ten acknowledgements a second they last for 28 hours. A holder that has nearly used up those of a worker steps down, and the next claim begins anew, since a number of the next claim must never be reached.

--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -213,6 +213,10 @@
 		h.flush(now)
 		return
 	}
+	if h.areFencesUsed() {
+		h.core.stepDown(reasonFencesUsed)
+		return
+	}
 	h.nextSweepAt = now.Add(sweepInterval)
 	h.planDue = true
 	h.createAllDueInstances(now)
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -23,8 +23,9 @@
 //
 // The first order that reaches a later incarnation must already carry the higher number, because the
 // next one may be delayed itself. So the number is raised after each order that a later incarnation
-// must not carry out and that may still be in transit: a start or a renewal without an answer. It is
-// also raised as soon as a later incarnation may exist.
+// must not carry out and that may still be in transit: a start or a renewal without an answer, and an
+// acknowledgement of ends before the next start. It is also raised as soon as a later incarnation may
+// exist.
 
 // maxOrderDelay is the longest time after sending at which a worker may still carry out an order;
 // the users' protocol says "seconds".
@@ -43,6 +44,27 @@
 // fence returns the fence number of orders to the worker.
 func (h *holderState) fence(w *worker) int64 { return w.incarnations.Fence(h.epoch) }
 
+// areFencesUsed reports whether some worker has so few fence numbers left under this claim that a new
+// one is needed.
+func (h *holderState) areFencesUsed() bool {
+	for _, w := range h.workers {
+		if w.incarnations.AreFencesUsed() {
+			return true
+		}
+	}
+	return false
+}
+
+// startFence returns the fence number of a start order that is sent now. It is higher than that of an
+// acknowledgement in transit, which would otherwise also apply to the run if a later incarnation
+// carries out both: the ends of its runs have the same numbers.
+func (h *holderState) startFence(w *worker) int64 {
+	if w.pendingRenewal != 0 && w.pendingAcknowledges {
+		w.incarnations.RaiseFence(w.pendingFence)
+	}
+	return h.fence(w)
+}
+
 // raiseFenceAfterStart raises the fence number after a start order without an answer, which a later
 // incarnation may still carry out after the task is done.
 func (h *holderState) raiseFenceAfterStart(w *worker, run order.Run) {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -75,7 +75,7 @@
 		r.MaxWait = job.Milliseconds(h.renewWait(w).Milliseconds())
 	}
 	w.answerDue = now.Add(r.MaxWait.Duration())
-	w.pendingFence = r.Fence
+	w.pendingFence, w.pendingAcknowledges = r.Fence, r.Acknowledged > 0
 	h.core.emit(exchange.Renew{
 		Worker: w.Incarnation, Address: w.renewAddress(), Epoch: h.epoch, Renewal: w.pendingRenewal, Order: r,
 		Timeout: h.adaptiveTimeout(now, renewMargin) + r.MaxWait.Duration(), GracePeriod: h.lateAnswerWindow(now, w),
@@ -235,6 +235,7 @@
 	reasonOtherIncarnation = "another incarnation answers at its address"
 	reasonRestarted        = "the worker has restarted"
 	reasonLaterHolder      = "a worker has seen a later holder"
+	reasonFencesUsed       = "the fence numbers of the claim are used up"
 )
 
 // handleSuperseded handles an answer saying that the addressed incarnation has ended, or that the
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -54,7 +54,7 @@
 	w := a.worker
 	a.orderCount++
 	a.lastOrderedAt = now
-	a.startFence = h.fence(w)
+	a.startFence = h.startFence(w)
 	h.core.emit(exchange.StartRun{Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch, Order: order.Start{
 		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: a.startFence,
 		Checkpoint: a.checkpoint, Ticket: a.ticket,
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -65,11 +65,12 @@
 	// clock.
 	leaseExpiresBy time.Time
 
-	// pendingRenewal is the number of the renewal in flight, or 0, and pendingFence its fence number.
-	// renewAt is when the next one is due.
-	pendingRenewal int64
-	pendingFence   int64
-	renewAt        time.Time
+	// pendingRenewal is the number of the renewal in flight, or 0. pendingFence is its fence number,
+	// pendingAcknowledges is set if it acknowledges ends. renewAt is when the next one is due.
+	pendingRenewal      int64
+	pendingFence        int64
+	pendingAcknowledges bool
+	renewAt             time.Time
 	// answerDue is when the renewal in flight was sent plus the time it may wait at the worker.
 	// overdue holds the same time of each renewal that has timed out, by number.
 	answerDue time.Time
--- a/services/presence/incarnations.go
+++ b/services/presence/incarnations.go
@@ -39,6 +39,10 @@
 // the numbers of a later claim are higher.
 const fencesPerClaim = 1_000_000
 
+// fenceReserve is how many fence numbers of a claim are kept for the orders that are sent until the
+// claim ends.
+const fenceReserve = 1000
+
 // Fence returns the fence number of orders to the worker under a claim. Once a worker has received
 // a higher number, it refuses orders with a lower one, such as those still in transit to an earlier
 // incarnation.
@@ -54,6 +58,9 @@
 	l.fenceRaises = max(l.fenceRaises, min(above%fencesPerClaim+1, fencesPerClaim-1))
 }
 
+// AreFencesUsed reports whether so few fence numbers are left that the worker needs a new claim.
+func (l *Incarnations) AreFencesUsed() bool { return l.fenceRaises >= fencesPerClaim-fenceReserve }
+
 // IsFencedByLaterHolder reports whether an order with a fence number was refused because of a later
 // holder, rather than because this holder has raised the number since it sent the order.
 func (l *Incarnations) IsFencedByLaterHolder(a order.Answer, fence int64) bool {
--- a/services/presence/incarnations_test.go
+++ b/services/presence/incarnations_test.go
@@ -104,6 +104,7 @@
 	var l presence.Incarnations
 	for range 3 {
 		l.RaiseFence(999_998)
+		assert.Check(t, l.AreFencesUsed())
 		assert.Check(t, l.Fence(3) < (&presence.Incarnations{}).Fence(4))
 	}
 }
