dispatch: acknowledge no ends while a start is unanswered

What callers saw: the success of a task was lost and the task ran again.

Cause: an acknowledgement could be sent within 40 ms after a start, since the started task could not have ended by then. But both orders may be carried out seconds later by a later incarnation that no other order has reached, and in between the task may end there; they have the same fence number, or the acknowledgement has the higher one, so no number helps.

No end is acknowledged while a start is unanswered, usually for one round trip. Not closed: a start that a later incarnation answers, and an acknowledgement within the same 40 ms that is late. That needs a restart between two messages some milliseconds apart, and waiting for the report of the run would cost a renewal for each of them.

TestEndOfLaterIncarnationIsNotLostToAcknowledgementSentAfterStart failed before ("end 1 of w@2000: k.0.0.0 run 100000, done") and passes.

--- a/services/dispatch/laterincarnation_test.go
+++ b/services/dispatch/laterincarnation_test.go
@@ -4,6 +4,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -227,3 +228,24 @@
 	c.endOfLaterIncarnation(acknowledgement)
 	assert.Equal(t, len(c.starts), 2, "the task of k must have run once")
 }
+
+// An acknowledgement is sent while a start is in transit, under the same fence number. Both reach a later
+// incarnation that no other order has reached.
+func TestEndOfLaterIncarnationIsNotLostToAcknowledgementSentAfterStart(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.submit("j")
+	c.runUntil(3*time.Second, "the end is reported", func() bool { return len(c.reported) > 0 })
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder || o.acknowledged > 0 }
+	c.run(50 * time.Millisecond) // The start is ordered just before the next renewal.
+	c.submit("k")
+	c.run(100 * time.Millisecond)
+	isAcknowledgement := func(o *transitOrder) bool { return o.acknowledged > 0 }
+	if !slices.ContainsFunc(c.held, isAcknowledgement) {
+		return // The holder acknowledges nothing while the start is in transit.
+	}
+	acknowledgement, start := c.take(renewalOrder), c.take(startOrder)
+	c.holds = holdKind(renewalOrder)
+	c.restartSilently("w", 2000)
+	c.deliver(start)
+	c.endOfLaterIncarnation(acknowledgement)
+}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -85,14 +85,14 @@
 // canAcknowledgeEnds reports whether a renewal may acknowledge ends of runs. A later incarnation of
 // the worker may receive the renewal and would take the acknowledgement for one of its own ends,
 // which have the same numbers. That cannot happen if the worker answered the last renewal, no other
-// incarnation is listed, and no task started on the worker that may have ended by now can still be
-// started by a later incarnation: that one, if it exists, then has no ends.
+// incarnation is listed, all starts are answered, and no task started on the worker that may have
+// ended by now can still be started by a later incarnation: that one, if it exists, then has no ends.
 func (h *holderState) canAcknowledgeEnds(now time.Time, w *worker) bool {
 	if w.failedRenewals > 0 || w.incarnations.HasCandidate() {
 		return false
 	}
 	for _, a := range w.attempts {
-		if a.mayStartOnSuccessor() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) && !h.areOrdersOver(a) {
+		if a.state == attemptStarting || a.mayStartOnSuccessor() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) && !h.areOrdersOver(a) {
 			return false
 		}
 	}
