dispatch: start no task beside a run of it that a worker reports

What callers saw: two runs of one task at a time (TWICE), or a run that was thrown away and started anew.

Course: a run counts as lost, since the later incarnation of its worker does not have it; the worker restarts once more, and a late copy of its start is carried out there. The answer that reports the run was read as that of an unexpected run: a stop was sent, and nothing kept the task from being started elsewhere in the same moment, or its unanswered start from being repeated. The stop may be late, and is repeated only after the next report.

Now such a run serves as the run of its task if the task waits to be placed, whatever runs were ordered since; it is not thrown away. If another run of the task is placed, an unanswered start of that is not repeated. The members of a gang must be of one run, so a gang waits until the unexpected run has ended. Orphans end with the lease of their worker, so that no step waits for a worker that is gone.

Ruled out: waiting for the stop to be confirmed instead of using the run, which throws away its work and makes the task wait for a second worker.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -355,6 +355,7 @@
 			logField("lapsed_for", now.Sub(w.leaseExpiresBy).String()), logField("how", string(h.endingOf(now, w, w.incarnations.HasCandidate()))))
 	}
 	h.loseAttempts(now, w, nil, h.endingOf(now, w, w.incarnations.HasCandidate()), "the worker's lease has expired")
+	h.forgetOrphans(w)
 	if w.reported {
 		w.incarnations.RaiseFence(h.fence(w))
 	}
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -63,7 +63,8 @@
 
 // rankOpenSteps returns the open steps that have tasks to place, highest rank first, and drops
 // closed steps from h.openSteps. Steps of inherited jobs are left out until all workers of earlier
-// holders have reported, because their tasks may still be running there.
+// holders have reported, because their tasks may still be running there, and steps of which some
+// worker runs a waiting task.
 func (h *holderState) rankOpenSteps(now time.Time) []rankedStep {
 	stillOpen := h.openSteps[:0]
 	var all []rankedStep
@@ -73,7 +74,7 @@
 			continue
 		}
 		stillOpen = append(stillOpen, s)
-		if s.unplacedTasks == 0 || now.Before(s.notBefore) || s.spec.Gang && s.placedTasks > 0 {
+		if s.unplacedTasks == 0 || now.Before(s.notBefore) || s.spec.Gang && s.placedTasks > 0 || h.waitsForOrphan(s) {
 			continue
 		}
 		if s.job.inherited && len(h.unreportedWorkers) > 0 {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"saddlevane/models/exchange"
@@ -56,15 +57,6 @@
 	return max(0, limit-1-len(w.attempts)-w.reportedEnds.Unacknowledged())
 }
 
-// noteOrphans updates whether the worker is one of those with unexpected runs.
-func (h *holderState) noteOrphans(w *worker) {
-	if len(w.orphans) == 0 {
-		delete(h.workersWithOrphans, w)
-		return
-	}
-	h.workersWithOrphans[w] = true
-}
-
 // applyEnds applies those ends of runs in a report that were not reported before.
 func (h *holderState) applyEnds(now time.Time, w *worker, all []order.End) {
 	for _, end := range all {
@@ -100,15 +92,15 @@
 	}
 }
 
-// adopt creates the attempt for a run that an earlier holder started. It returns nil if the run
-// should not be running.
+// adopt creates the attempt for a run that an earlier holder started, or that this holder took for
+// lost. It returns nil if the run should not be running.
 func (h *holderState) adopt(now time.Time, w *worker, r order.Running) *attempt {
 	s := h.findRunStep(now, r.Task.StepID)
 	if s == nil || r.Task.Index >= len(s.tasks) || s.job.state.IsFinal() {
 		return nil
 	}
 	t := &s.tasks[r.Task.Index]
-	if t.done || !t.isSupersededBy(r.Run) {
+	if t.done || !t.isSupersededBy(r.Run) && !s.isRunOfWaitingTask(r.Run) {
 		return nil
 	}
 	if t.attempt != nil {
@@ -124,6 +116,14 @@
 	return a
 }
 
+// isRunOfWaitingTask reports whether a run that a worker reports can serve as the run of its task, which
+// waits to be placed, although a later run of it was ordered before. The members of a gang must be of one
+// run.
+func (s *step) isRunOfWaitingTask(run order.Run) bool {
+	t := &s.tasks[run.Task.Index]
+	return t.attempt == nil && !s.spec.Gang && !slices.Contains(t.failedRuns, run.Number)
+}
+
 // findStep returns a step, or nil if it is unknown or its job is no longer run.
 func (h *holderState) findStep(id job.StepID) *step {
 	j := h.jobs[id.Job]
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -133,10 +133,11 @@
 const notDoneExclusion = 500 * time.Millisecond
 
 // canRetryStart reports whether the order to start an attempt may be sent again. A start
-// order also extends the worker's lease, so the holder must be allowed to renew leases.
+// order also extends the worker's lease, so the holder must be allowed to renew leases. It is not sent
+// while the task is known to run elsewhere.
 func (h *holderState) canRetryStart(now time.Time, a *attempt) bool {
 	return h.isEnabled(mechanism.RepeatedStarts) && a.state == attemptStarting && a.orderCount < maxStartTries &&
-		!a.task().done && !a.step.job.state.IsFinal() && h.mayRenew(now) && !h.isEvacuated(a.worker)
+		!a.task().done && !a.step.job.state.IsFinal() && h.mayRenew(now) && !h.isEvacuated(a.worker) && !h.runsAsOrphan(a)
 }
 
 // handleStartUnconfirmed handles a start that may or may not have been carried out. It sends
