dispatch: apply the runs in the first answer of a later incarnation

Cause: of the answer that shows a restart, only the ends were applied. What the later incarnation runs was known only from its next answer, and if that was late, the holder started the tasks elsewhere.

The runs are applied now. Absences are not: the later incarnation may still carry out orders under the earlier number, until it has answered under the higher one.

TestTaskIsNotStartedBesideRunInFirstAnswerOfLaterIncarnation failed before ("the task was started on v while it runs on w") and passes.

--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -76,7 +76,9 @@
 }
 
 // handleWorkerRestart handles an answer from a later incarnation than the known one: the known one
-// has ended, and the later one replaces it.
+// has ended, and the later one replaces it. The runs in the answer are running there, whatever the
+// holder expects. That others are not in it proves nothing, since the later incarnation may still carry
+// out orders under the earlier fence number.
 func (h *holderState) handleWorkerRestart(now time.Time, w *worker, e exchange.RenewEnded) {
 	o, listed := w.incarnations.Successor(w.Worker, e.Report.Incarnation)
 	n := newWorker(now, o)
@@ -93,6 +95,7 @@
 	n.fencePending = true
 	n.leaseExpiresBy = now.Add(maxOrderDelay + h.maxForeignLease())
 	h.applyEnds(now, n, e.Report.Ended)
+	h.applyRuns(now, n, e.Report.Running)
 	h.planDue = true
 	h.renew(now, n)
 }
--- a/services/dispatch/orphans_test.go
+++ b/services/dispatch/orphans_test.go
@@ -77,6 +77,20 @@
 	c.requireNoRunBeside()
 }
 
+// The first answer of the later incarnation reports the run. The next renewal is in transit when the task could be
+// started elsewhere.
+func TestTaskIsNotStartedBesideRunInFirstAnswerOfLaterIncarnation(t *testing.T) {
+	c := lostTaskOnLaterIncarnation(t, time.Second)
+	c.listLeaving("w")
+	c.runUntil(time.Second, "a renewal is in transit", func() bool { return len(c.held) > 0 })
+	c.holds = func(o *transitOrder) bool { return o.kind == renewalOrder && o.worker.Name == "w" }
+	for len(c.held) > 0 {
+		c.deliver(c.take(renewalOrder))
+	}
+	c.run(1500 * time.Millisecond)
+	c.requireNoRunBeside()
+}
+
 // The run is reported while the start of a later run elsewhere is unanswered.
 func TestUnansweredStartIsNotRepeatedBesideReportedRun(t *testing.T) {
 	c := lostTaskOnLaterIncarnation(t, 100*time.Millisecond)
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -16,13 +16,7 @@
 // applyReport updates the state of a worker and its attempts from the worker's report.
 func (h *holderState) applyReport(now time.Time, w *worker, e exchange.RenewEnded) {
 	h.applyEnds(now, w, e.Report.Ended)
-	clear(w.orphans)
-	listed := make(map[order.Run]bool, len(e.Report.Running))
-	for _, r := range e.Report.Running {
-		listed[r.Run] = true
-		h.applyRunning(now, w, r)
-	}
-	h.noteOrphans(w)
+	listed := h.applyRuns(now, w, e.Report.Running)
 	h.throttleFillers(now, w)
 	if !h.mayOmitEnds(e.Report) {
 		h.applyAbsences(now, w, listed, e.Renewal)
@@ -30,6 +24,18 @@
 	h.moveStalled(now, w)
 }
 
+// applyRuns applies the runs that a report lists as running, and returns them.
+func (h *holderState) applyRuns(now time.Time, w *worker, running []order.Running) map[order.Run]bool {
+	clear(w.orphans)
+	listed := make(map[order.Run]bool, len(running))
+	for _, r := range running {
+		listed[r.Run] = true
+		h.applyRunning(now, w, r)
+	}
+	h.noteOrphans(w)
+	return listed
+}
+
 // applyAbsences handles the attempts of a worker that its complete report does not list.
 func (h *holderState) applyAbsences(now time.Time, w *worker, listed map[order.Run]bool, renewal int64) {
 	for _, a := range w.sortedAttempts() {
