dispatch: test that no run starts beside one that a report lists (red until the fix)

What callers see: two runs of a task at the same time.

TestTaskIsNotStartedBesideLateRunThatLaterIncarnationReports: started although the holder knows of another run: [j.0.0.0 run 100002 on w@1000 beside v@2000]

A run has ended on the earlier incarnation; the later one carries out a late copy of its start and reports it. applyRunning keeps it as an unexpected run and orders a stop, which is late; the order is repeated with the next report only, a second later. When the task's next run ends meanwhile, the task is started again at once: only whether the worker has unexpected runs is asked, not of which tasks.

The start of the late copy itself is not judged here; no order had reached that incarnation.

--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -53,8 +53,11 @@
 	acknowledged map[job.TaskID]bool
 	reported     map[reportedEnd]bool
 	starts       []carriedOutStart
+	// lostEnds are the ends that were acknowledged without having been reported, doneStarts the starts of
+	// tasks whose success was acknowledged, besideStarts those of tasks that another run is active of.
 	lostEnds     []string
 	doneStarts   []string
+	besideStarts []string
 	events       []string
 	startedAt    time.Time
 	lastCall     exchange.CallID
@@ -399,6 +402,18 @@
 	return id
 }
 
+// workerOf returns a worker that runs a task, or nil.
+func (c *deliveryCell) workerOf(id job.TaskID) *deliveryWorker {
+	for _, w := range ordered.Map(c.workers) {
+		for run := range w.runs {
+			if run.Task == id {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
 // restart ends the incarnation of a worker and begins another one with a birth time. Renewals that wait
 // at the worker fail, because their connections are closed.
 func (c *deliveryCell) restart(name string, born int64) {
@@ -474,6 +489,9 @@
 		return order.Answer{Outcome: order.Refused, Reason: order.StaleRun, Clock: w.clock()}
 	}
 	w.c.trace("%v starts %v run %d under fence %d", w.incarnation, s.Task, s.Number, s.Fence)
+	if other := w.c.workerOf(s.Task); other != nil {
+		w.c.besideStarts = append(w.c.besideStarts, fmt.Sprintf("%v run %d on %v beside %v", s.Task, s.Number, w.incarnation, other.incarnation))
+	}
 	if w.c.acknowledged[w.c.unit(s.Task)] {
 		w.c.doneStarts = append(w.c.doneStarts, fmt.Sprintf("%v run %d on %v", s.Task, s.Number, w.incarnation))
 	}
--- a/services/dispatch/lateorders_test.go
+++ b/services/dispatch/lateorders_test.go
@@ -117,3 +117,33 @@
 	c.deliver(start)
 	assert.Equal(t, len(c.starts), 0, "the copy must be refused under the raised fence number")
 }
+
+// A copy of a start is carried out by the later incarnation although its run has ended on the earlier one. The holder
+// orders a stop, which is late; meanwhile the next run of the task ends elsewhere.
+func TestTaskIsNotStartedBesideLateRunThatLaterIncarnationReports(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	for _, w := range c.workers {
+		w.runTime = time.Minute
+	}
+	c.holds = holdFirst(startOrder)
+	c.submit("j")
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 1 })
+	start := c.take(startOrder)
+	first := c.workers[start.worker.Name]
+	first.endRun(start.run, order.Failed)
+	c.runUntil(2*time.Second, "the next run is started", func() bool { return len(c.starts) == 2 })
+	second := c.starts[1]
+	c.holds = holdKind(stopOrder)
+	assert.Check(t, second.worker.Name != start.worker.Name, "a failed task is started on another worker")
+	c.restart(start.worker.Name, 2000)
+	c.deliver(start)
+	// The later incarnation answers the renewal that waits at it, and the one after that.
+	c.run(2 * time.Second)
+	c.besideStarts = nil
+	c.workers[second.worker.Name].endRun(second.run, order.LeaseExpired)
+	c.run(time.Second)
+	if len(c.besideStarts) > 0 {
+		c.printEvents()
+	}
+	assert.Check(t, len(c.besideStarts) == 0, "started although the holder knows of another run: %v", c.besideStarts)
+}
