httpclient: retry a call before its time is over, however late earlier answers were

Callers saw: a submission is answered "unsure" after the connections to the log went silent, on an overloaded machine (TestCallsSucceedAfterPlatformConnectionsGoSilent/to_the_log).

Cause: the answer to a call may be late by twice the latest answer of the last 10 to 20 s before the call is retried. Nothing related that to the call's own time. After an answer that was late by more than half of the timeout, calls on silent connections were not retried at all: they timed out, and no connection was discarded. The log's timeout is 900 ms in the daemon, so an answer that took 450 ms was enough; with one of 225 ms the retry came after 450 ms, when the reducer answers its callers that the log has not confirmed the job.

Now the answer may be late by at most two fifths of the call's time. The retry then has more time than the first try, and comes before callers act on a missing answer after half of the time. A log that answers within 360 ms is not called twice. Calls to the advice service, which serves the calls of a box one at a time, are left as they were: their retries delay all calls after them.

--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -123,6 +123,9 @@
 // require. A suspension delays it.
 func Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
 
+// Until returns how long it is until a deadline in Go's own clock, such as the deadline of a context.
+func Until(deadline time.Time) time.Duration { return time.Until(deadline) }
+
 // Wait waits for d, or until ctx ends. A suspension lengthens the wait.
 func Wait(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/modules/httpclient/retryable.go
+++ b/modules/httpclient/retryable.go
@@ -6,19 +6,29 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
+	"saddlevane/modules/clock"
+
 	"github.com/sourcegraph/conc"
 )
 
+// maxLateShare is the share of a call's time, beyond the expected time, by which its answer may be late
+// before the call is retried, even if earlier answers were later. It is less than half, because callers
+// may act on a missing answer after half of that time.
+const maxLateShare = 0.4
+
 // retryableCall is a call that may be retried once. The first answer counts.
 type retryableCall struct {
 	t         *Transport
 	req       *http.Request
 	retry     Retry
 	startedAt time.Time
-	wg        conc.WaitGroup
+	// maxLateness limits how late the answer may be before the call is retried.
+	maxLateness time.Duration
+	wg          conc.WaitGroup
 	// finished receives the tries that have ended.
 	finished chan *try
 	first    *try
@@ -29,6 +39,7 @@
 // doRetryable makes a call and retries it when its answer is overdue.
 func (t *Transport) doRetryable(req *http.Request, r Retry) (*http.Response, error) {
 	c := &retryableCall{t: t, req: req, retry: r, startedAt: t.settings.Now(), finished: make(chan *try, 2)}
+	c.maxLateness = c.latenessLimit()
 	defer c.wg.Wait()
 	c.first = c.startTry(t.pooled, withoutTransportRetry(req))
 	timer := time.NewTimer(r.Expected + c.allowedLateness())
@@ -57,9 +68,21 @@
 	return once
 }
 
+// latenessLimit returns the limit of allowedLateness for a call that starts now. Without it, late answers
+// to earlier calls could delay the retry until the call times out. A serialized call has no limit: if the
+// service is only slow, a retry is served after the first try and delays all later calls.
+func (c *retryableCall) latenessLimit() time.Duration {
+	deadline, ok := c.req.Context().Deadline()
+	if !ok || c.retry.Serialized {
+		return math.MaxInt64
+	}
+	callTime := clock.Until(deadline) - c.retry.Expected
+	return max(c.t.settings.MinOverdue, time.Duration(maxLateShare*float64(callTime)))
+}
+
 // allowedLateness returns how late the answer may be.
 func (c *retryableCall) allowedLateness() time.Duration {
-	return c.t.lateness.allowed(c.t.settings.Now(), c.req.URL.Host)
+	return min(c.maxLateness, c.t.lateness.allowed(c.t.settings.Now(), c.req.URL.Host))
 }
 
 // startTry starts a try on a transport.
--- a/services/jobrun/silentservices_test.go
+++ b/services/jobrun/silentservices_test.go
@@ -68,15 +68,26 @@
 	t.Cleanup(on.Close)
 	assert.NilError(t, on.Configure(standin.Queue{Name: "q", Host: "h.example", Prefix: "/q/", Attempts: 2}))
 	links := newForwarder(t)
+	p := startBoxWithLog(t, platform.NewLog(via(t, links)(on.LogAddress()), newClient(t, "log")))
+	waitServed(t, p, jobrun.Request{Submit: submission("first")}, "")
+	checkSubmissionsAfterSilence(t, p, links)
+}
+
+// startBoxWithLog starts a box with a client of the platform's log.
+func startBoxWithLog(t *testing.T, log *platform.Log) *testBox {
+	t.Helper()
 	workers := platform.NewWorkers(newClient(t, "worker"))
-	log := platform.NewLog(via(t, links)(on.LogAddress()), newClient(t, "log"))
-	p := startBoxVia(t, jobrun.Platform{
+	return startBoxVia(t, jobrun.Platform{
 		Log:     jobrun.Log{Append: log.Append, Read: log.Read, Newest: log.Newest},
 		Workers: relay.WorkerCalls{Renew: workers.Renew, Start: workers.Start, Stop: workers.Stop, Throttle: workers.Throttle},
 		Config:  platform.Config, Listing: platform.Listing, Evacuations: platform.Evacuations,
 	}, "a", io.Discard, func(address string) string { return address })
-	waitServed(t, p, jobrun.Request{Submit: submission("first")}, "")
+}
 
+// checkSubmissionsAfterSilence fails the test unless each job is accepted that is submitted after the
+// connections to the log went silent.
+func checkSubmissionsAfterSilence(t *testing.T, p *testBox, links *tcpproxy.Proxy) {
+	t.Helper()
 	for round := range 3 {
 		assert.Check(t, links.Stall() > 0)
 		a := p.loop.Serve(context.Background(), jobrun.Request{Submit: submission(fmt.Sprint("silent", round))})
