httpclient: discard idle silent connections when a call times out without a retry

Callers would see: after slow answers of the advice service, each connection to it that has gone silent costs a call for advice its whole time, until the slow answers are 10 to 20 s old or the connections are.

A call for advice may be late by twice the latest recent answer, without a limit, since a service that takes the calls of a box one at a time would serve the retry after the first try. Such a call times out on a silent connection without a retry, and a call that may be retried but was not discarded nothing: only the other sort of call did.

Now it discards the connections that are silent and carry no call. Calls in progress are left alone, as they may be queued behind a slow one.

--- a/modules/httpclient/httpclient.go
+++ b/modules/httpclient/httpclient.go
@@ -12,6 +12,7 @@
 //     is overdue, and the first answer counts. Connections are discarded only if the answer arrives
 //     on the new one: if neither is answered, the service is slow or unresponsive, and calls in
 //     progress on other connections may still be answered.
+//     If such a call times out without a retry, the silent connections without a call are discarded.
 //
 // A call whose late answer still counts (see WithOverdueAfter) continues when it is overdue,
 // but the idle connections to the same address that are silent too are discarded.
--- a/modules/httpclient/retryable.go
+++ b/modules/httpclient/retryable.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"time"
 
 	"saddlevane/modules/clock"
+	"saddlevane/modules/conntrack"
 
 	"github.com/sourcegraph/conc"
 )
@@ -137,11 +139,23 @@
 	c.t.reportUnanswered(ended.attempt, ended.err)
 	if c.second == nil {
 		_, _, reused := ended.connection()
-		return !reused || c.req.Context().Err() != nil || !c.startSecond()
+		if reused && c.req.Context().Err() == nil && c.startSecond() {
+			return false
+		}
+		c.discardIdle(ended)
+		return true
 	}
 	return c.first.done && c.second.done
 }
 
+// discardIdle discards the silent connections without a call after a call that was not retried timed
+// out on a reused connection. Calls in progress on the others may still be answered.
+func (c *retryableCall) discardIdle(ended *try) {
+	if conn, sentAt, reused := ended.connection(); reused && errors.Is(ended.err, context.DeadlineExceeded) {
+		c.t.reportDiscarded(conn.DiscardOthers(c.t.settings.Now(), sentAt, conntrack.SilentAndIdle))
+	}
+}
+
 // finish ends the call with the result of a try and cancels the other try.
 func (c *retryableCall) finish(ended *try) (*http.Response, error) {
 	c.recordResult(ended)
