--- a/services/dispatch/orphans_test.go
+++ b/services/dispatch/orphans_test.go
@@ -37,7 +37,9 @@
 	c.run(time.Second)
 	c.restart("w", 2000)
 	c.listLeaving("w")
-	c.runUntil(2*time.Second, "the run counts as lost", func() bool { return c.hasEvent("has not started the run") })
+	c.runUntil(2*time.Second, "the later incarnation has reported that it does not have the run", func() bool {
+		return slices.ContainsFunc(c.sent, func(o *transitOrder) bool { return o.worker.BornUnixMilli == 2000 && o.maxWait > 0 })
+	})
 	c.holds = holdKind(renewalOrder)
 	c.restartSilently("w", 3000)
 	c.deliver(start)
