dispatch: keep the end of a task unacknowledged while a start of it may be in transit

What callers saw: a task that was done was started again (TWICE), by an incarnation of a worker that no order had reached. Such an incarnation has no fence number and accepts any start, so the higher numbers cannot prevent it.

An end counts as taken note of once it is acknowledged; one that is not acknowledged before its worker restarts is lost with it. So the end of a task, or of a member of its gang, is not acknowledged while an unanswered start of the task may still be carried out, whichever worker that was sent to (15 s after it went without an answer at most).

The ends are acknowledged all the same once half of a report is full. A new holder does not know the starts that went unanswered under an earlier one, so this does not hold over a takeover: TestCopyOfStartOfEarlierHolderIsNotCarriedOutAfterLaterHolderAcknowledgedEnd stays red. Keeping back all ends of tasks that were started in the last 15 s before a takeover was ruled out: while a worker lists an end its renewals do not wait, so each takeover would cost some ten renewals a second for each worker.

TestCopyOfStartOfDoneTaskIsNotCarriedOutByIncarnationWithoutOrders, TestCopyOfStartOfMemberIsNotCarriedOutAfterGangIsDone and TestStartOfLostRunIsNotCarriedOutBySecondLaterIncarnation failed before ("started after their success was acknowledged: [j.0.0.0 run 100000 on w@2000]") and pass.

--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -47,6 +47,7 @@
 	if end.Checkpoint != "" && s.spec.Checkpoints {
 		t.checkpoint = end.Checkpoint
 	}
+	s.holdAcknowledgements(w, end)
 	if end.Status == order.Done {
 		h.clearBlame(s, end.Task.Index)
 		s.recordRunTime(now, a)
@@ -66,6 +67,19 @@
 	h.markDirty(s.job)
 }
 
+// holdAcknowledgements keeps the ends of a worker unacknowledged while a start of a task that has ended
+// there by itself, or of another member of its gang, may be in transit. The task must not run again.
+func (s *step) holdAcknowledgements(w *worker, end order.End) {
+	if s.spec.Service || end.Status != order.Done && end.Status != order.Failed {
+		return
+	}
+	for i := range s.tasks {
+		if i == end.Task.Index || s.spec.Gang {
+			w.hold.Extend(s.tasks[i].startsInTransit.Until())
+		}
+	}
+}
+
 // logRunEnd logs the end of a run that was not successful. Successes are logged per step.
 func (h *holderState) logRunEnd(s *step, w *worker, end order.End) {
 	if end.Status == order.Done {
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -9,6 +9,7 @@
 	"saddlevane/models/exchange"
 	"saddlevane/models/order"
 	"saddlevane/services/timeouts"
+	"saddlevane/services/transit"
 )
 
 // A worker that restarts keeps its name, and the runs of its earlier incarnation are gone. The
@@ -27,10 +28,6 @@
 // acknowledgement of ends before the next start. It is also raised as soon as a later incarnation may
 // exist.
 
-// maxOrderDelay is the longest time after sending at which a worker may still carry out an order;
-// the users' protocol says "seconds".
-const maxOrderDelay = 15 * time.Second
-
 // currentWorker returns the worker with the name in id if id is, as far as the holder can determine,
 // its current incarnation, else nil.
 func (h *holderState) currentWorker(id order.Incarnation) *worker {
@@ -65,6 +62,13 @@
 	return h.fence(w)
 }
 
+// recordStartInTransit records that an order to start a run got no answer.
+func (h *holderState) recordStartInTransit(now time.Time, run order.Run) {
+	if s := h.findStep(run.Task.StepID); s != nil && run.Task.Index < len(s.tasks) {
+		s.tasks[run.Task.Index].startsInTransit.RecordUnanswered(now)
+	}
+}
+
 // raiseFenceAfterStart raises the fence number after a start order without an answer, which a later
 // incarnation may still carry out after the task is done.
 func (h *holderState) raiseFenceAfterStart(w *worker, run order.Run) {
@@ -93,7 +97,7 @@
 	h.retire(w)
 	h.loseAttempts(now, w, n, ending, reasonRestarted)
 	n.fencePending = true
-	n.leaseExpiresBy = now.Add(maxOrderDelay + h.maxForeignLease())
+	n.leaseExpiresBy = now.Add(transit.MaxDelay + h.maxForeignLease())
 	h.applyEnds(now, n, e.Report.Ended)
 	h.applyRuns(now, n, e.Report.Running)
 	h.planDue = true
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -14,6 +14,7 @@
 	"saddlevane/services/endreports"
 	"saddlevane/services/jobrecords"
 	"saddlevane/services/startlimit"
+	"saddlevane/services/transit"
 )
 
 // trackedJob is one submitted job with its progress.
@@ -131,6 +132,8 @@
 // task is one task of a step.
 type task struct {
 	done bool
+	// startsInTransit are the starts of the task that got no answer.
+	startsInTransit transit.Starts
 	// failedRuns has the numbers of the runs that failed.
 	failedRuns []int64
 	// checkpoint is the newest checkpoint, or empty.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -14,6 +14,7 @@
 	"saddlevane/modules/ordered"
 	"saddlevane/services/endreports"
 	"saddlevane/services/timeouts"
+	"saddlevane/services/transit"
 )
 
 // maxLeaseDuration returns how long a lease can last on the holder's clock, if the worker's clock is
@@ -87,8 +88,9 @@
 // which have the same numbers. That cannot happen if the worker answered the last renewal, no other
 // incarnation is listed, all starts are answered, and no task started on the worker that may have
 // ended by now can still be started by a later incarnation: that one, if it exists, then has no ends.
+// While a start of an ended task is in transit, see package transit, no ends are acknowledged either.
 func (h *holderState) canAcknowledgeEnds(now time.Time, w *worker) bool {
-	if w.failedRenewals > 0 || w.incarnations.HasCandidate() {
+	if w.failedRenewals > 0 || w.incarnations.HasCandidate() || w.hold.Applies(now, w.reportedEnds.Unacknowledged(), h.core.settings.MaxListedEnds) {
 		return false
 	}
 	for _, a := range w.attempts {
@@ -103,7 +105,7 @@
 // moment at which a copy of the attempt's start order could be carried out.
 func (h *holderState) areOrdersOver(a *attempt) bool {
 	lastOrderedBy := ordered.Later(a.lastOrderedAt, h.startedAt)
-	return a.worker.answeredAt.Sub(lastOrderedBy) > maxOrderDelay
+	return a.worker.answeredAt.Sub(lastOrderedBy) > transit.MaxDelay
 }
 
 // mayRenew reports whether leases may be extended. The next holder relies on this holder not
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -88,6 +88,7 @@
 	}
 	if e.Answer.Outcome == order.Unknown {
 		h.raiseFenceAfterStart(w, e.Run)
+		h.recordStartInTransit(now, e.Run)
 	} else {
 		w.unansweredSince = time.Time{}
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -17,6 +17,7 @@
 	"saddlevane/services/estimates"
 	"saddlevane/services/jobrecords"
 	"saddlevane/services/presence"
+	"saddlevane/services/transit"
 )
 
 // worker is the holder's state of one incarnation of a worker. A worker that restarts keeps its
@@ -86,6 +87,8 @@
 	unansweredSince time.Time
 	// reportedEnds tracks the ends of runs that the worker has reported.
 	reportedEnds endreports.Tracker[*worker]
+	// hold is how long these ends stay unacknowledged.
+	hold transit.Hold
 
 	// heldInPass is the capacity that the current planning pass keeps for higher-ranking steps.
 	// heldFor is the last of these steps and prevHeldFor that of the previous pass: other steps use
