dispatch: judge a refused stop by the fence number of that stop

What callers saw: the holder stepped down although there was no later one, and the cell was taken over anew.

Order of events: a stop is in transit; the holder raises the worker's fence number (an entry of another incarnation, a start or a renewal without an answer) and the worker receives the higher number; the stop is repeated under it after stopRetryDelay while the first call still runs; the worker refuses the first one. The attempt held the number of the last stop only, which is the present one, so the refusal counted as one because of a later holder.

Ruled out for starts and renewals: the next start of an attempt is sent only after the end of the call before, and the end of a renewal that is not the pending one is handled apart.

StopEnded now has the fence number of its order. The attempt no longer keeps one, and the stop of a run that is no attempt is judged as well (0 counted as the number before).

--- a/cmd/saddlevane-bench/simworker.go
+++ b/cmd/saddlevane-bench/simworker.go
@@ -136,7 +136,7 @@
 // stopRun stops a run after a random time below maxStopTime.
 func (w *simWorker) stopRun(e exchange.StopRun) {
 	w.cell.deliverAfter(orderLatency, exchange.StopEnded{
-		Worker: w.Incarnation, Epoch: e.Epoch, Run: e.Order.Run, Answer: order.Answer{Outcome: order.CarriedOut},
+		Worker: w.Incarnation, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: order.Answer{Outcome: order.CarriedOut},
 	})
 	run := w.runs[e.Order.Run]
 	if run == nil {
--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -135,6 +135,8 @@
 	Worker order.Incarnation
 	Epoch  int64
 	Run    order.Run
+	// Fence is the fence number of the order. A repeated one may have a higher number.
+	Fence  int64
 	Answer order.Answer
 }
 
--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -15,6 +15,7 @@
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -108,9 +109,15 @@
 
 // newDeliveryCell returns a cell with a holder and listed workers, each in its incarnation 1000.
 func newDeliveryCell(t *testing.T, workers ...string) *deliveryCell {
+	t.Helper()
+	return newDeliveryCellWith(t, settings(), workers...)
+}
+
+// newDeliveryCellWith returns a cell like newDeliveryCell whose first holder has the settings s.
+func newDeliveryCellWith(t *testing.T, s dispatch.Settings, workers ...string) *deliveryCell {
 	t.Helper()
 	c := &deliveryCell{
-		harness: newHarness(t), holders: 1, workers: map[string]*deliveryWorker{}, holds: func(*transitOrder) bool { return false },
+		harness: newHarnessWith(t, s), holders: 1, workers: map[string]*deliveryWorker{}, holds: func(*transitOrder) bool { return false },
 		submitted: map[job.ID]job.Submission{}, acknowledged: map[job.TaskID]bool{}, reported: map[reportedEnd]bool{},
 	}
 	c.startedAt = c.now
@@ -289,7 +296,7 @@
 	return &transitOrder{
 		kind: stopOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
 		respond: func(a order.Answer, _ order.Report) {
-			c.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+			c.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: a})
 		},
 		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
 			answer(w.stop(e.Order), order.Report{})
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -242,7 +242,7 @@
 
 // handleSuperseded handles an answer saying that the addressed incarnation has ended, or that the
 // worker has seen a later holder, which ends this holder's authority. It returns false for any
-// other answer. fence is the fence number of the order, or 0 if it is not known any more.
+// other answer. fence is the fence number of the order.
 func (h *holderState) handleSuperseded(now time.Time, w *worker, a order.Answer, fence int64) bool {
 	switch {
 	case a.Outcome == order.WrongIncarnation:
--- a/services/dispatch/stops.go
+++ b/services/dispatch/stops.go
@@ -27,13 +27,9 @@
 
 // sendStop sends a worker the order to stop a run.
 func (h *holderState) sendStop(now time.Time, w *worker, run order.Run) {
-	fence := h.fence(w)
-	if a := w.attempts[run]; a != nil {
-		a.stopFence = fence
-	}
 	h.core.emit(exchange.StopRun{
 		Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch,
-		Order: order.Stop{Run: run, Fence: fence}, Timeout: h.orderTimeout(now),
+		Order: order.Stop{Run: run, Fence: h.fence(w)}, Timeout: h.orderTimeout(now),
 	})
 }
 
@@ -68,11 +64,7 @@
 		return
 	}
 	a := w.attempts[e.Run]
-	sentFence := int64(0)
-	if a != nil {
-		sentFence = a.stopFence
-	}
-	if h.handleSuperseded(now, w, e.Answer, sentFence) || a == nil || a.state != attemptStopping || a.stopConfirmed {
+	if h.handleSuperseded(now, w, e.Answer, e.Fence) || a == nil || a.state != attemptStopping || a.stopConfirmed {
 		return
 	}
 	switch {
--- a/services/dispatch/worldworker_test.go
+++ b/services/dispatch/worldworker_test.go
@@ -258,7 +258,7 @@
 // stopRun sends a stop order to a worker.
 func (w *world) stopRun(_ *fakeBox, e exchange.StopRun, respond func(time.Duration, exchange.Event)) {
 	w.sendOrder(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
-		respond(d, exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		respond(d, exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: a})
 	}, true, func(f *fakeWorker) order.Answer { return f.stop(e.Order) })
 }
 
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -151,5 +151,5 @@
 	defer cancel()
 	answer := l.workers.Stop(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.recordOrder("stop", answer)
-	l.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+	l.post(exchange.StopEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: answer})
 }
