dispatch: order the pace of a filler under a higher fence number after an order without an answer

What callers saw: a filler stayed at 20% although the serving tasks beside it were far below their target latency (and, in the other direction, a filler can return to full speed beside serving tasks that are over their target).

Order of events: an order of 20% is unanswered and stays in transit; it is repeated and carried out; later 100% is ordered and carried out; then the worker carries out the first order, which has the same fence number. The holder takes the pace for 100% and orders nothing more. No restart is needed.

Cause: starts and renewals without an answer raise the number, pace orders did not. An attempt also kept its former pace after an unanswered order, so no order followed if the wanted pace went back to it.

An unanswered pace order now raises the number above its own, as a start does, and makes the pace of the attempt unknown, so that the wanted one is ordered again until an order is answered. ThrottleEnded has the number of its order, so that orders lost together raise it once.

--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -147,7 +147,9 @@
 	Run    order.Run
 	// Percent is the speed that was ordered, in percent of the full speed.
 	Percent int
-	Answer  order.Answer
+	// Fence is the fence number of the order.
+	Fence  int64
+	Answer order.Answer
 }
 
 // Advised is the result of an Advise. Tickets holds a ticket for each worker that may run the step.
--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -309,7 +309,7 @@
 	return &transitOrder{
 		kind: throttleOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
 		respond: func(a order.Answer, _ order.Report) {
-			c.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: a})
+			c.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Fence: e.Order.Fence, Answer: a})
 		},
 		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
 			answer(w.throttle(e.Order), order.Report{})
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -19,8 +19,8 @@
 const (
 	// fullPace is the pace at which a run starts, in percent of full speed.
 	fullPace = throttling.Full
-	// unknownPace is the pace of a run that an earlier holder started, or that a later incarnation may
-	// have started, which may also have carried out an earlier order of another pace.
+	// unknownPace is the pace of a run that an earlier holder started, that a later incarnation may have
+	// started, or whose last pace order is unanswered: an earlier order of another pace may apply to it.
 	unknownPace = -1
 	// throttleSettleTime is the time after which a change of pace shows in the reported tail
 	// latencies: they cover the last half second, and a change takes 100 ms to take effect (the
@@ -83,18 +83,25 @@
 }
 
 // handleThrottleEnded handles the answer to a pace order. An order that may not have been carried
-// out is repeated after the next renewal.
+// out is repeated after the next renewal. It may still be carried out later, so later orders get a
+// higher fence number, under which the worker refuses it.
 func (h *holderState) handleThrottleEnded(e exchange.ThrottleEnded) {
 	w := h.currentWorker(e.Worker)
 	if w == nil || e.Epoch != h.epoch {
 		return
 	}
+	if e.Answer.Outcome == order.Unknown {
+		w.incarnations.RaiseFence(e.Fence)
+	}
 	a := w.attempts[e.Run]
 	if a == nil {
 		return
 	}
 	a.paceOrdered = false
-	if e.Answer.Outcome == order.CarriedOut {
+	switch e.Answer.Outcome {
+	case order.CarriedOut:
 		a.pace = e.Percent
+	case order.Unknown:
+		a.pace = unknownPace
 	}
 }
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -60,7 +60,7 @@
 		if w.dropOrders {
 			fate = order.Unknown
 		}
-		w.handle(exchange.ThrottleEnded{Worker: order.Incarnation{Name: "w"}, Epoch: 1, Run: w.filler, Percent: e.Order.Percent, Answer: order.Answer{Outcome: fate}})
+		w.handle(exchange.ThrottleEnded{Worker: order.Incarnation{Name: "w"}, Epoch: 1, Run: w.filler, Percent: e.Order.Percent, Fence: e.Order.Fence, Answer: order.Answer{Outcome: fate}})
 	}
 	return paces
 }
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	answer := l.workers.Throttle(ctx, e.Address, e.Worker, e.Order)
 	l.metrics.recordOrder("throttle", answer)
-	l.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Answer: answer})
+	l.post(exchange.ThrottleEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Percent: e.Order.Percent, Fence: e.Order.Fence, Answer: answer})
 }
 
 // stopRun orders a worker to stop a run.
