blame: count every crash under a run of a gang, as alternatives

Cause: only the first crash under a run of a gang was counted. In the trace the third run is ordered at 8.36 s; the worker of the other member (w05) crashes by itself within 70 ms, and the worker of the faulty member (w10) at 8.96 s, after 0.6 s as in both runs before. The holder had both: the first dated to within 98 ms, the second detected 67 ms after it. It counted the first (odds 1.77 to 1.14) and dropped the second. After five crashes the odds were 421.

Ruled out: a late detection (67 ms for the dropped crash); a crash that no holder saw (the holder is not lost in this world); a limit of the likelihoods (with the dropped crash counted the job is given up before the sixth start).

Now: the crashes under one run are alternatives, as the gang has caused at most one of them. Their likelihood ratios are summed, not multiplied: a rack that takes several members with it still counts as one crash of one run. The number of crashes stays one a run. The task counts with its earlier runs only when the blame for the second crash is shared out, and the second crash stays in the background rate. A job found guilty stays blocked until the newest assessment is due. The log's record has one more field; no append is added but for the job's progress after the second crash.

--- a/models/job/blame.go
+++ b/models/job/blame.go
@@ -12,7 +12,8 @@
 // Blame is the evidence that a task crashes the workers it runs on. It is written to the log, so
 // that the next holder of the cell has it too.
 type Blame struct {
-	// Crashes counts the workers that crashed while they ran the task.
+	// Crashes counts the workers that crashed while they ran the task. Several workers of a gang
+	// that crash during one run count once.
 	Crashes int `json:"n"`
 	// Alone counts those crashes where no other task had started on the worker shortly before.
 	Alone int `json:"a,omitempty"`
@@ -59,6 +60,9 @@
 	// Workers is the number of workers that the task ran on, more than one for a gang. 0 counts
 	// as 1.
 	Workers int `json:"n,omitempty"`
+	// SameRun is set if the crash came under the same run as the crash before it in the list:
+	// another worker of a gang crashed. The task caused at most one crash of a run.
+	SameRun bool `json:"r,omitempty"`
 	// OtherTasksHazard is the rate of crashes per second caused by the other tasks on the worker,
 	// BackgroundHazard the rate of crashes that no task causes.
 	OtherTasksHazard float64 `json:"o"`
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -143,13 +143,29 @@
 	// gang crashes the worker of its guilty member, and each of the workers may crash by itself. 0
 	// counts as 1.
 	Workers int
+	// SameRun is set if the newest crash in Prior came under the same run of a gang.
+	SameRun bool
 }
 
 // crash returns the crash as it is stored in the blame of the suspect, without hazards.
 func (s Suspect) crash() job.Crash {
-	return job.Crash{
+	c := job.Crash{
 		Worked: job.Milliseconds(s.Worked.Milliseconds()), Bound: s.TimeBound, DetectionDelay: job.Milliseconds(min(s.Worked, s.DetectionDelay).Milliseconds()), Workers: s.Workers,
 	}
+	if before := s.Prior.RecentCrashes; s.SameRun && len(before) > 0 {
+		// The members on the workers that crashed first are no longer counted in s.Workers.
+		c.SameRun, c.Workers = true, max(c.Workers, before[len(before)-1].Workers)
+	}
+	return c
+}
+
+// earlierCrashes returns the crashes under earlier runs of the task than the one that has crashed
+// its worker now.
+func (s Suspect) earlierCrashes() []job.Crash {
+	if s.SameRun {
+		return withoutLastRun(s.Prior.RecentCrashes)
+	}
+	return s.Prior.RecentCrashes
 }
 
 // Assess returns the blame of each task that was on a crashed worker, in the order of suspects.
@@ -158,8 +174,9 @@
 	caused := make([]float64, len(suspects))
 	all := 0.0
 	for i, s := range suspects {
-		odds := oddsOf(s.Prior.RecentCrashes, 0)
-		caused[i] = odds / (1 + odds) * nextCrashHazard(s.Prior.RecentCrashes, s.crash())
+		earlier := s.earlierCrashes()
+		odds := oddsOf(earlier, 0)
+		caused[i] = odds / (1 + odds) * nextCrashHazard(earlier, s.crash())
 		all += caused[i]
 	}
 	assessed := make([]job.Blame, len(suspects))
@@ -174,9 +191,11 @@
 // afterCrash returns the blame of the task after one more crash.
 func (s Suspect) afterCrash(c job.Crash) job.Blame {
 	b := s.Prior
-	b.Crashes++
-	if s.Alone {
-		b.Alone++
+	if !c.SameRun {
+		b.Crashes++
+		if s.Alone {
+			b.Alone++
+		}
 	}
 	if s.TimeBound == job.Exact {
 		if b.MaxWorkTime == 0 || c.Worked < b.MinWorkTime {
@@ -201,10 +220,14 @@
 }
 
 // UnexplainedProbability returns an upper bound of the probability that none of the assessed tasks
-// caused the crash.
+// caused the crash. A gang under whose run another worker has crashed before does not count: it
+// caused at most one of the two crashes.
 func UnexplainedProbability(assessed []job.Blame) float64 {
 	most := 0.0
 	for _, b := range assessed {
+		if n := len(b.RecentCrashes); n > 0 && b.RecentCrashes[n-1].SameRun {
+			continue
+		}
 		most = max(most, Probability(b))
 	}
 	return 1 - most
--- a/services/blame/odds.go
+++ b/services/blame/odds.go
@@ -118,23 +118,63 @@
 	for i, p := range points {
 		post.atPoint[i] = priorOdds * samePointShare * p.prior
 	}
-	for _, c := range crashes {
-		background := c.OtherTasksHazard + max(c.BackgroundHazard, rate)
-		post.anyTime *= 1 + perWorker(c, uninformedHazard(c.Worked.Duration()))/background
+	for len(crashes) > 0 {
+		n := firstRunLength(crashes)
+		run := crashes[:n]
+		crashes = crashes[n:]
+		ratio := 1.0
+		for _, c := range run {
+			ratio += perWorker(c, uninformedHazard(c.Worked.Duration())) / otherCausesHazard(c, rate)
+		}
+		post.anyTime *= ratio
 		for i, p := range points {
-			post.atPoint[i] *= likelihoodRatio(c, p, background)
+			post.atPoint[i] *= likelihoodRatio(run, p, rate)
 		}
 	}
 	return post
 }
 
-// likelihoodRatio returns how much likelier a crash is if the task crashes its workers at point p
-// than if it does not. background is the hazard, per second, of a crash by any other cause.
-func likelihoodRatio(c job.Crash, p point, background float64) float64 {
-	if c.Bound == job.Exact && c.Worked.Duration()-c.DetectionDelay.Duration() > p.at+p.aroundSpan() {
+// firstRunLength returns how many of the crashes, of which there is at least one, came under the
+// same run as the first.
+func firstRunLength(crashes []job.Crash) int {
+	n := 1
+	for n < len(crashes) && crashes[n].SameRun {
+		n++
+	}
+	return n
+}
+
+// withoutLastRun returns the crashes without those under the last run.
+func withoutLastRun(crashes []job.Crash) []job.Crash {
+	n := len(crashes)
+	for n > 0 && crashes[n-1].SameRun {
+		n--
+	}
+	return crashes[:max(0, n-1)]
+}
+
+// otherCausesHazard returns the hazard, per second, of a crash by any cause other than the task.
+// rate is as for posteriorOf.
+func otherCausesHazard(c job.Crash, rate float64) float64 {
+	return c.OtherTasksHazard + max(c.BackgroundHazard, rate)
+}
+
+// likelihoodRatio returns how much likelier the crashes under one run are if the task crashes its
+// workers at point p than if it does not. A gang can have several crashes under one run, at most
+// one of which it has caused, so that their ratios are summed. rate is as for posteriorOf.
+func likelihoodRatio(run []job.Crash, p point, rate float64) float64 {
+	ratio, passed := 1.0, true
+	for _, c := range run {
+		if c.Bound == job.Exact && c.Worked.Duration()-c.DetectionDelay.Duration() > p.at+p.aroundSpan() {
+			continue
+		}
+		passed = false
+		ratio += perWorker(c, hazardAt(c, p)) / otherCausesHazard(c, rate)
+	}
+	if passed {
 		return passedLikelihood
 	}
-	return 1 + perWorker(c, hazardAt(c, p))/background
+	return ratio
 }
 
 // odds returns the odds that the task is guilty, at most maxOdds.
--- a/services/blame/tracker.go
+++ b/services/blame/tracker.go
@@ -42,6 +42,9 @@
 	// run is the run under which a worker crashed last. The task may not be started before retryAt.
 	run     int64
 	retryAt time.Time
+	// assessment is the assessment of the newest crash. It is nil if an earlier holder recorded
+	// that crash.
+	assessment *assessment
 	// giveUpPending is set while the task is in Tracker.pendingGiveUps.
 	giveUpPending bool
 }
@@ -158,7 +161,7 @@
 	Task job.TaskID
 	Run  int64
 	// Gang is set if the task stands for a gang. The run of a gang ends with the first crash, so
-	// further crashes under the same run have the same cause and do not count.
+	// the gang caused at most one of the crashes under the same run.
 	Gang bool
 	// Worked, TimeBound, DetectionDelay, Alone and Workers are as in Suspect.
 	Worked         time.Duration
@@ -168,6 +171,12 @@
 	Workers        int
 }
 
+// isSameRun reports whether the newest recorded crash under a task came under its present run.
+func (tr *Tracker) isSameRun(t RunningTask) bool {
+	known := tr.tasks[t.Task]
+	return t.Gang && t.Run != 0 && known != nil && known.run == t.Run
+}
+
 // Crash is the crash of a worker as the holder has detected it.
 type Crash struct {
 	Incarnation order.Incarnation
@@ -220,7 +229,10 @@
 	a := &assessment{crash: c}
 	a.crash.Tasks = tr.tasksOn(c)
 	for _, t := range a.crash.Tasks {
-		a.suspects = append(a.suspects, Suspect{Prior: tr.Blame(t.Task), Worked: t.Worked, TimeBound: t.TimeBound, DetectionDelay: t.DetectionDelay, Alone: t.Alone, Workers: t.Workers})
+		a.suspects = append(a.suspects, Suspect{
+			Prior: tr.Blame(t.Task), Worked: t.Worked, TimeBound: t.TimeBound, DetectionDelay: t.DetectionDelay, Alone: t.Alone, Workers: t.Workers,
+			SameRun: tr.isSameRun(t),
+		})
 	}
 	background := a.backgroundHazard(&tr.Background)
 	assessed := Assess(a.suspects, background)
@@ -243,9 +255,9 @@
 	b = tr.attributeCrashes(Reassess(b, tr.Background.rate()))
 	t := a.crash.Tasks[index]
 	r := tr.setBlame(t.Task, b)
-	r.run, r.retryAt = t.Run, now.Add(RetryDelay(b))
-	if IsGuilty(b) {
-		r.giveUpPending = true
+	r.run, r.retryAt, r.assessment = t.Run, now.Add(RetryDelay(b)), a
+	r.giveUpPending = IsGuilty(b)
+	if r.giveUpPending {
 		tr.pendingGiveUps = append(tr.pendingGiveUps, pendingGiveUp{task: t.Task, assessment: a, index: index, due: now.Add(giveUpDelay)})
 	}
 	return b
@@ -264,6 +276,10 @@
 	}
 	b.RecentCrashes = slices.Clone(b.RecentCrashes)
 	for i := range b.RecentCrashes {
+		if b.RecentCrashes[i].SameRun {
+			// The task caused at most one crash of a run, so the others had other causes.
+			continue
+		}
 		tr.Background.RemoveCrashes(b.RecentCrashes[i].BackgroundWeight)
 		b.RecentCrashes[i].BackgroundWeight = 0
 	}
@@ -275,9 +291,6 @@
 func (tr *Tracker) tasksOn(c Crash) []RunningTask {
 	var all []RunningTask
 	add := func(next RunningTask) {
-		if known := tr.tasks[next.Task]; next.Gang && next.Run != 0 && known != nil && known.run == next.Run {
-			return
-		}
 		if i := slices.IndexFunc(all, func(o RunningTask) bool { return o.Task == next.Task }); i >= 0 {
 			all[i].merge(next)
 			return
@@ -350,12 +363,13 @@
 		if r == nil {
 			continue
 		}
+		if r.assessment != a.assessment {
+			// A later crash was assessed meanwhile.
+			continue
+		}
 		r.giveUpPending = false
 		if a.assessment != nil {
 			b := a.assessment.reassess(&tr.Background)[a.index]
-			if r.blame.Crashes != b.Crashes {
-				continue
-			}
 			for i := range b.RecentCrashes {
 				b.RecentCrashes[i].BackgroundWeight = r.blame.RecentCrashes[i].BackgroundWeight
 			}
--- a/services/dispatch/crashscenarios_test.go
+++ b/services/dispatch/crashscenarios_test.go
@@ -222,3 +222,41 @@
 		}
 	}
 }
+
+// TestSecondCrashUnderGangRunIsCounted guards against ignoring the crash of a second worker of a
+// gang under the same run, which the gang may have caused rather than the first.
+func TestSecondCrashUnderGangRunIsCounted(t *testing.T) {
+	var workers []order.Worker
+	for _, name := range []string{"w0", "w1"} {
+		workers = append(workers, order.Worker{Incarnation: order.Incarnation{Name: name}, Address: name, Pool: pool, Capacity: workerCapacity})
+	}
+	d, renewals := newHolder(t, workers...)
+	s := oneStep("guilty", "quick", 2, true)
+	s.Steps[0].Need = resource.Vector{Processors: 40 * resource.Processor, Memory: resource.GiB}
+	starts := effectsOf[exchange.StartRun](d.submitAndLog(s))
+	assert.Equal(t, len(starts), 2)
+	startedAt := d.now
+	waiting := map[string]exchange.Renew{}
+	for _, start := range starts {
+		d.handle(exchange.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: order.Answer{Outcome: order.CarriedOut}})
+		for _, r := range effectsOf[exchange.Renew](d.handle(renewAnswer(renewals[start.Worker.Name], start.Order.Run))) {
+			waiting[r.Worker.Name] = r
+		}
+	}
+	assert.Equal(t, len(waiting), 2)
+	var effects []exchange.Effect
+	crash := func(worker string, after time.Duration) {
+		d.now = startedAt.Add(after)
+		broken := order.Answer{Outcome: order.Unknown, Reason: order.ConnectionClosed, Problem: "EOF"}
+		next := effectsOf[exchange.Renew](d.handle(exchange.RenewEnded{Worker: order.Incarnation{Name: worker}, Epoch: 1, Renewal: waiting[worker].Renewal, Answer: broken}))
+		assert.Equal(t, len(next), 1)
+		waiting[worker] = next[0]
+	}
+	crash(starts[1].Worker.Name, 70*time.Millisecond)
+	crash(starts[0].Worker.Name, 600*time.Millisecond)
+	for _, start := range []exchange.StartRun{starts[1], starts[0]} {
+		d.now = d.now.Add(700 * time.Millisecond)
+		effects = append(effects, d.handle(exchange.RenewEnded{Worker: start.Worker, Epoch: 1, Renewal: waiting[start.Worker.Name].Renewal, Answer: order.Answer{Outcome: order.WrongIncarnation}})...)
+	}
+	assert.DeepEqual(t, logFieldValues(effects, "worker crashed while running a task", "crashes"), []any{1, 1})
+}
