blame: a crash that another task explains is no sign of a common cause

Cause: its second crash came within 0.11 s of the loss of two other workers (w23, w01), which raised the hazard of a common cause, so that it was judged as where a worker crashes every 8.2 s. One of the two, w01, was crashed by another task, for which the odds were 3,360 at 17.8 s, before the fourth crash of the first (20.4 s, odds 7,720). The hazard recorded with the second crash was never computed again: reassessment only raises it. The fifth crash, 0.16 s after the start, was not its own (odds 7,510, 10,000 are asked for).

Ruled out: a lost holder (none in this class). By the likelihoods alone, without other tasks, the second crash without the common cause is worth four times the odds.

Now: once a crash is attributed to a task (probability 0.9, as for the crash rate), the worker counts for the common causes of others with the probability that is left, and the crashes under other tasks within 1.5 s of it, at most 30 s ago, are computed again. Only the part of the hazard that is due to common causes falls, and only where a crash has an explanation: where nothing is attributed, nothing changes. A job whose odds rise above the bound so is given up after the usual delay. This is knowledge of one holder: no field and no append are added; the next holder has the odds of the job's last record.

--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -118,7 +118,7 @@
 	for _, n := range workers {
 		b.total += n
 	}
-	for len(b.unresponsiveWorkers) > 0 && now.Sub(b.unresponsiveWorkers[0].at) > 2*commonCauseWindow {
+	for len(b.unresponsiveWorkers) > 0 && now.Sub(b.unresponsiveWorkers[0].at) > explanationTime+2*commonCauseWindow {
 		b.unresponsiveWorkers = b.unresponsiveWorkers[1:]
 	}
 }
@@ -178,6 +178,18 @@
 	b.unresponsiveWorkers = append(b.unresponsiveWorkers, unresponsiveWorker{at: now, incarnation: incarnation, rack: rack, weight: 1 - risk})
 }
 
+// RecordExplained records the probability that a task caused the crash of a worker. It reports
+// whether that lowers the probability that the crash has a common cause with others.
+func (b *Background) RecordExplained(incarnation order.Incarnation, probability float64) bool {
+	lowered := false
+	for i := range b.unresponsiveWorkers {
+		if s := &b.unresponsiveWorkers[i]; s.incarnation == incarnation && 1-probability < s.weight {
+			s.weight, lowered = 1-probability, true
+		}
+	}
+	return lowered
+}
+
 // RecordResponsive records that a worker has answered again, so it had not crashed.
 func (b *Background) RecordResponsive(incarnation order.Incarnation) {
 	b.unresponsiveWorkers = slices.DeleteFunc(b.unresponsiveWorkers, func(s unresponsiveWorker) bool { return s.incarnation == incarnation })
@@ -208,6 +220,12 @@
 	return alone / (alone + simultaneous)
 }
 
+// commonHazard returns the part of the hazard of a crash that is due to common causes.
+func (b *Background) commonHazard(c Crash) float64 {
+	_, simultaneous, nearby := b.hazards(c.At, c.Incarnation, c.Rack)
+	return simultaneous + nearby
+}
+
 // hazards returns the hazards, per second, of a crash of a worker: by itself (alone), by a common
 // cause with crashes that are detected at once (simultaneous), and by a common cause with crashes
 // that are detected at about the same time (nearby).
--- a/services/blame/odds.go
+++ b/services/blame/odds.go
@@ -196,6 +196,22 @@
 	return perWorker(c, sum/all)
 }
 
+// causedShare returns the probability that the task caused the crash at index i, if it is one that
+// crashes its workers.
+func causedShare(crashes []job.Crash, i int) float64 {
+	first := i
+	for first > 0 && crashes[first].SameRun {
+		first--
+	}
+	post := posteriorOf(crashes, 0)
+	ratio := func(c job.Crash) float64 { return post.hazard(c) / otherCausesHazard(c, 0) }
+	all := 1.0
+	for _, c := range crashes[first : first+firstRunLength(crashes[first:])] {
+		all += ratio(c)
+	}
+	return ratio(crashes[i]) / all
+}
+
 // perWorker returns the share of a task's hazard for each of its workers.
 func perWorker(c job.Crash, hazard float64) float64 { return hazard / float64(max(1, c.Workers)) }
 
--- a/services/blame/tracker.go
+++ b/services/blame/tracker.go
@@ -42,13 +42,21 @@
 	// run is the run under which a worker crashed last. The task may not be started before retryAt.
 	run     int64
 	retryAt time.Time
-	// assessment is the assessment of the newest crash. It is nil if an earlier holder recorded
-	// that crash.
-	assessment *assessment
+	// crashes holds the newest of blame.RecentCrashes, as far as this holder recorded them.
+	crashes []recordedCrash
 	// giveUpPending is set while the task is in Tracker.pendingGiveUps.
 	giveUpPending bool
 }
 
+// newestAssessment returns the assessment of the newest crash under the task, or nil if an earlier
+// holder recorded that crash.
+func (r *taskRecord) newestAssessment() *assessment {
+	if len(r.crashes) == 0 {
+		return nil
+	}
+	return r.crashes[len(r.crashes)-1].assessment
+}
+
 // NewTracker returns a tracker in which no task is blamed.
 func NewTracker() *Tracker {
 	return &Tracker{tasks: map[job.TaskID]*taskRecord{}, suspectCounts: map[job.StepID]int{}, earlierStarts: map[string][]job.TaskID{}}
@@ -98,6 +106,7 @@
 // Restore sets the blame of a task to what an earlier holder had recorded.
 func (tr *Tracker) Restore(t job.TaskID, b job.Blame) {
 	r := tr.setBlame(t, b)
+	r.crashes = nil
 	for _, worker := range b.LastStartWorkers {
 		tr.earlierStarts[worker] = append(tr.earlierStarts[worker], t)
 	}
@@ -206,6 +215,9 @@
 	suspects []Suspect
 	// backgroundWeight is the weight with which the crash was added to the background rate.
 	backgroundWeight float64
+	// commonHazard is the part of the background hazard that was due to common causes when the
+	// crash was recorded.
+	commonHazard float64
 }
 
 // backgroundHazard returns the hazard, per second, of a crash that none of the tasks caused. It
@@ -235,6 +247,7 @@
 		})
 	}
 	background := a.backgroundHazard(&tr.Background)
+	a.commonHazard = tr.Background.commonHazard(c)
 	assessed := Assess(a.suspects, background)
 	if UnexplainedProbability(assessed) > 1-attributionThreshold {
 		a.backgroundWeight = tr.Background.IndependentProbability(c.At, c.Incarnation, c.Rack)
@@ -245,6 +258,11 @@
 		b = tr.recordBlame(now, a, i, b)
 		findings[i] = Finding{RunningTask: a.crash.Tasks[i], Blame: b, BackgroundHazard: background}
 	}
+	for _, f := range findings {
+		if Probability(f.Blame) >= attributionThreshold {
+			tr.explainCrashes(now, f.Task)
+		}
+	}
 	return findings
 }
 
@@ -255,10 +273,10 @@
 	b = tr.attributeCrashes(Reassess(b, tr.Background.rate()))
 	t := a.crash.Tasks[index]
 	r := tr.setBlame(t.Task, b)
-	r.run, r.retryAt, r.assessment = t.Run, now.Add(RetryDelay(b)), a
-	r.giveUpPending = IsGuilty(b)
-	if r.giveUpPending {
-		tr.pendingGiveUps = append(tr.pendingGiveUps, pendingGiveUp{task: t.Task, assessment: a, index: index, due: now.Add(giveUpDelay)})
+	r.run, r.retryAt, r.giveUpPending = t.Run, now.Add(RetryDelay(b)), false
+	r.addCrash(a, index)
+	if IsGuilty(b) {
+		tr.scheduleGiveUp(now, t.Task, a, index)
 	}
 	return b
 }
@@ -363,17 +381,19 @@
 		if r == nil {
 			continue
 		}
-		if r.assessment != a.assessment {
+		if r.newestAssessment() != a.assessment {
 			// A later crash was assessed meanwhile.
 			continue
 		}
 		r.giveUpPending = false
 		if a.assessment != nil {
 			b := a.assessment.reassess(&tr.Background)[a.index]
-			for i := range b.RecentCrashes {
-				b.RecentCrashes[i].BackgroundWeight = r.blame.RecentCrashes[i].BackgroundWeight
-			}
+			// The earlier crashes may have been assessed again since.
+			newest := len(b.RecentCrashes) - 1
+			copy(b.RecentCrashes[:newest], r.blame.RecentCrashes)
+			b.RecentCrashes[newest].BackgroundWeight = r.blame.RecentCrashes[newest].BackgroundWeight
 			tr.setBlame(a.task, Reassess(b, tr.Background.rate()))
+			r.crashes[len(r.crashes)-1].commonHazard = tr.Background.commonHazard(a.assessment.crash)
 		}
 		due = append(due, a.task)
 	}
