dispatch: acknowledge the ends of a busy worker right after its report

What callers saw: a worker that runs many short tasks lists its ends for seconds to minutes although nothing is disturbed (rules, Acks), until its list holds 500 and it gets no starts for a round trip or two.

Ends are not acknowledged while a run that no report has listed may have ended, that is, 40 ms after its start. A worker that starts a task in each such interval always has such a run when the renewal is sent. It has none at the moment of an answer, since the answer lists all runs.

If ends that are in the log have waited for more than 400 ms, a renewal that acknowledges them is now sent at the answer, under the same conditions as any other acknowledgement.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -77,6 +77,9 @@
 	}
 	w.answerDue = now.Add(r.MaxWait.Duration())
 	w.pendingFence, w.pendingAcknowledges = r.Fence, r.Acknowledged > 0
+	if !w.reportedEnds.HasLogged() {
+		w.noneLoggedAt = now
+	}
 	h.core.emit(exchange.Renew{
 		Worker: w.Incarnation, Address: w.renewAddress(), Epoch: h.epoch, Renewal: w.pendingRenewal, Order: r,
 		Timeout: h.adaptiveTimeout(now, renewMargin) + r.MaxWait.Duration(), GracePeriod: h.lateAnswerWindow(now, w),
@@ -325,6 +328,11 @@
 		if w.reportedEnds.HasUnlogged() {
 			w.renewAt = now.Add(renewDelayWhileUnlogged)
 		}
+		if w.reportedEnds.HasLogged() && now.Sub(w.noneLoggedAt) > maxAcknowledgeDelay && h.canAcknowledgeEnds(now, w) {
+			// A busy worker always has runs that have started since its last report, except now.
+			w.renewAt = now
+			h.renew(now, w)
+		}
 		return
 	}
 	h.renew(now, w)
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -59,6 +59,9 @@
 	// minRenewIntervalAfterEnds is the minimum time between two renewals at a worker that
 	// reported ends, so that one answer reports several ends.
 	minRenewIntervalAfterEnds = 20 * time.Millisecond
+	// maxAcknowledgeDelay is the time from which ends that are in the log and not acknowledged are
+	// acknowledged as soon as the worker's report allows it, by a renewal of their own.
+	maxAcknowledgeDelay = 400 * time.Millisecond
 	// renewDelayWhileUnlogged is the time until the next renewal of a worker some of whose reported
 	// ends are not in the log yet.
 	renewDelayWhileUnlogged = 400 * time.Millisecond
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -71,7 +71,9 @@
 	pendingRenewal      int64
 	pendingFence        int64
 	pendingAcknowledges bool
-	renewAt             time.Time
+	// noneLoggedAt is when the last renewal was sent that left no end to acknowledge that is in the log.
+	noneLoggedAt time.Time
+	renewAt      time.Time
 	// answerDue is when the renewal in flight was sent plus the time it may wait at the worker.
 	// overdue holds the same time of each renewal that has timed out, by number.
 	answerDue time.Time
--- a/services/endreports/tracker.go
+++ b/services/endreports/tracker.go
@@ -93,6 +93,9 @@
 // HasPending reports whether there are ends that Acknowledge has not taken as logged yet.
 func (t *Tracker[W]) HasPending() bool { return len(t.pending) > 0 }
 
+// HasLogged reports whether there are ends that Acknowledge would take as logged and has not taken yet.
+func (t *Tracker[W]) HasLogged() bool { return len(t.pending) > 0 && t.pending[0].logged }
+
 // HasUnlogged reports whether some received end is not marked as logged. Acknowledge takes no end
 // that follows it.
 func (t *Tracker[W]) HasUnlogged() bool {
--- a/services/endreports/tracker_test.go
+++ b/services/endreports/tracker_test.go
@@ -23,15 +23,16 @@
 	assert.Check(t, tracker.HasPending())
 	assert.Equal(t, tracker.Acknowledge(true), int64(0), "the second end is logged, but not the first")
 	assert.Check(t, tracker.HasUnlogged(), "the first end still waits for the log")
+	assert.Check(t, !tracker.HasLogged(), "the second end cannot be acknowledged before the first")
 	first.MarkLogged()
-	assert.Check(t, !tracker.HasUnlogged())
+	assert.Check(t, !tracker.HasUnlogged() && tracker.HasLogged())
 	assert.Equal(t, tracker.Acknowledge(false), int64(0), "a later incarnation may receive the renewal")
 	tracker.ConfirmAck()
 	assert.Equal(t, tracker.Acknowledge(true), int64(2))
 	assert.Equal(t, tracker.Acknowledge(true), int64(2), "the last renewal was not answered")
 	tracker.ConfirmAck()
 	assert.Equal(t, tracker.Acknowledge(true), int64(0), "the worker has received the acknowledgement")
-	assert.Check(t, !tracker.HasPending())
+	assert.Check(t, !tracker.HasPending() && !tracker.HasLogged())
 }
 
 func TestNewlyOrderedTaskHasNotEnded(t *testing.T) {
