jobrun: confirm the configuration before it counts as outdated

Callers saw: jobs wait while processors are free. In the fault soak jobs that were accepted before the last silence end after the 10.45 s that the check gives them, and last of all those that are late already.

Cause: a holder starts nothing unless it knows that the evacuations are current, which a read of the operators' stream confirms as of the time at which the read was requested. A read that finds nothing ended 1 s after its request, and the next one 1 s later: what is known was up to 2 s old, and the bound is 1.7 s (config_within or evacuate_within, 2 s by default, less 0.3 s). The holder withheld all starts for 0.3 s of each second, from its first second on, without any fault. For the same time each second the keys and queues of callers did not count as current. The line "starts are withheld while evacuations are unknown" alternates with age=1.70s and age=1.00s.

Change: a read waits for 0.5 s, so that two waits and 0.2 s for a call fit into the shortest bound that the settings allow (1.5 s). Price: twice as many reads of the operators' stream by each box that reads the log itself; an evacuation or configuration is in force as soon as before.

Evidence: TestConfigurationIsCurrentUntilNextReadEnds, before: 2 of 3 reads ended after the configuration had stopped to be current; 5 runs pass with the change. All tests of services/jobrun pass.

Ruled out: a lack of room.

The soak has the default bounds and showed the fault as jobs that end late.

--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -21,10 +21,11 @@
 // rareReadWait is how long a read waits for records of a stream that rarely changes.
 const rareReadWait = 2 * time.Second
 
-// configReadWait is how long a read waits for a configuration. Changes have to be in force
-// within 2 s, so a read that finds none must end before that and confirm that the known
-// configuration is still current.
-const configReadWait = time.Second
+// configReadWait is how long a read waits for a configuration. A read that finds none confirms that
+// the known configuration was current when the read was requested, and the next read confirms that
+// only when it ends. So two waits and a call must be shorter than the time within which changes have
+// to be in force, 1.5 s or more, less the margin that dispatch subtracts from it.
+const configReadWait = 500 * time.Millisecond
 
 // follower reads a stream, starting with its newest records. Each round passes one page to
 // handlePage; whole is true if the page contains the state of the whole stream and false if it
