shard: name the incarnation of the worker in each Sync under a lease

What callers saw: a task runs on two workers at once, or a service that its worker lost in a restart is not started again.

Cause: nothing in a Sync names an incarnation of the worker. Its epoch and sequence number did so by chance: a worker that restarts begins with epoch 0, refuses any other epoch, and takes no lower sequence number after a higher one. A request of a grant that arrives late is the exception. The worker answers the second request with epoch 1; it restarts, the first request reaches the later incarnation, and that incarnation has epoch 1 under a lower sequence number too. Then (a) a start for the earlier incarnation is carried out by the later one, although its task was started elsewhere meanwhile; (b) the holder goes on under its lease and takes the inventory for the one it has, if the versions agree.

Why the fix holds: a report names the incarnation; a Sync under a lease names the one that granted it, and any other incarnation refuses it whatever its epoch and sequence number. A Sync without a lease has no starts, stops or acknowledgements. A worker that names no incarnation works as before.

Messages have to be late by seconds for (a). A Sync under a lease grows by the length of the incarnation's name and 17 bytes; docs/CAPACITY.md was not measured anew.

--- a/cmd/saddlevane-bench/simshard.go
+++ b/cmd/saddlevane-bench/simshard.go
@@ -89,7 +89,7 @@
 		for i := w; i < min(w+workersPerRack, workers); i++ {
 			name := fmt.Sprintf("w%d", i)
 			names = append(names, name)
-			r.workers[name] = fake.NewWorker(name, benchWorkerCapacity, 30*time.Second)
+			r.workers[name] = fake.NewWorker(name, "1", benchWorkerCapacity, 30*time.Second)
 			list.Boxes = append(list.Boxes, box.Box{Name: name, Role: box.Worker, Domain: "a", Address: name, State: box.Live})
 		}
 		fmt.Fprintf(&b, "  - {name: r%d, domain: a, shard: 0, workers: [%s], each: {processors: %s, memory: %s}}\n",
--- a/cmd/saddlevane-standin/worker.go
+++ b/cmd/saddlevane-standin/worker.go
@@ -11,6 +11,8 @@
 	"saddlevane/models/worker"
 	"saddlevane/modules/httpjson"
 	"saddlevane/tests/fake"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // maxSyncBytes bounds the body of one sync.
@@ -29,7 +31,7 @@
 // newWorker returns a worker whose tasks run for taskLease after its lease has expired.
 func newWorker(m member, taskLease time.Duration) *workerStandin {
 	w := &workerStandin{
-		ServeMux: http.NewServeMux(), name: m.Name, worker: fake.NewWorker(m.Name, m.Capacity, taskLease),
+		ServeMux: http.NewServeMux(), name: m.Name, worker: fake.NewWorker(m.Name, ulid.Make().String(), m.Capacity, taskLease),
 	}
 	w.HandleFunc("POST /v1/sync", w.sync)
 	w.HandleFunc("POST /admin/faults", w.faults.serve)
--- a/models/worker/sync.go
+++ b/models/worker/sync.go
@@ -21,6 +21,9 @@
 	Holder string `json:"holder"`
 	// Epoch identifies the holder's current lease; 0 asks for a new one.
 	Epoch int64 `json:"epoch"`
+	// Incarnation is the incarnation of the worker that granted the lease of Epoch, as its report
+	// named it. Any other incarnation refuses the Sync. With Epoch 0 it is empty.
+	Incarnation string `json:"incarnation,omitempty"`
 	// Seq increases with each Sync of an epoch. The worker refuses a Sync with a lower number than
 	// an earlier one.
 	Seq int64 `json:"seq"`
@@ -59,6 +62,9 @@
 // Report is a worker's answer to a Sync.
 type Report struct {
 	Worker string `json:"worker"`
+	// Incarnation is different after each restart of the worker, which loses its leases, its tasks
+	// and their outcomes. It is empty if the worker does not name its incarnations.
+	Incarnation string `json:"incarnation,omitempty"`
 	// Granted is set if the Sync was applied and its sender has the lease.
 	Granted bool `json:"granted"`
 	// Reason says why the Sync was not applied.
--- /dev/null
+++ b/services/core/workerrestart_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/effect"
+	"saddlevane/models/worker"
+
+	"gotest.tools/v3/assert"
+)
+
+// The cells of the tests of workers that restart: one shard with one worker or two.
+const (
+	oneWorkerCell = `name: cell
+racks:
+  - {name: r1, domain: a, shard: 0, workers: [w1], each: {processors: 4, memory: 8GiB}}
+teams:
+  - {name: t, quota: {processors: 100, memory: 1TiB}}
+`
+	twoWorkerCell = `name: cell
+racks:
+  - {name: r1, domain: a, shard: 0, workers: [w1, w2], each: {processors: 4, memory: 8GiB}}
+teams:
+  - {name: t, quota: {processors: 100, memory: 1TiB}}
+`
+)
+
+// newRestartWorld returns a world in which the cell is in force. The first grant that is
+// requested of each worker is taken out of transit and returned, by worker.
+func newRestartWorld(t *testing.T, seed uint64, cell string, workers int) (*world, map[string]worker.Sync) {
+	t.Helper()
+	w := newWorld(seed, 1, workers)
+	w.run(2 * time.Second)
+	grants := map[string]worker.Sync{}
+	w.intercept = func(e effect.SyncWorker) bool {
+		if _, ok := grants[e.Worker]; ok || e.Sync.TTL == 0 {
+			return false
+		}
+		grants[e.Worker] = e.Sync
+		return true
+	}
+	w.mustPublish(t, "cell", cell)
+	w.run(4 * time.Second)
+	assert.Equal(t, len(grants), workers)
+	w.intercept = nil
+	return w, grants
+}
+
+// mustPublish publishes a file that must be accepted.
+func (w *world) mustPublish(t *testing.T, file, data string) {
+	t.Helper()
+	r := w.publish(w.nodes[0], file, file, 0, data)
+	assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+}
+
+// runUntil advances the world until the condition holds.
+func (w *world) runUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 400 {
+		if condition() {
+			return
+		}
+		w.run(step)
+	}
+	t.Fatalf("%s: not within %v", what, 400*step)
+}
+
+// TestLateStartIsNotCarriedOutByLaterIncarnation guards against a start for an earlier
+// incarnation being carried out by a later one, to which a late request of a grant has given
+// the same epoch, while the task runs elsewhere.
+func TestLateStartIsNotCarriedOutByLaterIncarnation(t *testing.T) {
+	for seed := range uint64(20) {
+		w, grants := newRestartWorld(t, seed, twoWorkerCell, 2)
+		var late *effect.SyncWorker
+		w.intercept = func(e effect.SyncWorker) bool {
+			if late == nil && len(e.Sync.Starts) > 0 {
+				late = &e
+			}
+			return late != nil && e.Worker == late.Worker
+		}
+		w.mustPublish(t, "one", "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 5s], repeatable: true, retries: 1}\n")
+		w.runUntil(t, "start elsewhere", func() bool { return w.starts("one") == 1 })
+		first := w.workers[late.Worker]
+		first.Restart(w.now, "2")
+		first.Apply(w.now, grants[late.Worker])
+		report := first.Apply(w.now, late.Sync)
+		assert.Check(t, !report.Granted, "seed %d: a later incarnation carried out %+v", seed, late.Sync)
+		w.run(step)
+		w.checkNoViolations(t)
+	}
+}
+
+// TestLossOfTasksInRestartIsNoticed guards against a later incarnation, to which a late
+// request of a grant has given the same epoch, being taken for the earlier one, whose
+// inventory had the same version.
+func TestLossOfTasksInRestartIsNoticed(t *testing.T) {
+	for seed := range uint64(20) {
+		w, grants := newRestartWorld(t, seed, oneWorkerCell, 1)
+		w.mustPublish(t, "first", "name: first\nservices:\n  - {name: first, team: t, priority: urgent, count: 1, resources: {processors: 1}, command: [serve]}\n")
+		w.runUntil(t, "first service", func() bool { return w.totalWork()["first"].Running == 1 })
+		restarted := false
+		w.intercept = func(e effect.SyncWorker) bool {
+			if !restarted && len(e.Sync.Starts) > 0 {
+				restarted = true
+				w.workers["w1"].Restart(w.now, "2")
+				w.workers["w1"].Apply(w.now, grants["w1"])
+			}
+			return false
+		}
+		w.mustPublish(t, "second", "name: second\nservices:\n  - {name: second, team: t, priority: urgent, count: 1, resources: {processors: 1}, command: [serve]}\n")
+		w.runUntil(t, "restart", func() bool { return restarted })
+		w.run(10 * time.Second)
+		assert.Equal(t, len(w.workers["w1"].Running()), 2, "seed %d: %v", seed, w.workers["w1"].Running())
+		w.checkNoViolations(t)
+	}
+}
--- a/services/core/world_test.go
+++ b/services/core/world_test.go
@@ -112,6 +112,8 @@
 	violations []string
 	// results holds the results of publications by waiter.
 	results map[uint64]effect.PublishResult
+	// intercept takes a Sync out of transit if it returns true. The call then fails.
+	intercept func(effect.SyncWorker) bool
 	// stopped holds the nodes whose planned stop is complete.
 	stopped map[*node]bool
 }
@@ -123,7 +125,7 @@
 	}
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i+1)
-		w.workers[name] = fake.NewWorker(name, resource.Vector{Processors: 4000, Memory: 8 * resource.GiB}, taskLease)
+		w.workers[name] = fake.NewWorker(name, "1", resource.Vector{Processors: 4000, Memory: 8 * resource.GiB}, taskLease)
 	}
 	for i := range nodes {
 		n := &node{name: fmt.Sprintf("e%d", i+1), highestRevision: map[string]int64{}, unreachableWorkers: map[string]bool{}}
@@ -270,7 +272,8 @@
 func (w *world) sync(n *node, incarnation int, e effect.SyncWorker) {
 	sentAt := w.now
 	failed := event.WorkerAnswered{Worker: e.Worker, Seq: e.Sync.Seq, SentAt: sentAt, Failure: "cut"}
-	if n.unreachableWorkers[e.Worker] || w.isLost() || w.dead[e.Worker] {
+	taken := w.intercept != nil && w.intercept(e)
+	if taken || n.unreachableWorkers[e.Worker] || w.isLost() || w.dead[e.Worker] {
 		w.schedule(callTimeout, func() { w.deliver(n, incarnation, failed) })
 		return
 	}
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -56,7 +56,7 @@
 	s := worker.Sync{Holder: h.holderName(), Seq: w.seq, TTL: worker.MillisecondsOf(h.settings.Lease)}
 	switch {
 	case w.holdsLease(now):
-		s.Epoch, s.Release = w.epoch, w.releasing
+		s.Epoch, s.Incarnation, s.Release = w.epoch, w.incarnation, w.releasing
 		s.Starts, s.Acks = slices.Clone(w.starts), slices.Clone(w.acks)
 		w.sentStarts = len(s.Starts)
 		if w.adopted {
@@ -122,7 +122,7 @@
 		}
 	}
 	w.lastEpoch = e.Report.Epoch
-	w.epoch = e.Report.Epoch
+	w.epoch, w.incarnation = e.Report.Epoch, e.Report.Incarnation
 	w.leaseUntil = e.SentAt.Add(h.settings.Lease - h.settings.ClockMargin)
 	if !h.isHolder() || w.releasing {
 		return
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -28,6 +28,9 @@
 	// epoch is the lease that this holder has, or 0; seq numbers the Syncs.
 	epoch int64
 	seq   int64
+	// incarnation is the incarnation of the worker that granted the last lease, or "" if it
+	// named none.
+	incarnation string
 	// leaseUntil is when the lease expires, with ClockMargin subtracted.
 	leaseUntil time.Time
 	// leaseSince is when the lease was first granted that has been renewed since.
--- a/tests/fake/worker.go
+++ b/tests/fake/worker.go
@@ -25,8 +25,10 @@
 
 // Worker is one worker of the platform. It is not safe for concurrent use.
 type Worker struct {
-	name     string
-	capacity resource.Vector
+	name string
+	// incarnation is different after each restart.
+	incarnation string
+	capacity    resource.Vector
 	// taskLease is how long tasks continue after the lease on the worker has expired.
 	taskLease time.Duration
 	// FailAll makes all tasks that it starts fail. Leaving makes its reports say that it
@@ -64,11 +66,11 @@
 	State task.State `json:"state"`
 }
 
-// NewWorker returns a worker without tasks. Its tasks continue for taskLease after the
+// NewWorker returns an incarnation of a worker, without tasks. Its tasks continue for taskLease after the
 // lease on the worker has expired.
-func NewWorker(name string, capacity resource.Vector, taskLease time.Duration) *Worker {
+func NewWorker(name, incarnation string, capacity resource.Vector, taskLease time.Duration) *Worker {
 	return &Worker{
-		name: name, capacity: capacity, taskLease: taskLease,
+		name: name, incarnation: incarnation, capacity: capacity, taskLease: taskLease,
 		lastSeq: map[string]int64{}, tasks: map[task.ID]*taskEntry{}, version: 1,
 	}
 }
@@ -76,7 +78,7 @@
 // Apply executes a Sync received at now and returns the answer.
 func (w *Worker) Apply(now time.Time, s worker.Sync) worker.Report {
 	w.Advance(now)
-	report := worker.Report{Worker: w.name, Capacity: w.capacity, Leaving: w.Leaving}
+	report := worker.Report{Worker: w.name, Incarnation: w.incarnation, Capacity: w.capacity, Leaving: w.Leaving}
 	if reason := w.refusalReason(now, s); reason != "" {
 		report.Reason = reason
 	} else {
@@ -109,6 +111,8 @@
 		return "the sync is older than another sync of the same holder"
 	case s.TTL <= 0:
 		return "the sync asks only for a report"
+	case s.Incarnation != "" && s.Incarnation != w.incarnation:
+		return "the sync is meant for another incarnation"
 	case s.Epoch == 0 && leased && w.holder != s.Holder:
 		return "another holder has the lease"
 	case s.Epoch != 0 && (s.Epoch != w.epoch || s.Holder != w.holder):
@@ -191,6 +195,21 @@
 	return now, true
 }
 
+// Restart begins the given later incarnation of the worker under the same name: its runs, outcomes
+// and lease are lost. Only History keeps the earlier runs.
+func (w *Worker) Restart(now time.Time, incarnation string) {
+	w.Advance(now)
+	for _, t := range w.tasks {
+		if t.state == task.Running {
+			w.end(now, t, task.Stopped)
+		}
+	}
+	later := NewWorker(w.name, incarnation, w.capacity, w.taskLease)
+	later.FailAll, later.Leaving = w.FailAll, w.Leaving
+	later.history, later.excessStarts = w.history, w.excessStarts
+	*w = *later
+}
+
 // Advance ends the tasks whose time is over at now, and stops all tasks once the lease
 // has been expired for longer than taskLease.
 func (w *Worker) Advance(now time.Time) {
