shard: start no task again whose start an earlier incarnation may have carried out

What callers saw: a task that may not be repeated runs twice.

Cause: a start gets no answer; the worker carries it out and restarts. The next Sync is refused, and the report does not list the task, so the start counted as one that was certainly not carried out: the task went back to its queue with the same attempt number. That conclusion holds for the incarnation that the start was sent to, since it refuses older Syncs; a later incarnation proves nothing about it. Tasks whose start was answered were not affected: they count as lost.

Why the fix holds: if the report is of another incarnation than the one that granted the lease, the attempts of starts in earlier, unanswered Syncs are kept. The inventory of the next grant does not list them, so they count as lost: a task that may be repeated is queued as a later attempt, any other one is unknown.

--- a/services/core/workerrestart_test.go
+++ b/services/core/workerrestart_test.go
@@ -69,6 +69,53 @@
 	t.Fatalf("%s: not within %v", what, 400*step)
 }
 
+// TestTaskThatMayNotBeRepeatedIsNotStartedAgainAfterRestart guards against a start that was
+// carried out, but not answered, being taken for one that was not, since a later incarnation
+// does not report it.
+func TestTaskThatMayNotBeRepeatedIsNotStartedAgainAfterRestart(t *testing.T) {
+	for seed := range uint64(20) {
+		w, _ := newRestartWorld(t, seed, oneWorkerCell, 1)
+		restarted := false
+		w.intercept = func(e effect.SyncWorker) bool {
+			if restarted || len(e.Sync.Starts) == 0 {
+				return false
+			}
+			restarted = true
+			w.workers[e.Worker].Apply(w.now, e.Sync)
+			w.workers[e.Worker].Restart(w.now, "2")
+			return true
+		}
+		w.mustPublish(t, "one", "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 2s]}\n")
+		w.runUntil(t, "restart", func() bool { return restarted })
+		w.run(10 * time.Second)
+		assert.Equal(t, w.starts("one"), 1, "seed %d: %+v", seed, w.totalWork()["one"])
+		assert.Equal(t, w.totalWork()["one"].Unknown, 1, "seed %d: %+v", seed, w.totalWork()["one"])
+		w.checkNoViolations(t)
+	}
+}
+
+// TestStartThatReachesOnlyLaterIncarnationIsSentAgain guards against a start that no earlier
+// incarnation can have carried out leaving its task unknown.
+func TestStartThatReachesOnlyLaterIncarnationIsSentAgain(t *testing.T) {
+	for seed := range uint64(20) {
+		w, _ := newRestartWorld(t, seed, oneWorkerCell, 1)
+		restarted := false
+		w.intercept = func(e effect.SyncWorker) bool {
+			if !restarted && len(e.Sync.Starts) > 0 {
+				restarted = true
+				w.workers[e.Worker].Restart(w.now, "2")
+			}
+			return false
+		}
+		w.mustPublish(t, "one", "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 2s]}\n")
+		w.runUntil(t, "restart", func() bool { return restarted })
+		w.run(10 * time.Second)
+		assert.Equal(t, w.starts("one"), 1, "seed %d: %+v", seed, w.totalWork()["one"])
+		assert.Equal(t, w.totalWork()["one"].Done, 1, "seed %d: %+v", seed, w.totalWork()["one"])
+		w.checkNoViolations(t)
+	}
+}
+
 // TestLateStartIsNotCarriedOutByLaterIncarnation guards against a start for an earlier
 // incarnation being carried out by a later one, to which a late request of a grant has given
 // the same epoch, while the task runs elsewhere.
--- a/services/shard/inventory.go
+++ b/services/shard/inventory.go
@@ -177,7 +177,8 @@
 // attempts count as lost.
 func (h *Holder) abandonTasks(now time.Time, w *workerState, reason string) {
 	w.inventoryVersion = 0
-	w.starts, w.sentStarts, w.acks = nil, 0, nil
+	w.dropStarts()
+	w.acks = nil
 	w.ended = map[task.ID]bool{}
 	for _, t := range ordered.MapFunc(w.tasks, task.ID.Compare) {
 		if t.stage == stageAwaitingIntent {
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -53,6 +53,7 @@
 // startSync builds the next Sync with a worker and records it as in flight.
 func (h *Holder) startSync(now time.Time, w *workerState) effect.Effect {
 	w.seq++
+	w.unansweredStarts = w.sentStarts
 	s := worker.Sync{Holder: h.holderName(), Seq: w.seq, TTL: worker.MillisecondsOf(h.settings.Lease)}
 	switch {
 	case w.holdsLease(now):
@@ -129,6 +130,7 @@
 	}
 	w.node.SetCapacity(e.Report.Capacity)
 	w.starts, w.sentStarts = w.starts[min(len(s.Starts), len(w.starts)):], 0
+	w.unansweredStarts = 0
 	w.acks = w.acks[min(len(s.Acks), len(w.acks)):]
 	for _, id := range s.Acks {
 		delete(w.ended, id)
@@ -164,14 +166,19 @@
 
 // handleNotGranted handles the answer of a worker that did not apply the Sync. Its
 // inventory still shows which of the starts sent before were applied, since a worker
-// refuses Syncs older than the one that it has answered.
+// refuses Syncs older than the one that it has answered. A later incarnation does not show
+// it: the attempts of these starts are kept, and count as lost once it grants a lease.
 func (h *Holder) handleNotGranted(now time.Time, w *workerState, e event.WorkerAnswered) {
 	reported := map[task.ID]bool{}
 	for _, item := range e.Report.Tasks {
 		reported[item.Task] = true
 	}
-	h.withdrawStarts(w, slices.DeleteFunc(w.starts, func(s worker.Start) bool { return reported[s.Task] }), "the worker did not grant the lease")
-	w.starts, w.sentStarts = nil, 0
+	withdrawn := w.starts
+	if w.isOtherIncarnation(e.Report) {
+		withdrawn = w.starts[w.unansweredStarts:]
+	}
+	h.withdrawStarts(w, slices.DeleteFunc(withdrawn, func(s worker.Start) bool { return reported[s.Task] }), "the worker did not grant the lease")
+	w.dropStarts()
 	w.epoch, w.leaseUntil, w.releasing, w.adopted, w.inventoryVersion = 0, time.Time{}, false, false, 0
 	w.nextAt = now
 	if e.Report.Holder == h.holderName() {
@@ -182,6 +189,12 @@
 	}
 }
 
+// isOtherIncarnation reports whether another incarnation of the worker has sent the report
+// than the one that granted this holder's last lease.
+func (w *workerState) isOtherIncarnation(r worker.Report) bool {
+	return w.incarnation != "" && r.Incarnation != w.incarnation
+}
+
 // handleLapsedLease handles a lease that has expired because the worker did not answer.
 // Starts not yet sent are withdrawn at once. Tasks on the worker may still run; they are
 // abandoned once it is certain that they do not.
--- a/services/shard/worker.go
+++ b/services/shard/worker.go
@@ -60,9 +60,12 @@
 	starts []worker.Start
 	// sentStarts is how many of starts were in the last Sync and are not confirmed yet.
 	sentStarts int
-	stops      map[task.ID]worker.Stop
-	acks       []task.ID
-	tasks      map[task.ID]*attempt
+	// unansweredStarts is how many of starts were in Syncs without an answer before the last one,
+	// so that the worker may have carried them out.
+	unansweredStarts int
+	stops            map[task.ID]worker.Stop
+	acks             []task.ID
+	tasks            map[task.ID]*attempt
 	// ended holds tasks whose outcomes have been handled, until the worker has received the
 	// acknowledgement.
 	ended map[task.ID]bool
@@ -97,10 +100,14 @@
 func (w *workerState) reset() {
 	w.adopted, w.inventoryVersion, w.forgetting, w.lastEpoch = false, 0, false, 0
 	w.node.Clear()
-	w.starts, w.sentStarts, w.acks = nil, 0, nil
+	w.dropStarts()
+	w.acks = nil
 	w.stops, w.tasks, w.ended = map[task.ID]worker.Stop{}, map[task.ID]*attempt{}, map[task.ID]bool{}
 }
 
+// dropStarts drops all starts that wait to be sent or answered.
+func (w *workerState) dropStarts() { w.starts, w.sentStarts, w.unansweredStarts = nil, 0, 0 }
+
 // SetWorkers updates the workers to the files in force and the platform's list. Only the
 // files determine which workers the shard has, because the log orders the files relative to
 // the claims: so a holder includes every worker that any earlier holder could have used.
