authority: move the probes of candidates out of dispatch

Dispatch keeps the conditions of the cell (phase, invitations, pledges), the effects and the log lines.

No change of behaviour: the moved statements, constants and order of log lines are the same.

--- a/services/dispatch/claimants.go
+++ b/services/dispatch/claimants.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"saddlevane/models/claim"
 	"saddlevane/models/exchange"
 	"saddlevane/services/authority"
 )
@@ -16,18 +15,6 @@
 // Where there are more boxes than it names, it asks the named ones from time to time whether they reach the log, and
 // names others in place of those that do not. If it is small, it invites a large one that does.
 
-const (
-	// probeInterval is the time between two such requests.
-	probeInterval = 2 * time.Second
-	// probeEpoch is the epoch of a request for pledges that asks for none: no claim has this epoch, and
-	// unlike 0 it is sent.
-	probeEpoch = -1
-	// initialUnusable and longestUnusable bound how long a box that did not answer, or that the log did
-	// not answer, is not named.
-	initialUnusable = 10 * time.Second
-	longestUnusable = time.Minute
-)
-
 // candidates returns the boxes that this process names in its next claim or renewal, or nil if it does
 // not know the other boxes yet. While the log does not answer, they stay the same: the holder needs a
 // pledge of each box that it has named in a renewal that may be in the log.
@@ -35,7 +22,7 @@
 	if len(c.members) == 0 || !c.authority.IsLogReachable() {
 		return c.authority.Proposed()
 	}
-	return c.members.Candidates(c.self, func(box string) bool { return c.unusableBoxes.Includes(now, box) })
+	return c.members.Candidates(c.self, func(box string) bool { return c.probes.IsUnusable(now, box) })
 }
 
 // pledgeAddresses returns the addresses of the boxes whose pledges a holder needs. It returns false if
@@ -78,42 +65,25 @@
 // candidates or whether the cell should move to a larger box.
 func (c *Core) probeCandidates(now time.Time) {
 	h := c.holding
-	if h == nil || h.phase != phaseActive || h.invitePending || h.shuttingDown || c.awaitingPledges || len(c.probedBoxes) > 0 || now.Before(c.probeAt) ||
+	if h == nil || h.phase != phaseActive || h.invitePending || h.shuttingDown || c.awaitingPledges || !c.probes.IsDue(now) ||
 		!c.authority.IsLogReachable() || len(c.members) <= authority.MaxCandidates && !c.authority.IsSmall() {
 		return
 	}
-	c.probeAt = now.Add(probeInterval)
-	var addresses []string
-	for _, name := range c.authority.PossibleCandidates() {
-		if m, known := c.members[name]; known && name != c.self.Box {
-			c.probedBoxes = append(c.probedBoxes, m)
-			addresses = append(addresses, m.Address)
-		}
-	}
+	addresses := c.probes.Begin(now, c.self, c.members, c.authority.PossibleCandidates())
 	if len(addresses) > 0 {
-		c.emit(exchange.AskPledges{Epoch: probeEpoch, Addresses: addresses})
+		c.emit(exchange.AskPledges{Epoch: authority.ProbeEpoch, Addresses: addresses})
 	}
 }
 
 // handleProbed handles the answers of the boxes that were asked whether they reach the log.
 func (c *Core) handleProbed(now time.Time, e exchange.Pledged) {
-	probed := c.probedBoxes
-	c.probedBoxes = nil
+	probed := c.probes.End()
 	if c.holding == nil || !c.authority.IsLogReachable() {
 		return
 	}
 	c.logEvent("candidates were asked whether they reach the log", logField("asked", len(probed)), logField("reach", len(e.LogReachable)))
-	for _, m := range probed {
-		if !slices.Contains(e.LogReachable, m.Address) && c.members[m.Box] == m {
-			c.recordUnusable(now, m)
-		}
+	for _, box := range c.probes.RecordAnswers(now, probed, c.members, e.LogReachable) {
+		c.logEvent("box is no candidate for a while: it does not answer or does not reach the log", logField("box", box))
 	}
 	c.inviteLargest(e.LogReachable)
 }
-
-// recordUnusable keeps a box from being named as a candidate for a while.
-func (c *Core) recordUnusable(now time.Time, m claim.Member) {
-	if c.unusableBoxes.RecordFailure(now, m.Box) {
-		c.logEvent("box is no candidate for a while: it does not answer or does not reach the log", logField("box", m.Box))
-	}
-}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -46,7 +46,6 @@
 	"saddlevane/models/job"
 	"saddlevane/models/stream"
 	"saddlevane/models/workspace"
-	"saddlevane/modules/exclusion"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/authority"
 	"saddlevane/services/evacuations"
@@ -85,11 +84,8 @@
 	// pending; pledgeRetryAt is when the next one may be sent.
 	awaitingPledges bool
 	pledgeRetryAt   time.Time
-	// probedBoxes are the candidates that were asked whether they reach the log and have not answered
-	// yet, probeAt is when they are next asked, and unusableBoxes has those that lately did not.
-	probedBoxes   []claim.Member
-	probeAt       time.Time
-	unusableBoxes *exclusion.List
+	// probes are the requests to the other candidates whether they reach the log.
+	probes *authority.Probes
 	// logRecoveredAt is when the log last became reachable after an outage.
 	logRecoveredAt time.Time
 	// suspendOffset is how far the event times are ahead of the wall clock because the
@@ -101,7 +97,7 @@
 func New(s Settings, self claim.Member) *Core {
 	return &Core{
 		settings: s, self: self, authority: authority.New(s.Authority, self),
-		members: authority.Boxes{}, unusableBoxes: exclusion.New(initialUnusable, longestUnusable),
+		members: authority.Boxes{}, probes: authority.NewProbes(),
 	}
 }
 
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"saddlevane/models/exchange"
+	"saddlevane/services/authority"
 )
 
 // While the log does not answer the holder, the holder asks the other candidates. If the log answers
@@ -32,7 +33,7 @@
 
 // handlePledgeAsked answers a holder that asks this box not to claim the cell for some time.
 func (c *Core) handlePledgeAsked(now time.Time, e exchange.PledgeAsked) {
-	reachable := c.authority.IsLogReachable() && (e.Epoch == probeEpoch || !c.authority.IsRelayed())
+	reachable := c.authority.IsLogReachable() && (e.Epoch == authority.ProbeEpoch || !c.authority.IsRelayed())
 	a := exchange.Answer{Outcome: exchange.Unavailable, LogReachable: reachable && !c.authority.IsStopping() && c.config != nil}
 	if c.authority.Pledge(now, e.Epoch) {
 		a.Outcome = exchange.OK
@@ -42,7 +43,7 @@
 
 // handlePledged handles the answers of the other candidates.
 func (c *Core) handlePledged(now time.Time, e exchange.Pledged) {
-	if e.Epoch == probeEpoch {
+	if e.Epoch == authority.ProbeEpoch {
 		c.handleProbed(now, e)
 		return
 	}
--- a/services/dispatch/relocate.go
+++ b/services/dispatch/relocate.go
@@ -68,7 +68,7 @@
 		}
 		previous, known := c.members[m.Box]
 		c.members[m.Box] = m
-		c.unusableBoxes.Clear(m.Box)
+		c.probes.RecordAnnounced(m.Box)
 		if known && previous.Incarnation == c.authority.Current().Incarnation && m.Incarnation != previous.Incarnation {
 			c.authority.MemberRestarted(now, m)
 		}
