throttling: move the pace of a worker's fillers out of dispatch

Whether the pace of a worker's fillers changes, and how long it is kept until a change shows in the tail latencies, needs the worker's tail latencies only. throttling.Pace holds the percentage and the time of its last change; dispatch still finds the worst tail latency, writes the log line and sends the orders.

No change of behaviour: the conditions are the same, and a reset still leaves the time of the last change.

--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -22,10 +22,6 @@
 	// unknownPace is the pace of a run that an earlier holder started, that a later incarnation may have
 	// started, or whose last pace order is unanswered: an earlier order of another pace may apply to it.
 	unknownPace = -1
-	// throttleSettleTime is the time after which a change of pace shows in the reported tail
-	// latencies: they cover the last half second, and a change takes 100 ms to take effect (the
-	// users' protocol).
-	throttleSettleTime = 650 * time.Millisecond
 	// maxServingWait limits how long a renewal waits at a worker that runs serving tasks and
 	// fillers, so that a tail latency above its target is seen in time.
 	maxServingWait = 400 * time.Millisecond
@@ -51,32 +47,22 @@
 func (h *holderState) throttleFillers(now time.Time, w *worker) {
 	worstTail, shared := w.tailBesideFillers()
 	if !shared {
-		w.fillPace = fullPace
-	} else if now.Sub(w.throttledAt) >= throttleSettleTime {
-		h.updatePace(now, w, worstTail)
+		w.fillerPace.Reset()
+	} else if before := w.fillerPace.Percent(); w.fillerPace.Adjust(now, worstTail) {
+		h.core.logEvent("pace of fillers changed", logField("worker", w.Incarnation.String()), logField("percent", w.fillerPace.Percent()), logField("before", before),
+			logField("tail_of_target", worstTail), logField("claim", h.epoch))
 	}
 	h.sendPace(now, w)
 }
 
-// updatePace computes the new pace of a worker's fillers from the highest tail latency, given as a
-// fraction of its target.
-func (h *holderState) updatePace(now time.Time, w *worker, worstTail float64) {
-	next := throttling.Next(w.fillPace, worstTail)
-	if next == w.fillPace {
-		return
-	}
-	h.core.logEvent("pace of fillers changed", logField("worker", w.Incarnation.String()), logField("percent", next), logField("before", w.fillPace),
-		logField("tail_of_target", worstTail), logField("claim", h.epoch))
-	w.fillPace, w.throttledAt = next, now
-}
-
-// sendPace orders w.fillPace for each of the worker's fillers that runs at another pace.
+// sendPace orders w.fillerPace for each of the worker's fillers that runs at another pace.
 func (h *holderState) sendPace(now time.Time, w *worker) {
+	percent := w.fillerPace.Percent()
 	for _, a := range w.sortedAttempts() {
-		if a.step.spec.Filler && a.state == attemptRunning && a.pace != w.fillPace && !a.paceOrdered {
+		if a.step.spec.Filler && a.state == attemptRunning && a.pace != percent && !a.paceOrdered {
 			a.paceOrdered = true
 			h.core.emit(exchange.ThrottleRun{Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch, Order: order.Throttle{
-				Run: a.runID(), Percent: w.fillPace, Fence: h.fence(w),
+				Run: a.runID(), Percent: percent, Fence: h.fence(w),
 			}, Timeout: h.orderTimeout(now)})
 		}
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -17,6 +17,7 @@
 	"saddlevane/services/estimates"
 	"saddlevane/services/jobrecords"
 	"saddlevane/services/presence"
+	"saddlevane/services/throttling"
 	"saddlevane/services/transit"
 )
 
@@ -97,10 +98,8 @@
 	// the worker's capacity last.
 	heldInPass           resource.Vector
 	heldFor, prevHeldFor *step
-	// fillPace is the pace of the worker's fillers in percent, throttledAt the time of its last
-	// change.
-	fillPace    int
-	throttledAt time.Time
+	// fillerPace is the pace of the worker's fillers.
+	fillerPace throttling.Pace
 	// speed is the learned speed of tasks on the worker, compared with their expected run times.
 	speed estimates.Speed
 	// drainedFor is the gang, or the step with large tasks, for which the worker is drained. Apart
@@ -129,8 +128,8 @@
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, orphans: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
-		overdue:  map[int64]time.Time{},
-		fillPace: fullPace,
+		overdue:    map[int64]time.Time{},
+		fillerPace: throttling.NewPace(),
 	}
 }
 
