dispatch: read the range of worlds from the environment in one place in the tests

Both call worldRange now, with the same variables and defaults.

Run on this commit's code, one processor: TestNoTaskRunsTwiceBesideLateOrders passes in its 8 worlds (seeds 800000 to 800003) and, with SADDLEVANE_LATE_ORDERS=2 SADDLEVANE_LATE_ORDERS_SEED=812000, in 4 (812000 and 812001). With SADDLEVANE_RATES=x TestBothErrorsOfBlame fails with the name of the variable, as it did; its worlds were not run.

--- a/services/dispatch/blameerrors_test.go
+++ b/services/dispatch/blameerrors_test.go
@@ -8,7 +8,6 @@
 	"math/rand"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -73,17 +72,7 @@
 // SADDLEVANE_RATES and SADDLEVANE_RATES_SEED override them, for example with 1000 worlds of other
 // seeds.
 func worldsPerClass(t *testing.T) (worlds, first int64) {
-	worlds, first = 4, 1
-	for name, to := range map[string]*int64{"SADDLEVANE_RATES": &worlds, "SADDLEVANE_RATES_SEED": &first} {
-		text := os.Getenv(name)
-		if text == "" {
-			continue
-		}
-		n, err := strconv.ParseInt(text, 10, 64)
-		assert.NilError(t, err, name)
-		*to = n
-	}
-	return worlds, first
+	return worldRange(t, "SADDLEVANE_RATES", 4, 1)
 }
 
 // The test counts two errors for each class of worlds: giving up a job without guilty tasks, and
--- a/services/dispatch/lateorderworlds_test.go
+++ b/services/dispatch/lateorderworlds_test.go
@@ -5,28 +5,14 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
-
-	"gotest.tools/v3/assert"
 )
 
 // lateOrderWorlds returns how many worlds TestNoTaskRunsTwiceBesideLateOrders runs for each share, and
 // the first seed. SADDLEVANE_LATE_ORDERS and SADDLEVANE_LATE_ORDERS_SEED override them.
 func lateOrderWorlds(t *testing.T) (worlds, first int64) {
-	worlds, first = 4, 800_000
-	for name, to := range map[string]*int64{"SADDLEVANE_LATE_ORDERS": &worlds, "SADDLEVANE_LATE_ORDERS_SEED": &first} {
-		text := os.Getenv(name)
-		if text == "" {
-			continue
-		}
-		n, err := strconv.ParseInt(text, 10, 64)
-		assert.NilError(t, err, name)
-		*to = n
-	}
-	return worlds, first
+	return worldRange(t, "SADDLEVANE_LATE_ORDERS", 4, 800_000)
 }
 
 // Workers restart under their names while many orders, renewals included, are carried out seconds late.
