--- a/services/dispatch/claimants.go
+++ b/services/dispatch/claimants.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"saddlevane/models/exchange"
@@ -25,42 +24,6 @@
 	return c.members.Candidates(c.self, func(box string) bool { return c.probes.IsUnusable(now, box) })
 }
 
-// pledgeAddresses returns the addresses of the boxes whose pledges a holder needs. It returns false if
-// one of them is not known.
-func (c *Core) pledgeAddresses() ([]string, bool) {
-	names := c.authority.PossibleCandidates()
-	if names == nil {
-		// The list of boxes has not been read yet if it is empty.
-		return c.members.OtherAddresses(c.self), len(c.members) > 0
-	}
-	var addresses []string
-	for _, name := range names {
-		if name == c.self.Box {
-			continue
-		}
-		m, known := c.members[name]
-		if !known {
-			return nil, false
-		}
-		addresses = append(addresses, m.Address)
-	}
-	return addresses, true
-}
-
-// areAllCandidates reports whether every known box is a candidate.
-func (c *Core) areAllCandidates() bool {
-	names := c.authority.PossibleCandidates()
-	if names == nil {
-		return true
-	}
-	for name := range c.members {
-		if !slices.Contains(names, name) {
-			return false
-		}
-	}
-	return true
-}
-
 // probeCandidates asks the other candidates whether they reach the log, if that decides which boxes are
 // candidates or whether the cell should move to a larger box.
 func (c *Core) probeCandidates(now time.Time) {
--- a/services/dispatch/outage.go
+++ b/services/dispatch/outage.go
@@ -23,7 +23,7 @@
 	if c.authority.IsLogReachable() && c.authority.HoldsUntil().Sub(now) > c.settings.Authority.HoldFor/2 {
 		return
 	}
-	addresses, allKnown := c.pledgeAddresses()
+	addresses, allKnown := c.authority.PledgeAddresses(c.members)
 	if !allKnown {
 		return
 	}
@@ -50,7 +50,7 @@
 	c.awaitingPledges = false
 	c.pledgeRetryAt = e.SentAt.Add(c.settings.Authority.RenewInterval / 2)
 	if e.All {
-		c.authority.RecordPledges(e.SentAt, e.Epoch, c.areAllCandidates())
+		c.authority.RecordPledges(e.SentAt, e.Epoch, c.authority.AreAllCandidates(c.members))
 	}
 	if h := c.holding; h != nil && h.epoch == e.Epoch {
 		c.inviteLargest(e.LogReachable)
