dispatch: test that a refused start shows a later holder at once

TestLaterHolderIsNoticedByWorkerWithRaisedFence gave the holder until the next call of the waiting renewal, up to 1.2 s, and its comment said that a refused start shows nothing. Since it does. The test now gives 100 ms, at a moment when the waiting renewal is not about to be answered.

--- a/services/dispatch/raisedfence_test.go
+++ b/services/dispatch/raisedfence_test.go
@@ -70,15 +70,15 @@
 	assert.Equal(t, len(c.starts), 1, "a worker that is unresponsive gets no starts")
 }
 
-// A later holder has ordered a worker whose fence number the earlier holder has raised. A refused start does not
-// show that, but the next call of the waiting renewal does.
+// A later holder has ordered a worker whose fence number the earlier holder has raised. A refused start shows that,
+// before the waiting renewal is answered.
 func TestLaterHolderIsNoticedByWorkerWithRaisedFence(t *testing.T) {
 	c := newDeliveryCell(t, "w")
 	c.listOutdated("w")
-	c.run(2 * time.Second)
+	c.run(2*time.Second + partialWait/2) // The waiting renewal is not about to be answered.
 	c.workers["w"].fence = 2_000_000
 	c.submit("j")
-	c.runUntil(partialWait+renewalMargin, "the holder has stepped down", func() bool { return !c.core.IsServing(c.now) })
+	c.runUntil(100*time.Millisecond, "the holder has stepped down", func() bool { return !c.core.IsServing(c.now) })
 }
 
 // A worker refuses the number that it had before it was raised. The holder has forgotten the raised number, since
