dispatch, presence: name the fence number in the answer to a start, and say what remains open

From the review: StartEnded has the number of its order, as StopEnded and ThrottleEnded have, so attempts keep none; a function that raises the number is named so; the offset of a number within its claim is called an offset; the header of incarnations.go says that an incarnation that no order has reached accepts any start. No change of behaviour, but that a start without an answer whose attempt is gone raises the number above its own, not above the present one.

--- a/cmd/saddlevane-bench/simworker.go
+++ b/cmd/saddlevane-bench/simworker.go
@@ -128,7 +128,7 @@
 	}
 	w.runs[run.Run] = run
 	w.cell.deliverAfter(orderLatency, exchange.StartEnded{
-		Worker: w.Incarnation, Epoch: e.Epoch, Run: run.Run, Answer: order.Answer{Outcome: order.CarriedOut},
+		Worker: w.Incarnation, Epoch: e.Epoch, Run: run.Run, Fence: e.Order.Fence, Answer: order.Answer{Outcome: order.CarriedOut},
 	})
 	w.cell.schedule(run.duration, func() { w.endRun(run, order.Done) })
 }
--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -127,6 +127,8 @@
 	Worker order.Incarnation
 	Epoch  int64
 	Run    order.Run
+	// Fence is the fence number of the order. A repeated one may have a higher number.
+	Fence  int64
 	Answer order.Answer
 }
 
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -33,8 +33,6 @@
 	// sent. The order is idempotent.
 	checkpoint, ticket string
 	orderCount         int
-	// startFence is the fence number of the last start order, or 0.
-	startFence int64
 	// measurement is the load that the worker last reported, see order.Running: for a serving
 	// task its tail latency in milliseconds, else the processors in use in thousandths of one.
 	measurement int64
--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -283,7 +283,7 @@
 	return &transitOrder{
 		kind: startOrder, worker: e.Worker, fence: e.Order.Fence, run: e.Order.Run,
 		respond: func(a order.Answer, _ order.Report) {
-			c.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+			c.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: a})
 		},
 		carryOut: func(w *deliveryWorker, answer func(order.Answer, order.Report)) {
 			answer(w.start(e.Order), order.Report{})
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -24,9 +24,12 @@
 //
 // The first order that reaches a later incarnation must already carry the higher number, because the
 // next one may be delayed itself. So the number is raised after each order that a later incarnation
-// must not carry out and that may still be in transit: a start or a renewal without an answer, and an
-// acknowledgement of ends before the next start. It is also raised as soon as a later incarnation may
-// exist.
+// must not carry out and that may still be in transit: a start, a change of pace or a renewal without
+// an answer, and an acknowledgement of ends before the next start. It is also raised as soon as a later
+// incarnation may exist.
+//
+// A later incarnation that no order has reached has no fence number and accepts any start. Package
+// transit limits what that can do.
 
 // currentWorker returns the worker with the name in id if id is, as far as the holder can determine,
 // its current incarnation, else nil.
@@ -52,10 +55,10 @@
 	return false
 }
 
-// startFence returns the fence number of a start order that is sent now. It is higher than that of an
-// acknowledgement in transit, which would otherwise also apply to the run if a later incarnation
-// carries out both: the ends of its runs have the same numbers.
-func (h *holderState) startFence(w *worker) int64 {
+// raiseFenceForStart returns the fence number of a start order, after raising it above that of an
+// acknowledgement in transit. A later incarnation that has carried out the start then refuses the
+// acknowledgement, which it would take for one of the ends of its own runs.
+func (h *holderState) raiseFenceForStart(w *worker) int64 {
 	if w.pendingRenewal != 0 && w.pendingAcknowledges {
 		w.incarnations.RaiseFence(w.pendingFence)
 	}
@@ -69,16 +72,6 @@
 	}
 }
 
-// raiseFenceAfterStart raises the fence number after a start order without an answer, which a later
-// incarnation may still carry out after the task is done.
-func (h *holderState) raiseFenceAfterStart(w *worker, run order.Run) {
-	sentFence := h.fence(w)
-	if a := w.attempts[run]; a != nil && a.startFence != 0 {
-		sentFence = a.startFence
-	}
-	w.incarnations.RaiseFence(sentFence)
-}
-
 // handleWorkerRestart handles an answer from a later incarnation than the known one: the known one
 // has ended, and the later one replaces it. The runs in the answer are running there, whatever the
 // holder expects. That others are not in it proves nothing, since the later incarnation may still carry
--- a/services/dispatch/incarnations_test.go
+++ b/services/dispatch/incarnations_test.go
@@ -131,7 +131,7 @@
 	start := d.startOneTask()
 	d.persist(d.handle(answeredBy(renewAnswer(renewals[start.Worker.Name]), 2000)))
 	for _, a := range []order.Answer{{Outcome: order.WrongIncarnation}, {Outcome: order.Refused, Reason: order.Fenced}, {Outcome: order.CarriedOut}} {
-		d.handle(exchange.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Answer: a})
+		d.handle(exchange.StartEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Fence: start.Order.Fence, Answer: a})
 		d.handle(exchange.StopEnded{Worker: start.Worker, Epoch: 1, Run: start.Order.Run, Fence: start.Order.Fence, Answer: a})
 	}
 	assert.Check(t, d.core.IsServing(d.now), "a refusal by a later incarnation does not mean that it has seen a later holder")
--- a/services/dispatch/orphans.go
+++ b/services/dispatch/orphans.go
@@ -6,11 +6,12 @@
 import "saddlevane/models/order"
 
 // Orphans are the runs in a worker's last report that are not attempts of this holder: their job is over
-// or cannot be decoded, their task is done, or another run of the task is placed. Orphans of known jobs
-// are ordered to stop. While one still runs, its task must not be started beside it.
+// or cannot be decoded, their task is done, or another run of the task is placed. They are ordered to
+// stop, but for those of jobs that cannot be decoded. While one still runs, its task must not be started
+// beside it.
 
-// noteOrphans updates whether the worker is one of those with unexpected runs.
-func (h *holderState) noteOrphans(w *worker) {
+// updateWorkersWithOrphans adds the worker to those with orphans, or removes it.
+func (h *holderState) updateWorkersWithOrphans(w *worker) {
 	if len(w.orphans) == 0 {
 		delete(h.workersWithOrphans, w)
 		return
@@ -21,7 +22,7 @@
 // forgetOrphans forgets the orphans of a worker whose runs have ended for certain.
 func (h *holderState) forgetOrphans(w *worker) {
 	clear(w.orphans)
-	h.noteOrphans(w)
+	h.updateWorkersWithOrphans(w)
 }
 
 // hasOrphan reports whether some worker runs an orphan that a function selects.
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -63,8 +63,8 @@
 
 // rankOpenSteps returns the open steps that have tasks to place, highest rank first, and drops
 // closed steps from h.openSteps. Steps of inherited jobs are left out until all workers of earlier
-// holders have reported, because their tasks may still be running there, and steps of which some
-// worker runs a waiting task.
+// holders have reported, because their tasks may still be running there. So are steps one of whose
+// waiting tasks still runs as an orphan.
 func (h *holderState) rankOpenSteps(now time.Time) []rankedStep {
 	stillOpen := h.openSteps[:0]
 	var all []rankedStep
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -32,7 +32,7 @@
 		listed[r.Run] = true
 		h.applyRunning(now, w, r)
 	}
-	h.noteOrphans(w)
+	h.updateWorkersWithOrphans(w)
 	return listed
 }
 
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -54,9 +54,8 @@
 	w := a.worker
 	a.orderCount++
 	a.lastOrderedAt = now
-	a.startFence = h.startFence(w)
 	h.core.emit(exchange.StartRun{Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch, Order: order.Start{
-		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: a.startFence,
+		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: h.raiseFenceForStart(w),
 		Checkpoint: a.checkpoint, Ticket: a.ticket,
 	}, Timeout: h.orderTimeout(now)})
 }
@@ -87,7 +86,7 @@
 		return
 	}
 	if e.Answer.Outcome == order.Unknown {
-		h.raiseFenceAfterStart(w, e.Run)
+		w.incarnations.RaiseFence(e.Fence)
 		h.recordStartInTransit(now, e.Run)
 	} else {
 		w.unansweredSince = time.Time{}
@@ -101,7 +100,7 @@
 	}
 	a.stopConfirmed = a.stopConfirmed && a.state == attemptStopping
 	if e.Answer.IsFenced() {
-		h.handleStartFenced(now, a, e.Answer)
+		h.handleStartFenced(now, a, e)
 		return
 	}
 	if a.orderCount > 1 && e.Answer.Outcome != order.CarriedOut {
@@ -163,8 +162,8 @@
 // handleStartFenced handles a start that the worker refused because of its fence number. If the
 // holder has raised the number since, an order that was sent later has arrived earlier, and the start
 // is sent again.
-func (h *holderState) handleStartFenced(now time.Time, a *attempt, answer order.Answer) {
-	if a.worker.incarnations.IsFencedByLaterHolder(answer, a.startFence) {
+func (h *holderState) handleStartFenced(now time.Time, a *attempt, e exchange.StartEnded) {
+	if a.worker.incarnations.IsFencedByLaterHolder(e.Answer, e.Fence) {
 		h.core.stepDown(reasonLaterHolder)
 		return
 	}
@@ -174,9 +173,9 @@
 	case h.canRetryStart(now, a):
 		h.sendStart(now, a)
 	case a.orderCount > 0:
-		h.handleStartUnconfirmed(now, a, answer)
+		h.handleStartUnconfirmed(now, a, e.Answer)
 	default:
-		h.handleStartRefused(now, a, answer)
+		h.handleStartRefused(now, a, e.Answer)
 	}
 }
 
--- a/services/dispatch/worldorders_test.go
+++ b/services/dispatch/worldorders_test.go
@@ -236,7 +236,7 @@
 // startRun sends a start order to a worker.
 func (w *world) startRun(b *fakeBox, e exchange.StartRun, respond func(time.Duration, exchange.Event)) {
 	w.sendOrder(e.Address, e.Worker, func(d time.Duration, a order.Answer) {
-		respond(d, exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: a})
+		respond(d, exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: a})
 	}, true, func(f *fakeWorker) order.Answer {
 		known := f.runs[e.Order.Run] != nil
 		answer := f.start(e.Order)
--- a/services/jobrun/orders.go
+++ b/services/jobrun/orders.go
@@ -114,7 +114,7 @@
 // is called by the event loop and does not block.
 func (l *Loop) beginStart(e exchange.StartRun) {
 	end := func(answer order.Answer) {
-		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Answer: answer})
+		l.post(exchange.StartEnded{Worker: e.Worker, Epoch: e.Epoch, Run: e.Order.Run, Fence: e.Order.Fence, Answer: answer})
 	}
 	done := func(answer order.Answer) {
 		l.metrics.recordOrder("start", answer)
--- a/services/presence/former.go
+++ b/services/presence/former.go
@@ -13,9 +13,8 @@
 // back under its name. The zero value holds none.
 type FormerWorkers struct {
 	workers map[string]formerWorker
-	// expiredRaises is the highest number of times that the fence number of a dropped worker was
-	// raised.
-	expiredRaises int64
+	// expiredOffset is the highest offset of the fence number of a dropped worker.
+	expiredOffset int64
 }
 
 // formerWorker holds the incarnations of a worker that has been gone since some time.
@@ -30,7 +29,7 @@
 func (f *FormerWorkers) Take(name string) *Incarnations {
 	known, ok := f.workers[name]
 	if !ok {
-		return &Incarnations{fenceRaises: f.expiredRaises}
+		return &Incarnations{fenceOffset: f.expiredOffset}
 	}
 	delete(f.workers, name)
 	return known.incarnations
@@ -48,7 +47,7 @@
 func (f *FormerWorkers) Expire(now time.Time) {
 	for name, known := range f.workers {
 		if now.Sub(known.since) > formerRetention {
-			f.expiredRaises = max(f.expiredRaises, known.incarnations.fenceRaises)
+			f.expiredOffset = max(f.expiredOffset, known.incarnations.fenceOffset)
 			delete(f.workers, name)
 		}
 	}
--- a/services/presence/incarnations.go
+++ b/services/presence/incarnations.go
@@ -27,8 +27,8 @@
 	candidateReadAfter int64
 	// past holds incarnations that have ended, the latest last.
 	past []order.Incarnation
-	// fenceRaises counts how often the fence number of the worker was raised.
-	fenceRaises int64
+	// fenceOffset is what the fence number of the worker is above the first one of the claim.
+	fenceOffset int64
 }
 
 // HasCandidate reports whether an entry of another incarnation was read that no answer has
@@ -46,7 +46,7 @@
 // Fence returns the fence number of orders to the worker under a claim. Once a worker has received
 // a higher number, it refuses orders with a lower one, such as those still in transit to an earlier
 // incarnation.
-func (l *Incarnations) Fence(claim int64) int64 { return claim*fencesPerClaim + l.fenceRaises }
+func (l *Incarnations) Fence(claim int64) int64 { return claim*fencesPerClaim + l.fenceOffset }
 
 // ClaimOfFence returns the claim under which an order with a fence number was decided.
 func ClaimOfFence(fence int64) int64 { return fence / fencesPerClaim }
@@ -54,17 +54,21 @@
 // RaiseFence makes the fence number of later orders higher than that of an earlier order. Once the
 // worker, or a later incarnation of it, has received one of them, it refuses the earlier order. The
 // number stays as it is if it was raised after that order was sent.
-func (l *Incarnations) RaiseFence(above int64) {
-	l.fenceRaises = max(l.fenceRaises, min(above%fencesPerClaim+1, fencesPerClaim-1))
+func (l *Incarnations) RaiseFence(above int64) { l.raiseOffset(above%fencesPerClaim + 1) }
+
+// raiseOffset raises the offset of the fence number to at least the given one, but never to the
+// numbers of the next claim.
+func (l *Incarnations) raiseOffset(offset int64) {
+	l.fenceOffset = max(l.fenceOffset, min(offset, fencesPerClaim-1))
 }
 
 // AreFencesUsed reports whether so few fence numbers are left that the worker needs a new claim.
-func (l *Incarnations) AreFencesUsed() bool { return l.fenceRaises >= fencesPerClaim-fenceReserve }
+func (l *Incarnations) AreFencesUsed() bool { return l.fenceOffset >= fencesPerClaim-fenceReserve }
 
 // IsFencedByLaterHolder reports whether an order with a fence number was refused because of a later
 // holder, rather than because this holder has raised the number since it sent the order.
 func (l *Incarnations) IsFencedByLaterHolder(a order.Answer, fence int64) bool {
-	return a.IsFenced() && fence%fencesPerClaim >= l.fenceRaises
+	return a.IsFenced() && fence%fencesPerClaim >= l.fenceOffset
 }
 
 // Candidate returns the entry of another incarnation, if there is one.
@@ -134,7 +138,7 @@
 // End records that the known incarnation has ended, and raises the fence number for the next one.
 func (l *Incarnations) End(known order.Incarnation) {
 	l.addPast(known)
-	l.RaiseFence(l.fenceRaises)
+	l.raiseOffset(l.fenceOffset + 1)
 }
 
 // addPast adds an incarnation to those that are not the current one.
