shard: test in random worlds that no task runs twice while workers restart

No world restarted a worker before. A restart follows each fault of the existing worlds, whose checks are used as they are.

--- a/services/core/workerrestart_test.go
+++ b/services/core/workerrestart_test.go
@@ -4,6 +4,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"saddlevane/models/worker"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // The cells of the tests of workers that restart: one shard with one worker or two.
@@ -165,3 +167,24 @@
 		w.checkNoViolations(t)
 	}
 }
+
+// TestNoTaskRunsTwiceWhileWorkersRestart guards against a task that runs twice, or a task that
+// may not be repeated that starts twice, in random worlds in which workers restart beside the
+// other faults, with Syncs that arrive late.
+func TestNoTaskRunsTwiceWhileWorkersRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSettledWorld(t, rapid.Uint64().Draw(t, "seed"))
+		r := w.publish(w.nodes[0], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted)
+		for i := range rapid.IntRange(1, 12).Draw(t, "faults") {
+			w.injectFault(t, i)
+			w.run(time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms before restart")) * time.Millisecond)
+			name := fmt.Sprintf("w%d", rapid.IntRange(1, 4).Draw(t, "restarts"))
+			w.workers[name].Restart(w.now, fmt.Sprint(i+2))
+			w.run(time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms")) * time.Millisecond)
+			w.checkNoViolations(t)
+		}
+		w.healAndFinish(t)
+		w.checkNoViolations(t)
+	})
+}
