shard: adopt the shard again after a lease of a later incarnation of a worker

What callers saw: tasks run on two workers at once.

Cause: a holder that resumes notices a later one, whose claim it has not read, by the epoch of the lease that it is granted: it is not the next after its own. A worker that restarts counts epochs anew. The resumed holder had epoch 1 of the earlier incarnation, the later holder epoch 1 of the later one, and the resumed holder is granted epoch 2. So it went on placing tasks, also those that the later holder has started on workers it cannot reach.

Why the fix holds: a first lease of another incarnation counts as a possible later holder, whatever its epoch. A restart nearly always did so before too, since epoch 1 is not the next after any other; so restarts cost no more than they did.

--- a/services/core/workerrestart_test.go
+++ b/services/core/workerrestart_test.go
@@ -168,6 +168,29 @@
 	}
 }
 
+// TestResumedHolderNoticesLaterHolderOfRestartedWorkers guards against a resumed holder taking
+// the lease of a later incarnation for the next one after its own, because a later holder got
+// the same epoch from it, and starting tasks that run on workers it cannot reach.
+func TestResumedHolderNoticesLaterHolderOfRestartedWorkers(t *testing.T) {
+	for seed := range uint64(150) {
+		w := newSettledWorld(t, seed)
+		old := w.nodes[2]
+		r := w.publish(w.nodes[seed%2], "work", "work", 0, workFile)
+		assert.Equal(t, r.Outcome, effect.Accepted, "%v", r)
+		old.paused, old.dropsLogCalls, old.dropsPeerCalls = true, true, true
+		w.workers["w1"].Restart(w.now, "2")
+		w.workers["w3"].Restart(w.now, "2")
+		w.run(5 * time.Second)
+		old.unreachableWorkers["w2"], old.unreachableWorkers["w4"] = true, true
+		for _, n := range w.nodes {
+			n.paused = n != old
+		}
+		w.resume(old)
+		w.run(2500 * time.Millisecond)
+		w.checkNoViolations(t)
+	}
+}
+
 // TestNoTaskRunsTwiceWhileWorkersRestart guards against a task that runs twice, or a task that
 // may not be repeated that starts twice, in random worlds in which workers restart beside the
 // other faults, with Syncs that arrive late.
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -118,7 +118,7 @@
 	if s.Epoch == 0 {
 		w.leaseSince = now
 		h.postponeAbandoning(now, w)
-		if h.isHolder() && w.lastEpoch != 0 && e.Report.Epoch != w.lastEpoch+1 {
+		if h.isHolder() && w.lastEpoch != 0 && (e.Report.Epoch != w.lastEpoch+1 || w.isOtherIncarnation(e.Report)) {
 			h.startReadoption(now)
 		}
 	}
@@ -243,7 +243,8 @@
 }
 
 // startReadoption returns to Adopting after another box has held the lease of a worker
-// since this holder did. If that box is a later holder whose claim this process has not
+// since this holder did, or may have had it because the worker has restarted and counts
+// its leases anew. If that box is a later holder whose claim this process has not
 // read yet, it acquires the lease of every worker before it starts a task that this holder
 // might start too. So nothing is started until every worker has been adopted again and the
 // log still shows this process's claim.
