shard: start nothing in a takeover before a read of the log under a lease

What callers saw: tasks run on two workers at once. No message is late and no worker restarts.

Cause: while a holder adopts its workers it starts the tasks of objects born after its claim, since no earlier holder can have started them. A later one can. A holder that resumes notices that by the epochs of leases that it had before; one that was paused before its first lease has none to compare, and without the log it does not read the later claim.

Why the fix holds: a later holder needs the lease of every worker before it starts a task of an object born before its claim, and objects born after its claim are read after the claim. So tasks start in a takeover only once the holder has had one lease continuously since before a read that reached the end of the log. Price: such tasks wait for that read. What happens in the phase Active is unchanged.

Found beside the question whether messages of an earlier holder reach a worker after those of a later one.

--- a/services/shard/plan.go
+++ b/services/shard/plan.go
@@ -153,6 +153,8 @@
 		return "another entry box has held leases of the shard's workers, and the log does not show yet whether it is the holder now"
 	case h.phase != Active && o.spec.ID().Born <= h.claimRevision:
 		return "this entry box is taking the shard over and has not read yet which tasks run"
+	case h.phase != Active && !h.excludesLaterHolder(now):
+		return "this entry box is taking the shard over and has not read yet whether another one is the holder now"
 	case now.Before(o.notBefore):
 		return o.reason
 	case o.isPastDeadline(now):
@@ -164,6 +166,15 @@
 	}
 }
 
+// excludesLaterHolder reports whether no later holder can have started a task: it would need
+// the lease of every worker first, and this holder has had one of them since before it last
+// read the log to the end.
+func (h *Holder) excludesLaterHolder(now time.Time) bool {
+	return slices.ContainsFunc(h.sortedWorkers, func(w *workerState) bool {
+		return w.holdsLease(now) && h.logEndReadAt.After(w.leaseSince)
+	})
+}
+
 // isPastDeadline reports whether o is a job whose deadline has passed.
 func (o *object) isPastDeadline(now time.Time) bool {
 	b := o.spec.Batch()
