shard: adopt the shard again if a first lease of a worker does not exclude a later holder

What callers saw: tasks run on two workers at once. No message is late and no worker restarts.

A worker joins the shard, the holder is paused before it has the worker's lease, a later one takes over, and the resumed holder reaches only the new worker. It has no epoch to compare with, so it went on placing tasks that the later holder has started on the others.

Why the fix holds: the first lease of a worker makes the holder adopt all workers again, unless it has had another lease continuously since before a read that reached the end of the log, which is so in normal service.

--- a/services/core/laterholder_test.go
+++ b/services/core/laterholder_test.go
@@ -4,6 +4,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,34 @@
 	}
 }
 
+// TestResumedHolderNoticesLaterHolderOnWorkerItNeverLeased guards against a resumed holder
+// starting tasks of a later one on a worker that joined the shard just before the pause, so
+// that there is no earlier lease to compare with.
+func TestResumedHolderNoticesLaterHolderOnWorkerItNeverLeased(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(seed, 3, 3)
+		w.run(2 * time.Second)
+		w.mustPublish(t, "cell", twoWorkerCell)
+		var old *node
+		w.runUntil(t, "claim", func() bool { old = w.holder(); return old != nil })
+		w.run(2 * time.Second)
+		w.setWorkersReachable(false, "w3")
+		w.mustPublish(t, "work", strings.Replace(workFile, "700ms", "5s", 1))
+		w.replace(w.nodes[0], "more", "cell", strings.Replace(twoWorkerCell, "[w1, w2]", "[w1, w2, w3]", 1))
+		w.run(500 * time.Millisecond)
+		old.paused, old.dropsLogCalls, old.dropsPeerCalls = true, true, true
+		w.setWorkersReachable(true, "w3")
+		w.run(6 * time.Second)
+		w.setWorkersReachable(false, "w1", "w2")
+		for _, n := range w.nodes {
+			n.paused = n != old
+		}
+		w.resume(old)
+		w.run(4 * time.Second)
+		w.checkNoViolations(t)
+	}
+}
+
 // setWorkersReachable sets whether the nodes reach the workers.
 func (w *world) setWorkersReachable(reachable bool, workers ...string) {
 	for _, n := range w.nodes {
--- a/services/shard/lease.go
+++ b/services/shard/lease.go
@@ -118,7 +118,7 @@
 	if s.Epoch == 0 {
 		w.leaseSince = now
 		h.postponeAbandoning(now, w)
-		if h.isHolder() && w.lastEpoch != 0 && (e.Report.Epoch != w.lastEpoch+1 || w.isOtherIncarnation(e.Report)) {
+		if h.isHolder() && h.mayHaveLaterHolder(now, w, e.Report) {
 			h.startReadoption(now)
 		}
 	}
@@ -146,6 +146,16 @@
 	h.syncAtExpectedEnd(now, w)
 }
 
+// mayHaveLaterHolder reports whether a later holder may have had the worker's lease before the
+// worker granted it to this one with the report r.
+func (h *Holder) mayHaveLaterHolder(now time.Time, w *workerState, r worker.Report) bool {
+	if w.lastEpoch == 0 {
+		// There is no earlier lease to compare with, as for a worker that is new in the shard.
+		return h.phase != Adopting && !h.excludesLaterHolder(now)
+	}
+	return r.Epoch != w.lastEpoch+1 || w.isOtherIncarnation(r)
+}
+
 // syncAtExpectedEnd moves the next Sync forward to the expected end of the first task to
 // end, but no closer than a tenth of RenewInterval, so that the freed resources are used
 // again soon.
