shard: test that a late acknowledgement drops no outcome of a later incarnation

An outcome of a later incarnation under the ID that an earlier holder's acknowledgement names needs a late start too; attempts have numbers of their own, and an acknowledgement is sent only for what is recorded or queued as a later attempt. The test forces the outcome by a Sync that no holder sends.

--- a/services/core/workerrestart_test.go
+++ b/services/core/workerrestart_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// TestLateAcknowledgementIsNotCarriedOutByLaterIncarnation guards against an acknowledgement
+// for an earlier incarnation dropping an outcome of a later one, to which a late request of a
+// grant has given the same epoch.
+func TestLateAcknowledgementIsNotCarriedOutByLaterIncarnation(t *testing.T) {
+	for seed := range uint64(20) {
+		w, grants := newRestartWorld(t, seed, oneWorkerCell, 1)
+		var late *worker.Sync
+		var started []worker.Start
+		w.intercept = func(e effect.SyncWorker) bool {
+			started = append(started, e.Sync.Starts...)
+			if late == nil && len(e.Sync.Acks) > 0 {
+				late = &e.Sync
+				return true
+			}
+			return false
+		}
+		w.mustPublish(t, "one", "name: one\njobs:\n  - {name: one, team: t, count: 1, resources: {processors: 1}, command: [sleep, 100ms], repeatable: true, retries: 1}\n")
+		w.runUntil(t, "acknowledgement", func() bool { return late != nil })
+		later := w.workers["w1"]
+		later.Restart(w.now, "2")
+		granted := later.Apply(w.now, grants["w1"])
+		// No holder sends this Sync: the later incarnation needs an outcome under the same ID.
+		run := worker.Sync{Holder: granted.Holder, Epoch: granted.Epoch, Seq: late.Seq - 1, TTL: late.TTL, Starts: started}
+		assert.Check(t, later.Apply(w.now, run).Granted)
+		report := later.Apply(w.now.Add(time.Second), *late)
+		assert.Check(t, !report.Granted, "seed %d: a later incarnation carried out %+v", seed, late)
+		assert.Equal(t, len(report.Tasks), 1, "seed %d: the outcome is lost: %+v", seed, report)
+	}
+}
+
 // TestLossOfTasksInRestartIsNoticed guards against a later incarnation, to which a late
 // request of a grant has given the same epoch, being taken for the earlier one, whose
 // inventory had the same version.
