shard: drop the stop of a duplicate run that a restart has ended

What operators saw: a worker gets a Sync every 100 ms to 150 ms for good instead of one an interval.

Cause: the stop of a run that has no place here was dropped only when its end was reported. A later incarnation reports none.

Why the fix holds: the inventory under the lease is authoritative; a run that it does not list needs no stop. Stops of attempts that have a place, whose start may wait to be sent, are kept as before.

Evidence: TestStopOfRunThatEndedInRestartIsNotRepeated counted 33 stops in 5 s before and passes; go test ./services/core passes.

--- a/services/core/workerrestart_test.go
+++ b/services/core/workerrestart_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"saddlevane/models/effect"
+	"saddlevane/models/resource"
 	"saddlevane/models/worker"
 
 	"gotest.tools/v3/assert"
@@ -221,6 +222,40 @@
 	}
 }
 
+// TestStopOfRunThatEndedInRestartIsNotRepeated guards against the stop of a duplicate run, which
+// a restart has ended, being sent with each Sync from then on.
+func TestStopOfRunThatEndedInRestartIsNotRepeated(t *testing.T) {
+	w, _ := newRestartWorld(t, 1, twoWorkerCell, 2)
+	w.mustPublish(t, "one", "name: one\nservices:\n  - {name: one, team: t, priority: urgent, count: 1, resources: {processors: 1}, command: [serve]}\n")
+	w.runUntil(t, "service", func() bool { return w.workerRunning("one") != "w9" })
+	other := "w1"
+	if w.workerRunning("one") == other {
+		other = "w2"
+	}
+	id := w.workers[w.workerRunning("one")].Running()[0]
+	started, restarted, stops := false, false, 0
+	w.intercept = func(e effect.SyncWorker) bool {
+		switch {
+		case e.Worker != other:
+		case !started:
+			// No holder sends this start beside the run of the other worker.
+			started = true
+			e.Sync.Starts = []worker.Start{{Task: id, Resources: resource.Vector{Processors: 1000}, Command: []string{"serve"}}}
+			w.workers[other].Apply(w.now, e.Sync)
+			return true
+		case len(e.Sync.Stops) > 0 && !restarted:
+			restarted = true
+			w.workers[other].Restart(w.now, "2")
+		case len(e.Sync.Stops) > 0:
+			stops++
+		}
+		return false
+	}
+	w.runUntil(t, "restart", func() bool { return restarted })
+	w.run(5 * time.Second)
+	assert.Check(t, stops <= 1, "the stop was sent %d times after the restart", stops)
+}
+
 // TestNoTaskRunsTwiceWhileWorkersRestart guards against a task that runs twice, or a task that
 // may not be repeated that starts twice, in random worlds in which workers restart beside the
 // other faults, with Syncs that arrive late.
--- a/services/shard/inventory.go
+++ b/services/shard/inventory.go
@@ -4,6 +4,7 @@
 package shard
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 		items[item.Task] = true
 		h.reconcileItem(now, w, item)
 	}
+	// A stop of a run that has no place here is needed only while the worker reports that run.
+	maps.DeleteFunc(w.stops, func(id task.ID, _ worker.Stop) bool { return !items[id] && w.tasks[id] == nil })
 	unsent := map[task.ID]bool{}
 	for _, start := range w.starts {
 		unsent[start.Task] = true
