--- a/services/core/core.go
+++ b/services/core/core.go
@@ -101,6 +101,8 @@
 		return c.logFailed(now, e)
 	case event.AppendEnded:
 		c.journal.AppendEnded(now, e)
+		// A snapshot may have contained the record before this answer arrived.
+		c.journal.LogApplied(now, c.ledger.NextOffset())
 		return nil
 	case event.BoxesRead:
 		return c.boxesRead(now, e.List)
--- a/services/core/publish.go
+++ b/services/core/publish.go
@@ -77,6 +77,18 @@
 	return effects
 }
 
+// answerPublicationsInForce answers the calls that wait for a publication that is in force. A
+// snapshot does not contain the decisions on other publications.
+func (c *Core) answerPublicationsInForce() []effect.Effect {
+	var effects []effect.Effect
+	for _, name := range c.ledger.Files() {
+		if e, ok := c.ledger.Entry(name); ok {
+			effects = append(effects, c.answerPublication(&ledger.PublishDecision{ID: e.PublicationID(), Accepted: true, Revision: e.Revision()})...)
+		}
+	}
+	return effects
+}
+
 // expirePublications answers the calls whose timeout has passed before the log has decided.
 // The file may still come into force.
 func (c *Core) expirePublications(now time.Time) []effect.Effect {
--- a/services/core/reader.go
+++ b/services/core/reader.go
@@ -142,7 +142,8 @@
 	return append(effects, c.dueReads(now)...)
 }
 
-// restore replaces the ledger with a snapshot. An invalid snapshot is ignored.
+// restore replaces the ledger with a snapshot and answers the publications that it contains. An
+// invalid snapshot is ignored.
 func (c *Core) restore(now time.Time, s record.Snapshot) []effect.Effect {
 	restored, err := ledger.Restore(s)
 	if err != nil {
@@ -150,10 +151,12 @@
 	}
 	c.ledger.ReplaceWith(restored)
 	c.reader.checkpointSearch = nil
-	if !c.reader.inForce {
-		return nil
+	c.journal.LogApplied(now, c.ledger.NextOffset())
+	effects := c.answerPublicationsInForce()
+	if c.reader.inForce {
+		effects = append(effects, c.applyFiles(now)...)
 	}
-	return c.applyFiles(now)
+	return effects
 }
 
 // snapshotRead handles a peer's snapshot. It is used only while the log cannot be read or
--- a/services/core/world_test.go
+++ b/services/core/world_test.go
@@ -63,6 +63,8 @@
 	// dropsLogCalls and dropsPeerCalls are set while the calls of this node to the log and to its
 	// peers are dropped.
 	dropsLogCalls, dropsPeerCalls bool
+	// dropsLogReads is set while reads of the log by this node are dropped, but not its appends.
+	dropsLogReads bool
 	// unreachableWorkers names the workers that this node cannot reach.
 	unreachableWorkers map[string]bool
 	// highestRevision is the highest revision of each file that was in force at this node.
@@ -240,7 +242,7 @@
 }
 
 func (w *world) readLog(n *node, incarnation int, from int64) {
-	if n.dropsLogCalls || w.logDown || w.isLost() {
+	if n.dropsLogReads || n.dropsLogCalls || w.logDown || w.isLost() {
 		w.schedule(callTimeout, func() { w.deliver(n, incarnation, event.LogFailed{Reason: "cut"}) })
 		return
 	}
@@ -261,6 +263,7 @@
 		return
 	}
 	w.schedule(w.delay(), func() {
+		ended.Offset = int64(len(w.log))
 		w.log = append(w.log, event.LogRecord{Offset: int64(len(w.log)), At: w.now, Envelope: e})
 		if w.isLost() {
 			ended.Failure = "the answer was lost"
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -54,6 +54,8 @@
 	current *record.Envelope
 	// currentSize is the number of entries of queue that are in current.
 	currentSize int
+	// currentOffset is the offset of current in the log, or unknownOffset.
+	currentOffset int64
 	// inFlight is set while an append of current has not been answered.
 	inFlight bool
 	// lastEnvelope is the number of the last envelope that was built.
@@ -113,6 +115,7 @@
 	}
 	j.lastEnvelope++
 	j.currentSize = n
+	j.currentOffset = unknownOffset
 	j.current = &record.Envelope{
 		ID:      j.from + "/" + strconv.FormatInt(j.lastEnvelope, 10),
 		From:    j.from,
@@ -145,10 +148,16 @@
 		// The envelope is in the log. If it is not read back within this time, it is
 		// appended again, which has no effect on the state because the ID is the same.
 		wait = readBackTimeout
+		if j.currentOffset == unknownOffset {
+			j.currentOffset = e.Offset
+		}
 	}
 	j.nextAt = now.Add(wait)
 }
 
+// unknownOffset is the offset of an envelope of which no append has been confirmed.
+const unknownOffset = -1
+
 // maxBackoffDoublings bounds how often the retry delay is doubled.
 const maxBackoffDoublings = 3
 
@@ -170,3 +179,13 @@
 		j.nextAt = now.Add(j.settings.Interval)
 	}
 }
+
+// LogApplied handles that all records before offset next have been applied, one by one or as part
+// of a snapshot, which does not name them. If the current envelope is one of them, its entries are
+// removed from the queue.
+func (j *Journal) LogApplied(now time.Time, next int64) {
+	if j.current == nil || j.currentOffset == unknownOffset || j.currentOffset >= next {
+		return
+	}
+	j.RecordApplied(now, j.current.ID)
+}
