--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 # What the tests did is kept, so that docs/PROOFS.md can be held against it.
 QUIET := grep -v -e '^=== ' -e 'no test files'
 
-# Known faults that are not mended yet: KNOWN-RED.txt has a line "test, cause, issue" for each. Their tests, or
+# Known faults that are not mended yet: KNOWN-RED.txt has a line for each, which begins with the test. Their tests, or
 # subtests as in Test/sub, are printed and passed over, all others must pass.
 KNOWN_RED := $(shell grep -v '^\#' KNOWN-RED.txt 2>/dev/null | cut -d, -f1 | sed -e 's,/,$$/^,g' -e 's,^,^,' -e 's,$$,$$,' | paste -sd'|')
 SKIP_RED := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
