--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -167,7 +167,8 @@
 }
 
 // handleLateRenewEnded handles the answer to a renewal that has timed out. The ends in it are
-// numbered and stay valid. The runs in it may have ended since, so the rest is ignored.
+// numbered and stay valid. The runs in it may have ended since, so the rest is ignored, unless the answer
+// shows that the worker has restarted: until the next answer nothing else is known of that incarnation.
 func (h *holderState) handleLateRenewEnded(now time.Time, w *worker, e exchange.RenewEnded) {
 	due, waited := w.overdue[e.Renewal]
 	delete(w.overdue, e.Renewal)
