--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -4,43 +4,17 @@
 package dispatch
 
 import (
-	"fmt"
 	"time"
 
-	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/models/mechanism"
 	"saddlevane/models/resource"
 	"saddlevane/models/workspace"
 	"saddlevane/modules/ordered"
-	"saddlevane/services/workspaces"
 )
 
-// checkAdmission reports whether a new job is within its workspace's share. It returns a refusal if
-// a step could never fit within the workspace's cap, or if the workspace exceeds its share while
-// the workers have little free capacity.
-func (h *holderState) checkAdmission(now time.Time, sub *job.Submission) (within bool, refusal *exchange.Answer) {
-	if sub.Workspace == "" {
-		return true, nil
-	}
-	ws := h.core.config.Workspace(sub.Workspace)
-	for i := range sub.Steps {
-		if need := sub.Steps[i].MinNeed(); !workspaces.FitsCap(ws, need) {
-			return false, &exchange.Answer{
-				Outcome: exchange.OverLimit, Reason: fmt.Sprintf("step %d needs %v at a time, which exceeds the workspace cap of %v", i, need, ws.Cap),
-			}
-		}
-	}
-	if h.workspaceShares.TakeToken(now, ws) {
-		return true, nil
-	}
-	if !h.hasAmpleFreeCapacity && h.isEnabled(mechanism.RefusedShares) {
-		return false, &exchange.Answer{
-			Outcome: exchange.OverLimit, Reason: "the workspace exceeds its share while the workers have little free capacity",
-			RetryAfter: job.Milliseconds(h.workspaceShares.TimeToToken(now, ws).Milliseconds()),
-		}
-	}
-	return false, nil
+// isWithinShare reports whether a new job is within its workspace's share, and charges the job to it.
+func (h *holderState) isWithinShare(now time.Time, ws workspace.Workspace) bool {
+	return h.workspaceShares.TakeToken(now, ws)
 }
 
 // placeable returns how many of a step's waiting tasks that are not suspects may be placed under
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 //   - calls and status answer callers and operators, overview logs a summary of the
 //     cell;
 //   - jobs, instances and progress keep the jobs, their instances, steps and tasks;
-//     caps limits what a workspace uses and how many jobs it submits;
+//     admission decides which new jobs are accepted, caps limits what a workspace uses;
 //   - plan ranks the open steps (rank) and places their tasks (placement, fit,
 //     capacity); for tasks without capacity it preempts tasks of lower rank (preempt),
 //     reserves capacity for a gang (reserve) or drains workers (drain);
