jobrun: ask other boxes for the holder where the log does not answer

Ruled out: waiting longer (the box never learns), the log's readers (candidates must read it themselves).

--- a/models/exchange/events.go
+++ b/models/exchange/events.go
@@ -166,6 +166,9 @@
 	Failure string
 }
 
+// HolderAsked is a call of another box that asks which box holds the cell.
+type HolderAsked struct{ Call CallID }
+
 // PledgeAsked is a holder's request that this box promise not to claim the cell for a while.
 type PledgeAsked struct {
 	Call  CallID
@@ -217,6 +220,7 @@
 func (StopEnded) event()        {}
 func (ThrottleEnded) event()    {}
 func (Advised) event()          {}
+func (HolderAsked) event()      {}
 func (PledgeAsked) event()      {}
 func (Pledged) event()          {}
 func (InviteAsked) event()      {}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -161,6 +161,9 @@
 		c.handleMembersRead(now, e.Members)
 	case exchange.AppendEnded:
 		c.handleAppendEnded(now, e)
+	case exchange.HolderAsked:
+		holder := c.Holder()
+		c.reply(e.Call, exchange.Answer{Outcome: exchange.OK, Holder: &holder})
 	case exchange.PledgeAsked:
 		c.handlePledgeAsked(now, e)
 	case exchange.Pledged:
--- a/services/jobrun/calls.go
+++ b/services/jobrun/calls.go
@@ -107,15 +107,22 @@
 )
 
 // serve answers a request through the holder. During a handover it retries: a request that
-// was answered with HeldElsewhere had no effect, and the next holder is about to serve.
+// was answered with HeldElsewhere had no effect, and the next holder is about to serve. If this box
+// does not learn from the log which one that is, it asks other boxes.
 func (l *Loop) serve(ctx context.Context, r Request) exchange.Answer {
 	deadline := l.now().Add(maxHandoverWait)
-	for {
+	for attempt := 0; ; attempt++ {
 		a := l.serveOnce(ctx, r)
 		if l.recordReportedClaim(a.Holder) {
 			continue
 		}
-		if a.Outcome != exchange.HeldElsewhere || !l.isHandingOver() || !l.now().Before(deadline) || ctx.Err() != nil {
+		if a.Outcome != exchange.HeldElsewhere || !l.now().Before(deadline) || ctx.Err() != nil {
+			return a
+		}
+		handingOver := l.isHandingOver()
+		// A box that can read the log usually knows the next holder before the second attempt.
+		inquiring := (attempt > 0 || !handingOver) && l.inquireHolder()
+		if !handingOver && !inquiring {
 			return a
 		}
 		clock.Wait(ctx, handoverRetryDelay)
--- a/services/jobrun/follow.go
+++ b/services/jobrun/follow.go
@@ -220,6 +220,9 @@
 	if len(members) > 0 {
 		l.relays.AddBoxes(members)
 		l.readers.AddBoxes(members)
+		l.mu.Lock()
+		l.inquiry.addBoxes(l.self.Box, members)
+		l.mu.Unlock()
 		l.post(exchange.MembersRead{Members: members})
 	}
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -127,6 +127,8 @@
 	// reportedClaim is the newest claim that another box has reported. A box that cannot read
 	// the log learns from it which box holds the cell.
 	reportedClaim claim.Claim
+	// inquiry tracks the inquiries of this box after the holder.
+	inquiry inquiry
 	// stopFollowWorkers stops following the list of workers, nil if it isn't followed. Only
 	// the goroutine of Loop.run uses it.
 	stopFollowWorkers context.CancelFunc
--- a/services/jobrun/request.go
+++ b/services/jobrun/request.go
@@ -26,6 +26,8 @@
 	// Pledge asks the box not to claim the cell while the claim with this epoch is held. With an epoch
 	// that no claim has, it only asks whether the box reaches the log.
 	Pledge int64 `json:"pledge,omitempty"`
+	// Holder asks the box which box holds the cell.
+	Holder bool `json:"holder,omitempty"`
 	// Invite asks the box to claim the cell from the holder of the claim with this epoch.
 	Invite int64 `json:"invite,omitempty"`
 }
@@ -41,6 +43,8 @@
 		return exchange.StateAsked{Call: id, Caller: r.Caller, Job: r.State}
 	case r.Explain != "":
 		return exchange.ExplanationAsked{Call: id, Job: r.Explain}
+	case r.Holder:
+		return exchange.HolderAsked{Call: id}
 	case r.Pledge != 0:
 		return exchange.PledgeAsked{Call: id, Epoch: r.Pledge}
 	case r.Invite != 0:
