speeds: workers known by their speed and its certainty, kept over takeovers

Cause: speeds were three classes from tasks ended in the last 10 s against their expected time, which is off by more than workers differ, and were forgotten at each takeover. services/speeds estimates the logarithm of each worker's speed with a variance, from the tasks of a step against those on other workers, or against the learned time where there are none; members of a gang count by their reported progress. Only what certainly differs from the median changes an order. Run times are learned at mean speed. The record "speeds" goes to the next holder.

A gang is as slow as its slowest member: mixed gangs take as long as all slow ones. Workers keep names and addresses over restarts.

The objective and late in "job ended" follow the job's own work.

--- a/models/job/explain.go
+++ b/models/job/explain.go
@@ -89,4 +89,7 @@
 	Leaving        bool   `json:"leaving,omitempty"`
 	// Evacuated is set if the worker's failure domain is evacuated.
 	Evacuated bool `json:"evacuated,omitempty"`
+	// Speed is how fast tasks run on the worker, compared with the mean of all workers, with its
+	// range of one standard deviation.
+	Speed string `json:"speed,omitempty"`
 }
--- a/models/mechanism/mechanism.go
+++ b/models/mechanism/mechanism.go
@@ -17,7 +17,7 @@
 	// LearnedTimes predicts run times from earlier runs of similar steps instead of the
 	// submitter's estimate.
 	LearnedTimes Mechanism = "learned-times"
-	// SlowWorkers uses slow workers only for tasks that are not urgent.
+	// SlowWorkers uses faster workers first for tasks that are urgent.
 	SlowWorkers Mechanism = "slow-workers"
 	// Draining keeps workers free for tasks that need a large part of a worker.
 	Draining Mechanism = "draining"
--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -11,7 +11,6 @@
 	"saddlevane/models/job"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/delays"
-	"saddlevane/services/ranking"
 )
 
 // recordWait adds the time since the last call, or since the step was opened, to what the step has
@@ -73,18 +72,9 @@
 	return last
 }
 
-// usualObjective returns the objective that an instance would have if each of its steps took its
-// usual time.
-func (h *holderState) usualObjective(in *instance, q job.Queue) time.Duration {
-	longest := time.Duration(0)
-	for i, after := range ranking.CriticalPathAfter(in.steps, h.usualTime, (*step).dependencies) {
-		longest = max(longest, after+h.usualTime(in.steps[i]))
-	}
-	return time.Duration(q.Stretch*float64(longest)) + q.Latency
-}
-
 // logJobEnd logs how a job ended. For a successful job with one instance and without services it
-// adds the objective, whether it was late and what delayed it.
+// adds the objective by its own work, that is the run times of its steps at mean speed, whether it was late
+// and what delayed it.
 func (h *holderState) logJobEnd(now time.Time, j *trackedJob, state job.State, reason string) {
 	fields := []exchange.LogField{
 		logField("job", string(j.id)), logField("queue", j.queue), logField("workspace", j.workspace),
@@ -92,7 +82,7 @@
 		logField("age", now.Sub(j.acceptedAt).String()), logField("claim", h.epoch),
 	}
 	if in := j.instances[0]; in != nil && state == job.Succeeded && j.submission.Instances() == 1 && !in.steps[0].spec.Service {
-		limit := h.usualObjective(in, h.queueOf(j))
+		limit := objective(in, h.queueOf(j))
 		fields = append(fields, logField("objective", limit.String()), logField("late", now.Sub(in.dueAt) > limit),
 			logField("delays", j.delaysOf(in)))
 	}
--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -12,7 +12,6 @@
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/modules/ordered"
-	"saddlevane/services/estimates"
 )
 
 const (
@@ -24,13 +23,12 @@
 	maxShortStep = time.Second
 )
 
-// usableWorkers returns the eligible workers that a step may use. Gangs get no workers whose
-// slowness is learned.Avoided.
+// usableWorkers returns the eligible workers that a step may use.
 func (h *holderState) usableWorkers(p *pass, r rankedStep) []*worker {
 	short := h.expectedTime(r.step) <= maxShortStep
 	var workers []*worker
 	for _, w := range r.eligibleWorkers(h.workersFor(p, r.step, r.queue.Pool)) {
-		if h.canUse(w, r.step, short) && (!r.step.spec.Gang || h.slownessOf(p.now, w) != estimates.Avoided) {
+		if h.canUse(w, r.step, short) && (!r.step.spec.Gang || h.suitsGang(p.now, w)) {
 			workers = append(workers, w)
 		}
 	}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -50,10 +50,7 @@
 	s.holdAcknowledgements(w, end)
 	if end.Status == order.Done {
 		h.clearBlame(s, end.Task.Index)
-		s.recordRunTime(now, a)
-		if a != nil {
-			h.learnSpeed(now, a)
-		}
+		h.recordRunTime(now, s, a)
 	} else {
 		t.runs.RecordInterruption(delays.InterruptionCause(end.Status))
 	}
@@ -138,9 +135,9 @@
 // depended on it, or ends the job if there are none left.
 func (h *holderState) completeStep(now time.Time, s *step, last int) {
 	s.open = false
-	s.doneAt, s.delaySum = now, s.tasks[last].runs.Delays(now, s.openedAt, h.usualTime(s), s.waitSum)
 	h.releaseCapacity(now, s)
-	h.learnRunTime(s)
+	h.learnRunTime(now, s)
+	s.doneAt, s.delaySum = now, s.tasks[last].runs.Delays(now, s.openedAt, h.expectedTime(s), s.waitSum)
 	h.core.logEvent("step done", logField("job", string(s.job.id)), logField("step", s.id.String()), logField("tasks", len(s.tasks)),
 		logField("age", now.Sub(s.instance.dueAt).String()), logField("slack", (h.slack(now, s)+h.expectedTime(s)).String()),
 		logField("took", s.longestRun.String()), logField("estimate", s.spec.Estimate.Duration().String()))
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"saddlevane/models/resource"
-	"saddlevane/services/estimates"
 	"saddlevane/services/slots"
+	"saddlevane/services/speeds"
 )
 
 // allocation is the number of tasks of a step that a worker has capacity for, or is given.
@@ -23,9 +23,8 @@
 	failed int
 	// offRack is 1 if the worker is not in the rack of the step's data.
 	offRack int
-	// slowness is how slow the worker is; it is reset to normal where that does not matter for the
-	// step.
-	slowness estimates.Slowness
+	// speedClass is the class of the worker's speed, or 0 where that does not matter for the step.
+	speedClass int
 	// heldForOther is 1 if the previous pass held capacity on the worker for another step.
 	// unticketed is 1 if a start there has to wait for a ticket.
 	heldForOther, unticketed int
@@ -35,7 +34,7 @@
 
 // fit allocates a step's waiting tasks to workers, and returns the allocations and how many tasks
 // they hold. It prefers, in this order: workers on which no task of the step has failed, workers in
-// the rack of its data, workers that are not slow, workers whose capacity was not held for another
+// the rack of its data, workers on which it ends sooner, workers whose capacity was not held for another
 // step in the previous pass, workers with a valid ticket, and the fullest workers that still have
 // free capacity, so that large free capacity is preserved for large tasks.
 func (h *holderState) fit(now time.Time, s *step, eligible []*worker) ([]allocation, int) {
@@ -46,18 +45,41 @@
 			return inOneRack, s.unplacedTasks
 		}
 	}
-	return slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
+	filled, n := slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
+	if s.spec.Gang && n == h.placeable(s) {
+		return h.fitGangOfLikeSpeed(now, s, eligible, filled), n
+	}
+	return filled, n
+}
+
+// fitGangOfLikeSpeed returns the allocations of a gang that fits, given those with the fastest workers
+// first. If these have different speeds, faster workers are replaced by ones that are as slow as the
+// slowest, which the gang has to wait for.
+func (h *holderState) fitGangOfLikeSpeed(now time.Time, s *step, eligible []*worker, fastest []allocation) []allocation {
+	classOf := func(w *worker) int { return h.speedOf(now, w).Class() }
+	slowest, first := classOf(fastest[0].Worker), classOf(fastest[0].Worker)
+	for _, a := range fastest {
+		slowest, first = max(slowest, classOf(a.Worker)), min(first, classOf(a.Worker))
+	}
+	if slowest == first {
+		return fastest
+	}
+	candidates := h.candidates(now, s, eligible)
+	for i := range candidates {
+		candidates[i].speedClass = speeds.GangClass(classOf(candidates[i].Worker), slowest)
+	}
+	like, _ := slots.FillBest(candidates, candidate.compare, candidate.slots, len(s.tasks))
+	return like
 }
 
 // slots returns the allocation of all tasks that the worker has capacity for.
 func (c candidate) slots() allocation { return c.allocation }
 
-// candidates returns the workers that have capacity for a step. Workers whose slowness is
-// learned.Avoided get no gang members. For steps that are not short, workers whose slowness is
-// learned.Slow rank the same as others. The result is valid until the next call.
+// candidates returns the workers that have capacity for a step. The result is valid until the next
+// call.
 func (h *holderState) candidates(now time.Time, s *step, eligible []*worker) []candidate {
 	candidates := h.candidateBuffer[:0]
-	short := h.expectedTime(s) <= maxShortStep
+	short, haste := h.expectedTime(s) <= maxShortStep, h.hasteOf(now, s)
 	for _, w := range eligible {
 		if !h.canUse(w, s, short) {
 			continue
@@ -67,13 +89,10 @@
 			continue
 		}
 		c := s.candidate(now, w, n)
-		c.slowness = h.slownessOf(now, w)
-		if c.slowness == estimates.Avoided && s.spec.Gang {
+		if s.spec.Gang && !h.suitsGang(now, w) {
 			continue
 		}
-		if c.slowness == estimates.Slow && !short {
-			c.slowness = estimates.Normal
-		}
+		c.speedClass = haste.SpeedClass(h.speedOf(now, w))
 		candidates = append(candidates, c)
 	}
 	h.candidateBuffer = candidates
@@ -86,7 +105,7 @@
 	return (w.drainedFor == nil || w.drainedFor == s || short) && !(w.suspectAttempts > 0 && h.isSuspectedGang(s))
 }
 
-// candidate returns the sort key of a worker that has capacity for n tasks, without its slowness.
+// candidate returns the sort key of a worker that has capacity for n tasks, without the class of its speed.
 func (s *step) candidate(now time.Time, w *worker, n int) candidate {
 	c := candidate{allocation: allocation{Worker: w, Tasks: n}, offRack: s.offRack(w), freeProcessors: w.available().Processors}
 	if s.failedOn[w] {
@@ -105,7 +124,7 @@
 // order is deterministic.
 func (c candidate) compare(o candidate) int {
 	return cmp.Or(
-		cmp.Compare(c.failed, o.failed), cmp.Compare(c.offRack, o.offRack), cmp.Compare(c.slowness, o.slowness),
+		cmp.Compare(c.failed, o.failed), cmp.Compare(c.offRack, o.offRack), cmp.Compare(c.speedClass, o.speedClass),
 		cmp.Compare(c.heldForOther, o.heldForOther),
 		cmp.Compare(c.unticketed, o.unticketed), cmp.Compare(c.freeProcessors, o.freeProcessors), cmp.Compare(c.Worker.Name, o.Worker.Name),
 	)
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -17,6 +17,7 @@
 	"saddlevane/services/planbudget"
 	"saddlevane/services/presence"
 	"saddlevane/services/reservations"
+	"saddlevane/services/speeds"
 	"saddlevane/services/startlog"
 	"saddlevane/services/timeouts"
 	"saddlevane/services/workspaces"
@@ -88,8 +89,9 @@
 	// advisers distributes calls to the advice service among the boxes.
 	advisers *advicecalls.Balancer[*adviceCall]
 	// estimates are learned from earlier runs and advice: run times, stop times, the share of
-	// workers suitable for a step, and the speed of the fleet.
+	// workers suitable for a step. speeds are those of the workers.
 	estimates *estimates.Estimates
+	speeds    *speeds.Tracker
 	// usage sums up the resources of the tasks of each workspace, workspaceShares limits the rate of
 	// new jobs of each workspace, and leftoverUsage is what may still run of jobs that ended
 	// under earlier holders, by workspace.
@@ -144,7 +146,7 @@
 		core: c, epoch: epoch, phase: phaseFencing, startedAt: now,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*trackedJob{}, unreadJobs: map[job.ID]jobrecords.UnreadJob{},
 		workers: map[string]*worker{}, unreportedWorkers: map[string]bool{}, workersWithOrphans: map[*worker]bool{}, blame: blame.NewTracker(),
-		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), planBudget: planbudget.New(),
+		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), speeds: speeds.NewTracker(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
 		leftoverUsage: map[string]resource.Vector{},
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -87,6 +87,7 @@
 	h.core.logEvent("worker restarted", logField("worker", w.Incarnation.String()), logField("life", n.Incarnation.String()), logField("tasks", len(w.attempts)),
 		logField("how", string(ending)), logField("listed", listed))
 	h.workers[n.Name] = n
+	h.speeds.Restart(now, n.Name)
 	h.retire(w)
 	h.loseAttempts(now, w, n, ending, reasonRestarted)
 	n.fencePending = true
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -13,6 +13,7 @@
 	"saddlevane/services/delays"
 	"saddlevane/services/endreports"
 	"saddlevane/services/jobrecords"
+	"saddlevane/services/speeds"
 	"saddlevane/services/startlimit"
 	"saddlevane/services/transit"
 )
@@ -112,10 +113,12 @@
 	nextReserveAt time.Time
 	// reservation is the capacity that is reserved for a gang, or nil.
 	reservation *reservation
-	// longestRun is the longest uninterrupted run of a task that succeeded; interrupted is set
+	// longestRun is the longest uninterrupted run of a task that succeeded, at mean speed; interrupted is set
 	// if not all tasks succeeded in one run.
 	longestRun  time.Duration
 	interrupted bool
+	// runs are the uninterrupted runs of tasks that succeeded, until the step is done.
+	runs []speeds.Run
 	// waitSum is how long the step has waited before its first start, by cause. It is counted
 	// until waitSumUntil.
 	waitSum      delays.Totals
--- a/services/dispatch/remaining.go
+++ b/services/dispatch/remaining.go
@@ -31,9 +31,9 @@
 }
 
 // remainingRunTime returns how much longer a run is expected to take, by its own speed if it
-// has made enough progress, else by the usual run time of such steps.
+// has made enough progress, else by the usual run time of such steps on its worker.
 func (h *holderState) remainingRunTime(now time.Time, a *attempt) time.Duration {
-	total, done := h.usualTime(a.step), float64(a.progress)/fullProgress
+	total, done := h.speedOf(now, a.worker).TimeFor(h.usualTime(a.step)), float64(a.progress)/fullProgress
 	if a.state != attemptRunning {
 		return total
 	}
--- a/services/dispatch/restore.go
+++ b/services/dispatch/restore.go
@@ -71,6 +71,9 @@
 	for _, k := range state.Workers {
 		h.restoreRecordedWorker(now, k)
 	}
+	if err := h.speeds.Restore(now, state.Speeds); err != nil {
+		h.core.logEvent("failed to decode logged speeds", logField("error", err.Error()))
+	}
 	for _, name := range state.UnreadWorkers {
 		h.restoreUndecodableWorker(now, name)
 	}
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -13,13 +13,17 @@
 // saveRunTimesInterval is the minimum time between two records of the learned run times.
 const saveRunTimesInterval = 3 * time.Second
 
-// saveRunTimes appends the learned run times to the log if they have changed since the last record.
+// saveRunTimes appends the learned run times and speeds to the log if they have changed since the last
+// record.
 func (h *holderState) saveRunTimes(now time.Time) {
 	if now.Before(h.nextRunTimesAt) || h.phase != phaseActive || !h.estimates.HasChanged() || h.journal.isFailing(now) {
 		return
 	}
 	h.nextRunTimesAt = now.Add(saveRunTimesInterval)
 	h.journal.addRecord(jobrecords.RunTimesRecord(h.estimates.TakeRunTimes()))
+	if h.speeds.HasChanged() {
+		h.journal.addRecord(jobrecords.SpeedsRecord(h.speeds.Record(now)))
+	}
 }
 
 // expectedTime returns the run time of a step: the actual one if the step is done, otherwise the
@@ -40,19 +44,10 @@
 	return h.estimates.ExpectedRunTime(s.job.queue, s.spec.Estimate.Duration())
 }
 
-// recordRunTime records that a task of a step succeeds at now. Only an uninterrupted run that this
-// holder started, and whose start the worker confirmed, shows how long a step takes.
-func (s *step) recordRunTime(now time.Time, a *attempt) {
-	if a == nil || a.adopted || a.resumed || a.state != attemptRunning {
-		s.interrupted = true
-		return
-	}
-	s.longestRun = max(s.longestRun, now.Sub(a.stateSince))
-}
-
-// learnRunTime updates the learned run times with a step that is done, and recomputes the critical
-// paths of its instance.
-func (h *holderState) learnRunTime(s *step) {
+// learnRunTime updates the learned run times and speeds with a step that is done, and recomputes the
+// critical paths of its instance.
+func (h *holderState) learnRunTime(now time.Time, s *step) {
+	h.learnSpeeds(now, s)
 	if s.interrupted || s.longestRun == 0 {
 		s.longestRun = 0
 	} else {
--- a/services/dispatch/status.go
+++ b/services/dispatch/status.go
@@ -43,7 +43,7 @@
 	for id, w := range ordered.Map(h.workers) {
 		s.Workers = append(s.Workers, job.WorkerStatus{
 			ID: id, Domain: w.Domain, AcceptsTasks: h.isSchedulable(now, w), Tasks: len(w.attempts), FreeProcessors: w.free.Processors.String(),
-			Failures: w.failedRenewals, Leaving: w.Leaving, Evacuated: h.isEvacuated(w),
+			Failures: w.failedRenewals, Leaving: w.Leaving, Evacuated: h.isEvacuated(w), Speed: h.speeds.Of(now, id).String(),
 		})
 		capacity = capacity.Plus(w.Capacity)
 		used = used.Plus(w.Capacity.Minus(w.free))
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -14,9 +14,9 @@
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/endreports"
-	"saddlevane/services/estimates"
 	"saddlevane/services/jobrecords"
 	"saddlevane/services/presence"
+	"saddlevane/services/speeds"
 	"saddlevane/services/throttling"
 	"saddlevane/services/transit"
 )
@@ -100,8 +100,9 @@
 	heldFor, prevHeldFor *step
 	// fillerPace is the pace of the worker's fillers.
 	fillerPace throttling.Pace
-	// speed is the learned speed of tasks on the worker, compared with their expected run times.
-	speed estimates.Speed
+	// speed is the estimated speed of the worker at speedAt.
+	speed   speeds.Estimate
+	speedAt time.Time
 	// drainedFor is the gang, or the step with large tasks, for which the worker is drained. Apart
 	// from that step, only short steps may use the worker meanwhile.
 	drainedFor *step
@@ -162,6 +163,7 @@
 func (h *holderState) addWorker(now time.Time, o order.Worker) *worker {
 	w := newWorker(now, o)
 	w.incarnations = h.formerWorkers.Take(o.Name)
+	h.speeds.Restart(now, o.Name)
 	h.workers[o.Name] = w
 	h.forgetWorkerLists()
 	return w
--- a/services/estimates/estimates.go
+++ b/services/estimates/estimates.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"saddlevane/services/speeds"
 )
 
 const (
@@ -27,9 +29,6 @@
 	suitableShares map[string]float64
 	// stopTime is the average time from the order to stop a task until its end is reported.
 	stopTime time.Duration
-	// fleetLogRatio is the mean logarithm of actual by expected run time over the tasks of all
-	// workers.
-	fleetLogRatio float64
 	// runTimes holds what is known of the run times of the steps, by queue.
 	runTimes map[string]*RunTimes
 	// changed is set if run times were observed that have not been logged.
@@ -67,20 +66,16 @@
 // StopTime returns the average time from the order to stop a task until its end is reported.
 func (e *Estimates) StopTime() time.Duration { return e.stopTime }
 
-// FleetLogRatio returns the mean logarithm of actual by expected run time over the tasks of all
-// workers.
-func (e *Estimates) FleetLogRatio() float64 { return e.fleetLogRatio }
-
-// ObserveSpeed records the ratio of actual to expected run time of a task on any worker.
-func (e *Estimates) ObserveSpeed(ratio float64) {
-	e.fleetLogRatio = UpdateFleetMean(e.fleetLogRatio, ratio)
-}
-
 // ExpectedRunTime returns how long a step of a queue with the given estimate is expected to take.
 func (e *Estimates) ExpectedRunTime(queue string, estimate time.Duration) time.Duration {
 	return e.runTimesOf(queue).Expected(estimate)
 }
 
+// Work returns what is known of the run time of a step of a queue with the given estimate.
+func (e *Estimates) Work(queue string, estimate time.Duration) speeds.Work {
+	return e.runTimesOf(queue).Work(estimate)
+}
+
 // ObserveRunTime records how long a step of a queue with the given estimate took.
 func (e *Estimates) ObserveRunTime(queue string, estimate, took time.Duration) {
 	e.runTimesOf(queue).Observe(estimate, took)
--- a/services/estimates/runtimes.go
+++ b/services/estimates/runtimes.go
@@ -2,8 +2,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package estimates learns from the ends of tasks and from advice: how long the steps of a queue take
-// compared with their estimates, how slow a worker is compared with all others, how long stops
-// take, and which share of workers suits a queue.
+// compared with their estimates, how long stops take, and which share of workers suits a queue.
 package estimates
 
 import (
@@ -11,6 +10,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"saddlevane/services/speeds"
 )
 
 // RunTimes predicts the run times of a queue's steps from the estimates of those who submit them.
@@ -59,6 +60,8 @@
 	// priorVariance is the variance of the logarithms in that assumption: estimates differ by a
 	// factor of about 1.6.
 	priorVariance = 0.25
+	// minWorkWeight is the weight from which the initial assumption counts for a fifth or less.
+	minWorkWeight = 5 * priorWeight
 	// maxWeight bounds the weight of all observations, so that old ones are forgotten.
 	maxWeight = 200
 	// MinTime is the shortest time of which the logarithm is taken, which keeps it finite.
@@ -89,10 +92,26 @@
 	if r.weight == 0 || r.estimateVariance <= 0 {
 		return estimate
 	}
-	slope := min(1, max(0, r.covariance/r.estimateVariance))
+	mean, left := r.line(estimate)
 	// The mean of a log-normal distribution is above its median by a factor of e to half the
 	// variance, here the variance that the line leaves unexplained.
-	left := max(0, r.tookVariance-slope*r.covariance)
-	mean := r.meanTook + slope*(logSeconds(estimate)-r.meanEstimate) + left/2
-	return time.Duration(math.Exp(mean) * float64(time.Second))
+	return time.Duration(math.Exp(mean+left/2) * float64(time.Second))
+}
+
+// line returns the expected logarithm of the run time of a step with an estimate, and the variance that
+// the line leaves unexplained.
+func (r *RunTimes) line(estimate time.Duration) (mean, left float64) {
+	slope := min(1, max(0, r.covariance/r.estimateVariance))
+	return r.meanTook + slope*(logSeconds(estimate)-r.meanEstimate), max(0, r.tookVariance-slope*r.covariance)
+}
+
+// Work returns what the workers' speeds may be learned from: the expected logarithm of the run time of a
+// step with an estimate. Nothing is known before there are enough observations to outweigh the initial
+// assumption, since those who submit steps are off by more than workers differ.
+func (r *RunTimes) Work(estimate time.Duration) speeds.Work {
+	if r.weight < minWorkWeight || r.estimateVariance <= 0 {
+		return speeds.Work{}
+	}
+	mean, left := r.line(estimate)
+	return speeds.Work{LogSeconds: mean, Variance: left, Known: true}
 }
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -29,6 +29,8 @@
 	// keyTimes is the key of the observed run times, so that the next holder does not have
 	// to observe them again.
 	keyTimes = "times"
+	// keySpeeds is the key of the workers' speeds.
+	keySpeeds = "speeds"
 	// keyCrashes is the key of the rate at which workers crash without a task as the cause.
 	keyCrashes = "crashes"
 	// keyStarts is the prefix of the records of recently started tasks, one for each slot.
@@ -103,6 +105,9 @@
 // RunTimesRecord returns the record of the observed run times.
 func RunTimesRecord(times any) stream.Record { return newRecord(keyTimes, times) }
 
+// SpeedsRecord returns the record of the workers' speeds.
+func SpeedsRecord(speeds any) stream.Record { return newRecord(keySpeeds, speeds) }
+
 // CrashRateRecord returns the record of the rate at which workers crash without a task as the
 // cause.
 func CrashRateRecord(rate any) stream.Record { return newRecord(keyCrashes, rate) }
@@ -165,6 +170,8 @@
 	Workers []KnownWorker
 	// RunTimes is the value of the record of run times, or nil if there is none.
 	RunTimes []byte
+	// Speeds is the value of the record of the workers' speeds, or nil if there is none.
+	Speeds []byte
 	// CrashRate is the value of the record of the crash rate, or nil if there is none.
 	CrashRate []byte
 	// RecentStarts are the values of the records of recently started tasks.
@@ -209,7 +216,7 @@
 		}
 	}
 	var s State
-	s.RunTimes, s.CrashRate = newest[keyTimes].Value, newest[keyCrashes].Value
+	s.RunTimes, s.Speeds, s.CrashRate = newest[keyTimes].Value, newest[keySpeeds].Value, newest[keyCrashes].Value
 	byOffset := slices.SortedFunc(maps.Values(newest), func(a, b stream.Record) int {
 		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
 	})
