--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -4,33 +4,24 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
-	"saddlevane/modules/ordered"
 	"saddlevane/services/delays"
 )
 
-// recordWait adds the time since the last call, or since the step was opened, to what the step has
-// waited for the given cause. Only time before the first start counts.
+// recordWait adds the time since the last call to what the step has waited for the given cause.
 func (s *step) recordWait(now time.Time, cause delays.Cause) {
-	if since := ordered.Later(s.waitSumUntil, s.openedAt); s.doneTasks+s.placedTasks == 0 && !since.IsZero() {
-		if s.waitSum == nil {
-			s.waitSum = delays.Totals{}
-		}
-		s.waitSum[cause] += now.Sub(since)
-	}
-	s.waitSumUntil = now
+	s.waits.Record(now, s.openedAt, s.doneTasks+s.placedTasks > 0, cause)
 }
 
 // waitCause returns why a step was not fully placed in a plan.
 func (s *step) waitCause() delays.Cause {
-	if s.advice.hasCalls() {
+	switch {
+	case s.advice.hasCalls():
 		return delays.Advice
-	}
-	if s.capReached {
+	case s.capReached:
 		return delays.Cap
 	}
 	return delays.NoCapacity
@@ -40,38 +31,19 @@
 // opened and the delays along the chain of steps that finished last.
 func (j *trackedJob) delaysOf(in *instance) delays.Totals {
 	d := delays.Totals{}
-	opened := in.openedAt
+	cause := delays.Log
 	if j.inherited {
-		d.Add(delays.Takeover, opened.Sub(in.dueAt))
-	} else {
-		d.Add(delays.Log, opened.Sub(in.dueAt))
+		cause = delays.Takeover
 	}
-	for s := in.lastDone(nil); s != nil; s = in.lastDone(s.spec.After) {
-		for cause, delay := range s.delaySum {
-			d[cause] += delay
-		}
-		if len(s.spec.After) == 0 {
-			break
-		}
+	d.Add(cause, in.openedAt.Sub(in.dueAt))
+	var steps []delays.Done
+	for _, s := range in.steps {
+		steps = append(steps, delays.Done{At: s.doneAt, Delays: s.delaySum, After: s.spec.After})
 	}
+	d.AddChain(steps)
 	return d
 }
 
-// lastDone returns the step that was done last, among the steps with the given indexes or, if
-// indexes is nil, among all.
-func (in *instance) lastDone(indexes []int) *step {
-	var last *step
-	for i, s := range in.steps {
-		if indexes != nil && !slices.Contains(indexes, i) {
-			continue
-		}
-		if last == nil || s.doneAt.After(last.doneAt) {
-			last = s
-		}
-	}
-	return last
-}
-
 // logJobEnd logs how a job ended. For a successful job with one instance and without services it
 // adds the objective by its own work, that is the run times of its steps at mean speed, whether it was late
 // and what delayed it.
--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -28,7 +28,7 @@
 	short := h.expectedTime(r.step) <= maxShortStep
 	var workers []*worker
 	for _, w := range r.eligibleWorkers(h.workersFor(p, r.step, r.queue.Pool)) {
-		if h.canUse(w, r.step, short) && (!r.step.spec.Gang || h.suitsGang(p.now, w)) {
+		if h.canUse(p.now, w, r.step, short) {
 			workers = append(workers, w)
 		}
 	}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -137,7 +137,7 @@
 	s.open = false
 	h.releaseCapacity(now, s)
 	h.learnRunTime(now, s)
-	s.doneAt, s.delaySum = now, s.tasks[last].runs.Delays(now, s.openedAt, h.expectedTime(s), s.waitSum)
+	s.doneAt, s.delaySum = now, s.tasks[last].runs.Delays(now, s.openedAt, h.expectedTime(s), s.waits.Totals())
 	h.core.logEvent("step done", logField("job", string(s.job.id)), logField("step", s.id.String()), logField("tasks", len(s.tasks)),
 		logField("age", now.Sub(s.instance.dueAt).String()), logField("slack", (h.slack(now, s)+h.expectedTime(s)).String()),
 		logField("took", s.longestRun.String()), logField("estimate", s.spec.Estimate.Duration().String()))
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -46,32 +46,18 @@
 		}
 	}
 	filled, n := slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
-	if s.spec.Gang && n == h.placeable(s) {
-		return h.fitGangOfLikeSpeed(now, s, eligible, filled), n
+	classOf := func(a allocation) int { return h.speedOf(now, a.Worker).Class() }
+	if slowest, mixed := speeds.Slowest(filled, classOf); s.spec.Gang && mixed && n == len(s.tasks) {
+		// The gang has to wait for its slowest member, so faster workers are left to others.
+		candidates = h.candidates(now, s, eligible)
+		for i := range candidates {
+			candidates[i].speedClass = speeds.GangClass(classOf(candidates[i].allocation), slowest)
+		}
+		return slots.FillBest(candidates, candidate.compare, candidate.slots, n)
 	}
 	return filled, n
 }
 
-// fitGangOfLikeSpeed returns the allocations of a gang that fits, given those with the fastest workers
-// first. If these have different speeds, faster workers are replaced by ones that are as slow as the
-// slowest, which the gang has to wait for.
-func (h *holderState) fitGangOfLikeSpeed(now time.Time, s *step, eligible []*worker, fastest []allocation) []allocation {
-	classOf := func(w *worker) int { return h.speedOf(now, w).Class() }
-	slowest, first := classOf(fastest[0].Worker), classOf(fastest[0].Worker)
-	for _, a := range fastest {
-		slowest, first = max(slowest, classOf(a.Worker)), min(first, classOf(a.Worker))
-	}
-	if slowest == first {
-		return fastest
-	}
-	candidates := h.candidates(now, s, eligible)
-	for i := range candidates {
-		candidates[i].speedClass = speeds.GangClass(classOf(candidates[i].Worker), slowest)
-	}
-	like, _ := slots.FillBest(candidates, candidate.compare, candidate.slots, len(s.tasks))
-	return like
-}
-
 // slots returns the allocation of all tasks that the worker has capacity for.
 func (c candidate) slots() allocation { return c.allocation }
 
@@ -81,7 +67,7 @@
 	candidates := h.candidateBuffer[:0]
 	short, haste := h.expectedTime(s) <= maxShortStep, h.hasteOf(now, s)
 	for _, w := range eligible {
-		if !h.canUse(w, s, short) {
+		if !h.canUse(now, w, s, short) {
 			continue
 		}
 		n := min(w.slots(s, w.available()), h.startsWithinReport(w))
@@ -89,9 +75,6 @@
 			continue
 		}
 		c := s.candidate(now, w, n)
-		if s.spec.Gang && !h.suitsGang(now, w) {
-			continue
-		}
 		c.speedClass = haste.SpeedClass(h.speedOf(now, w))
 		candidates = append(candidates, c)
 	}
@@ -100,17 +83,20 @@
 }
 
 // canUse reports whether a step may use a worker. A worker that is drained for another step takes
-// only short steps, and a worker that runs a suspect takes no suspected gang.
-func (h *holderState) canUse(w *worker, s *step, short bool) bool {
-	return (w.drainedFor == nil || w.drainedFor == s || short) && !(w.suspectAttempts > 0 && h.isSuspectedGang(s))
+// only short steps, a worker that runs a suspect takes no suspected gang, and a very slow one no gang.
+func (h *holderState) canUse(now time.Time, w *worker, s *step, short bool) bool {
+	return (!s.spec.Gang || h.speedOf(now, w).SuitsGang()) && (w.drainedFor == nil || w.drainedFor == s || short) && !(w.suspectAttempts > 0 && h.isSuspectedGang(s))
 }
 
 // candidate returns the sort key of a worker that has capacity for n tasks, without the class of its speed.
 func (s *step) candidate(now time.Time, w *worker, n int) candidate {
-	c := candidate{allocation: allocation{Worker: w, Tasks: n}, offRack: s.offRack(w), freeProcessors: w.available().Processors}
+	c := candidate{allocation: allocation{Worker: w, Tasks: n}, freeProcessors: w.available().Processors}
 	if s.failedOn[w] {
 		c.failed = 1
 	}
+	if s.spec.NearRack != "" && s.spec.NearRack != w.Rack {
+		c.offRack = 1
+	}
 	if w.prevHeldFor != nil && w.prevHeldFor != s {
 		c.heldForOther = 1
 	}
@@ -129,11 +115,3 @@
 		cmp.Compare(c.unticketed, o.unticketed), cmp.Compare(c.freeProcessors, o.freeProcessors), cmp.Compare(c.Worker.Name, o.Worker.Name),
 	)
 }
-
-// offRack returns 1 if the step prefers another rack than the worker's, otherwise 0.
-func (s *step) offRack(w *worker) int {
-	if s.spec.NearRack == "" || s.spec.NearRack == w.Rack {
-		return 0
-	}
-	return 1
-}
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -118,11 +118,8 @@
 	longestRun  time.Duration
 	interrupted bool
 	// runs are the uninterrupted runs of tasks that succeeded, until the step is done.
-	runs []speeds.Run
-	// waitSum is how long the step has waited before its first start, by cause. It is counted
-	// until waitSumUntil.
-	waitSum      delays.Totals
-	waitSumUntil time.Time
+	runs  []speeds.Run
+	waits delays.Waits
 	// doneAt is when the last task was done; delaySum is the time that the step took in
 	// addition to its expected run time, by cause.
 	doneAt   time.Time
--- a/services/dispatch/remaining.go
+++ b/services/dispatch/remaining.go
@@ -7,12 +7,9 @@
 	"time"
 
 	"saddlevane/models/mechanism"
+	"saddlevane/services/speeds"
 )
 
-// minProgressForEstimate is the progress, in percent, from which a run's own speed predicts its
-// end better than the usual run time does.
-const minProgressForEstimate = 10
-
 // remainingCriticalPath returns the expected time from now to the end of the longest chain of
 // steps that begins with a step. If all tasks of the step that are not done are placed, only
 // their remaining run time counts: if the full run time counted, a step that is about to end
@@ -33,16 +30,13 @@
 // remainingRunTime returns how much longer a run is expected to take, by its own speed if it
 // has made enough progress, else by the usual run time of such steps on its worker.
 func (h *holderState) remainingRunTime(now time.Time, a *attempt) time.Duration {
-	total, done := h.speedOf(now, a.worker).TimeFor(h.usualTime(a.step)), float64(a.progress)/fullProgress
+	usual := h.speedOf(now, a.worker).TimeFor(h.usualTime(a.step))
 	if a.state != attemptRunning {
-		return total
+		return usual
 	}
-	progressAt := a.stateSince
+	m := speeds.Member{Worker: a.worker.Name, Done: float64(a.progress) / fullProgress}
 	if !a.progressAt.IsZero() {
-		progressAt = a.progressAt
-	}
-	if a.progress >= minProgressForEstimate && !a.resumed && !a.adopted {
-		total = time.Duration(float64(progressAt.Sub(a.stateSince)) / done)
+		m.Ran = a.progressAt.Sub(a.stateSince)
 	}
-	return max(0, time.Duration((1-done)*float64(total))-now.Sub(progressAt))
+	return m.Remaining(now.Sub(a.stateSince), usual, !a.resumed && !a.adopted)
 }
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -47,7 +47,8 @@
 // learnRunTime updates the learned run times and speeds with a step that is done, and recomputes the
 // critical paths of its instance.
 func (h *holderState) learnRunTime(now time.Time, s *step) {
-	h.learnSpeeds(now, s)
+	h.speeds.Observe(now, s.runs, h.estimates.Work(s.job.queue, s.spec.Estimate.Duration()))
+	s.runs = nil
 	if s.interrupted || s.longestRun == 0 {
 		s.longestRun = 0
 	} else {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -100,9 +100,8 @@
 	heldFor, prevHeldFor *step
 	// fillerPace is the pace of the worker's fillers.
 	fillerPace throttling.Pace
-	// speed is the estimated speed of the worker at speedAt.
-	speed   speeds.Estimate
-	speedAt time.Time
+	// speed is the estimated speed of the worker.
+	speed speeds.Cached
 	// drainedFor is the gang, or the step with large tasks, for which the worker is drained. Apart
 	// from that step, only short steps may use the worker meanwhile.
 	drainedFor *step
--- a/services/speeds/gangs.go
+++ b/services/speeds/gangs.go
@@ -4,29 +4,55 @@
 package speeds
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
-// minGangSpread is the logarithm of the ratio of the paces of a gang's members from which each advances at
-// the speed of its worker. Where the members wait for each other all the time, their progress is equal.
-const minGangSpread = 0.05
+const (
+	// minDone is the share of a member's work from which its progress shows its speed.
+	minDone = 0.1
+	// minGangSpread is the logarithm of the ratio of the paces of a gang's members from which each advances at
+	// the speed of its worker. Where the members wait for each other all the time, their progress is
+	// equal.
+	minGangSpread = 0.05
+)
 
-// Member is how far a member of a gang has come after some time.
+// Member is how far a run, for example of a member of a gang, has come after some time.
 type Member struct {
 	Worker string
-	Ran    time.Duration
-	// Done is the share of its work that it has done.
+	// Speed is the estimated speed of the worker.
+	Speed Estimate
+	Ran   time.Duration
+	// Done is the share of its work that it has done, or 0 if that is unknown.
 	Done float64
 }
 
+// Remaining returns how much longer a run takes that has run for some time, given the usual run time on its
+// worker. If the run began from nothing and has made enough progress, its own pace counts instead.
+func (m Member) Remaining(ran, usual time.Duration, fromNothing bool) time.Duration {
+	total := usual
+	if m.Done >= minDone && fromNothing {
+		total = time.Duration(float64(m.Ran) / m.Done)
+	}
+	return max(0, time.Duration((1-m.Done)*float64(total))-(ran-m.Ran))
+}
+
+// WorkOfGang returns the time at mean speed of a gang that took the given time. A gang is as slow as its
+// slowest member. There must be one at least.
+func WorkOfGang(took time.Duration, members []Member) time.Duration {
+	slowest := slices.MinFunc(members, func(a, b Member) int { return cmp.Compare(a.Speed.speed(), b.Speed.speed()) })
+	return slowest.Speed.WorkOf(took)
+}
+
 // RunsOfGang returns how long each member of a gang would take alone, or nil if their progress does not
-// show it.
+// show it. All members end together, so the time that the gang took does not.
 func RunsOfGang(members []Member) []Run {
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	runs := make([]Run, 0, len(members))
 	for _, m := range members {
-		if m.Ran < minTime || m.Done <= 0 {
+		if m.Ran < minTime || m.Done < minDone || m.Done >= 1 {
 			continue
 		}
 		r := Run{Worker: m.Worker, Took: time.Duration(float64(m.Ran) / m.Done)}
--- a/services/speeds/haste.go
+++ b/services/speeds/haste.go
@@ -30,6 +30,19 @@
 	return e.Class()
 }
 
+// Slowest returns the slowest class among the workers chosen for a gang, and whether they differ.
+func Slowest[A any](chosen []A, classOf func(A) int) (slowest int, mixed bool) {
+	for i, c := range chosen {
+		class := classOf(c)
+		if i == 0 {
+			slowest = class
+		}
+		mixed = mixed || class != slowest
+		slowest = max(slowest, class)
+	}
+	return slowest, mixed
+}
+
 // GangClass returns the class of a worker's speed for the order of workers of a gang that needs workers up
 // to the slowest class. As the gang is as slow as these, they come first, and faster ones are left to
 // others.
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -345,6 +345,21 @@
 	assert.Check(t, speeds.GangClass(2, 1) < speeds.GangClass(5, 1))
 }
 
+func TestSlowestOfChosenWorkers(t *testing.T) {
+	self := func(class int) int { return class }
+	for _, test := range []struct {
+		chosen  []int
+		slowest int
+		mixed   bool
+	}{
+		{nil, 0, false}, {[]int{-2}, -2, false}, {[]int{-2, -2}, -2, false}, {[]int{-2, 0}, 0, true}, {[]int{1, -2}, 1, true},
+	} {
+		slowest, mixed := speeds.Slowest(test.chosen, self)
+		assert.Equal(t, slowest, test.slowest)
+		assert.Equal(t, mixed, test.mixed)
+	}
+}
+
 func TestMajorityThatIsSlowerThanTheMeanIsUsual(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newFleet(seed, 40, 0.75)
