--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -7,25 +7,54 @@
 	"time"
 
 	"saddlevane/models/mechanism"
-	"saddlevane/services/estimates"
+	"saddlevane/services/speeds"
 )
 
-// slownessOf returns how slow a worker is compared with the whole fleet.
-func (h *holderState) slownessOf(now time.Time, w *worker) estimates.Slowness {
+// speedOf returns the estimated speed of a worker.
+func (h *holderState) speedOf(now time.Time, w *worker) speeds.Estimate {
 	if !h.isEnabled(mechanism.SlowWorkers) {
-		return estimates.Normal
+		return speeds.Estimate{}
 	}
-	return w.speed.Slowness(now, h.estimates.FleetLogRatio())
+	return w.speed.Of(now, h.speeds, w.Name)
 }
 
-// learnSpeed updates the learned speed of a worker with the run time of a task that ended there.
-// Members of a gang end together, so their run times say nothing about a single worker.
-func (h *holderState) learnSpeed(now time.Time, a *attempt) {
-	s := a.step
-	if s.spec.Gang || s.spec.Service || a.adopted || a.resumed || a.state != attemptRunning {
+// hasteOf returns how much the speed of the workers matters for a step.
+func (h *holderState) hasteOf(now time.Time, s *step) speeds.Haste {
+	return speeds.Haste{Work: h.expectedTime(s), Slack: h.slack(now, s), Urgent: s.spec.Gang || h.expectedTime(s) <= maxShortStep}
+}
+
+// recordRunTime records that a task of a step succeeds at now. Only an uninterrupted run that this
+// holder started, and whose start the worker confirmed, shows how long a step takes. Only the first
+// member of a gang counts.
+func (h *holderState) recordRunTime(now time.Time, s *step, a *attempt) {
+	if s.spec.Gang && s.doneTasks > 0 {
+		return
+	}
+	if a == nil || a.adopted || a.resumed || a.state != attemptRunning {
+		s.interrupted = true
+		return
+	}
+	took := now.Sub(a.stateSince)
+	if s.spec.Gang {
+		members := h.membersOf(now, s, a)
+		s.longestRun, s.runs = speeds.WorkOfGang(took, members), speeds.RunsOfGang(members)
 		return
 	}
-	ratio := max(now.Sub(a.stateSince), estimates.MinTime).Seconds() / max(h.expectedTime(s), estimates.MinTime).Seconds()
-	a.worker.speed.Observe(now, ratio)
-	h.estimates.ObserveSpeed(ratio)
+	s.longestRun = max(s.longestRun, h.speedOf(now, a.worker).WorkOf(took))
+	if !s.spec.Service && !s.spec.Filler {
+		s.runs = append(s.runs, speeds.Run{Worker: a.worker.Name, Took: took})
+	}
+}
+
+// membersOf returns the members of a gang of which one has ended, with the progress that is reported of the others.
+func (h *holderState) membersOf(now time.Time, s *step, ended *attempt) []speeds.Member {
+	members := []speeds.Member{{Worker: ended.worker.Name, Speed: h.speedOf(now, ended.worker)}}
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil && !a.adopted && !a.resumed && a.state == attemptRunning {
+			members = append(members, speeds.Member{
+				Worker: a.worker.Name, Speed: h.speedOf(now, a.worker), Ran: a.progressAt.Sub(a.stateSince), Done: float64(a.progress) / fullProgress,
+			})
+		}
+	}
+	return members
 }
