shares: order steps in a backlog by what workspaces take, not by a bit set when the job came in

Cause: Rank.OverShare was set once, from a bucket of jobs a second. A job of many large tasks counted as much as one of few small ones, and a job beyond the rate went last also when its workspace took nothing.

services/shares keeps for each workspace the dominant share of the workers that its tasks take, averaged over the share window, and compares it with weight / sum of the weights of the workspaces that run or wait for something. In a backlog the steps of a workspace above its share go after others of the same tier. Debt counts up to once the entitled share, so borrowing while nobody waits is forgotten within one window. A small step is judged without what the largest running step takes beyond half of the share, so that a gang of 10 times the share for 5 s doesn't delay the short jobs of its workspace. A new job is within its share if the bucket has a token, or while what the workspace takes and waits for is below its share. A new holder takes present use as the average until all workers have reported.

Ruled out: present use without decay (serial gangs would count for nothing in between); hysteresis (nothing is stopped for the order); a fresh allowance of small steps in each plan (not bounded over time).

Weights: infinite ones are refused as negative ones and NaN are. Weight 0: what others leave; all weights 0: all are equal. `saddlevanectl cell` and saddlevane_workspace show weight, entitled share, share in use, borrowed and refused. Refused stays 0 until admission calls shares.Tracker.RecordRefusal.

Tests: services/shares, services/workspaces and the new and cap tests of services/dispatch pass. The whole of services/dispatch had not ended when this was committed. In services/jobrun TestCallsSucceedWhenConnectionsToHolderAreReset failed once (calls not answered in time, at a load of 71).

--- a/cmd/saddlevanectl/jobs.go
+++ b/cmd/saddlevanectl/jobs.go
@@ -100,18 +100,22 @@
 	}
 }
 
-// printWorkspaces prints the resources that the tasks of each workspace use, and their caps.
+// printWorkspaces prints the share of each workspace, the resources that its tasks use, and its cap.
 func (t *tool) printWorkspaces(s job.CellStatus) {
 	if len(s.Workspaces) == 0 {
 		return
 	}
-	table := t.table("WORKSPACE", "WEIGHT", "USED", "CAP", "MEMORY", "CAP", "WAITING", "FOR ITS CAP")
+	table := t.table("WORKSPACE", "WEIGHT", "ENTITLED", "IN USE", "BORROWED", "USED", "CAP", "MEMORY", "CAP", "WAITING", "FOR ITS CAP", "REFUSED")
 	for _, w := range s.Workspaces {
-		table.row(w.Name, w.Weight, w.Used.Processors, w.Cap.Processors, w.Used.Memory, w.Cap.Memory, w.Waiting, w.Capped)
+		table.row(w.Name, w.Weight, percent(w.Entitled), percent(w.InUse), percent(w.Borrowed),
+			w.Used.Processors, w.Cap.Processors, w.Used.Memory, w.Cap.Memory, w.Waiting, w.Capped, w.Refused)
 	}
 	table.flush()
 }
 
+// percent returns a part of a whole in percent.
+func percent(part float64) string { return fmt.Sprintf("%.1f%%", 100*part) }
+
 // submit returns the command that submits a job.
 func (t *tool) submit() *ffcli.Command {
 	return t.command("submit", "FILE", "submits a job as JSON from a file, or - for standard input; the same ID again is the same job",
--- a/models/job/explain.go
+++ b/models/job/explain.go
@@ -67,6 +67,14 @@
 type WorkspaceStatus struct {
 	Name   string  `json:"name"`
 	Weight float64 `json:"weight"`
+	// Entitled is the part of the workers that the workspace may take while others wait, 0 if it
+	// neither runs nor waits for anything. InUse is the part that its tasks take, averaged over the
+	// share window, and Borrowed how much that is above Entitled.
+	Entitled float64 `json:"entitled"`
+	InUse    float64 `json:"in_use"`
+	Borrowed float64 `json:"borrowed"`
+	// Refused counts the jobs that this holder refused because the workspace exceeded its share.
+	Refused int `json:"refused"`
 	// Used is what its tasks take, including tasks that may still run on unreachable workers. Cap
 	// is the limit of that; a resource whose cap is 0 is not limited.
 	Used resource.Vector `json:"used"`
--- a/models/workspace/workspace.go
+++ b/models/workspace/workspace.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 
 	"saddlevane/models/resource"
 )
@@ -17,7 +18,9 @@
 // Workspace is a group of callers whose jobs are accounted for together.
 type Workspace struct {
 	Name string `json:"name"`
-	// Weight is the share of the workspace under overload, in jobs per second.
+	// Weight is the share of the workspace under overload: it may submit that many jobs per second,
+	// and take the workers in proportion to the weights of the others. A workspace with weight 0 gets
+	// what others leave; if all weights are 0, all workspaces are equal.
 	Weight float64 `json:"weight"`
 	// Cap limits what its tasks may take of all workers at any time. A resource whose cap is 0 is
 	// not limited.
@@ -26,13 +29,13 @@
 	Keys []Digest `json:"-"`
 }
 
-// Check returns an error if the workspace has no name or a negative weight or cap.
+// Check returns an error if the workspace has no name or a weight or cap that is not valid.
 func (w *Workspace) Check() error {
 	switch {
 	case w.Name == "":
 		return errors.New("workspace name is empty")
-	case !(w.Weight >= 0):
-		return fmt.Errorf("workspace %q: weight is %v, want 0 or more", w.Name, w.Weight)
+	case !(w.Weight >= 0) || math.IsInf(w.Weight, 1):
+		return fmt.Errorf("workspace %q: weight is %v, want a number from 0 up", w.Name, w.Weight)
 	case w.Cap.IsNegative():
 		return fmt.Errorf("workspace %q: cap is %v, want no negative amount", w.Name, w.Cap)
 	default:
--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -9,12 +9,13 @@
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/models/workspace"
-	"saddlevane/modules/ordered"
+	"saddlevane/services/shares"
 )
 
-// isWithinShare reports whether a new job is within its workspace's share, and charges the job to it.
+// isWithinShare reports whether a new job is within its workspace's share: within its rate of jobs,
+// to which the job is charged then, or while the workspace takes less of the workers than its share.
 func (h *holderState) isWithinShare(now time.Time, ws workspace.Workspace) bool {
-	return h.workspaceShares.TakeToken(now, ws)
+	return h.workspaceShares.TakeToken(now, ws) || h.shares.IsUnder(ws.Name, ws.Weight)
 }
 
 // placeable returns how many of a step's waiting tasks that are not suspects may be placed under
@@ -23,9 +24,6 @@
 
 // slotsUnderCap returns how many more tasks of a step fit under its workspace's cap.
 func (h *holderState) slotsUnderCap(s *step) int {
-	if s.job.workspace == "" {
-		return job.MaxTasks
-	}
 	return h.usage.Remaining(h.workspaceOf(s.job)).FitCount(s.spec.Need, job.MaxTasks)
 }
 
@@ -59,15 +57,10 @@
 // recordLeftoverUsage counts the tasks that may still be running of a job that ended under an earlier
 // holder.
 func (h *holderState) recordLeftoverUsage(now time.Time, p job.Progress) {
-	if p.Workspace != "" && h.core.unixMilli(now)-p.EndedUnixMilli < leftoverLifetime.Milliseconds() {
-		h.leftoverUsage[p.Workspace] = h.leftoverUsage[p.Workspace].Plus(p.LeftoverUsage)
-	}
+	ended := job.Milliseconds(h.core.unixMilli(now) - p.EndedUnixMilli)
+	h.usage.AddLeftover(p.Workspace, p.LeftoverUsage, ended.Duration())
 }
 
-// leftoverLifetime is how long after the end of its job a task may still run on a worker that has
-// not reported: the longest lease that platforms grant, plus a takeover.
-const leftoverLifetime = 30 * time.Second
-
 // setUnreportedUsage sets, for each workspace, the resources of tasks that may run on workers whose
 // running tasks are not all known. They are at most the resources of the tasks whose worker is not
 // known, and at most the capacity of these workers.
@@ -88,9 +81,6 @@
 		return
 	}
 	unreported := map[string]resource.Vector{}
-	for name, v := range ordered.Map(h.leftoverUsage) {
-		unreported[name] = v
-	}
 	for _, j := range h.jobs {
 		if j.inherited && j.workspace != "" {
 			unreported[j.workspace] = unreported[j.workspace].Plus(j.waitingNeed())
@@ -99,23 +89,24 @@
 	h.usage.SetUnreportedWithin(unreported, capacity)
 }
 
-// workspaceStatus returns the resource usage of each workspace and how many of its steps wait, in
-// all and for its cap.
-func (h *holderState) workspaceStatus() []job.WorkspaceStatus {
-	waiting, capped := map[string]int{}, map[string]int{}
-	for _, s := range h.openSteps {
-		if s.open && s.unplacedTasks > 0 {
-			waiting[s.job.workspace]++
-			if s.capReached {
-				capped[s.job.workspace]++
-			}
-		}
-	}
-	var all []job.WorkspaceStatus
-	for name, w := range ordered.Map(h.core.config.Workspaces) {
-		all = append(all, job.WorkspaceStatus{
-			Name: name, Weight: w.Weight, Used: h.usage.Of(name), Cap: w.Cap, Waiting: waiting[name], Capped: capped[name],
-		})
+// shareStep describes what a step takes and waits for. The capacity that is reserved for a gang counts
+// as taken.
+func (s *step) shareStep() shares.Step {
+	taking := s.placedTasks
+	if s.reservation != nil {
+		taking = len(s.tasks)
 	}
-	return all
+	return shares.Step{Workspace: s.job.workspace, Need: s.spec.Need, Taking: taking, Waiting: s.unplacedTasks, Capped: s.capReached}
+}
+
+// observeShares updates the shares of the workspaces from the open steps.
+func (h *holderState) observeShares(now time.Time) {
+	h.shares.Observe(now, shares.Cell{
+		Capacity: h.capacity, Workspace: h.core.config.Workspace, InUse: h.usage.Of, Complete: len(h.unreportedWorkers) == 0,
+	}, shares.Steps(h.openSteps, (*step).shareStep))
+}
+
+// workspaceStatus returns the share and the resource usage of each workspace.
+func (h *holderState) workspaceStatus() []job.WorkspaceStatus {
+	return h.shares.Status(h.core.config.Workspaces, h.usage.Of)
 }
--- a/services/dispatch/caps_test.go
+++ b/services/dispatch/caps_test.go
@@ -74,14 +74,19 @@
 
 // publishCaps sends a configuration with the given processor cap to all boxes; 0 removes all caps.
 func (w *world) publishCaps(processors int64) {
-	next := w.config
-	next.Version++
 	all := testCaps(processors)
 	if processors == 0 {
 		for i := range all {
 			all[i].Cap = resource.Vector{}
 		}
 	}
+	w.publishWorkspaces(all)
+}
+
+// publishWorkspaces sends a configuration with the given workspaces to all boxes.
+func (w *world) publishWorkspaces(all []workspace.Workspace) {
+	next := w.config
+	next.Version++
 	if err := next.SetWorkspaces(all); err != nil {
 		w.t.Fatal(err)
 	}
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -17,6 +17,7 @@
 	"saddlevane/services/planbudget"
 	"saddlevane/services/presence"
 	"saddlevane/services/reservations"
+	"saddlevane/services/shares"
 	"saddlevane/services/startlog"
 	"saddlevane/services/timeouts"
 	"saddlevane/services/workspaces"
@@ -90,12 +91,11 @@
 	// estimates are learned from earlier runs and advice: run times, stop times, the share of
 	// workers suitable for a step, and the speed of the fleet.
 	estimates *estimates.Estimates
-	// usage sums up the resources of the tasks of each workspace, workspaceShares limits the rate of
-	// new jobs of each workspace, and leftoverUsage is what may still run of jobs that ended
-	// under earlier holders, by workspace.
+	// usage sums up the resources of the tasks of each workspace, shares tracks which workspaces take
+	// more than their share, and workspaceShares limits the rate of new jobs of each workspace.
 	usage           *workspaces.Usage
+	shares          *shares.Tracker
 	workspaceShares *workspaces.ShareLimiter
-	leftoverUsage   map[string]resource.Vector
 	// blame tracks which tasks are suspected of crashing their workers.
 	blame *blame.Tracker
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
@@ -147,8 +147,8 @@
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
-		leftoverUsage: map[string]resource.Vector{},
-		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
+		shares:     shares.New(c.settings.ShareWindow),
+		knownPools: map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
 	}
 	if c.config != nil {
 		h.addPools(*c.config)
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -49,8 +49,7 @@
 	remaining := h.remainingCriticalPath(now, s)
 	t := ranking.Times{DueAt: s.instance.dueAt, Objective: objective(s.instance, q), Finish: now.Add(remaining)}
 	r := rankedStep{step: s, queue: q, Rank: ranking.Rank{
-		AdviceExpiring: s.advice.prioritized, Tier: t.Tier(now), OverShare: s.job.beyondShare && h.isEnabled(mechanism.SharedOrder),
-		Priority: q.Priority, Deadline: t.Deadline(), Step: s.id,
+		AdviceExpiring: s.advice.prioritized, Tier: t.Tier(now), Priority: q.Priority, Deadline: t.Deadline(), Step: s.id,
 	}}
 	if s.spec.Service {
 		r.Tier = ranking.OnTime
@@ -64,7 +63,8 @@
 // rankOpenSteps returns the open steps that have tasks to place, highest rank first, and drops
 // closed steps from h.openSteps. Steps of inherited jobs are left out until all workers of earlier
 // holders have reported, because their tasks may still be running there. So are steps one of whose
-// waiting tasks still runs as an orphan.
+// waiting tasks still runs as an orphan. In a backlog, the steps of workspaces that take more than their
+// share go after others.
 func (h *holderState) rankOpenSteps(now time.Time) []rankedStep {
 	stillOpen := h.openSteps[:0]
 	var all []rankedStep
@@ -86,7 +86,13 @@
 	}
 	clear(h.openSteps[len(stillOpen):])
 	h.openSteps = stillOpen
-	backlog := h.isEnabled(mechanism.LeastWork) && ranking.IsBacklog(waiting, h.capacity)
-	slices.SortFunc(all, func(a, b rankedStep) int { return a.Compare(b.Rank, backlog) })
+	h.observeShares(now)
+	backlog := ranking.IsBacklog(waiting, h.capacity)
+	for i := range all {
+		r := &all[i]
+		r.OverShare = backlog && h.isEnabled(mechanism.SharedOrder) && h.shares.IsOver(r.step.job.workspace, r.Work)
+	}
+	leastWork := backlog && h.isEnabled(mechanism.LeastWork)
+	slices.SortFunc(all, func(a, b rankedStep) int { return a.Compare(b.Rank, leastWork) })
 	return all
 }
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -252,6 +252,8 @@
 			"processors": w.Used.Processors.Processors(), "processors_cap": w.Cap.Processors.Processors(),
 			"memory_bytes": float64(w.Used.Memory), "memory_bytes_cap": float64(w.Cap.Memory),
 			"steps_waiting": float64(w.Waiting), "steps_capped": float64(w.Capped),
+			"weight": w.Weight, "share_entitled": w.Entitled, "share_in_use": w.InUse, "share_borrowed": w.Borrowed,
+			"jobs_refused": float64(w.Refused),
 		} {
 			m.workspaces.WithLabelValues(name, of).Add(n)
 		}
--- a/services/workspaces/keys_test.go
+++ b/services/workspaces/keys_test.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -91,6 +92,7 @@
 		"negative cap":    {{Name: "a", Cap: capOf(-1)}},
 		"negative weight": {{Name: "a", Weight: -1}},
 		"weight is NaN":   {{Name: "a", Weight: nan()}},
+		"infinite weight": {{Name: "a", Weight: math.Inf(1)}},
 	} {
 		c := job.Config{}
 		assert.Check(t, c.SetWorkspaces(all) != nil, name)
--- a/services/workspaces/usage.go
+++ b/services/workspaces/usage.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"time"
 
 	"saddlevane/models/resource"
 	"saddlevane/models/workspace"
@@ -19,10 +20,15 @@
 	// unreported holds the resources of tasks that may or may not run: after a takeover, those on
 	// workers that have not reported yet.
 	unreported map[string]resource.Vector
+	// leftover holds the resources of tasks that may still run of jobs that ended under earlier
+	// holders.
+	leftover map[string]resource.Vector
 }
 
 // NewUsage returns the usage of a cell in which nothing runs.
-func NewUsage() *Usage { return &Usage{used: map[string]resource.Vector{}} }
+func NewUsage() *Usage {
+	return &Usage{used: map[string]resource.Vector{}, leftover: map[string]resource.Vector{}}
+}
 
 // Add adds the resources of a task of the named workspace, when the task is ordered to start or the
 // resources are promised to it. Tasks without a workspace are not counted.
@@ -46,9 +52,24 @@
 // their workers have not reported yet.
 func (u *Usage) SetUnreported(by map[string]resource.Vector) { u.unreported = by }
 
-// SetUnreportedWithin is like SetUnreported, with the resources of each workspace limited to limit.
-// It changes the values of by.
+// leftoverLifetime is how long after the end of its job a task may still run on a worker that has
+// not reported: the longest lease that platforms grant, plus a takeover.
+const leftoverLifetime = 30 * time.Second
+
+// AddLeftover adds the resources of tasks that may still run of a job which ended under an earlier
+// holder, the given time ago.
+func (u *Usage) AddLeftover(name string, v resource.Vector, ended time.Duration) {
+	if name != "" && ended < leftoverLifetime {
+		u.leftover[name] = u.leftover[name].Plus(v)
+	}
+}
+
+// SetUnreportedWithin is like SetUnreported, with what AddLeftover has added, and with the resources
+// of each workspace limited to limit. It changes by.
 func (u *Usage) SetUnreportedWithin(by map[string]resource.Vector, limit resource.Vector) {
+	for name, v := range u.leftover {
+		by[name] = by[name].Plus(v)
+	}
 	for name, v := range by {
 		by[name] = v.Min(limit)
 	}
