--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -17,6 +17,7 @@
 	"saddlevane/services/planbudget"
 	"saddlevane/services/presence"
 	"saddlevane/services/reservations"
+	"saddlevane/services/shares"
 	"saddlevane/services/speeds"
 	"saddlevane/services/startlog"
 	"saddlevane/services/timeouts"
@@ -92,12 +93,11 @@
 	// workers suitable for a step. speeds are those of the workers.
 	estimates *estimates.Estimates
 	speeds    *speeds.Tracker
-	// usage sums up the resources of the tasks of each workspace, workspaceShares limits the rate of
-	// new jobs of each workspace, and leftoverUsage is what may still run of jobs that ended
-	// under earlier holders, by workspace.
+	// usage sums up the resources of the tasks of each workspace, shares tracks which workspaces take
+	// more than their share, and workspaceShares limits the rate of new jobs of each workspace.
 	usage           *workspaces.Usage
+	shares          *shares.Tracker
 	workspaceShares *workspaces.ShareLimiter
-	leftoverUsage   map[string]resource.Vector
 	// blame tracks which tasks are suspected of crashing their workers.
 	blame *blame.Tracker
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
@@ -149,8 +149,8 @@
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), speeds: speeds.NewTracker(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
-		leftoverUsage: map[string]resource.Vector{},
-		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
+		shares:     shares.New(c.settings.ShareWindow),
+		knownPools: map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
 	}
 	if c.config != nil {
 		h.addPools(*c.config)
