admission: decide on jobs beyond a share by forecast, and deal out when their callers return

Cause: a job beyond its workspace's share was refused whenever less than 0.4 of the processors was free, and each caller got the time of the workspace's next token, 0 to 16 ms, as if nobody else waited for it. Callers spent their retries on the same tokens while capacity was free.

services/admission decides from the sums of the pool (at most every 100 ms, only while such jobs arrive): free capacity, what waits before the job, the rate of ends less that of jobs that go first. Refused jobs get turns of whole seconds from slots that hold what comes free, by weight.

Ruled out, by trials on the decision alone: capacity held for every turn of the next second (a third to half of the cell stayed idle), and turns at any time instead of the header's seconds.

--- a/models/exchange/effects.go
+++ b/models/exchange/effects.go
@@ -221,22 +221,30 @@
 // was refused.
 type JobOverShare struct{ Refused bool }
 
-func (WorkspaceUsage) effect() {}
-func (JobOverShare) effect()   {}
-func (TasksLost) effect()      {}
-func (JobGivenUp) effect()     {}
-func (EntryRefused) effect()   {}
-func (Evacuations) effect()    {}
-func (Append) effect()         {}
-func (LoadJobs) effect()       {}
-func (FollowWorkers) effect()  {}
-func (Renew) effect()          {}
-func (StartRun) effect()       {}
-func (StopRun) effect()        {}
-func (ThrottleRun) effect()    {}
-func (Advise) effect()         {}
-func (AskPledges) effect()     {}
-func (Invite) effect()         {}
-func (Reply) effect()          {}
-func (LogEvent) effect()       {}
-func (Stopped) effect()        {}
+// ForecastChecked reports to the metrics by how much the forecast wait of a job exceeded the actual
+// one.
+type ForecastChecked struct {
+	Queue string
+	Error time.Duration
+}
+
+func (ForecastChecked) effect() {}
+func (WorkspaceUsage) effect()  {}
+func (JobOverShare) effect()    {}
+func (TasksLost) effect()       {}
+func (JobGivenUp) effect()      {}
+func (EntryRefused) effect()    {}
+func (Evacuations) effect()     {}
+func (Append) effect()          {}
+func (LoadJobs) effect()        {}
+func (FollowWorkers) effect()   {}
+func (Renew) effect()           {}
+func (StartRun) effect()        {}
+func (StopRun) effect()         {}
+func (ThrottleRun) effect()     {}
+func (Advise) effect()          {}
+func (AskPledges) effect()      {}
+func (Invite) effect()          {}
+func (Reply) effect()           {}
+func (LogEvent) effect()        {}
+func (Stopped) effect()         {}
--- /dev/null
+++ b/services/admission/admission_test.go
@@ -0,0 +1,553 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"saddlevane/models/job"
+	"saddlevane/models/resource"
+	"saddlevane/services/admission"
+
+	"gotest.tools/v3/assert"
+)
+
+// cell is a pool of processors that is shared by the jobs of the tests. Accepted jobs start in the
+// order in which they were accepted, those within their share first.
+type cell struct {
+	now      time.Time
+	capacity int
+	running  []*load
+	waiting  []*load
+	accepted map[job.ID]*load
+	control  *admission.Controller
+}
+
+// load is one job of a cell.
+type load struct {
+	admission.Job
+	within              bool
+	acceptedAt, startAt time.Time
+}
+
+// step is the time between two events of a cell.
+const step = 10 * time.Millisecond
+
+// newCell returns an empty cell.
+func newCell(processors int) *cell {
+	return &cell{
+		now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), capacity: processors,
+		accepted: map[job.ID]*load{}, control: admission.New(),
+	}
+}
+
+// lookup is a short job that takes 3 processors for half a second.
+func lookup(workspace string, number int) admission.Job {
+	return admission.Job{
+		ID: job.ID(fmt.Sprintf("%s-%d", workspace, number)), Workspace: workspace, Queue: "lookup", Pool: "p", Weight: 10,
+		Need: resource.Vector{Processors: 3 * resource.Processor}, SuitableShare: 1,
+		CriticalPath: 500 * time.Millisecond, Objective: time.Second, UsefulTime: 3 * time.Second,
+	}
+}
+
+// free returns the processors that nothing uses.
+func (c *cell) free() int {
+	free := c.capacity
+	for _, l := range c.running {
+		free -= processors(l.Job)
+	}
+	return free
+}
+
+func processors(j admission.Job) int { return int(j.Need.Processors / resource.Processor) }
+
+// advance ends and starts jobs, and refreshes the sums of the pool when they are due.
+func (c *cell) advance() {
+	c.now = c.now.Add(step)
+	still := c.running[:0]
+	for _, l := range c.running {
+		if c.now.Sub(l.startAt) < l.CriticalPath {
+			still = append(still, l)
+		}
+	}
+	c.running = still
+	c.start(true)
+	c.start(false)
+	if c.control.NeedsRefresh(c.now) {
+		c.refresh(true)
+	}
+}
+
+// start starts the waiting jobs for which there is capacity.
+func (c *cell) start(within bool) {
+	left := c.waiting[:0]
+	blocked := false
+	for _, l := range c.waiting {
+		if l.within != within || blocked || processors(l.Job) > c.free() {
+			blocked = blocked || l.within == within
+			left = append(left, l)
+			continue
+		}
+		l.startAt = c.now
+		c.running = append(c.running, l)
+		c.control.Started(c.now, l.ID)
+	}
+	c.waiting = left
+}
+
+// refresh computes the sums of the pool.
+func (c *cell) refresh(complete bool) {
+	p := admission.NewPool()
+	p.AddFree(resource.Vector{Processors: resource.Millis(max(0, c.free())) * resource.Processor})
+	for _, l := range c.running {
+		p.AddRunning(l.Need, l.CriticalPath)
+	}
+	for _, l := range c.waiting {
+		p.AddWaiting(l.Need, l.Priority, !l.within)
+	}
+	c.control.Refresh(c.now, map[string]*admission.Pool{"p": p}, complete)
+}
+
+// add makes an accepted job wait.
+func (c *cell) add(j admission.Job, within bool) {
+	l := &load{Job: j, within: within, acceptedAt: c.now}
+	c.accepted[j.ID] = l
+	c.waiting = append(c.waiting, l)
+}
+
+// submitWithin submits a job that is within its share.
+func (c *cell) submitWithin(j admission.Job) {
+	c.control.AcceptedWithinShare(c.now, j)
+	c.add(j, true)
+}
+
+// submit submits a job beyond its share.
+func (c *cell) submit(j admission.Job) admission.Decision {
+	d := c.control.Decide(c.now, j)
+	if d.Accepted {
+		c.add(j, false)
+	}
+	return d
+}
+
+// lateness returns how many of the accepted jobs there are and how many started too late.
+func (c *cell) lateness(within bool) (all, late int) {
+	for _, l := range c.accepted {
+		if l.within != within {
+			continue
+		}
+		all++
+		end := l.startAt.Add(l.CriticalPath)
+		if l.startAt.IsZero() {
+			end = c.now.Add(l.CriticalPath)
+		}
+		// A cell starts jobs one step after they are accepted.
+		if end.Sub(l.acceptedAt) > l.Objective+step {
+			late++
+		}
+	}
+	return all, late
+}
+
+// callers submit jobs beyond the share of their workspace, and return as the behavior says.
+type callers struct {
+	c *cell
+	// returns has the jobs that come back, by time.
+	returns map[time.Time][]admission.Job
+	first   map[job.ID]time.Time
+	// refusals counts the refusals of each job.
+	refusals map[job.ID]int
+	// wait returns when a caller returns that was refused, or false if it does not.
+	wait func(d admission.Decision) (time.Duration, bool)
+}
+
+// patience is how long after its first try a caller gives up.
+const patience = 3 * time.Second
+
+func newCallers(c *cell) *callers {
+	return &callers{
+		c: c, returns: map[time.Time][]admission.Job{}, first: map[job.ID]time.Time{}, refusals: map[job.ID]int{},
+		wait: func(d admission.Decision) (time.Duration, bool) { return d.RetryAfter, true },
+	}
+}
+
+// submit submits a job and plans its return if it is refused. A caller never waits for more than
+// half of the time that it has left.
+func (a *callers) submit(t *testing.T, j admission.Job) admission.Decision {
+	t.Helper()
+	now := a.c.now
+	if _, known := a.first[j.ID]; !known {
+		a.first[j.ID] = now
+	}
+	d := a.c.submit(j)
+	if d.Accepted {
+		return d
+	}
+	assert.Check(t, d.RetryAfter >= time.Second, "%v", d)
+	a.refusals[j.ID]++
+	left := patience - now.Sub(a.first[j.ID])
+	if wait, comes := a.wait(d); comes && a.refusals[j.ID] <= 4 {
+		at := now.Add(min(wait, left/2)).Truncate(step)
+		if at.After(now) {
+			a.returns[at] = append(a.returns[at], j)
+		}
+	}
+	return d
+}
+
+// advance advances the cell and submits the jobs that return.
+func (a *callers) advance(t *testing.T) {
+	t.Helper()
+	a.c.advance()
+	due := a.returns[a.c.now]
+	delete(a.returns, a.c.now)
+	for _, j := range due {
+		a.submit(t, j)
+	}
+}
+
+// run advances for a time; every period, submit gets the number of the next job.
+func (a *callers) run(t *testing.T, d, period time.Duration, submit func(number int)) {
+	t.Helper()
+	begin, number := a.c.now, len(a.first)+len(a.c.accepted)
+	var submitted time.Duration
+	for a.c.now.Sub(begin) < d {
+		a.advance(t)
+		for ; period > 0 && submitted < a.c.now.Sub(begin); submitted += period {
+			submit(number)
+			number++
+		}
+	}
+}
+
+// refusedJobs returns how many jobs were refused, how often in all, and how many never got in.
+func (a *callers) refusedJobs() (jobs, refusals, never int) {
+	for id, n := range a.refusals {
+		jobs++
+		refusals += n
+		if a.c.accepted[id] == nil {
+			never++
+		}
+	}
+	return jobs, refusals, never
+}
+
+// usual is the time between two lookups at which 60 processors are half in use.
+const usual = 50 * time.Millisecond
+
+func TestWorkspaceAtEightTimesItsUsualRate(t *testing.T) {
+	c := newCell(60)
+	a := newCallers(c)
+	n := 0
+	others := func() {
+		n++
+		c.submitWithin(lookup("calm", n))
+	}
+	a.run(t, 3*time.Second, usual, func(int) { others() })
+	a.run(t, 7*time.Second, usual/8, func(i int) {
+		if i%8 == 0 {
+			others()
+		}
+		a.submit(t, lookup("hot", i))
+	})
+	a.run(t, 3*time.Second, usual, func(int) { others() })
+	within, lateWithin := c.lateness(true)
+	beyond, lateBeyond := c.lateness(false)
+	jobs, refusals, never := a.refusedJobs()
+	t.Logf("within %d late %d, beyond %d late %d, refused %d refusals %d never %d", within, lateWithin, beyond, lateBeyond, jobs, refusals, never)
+	assert.Equal(t, lateWithin, 0)
+	// Half of the capacity is left, for 20 jobs a second.
+	assert.Check(t, beyond >= 7*20*8/10, "%d jobs beyond the share were accepted", beyond)
+	assert.Check(t, lateBeyond*10 <= beyond, "%d of %d accepted jobs are late", lateBeyond, beyond)
+}
+
+func TestThreeWorkspacesAtOnce(t *testing.T) {
+	c := newCell(60)
+	a := newCallers(c)
+	accepted := map[string]int{}
+	a.run(t, 7*time.Second, usual/8, func(i int) {
+		j := lookup([]string{"a", "b", "c"}[i%3], i)
+		j.Weight = []float64{1, 1, 2}[i%3]
+		a.submit(t, j)
+	})
+	for _, l := range c.accepted {
+		accepted[l.Workspace]++
+	}
+	all, late := c.lateness(false)
+	t.Logf("%v late %d", accepted, late)
+	assert.Check(t, late*10 <= all)
+	assert.Check(t, all >= 7*40*8/10, "%d accepted", all)
+	for _, name := range []string{"a", "b", "c"} {
+		assert.Check(t, accepted[name]*8 >= all, "%s got %d of %d", name, accepted[name], all)
+	}
+}
+
+// fill makes the cell full with tasks that end one by one within a second. They were accepted long
+// before.
+func fill(c *cell) {
+	all := c.capacity / 3
+	for i := range all {
+		j := lookup("full", i)
+		j.CriticalPath = time.Second
+		c.add(j, true)
+	}
+	c.advance()
+	for i, l := range c.running {
+		l.startAt = l.startAt.Add(-time.Second * time.Duration(i) / time.Duration(all))
+	}
+}
+
+func TestAllRefusedAtOnceAndReturning(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	a := newCallers(c)
+	told := map[time.Duration]int{}
+	for i := range 200 {
+		if d := a.submit(t, lookup("hot", i)); !d.Accepted {
+			told[d.RetryAfter]++
+		}
+	}
+	a.run(t, 4*time.Second, 0, nil)
+	jobs, refusals, never := a.refusedJobs()
+	t.Logf("told %v; refused %d refusals %d never %d", told, jobs, refusals, never)
+	assert.Check(t, len(told) > 1, "all are to return at the same time")
+	for wait, n := range told {
+		assert.Check(t, wait == 3*time.Second || n <= 60, "%d are to return in %v", n, wait)
+	}
+	all, late := c.lateness(false)
+	assert.Check(t, late*10 <= all, "%d of %d accepted jobs are late", late, all)
+	for range 500 {
+		c.advance()
+	}
+	assert.Equal(t, c.control.Places(), 0)
+}
+
+func TestCallersThatNeverReturn(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	a := newCallers(c)
+	a.wait = func(admission.Decision) (time.Duration, bool) { return 0, false }
+	for i := range 200 {
+		a.submit(t, lookup("gone", i))
+	}
+	// All of them lose their places, and newcomers then get all capacity.
+	var last time.Time
+	a.run(t, 8*time.Second, usual, func(i int) {
+		if d := a.submit(t, lookup("new", i)); !d.Accepted {
+			last = c.now
+		}
+	})
+	assert.Check(t, c.now.Sub(last) > time.Second, "refused until %v", last)
+	assert.Equal(t, c.control.Places(), 0)
+}
+
+func TestCallersThatReturnAtOnceWhateverTheyGet(t *testing.T) {
+	accepted := func(impatient bool) (patient int, other int) {
+		c := newCell(60)
+		fill(c)
+		c.refresh(true)
+		a := newCallers(c)
+		a.wait = func(d admission.Decision) (time.Duration, bool) { return d.RetryAfter, true }
+		b := newCallers(c)
+		b.first, b.returns = a.first, map[time.Time][]admission.Job{}
+		if impatient {
+			b.wait = func(admission.Decision) (time.Duration, bool) { return step, true }
+		}
+		a.run(t, 4*time.Second, usual/4, func(i int) {
+			b.c = c
+			due := b.returns[c.now]
+			delete(b.returns, c.now)
+			for _, j := range due {
+				b.submit(t, j)
+			}
+			a.submit(t, lookup("patient", i))
+			b.submit(t, lookup("impatient", i))
+		})
+		for _, l := range c.accepted {
+			switch l.Workspace {
+			case "patient":
+				patient++
+			case "impatient":
+				other++
+			}
+		}
+		return patient, other
+	}
+	patient, other := accepted(true)
+	t.Logf("patient %d impatient %d", patient, other)
+	assert.Check(t, patient*4 >= other*3, "%d patient, %d impatient", patient, other)
+}
+
+func TestCellLosesThirdOfItsWorkersMeanwhile(t *testing.T) {
+	c := newCell(60)
+	a := newCallers(c)
+	a.run(t, 3*time.Second, usual/4, func(i int) { a.submit(t, lookup("hot", i)) })
+	c.capacity = 40
+	a.run(t, 4*time.Second, usual/4, func(i int) { a.submit(t, lookup("hot", i)) })
+	all, late := c.lateness(false)
+	t.Logf("%d late %d", all, late)
+	assert.Check(t, late*10 <= all, "%d of %d accepted jobs are late", late, all)
+	assert.Check(t, all >= 3*40*8/10+4*26*8/10, "%d accepted", all)
+}
+
+func TestNewHolderWhileHundredsReturn(t *testing.T) {
+	c := newCell(60)
+	for i := range 15 {
+		c.submitWithin(lookup("old", i))
+	}
+	c.advance()
+	c.control = admission.New()
+	c.refresh(false)
+	accepted, told := 0, map[time.Duration]int{}
+	for i := range 300 {
+		d := c.submit(lookup("hot", i))
+		if d.Accepted {
+			accepted++
+			continue
+		}
+		told[d.RetryAfter]++
+	}
+	// What is free now is used, and nothing is accepted on a forecast.
+	assert.Equal(t, accepted, 5)
+	assert.Equal(t, len(told), 3)
+	for _, n := range told {
+		assert.Check(t, n > 295/6, "%v", told)
+	}
+	assert.Equal(t, c.control.Places(), 0)
+}
+
+// TestForecastsThatAreTooLongDoNotRefuse replays a pool in which nothing seems to end although all
+// jobs start at once.
+func TestForecastsThatAreTooLongDoNotRefuse(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	control := admission.New()
+	accepted := 0
+	var lastRefused time.Time
+	for i := range 1000 {
+		now = now.Add(step)
+		control.Refresh(now, map[string]*admission.Pool{"p": admission.NewPool()}, true)
+		j := lookup("hot", i)
+		if d := control.Decide(now, j); !d.Accepted {
+			lastRefused = now
+			continue
+		}
+		accepted++
+		control.Started(now.Add(step), j.ID)
+	}
+	assert.Check(t, now.Sub(lastRefused) > 4*time.Second, "still refused after %v", lastRefused)
+	assert.Check(t, accepted > 400)
+}
+
+// TestForecastsThatAreTooShortAreCorrected replays a pool of which the free capacity suits no job.
+func TestForecastsThatAreTooShortAreCorrected(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	control := admission.New()
+	accepted := 0
+	for i := range 1000 {
+		now = now.Add(step)
+		p := admission.NewPool()
+		p.AddFree(resource.Vector{Processors: 60 * resource.Processor})
+		control.Refresh(now, map[string]*admission.Pool{"p": p}, true)
+		if control.Decide(now, lookup("hot", i)).Accepted {
+			accepted++
+		}
+	}
+	assert.Check(t, accepted < 300, "%d of 1000 jobs were accepted", accepted)
+}
+
+// TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
+// rate at which its capacity comes free, and that no place is kept for ever.
+func TestReturnsAreDealtWithinRate(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		c := newCell(30 + r.IntN(300))
+		fill(c)
+		c.refresh(true)
+		ending := float64(c.capacity / 3 * 3) // In processors a second: each task runs for a second.
+		need := 0
+		var last time.Duration
+		workspaces := 1 + r.IntN(5)
+		for i := range 50 + r.IntN(500) {
+			j := lookup(fmt.Sprint("w", r.IntN(workspaces)), i)
+			j.Weight = float64(r.IntN(4))
+			j.Need.Processors = resource.Millis(1+r.IntN(9)) * resource.Processor
+			j.UsefulTime = 8 * time.Second
+			d := c.control.Decide(c.now, j)
+			if !d.Accepted && d.Place > 0 {
+				need += processors(j)
+				last = max(last, d.RetryAfter)
+			}
+		}
+		assert.Check(t, float64(need) <= ending*(last.Seconds()+0.2), "seed %d: %d processors until %v at %v a second", seed, need, last, ending)
+		for range 1100 {
+			c.advance()
+		}
+		assert.Equal(t, c.control.Places(), 0, "seed %d", seed)
+	}
+}
+
+// workConservingBound is the longest time for which jobs may be refused while there is free
+// capacity for them: a place is kept for the time until its turn, which is rounded up to a second,
+// and for the grace of its return; the mean error of forecasts is forgotten meanwhile.
+const workConservingBound = 6 * time.Second
+
+// TestNoRefusalWhileSuitableCapacityIsFree checks, in random worlds, that jobs are not refused for
+// longer than workConservingBound while more capacity is free than the job needs.
+func TestNoRefusalWhileSuitableCapacityIsFree(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		c := newCell(30 + r.IntN(100))
+		a := newCallers(c)
+		a.wait = func(d admission.Decision) (time.Duration, bool) {
+			return d.RetryAfter, r.IntN(3) > 0
+		}
+		freeSince := c.now
+		number := 0
+		for range 2000 {
+			a.advance(t)
+			if c.free() < 9 || len(c.waiting) > 0 {
+				freeSince = c.now
+			}
+			rate := 1 + int(c.now.UnixMilli()/1500)%4
+			if r.IntN(12) >= rate {
+				continue
+			}
+			number++
+			if number%3 == 0 {
+				c.submitWithin(lookup("within", number))
+				continue
+			}
+			if d := a.submit(t, lookup(fmt.Sprint("w", r.IntN(3)), number)); !d.Accepted {
+				assert.Check(t, c.now.Sub(freeSince) < workConservingBound, "seed %d: %v", seed, d)
+			}
+		}
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, workspaces := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			control := admission.New()
+			now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Second / 600)
+				if control.NeedsRefresh(now) {
+					p := admission.NewPool()
+					for range 10000 {
+						p.AddWaiting(resource.Vector{Processors: resource.Processor}, 1, false)
+					}
+					p.AddRunning(resource.Vector{Processors: 20000 * resource.Processor}, 500*time.Millisecond)
+					control.Refresh(now, map[string]*admission.Pool{"p": p}, true)
+				}
+				control.Decide(now, lookup(fmt.Sprint("w", i%workspaces), i))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/services/admission/returns.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+)
+
+const (
+	// returnGrace is how long after the returned time a caller may still return: a connection that
+	// has to be opened again and a box that does not answer at first.
+	returnGrace = 500 * time.Millisecond
+	// headerUnit is the resolution of the time that callers get.
+	headerUnit = time.Second
+	// slotLength is the resolution of the turns; horizon is how far ahead turns are given.
+	slotLength = 100 * time.Millisecond
+	horizon    = maxWait
+	slotCount  = int(horizon / slotLength)
+	// maxPlaces limits the number of refused jobs that are remembered.
+	maxPlaces = 4096
+	// minWeight is the weight of a workspace without any. It gets what others leave, and some of
+	// it soon.
+	minWeight = 1e-3
+)
+
+// place is the turn of a refused job.
+type place struct {
+	workspace, pool string
+	need            amounts
+	// refusedAt is when the job was first refused, turn when its caller is to return, expiresAt
+	// when it loses its place.
+	refusedAt, turn, expiresAt time.Time
+	// held is set while newcomers leave capacity for the job.
+	held bool
+}
+
+// line is the queue of the refused jobs of one workspace.
+type line struct {
+	weight float64
+	places int
+	// next is the earliest turn of the next refused job.
+	next time.Time
+}
+
+// slots records how much of the capacity that comes free has been promised. Each slot holds the
+// time of its own length at most, so that the turns stay within the rate.
+type slots struct {
+	first time.Time
+	used  [slotCount]time.Duration
+}
+
+// advance drops the slots before now.
+func (s *slots) advance(now time.Time) {
+	if s.first.IsZero() || now.Sub(s.first) >= horizon || now.Before(s.first) {
+		*s = slots{first: now}
+		return
+	}
+	passed := int(now.Sub(s.first) / slotLength)
+	copy(s.used[:], s.used[passed:])
+	clear(s.used[slotCount-passed:])
+	s.first = s.first.Add(time.Duration(passed) * slotLength)
+}
+
+// take uses up cost in the slots from at until the latest start, which is the given slack later. It
+// returns false without taking any if too much of these is used already.
+func (s *slots) take(at time.Time, cost, slack time.Duration) bool {
+	begin := max(0, int(at.Sub(s.first)/slotLength))
+	end := min(slotCount, begin+int(max(cost, slack)/slotLength)+1)
+	if begin >= end {
+		return false
+	}
+	left := cost
+	for _, used := range s.used[begin:end] {
+		left -= slotLength - used
+	}
+	if left > 0 {
+		return false
+	}
+	left = cost
+	for i := begin; left > 0; i++ {
+		part := min(left, slotLength-s.used[i])
+		s.used[i] += part
+		left -= part
+	}
+	return true
+}
+
+// placeOf returns the place of a job, unless it has lost it.
+func (c *Controller) placeOf(now time.Time, id job.ID) *place {
+	p := c.places[id]
+	if p != nil && now.After(p.expiresAt) {
+		c.dropPlace(id)
+		return nil
+	}
+	return p
+}
+
+// dropPlace removes the place of a job, if it has one.
+func (c *Controller) dropPlace(id job.ID) {
+	p := c.places[id]
+	if p == nil {
+		return
+	}
+	delete(c.places, id)
+	if p.held {
+		c.setHeld(p, false)
+	}
+	l := c.lines[p.workspace]
+	l.places--
+	if l.places == 0 {
+		delete(c.lines, p.workspace)
+		c.weights -= l.weight
+	}
+	if len(c.lines) == 0 {
+		c.weights = 0
+	}
+}
+
+// setHeld sets whether newcomers leave capacity for the job of a place.
+func (c *Controller) setHeld(p *place, held bool) {
+	sum, factor := c.held[p.pool], 1.0
+	if !held {
+		factor = -1
+	}
+	sum.add(p.need, factor)
+	c.held[p.pool], p.held = sum, held
+}
+
+// refreshPlaces drops the places that were lost, and holds capacity for the jobs whose turn comes
+// before the next refresh.
+func (c *Controller) refreshPlaces(now time.Time) {
+	clear(c.held)
+	for id, p := range c.places {
+		p.held = false
+		if now.After(p.expiresAt) {
+			c.dropPlace(id)
+		} else if p.turn.Sub(now) <= refreshInterval {
+			c.setHeld(p, true)
+		}
+	}
+}
+
+// deal gives a refused job the next turn of its workspace, and returns when its caller is to return
+// for it. The job has no place if it would be of no use by then, or if there are too many.
+func (c *Controller) deal(now time.Time, j Job, o outlook, earliest time.Time) (wait time.Duration, number int) {
+	cost := o.cost(j)
+	weight := max(j.Weight, minWeight)
+	l := c.lines[j.Workspace]
+	if l == nil {
+		l = &line{weight: weight, next: now}
+	}
+	weights := c.weights
+	if l.places == 0 {
+		weights += weight
+	}
+	earliest = later(l.next, earliest)
+	s := c.slotsOf(now, j.Pool)
+	wait = returnTime(earliest.Sub(now))
+	for ; wait < maxWait; wait += headerUnit {
+		if wait+j.CriticalPath > j.UsefulTime || len(c.places) >= maxPlaces {
+			return wait, 0
+		}
+		if s.take(now.Add(wait), cost, j.slack()) {
+			break
+		}
+	}
+	if wait >= maxWait {
+		return maxWait, 0
+	}
+	l.next = earliest.Add(seconds(cost.Seconds() * weights / l.weight))
+	l.places++
+	c.lines[j.Workspace], c.weights = l, weights
+	turn := now.Add(wait)
+	c.places[j.ID] = &place{
+		workspace: j.Workspace, pool: j.Pool, need: amountsOf(j.Need), refusedAt: now, turn: turn, expiresAt: turn.Add(returnGrace),
+	}
+	return wait, l.places
+}
+
+// slotsOf returns the slots of a pool as of now.
+func (c *Controller) slotsOf(now time.Time, pool string) *slots {
+	s := c.slots[pool]
+	if s == nil {
+		s = &slots{}
+		c.slots[pool] = s
+	}
+	s.advance(now)
+	return s
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/services/admission/trust.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"time"
+
+	"saddlevane/models/job"
+)
+
+const (
+	// evidenceWindow is the time constant with which the error of earlier forecasts is forgotten.
+	evidenceWindow = 2 * time.Second
+	// probeInterval is the longest time without an accepted job beyond its share after which one
+	// is accepted whatever its forecast. Without it a queue whose forecasts are too long would
+	// never show that.
+	probeInterval = 5 * time.Second
+	// minEvidence is the weight of the wrong refusals from which forecasts are not trusted. It is
+	// below the weight of one recent start.
+	minEvidence = 0.5
+	// errorSmoothing is the weight of one start in the mean error of the forecasts of a queue.
+	errorSmoothing = 0.1
+	// maxPending limits the number of forecasts that wait for a start.
+	maxPending = 4096
+)
+
+// record is how good the forecasts of a queue were lately.
+type record struct {
+	at time.Time
+	// wrong and right are the weights of the jobs that were accepted although their forecast was
+	// beyond the latest useful start, and that started in time or not.
+	wrong, right float64
+	// excess is by how much, on average, jobs waited longer than forecast.
+	excess float64
+	// probedAt is when a job beyond its share was last accepted.
+	probedAt time.Time
+}
+
+// age reduces the weight of the evidence to that at now.
+func (r *record) age(now time.Time) {
+	factor := decay(now.Sub(r.at), evidenceWindow)
+	r.wrong, r.right, r.excess = r.wrong*factor, r.right*factor, r.excess*factor
+	r.at = now
+}
+
+// isTrusted reports whether a job may be refused on a forecast: unless most of the jobs that would
+// have been refused started in time.
+func (r *record) isTrusted() bool { return r.wrong < minEvidence || r.wrong <= r.right }
+
+// observe records the wait of a job that has started, or that a job waits for longer than its slack.
+// The wait of the latter is not known yet and is assumed to be as long again.
+func (r *record) observe(now time.Time, p pendingStart, waited time.Duration, started bool) {
+	r.age(now)
+	estimate := waited
+	if !started {
+		estimate = 2 * waited
+	}
+	if started || estimate > p.forecast {
+		r.excess += errorSmoothing * ((estimate - p.forecast).Seconds() - r.excess)
+	}
+	switch {
+	case p.forecast <= p.slack:
+	case waited <= p.slack:
+		r.wrong++
+	default:
+		r.right++
+	}
+}
+
+// pendingStart is the forecast of an accepted job that has not started.
+type pendingStart struct {
+	queue string
+	at    time.Time
+	// forecast is the expected wait, slack the longest wait with which the job is in time.
+	forecast, slack time.Duration
+	// judged is set once the slack has passed.
+	judged bool
+}
+
+// Start is the first start of a job whose wait was forecast.
+type Start struct {
+	Queue string
+	// Error is the forecast less the actual wait.
+	Error time.Duration
+}
+
+// Started records the first start of a job. It returns false if there was no forecast.
+func (c *Controller) Started(now time.Time, id job.ID) (s Start, known bool) {
+	p, known := c.pending[id]
+	if !known {
+		return Start{}, false
+	}
+	delete(c.pending, id)
+	waited := now.Sub(p.at)
+	if !p.judged {
+		c.record(now, p.queue).observe(now, p, waited, true)
+	}
+	return Start{Queue: p.queue, Error: p.forecast - waited}, true
+}
+
+// expect remembers the forecast of an accepted job.
+func (c *Controller) expect(now time.Time, j Job, forecast, slack time.Duration) {
+	c.record(now, j.Queue).probedAt = now
+	if len(c.pending) < maxPending {
+		c.pending[j.ID] = pendingStart{queue: j.Queue, at: now, forecast: forecast, slack: slack}
+	}
+}
+
+// judgePending counts the jobs that have waited longer than is useful, and forgets those that have
+// not started for maxWait.
+func (c *Controller) judgePending(now time.Time) {
+	for id, p := range c.pending {
+		waited := now.Sub(p.at)
+		if waited > maxWait {
+			delete(c.pending, id)
+		} else if !p.judged && waited > p.slack {
+			c.record(now, p.queue).observe(now, p, waited, false)
+			p.judged = true
+			c.pending[id] = p
+		}
+	}
+}
+
+// record returns the record of a queue as of now.
+func (c *Controller) record(now time.Time, queue string) *record {
+	r := c.records[queue]
+	if r == nil {
+		r = &record{at: now, probedAt: now}
+		c.records[queue] = r
+	}
+	r.age(now)
+	return r
+}
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -5,18 +5,21 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/models/workspace"
+	"saddlevane/services/admission"
+	"saddlevane/services/ranking"
 	"saddlevane/services/workspaces"
 )
 
 // checkAdmission reports whether a new job is within its workspace's share. It returns a refusal if
-// a step could never fit within the workspace's cap, or if the workspace exceeds its share while
-// the workers have little free capacity.
+// a step could never fit within the workspace's cap, or if the workspace exceeds its share and the
+// job would wait too long.
 func (h *holderState) checkAdmission(now time.Time, sub *job.Submission) (within bool, refusal *exchange.Answer) {
 	if sub.Workspace == "" {
 		return true, nil
@@ -25,16 +28,92 @@
 	if refusal := checkCap(ws, sub); refusal != nil {
 		return false, refusal
 	}
+	j := h.admissionJob(sub, ws)
 	if h.isWithinShare(now, ws) {
+		h.admission.AcceptedWithinShare(now, j)
 		return true, nil
 	}
-	if !h.hasAmpleFreeCapacity && h.isEnabled(mechanism.RefusedShares) {
-		return false, &exchange.Answer{
-			Outcome: exchange.OverLimit, Reason: "the workspace exceeds its share while the workers have little free capacity",
-			RetryAfter: job.Milliseconds(h.workspaceShares.TimeToToken(now, ws).Milliseconds()),
+	if h.hasAmpleFreeCapacity || !h.isEnabled(mechanism.RefusedShares) {
+		return false, nil
+	}
+	if h.admission.NeedsRefresh(now) {
+		h.admission.Refresh(now, h.admissionPools(now), len(h.unreportedWorkers) == 0)
+	}
+	d := h.admission.Decide(now, j)
+	if d.Accepted {
+		return false, nil
+	}
+	h.logRefusal(now, j, d)
+	return false, &exchange.Answer{
+		Outcome: exchange.OverLimit, Reason: "the workspace exceeds its share while the workers have little free capacity: " + string(d.Reason),
+		RetryAfter: job.Milliseconds(d.RetryAfter.Milliseconds()),
+	}
+}
+
+// admissionJob returns what decides about the admission of a new job.
+func (h *holderState) admissionJob(sub *job.Submission, ws workspace.Workspace) admission.Job {
+	q, suitableShare := h.core.config.Queues[sub.Queue], 1.0
+	if q.Advice != nil {
+		suitableShare = h.estimates.SuitableShare(sub.Queue)
+	}
+	return admission.NewJob(sub, q, ws, suitableShare, func(estimate time.Duration) time.Duration {
+		return h.usualTimeOf(sub.Queue, estimate)
+	})
+}
+
+// admissionPools sums up what is free, runs and waits in each pool.
+func (h *holderState) admissionPools(now time.Time) map[string]*admission.Pool {
+	pools := map[string]*admission.Pool{}
+	for name := range h.knownPools {
+		pools[name] = admission.NewPool()
+	}
+	for _, w := range h.workersByName() {
+		if p := pools[w.Pool]; p != nil && w.healthy && !w.isKeptForSuspect() {
+			p.AddFree(w.free.Minus(w.committed))
+		}
+	}
+	for _, s := range h.openSteps {
+		r := h.rank(now, s)
+		p := pools[r.queue.Pool]
+		if p == nil || !s.open {
+			continue
 		}
+		if !s.spec.Service {
+			p.AddRunning(s.spec.Reserved().Times(s.placedTasks), s.criticalPath-s.criticalPathAfter)
+		}
+		if r.Tier == ranking.OnTime && s.reservation == nil && !s.advice.holdsCapacity() {
+			p.AddWaiting(s.spec.Reserved().Times(s.unplacedTasks), r.Priority, r.OverShare)
+		}
+	}
+	waiting := h.journal.unloggedJobs
+	if h.journal.batch != nil {
+		waiting = slices.Concat(waiting, h.journal.batch.newJobs)
+	}
+	for _, j := range waiting {
+		if q := h.queueOf(j); pools[q.Pool] != nil && j.submission != nil {
+			pools[q.Pool].AddWaiting(admission.FirstNeed(j.submission), q.Priority, j.beyondShare)
+		}
+	}
+	return pools
+}
+
+// logRefusal logs why a job was refused, for some jobs of each second.
+func (h *holderState) logRefusal(now time.Time, j admission.Job, d admission.Decision) {
+	omitted, ok := h.admission.TakeLine(now)
+	if !ok {
+		return
+	}
+	h.core.logEvent("job refused for its workspace's share", logField("job", string(j.ID)), logField("queue", j.Queue), logField("workspace", j.Workspace),
+		logField("reason", string(d.Reason)), logField("forecast", d.Forecast.String()), logField("objective", j.Objective.String()),
+		logField("critical_path", j.CriticalPath.String()), logField("place", d.Place), logField("rate", d.Rate),
+		logField("retry_after", d.RetryAfter.String()), logField("lines_omitted", omitted), logField("claim", h.epoch))
+}
+
+// checkForecast compares the forecast of a job that starts with the time that it waited.
+func (h *holderState) checkForecast(now time.Time, j *trackedJob) {
+	if s, known := h.admission.Started(now, j.id); known {
+		h.core.emit(exchange.ForecastChecked{Queue: s.Queue, Error: s.Error})
 	}
-	return false, nil
 }
 
 // checkCap returns a refusal if some step of a job could never fit within the workspace's cap.
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/admission"
 	"saddlevane/services/advicecalls"
 	"saddlevane/services/blame"
 	"saddlevane/services/estimates"
@@ -96,6 +97,8 @@
 	usage           *workspaces.Usage
 	workspaceShares *workspaces.ShareLimiter
 	leftoverUsage   map[string]resource.Vector
+	// admission decides about new jobs beyond their workspace's share.
+	admission *admission.Controller
 	// blame tracks which tasks are suspected of crashing their workers.
 	blame *blame.Tracker
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
@@ -147,8 +150,8 @@
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
-		leftoverUsage: map[string]resource.Vector{},
-		knownPools:    map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
+		leftoverUsage: map[string]resource.Vector{}, admission: admission.New(),
+		knownPools: map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
 	}
 	if c.config != nil {
 		h.addPools(*c.config)
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -70,7 +70,7 @@
 		logField("promised_accelerators", committed.Accelerators),
 		logField("promised", committed.Processors.String()), logField("stopping", stopping.Processors.String()),
 		logField("workers_kept", held), logField("evacuated", h.core.evacuations.Domains()), logField("steps_on_time", tiers[ranking.OnTime]), logField("steps_late", tiers[ranking.Late]),
-		logField("steps_hopeless", tiers[ranking.Hopeless]), logField("unsettled", len(h.unreportedWorkers)), logField("plans", h.planCount),
+		logField("steps_hopeless", tiers[ranking.Hopeless]), logField("returns_awaited", h.admission.Places()), logField("unsettled", len(h.unreportedWorkers)), logField("plans", h.planCount),
 		logField("advice_time", fmt.Sprint(h.advisers.CallTimeByQueue)), logField("stop_time", h.estimates.StopTime().String()),
 		logField("answers_take", h.answerDelays.UpperQuartile(now).String()), logField("gangs_reserving", h.reservations.Len()),
 		logField("reserved", h.reservations.Processors().String()), logField("reservations_ended", fmt.Sprint(h.reservations.TakeTotals())))
--- a/services/dispatch/placement.go
+++ b/services/dispatch/placement.go
@@ -131,6 +131,7 @@
 // startTasks starts waiting tasks of a step on the allocated workers. Suspect tasks are skipped,
 // because startSuspects starts them.
 func (h *holderState) startTasks(now time.Time, s *step, allocations []allocation) {
+	h.checkForecast(now, s.job)
 	next := 0
 	run := h.nextRunNumber(s)
 	for _, al := range allocations {
--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -34,10 +34,15 @@
 // usualTime returns the usual run time of steps of the same queue with the same estimate. If
 // learned times are disabled, it is the estimate.
 func (h *holderState) usualTime(s *step) time.Duration {
+	return h.usualTimeOf(s.job.queue, s.spec.Estimate.Duration())
+}
+
+// usualTimeOf returns the usual run time of steps of a queue with an estimate.
+func (h *holderState) usualTimeOf(queue string, estimate time.Duration) time.Duration {
 	if !h.isEnabled(mechanism.LearnedTimes) {
-		return s.spec.Estimate.Duration()
+		return estimate
 	}
-	return h.estimates.ExpectedRunTime(s.job.queue, s.spec.Estimate.Duration())
+	return h.estimates.ExpectedRunTime(queue, estimate)
 }
 
 // recordRunTime records that a task of a step succeeds at now. Only an uninterrupted run that this
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -373,6 +373,8 @@
 		l.metrics.setWorkspaces(e.All)
 	case exchange.JobOverShare:
 		l.metrics.recordOverShare(e.Refused)
+	case exchange.ForecastChecked:
+		l.metrics.recordForecast(e)
 	case exchange.EntryRefused:
 		l.metrics.entriesRefused.Inc()
 	case exchange.Evacuations:
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -71,6 +71,8 @@
 	workspaces *prometheus.GaugeVec
 	// jobsOverShare counts new jobs that exceeded their workspace's share.
 	jobsOverShare *prometheus.CounterVec
+	// forecastError is the forecast wait of accepted jobs beyond their share less the actual one.
+	forecastError *prometheus.HistogramVec
 }
 
 // callBuckets range, in seconds, from an answer that needs only memory to the longest deadline of a
@@ -80,6 +82,9 @@
 // queueBuckets range, in events, from a queue of one to a full one.
 var queueBuckets = []float64{1, 4, 16, 64, 256, 1024, eventQueueSize}
 
+// forecastBuckets range, in seconds, from forecasts that are too short to ones that are too long.
+var forecastBuckets = []float64{-5, -2, -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 2, 5}
+
 // newMetrics returns the metrics of a process, registered in a registry of their own.
 func newMetrics() *Metrics {
 	m := &Metrics{
@@ -123,6 +128,10 @@
 		Name: "saddlevane_workspace", Help: "What the tasks of a workspace take and may take, and its steps that wait; only at the holder.",
 	}, []string{"workspace", "of"})
 	m.jobsOverShare = counter("jobs_beyond_share_total", "New jobs that were more than their workspace's share, by what became of them.", "outcome")
+	m.forecastError = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "saddlevane_wait_forecast_error_seconds", Help: "Forecast less actual wait of jobs that were more than their workspace's share, by queue.",
+		Buckets: forecastBuckets,
+	}, []string{"queue"})
 	m.tasksLost = counter("tasks_lost_total", "Tasks that were lost with their workers, by how those ended.", "worker")
 	m.lostWorkTime = counter("tasks_lost_worked_seconds_total", "How long tasks that were lost with their workers had been at work, by how those ended.", "worker")
 	m.jobsGivenUp = prometheus.NewCounter(prometheus.CounterOpts{
@@ -140,7 +149,7 @@
 	m.evacuationsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_evacuations_refused_total", Help: "Requests to evacuate a failure domain that cannot be read or that name a domain without workers.",
 	})
-	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.logReads, m.advice, m.unanswered,
+	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.forecastError, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.logReads, m.advice, m.unanswered,
 		m.callsRetried, m.connectionsDiscarded, m.connectionsOpen, m.bytes, m.queueWait, m.passTime, m.overloadRefusals)
 	return m
 }
@@ -267,6 +276,11 @@
 	m.jobsOverShare.WithLabelValues(outcome).Inc()
 }
 
+// recordForecast records the error of a forecast.
+func (m *Metrics) recordForecast(e exchange.ForecastChecked) {
+	m.forecastError.WithLabelValues(e.Queue).Observe(e.Error.Seconds())
+}
+
 // recordAdvice counts a call to the advice service by its result.
 func (m *Metrics) recordAdvice(err error) {
 	switch {
