--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -52,6 +52,7 @@
 		h.core.emit(exchange.JobOverShare{Refused: refusal != nil})
 	}
 	if refusal != nil {
+		h.shares.RecordRefusal(e.Submission.Workspace)
 		h.core.reply(e.Call, *refusal)
 		return
 	}
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/admission"
 	"saddlevane/services/advicecalls"
 	"saddlevane/services/blame"
 	"saddlevane/services/estimates"
@@ -98,6 +99,8 @@
 	usage           *workspaces.Usage
 	shares          *shares.Tracker
 	workspaceShares *workspaces.ShareLimiter
+	// admission decides about new jobs beyond their workspace's share.
+	admission *admission.Controller
 	// blame tracks which tasks are suspected of crashing their workers.
 	blame *blame.Tracker
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
@@ -149,7 +152,7 @@
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), speeds: speeds.NewTracker(), planBudget: planbudget.New(),
 		reservations: reservations.New(),
 		usage:        workspaces.NewUsage(), workspaceShares: workspaces.NewShareLimiter(c.settings.ShareWindow),
-		shares:     shares.New(c.settings.ShareWindow),
+		shares: shares.New(c.settings.ShareWindow), admission: admission.New(),
 		knownPools: map[string]bool{}, healthyByKey: map[workerSetKey][]*worker{}, healthChanges: 1,
 	}
 	if c.config != nil {
