shares: the state of the cell counts workspaces over their share; settings and comments say what the share window averages

An operator saw the share of each workspace in saddlevanectl and the metrics, but a log did not show when the order of a backlog depends on them. Lint is clean; services/shares, services/ranking and modules/setting pass.

--- a/models/mechanism/mechanism.go
+++ b/models/mechanism/mechanism.go
@@ -45,7 +45,8 @@
 	// RefusedShares refuses jobs that exceed their workspace's share while there is little free
 	// capacity.
 	RefusedShares Mechanism = "refused-shares"
-	// SharedOrder places jobs that exceed their workspace's share after all others.
+	// SharedOrder places the steps of workspaces that take more of the workers than their share after
+	// others of the same tier in a backlog.
 	SharedOrder Mechanism = "shared-order"
 	// LeastWork places the steps with the least remaining work first while there is a backlog.
 	LeastWork Mechanism = "least-work"
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -58,7 +58,7 @@
 	// answers it, starts no tasks. 0 means the value of ConfigPropagation.
 	EvacuationPropagation time.Duration `yaml:"evacuate_within"`
 	// ShareWindow is how long a workspace that submits less than its share may accumulate the
-	// rest.
+	// rest, and the time constant with which the use of the workers by a workspace is averaged.
 	ShareWindow time.Duration `yaml:"share"`
 	// Disabled names the parts of the policy that are switched off.
 	Disabled []string `yaml:"without"`
--- a/services/dispatch/overview.go
+++ b/services/dispatch/overview.go
@@ -73,6 +73,7 @@
 		logField("steps_hopeless", tiers[ranking.Hopeless]), logField("unsettled", len(h.unreportedWorkers)), logField("plans", h.planCount),
 		logField("advice_time", fmt.Sprint(h.advisers.CallTimeByQueue)), logField("stop_time", h.estimates.StopTime().String()),
 		logField("answers_take", h.answerDelays.UpperQuartile(now).String()), logField("gangs_reserving", h.reservations.Len()),
-		logField("reserved", h.reservations.Processors().String()), logField("reservations_ended", fmt.Sprint(h.reservations.TakeTotals())))
+		logField("reserved", h.reservations.Processors().String()), logField("reservations_ended", fmt.Sprint(h.reservations.TakeTotals())),
+		logField("workspaces_over_share", h.shares.CountOver()))
 	clear(h.advisers.CallTimeByQueue)
 }
--- a/services/ranking/ranking.go
+++ b/services/ranking/ranking.go
@@ -78,7 +78,8 @@
 	// AdviceExpiring is set if advice obtained for the step is valid only for the current plan.
 	AdviceExpiring bool
 	Tier           Tier
-	// OverShare is set if the job exceeds its workspace's share.
+	// OverShare is set in a backlog if the workspace of the job takes more of the workers than its
+	// share.
 	OverShare bool
 	// Priority is that of the queue: 0 goes first, then higher values.
 	Priority int
--- a/services/shares/shares.go
+++ b/services/shares/shares.go
@@ -261,6 +261,17 @@
 	}
 }
 
+// CountOver returns how many workspaces take more than their entitled share.
+func (t *Tracker) CountOver() int {
+	n := 0
+	for _, s := range t.byName {
+		if s.isActive() && s.debt > s.entitled {
+			n++
+		}
+	}
+	return n
+}
+
 // IsUnder reports whether a workspace takes less than its entitled share, counting also what it
 // waits for. weight is its weight now.
 func (t *Tracker) IsUnder(name string, weight float64) bool {
--- a/services/shares/shares_test.go
+++ b/services/shares/shares_test.go
@@ -206,6 +206,7 @@
 	assert.Check(t, !c.tracker.IsUnder("hot", 10), "what waits counts as use to come, so its share admits no more")
 	c.run(2*time.Second, hot...)
 	assert.DeepEqual(t, c.over(), []string{"hot"})
+	assert.Equal(t, c.tracker.CountOver(), 1)
 	assert.Check(t, c.tracker.IsOver("hot", 0.001), "its small steps make up its use")
 	c.run(4*time.Second, hot...)
 	assert.DeepEqual(t, c.over(), []string{"hot"})
