admission: count the age of a refused job from its first refusal

Cause: a job that returned to be accepted was decided on as if it were new, unless it came at its turn. Jobs were accepted that end after three times their objective from the first try, when they are of no use, and took the capacity of others. Each refusal is remembered now for as long as a caller can return (10 s, 4,096 jobs); such a job is refused, also while capacity is free.

Tests of the order at a turn, of the grace, of a job that is of no use any more, of a workspace without weight. The sums of the pool skip closed steps before ranking them.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -76,9 +76,11 @@
 	records  map[string]*record
 	pending  map[job.ID]pendingStart
 
-	places map[job.ID]*place
-	lines  map[string]*line
-	slots  map[string]*slots
+	// refused has when jobs were first refused.
+	refused map[job.ID]time.Time
+	places  map[job.ID]*place
+	lines   map[string]*line
+	slots   map[string]*slots
 	// held is what newcomers leave, by pool, for refused jobs whose turn comes soon.
 	held map[string]amounts
 	// weights is the sum of the weights of the lines.
@@ -93,7 +95,7 @@
 func New() *Controller {
 	return &Controller{
 		pools: map[string]*Pool{}, arrivals: map[arrivalKey]*arrivals{}, records: map[string]*record{},
-		pending: map[job.ID]pendingStart{}, places: map[job.ID]*place{}, lines: map[string]*line{}, slots: map[string]*slots{},
+		pending: map[job.ID]pendingStart{}, refused: map[job.ID]time.Time{}, places: map[job.ID]*place{}, lines: map[string]*line{}, slots: map[string]*slots{},
 		held: map[string]amounts{},
 	}
 }
@@ -122,7 +124,7 @@
 
 // AcceptedWithinShare records a job that was accepted because it is within its share.
 func (c *Controller) AcceptedWithinShare(now time.Time, j Job) {
-	c.dropPlace(j.ID)
+	c.forget(j.ID)
 	c.accept(now, j, class{priority: j.Priority})
 }
 
@@ -146,11 +148,13 @@
 	}
 	isTurn := p != nil && !now.Before(p.turn)
 	reserved, slack := c.held[j.Pool], j.slack()
+	if since, known := c.refused[j.ID]; known {
+		slack = min(slack, j.UsefulTime-j.CriticalPath-now.Sub(since))
+	}
 	limit := slack / slackDivisor
 	switch {
 	case isTurn:
-		reserved, slack = amounts{}, min(slack, j.UsefulTime-j.CriticalPath-now.Sub(p.refusedAt))
-		limit = slack
+		reserved, limit = amounts{}, slack
 	case p != nil && p.held:
 		reserved.add(p.need, -1)
 	}
@@ -158,6 +162,8 @@
 	wait := o.wait(j, reserved)
 	d := Decision{Accepted: true, Forecast: wait + seconds(max(0, r.excess)), Rate: rate(o.cost(j))}
 	switch {
+	case slack < 0:
+		return c.refuse(now, j, o, d, slack)
 	case d.Forecast <= limit:
 		d.Reason = InTime
 	case !r.isTrusted():
@@ -167,7 +173,7 @@
 	default:
 		return c.refuse(now, j, o, d, slack)
 	}
-	c.dropPlace(j.ID)
+	c.forget(j.ID)
 	c.expect(now, j, wait, slack)
 	c.accept(now, j, j.class())
 	return d
@@ -188,6 +194,9 @@
 // refuse gives a job a turn, or the rest of the time until the turn that it has.
 func (c *Controller) refuse(now time.Time, j Job, o outlook, d Decision, slack time.Duration) Decision {
 	d.Accepted, d.Reason = false, TooLate
+	if _, known := c.refused[j.ID]; !known && len(c.refused) < maxPlaces {
+		c.refused[j.ID] = now
+	}
 	p := c.placeOf(now, j.ID)
 	if p != nil && !now.Before(p.turn) {
 		// The turn came too early: the next one is given as to a new job.
@@ -202,6 +211,12 @@
 	return d
 }
 
+// forget forgets that a job was refused.
+func (c *Controller) forget(id job.ID) {
+	c.dropPlace(id)
+	delete(c.refused, id)
+}
+
 // returnTime rounds a time up to what the callers' header can hold.
 func returnTime(d time.Duration) time.Duration {
 	return min(maxWait, max(headerUnit, (d+headerUnit-1)/headerUnit*headerUnit))
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -306,17 +306,17 @@
 	fill(c)
 	c.refresh(true)
 	a := newCallers(c)
-	told := map[time.Duration]int{}
+	waits := map[time.Duration]int{}
 	for i := range 200 {
 		if d := a.submit(t, lookup("hot", i)); !d.Accepted {
-			told[d.RetryAfter]++
+			waits[d.RetryAfter]++
 		}
 	}
 	a.run(t, 4*time.Second, 0, nil)
 	jobs, refusals, never := a.refusedJobs()
-	t.Logf("told %v; refused %d refusals %d never %d", told, jobs, refusals, never)
-	assert.Check(t, len(told) > 1, "all are to return at the same time")
-	for wait, n := range told {
+	t.Logf("waits %v; refused %d refusals %d never %d", waits, jobs, refusals, never)
+	assert.Check(t, len(waits) > 1, "all are to return at the same time")
+	for wait, n := range waits {
 		assert.Check(t, wait == 3*time.Second || n <= 60, "%d are to return in %v", n, wait)
 	}
 	all, late := c.lateness(false)
@@ -404,24 +404,93 @@
 	c.advance()
 	c.control = admission.New()
 	c.refresh(false)
-	accepted, told := 0, map[time.Duration]int{}
+	accepted, waits := 0, map[time.Duration]int{}
 	for i := range 300 {
 		d := c.submit(lookup("hot", i))
 		if d.Accepted {
 			accepted++
 			continue
 		}
-		told[d.RetryAfter]++
+		waits[d.RetryAfter]++
 	}
 	// What is free now is used, and nothing is accepted on a forecast.
 	assert.Equal(t, accepted, 5)
-	assert.Equal(t, len(told), 3)
-	for _, n := range told {
-		assert.Check(t, n > 295/6, "%v", told)
+	assert.Equal(t, len(waits), 3)
+	for _, n := range waits {
+		assert.Check(t, n > 295/6, "%v", waits)
 	}
 	assert.Equal(t, c.control.Places(), 0)
 }
 
+// TestCallerAtItsTurnGoesBeforeNewOnes replays a backlog that leaves a new job with more than half of
+// its slack, but a returning one in time.
+func TestCallerAtItsTurnGoesBeforeNewOnes(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for _, c := range []struct {
+		name     string
+		after    time.Duration
+		accepted bool
+	}{
+		{"before its turn", 500 * time.Millisecond, false},
+		{"at its turn", time.Second, true},
+		{"within the grace", 1400 * time.Millisecond, true},
+		{"after it lost its place", 1600 * time.Millisecond, false},
+	} {
+		control := admission.New()
+		refresh := func(at time.Time, waiting resource.Millis) {
+			p := admission.NewPool()
+			p.AddRunning(resource.Vector{Processors: 60 * resource.Processor}, time.Second)
+			p.AddWaiting(resource.Vector{Processors: waiting * resource.Processor}, 0, false)
+			control.Refresh(at, map[string]*admission.Pool{"p": p}, true)
+		}
+		refresh(now, 60)
+		d := control.Decide(now, lookup("hot", 1))
+		assert.Equal(t, d.Accepted, false, c.name)
+		assert.Equal(t, d.RetryAfter, time.Second, c.name)
+		at := now.Add(c.after)
+		refresh(at, 20)
+		assert.Equal(t, control.Decide(at, lookup("new", 2)).Accepted, false, c.name)
+		assert.Equal(t, control.Decide(at, lookup("hot", 1)).Accepted, c.accepted, c.name)
+	}
+}
+
+// TestJobThatIsOfNoUseAtItsReturnIsRefused replays a caller that returns while all capacity is free,
+// so late that its job would end after its useful time.
+func TestJobThatIsOfNoUseAtItsReturnIsRefused(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for after, accepted := range map[time.Duration]bool{2 * time.Second: true, 2600 * time.Millisecond: false} {
+		control := admission.New()
+		p := admission.NewPool()
+		p.AddWaiting(resource.Vector{Processors: 60 * resource.Processor}, 0, false)
+		control.Refresh(now, map[string]*admission.Pool{"p": p}, true)
+		assert.Equal(t, control.Decide(now, lookup("hot", 1)).Accepted, false)
+		free := admission.NewPool()
+		free.AddFree(resource.Vector{Processors: 60 * resource.Processor})
+		control.Refresh(now.Add(after), map[string]*admission.Pool{"p": free}, true)
+		assert.Equal(t, control.Decide(now.Add(after), lookup("hot", 1)).Accepted, accepted, "%v", after)
+	}
+}
+
+// TestWorkspaceWithoutWeightGetsWhatOthersLeave replays a workspace with weight and one without that
+// are refused at the same time.
+func TestWorkspaceWithoutWeightGetsWhatOthersLeave(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	places := map[string]int{}
+	for i := range 200 {
+		j := lookup([]string{"with", "without"}[i%2], i)
+		if i%2 == 1 {
+			j.Weight = 0
+		}
+		if d := c.submit(j); d.Place > 0 {
+			places[j.Workspace]++
+		}
+	}
+	assert.Check(t, places["with"] > 10*places["without"], "%v", places)
+	assert.Check(t, places["without"] > 0, "%v", places)
+}
+
 // TestForecastsThatAreTooLongDoNotRefuse replays a pool in which nothing seems to end although all
 // jobs start at once.
 func TestForecastsThatAreTooLongDoNotRefuse(t *testing.T) {
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -4,6 +4,7 @@
 package admission
 
 import (
+	"maps"
 	"time"
 
 	"saddlevane/models/job"
@@ -30,9 +31,8 @@
 type place struct {
 	workspace, pool string
 	need            amounts
-	// refusedAt is when the job was first refused, turn when its caller is to return, expiresAt
-	// when it loses its place.
-	refusedAt, turn, expiresAt time.Time
+	// turn is when the caller of the job is to return, expiresAt when the job loses its place.
+	turn, expiresAt time.Time
 	// held is set while newcomers leave capacity for the job.
 	held bool
 }
@@ -130,8 +130,9 @@
 }
 
 // refreshPlaces drops the places that were lost, and holds capacity for the jobs whose turn comes
-// before the next refresh.
+// before the next refresh. It also forgets the refusals of which the callers have given up.
 func (c *Controller) refreshPlaces(now time.Time) {
+	maps.DeleteFunc(c.refused, func(_ job.ID, at time.Time) bool { return now.Sub(at) > maxWait })
 	clear(c.held)
 	for id, p := range c.places {
 		p.held = false
@@ -160,7 +161,7 @@
 	s := c.slotsOf(now, j.Pool)
 	wait = returnTime(earliest.Sub(now))
 	for ; wait < maxWait; wait += headerUnit {
-		if wait+j.CriticalPath > j.UsefulTime || len(c.places) >= maxPlaces {
+		if now.Add(wait+j.CriticalPath).Sub(c.refused[j.ID]) > j.UsefulTime || len(c.places) >= maxPlaces {
 			return wait, 0
 		}
 		if s.take(now.Add(wait), cost, j.slack()) {
@@ -175,7 +176,7 @@
 	c.lines[j.Workspace], c.weights = l, weights
 	turn := now.Add(wait)
 	c.places[j.ID] = &place{
-		workspace: j.Workspace, pool: j.Pool, need: amountsOf(j.Need), refusedAt: now, turn: turn, expiresAt: turn.Add(returnGrace),
+		workspace: j.Workspace, pool: j.Pool, need: amountsOf(j.Need), turn: turn, expiresAt: turn.Add(returnGrace),
 	}
 	return wait, l.places
 }
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -73,11 +73,11 @@
 		}
 	}
 	for _, s := range h.openSteps {
-		r := h.rank(now, s)
-		p := pools[r.queue.Pool]
+		p := pools[h.queueOf(s.job).Pool]
 		if p == nil || !s.open {
 			continue
 		}
+		r := h.rank(now, s)
 		if !s.spec.Service {
 			p.AddRunning(s.spec.Reserved().Times(s.placedTasks), s.criticalPath-s.criticalPathAfter)
 		}
