dispatch: stop nothing of a workspace within its share for one over its share

A short job of a workspace over its share stopped tasks of lower priority of others. These go before it in a backlog, so that they were started again on the capacity that their stop had freed, and stopped again: nine starts of three tasks in three seconds in TestWorkspaceOverItsShareStopsNoTasksOfOthers, which demands three. Ruled out: holding the freed capacity for the short job, which would take from a workspace within its share what it is entitled to.

--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -44,6 +44,7 @@
 	r, ok := p.victimRanks[s]
 	if !ok {
 		r = victimRank{rankedStep: h.rank(p.now, s), slack: h.slack(p.now, s)}
+		r.OverShare = h.shares.IsOver(s.job.workspace, r.Work)
 		p.victimRanks[s] = r
 	}
 	return r
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -162,7 +162,8 @@
 }
 
 // canPreempt reports whether an attempt may be preempted for a step: its step is in a worse tier,
-// or has lower priority and enough slack to start again and still be on time.
+// or has lower priority and enough slack to start again and still be on time, unless only the step's
+// workspace takes more than its share.
 func (h *holderState) canPreempt(p *pass, r rankedStep, a *attempt) bool {
 	s := a.step
 	if !h.isEnabled(mechanism.Preemption) || a.state != attemptRunning || a.markedForStop || a.isolated || s.spec.Gang ||
@@ -176,7 +177,11 @@
 		return false
 	}
 	v := h.victimRankOf(p, s)
-	return v.Tier > r.Tier || v.queue.Priority > r.queue.Priority && (v.slack > minVictimSlack || p.ampleFreeCapacity)
+	if v.Tier > r.Tier {
+		return true
+	}
+	// Capacity that a workspace has borrowed is not taken from one within its share.
+	return v.queue.Priority > r.queue.Priority && (!r.OverShare || v.OverShare) && (v.slack > minVictimSlack || p.ampleFreeCapacity)
 }
 
 // isSpared reports whether an attempt is not preempted because a stop would gain little. This does
--- a/services/dispatch/shares_test.go
+++ b/services/dispatch/shares_test.go
@@ -108,3 +108,31 @@
 	assert.Check(t, got.Borrowed > 0.4 && got.Entitled == 0.5, "%+v", got)
 	assert.Equal(t, w.shareOf("other").InUse, 0.0)
 }
+
+// A short job of a workspace that takes more than its share stops no tasks of a workspace within its
+// share, although these have lower priority and can wait. They would be started again at once, since
+// they go before the short job.
+func TestWorkspaceOverItsShareStopsNoTasksOfOthers(t *testing.T) {
+	w := newWorld(t, 1, 1, 2)
+	w.publishWorkspaces([]workspace.Workspace{{Name: "hot", Weight: 10}, {Name: "other", Weight: 10}})
+	w.waitUntilServing()
+	long := func(ws, id, queue string, tasks int) {
+		s := jobOf(ws, id)
+		s.Queue = queue
+		s.Steps[0].Tasks, s.Steps[0].Estimate, s.Steps[0].Checkpoints = tasks, 100_000, true
+		w.submit(s)
+		w.waitUntil(5*time.Second, "the tasks run", func() bool { return w.runningCount(s.ID) == tasks })
+	}
+	long("other", "within", "wide", 3)
+	long("hot", "over", "quick", 7)
+	w.run(10 * time.Second)
+	w.submit(jobOf("hot", "short"))
+	w.run(3 * time.Second)
+	starts := 0
+	for task, n := range w.starts {
+		if task.Job == "within" {
+			starts += n
+		}
+	}
+	assert.Equal(t, starts, 3)
+}
