shares: a lone workspace has no debt, and the same observations give exactly the same shares

Cause: sums of weights ran over a map, so entitled shares differed in their last bits from one run to the next, and with them the order of steps at the boundary. A workspace alone in a cell that has just lost workers takes more than all that is left; it was over its share, which put its large steps after its small ones although nobody else waits.

TestSharesDependOnObservationsOnly and TestCellLosesAThirdOfItsWorkers fail without the change. Lint is clean; services/shares and the shares tests of services/dispatch pass.

--- a/services/shares/shares.go
+++ b/services/shares/shares.go
@@ -85,22 +85,30 @@
 	waitingSteps, cappedSteps int
 }
 
-// demandsOf returns the demands by workspace, given the open steps.
-func demandsOf(c Cell, steps iter.Seq[Step]) map[string]demand {
-	demands := map[string]demand{}
+// demands holds the demands by workspace, and the names in the order of the first steps, so that sums
+// of fractions do not depend on the order of a map.
+type demands struct {
+	byName map[string]demand
+	names  []string
+}
+
+// demandsOf returns the demands of the workspaces, given the open steps.
+func demandsOf(c Cell, steps iter.Seq[Step]) demands {
+	all := demands{byName: map[string]demand{}}
 	for s := range steps {
 		if s.Workspace == "" {
 			continue
 		}
-		d, known := demands[s.Workspace]
+		d, known := all.byName[s.Workspace]
 		if !known {
+			all.names = append(all.names, s.Workspace)
 			d.weight = c.Workspace(s.Workspace).Weight
 			d.inUse = c.InUse(s.Workspace).DominantShare(c.Capacity)
 		}
 		d.add(s, s.Need.DominantShare(c.Capacity))
-		demands[s.Workspace] = d
+		all.byName[s.Workspace] = d
 	}
-	return demands
+	return all
 }
 
 // add adds a step whose tasks each need the given part of the workers.
@@ -155,16 +163,16 @@
 // observation of a complete cell, the present use counts as the average, so that a new holder knows
 // what was borrowed as soon as the workers have reported.
 func (t *Tracker) Observe(now time.Time, c Cell, steps iter.Seq[Step]) {
-	demands := demandsOf(c, steps)
-	t.weigh(demands)
+	all := demandsOf(c, steps)
+	t.weigh(all)
 	keep := t.keep(now)
 	for name, s := range t.byName {
-		if _, known := demands[name]; !known {
+		if _, known := all.byName[name]; !known {
 			s.demand = demand{}
 			s.update(keep, 0)
 		}
 	}
-	for name, d := range demands {
+	for name, d := range all.byName {
 		s := t.of(name)
 		s.demand = d
 		s.update(keep, t.entitled(d))
@@ -173,10 +181,10 @@
 }
 
 // weigh sums up the weights of the active workspaces.
-func (t *Tracker) weigh(demands map[string]demand) {
+func (t *Tracker) weigh(all demands) {
 	t.totalWeight, t.maxWeight = 0, 0
 	active := 0
-	for _, d := range demands {
+	for _, d := range all.byName {
 		if d.isActive() {
 			active++
 			t.maxWeight = max(t.maxWeight, d.weight)
@@ -186,8 +194,8 @@
 		t.totalWeight = float64(active)
 		return
 	}
-	for _, d := range demands {
-		if d.isActive() {
+	for _, name := range all.names {
+		if d := all.byName[name]; d.isActive() {
 			// The sum of large weights could overflow.
 			t.totalWeight += d.weight / t.maxWeight
 		}
@@ -242,6 +250,10 @@
 	}
 }
 
+// isAbove reports whether a debt is above the entitled share. A workspace beside which no other is
+// entitled to anything has no debt, even if its tasks take more than the workers that are left.
+func (s *share) isAbove(debt float64) bool { return s.entitled < 1 && debt > s.entitled }
+
 // IsOver reports whether a step of a workspace is to be placed after those of others in a backlog,
 // because the workspace takes more than its entitled share. work is the part of the workers that the
 // step's waiting tasks need, times how long they need it, in seconds. A small step is judged without
@@ -255,9 +267,9 @@
 	case s.entitled == 0:
 		return true
 	case work <= smallWork*s.entitled*t.window.Seconds():
-		return s.smallDebt > s.entitled
+		return s.isAbove(s.smallDebt)
 	default:
-		return s.debt > s.entitled
+		return s.isAbove(s.debt)
 	}
 }
 
@@ -265,7 +277,7 @@
 func (t *Tracker) CountOver() int {
 	n := 0
 	for _, s := range t.byName {
-		if s.isActive() && s.debt > s.entitled {
+		if s.isActive() && s.isAbove(s.debt) {
 			n++
 		}
 	}
--- a/services/shares/shares_test.go
+++ b/services/shares/shares_test.go
@@ -4,6 +4,7 @@
 package shares_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -326,6 +327,10 @@
 	// If the tasks of one were spared, it is over its share.
 	c.run(time.Minute, step("a", 300, 200), step("b", 333, 317))
 	assert.DeepEqual(t, c.over(), []string{"a"})
+	// Alone, a workspace is within its share, whatever it has on the workers that are left.
+	c.run(time.Minute, step("a", 900, 200))
+	assert.Check(t, c.over() == nil)
+	assert.Equal(t, c.tracker.CountOver(), 0)
 	// Without any workers nothing is over.
 	c.size = 0
 	c.run(time.Minute, step("a", 0, 200), step("b", 0, 317))
@@ -395,3 +400,24 @@
 	c.run(planInterval)
 	assert.Equal(t, c.statusOf("a").Waiting, 0)
 }
+
+// TestSharesDependOnObservationsOnly checks that the same observations give exactly the same shares, so
+// that the order of a plan can be repeated.
+func TestSharesDependOnObservationsOnly(t *testing.T) {
+	weights := map[string]float64{}
+	var steps []shares.Step
+	for i := range 50 {
+		name := fmt.Sprint("ws", i)
+		weights[name] = 1 / float64(i+3)
+		steps = append(steps, step(name, i%7, i%3))
+	}
+	var want []job.WorkspaceStatus
+	for range 20 {
+		c := newCell(t, weights)
+		c.run(time.Second, steps...)
+		if want == nil {
+			want = c.status()
+		}
+		assert.DeepEqual(t, c.status(), want)
+	}
+}
