--- a/services/speeds/haste.go
+++ b/services/speeds/haste.go
@@ -21,11 +21,10 @@
 }
 
 // SpeedClass returns the class of a worker's speed as far as it matters for the step, for the order of
-// workers: slower ones come later. For a step that ends on time on the worker, its speed does not matter,
-// so that faster workers are left to others.
+// workers: slower ones come later. A slow worker on which the step ends on time counts as a usual one.
 func (h Haste) SpeedClass(e Estimate) int {
 	if !h.Urgent && e.TimeFor(h.Work)-h.Work < h.Slack {
-		return 0
+		return min(0, e.Class())
 	}
 	return e.Class()
 }
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -309,6 +309,11 @@
 		assert.Equal(t, test.haste.SpeedClass(slow), test.want, test.name)
 		assert.Equal(t, test.haste.SpeedClass(speeds.Estimate{}), 0, test.name)
 	}
+	fleet := newFleet(3, 40, 0.75)
+	fleet.run(40)
+	fast := fleet.Of(fleet.now, name(39))
+	assert.Check(t, fast.Class() < 0)
+	assert.Equal(t, speeds.Haste{Work: time.Second, Slack: time.Hour}.SpeedClass(fast), fast.Class())
 	assert.Check(t, slow.SuitsGang())
 	assert.Check(t, slow.TimeFor(time.Second) > 1200*time.Millisecond)
 	assert.Check(t, slow.WorkOf(slow.TimeFor(time.Second))-time.Second < time.Millisecond)
