admission: judge late jobs in a fixed order

The mean error of the forecasts is a running mean, so it depends on the order in which jobs that wait too long are judged. That was the order of a map: the same events gave different forecasts (2.207124 s and 2.207299 s in the test), and near the limit different answers. They are judged in the order of their IDs, of which only those that are judged are sorted.

--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -530,6 +530,36 @@
 	assert.Check(t, accepted < 300, "%d of 1000 jobs were accepted", accepted)
 }
 
+// TestSameEventsGiveSameDecisions replays jobs with different forecasts that all wait too long.
+func TestSameEventsGiveSameDecisions(t *testing.T) {
+	decide := func() []admission.Decision {
+		now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+		control := admission.New()
+		for i := range 40 {
+			p := admission.NewPool()
+			p.AddFree(resource.Vector{Processors: 200 * resource.Processor})
+			p.AddRunning(resource.Vector{Processors: 60 * resource.Processor}, time.Second)
+			p.AddWaiting(resource.Vector{Processors: resource.Millis(200+i/2) * resource.Processor}, 0, false)
+			control.Refresh(now, map[string]*admission.Pool{"p": p}, true)
+			control.Decide(now, lookup("hot", i))
+		}
+		now = now.Add(600 * time.Millisecond)
+		p := admission.NewPool()
+		p.AddRunning(resource.Vector{Processors: 60 * resource.Processor}, time.Second)
+		p.AddWaiting(resource.Vector{Processors: 60 * resource.Processor}, 0, false)
+		control.Refresh(now, map[string]*admission.Pool{"p": p}, true)
+		var all []admission.Decision
+		for i := range 3 {
+			all = append(all, control.Decide(now, lookup("new", i)))
+		}
+		return all
+	}
+	first := decide()
+	for range 50 {
+		assert.DeepEqual(t, decide(), first)
+	}
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
--- a/services/admission/trust.go
+++ b/services/admission/trust.go
@@ -4,9 +4,12 @@
 package admission
 
 import (
+	"iter"
+	"maps"
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/modules/ordered"
 )
 
 const (
@@ -110,16 +113,25 @@
 // judgePending counts the jobs that have waited longer than is useful, and forgets those that have
 // not started for maxWait.
 func (c *Controller) judgePending(now time.Time) {
-	for id, p := range c.pending {
-		waited := now.Sub(p.at)
-		if waited > maxWait {
-			delete(c.pending, id)
-		} else if !p.judged && waited > p.slack {
-			c.record(now, p.queue).observe(now, p, waited, false)
-			p.judged = true
-			c.pending[id] = p
+	maps.DeleteFunc(c.pending, func(_ job.ID, p pendingStart) bool { return now.Sub(p.at) > maxWait })
+	// The mean error depends on the order.
+	for id, p := range sortedWhere(c.pending, func(p pendingStart) bool { return !p.judged && now.Sub(p.at) > p.slack }) {
+		c.record(now, p.queue).observe(now, p, now.Sub(p.at), false)
+		p.judged = true
+		c.pending[id] = p
+	}
+}
+
+// sortedWhere returns the entries of a map for which a function returns true, in the order of their
+// jobs. The entries may be changed or deleted meanwhile.
+func sortedWhere[V any](all map[job.ID]V, match func(V) bool) iter.Seq2[job.ID, V] {
+	found := map[job.ID]V{}
+	for id, v := range all {
+		if match(v) {
+			found[id] = v
 		}
 	}
+	return ordered.Map(found)
 }
 
 // record returns the record of a queue as of now.
