admission: turns follow a weight that changes

The line of a workspace kept the weight that it had when its first job was refused, until the line was empty, which under load it never is.

--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -560,6 +560,26 @@
 	}
 }
 
+// TestWeightChangesWhileCallersWait replays two workspaces of the same weight, of which one gets nine
+// times the other's while both have refused jobs.
+func TestWeightChangesWhileCallersWait(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	places := map[string]int{}
+	for i := range 400 {
+		j := lookup([]string{"raised", "same"}[i%2], i)
+		j.Weight, j.Objective, j.UsefulTime = 1, 2*time.Second, 8*time.Second
+		if i >= 60 && i%2 == 0 {
+			j.Weight = 9
+		}
+		if d := c.submit(j); d.Place > 0 {
+			places[j.Workspace]++
+		}
+	}
+	assert.Check(t, places["raised"] > 2*places["same"], "%v", places)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -151,12 +151,9 @@
 	weight := max(j.Weight, minWeight)
 	l := c.lines[j.Workspace]
 	if l == nil {
-		l = &line{weight: weight, next: now}
-	}
-	weights := c.weights
-	if l.places == 0 {
-		weights += weight
+		l = &line{next: now}
 	}
+	weights := c.weights - l.weight + weight
 	earliest = later(l.next, earliest)
 	s := c.slotsOf(now, j.Pool)
 	wait = returnTime(earliest.Sub(now))
@@ -171,7 +168,8 @@
 	if wait >= maxWait {
 		return maxWait, 0
 	}
-	l.next = earliest.Add(seconds(cost.Seconds() * weights / l.weight))
+	l.next = earliest.Add(seconds(cost.Seconds() * weights / weight))
+	l.weight = weight
 	l.places++
 	c.lines[j.Workspace], c.weights = l, weights
 	turn := now.Add(wait)
