admission: keep the sum of weights exact

The sum of the weights of the lines is changed as lines come and go. Once a line of a huge weight was gone, the others had vanished from the sum: it was 0, turns were no longer divided between workspaces, and the first to ask got all of them. Places that expire together were also subtracted in the order of a map, so that the sum was not the same for the same events. Weights count up to 1e9, and the sum is formed anew at each refresh, in the order of the names.

--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -580,6 +581,31 @@
 	assert.Check(t, places["raised"] > 2*places["same"], "%v", places)
 }
 
+// TestWorkspaceOfHugeWeightGoes replays a workspace with the largest possible weight that has no
+// refused jobs any more, while another one takes all turns that it can get.
+func TestWorkspaceOfHugeWeightGoes(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	submit := func(workspace string, number int, weight float64) admission.Decision {
+		j := lookup(workspace, number)
+		j.Weight, j.Objective, j.UsefulTime = weight, 2*time.Second, 8*time.Second
+		return c.submit(j)
+	}
+	for i := range 20 {
+		submit("greedy", i, 1)
+		submit("other", i, 1)
+	}
+	assert.Check(t, submit("huge", 0, math.MaxFloat64).Place > 0)
+	c.control.AcceptedWithinShare(c.now, lookup("huge", 0))
+	c.refresh(true)
+	for i := range 400 {
+		submit("greedy", 20+i, 1)
+	}
+	d := submit("other", 20, 1)
+	assert.Check(t, d.Place > 0 && d.RetryAfter <= 3*time.Second, "%v", d)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"saddlevane/models/job"
+	"saddlevane/modules/ordered"
 )
 
 const (
@@ -25,6 +26,9 @@
 	// minWeight is the weight of a workspace without any. It gets what others leave, and some of
 	// it soon.
 	minWeight = 1e-3
+	// maxWeight is the weight from which workspaces count as equal. It is far above any rate of jobs,
+	// and the sum of the weights of all workspaces still shows the least one.
+	maxWeight = 1e9
 )
 
 // place is the turn of a refused job.
@@ -114,9 +118,6 @@
 		delete(c.lines, p.workspace)
 		c.weights -= l.weight
 	}
-	if len(c.lines) == 0 {
-		c.weights = 0
-	}
 }
 
 // setHeld sets whether newcomers leave capacity for the job of a place.
@@ -142,13 +143,19 @@
 			c.setHeld(p, true)
 		}
 	}
+	// Rounding errors of the changes since the last refresh do not add up, and the sum does not depend
+	// on the order in which places were dropped.
+	c.weights = 0
+	for _, l := range ordered.Map(c.lines) {
+		c.weights += l.weight
+	}
 }
 
 // deal gives a refused job the next turn of its workspace, and returns when its caller is to return
 // for it. The job has no place if it would be of no use by then, or if there are too many.
 func (c *Controller) deal(now time.Time, j Job, o outlook, earliest time.Time) (wait time.Duration, number int) {
 	cost := o.cost(j)
-	weight := max(j.Weight, minWeight)
+	weight := min(max(j.Weight, minWeight), maxWeight)
 	l := c.lines[j.Workspace]
 	if l == nil {
 		l = &line{next: now}
