admission: a job accepted without a forecast leaves its place

A job with a turn that was accepted while it was not known what all workers run kept its place, and capacity was held for it until the place expired.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -183,6 +183,7 @@
 // others return over the next seconds, spread by job.
 func (c *Controller) decideWithoutForecast(now time.Time, j Job, o outlook) Decision {
 	if o.wait(j, amounts{}) == 0 {
+		c.forget(j.ID)
 		c.accept(now, j, j.class())
 		return Decision{Accepted: true, Reason: InTime}
 	}
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -606,6 +606,24 @@
 	assert.Check(t, d.Place > 0 && d.RetryAfter <= 3*time.Second, "%v", d)
 }
 
+// TestJobAcceptedWithoutForecastLosesItsPlace replays a refused caller that returns while it is not
+// known what runs on all workers.
+func TestJobAcceptedWithoutForecastLosesItsPlace(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	for i := range 10 {
+		c.submit(lookup("hot", i))
+	}
+	assert.Check(t, c.control.Places() > 0)
+	c.running, c.waiting = nil, nil
+	c.refresh(false)
+	for i := range 10 {
+		assert.Check(t, c.submit(lookup("hot", i)).Accepted)
+	}
+	assert.Equal(t, c.control.Places(), 0)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
