admission: accept jobs that are late but still of use

A job whose critical path is longer than its objective (a stretch below 1, or run times that turned out longer) was refused each time, also with all workers free. It is refused at once only if it is of no use by its end.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -147,10 +147,8 @@
 		return c.decideWithoutForecast(now, j, o)
 	}
 	isTurn := p != nil && !now.Before(p.turn)
-	reserved, slack := c.held[j.Pool], j.slack()
-	if since, known := c.refused[j.ID]; known {
-		slack = min(slack, j.UsefulTime-j.CriticalPath-now.Sub(since))
-	}
+	useful := j.UsefulTime - j.CriticalPath - now.Sub(c.firstRefusal(now, j.ID))
+	reserved, slack := c.held[j.Pool], max(0, min(j.slack(), useful))
 	limit := slack / slackDivisor
 	switch {
 	case isTurn:
@@ -162,7 +160,7 @@
 	wait := o.wait(j, reserved)
 	d := Decision{Accepted: true, Forecast: wait + seconds(max(0, r.excess)), Rate: rate(o.cost(j))}
 	switch {
-	case slack < 0:
+	case useful < 0:
 		return c.refuse(now, j, o, d, slack)
 	case d.Forecast <= limit:
 		d.Reason = InTime
@@ -208,10 +206,18 @@
 		d.RetryAfter = returnTime(p.turn.Sub(now))
 		return d
 	}
-	d.RetryAfter, d.Place = c.deal(now, j, o, now.Add(max(0, o.wait(j, amounts{})-max(0, slack))))
+	d.RetryAfter, d.Place = c.deal(now, j, o, now.Add(max(0, o.wait(j, amounts{})-slack)))
 	return d
 }
 
+// firstRefusal returns when a job was first refused, or the present time if that is not known.
+func (c *Controller) firstRefusal(now time.Time, id job.ID) time.Time {
+	if at, known := c.refused[id]; known {
+		return at
+	}
+	return now
+}
+
 // forget forgets that a job was refused.
 func (c *Controller) forget(id job.ID) {
 	c.dropPlace(id)
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -624,6 +624,16 @@
 	assert.Equal(t, c.control.Places(), 0)
 }
 
+// TestJobLongerThanItsObjectiveIsAccepted replays a job that is late even if it starts at once, but
+// still of use.
+func TestJobLongerThanItsObjectiveIsAccepted(t *testing.T) {
+	c := newCell(60)
+	c.refresh(true)
+	j := lookup("hot", 1)
+	j.Objective, j.UsefulTime = 400*time.Millisecond, 1200*time.Millisecond
+	assert.Check(t, c.submit(j).Accepted)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
