admission: turns also for jobs whose refusal is not remembered

At most 4,096 refusals are remembered, for 10 s each. Beyond 400 refused jobs a second a further job counted as refused at the zero time, hence of no use at any turn, and got no place although there were turns.

--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -634,6 +634,21 @@
 	assert.Check(t, c.submit(j).Accepted)
 }
 
+// TestMoreRefusedJobsThanAreRemembered replays a burst of refusals whose callers give up, and a job
+// that is refused after them.
+func TestMoreRefusedJobsThanAreRemembered(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	for i := range 5000 {
+		c.submit(lookup("gone", i))
+	}
+	c.now = c.now.Add(4 * time.Second)
+	c.refresh(true)
+	assert.Equal(t, c.control.Places(), 0)
+	assert.Check(t, c.submit(lookup("new", 1)).Place > 0)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -165,7 +165,7 @@
 	s := c.slotsOf(now, j.Pool)
 	wait = returnTime(earliest.Sub(now))
 	for ; wait < maxWait; wait += headerUnit {
-		if now.Add(wait+j.CriticalPath).Sub(c.refused[j.ID]) > j.UsefulTime || len(c.places) >= maxPlaces {
+		if now.Add(wait+j.CriticalPath).Sub(c.firstRefusal(now, j.ID)) > j.UsefulTime || len(c.places) >= maxPlaces {
 			return wait, 0
 		}
 		if s.take(now.Add(wait), cost, j.slack()) {
