admission: start again when the clock is set back

The turns of all lines, the places and the forecasts without a start stayed in the future: a workspace that had refused jobs got no turn, and the tables stayed full until the clock had caught up. A step of up to the grace of a return keeps them. Ruled out: dropping single entries, since each of six tables has times.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -105,8 +105,12 @@
 	return c.refreshedAt.IsZero() || now.Sub(c.refreshedAt) >= refreshInterval || now.Before(c.refreshedAt)
 }
 
-// Refresh sets the sums of the pools. complete is set if it is known what runs on all workers.
+// Refresh sets the sums of the pools. complete is set if it is known what runs on all workers. If the
+// clock was set back, all turns and forecasts are forgotten: their times would be too far ahead.
 func (c *Controller) Refresh(now time.Time, pools map[string]*Pool, complete bool) {
+	if c.refreshedAt.Sub(now) > returnGrace {
+		*c = *New()
+	}
 	c.pools, c.refreshedAt, c.complete = pools, now, complete
 	c.judgePending(now)
 	c.refreshPlaces(now)
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -649,6 +649,22 @@
 	assert.Check(t, c.submit(lookup("new", 1)).Place > 0)
 }
 
+// TestClockIsSetBack replays refused jobs of a workspace whose turns are an hour ahead once the clock
+// is set back.
+func TestClockIsSetBack(t *testing.T) {
+	c := newCell(60)
+	fill(c)
+	c.refresh(true)
+	for i := range 200 {
+		c.submit(lookup("hot", i))
+	}
+	c.now = c.now.Add(-time.Hour)
+	c.refresh(true)
+	assert.Equal(t, c.control.Places(), 0)
+	d := c.submit(lookup("hot", 1000))
+	assert.Check(t, d.Place > 0 && d.RetryAfter <= 2*time.Second, "%v", d)
+}
+
 // TestReturnsAreDealtWithinRate checks, in random worlds, that the turns of a pool are within the
 // rate at which its capacity comes free, and that no place is kept for ever.
 func TestReturnsAreDealtWithinRate(t *testing.T) {
