--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -161,7 +161,7 @@
 		l = &line{next: now}
 	}
 	weights := c.weights - l.weight + weight
-	earliest = later(l.next, earliest)
+	earliest = ordered.Later(l.next, earliest)
 	s := c.slotsOf(now, j.Pool)
 	wait = returnTime(earliest.Sub(now))
 	for ; wait < maxWait; wait += headerUnit {
@@ -196,11 +196,3 @@
 	s.advance(now)
 	return s
 }
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
