--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -23,10 +23,10 @@
 	// slackDivisor is the ratio of the slack of a job to the longest forecast with which a new one
 	// is accepted. The rest is left to the callers that return at their turn.
 	slackDivisor = 2
-	// firstReturns is the time over which a new holder spreads returns.
+	// firstReturns is the time over which a new holder spreads returns, in multiples of headerUnit.
 	firstReturns = 3
-	// linesPerSecond limits the log lines on refused jobs.
-	linesPerSecond = 20
+	// logLinesPerSecond limits the log lines on refused jobs.
+	logLinesPerSecond = 20
 )
 
 // Decision is what becomes of a new job beyond its share.
@@ -86,9 +86,9 @@
 	// weights is the sum of the weights of the lines.
 	weights float64
 
-	linesAt      time.Time
-	lineCount    int
-	linesOmitted int
+	logSecondAt      time.Time
+	logLineCount    int
+	logLinesOmitted int
 }
 
 // New returns a controller without any forecasts.
@@ -244,15 +244,15 @@
 // TakeLine reports whether a line on a refused job may be logged, and how many were omitted since
 // the last one.
 func (c *Controller) TakeLine(now time.Time) (omitted int, ok bool) {
-	if now.Sub(c.linesAt) >= time.Second || now.Before(c.linesAt) {
-		c.linesAt, c.lineCount = now, 0
+	if now.Sub(c.logSecondAt) >= time.Second || now.Before(c.logSecondAt) {
+		c.logSecondAt, c.logLineCount = now, 0
 	}
-	if c.lineCount >= linesPerSecond {
-		c.linesOmitted++
+	if c.logLineCount >= logLinesPerSecond {
+		c.logLinesOmitted++
 		return 0, false
 	}
-	c.lineCount++
-	omitted, c.linesOmitted = c.linesOmitted, 0
+	c.logLineCount++
+	omitted, c.logLinesOmitted = c.logLinesOmitted, 0
 	return omitted, true
 }
 
