--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -86,7 +86,7 @@
 	// weights is the sum of the weights of the lines.
 	weights float64
 
-	logSecondAt      time.Time
+	logSecondAt     time.Time
 	logLineCount    int
 	logLinesOmitted int
 }
