speeds: a gang is no retry of a very slow worker

Cause: a difference older than retryAfter counted as unknown for gangs too. A certainly very slow worker gets few tasks, so that its evidence is stale most of the time and a whole gang became its retry. Now only other tasks retry it; it suits gangs again when they show that it is faster, or when the evidence is so old that nothing is known of it, as where there are only gangs.

TestGangIsNoRetryOfVerySlowWorker fails without the change.

--- a/services/speeds/haste.go
+++ b/services/speeds/haste.go
@@ -9,8 +9,9 @@
 // gang is as slow as its slowest member, and would take 2.2 times as long.
 const maxGangSlowness = 0.79
 
-// SuitsGang reports whether the worker is fast enough for members of gangs.
-func (e Estimate) SuitsGang() bool { return e.stale || e.certain() > -maxGangSlowness }
+// SuitsGang reports whether the worker is fast enough for members of gangs. A worker that was too slow is
+// tried again with other tasks, since a whole gang would wait for it.
+func (e Estimate) SuitsGang() bool { return e.certain() > -maxGangSlowness }
 
 // Haste is how much the speed of the workers matters for a step.
 type Haste struct {
--- a/services/speeds/speeds.go
+++ b/services/speeds/speeds.go
@@ -117,6 +117,9 @@
 	return min(priorVariance, s.variance+priorVariance*age.Seconds()/growthTime.Seconds())
 }
 
+// isForgottenAt reports whether the evidence is so old that nothing is known any more.
+func (s *Speed) isForgottenAt(now time.Time) bool { return now.Sub(s.updatedAt) >= growthTime }
+
 // Observe records the run times of the tasks of a step. Tasks on other workers of the same step are the
 // measure of a run; where there are none, the expected work is.
 func (t *Tracker) Observe(now time.Time, runs []Run, work Work) {
@@ -241,7 +244,7 @@
 // Of returns the estimated speed of a worker.
 func (t *Tracker) Of(now time.Time, worker string) Estimate {
 	s := t.speeds[worker]
-	if s == nil {
+	if s == nil || s.isForgottenAt(now) {
 		return Estimate{Deviation: math.Sqrt(priorVariance), stale: true}
 	}
 	return Estimate{Log: s.mean - t.mean(), Deviation: math.Sqrt(s.varianceAt(now)), usual: t.usual - t.mean(), stale: now.Sub(s.updatedAt) > retryAfter}
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -319,6 +319,18 @@
 	assert.Check(t, slow.WorkOf(slow.TimeFor(time.Second))-time.Second < time.Millisecond)
 }
 
+func TestGangIsNoRetryOfVerySlowWorker(t *testing.T) {
+	f := newFleet(3, 40, 0)
+	f.speed[0] = 0.1
+	f.run(40)
+	assert.Check(t, !f.Of(f.now, name(0)).SuitsGang())
+	later := f.now.Add(11 * time.Second)
+	assert.Equal(t, f.Of(later, name(0)).Class(), 0, "other tasks try it again")
+	assert.Check(t, !f.Of(later, name(0)).SuitsGang())
+	assert.Check(t, f.Of(f.now.Add(time.Hour), name(0)).SuitsGang(), "nothing is known any more")
+	assert.Check(t, f.Of(f.now, "unknown").SuitsGang())
+}
+
 func TestGangShowsSpeedsOnlyByDifferentProgress(t *testing.T) {
 	member := func(worker string, ran time.Duration, done float64) speeds.Member {
 		return speeds.Member{Worker: worker, Ran: ran, Done: done}
