speeds: a single long run makes no difference certain

Cause: after retryAfter without evidence one surprise reset the speed and made the variance small, and so did the first run on a new worker or one with old evidence. The few tasks that take many times as long as others marked good, rarely used workers as certainly slow. Now the first surprise in a row moves the speed by no more than certainty deviations and leaves the variance as it was; after retryAfter it sets it to that of an unknown worker, so that a slow worker is a usual one again after one retry. The second resets it as before. Speeds are forgotten by age and no longer by variance, so that a record does not drop such a worker between two surprises.

Ruled out: waiting for the second surprise without a change; a slow worker would need two retries.

TestLongRunOnRarelyUsedWorkerIsNotCertain and TestWorkerThatIsNoLongerSlowIsUsualAfterOneRetry fail without the change; TestWorkerThatBecameSlowWhileUnused fails if speeds are forgotten by variance.

--- a/services/speeds/record.go
+++ b/services/speeds/record.go
@@ -44,7 +44,7 @@
 func (t *Tracker) forgetOld(now time.Time) {
 	t.sum = 0
 	for worker, s := range ordered.Map(t.speeds) {
-		if s.varianceAt(now) >= priorVariance {
+		if s.isForgottenAt(now) {
 			delete(t.speeds, worker)
 			continue
 		}
--- a/services/speeds/speeds.go
+++ b/services/speeds/speeds.go
@@ -165,15 +165,24 @@
 	s := t.of(now, worker)
 	before := s.varianceAt(now)
 	innovation := observed - s.mean
-	s.countSurprise(now, innovation, before+variance)
-	if s.surprises >= surprisesForReset || s.surprises <= -surprisesForReset {
-		before, s.surprises = priorVariance, 0
+	s.countSurprise(innovation, before+variance)
+	isReset := s.surprises >= surprisesForReset || s.surprises <= -surprisesForReset
+	if isReset || s.surprises != 0 && now.Sub(s.updatedAt) > retryAfter {
+		before = priorVariance
 	}
-	gain := before / (before + variance)
-	change := gain * bounded(innovation, before+variance)
+	limit, gain := maxInnovation, before/(before+variance)
+	s.variance = before * (1 - gain)
+	switch {
+	case isReset:
+		s.surprises = 0
+	case s.surprises != 0:
+		// A single surprise may be a task of another length: it makes no difference certain.
+		limit, s.variance = certainty, before
+	}
+	change := gain * bounded(innovation, before+variance, limit)
 	s.mean += change
 	t.sum += change
-	s.variance, s.updatedAt = before*(1-gain), now
+	s.updatedAt = now
 	t.changed = true
 	t.updateUsual()
 }
@@ -201,26 +210,22 @@
 	return (means[(len(means)-1)/2] + means[len(means)/2]) / 2
 }
 
-// bounded returns an innovation, bounded by maxInnovation for its variance.
-func bounded(innovation, variance float64) float64 {
-	limit := maxInnovation * math.Sqrt(variance)
+// bounded returns an innovation, bounded by a number of standard deviations for its variance.
+func bounded(innovation, variance, deviations float64) float64 {
+	limit := deviations * math.Sqrt(variance)
 	return max(-limit, min(limit, innovation))
 }
 
-// countSurprise counts an observation if it is beyond maxInnovation. After a while without evidence a
-// single one suffices, since the speed may have changed meanwhile.
-func (s *Speed) countSurprise(now time.Time, innovation, variance float64) {
+// countSurprise counts an observation if it is beyond maxInnovation.
+func (s *Speed) countSurprise(innovation, variance float64) {
 	direction := 0
-	if bounded(innovation, variance) != innovation {
+	if bounded(innovation, variance, maxInnovation) != innovation {
 		direction = int(math.Copysign(1, innovation))
 	}
 	if s.surprises*direction <= 0 {
 		s.surprises = 0
 	}
 	s.surprises += direction
-	if now.Sub(s.updatedAt) > retryAfter {
-		s.surprises *= surprisesForReset
-	}
 }
 
 // Restart records that a worker has restarted: it may have another speed.
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -67,6 +67,27 @@
 	f.Observe(f.now, runs, speeds.Work{LogSeconds: math.Log(f.estimateFactor), Variance: 1, Known: true})
 }
 
+// runStepOn runs a step with tasks on the given workers.
+func (f *fleet) runStepOn(workers ...int) {
+	var runs []speeds.Run
+	for _, i := range workers {
+		took := math.Exp(alikeDeviation*f.random.NormFloat64()) / f.speed[i]
+		runs = append(runs, speeds.Run{Worker: name(i), Took: time.Duration(took * float64(time.Second))})
+	}
+	f.now = f.now.Add(stepInterval)
+	f.Observe(f.now, runs, speeds.Work{})
+}
+
+// observe records a step of which a worker's task took some seconds, and those of others one second.
+func (f *fleet) observe(worker string, seconds float64, others ...int) {
+	runs := []speeds.Run{{Worker: worker, Took: time.Duration(seconds * float64(time.Second))}}
+	for _, i := range others {
+		runs = append(runs, speeds.Run{Worker: name(i), Took: time.Second})
+	}
+	f.now = f.now.Add(stepInterval)
+	f.Observe(f.now, runs, speeds.Work{})
+}
+
 // run runs so many steps that each worker has about the given number of runs.
 func (f *fleet) run(runsPerWorker int) {
 	const tasks = 4
@@ -261,6 +282,51 @@
 	assert.Check(t, f.Of(later, name(0)).Deviation > f.Of(f.now, name(0)).Deviation)
 }
 
+func TestLongRunOnRarelyUsedWorkerIsNotCertain(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, idle := range []time.Duration{0, 11 * time.Second, time.Minute, 4 * time.Minute} {
+			f := newFleet(seed, 40, 0)
+			f.run(30)
+			f.now = f.now.Add(idle)
+			// The others are used all the time.
+			for range 40 {
+				f.runStepOn(1, 2, 3, 4)
+			}
+			f.observe(name(0), longFactor, 1, 2, 3)
+			assert.Equal(t, f.Of(f.now, name(0)).Class(), 0, "seed %d, idle for %v: %v", seed, idle, f.Of(f.now, name(0)))
+			f.observe("new", longFactor, 1, 2, 3)
+			assert.Equal(t, f.Of(f.now, "new").Class(), 0, "seed %d: %v", seed, f.Of(f.now, "new"))
+		}
+	}
+}
+
+func TestWorkerThatBecameSlowWhileUnused(t *testing.T) {
+	f := newFleet(3, 40, 0)
+	f.run(30)
+	f.now = f.now.Add(11 * time.Second)
+	f.run(1)
+	for range 2 {
+		f.observe("new", longFactor, 1, 2, 3)
+		f.observe(name(0), longFactor, 1, 2, 3)
+		f.Record(f.now)
+	}
+	assert.Check(t, f.Of(f.now, name(0)).Class() > 2, "%v", f.Of(f.now, name(0)))
+	assert.Check(t, f.Of(f.now, "new").Class() > 2, "%v", f.Of(f.now, "new"))
+}
+
+func TestWorkerThatIsNoLongerSlowIsUsualAfterOneRetry(t *testing.T) {
+	f := newFleet(3, 40, 0)
+	f.speed[0] = 1.0 / 6
+	f.run(30)
+	assert.Check(t, f.Of(f.now, name(0)).Class() > 2)
+	f.now = f.now.Add(11 * time.Second)
+	for range 40 {
+		f.runStepOn(1, 2, 3, 4)
+	}
+	f.observe(name(0), 1, 1, 2, 3)
+	assert.Equal(t, f.Of(f.now, name(0)).Class(), 0, "%v", f.Of(f.now, name(0)))
+}
+
 func TestClockThatJumps(t *testing.T) {
 	for _, jump := range []time.Duration{-time.Hour, time.Hour} {
 		f := newFleet(4, 40, 0.25)
