speeds: a gang works from the latest start of its members

Cause: how long a member had run counted from its own confirmed start, but a gang works only once all members have started. A skew of 200 ms in a gang of 3 s exceeds minGangSpread, so that the members that started first seemed slow, and the time of the gang counted from the start of the member that ended first. Both count from the latest start now.

TestGangWorksOnlyOnceAllMembersHaveStarted fails without the change: 3.4 s and 3 s for alike members.

--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -34,12 +34,12 @@
 		s.interrupted = true
 		return
 	}
-	took := now.Sub(a.stateSince)
 	if s.spec.Gang {
 		members := h.membersOf(now, s, a)
-		s.longestRun, s.runs = speeds.WorkOfGang(took, members), speeds.RunsOfGang(members)
+		s.longestRun, s.runs = speeds.WorkOfGang(now, members), speeds.RunsOfGang(members)
 		return
 	}
+	took := now.Sub(a.stateSince)
 	s.longestRun = max(s.longestRun, h.speedOf(now, a.worker).WorkOf(took))
 	if !s.spec.Service && !s.spec.Filler {
 		s.runs = append(s.runs, speeds.Run{Worker: a.worker.Name, Took: took})
@@ -48,11 +48,11 @@
 
 // membersOf returns the members of a gang of which one has ended, with the progress that is reported of the others.
 func (h *holderState) membersOf(now time.Time, s *step, ended *attempt) []speeds.Member {
-	members := []speeds.Member{{Worker: ended.worker.Name, Speed: h.speedOf(now, ended.worker)}}
+	members := []speeds.Member{{Worker: ended.worker.Name, Speed: h.speedOf(now, ended.worker), StartedAt: ended.stateSince}}
 	for i := range s.tasks {
 		if a := s.tasks[i].attempt; a != nil && !a.adopted && !a.resumed && a.state == attemptRunning {
 			members = append(members, speeds.Member{
-				Worker: a.worker.Name, Speed: h.speedOf(now, a.worker), Ran: a.progressAt.Sub(a.stateSince), Done: float64(a.progress) / fullProgress,
+				Worker: a.worker.Name, Speed: h.speedOf(now, a.worker), StartedAt: a.stateSince, Ran: a.progressAt.Sub(a.stateSince), Done: float64(a.progress) / fullProgress,
 			})
 		}
 	}
--- a/services/speeds/gangs.go
+++ b/services/speeds/gangs.go
@@ -24,7 +24,9 @@
 	Worker string
 	// Speed is the estimated speed of the worker.
 	Speed Estimate
-	Ran   time.Duration
+	// StartedAt is when it started. The members of a gang work only once all have started.
+	StartedAt time.Time
+	Ran       time.Duration
 	// Done is the share of its work that it has done, or 0 if that is unknown.
 	Done float64
 }
@@ -39,11 +41,16 @@
 	return max(0, time.Duration((1-m.Done)*float64(total))-(ran-m.Ran))
 }
 
-// WorkOfGang returns the time at mean speed of a gang that took the given time. A gang is as slow as its
-// slowest member. There must be one at least.
-func WorkOfGang(took time.Duration, members []Member) time.Duration {
+// latestStart returns when the last of the members started. There must be one at least.
+func latestStart(members []Member) time.Time {
+	return slices.MaxFunc(members, func(a, b Member) int { return a.StartedAt.Compare(b.StartedAt) }).StartedAt
+}
+
+// WorkOfGang returns the time at mean speed of a gang that ends now. A gang is as slow as its slowest member.
+// There must be one at least.
+func WorkOfGang(now time.Time, members []Member) time.Duration {
 	slowest := slices.MinFunc(members, func(a, b Member) int { return cmp.Compare(a.Speed.speed(), b.Speed.speed()) })
-	return slowest.Speed.WorkOf(took)
+	return slowest.Speed.WorkOf(now.Sub(latestStart(members)))
 }
 
 // RunsOfGang returns how long each member of a gang would take alone, or nil if their progress does not
@@ -52,10 +59,11 @@
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	runs := make([]Run, 0, len(members))
 	for _, m := range members {
-		if m.Ran < minTime || m.Done < minDone || m.Done >= 1 {
+		worked := m.Ran - latestStart(members).Sub(m.StartedAt)
+		if worked < minTime || m.Done < minDone || m.Done >= 1 {
 			continue
 		}
-		r := Run{Worker: m.Worker, Took: time.Duration(float64(m.Ran) / m.Done)}
+		r := Run{Worker: m.Worker, Took: time.Duration(float64(worked) / m.Done)}
 		runs = append(runs, r)
 		shortest, longest = min(shortest, r.Took), max(longest, r.Took)
 	}
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -420,6 +420,33 @@
 	}
 }
 
+func TestGangWorksOnlyOnceAllMembersHaveStarted(t *testing.T) {
+	began := time.Unix(1e9, 0)
+	member := func(worker string, started, reported time.Duration, done float64) speeds.Member {
+		return speeds.Member{Worker: worker, StartedAt: began.Add(started), Ran: reported - started, Done: done}
+	}
+	const skew = 200 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		members []speeds.Member
+		want    []speeds.Run
+	}{
+		{"alike", []speeds.Member{member("ended", skew, skew, 0), member("early", 0, 1700*time.Millisecond, 0.5), member("late", skew, 1700*time.Millisecond, 0.5)}, nil},
+		{"last one ended", []speeds.Member{member("ended", skew, skew, 0), member("a", 0, 1700*time.Millisecond, 0.5), member("b", skew/2, 1700*time.Millisecond, 0.5)}, nil},
+		{"reported before all had started", []speeds.Member{member("late", skew, time.Second+skew, 0.5), member("early", 0, skew/2, 0.2)}, nil},
+		{
+			"half as far",
+			[]speeds.Member{member("early", 0, time.Second+skew, 0.25), member("late", skew, time.Second+skew, 0.5)},
+			[]speeds.Run{{Worker: "early", Took: 4 * time.Second}, {Worker: "late", Took: 2 * time.Second}},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.DeepEqual(t, speeds.RunsOfGang(test.members), test.want)
+			assert.Equal(t, speeds.WorkOfGang(began.Add(3*time.Second+skew), test.members), 3*time.Second)
+		})
+	}
+}
+
 func TestGangClassPrefersLikeWorkers(t *testing.T) {
 	// The gang needs workers of class 1: these come first, then faster ones, and slower ones last.
 	assert.Check(t, speeds.GangClass(1, 1) < speeds.GangClass(0, 1))
