speeds: records of speeds stay below the limit of the log and take 300 bytes a second

Cause: the whole map went out as one record every 3 s: 90,574 bytes at 6,000 workers, and without a bound 359,104 at 21,000, beyond the 262,144 that a record may have. Now workers of which little is known are left out, and beyond 64 KiB those that differ least. One entry with their mean and number keeps the mean and the median, to which recorded speeds are relative. The next record is due after as many seconds as the last had units of 300 bytes.

Ruled out: leaving workers out alone; the next holder would take the recorded minority as the usual ones.

TestRecordsTakeLittleOfTheLog and TestRecordOfLongNames fail without the bounds.

--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -21,7 +21,7 @@
 	}
 	h.nextRunTimesAt = now.Add(saveRunTimesInterval)
 	h.journal.addRecord(jobrecords.RunTimesRecord(h.estimates.TakeRunTimes()))
-	if h.speeds.HasChanged() {
+	if h.speeds.IsRecordDue(now) {
 		h.journal.addRecord(jobrecords.SpeedsRecord(h.speeds.Record(now)))
 	}
 }
--- a/services/speeds/speeds.go
+++ b/services/speeds/speeds.go
@@ -68,8 +68,13 @@
 	// the minority that differs. updates counts the changes since.
 	usual   float64
 	updates int
-	// changed is set if there was evidence since the last record.
-	changed bool
+	// rest is the workers without a speed of their own that count for the mean and the median.
+	rest rest
+	// changed is set if there was evidence since the last record, which was at recordedAt. The next one is due
+	// after recordInterval.
+	changed        bool
+	recordedAt     time.Time
+	recordInterval time.Duration
 }
 
 // NewTracker returns a tracker without evidence.
@@ -94,10 +99,11 @@
 
 // mean returns the mean logarithm of the speeds.
 func (t *Tracker) mean() float64 {
-	if len(t.speeds) == 0 {
+	n := len(t.speeds) + t.rest.count
+	if n == 0 {
 		return 0
 	}
-	return t.sum / float64(len(t.speeds))
+	return (t.sum + t.rest.mean*float64(t.rest.count)) / float64(n)
 }
 
 // of returns the speed of a worker, which it adds with the mean of all if it is unknown.
@@ -107,6 +113,7 @@
 		s = &Speed{mean: t.mean(), variance: priorVariance, updatedAt: now}
 		t.speeds[worker] = s
 		t.sum += s.mean
+		t.rest.count = max(0, t.rest.count-1)
 	}
 	return s
 }
@@ -199,10 +206,10 @@
 
 // median returns the median of the means.
 func (t *Tracker) median() float64 {
-	if len(t.speeds) == 0 {
+	if len(t.speeds)+t.rest.count == 0 {
 		return 0
 	}
-	means := make([]float64, 0, len(t.speeds))
+	means := slices.Repeat([]float64{t.rest.mean}, t.rest.count)
 	for _, s := range t.speeds {
 		means = append(means, s.mean)
 	}
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,19 +28,21 @@
 	longShare float64
 	// estimateFactor is by how much the submitters' estimates are off.
 	estimateFactor float64
+	// interval is the time between two steps.
+	interval time.Duration
 }
 
 const (
 	longFactor = 7
 	// alikeDeviation is the standard deviation of the logarithms of the times of a step's tasks.
 	alikeDeviation = 0.25
-	// stepInterval is the time between two steps.
+	// stepInterval is the usual time between two steps.
 	stepInterval = 50 * time.Millisecond
 )
 
 // newFleet returns workers of which the given share runs at half speed.
 func newFleet(seed uint64, workers int, slowShare float64) *fleet {
-	f := &fleet{Tracker: speeds.NewTracker(), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), estimateFactor: 1}
+	f := &fleet{Tracker: speeds.NewTracker(), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), estimateFactor: 1, interval: stepInterval}
 	for i := range workers {
 		f.speed = append(f.speed, 1)
 		if float64(i) < slowShare*float64(workers) {
@@ -63,7 +66,7 @@
 		}
 		runs = append(runs, speeds.Run{Worker: name(i), Took: time.Duration(took * float64(time.Second))})
 	}
-	f.now = f.now.Add(stepInterval)
+	f.now = f.now.Add(f.interval)
 	f.Observe(f.now, runs, speeds.Work{LogSeconds: math.Log(f.estimateFactor), Variance: 1, Known: true})
 }
 
@@ -74,7 +77,7 @@
 		took := math.Exp(alikeDeviation*f.random.NormFloat64()) / f.speed[i]
 		runs = append(runs, speeds.Run{Worker: name(i), Took: time.Duration(took * float64(time.Second))})
 	}
-	f.now = f.now.Add(stepInterval)
+	f.now = f.now.Add(f.interval)
 	f.Observe(f.now, runs, speeds.Work{})
 }
 
@@ -84,7 +87,7 @@
 	for _, i := range others {
 		runs = append(runs, speeds.Run{Worker: name(i), Took: time.Second})
 	}
-	f.now = f.now.Add(stepInterval)
+	f.now = f.now.Add(f.interval)
 	f.Observe(f.now, runs, speeds.Work{})
 }
 
@@ -196,7 +199,7 @@
 			runs = append(runs, speeds.Run{Worker: name(f.random.IntN(20)), Took: time.Duration(task * float64(time.Second))})
 			task = 1
 		}
-		f.now = f.now.Add(stepInterval)
+		f.now = f.now.Add(f.interval)
 		f.Observe(f.now, runs, speeds.Work{})
 	}
 	f.requireShare(t, 0.95, 1, 0, 0)
@@ -246,14 +249,114 @@
 	f.requireShare(t, 0.9, 1, math.MinInt, 0)
 }
 
+// encodeRecord returns the record in the encoding of the log.
+func (f *fleet) encodeRecord(t testing.TB) []byte {
+	t.Helper()
+	record, err := json.Marshal(f.Record(f.now))
+	assert.NilError(t, err)
+	return record
+}
+
+// untilRecordDue returns how long after a record the next one is due if there is evidence.
+func (f *fleet) untilRecordDue() time.Duration {
+	f.runStep(4)
+	since := time.Duration(0)
+	for !f.IsRecordDue(f.now.Add(since)) {
+		since += time.Second
+	}
+	return since + f.interval
+}
+
+func TestRecordsTakeLittleOfTheLog(t *testing.T) {
+	const maxLogRecord, maxBytesPerSecond = 262_144, 400
+	for _, workers := range []int{10, 350, 1100, 6000, 21000} {
+		for _, slowShare := range []float64{0, 0.25, 0.75} {
+			f := newFleet(1, workers, slowShare)
+			f.interval = time.Millisecond
+			f.run(4)
+			size := len(f.encodeRecord(t))
+			due := f.untilRecordDue()
+			assert.Check(t, size < maxLogRecord/2, "%d workers: %d bytes", workers, size)
+			assert.Check(t, float64(size) <= maxBytesPerSecond*due.Seconds(), "%d workers: %d bytes in %v", workers, size, due)
+			assert.Check(t, due < 5*time.Minute, "later, nothing is known any more")
+		}
+	}
+}
+
+func TestRecordOfLongNames(t *testing.T) {
+	f := newFleet(1, 0, 0)
+	long := strings.Repeat("\u2028", 200)
+	for range 20 {
+		var runs []speeds.Run
+		for i := range 1000 {
+			runs = append(runs, speeds.Run{Worker: long + name(i), Took: time.Duration(1+i%3) * time.Second})
+		}
+		f.Observe(f.now, runs, speeds.Work{})
+	}
+	assert.Check(t, len(f.encodeRecord(t)) < 262_144/2)
+}
+
+func TestRecordIsDueOnlyWithEvidence(t *testing.T) {
+	f := newFleet(1, 20, 0)
+	assert.Check(t, !f.IsRecordDue(f.now))
+	f.run(1)
+	assert.Check(t, f.IsRecordDue(f.now))
+	f.Record(f.now)
+	assert.Check(t, !f.IsRecordDue(f.now.Add(time.Hour)))
+	f.run(1)
+	assert.Check(t, f.IsRecordDue(f.now.Add(time.Hour)))
+	assert.Check(t, f.IsRecordDue(f.now.Add(-time.Hour)), "the clock was set back")
+}
+
+func TestNextHolderOfLargeCellKnowsWhichWorkersDiffer(t *testing.T) {
+	for _, slowShare := range []float64{0.02, 0.1} {
+		f := newFleet(3, 21000, slowShare)
+		f.interval = time.Millisecond
+		f.run(10)
+		record := f.encodeRecord(t)
+		slow, all := f.count(0.5, 0.5, 1, math.MaxInt)
+		f.Tracker = speeds.NewTracker()
+		assert.NilError(t, f.Restore(f.now, record))
+		after, _ := f.count(0.5, 0.5, 1, math.MaxInt)
+		assert.Check(t, float64(after) > 0.7*float64(slow), "%d of %d, then %d", slow, all, after)
+		f.requireShare(t, 0.95, 1, 0, 0)
+		// The next holder may be lost as well.
+		next := speeds.NewTracker()
+		assert.NilError(t, next.Restore(f.now, f.encodeRecord(t)))
+		f.Tracker = next
+		f.run(3)
+		f.requireShare(t, 0.9, 1, 0, 0)
+	}
+}
+
+func TestFewKnownSlowWorkersAreNotTheUsualOnes(t *testing.T) {
+	f := newFleet(3, 300, 0.03)
+	f.run(2)
+	for range 40 {
+		for i := range 9 {
+			f.runStepOn(i, 100, 101, 102)
+		}
+	}
+	slow, all := f.count(0.5, 0.5, 1, math.MaxInt)
+	assert.Check(t, slow > 6, "%d of %d", slow, all)
+	record := f.encodeRecord(t)
+	next := speeds.NewTracker()
+	assert.NilError(t, next.Restore(f.now, record))
+	f.Tracker = next
+	after, _ := f.count(0.5, 0.5, 1, math.MaxInt)
+	assert.Check(t, after >= slow-1, "%d, then %d", slow, after)
+}
+
 func TestUnreadableRecords(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	for record, want := range map[string]int{
 		`{"a":[-500,10],"b":[500,10]}`:                                      2,
 		`{"a":[-500,10],"b":[1,2,3],"c":[99999,1],"d":[1,-1],"e":[1,5000]}`: 1,
-		`{"a":["x"]}`: 0,
-		`[`:           0,
-		``:            0,
+		`{"a":["x"]}`:                       0,
+		`{"":[0,99999999],"a":[1,1]}`:       1,
+		`{"":[0,5000],"a":[1,1],"b":[1,1]}`: 2,
+		`[`:                                 0,
+		``:                                  0,
 	} {
 		tracker := speeds.NewTracker()
 		err := tracker.Restore(now, []byte(record))
@@ -492,16 +595,17 @@
 }
 
 func BenchmarkRecord(b *testing.B) {
-	for _, workers := range []int{350, 1100, 6000} {
+	for _, workers := range []int{350, 1100, 6000, 21000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			f := newFleet(1, workers, 0.25)
-			f.run(2)
+			f.interval = time.Millisecond
+			f.run(10)
 			size := 0
 			for b.Loop() {
-				record, _ := json.Marshal(f.Record(f.now))
-				size = len(record)
+				size = len(f.encodeRecord(b))
 			}
 			b.ReportMetric(float64(size), "bytes/record")
+			b.ReportMetric(float64(size)/f.untilRecordDue().Seconds(), "bytes/s")
 		})
 	}
 }
