dispatch: save the speeds also where no run times changed

Cause: speeds were only written together with changed run times. Steps that were interrupted, for example by a takeover, show speeds, but no run times.

--- a/services/dispatch/runtimes.go
+++ b/services/dispatch/runtimes.go
@@ -13,14 +13,16 @@
 // saveRunTimesInterval is the minimum time between two records of the learned run times.
 const saveRunTimesInterval = 3 * time.Second
 
-// saveRunTimes appends the learned run times and speeds to the log if they have changed since the last
+// saveRunTimes appends the learned run times and speeds to the log, each if it has changed since its last
 // record.
 func (h *holderState) saveRunTimes(now time.Time) {
-	if now.Before(h.nextRunTimesAt) || h.phase != phaseActive || !h.estimates.HasChanged() || h.journal.isFailing(now) {
+	if h.phase != phaseActive || h.journal.isFailing(now) {
 		return
 	}
-	h.nextRunTimesAt = now.Add(saveRunTimesInterval)
-	h.journal.addRecord(jobrecords.RunTimesRecord(h.estimates.TakeRunTimes()))
+	if h.estimates.HasChanged() && !now.Before(h.nextRunTimesAt) {
+		h.nextRunTimesAt = now.Add(saveRunTimesInterval)
+		h.journal.addRecord(jobrecords.RunTimesRecord(h.estimates.TakeRunTimes()))
+	}
 	if h.speeds.IsRecordDue(now) {
 		h.journal.addRecord(jobrecords.SpeedsRecord(h.speeds.Record(now)))
 	}
--- a/services/dispatch/speed_test.go
+++ b/services/dispatch/speed_test.go
@@ -61,6 +61,35 @@
 	w.requireNoViolations()
 }
 
+func TestSpeedsOfInterruptedStepsSurviveTakeover(t *testing.T) {
+	w := newServingWorld(t, 23, 3, 4)
+	w.workers[0].slowdown = 6
+	takeOver := func() {
+		w.holder().kill()
+		w.waitUntil(10*time.Second, "another box holds the cell", func() bool { return w.holder() != nil })
+		w.run(time.Second)
+	}
+	for i := range 8 {
+		s := oneStep(fmt.Sprintf("wide%d", i), "quick", 30, false)
+		s.Steps[0].PerWorker = 1
+		w.submit(s)
+	}
+	// The next holder adopts runs of each step, so that it learns no run times, but speeds.
+	w.run(500 * time.Millisecond)
+	takeOver()
+	w.waitUntil(120*time.Second, "all jobs have ended", w.allEnded)
+	w.run(5 * time.Second)
+	takeOver()
+	before := w.workers[0].startCount
+	for i := range 20 {
+		w.submit(oneStep(fmt.Sprintf("next%d", i), "quick", 2, false))
+		w.run(50 * time.Millisecond)
+	}
+	started := w.workers[0].startCount - before
+	assert.Check(t, started <= 4, "%d of 40 tasks were started on the slow worker", started)
+	w.requireNoViolations()
+}
+
 func TestGangRunsOnWorkersOfLikeSpeed(t *testing.T) {
 	const fast, slow = 2000, -1000
 	for _, test := range []struct {
