dispatch: move the choice of tasks to preempt to services/victims

Which runs may be stopped for a step, and what a stop loses, depend only on the run, the two ranks and some durations. They stand now in a package of their own, with the constants, a type for the run and table tests. services/dispatch still excludes the attempts that its own state excludes and supplies the expected times.

Nothing decides differently: the conditions are the same. The expected time of the step is now read for tasks with checkpoints, too, which changes no state.

Tests: go test ./services/victims; services/dispatch with -run 'Gang|Advice|Drain|Reserv|Place|Cap|Share|Admission|Preempt' passed.

--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -9,35 +9,13 @@
 	"time"
 
 	"saddlevane/models/mechanism"
-	"saddlevane/models/resource"
 	"saddlevane/services/ranking"
 	"saddlevane/services/slots"
+	"saddlevane/services/victims"
 )
 
-const (
-	// minVictimSlack is the slack that a step must have for one of its resumable tasks to be
-	// preempted. A stop, the wait to be placed again and repeating the work since the last
-	// checkpoint take that long.
-	minVictimSlack = 2 * time.Second
-	// maxRestartableAge is how long a task without checkpoints may have run and still be preempted.
-	maxRestartableAge = time.Second
-	// minPreemptableTime is the expected run time that a step without checkpoints needs for its
-	// tasks to be preempted. Shorter tasks end by themselves nearly as soon as they could be
-	// stopped.
-	minPreemptableTime = 2 * time.Second
-	// preemptInterval is the minimum time between two searches for tasks to preempt for the same
-	// step.
-	preemptInterval = 300 * time.Millisecond
-	// minResumedTime is how long a resumed task runs at least before it may be preempted again.
-	// Otherwise the work done between two stops would be no more than what the stops lose.
-	minResumedTime = 2 * time.Second
-	// endsSoonMargin is added to the usual stop time: a task expected to end by itself within that
-	// time is not preempted.
-	endsSoonMargin = 500 * time.Millisecond
-	// maxResumeLoss is the work that a preempted task with checkpoints loses at most: the work
-	// since its last checkpoint and the time to resume.
-	maxResumeLoss = time.Second
-)
+// preemptInterval is the minimum time between two searches for tasks to preempt for the same step.
+const preemptInterval = 300 * time.Millisecond
 
 // preemption is capacity for some more tasks of a step on one worker, and the attempts that have to
 // be stopped for it. It has no victims if the capacity is free or about to become free.
@@ -134,13 +112,14 @@
 	return all
 }
 
+// preemptableRun describes the run of an attempt to package victims.
+func (a *attempt) preemptableRun(now time.Time) victims.Run {
+	return victims.Run{Ran: now.Sub(a.stateSince), Checkpoints: a.step.spec.Checkpoints, Resumed: a.resumed}
+}
+
 // lostWork returns the work that is lost when an attempt is stopped, in processor seconds.
 func (a *attempt) lostWork(now time.Time) float64 {
-	ran := now.Sub(a.stateSince)
-	if a.step.spec.Checkpoints {
-		ran = min(ran, maxResumeLoss)
-	}
-	return ran.Seconds() * float64(a.step.spec.Need.Processors) / float64(resource.Processor)
+	return a.preemptableRun(now).LostWork(a.step.spec.Need.Processors)
 }
 
 // victims returns the attempts on a worker that may be preempted for a step: those with the most
@@ -161,35 +140,23 @@
 	return all
 }
 
-// canPreempt reports whether an attempt may be preempted for a step: its step is in a worse tier,
-// or has lower priority and enough slack to start again and still be on time, unless only the step's
-// workspace takes more than its share.
+// canPreempt reports whether an attempt may be preempted for a step. Preemption for gangs spares no
+// tasks that end soon, because gangs need much capacity at once and let their victims run until the
+// tickets are about to arrive.
 func (h *holderState) canPreempt(p *pass, r rankedStep, a *attempt) bool {
 	s := a.step
 	if !h.isEnabled(mechanism.Preemption) || a.state != attemptRunning || a.markedForStop || a.isolated || s.spec.Gang ||
 		s.spec.Service || s.job.state.IsFinal() {
 		return false
 	}
-	if !s.spec.Checkpoints && (p.now.Sub(a.stateSince) > maxRestartableAge || h.expectedTime(s) < minPreemptableTime) {
+	run := a.preemptableRun(p.now)
+	if !run.MayStartAgain(h.expectedTime(s)) {
 		return false
 	}
-	if h.isSpared(p.now, r, a) {
+	sparing := !r.step.spec.Gang && h.isEnabled(mechanism.SparedTasks)
+	if sparing && run.IsSpared(h.remainingRunTime(p.now, a), h.estimates.StopTime()) {
 		return false
 	}
 	v := h.victimRankOf(p, s)
-	if v.Tier > r.Tier {
-		return true
-	}
-	// Capacity that a workspace has borrowed is not taken from one within its share.
-	return v.queue.Priority > r.queue.Priority && (!r.OverShare || v.OverShare) && (v.slack > minVictimSlack || p.ampleFreeCapacity)
-}
-
-// isSpared reports whether an attempt is not preempted because a stop would gain little. This does
-// not apply to preemption for gangs, which need much capacity at once and let their victims run
-// until the tickets are about to arrive.
-func (h *holderState) isSpared(now time.Time, r rankedStep, a *attempt) bool {
-	if r.step.spec.Gang || !h.isEnabled(mechanism.SparedTasks) {
-		return false
-	}
-	return a.resumed && now.Sub(a.stateSince) < minResumedTime || h.remainingRunTime(now, a) < h.estimates.StopTime()+endsSoonMargin
+	return victims.MayTakeFrom(r.Rank, v.Rank, v.slack, p.ampleFreeCapacity)
 }
