dispatch: move gains of stops and choice of workers to drain to services/slots

What a step gains on a worker by stopping more and more victims, which workers to empty for a gang, and the merging of tasks on the same worker are computed from numbers of tasks alone. They are generic functions of package slots now, each with a table test.

Nothing decides differently: the loops and their order are the same, and the workers are still sorted in place.

Tests: go test ./services/slots; services/dispatch with -run 'Gang|Advice|Drain|Reserv|Place|Cap|Share|Admission|Preempt' passed.

--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -12,6 +12,7 @@
 	"saddlevane/models/job"
 	"saddlevane/models/mechanism"
 	"saddlevane/modules/ordered"
+	"saddlevane/services/slots"
 )
 
 const (
@@ -38,7 +39,8 @@
 // drainForGang drains workers that can hold a gang once they are empty: long tasks of lower rank
 // are kept off them. It does nothing if too many workers would be drained.
 func (h *holderState) drainForGang(p *pass, s *step, workers []*worker) {
-	chosen, ok := chooseWorkersToDrain(s, workers)
+	chosen, ok := slots.ChooseToEmpty(workers, len(s.tasks),
+		func(w *worker) int { return w.slots(s, w.available()) }, func(w *worker) int { return w.slots(s, w.Capacity) })
 	if !ok || !h.isEnabled(mechanism.Draining) || p.drained+len(chosen) > max(len(chosen), len(h.workers)/workersPerDrained) ||
 		p.drained > 0 && len(h.workers) < workersPerDrained {
 		return
@@ -102,21 +104,3 @@
 
 // unbounded is the remaining run time of a service, which has no end.
 const unbounded = time.Duration(math.MaxInt64)
-
-// chooseWorkersToDrain returns the workers with the most available capacity that, once empty, can
-// hold all tasks of a gang. It returns false if all of them together cannot.
-func chooseWorkersToDrain(s *step, workers []*worker) ([]*worker, bool) {
-	slices.SortStableFunc(workers, func(a, b *worker) int {
-		return cmp.Compare(b.slots(s, b.available()), a.slots(s, a.available()))
-	})
-	slots := 0
-	var chosen []*worker
-	for _, w := range workers {
-		if slots >= len(s.tasks) {
-			break
-		}
-		slots += w.slots(s, w.Capacity)
-		chosen = append(chosen, w)
-	}
-	return chosen, slots >= len(s.tasks)
-}
--- a/services/dispatch/preempt.go
+++ b/services/dispatch/preempt.go
@@ -93,23 +93,10 @@
 func (h *holderState) preemptionsOn(p *pass, r rankedStep, w *worker) []preemption {
 	capacity := w.availableAfterStops()
 	fitting := w.slots(r.step, capacity)
-	var all []preemption
-	next := preemption{Allocation: allocation{Worker: w}}
-	minCost := 0.0
-	for _, a := range h.victims(p, r, w) {
+	return slots.Gains(w, fitting, h.victims(p, r, w), func(a *attempt) (int, float64) {
 		capacity = capacity.Plus(a.step.spec.Reserved())
-		next.Victims = append(next.Victims, a)
-		next.Cost += a.lostWork(p.now)
-		if n := w.slots(r.step, capacity); n > fitting {
-			next.Tasks = n - fitting
-			next.Cost = max(minCost, next.Cost/float64(next.Tasks))
-			minCost = next.Cost
-			all = append(all, next)
-			fitting = n
-			next = preemption{Allocation: allocation{Worker: w}}
-		}
-	}
-	return all
+		return w.slots(r.step, capacity), a.lostWork(p.now)
+	})
 }
 
 // preemptableRun describes the run of an attempt to package victims.
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -80,7 +80,7 @@
 	res := &reservation{since: now}
 	wanted := len(s.tasks)
 	for _, p := range preemptions {
-		res.addTasks(p.Worker, min(wanted, p.Tasks))
+		res.allocations = slots.Add(res.allocations, p.Worker, min(wanted, p.Tasks))
 		wanted -= p.Tasks
 		for _, a := range p.Victims {
 			a.markedForStop = true
@@ -95,15 +95,6 @@
 	return res
 }
 
-// addTasks adds tasks on a worker to the allocations of a reservation.
-func (res *reservation) addTasks(w *worker, tasks int) {
-	if i := slices.IndexFunc(res.allocations, func(al allocation) bool { return al.Worker == w }); i >= 0 {
-		res.allocations[i].Tasks += tasks
-		return
-	}
-	res.allocations = append(res.allocations, allocation{Worker: w, Tasks: tasks})
-}
-
 // releaseReservation releases the capacity reserved for a step, if any, and counts the outcome.
 func (h *holderState) releaseReservation(now time.Time, s *step, outcome reservations.Outcome) {
 	res := s.reservation
