dispatch: move how many workers a request names to services/advicecalls

The wanted slots of a gang, the number of workers for the missing slots, the count of named workers for unplaced tasks, the size of equal calls and the rotated order of workers need only numbers and the step's ID.

Nothing decides differently: the arithmetic is done in the same order, and the workers are read as late as before.

Tests: go test ./services/advicecalls; services/dispatch with -run 'Gang|Advice|Drain|Reserv|Place|Cap|Share|Admission|Preempt' passed.

--- a/services/advicecalls/balancer.go
+++ b/services/advicecalls/balancer.go
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: MIT
 
 // Package advicecalls distributes calls to the advice service over the entry boxes, because the
-// service handles one call at a time from each box. Advice names the workers that may run a step,
-// with a ticket for each of them.
+// service handles one call at a time from each box, and computes how many workers and which of them
+// calls name. Advice names the workers that may run a step, with a ticket for each of them.
 package advicecalls
 
 import (
--- a/services/dispatch/advicerequests.go
+++ b/services/dispatch/advicerequests.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -18,20 +17,6 @@
 	"saddlevane/services/fairshare"
 	"saddlevane/services/ranking"
 	"saddlevane/services/tickets"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-const (
-	// maxWorkersAsked is the maximum number of workers about which advice is requested for the
-	// unplaced tasks of one step at a time.
-	maxWorkersAsked = 60
-	// askFactor is how many slots on suitable workers a request for advice should be expected to
-	// find for each unplaced task.
-	askFactor = 1.5
-	// minSlotsPerWorker is the number of slots for which a named worker without free capacity
-	// counts, because it may have some soon.
-	minSlotsPerWorker = 0.3
 )
 
 // requestAdvice calls the advice service for a step and some workers. It returns nil if the boxes
@@ -131,37 +116,6 @@
 	})
 }
 
-// unaskedRotated yields the candidates whose suitability for the step is neither known nor
-// requested, and how many of its tasks each has capacity for: candidates with capacity first. The iteration
-// starts at an index derived from the step's ID, so that steps waiting at the same time ask for
-// different workers.
-func (s *step) unaskedRotated(candidates []*worker) iter.Seq2[*worker, int] {
-	return func(yield func(*worker, int) bool) {
-		if len(candidates) == 0 {
-			return
-		}
-		start := int(xxhash.Sum64String(s.id.String()) % uint64(len(candidates)))
-		var full []*worker
-		for i := range candidates {
-			w := candidates[(start+i)%len(candidates)]
-			if s.advice.IsKnownOrPending(w) {
-				continue
-			}
-			freeSlots := w.slots(s, w.available())
-			if freeSlots == 0 {
-				full = append(full, w)
-			} else if !yield(w, freeSlots) {
-				return
-			}
-		}
-		for _, w := range full {
-			if !yield(w, 0) {
-				return
-			}
-		}
-	}
-}
-
 // requestAdviceOn requests advice on some workers, in as many calls as necessary. It returns false
 // if no call was made.
 func (h *holderState) requestAdviceOn(now time.Time, r rankedStep, workers []*worker) bool {
@@ -188,15 +142,15 @@
 	if !h.hasFreeAdviser(now, r) {
 		return false
 	}
-	missing := askFactor * float64(s.unplacedTasks) / h.estimates.SuitableShare(r.queue.Name)
-	minWorkers := advicecalls.MinWorkersPerLaterCall(r.queue.Advice, s.advice.knownCount())
+	naming := advicecalls.NewNaming(r.queue.Advice, s.unplacedTasks, s.advice.knownCount(), h.estimates.SuitableShare(r.queue.Name))
+	freeSlots := func(w *worker) int { return w.slots(s, w.available()) }
 	var named []*worker
-	for w, freeSlots := range s.unaskedRotated(candidates) {
-		if len(named) == maxWorkersAsked || len(named) >= minWorkers && missing <= 0 {
+	for w, n := range advicecalls.Rotated(s.id.String(), candidates, s.advice.IsKnownOrPending, freeSlots) {
+		if naming.IsEnough() {
 			break
 		}
 		named = append(named, w)
-		missing -= max(minSlotsPerWorker, float64(freeSlots))
+		naming.Add(n)
 	}
 	return h.requestAdviceOn(now, r, named)
 }
--- a/services/dispatch/candidates.go
+++ b/services/dispatch/candidates.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"saddlevane/models/job"
@@ -12,20 +11,9 @@
 	"saddlevane/services/advicecalls"
 )
 
-const (
-	// gangCandidateFactor is how many slots on eligible workers should be known for each task of a
-	// gang, so that it does not have to wait for particular workers. The factor grows by
-	// gangCandidateGrowth for each second that the gang has waited.
-	gangCandidateFactor = 2
-	gangCandidateGrowth = 0.5
-	// maxGangCandidateFactor limits the grown factor, and maxAmpleCapacityCandidateFactor does so while
-	// much of the workers' capacity is free: no other step needs the advice calls then.
-	maxGangCandidateFactor          = 3.5
-	maxAmpleCapacityCandidateFactor = 12
-	// widenInterval is the minimum time between two checks whether enough eligible workers are known
-	// for a gang.
-	widenInterval = 200 * time.Millisecond
-)
+// widenInterval is the minimum time between two checks whether enough eligible workers are known for a
+// gang.
+const widenInterval = 200 * time.Millisecond
 
 // slotsWhenEmpty returns how many tasks of a step fit on an empty worker of the given capacity.
 func (s *step) slotsWhenEmpty(capacity resource.Vector) int {
@@ -36,17 +24,12 @@
 	return n
 }
 
-// wantedSlots returns the number of task slots on eligible workers that should be known for a gang.
-func (s *step) wantedSlots(now time.Time, ampleRoom bool) float64 {
-	factor := float64(gangCandidateFactor)
-	if !s.openedAt.IsZero() {
-		factor += gangCandidateGrowth * max(0, now.Sub(s.openedAt).Seconds())
-	}
-	maxFactor := maxGangCandidateFactor
-	if ampleRoom {
-		maxFactor = maxAmpleCapacityCandidateFactor
+// waitedFor returns how long a step has been open, or 0 if it is not open yet.
+func (s *step) waitedFor(now time.Time) time.Duration {
+	if s.openedAt.IsZero() {
+		return 0
 	}
-	return min(factor, maxFactor) * float64(len(s.tasks))
+	return now.Sub(s.openedAt)
 }
 
 // missingSlots returns how many of the wanted slots are not covered by the candidates yet. It is
@@ -66,7 +49,7 @@
 }
 
 // widenCandidates requests advice on more workers for a gang until the workers known to be
-// eligible, and those expected to be by pending answers, have the slots that wantedSlots returns.
+// eligible, and those expected to be by pending answers, have the slots that advicecalls.WantedSlots returns.
 // The longer a gang has waited, the more workers advice is requested on.
 func (h *holderState) widenCandidates(now time.Time, r rankedStep, candidates []*worker, ampleRoom bool) {
 	s := r.step
@@ -75,7 +58,7 @@
 	}
 	s.nextWidenAt = now.Add(widenInterval)
 	suitableShare := h.estimates.SuitableShare(r.queue.Name)
-	missing := s.missingSlots(s.wantedSlots(now, ampleRoom), candidates, suitableShare)
+	missing := s.missingSlots(advicecalls.WantedSlots(len(s.tasks), s.waitedFor(now), ampleRoom), candidates, suitableShare)
 	if missing <= 0 {
 		return
 	}
@@ -83,7 +66,6 @@
 		h.requestAdviceForUnplacedTasks(now, r, candidates)
 		return
 	}
-	slotsPerWorker := float64(max(1, s.slotsWhenEmpty(h.largestWorker))) * suitableShare
-	wanted := max(advicecalls.MinWorkersPerCall(r.queue.Advice), int(math.Ceil(missing/slotsPerWorker)))
+	wanted := advicecalls.WorkersForSlots(r.queue.Advice, missing, s.slotsWhenEmpty(h.largestWorker), suitableShare)
 	h.requestAdviceOn(now, r, s.unaskedByFreeCapacity(candidates, wanted))
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -260,8 +260,7 @@
 	if now.Before(r.step.advice.retryAt) {
 		return true
 	}
-	calls := (len(workers) + advicecalls.MaxWorkersPerCall - 1) / advicecalls.MaxWorkersPerCall
-	for chunk := range slices.Chunk(workers, (len(workers)+calls-1)/calls) {
+	for chunk := range slices.Chunk(workers, advicecalls.EqualCalls(len(workers))) {
 		if h.requestAdvice(now, r.step, r.queue.Advice, chunk) == nil {
 			return false
 		}
