dispatch: move the order of gangs on a worker to services/reservations

Which capacity gangs have reserved on a worker, in which order, and how many gangs may hold reservations at the same time need no state of the holder.

Nothing decides differently: the sum of later reservations is the same, and so is the limit.

Tests: go test ./services/reservations; services/dispatch with -run 'Gang|Advice|Drain|Reserv|Place|Cap|Share|Admission|Preempt' passed.

--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -134,7 +134,7 @@
 	if p.misses <= maxExplained {
 		h.logGangWait(p, r)
 	}
-	if h.canReserve() {
+	if h.reservations.MayBegin(len(h.workers)) {
 		h.reserve(p, r)
 	}
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -29,11 +29,6 @@
 }
 
 const (
-	// baseReservingGangs is how many gangs may hold reservations at the same time, plus one for
-	// each workersPerReservingGang workers. The limit exists because most reserved capacity is
-	// idle.
-	baseReservingGangs      = 3
-	workersPerReservingGang = 25
 	// maxReservationTime is how long a gang may hold a reservation: enough for two advice calls and
 	// for tasks to stop.
 	maxReservationTime = 3 * time.Second
@@ -48,11 +43,6 @@
 	stopLead = 100 * time.Millisecond
 )
 
-// canReserve reports whether one more gang may reserve capacity.
-func (h *holderState) canReserve() bool {
-	return h.reservations.Len() < baseReservingGangs+len(h.workers)/workersPerReservingGang
-}
-
 // reserve reserves capacity for a waiting gang: capacity that is free, capacity that is about to
 // become free and, if that is not enough, capacity of tasks that may be preempted. If all of that
 // is still not enough, workers are drained for the gang.
@@ -90,7 +80,7 @@
 	for _, al := range res.allocations {
 		capacity := s.spec.Reserved().Times(al.Tasks)
 		al.Worker.committed = al.Worker.committed.Plus(capacity)
-		al.Worker.gangReservations = append(al.Worker.gangReservations, gangReservation{step: s, capacity: capacity})
+		al.Worker.gangReservations.Add(s, capacity)
 	}
 	return res
 }
@@ -103,7 +93,7 @@
 	}
 	for _, al := range res.allocations {
 		al.Worker.committed = al.Worker.committed.Minus(s.spec.Reserved().Times(al.Tasks))
-		al.Worker.gangReservations = slices.DeleteFunc(al.Worker.gangReservations, func(g gangReservation) bool { return g.step == s })
+		al.Worker.gangReservations.Remove(s)
 	}
 	for _, a := range res.victims {
 		a.markedForStop = false
@@ -193,30 +183,10 @@
 func (h *holderState) isReservationFree(s *step) bool {
 	return !slices.ContainsFunc(s.reservation.allocations, func(al allocation) bool {
 		free := al.Worker.free.Minus(al.Worker.committed)
-		for _, reserved := range al.Worker.reservedAfter(s) {
-			free = free.Plus(reserved)
-		}
-		return free.IsNegative()
+		return free.Plus(al.Worker.gangReservations.After(s)).IsNegative()
 	})
 }
 
-// reservedAfter returns the capacities that gangs have reserved on a worker later than the given
-// step did.
-func (w *worker) reservedAfter(s *step) []resource.Vector {
-	var all []resource.Vector
-	first := slices.IndexFunc(w.gangReservations, func(g gangReservation) bool { return g.step == s })
-	for _, g := range w.gangReservations[first+1:] {
-		all = append(all, g.capacity)
-	}
-	return all
-}
-
-// gangReservation is the capacity reserved for a gang on one worker.
-type gangReservation struct {
-	step     *step
-	capacity resource.Vector
-}
-
 // requestTickets reports whether a gang with a reservation has all its tickets. If not, it requests
 // those that are not being requested yet and returns when the last answer is due.
 func (h *holderState) requestTickets(now time.Time, r rankedStep) (ready bool, due time.Time) {
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -16,6 +16,7 @@
 	"saddlevane/services/endreports"
 	"saddlevane/services/jobrecords"
 	"saddlevane/services/presence"
+	"saddlevane/services/reservations"
 	"saddlevane/services/speeds"
 	"saddlevane/services/throttling"
 	"saddlevane/services/transit"
@@ -58,7 +59,7 @@
 	committed resource.Vector
 	// gangReservations is the part of committed that is reserved for gangs, in the order in which
 	// it was reserved.
-	gangReservations []gangReservation
+	gangReservations reservations.Order[*step]
 
 	// clock is the worker's clock as of the answer received at clockAt.
 	clock   order.WorkerClock
--- a/services/reservations/reservations.go
+++ b/services/reservations/reservations.go
@@ -61,6 +61,19 @@
 	return &Tracker{active: map[job.StepID]reservation{}, totals: map[Outcome]Total{}}
 }
 
+const (
+	// baseReservingGangs is how many gangs may hold reservations at the same time, plus one for
+	// each workersPerReservingGang workers. The limit exists because most reserved capacity is
+	// idle.
+	baseReservingGangs      = 3
+	workersPerReservingGang = 25
+)
+
+// MayBegin reports whether one more gang may reserve capacity in a cell with the given number of workers.
+func (t *Tracker) MayBegin(workers int) bool {
+	return t.Len() < baseReservingGangs+workers/workersPerReservingGang
+}
+
 // Begin records that processors are reserved for a step from now on.
 func (t *Tracker) Begin(now time.Time, id job.StepID, processors resource.Millis) {
 	t.active[id] = reservation{since: now, processors: processors}
