shares, dispatch: let nobody in as below its share before it is known what workers run

Found in review. A new holder knows of no use at first, so that every workspace seemed to take less than its share and every job of the callers who return after a takeover was accepted (TestNewHolderLetsNobodyInBelowShare). What may run on workers that have not reported counts before steps are ordered, not after. The sums for admission no longer rank steps without waiting tasks, and refusals for a cap are not counted as refusals for a share.

--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -74,14 +74,16 @@
 	}
 	for _, s := range h.openSteps {
 		p := pools[h.queueOf(s.job).Pool]
-		if p == nil || !s.open {
+		if p == nil || !s.open || s.job.state.IsFinal() {
 			continue
 		}
-		r := h.rank(now, s)
 		if !s.spec.Service {
 			p.AddRunning(s.spec.Reserved().Times(s.placedTasks), s.criticalPath-s.criticalPathAfter)
 		}
-		if r.Tier == ranking.OnTime && s.reservation == nil && !s.advice.holdsCapacity() {
+		if s.unplacedTasks == 0 || s.reservation != nil || s.advice.holdsCapacity() {
+			continue
+		}
+		if r := h.rank(now, s); r.Tier == ranking.OnTime {
 			p.AddWaiting(s.spec.Reserved().Times(s.unplacedTasks), r.Priority, h.shares.IsOver(s.job.workspace, r.Work))
 		}
 	}
--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -52,7 +52,9 @@
 		h.core.emit(exchange.JobOverShare{Refused: refusal != nil})
 	}
 	if refusal != nil {
-		h.shares.RecordRefusal(e.Submission.Workspace)
+		if refusal.RetryAfter > 0 {
+			h.shares.RecordRefusal(e.Submission.Workspace)
+		}
 		h.core.reply(e.Call, *refusal)
 		return
 	}
--- a/services/dispatch/plan.go
+++ b/services/dispatch/plan.go
@@ -54,12 +54,12 @@
 // reaches the miss limit it stops early, unless a full plan is due.
 func (h *holderState) plan(now time.Time) {
 	h.planCount++
+	h.setUnreportedUsage()
 	ranked := h.rankOpenSteps(now)
 	if len(ranked) == 0 {
 		return
 	}
 	h.beginPass()
-	h.setUnreportedUsage()
 	p := newPass(now)
 	p.ampleFreeCapacity = h.hasAmpleFreeCapacity
 	defer func() { h.hasUnplacedTasks = p.misses > 0 }()
--- a/services/shares/shares.go
+++ b/services/shares/shares.go
@@ -285,9 +285,12 @@
 }
 
 // IsUnder reports whether a workspace takes less than its entitled share, counting also what it
-// waits for. weight is its weight now.
+// waits for. weight is its weight now. No workspace does before it is known what all workers run.
 func (t *Tracker) IsUnder(name string, weight float64) bool {
 	s := t.of(name)
+	if !t.seeded {
+		return false
+	}
 	if !s.isActive() {
 		return s.used < t.entitledIfActive(weight)
 	}
--- a/services/shares/shares_test.go
+++ b/services/shares/shares_test.go
@@ -421,3 +421,21 @@
 		assert.DeepEqual(t, c.status(), want)
 	}
 }
+
+// TestNewHolderLetsNobodyInBelowShare covers a takeover under load: before the workers have reported what
+// they run, every workspace seems to take nothing.
+func TestNewHolderLetsNobodyInBelowShare(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	tracker := shares.New(5 * time.Second)
+	assert.Check(t, !tracker.IsUnder("a", 1))
+	cell := shares.Cell{
+		Capacity: resource.Vector{Processors: 10 * resource.Processor}, Workspace: func(name string) workspace.Workspace { return workspace.Workspace{Name: name, Weight: 1} },
+		InUse: func(string) resource.Vector { return resource.Vector{} },
+	}
+	none := func(func(shares.Step) bool) {}
+	tracker.Observe(now, cell, none)
+	assert.Check(t, !tracker.IsUnder("a", 1))
+	cell.Complete = true
+	tracker.Observe(now.Add(time.Second), cell, none)
+	assert.Check(t, tracker.IsUnder("a", 1))
+}
