admission, shares, speeds: names and comments say what is meant, split two functions

No change of behaviour. admission: TakeLogLine (a line is also a queue of refused jobs), startedInTime and startedLate for wrong and right, giveTurn split into the search for slots and the place. dispatch: admissionPools split. shares: charged and chargedToSmall for debt, which held the whole limited use and not what is above the entitled share. speeds: SlowestClass, certainDifference.

--- a/models/mechanism/mechanism.go
+++ b/models/mechanism/mechanism.go
@@ -17,7 +17,7 @@
 	// LearnedTimes predicts run times from earlier runs of similar steps instead of the
 	// submitter's estimate.
 	LearnedTimes Mechanism = "learned-times"
-	// SlowWorkers uses faster workers first for tasks that are urgent.
+	// SlowWorkers places steps by the estimated speeds of the workers, on faster ones first.
 	SlowWorkers Mechanism = "slow-workers"
 	// Draining keeps workers free for tasks that need a large part of a worker.
 	Draining Mechanism = "draining"
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -23,8 +23,8 @@
 	// slackDivisor is the ratio of the slack of a job to the longest forecast with which a new one
 	// is accepted. The rest is left to the callers that return at their turn.
 	slackDivisor = 2
-	// firstReturns is the time over which a new holder spreads returns, in multiples of headerUnit.
-	firstReturns = 3
+	// firstReturnUnits is the time over which a new holder spreads returns, in multiples of headerUnit.
+	firstReturnUnits = 3
 	// logLinesPerSecond limits the log lines on refused jobs.
 	logLinesPerSecond = 20
 )
@@ -76,12 +76,13 @@
 	records  map[string]*record
 	pending  map[job.ID]pendingStart
 
-	// refused has when jobs were first refused.
+	// refused holds the time of the first refusal of each job.
 	refused map[job.ID]time.Time
 	places  map[job.ID]*place
 	lines   map[string]*line
 	slots   map[string]*slots
-	// held is what newcomers leave, by pool, for refused jobs whose turn comes soon.
+	// held is the capacity of each pool that is kept for refused jobs whose turn comes soon. Forecasts
+	// for other jobs count it as in use.
 	held map[string]amounts
 	// weights is the sum of the weights of the lines.
 	weights float64
@@ -191,7 +192,7 @@
 	}
 	h := fnv.New32a()
 	h.Write([]byte(j.ID))
-	return Decision{Reason: Full, RetryAfter: time.Duration(1+h.Sum32()%firstReturns) * headerUnit}
+	return Decision{Reason: Full, RetryAfter: time.Duration(1+h.Sum32()%firstReturnUnits) * headerUnit}
 }
 
 // refuse gives a job a turn, or the rest of the time until the turn that it has.
@@ -210,7 +211,7 @@
 		d.RetryAfter = returnTime(p.turn.Sub(now))
 		return d
 	}
-	d.RetryAfter, d.Place = c.deal(now, j, o, now.Add(max(0, o.wait(j, amounts{})-slack)))
+	d.RetryAfter, d.Place = c.giveTurn(now, j, o, now.Add(max(0, o.wait(j, amounts{})-slack)))
 	return d
 }
 
@@ -241,9 +242,9 @@
 	return 1 / cost.Seconds()
 }
 
-// TakeLine reports whether a line on a refused job may be logged, and how many were omitted since
+// TakeLogLine reports whether a line on a refused job may be logged, and how many were omitted since
 // the last one.
-func (c *Controller) TakeLine(now time.Time) (omitted int, ok bool) {
+func (c *Controller) TakeLogLine(now time.Time) (omitted int, ok bool) {
 	if now.Sub(c.logSecondAt) >= time.Second || now.Before(c.logSecondAt) {
 		c.logSecondAt, c.logLineCount = now, 0
 	}
--- a/services/admission/forecast.go
+++ b/services/admission/forecast.go
@@ -57,7 +57,7 @@
 	if j.CriticalPath > 0 {
 		o.net.add(p.free, 1/j.CriticalPath.Seconds())
 	}
-	full := o.net
+	gross := o.net
 	o.free.add(p.ahead(j.class()), -1)
 	for k, a := range c.arrivals {
 		if k.pool == j.Pool && j.class().isAfter(k.class) && k.class != j.class() {
@@ -65,7 +65,7 @@
 		}
 	}
 	for i := range o.net {
-		o.net[i] = max(o.net[i], minNetShare*full[i])
+		o.net[i] = max(o.net[i], minNetShare*gross[i])
 	}
 	return o
 }
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -23,8 +23,8 @@
 	slotCount  = int(horizon / slotLength)
 	// maxPlaces limits the number of refused jobs that are remembered.
 	maxPlaces = 4096
-	// minWeight is the weight of a workspace without any. It gets what others leave, and some of
-	// it soon.
+	// minWeight replaces a weight of 0: such a workspace gets turns, but far fewer than one with a
+	// weight.
 	minWeight = 1e-3
 	// maxWeight is the weight from which workspaces count as equal. It is far above any rate of jobs,
 	// and the sum of the weights of all workspaces still shows the least one.
@@ -37,7 +37,7 @@
 	need            amounts
 	// turn is when the caller of the job is to return, expiresAt when the job loses its place.
 	turn, expiresAt time.Time
-	// held is set while newcomers leave capacity for the job.
+	// held is set while capacity is kept for the job.
 	held bool
 }
 
@@ -49,8 +49,9 @@
 	next time.Time
 }
 
-// slots records how much of the capacity that comes free has been promised. Each slot holds the
-// time of its own length at most, so that the turns stay within the rate.
+// slots records how much of the capacity that comes free has been promised, as the time for which
+// promised jobs use it up. At most slotLength is promised in each slot, so that no more turns are
+// given than jobs can start.
 type slots struct {
 	first time.Time
 	used  [slotCount]time.Duration
@@ -69,7 +70,7 @@
 }
 
 // take uses up cost in the slots from at until the latest start, which is the given slack later. It
-// returns false without taking any if too much of these is used already.
+// returns false and changes nothing if these slots do not have that much left.
 func (s *slots) take(at time.Time, cost, slack time.Duration) bool {
 	begin := max(0, int(at.Sub(s.first)/slotLength))
 	end := min(slotCount, begin+int(max(cost, slack)/slotLength)+1)
@@ -120,7 +121,7 @@
 	}
 }
 
-// setHeld sets whether newcomers leave capacity for the job of a place.
+// setHeld sets whether capacity is kept for the job of a place.
 func (c *Controller) setHeld(p *place, held bool) {
 	sum, factor := c.held[p.pool], 1.0
 	if !held {
@@ -131,7 +132,7 @@
 }
 
 // refreshPlaces drops the places that were lost, and holds capacity for the jobs whose turn comes
-// before the next refresh. It also forgets the refusals of which the callers have given up.
+// before the next refresh. It also forgets refusals older than maxWait, whose callers no longer return.
 func (c *Controller) refreshPlaces(now time.Time) {
 	maps.DeleteFunc(c.refused, func(_ job.ID, at time.Time) bool { return now.Sub(at) > maxWait })
 	clear(c.held)
@@ -151,9 +152,10 @@
 	}
 }
 
-// deal gives a refused job the next turn of its workspace, and returns when its caller is to return
-// for it. The job has no place if it would be of no use by then, or if there are too many.
-func (c *Controller) deal(now time.Time, j Job, o outlook, earliest time.Time) (wait time.Duration, number int) {
+// giveTurn gives a refused job the next turn of its workspace. It returns the time until the turn and
+// the job's number in its line. The number is 0 if the job has no place, because its result would be of
+// no use by then or because there are too many places.
+func (c *Controller) giveTurn(now time.Time, j Job, o outlook, earliest time.Time) (wait time.Duration, number int) {
 	cost := o.cost(j)
 	weight := min(max(j.Weight, minWeight), maxWeight)
 	l := c.lines[j.Workspace]
@@ -162,18 +164,9 @@
 	}
 	weights := c.weights - l.weight + weight
 	earliest = ordered.Later(l.next, earliest)
-	s := c.slotsOf(now, j.Pool)
-	wait = returnTime(earliest.Sub(now))
-	for ; wait < maxWait; wait += headerUnit {
-		if now.Add(wait+j.CriticalPath).Sub(c.firstRefusal(now, j.ID)) > j.UsefulTime || len(c.places) >= maxPlaces {
-			return wait, 0
-		}
-		if s.take(now.Add(wait), cost, j.slack()) {
-			break
-		}
-	}
-	if wait >= maxWait {
-		return maxWait, 0
+	wait, ok := c.takeSlots(now, j, cost, earliest)
+	if !ok {
+		return wait, 0
 	}
 	l.next = earliest.Add(seconds(cost.Seconds() * weights / weight))
 	l.weight = weight
@@ -186,6 +179,22 @@
 	return wait, l.places
 }
 
+// takeSlots uses up cost in the slots of a job's pool, for the first possible turn that is not before
+// earliest. It returns the time until that turn. If there is none, it returns false and the time from
+// which that is so.
+func (c *Controller) takeSlots(now time.Time, j Job, cost time.Duration, earliest time.Time) (wait time.Duration, ok bool) {
+	s := c.slotsOf(now, j.Pool)
+	for wait = returnTime(earliest.Sub(now)); wait < maxWait; wait += headerUnit {
+		if now.Add(wait+j.CriticalPath).Sub(c.firstRefusal(now, j.ID)) > j.UsefulTime || len(c.places) >= maxPlaces {
+			return wait, false
+		}
+		if s.take(now.Add(wait), cost, j.slack()) {
+			return wait, true
+		}
+	}
+	return maxWait, false
+}
+
 // slotsOf returns the slots of a pool as of now.
 func (c *Controller) slotsOf(now time.Time, pool string) *slots {
 	s := c.slots[pool]
--- a/services/admission/trust.go
+++ b/services/admission/trust.go
@@ -19,7 +19,7 @@
 	// is accepted whatever its forecast. Without it a queue whose forecasts are too long would
 	// never show that.
 	probeInterval = 5 * time.Second
-	// minEvidence is the weight of the wrong refusals from which forecasts are not trusted. It is
+	// minEvidence is the weight of startedInTime from which forecasts may be distrusted. It is
 	// below the weight of one recent start.
 	minEvidence = 0.5
 	// errorSmoothing is the weight of one start in the mean error of the forecasts of a queue.
@@ -31,9 +31,10 @@
 // record is how good the forecasts of a queue were lately.
 type record struct {
 	at time.Time
-	// wrong and right are the weights of the jobs that were accepted although their forecast was
-	// beyond the latest useful start, and that started in time or not.
-	wrong, right float64
+	// startedInTime and startedLate are the weights of the jobs that were accepted although their
+	// forecast exceeded their slack, by whether they started within it. They show whether it would
+	// have been wrong or right to refuse them.
+	startedInTime, startedLate float64
 	// excess is by how much, on average, jobs waited longer than forecast.
 	excess float64
 	// probedAt is when a job beyond its share was last accepted.
@@ -43,13 +44,15 @@
 // age reduces the weight of the evidence to that at now.
 func (r *record) age(now time.Time) {
 	factor := decay(now.Sub(r.at), evidenceWindow)
-	r.wrong, r.right, r.excess = r.wrong*factor, r.right*factor, r.excess*factor
+	r.startedInTime, r.startedLate, r.excess = r.startedInTime*factor, r.startedLate*factor, r.excess*factor
 	r.at = now
 }
 
-// isTrusted reports whether a job may be refused on a forecast: unless most of the jobs that would
-// have been refused started in time.
-func (r *record) isTrusted() bool { return r.wrong < minEvidence || r.wrong <= r.right }
+// isTrusted reports whether a job may be refused because of its forecast. It may not if most of the
+// jobs that were accepted in spite of theirs started in time.
+func (r *record) isTrusted() bool {
+	return r.startedInTime < minEvidence || r.startedInTime <= r.startedLate
+}
 
 // observe records the wait of a job that has started, or that a job waits for longer than its slack.
 // The wait of the latter is not known yet and is assumed to be as long again.
@@ -65,9 +68,9 @@
 	switch {
 	case p.forecast <= p.slack:
 	case waited <= p.slack:
-		r.wrong++
+		r.startedInTime++
 	default:
-		r.right++
+		r.startedLate++
 	}
 }
 
@@ -110,11 +113,11 @@
 	}
 }
 
-// judgePending counts the jobs that have waited longer than is useful, and forgets those that have
-// not started for maxWait.
+// judgePending counts the jobs that have waited longer than their slack as late, and forgets those that
+// have not started for maxWait.
 func (c *Controller) judgePending(now time.Time) {
 	maps.DeleteFunc(c.pending, func(_ job.ID, p pendingStart) bool { return now.Sub(p.at) > maxWait })
-	// The mean error depends on the order.
+	// The mean error depends on the order of the observations.
 	for id, p := range sortedWhere(c.pending, func(p pendingStart) bool { return !p.judged && now.Sub(p.at) > p.slack }) {
 		c.record(now, p.queue).observe(now, p, now.Sub(p.at), false)
 		p.judged = true
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -73,20 +73,29 @@
 		}
 	}
 	for _, s := range h.openSteps {
-		p := pools[h.queueOf(s.job).Pool]
-		if p == nil || !s.open || s.job.state.IsFinal() {
-			continue
-		}
-		if !s.spec.Service {
-			p.AddRunning(s.spec.Reserved().Times(s.placedTasks), s.criticalPath-s.criticalPathAfter)
-		}
-		if s.unplacedTasks == 0 || s.reservation != nil || s.advice.holdsCapacity() {
-			continue
-		}
-		if r := h.rank(now, s); r.Tier == ranking.OnTime {
-			p.AddWaiting(s.spec.Reserved().Times(s.unplacedTasks), r.Priority, h.shares.IsOver(s.job.workspace, r.Work))
+		if p := pools[h.queueOf(s.job).Pool]; p != nil && s.open && !s.job.state.IsFinal() {
+			h.addStepToPool(now, p, s)
 		}
 	}
+	h.addUnloggedJobs(pools)
+	return pools
+}
+
+// addStepToPool adds what runs and what waits of an open step.
+func (h *holderState) addStepToPool(now time.Time, p *admission.Pool, s *step) {
+	if !s.spec.Service {
+		p.AddRunning(s.spec.Reserved().Times(s.placedTasks), s.criticalPath-s.criticalPathAfter)
+	}
+	if s.unplacedTasks == 0 || s.reservation != nil || s.advice.holdsCapacity() {
+		return
+	}
+	if r := h.rank(now, s); r.Tier == ranking.OnTime {
+		p.AddWaiting(s.spec.Reserved().Times(s.unplacedTasks), r.Priority, h.shares.IsOver(s.job.workspace, r.Work))
+	}
+}
+
+// addUnloggedJobs adds the new jobs that are not in the log yet, so that their steps are not open.
+func (h *holderState) addUnloggedJobs(pools map[string]*admission.Pool) {
 	waiting := h.journal.unloggedJobs
 	if h.journal.batch != nil {
 		waiting = slices.Concat(waiting, h.journal.batch.newJobs)
@@ -96,12 +105,11 @@
 			pools[q.Pool].AddWaiting(admission.FirstNeed(j.submission), q.Priority, j.beyondShare)
 		}
 	}
-	return pools
 }
 
 // logRefusal logs why a job was refused, for some jobs of each second.
 func (h *holderState) logRefusal(now time.Time, j admission.Job, d admission.Decision) {
-	omitted, ok := h.admission.TakeLine(now)
+	omitted, ok := h.admission.TakeLogLine(now)
 	if !ok {
 		return
 	}
--- a/services/dispatch/candidates.go
+++ b/services/dispatch/candidates.go
@@ -51,14 +51,14 @@
 // widenCandidates requests advice on more workers for a gang until the workers known to be
 // eligible, and those expected to be by pending answers, have the slots that advicecalls.WantedSlots returns.
 // The longer a gang has waited, the more workers advice is requested on.
-func (h *holderState) widenCandidates(now time.Time, r rankedStep, candidates []*worker, ampleRoom bool) {
+func (h *holderState) widenCandidates(now time.Time, r rankedStep, candidates []*worker, ample bool) {
 	s := r.step
 	if now.Before(s.nextWidenAt) {
 		return
 	}
 	s.nextWidenAt = now.Add(widenInterval)
 	suitableShare := h.estimates.SuitableShare(r.queue.Name)
-	missing := s.missingSlots(advicecalls.WantedSlots(len(s.tasks), s.waitedFor(now), ampleRoom), candidates, suitableShare)
+	missing := s.missingSlots(advicecalls.WantedSlots(len(s.tasks), s.waitedFor(now), ample), candidates, suitableShare)
 	if missing <= 0 {
 		return
 	}
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -47,7 +47,7 @@
 	}
 	filled, n := slots.FillBest(candidates, candidate.compare, candidate.slots, h.placeable(s))
 	classOf := func(a allocation) int { return h.speedOf(now, a.Worker).Class() }
-	if slowest, mixed := speeds.Slowest(filled, classOf); s.spec.Gang && mixed && n == len(s.tasks) {
+	if slowest, mixed := speeds.SlowestClass(filled, classOf); s.spec.Gang && mixed && n == len(s.tasks) {
 		// The gang has to wait for its slowest member, so faster workers are left to others.
 		candidates = h.candidates(now, s, eligible)
 		for i := range candidates {
--- a/services/estimates/runtimes.go
+++ b/services/estimates/runtimes.go
@@ -92,15 +92,15 @@
 	if r.weight == 0 || r.estimateVariance <= 0 {
 		return estimate
 	}
-	mean, left := r.line(estimate)
+	mean, unexplained := r.line(estimate)
 	// The mean of a log-normal distribution is above its median by a factor of e to half the
 	// variance, here the variance that the line leaves unexplained.
-	return time.Duration(math.Exp(mean+left/2) * float64(time.Second))
+	return time.Duration(math.Exp(mean+unexplained/2) * float64(time.Second))
 }
 
 // line returns the expected logarithm of the run time of a step with an estimate, and the variance that
 // the line leaves unexplained.
-func (r *RunTimes) line(estimate time.Duration) (mean, left float64) {
+func (r *RunTimes) line(estimate time.Duration) (mean, unexplained float64) {
 	slope := min(1, max(0, r.covariance/r.estimateVariance))
 	return r.meanTook + slope*(logSeconds(estimate)-r.meanEstimate), max(0, r.tookVariance-slope*r.covariance)
 }
@@ -112,6 +112,6 @@
 	if r.weight < minWorkWeight || r.estimateVariance <= 0 {
 		return speeds.Work{}
 	}
-	mean, left := r.line(estimate)
-	return speeds.Work{LogSeconds: mean, Variance: left, Known: true}
+	mean, unexplained := r.line(estimate)
+	return speeds.Work{LogSeconds: mean, Variance: unexplained, Known: true}
 }
--- a/services/shares/shares.go
+++ b/services/shares/shares.go
@@ -27,10 +27,10 @@
 )
 
 const (
-	// maxDebt limits the average by which steps are ordered, in multiples of the entitled share. A
+	// maxChargedUse limits the average by which steps are ordered, in multiples of the entitled share. A
 	// workspace that borrowed much while others were idle is within its share again 0.7 windows after
 	// it stops.
-	maxDebt = 2
+	maxChargedUse = 2
 	// largeStepShare is how much of the entitled share the largest running step counts for when small
 	// steps are ordered. The rest is left to them: a gang may be larger than the share, but it can
 	// neither be divided nor be stopped for them.
@@ -137,9 +137,10 @@
 	used float64
 	// refused counts the jobs that were refused because the workspace exceeded its share.
 	refused int
-	// debt is used, limited to maxDebt times entitled. smallDebt is the same with the largest step
-	// counted for no more than largeStepShare.
-	debt, smallDebt float64
+	// charged is the average use by which steps are ordered. It is limited to maxChargedUse times
+	// entitled. chargedToSmall is the same for small steps: the largest running step counts in it for
+	// no more than largeStepShare times entitled.
+	charged, chargedToSmall float64
 }
 
 // Tracker tracks the shares of the workspaces. It is not safe for concurrent use.
@@ -242,17 +243,18 @@
 	uncounted := max(0, s.largestStep-largeStepShare*entitled)
 	average := func(old, present float64) float64 { return keep*old + (1-keep)*present }
 	s.used = average(s.used, s.inUse)
-	s.debt = average(s.debt, s.inUse)
-	s.smallDebt = average(s.smallDebt, s.inUse-min(uncounted, s.inUse))
+	s.charged = average(s.charged, s.inUse)
+	s.chargedToSmall = average(s.chargedToSmall, s.inUse-min(uncounted, s.inUse))
 	if entitled > 0 {
-		s.debt = min(s.debt, maxDebt*entitled)
-		s.smallDebt = min(s.smallDebt, maxDebt*entitled)
+		s.charged = min(s.charged, maxChargedUse*entitled)
+		s.chargedToSmall = min(s.chargedToSmall, maxChargedUse*entitled)
 	}
 }
 
-// isAbove reports whether a debt is above the entitled share. A workspace beside which no other is
-// entitled to anything has no debt, even if its tasks take more than the workers that are left.
-func (s *share) isAbove(debt float64) bool { return s.entitled < 1 && debt > s.entitled }
+// isExceededBy reports whether an average use is above the entitled share. It never is if no other
+// workspace is entitled to anything, even if the tasks take more than the capacity of the workers that
+// still accept tasks.
+func (s *share) isExceededBy(use float64) bool { return s.entitled < 1 && use > s.entitled }
 
 // IsOver reports whether a step of a workspace is to be placed after those of others in a backlog,
 // because the workspace takes more than its entitled share. work is the part of the workers that the
@@ -267,9 +269,9 @@
 	case s.entitled == 0:
 		return true
 	case work <= smallWork*s.entitled*t.window.Seconds():
-		return s.isAbove(s.smallDebt)
+		return s.isExceededBy(s.chargedToSmall)
 	default:
-		return s.isAbove(s.debt)
+		return s.isExceededBy(s.charged)
 	}
 }
 
@@ -277,7 +279,7 @@
 func (t *Tracker) CountOver() int {
 	n := 0
 	for _, s := range t.byName {
-		if s.isActive() && s.isAbove(s.debt) {
+		if s.isActive() && s.isExceededBy(s.charged) {
 			n++
 		}
 	}
--- a/services/slots/slots.go
+++ b/services/slots/slots.go
@@ -74,7 +74,7 @@
 	Cost float64
 }
 
-// TotalTasks returns the number of tasks for which the preemptions make room together.
+// TotalTasks returns the number of tasks for which the preemptions free capacity together.
 func TotalTasks[W, A any](preemptions []Preemption[W, A]) int {
 	n := 0
 	for _, p := range preemptions {
--- a/services/speeds/gangs.go
+++ b/services/speeds/gangs.go
@@ -13,9 +13,9 @@
 const (
 	// minDone is the share of a member's work from which its progress shows its speed.
 	minDone = 0.1
-	// minGangSpread is the logarithm of the ratio of the paces of a gang's members from which each advances at
-	// the speed of its worker. Where the members wait for each other all the time, their progress is
-	// equal.
+	// minGangSpread is the least logarithm of the ratio of the longest to the shortest run time, by the
+	// members' progress, with which each member is assumed to advance at the speed of its own worker.
+	// Members that wait for each other all the time make equal progress.
 	minGangSpread = 0.05
 )
 
@@ -32,10 +32,10 @@
 }
 
 // Remaining returns how much longer a run takes that has run for some time, given the usual run time on its
-// worker. If the run began from nothing and has made enough progress, its own pace counts instead.
-func (m Member) Remaining(ran, usual time.Duration, fromNothing bool) time.Duration {
+// worker. If the run began at the start of its work, not from a checkpoint, and has made enough progress, its own pace counts instead.
+func (m Member) Remaining(ran, usual time.Duration, fromStart bool) time.Duration {
 	total := usual
-	if m.Done >= minDone && fromNothing {
+	if m.Done >= minDone && fromStart {
 		total = time.Duration(float64(m.Ran) / m.Done)
 	}
 	return max(0, time.Duration((1-m.Done)*float64(total))-(ran-m.Ran))
@@ -54,7 +54,7 @@
 }
 
 // RunsOfGang returns how long each member of a gang would take alone, or nil if their progress does not
-// show it. All members end together, so the time that the gang took does not.
+// show it. Their run times do not, because all members end together.
 func RunsOfGang(members []Member) []Run {
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	runs := make([]Run, 0, len(members))
--- a/services/speeds/haste.go
+++ b/services/speeds/haste.go
@@ -11,7 +11,7 @@
 
 // SuitsGang reports whether the worker is fast enough for members of gangs. A worker that was too slow is
 // tried again with other tasks, since a whole gang would wait for it.
-func (e Estimate) SuitsGang() bool { return e.certain() > -maxGangSlowness }
+func (e Estimate) SuitsGang() bool { return e.certainDifference() > -maxGangSlowness }
 
 // Haste is how much the speed of the workers matters for a step.
 type Haste struct {
@@ -30,8 +30,8 @@
 	return e.Class()
 }
 
-// Slowest returns the slowest class among the workers chosen for a gang, and whether they differ.
-func Slowest[A any](chosen []A, classOf func(A) int) (slowest int, mixed bool) {
+// SlowestClass returns the slowest class among the workers chosen for a gang, and whether they differ.
+func SlowestClass[A any](chosen []A, classOf func(A) int) (slowest int, mixed bool) {
 	for i, c := range chosen {
 		class := classOf(c)
 		if i == 0 {
--- a/services/speeds/record.go
+++ b/services/speeds/record.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		workers = append(workers, worker)
-		differences[worker] = math.Abs(e.certain())
+		differences[worker] = math.Abs(e.certainDifference())
 	}
 	slices.SortStableFunc(workers, func(a, b string) int { return cmp.Compare(differences[b], differences[a]) })
 	return workers
--- a/services/speeds/speeds.go
+++ b/services/speeds/speeds.go
@@ -36,9 +36,9 @@
 	// retryAfter is how long a difference counts as certain without new evidence, so that a worker
 	// that was slow is tried again.
 	retryAfter = 10 * time.Second
-	// usualShare is the inverse of the share of the workers whose speeds change before the median is
-	// computed again.
-	usualShare = 8
+	// medianUpdateDivisor is the number of workers divided by the number of changes after which the
+	// median is computed again. Sorting all means for each change would take too long in a large cell.
+	medianUpdateDivisor = 8
 	// classWidth is the logarithm of the ratio of the speeds of neighboring classes.
 	classWidth = 0.14
 	// minTime is the shortest time of which the logarithm is taken, which keeps it finite.
@@ -64,8 +64,8 @@
 	// bias is the mean difference of the logarithms of the expected and the actual work, over the
 	// given number of steps that had no tasks on several workers.
 	bias, steps float64
-	// usual is the median of the means when it was last computed, unlike the mean of all not shifted by
-	// the minority that differs. updates counts the changes since.
+	// usual is the median of the means when it was last computed. Unlike their mean, it is not shifted
+	// by a minority that differs. updates counts the changes since.
 	usual   float64
 	updates int
 	// rest is the workers without a speed of their own that count for the mean and the median.
@@ -139,8 +139,8 @@
 	}
 }
 
-// compareToExpected records the run times of a step's tasks on one worker. Only by how much the expected
-// work is off more than usual counts for the worker.
+// compareToExpected records the run times of a step's tasks on one worker. The mean error of the expected
+// work is subtracted, so that only the rest of the difference counts as the worker's.
 func (t *Tracker) compareToExpected(now time.Time, g group, work Work) {
 	observed := work.LogSeconds - g.longest
 	t.steps++
@@ -197,7 +197,7 @@
 // updateUsual computes the median of the means, after as many changes as make up a share of the workers.
 func (t *Tracker) updateUsual() {
 	t.updates++
-	if t.updates*usualShare <= len(t.speeds) {
+	if t.updates*medianUpdateDivisor <= len(t.speeds) {
 		return
 	}
 	t.updates = 0
@@ -262,9 +262,9 @@
 	return Estimate{Log: s.mean - t.mean(), Deviation: math.Sqrt(s.varianceAt(now)), usual: t.usual - t.mean(), stale: now.Sub(s.updatedAt) > retryAfter}
 }
 
-// certain returns the certain part of the logarithm of the speed, compared with the usual one. It is 0
+// certainDifference returns the certain part of the logarithm of the speed, compared with the usual one. It is 0
 // for a worker that may be as fast as usual.
-func (e Estimate) certain() float64 {
+func (e Estimate) certainDifference() float64 {
 	return math.Copysign(max(0, math.Abs(e.Log-e.usual)-certainty*e.Deviation), e.Log-e.usual)
 }
 
@@ -278,7 +278,7 @@
 }
 
 // class returns the class of the worker's speed by all evidence.
-func (e Estimate) class() int { return int(-e.certain() / classWidth) }
+func (e Estimate) class() int { return int(-e.certainDifference() / classWidth) }
 
 // speed returns how fast the worker is compared with the mean of all. It has the usual speed unless it is
 // certain that it is faster or slower.
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -567,7 +567,7 @@
 	}{
 		{nil, 0, false}, {[]int{-2}, -2, false}, {[]int{-2, -2}, -2, false}, {[]int{-2, 0}, 0, true}, {[]int{1, -2}, 1, true},
 	} {
-		slowest, mixed := speeds.Slowest(test.chosen, self)
+		slowest, mixed := speeds.SlowestClass(test.chosen, self)
 		assert.Equal(t, slowest, test.slowest)
 		assert.Equal(t, mixed, test.mixed)
 	}
