--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -164,16 +164,10 @@
 	r := c.record(now, j.Queue)
 	wait := o.wait(j, reserved)
 	d := Decision{Accepted: true, Forecast: wait + seconds(max(0, r.excess)), Rate: rate(o.cost(j))}
-	switch {
-	case useful < 0:
-		return c.refuse(now, j, o, d, slack)
-	case d.Forecast <= limit:
-		d.Reason = InTime
-	case !r.isTrusted():
-		d.Reason = Untrusted
-	case now.Sub(r.probedAt) >= probeInterval:
-		d.Reason = Probe
-	default:
+	if useful >= 0 {
+		d.Reason = r.reasonToAccept(now, d.Forecast, limit)
+	}
+	if d.Reason == "" {
 		return c.refuse(now, j, o, d, slack)
 	}
 	c.forget(j.ID)
--- a/services/admission/trust.go
+++ b/services/admission/trust.go
@@ -54,6 +54,21 @@
 	return r.startedInTime < minEvidence || r.startedInTime <= r.startedLate
 }
 
+// reasonToAccept returns why a job with a forecast is accepted, or an empty reason if it is not. A job
+// whose forecast is at most limit is in time.
+func (r *record) reasonToAccept(now time.Time, forecast, limit time.Duration) Reason {
+	switch {
+	case forecast <= limit:
+		return InTime
+	case !r.isTrusted():
+		return Untrusted
+	case now.Sub(r.probedAt) >= probeInterval:
+		return Probe
+	default:
+		return ""
+	}
+}
+
 // observe records the wait of a job that has started, or that a job waits for longer than its slack.
 // The wait of the latter is not known yet and is assumed to be as long again.
 func (r *record) observe(now time.Time, p pendingStart, waited time.Duration, started bool) {
@@ -78,7 +93,7 @@
 type pendingStart struct {
 	queue string
 	at    time.Time
-	// forecast is the expected wait, slack the longest wait with which the job is in time.
+	// forecast is the expected wait without the excess of its queue, slack the longest wait with which the job is in time.
 	forecast, slack time.Duration
 	// judged is set once the slack has passed.
 	judged bool
