dispatch, setting: admission by forecast is a setting, off by default

Without it a job beyond its share is refused as before, but never with a Retry-After below one second: 0 ms gave callers no header at all (TestRefusedCallersGetTimesOfOneSecondOrMore, both ways).

--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -60,6 +60,9 @@
 	// ShareWindow is how long a workspace that submits less than its share may accumulate the
 	// rest, and the time constant with which the use of the workers by a workspace is averaged.
 	ShareWindow time.Duration `yaml:"share"`
+	// ForecastAdmission accepts jobs beyond their workspace's share when a forecast says that they are
+	// done in time.
+	ForecastAdmission bool `yaml:"forecast_admission"`
 	// Disabled names the parts of the policy that are switched off.
 	Disabled []string `yaml:"without"`
 }
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -18,8 +18,8 @@
 )
 
 // checkAdmission reports whether a new job is within its workspace's share. It returns a refusal if
-// a step could never fit within the workspace's cap, or if the workspace exceeds its share and the
-// job would wait too long.
+// a step could never fit within the workspace's cap, or if the workspace exceeds its share while the
+// workers have little free capacity and, where admission goes by forecast, the job would wait too long.
 func (h *holderState) checkAdmission(now time.Time, sub *job.Submission) (within bool, refusal *exchange.Answer) {
 	if sub.Workspace == "" {
 		return true, nil
@@ -28,26 +28,46 @@
 	if refusal := checkCap(ws, sub); refusal != nil {
 		return false, refusal
 	}
-	j := h.admissionJob(sub, ws)
+	byForecast := h.core.settings.ForecastAdmission
 	if h.isWithinShare(now, ws) {
-		h.admission.AcceptedWithinShare(now, j)
+		if byForecast {
+			h.admission.AcceptedWithinShare(now, h.admissionJob(sub, ws))
+		}
 		return true, nil
 	}
-	if h.hasAmpleFreeCapacity || !h.isEnabled(mechanism.RefusedShares) {
+	switch {
+	case h.hasAmpleFreeCapacity || !h.isEnabled(mechanism.RefusedShares):
 		return false, nil
+	case byForecast:
+		return false, h.refusalByForecast(now, h.admissionJob(sub, ws))
+	default:
+		return false, refusedForShare("", max(minReturnTime, h.workspaceShares.TimeToToken(now, ws)))
+	}
+}
+
+// minReturnTime is the shortest time until a refused caller is to return: what its header can hold.
+const minReturnTime = time.Second
+
+// refusedForShare returns the answer to a job that is refused because its workspace exceeds its share.
+func refusedForShare(detail string, retryAfter time.Duration) *exchange.Answer {
+	return &exchange.Answer{
+		Outcome: exchange.OverLimit, Reason: "the workspace exceeds its share while the workers have little free capacity" + detail,
+		RetryAfter: job.Milliseconds(retryAfter.Milliseconds()),
 	}
+}
+
+// refusalByForecast returns the refusal of a job beyond its workspace's share, or nil if it is accepted
+// by the forecast of its wait.
+func (h *holderState) refusalByForecast(now time.Time, j admission.Job) *exchange.Answer {
 	if h.admission.NeedsRefresh(now) {
 		h.admission.Refresh(now, h.admissionPools(now), len(h.unreportedWorkers) == 0)
 	}
 	d := h.admission.Decide(now, j)
 	if d.Accepted {
-		return false, nil
+		return nil
 	}
 	h.logRefusal(now, j, d)
-	return false, &exchange.Answer{
-		Outcome: exchange.OverLimit, Reason: "the workspace exceeds its share while the workers have little free capacity: " + string(d.Reason),
-		RetryAfter: job.Milliseconds(d.RetryAfter.Milliseconds()),
-	}
+	return refusedForShare(": "+string(d.Reason), d.RetryAfter)
 }
 
 // admissionJob returns what decides about the admission of a new job.
--- a/services/dispatch/admission_test.go
+++ b/services/dispatch/admission_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"saddlevane/models/exchange"
-	"saddlevane/models/job"
 	"saddlevane/models/workspace"
 
 	"gotest.tools/v3/assert"
@@ -26,25 +25,31 @@
 	}
 }
 
-// Callers of a workspace beyond its share got Retry-After times of a few milliseconds or none, and
-// all of them the same.
+// Callers of a workspace beyond its share got Retry-After times of a few milliseconds or none.
 func TestRefusedCallersGetTimesOfOneSecondOrMore(t *testing.T) {
-	w := newWorld(t, 5, 1, 8)
-	w.noRandomFailures = true
-	w.useWeight(0)
-	w.waitUntilServing()
-	w.run(3 * time.Second)
-	refused := map[job.Milliseconds]int{}
-	for i := range 200 {
-		s := oneStep(fmt.Sprint("j", i), "quick", 8, false)
-		s.Workspace, s.Steps[0].Estimate = "hot", 1000
-		a := w.callHolder(exchange.Submitted{Submission: s})
-		if a.Outcome == exchange.OK {
-			continue
-		}
-		assert.Equal(t, a.Outcome, exchange.OverLimit)
-		assert.Check(t, a.RetryAfter >= 1000 && a.RetryAfter%1000 == 0, "%v", a.RetryAfter)
-		refused[a.RetryAfter]++
+	for _, withoutForecast := range []bool{false, true} {
+		t.Run(fmt.Sprint("without forecast ", withoutForecast), func(t *testing.T) {
+			w := newWorld(t, 5, 1, 8)
+			w.withoutForecast = withoutForecast
+			w.boxes[0].kill()
+			w.boxes[0].start()
+			w.noRandomFailures = true
+			w.useWeight(0)
+			w.waitUntilServing()
+			w.run(3 * time.Second)
+			refused := 0
+			for i := range 200 {
+				s := oneStep(fmt.Sprint("j", i), "quick", 8, false)
+				s.Workspace, s.Steps[0].Estimate = "hot", 1000
+				a := w.callHolder(exchange.Submitted{Submission: s})
+				if a.Outcome == exchange.OK {
+					continue
+				}
+				assert.Equal(t, a.Outcome, exchange.OverLimit)
+				assert.Check(t, a.RetryAfter >= 1000 && a.RetryAfter%1000 == 0, "%v", a.RetryAfter)
+				refused++
+			}
+			assert.Check(t, refused > 0, "no job was refused")
+		})
 	}
-	assert.Check(t, len(refused) > 0, "no job was refused")
 }
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -34,6 +34,9 @@
 	// ConfigPropagation is how long a change of the configuration may take until it is in force
 	// everywhere. ShareWindow is how long the unused share of a workspace accumulates.
 	ConfigPropagation, ShareWindow time.Duration
+	// ForecastAdmission is set if jobs beyond their workspace's share are accepted when a forecast says
+	// that they are done in time. Otherwise they are refused while the workers have little free capacity.
+	ForecastAdmission bool
 	// EvacuationPropagation is how long the evacuation of a failure domain may take until it is in
 	// force everywhere.
 	EvacuationPropagation time.Duration
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -111,6 +111,8 @@
 	// adviserFreeAt is the time, by box, at which the advice service has answered all calls that
 	// the box has made.
 	adviserFreeAt map[string]time.Time
+	// withoutForecast is set if boxes that start admit jobs without a forecast.
+	withoutForecast bool
 	// starts counts the starts of each task.
 	starts map[job.TaskID]int
 	trace  []string
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -56,7 +56,7 @@
 	b.pendingCalls = map[exchange.CallID]func(exchange.Answer){}
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.incarnation), Domain: "a", Address: b.name, Size: 1 + b.extraSize}
 	s := settings()
-	s.Disabled, s.MaxListedEnds = b.w.disabled, b.w.maxListedEnds
+	s.Disabled, s.MaxListedEnds, s.ForecastAdmission = b.w.disabled, b.w.maxListedEnds, !b.w.withoutForecast
 	b.core = dispatch.New(s, self)
 	b.post(exchange.ConfigRead{Config: b.w.config})
 	b.tick(b.incarnation)
