jobrun: begin no inquiry after the holder while the loop closes

Found on reading the change once more: callers' handlers may still run while Loop.Close waits for its goroutines, since closing the HTTP server does not wait for them, and an inquiry that such a call began was neither waited for nor bound to the log writer's life. Not seen to happen; no test forces that order.

--- a/services/jobrun/inquiry.go
+++ b/services/jobrun/inquiry.go
@@ -35,6 +35,8 @@
 	boxes   []claim.Member
 	nextBox int
 	running bool
+	// stopped is set once no inquiry may begin any more.
+	stopped bool
 	nextAt  time.Time
 }
 
@@ -52,10 +54,10 @@
 	})
 }
 
-// begin returns the boxes to ask now, without the holder that is known, or none if an inquiry is in
-// progress or the last one was too recent. Successive inquiries ask different boxes.
+// begin returns the boxes to ask now, without the holder that is known, or none if inquiries are stopped,
+// one is in progress or the last one was too recent. Successive inquiries ask different boxes.
 func (q *inquiry) begin(now time.Time, known string) []claim.Member {
-	if q.running || now.Before(q.nextAt) {
+	if q.running || q.stopped || now.Before(q.nextAt) {
 		return nil
 	}
 	var asked []claim.Member
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -189,6 +189,10 @@
 func (l *Loop) Close() {
 	l.cancel()
 	l.relayClient.Close()
+	// A call that is still served must not start a goroutine while the others are waited for.
+	l.mu.Lock()
+	l.inquiry.stopped = true
+	l.mu.Unlock()
 	l.tasks.Wait()
 	l.logWriter.close()
 }
