speeds, admission, dispatch: one constant for whole-second returns, clearer names, no work twice

The least time of a return stood in dispatch and in admission; dispatch uses admission.ReturnUnit. The latest start of a gang was searched for each member. Haste is Urgency, a term of the field; Record returns an exported type. Nothing is decided differently.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -23,7 +23,7 @@
 	// slackDivisor is the ratio of the slack of a job to the longest forecast with which a new one
 	// is accepted. The rest is left to the callers that return at their turn.
 	slackDivisor = 2
-	// firstReturnUnits is the time over which a new holder spreads returns, in multiples of headerUnit.
+	// firstReturnUnits is the time over which a new holder spreads returns, in multiples of ReturnUnit.
 	firstReturnUnits = 3
 	// logLinesPerSecond limits the log lines on refused jobs.
 	logLinesPerSecond = 20
@@ -186,7 +186,7 @@
 	}
 	h := fnv.New32a()
 	h.Write([]byte(j.ID))
-	return Decision{Reason: Full, RetryAfter: time.Duration(1+h.Sum32()%firstReturnUnits) * headerUnit}
+	return Decision{Reason: Full, RetryAfter: time.Duration(1+h.Sum32()%firstReturnUnits) * ReturnUnit}
 }
 
 // refuse gives a job a turn, or the rest of the time until the turn that it has.
@@ -225,7 +225,7 @@
 
 // returnTime rounds a time up to what the callers' header can hold.
 func returnTime(d time.Duration) time.Duration {
-	return min(maxWait, max(headerUnit, (d+headerUnit-1)/headerUnit*headerUnit))
+	return min(maxWait, max(ReturnUnit, (d+ReturnUnit-1)/ReturnUnit*ReturnUnit))
 }
 
 // rate returns how many jobs of a cost can start in a second.
--- a/services/admission/returns.go
+++ b/services/admission/returns.go
@@ -15,8 +15,9 @@
 	// returnGrace is how long after the returned time a caller may still return: a connection that
 	// has to be opened again and a box that does not answer at first.
 	returnGrace = 500 * time.Millisecond
-	// headerUnit is the resolution of the time that callers get.
-	headerUnit = time.Second
+	// ReturnUnit is the resolution of the time after which callers are asked to return, and the least
+	// such time: their header holds whole seconds.
+	ReturnUnit = time.Second
 	// slotLength is the resolution of the turns; horizon is how far ahead turns are given.
 	slotLength = 100 * time.Millisecond
 	horizon    = maxWait
@@ -184,7 +185,7 @@
 // which that is so.
 func (c *Controller) takeSlots(now time.Time, j Job, cost time.Duration, earliest time.Time) (wait time.Duration, ok bool) {
 	s := c.slotsOf(now, j.Pool)
-	for wait = returnTime(earliest.Sub(now)); wait < maxWait; wait += headerUnit {
+	for wait = returnTime(earliest.Sub(now)); wait < maxWait; wait += ReturnUnit {
 		if now.Add(wait+j.CriticalPath).Sub(c.firstRefusal(now, j.ID)) > j.UsefulTime || len(c.places) >= maxPlaces {
 			return wait, false
 		}
--- a/services/dispatch/admission.go
+++ b/services/dispatch/admission.go
@@ -41,13 +41,10 @@
 	case byForecast:
 		return false, h.refusalByForecast(now, h.admissionJob(sub, ws))
 	default:
-		return false, refusedForShare("", max(minReturnTime, h.workspaceShares.TimeToToken(now, ws)))
+		return false, refusedForShare("", max(admission.ReturnUnit, h.workspaceShares.TimeToToken(now, ws)))
 	}
 }
 
-// minReturnTime is the shortest time until a refused caller is to return: what its header can hold.
-const minReturnTime = time.Second
-
 // refusedForShare returns the answer to a job that is refused because its workspace exceeds its share.
 func refusedForShare(detail string, retryAfter time.Duration) *exchange.Answer {
 	return &exchange.Answer{
--- a/services/dispatch/caps.go
+++ b/services/dispatch/caps.go
@@ -24,6 +24,9 @@
 
 // slotsUnderCap returns how many more tasks of a step fit under its workspace's cap.
 func (h *holderState) slotsUnderCap(s *step) int {
+	if s.job.workspace == "" {
+		return job.MaxTasks
+	}
 	return h.usage.Remaining(h.workspaceOf(s.job)).FitCount(s.spec.Need, job.MaxTasks)
 }
 
--- a/services/dispatch/fit.go
+++ b/services/dispatch/fit.go
@@ -65,7 +65,7 @@
 // call.
 func (h *holderState) candidates(now time.Time, s *step, eligible []*worker) []candidate {
 	candidates := h.candidateBuffer[:0]
-	short, haste := h.expectedTime(s) <= maxShortStep, h.hasteOf(now, s)
+	short, urgency := h.expectedTime(s) <= maxShortStep, h.urgencyOf(now, s)
 	for _, w := range eligible {
 		if !h.canUse(now, w, s, short) {
 			continue
@@ -75,7 +75,7 @@
 			continue
 		}
 		c := s.candidate(now, w, n)
-		c.speedClass = haste.SpeedClass(h.speedOf(now, w))
+		c.speedClass = urgency.SpeedClass(h.speedOf(now, w))
 		candidates = append(candidates, c)
 	}
 	h.candidateBuffer = candidates
--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -18,9 +18,9 @@
 	return w.speed.Of(now, h.speeds, w.Name)
 }
 
-// hasteOf returns how much the speed of the workers matters for a step.
-func (h *holderState) hasteOf(now time.Time, s *step) speeds.Haste {
-	return speeds.Haste{Work: h.expectedTime(s), Slack: h.slack(now, s), Urgent: s.spec.Gang || h.expectedTime(s) <= maxShortStep}
+// urgencyOf returns how much the speed of the workers matters for a step.
+func (h *holderState) urgencyOf(now time.Time, s *step) speeds.Urgency {
+	return speeds.Urgency{Work: h.expectedTime(s), Slack: h.slack(now, s), Urgent: s.spec.Gang || h.expectedTime(s) <= maxShortStep}
 }
 
 // recordRunTime records that a task of a step succeeds at now. Only an uninterrupted run that this
--- a/services/dispatch/speed_test.go
+++ b/services/dispatch/speed_test.go
@@ -40,6 +40,20 @@
 	w.requireNoViolations()
 }
 
+// requireFewStartsOnSlowWorker submits jobs with 40 tasks in all, and fails the test if more than four of
+// them are started on the first worker.
+func (w *world) requireFewStartsOnSlowWorker() {
+	w.t.Helper()
+	before := w.workers[0].startCount
+	for i := range 20 {
+		w.submit(oneStep(fmt.Sprintf("next%d", i), "quick", 2, false))
+		w.run(50 * time.Millisecond)
+	}
+	started := w.workers[0].startCount - before
+	assert.Check(w.t, started <= 4, "%d of 40 tasks were started on the slow worker", started)
+	w.requireNoViolations()
+}
+
 func TestLearnedSpeedsSurviveTakeover(t *testing.T) {
 	w := newServingWorld(t, 22, 3, 4)
 	w.workers[0].slowdown = 6
@@ -51,14 +65,7 @@
 	w.holder().kill()
 	w.waitUntil(10*time.Second, "another box holds the cell", func() bool { return w.holder() != nil })
 	w.run(time.Second)
-	before := w.workers[0].startCount
-	for i := range 20 {
-		w.submit(oneStep(fmt.Sprintf("next%d", i), "quick", 2, false))
-		w.run(50 * time.Millisecond)
-	}
-	started := w.workers[0].startCount - before
-	assert.Check(t, started <= 4, "%d of 40 tasks were started on the slow worker", started)
-	w.requireNoViolations()
+	w.requireFewStartsOnSlowWorker()
 }
 
 func TestSpeedsOfInterruptedStepsSurviveTakeover(t *testing.T) {
@@ -80,14 +87,7 @@
 	w.waitUntil(120*time.Second, "all jobs have ended", w.allEnded)
 	w.run(5 * time.Second)
 	takeOver()
-	before := w.workers[0].startCount
-	for i := range 20 {
-		w.submit(oneStep(fmt.Sprintf("next%d", i), "quick", 2, false))
-		w.run(50 * time.Millisecond)
-	}
-	started := w.workers[0].startCount - before
-	assert.Check(t, started <= 4, "%d of 40 tasks were started on the slow worker", started)
-	w.requireNoViolations()
+	w.requireFewStartsOnSlowWorker()
 }
 
 func TestGangRunsOnWorkersOfLikeSpeed(t *testing.T) {
--- a/services/speeds/gangs.go
+++ b/services/speeds/gangs.go
@@ -56,10 +56,14 @@
 // RunsOfGang returns how long each member of a gang would take alone, or nil if their progress does not
 // show it. Their run times do not, because all members end together.
 func RunsOfGang(members []Member) []Run {
+	if len(members) == 0 {
+		return nil
+	}
+	start := latestStart(members)
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	runs := make([]Run, 0, len(members))
 	for _, m := range members {
-		worked := m.Ran - latestStart(members).Sub(m.StartedAt)
+		worked := m.Ran - start.Sub(m.StartedAt)
 		if worked < minTime || m.Done < minDone || m.Done >= 1 {
 			continue
 		}
--- a/services/speeds/record.go
+++ b/services/speeds/record.go
@@ -36,9 +36,9 @@
 	maxRest = 1 << 20
 )
 
-// entry is the recorded speed of a worker: the logarithm, compared with the mean of all, and the
+// Entry is the recorded speed of a worker: the logarithm, compared with the mean of all, and the
 // variance, in units of 1/recordScale.
-type entry [2]int
+type Entry [2]int
 
 // rest is workers that an earlier holder knew, but left out of its record.
 type rest struct {
@@ -56,14 +56,14 @@
 
 // Record returns what is recorded for the next holder. It forgets the workers of which nothing is known any
 // more, and leaves out those of which little is known and, beyond maxRecordBytes, those that differ least.
-func (t *Tracker) Record(now time.Time) map[string]entry {
+func (t *Tracker) Record(now time.Time) map[string]Entry {
 	t.forgetOld(now)
 	workers := t.recorded(now)
-	entries := make(map[string]entry, len(workers)+1)
+	entries := make(map[string]Entry, len(workers)+1)
 	size, sum := 0, t.sum
 	for _, worker := range workers {
 		s := t.speeds[worker]
-		e := entry{thousandths(s.mean - t.mean()), int(math.Ceil(recordScale * s.varianceAt(now)))}
+		e := Entry{thousandths(s.mean - t.mean()), int(math.Ceil(recordScale * s.varianceAt(now)))}
 		if size += e.bytes(worker); size > maxRecordBytes {
 			break
 		}
@@ -72,7 +72,7 @@
 	}
 	if left := len(t.speeds) - len(entries) + t.rest.count; left > 0 {
 		sum += t.rest.mean * float64(t.rest.count)
-		entries[restKey] = entry{thousandths(sum/float64(left) - t.mean()), left}
+		entries[restKey] = Entry{thousandths(sum/float64(left) - t.mean()), left}
 	}
 	t.changed, t.recordedAt = false, now
 	t.recordInterval = max(minRecordInterval, time.Duration(size)*time.Second/bytesPerSecond)
@@ -99,7 +99,7 @@
 func thousandths(log float64) int { return int(math.Round(recordScale * log)) }
 
 // bytes returns the number of bytes of the entry of a worker in a record.
-func (e entry) bytes(worker string) int {
+func (e Entry) bytes(worker string) int {
 	// A string is always encoded without an error.
 	key, _ := json.Marshal(worker)
 	return len(key) + len(":[,],") + len(strconv.Itoa(e[0])) + len(strconv.Itoa(e[1]))
--- a/services/speeds/speeds_test.go
+++ b/services/speeds/speeds_test.go
@@ -467,13 +467,13 @@
 	assert.Check(t, slow.Class() > 0)
 	for _, test := range []struct {
 		name  string
-		haste speeds.Haste
+		haste speeds.Urgency
 		want  int
 	}{
-		{"short", speeds.Haste{Work: time.Second, Slack: time.Hour, Urgent: true}, slow.Class()},
-		{"on time on the slow worker", speeds.Haste{Work: time.Second, Slack: 2 * time.Second}, 0},
-		{"late on the slow worker", speeds.Haste{Work: 10 * time.Second, Slack: time.Second}, slow.Class()},
-		{"late anywhere", speeds.Haste{Work: time.Second, Slack: -time.Second}, slow.Class()},
+		{"short", speeds.Urgency{Work: time.Second, Slack: time.Hour, Urgent: true}, slow.Class()},
+		{"on time on the slow worker", speeds.Urgency{Work: time.Second, Slack: 2 * time.Second}, 0},
+		{"late on the slow worker", speeds.Urgency{Work: 10 * time.Second, Slack: time.Second}, slow.Class()},
+		{"late anywhere", speeds.Urgency{Work: time.Second, Slack: -time.Second}, slow.Class()},
 	} {
 		assert.Equal(t, test.haste.SpeedClass(slow), test.want, test.name)
 		assert.Equal(t, test.haste.SpeedClass(speeds.Estimate{}), 0, test.name)
@@ -482,7 +482,7 @@
 	fleet.run(40)
 	fast := fleet.Of(fleet.now, name(39))
 	assert.Check(t, fast.Class() < 0)
-	assert.Equal(t, speeds.Haste{Work: time.Second, Slack: time.Hour}.SpeedClass(fast), fast.Class())
+	assert.Equal(t, speeds.Urgency{Work: time.Second, Slack: time.Hour}.SpeedClass(fast), fast.Class())
 	assert.Check(t, slow.SuitsGang())
 	assert.Check(t, slow.TimeFor(time.Second) > 1200*time.Millisecond)
 	assert.Check(t, slow.WorkOf(slow.TimeFor(time.Second))-time.Second < time.Millisecond)
--- a/services/speeds/haste.go
+++ b/services/speeds/urgency.go
@@ -13,8 +13,8 @@
 // tried again with other tasks, since a whole gang would wait for it.
 func (e Estimate) SuitsGang() bool { return e.certainDifference() > -maxGangSlowness }
 
-// Haste is how much the speed of the workers matters for a step.
-type Haste struct {
+// Urgency is how much the speed of the workers matters for a step.
+type Urgency struct {
 	// Work is the expected run time at mean speed, Slack by how much the step may take longer.
 	Work, Slack time.Duration
 	// Urgent is set if the step should end as soon as it can.
@@ -23,8 +23,8 @@
 
 // SpeedClass returns the class of a worker's speed as far as it matters for the step, for the order of
 // workers: slower ones come later. A slow worker on which the step ends on time counts as a usual one.
-func (h Haste) SpeedClass(e Estimate) int {
-	if !h.Urgent && e.TimeFor(h.Work)-h.Work < h.Slack {
+func (u Urgency) SpeedClass(e Estimate) int {
+	if !u.Urgent && e.TimeFor(u.Work)-u.Work < u.Slack {
 		return min(0, e.Class())
 	}
 	return e.Class()
