dispatch, transit: the log names starts without an answer before they are repeated, for the next holder

Cause: a holder keeps the ends of a task unacknowledged while an unanswered start of it may be carried out. It knew of its own starts only; the next holder acknowledged the end 81 ms after its first report (2.749 s, 2.830 s), and the copy of the start reached a later incarnation at 5.292 s. The trace settles it: no order of the later holder is missing or late in it.

Ruled out before: raising fence numbers (an unreached incarnation has none); a deadline in the order (the clock of a later incarnation begins anew); keeping back all ends for 15 s after a takeover; a record that each repetition waits for.

Mend: a start without an answer after a third of its timeout is named in the log, before its repetition is due (0.1 s, 0.3 s), and no start is repeated before the log names it. So a run that the log does not name was ordered once. One run number at a time is exempt, so that a cell with few starts repeats at once; run numbers rise over all steps of a claim for that. The next holder keeps the ends of named tasks back for 15 s.

Why it holds: no conclusion is drawn from how old or complete the records are. With a slow or lost log the repetition waits or is given up, and nothing is unnamed that was ordered twice.

The same fault elsewhere, each red before: two takeovers in a row, members of a gang, a task done elsewhere by the later holder, a job whose end is in the log already.

--- a/services/dispatch/appended.go
+++ b/services/dispatch/appended.go
@@ -115,6 +115,8 @@
 		h.handleProgressAppended(now, p)
 	}
 	h.markEndsLogged(now, b.recordedEnds)
+	h.startOrders.MarkLogged()
+	h.resumeRepeats(now)
 	h.startLoading()
 	h.planDue = true
 }
--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -141,9 +141,13 @@
 	h.planDue = true
 }
 
-// nextRunNumber returns a run number that is higher than all earlier ones of the step's
-// tasks, under this claim and earlier ones.
+// areRunsUsed reports whether so few run numbers are left under this claim that a new one is needed.
+func (h *holderState) areRunsUsed() bool { return h.nextRun >= (h.epoch+1)*runsPerEpoch-runReserve }
+
+// nextRunNumber returns a run number that is higher than all earlier ones of this claim, and than those of
+// the step's tasks under earlier claims.
 func (h *holderState) nextRunNumber(s *step) int64 {
-	s.lastRun = max(s.lastRun+1, h.epoch*runsPerEpoch)
+	s.lastRun = max(s.lastRun+1, h.nextRun)
+	h.nextRun = s.lastRun + 1
 	return s.lastRun
 }
--- /dev/null
+++ b/services/dispatch/earliercopies_test.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The saddlevane Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"saddlevane/models/resource"
+
+	"gotest.tools/v3/assert"
+)
+
+// In these tests start orders of an earlier holder are in transit after a takeover.
+
+// Another holder takes over before it has appended anything, so the log has only what the first one knew.
+func TestCopyOfStartIsNotCarriedOutAfterTwoTakeoversInARow(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.holds = holdFirst(startOrder)
+	c.submit("j")
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 1 })
+	start := c.take(startOrder)
+	c.holds = holdKind(renewalOrder)
+	c.takeOver()
+	c.holds = holdNone
+	c.takeOver()
+	c.run(2 * time.Second)
+	c.deliverToUnreachedIncarnation(start)
+	c.requireNoLoss()
+}
+
+// The copy is that of the start of one member of a gang. The worker of another member reports the success to the
+// later holder, which learns nothing from the worker that the copy is on the way to.
+func TestCopyOfStartOfMemberIsNotCarriedOutAfterLaterHolderAcknowledgedGang(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
+	c.workers["v"].runTime, c.workers["w"].runTime = time.Second, 600*time.Millisecond
+	s := oneStep("j", "quick", 2, true)
+	s.Steps[0].PerWorker = 1
+	s.Steps[0].Need.Processors = 40 * resource.Processor
+	c.submitJob(s)
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 2 })
+	start := c.take(startOrder)
+	c.holds = func(o *transitOrder) bool { return o.kind == renewalOrder && o.worker.Name == "w" }
+	c.takeOver()
+	c.run(1500 * time.Millisecond)
+	c.holds = holdNone
+	c.restart("w", 2000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
+// The run of the task was ordered by an earlier holder and lost; the task is done by a run of the later one.
+func TestStartOfEarlierHolderIsNotCarriedOutAfterTaskWasDoneElsewhere(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(300 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.takeOver()
+	c.run(3 * time.Second)
+	assert.Assert(t, len(c.starts) == 1, "the task must have run")
+	c.restart(start.worker.Name, 2000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
+// The earlier holder has recorded that the job has ended. It keeps the end unacknowledged because of the start.
+func TestStartOfEarlierHolderIsNotCarriedOutAfterJobHasEnded(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(500 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.restart(start.worker.Name, 2000)
+	c.runUntil(3*time.Second, "the task is started elsewhere", func() bool { return len(c.starts) > 0 })
+	c.run(time.Second)
+	c.takeOver()
+	c.run(2 * time.Second)
+	c.restart(start.worker.Name, 3000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
+// The earlier holder is lost before the log names the start.
+func TestStartOfHolderThatIsLostBeforeItsRecordIsNotCarriedOutAfterTaskWasDone(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(50 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.takeOver()
+	c.run(3 * time.Second)
+	assert.Assert(t, len(c.starts) == 1, "the task must have run")
+	c.restart(start.worker.Name, 2000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -34,6 +34,10 @@
 			h.estimates.ObserveStop(now.Sub(a.stopRequestedAt))
 		}
 	}
+	if s == nil {
+		// Whether the step is a gang, or which of its tasks are done, is not known any more.
+		w.hold.Extend(h.inheritedTransit.UntilOfStep(end.Run))
+	}
 	if s == nil && h.mayBelongToJob(end.Task.Job) {
 		h.recordEnd(end, report)
 		return
@@ -47,6 +51,7 @@
 	if end.Checkpoint != "" && s.spec.Checkpoints {
 		t.checkpoint = end.Checkpoint
 	}
+	h.recordInheritedTransit(s, end.Run)
 	s.holdAcknowledgements(w, end)
 	if end.Status == order.Done {
 		h.clearBlame(s, end.Task.Index)
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -22,6 +22,7 @@
 	"saddlevane/services/speeds"
 	"saddlevane/services/startlog"
 	"saddlevane/services/timeouts"
+	"saddlevane/services/transit"
 	"saddlevane/services/workspaces"
 )
 
@@ -106,6 +107,14 @@
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
 	// not yet reported what they run.
 	inheritedStarts startlog.LoggedStarts
+	// nextRun is the number of the next run. It rises from one claim to the next.
+	nextRun int64
+	// startOrders are the start orders of this holder that were not all answered, inheritedTransit those of
+	// earlier holders that may still be carried out. waitingRepeats are the attempts whose start is sent again
+	// once the log names it.
+	startOrders      transit.Orders
+	waitingRepeats   []*attempt
+	inheritedTransit transit.Inherited
 	// answerDelays measures the workers' response times.
 	answerDelays timeouts.ResponseTimes
 
@@ -146,7 +155,7 @@
 // newHolderState returns the state of a holder that has just claimed the cell with an epoch.
 func newHolderState(c *Core, now time.Time, epoch int64) *holderState {
 	h := &holderState{
-		core: c, epoch: epoch, phase: phaseFencing, startedAt: now,
+		core: c, epoch: epoch, phase: phaseFencing, startedAt: now, nextRun: epoch * runsPerEpoch,
 		journal: journal{epoch: epoch}, jobs: map[job.ID]*trackedJob{}, unreadJobs: map[job.ID]jobrecords.UnreadJob{},
 		workers: map[string]*worker{}, unreportedWorkers: map[string]bool{}, workersWithOrphans: map[*worker]bool{}, blame: blame.NewTracker(),
 		advisers: advicecalls.New[*adviceCall](c.self.Box), estimates: estimates.NewEstimates(), speeds: speeds.NewTracker(), planBudget: planbudget.New(),
@@ -222,10 +231,15 @@
 		h.core.stepDown(reasonFencesUsed)
 		return
 	}
+	if h.areRunsUsed() {
+		h.core.stepDown(reasonRunsUsed)
+		return
+	}
 	h.nextSweepAt = now.Add(sweepInterval)
 	h.planDue = true
 	h.createAllDueInstances(now)
 	h.sweepWorkers(now)
+	h.resumeRepeats(now)
 	h.refreshAllHealth(now)
 	h.hasAmpleFreeCapacity = h.updateCapacity()
 	h.giveUpGuiltyJobs(now)
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -65,13 +65,6 @@
 	return h.fence(w)
 }
 
-// recordStartInTransit records that an order to start a run got no answer.
-func (h *holderState) recordStartInTransit(now time.Time, run order.Run) {
-	if s := h.findStep(run.Task.StepID); s != nil && run.Task.Index < len(s.tasks) {
-		s.tasks[run.Task.Index].startsInTransit.RecordUnanswered(now)
-	}
-}
-
 // handleWorkerRestart handles an answer from a later incarnation than the known one: the known one
 // has ended, and the later one replaces it. The runs in the answer are running there, whatever the
 // holder expects. That others are not in it proves nothing, since the later incarnation may still carry
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -123,7 +123,7 @@
 		}
 		return
 	}
-	if j.isIdle() && !j.recentStarts.Due(now) || now.Before(j.nextSendAt) || (h.phase == phaseActive && !h.core.authority.IsHolder(now)) {
+	if j.isIdle() && !j.recentStarts.Due(now) && !h.startOrders.NeedsAppend(now) || now.Before(j.nextSendAt) || (h.phase == phaseActive && !h.core.authority.IsHolder(now)) {
 		return
 	}
 	j.batch = h.composeBatch(now)
@@ -151,6 +151,7 @@
 	}
 	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extraRecords}, workerRecords: j.workerRecords}
 	j.extraRecords, j.workerRecords = nil, nil
+	h.addStartsInTransit(now, b)
 	size := j.addNewJobs(b)
 	size += j.addEnds(b, size)
 	h.addProgress(b, size)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -242,6 +242,7 @@
 	reasonRestarted        = "the worker has restarted"
 	reasonLaterHolder      = "a worker has seen a later holder"
 	reasonFencesUsed       = "the fence numbers of the claim are used up"
+	reasonRunsUsed         = "the run numbers of the claim are used up"
 )
 
 // handleSuperseded handles an answer saying that the addressed incarnation has ended, or that the
--- a/services/dispatch/settings.go
+++ b/services/dispatch/settings.go
@@ -82,7 +82,10 @@
 	configMargin = 300 * time.Millisecond
 	// runsPerEpoch is the range of run numbers of each claim. Run numbers start at the epoch
 	// times runsPerEpoch, so that they rise from one claim to the next.
-	runsPerEpoch = 100_000
+	runsPerEpoch = 1_000_000_000
+	// runReserve is how many run numbers of a claim are kept for the starts that are ordered until the claim
+	// ends.
+	runReserve = 1_000_000
 )
 
 // isEnabled reports whether a mechanism of the policy is not switched off.
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -13,6 +13,7 @@
 	"saddlevane/modules/ordered"
 	"saddlevane/services/delays"
 	"saddlevane/services/startlog"
+	"saddlevane/services/transit"
 )
 
 // startTask assigns a task to a worker and orders the worker to start it.
@@ -54,10 +55,12 @@
 	w := a.worker
 	a.orderCount++
 	a.lastOrderedAt = now
+	timeout := h.orderTimeout(now)
+	h.startOrders.Send(now, transit.Start{Task: a.runID().Task, Number: a.run, Worker: w.Name}, timeout)
 	h.core.emit(exchange.StartRun{Worker: w.Incarnation, Address: w.Address, Epoch: h.epoch, Order: order.Start{
 		Run: a.runID(), Spec: a.step.job.submission.Spec, LeaseEnd: h.extendLease(now, w), Fence: h.raiseFenceForStart(w),
 		Checkpoint: a.checkpoint, Ticket: a.ticket,
-	}, Timeout: h.orderTimeout(now)})
+	}, Timeout: timeout})
 }
 
 // orderTimeout returns the timeout of an order to a worker at now.
@@ -77,8 +80,12 @@
 
 // handleStartEnded applies the answer to a start order, or that there was none.
 func (h *holderState) handleStartEnded(now time.Time, e exchange.StartEnded) {
+	if e.Epoch != h.epoch {
+		return
+	}
+	h.startOrders.End(now, e.Run, e.Answer.Outcome != order.Unknown)
 	w := h.currentWorker(e.Worker)
-	if w == nil || e.Epoch != h.epoch {
+	if w == nil {
 		return
 	}
 	if e.Answer.Outcome == order.WrongIncarnation {
@@ -141,15 +148,18 @@
 }
 
 // handleStartUnconfirmed handles a start that may or may not have been carried out. It sends
-// the order again if that is allowed; otherwise the attempt keeps its capacity until the
-// worker's next report shows whether the run exists.
+// the order again if that is allowed.
 func (h *holderState) handleStartUnconfirmed(now time.Time, a *attempt, answer order.Answer) {
-	if h.canRetryStart(now, a) && answer.Outcome == order.Unknown {
-		h.sendStart(now, a)
-		return
+	if answer.Outcome != order.Unknown || !h.repeatStart(now, a) {
+		h.markUnconfirmed(now, a, answer.Problem)
 	}
+}
+
+// markUnconfirmed handles a start that may or may not have been carried out and is not sent again. The
+// attempt keeps its capacity until the worker's next report shows whether the run exists.
+func (h *holderState) markUnconfirmed(now time.Time, a *attempt, problem string) {
 	h.core.logEvent("start order was not answered", logField("job", string(a.step.job.id)), logField("task", a.runID().Task.String()),
-		logField("run", a.run), logField("worker", a.worker.Incarnation.String()), logField("problem", answer.Problem))
+		logField("run", a.run), logField("worker", a.worker.Incarnation.String()), logField("problem", problem))
 	if a.state != attemptStarting {
 		return
 	}
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -127,6 +127,7 @@
 		step: s, index: run.Task.Index, run: run.Number, worker: w, state: attemptRunning, stateSince: now, stopConfirmed: true, adopted: true,
 		pace: unknownPace, onlyLogged: true,
 	}
+	h.recordInheritedTransit(s, run)
 	h.assign(now, a)
 	s.lastRun = max(s.lastRun, run.Number)
 	return a
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -124,6 +124,9 @@
 
 	// renewalsSent counts the renewals that boxes have sent to workers.
 	renewalsSent int
+	// acknowledgedEnds counts the ends that workers have dropped because they were acknowledged, and
+	// lateAcknowledgements those of them that had ended more than acknowledgeLimit before.
+	acknowledgedEnds, lateAcknowledgements int
 	// pledgesAsked counts the requests for pledges.
 	pledgesAsked int
 	// logDown makes the log reject all reads and appends.
--- a/services/dispatch/worldorders_test.go
+++ b/services/dispatch/worldorders_test.go
@@ -216,6 +216,10 @@
 // acknowledgeEnd records that the holder has acknowledged an end of a run on worker f. Ends of services
 // do not count.
 func (w *world) acknowledgeEnd(f *fakeWorker, e order.End) {
+	w.acknowledgedEnds++
+	if w.now.Sub(f.endedAt[e.Number]) > acknowledgeLimit {
+		w.lateAcknowledgements++
+	}
 	a := w.jobs[e.Task.Job]
 	if a == nil || a.sub.Steps[e.Task.Step].Service {
 		return
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -35,6 +35,10 @@
 	keyCrashes = "crashes"
 	// keyStarts is the prefix of the records of recently started tasks, one for each slot.
 	keyStarts = "r/"
+	// keyInTransit is the prefix of the records of starts in transit, which are numbered.
+	keyInTransit = "u/"
+	// keyExempt is the key of the runs that need no such record.
+	keyExempt = "exempt"
 	// keyEnd is the prefix of the records of single ends of runs.
 	keyEnd = "e/"
 )
@@ -118,6 +122,22 @@
 	return newRecord(keyStarts+strconv.Itoa(slot), starts)
 }
 
+// StartsInTransitRecord returns the record with a number of start orders that were not answered in time.
+func StartsInTransitRecord(number int64, starts any) stream.Record {
+	return newRecord(startsInTransitKey(number), starts)
+}
+
+// DropStartsInTransit returns the record that deletes the record of starts in transit with a number.
+func DropStartsInTransit(number int64) stream.Record {
+	return stream.Record{Key: startsInTransitKey(number)}
+}
+
+// startsInTransitKey returns the key of the record of starts in transit with a number.
+func startsInTransitKey(number int64) string { return keyInTransit + strconv.FormatInt(number, 10) }
+
+// ExemptRunsRecord returns the record of the runs that may be ordered again without a record of their start.
+func ExemptRunsRecord(runs any) stream.Record { return newRecord(keyExempt, runs) }
+
 // RunEnd is the recorded end of a run that was reported to a holder which could not decode its job.
 type RunEnd struct {
 	Run        order.Run       `json:"run"`
@@ -176,6 +196,10 @@
 	CrashRate []byte
 	// RecentStarts are the values of the records of recently started tasks.
 	RecentStarts [][]byte
+	// StartsInTransit are the records of starts in transit, in the order of their offsets. ExemptRuns is the value
+	// of the record of the runs that need none, or nil if there is no such record.
+	StartsInTransit []StartsInTransit
+	ExemptRuns      []byte
 	// Unread are the records that could not be decoded, UnreadJobs the jobs and UnreadWorkers the names
 	// of the workers that some of them describe.
 	Unread        []Unread
@@ -185,6 +209,12 @@
 	Ends []RunEnd
 }
 
+// StartsInTransit is a numbered record of starts in transit.
+type StartsInTransit struct {
+	Number int64
+	Value  []byte
+}
+
 // UnreadJob is a job whose submission or progress could not be decoded. Ended is set if it has no
 // submission any more.
 type UnreadJob struct {
@@ -217,6 +247,7 @@
 	}
 	var s State
 	s.RunTimes, s.Speeds, s.CrashRate = newest[keyTimes].Value, newest[keySpeeds].Value, newest[keyCrashes].Value
+	s.ExemptRuns = newest[keyExempt].Value
 	byOffset := slices.SortedFunc(maps.Values(newest), func(a, b stream.Record) int {
 		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
 	})
@@ -277,6 +308,9 @@
 	if strings.HasPrefix(r.Key, keyStarts) {
 		s.RecentStarts = append(s.RecentStarts, r.Value)
 	}
+	if number, ok := strings.CutPrefix(r.Key, keyInTransit); ok {
+		s.addStartsInTransit(number, r)
+	}
 	if strings.HasPrefix(r.Key, keyEnd) {
 		s.decodeRunEnd(r)
 	}
@@ -295,6 +329,16 @@
 	}
 }
 
+// addStartsInTransit adds a record of starts in transit, given the number in its key.
+func (s *State) addStartsInTransit(number string, r stream.Record) {
+	n, err := strconv.ParseInt(number, 10, 64)
+	if err != nil {
+		s.addUnread(r.Key, err)
+		return
+	}
+	s.StartsInTransit = append(s.StartsInTransit, StartsInTransit{Number: n, Value: r.Value})
+}
+
 // decodeRunEnd decodes the record of the end of a run.
 func (s *State) decodeRunEnd(r stream.Record) {
 	var e RunEnd
