dispatch: no acknowledgement to a worker that may carry out a start of an earlier holder

Cause: a holder acknowledges no ends of a worker while a copy of a start may run on its later incarnation, since the acknowledgement would count for the copy's end. It asks its attempts, and an adopted run had no orders of this holder, so it counted as ordered once.

--- a/services/dispatch/attempts.go
+++ b/services/dispatch/attempts.go
@@ -58,6 +58,8 @@
 	// adopted is set if an earlier holder started the run, resumed if it began from a
 	// checkpoint.
 	adopted, resumed bool
+	// inheritedTransit is set if a copy of an earlier holder's order to start the run may be in transit.
+	inheritedTransit bool
 	// onlyLogged is set if the run is known only from the log: its worker was unresponsive
 	// under the earlier holder.
 	onlyLogged bool
--- a/services/dispatch/earliercopies_test.go
+++ b/services/dispatch/earliercopies_test.go
@@ -52,6 +52,28 @@
 	c.requireNoLoss()
 }
 
+// No copy of the start has been carried out when the later holder takes over, so the worker does not report the run.
+// It acknowledges the end of the next run of the task; the acknowledgement and the start are late.
+func TestEndOfUnreportedStartOfEarlierHolderIsNotLostToAcknowledgement(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(300 * time.Millisecond)
+	start := c.take(startOrder)
+	c.held = nil
+	c.holds = func(o *transitOrder) bool { return o.acknowledged > 0 }
+	c.takeOver()
+	c.run(2 * time.Second)
+	if len(c.held) == 0 {
+		return // The holder acknowledges nothing while the start may arrive.
+	}
+	acknowledgement := c.take(renewalOrder)
+	c.holds = holdKind(renewalOrder)
+	c.restartSilently("w", 2000)
+	c.deliver(start)
+	c.endOfLaterIncarnation(acknowledgement)
+}
+
 // The run of the task was ordered by an earlier holder and lost; the task is done by a run of the later one.
 func TestStartOfEarlierHolderIsNotCarriedOutAfterTaskWasDoneElsewhere(t *testing.T) {
 	c := newDeliveryCell(t, "v", "w")
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -110,7 +110,9 @@
 // mayStartOnSuccessor reports whether a later incarnation of the attempt's worker may carry out an
 // order to start it. It cannot if there was only one order and the earlier incarnation has reported
 // the run.
-func (a *attempt) mayStartOnSuccessor() bool { return a.reportedAt.IsZero() || a.orderCount > 1 }
+func (a *attempt) mayStartOnSuccessor() bool {
+	return a.reportedAt.IsZero() || a.orderCount > 1 || a.inheritedTransit
+}
 
 // moveToSuccessor places an attempt on a later incarnation of its worker, which may have started the
 // run or may still do so. The attempt stays there until that incarnation reports what it runs. If the
@@ -119,7 +121,8 @@
 	h.unassign(a)
 	n := &attempt{
 		step: a.step, index: a.index, run: a.run, worker: successor, state: attemptUnconfirmed, pace: unknownPace, firstOrderedAt: a.firstOrderedAt, lastOrderedAt: a.lastOrderedAt,
-		checkpoint: a.checkpoint, ticket: a.ticket, orderCount: a.orderCount, resumed: a.resumed, onlyLogged: a.onlyLogged, fromEarlierIncarnation: true,
+		checkpoint: a.checkpoint, ticket: a.ticket, orderCount: a.orderCount, resumed: a.resumed, onlyLogged: a.onlyLogged, inheritedTransit: a.inheritedTransit,
+		fromEarlierIncarnation: true,
 	}
 	h.assign(now, n)
 	h.markStateChange(now, n)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -93,7 +93,9 @@
 // ended by now can still be started by a later incarnation: that one, if it exists, then has no ends.
 // While a start of an ended task is in transit, see package transit, no ends are acknowledged either.
 func (h *holderState) canAcknowledgeEnds(now time.Time, w *worker) bool {
-	if w.failedRenewals > 0 || w.incarnations.HasCandidate() || w.hold.Applies(now, w.reportedEnds.Unacknowledged(), h.core.settings.MaxListedEnds) {
+	hold := w.hold
+	hold.Extend(h.inheritedTransit.UntilOn(w.Name))
+	if w.failedRenewals > 0 || w.incarnations.HasCandidate() || hold.Applies(now, w.reportedEnds.Unacknowledged(), h.core.settings.MaxListedEnds) {
 		return false
 	}
 	for _, a := range w.attempts {
--- a/services/dispatch/reports.go
+++ b/services/dispatch/reports.go
@@ -114,9 +114,8 @@
 	}
 	a := &attempt{
 		step: s, index: r.Task.Index, run: r.Number, worker: w, state: attemptRunning, stateSince: now, renewalsSent: h.renewalsSent, stopConfirmed: true, adopted: true,
-		pace: unknownPace,
+		pace: unknownPace, inheritedTransit: h.recordInheritedTransit(s, r.Run),
 	}
-	h.recordInheritedTransit(s, r.Run)
 	h.assign(now, a)
 	s.lastRun = max(s.lastRun, r.Number)
 	h.markStarted(a)
--- a/services/dispatch/startsintransit.go
+++ b/services/dispatch/startsintransit.go
@@ -103,9 +103,11 @@
 }
 
 // recordInheritedTransit records with a task that a copy of an earlier holder's order to start a run of it may be
-// in transit, if that is so.
-func (h *holderState) recordInheritedTransit(s *step, run order.Run) {
-	if h.inheritedTransit.Has(run) {
-		s.tasks[run.Task.Index].startsInTransit.RecordUnanswered(h.startedAt)
+// in transit, if that is so, and reports whether it is.
+func (h *holderState) recordInheritedTransit(s *step, run order.Run) bool {
+	if !h.inheritedTransit.Has(run) {
+		return false
 	}
+	s.tasks[run.Task.Index].startsInTransit.RecordUnanswered(h.startedAt)
+	return true
 }
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -125,9 +125,8 @@
 	}
 	a := &attempt{
 		step: s, index: run.Task.Index, run: run.Number, worker: w, state: attemptRunning, stateSince: now, stopConfirmed: true, adopted: true,
-		pace: unknownPace, onlyLogged: true,
+		pace: unknownPace, onlyLogged: true, inheritedTransit: h.recordInheritedTransit(s, run),
 	}
-	h.recordInheritedTransit(s, run)
 	h.assign(now, a)
 	s.lastRun = max(s.lastRun, run.Number)
 	return a
--- a/services/transit/inherited.go
+++ b/services/transit/inherited.go
@@ -75,9 +75,10 @@
 
 // Inherited are the starts of earlier holders that may still be carried out. The zero value has none.
 type Inherited struct {
-	runs   map[order.Run]bool
-	steps  map[job.StepID]bool
-	exempt Exempt
+	runs    map[order.Run]bool
+	steps   map[job.StepID]bool
+	workers map[string]bool
+	exempt  Exempt
 	// areAllExempt is set if every run counts as exempt.
 	areAllExempt bool
 	until        time.Time
@@ -85,9 +86,9 @@
 
 // NewInherited returns the starts of which a log says that they may be carried out until a time.
 func NewInherited(log Log, until time.Time) Inherited {
-	all := Inherited{runs: map[order.Run]bool{}, steps: map[job.StepID]bool{}, exempt: log.Exempt, areAllExempt: log.AllExempt, until: until}
+	all := Inherited{runs: map[order.Run]bool{}, steps: map[job.StepID]bool{}, workers: map[string]bool{}, exempt: log.Exempt, areAllExempt: log.AllExempt, until: until}
 	for _, s := range log.Starts {
-		all.runs[s.Run()], all.steps[s.Task.StepID] = true, true
+		all.runs[s.Run()], all.steps[s.Task.StepID], all.workers[s.Worker] = true, true, true
 	}
 	return all
 }
@@ -100,6 +101,15 @@
 	return i.runs[run] || i.areAllExempt || slices.Contains(i.exempt, run.Number)
 }
 
+// UntilOn returns the last moment at which a start that the log names may be carried out by a worker of the
+// given name, or the zero time if there is none.
+func (i *Inherited) UntilOn(worker string) time.Time {
+	if !i.workers[worker] {
+		return time.Time{}
+	}
+	return i.until
+}
+
 // UntilOfStep returns the last moment at which a start of a run, or of any task of its step, may be carried out, or
 // the zero time if there is none.
 func (i *Inherited) UntilOfStep(run order.Run) time.Time {
--- a/services/transit/orders_test.go
+++ b/services/transit/orders_test.go
@@ -124,6 +124,8 @@
 	assert.Check(t, inherited.Has(start("j", 1).Run()))
 	assert.Check(t, inherited.Has(start("k", 9).Run()), "it may have been repeated although the log does not name it")
 	assert.Check(t, !inherited.Has(start("j", 2).Run()))
+	assert.Equal(t, inherited.UntilOn("w"), until)
+	assert.Check(t, inherited.UntilOn("v").IsZero())
 	assert.Equal(t, inherited.UntilOfStep(order.Run{Task: start("j", 2).Task, Number: 2}), until)
 	assert.Check(t, inherited.UntilOfStep(start("k", 2).Run()).IsZero())
 
