dispatch: an unanswered start is noted also if its worker has restarted since

Callers would see: a done task runs again. A worker restarts, its later incarnation answers before the call of a start has ended, the task is done elsewhere and acknowledged, the worker restarts once more, and the start is carried out by an incarnation that no order has reached.

Cause: handleStartEnded returned before it noted the unanswered start when the order was for an incarnation that is not the current one.

Ruled out: the fence number, which the third incarnation does not have. Cost: none beyond the hold that every unanswered start already causes.

--- a/services/dispatch/earliercopies_test.go
+++ b/services/dispatch/earliercopies_test.go
@@ -126,3 +126,22 @@
 	c.run(time.Second)
 	c.requireNoLoss()
 }
+
+// Within one claim: the worker restarts, and its later incarnation answers before the call of the start has ended
+// without an answer. The task is done elsewhere, and the worker restarts once more.
+func TestStartUnansweredAfterRestartIsNotCarriedOutBySecondLaterIncarnation(t *testing.T) {
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(50 * time.Millisecond)
+	start := c.take(startOrder)
+	c.holds = holdNone
+	c.restart(start.worker.Name, 2000)
+	c.listWorkers()
+	c.runUntil(3*time.Second, "the task is started elsewhere", func() bool { return len(c.starts) > 0 })
+	c.run(2 * time.Second)
+	c.restart(start.worker.Name, 3000)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -83,7 +83,11 @@
 	if e.Epoch != h.epoch {
 		return
 	}
-	h.startOrders.End(now, e.Run, e.Answer.Outcome != order.Unknown)
+	answered := e.Answer.Outcome != order.Unknown
+	h.startOrders.End(now, e.Run, answered)
+	if !answered {
+		h.recordStartInTransit(now, e.Run)
+	}
 	w := h.currentWorker(e.Worker)
 	if w == nil {
 		return
@@ -94,7 +98,6 @@
 	}
 	if e.Answer.Outcome == order.Unknown {
 		w.incarnations.RaiseFence(e.Fence)
-		h.recordStartInTransit(now, e.Run)
 	} else {
 		w.unansweredSince = time.Time{}
 	}
