dispatch: no end of a worker is acknowledged while a start there may be in transit, also without its attempt

Callers would see: a task runs to its end and once more. A start and its repetitions get no answer, the worker reports that it does not have the run, the run is stopped and started anew, an end of another task is acknowledged; the worker restarts, a copy of the start ends on the later incarnation as its end 1, and the acknowledgement, late too, drops that end.

Cause: canAcknowledgeEnds asks the attempts of the worker whether a start may be in transit, and the attempt is gone once the worker has reported that it does not have the run.

Ruled out: the fence number (start and acknowledgement may be the first orders that the later incarnation receives); an order of events that only a harness has (it has nothing but late orders and one restart whose connections stay open).

--- a/services/dispatch/earliercopies_test.go
+++ b/services/dispatch/earliercopies_test.go
@@ -145,3 +145,25 @@
 	c.run(time.Second)
 	c.requireNoLoss()
 }
+
+// Within one claim: no copy of a start is carried out, the worker reports that it does not have the run, and the
+// holder acknowledges the end of another task there. The acknowledgement and a copy of the start are late.
+func TestEndOfStartThatWorkerDoesNotReportIsNotLostToAcknowledgement(t *testing.T) {
+	c := newDeliveryCell(t, "w")
+	c.holds = holdKind(startOrder)
+	c.submit("j")
+	c.run(2 * time.Second)
+	start := c.take(startOrder)
+	c.held = nil
+	c.holds = func(o *transitOrder) bool { return o.acknowledged > 0 }
+	c.submit("k")
+	c.run(3 * time.Second)
+	if len(c.held) == 0 {
+		return // The holder acknowledges nothing while the start may arrive.
+	}
+	acknowledgement := c.take(renewalOrder)
+	c.holds = holdKind(renewalOrder)
+	c.restartSilently("w", 2000)
+	c.deliver(start)
+	c.endOfLaterIncarnation(acknowledgement)
+}
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -86,7 +86,7 @@
 	answered := e.Answer.Outcome != order.Unknown
 	h.startOrders.End(now, e.Run, answered)
 	if !answered {
-		h.recordStartInTransit(now, e.Run)
+		h.recordStartInTransit(now, e.Worker.Name, e.Run)
 	}
 	w := h.currentWorker(e.Worker)
 	if w == nil {
--- a/services/dispatch/startsintransit.go
+++ b/services/dispatch/startsintransit.go
@@ -15,8 +15,13 @@
 // A start order without an answer may be carried out seconds later, also after a takeover. The log says which
 // starts of earlier holders that may be, see package transit.
 
-// recordStartInTransit records that an order to start a run got no answer.
-func (h *holderState) recordStartInTransit(now time.Time, run order.Run) {
+// recordStartInTransit records that an order to start a run on a worker of the given name got no answer. Until the
+// order is over, the ends of its task stay unacknowledged, and so do all ends of the worker: a later incarnation
+// that carries the order out would take an acknowledgement for one of the end of this run.
+func (h *holderState) recordStartInTransit(now time.Time, name string, run order.Run) {
+	if w := h.workers[name]; w != nil {
+		w.hold.Extend(now.Add(transit.MaxDelay))
+	}
 	if s := h.findStep(run.Task.StepID); s != nil && run.Task.Index < len(s.tasks) {
 		s.tasks[run.Task.Index].startsInTransit.RecordUnanswered(now)
 	}
