--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -107,7 +107,7 @@
 	// inheritedStarts are the latest starts that earlier holders ordered on workers which have
 	// not yet reported what they run.
 	inheritedStarts startlog.LoggedStarts
-	// nextRun is the number of the next run. It rises from one claim to the next.
+	// nextRun is the lowest number for the next run.
 	nextRun int64
 	// startOrders are the start orders of this holder that were not all answered, inheritedTransit those of
 	// earlier holders that may still be carried out. waitingRepeats are the attempts whose start is sent again
@@ -227,11 +227,11 @@
 		h.flush(now)
 		return
 	}
-	if h.areFencesUsed() {
+	switch {
+	case h.areFencesUsed():
 		h.core.stepDown(reasonFencesUsed)
 		return
-	}
-	if h.areRunsUsed() {
+	case h.areRunsUsed():
 		h.core.stepDown(reasonRunsUsed)
 		return
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -99,13 +99,19 @@
 		return false
 	}
 	for _, a := range w.attempts {
-		if a.state == attemptStarting || a.mayStartOnSuccessor() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) && !h.areOrdersOver(a) {
+		if a.state == attemptStarting || h.mayHaveEndedOnSuccessor(now, a) {
 			return false
 		}
 	}
 	return true
 }
 
+// mayHaveEndedOnSuccessor reports whether a later incarnation of the attempt's worker, if there is one, may have
+// started the run and ended it by now.
+func (h *holderState) mayHaveEndedOnSuccessor(now time.Time, a *attempt) bool {
+	return a.mayStartOnSuccessor() && endreports.MayHaveEnded(now.Sub(a.firstOrderedAt), h.usualTime(a.step)) && !h.areOrdersOver(a)
+}
+
 // areOrdersOver reports whether the worker's current incarnation has answered a renewal after the last
 // moment at which a copy of the attempt's start order could be carried out.
 func (h *holderState) areOrdersOver(a *attempt) bool {
@@ -315,33 +321,41 @@
 	h.applyReport(now, w, e)
 	h.confirmFence(now, w)
 	if !w.reported && !h.mayOmitEnds(e.Report) {
-		w.reported = true
-		h.inheritedStarts.Forget(w.Incarnation)
-		h.blame.RecordReport(w.Incarnation, w.runsBlameUnit)
-		inherited := h.unreportedWorkers[w.Name]
-		delete(h.unreportedWorkers, w.Name)
-		h.recordWorker(w)
-		if inherited && len(h.unreportedWorkers) == 0 {
-			h.core.logEvent("all workers of earlier holders have reported their runs", logField("claim", h.epoch), logField("took", now.Sub(h.startedAt).String()))
-		}
+		h.recordFirstReport(now, w)
 	}
 	h.planDue = true
-	w.renewAt = now
-	if w.reportedEnds.HasPending() {
-		w.renewAt = now.Add(minRenewIntervalAfterEnds)
-		if w.reportedEnds.HasUnlogged() {
-			w.renewAt = now.Add(renewDelayWhileUnlogged)
-		}
-		if w.reportedEnds.HasLogged() && now.Sub(w.noneLoggedAt) > maxAcknowledgeDelay && h.canAcknowledgeEnds(now, w) {
-			// A busy worker always has runs that have started since its last report, except now.
-			w.renewAt = now
-			h.renew(now, w)
-		}
-		return
-	}
+	w.renewAt = h.nextRenewal(now, w)
 	h.renew(now, w)
 }
 
+// recordFirstReport records that a worker has reported all its runs to this holder.
+func (h *holderState) recordFirstReport(now time.Time, w *worker) {
+	w.reported = true
+	h.inheritedStarts.Forget(w.Incarnation)
+	h.blame.RecordReport(w.Incarnation, w.runsBlameUnit)
+	inherited := h.unreportedWorkers[w.Name]
+	delete(h.unreportedWorkers, w.Name)
+	h.recordWorker(w)
+	if inherited && len(h.unreportedWorkers) == 0 {
+		h.core.logEvent("all workers of earlier holders have reported their runs", logField("claim", h.epoch), logField("took", now.Sub(h.startedAt).String()))
+	}
+}
+
+// nextRenewal returns when the next renewal of a worker is due that has just answered one.
+func (h *holderState) nextRenewal(now time.Time, w *worker) time.Time {
+	switch {
+	case !w.reportedEnds.HasPending():
+		return now
+	case w.reportedEnds.HasLogged() && now.Sub(w.noneLoggedAt) > maxAcknowledgeDelay && h.canAcknowledgeEnds(now, w):
+		// A busy worker always has runs that have started since its last report, except now.
+		return now
+	case w.reportedEnds.HasUnlogged():
+		return now.Add(renewDelayWhileUnlogged)
+	default:
+		return now.Add(minRenewIntervalAfterEnds)
+	}
+}
+
 // sweepWorkers sends the renewals that are due and releases the attempts of workers whose lease has
 // expired.
 func (h *holderState) sweepWorkers(now time.Time) {
--- a/services/dispatch/starts.go
+++ b/services/dispatch/starts.go
@@ -92,19 +92,23 @@
 	if w == nil {
 		return
 	}
-	if e.Answer.Outcome == order.WrongIncarnation {
+	switch {
+	case e.Answer.Outcome == order.WrongIncarnation:
 		h.handleWrongIncarnation(now, w)
 		return
-	}
-	if e.Answer.Outcome == order.Unknown {
-		w.incarnations.RaiseFence(e.Fence)
-	} else {
+	case answered:
 		w.unansweredSince = time.Time{}
+	default:
+		w.incarnations.RaiseFence(e.Fence)
 	}
-	a := w.attempts[e.Run]
-	if a == nil {
-		return
+	if a := w.attempts[e.Run]; a != nil {
+		h.applyStartAnswer(now, a, e)
 	}
+}
+
+// applyStartAnswer applies the answer to the last order to start an attempt, or that there was none.
+func (h *holderState) applyStartAnswer(now time.Time, a *attempt, e exchange.StartEnded) {
+	w := a.worker
 	if a.orderCount == 1 && e.Answer.Outcome != order.Unknown {
 		h.answerDelays.Record(now, now.Sub(a.lastOrderedAt))
 	}
--- a/services/dispatch/startsintransit.go
+++ b/services/dispatch/startsintransit.go
@@ -12,12 +12,12 @@
 	"saddlevane/services/transit"
 )
 
-// A start order without an answer may be carried out seconds later, also after a takeover. The log says which
-// starts of earlier holders that may be, see package transit.
+// A start order without an answer may be carried out seconds later, also after a takeover. Package transit keeps
+// account of these orders, and of what the log says about them.
 
 // recordStartInTransit records that an order to start a run on a worker of the given name got no answer. Until the
 // order is over, the ends of its task stay unacknowledged, and so do all ends of the worker: a later incarnation
-// that carries the order out would take an acknowledgement for one of the end of this run.
+// that carries the order out would take an acknowledgement for that of its own end.
 func (h *holderState) recordStartInTransit(now time.Time, name string, run order.Run) {
 	if w := h.workers[name]; w != nil {
 		w.hold.Extend(now.Add(transit.MaxDelay))
@@ -38,6 +38,7 @@
 	case h.journal.isFailing(now):
 		return false
 	default:
+		h.startOrders.Await(a.runID())
 		h.waitingRepeats = append(h.waitingRepeats, a)
 		h.core.logEvent("repetition of a start order waits for the log", logField("job", string(a.step.job.id)),
 			logField("task", a.runID().Task.String()), logField("run", a.run), logField("worker", a.worker.Incarnation.String()))
--- a/services/transit/orders.go
+++ b/services/transit/orders.go
@@ -28,18 +28,21 @@
 // names it. So of a run that the log does not name there was one order only: if a worker has it, nothing of it
 // is in transit.
 //
-// One run number at a time is exempt, the next one when the log was told so: in a cell with few starts no
-// repetition waits for the log. The next holder takes it for repeated. The zero value has no orders.
+// One run number at a time is exempt from that: the one that was the next when the log last got another one. In a
+// cell with few starts that is the number of each new run, so its repetition does not wait for the log. The next
+// holder counts exempt runs as repeated.
+//
+// The zero value has no orders.
 type Orders struct {
 	runs map[order.Run]*runOrders
 	// unrecorded are the runs that no record names yet, in the order in which they were first ordered.
-	// unanswered are those that some order of which got no answer.
+	// unanswered are those of which an order got no answer.
 	unrecorded, unanswered []*runOrders
 	// records are those in the log, the oldest first, and nextNumber is the number of the next one.
 	records    []*record
 	nextNumber int64
-	// exempt is the run number that was added to an append as exempt, at exemptAt, or 0. It is so once the
-	// log has confirmed that, when isExemptLogged is set.
+	// exempt is the run number that was last added to an append as exempt, at exemptAt, or 0. It is exempt once
+	// the log has confirmed that, which sets isExemptLogged; from the append on no earlier one is.
 	exempt         int64
 	exemptAt       time.Time
 	isExemptLogged bool
@@ -124,18 +127,20 @@
 	}
 }
 
-// MayRepeat reports whether an order to start a run may be sent again. If not, it may be once the log has the
-// record that names the run.
+// MayRepeat reports whether an order to start a run may be sent again.
 func (o *Orders) MayRepeat(run order.Run) bool {
 	r := o.runs[run]
-	if r == nil || r.record != nil && r.record.isLogged || o.isExemptLogged && run.Number == o.exempt {
-		return true
+	return r == nil || r.record != nil && r.record.isLogged || o.isExemptLogged && run.Number == o.exempt
+}
+
+// Await has the record that names a run made at once, because a repetition waits for it.
+func (o *Orders) Await(run order.Run) {
+	if r := o.runs[run]; r != nil {
+		r.isAwaited = true
 	}
-	r.isAwaited = true
-	return false
 }
 
-// NeedsAppend reports whether the runs that have to be recorded have waited long enough for another append.
+// NeedsAppend reports whether a run has to be recorded and can wait no longer for another append.
 func (o *Orders) NeedsAppend(now time.Time) bool {
 	r := o.next(now)
 	return r != nil && (r.isAwaited || now.Sub(r.recordAt) >= maxRecordDelay)
--- a/services/transit/orders_test.go
+++ b/services/transit/orders_test.go
@@ -47,6 +47,8 @@
 	o.Send(now, start("j", 1), orderTimeout)
 	o.End(now, run, false)
 	assert.Check(t, !o.MayRepeat(run))
+	assert.Check(t, !o.NeedsAppend(now), "another append may follow soon")
+	o.Await(run)
 	assert.Check(t, o.NeedsAppend(now), "a repetition waits")
 	_, starts := o.Take(now)
 	assert.Equal(t, len(starts), 1)
--- a/services/transit/transit.go
+++ b/services/transit/transit.go
@@ -2,7 +2,8 @@
 // SPDX-License-Identifier: MIT
 
 // Package transit keeps account of start orders that got no answer and may still be carried out, and
-// decides how long the ends of tasks stay unacknowledged because of that.
+// decides how long the ends of tasks stay unacknowledged because of that. It also decides what the log says
+// about these orders, so that the next holder knows them.
 //
 // An incarnation of a worker that no order has reached yet accepts any start, also that of a task that is
 // done. An end that was not acknowledged before its worker restarted counts as not taken note of, so the
