--- a/services/dispatch/earliercopies_test.go
+++ b/services/dispatch/earliercopies_test.go
@@ -12,7 +12,32 @@
 	"gotest.tools/v3/assert"
 )
 
-// In these tests start orders of an earlier holder are in transit after a takeover.
+// In these tests start orders are in transit longer than what they were ordered by or for: a holder, an attempt, an
+// incarnation.
+
+// requireNoLossAfterRestart restarts the worker that a start is on the way to, which carries it out before it
+// receives any other order, and requires that nothing is lost or started again.
+func (c *deliveryCell) requireNoLossAfterRestart(start *transitOrder, born int64) {
+	c.t.Helper()
+	c.restart(start.worker.Name, born)
+	c.deliver(start)
+	c.run(time.Second)
+	c.requireNoLoss()
+}
+
+// requireEndIsKept restarts worker w, which carries out a start and then receives the acknowledgement that is in
+// transit, and requires that the end of the start is not lost. The holder may have sent no acknowledgement.
+func (c *deliveryCell) requireEndIsKept(start *transitOrder) {
+	c.t.Helper()
+	if len(c.held) == 0 {
+		return
+	}
+	acknowledgement := c.take(renewalOrder)
+	c.holds = holdKind(renewalOrder)
+	c.restartSilently("w", 2000)
+	c.deliver(start)
+	c.endOfLaterIncarnation(acknowledgement)
+}
 
 // Another holder takes over before it has appended anything, so the log has only what the first one knew.
 func TestCopyOfStartIsNotCarriedOutAfterTwoTakeoversInARow(t *testing.T) {
@@ -64,14 +89,7 @@
 	c.holds = func(o *transitOrder) bool { return o.acknowledged > 0 }
 	c.takeOver()
 	c.run(2 * time.Second)
-	if len(c.held) == 0 {
-		return // The holder acknowledges nothing while the start may arrive.
-	}
-	acknowledgement := c.take(renewalOrder)
-	c.holds = holdKind(renewalOrder)
-	c.restartSilently("w", 2000)
-	c.deliver(start)
-	c.endOfLaterIncarnation(acknowledgement)
+	c.requireEndIsKept(start)
 }
 
 // The run of the task was ordered by an earlier holder and lost; the task is done by a run of the later one.
@@ -85,10 +103,7 @@
 	c.takeOver()
 	c.run(3 * time.Second)
 	assert.Assert(t, len(c.starts) == 1, "the task must have run")
-	c.restart(start.worker.Name, 2000)
-	c.deliver(start)
-	c.run(time.Second)
-	c.requireNoLoss()
+	c.requireNoLossAfterRestart(start, 2000)
 }
 
 // The earlier holder has recorded that the job has ended. It keeps the end unacknowledged because of the start.
@@ -104,10 +119,7 @@
 	c.run(time.Second)
 	c.takeOver()
 	c.run(2 * time.Second)
-	c.restart(start.worker.Name, 3000)
-	c.deliver(start)
-	c.run(time.Second)
-	c.requireNoLoss()
+	c.requireNoLossAfterRestart(start, 3000)
 }
 
 // The earlier holder is lost before the log names the start.
@@ -121,10 +133,7 @@
 	c.takeOver()
 	c.run(3 * time.Second)
 	assert.Assert(t, len(c.starts) == 1, "the task must have run")
-	c.restart(start.worker.Name, 2000)
-	c.deliver(start)
-	c.run(time.Second)
-	c.requireNoLoss()
+	c.requireNoLossAfterRestart(start, 2000)
 }
 
 // Within one claim: the worker restarts, and its later incarnation answers before the call of the start has ended
@@ -140,10 +149,7 @@
 	c.listWorkers()
 	c.runUntil(3*time.Second, "the task is started elsewhere", func() bool { return len(c.starts) > 0 })
 	c.run(2 * time.Second)
-	c.restart(start.worker.Name, 3000)
-	c.deliver(start)
-	c.run(time.Second)
-	c.requireNoLoss()
+	c.requireNoLossAfterRestart(start, 3000)
 }
 
 // Within one claim: no copy of a start is carried out, the worker reports that it does not have the run, and the
@@ -158,12 +164,5 @@
 	c.holds = func(o *transitOrder) bool { return o.acknowledged > 0 }
 	c.submit("k")
 	c.run(3 * time.Second)
-	if len(c.held) == 0 {
-		return // The holder acknowledges nothing while the start may arrive.
-	}
-	acknowledgement := c.take(renewalOrder)
-	c.holds = holdKind(renewalOrder)
-	c.restartSilently("w", 2000)
-	c.deliver(start)
-	c.endOfLaterIncarnation(acknowledgement)
+	c.requireEndIsKept(start)
 }
