dispatch, transit: tests share the gang beside a copy of a start; one way to extend a time

Found by reading the change again: the set-up of TestCopyOfStartOfMemberIsNotCarriedOutAfterGangIsDone stood a second time, and Starts.RecordUnanswered repeated Extend.

--- a/services/dispatch/earliercopies_test.go
+++ b/services/dispatch/earliercopies_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"saddlevane/models/resource"
-
 	"gotest.tools/v3/assert"
 )
 
@@ -58,15 +56,7 @@
 // The copy is that of the start of one member of a gang. The worker of another member reports the success to the
 // later holder, which learns nothing from the worker that the copy is on the way to.
 func TestCopyOfStartOfMemberIsNotCarriedOutAfterLaterHolderAcknowledgedGang(t *testing.T) {
-	c := newDeliveryCell(t, "v", "w")
-	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
-	c.workers["v"].runTime, c.workers["w"].runTime = time.Second, 600*time.Millisecond
-	s := oneStep("j", "quick", 2, true)
-	s.Steps[0].PerWorker = 1
-	s.Steps[0].Need.Processors = 40 * resource.Processor
-	c.submitJob(s)
-	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 2 })
-	start := c.take(startOrder)
+	c, start := gangBesideCopy(t)
 	c.holds = func(o *transitOrder) bool { return o.kind == renewalOrder && o.worker.Name == "w" }
 	c.takeOver()
 	c.run(1500 * time.Millisecond)
--- a/services/dispatch/laterincarnation_test.go
+++ b/services/dispatch/laterincarnation_test.go
@@ -49,6 +49,21 @@
 	return c, c.take(startOrder)
 }
 
+// gangBesideCopy returns a cell whose workers v and w run a gang after a repeated start on w, while the first copy of
+// that start is still in transit, and the copy.
+func gangBesideCopy(t *testing.T) (*deliveryCell, *transitOrder) {
+	t.Helper()
+	c := newDeliveryCell(t, "v", "w")
+	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
+	c.workers["v"].runTime, c.workers["w"].runTime = time.Second, 600*time.Millisecond
+	s := oneStep("j", "quick", 2, true)
+	s.Steps[0].PerWorker = 1
+	s.Steps[0].Need.Processors = 40 * resource.Processor
+	c.submitJob(s)
+	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 2 })
+	return c, c.take(startOrder)
+}
+
 // deliverToUnreachedIncarnation restarts worker w and delivers a start to its later incarnation before any
 // order of the holder.
 func (c *deliveryCell) deliverToUnreachedIncarnation(start *transitOrder) {
@@ -97,15 +112,7 @@
 
 // The copy is that of the start of one member of a gang, and the worker of another member reports the success.
 func TestCopyOfStartOfMemberIsNotCarriedOutAfterGangIsDone(t *testing.T) {
-	c := newDeliveryCell(t, "v", "w")
-	c.holds = func(o *transitOrder) bool { return o.kind == startOrder && o.worker.Name == "w" && len(c.held) == 0 }
-	c.workers["v"].runTime, c.workers["w"].runTime = time.Second, 600*time.Millisecond
-	s := oneStep("j", "quick", 2, true)
-	s.Steps[0].PerWorker = 1
-	s.Steps[0].Need.Processors = 40 * resource.Processor
-	c.submitJob(s)
-	c.runUntil(2*time.Second, "the repeated start is carried out", func() bool { return len(c.starts) == 2 })
-	start := c.take(startOrder)
+	c, start := gangBesideCopy(t)
 	// The success of the member on v is reported first.
 	c.holds = func(o *transitOrder) bool { return o.kind == renewalOrder && o.worker.Name == "w" }
 	c.run(1500 * time.Millisecond)
--- a/services/transit/orders_test.go
+++ b/services/transit/orders_test.go
@@ -150,7 +150,7 @@
 	assert.Equal(t, number, int64(8), "a record of an earlier holder must not be replaced")
 }
 
-// The last holder had held the cell for a while when it told the log. What it had inherited itself is older than that.
+// The last holder had held the cell for a while when it made its last record. What it had inherited itself is older than that.
 func TestStartsThatWereInheritedBeforeAreOverEarlier(t *testing.T) {
 	exempt := transit.Exempt{Run: 9, Earlier: []int64{3}, FirstRecord: 8, HeldFor: 12_000}
 	log := logOf(t, 7, exempt, start("j", 1))
--- a/services/transit/transit.go
+++ b/services/transit/transit.go
@@ -28,7 +28,7 @@
 type Starts struct{ until time.Time }
 
 // RecordUnanswered records that a start of the task got no answer by now.
-func (s *Starts) RecordUnanswered(now time.Time) { s.until = ordered.Later(s.until, now.Add(MaxDelay)) }
+func (s *Starts) RecordUnanswered(now time.Time) { s.Extend(now.Add(MaxDelay)) }
 
 // Extend records that starts of the task may be carried out until a time.
 func (s *Starts) Extend(until time.Time) { s.until = ordered.Later(s.until, until) }
