--- a/services/dispatch/lateorderworlds_test.go
+++ b/services/dispatch/lateorderworlds_test.go
@@ -19,6 +19,13 @@
 // No task that is done may run again, and no job may wait forever while there is room.
 func TestNoTaskRunsTwiceBesideLateOrders(t *testing.T) {
 	worlds, first := lateOrderWorlds(t)
+	playLateOrderWorlds(t, worlds, first, func(*world) {})
+}
+
+// playLateOrderWorlds plays worlds with restarts and late orders for each share of late orders. schedule schedules
+// what else happens in a world.
+func playLateOrderWorlds(t *testing.T, worlds, first int64, schedule func(w *world)) {
+	t.Helper()
 	for _, share := range []float64{0.05, 0.2} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			for seed := first; seed < first+worlds; seed++ {
@@ -27,6 +34,7 @@
 					w := newWorld(t, seed, 3, 24)
 					w.scheduleRestarts()
 					w.lateOrderShare, w.lateOrdersIncludeRenewals = share, true
+					schedule(w)
 					w.runChecked(int(restartPeriod / (200 * time.Millisecond)))
 					w.lateOrderShare, w.lateOrdersIncludeRenewals = 0, false
 					w.run(settleTime)
--- a/services/dispatch/takeoverworlds_test.go
+++ b/services/dispatch/takeoverworlds_test.go
@@ -4,7 +4,6 @@
 package dispatch_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -19,23 +18,7 @@
 // second loss half of the workers restart, and calls do not reach them at first, while late orders do.
 func TestNoTaskRunsTwiceOverTakeoversBesideLateOrders(t *testing.T) {
 	worlds, first := takeoverWorlds(t)
-	for _, share := range []float64{0.05, 0.2} {
-		t.Run(fmt.Sprint(share), func(t *testing.T) {
-			for seed := first; seed < first+worlds; seed++ {
-				t.Run(fmt.Sprint(seed), func(t *testing.T) {
-					t.Parallel()
-					w := newWorld(t, seed, 3, 24)
-					w.scheduleRestarts()
-					w.lateOrderShare, w.lateOrdersIncludeRenewals = share, true
-					w.scheduleTakeovers(6 + 2*w.rng.Intn(2))
-					w.runChecked(int(restartPeriod / (200 * time.Millisecond)))
-					w.lateOrderShare, w.lateOrdersIncludeRenewals = 0, false
-					w.run(settleTime)
-					w.runUntilEndedWithoutIdleWaits()
-				})
-			}
-		})
-	}
+	playLateOrderWorlds(t, worlds, first, func(w *world) { w.scheduleTakeovers(6 + 2*w.rng.Intn(2)) })
 }
 
 // maxRestartDelay is the longest time from the loss of a holder until a worker restarts because of it.
