--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -140,33 +143,74 @@
 	return held
 }
 
-// large is a case of Acks and LOST. A large job comes whose tasks keep their progress.
+// ackTimeout is how long a cancelling may wait for its confirmation.
+const ackTimeout = 4 * time.Second
+
+// large is a case of Acks. A large job comes whose tasks keep their progress; then other jobs are cancelled.
 func large(c *cell, trouble bool) int {
-	const big = "b160000000000003"
-	c.works[big] = 12 * time.Second
+	const big, others = "b160000000000003", 8
+	c.works[big], c.uneven[big] = 4*time.Second, 500*time.Millisecond
+	var kept []string
+	for i := range others {
+		id := fmt.Sprintf("0de5%012x", i)
+		c.works[id] = 60 * time.Second
+		kept = append(kept, id)
+	}
 	for _, n := range c.runners {
 		n.saves = func(task string) bool { return strings.HasPrefix(task, big) }
 	}
-	if trouble {
-		job := map[string]any{
-			"spec": "case of the review", "repeatCount": 2, "firstRunMs": time.Now().UnixMilli() + 200, "intervalMs": 500,
-			"steps": []map[string]any{{"count": 6000, "cpu": 50, "memMb": 50, "estimatedMs": 12000, "checkpointing": true}},
-		}
-		c.record.say("accepted: %v", c.submit(big, job, 3))
-		time.Sleep(6 * time.Second)
-		c.record.say("at work: %d", c.atWork(big))
-	}
-	ok := 0
-	for i := range 20 {
-		id := fmt.Sprintf("5ca11f%010x", i)
-		if c.submit(id, jobOf(1, 500, 200, 400), 4) {
-			ok++
-			c.record.say("%s: %s", id, c.awaitState(id, 3*time.Second, "succeeded"))
+	stop := make(chan struct{})
+	callers := c.traffic(200*time.Millisecond, stop)
+	defer callers.Wait()
+	defer close(stop)
+	for _, id := range kept {
+		if !c.submit(id, jobOf(2, 500, 200, 60000), 4) {
+			c.record.say("%s was not accepted", id)
+			return notRun
 		}
 	}
-	c.record.say("accepted %d of 20; store refused %d", ok, c.store.refused)
+	time.Sleep(2 * time.Second)
 	if trouble {
-		c.record.say("%s", c.awaitState(big, 30*time.Second, "succeeded"))
+		step := map[string]any{"count": 60, "cpu": 500, "memMb": 100, "estimatedMs": 18000, "checkpointing": true}
+		job := map[string]any{"spec": "case of the review", "steps": []map[string]any{step, step, step}}
+		if !c.submit(big, job, 4) {
+			c.record.say("the large job was not accepted")
+			return notRun
+		}
+		c.record.say("a large job of 3 x 60 tasks is accepted")
+	}
+	time.Sleep(5 * time.Second)
+	c.record.say("at work of the large job: %d tasks; appends that the store refused for their size: %d", c.atWork(big), c.store.refusedAppends())
+	unconfirmed := c.cancelAll(kept)
+	c.record.say("cancels without 2xx or 410 after %v: %d of %d", ackTimeout, unconfirmed, others)
+	fresh := c.submit("f4e5400000000004", jobOf(1, 500, 200, 400), 5)
+	c.record.say("a new job was accepted: %v; appends refused so far: %d", fresh, c.store.refusedAppends())
+	if unconfirmed >= 3 && 10*unconfirmed > others {
+		c.record.say("Acks: more than a tenth of the cancels are not confirmed, with the store up and no link disturbed")
+		return broken
 	}
 	return held
 }
+
+// cancelAll cancels jobs at the same time, each again and again until it is confirmed, and returns how many are
+// not confirmed in time.
+func (c *cell) cancelAll(ids []string) int {
+	var all sync.WaitGroup
+	var unconfirmed atomic.Int64
+	for i, id := range ids {
+		all.Go(func() {
+			for end := time.Now().Add(ackTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				b := c.boxes[i%len(c.boxes)]
+				status, _ := call(http.MethodDelete, "http://"+b.frontend+routePrefix+id, routeHost, nil, time.Until(end))
+				c.record.add("caller: DELETE %s at %s -> %d", id, b.name, status)
+				if status/100 == 2 || status == http.StatusGone {
+					return
+				}
+				i++
+			}
+			unconfirmed.Add(1)
+		})
+	}
+	all.Wait()
+	return int(unconfirmed.Load())
+}
--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -27,8 +27,9 @@
 	dir     string
 
 	mu sync.Mutex
-	// works has how long the tasks of a job work, by the job's id. Others take usualWork.
-	works map[string]time.Duration
+	// works has how long the first task of each step of a job works, by the job's id, and uneven how much longer
+	// each further one does. The tasks of other jobs take usualWork.
+	works, uneven map[string]time.Duration
 	// accepted has the jobs that were answered with a 2xx, and when.
 	accepted map[string]time.Time
 }
@@ -44,7 +45,7 @@
 
 // newCell starts the stand-ins and the boxes, and waits until all boxes are ready.
 func newCell(r *record, o options, runners int) (*cell, error) {
-	c := &cell{record: r, works: map[string]time.Duration{}, accepted: map[string]time.Time{}}
+	c := &cell{record: r, works: map[string]time.Duration{}, uneven: map[string]time.Duration{}, accepted: map[string]time.Time{}}
 	var err error
 	if c.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return c, err
@@ -99,10 +100,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id, _, _ := strings.Cut(task, ".")
-	if work, known := c.works[id]; known {
+	work, known := c.works[id]
+	if !known {
+		return usualWork
+	}
+	var instance, step, index int
+	if _, err := fmt.Sscanf(task[len(id):], ".%d.%d.%d", &instance, &step, &index); err != nil {
 		return work
 	}
-	return usualWork
+	return work + time.Duration(index)*c.uneven[id]
 }
 
 // holder returns the box that holds the cell, or nil.
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,8 +20,10 @@
 	stopTime     = 100 * time.Millisecond
 	saveInterval = 500 * time.Millisecond
 	listedEnds   = 500
-	serviceName  = "loan-core"
-	lapseAfter   = 4500 * time.Millisecond
+	// savedBytes is the size of a checkpoint. The pages call it a text and name no limit.
+	savedBytes  = 2000
+	serviceName = "loan-core"
+	lapseAfter  = 4500 * time.Millisecond
 )
 
 // task is what the rig knows of a task: how long it works.
@@ -77,10 +80,12 @@
 
 // saved returns the run's checkpoint, which is renewed with every saveInterval of work.
 func (r *run) saved() string {
-	if n := time.Since(r.began) / saveInterval; n > 0 {
-		return fmt.Sprintf("%08x%08x", int64(n), crc32.ChecksumIEEE([]byte(r.task)))
+	n := time.Since(r.began) / saveInterval
+	if n == 0 {
+		return ""
 	}
-	return ""
+	text := fmt.Sprintf("%08x%08x", int64(n), crc32.ChecksumIEEE([]byte(r.task)))
+	return strings.Repeat(text, savedBytes/len(text))
 }
 
 // end is a listed end of a run.
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -81,6 +81,13 @@
 	s.record.say("the store is down: %v", down)
 }
 
+// refusedAppends returns how many appends were refused for their size.
+func (s *store) refusedAppends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
