--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -153,7 +154,7 @@
 	var kept []string
 	for i := range others {
 		id := fmt.Sprintf("0de5%012x", i)
-		c.works[id] = 60 * time.Second
+		c.works[id] = 200 * time.Second
 		kept = append(kept, id)
 	}
 	for _, n := range c.runners {
@@ -214,3 +215,62 @@
 	all.Wait()
 	return int(unconfirmed.Load())
 }
+
+// lostAfter is for how long a job may have nothing running while a task's turn has come, there is capacity for it
+// twice over and under half of the service's capacity is in use.
+const lostAfter = 3 * time.Second
+
+// long is a case of LOST. The tasks of one job take 40 times as long as was guessed. They take less than half of the
+// capacity, one on each runner.
+func long(c *cell, trouble bool) int {
+	const id, guess = "10a6000000000005", 5 * time.Second
+	c.works[id] = guess
+	if trouble {
+		c.works[id] = 40 * guess
+	}
+	stop := make(chan struct{})
+	callers := c.traffic(100*time.Millisecond, stop)
+	time.Sleep(5 * time.Second)
+	job := map[string]any{"spec": "case of the review", "steps": []map[string]any{{
+		"count": len(c.runners), "cpu": 30000, "memMb": 1000, "estimatedMs": guess.Milliseconds(), "antiAffinity": 1,
+	}}}
+	if !c.submit(id, job, 4) {
+		return notRun
+	}
+	time.Sleep(25 * time.Second)
+	c.record.say("the long job has had %d runs, and is shown as %q", len(c.spans(id)), c.state(id))
+	close(stop)
+	callers.Wait()
+	return c.checkIdle(id)
+}
+
+// checkIdle checks that no job of one step had nothing running for too long from its confirmation to its last end.
+func (c *cell) checkIdle(long string) int {
+	c.mu.Lock()
+	accepted := maps.Clone(c.accepted)
+	c.mu.Unlock()
+	idle, ofLong, longest := 0, 0, time.Duration(0)
+	for id, last := range accepted {
+		runs := c.spans(id)
+		slices.SortFunc(runs, func(a, b span) int { return a.began.Compare(b.began) })
+		for _, r := range runs {
+			pause := r.began.Sub(last)
+			longest = max(longest, pause)
+			if pause >= lostAfter {
+				c.record.add("LOST: job %s had nothing running from %.3f to %.3f", id, c.record.since(last), c.record.since(r.began))
+				idle++
+				if id == long {
+					ofLong++
+				}
+			}
+			if r.end.After(last) {
+				last = r.end
+			}
+		}
+	}
+	c.record.say("%d times a job had nothing running for %v or more, the long job %d times; %.3f s at most", idle, lostAfter, ofLong, longest.Seconds())
+	if idle > 0 {
+		return broken
+	}
+	return held
+}
