--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -274,3 +274,73 @@
 	}
 	return held
 }
+
+// reborn is a case of TWICE, of an entry of KNOWN-RED.txt. An order to start a task gets no answer, and its holder is
+// killed before the log names it. The task is done by an order of the next holder. Then the first runner starts again
+// under its id, and the first order is carried out there.
+func reborn(c *cell, trouble bool) int {
+	const id = "4eb0000000000006"
+	c.works[id] = 500 * time.Millisecond
+	var first *runner
+	holder := c.holder()
+	if holder == nil {
+		return notRun
+	}
+	killed := make(chan struct{})
+	for _, n := range c.runners {
+		n.keepsID = true
+		n.isLate = func(n *runner, in body) bool {
+			if !trouble || !strings.HasPrefix(in.Task, id) || first != nil && first != n {
+				return false
+			}
+			if first == nil {
+				first = n
+				c.record.say("the order to start %s run %d gets no answer from %s", in.Task, in.Run, n.id)
+				go func() {
+					c.record.say("%s, which holds the cell, is killed", holder.name)
+					holder.kill()
+					close(killed)
+				}()
+				return true
+			}
+			return false
+		}
+	}
+	accepted := c.submit(id, jobOf(1, 4000, 1000, 500), 4)
+	c.record.say("the job was accepted: %v", accepted)
+	if trouble {
+		<-killed
+		time.Sleep(500 * time.Millisecond)
+		if holder.start() != nil {
+			return notRun
+		}
+	}
+	state := c.awaitState(id, 20*time.Second, "succeeded", "failed", "cancelled")
+	c.record.say("the job is shown as %q", state)
+	time.Sleep(2 * time.Second)
+	if trouble {
+		first.crash(500 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	result := held
+	var done *span
+	for _, s := range c.spansByStart(id) {
+		c.record.say("%s run %d on %s from %.3f to %.3f: %s", s.task, s.run, s.runner, c.record.since(s.began), c.record.since(s.end), s.how)
+		if done != nil && s.began.After(done.end) {
+			c.record.say("TWICE: the start at %.3f follows run %d that ended done at %.3f, and that end was taken note of at %.3f",
+				c.record.since(s.began), done.run, c.record.since(done.end), c.record.since(done.noted))
+			result = broken
+		}
+		if s.how == "done" && !s.noted.IsZero() {
+			done = &s
+		}
+	}
+	return result
+}
+
+// spansByStart returns the runs of a job's tasks by their beginnings.
+func (c *cell) spansByStart(id string) []span {
+	all := c.spans(id)
+	slices.SortFunc(all, func(a, b span) int { return a.began.Compare(b.began) })
+	return all
+}
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -36,8 +36,13 @@
 	runner     string
 	began, end time.Time
 	how        string
+	// noted is when the end was taken note of, or zero.
+	noted time.Time
 }
 
+// key identifies the run.
+func (s span) key() string { return fmt.Sprintf("%s#%d", s.task, s.run) }
+
 // runner is a stand-in of one machine's runner. It has a new id and knows nothing after a crash.
 type runner struct {
 	record *record
@@ -51,6 +56,10 @@
 	// onRun is called when a run begins, saves says whether a task keeps its progress.
 	onRun func(r *runner, task string)
 	saves func(task string) bool
+	// isLate says whether an order to start a task gets no answer and is carried out when the next life begins.
+	// keepsID is set if the next life has the id that the runner had.
+	isLate  func(r *runner, in body) bool
+	keepsID bool
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -67,6 +76,9 @@
 	changed chan struct{}
 	spans   []span
 	up      bool
+	late    []body
+	// noted has when the ends of runs were taken note of.
+	noted map[string]time.Time
 }
 
 // run is a run that is at work.
@@ -91,12 +103,14 @@
 // end is a listed end of a run.
 type end struct {
 	number int64
+	task   string
+	run    int64
 	row    []any
 }
 
 // newRunner starts a runner behind a proxy.
 func newRunner(r *record, s *store, work workOf, number int, zone, rack string) (*runner, error) {
-	n := &runner{record: r, store: s, work: work, number: number, zone: zone, rack: rack}
+	n := &runner{record: r, store: s, work: work, number: number, zone: zone, rack: rack, noted: map[string]time.Time{}}
 	back, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -118,17 +132,26 @@
 	server := &http.Server{Handler: mux}
 	n.mu.Lock()
 	n.lives++
-	n.id = fmt.Sprintf("i-%02d%02d", n.number, n.lives)
+	if n.lives == 1 || !n.keepsID {
+		n.id = fmt.Sprintf("i-%02d%02d", n.number, n.lives)
+	}
 	n.server, n.bootedAt, n.fence, n.leaseEnd = server, time.Now(), 0, time.Time{}
 	n.runs, n.highest, n.ends, n.lastEnd = map[string]*run{}, map[string]int64{}, nil, 0
 	n.changed, n.up = make(chan struct{}), true
 	id := n.id
+	// An order that is carried out late reaches the new life before any other does.
+	for _, in := range n.late {
+		status, reason := n.start(in)
+		n.record.say("runner %s: the order to start %s run %d is carried out late -> %d %s", n.id, in.Task, in.Run, status, reason)
+	}
+	n.late = nil
 	n.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 	n.record.add("runner %s begins", id)
 	n.store.put("keyed.servers", id, map[string]any{
 		"service": serviceName, "address": n.proxy.addr, "zone": n.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"capacity": map[string]any{"cpu": runnerCPU, "memMb": runnerMemMB, "gpu": 0}, "labels": []string{"a", n.rack}, "clockMs": 1000, "sequence": 1,
+		"born": n.bootedAt.UnixMilli(),
 	})
 }
 
@@ -147,7 +170,9 @@
 	_ = server.Close()
 	n.proxy.reset()
 	n.record.say("runner %s crashes", id)
-	time.AfterFunc(lapseAfter, func() { n.store.put("keyed.servers", id, nil) })
+	if !n.keepsID {
+		time.AfterFunc(lapseAfter, func() { n.store.put("keyed.servers", id, nil) })
+	}
 	time.AfterFunc(pause, func() {
 		l, err := net.Listen("tcp", n.addr)
 		if err != nil {
@@ -211,6 +236,12 @@
 		if !n.accept(w, r, &in) {
 			return
 		}
+		if r.URL.Path == "/run-start" && n.isLate != nil && n.isLate(n, in) {
+			n.late = append(n.late, in)
+			n.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		defer n.mu.Unlock()
 		status, reason := do(in)
 		out := map[string]any{"clockMs": n.clock()}
@@ -304,7 +335,7 @@
 		return
 	}
 	n.lastEnd++
-	n.ends = append(n.ends, end{number: n.lastEnd, row: []any{n.lastEnd, r.task, r.number, how, n.savedOf(r)}})
+	n.ends = append(n.ends, end{number: n.lastEnd, task: r.task, run: r.number, row: []any{n.lastEnd, r.task, r.number, how, n.savedOf(r)}})
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
@@ -316,7 +347,13 @@
 		return
 	}
 	defer n.mu.Unlock()
-	n.ends = slices.DeleteFunc(n.ends, func(e end) bool { return e.number <= in.LastSeen })
+	n.ends = slices.DeleteFunc(n.ends, func(e end) bool {
+		if e.number > in.LastSeen {
+			return false
+		}
+		n.noted[span{task: e.task, run: e.run}.key()] = time.Now()
+		return true
+	})
 	timer := time.NewTimer(time.Duration(min(in.Wait, 2000)) * time.Millisecond)
 	defer timer.Stop()
 	life, waiting := n.lives, in.Wait > 0
@@ -344,7 +381,7 @@
 	for _, e := range n.ends[:min(listedEnds, len(n.ends))] {
 		ended = append(ended, e.row)
 	}
-	answer(w, http.StatusOK, map[string]any{"clockMs": n.clock(), "runningCount": running, "ended": ended})
+	answer(w, http.StatusOK, map[string]any{"clockMs": n.clock(), "born": n.bootedAt.UnixMilli(), "runningCount": running, "ended": ended})
 }
 
 // savedOf returns the checkpoint of a run, or nothing if its step keeps none.
@@ -360,6 +397,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	all := slices.Clone(n.spans)
+	for i := range all {
+		all[i].noted = n.noted[all[i].key()]
+	}
 	for _, r := range n.runs {
 		all = append(all, span{task: r.task, run: r.number, runner: n.id, began: r.began, end: time.Now(), how: "at work"})
 	}
