--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -322,6 +322,11 @@
 		first.crash(500 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
+	return c.checkAfterDone(id)
+}
+
+// checkAfterDone checks that no task of a job was started after a run that ended done, if that end was taken note of.
+func (c *cell) checkAfterDone(id string) int {
 	result := held
 	var done *span
 	for _, s := range c.spansByStart(id) {
@@ -344,3 +349,75 @@
 	slices.SortFunc(all, func(a, b span) int { return a.began.Compare(b.began) })
 	return all
 }
+
+// waiting is a case of TWICE, of another entry of KNOWN-RED.txt. As in reborn, an order to start a task gets no answer and
+// its holder is killed. The task has to wait for room. Meanwhile the first runner starts again under its id, out of
+// reach, and carries the order out there; then the task is started elsewhere.
+func waiting(c *cell, trouble bool) int {
+	const id, short, long, later = "4eb0000000000007", "4eb1000000000008", "4eb2000000000009", "4eb300000000000a"
+	c.works[id], c.works[short], c.works[long], c.works[later] = 500*time.Millisecond, 9*time.Second, 50*time.Second, 50*time.Second
+	holder := c.holder()
+	if holder == nil {
+		return notRun
+	}
+	if !c.submit(short, jobOf(1, 40000, 1000, 9000), 4) || !c.submit(long, jobOf(1, 40000, 1000, 50000), 4) {
+		return notRun
+	}
+	time.Sleep(500 * time.Millisecond)
+	var first, held2 *runner
+	for _, n := range c.runners {
+		n.keepsID = true
+		switch {
+		case c.runs(n, long):
+			held2 = n
+		case !c.runs(n, short):
+			first = n
+		}
+	}
+	if first == nil || held2 == nil {
+		return notRun
+	}
+	killed := make(chan struct{})
+	var once sync.Once
+	first.isLate = func(n *runner, in body) bool {
+		isLate := false
+		if trouble && strings.HasPrefix(in.Task, id) {
+			once.Do(func() {
+				isLate = true
+				c.record.say("the order to start %s run %d gets no answer from %s; %s, which holds the cell, is killed", in.Task, in.Run, n.id, holder.name)
+				go func() {
+					held2.proxy.setCut(true)
+					holder.kill()
+					close(killed)
+				}()
+			})
+		}
+		return isLate
+	}
+	c.record.say("the job was accepted: %v", c.submit(id, jobOf(1, 40000, 1000, 500), 4))
+	if trouble {
+		<-killed
+		time.Sleep(500 * time.Millisecond)
+		if holder.start() != nil {
+			return notRun
+		}
+		c.record.say("a later job was accepted: %v", c.submit(later, jobOf(1, 40000, 1000, 50000), 8))
+		time.Sleep(2 * time.Second)
+		held2.proxy.setCut(false)
+		time.Sleep(time.Second)
+		first.proxy.setCut(true)
+		first.crash(500 * time.Millisecond)
+		time.Sleep(5 * time.Second)
+		first.proxy.setCut(false)
+	}
+	state := c.awaitState(id, 20*time.Second, "succeeded", "failed", "cancelled")
+	// The holder keeps ends back for 15 s while an order to start their task may be on its way.
+	time.Sleep(20 * time.Second)
+	c.record.say("the job is shown as %q", state)
+	return c.checkAfterDone(id)
+}
+
+// runs reports whether a runner runs a task of a job.
+func (c *cell) runs(n *runner, id string) bool {
+	return slices.ContainsFunc(n.seen(), func(s span) bool { return strings.HasPrefix(s.task, id) && s.how == "at work" })
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,7 +25,7 @@
 		run     func(*cell, bool) int
 		runners int
 	}{
-		"again": {again, 9}, "crashes": {crashes, 6}, "large": {large, 9}, "long": {long, 9}, "reborn": {reborn, 6},
+		"again": {again, 9}, "crashes": {crashes, 6}, "large": {large, 9}, "long": {long, 9}, "reborn": {reborn, 6}, "waiting": {waiting, 3},
 	}
 	played, known := cases[*name]
 	if !known {
