--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -44,8 +44,8 @@
 		c.record.say("the job was not accepted")
 		return notRun
 	}
-	for end := time.Now().Add(5 * time.Second); c.atWork(id) < tasks; time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
+	for end := now().Add(5 * time.Second); c.atWork(id) < tasks; time.Sleep(50 * time.Millisecond) {
+		if now().After(end) {
 			c.record.say("not all tasks were started")
 			return notRun
 		}
@@ -200,9 +200,9 @@
 	var unconfirmed atomic.Int64
 	for i, id := range ids {
 		all.Go(func() {
-			for end := time.Now().Add(ackTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			for end := now().Add(ackTimeout); now().Before(end); time.Sleep(200 * time.Millisecond) {
 				b := c.boxes[i%len(c.boxes)]
-				status, _ := call(http.MethodDelete, "http://"+b.frontend+routePrefix+id, routeHost, nil, time.Until(end))
+				status, _ := call(http.MethodDelete, "http://"+b.frontend+routePrefix+id, routeHost, nil, until(end))
 				c.record.add("caller: DELETE %s at %s -> %d", id, b.name, status)
 				if status/100 == 2 || status == http.StatusGone {
 					return
--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -85,7 +85,7 @@
 		}
 	}
 	// Traffic starts 10 s after the machines do.
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := now().Add(10 * time.Second); now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if !slices.ContainsFunc(c.boxes, func(b *box) bool { return !b.isReady() }) && c.holder() != nil {
 			time.Sleep(time.Second)
 			r.add("all boxes are ready")
@@ -153,7 +153,7 @@
 		c.record.add("caller: POST %s at %s -> %d", id, b.name, status)
 		if status/100 == 2 {
 			c.mu.Lock()
-			c.accepted[id] = time.Now()
+			c.accepted[id] = now()
 			c.mu.Unlock()
 			return true
 		}
@@ -187,7 +187,7 @@
 // awaitState waits until a job has one of the given states, and returns the last one that was seen.
 func (c *cell) awaitState(id string, limit time.Duration, wanted ...string) string {
 	state := ""
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+	for end := now().Add(limit); now().Before(end); time.Sleep(250 * time.Millisecond) {
 		if state = c.state(id); slices.Contains(wanted, state) {
 			return state
 		}
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -22,14 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, started: time.Now()}, nil
+	return &record{file: f, started: now()}, nil
 }
 
 // add writes one line to the file.
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // say writes one line to the file and to standard output.
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -92,7 +92,7 @@
 
 // saved returns the run's checkpoint, which is renewed with every saveInterval of work.
 func (r *run) saved() string {
-	n := time.Since(r.began) / saveInterval
+	n := since(r.began) / saveInterval
 	if n == 0 {
 		return ""
 	}
@@ -135,7 +135,7 @@
 	if n.lives == 1 || !n.keepsID {
 		n.id = fmt.Sprintf("i-%02d%02d", n.number, n.lives)
 	}
-	n.server, n.bootedAt, n.fence, n.leaseEnd = server, time.Now(), 0, time.Time{}
+	n.server, n.bootedAt, n.fence, n.leaseEnd = server, now(), 0, time.Time{}
 	n.runs, n.highest, n.ends, n.lastEnd = map[string]*run{}, map[string]int64{}, nil, 0
 	n.changed, n.up = make(chan struct{}), true
 	id := n.id
@@ -193,7 +193,7 @@
 }
 
 // clock is the steady clock of this life, in milliseconds. n.mu must be held.
-func (n *runner) clock() int64 { return 1000 + time.Since(n.bootedAt).Milliseconds() }
+func (n *runner) clock() int64 { return 1000 + since(n.bootedAt).Milliseconds() }
 
 // body is what an order carries.
 type body struct {
@@ -256,7 +256,7 @@
 // extend extends the lease; it is never shortened. n.mu must be held.
 func (n *runner) extend(deadline int64) {
 	left := min(time.Duration(deadline-n.clock())*time.Millisecond, holdMax)
-	at := time.Now().Add(left)
+	at := now().Add(left)
 	if deadline == 0 || !at.After(n.leaseEnd) {
 		return
 	}
@@ -265,7 +265,7 @@
 	time.AfterFunc(left+time.Millisecond, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if n.lives != life || !n.up || time.Now().Before(n.leaseEnd) {
+		if n.lives != life || !n.up || now().Before(n.leaseEnd) {
 			return
 		}
 		for _, r := range n.runs {
@@ -287,7 +287,7 @@
 	case in.Deadline > 0 && n.clock() > in.Deadline:
 		return http.StatusConflict, "late"
 	}
-	r := &run{task: in.Task, number: in.Run, began: time.Now(), work: n.work(in.Task)}
+	r := &run{task: in.Task, number: in.Run, began: now(), work: n.work(in.Task)}
 	n.runs[in.Task] = r
 	life := n.lives
 	time.AfterFunc(r.work, func() {
@@ -329,7 +329,7 @@
 	r.over = true
 	delete(n.runs, r.task)
 	n.highest[r.task] = max(n.highest[r.task], r.number)
-	n.spans = append(n.spans, span{task: r.task, run: r.number, runner: n.id, began: r.began, end: time.Now(), how: how})
+	n.spans = append(n.spans, span{task: r.task, run: r.number, runner: n.id, began: r.began, end: now(), how: how})
 	n.record.add("runner %s: %s run %d ends: %s", n.id, r.task, r.number, how)
 	if !listed {
 		return
@@ -351,7 +351,7 @@
 		if e.number > in.LastSeen {
 			return false
 		}
-		n.noted[span{task: e.task, run: e.run}.key()] = time.Now()
+		n.noted[span{task: e.task, run: e.run}.key()] = now()
 		return true
 	})
 	timer := time.NewTimer(time.Duration(min(in.Wait, 2000)) * time.Millisecond)
@@ -374,7 +374,7 @@
 	}
 	running := [][]any{}
 	for _, task := range n.runs {
-		percent := min(99, int(100*time.Since(task.began)/task.work))
+		percent := min(99, int(100*since(task.began)/task.work))
 		running = append(running, []any{task.task, task.number, n.savedOf(task), percent})
 	}
 	ended := [][]any{}
@@ -401,7 +401,7 @@
 		all[i].noted = n.noted[all[i].key()]
 	}
 	for _, r := range n.runs {
-		all = append(all, span{task: r.task, run: r.number, runner: n.id, began: r.began, end: time.Now(), how: "at work"})
+		all = append(all, span{task: r.task, run: r.number, runner: n.id, began: r.began, end: now(), how: "at work"})
 	}
 	return all
 }
