--- a/services/dispatch/appended.go
+++ b/services/dispatch/appended.go
@@ -99,9 +99,9 @@
 		h.core.logEvent("appending to the log works again", logField("after", now.Sub(j.failingSince).String()))
 		j.failingSince = time.Time{}
 	}
-	for _, r := range b.workerRecords {
-		r.worker.recorded = r.worker.recorded || r.number == r.worker.recordCount
-		h.refreshHealthOf(now, r.worker.Name)
+	for _, w := range b.recordedWorkers {
+		w.logged.MarkLogged()
+		h.refreshHealthOf(now, w.Name)
 	}
 	for _, tj := range b.newJobs {
 		tj.accepted = true
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -73,6 +73,7 @@
 	o, listed := w.incarnations.Successor(w.Worker, e.Report.Incarnation)
 	n := newWorker(now, o)
 	n.incarnations = w.incarnations
+	n.logged = w.logged.Successor()
 	if listed {
 		n.presence.RecordEntry(o.Leaving)
 	}
@@ -162,14 +163,13 @@
 
 // setBirthTime sets the birth time of an incarnation that was known by name only, and corrects its
 // record in the log.
-func (h *holderState) setBirthTime(w *worker, id order.Incarnation) {
+func (h *holderState) setBirthTime(now time.Time, w *worker, id order.Incarnation) {
 	if w.BornUnixMilli != 0 || id.BornUnixMilli == 0 {
 		return
 	}
 	w.Incarnation = id
-	if w.recorded || w.recordPending {
-		w.recorded, w.recordPending = false, false
-		h.recordWorker(w)
+	if w.logged.IsAnswering() {
+		h.addWorkerRecord(now, w)
 	}
 }
 
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -23,8 +23,8 @@
 	sequence int64
 	// extraRecords are records that do not describe jobs: the fence, workers, deleted keys.
 	extraRecords []stream.Record
-	// workerRecords has the worker records among extraRecords.
-	workerRecords []workerRecord
+	// recordedWorkers are the workers whose records are among extraRecords.
+	recordedWorkers []*worker
 	// endsToRecord are ends of runs that get records of their own.
 	endsToRecord []endToRecord
 	// unloggedJobs are submitted jobs that the log does not have yet, dirtyJobs the jobs whose
@@ -45,7 +45,7 @@
 // batch is one append, with the state changes that take effect once the log has it.
 type batch struct {
 	append          stream.Append
-	workerRecords   []workerRecord
+	recordedWorkers []*worker
 	recordedEnds    []*endreports.Report[*worker]
 	newJobs         []*trackedJob
 	progressEntries []progressEntry
@@ -54,13 +54,6 @@
 	sentAt time.Time
 }
 
-// workerRecord identifies a record of a worker that is to be appended. Records are numbered
-// per worker, and only the latest one counts.
-type workerRecord struct {
-	worker *worker
-	number int
-}
-
 // progressEntry is the progress of one job in a batch: the state that is written, the ends
 // that can be acknowledged and the cancel calls that can be answered once the log has it.
 type progressEntry struct {
@@ -83,6 +76,12 @@
 // addRecord adds a record to the next append.
 func (j *journal) addRecord(r stream.Record) { j.extraRecords = append(j.extraRecords, r) }
 
+// addWorkerRecord adds a record of a worker to the next append.
+func (j *journal) addWorkerRecord(w *worker, r stream.Record) {
+	j.recordedWorkers = append(j.recordedWorkers, w)
+	j.addRecord(r)
+}
+
 // isIdle reports whether no append is pending and nothing but recent starts waits for one.
 func (j *journal) isIdle() bool {
 	return j.batch == nil && len(j.extraRecords) == 0 && len(j.unloggedJobs) == 0 && len(j.dirtyJobs) == 0 && len(j.endsToRecord) == 0
@@ -149,8 +148,11 @@
 	if slot, starts := j.recentStarts.Take(now, h.needsStartRecord); len(starts) > 0 {
 		j.addRecord(jobrecords.RecentStartsRecord(slot, starts))
 	}
-	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extraRecords}, workerRecords: j.workerRecords}
-	j.extraRecords, j.workerRecords = nil, nil
+	b := &batch{append: stream.Append{Stream: stream.Jobs, Records: j.extraRecords}, recordedWorkers: j.recordedWorkers}
+	j.extraRecords, j.recordedWorkers = nil, nil
+	for _, w := range b.recordedWorkers {
+		w.logged.MarkSent()
+	}
 	h.addStartsInTransit(now, b)
 	size := j.addNewJobs(b)
 	size += j.addEnds(b, size)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -28,14 +28,22 @@
 	return w.clock + order.WorkerClock(now.Sub(w.clockAt).Milliseconds())
 }
 
-// extendLease returns the end, on the worker's clock, of a lease that begins at now, and updates
-// leaseExpiresBy. It returns 0 while the worker's clock is unknown.
+// leaseDuration returns how long a lease of the worker may last if it is extended now.
+func (h *holderState) leaseDuration(w *worker) time.Duration {
+	return min(h.core.settings.Lease, timeouts.LeaseWithin(w.logged.LeaseLimit()))
+}
+
+// extendLease extends the worker's lease from now on, and returns its end on the worker's clock. It
+// returns 0 while the worker's clock is unknown.
 func (h *holderState) extendLease(now time.Time, w *worker) order.WorkerClock {
 	if w.clockAt.IsZero() {
 		return 0
 	}
-	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(h.maxLeaseDuration()))
-	return w.clockNow(now) + order.WorkerClock(h.core.settings.Lease.Milliseconds())
+	if lease := h.leaseDuration(w); lease > 0 {
+		w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(timeouts.MaxLeaseDuration(lease)))
+		w.leaseEnd = max(w.leaseEnd, w.clockNow(now)+order.WorkerClock(lease.Milliseconds()))
+	}
+	return w.leaseEnd
 }
 
 // renewAll sends the renewals that are due, in a fixed order.
@@ -229,6 +237,9 @@
 	if _, shared := w.tailBesideFillers(); shared {
 		wait = min(maxServingWait, wait)
 	}
+	if w.logged.IsLeaseLimited() {
+		wait = min(wait, max(minRenewWait, h.leaseDuration(w)/leaseWaitDivisor))
+	}
 	if !h.isEnabled(mechanism.ShortRenewals) {
 		return wait
 	}
@@ -304,12 +315,12 @@
 // handleRenewed applies the worker's report and schedules the next renewal.
 func (h *holderState) handleRenewed(now time.Time, w *worker, e exchange.RenewEnded) {
 	if w.failedRenewals > 0 {
-		h.core.logEvent("worker responds again", logField("worker", w.Incarnation.String()), logField("failures", w.failedRenewals))
+		h.core.logEvent("worker responds again", logField("worker", w.Incarnation.String()), logField("failures", w.failedRenewals), logField("lease", h.leaseDuration(w).String()))
 	}
 	w.failedRenewals = 0
 	w.reportedEnds.ConfirmAck()
-	h.setBirthTime(w, e.Report.Incarnation)
-	h.recordResponsive(w)
+	h.setBirthTime(now, w, e.Report.Incarnation)
+	h.recordResponsive(now, w)
 	if w.presence.RecordAnswer() {
 		h.blame.RecordResponsive(w.Incarnation)
 	}
@@ -335,7 +346,7 @@
 	h.blame.RecordReport(w.Incarnation, w.runsBlameUnit)
 	inherited := h.unreportedWorkers[w.Name]
 	delete(h.unreportedWorkers, w.Name)
-	h.recordWorker(w)
+	h.recordWorker(now, w)
 	if inherited && len(h.unreportedWorkers) == 0 {
 		h.core.logEvent("all workers of earlier holders have reported their runs", logField("claim", h.epoch), logField("took", now.Sub(h.startedAt).String()))
 	}
@@ -389,7 +400,7 @@
 	}
 	w.reported = false
 	delete(h.unreportedWorkers, w.Name)
-	if w.unresponsive.written {
+	if w.logged.IsUnresponsive() {
 		// The log must no longer list runs on this worker.
 		h.recordUnresponsive(now, w)
 	}
--- a/services/dispatch/listing.go
+++ b/services/dispatch/listing.go
@@ -119,7 +119,7 @@
 		h.handleOtherIncarnationListed(now, w, o)
 		return
 	}
-	h.setBirthTime(w, o.Incarnation)
+	h.setBirthTime(now, w, o.Incarnation)
 	o.Incarnation = w.Incarnation
 	if o.Leaving && !w.Leaving {
 		h.core.logEvent("worker is leaving", logField("worker", o.Incarnation.String()), logField("remaining", o.Remaining.String()), logField("tasks", len(w.attempts)))
--- a/services/dispatch/lostworkers.go
+++ b/services/dispatch/lostworkers.go
@@ -65,8 +65,8 @@
 // detectionDelay returns how long the worker may have been unresponsive before that was detected.
 // While no renewal waits at the worker, a crash is detected only by the next renewal.
 func (w *worker) detectionDelay() time.Duration {
-	if w.unresponsive.detectionDelay > 0 || w.aliveAt.IsZero() {
-		return w.unresponsive.detectionDelay
+	if w.inheritedDetectionDelay > 0 || w.aliveAt.IsZero() {
+		return w.inheritedDetectionDelay
 	}
 	return max(0, w.presence.UnresponsiveSince().Sub(w.aliveAt))
 }
--- a/services/dispatch/restore.go
+++ b/services/dispatch/restore.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/stream"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/jobrecords"
+	"saddlevane/services/workerlog"
 )
 
 // handleJobsLoaded restores the state from the stream of jobs and starts serving them. A failed
@@ -84,14 +85,12 @@
 func (h *holderState) restoreRecordedWorker(now time.Time, k jobrecords.KnownWorker) {
 	o := k.Worker
 	w := h.restoreIncarnation(now, o)
-	if k.Unresponsive != nil && !w.reported {
+	if k.Unresponsive != nil {
 		h.restoreUnresponsive(now, w, k.Unresponsive)
 		return
 	}
-	w.recorded = true
+	w.logged = workerlog.Logged()
 	// An earlier holder may have renewed the worker's lease until just now.
 	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(h.maxLeaseDuration()))
-	if !w.reported {
-		h.unreportedWorkers[o.Name] = true
-	}
+	h.unreportedWorkers[o.Name] = true
 }
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -136,7 +136,7 @@
 	at := w.presence.UnresponsiveSince()
 	c := blame.Crash{
 		Incarnation: w.Incarnation, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at),
-		TasksKnown: w.reported || w.unresponsive.written, Tasks: tasks,
+		TasksKnown: w.reported || w.logged.IsUnresponsive(), Tasks: tasks,
 	}
 	for _, f := range h.blame.RecordCrash(now, c) {
 		h.core.logEvent("worker crashed while running a task", logField("job", string(f.Task.Job)), logField("task", f.Task.String()),
--- a/services/dispatch/undecodable.go
+++ b/services/dispatch/undecodable.go
@@ -12,6 +12,7 @@
 	"saddlevane/modules/ordered"
 	"saddlevane/services/endreports"
 	"saddlevane/services/jobrecords"
+	"saddlevane/services/workerlog"
 )
 
 // The log may have jobs that this release cannot decode, for example because a later one has written
@@ -104,7 +105,7 @@
 		// There is no address yet to which a renewal could be sent.
 		w.failedRenewals = 1
 	}
-	w.undecodable = true
+	w.logged = workerlog.LoggedUndecodable()
 	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(h.maxLeaseDuration()))
 	if !w.reported {
 		h.unreportedWorkers[name] = true
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -10,6 +10,7 @@
 	"saddlevane/models/order"
 	"saddlevane/modules/ordered"
 	"saddlevane/services/jobrecords"
+	"saddlevane/services/workerlog"
 )
 
 // A new holder asks all workers for their runs before it starts any task that an earlier holder may
@@ -19,17 +20,6 @@
 // a record that it answers again. The next holder treats the recorded runs as running, so that all
 // other tasks can be started at once.
 
-// unresponsiveRecord describes the log's record of a worker that does not answer.
-type unresponsiveRecord struct {
-	// written is true if the log has such a record or the journal is about to append one. writtenAt
-	// is when the last one was added to the journal.
-	written   bool
-	writtenAt time.Time
-	// detectionDelay is how long the worker may have been unresponsive before an earlier holder
-	// detected that.
-	detectionDelay time.Duration
-}
-
 const (
 	// failedRenewalsBeforeRecord is the number of consecutive failed renewals after which the record is
 	// written: a single answer may have been lost.
@@ -43,11 +33,11 @@
 // updates that record at intervals. It writes no first record of a worker that has not reported to
 // this holder, because what may run there is not known.
 func (h *holderState) refreshUnresponsiveRecord(now time.Time, w *worker) {
-	hasRecord := w.unresponsive.written
+	hasRecord := w.logged.IsUnresponsive()
 	switch {
 	case w.failedRenewals < failedRenewalsBeforeRecord, !hasRecord && !w.reported:
 		return
-	case hasRecord && (now.Sub(w.unresponsive.writtenAt) < unresponsiveRecordInterval || h.journal.isFailing(now)):
+	case hasRecord && (now.Sub(w.logged.AddedAt()) < unresponsiveRecordInterval || h.journal.isFailing(now)):
 		return
 	}
 	h.recordUnresponsive(now, w)
@@ -56,11 +46,9 @@
 // recordUnresponsive adds the record of an unresponsive worker to the next append. No start may be
 // ordered on the worker until a later record says that it answers.
 func (h *holderState) recordUnresponsive(now time.Time, w *worker) {
-	delay := w.detectionDelay()
-	w.unresponsive = unresponsiveRecord{written: true, writtenAt: now, detectionDelay: w.unresponsive.detectionDelay}
-	w.recorded, w.recordPending = false, false
-	w.recordCount++
-	state := jobrecords.UnresponsiveState{DetectionDelay: job.Milliseconds(delay.Milliseconds()), LeaseLeft: job.Milliseconds(max(0, w.leaseExpiresBy.Sub(now)).Milliseconds())}
+	leaseLeft := max(0, w.leaseExpiresBy.Sub(now)).Truncate(time.Millisecond)
+	w.logged.AddUnresponsive(now, leaseLeft)
+	state := jobrecords.UnresponsiveState{DetectionDelay: job.Milliseconds(w.detectionDelay().Milliseconds()), LeaseLeft: job.Milliseconds(leaseLeft.Milliseconds())}
 	for _, a := range w.sortedAttempts() {
 		state.Runs = append(state.Runs, a.runID())
 		state.WorkTimes = append(state.WorkTimes, a.recordedWorkTime(w.presence.UnresponsiveSince()))
@@ -68,7 +56,7 @@
 	for run := range ordered.MapFunc(w.orphans, order.Run.Compare) {
 		state.Runs = append(state.Runs, run)
 	}
-	h.journal.addRecord(jobrecords.UnresponsiveWorkerRecord(w.Worker, state))
+	h.journal.addWorkerRecord(w, jobrecords.UnresponsiveWorkerRecord(w.Worker, state))
 }
 
 // recordedWorkTime returns how long the attempt had been running at a time, for the log, or -1 if
@@ -83,25 +71,27 @@
 }
 
 // recordResponsive records in the log that a worker answers again.
-func (h *holderState) recordResponsive(w *worker) {
-	if w.unresponsive.written {
-		w.unresponsive = unresponsiveRecord{}
-		w.recorded, w.recordPending = false, false
-		h.recordWorker(w)
+func (h *holderState) recordResponsive(now time.Time, w *worker) {
+	if w.logged.IsUnresponsive() {
+		w.inheritedDetectionDelay = 0
+		h.recordWorker(now, w)
 	}
 }
 
 // restoreUnresponsive restores a worker that did not answer an earlier holder. The recorded runs
 // count as running until the worker answers or its lease expires.
 func (h *holderState) restoreUnresponsive(now time.Time, w *worker, state *jobrecords.UnresponsiveState) {
-	w.unresponsive = unresponsiveRecord{written: true, writtenAt: now, detectionDelay: state.DetectionDelay.Duration()}
-	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(min(h.maxLeaseDuration(), state.LeaseLeft.Duration())))
+	leaseLeft := min(h.maxLeaseDuration(), state.LeaseLeft.Duration())
+	w.logged = workerlog.LoggedUnresponsive(now, leaseLeft)
+	w.inheritedDetectionDelay = state.DetectionDelay.Duration()
+	w.leaseExpiresBy = ordered.Later(w.leaseExpiresBy, now.Add(leaseLeft))
 	for i, run := range state.Runs {
 		a := h.restoreRun(now, w, run)
 		if worked, known := state.WorkTime(i); a != nil && known {
 			a.workedUntilUnresponsive, a.workedUntilUnresponsiveKnown = worked, true
 		}
 	}
+	h.core.logEvent("worker did not answer the earlier holder", logField("worker", w.Incarnation.String()), logField("tasks", len(w.attempts)), logField("lease_left", leaseLeft.String()))
 }
 
 // restoreRun restores a run on an unresponsive worker as a running attempt and returns it, or nil
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -20,6 +20,7 @@
 	"saddlevane/services/speeds"
 	"saddlevane/services/throttling"
 	"saddlevane/services/transit"
+	"saddlevane/services/workerlog"
 )
 
 // worker is the holder's state of one incarnation of a worker. A worker that restarts keeps its
@@ -34,16 +35,11 @@
 	presence presence.Presence
 	// reported is true once the worker has reported, under this claim, which runs it has.
 	reported bool
-	// recorded is true once the log names the worker, so that the next holder contacts it.
-	recorded bool
-	// recordPending is true while the worker's record waits to be appended. recordCount counts the
-	// worker's records: only the confirmation of the last one sets recorded.
-	recordPending bool
-	recordCount   int
-	// undecodable is true if the log has a record of the worker that could not be decoded.
-	undecodable bool
-	// unresponsive describes the record that the log has of the worker while it does not answer.
-	unresponsive unresponsiveRecord
+	// logged is what the log says about the worker.
+	logged workerlog.Entry
+	// inheritedDetectionDelay is how long the worker may have been unresponsive before an earlier holder
+	// detected that; 0 if this holder did.
+	inheritedDetectionDelay time.Duration
 
 	attempts map[order.Run]*attempt
 	// free is the capacity that no attempt uses.
@@ -64,8 +60,9 @@
 	// clock is the worker's clock as of the answer received at clockAt.
 	clock   order.WorkerClock
 	clockAt time.Time
-	// leaseExpiresBy is when the worker's lease has expired for certain, whatever the error of its
-	// clock.
+	// leaseEnd is the latest end of a lease that this holder has ordered, on the worker's clock.
+	// leaseExpiresBy is when the worker's lease has expired for certain, whatever the error of its clock.
+	leaseEnd       order.WorkerClock
 	leaseExpiresBy time.Time
 
 	// pendingRenewal is the number of the renewal in flight, or 0. pendingFence is its fence number,
@@ -191,7 +188,7 @@
 // isHealthy reports whether new tasks could be started on the worker if it were not kept for a
 // suspect.
 func (h *holderState) isHealthy(now time.Time, w *worker) bool {
-	return w.reported && w.presence.IsListed() && w.recorded && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
+	return w.reported && w.presence.IsListed() && w.logged.MayStartTasks() && !w.Leaving && !h.isEvacuated(w) && !w.incarnations.HasCandidate() && w.failedRenewals == 0 && len(w.orphans) == 0 &&
 		now.Before(ordered.Later(w.answeredAt.Add(h.core.settings.RenewWait), w.answerDue).Add(h.adaptiveTimeout(now, unresponsiveTimeout))) && !now.Before(w.excludedUntil) && !h.hasOverdueStart(now, w) &&
 		h.startsWithinReport(w) > 0
 }
@@ -208,16 +205,17 @@
 	return h.answerDelays.CallTimeout(now, base, h.core.settings.Lease/leaseWaitDivisor)
 }
 
-// recordWorker adds the worker's record to the next append. Nothing is started on the worker before
-// the log has it.
-func (h *holderState) recordWorker(w *worker) {
-	if w.recorded || w.recordPending {
-		return
+// recordWorker adds the record that a worker answers to the next append, unless there is one already.
+func (h *holderState) recordWorker(now time.Time, w *worker) {
+	if !w.logged.IsAnswering() {
+		h.addWorkerRecord(now, w)
 	}
-	w.recordPending = true
-	w.recordCount++
-	h.journal.workerRecords = append(h.journal.workerRecords, workerRecord{worker: w, number: w.recordCount})
-	h.journal.addRecord(jobrecords.WorkerRecord(w.Worker))
+}
+
+// addWorkerRecord adds the record that a worker answers to the next append.
+func (h *holderState) addWorkerRecord(now time.Time, w *worker) {
+	w.logged.AddAnswering(now)
+	h.journal.addWorkerRecord(w, jobrecords.WorkerRecord(w.Worker))
 }
 
 // handleWorkerTerminated removes a worker whose incarnation has certainly ended, and frees its
@@ -236,7 +234,7 @@
 	h.retire(w)
 	w.incarnations.End(w.Incarnation)
 	h.formerWorkers.Add(now, w.Name, w.incarnations)
-	if w.recorded || w.recordPending || w.unresponsive.written || w.undecodable {
+	if w.logged.IsNamed() {
 		h.journal.addRecord(jobrecords.DropWorker(w.Name))
 	}
 }
--- a/services/timeouts/lease.go
+++ b/services/timeouts/lease.go
@@ -19,3 +19,10 @@
 func MaxLeaseDuration(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*(1+clockDrift)) + expiryMargin
 }
+
+// LeaseWithin returns the longest lease that has surely expired after limit, on a worker whose clock is
+// as slow as the protocol permits. It is the inverse of MaxLeaseDuration, and 0 if limit is too short
+// for any lease.
+func LeaseWithin(limit time.Duration) time.Duration {
+	return max(0, time.Duration(float64(limit-expiryMargin)/(1+clockDrift)))
+}
