--- a/services/dispatch/incarnations_test.go
+++ b/services/dispatch/incarnations_test.go
@@ -223,25 +223,14 @@
 // A new holder restores a run on an unresponsive worker from the log, that worker restarts, and
 // another worker reports a later run of the same task. The later run must continue as the only one.
 func TestRunMovedToSuccessorYieldsToLaterRunOfItsTask(t *testing.T) {
-	d := newHarness(t)
-	fence := d.claimCell(time.Second)
-	d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: fence.Number})
-	d.handle(exchange.WorkersRead{Listing: order.Listing{Complete: true, Present: []order.Worker{workerEntry("v", 1000), workerEntry("w", 2000)}}})
-	s := oneStep("j", "quick", 1, false)
 	run := order.Run{Task: job.TaskID{StepID: job.StepID{Job: "j"}}, Number: 3}
 	later := run
 	later.Number = 5
-	records := []stream.Record{
-		jobrecords.Submission{Queue: config().Queues["quick"], Submission: s, Accepted: 1}.Record(),
-		jobrecords.UnresponsiveWorkerRecord(workerEntry("w", 1000), jobrecords.UnresponsiveState{LeaseLeft: 5000, Runs: []order.Run{run}}), jobrecords.WorkerRecord(workerEntry("v", 1000)),
-	}
-	for i := range records {
-		records[i].Offset = int64(i)
-	}
-	renewals := map[string]exchange.Renew{}
-	for _, r := range effectsOf[exchange.Renew](d.handle(exchange.JobsLoaded{Epoch: 1, Records: records})) {
-		renewals[r.Worker.Name] = r
-	}
+	d, renewals := newSuccessor(t, []stream.Record{
+		logged(oneStep("j", "quick", 1, false)),
+		jobrecords.UnresponsiveWorkerRecord(workerEntry("w", 1000), jobrecords.UnresponsiveState{LeaseLeft: 5000, Runs: []order.Run{run}}),
+		jobrecords.WorkerRecord(workerEntry("v", 1000)),
+	}, workerEntry("v", 1000), workerEntry("w", 2000))
 	effects := d.handle(answeredBy(renewAnswer(renewals["w"]), 2000))
 	effects = append(effects, d.handle(renewAnswer(renewals["v"], later))...)
 	assert.Equal(t, len(effectsOf[exchange.StopRun](effects)), 0, "the later run must continue")
--- a/services/dispatch/leaselimits_test.go
+++ b/services/dispatch/leaselimits_test.go
@@ -23,21 +23,11 @@
 // unresponsive with a run and with a lease that can last for leaseLeft. It also returns the run and the pending renewal.
 func newHolderWithUnresponsiveWorker(t *testing.T, leaseLeft time.Duration) (*harness, order.Run, exchange.Renew) {
 	t.Helper()
-	d := newHarness(t)
-	fence := d.claimCell(time.Second)
-	d.handle(exchange.AppendEnded{Purpose: exchange.ForJournal, Number: fence.Number})
-	d.handle(exchange.WorkersRead{Listing: order.Listing{Complete: true, Present: []order.Worker{workerEntry("w", 1000)}}})
 	run := order.Run{Task: job.TaskID{StepID: job.StepID{Job: "j"}}, Number: 3}
-	records := []stream.Record{
-		jobrecords.Submission{Queue: config().Queues["quick"], Submission: oneStep("j", "quick", 1, false), Accepted: 1}.Record(),
-		jobrecords.UnresponsiveWorkerRecord(workerEntry("w", 1000), jobrecords.UnresponsiveState{LeaseLeft: job.Milliseconds(leaseLeft.Milliseconds()), Runs: []order.Run{run}}),
-	}
-	for i := range records {
-		records[i].Offset = int64(i)
-	}
-	renewals := effectsOf[exchange.Renew](d.handle(exchange.JobsLoaded{Epoch: 1, Records: records}))
-	assert.Equal(t, len(renewals), 1)
-	return d, run, renewals[0]
+	state := jobrecords.UnresponsiveState{LeaseLeft: job.Milliseconds(leaseLeft.Milliseconds()), Runs: []order.Run{run}}
+	records := []stream.Record{logged(oneStep("j", "quick", 1, false)), jobrecords.UnresponsiveWorkerRecord(workerEntry("w", 1000), state)}
+	d, renewals := newSuccessor(t, records, workerEntry("w", 1000))
+	return d, run, renewals["w"]
 }
 
 // nextRenewal returns the renewal that must be among some effects.
