--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -79,7 +79,7 @@
 	}
 	w.reported = false
 	delete(h.unreportedWorkers, w.Name)
-	if w.logged.IsUnresponsive() {
+	if w.logged.IsUnresponsive() && w.logged.RecordedLease() > 0 {
 		// The log must no longer list runs on this worker.
 		h.recordUnresponsive(now, w)
 	}
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -30,13 +30,15 @@
 )
 
 // refreshUnresponsiveRecord records in the log what may run on a worker that does not answer, and
-// updates that record at intervals. It writes no first record of a worker that has not reported to
-// this holder, because what may run there is not known.
+// updates that record at intervals until the lease has expired. It writes no first record of a worker
+// that has not reported to this holder, because what may run there is not known.
 func (h *holderState) refreshUnresponsiveRecord(now time.Time, w *worker) {
 	hasRecord := w.logged.IsUnresponsive()
 	switch {
 	case w.failedRenewals < failedRenewalsBeforeRecord, !hasRecord && !w.reported:
 		return
+	case hasRecord && w.logged.RecordedLease() == 0:
+		return
 	case hasRecord && (now.Sub(w.logged.AddedAt()) < unresponsiveRecordInterval || h.journal.isFailing(now)):
 		return
 	}
@@ -46,7 +48,8 @@
 // recordUnresponsive adds the record of an unresponsive worker to the next append. No start may be
 // ordered on the worker until a later record says that it answers.
 func (h *holderState) recordUnresponsive(now time.Time, w *worker) {
-	leaseLeft := max(0, w.leaseExpiresBy.Sub(now)).Truncate(time.Millisecond)
+	// A lease that has not expired is never recorded as one of 0 ms.
+	leaseLeft := (max(0, w.leaseExpiresBy.Sub(now)) + time.Millisecond - 1).Truncate(time.Millisecond)
 	w.logged.AddUnresponsive(now, leaseLeft)
 	state := jobrecords.UnresponsiveState{DetectionDelay: job.Milliseconds(w.detectionDelay().Milliseconds()), LeaseLeft: job.Milliseconds(leaseLeft.Milliseconds())}
 	for _, a := range w.sortedAttempts() {
--- a/services/dispatch/unresponsive_test.go
+++ b/services/dispatch/unresponsive_test.go
@@ -10,6 +10,8 @@
 
 	"saddlevane/models/job"
 	"saddlevane/models/resource"
+	"saddlevane/models/stream"
+	"saddlevane/services/jobrecords"
 
 	"gotest.tools/v3/assert"
 )
@@ -50,6 +52,36 @@
 	w.cancel(lost)
 }
 
+// A record of each worker that stayed out of reach was appended ten times a second once its lease had expired, 2.3 kB a
+// second for each; while the log was away they piled up. One record says that nothing runs there any more.
+func TestWorkersThatStayOutOfReachDoNotFillTheLog(t *testing.T) {
+	w, f := newWorldWithLongRun(t)
+	f.unreachable = true
+	w.waitUntil(10*time.Second, "its task has started again", func() bool { return w.starts[job.TaskID{StepID: job.StepID{Job: "long"}}] == 2 })
+	w.run(time.Second)
+	before := w.workerRecords(f)
+	assert.Equal(t, len(before[len(before)-1].Unresponsive.Runs), 0, "the last record must list no runs")
+	w.run(20 * time.Second)
+	assert.Equal(t, len(w.workerRecords(f)), len(before))
+	f.unreachable = false
+	w.run(2 * time.Second)
+	after := w.workerRecords(f)
+	assert.Equal(t, len(after), len(before)+1)
+	assert.Check(t, after[len(after)-1].Unresponsive == nil, "the worker answers again")
+}
+
+// workerRecords returns all records of a worker that were appended, the oldest first.
+func (w *world) workerRecords(f *fakeWorker) (all []jobrecords.KnownWorker) {
+	for _, r := range w.streams[stream.Jobs].records {
+		for _, known := range jobrecords.Decode([]stream.Record{r}).Workers {
+			if known.Name == f.name {
+				all = append(all, known)
+			}
+		}
+	}
+	return all
+}
+
 // longJob returns a job of one step, of which each worker has room for one task.
 func longJob(id string, tasks int) job.Submission {
 	s := oneStep(id, "quick", tasks, false)
