--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -65,25 +65,32 @@
 	}
 }
 
-// handleLeaseExpired releases the attempts of a worker whose lease has expired: the worker has
-// certainly ended their runs.
+// handleLeaseExpired handles that the lease of a worker which does not answer has expired. It is called
+// at each sweep from then on; a worker that is not listed is removed.
 func (h *holderState) handleLeaseExpired(now time.Time, w *worker) {
-	if len(w.attempts) > 0 || w.reported || h.unreportedWorkers[w.Name] {
-		h.core.logEvent("worker lease expired", logField("worker", w.Incarnation.String()), logField("tasks", len(w.attempts)),
-			logField("lapsed_for", now.Sub(w.leaseExpiresBy).String()), logField("how", string(h.endingOf(now, w, w.incarnations.HasCandidate()))))
+	if len(w.attempts) > 0 || len(w.orphans) > 0 || w.reported || h.unreportedWorkers[w.Name] {
+		h.endLease(now, w)
 	}
-	h.loseAttempts(now, w, nil, h.endingOf(now, w, w.incarnations.HasCandidate()), "the worker's lease has expired")
+	if !w.presence.IsListed() {
+		h.removeWorker(now, w)
+	}
+}
+
+// endLease releases the attempts of a worker whose lease has expired: the worker has certainly ended
+// their runs.
+func (h *holderState) endLease(now time.Time, w *worker) {
+	ending := h.endingOf(now, w, w.incarnations.HasCandidate())
+	h.core.logEvent("worker lease expired", logField("worker", w.Incarnation.String()), logField("tasks", len(w.attempts)),
+		logField("lapsed_for", now.Sub(w.leaseExpiresBy).String()), logField("how", string(ending)))
+	h.loseAttempts(now, w, nil, ending, "the worker's lease has expired")
 	h.forgetOrphans(w)
 	if w.reported {
 		w.incarnations.RaiseFence(h.fence(w))
 	}
 	w.reported = false
 	delete(h.unreportedWorkers, w.Name)
-	if w.logged.IsUnresponsive() && w.logged.RecordedLease() > 0 {
+	if w.logged.IsUnresponsive() {
 		// The log must no longer list runs on this worker.
 		h.recordUnresponsive(now, w)
 	}
-	if !w.presence.IsListed() {
-		h.removeWorker(now, w)
-	}
 }
