dispatch, workerlog: what says that a lease is over is its end, and one function records that a worker answers

- The record of a worker out of reach is updated until its lease is over.
That was read from the newest record, by an accessor and a rounding that made 0 mean expired; both are gone, and the assertion on the accessor with it.
The end of the lease says the same, now that its expiry is handled once.
- recordWorker and addWorkerRecord were one step with and without a condition; the one caller that needs the condition has it.
- A worker that was never given a lease has none from the time at which it was listed, so that `lapsed_for` of its line is a time.
Since a lease is extended only for what the log lets the next holder wait, such workers exist while the log is away.
- jobrecords says what the recorded time promises.
The ways to lose a holder stand once in the tests.

--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -169,7 +169,7 @@
 	}
 	w.Incarnation = id
 	if w.logged.IsAnswering() {
-		h.addWorkerRecord(now, w)
+		h.recordAnswering(now, w)
 	}
 }
 
--- a/services/dispatch/renewalanswers.go
+++ b/services/dispatch/renewalanswers.go
@@ -103,7 +103,9 @@
 	h.blame.RecordReport(w.Incarnation, w.runsBlameUnit)
 	inherited := h.unreportedWorkers[w.Name]
 	delete(h.unreportedWorkers, w.Name)
-	h.recordWorker(now, w)
+	if !w.logged.IsAnswering() {
+		h.recordAnswering(now, w)
+	}
 	if inherited && len(h.unreportedWorkers) == 0 {
 		h.core.logEvent("all workers of earlier holders have reported their runs", logField("claim", h.epoch), logField("took", now.Sub(h.startedAt).String()))
 	}
--- a/services/dispatch/returningworkers_test.go
+++ b/services/dispatch/returningworkers_test.go
@@ -28,6 +28,9 @@
 	stopped loss = "stopped"
 )
 
+// abruptLosses are the ways in which a box is lost without handing the cell over.
+var abruptLosses = []loss{killed, restarted, paused, cutOff}
+
 // lossDuration is how long a box is paused or cut off.
 const lossDuration = 4 * time.Second
 
@@ -91,7 +94,7 @@
 // A task ran twice: its worker had not answered for most of its lease, answered again while the log was away, and
 // was lost again with the holder. The holder had extended the lease, the next one read from the log that it was short.
 func TestTaskIsNotStartedTwiceAfterSilentWorkerAnsweredDuringLogOutage(t *testing.T) {
-	for _, how := range []loss{killed, restarted, paused, cutOff} {
+	for _, how := range abruptLosses {
 		t.Run(string(how), func(t *testing.T) {
 			w, f := newWorldWithLongRun(t)
 			f.unreachable = true
@@ -104,7 +107,7 @@
 
 // The worker answers again under a second holder, which is lost too before the log names the worker as answering.
 func TestTaskIsNotStartedTwiceAfterSilentWorkerAnsweredSecondHolder(t *testing.T) {
-	for _, how := range []loss{killed, restarted, paused, cutOff} {
+	for _, how := range abruptLosses {
 		t.Run(string(how), func(t *testing.T) {
 			w, f := newWorldWithLongRun(t)
 			f.unreachable = true
@@ -162,7 +165,7 @@
 // again when the holder is lost, twice in a row. Their tasks take longer than a lease. No task may run twice.
 func TestNoTaskRunsTwiceWhenWorkersAnswerDuringLogOutage(t *testing.T) {
 	count, first := worldRange(t, "SADDLEVANE_RETURNS", 4, 920_000)
-	for _, how := range []loss{killed, restarted, paused, cutOff, stopped} {
+	for _, how := range append(abruptLosses, stopped) {
 		for seed := first; seed < first+count; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", how, seed), func(t *testing.T) {
 				t.Parallel()
--- a/services/dispatch/unresponsive.go
+++ b/services/dispatch/unresponsive.go
@@ -35,9 +35,7 @@
 func (h *holderState) refreshUnresponsiveRecord(now time.Time, w *worker) {
 	hasRecord := w.logged.IsUnresponsive()
 	switch {
-	case w.failedRenewals < failedRenewalsBeforeRecord, !hasRecord && !w.reported:
-		return
-	case hasRecord && w.logged.RecordedLease() == 0:
+	case w.failedRenewals < failedRenewalsBeforeRecord, now.After(w.leaseExpiresBy), !hasRecord && !w.reported:
 		return
 	case hasRecord && (now.Sub(w.logged.AddedAt()) < unresponsiveRecordInterval || h.journal.isFailing(now)):
 		return
@@ -48,8 +46,7 @@
 // recordUnresponsive adds the record of an unresponsive worker to the next append. No start may be
 // ordered on the worker until a later record says that it answers.
 func (h *holderState) recordUnresponsive(now time.Time, w *worker) {
-	// A lease that has not expired is never recorded as one of 0 ms.
-	leaseLeft := (max(0, w.leaseExpiresBy.Sub(now)) + time.Millisecond - 1).Truncate(time.Millisecond)
+	leaseLeft := max(0, w.leaseExpiresBy.Sub(now)).Truncate(time.Millisecond)
 	w.logged.AddUnresponsive(now, leaseLeft)
 	state := jobrecords.UnresponsiveState{DetectionDelay: job.Milliseconds(w.detectionDelay().Milliseconds()), LeaseLeft: job.Milliseconds(leaseLeft.Milliseconds())}
 	for _, a := range w.sortedAttempts() {
@@ -77,7 +74,7 @@
 func (h *holderState) recordResponsive(now time.Time, w *worker) {
 	if w.logged.IsUnresponsive() {
 		w.inheritedDetectionDelay = 0
-		h.recordWorker(now, w)
+		h.recordAnswering(now, w)
 	}
 }
 
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -126,7 +126,7 @@
 func newWorker(now time.Time, o order.Worker) *worker {
 	return &worker{
 		Worker: o, attempts: map[order.Run]*attempt{}, orphans: map[order.Run]bool{}, free: o.Capacity, renewAt: now,
-		overdue:    map[int64]time.Time{},
+		overdue: map[int64]time.Time{}, leaseExpiresBy: now,
 		fillerPace: throttling.NewPace(),
 	}
 }
@@ -205,15 +205,8 @@
 	return h.answerDelays.CallTimeout(now, base, h.core.settings.Lease/leaseWaitDivisor)
 }
 
-// recordWorker adds the record that a worker answers to the next append, unless there is one already.
-func (h *holderState) recordWorker(now time.Time, w *worker) {
-	if !w.logged.IsAnswering() {
-		h.addWorkerRecord(now, w)
-	}
-}
-
-// addWorkerRecord adds the record that a worker answers to the next append.
-func (h *holderState) addWorkerRecord(now time.Time, w *worker) {
+// recordAnswering adds the record that a worker answers to the next append.
+func (h *holderState) recordAnswering(now time.Time, w *worker) {
 	w.logged.AddAnswering(now)
 	h.journal.addWorkerRecord(w, jobrecords.WorkerRecord(w.Worker))
 }
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -73,7 +73,7 @@
 // UnresponsiveState is the recorded state of a worker that does not answer.
 type UnresponsiveState struct {
 	// LeaseLeft is the longest remaining time of the worker's lease when the record was
-	// written.
+	// written. Until the log has a later record, no extension lasts longer than that.
 	LeaseLeft job.Milliseconds `json:"left_ms"`
 	// Runs are all runs that may be active on the worker.
 	Runs []order.Run `json:"runs,omitempty"`
--- a/services/workerlog/workerlog.go
+++ b/services/workerlog/workerlog.go
@@ -127,10 +127,6 @@
 // does not have it yet.
 func (e *Entry) IsUnresponsive() bool { return e.newest().kind == unresponsive }
 
-// RecordedLease returns for how long, according to the newest record, the lease of an unresponsive worker
-// can last. It is 0 once that record was added after the lease had expired.
-func (e *Entry) RecordedLease() time.Duration { return e.newest().wait }
-
 // AddedAt returns when the newest record was added, or read from the log.
 func (e *Entry) AddedAt() time.Time { return e.addedAt }
 
--- a/services/workerlog/workerlog_test.go
+++ b/services/workerlog/workerlog_test.go
@@ -124,7 +124,6 @@
 	e.AddUnresponsive(later, time.Second)
 	assert.Check(t, e.IsNamed() && !e.IsAnswering() && e.IsUnresponsive())
 	assert.Equal(t, e.AddedAt(), later)
-	assert.Equal(t, e.RecordedLease(), time.Second)
 	s := e.Successor()
 	assert.Check(t, s.IsNamed() && !s.IsAnswering() && !s.IsUnresponsive(), "the log names the worker, but not this incarnation")
 }
