--- a/services/dispatch/returningworkers_test.go
+++ b/services/dispatch/returningworkers_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// A holder tells the log how long the lease of a lost worker can last, so that a takeover does not begin the wait for it
+// A holder records how long the lease of a lost worker can last, so that a takeover does not begin the wait for it
 // anew. Tasks start again within a lease and the interval of these records after the worker was last reached.
 func TestTakeoverDoesNotBeginWaitForLostWorkerAnew(t *testing.T) {
 	const (
