blame: no job is given up before four workers have crashed under one of its tasks

Callers saw an accepted job end as failed (LOST) after three workers had crashed by themselves, each a second after its task began; none of its runs had failed.

Cause: the verdict asked for two crashes at odds of 1e4, and three crashes at about one point of the work come to that where workers hardly ever crash. The odds are right about how rare that is; a verdict cannot be taken back, and a guilty task may crash five workers before its callers are worse off than we promise. Now odds of 1e6 are asked for after four crashes, 1e4 from five on.

--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -42,9 +42,11 @@
 	// being tried beside other tasks.
 	aloneThreshold = 0.2
 
-	// minCrashes is the number of workers that must have crashed under a task before its job is
-	// given up.
-	minCrashes = 2
+	// fewCrashes is the number of workers that must have crashed under a task before its job may be given
+	// up, and enoughCrashes the number from which lower odds are enough. A job that is given up is lost
+	// for good, one more try costs a worker. A crash may have been missed while the cell had no holder.
+	fewCrashes    = 4
+	enoughCrashes = 5
 	// manyCrashes is the number of crashes from which a task is tried alone whatever its odds.
 	manyCrashes = 3
 
@@ -54,19 +56,19 @@
 	clearFactor = 2
 	clearMargin = 2 * time.Second
 
-	// firstRetryDelay is how long a task that is likely to be guilty waits before its next start.
-	// Each further crash doubles the delay, up to maxRetryDelay.
+	// firstRetryDelay is how long a task that is likely to be guilty waits before its next start after
+	// two crashes. Each further crash doubles the delay, up to maxRetryDelay.
 	firstRetryDelay = 500 * time.Millisecond
 	maxRetryDelay   = 4 * time.Second
 )
 
 // guiltyOdds are the odds from which a task is guilty, so that its job is given up, once at least
-// minCrashes workers have crashed under it. Giving up an innocent job loses it for good, while
+// enoughCrashes workers have crashed under it. Giving up an innocent job loses it for good, while
 // another try costs one worker, so the probability of a false verdict is what is bounded. By Wald's
 // sequential test (1945), odds of 1e4, which means crashes 1e7 times as likely with guilt as
 // without, give up at most one in ten million innocent tasks, whenever the test stops.
 //
-// The same odds apply to any number of crashes. When 1e5 was required from the fifth crash on where
+// No more crashes ever need higher odds. When 1e5 was required from the fifth crash on where
 // workers crash often, a task with odds of 8.7e4 crashed a sixth worker. When 300 was enough where
 // workers seemed to crash rarely, an innocent job was given up with odds of 3.6e3 after six
 // crashes, beside workers that each crashed every 29 s.
@@ -77,6 +79,9 @@
 // exceeded 1e4 in 93% of cases after four crashes and in 99.6% after five.
 const guiltyOdds = 1e4
 
+// earlyGuiltyOdds are the odds that are required instead after fewCrashes.
+const earlyGuiltyOdds = 1e6
+
 // Probability returns the probability that a task crashes its workers. It is 0 for a task under
 // which no worker has crashed.
 func Probability(b job.Blame) float64 {
@@ -98,14 +103,9 @@
 	return Probability(b) >= aloneThreshold || b.Crashes >= manyCrashes
 }
 
-// IsGuilty reports whether the job of a task has to be given up. With two or three crashes, at
-// least one must have come while no other task had started on the worker shortly before.
+// IsGuilty reports whether the job of a task has to be given up.
 func IsGuilty(b job.Blame) bool {
-	further := b.Crashes - minCrashes
-	if further < 0 || further <= 1 && b.Alone == 0 {
-		return false
-	}
-	return b.Odds >= guiltyOdds
+	return b.Crashes >= enoughCrashes && b.Odds >= guiltyOdds || b.Crashes >= fewCrashes && b.Odds >= earlyGuiltyOdds
 }
 
 // IsClearedBy reports whether a run that has been running for worked, on a worker that is still
@@ -122,7 +122,7 @@
 		return 0
 	}
 	wait := firstRetryDelay
-	for range b.Crashes - minCrashes {
+	for range b.Crashes - 2 {
 		wait = min(2*wait, maxRetryDelay)
 	}
 	return wait
