blame, presence, dispatch: a missing worker is no crashed one until that is certain

Callers saw accepted jobs end as failed (LOST) though none of their runs had failed: each worker of a task had only been out of reach.

Cause: presence took a worker for crashed when its lease expired and the platform did not list it. A worker that is cut off or paused is not listed either, since its heartbeats do not arrive. Three such losses under one task gave its job up, and nothing was taken back when the worker answered again. Class: an absence of signs is taken for a fact, and a verdict that cannot be taken back is based on it.

Now such a worker is missing. Its tasks become suspects as before, so that a guilty task is isolated at once, but the verdict and the learned rate count only crashes that are certain: another incarnation answers under the worker's name or at its address, or nothing is heard of it for 30 s while the list of workers is complete. If the worker itself answers, all of it is taken back. A task that would be given up if its missing workers had crashed is not started until they are accounted for. What is open is part of the job's blame in the log, so that the next holder accounts for it.

To count no lapsed lease at all was ruled out: a task whose workers never return would be started without end.

TestEndingOfIncarnation asked for 'crashed' where the entry was removed and only the lease was over, which is the fault itself; it asks for all three endings of each case now. GiveUpsDue reassesses the newest crash in place of rebuilding the blame, which would undo what was taken back.

--- a/models/exchange/effects.go
+++ b/models/exchange/effects.go
@@ -186,8 +186,12 @@
 
 // The endings.
 const (
-	// Crashed means that the worker was listed, was not leaving, and is gone.
+	// Crashed means that the worker was not leaving and that its incarnation is known to have ended.
 	Crashed Ending = "crashed"
+	// Missing means that the worker was not leaving, has not answered for the duration of its lease and
+	// is not listed any more, or listed as another incarnation. It may have crashed, or be out of reach
+	// and go on.
+	Missing Ending = "missing"
 	// Left means that the worker was leaving, or that its entry was removed while it still
 	// answered.
 	Left Ending = "left"
@@ -203,6 +207,10 @@
 	Worked time.Duration
 }
 
+// MissingWorkerResolved reports to the metrics that a worker which had gone missing was found to have
+// crashed, or to be alive.
+type MissingWorkerResolved struct{ Crashed bool }
+
 // JobGivenUp reports to the metrics that a job was given up because workers crashed while they ran a
 // task of it.
 type JobGivenUp struct{ Crashes int }
@@ -228,23 +236,24 @@
 	Error time.Duration
 }
 
-func (ForecastChecked) effect() {}
-func (WorkspaceUsage) effect()  {}
-func (JobOverShare) effect()    {}
-func (TasksLost) effect()       {}
-func (JobGivenUp) effect()      {}
-func (EntryRefused) effect()    {}
-func (Evacuations) effect()     {}
-func (Append) effect()          {}
-func (LoadJobs) effect()        {}
-func (FollowWorkers) effect()   {}
-func (Renew) effect()           {}
-func (StartRun) effect()        {}
-func (StopRun) effect()         {}
-func (ThrottleRun) effect()     {}
-func (Advise) effect()          {}
-func (AskPledges) effect()      {}
-func (Invite) effect()          {}
-func (Reply) effect()           {}
-func (LogEvent) effect()        {}
-func (Stopped) effect()         {}
+func (ForecastChecked) effect()       {}
+func (WorkspaceUsage) effect()        {}
+func (JobOverShare) effect()          {}
+func (TasksLost) effect()             {}
+func (MissingWorkerResolved) effect() {}
+func (JobGivenUp) effect()            {}
+func (EntryRefused) effect()          {}
+func (Evacuations) effect()           {}
+func (Append) effect()                {}
+func (LoadJobs) effect()              {}
+func (FollowWorkers) effect()         {}
+func (Renew) effect()                 {}
+func (StartRun) effect()              {}
+func (StopRun) effect()               {}
+func (ThrottleRun) effect()           {}
+func (Advise) effect()                {}
+func (AskPledges) effect()            {}
+func (Invite) effect()                {}
+func (Reply) effect()                 {}
+func (LogEvent) effect()              {}
+func (Stopped) effect()               {}
--- a/models/job/blame.go
+++ b/models/job/blame.go
@@ -12,14 +12,16 @@
 // Blame is the evidence that a task crashes the workers it runs on. It is written to the log, so
 // that the next holder of the cell has it too.
 type Blame struct {
-	// Crashes counts the workers that crashed while they ran the task. Several workers of a gang
-	// that crash during one run count once.
+	// Crashes counts the workers that crashed, or may have crashed, while they ran the task. Several
+	// workers of a gang that crash during one run count once.
 	Crashes int `json:"n"`
 	// Alone counts those crashes where no other task had started on the worker shortly before.
 	Alone int `json:"a,omitempty"`
 	// Odds is the probability that the task crashes its workers, divided by the probability that
-	// it does not.
+	// it does not, by the crashes that are certain.
 	Odds float64 `json:"o"`
+	// CautiousOdds is the same with those workers counted as crashed that are missing, or 0 if none is.
+	CautiousOdds float64 `json:"q,omitempty"`
 	// RecentCrashes lists the newest crashes, oldest first.
 	RecentCrashes []Crash `json:"c,omitempty"`
 	// MaxWorkTime and MinWorkTime are the longest and the shortest time that the task had run when
@@ -70,6 +72,23 @@
 	// BackgroundWeight is the weight, 0 to 1, with which the crash was added to the rate of
 	// crashes that no task causes.
 	BackgroundWeight float64 `json:"k,omitempty"`
+	// Missing is set while it is not known whether the worker has crashed.
+	Missing *MissingWorker `json:"m,omitempty"`
+}
+
+// MissingWorker describes a worker that may have crashed, or may be out of reach and go on. It is
+// stored so that the next holder can determine which.
+type MissingWorker struct {
+	// Worker is the string form of the worker's incarnation, Name the worker's name.
+	Worker string `json:"w"`
+	Name   string `json:"n"`
+	// Address and Rack are those of the worker.
+	Address string `json:"a,omitempty"`
+	Rack    string `json:"r,omitempty"`
+	// SinceUnixMilli is when the worker stopped answering, in milliseconds since 1970.
+	SinceUnixMilli int64 `json:"t"`
+	// Alone is set if no other task had started on the worker shortly before.
+	Alone bool `json:"l,omitempty"`
 }
 
 // isValid reports whether a stored crash has a known bound and values within their ranges.
@@ -77,7 +96,7 @@
 	known := c.Bound == Exact || c.Bound == AtMost || c.Bound == AtLeast
 	return known && c.Worked >= 0 && c.DetectionDelay >= 0 && c.Workers >= 0 &&
 		c.OtherTasksHazard >= 0 && c.BackgroundHazard >= 0 && c.OtherTasksHazard+c.BackgroundHazard > 0 &&
-		c.BackgroundWeight >= 0 && c.BackgroundWeight <= 1
+		c.BackgroundWeight >= 0 && c.BackgroundWeight <= 1 && (c.Missing == nil || c.Missing.Worker != "")
 }
 
 // UnmarshalJSON decodes a stored Blame and returns an error if a value is out of range.
@@ -88,12 +107,12 @@
 		return err
 	}
 	if p.Crashes < 1 || p.Alone < 0 || p.Alone > p.Crashes || p.Odds < 0 || math.IsInf(p.Odds, 0) ||
-		p.MinWorkTime < 0 || p.MaxWorkTime < p.MinWorkTime {
-		return fmt.Errorf("blame: want Crashes >= 1, Alone in 0..Crashes, finite Odds >= 0, MinWorkTime in 0..MaxWorkTime, got %+v", p)
+		p.CautiousOdds < 0 || math.IsInf(p.CautiousOdds, 0) || p.MinWorkTime < 0 || p.MaxWorkTime < p.MinWorkTime {
+		return fmt.Errorf("blame: want Crashes >= 1, Alone in 0..Crashes, finite Odds and CautiousOdds >= 0, MinWorkTime in 0..MaxWorkTime, got %+v", p)
 	}
 	for _, c := range p.RecentCrashes {
 		if !c.isValid() {
-			return fmt.Errorf("blame: crash: want a known Bound, no negative value, a hazard above 0, BackgroundWeight <= 1, got %+v", c)
+			return fmt.Errorf("blame: crash: want a known Bound, no negative value, a hazard above 0, BackgroundWeight <= 1, the name of a missing worker, got %+v", c)
 		}
 	}
 	*b = Blame(p)
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -82,13 +82,14 @@
 // earlyGuiltyOdds are the odds that are required instead after fewCrashes.
 const earlyGuiltyOdds = 1e6
 
-// Probability returns the probability that a task crashes its workers. It is 0 for a task under
-// which no worker has crashed.
+// Probability returns the probability that a task crashes its workers, with missing workers counted as
+// crashed. It is 0 for a task under which no worker has crashed.
 func Probability(b job.Blame) float64 {
 	if b.Crashes == 0 {
 		return 0
 	}
-	return b.Odds / (1 + b.Odds)
+	odds := max(b.Odds, b.CautiousOdds)
+	return odds / (1 + odds)
 }
 
 // IsSuspect reports whether a task has to be kept apart from other suspects.
@@ -103,8 +104,24 @@
 	return Probability(b) >= aloneThreshold || b.Crashes >= manyCrashes
 }
 
-// IsGuilty reports whether the job of a task has to be given up.
-func IsGuilty(b job.Blame) bool {
+// IsGuilty reports whether the job of a task has to be given up. Only workers that are known to have
+// crashed count.
+func IsGuilty(b job.Blame) bool { return isEnough(Certain(b)) }
+
+// Certain returns b with those crashes only whose workers are known to have crashed.
+func Certain(b job.Blame) job.Blame {
+	return withoutMissing(b, func(*job.MissingWorker) bool { return true })
+}
+
+// isGuiltyWithMissing reports whether the job of a task would have to be given up if all missing workers
+// had crashed.
+func isGuiltyWithMissing(b job.Blame) bool {
+	b.Odds = max(b.Odds, b.CautiousOdds)
+	return isEnough(b)
+}
+
+// isEnough reports whether the crashes and the odds of b are enough to give up the job.
+func isEnough(b job.Blame) bool {
 	return b.Crashes >= enoughCrashes && b.Odds >= guiltyOdds || b.Crashes >= fewCrashes && b.Odds >= earlyGuiltyOdds
 }
 
@@ -145,12 +162,15 @@
 	Workers int
 	// SameRun is set if the newest crash in Prior came under the same run of a gang.
 	SameRun bool
+	// Missing is set if it is not known whether the worker has crashed.
+	Missing *job.MissingWorker
 }
 
 // crash returns the crash as it is stored in the blame of the suspect, without hazards.
 func (s Suspect) crash() job.Crash {
 	c := job.Crash{
 		Worked: job.Milliseconds(s.Worked.Milliseconds()), Bound: s.TimeBound, DetectionDelay: job.Milliseconds(min(s.Worked, s.DetectionDelay).Milliseconds()), Workers: s.Workers,
+		Missing: s.Missing,
 	}
 	if before := s.Prior.RecentCrashes; s.SameRun && len(before) > 0 {
 		// The members on the workers that crashed first are no longer counted in s.Workers.
@@ -213,8 +233,13 @@
 // current estimate of how often a worker crashes for other reasons, per second; 0 leaves the rates
 // recorded with the crashes.
 func Reassess(b job.Blame, rate float64) job.Blame {
-	if len(b.RecentCrashes) > 0 {
-		b.Odds = oddsOf(b.RecentCrashes, rate)
+	if len(b.RecentCrashes) == 0 {
+		return b
+	}
+	certain := certainCrashes(b.RecentCrashes)
+	b.Odds, b.CautiousOdds = oddsOf(certain, rate), 0
+	if len(certain) < len(b.RecentCrashes) {
+		b.CautiousOdds = oddsOf(b.RecentCrashes, rate)
 	}
 	return b
 }
--- a/services/blame/tracker.go
+++ b/services/blame/tracker.go
@@ -34,6 +34,8 @@
 	earlierStarts map[string][]job.TaskID
 	// pendingGiveUps holds the tasks whose jobs are about to be given up, the earliest due first.
 	pendingGiveUps []pendingGiveUp
+	// missing holds the workers that may have crashed, keyed by the string form of their incarnations.
+	missing map[string]*missingWorker
 }
 
 // taskRecord holds the blame of one task.
@@ -59,7 +61,7 @@
 
 // NewTracker returns a tracker in which no task is blamed.
 func NewTracker() *Tracker {
-	return &Tracker{tasks: map[job.TaskID]*taskRecord{}, suspectCounts: map[job.StepID]int{}, earlierStarts: map[string][]job.TaskID{}}
+	return &Tracker{tasks: map[job.TaskID]*taskRecord{}, suspectCounts: map[job.StepID]int{}, earlierStarts: map[string][]job.TaskID{}, missing: map[string]*missingWorker{}}
 }
 
 // Blame returns the blame of a task, or the zero value if no worker has crashed under it.
@@ -74,10 +76,11 @@
 // suspects.
 func (tr *Tracker) SuspectCount(s job.StepID) int { return tr.suspectCounts[s] }
 
-// MustWait reports whether a task must not be started yet.
+// MustWait reports whether a task must not be started yet: its job is about to be given up, or would be if
+// its missing workers had crashed.
 func (tr *Tracker) MustWait(now time.Time, t job.TaskID) bool {
 	r := tr.tasks[t]
-	return r != nil && (r.giveUpPending || now.Before(r.retryAt))
+	return r != nil && (r.giveUpPending || now.Before(r.retryAt) || isGuiltyWithMissing(r.blame))
 }
 
 // setBlame replaces the blame of a task.
@@ -107,6 +110,7 @@
 func (tr *Tracker) Restore(t job.TaskID, b job.Blame) {
 	r := tr.setBlame(t, b)
 	r.crashes = nil
+	tr.restoreMissing(t, b)
 	for _, worker := range b.LastStartWorkers {
 		tr.earlierStarts[worker] = append(tr.earlierStarts[worker], t)
 	}
@@ -190,6 +194,10 @@
 type Crash struct {
 	Incarnation order.Incarnation
 	Rack        string
+	// Missing is set if it is not known whether the worker has crashed: it may be out of reach and go
+	// on. Address is its address.
+	Missing bool
+	Address string
 	// At is when the worker stopped answering, and UnixMilli the same time as milliseconds since
 	// 1970.
 	At        time.Time
@@ -230,20 +238,16 @@
 	return hazard
 }
 
-// reassess returns the blame of the tasks after the crash, with the present backgroundHazard.
-func (a *assessment) reassess(b *Background) []job.Blame {
-	return Assess(a.suspects, a.backgroundHazard(b))
-}
-
 // RecordCrash assesses the tasks that were on a crashed worker, records their blame and updates the
-// background rate.
+// background rate. The crash of a missing worker makes its tasks suspects, but is held against them, and
+// counts towards the rate, only once it is certain.
 func (tr *Tracker) RecordCrash(now time.Time, c Crash) []Finding {
 	a := &assessment{crash: c}
 	a.crash.Tasks = tr.tasksOn(c)
 	for _, t := range a.crash.Tasks {
 		a.suspects = append(a.suspects, Suspect{
 			Prior: tr.Blame(t.Task), Worked: t.Worked, TimeBound: t.TimeBound, DetectionDelay: t.DetectionDelay, Alone: t.Alone, Workers: t.Workers,
-			SameRun: tr.isSameRun(t),
+			SameRun: tr.isSameRun(t), Missing: a.crash.missingWorker(t),
 		})
 	}
 	background := a.backgroundHazard(&tr.Background)
@@ -252,7 +256,11 @@
 	if UnexplainedProbability(assessed) > 1-attributionThreshold {
 		a.backgroundWeight = tr.Background.IndependentProbability(c.At, c.Incarnation, c.Rack)
 	}
-	tr.Background.AddCrash(c.Rack, a.backgroundWeight)
+	if c.Missing {
+		tr.addMissing(a)
+	} else {
+		tr.Background.AddCrash(c.Rack, a.backgroundWeight)
+	}
 	findings := make([]Finding, len(assessed))
 	for i, b := range assessed {
 		b = tr.recordBlame(now, a, i, b)
@@ -294,8 +302,9 @@
 	}
 	b.RecentCrashes = slices.Clone(b.RecentCrashes)
 	for i := range b.RecentCrashes {
-		if b.RecentCrashes[i].SameRun {
-			// The task caused at most one crash of a run, so the others had other causes.
+		if b.RecentCrashes[i].SameRun || b.RecentCrashes[i].Missing != nil {
+			// The task caused at most one crash of a run, so the others had other causes. The crash of a
+			// missing worker is not part of the rate yet.
 			continue
 		}
 		tr.Background.RemoveCrashes(b.RecentCrashes[i].BackgroundWeight)
@@ -316,7 +325,9 @@
 		all = append(all, next)
 	}
 	for _, t := range c.Tasks {
-		add(t)
+		if !tr.isHeldFor(t.Task, c.Incarnation) {
+			add(t)
+		}
 	}
 	incarnation := c.Incarnation.String()
 	for _, t := range tr.earlierStarts[incarnation] {
@@ -370,6 +381,16 @@
 	due        time.Time
 }
 
+// reassessNewest assesses the newest crash under a task again, with what is known by now of other workers
+// that stopped answering at about the same time.
+func (tr *Tracker) reassessNewest(t job.TaskID, r *taskRecord, a *assessment) {
+	b := r.blame
+	b.RecentCrashes = slices.Clone(b.RecentCrashes)
+	b.RecentCrashes[len(b.RecentCrashes)-1].BackgroundHazard = a.backgroundHazard(&tr.Background)
+	tr.setBlame(t, Reassess(b, tr.Background.rate()))
+	r.crashes[len(r.crashes)-1].commonHazard = tr.Background.commonHazard(a.crash)
+}
+
 // GiveUpsDue returns the tasks whose giving up is due at now, after reassessing their last crash.
 // The caller gives up the jobs of those that are still guilty (IsGuilty).
 func (tr *Tracker) GiveUpsDue(now time.Time) []job.TaskID {
@@ -387,13 +408,7 @@
 		}
 		r.giveUpPending = false
 		if a.assessment != nil {
-			b := a.assessment.reassess(&tr.Background)[a.index]
-			// The earlier crashes may have been assessed again since.
-			newest := len(b.RecentCrashes) - 1
-			copy(b.RecentCrashes[:newest], r.blame.RecentCrashes)
-			b.RecentCrashes[newest].BackgroundWeight = r.blame.RecentCrashes[newest].BackgroundWeight
-			tr.setBlame(a.task, Reassess(b, tr.Background.rate()))
-			r.crashes[len(r.crashes)-1].commonHazard = tr.Background.commonHazard(a.assessment.crash)
+			tr.reassessNewest(a.task, r, a.assessment)
 		}
 		due = append(due, a.task)
 	}
--- a/services/dispatch/cutoff_test.go
+++ b/services/dispatch/cutoff_test.go
@@ -69,3 +69,63 @@
 	assert.Equal(t, a.state, job.Succeeded)
 	w.requireNoViolations()
 }
+
+// crashWhereverStarted crashes each worker of a job's only task 0.6 s after the task began there, until the
+// job has ended, and returns how often it did.
+func (w *world) crashWhereverStarted(a *submittedJob, downtime time.Duration, afterCrash func()) int {
+	w.t.Helper()
+	crashes := 0
+	for {
+		w.waitUntil(90*time.Second, "the task is at work, or the job has ended", func() bool {
+			w.queryStates()
+			f, _ := w.workerRunning(a.sub.ID)
+			return f != nil || a.state.IsFinal()
+		})
+		f, startedAt := w.workerRunning(a.sub.ID)
+		if f == nil {
+			return crashes
+		}
+		w.run(startedAt.Add(600 * time.Millisecond).Sub(w.now))
+		crashes++
+		f.crash(downtime)
+		afterCrash()
+	}
+}
+
+// A task that crashes its workers was started without end where they came back later than their leases, or
+// never, since only the lapsed lease told of the crash.
+func TestGuiltyTaskIsFoundWhereWorkersReturnAfterTheirLease(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		downtime    time.Duration
+		uniqueNames bool
+		takeovers   bool
+	}{
+		{"under the same name", 9 * time.Second, false, false},
+		{"under another name", 9 * time.Second, true, false},
+		{"after two leases", 13 * time.Second, true, false},
+		{"never", time.Hour, true, false},
+		{"under the same name, over takeovers", 9 * time.Second, false, true},
+		{"under another name, over takeovers", 9 * time.Second, true, true},
+		{"never, over takeovers", time.Hour, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, 3, 24)
+			w.crashesVisible, w.noRandomFailures, w.uniqueIncarnationNames = true, true, tc.uniqueNames
+			w.waitUntilServing()
+			s := oneStep("guilty", "quick", 1, false)
+			s.Steps[0].Estimate = 30_000
+			a := w.submit(s)
+			w.guiltyTasks[job.TaskID{StepID: job.StepID{Job: "guilty"}}] = time.Hour
+			crashes := w.crashWhereverStarted(a, tc.downtime, func() {
+				if tc.takeovers {
+					w.run(7 * time.Second)
+					w.killBox(w.holder(), 500*time.Millisecond)
+				}
+			})
+			assert.Equal(t, a.state, job.Failed)
+			assert.Check(t, crashes <= 5, "%d crashes", crashes)
+			w.requireNoViolations()
+		})
+	}
+}
--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -242,6 +242,7 @@
 	h.resumeRepeats(now)
 	h.refreshAllHealth(now)
 	h.hasAmpleFreeCapacity = h.updateCapacity()
+	h.resolveOverdueMissing(now)
 	h.giveUpGuiltyJobs(now)
 	h.expireAdvice(now)
 	h.dropExpiredJobs(now)
--- a/services/dispatch/incarnations.go
+++ b/services/dispatch/incarnations.go
@@ -77,7 +77,7 @@
 	if listed {
 		n.presence.RecordEntry(o.Leaving)
 	}
-	ending := h.endingOf(now, w, true)
+	ending := h.endingOf(now, w)
 	h.core.logEvent("worker restarted", logField("worker", w.Incarnation.String()), logField("life", n.Incarnation.String()), logField("tasks", len(w.attempts)),
 		logField("how", string(ending)), logField("listed", listed))
 	h.workers[n.Name] = n
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -79,7 +79,7 @@
 // endLease releases the attempts of a worker whose lease has expired: the worker has certainly ended
 // their runs.
 func (h *holderState) endLease(now time.Time, w *worker) {
-	ending := h.endingOf(now, w, w.incarnations.HasCandidate())
+	ending := h.lapsedEndingOf(now, w)
 	h.core.logEvent("worker lease expired", logField("worker", w.Incarnation.String()), logField("tasks", len(w.attempts)),
 		logField("lapsed_for", now.Sub(w.leaseExpiresBy).String()), logField("how", string(ending)))
 	h.loseAttempts(now, w, nil, ending, "the worker's lease has expired")
--- a/services/dispatch/lostworkers.go
+++ b/services/dispatch/lostworkers.go
@@ -19,13 +19,23 @@
 	}
 }
 
-// endingOf returns how the incarnation of an unresponsive worker ended. over is true if the
-// incarnation itself has ended, and false if only its lease has.
-func (h *holderState) endingOf(now time.Time, w *worker, over bool) exchange.Ending {
+// endingOf returns how a worker ended whose incarnation is known to have ended.
+func (h *holderState) endingOf(now time.Time, w *worker) exchange.Ending {
+	h.ensureUnresponsive(now, w)
+	return w.presence.Ending()
+}
+
+// lapsedEndingOf returns how a worker ended of which only the lease is known to have expired.
+func (h *holderState) lapsedEndingOf(now time.Time, w *worker) exchange.Ending {
+	h.ensureUnresponsive(now, w)
+	return w.presence.LapsedEnding(w.incarnations.HasCandidate())
+}
+
+// ensureUnresponsive records that a worker stopped answering, if that was not recorded yet.
+func (h *holderState) ensureUnresponsive(now time.Time, w *worker) {
 	if w.presence.UnresponsiveSince().IsZero() {
 		h.handleWorkerUnresponsive(now, w)
 	}
-	return w.presence.Ending(over)
 }
 
 // loseAttempts releases the attempts of an incarnation that certainly no longer runs them, so that
@@ -34,8 +44,9 @@
 func (h *holderState) loseAttempts(now time.Time, w, later *worker, ending exchange.Ending, reason string) {
 	lost := exchange.TasksLost{Ending: ending, Tasks: len(w.attempts)}
 	unresponsiveSince := w.presence.UnresponsiveSince()
+	mayHaveCrashed := ending == exchange.Crashed || ending == exchange.Missing
 	var suspects []blame.RunningTask
-	if ending == exchange.Crashed {
+	if mayHaveCrashed {
 		suspects = h.tasksAtCrash(w, unresponsiveSince)
 	}
 	for _, a := range w.sortedAttempts() {
@@ -48,8 +59,8 @@
 		h.loseAttempt(now, a, reason)
 	}
 	h.core.emit(lost)
-	if ending == exchange.Crashed {
-		h.recordCrash(now, w, suspects)
+	if mayHaveCrashed {
+		h.recordCrash(now, w, suspects, ending)
 	}
 }
 
--- a/services/dispatch/renewalanswers.go
+++ b/services/dispatch/renewalanswers.go
@@ -88,6 +88,9 @@
 	w.clock, w.clockAt = e.Report.Clock, now
 	h.applyReport(now, w, e)
 	h.confirmFence(now, w)
+	if !w.reported {
+		h.resolveMissing(now, w)
+	}
 	if !w.reported && !h.mayOmitEnds(e.Report) {
 		h.recordFirstReport(now, w)
 	}
--- a/services/dispatch/suspects.go
+++ b/services/dispatch/suspects.go
@@ -130,16 +130,29 @@
 	return max(0, at.Sub(a.stateSince)) + h.core.settings.Lease
 }
 
-// recordCrash updates the blame records of the tasks that ran on a worker when it crashed, and the
-// learned crash rate.
-func (h *holderState) recordCrash(now time.Time, w *worker, tasks []blame.RunningTask) {
+// recordCrash updates the blame records of the tasks that ran on a worker when it crashed or went missing,
+// and the learned crash rate.
+func (h *holderState) recordCrash(now time.Time, w *worker, tasks []blame.RunningTask, ending exchange.Ending) {
+	if ending == exchange.Crashed {
+		r, wasMissing := h.blame.ResolveAsCrashed(now, w.Incarnation)
+		if wasMissing {
+			h.applyResolution(r, "its incarnation has ended")
+		}
+		if wasMissing && len(tasks) == 0 {
+			return
+		}
+	}
 	at := w.presence.UnresponsiveSince()
 	c := blame.Crash{
-		Incarnation: w.Incarnation, Rack: w.Rack, At: at, UnixMilli: h.core.unixMilli(at),
+		Incarnation: w.Incarnation, Rack: w.Rack, Missing: ending == exchange.Missing, Address: w.Address, At: at, UnixMilli: h.core.unixMilli(at),
 		TasksKnown: w.reported || w.logged.IsUnresponsive(), Tasks: tasks,
 	}
+	message := "worker crashed while running a task"
+	if c.Missing {
+		message = "worker went missing while running a task"
+	}
 	for _, f := range h.blame.RecordCrash(now, c) {
-		h.core.logEvent("worker crashed while running a task", logField("job", string(f.Task.Job)), logField("task", f.Task.String()),
+		h.core.logEvent(message, logField("job", string(f.Task.Job)), logField("task", f.Task.String()),
 			logField("worker", w.Incarnation.String()),
 			logField("crashes", f.Blame.Crashes), logField("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))),
 			logField("worked_most", f.Worked.String()),
@@ -151,14 +164,62 @@
 	h.journal.addRecord(jobrecords.CrashRateRecord(h.blame.LearnedRate()))
 }
 
+// resolveMissing updates the blame of tasks on missing workers after an answer of a worker, which may have
+// been missing itself or may have replaced one that was.
+func (h *holderState) resolveMissing(now time.Time, w *worker) {
+	for _, r := range h.blame.ResolveByAnswer(now, w.Incarnation, w.Address) {
+		h.applyResolution(r, "answer of "+w.Incarnation.String())
+	}
+}
+
+// resolveOverdueMissing updates the blame of tasks on workers that have been missing for too long. While
+// the list of workers may be incomplete, it does nothing.
+func (h *holderState) resolveOverdueMissing(now time.Time) {
+	if now.Sub(h.startedAt) < h.maxLeaseDuration() || h.entriesMayReturn(now) {
+		return
+	}
+	isListed := func(name string) bool { w := h.workers[name]; return w != nil && w.presence.IsListed() }
+	for _, r := range h.blame.ResolveOverdue(now, h.core.unixMilli(now), isListed) {
+		h.applyResolution(r, "nothing was heard of it")
+	}
+}
+
+// applyResolution records what became of a missing worker, and how that was found.
+func (h *holderState) applyResolution(r blame.Resolution, reason string) {
+	h.core.logEvent("missing worker is accounted for", logField("worker", r.Worker), logField("crashed", r.Crashed),
+		logField("reason", reason), logField("tasks", len(r.Tasks)))
+	h.core.emit(exchange.MissingWorkerResolved{Crashed: r.Crashed})
+	if r.Crashed {
+		h.journal.addRecord(jobrecords.CrashRateRecord(h.blame.LearnedRate()))
+	}
+	for _, t := range r.Tasks {
+		h.markDirty(h.jobs[t.Job])
+		h.untrackUnsuspected(t)
+	}
+}
+
+// untrackUnsuspected reverts what trackSuspect did for the attempts of a task that is no suspect any more.
+func (h *holderState) untrackUnsuspected(t job.TaskID) {
+	s := h.findStep(t.StepID)
+	if s == nil || blame.IsSuspect(h.blame.Blame(t)) {
+		return
+	}
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil && s.blameUnit(i) == t {
+			a.untrackSuspect()
+		}
+	}
+}
+
 // giveUpGuiltyJobs fails the jobs whose tasks have been found guilty of crashing workers.
 func (h *holderState) giveUpGuiltyJobs(now time.Time) {
 	for _, t := range h.blame.GiveUpsDue(now) {
 		j, b := h.jobs[t.Job], h.blame.Blame(t)
 		h.markDirty(j)
 		if blame.IsGuilty(b) {
-			h.core.emit(exchange.JobGivenUp{Crashes: b.Crashes})
-			h.finishJob(now, j, job.Failed, fmt.Sprintf("%d workers crashed under task %s", b.Crashes, t))
+			crashes := blame.Certain(b).Crashes
+			h.core.emit(exchange.JobGivenUp{Crashes: crashes})
+			h.finishJob(now, j, job.Failed, fmt.Sprintf("%d workers crashed under task %s", crashes, t))
 		}
 	}
 }
@@ -169,11 +230,7 @@
 	if !h.blame.Clear(s.blameUnit(index)) {
 		return
 	}
-	for i := range s.tasks {
-		if a := s.tasks[i].attempt; a != nil && s.blameUnit(i) == s.blameUnit(index) {
-			a.untrackSuspect()
-		}
-	}
+	h.untrackUnsuspected(s.blameUnit(index))
 	if !s.job.state.IsFinal() {
 		h.markDirty(s.job)
 	}
@@ -436,7 +493,7 @@
 func (h *holderState) suspectReason(s *step) string {
 	for i := range s.tasks {
 		if b := h.blameOf(s, i); blame.IsSuspect(b) {
-			return fmt.Sprintf("%d workers crashed under task %d, which crashes them with probability %.2g; it is started apart from other suspects",
+			return fmt.Sprintf("%d workers crashed or went missing under task %d, which crashes them with probability %.2g; it is started apart from other suspects",
 				b.Crashes, i, blame.Probability(b))
 		}
 	}
--- a/services/dispatch/workers.go
+++ b/services/dispatch/workers.go
@@ -214,7 +214,7 @@
 // handleWorkerTerminated removes a worker whose incarnation has certainly ended, and frees its
 // tasks.
 func (h *holderState) handleWorkerTerminated(now time.Time, w *worker, reason string) {
-	ending := h.endingOf(now, w, true)
+	ending := h.endingOf(now, w)
 	h.core.logEvent("worker terminated", logField("worker", w.Incarnation.String()), logField("reason", reason), logField("tasks", len(w.attempts)), logField("how", string(ending)))
 	h.loseAttempts(now, w, nil, ending, reason)
 	delete(h.unreportedWorkers, w.Name)
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -385,6 +385,8 @@
 		l.metrics.entriesRefused.Inc()
 	case exchange.Evacuations:
 		l.metrics.recordEvacuations(e)
+	case exchange.MissingWorkerResolved:
+		l.metrics.recordResolution(e)
 	case exchange.JobGivenUp:
 		l.metrics.jobsGivenUp.Inc()
 		l.metrics.crashesBlamed.Add(float64(e.Crashes))
--- a/services/jobrun/metrics.go
+++ b/services/jobrun/metrics.go
@@ -56,6 +56,8 @@
 	// tasksLost counts tasks that were lost with their workers, by how the workers ended.
 	// lostWorkTime adds up how long those tasks had been running, in seconds.
 	tasksLost, lostWorkTime *prometheus.CounterVec
+	// missingWorkers counts missing workers by what became of them.
+	missingWorkers *prometheus.CounterVec
 	// jobsGivenUp counts jobs that were given up because workers crashed while running one of
 	// their tasks. crashesBlamed counts these crashes.
 	jobsGivenUp, crashesBlamed prometheus.Counter
@@ -134,6 +136,7 @@
 	}, []string{"queue"})
 	m.tasksLost = counter("tasks_lost_total", "Tasks that were lost with their workers, by how those ended.", "worker")
 	m.lostWorkTime = counter("tasks_lost_worked_seconds_total", "How long tasks that were lost with their workers had been at work, by how those ended.", "worker")
+	m.missingWorkers = counter("missing_workers_total", "Workers that were neither reached nor listed when their leases expired, by what became of them.", "outcome")
 	m.jobsGivenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_jobs_given_up_crashes_total", Help: "Jobs that were given up because workers crashed under a task of them.",
 	})
@@ -149,7 +152,7 @@
 	m.evacuationsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "saddlevane_evacuations_refused_total", Help: "Requests to evacuate a failure domain that cannot be read or that name a domain without workers.",
 	})
-	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.forecastError, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.logReads, m.advice, m.unanswered,
+	m.registry.MustRegister(m.evacuations, m.evacuationsRefused, m.refusedCalls, m.workspaces, m.jobsOverShare, m.forecastError, m.entriesRefused, m.tasksLost, m.lostWorkTime, m.missingWorkers, m.jobsGivenUp, m.crashesBlamed, collectors.NewGoCollector(), m.calls, m.callTime, m.orders, m.ends, m.appends, m.logTime, m.logReads, m.advice, m.unanswered,
 		m.callsRetried, m.connectionsDiscarded, m.connectionsOpen, m.bytes, m.queueWait, m.passTime, m.overloadRefusals)
 	return m
 }
@@ -192,6 +195,15 @@
 	m.lostWorkTime.WithLabelValues(string(e.Ending)).Add(e.Worked.Seconds())
 }
 
+// recordResolution counts a missing worker by what became of it.
+func (m *Metrics) recordResolution(e exchange.MissingWorkerResolved) {
+	outcome := "alive"
+	if e.Crashed {
+		outcome = "crashed"
+	}
+	m.missingWorkers.WithLabelValues(outcome).Inc()
+}
+
 // recordEvacuations sets the number of evacuated domains and counts refused requests.
 func (m *Metrics) recordEvacuations(e exchange.Evacuations) {
 	m.evacuations.Set(float64(e.InForce))
--- a/services/presence/presence.go
+++ b/services/presence/presence.go
@@ -75,14 +75,24 @@
 // answers.
 func (p *Presence) UnresponsiveSince() time.Time { return p.unresponsiveSince }
 
-// Ending returns how the incarnation of an unresponsive worker ended. over is set if the
-// incarnation is known to have ended; otherwise only its lease is known to have run out.
-func (p *Presence) Ending(over bool) exchange.Ending {
+// Ending returns how an unresponsive worker ended whose incarnation is known to have ended.
+func (p *Presence) Ending() exchange.Ending {
+	if !p.wasHealthy {
+		return exchange.Left
+	}
+	return exchange.Crashed
+}
+
+// LapsedEnding returns how an unresponsive worker ended of which only the lease is known to have
+// expired. otherListed is set if the platform lists another incarnation of it, which has not answered.
+// Neither that nor a missing entry proves that the worker has crashed: one that is out of reach of the
+// platform, too, is not listed either.
+func (p *Presence) LapsedEnding(otherListed bool) exchange.Ending {
 	switch {
 	case !p.wasHealthy:
 		return exchange.Left
-	case over || !p.listed:
-		return exchange.Crashed
+	case !p.listed || otherListed:
+		return exchange.Missing
 	default:
 		return exchange.CutOff
 	}
--- a/services/presence/presence_test.go
+++ b/services/presence/presence_test.go
@@ -21,37 +21,41 @@
 	for _, c := range []struct {
 		name string
 		seen func(p *presence.Presence)
-		over bool
-		want exchange.Ending
+		// ended is the ending if another incarnation has answered, lapsed the one if only the lease is over,
+		// and replaced the same if another incarnation is listed as well.
+		ended, lapsed, replaced exchange.Ending
 	}{
-		{"another life answers at its address", func(p *presence.Presence) { p.RecordUnresponsive(now, detectionTime) }, true, exchange.Crashed},
+		{"it is silent and still listed", func(p *presence.Presence) {
+			p.RecordUnresponsive(now, detectionTime)
+		}, exchange.Crashed, exchange.CutOff, exchange.Missing},
 		{"its entry is removed after it fell silent", func(p *presence.Presence) {
 			p.RecordUnresponsive(now, detectionTime)
 			p.RecordMissing(now.Add(time.Second), false)
-		}, false, exchange.Crashed},
+		}, exchange.Crashed, exchange.Missing, exchange.Missing},
 		{"its entry is removed just before its silence is detected", func(p *presence.Presence) {
 			p.RecordMissing(now, false)
 			p.RecordUnresponsive(now.Add(detectionTime/2), detectionTime)
-		}, false, exchange.Crashed},
-		{"it is silent and still listed", func(p *presence.Presence) { p.RecordUnresponsive(now, detectionTime) }, false, exchange.CutOff},
+		}, exchange.Crashed, exchange.Missing, exchange.Missing},
 		{"it was leaving", func(p *presence.Presence) {
 			p.RecordEntry(true)
 			p.RecordUnresponsive(now, detectionTime)
-		}, true, exchange.Left},
+		}, exchange.Left, exchange.Left, exchange.Left},
 		{"its entry was removed while it answered", func(p *presence.Presence) {
 			p.RecordMissing(now, false)
 			p.RecordUnresponsive(now.Add(3*time.Second), detectionTime)
-		}, true, exchange.Left},
+		}, exchange.Left, exchange.Left, exchange.Left},
 		{"its entry was missing but came back before the silence", func(p *presence.Presence) {
 			p.RecordMissing(now, true)
 			p.RecordEntry(false)
 			p.RecordUnresponsive(now.Add(3*time.Second), detectionTime)
-		}, true, exchange.Crashed},
+		}, exchange.Crashed, exchange.CutOff, exchange.Missing},
 	} {
 		var p presence.Presence
 		p.RecordEntry(false)
 		c.seen(&p)
-		assert.Equal(t, p.Ending(c.over), c.want, c.name)
+		assert.Equal(t, p.Ending(), c.ended, c.name)
+		assert.Equal(t, p.LapsedEnding(false), c.lapsed, c.name)
+		assert.Equal(t, p.LapsedEnding(true), c.replaced, c.name)
 	}
 }
 
