--- a/services/blame/explained.go
+++ b/services/blame/explained.go
@@ -97,10 +97,3 @@
 		tr.scheduleGiveUp(now, t, newest.assessment, newest.index)
 	}
 }
-
-// scheduleGiveUp makes the job of a task due to be given up after giveUpDelay. a is the assessment
-// of the task's newest crash, and index the index of the task in it.
-func (tr *Tracker) scheduleGiveUp(now time.Time, t job.TaskID, a *assessment, index int) {
-	tr.tasks[t].giveUpPending = true
-	tr.pendingGiveUps = append(tr.pendingGiveUps, pendingGiveUp{task: t, assessment: a, index: index, due: now.Add(giveUpDelay)})
-}
--- a/services/blame/missing.go
+++ b/services/blame/missing.go
@@ -176,20 +176,6 @@
 	return changed
 }
 
-// reconsiderGiveUp makes the job of a task due to be given up if the task is guilty now.
-func (tr *Tracker) reconsiderGiveUp(now time.Time, t job.TaskID, r *taskRecord) {
-	r.giveUpPending = false
-	if !IsGuilty(r.blame) {
-		return
-	}
-	if len(r.crashes) == 0 {
-		tr.scheduleGiveUp(now, t, nil, 0)
-		return
-	}
-	newest := r.crashes[len(r.crashes)-1]
-	tr.scheduleGiveUp(now, t, newest.assessment, newest.index)
-}
-
 // isHeldFor reports whether a crash of the worker is held against a task already.
 func (tr *Tracker) isHeldFor(t job.TaskID, worker order.Incarnation) bool {
 	m := tr.missing[worker.String()]
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -32,7 +32,8 @@
 //     lostworkers releases what ran on a worker that is lost, unresponsive records in
 //     the log what may run on a worker that does not answer, inheritedstarts restores
 //     the starts that earlier holders ordered;
-//   - suspects runs tasks that are suspected of crashing workers on separate workers;
+//   - suspects keeps which tasks are suspected of crashing workers, crashes what a lost
+//     worker tells about the tasks on it, trials starts suspects on separate workers;
 //   - evacuation keeps tasks off the failure domains that operators evacuate;
 //   - delay computes what made a job late.
 package dispatch
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -222,3 +222,8 @@
 	b.append.Records = append(b.append.Records, r)
 	return len(r.Key) + len(r.Value)
 }
+
+// hasPendingProgress reports whether the log does not have the latest progress of a job yet.
+func (j *journal) hasPendingProgress(tj *trackedJob) bool {
+	return tj.progressPending || j.batch != nil && slices.ContainsFunc(j.batch.progressEntries, func(b progressEntry) bool { return b.job == tj })
+}
