dispatch: tests that a job is shown as failed by its failed runs only, each counted once

Ruled out as a cause of a count that is too high:

- the same end listed again (13 ways: lost answers, another number, later incarnations whose ends begin at 1, a lapsed lease with the entry gone, takeovers before the record and before the acknowledgement, a record of its own beside the progress or beside the report);
- a run that is carried out by two incarnations and fails on both;
- members of a gang that fail in one run, in several reports, over a takeover;
- ends that are stopped, lapsed, broken or alone, also restored from records;
- failures of different tasks.

A job that has failed in memory only is shown in the state that the log has, by this holder and by the next one.

--- a/services/dispatch/deliverycell_test.go
+++ b/services/dispatch/deliverycell_test.go
@@ -48,6 +48,9 @@
 	holds func(o *transitOrder) bool
 	held  []*transitOrder
 	sent  []*transitOrder
+	// holdsAppends keeps appends to the stream of jobs from being carried out and answered. heldAppends are those.
+	holdsAppends bool
+	heldAppends  []exchange.Append
 	// submitted are the submitted jobs. acknowledged has the tasks whose success was acknowledged, for a
 	// gang its first task, and reported the ends that an answer to the holder has listed.
 	submitted    map[job.ID]job.Submission
@@ -245,6 +248,10 @@
 		ended.Offset = c.nextOffset
 		c.nextOffset++
 	case exchange.ForJournal:
+		if c.holdsAppends {
+			c.heldAppends = append(c.heldAppends, e)
+			return
+		}
 		for _, r := range e.Append.Records {
 			r.Offset = int64(len(c.records))
 			c.records = append(c.records, r)
