dispatch: a holder with an older configuration keeps the settings under which a job was accepted

What callers see: a job that was accepted while a task may fail four times is shown as failed after two failed runs (LOST), if the cell is taken over by a box that has not yet read the configuration with the four, but an older one; or its tasks start again after the number of failures that is allowed (BUDGET), if the older one says more.

Cause: queueOf took the queue of whatever configuration the box has. The log had the queue under which the job was accepted, but not of which version it is.

Why it works: the record of a submission names the version of the configuration; while the box has a lower one, the accepted queue is in force for the job, with its pool, priority and target as well. Records without a version are treated as before; an earlier release ignores the field.

Not covered: the number is raised after the job was accepted and the next holder has read neither version.

--- a/services/dispatch/calls.go
+++ b/services/dispatch/calls.go
@@ -8,6 +8,7 @@
 
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
+	"saddlevane/services/jobrecords"
 )
 
 // submit accepts a job once the log has it. Submissions with the same ID are the same job.
@@ -58,7 +59,9 @@
 		h.core.reply(e.Call, *refusal)
 		return
 	}
-	j := h.addJob(now, e.Submission, h.core.unixMilli(now), h.core.config.Queues[e.Submission.Queue])
+	j := h.addJob(now, jobrecords.Submission{
+		Queue: h.core.config.Queues[e.Submission.Queue], ConfigVersion: h.core.config.Version, Submission: e.Submission, Accepted: h.core.unixMilli(now),
+	})
 	j.beyondShare = !within
 	j.acceptCalls = append(j.acceptCalls, e.Call)
 	h.journal.unloggedJobs = append(h.journal.unloggedJobs, j)
--- a/services/dispatch/jobs.go
+++ b/services/dispatch/jobs.go
@@ -26,8 +26,10 @@
 	// exceeded its share when the job was submitted.
 	workspace   string
 	beyondShare bool
-	// acceptedQueue is the configuration of the queue at the time when the job was accepted.
-	acceptedQueue job.Queue
+	// acceptedQueue is the configuration of the queue at the time when the job was accepted, acceptedVersion the
+	// version of the configuration, or 0 if that is not known.
+	acceptedQueue   job.Queue
+	acceptedVersion int64
 	// submission is nil once the log has the job's end and none of its runs are left.
 	submission *job.Submission
 	// acceptedUnixMilli is when the job was accepted, in milliseconds since 1970; acceptedAt is
@@ -157,14 +159,16 @@
 func (s *step) dependencies() []int { return s.spec.After }
 
 // addJob adds a submitted job, and creates its instances that are due.
-func (h *holderState) addJob(now time.Time, sub job.Submission, acceptedUnixMilli int64, queue job.Queue) *trackedJob {
-	age := time.Duration(h.core.unixMilli(now)-acceptedUnixMilli) * time.Millisecond
+func (h *holderState) addJob(now time.Time, accepted jobrecords.Submission) *trackedJob {
+	age := time.Duration(h.core.unixMilli(now)-accepted.Accepted) * time.Millisecond
+	sub := accepted.Submission
 	j := &trackedJob{
-		id: sub.ID, queue: sub.Queue, workspace: sub.Workspace, acceptedQueue: queue, submission: &sub, acceptedUnixMilli: acceptedUnixMilli,
+		id: sub.ID, queue: sub.Queue, workspace: sub.Workspace, acceptedQueue: accepted.Queue, acceptedVersion: accepted.ConfigVersion,
+		submission: &sub, acceptedUnixMilli: accepted.Accepted,
 		acceptedAt: now.Add(-max(0, age)), instances: map[int]*instance{}, state: job.Queued, reportedState: job.Queued,
 	}
 	h.jobs[j.id] = j
-	h.knownPools[queue.Pool] = true
+	h.knownPools[accepted.Queue.Pool] = true
 	if sub.Repeat.Times > 0 {
 		h.repeatingJobs = append(h.repeatingJobs, j)
 	}
--- a/services/dispatch/journal.go
+++ b/services/dispatch/journal.go
@@ -168,7 +168,9 @@
 		tj := j.unloggedJobs[0]
 		j.unloggedJobs = j.unloggedJobs[1:]
 		b.newJobs = append(b.newJobs, tj)
-		size += b.addRecord(jobrecords.Submission{Queue: tj.acceptedQueue, Submission: *tj.submission, Accepted: tj.acceptedUnixMilli}.Record())
+		size += b.addRecord(jobrecords.Submission{
+			Queue: tj.acceptedQueue, ConfigVersion: tj.acceptedVersion, Submission: *tj.submission, Accepted: tj.acceptedUnixMilli,
+		}.Record())
 	}
 	return size
 }
--- a/services/dispatch/rank.go
+++ b/services/dispatch/rank.go
@@ -15,9 +15,10 @@
 )
 
 // queueOf returns the queue settings that apply to a job: those of the current configuration or, if
-// it no longer has the queue, those in force when the job was accepted.
+// it no longer has the queue, those in force when the job was accepted. These apply as well if this box has
+// not yet read the configuration under which an earlier holder accepted the job, but an older one.
 func (h *holderState) queueOf(j *trackedJob) job.Queue {
-	if q, ok := h.core.config.Queues[j.queue]; ok {
+	if q, ok := h.core.config.Queues[j.queue]; ok && h.core.config.Version >= j.acceptedVersion {
 		return q
 	}
 	return j.acceptedQueue
--- a/services/dispatch/restore.go
+++ b/services/dispatch/restore.go
@@ -51,7 +51,7 @@
 	}
 	h.restoreStarts(state.RecentStarts)
 	for _, k := range state.Jobs {
-		j := h.addJob(now, k.Submission.Submission, k.Accepted, k.Queue)
+		j := h.addJob(now, k.Submission)
 		j.accepted = true
 		j.inherited = true
 		h.restoreJob(now, j, k.Progress)
--- a/services/jobrecords/jobrecords.go
+++ b/services/jobrecords/jobrecords.go
@@ -45,9 +45,11 @@
 
 // Submission is the recorded submission of an accepted job.
 type Submission struct {
-	// Queue is the configuration of the job's queue at the time of acceptance.
-	Queue      job.Queue      `json:"queue"`
-	Submission job.Submission `json:"job"`
+	// Queue is the configuration of the job's queue at the time of acceptance, ConfigVersion the version of the
+	// configuration, or 0 in records of earlier releases.
+	Queue         job.Queue      `json:"queue"`
+	ConfigVersion int64          `json:"config,omitempty"`
+	Submission    job.Submission `json:"job"`
 	// Accepted is the time of acceptance, in Unix milliseconds.
 	Accepted int64 `json:"accepted_unix_ms"`
 }
