--- a/services/dispatch/failedconfig_test.go
+++ b/services/dispatch/failedconfig_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"saddlevane/models/claim"
 	"saddlevane/models/exchange"
 	"saddlevane/models/job"
 	"saddlevane/models/order"
+	"saddlevane/services/dispatch"
 
 	"gotest.tools/v3/assert"
 )
@@ -134,3 +136,27 @@
 		})
 	}
 }
+
+// A box that has read no configuration doesn't know how often a task may fail, and must not hold the cell.
+func TestBoxWithoutConfigurationDoesNotClaimTheCell(t *testing.T) {
+	d := &harness{
+		t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		core: dispatch.New(settings(), claim.Member{Box: "a", Incarnation: "a1", Address: "a"}),
+	}
+	claims := func(span time.Duration) bool {
+		for end := d.now.Add(span); d.now.Before(end); {
+			effects := d.advance(20 * time.Millisecond)
+			if findAppend(effects, exchange.ForAnnounce) != nil {
+				effects = append(effects, d.handle(exchange.AppendEnded{Purpose: exchange.ForAnnounce})...)
+			}
+			if findAppend(effects, exchange.ForClaim) != nil {
+				return true
+			}
+		}
+		return false
+	}
+	d.handle(exchange.ClaimsRead{First: true})
+	assert.Check(t, !claims(20*time.Second))
+	d.handle(exchange.ConfigRead{Config: config()})
+	assert.Check(t, claims(20*time.Second))
+}
