logger: a line of JSON begins with what happened to what, and why

The users' record of an incident keeps the first 200 characters of a line.

Cause: logrus writes the fields in alphabetical order; age, box, claim and incarnation took the room. Now level, msg, job, task, run, outcome, reason, how, worker, error, crashes and odds come first, then the others by name, and time, box and incarnation, which are the same in all lines or are known to whoever collects them, come last. Not written any more: logrus_error, for fields that hold functions, and the caller; no line of ours has either.

--- a/cmd/saddlevane-bench/holder.go
+++ b/cmd/saddlevane-bench/holder.go
@@ -21,13 +21,13 @@
 	"saddlevane/models/resource"
 	"saddlevane/models/stream"
 	"saddlevane/modules/clock"
+	"saddlevane/modules/logger"
 	"saddlevane/services/authority"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/jobrun"
 	"saddlevane/services/relay"
 	"saddlevane/tests/memory"
 
-	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 )
 
@@ -93,9 +93,10 @@
 	if err != nil {
 		return nil, err
 	}
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetOutput(io.Discard)
+	log, err := logger.New(io.Discard, "info", logger.FormatJSON)
+	if err != nil {
+		return nil, err
+	}
 	b := &benchBox{self: claim.Member{Box: name, Incarnation: name, Domain: domain, Address: listener.Addr().String(), Size: size}}
 	b.loop = jobrun.NewLoop(holderSettings(), b.self, on, log.WithField("box", name), c)
 	b.peers = jobrun.NewPeers(listener, b.loop)
--- a/modules/logger/logger.go
+++ b/modules/logger/logger.go
@@ -40,7 +40,7 @@
 	l.SetLevel(parsed)
 	switch format {
 	case FormatJSON:
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(lineFormatter{})
 	case FormatText:
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	default:
