jobrun: calls for routes that do not exist get a line a minute, not one each

Now the first such call of a queue is logged in a minute, for four queues at most (a path without a route has the queue ""), with lines_omitted, the number of calls that got no line since the last that did. The metric counts all calls, as before; refusals for a key or for an unknown configuration keep their lines.

--- a/services/jobrun/admission.go
+++ b/services/jobrun/admission.go
@@ -4,6 +4,8 @@
 package jobrun
 
 import (
+	"time"
+
 	"saddlevane/models/exchange"
 	"saddlevane/models/workspace"
 	"saddlevane/services/workspaces"
@@ -33,16 +35,32 @@
 	return nil, &a
 }
 
+const (
+	// expectedRefusalInterval and expectedRefusalQueues bound the lines about calls for queues that do
+	// not exist: one for each queue in an interval, for so many queues. Such calls are answered as expected,
+	// callers may go on making them, and a log must have room for what explains a failure.
+	expectedRefusalInterval = time.Minute
+	expectedRefusalQueues   = 4
+)
+
 // recordRefusedCall counts and logs a call that this box refuses before forwarding it, with
 // the version of the configuration by which it was refused and whether that one was known to
 // be current.
 func (l *Loop) recordRefusedCall(queue string, a exchange.Answer, version int64, current bool) {
 	l.metrics.refusedCalls.WithLabelValues(string(a.Outcome)).Inc()
+	omitted, ok := 0, true
+	if a.Outcome == exchange.NoQueue {
+		omitted, ok = l.expectedRefusals.Take(l.now(), queue)
+	}
+	if !ok {
+		return
+	}
 	l.logWriter.write(exchange.LogEvent{Message: "call refused", Fields: []exchange.LogField{
 		{Name: "queue", Value: queue},
 		{Name: "outcome", Value: string(a.Outcome)},
 		{Name: "reason", Value: a.Reason},
 		{Name: "config", Value: version},
 		{Name: "config_is_current", Value: current},
+		{Name: "lines_omitted", Value: omitted},
 	}})
 }
--- a/services/jobrun/loop.go
+++ b/services/jobrun/loop.go
@@ -18,6 +18,7 @@
 	"saddlevane/models/order"
 	"saddlevane/models/stream"
 	"saddlevane/modules/clock"
+	"saddlevane/modules/loglimit"
 	"saddlevane/services/dispatch"
 	"saddlevane/services/logfeed"
 	"saddlevane/services/overload"
@@ -94,13 +95,15 @@
 	platform  Platform
 	log       *logrus.Entry
 	logWriter *logWriter
-	clock     *clock.Clock
-	now       func() time.Time
-	events    chan queuedEvent
-	queries   chan func(now time.Time, c *dispatch.Core)
-	metrics   *Metrics
-	load      loadStats
-	work      loopWork
+	// expectedRefusals chooses which calls for queues that do not exist are logged.
+	expectedRefusals *loglimit.Limiter
+	clock            *clock.Clock
+	now              func() time.Time
+	events           chan queuedEvent
+	queries          chan func(now time.Time, c *dispatch.Core)
+	metrics          *Metrics
+	load             loadStats
+	work             loopWork
 	// gate decides which new jobs are admitted while this box holds the cell and is overloaded.
 	gate  overload.Gate
 	peers *Peers
@@ -156,7 +159,8 @@
 	l := &Loop{
 		settings: s, core: dispatch.New(s.Dispatch, self), self: self, platform: p, log: log, logWriter: newLogWriter(log, c.Now), clock: c, now: c.Now,
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(time.Time, *dispatch.Core)),
-		metrics: newMetrics(), ctx: ctx, cancel: cancel,
+		expectedRefusals: loglimit.New(expectedRefusalInterval, expectedRefusalQueues),
+		metrics:          newMetrics(), ctx: ctx, cancel: cancel,
 		stopped: make(chan struct{}), calls: map[exchange.CallID]chan exchange.Answer{},
 		relays: relay.NewSelector(s.Relays, self.Box), readers: logfeed.NewSelector(self), windows: map[stream.Name]*logfeed.Window{},
 	}
