dispatch: a failed job's line is a warning, and names the task and the runs that counted

Now: 'task T failed 2 times (2 allowed), in runs A, B', 'gang G ...' where the failures of all members count; at most the last three runs are named. The line fits the first 200 characters with the longest IDs (TestBeginningOfLineExplainsLoss). It is a warning; other ends stay at info. Lines of the reducer had no levels, so exchange.LogEvent has one for warnings, and only this line uses it.

The reason 'N workers crashed under task T' is as it was.

--- a/models/exchange/effects.go
+++ b/models/exchange/effects.go
@@ -170,6 +170,8 @@
 type LogEvent struct {
 	Message string
 	Fields  []LogField
+	// Warning is set if the line is about a failure that callers see.
+	Warning bool
 }
 
 // LogField is one named value of a LogEvent.
--- a/modules/logger/logger_test.go
+++ b/modules/logger/logger_test.go
@@ -41,14 +41,20 @@
 	return l.WithFields(logrus.Fields{logger.FieldBox: box, logger.FieldIncarnation: incarnation})
 }
 
-// endedJob returns the fields of the line for a failed job.
-func endedJob() logrus.Fields {
+// endedJob returns the fields of the line for a job that failed for some reason.
+func endedJob(reason string) logrus.Fields {
 	return logrus.Fields{
 		"job": jobID, "queue": "risk-scoring-nightly", "workspace": "risk-and-compliance", "outcome": "failed",
-		"reason": "3 workers crashed under task " + taskID, "age": "36.612345678s", "claim": int64(3),
+		"reason": reason, "age": "36.612345678s", "claim": int64(3),
 	}
 }
 
+// The reasons of failed jobs, as long as they get.
+const (
+	workersCrashed = "3 workers crashed under task " + taskID
+	runsFailed     = "task " + taskID + " failed 12 times (12 allowed), last in runs 1000000107, 1000001399, 4000000622"
+)
+
 // crashedWorker returns the fields of the line for a worker that crashed while it ran a task.
 func crashedWorker() logrus.Fields {
 	return logrus.Fields{
@@ -66,7 +72,8 @@
 		fields  logrus.Fields
 		want    []string
 	}{
-		{"job ended", endedJob(), []string{"job", "outcome", "reason"}},
+		{"job ended", endedJob(workersCrashed), []string{"job", "outcome", "reason"}},
+		{"job ended", endedJob(runsFailed), []string{"job", "outcome", "reason"}},
 		{"task ended", logrus.Fields{
 			"job": jobID, "task": taskID, "run": runID, "worker": worker, "outcome": "failed", "claim": int64(3),
 		}, []string{"job", "task", "run", "outcome", "worker"}},
@@ -155,7 +162,7 @@
 
 // TestLinesHaveKeysAndValuesOfJSONFormatter checks that only the order differs from logrus's own lines.
 func TestLinesHaveKeysAndValuesOfJSONFormatter(t *testing.T) {
-	for _, fields := range []logrus.Fields{nil, endedJob(), crashedWorker(), variedFields()} {
+	for _, fields := range []logrus.Fields{nil, endedJob(workersCrashed), crashedWorker(), variedFields()} {
 		e := newEntry(t, io.Discard).WithFields(fields).WithTime(time.Unix(1796408279, 123456789).UTC())
 		e.Message, e.Level = "message with \"quotes\" and <angles>", logrus.WarnLevel
 		got := format(t, e.Logger.Formatter, e)
@@ -186,7 +193,7 @@
 	for _, bench := range []struct {
 		message string
 		fields  logrus.Fields
-	}{{"job ended", endedJob()}, {"worker crashed while running a task", crashedWorker()}} {
+	}{{"job ended", endedJob(workersCrashed)}, {"worker crashed while running a task", crashedWorker()}} {
 		b.Run(bench.message, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/services/dispatch/delay.go
+++ b/services/dispatch/delay.go
@@ -44,7 +44,7 @@
 	return d
 }
 
-// logJobEnd logs how a job ended. For a successful job with one instance and without services it
+// logJobEnd logs how a job ended, as a warning if it failed. For a successful job with one instance and without services it
 // adds the objective by its own work, that is the run times of its steps at mean speed, whether it was late
 // and what delayed it.
 func (h *holderState) logJobEnd(now time.Time, j *trackedJob, state job.State, reason string) {
@@ -58,5 +58,5 @@
 		fields = append(fields, logField("objective", limit.String()), logField("late", now.Sub(in.dueAt) > limit),
 			logField("delays", j.delaysOf(in)))
 	}
-	h.core.logEvent("job ended", fields...)
+	h.core.emit(exchange.LogEvent{Message: "job ended", Fields: fields, Warning: state == job.Failed})
 }
--- a/services/dispatch/ends.go
+++ b/services/dispatch/ends.go
@@ -4,7 +4,10 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"saddlevane/models/job"
@@ -182,13 +185,38 @@
 	if !slices.Contains(t.failedRuns, end.Run.Number) {
 		t.failedRuns = append(t.failedRuns, end.Run.Number)
 	}
-	if len(t.failedRuns) >= max(1, h.queueOf(s.job).Attempts) && !t.done {
-		h.finishJob(now, s.job, job.Failed, "a task failed too often")
+	if allowed := max(1, h.queueOf(s.job).Attempts); len(t.failedRuns) >= allowed && !t.done {
+		h.finishJob(now, s.job, job.Failed, s.failureReason(end.Task, t.failedRuns, allowed))
 		return
 	}
 	h.replanAfterEnd(s)
 }
 
+// maxNamedRuns is how many failed runs the reason of a failed job names, so that it fits a short line.
+const maxNamedRuns = 3
+
+// failureReason says which task, or which gang, failed in which runs, and how many failures are allowed.
+func (s *step) failureReason(id job.TaskID, runs []int64, allowed int) string {
+	what := "task " + id.String()
+	if s.spec.Gang {
+		what = "gang " + s.id.String()
+	}
+	in, named := "in runs", runs
+	if len(runs) > maxNamedRuns {
+		in, named = "last in runs", runs[len(runs)-maxNamedRuns:]
+	}
+	return fmt.Sprintf("%s failed %d times (%d allowed), %s %s", what, len(runs), allowed, in, joinNumbers(named))
+}
+
+// joinNumbers returns numbers as text, separated by commas.
+func joinNumbers(numbers []int64) string {
+	var texts []string
+	for _, n := range numbers {
+		texts = append(texts, strconv.FormatInt(n, 10))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // restartGang stops all members of a gang that lost one of the given run, so that the gang can start
 // again as a whole. Members of a later run are not affected. It does nothing for other steps or if the
 // gang is done.
--- a/services/jobrun/logwriter.go
+++ b/services/jobrun/logwriter.go
@@ -106,6 +106,10 @@
 		for _, f := range l.event.Fields {
 			fields[f.Name] = f.Value
 		}
-		w.log.WithTime(l.at).WithFields(fields).Info(l.event.Message)
+		level := logrus.InfoLevel
+		if l.event.Warning {
+			level = logrus.WarnLevel
+		}
+		w.log.WithTime(l.at).WithFields(fields).Log(level, l.event.Message)
 	}
 }
