--- a/tests/soak/rig.go
+++ b/tests/soak/rig.go
@@ -97,7 +97,7 @@
   ready: %s
   log: %s
   advice: %s
-  lease: 2500ms
+  lease: %v
   lease_most: 6s
   wait: 500ms
   renew: 150ms
@@ -167,7 +167,7 @@
 	}
 	b.callers = callers
 	text := fmt.Sprintf(settingsTemplate, b.name, cell.FreeAddress(), b.operators, listen, peers,
-		cell.FreeAddress(), log, advice, r.holdFor, r.claimAfter)
+		cell.FreeAddress(), log, advice, LeaseDuration, r.holdFor, r.claimAfter)
 	return b, os.WriteFile(b.settings, []byte(text+r.extraSettings), 0o600)
 }
 
--- a/tests/soak/seedrun_test.go
+++ b/tests/soak/seedrun_test.go
@@ -28,7 +28,7 @@
 	// it must have ended: each call for a job may time out, and a task that may have been
 	// started is started again once its lease has expired.
 	endTimeout    = serveTimeout + leaseDuration
-	leaseDuration = 2500 * time.Millisecond
+	leaseDuration = soak.LeaseDuration
 	// closeTimeout is how long after its last job a box may keep connections open that are
 	// idle or stalled. idleTimeout is the setting connections.unused; 2 s are for the test
 	// itself.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -123,14 +123,9 @@
 // runSeed runs one seed and reports each violated guarantee.
 func runSeed(t *testing.T, seed int64) {
 	t.Helper()
-	dir := t.TempDir()
-	if keep := os.Getenv(keepEnv); keep != "" {
-		dir = filepath.Join(keep, strconv.FormatInt(seed, 10))
-		assert.NilError(t, os.MkdirAll(dir, 0o755))
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), calmDuration+calmDrainDuration+faultsDuration+settleTimeout)
 	defer cancel()
-	r, err := soak.NewRig(seed, daemonPath, dir, boxCount, workerCount, rigOptions(seed)...)
+	r, err := soak.NewRig(seed, daemonPath, outputDir(t, strconv.FormatInt(seed, 10)), boxCount, workerCount, rigOptions(seed)...)
 	if r != nil {
 		defer r.Close()
 	}
@@ -148,6 +143,19 @@
 	assert.Check(t, r.StartCount() > 0, "no task was started")
 }
 
+// outputDir returns the directory for the output of a run: one that is kept under name if keepEnv is
+// set, or a temporary one.
+func outputDir(t *testing.T, name string) string {
+	t.Helper()
+	keep := os.Getenv(keepEnv)
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(keep, name)
+	assert.NilError(t, os.MkdirAll(dir, 0o755))
+	return dir
+}
+
 // rigOptions returns the options for a seed. Even seeds use the claim times that daemons have
 // outside of tests, so that the same box keeps the cell after a call to the log timed out.
 func rigOptions(seed int64) []soak.Option {
