soak: workers lose contact in some seeds, and long tasks lose several of them

The drawn faults made workers unreachable for at most 2.5 s, which is one lease, and never let their entries lapse; tasks ran for at most 0.65 s and ended before they could lose three workers.

A quarter of the seeds now has two jobs with tasks of 5 to 20 s. The worker that runs the first one is cut off, paused or powered off 0.3 to 1.5 s after each start, and two random workers are as well, each for 0.1 to 4 leases. A long job must not be shown as failed unless its runs failed as often as its queue allows, and must end. The outages have a generator of their own; all other faults are drawn as before, and begin 9 s later in these seeds.

They guard the other promises beside outages, and TestJobFailsAfterItsWorkersLostContact guards this one.

--- a/tests/soak/seedrun_test.go
+++ b/tests/soak/seedrun_test.go
@@ -27,8 +27,7 @@
 	// endTimeout is the time after the last stall by which all jobs that were accepted before
 	// it must have ended: each call for a job may time out, and a task that may have been
 	// started is started again once its lease has expired.
-	endTimeout    = serveTimeout + leaseDuration
-	leaseDuration = soak.LeaseDuration
+	endTimeout = serveTimeout + soak.LeaseDuration
 	// closeTimeout is how long after its last job a box may keep connections open that are
 	// idle or stalled. idleTimeout is the setting connections.unused; 2 s are for the test
 	// itself.
@@ -49,9 +48,10 @@
 	rig     *soak.Rig
 	callers *soak.Callers
 	faults  *soak.Faults
+	outages *soak.Outages
 }
 
-// run submits jobs throughout three phases: without faults, under random faults, and after
+// run submits jobs throughout three phases: without faults, under outages and random faults, and after
 // one more stall of all open connections when all other faults have ended.
 func (p *seedRun) run() {
 	submitCtx, stopSubmitting := context.WithCancel(p.ctx)
@@ -59,6 +59,9 @@
 	tasks.Go(func() { p.callers.Run(p.ctx, submitCtx, jobsPerSecond) })
 	before := p.waitCalm()
 	p.wait(calmDrainDuration)
+	p.callers.RunLongJobs(p.ctx, p.outages)
+	p.faults.ScheduleOutages(p.ctx, p.outages)
+	p.wait(p.outages.Lead())
 	p.callers.RunCrashingJobs(p.ctx, crashingJobs)
 	p.callers.RunWideJobs(p.ctx, wideJobs)
 	p.faults.Run(p.ctx, faultsDuration)
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -123,7 +123,8 @@
 // runSeed runs one seed and reports each violated guarantee.
 func runSeed(t *testing.T, seed int64) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), calmDuration+calmDrainDuration+faultsDuration+settleTimeout)
+	outages := soak.NewOutages(seed, workerCount)
+	ctx, cancel := context.WithTimeout(context.Background(), calmDuration+calmDrainDuration+outages.Lead()+faultsDuration+settleTimeout)
 	defer cancel()
 	r, err := soak.NewRig(seed, daemonPath, outputDir(t, strconv.FormatInt(seed, 10)), boxCount, workerCount, rigOptions(seed)...)
 	if r != nil {
@@ -131,7 +132,7 @@
 	}
 	assert.NilError(t, err)
 	assert.NilError(t, r.WaitReady(ctx))
-	p := &seedRun{t: t, ctx: ctx, rig: r, callers: soak.NewCallers(r, seed), faults: soak.NewFaults(r, seed)}
+	p := &seedRun{t: t, ctx: ctx, rig: r, callers: soak.NewCallers(r, seed), faults: soak.NewFaults(r, seed), outages: outages}
 	p.run()
 	t.Logf("seed %d: %v, %d starts (%d by late orders on incarnations not reached yet), %d faults", seed, p.callers, r.StartCount(), r.UnreachedStarts(), len(p.faults.Events()))
 	for _, line := range append(p.callers.Violations(), r.Violations()...) {
