--- a/services/dispatch/blameerrors_test.go
+++ b/services/dispatch/blameerrors_test.go
@@ -34,6 +34,13 @@
 	quietBefore bool
 	// durationFactor is the factor by which the estimates of all tasks are multiplied.
 	durationFactor job.Milliseconds
+	// guiltyDowntime, if set, bounds the time for which a worker that a guilty task has crashed is down.
+	guiltyDowntime downtimes
+	// uniqueNames gives each incarnation of a worker a name of its own.
+	uniqueNames bool
+	// contactLosses is the number of times that workers are lost from sight, and inARow how often a job
+	// loses its worker so, one after the other.
+	contactLosses, inARow int
 }
 
 // worldClasses are the classes for which TestBothErrorsOfBlame counts errors.
@@ -62,8 +69,11 @@
 	// tasks, sixthStarts those that started a guilty task a sixth time, and notEnded those in which
 	// some jobs did not end.
 	worlds, soundGivenUp, sixthStarts, notEnded int
-	// guilty counts the guilty tasks, and crashes the crashes they caused.
-	guilty, crashes int
+	// guilty counts the guilty tasks, and crashes the crashes they caused. guiltyStarts counts their
+	// starts, and mostStarts those of the task that was started most often.
+	guilty, crashes, guiltyStarts, mostStarts int
+	// waits has the times from the loss of a task to its next start.
+	waits []time.Duration
 	// seeds holds the seed and first violation of each world with an error.
 	seeds []string
 }
@@ -86,7 +96,13 @@
 // amount to lower odds than tasks that are not guilty reach there.
 func TestBothErrorsOfBlame(t *testing.T) {
 	worlds, first := worldsPerClass(t)
-	for _, c := range worldClasses {
+	countErrorsOfBlame(t, worldClasses, worlds, first)
+}
+
+// countErrorsOfBlame runs worlds of each class, from the first seed on, and fails for each class with an
+// error.
+func countErrorsOfBlame(t *testing.T, classes []worldClass, worlds, first int64) {
+	for _, c := range classes {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			var all tally
@@ -98,8 +114,9 @@
 					})
 				}
 			})
-			t.Logf("%s: %d worlds, sound jobs given up in %d, sixth starts in %d, not ended %d; %d guilty tasks, %.2f crashes each; %s",
-				c.name, all.worlds, all.soundGivenUp, all.sixthStarts, all.notEnded, all.guilty, float64(all.crashes)/float64(max(1, all.guilty)), strings.Join(all.seeds, ", "))
+			t.Logf("%s: %d worlds, sound jobs given up in %d, sixth starts in %d, not ended %d; %d guilty tasks, %.2f crashes and %.2f starts each, at most %d; %s; %s",
+				c.name, all.worlds, all.soundGivenUp, all.sixthStarts, all.notEnded, all.guilty, float64(all.crashes)/float64(max(1, all.guilty)),
+				float64(all.guiltyStarts)/float64(max(1, all.guilty)), all.mostStarts, all.describeWaits(), strings.Join(all.seeds, ", "))
 			assert.Check(t, all.soundGivenUp+all.sixthStarts+all.notEnded == 0)
 		})
 	}
@@ -110,6 +127,7 @@
 func (c worldClass) runWorld(t *testing.T, seed int64) *world {
 	w := newWorld(t, seed, 3, 24)
 	w.crashesVisible = true
+	c.prepare(w)
 	if c.quietBefore {
 		// As after ten minutes without a crash.
 		w.streams[stream.Jobs].records = append(w.streams[stream.Jobs].records, jobrecords.CrashRateRecord(map[string]any{"all": map[string]float64{"crashes": 0, "seconds": 9000}}))
@@ -145,13 +163,14 @@
 		f := w.workers[w.rng.Intn(len(w.workers))]
 		w.after(at, func() { f.crash(crashDowntime) })
 	}
+	c.scheduleContactLosses(w)
 	w.rng = schedulerRand
 	for range 160 {
 		w.run(200 * time.Millisecond)
 		w.queryStates()
 	}
 	w.cancel(service)
-	for range 1500 {
+	for range c.maxEndTime() / (100 * time.Millisecond) {
 		w.run(100 * time.Millisecond)
 		if w.allEnded() {
 			return w.saveTrace(c.name)
@@ -197,6 +216,11 @@
 	for _, r := range w.crashRecords {
 		a.crashes += r.crashes
 	}
+	for task := range w.guiltyTasks {
+		a.guiltyStarts += w.starts[task]
+		a.mostStarts = max(a.mostStarts, w.starts[task])
+	}
+	a.waits = append(a.waits, w.lossWaits...)
 	if len(w.violations) > 0 {
 		a.seeds = append(a.seeds, fmt.Sprintf("seed %d %s", w.seed, w.violations[0]))
 	}
--- a/services/dispatch/crash_test.go
+++ b/services/dispatch/crash_test.go
@@ -130,6 +130,10 @@
 		if f.alive && f.runs[run] != nil {
 			record.crashes++
 			w.trace = append(w.trace, fmt.Sprintf("%v %s crashes under %v", w.now.Sub(w.startedAt), f.incarnation, run))
+			if w.crashUnderGuiltyTask != nil {
+				w.crashUnderGuiltyTask(f)
+				return
+			}
 			f.crash(crashDowntime)
 		}
 	})
--- a/services/dispatch/world_test.go
+++ b/services/dispatch/world_test.go
@@ -118,6 +118,10 @@
 	// starts counts the starts of each task.
 	starts map[job.TaskID]int
 	trace  []string
+	// lostAt has the time at which a holder recorded the loss of each task that has not started since,
+	// and lossWaits the times from each loss to the next start.
+	lostAt    map[string]time.Time
+	lossWaits []time.Duration
 
 	// evacuatedAt has the time at which each evacuated failure domain was requested to be.
 	evacuatedAt map[string]time.Time
@@ -155,6 +159,9 @@
 	crashesVisible bool
 	// onGuiltyStart, if not nil, is called whenever a worker starts a guilty task.
 	onGuiltyStart func()
+	// crashUnderGuiltyTask, if not nil, crashes a worker because of a guilty task. Otherwise it is down for
+	// crashDowntime.
+	crashUnderGuiltyTask func(*fakeWorker)
 	// workspaces are the workspaces that random jobs are submitted for. formerCaps holds the caps
 	// of earlier configurations.
 	workspaces []string
@@ -166,6 +173,8 @@
 	// that a late order started on an incarnation no holder had reached yet.
 	executingLateOrder bool
 	unreachedStarts    int
+	// endedRetention is how long boxes keep ended jobs; 0 means as long as settings says.
+	endedRetention time.Duration
 	// noRandomFailures disables the random failures of tasks. failurePercent is how many of 100 runs fail; 0 means
 	// defaultFailurePercent.
 	noRandomFailures bool
@@ -214,7 +223,7 @@
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: start, startedAt: start,
-		streams: map[stream.Name]*fakeStream{}, evacuatedAt: map[string]time.Time{}, config: config(), jobs: map[job.ID]*submittedJob{}, starts: map[job.TaskID]int{},
+		streams: map[stream.Name]*fakeStream{}, evacuatedAt: map[string]time.Time{}, config: config(), jobs: map[job.ID]*submittedJob{}, starts: map[job.TaskID]int{}, lostAt: map[string]time.Time{},
 		adviserFreeAt: map[string]time.Time{}, guiltyTasks: map[job.TaskID]time.Duration{}, crashRecords: map[job.TaskID]*crashRecord{},
 	}
 	for _, name := range []stream.Name{stream.Claims, stream.Boxes, stream.Jobs, stream.Config} {
--- a/services/dispatch/worldbox_test.go
+++ b/services/dispatch/worldbox_test.go
@@ -57,6 +57,9 @@
 	self := claim.Member{Box: b.name, Incarnation: fmt.Sprintf("%s/%d", b.name, b.incarnation), Domain: "a", Address: b.name, Size: 1 + b.extraSize}
 	s := settings()
 	s.Disabled, s.MaxListedEnds, s.ForecastAdmission = b.w.disabled, b.w.maxListedEnds, !b.w.withoutForecast
+	if b.w.endedRetention > 0 {
+		s.EndedRetention = b.w.endedRetention
+	}
 	b.core = dispatch.New(s, self)
 	b.post(exchange.ConfigRead{Config: b.w.config})
 	b.tick(b.incarnation)
@@ -185,6 +188,7 @@
 	case exchange.Stopped:
 		b.stopped = true
 	case exchange.LogEvent:
+		w.recordLoss(e)
 		w.trace = append(w.trace, fmt.Sprintf("%v %s %s %v", w.now.Sub(w.startedAt), b.name, e.Message, e.Fields))
 	}
 }
--- a/services/dispatch/worldorders_test.go
+++ b/services/dispatch/worldorders_test.go
@@ -287,6 +287,7 @@
 		f.w.unreachedStarts++
 	}
 	f.w.starts[s.Task]++
+	f.w.recordStartAfterLoss(f, s.Run)
 	a := f.w.jobs[s.Task.Job]
 	if !unreached {
 		a.recordStart(s.Task, taskStart{at: f.w.now, number: s.Number, worker: f.incarnation, late: f.w.executingLateOrder})
