dispatch: a missing worker whose successor has answered before has crashed

What callers would see: a job with a guilty task, or a sound one that lost four workers, waits for up to five minutes. Cause: a missing worker is accounted for when its successor answers first, and here the successor had reported before the lease of the lost incarnation expired. When a lease expires, a worker that has answered at the same address is looked for.

--- a/services/dispatch/lostcontacterrors_test.go
+++ b/services/dispatch/lostcontacterrors_test.go
@@ -125,3 +125,12 @@
 	}
 	return fmt.Sprintf("%d starts after a loss, %.2f s after it in the mean, at most %.2f s", len(a.waits), (sum / time.Duration(len(a.waits))).Seconds(), longest.Seconds())
 }
+
+// A guilty task waited for minutes, since the worker that had replaced a missing one had answered before.
+func TestMissingWorkerWhoseSuccessorHasAnsweredCountsAsCrashed(t *testing.T) {
+	c := worldClass{
+		name:        "three guilty tasks whose workers are back late under other names beside six kills of the holder",
+		guiltyTasks: 3, guiltyDowntime: laterThanLease, uniqueNames: true, holderKills: 6, durationFactor: 1,
+	}
+	c.runWorld(t, 9900036).requireNoViolations()
+}
--- a/services/dispatch/lostworkers.go
+++ b/services/dispatch/lostworkers.go
@@ -28,7 +28,21 @@
 // lapsedEndingOf returns how a worker ended of which only the lease is known to have expired.
 func (h *holderState) lapsedEndingOf(now time.Time, w *worker) exchange.Ending {
 	h.ensureUnresponsive(now, w)
-	return w.presence.LapsedEnding(w.incarnations.HasCandidate())
+	ending := w.presence.LapsedEnding(w.incarnations.HasCandidate())
+	if ending == exchange.Missing && h.isReplaced(w) {
+		return exchange.Crashed
+	}
+	return ending
+}
+
+// isReplaced reports whether another worker has answered at a worker's address.
+func (h *holderState) isReplaced(w *worker) bool {
+	for _, o := range h.workers {
+		if o != w && o.reported && o.Address == w.Address && w.Address != "" {
+			return true
+		}
+	}
+	return false
 }
 
 // ensureUnresponsive records that a worker stopped answering, if that was not recorded yet.
