--- a/modules/logger/logger_test.go
+++ b/modules/logger/logger_test.go
@@ -63,9 +63,7 @@
 	}
 }
 
-// TestBeginningOfLineExplainsLoss guards the lines that explain a lost job. The users' record keeps the
-// first 200 characters of a line; the fields were in alphabetical order, so that box, incarnation, claim and
-// the like took the room, and the outcome and the reason of 'job ended' were cut off.
+// The outcome and the reason of a failed job were cut off in records that keep the first 200 characters of a line.
 func TestBeginningOfLineExplainsLoss(t *testing.T) {
 	tests := []struct {
 		message string
--- a/services/blame/background.go
+++ b/services/blame/background.go
@@ -15,9 +15,8 @@
 
 const (
 	// priorRate is the crash rate of a worker, per second, that is assumed before anything was
-	// observed, and priorSeconds the weight of that assumption, in worker-seconds. With 600 s,
-	// 24 workers that each crashed every 29 s were still estimated to crash every 60 s after half a
-	// minute.
+	// observed, and priorSeconds the weight of that assumption, in worker-seconds. It must be
+	// small enough that a cell learns a high rate within half a minute.
 	priorRate    = 1.0 / 3600
 	priorSeconds = 100.0
 	// rackPriorSeconds is the weight, in worker-seconds, of the overall rate in the estimate of the
--- a/services/blame/blame.go
+++ b/services/blame/blame.go
@@ -16,9 +16,8 @@
 // should therefore be tried on separate workers, as in group testing (Dorfman, 1943).
 //
 // All crashes under a task are assessed together, and again whenever the background rate is better
-// known. While each crash was assessed only once, with the rate known at the time, 26 of 1,800
-// simulated cells failed a job that crashes nothing, where each of 24 workers crashed every 7 s to
-// 60 s; with reassessment none of 1,200 did (TestBothErrorsOfBlame in services/dispatch).
+// known: the first crashes in a cell come while the rate is hardly known. TestBothErrorsOfBlame in
+// services/dispatch counts how often innocent jobs are given up, and guilty tasks are not found.
 package blame
 
 import (
@@ -34,8 +33,7 @@
 	priorOdds = 1e-3
 	// suspectThreshold is the probability of guilt from which a task is kept apart from other
 	// suspects, and likelyThreshold the probability from which it is tried on a worker that gets no
-	// other tasks meanwhile. Of the innocent tasks that were on a crashed worker, 42% reach
-	// suspectThreshold and 11% reach likelyThreshold (14,266 tasks in simulated cells).
+	// other tasks meanwhile.
 	suspectThreshold = 0.005
 	likelyThreshold  = 0.05
 	// aloneThreshold is the probability from which a task waits for a worker of its own rather than
@@ -68,18 +66,10 @@
 // sequential test (1945), odds of 1e4, which means crashes 1e7 times as likely with guilt as
 // without, give up at most one in ten million innocent tasks, whenever the test stops.
 //
-// No more crashes ever need higher odds. When 1e5 was required from the fifth crash on where
-// workers crash often, a task with odds of 8.7e4 crashed a sixth worker. When 300 was enough where
-// workers seemed to crash rarely, an innocent job was given up with odds of 3.6e3 after six
-// crashes, beside workers that each crashed every 29 s.
-//
-// In 6,074 simulated cells of 24 workers, most of which crashed every 7 s to 60 s by themselves,
-// and in which no job was given up, innocent tasks reached three or more crashes 57,000 times, and
-// odds over 300 twice, with a maximum of 983. Where workers crash often, the odds of guilty tasks
-// exceeded 1e4 in 93% of cases after four crashes and in 99.6% after five.
+// More crashes never need higher odds, or a task would go free that one crash less would have convicted.
 const guiltyOdds = 1e4
 
-// earlyGuiltyOdds are the odds that are required instead after fewCrashes.
+// earlyGuiltyOdds are the odds that are required after fewCrashes, of which one more may have been missed.
 const earlyGuiltyOdds = 1e6
 
 // Probability returns the probability that a task crashes its workers, with missing workers counted as
