dispatch: the worker that answers at an address is looked up, not searched for at each lost one

With a domain of 7,000 workers missing, each would have been compared with all 21,000 (by reading). One that does not answer itself is no successor.

--- a/services/dispatch/holderstate.go
+++ b/services/dispatch/holderstate.go
@@ -82,6 +82,8 @@
 	foreignEntries presence.ForeignEntries
 	// renewalsSent counts the lease renewals sent to workers; it numbers them.
 	renewalsSent int64
+	// answeringByAddress has the workers that answer, by their addresses, as found during a sweep, or is nil.
+	answeringByAddress map[string]*worker
 	// unreportedWorkers has the names of workers of earlier holders that have not reported
 	// to this holder what they run. Until it is empty, no task of a job that an earlier
 	// holder accepted is started, because the task may be running already.
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -50,6 +50,7 @@
 // expired.
 func (h *holderState) sweepWorkers(now time.Time) {
 	h.dropMissing(now)
+	h.answeringByAddress = nil
 	h.formerWorkers.Expire(now)
 	for _, w := range h.workersByName() {
 		if w.failedRenewals > 0 && now.After(w.leaseExpiresBy) {
--- a/services/dispatch/lostworkers.go
+++ b/services/dispatch/lostworkers.go
@@ -35,14 +35,18 @@
 	return ending
 }
 
-// isReplaced reports whether another worker has answered at a worker's address.
+// isReplaced reports whether another worker answers at a worker's address.
 func (h *holderState) isReplaced(w *worker) bool {
-	for _, o := range h.workers {
-		if o != w && o.reported && o.Address == w.Address && w.Address != "" {
-			return true
+	if h.answeringByAddress == nil {
+		h.answeringByAddress = map[string]*worker{}
+		for _, o := range h.workers {
+			if o.reported && o.failedRenewals == 0 {
+				h.answeringByAddress[o.Address] = o
+			}
 		}
 	}
-	return false
+	o := h.answeringByAddress[w.Address]
+	return o != nil && o.Name != w.Name
 }
 
 // ensureUnresponsive records that a worker stopped answering, if that was not recorded yet.
