dispatch, blame: the lines about missing workers say what is certain and why one is alive

The line about a missing worker showed crashes=2 guilty=1 odds=0.001 side by side, and one that the platform lists was accounted for with 'nothing was heard of it'.

--- a/services/blame/missing.go
+++ b/services/blame/missing.go
@@ -92,9 +92,9 @@
 	}
 }
 
-// missing describes the worker of a crash for the blame of the tasks that were on it, or returns nil if
+// describeMissing describes the worker of a crash for the blame of the tasks that were on it, or returns nil if
 // the crash is certain.
-func (c *Crash) missing() *job.MissingWorker {
+func (c *Crash) describeMissing() *job.MissingWorker {
 	if !c.Missing {
 		return nil
 	}
@@ -105,7 +105,7 @@
 
 // addMissing adds the worker of an assessed crash to the missing ones.
 func (tr *Tracker) addMissing(now time.Time, a *assessment) {
-	m := tr.missing.entry(*a.crash.missing())
+	m := tr.missing.entry(*a.crash.describeMissing())
 	m.weight, m.overdueAt = max(m.weight, a.backgroundWeight), now.Add(missingTimeout)
 	for _, t := range a.crash.Tasks {
 		m.tasks = append(m.tasks, t.Task)
--- a/services/blame/tracker.go
+++ b/services/blame/tracker.go
@@ -247,7 +247,7 @@
 	for _, t := range a.crash.Tasks {
 		a.suspects = append(a.suspects, Suspect{
 			Prior: tr.Blame(t.Task), Worked: t.Worked, TimeBound: t.TimeBound, DetectionDelay: t.DetectionDelay, Alone: t.Alone, Workers: t.Workers,
-			SameRun: tr.isSameRun(t), Missing: a.crash.missing(),
+			SameRun: tr.isSameRun(t), Missing: a.crash.describeMissing(),
 		})
 	}
 	background := a.backgroundHazard(&tr.Background)
--- a/services/dispatch/crashes.go
+++ b/services/dispatch/crashes.go
@@ -100,7 +100,7 @@
 	for _, f := range h.blame.RecordCrash(now, c) {
 		h.core.logEvent(message, logField("job", string(f.Task.Job)), logField("task", f.Task.String()),
 			logField("worker", w.Incarnation.String()),
-			logField("crashes", f.Blame.Crashes), logField("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))),
+			logField("crashes", f.Blame.Crashes), logField("certain", blame.Certain(f.Blame).Crashes), logField("guilty", fmt.Sprintf("%.3g", blame.Probability(f.Blame))),
 			logField("worked_most", f.Worked.String()),
 			logField("time", string(f.TimeBound)), logField("late", f.DetectionDelay.String()), logField("alone", f.Alone),
 			logField("odds", fmt.Sprintf("%.3g", f.Blame.Odds)),
@@ -129,7 +129,11 @@
 		return w != nil && w.presence.IsListed() && !w.incarnations.HasCandidate()
 	}
 	for _, r := range h.blame.ResolveOverdue(now, h.core.unixMilli(now), isListed) {
-		h.applyResolution(r, "nothing was heard of it")
+		reason := "the platform lists it"
+		if r.Crashed {
+			reason = "nothing was heard of it"
+		}
+		h.applyResolution(r, reason)
 	}
 }
 
