--- a/services/blame/explained.go
+++ b/services/blame/explained.go
@@ -23,16 +23,14 @@
 
 // recordedCrash is one of the crashes under a task, as this holder recorded it.
 type recordedCrash struct {
-	// assessment is the assessment of the crash, and index the index of the task in it.
 	assessment *assessment
-	index      int
 	// commonHazard is the part of the recorded BackgroundHazard that is due to common causes.
 	commonHazard float64
 }
 
 // addCrash adds the newest crash under the task.
-func (r *taskRecord) addCrash(a *assessment, index int) {
-	r.crashes = append(r.crashes, recordedCrash{assessment: a, index: index, commonHazard: a.commonHazard})
+func (r *taskRecord) addCrash(a *assessment) {
+	r.crashes = append(r.crashes, recordedCrash{assessment: a, commonHazard: a.commonHazard})
 	r.crashes = r.crashes[max(0, len(r.crashes)-len(r.blame.RecentCrashes)):]
 }
 
--- a/services/blame/tracker.go
+++ b/services/blame/tracker.go
@@ -217,10 +217,9 @@
 	BackgroundHazard float64
 }
 
-// assessment is a crash together with the blame of the tasks before it.
+// assessment is a crash together with what its assessment depends on besides its tasks.
 type assessment struct {
-	crash    Crash
-	suspects []Suspect
+	crash Crash
 	// backgroundWeight is the weight with which the crash was added to the background rate.
 	backgroundWeight float64
 	// commonHazard is the part of the background hazard that was due to common causes when the
@@ -244,15 +243,16 @@
 func (tr *Tracker) RecordCrash(now time.Time, c Crash) []Finding {
 	a := &assessment{crash: c}
 	a.crash.Tasks = tr.tasksOn(c)
+	var suspects []Suspect
 	for _, t := range a.crash.Tasks {
-		a.suspects = append(a.suspects, Suspect{
+		suspects = append(suspects, Suspect{
 			Prior: tr.Blame(t.Task), Worked: t.Worked, TimeBound: t.TimeBound, DetectionDelay: t.DetectionDelay, Alone: t.Alone, Workers: t.Workers,
 			SameRun: tr.isSameRun(t), Missing: a.crash.describeMissing(),
 		})
 	}
 	background := a.backgroundHazard(&tr.Background)
 	a.commonHazard = tr.Background.commonHazard(c)
-	assessed := Assess(a.suspects, background)
+	assessed := Assess(suspects, background)
 	if UnexplainedProbability(assessed) > 1-attributionThreshold {
 		a.backgroundWeight = tr.Background.IndependentProbability(c.At, c.Incarnation, c.Rack)
 	}
@@ -282,7 +282,7 @@
 	t := a.crash.Tasks[index]
 	r := tr.setBlame(t.Task, b)
 	r.run, r.retryAt, r.giveUpPending = t.Run, now.Add(RetryDelay(b)), false
-	r.addCrash(a, index)
+	r.addCrash(a)
 	if IsGuilty(b) {
 		tr.scheduleGiveUp(now, t.Task)
 	}
--- a/services/dispatch/crashscenarios_test.go
+++ b/services/dispatch/crashscenarios_test.go
@@ -35,12 +35,19 @@
 // crashWorkersUnder crashes the worker of a job's only task, once for each of the given times,
 // after the task has run for that time.
 func (w *world) crashWorkersUnder(id job.ID, runTimes ...time.Duration) {
+	w.t.Helper()
+	w.loseWorkersUnder(id, w.workerRunning, func(f *fakeWorker) { f.crash(crashDowntime) }, runTimes)
+}
+
+// loseWorkersUnder calls lose for the worker that running returns for a job's only task, once for each of the
+// given times, after the task has run for that time.
+func (w *world) loseWorkersUnder(id job.ID, running func(job.ID) (*fakeWorker, time.Time), lose func(*fakeWorker), runTimes []time.Duration) {
 	w.t.Helper()
 	for _, after := range runTimes {
-		w.waitUntil(30*time.Second, "the task is at work", func() bool { f, _ := w.workerRunning(id); return f != nil })
-		f, startedAt := w.workerRunning(id)
+		w.waitUntil(30*time.Second, "the task is at work", func() bool { f, _ := running(id); return f != nil })
+		f, startedAt := running(id)
 		w.run(startedAt.Add(after).Sub(w.now))
-		f.crash(crashDowntime)
+		lose(f)
 	}
 }
 
--- a/services/dispatch/cutoff_test.go
+++ b/services/dispatch/cutoff_test.go
@@ -26,12 +26,7 @@
 // task has run for that time.
 func (w *world) cutOffWorkersUnder(id job.ID, d time.Duration, runTimes ...time.Duration) {
 	w.t.Helper()
-	for _, after := range runTimes {
-		w.waitUntil(30*time.Second, "the task is at work", func() bool { f, _ := w.reachableWorkerRunning(id); return f != nil })
-		f, startedAt := w.reachableWorkerRunning(id)
-		w.run(startedAt.Add(after).Sub(w.now))
-		f.cutOff(d)
-	}
+	w.loseWorkersUnder(id, w.reachableWorkerRunning, func(f *fakeWorker) { f.cutOff(d) }, runTimes)
 }
 
 // reachableWorkerRunning returns the reachable worker that runs a task of a job, or nil, and when the run
