review: case 4, a wide job under a rack crash stops all appends

A job's progress is one record without a bound on its size. The crash of one rack under a job of 10,000 tasks makes it larger than the store takes; the holder then repeats that append without end, and no cancel, no new job and no end of a run gets into the log.

--- /dev/null
+++ b/review/rig2/main.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the cases by their numbers.
+var cases = map[string]func(recordPath string) (int, error){
+	"4":     playWideCrash,
+	"5":     playCrashes,
+	"6":     playGone,
+	"chaos": playChaos,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-rig2 CASE RECORD")
+		os.Exit(notRun)
+	}
+	code, err := cases[os.Args[1]](os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		code = notRun
+	}
+	os.Exit(code)
+}
