--- a/review/rig2/chaos.go
+++ b/review/rig2/chaos.go
@@ -11,11 +11,13 @@
 )
 
 // playChaos is no case: it mixes jobs of all kinds with kills, freezes and crashes, and checks what the
-// runners see. SEED chooses the mix.
+// runners see. SEED chooses the mix, MACHINES and DAEMONS the
+// size.
 func playChaos(recordPath string) (int, error) {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewSource(seed))
-	r, err := newRig(recordPath, 3, 24)
+	daemons, machines := numberFrom("DAEMONS", 3), numberFrom("MACHINES", 24)
+	r, err := newRig(recordPath, daemons, machines)
 	if r != nil {
 		defer r.close()
 	}
@@ -50,8 +52,11 @@
 		defer close(done)
 		for time.Since(begun) < 55*time.Second {
 			time.Sleep(time.Duration(1500+rng.Intn(3500)) * time.Millisecond)
-			d := r.daemons[rng.Intn(3)]
-			switch rng.Intn(7) {
+			d := r.daemons[rng.Intn(daemons)]
+			switch rng.Intn(9) {
+			case 7, 8:
+				r.note("all channels go silent")
+				r.muter.muteAll()
 			case 5:
 				faultMu.Lock()
 				fault, faultUntil = []string{"busy", "silent", "slow", "lost"}[rng.Intn(4)], time.Now().Add(time.Duration(1000+rng.Intn(5000))*time.Millisecond)
@@ -73,7 +78,7 @@
 				time.Sleep(time.Duration(500+rng.Intn(3000)) * time.Millisecond)
 				_ = d.cmd.Process.Signal(syscall.SIGCONT)
 			default:
-				m := r.machines[rng.Intn(24)]
+				m := r.machines[rng.Intn(machines)]
 				r.note("crash machine %d", m.number)
 				m.crash(time.Duration(500+rng.Intn(4000)) * time.Millisecond)
 			}
@@ -128,6 +133,14 @@
 	return r.verdict(bad > 0 || r.checks.bad > 0, "%d jobs, %d bad states, %d bad runs", len(jobs), bad, r.checks.bad), nil
 }
 
+// numberFrom returns the number in a variable of the environment, or another one if there is none.
+func numberFrom(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
 // checks follow the runs of each task.
 type checks struct {
 	bad  int
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,6 +10,7 @@
 	"4":     playWideCrash,
 	"5":     playCrashes,
 	"6":     playGone,
+	"8":     playPacked,
 	"chaos": playChaos,
 }
 
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -50,15 +51,19 @@
 	machines []*machine
 	gangs    map[string][]*taskRun
 	// starts and hows count the starts of each job and its ends by how they came.
-	starts   map[string]int
-	hows     map[string]map[string]int
+	starts map[string]int
+	hows   map[string]map[string]int
+	// startedAt and lostAt have when each job last started a run, and last lost one to a crash.
+	startedAt, lostAt map[string]time.Time
+
 	seenEnds int
 	allEnds  int
 	quiet    bool
 	onStart  func(r *taskRun)
 	checks   *checks
 	// late, if set, decides whether an order gets no answer and is carried out late.
-	late func() bool
+	late  func() bool
+	muter *muter
 
 	daemons []*daemon
 	client  *http.Client
@@ -85,6 +90,7 @@
 // caller holds runMu.
 func (r *rig) started(t *taskRun) {
 	r.starts[jobOf(t.task)]++
+	r.startedAt[jobOf(t.task)] = time.Now()
 	if r.checks != nil {
 		r.checks.start(r, t)
 	}
@@ -153,29 +159,29 @@
 }
 
 // serve serves h on a free loopback port and returns its address.
-func serve(h http.Handler) string {
+func (r *rig) serve(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	go func() { _ = (&http.Server{Handler: h, ReadHeaderTimeout: time.Minute}).Serve(l) }()
+	go func() {
+		_ = (&http.Server{Handler: h, ReadHeaderTimeout: time.Minute}).Serve(mutedListener{l, r.muter})
+	}()
 	return l.Addr().String()
 }
 
-// freePorts returns n free loopback addresses.
+// freePorts returns n free loopback addresses. Their ports are below those that the system gives to
+// outgoing channels, so that none of these takes one before the daemon listens.
 func freePorts(n int) []string {
 	var all []string
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(all) < n {
+		address := "127.0.0.1:" + strconv.Itoa(12000+rand.Intn(18000))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		open = append(open, l)
-		all = append(all, l.Addr().String())
-	}
-	for _, l := range open {
 		_ = l.Close()
+		all = append(all, address)
 	}
 	return all
 }
@@ -212,10 +218,10 @@
 	}
 	r := &rig{
 		trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), dir: dir, store: newStore(), record: record,
-		gangs: map[string][]*taskRun{}, starts: map[string]int{}, hows: map[string]map[string]int{},
+		muter: &muter{conns: map[*mutedConn]bool{}}, gangs: map[string][]*taskRun{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}, hows: map[string]map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
-	r.address = serve(r.store.handler())
+	r.address = r.serve(r.store.handler())
 	for i := range machines {
 		r.machines = append(r.machines, r.addMachine(i, 64000))
 	}
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -112,7 +112,7 @@
 	mux.HandleFunc("POST /hold", n.hold)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	m.life, m.listener, m.server = n, l, server
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(mutedListener{l, m.rig.muter}) }()
 	go n.checkIn()
 }
 
@@ -152,6 +152,7 @@
 	n.dead = true
 	for _, r := range n.runs {
 		r.ended = true
+		m.rig.lostAt[jobOf(r.task)] = time.Now()
 		if !m.rig.quiet {
 			m.rig.note("runner %s crashes under %s run %d", n.id, r.task, r.number)
 		}
