--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -5,13 +5,14 @@
 	"os"
 )
 
-// cases are the cases by their numbers.
+// cases are the cases by their numbers, and what was played beside them by name.
 var cases = map[string]func(recordPath string) (int, error){
 	"4":     playWideCrash,
 	"5":     playCrashes,
 	"6":     playGone,
 	"8":     playPacked,
 	"chaos": playChaos,
+	"wide":  playWideCrash,
 }
 
 func main() {
