--- a/review/rig2/chaos.go
+++ b/review/rig2/chaos.go
@@ -12,7 +12,7 @@
 
 // playChaos is no case: it mixes jobs of all kinds with kills, freezes and crashes, and checks what the
 // runners see. SEED chooses the mix, MACHINES and DAEMONS the
-// size.
+// size, KEEPS_ID that a runner starts again under its id.
 func playChaos(recordPath string) (int, error) {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewSource(seed))
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -64,6 +64,8 @@
 	// late, if set, decides whether an order gets no answer and is carried out late.
 	late  func() bool
 	muter *muter
+	// keepsID lets a runner start again under its id.
+	keepsID bool
 
 	daemons []*daemon
 	client  *http.Client
@@ -217,7 +219,7 @@
 		return nil, err
 	}
 	r := &rig{
-		trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), dir: dir, store: newStore(), record: record,
+		trouble: os.Getenv("TROUBLE") != "0", keepsID: os.Getenv("KEEPS_ID") != "", begun: time.Now(), dir: dir, store: newStore(), record: record,
 		muter: &muter{conns: map[*mutedConn]bool{}}, gangs: map[string][]*taskRun{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}, hows: map[string]map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -101,8 +101,12 @@
 	}
 	m.address = l.Addr().String()
 	m.lives++
+	id := fmt.Sprintf("i-%04x%04x", m.number, m.lives)
+	if m.rig.keepsID {
+		id = fmt.Sprintf("i-%04x", m.number)
+	}
 	n := &life{
-		machine: m, id: fmt.Sprintf("i-%04x%04x", m.number, m.lives), born: time.Now().Add(-time.Second),
+		machine: m, id: id, born: time.Now().Add(-time.Second),
 		runs: map[string]*taskRun{}, over: map[string]int64{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -125,20 +129,31 @@
 		n.machine.rig.runMu.Unlock()
 		if dead {
 			time.Sleep(2 * heartbeat)
-			n.machine.rig.store.put("keyed.servers", n.id, nil)
+			if !n.machine.rig.keepsID {
+				n.machine.rig.store.put("keyed.servers", n.id, nil)
+			}
 			return
 		}
-		entry, _ := json.Marshal(map[string]any{
+		fields := map[string]any{
 			"service": service, "address": n.machine.address, "zone": "zone-" + strconv.Itoa(n.machine.number%2), "version": "1.4.2", "slots": 8,
 			"state": "ready", "coldRemainingMs": 0, "sequence": sequence, "machine": fmt.Sprintf("m-%04x", n.machine.number),
 			"capacity": map[string]any{"cpu": n.machine.cpu, "memMb": 262144, "gpu": 0},
 			"labels":   []string{"a", "r" + strconv.Itoa(n.machine.number/rackSize)},
-		})
+		}
+		n.addBorn(fields)
+		entry, _ := json.Marshal(fields)
 		n.machine.rig.store.put("keyed.servers", n.id, entry)
 		time.Sleep(heartbeat)
 	}
 }
 
+// addBorn adds the start of the life, by which the lives of a runner that keeps its id differ.
+func (n *life) addBorn(fields map[string]any) {
+	if n.machine.rig.keepsID {
+		fields["born"] = n.born.UnixMilli()
+	}
+}
+
 // crash ends the life with all that it runs; the machine is down for a time and then boots again.
 func (m *machine) crash(down time.Duration) {
 	m.mu.Lock()
@@ -188,11 +203,7 @@
 		}
 		if late := n.machine.rig.late; late != nil && late() {
 			time.AfterFunc(time.Duration(2000+time.Now().UnixNano()%5000)*time.Millisecond, func() {
-				n.machine.rig.runMu.Lock()
-				defer n.machine.rig.runMu.Unlock()
-				if status, _ := n.check(r, in); status == 0 {
-					do(in)
-				}
+				n.carryOutLate(r, in)
 			})
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
@@ -211,6 +222,27 @@
 	}
 }
 
+// carryOutLate carries out an order that got no answer, in the life that the runner has by then.
+func (n *life) carryOutLate(r *http.Request, in wireOrder) {
+	n.machine.mu.Lock()
+	now := n.machine.life
+	n.machine.mu.Unlock()
+	if now == nil {
+		return
+	}
+	n.machine.rig.runMu.Lock()
+	defer n.machine.rig.runMu.Unlock()
+	if status, _ := now.check(r, in); status != 0 {
+		return
+	}
+	switch r.URL.Path {
+	case "/run-start":
+		now.start(in)
+	case "/run-stop":
+		now.stop(in)
+	}
+}
+
 // check returns the refusal of an order that is meant for another life or carries a lower fence number.
 func (n *life) check(r *http.Request, in wireOrder) (int, string) {
 	if r.Header.Get("X-Expect-Instance") != n.id || n.dead {
@@ -339,5 +371,7 @@
 	if ended == nil {
 		ended = [][]any{}
 	}
-	answerJSON(w, http.StatusOK, map[string]any{"clockMs": n.clock(), "runningCount": running, "ended": ended})
+	answer := map[string]any{"clockMs": n.clock(), "runningCount": running, "ended": ended}
+	n.addBorn(answer)
+	answerJSON(w, http.StatusOK, answer)
 }
