--- a/review/rig2/chaos.go
+++ b/review/rig2/chaos.go
@@ -98,8 +98,10 @@
 		last := false
 		switch rng.Intn(6) {
 		case 0:
-			job = map[string]any{"spec": fmt.Sprintf("work=%d", work), "repeatCount": 1 + rng.Intn(12), "firstRunMs": time.Now().UnixMilli() + int64(rng.Intn(3000)), "intervalMs": 200 + rng.Intn(1500),
-				"steps": []map[string]any{step(nil), step(map[string]any{"after": []int{0}})}}
+			job = map[string]any{
+				"spec": fmt.Sprintf("work=%d", work), "repeatCount": 1 + rng.Intn(12), "firstRunMs": time.Now().UnixMilli() + int64(rng.Intn(3000)), "intervalMs": 200 + rng.Intn(1500),
+				"steps": []map[string]any{step(nil), step(map[string]any{"after": []int{0}})},
+			}
 		case 1:
 			n := 2 + rng.Intn(5)
 			job = map[string]any{"spec": fmt.Sprintf("work=%d gang=%d", work, n), "steps": []map[string]any{step(map[string]any{"count": n, "gangScheduled": true, "sameRack": rng.Intn(2) == 0})}}
