--- a/review/rig2/chaos.go
+++ b/review/rig2/chaos.go
@@ -26,13 +26,13 @@
 	}
 	r.quiet = os.Getenv("QUIET") != ""
 	r.checks = newChecks()
-	begun := time.Now()
+	begun := now()
 	var faultMu sync.Mutex
 	fault, faultUntil, lateUntil := "", time.Time{}, time.Time{}
 	r.store.fault = func() string {
 		faultMu.Lock()
 		defer faultMu.Unlock()
-		if time.Now().After(faultUntil) || fault == "lost" && rand.Float64() > 0.35 {
+		if now().After(faultUntil) || fault == "lost" && rand.Float64() > 0.35 {
 			return ""
 		}
 		return fault
@@ -40,7 +40,7 @@
 	r.late = func() bool {
 		faultMu.Lock()
 		defer faultMu.Unlock()
-		return time.Now().Before(lateUntil) && rand.Float64() < 0.2
+		return now().Before(lateUntil) && rand.Float64() < 0.2
 	}
 	type handed struct {
 		id   string
@@ -50,7 +50,7 @@
 	done := make(chan bool)
 	go func() {
 		defer close(done)
-		for time.Since(begun) < 55*time.Second {
+		for since(begun) < 55*time.Second {
 			time.Sleep(time.Duration(1500+rng.Intn(3500)) * time.Millisecond)
 			d := r.daemons[rng.Intn(daemons)]
 			switch rng.Intn(9) {
@@ -59,12 +59,12 @@
 				r.muter.muteAll()
 			case 5:
 				faultMu.Lock()
-				fault, faultUntil = []string{"busy", "silent", "slow", "lost"}[rng.Intn(4)], time.Now().Add(time.Duration(1000+rng.Intn(5000))*time.Millisecond)
+				fault, faultUntil = []string{"busy", "silent", "slow", "lost"}[rng.Intn(4)], now().Add(time.Duration(1000+rng.Intn(5000))*time.Millisecond)
 				r.note("store %s", fault)
 				faultMu.Unlock()
 			case 6:
 				faultMu.Lock()
-				lateUntil = time.Now().Add(5 * time.Second)
+				lateUntil = now().Add(5 * time.Second)
 				r.note("late orders")
 				faultMu.Unlock()
 			case 0, 1:
@@ -84,7 +84,7 @@
 			}
 		}
 	}()
-	for i := 0; time.Since(begun) < 50*time.Second; i++ {
+	for i := 0; since(begun) < 50*time.Second; i++ {
 		id := fmt.Sprintf("aaaa%012x", i)
 		work := 50 + rng.Intn(3000)
 		step := func(extra map[string]any) map[string]any {
@@ -99,7 +99,7 @@
 		switch rng.Intn(6) {
 		case 0:
 			job = map[string]any{
-				"spec": fmt.Sprintf("work=%d", work), "repeatCount": 1 + rng.Intn(12), "firstRunMs": time.Now().UnixMilli() + int64(rng.Intn(3000)), "intervalMs": 200 + rng.Intn(1500),
+				"spec": fmt.Sprintf("work=%d", work), "repeatCount": 1 + rng.Intn(12), "firstRunMs": now().UnixMilli() + int64(rng.Intn(3000)), "intervalMs": 200 + rng.Intn(1500),
 				"steps": []map[string]any{step(nil), step(map[string]any{"after": []int{0}})},
 			}
 		case 1:
@@ -173,7 +173,7 @@
 	live[t] = true
 	if at, ok := c.done[t.task]; ok {
 		c.bad++
-		r.note("BAD %s run %d starts on %s, %v after it was noted as done", t.task, t.number, t.life.id, time.Since(at))
+		r.note("BAD %s run %d starts on %s, %v after it was noted as done", t.task, t.number, t.life.id, since(at))
 	}
 }
 
@@ -181,7 +181,7 @@
 func (c *checks) noted(task, how string) {
 	if how == "done" {
 		if _, ok := c.done[task]; !ok {
-			c.done[task] = time.Now()
+			c.done[task] = now()
 		}
 	}
 }
--- a/review/rig2/crashes.go
+++ b/review/rig2/crashes.go
@@ -33,12 +33,12 @@
 		time.AfterFunc(waits[crashes], func() { m.crash(4500 * time.Millisecond) })
 		crashes++
 	}
-	begun := time.Now()
+	begun := now()
 	handedIn, state := false, ""
-	for i := 0; time.Since(begun) < 105*time.Second; i++ {
+	for i := 0; since(begun) < 105*time.Second; i++ {
 		r.submit(fmt.Sprintf("cccc%012x", i), map[string]any{"spec": "work=600", "steps": []map[string]any{{"count": 2, "cpu": 5600, "memMb": 16000, "estimatedMs": 600}}})
 		time.Sleep(time.Second)
-		if !handedIn && time.Since(begun) > calm {
+		if !handedIn && since(begun) > calm {
 			if !r.submit(hit, job) {
 				return notRun, fmt.Errorf("the job was not accepted")
 			}
--- a/review/rig2/gone.go
+++ b/review/rig2/gone.go
@@ -25,7 +25,7 @@
 		if jobOf(t.task) != hit || t.number <= lastRun {
 			return
 		}
-		lastRun, startedAt = t.number, time.Now()
+		lastRun, startedAt = t.number, now()
 		if !r.trouble || lost >= losses {
 			return
 		}
@@ -34,16 +34,16 @@
 			m.crash(time.Hour)
 			r.runMu.Lock()
 			defer r.runMu.Unlock()
-			lostAt = time.Now()
+			lostAt = now()
 		})
 		lost++
 	}
-	begun := time.Now()
+	begun := now()
 	handedIn, state := false, ""
-	for i := 0; time.Since(begun) < 95*time.Second; i++ {
+	for i := 0; since(begun) < 95*time.Second; i++ {
 		r.submit(fmt.Sprintf("cccc%012x", i), map[string]any{"spec": "work=600", "steps": []map[string]any{{"count": 2, "cpu": 5600, "memMb": 16000, "estimatedMs": 600}}})
 		time.Sleep(time.Second)
-		if !handedIn && time.Since(begun) > calm {
+		if !handedIn && since(begun) > calm {
 			if !r.submit(hit, map[string]any{"spec": "work=8000 gang=2", "steps": []map[string]any{{"count": 2, "cpu": 18000, "memMb": 37000, "estimatedMs": 8000, "gangScheduled": true}}}) {
 				return notRun, fmt.Errorf("the gang was not accepted")
 			}
@@ -64,7 +64,7 @@
 	case startedAt.After(lostAt):
 		idle = startedAt.Sub(lostAt)
 	default:
-		idle = time.Since(lostAt)
+		idle = since(lostAt)
 	}
 	r.note("the gang's state is %s; last start at %.1f s, last loss at %.1f s", state, startedAt.Sub(r.begun).Seconds(), lostAt.Sub(r.begun).Seconds())
 	// The run ends for certain with the lease of the lost runner, at most 6 s after the loss. Then come the
--- a/review/rig2/growing.go
+++ b/review/rig2/growing.go
@@ -30,7 +30,7 @@
 		return notRun, err
 	}
 	r.quiet = true
-	begun := time.Now()
+	begun := now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	cancels, unacked, small := 0, 0, 0
@@ -40,10 +40,10 @@
 			return notRun, fmt.Errorf("a job to cancel was not accepted")
 		}
 		wg.Go(func() {
-			time.Sleep(time.Until(begun.Add(calmAfter + time.Duration(i)*5*time.Second)))
-			sentAt := time.Now()
+			time.Sleep(until(begun.Add(calmAfter + time.Duration(i)*5*time.Second)))
+			sentAt := now()
 			status, _ := r.callUntil(ackTimeout, http.MethodDelete, prefix+id, nil, http.StatusOK, http.StatusGone)
-			r.note("DELETE %s: %d after %d ms", id, status, time.Since(sentAt).Milliseconds())
+			r.note("DELETE %s: %d after %d ms", id, status, since(sentAt).Milliseconds())
 			mu.Lock()
 			defer mu.Unlock()
 			cancels++
@@ -74,8 +74,8 @@
 		}
 	})
 	restarted, afterRestart, ends, seen := false, 0, 0, 0
-	for i := 0; time.Since(begun) < end; i++ {
-		if !restarted && time.Since(begun) > restartAt {
+	for i := 0; since(begun) < end; i++ {
+		if !restarted && since(begun) > restartAt {
 			// The verdict is about the time before. This only shows whether an operator could help.
 			restarted = true
 			r.runMu.Lock()
--- a/review/rig2/packed.go
+++ b/review/rig2/packed.go
@@ -25,7 +25,7 @@
 		down    = 4500 * time.Millisecond
 		end     = 90 * time.Second
 	)
-	begun := time.Now()
+	begun := now()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	accepted := 0
@@ -44,16 +44,16 @@
 	if accepted < jobs {
 		return notRun, fmt.Errorf("only %d jobs were accepted", accepted)
 	}
-	time.Sleep(time.Until(begun.Add(crashAt)))
+	time.Sleep(until(begun.Add(crashAt)))
 	r.runMu.Lock()
 	hit := slices.MaxFunc(r.machines, func(a, b *machine) int { return len(a.life.runs) - len(b.life.runs) })
 	r.note("machine %d is the fullest and runs %d tasks", hit.number, len(hit.life.runs))
 	r.runMu.Unlock()
-	crashedAt := time.Now()
+	crashedAt := now()
 	if r.trouble {
 		hit.crash(down)
 	}
-	time.Sleep(time.Until(begun.Add(end)))
+	time.Sleep(until(begun.Add(end)))
 	// idle has how long each job had nothing running after the crash.
 	r.runMu.Lock()
 	defer r.runMu.Unlock()
@@ -67,7 +67,7 @@
 		case startedAt.After(lost):
 			idle = startedAt.Sub(lost)
 		default:
-			idle = time.Since(lost)
+			idle = since(lost)
 		}
 		r.note("job %s had nothing running for %.1f s", id, idle.Seconds())
 		longest = max(longest, idle)
@@ -75,5 +75,5 @@
 			waiting++
 		}
 	}
-	return r.verdict(waiting > 0, "after the crash of one of 48 runners %d of %d jobs had nothing running for more than 12.5 s, the longest for %.1f s, while %.0f s passed", waiting, jobs, longest.Seconds(), time.Since(crashedAt).Seconds()), nil
+	return r.verdict(waiting > 0, "after the crash of one of 48 runners %d of %d jobs had nothing running for more than 12.5 s, the longest for %.1f s, while %.0f s passed", waiting, jobs, longest.Seconds(), since(crashedAt).Seconds()), nil
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -81,7 +81,7 @@
 func (r *rig) note(format string, args ...any) {
 	r.recordMu.Lock()
 	defer r.recordMu.Unlock()
-	fmt.Fprintf(r.record, "%8.3f "+format+"\n", append([]any{time.Since(r.begun).Seconds()}, args...)...)
+	fmt.Fprintf(r.record, "%8.3f "+format+"\n", append([]any{since(r.begun).Seconds()}, args...)...)
 }
 
 func jobOf(task string) string { id, _, _ := strings.Cut(task, "."); return id }
@@ -92,7 +92,7 @@
 // caller holds runMu.
 func (r *rig) started(t *taskRun) {
 	r.starts[jobOf(t.task)]++
-	r.startedAt[jobOf(t.task)] = time.Now()
+	r.startedAt[jobOf(t.task)] = now()
 	if r.checks != nil {
 		r.checks.start(r, t)
 	}
@@ -122,7 +122,7 @@
 
 // begin lets a run work until it is done. The caller holds runMu.
 func (r *rig) begin(t *taskRun) {
-	t.begun = time.Now()
+	t.begun = now()
 	if r.onStart != nil {
 		r.onStart(t)
 	}
@@ -219,7 +219,7 @@
 		return nil, err
 	}
 	r := &rig{
-		trouble: os.Getenv("TROUBLE") != "0", keepsID: os.Getenv("KEEPS_ID") != "", begun: time.Now(), dir: dir, store: newStore(), record: record,
+		trouble: os.Getenv("TROUBLE") != "0", keepsID: os.Getenv("KEEPS_ID") != "", begun: now(), dir: dir, store: newStore(), record: record,
 		muter: &muter{conns: map[*mutedConn]bool{}}, gangs: map[string][]*taskRun{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}, hows: map[string]map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -302,7 +302,7 @@
 }
 
 func (r *rig) awaitReady(limit time.Duration) error {
-	deadline := time.Now().Add(limit)
+	deadline := now().Add(limit)
 	for _, d := range r.daemons {
 		for {
 			resp, err := r.client.Get("http://" + d.ready + "/readiness")
@@ -312,7 +312,7 @@
 					break
 				}
 			}
-			if time.Now().After(deadline) {
+			if now().After(deadline) {
 				return fmt.Errorf("%s is not ready", d.name)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -366,15 +366,15 @@
 // callUntil repeats a call at the daemons in turn until one of the wanted statuses comes or limit is
 // over, and returns the last status.
 func (r *rig) callUntil(limit time.Duration, method, path string, body any, wanted ...int) (int, []byte) {
-	deadline := time.Now().Add(limit)
-	for i := int(time.Now().UnixNano() % 1000); ; i++ {
+	deadline := now().Add(limit)
+	for i := int(now().UnixNano() % 1000); ; i++ {
 		status, answer := r.call(r.daemons[i%len(r.daemons)], method, path, body)
 		for _, w := range wanted {
 			if status == w {
 				return status, answer
 			}
 		}
-		if time.Now().After(deadline) {
+		if now().After(deadline) {
 			return status, answer
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -402,9 +402,9 @@
 
 // awaitState asks for a job's state until it is final or limit is over, and returns the last one.
 func (r *rig) awaitState(id string, limit time.Duration) string {
-	for deadline := time.Now().Add(limit); ; time.Sleep(300 * time.Millisecond) {
+	for deadline := now().Add(limit); ; time.Sleep(300 * time.Millisecond) {
 		s := r.state(id)
-		if s == "succeeded" || s == "failed" || s == "cancelled" || s == "410" || time.Now().After(deadline) {
+		if s == "succeeded" || s == "failed" || s == "cancelled" || s == "410" || now().After(deadline) {
 			r.note("GET %s: %s", id, s)
 			return s
 		}
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -106,7 +106,7 @@
 		id = fmt.Sprintf("i-%04x", m.number)
 	}
 	n := &life{
-		machine: m, id: id, born: time.Now().Add(-time.Second),
+		machine: m, id: id, born: now().Add(-time.Second),
 		runs: map[string]*taskRun{}, over: map[string]int64{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -167,7 +167,7 @@
 	n.dead = true
 	for _, r := range n.runs {
 		r.ended = true
-		m.rig.lostAt[jobOf(r.task)] = time.Now()
+		m.rig.lostAt[jobOf(r.task)] = now()
 		if !m.rig.quiet {
 			m.rig.note("runner %s crashes under %s run %d", n.id, r.task, r.number)
 		}
@@ -191,7 +191,7 @@
 	WaitMs     int64  `json:"waitMs"`
 }
 
-func (n *life) clock() int64 { return time.Since(n.born).Milliseconds() }
+func (n *life) clock() int64 { return since(n.born).Milliseconds() }
 
 // order returns the handler of a start, a stop or a change of pace.
 func (n *life) order(do func(wireOrder) (int, string)) http.HandlerFunc {
@@ -202,7 +202,7 @@
 			return
 		}
 		if late := n.machine.rig.late; late != nil && late() {
-			time.AfterFunc(time.Duration(2000+time.Now().UnixNano()%5000)*time.Millisecond, func() {
+			time.AfterFunc(time.Duration(2000+now().UnixNano()%5000)*time.Millisecond, func() {
 				n.carryOutLate(r, in)
 			})
 			<-r.Context().Done()
@@ -225,21 +225,21 @@
 // carryOutLate carries out an order that got no answer, in the life that the runner has by then.
 func (n *life) carryOutLate(r *http.Request, in wireOrder) {
 	n.machine.mu.Lock()
-	now := n.machine.life
+	current := n.machine.life
 	n.machine.mu.Unlock()
-	if now == nil {
+	if current == nil {
 		return
 	}
 	n.machine.rig.runMu.Lock()
 	defer n.machine.rig.runMu.Unlock()
-	if status, _ := now.check(r, in); status != 0 {
+	if status, _ := current.check(r, in); status != 0 {
 		return
 	}
 	switch r.URL.Path {
 	case "/run-start":
-		now.start(in)
+		current.start(in)
 	case "/run-stop":
-		now.stop(in)
+		current.stop(in)
 	}
 }
 
@@ -257,12 +257,12 @@
 
 func (n *life) lease(deadline int64) {
 	left := min(time.Duration(deadline-n.clock())*time.Millisecond, holdMax)
-	if end := time.Now().Add(left); deadline > 0 && end.After(n.leaseEnd) {
+	if end := now().Add(left); deadline > 0 && end.After(n.leaseEnd) {
 		n.leaseEnd = end
 		time.AfterFunc(left+time.Millisecond, func() {
 			n.machine.rig.runMu.Lock()
 			defer n.machine.rig.runMu.Unlock()
-			if !n.dead && !time.Now().Before(n.leaseEnd) {
+			if !n.dead && !now().Before(n.leaseEnd) {
 				for _, r := range n.runs {
 					n.end(r, "lapsed")
 				}
@@ -363,7 +363,7 @@
 	for _, t := range n.runs {
 		percent := 0
 		if !t.begun.IsZero() && t.plan.work > 0 {
-			percent = min(99, int(100*time.Since(t.begun)/t.plan.work))
+			percent = min(99, int(100*since(t.begun)/t.plan.work))
 		}
 		running = append(running, []any{t.task, t.number, "", percent, 0})
 	}
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -165,7 +165,7 @@
 		s.largest = max(s.largest, size)
 		if size > recordBytes {
 			if s.refused == 0 {
-				s.firstRefusal = time.Now().Format("15:04:05.000") + " key " + string(rest[5:5+int(rest[4])]) + ", " + strconv.Itoa(size) + " bytes"
+				s.firstRefusal = now().Format("15:04:05.000") + " key " + string(rest[5:5+int(rest[4])]) + ", " + strconv.Itoa(size) + " bytes"
 			}
 			s.refused++
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
