--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -7,7 +7,7 @@
 
 // cases are the cases by their numbers, and what was played beside them by name.
 var cases = map[string]func(recordPath string) (int, error){
-	"4":     playWideCrash,
+	"4":     playReborn,
 	"5":     playCrashes,
 	"6":     playGone,
 	"8":     playPacked,
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -50,6 +50,8 @@
 	runMu    sync.Mutex
 	machines []*machine
 	gangs    map[string][]*taskRun
+	// all has every run, by its start.
+	all []*taskRun
 	// starts and hows count the starts of each job and its ends by how they came.
 	starts map[string]int
 	hows   map[string]map[string]int
@@ -64,8 +66,9 @@
 	// late, if set, decides whether an order gets no answer and is carried out late.
 	late  func() bool
 	muter *muter
-	// keepsID lets a runner start again under its id.
-	keepsID bool
+	// lateOrder, if set, decides which order gets no answer, and after which time it is carried out; 0 for none.
+	lateOrder func(n *life, in wireOrder) time.Duration
+	runnerKind
 
 	daemons []*daemon
 	client  *http.Client
@@ -88,9 +91,21 @@
 
 func stepOf(task string) string { return task[:strings.LastIndexByte(task, '.')] }
 
+// lateBy returns after which time an order is carried out that gets no answer, or 0 for an order that is sound.
+func (r *rig) lateBy(n *life, in wireOrder) time.Duration {
+	switch {
+	case r.lateOrder != nil:
+		return r.lateOrder(n, in)
+	case r.late != nil && r.late():
+		return time.Duration(2000+now().UnixNano()%5000) * time.Millisecond
+	}
+	return 0
+}
+
 // started records the start of a run, and begins it, or its gang once all of one run are present. The
 // caller holds runMu.
 func (r *rig) started(t *taskRun) {
+	r.all = append(r.all, t)
 	r.starts[jobOf(t.task)]++
 	r.startedAt[jobOf(t.task)] = now()
 	if r.checks != nil {
@@ -208,8 +223,19 @@
   config_within: 2000ms
 `
 
+// runnerKind has what differs between the runners of the cases.
+type runnerKind struct {
+	// keepsID lets a runner start again under its id; proxied lets runners be cut off.
+	keepsID, proxied bool
+}
+
 // newRig starts the store, the runners and the daemons.
 func newRig(recordPath string, daemons, machines int, routes ...map[string]any) (*rig, error) {
+	return newRigOf(runnerKind{keepsID: os.Getenv("KEEPS_ID") != ""}, recordPath, daemons, machines, routes...)
+}
+
+// newRigOf starts a rig with runners of a kind.
+func newRigOf(kind runnerKind, recordPath string, daemons, machines int, routes ...map[string]any) (*rig, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
@@ -219,7 +245,7 @@
 		return nil, err
 	}
 	r := &rig{
-		trouble: os.Getenv("TROUBLE") != "0", keepsID: os.Getenv("KEEPS_ID") != "", begun: now(), dir: dir, store: newStore(), record: record,
+		trouble: os.Getenv("TROUBLE") != "0", runnerKind: kind, begun: now(), dir: dir, store: newStore(), record: record,
 		muter: &muter{conns: map[*mutedConn]bool{}}, gangs: map[string][]*taskRun{}, starts: map[string]int{}, startedAt: map[string]time.Time{}, lostAt: map[string]time.Time{}, hows: map[string]map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -25,6 +25,8 @@
 	rig     *rig
 	number  int
 	address string
+	// proxy, if set, stands between the daemons and the runner, and can cut the runner off.
+	proxy *proxy
 	// cpu is the capacity in thousandths of a core.
 	cpu int
 
@@ -45,9 +47,11 @@
 	runs     map[string]*taskRun
 	over     map[string]int64
 	ends     [][]any
-	lastEnd  int64
-	changed  chan struct{}
-	dead     bool
+	// unseen has the ended runs that are listed in ends.
+	unseen  []*taskRun
+	lastEnd int64
+	changed chan struct{}
+	dead    bool
 }
 
 // taskRun is one run of a task. The spec of its job tells how long it works and how large its gang is.
@@ -58,6 +62,10 @@
 	plan   plan
 	begun  time.Time
 	ended  bool
+	// how and endedAt are how and when the run ended; lapsed tells that the runner's lease was over between that and its note.
+	how              string
+	endedAt, notedAt time.Time
+	lapsed           bool
 }
 
 // plan is what the spec of a job tells: "work=MS gang=N".
@@ -87,6 +95,14 @@
 	return m
 }
 
+// announced is the address at which the daemons reach the runner.
+func (m *machine) announced() string {
+	if m.proxy != nil {
+		return m.proxy.address
+	}
+	return m.address
+}
+
 // boot starts the next life at the machine's address.
 func (m *machine) boot() {
 	m.mu.Lock()
@@ -100,6 +116,9 @@
 		panic(err)
 	}
 	m.address = l.Addr().String()
+	if m.rig.proxied && m.proxy == nil {
+		m.proxy = newProxy(m.address)
+	}
 	m.lives++
 	id := fmt.Sprintf("i-%04x%04x", m.number, m.lives)
 	if m.rig.keepsID {
@@ -135,7 +154,7 @@
 			return
 		}
 		fields := map[string]any{
-			"service": service, "address": n.machine.address, "zone": "zone-" + strconv.Itoa(n.machine.number%2), "version": "1.4.2", "slots": 8,
+			"service": service, "address": n.machine.announced(), "zone": "zone-" + strconv.Itoa(n.machine.number%2), "version": "1.4.2", "slots": 8,
 			"state": "ready", "coldRemainingMs": 0, "sequence": sequence, "machine": fmt.Sprintf("m-%04x", n.machine.number),
 			"capacity": map[string]any{"cpu": n.machine.cpu, "memMb": 262144, "gpu": 0},
 			"labels":   []string{"a", "r" + strconv.Itoa(n.machine.number/rackSize)},
@@ -166,7 +185,7 @@
 	m.rig.runMu.Lock()
 	n.dead = true
 	for _, r := range n.runs {
-		r.ended = true
+		r.ended, r.how, r.endedAt = true, "crashed", now()
 		m.rig.lostAt[jobOf(r.task)] = now()
 		if !m.rig.quiet {
 			m.rig.note("runner %s crashes under %s run %d", n.id, r.task, r.number)
@@ -201,10 +220,8 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if late := n.machine.rig.late; late != nil && late() {
-			time.AfterFunc(time.Duration(2000+now().UnixNano()%5000)*time.Millisecond, func() {
-				n.carryOutLate(r, in)
-			})
+		if wait := n.machine.rig.lateBy(n, in); wait > 0 {
+			time.AfterFunc(wait, func() { n.carryOutLate(r, in) })
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -232,14 +249,17 @@
 	}
 	n.machine.rig.runMu.Lock()
 	defer n.machine.rig.runMu.Unlock()
-	if status, _ := current.check(r, in); status != 0 {
-		return
+	status, reason := current.check(r, in)
+	if status == 0 {
+		switch r.URL.Path {
+		case "/run-start":
+			status, reason = current.start(in)
+		case "/run-stop":
+			status, reason = current.stop(in)
+		}
 	}
-	switch r.URL.Path {
-	case "/run-start":
-		current.start(in)
-	case "/run-stop":
-		current.stop(in)
+	if !n.machine.rig.quiet {
+		n.machine.rig.note("%s of %s run %d is carried out late by %s: %d %s", r.URL.Path, in.Task, in.Run, current.id, status, reason)
 	}
 }
 
@@ -266,6 +286,9 @@
 				for _, r := range n.runs {
 					n.end(r, "lapsed")
 				}
+				for _, r := range n.unseen {
+					r.lapsed = true
+				}
 			}
 		})
 	}
@@ -308,11 +331,12 @@
 	if r.ended {
 		return
 	}
-	r.ended = true
+	r.ended, r.how, r.endedAt = true, how, now()
 	delete(n.runs, r.task)
 	n.over[r.task] = max(n.over[r.task], r.number)
 	n.lastEnd++
 	n.ends = append(n.ends, []any{n.lastEnd, r.task, r.number, how, ""})
+	n.unseen = append(n.unseen, r)
 	n.machine.rig.ended(r, how)
 	close(n.changed)
 	n.changed = make(chan struct{})
@@ -340,7 +364,10 @@
 		if c := n.machine.rig.checks; c != nil {
 			c.noted(n.ends[0][1].(string), n.ends[0][3].(string))
 		}
-		n.ends = n.ends[1:]
+		if !n.unseen[0].lapsed {
+			n.unseen[0].notedAt = now()
+		}
+		n.ends, n.unseen = n.ends[1:], n.unseen[1:]
 	}
 	timer := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
 	defer timer.Stop()
